Settle the core's shared types and a thin node

Cause: the crates can be built apart only once events, actions, peer messages and the checked configuration are fixed. The node leads each event through configuration, membership, load, limits, keys and retries; each part has a simple first version behind the interface it will keep.

--- /dev/null
+++ b/crates/core/src/action.rs
@@ -0,0 +1,211 @@
+//! What a node wants done.
+
+use crate::{
+    arena::{
+        EndpointKey,
+        RouterKey,
+        WorkspaceKey, //
+    },
+    peer,
+    request::{
+        Answer,
+        Attempt,
+        Call,
+        Outcome,
+        Placed,
+        Refusal,
+        Token, //
+    },
+    units::{
+        Millis,
+        Revision,
+        Time, //
+    },
+};
+
+/// `Action` is one thing for the driver to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send the call to an endpoint.
+    Dispatch {
+        /// The call.
+        call: Call,
+        /// The attempt.
+        attempt: Attempt,
+        /// Where.
+        endpoint: EndpointKey,
+        /// When the answer must be whole.
+        deadline: Time,
+        /// Time without progress after which the attempt is broken.
+        idle: Millis,
+        /// Placement token to hand to the caller with the answer.
+        token: Option<Token>,
+    },
+    /// Send the call to its home router.
+    Forward {
+        /// The call.
+        call: Call,
+        /// The home.
+        router: RouterKey,
+        /// When the answer must be back.
+        deadline: Time,
+    },
+    /// Give the final answer: a refusal.
+    Refuse {
+        /// The call.
+        call: Call,
+        /// Why.
+        refusal: Refusal,
+    },
+    /// Give the final answer: an earlier one of the same key.
+    Replay {
+        /// The call.
+        call: Call,
+        /// The first answer.
+        answer: Answer,
+    },
+    /// Give the final answer: the one that the endpoint gave and the driver holds.
+    Finish {
+        /// The call.
+        call: Call,
+        /// What to tell the caller.
+        outcome: Outcome,
+    },
+    /// End an attempt at its endpoint; its answer is no longer wanted.
+    Cancel {
+        /// The call.
+        call: Call,
+        /// The attempt.
+        attempt: Attempt,
+    },
+    /// Send a message to a peer.
+    Send {
+        /// To whom.
+        router: RouterKey,
+        /// What.
+        message: peer::Message,
+    },
+    /// Poll an endpoint's load report.
+    Poll {
+        /// The endpoint.
+        endpoint: EndpointKey,
+    },
+    /// Probe an endpoint on a new connection.
+    Probe {
+        /// The endpoint.
+        endpoint: EndpointKey,
+    },
+    /// Read the configuration service from a revision on, and wait there.
+    Watch {
+        /// The revision held.
+        since: Revision,
+    },
+    /// Read the platform's list of VMs.
+    ReadVms,
+    /// A new configuration is in force.
+    Apply {
+        /// Its revision.
+        revision: Revision,
+    },
+    /// The drain is over; the process may end.
+    Exit {
+        /// Calls that were cut off.
+        cut: usize,
+    },
+    /// Write a line to the decision log.
+    Log(Decision),
+}
+
+/// `Decision` is one line of the decision log. docs/EVENTS.md is the catalogue.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// A request was placed.
+    Placed {
+        /// The call.
+        call: Call,
+        /// The attempt.
+        attempt: Attempt,
+        /// Its workspace.
+        workspace: WorkspaceKey,
+        /// Where and why.
+        placed: Placed,
+        /// Requests in progress there, as estimated.
+        load: u32,
+        /// Age of the view.
+        view_age: Millis,
+    },
+    /// A request was refused.
+    Refused {
+        /// The call.
+        call: Call,
+        /// Its workspace.
+        workspace: WorkspaceKey,
+        /// Why.
+        refusal: Refusal,
+        /// Age of the view.
+        view_age: Millis,
+    },
+    /// A call that runs once was sent to its home.
+    Forwarded {
+        /// The call.
+        call: Call,
+        /// The home.
+        router: RouterKey,
+    },
+    /// A repeated key got its first answer.
+    Replayed {
+        /// The call.
+        call: Call,
+    },
+    /// An attempt failed.
+    AttemptFailed {
+        /// The call.
+        call: Call,
+        /// The attempt.
+        attempt: Attempt,
+        /// Where.
+        endpoint: EndpointKey,
+        /// Whether another attempt follows.
+        retried: bool,
+    },
+    /// A call ended with an answer.
+    Done {
+        /// The call.
+        call: Call,
+        /// Outcome told.
+        outcome: Outcome,
+        /// Attempts made.
+        attempts: u32,
+    },
+    /// An endpoint's state changed in this router's view.
+    Member {
+        /// The endpoint.
+        endpoint: EndpointKey,
+        /// The new state.
+        state: crate::membership::State,
+    },
+    /// A configuration was put in force.
+    Applied {
+        /// Its revision.
+        revision: Revision,
+    },
+    /// A configuration was refused; the old one stays in force.
+    Rejected {
+        /// Its revision.
+        revision: Revision,
+        /// Errors found, one a line: JSON path, value and what was expected.
+        errors: String,
+    },
+    /// A home's lease began or ended.
+    Lease {
+        /// Fleet epoch.
+        epoch: Revision,
+        /// Whether it is held now.
+        held: bool,
+    },
+    /// The drain began.
+    Draining {
+        /// Calls in progress.
+        open: usize,
+    },
+}
--- /dev/null
+++ b/crates/core/src/node/calls.rs
@@ -0,0 +1,498 @@
+//! A call's way through the node: admission, home, placement, attempts, end.
+
+use std::sync::Arc;
+
+use super::{
+    Node,
+    Open,
+    Stage,
+    attempt,
+    log_member, //
+};
+use crate::{
+    action::{
+        Action,
+        Decision, //
+    },
+    limits::{
+        Ask,
+        Outgo,
+        Verdict, //
+    },
+    membership::Seen,
+    once::Begin,
+    peer::Message,
+    place::{
+        self,
+        Scene, //
+    },
+    request::{
+        Answer,
+        Attempt,
+        Call,
+        Code,
+        End,
+        Origin,
+        Outcome,
+        Refusal,
+        Request,
+        Token,
+        Work, //
+    },
+    retry,
+    units::{
+        Incarnation,
+        Millis,
+        Now,
+        Revision, //
+    },
+};
+
+/// When to come back after a refusal whose cause should be over in a moment.
+const SOON: Millis = Millis(1000);
+
+impl Node {
+    pub(super) fn request(
+        &mut self,
+        now: Now,
+        call: Call,
+        request: Request,
+        out: &mut Vec<Action>,
+    ) {
+        let admitted = matches!(request.origin, Origin::Peer(_));
+        let workspace = request.workspace;
+        let priority = request.priority;
+        let refuse = |code| Refusal::not_run(code, Some(SOON));
+        let early = if self.config().revision == Revision(0) {
+            Some(refuse(Code::NotReady))
+        } else if self.draining.is_some() {
+            Some(refuse(Code::Draining))
+        } else if now.mono >= request.deadline {
+            Some(Refusal::not_run(Code::Deadline, None))
+        } else {
+            None
+        };
+        let open = Open {
+            request,
+            stage: Stage::Admission,
+            attempts: 0,
+            tried: Vec::new(),
+        };
+        self.calls.insert(call, open);
+        if let Some(refusal) = early {
+            return self.refuse(now, call, refusal, out);
+        }
+        if admitted {
+            return self.admitted(now, call, out);
+        }
+        let config = Arc::clone(self.store.current());
+        let mut outgo = Vec::new();
+        let ask = Ask {
+            me: self.me,
+            call,
+            workspace,
+            priority,
+        };
+        let verdict = self.limits.admit(now.mono, &config, ask, &mut outgo);
+        self.verdict(now, call, verdict, out);
+        self.limits_out(now, outgo, out);
+    }
+
+    pub(super) fn tick_limits(&mut self, now: Now, out: &mut Vec<Action>) {
+        let config = Arc::clone(self.store.current());
+        let mut outgo = Vec::new();
+        self.limits.tick(now.mono, &config, self.me, &mut outgo);
+        self.limits_out(now, outgo, out);
+    }
+
+    pub(super) fn limits_out(&mut self, now: Now, outgo: Vec<Outgo>, out: &mut Vec<Action>) {
+        for one in outgo {
+            match one {
+                Outgo::Decided { call, verdict } => self.verdict(now, call, verdict, out),
+                Outgo::Ask {
+                    home,
+                    workspace,
+                    want,
+                    nonce,
+                } => {
+                    let Some(w) = self.config().workspaces.get(workspace) else {
+                        continue;
+                    };
+                    let message = Message::Ask {
+                        workspace: w.tag,
+                        want,
+                        nonce,
+                    };
+                    out.push(Action::Send {
+                        router: home,
+                        message,
+                    });
+                }
+            }
+        }
+    }
+
+    fn verdict(&mut self, now: Now, call: Call, verdict: Verdict, out: &mut Vec<Action>) {
+        match verdict {
+            Verdict::Admit => self.admitted(now, call, out),
+            Verdict::Wait => {}
+            Verdict::Refuse { retry_after } => {
+                let refusal = Refusal::not_run(Code::OverLimit, Some(retry_after));
+                self.refuse(now, call, refusal, out);
+            }
+        }
+    }
+
+    fn admitted(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
+        let Some(open) = self.calls.get_mut(&call) else {
+            return;
+        };
+        self.budget.first(&self.store.current().policy);
+        let Work::Once { key, content, .. } = open.request.work else {
+            return self.dispatch(now, call, out);
+        };
+        let config = Arc::clone(self.store.current());
+        let home = config.home(key.item());
+        let from_peer = matches!(open.request.origin, Origin::Peer(_));
+        match home {
+            Some(router) if Some(router) != self.me => {
+                if from_peer {
+                    // Two routers with two fleet lists: passing it on again could go in circles.
+                    let refusal = Refusal::unknown(Code::HomeUnavailable, Some(SOON));
+                    return self.refuse(now, call, refusal, out);
+                }
+                open.stage = Stage::Forwarded;
+                let deadline = open.request.deadline;
+                out.push(Action::Forward {
+                    call,
+                    router,
+                    deadline,
+                });
+                out.push(Action::Log(Decision::Forwarded { call, router }));
+            }
+            _ => match self.home.begin(now, &config, call, key, content) {
+                Begin::Run => self.dispatch(now, call, out),
+                Begin::Refuse(refusal) => self.refuse(now, call, refusal, out),
+                Begin::Replay(answer) => {
+                    self.calls.swap_remove(&call);
+                    out.push(Action::Replay { call, answer });
+                    out.push(Action::Log(Decision::Replayed { call }));
+                }
+            },
+        }
+    }
+
+    fn dispatch(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
+        let config = Arc::clone(self.store.current());
+        let Some(open) = self.calls.get_mut(&call) else {
+            return;
+        };
+        if let Work::Once { key, .. } = open.request.work
+            && !self.home.may_send(now, &config, key)
+        {
+            self.home.end(now, key, Outcome::NotRun, None);
+            let refusal = Refusal::not_run(Code::HomeUnavailable, Some(SOON));
+            return self.refuse(now, call, refusal, out);
+        }
+        let scene = Scene {
+            config: &config,
+            view: &self.view,
+            loads: &self.loads,
+            now: now.mono,
+        };
+        let Some(placed) = place::choose(scene, &open.request.work, &open.tried, &mut self.rng)
+        else {
+            return self.no_endpoint(now, call, out);
+        };
+        let endpoint = placed.endpoint;
+        open.attempts += 1;
+        open.stage = Stage::Sent { endpoint };
+        open.tried.push(endpoint);
+        let load = self.loads.estimate(now.mono, endpoint);
+        self.loads.sent(now.mono, endpoint);
+        let token = match (&open.request.work, config.endpoints.get(endpoint)) {
+            (Work::Chat { token, .. }, Some(e)) => Some(Token {
+                last: e.tag,
+                incarnation: self.view.incarnation(endpoint),
+                before: token.map(|t| t.last).filter(|t| *t != e.tag),
+            }),
+            _ => None,
+        };
+        let attempt = attempt(open.attempts);
+        let workspace = open.request.workspace;
+        let deadline = open.request.deadline;
+        let idle = config.policy.idle_timeout;
+        out.push(Action::Dispatch {
+            call,
+            attempt,
+            endpoint,
+            deadline,
+            idle,
+            token,
+        });
+        let view_age = self.view_age(now);
+        let decision = Decision::Placed {
+            call,
+            attempt,
+            workspace,
+            placed,
+            load,
+            view_age,
+        };
+        out.push(Action::Log(decision));
+    }
+
+    fn no_endpoint(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
+        let Some(open) = self.calls.get(&call) else {
+            return;
+        };
+        if let Work::Once { key, .. } = open.request.work {
+            self.home.end(now, key, Outcome::NotRun, None);
+        }
+        self.refuse(
+            now,
+            call,
+            Refusal::not_run(Code::NoEndpoint, Some(SOON)),
+            out,
+        );
+    }
+
+    pub(super) fn head(
+        &mut self,
+        now: Now,
+        call: Call,
+        leaving: bool,
+        incarnation: Option<Incarnation>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(Open {
+            stage: Stage::Sent { endpoint },
+            ..
+        }) = self.calls.get(&call)
+        else {
+            return;
+        };
+        let endpoint = *endpoint;
+        self.view.heard(now.mono);
+        if let Some(life) = incarnation {
+            let changed = self.view.life(now.mono, endpoint, life);
+            log_member(endpoint, changed, out);
+        }
+        let changed = if leaving {
+            let life = self.view.incarnation(endpoint);
+            self.view.leaving(now.mono, endpoint, life)
+        } else {
+            self.view.seen(now.mono, endpoint, Seen::Answered)
+        };
+        log_member(endpoint, changed, out);
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        now: Now,
+        call: Call,
+        attempt: Attempt,
+        end: End,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(open) = self.calls.get(&call) else {
+            return;
+        };
+        let Stage::Sent { endpoint } = open.stage else {
+            return;
+        };
+        if attempt.0 != open.attempts {
+            return;
+        }
+        self.loads.ended(now.mono, endpoint);
+        let changed = match &end {
+            End::Whole(_) => self.view.seen(now.mono, endpoint, Seen::Answered),
+            End::NotSent { leaving: true } => {
+                let life = self.view.incarnation(endpoint);
+                self.view.leaving(now.mono, endpoint, life)
+            }
+            End::NotSent { leaving: false } => self.view.seen(now.mono, endpoint, Seen::Refused),
+            End::Broken { .. } => self.view.seen(now.mono, endpoint, Seen::Silent),
+            End::Failed(_) | End::Cancelled => None,
+        };
+        log_member(endpoint, changed, out);
+        if let End::Whole(answer) = end {
+            return self.whole(now, call, answer, out);
+        }
+        self.failed(now, call, attempt, end, out);
+    }
+
+    fn whole(&mut self, now: Now, call: Call, answer: Answer, out: &mut Vec<Action>) {
+        let Some(open) = self.calls.swap_remove(&call) else {
+            return;
+        };
+        if let Work::Once { key, .. } = open.request.work {
+            self.home.end(now, key, Outcome::Done, Some(answer));
+        }
+        let outcome = Outcome::Done;
+        out.push(Action::Finish { call, outcome });
+        out.push(Action::Log(Decision::Done {
+            call,
+            outcome,
+            attempts: open.attempts,
+        }));
+    }
+
+    fn failed(&mut self, now: Now, call: Call, attempt: Attempt, end: End, out: &mut Vec<Action>) {
+        let Some(open) = self.calls.get(&call) else {
+            return;
+        };
+        let Stage::Sent { endpoint } = open.stage else {
+            return;
+        };
+        let policy = Arc::clone(&self.store.current().policy);
+        let (request, attempts) = (&open.request, open.attempts);
+        let retried = retry::allowed(
+            &policy,
+            &request.work,
+            attempts,
+            &end,
+            now.mono,
+            request.deadline,
+        ) && self.budget.take();
+        out.push(Action::Log(Decision::AttemptFailed {
+            call,
+            attempt,
+            endpoint,
+            retried,
+        }));
+        if retried {
+            return self.dispatch(now, call, out);
+        }
+        let work = request.work.clone();
+        match end {
+            End::Cancelled => self.close(now, call, &work, Outcome::Unknown),
+            // An endpoint's own error is an answer; the caller gets it as it is.
+            End::Failed(answer) => {
+                if let Work::Once { key, .. } = work {
+                    self.home.end(now, key, Outcome::Unknown, Some(answer));
+                }
+                let outcome = Outcome::Unknown;
+                self.calls.swap_remove(&call);
+                out.push(Action::Finish { call, outcome });
+                out.push(Action::Log(Decision::Done {
+                    call,
+                    outcome,
+                    attempts,
+                }));
+            }
+            End::NotSent { .. } => {
+                if let Work::Once { key, .. } = work {
+                    self.home.end(now, key, Outcome::NotRun, None);
+                }
+                let refusal = Refusal::not_run(Code::EndpointFailed, Some(SOON));
+                self.refuse(now, call, refusal, out);
+            }
+            End::Broken { .. } | End::Whole(_) => {
+                if let Work::Once { key, .. } = work {
+                    self.home.end(now, key, Outcome::Unknown, None);
+                }
+                let refusal = Refusal::unknown(Code::EndpointFailed, Some(SOON));
+                self.refuse(now, call, refusal, out);
+            }
+        }
+    }
+
+    fn close(&mut self, now: Now, call: Call, work: &Work, outcome: Outcome) {
+        if let Work::Once { key, .. } = work {
+            self.home.end(now, *key, outcome, None);
+        }
+        self.calls.swap_remove(&call);
+    }
+
+    pub(super) fn gone(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
+        let Some(open) = self.calls.get(&call) else {
+            return;
+        };
+        let work = open.request.work.clone();
+        match open.stage {
+            // A call that runs once goes on: its repeat wants the answer.
+            Stage::Sent { .. } if matches!(work, Work::Once { .. }) => {}
+            Stage::Sent { endpoint } => {
+                let attempt = attempt(open.attempts);
+                self.loads.ended(now.mono, endpoint);
+                self.calls.swap_remove(&call);
+                out.push(Action::Cancel { call, attempt });
+            }
+            Stage::Admission => {
+                self.limits.gone(call);
+                self.calls.swap_remove(&call);
+            }
+            Stage::Forwarded => {
+                self.calls.swap_remove(&call);
+            }
+        }
+    }
+
+    pub(super) fn forward_failed(&mut self, call: Call, sent: bool, out: &mut Vec<Action>) {
+        let Some(open) = self.calls.swap_remove(&call) else {
+            return;
+        };
+        // An earlier request with this key may have run at the home, so even what was not sent is
+        // only unknown to this router.
+        let _ = sent;
+        let refusal = Refusal::unknown(Code::HomeUnavailable, Some(SOON));
+        let workspace = open.request.workspace;
+        out.push(Action::Refuse { call, refusal });
+        let view_age = Millis(0);
+        out.push(Action::Log(Decision::Refused {
+            call,
+            workspace,
+            refusal,
+            view_age,
+        }));
+    }
+
+    pub(super) fn forward_done(
+        &mut self,
+        call: Call,
+        refusal: Option<Refusal>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(open) = self.calls.swap_remove(&call) else {
+            return;
+        };
+        match refusal {
+            Some(refusal) => {
+                let workspace = open.request.workspace;
+                out.push(Action::Refuse { call, refusal });
+                let view_age = Millis(0);
+                out.push(Action::Log(Decision::Refused {
+                    call,
+                    workspace,
+                    refusal,
+                    view_age,
+                }));
+            }
+            None => {
+                let outcome = Outcome::Done;
+                out.push(Action::Finish { call, outcome });
+                out.push(Action::Log(Decision::Done {
+                    call,
+                    outcome,
+                    attempts: 1,
+                }));
+            }
+        }
+    }
+
+    fn refuse(&mut self, now: Now, call: Call, refusal: Refusal, out: &mut Vec<Action>) {
+        let Some(open) = self.calls.swap_remove(&call) else {
+            return;
+        };
+        let workspace = open.request.workspace;
+        let view_age = self.view_age(now);
+        out.push(Action::Refuse { call, refusal });
+        out.push(Action::Log(Decision::Refused {
+            call,
+            workspace,
+            refusal,
+            view_age,
+        }));
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/mod.rs
@@ -0,0 +1,386 @@
+//! One router's decisions as a whole: events and time in, actions out.
+//!
+//! [`Node`] owns the parts that each decide one matter (configuration, membership, load, limits,
+//! keys, retries) and leads every event through them. It does no I/O: the driver carries out the
+//! actions and reports what came of them as events.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use rand::{
+    SeedableRng,
+    rngs::StdRng, //
+};
+use slotmap::SecondaryMap;
+
+use crate::{
+    action::{
+        Action,
+        Decision, //
+    },
+    arena::{
+        EndpointKey,
+        RouterKey, //
+    },
+    config::{
+        Config,
+        store::{
+            self,
+            Store, //
+        },
+    },
+    event::{
+        Event,
+        Source, //
+    },
+    ids::Id,
+    limits::Limits,
+    load::Table,
+    membership::{
+        Seen,
+        View, //
+    },
+    once::Home,
+    request::{
+        Attempt,
+        Call,
+        Request, //
+    },
+    retry::Budget,
+    units::{
+        Incarnation,
+        Millis,
+        Now,
+        Revision,
+        Time, //
+    },
+};
+
+mod calls;
+mod peers;
+
+/// `Options` is what a node must know of itself.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Its name in the published fleet.
+    pub id: Id,
+    /// This life of it; greater than that of any earlier life.
+    pub incarnation: Incarnation,
+    /// Seed of its random numbers.
+    pub seed: u64,
+}
+
+/// `Peer` is what a node knows of another router.
+#[derive(Clone, Copy, Debug, Default)]
+struct Peer {
+    revision: Revision,
+    heard: Option<Time>,
+}
+
+/// `Open` is a call in progress.
+#[derive(Clone, Debug)]
+struct Open {
+    request: Request,
+    stage: Stage,
+    attempts: u32,
+    tried: Vec<EndpointKey>,
+}
+
+/// `Stage` says what an open call waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// A grant of the workspace's home.
+    Admission,
+    /// The answer of the key's home.
+    Forwarded,
+    /// The answer of an endpoint.
+    Sent { endpoint: EndpointKey },
+}
+
+/// `Node` is one router.
+#[derive(Debug)]
+pub struct Node {
+    options: Options,
+    rng: StdRng,
+    store: Store,
+    me: Option<RouterKey>,
+    view: View,
+    loads: Table,
+    limits: Limits,
+    home: Home,
+    budget: Budget,
+    peers: SecondaryMap<RouterKey, Peer>,
+    calls: IndexMap<Call, Open>,
+    polled: SecondaryMap<EndpointKey, Time>,
+    probed: SecondaryMap<EndpointKey, Time>,
+    summarized: Time,
+    started: Time,
+    watching: bool,
+    synced: bool,
+    draining: Option<Time>,
+    exited: bool,
+}
+
+impl Node {
+    /// Makes a node that knows nothing yet.
+    pub fn new(options: Options, now: Now) -> Self {
+        let rng = StdRng::seed_from_u64(options.seed);
+        Self {
+            options,
+            rng,
+            store: Store::default(),
+            me: None,
+            view: View::default(),
+            loads: Table::default(),
+            limits: Limits::default(),
+            home: Home::default(),
+            budget: Budget::default(),
+            peers: SecondaryMap::new(),
+            calls: IndexMap::new(),
+            polled: SecondaryMap::new(),
+            probed: SecondaryMap::new(),
+            summarized: now.mono,
+            started: now.mono,
+            watching: false,
+            synced: false,
+            draining: None,
+            exited: false,
+        }
+    }
+
+    /// Gets the configuration in force.
+    pub fn config(&self) -> &Arc<Config> {
+        self.store.current()
+    }
+
+    /// Gets this router's key in the fleet; `None` while it is not in the published list.
+    pub fn me(&self) -> Option<RouterKey> {
+        self.me
+    }
+
+    /// Gets this life's number.
+    pub fn incarnation(&self) -> Incarnation {
+        self.options.incarnation
+    }
+
+    /// Gets the view of endpoints.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Gets the loads of endpoints.
+    pub fn loads(&self) -> &Table {
+        &self.loads
+    }
+
+    /// Gets the number of calls in progress.
+    pub fn open(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Tells whether callers may be sent here: a configuration is in force, peers were asked for a
+    /// newer one, and no drain is on.
+    pub fn ready(&self) -> bool {
+        self.synced && self.draining.is_none() && self.store.current().revision > Revision(0)
+    }
+
+    /// Handles one event and appends what is to be done.
+    pub fn handle(&mut self, now: Now, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Request { call, request } => self.request(now, call, request, out),
+            Event::Head {
+                call,
+                attempt,
+                in_flight,
+                leaving,
+                incarnation,
+            } => {
+                let _ = (attempt, in_flight);
+                self.head(now, call, leaving, incarnation, out);
+            }
+            Event::Ended { call, attempt, end } => self.ended(now, call, attempt, end, out),
+            Event::ForwardFailed { call, sent } => self.forward_failed(call, sent, out),
+            Event::ForwardDone { call, refusal } => self.forward_done(call, refusal, out),
+            Event::Gone { call } => self.gone(now, call, out),
+            Event::Polled { endpoint, report } => self.polled(now, endpoint, report, out),
+            Event::Probed { endpoint, answered } => {
+                let seen = if answered {
+                    Seen::Answered
+                } else {
+                    Seen::Silent
+                };
+                let changed = self.view.seen(now.mono, endpoint, seen);
+                log_member(endpoint, changed, out);
+            }
+            Event::Peer {
+                from,
+                incarnation,
+                message,
+            } => {
+                self.peer(now, from, incarnation, message, out);
+            }
+            Event::PeerFailed { router } => self.peer_failed(now, router, out),
+            Event::Publish { source, change } => {
+                if source == Source::Service {
+                    self.watching = false;
+                }
+                self.publish(now, &change, out);
+            }
+            Event::ReadFailed => self.watching = false,
+            Event::Vms { age: _, vms } => self.vms(now, &vms, out),
+            Event::Cache { .. } => self.view.heard(now.mono),
+            Event::Tick => self.tick(now, out),
+            Event::Drain => self.drain(now, out),
+        }
+    }
+
+    fn publish(&mut self, now: Now, change: &crate::peer::Change, out: &mut Vec<Action>) {
+        match self.store.apply(change) {
+            Ok(()) => self.applied(now, out),
+            Err(store::Error::Invalid { faults }) => {
+                let line = |f: &store::Fault| format!("{}: {}", f.path, f.reason);
+                let errors = faults.iter().map(line).collect::<Vec<_>>().join("\n");
+                let revision = change.revision;
+                out.push(Action::Log(Decision::Rejected { revision, errors }));
+            }
+            // An older or overlapping change is what a lagging service or peer sends; what is in
+            // force stays.
+            Err(store::Error::Old { .. } | store::Error::Gap { .. }) => {}
+        }
+    }
+
+    fn applied(&mut self, now: Now, out: &mut Vec<Action>) {
+        let config = Arc::clone(self.store.current());
+        self.me = config.fleet.key(&self.options.id);
+        self.view.apply(now.mono, &config);
+        self.loads.apply(&config);
+        self.limits.apply(now.mono, &config);
+        self.home.apply(now, &config, self.me);
+        self.peers.retain(|key, _| config.fleet.get(key).is_some());
+        for (key, _) in config.fleet.iter() {
+            if Some(key) != self.me && !self.peers.contains_key(key) {
+                self.peers.insert(key, Peer::default());
+            }
+        }
+        let revision = config.revision;
+        out.push(Action::Apply { revision });
+        out.push(Action::Log(Decision::Applied { revision }));
+    }
+
+    fn vms(&mut self, now: Now, vms: &[(Id, crate::event::VmState)], out: &mut Vec<Action>) {
+        self.view.heard(now.mono);
+        for (id, state) in vms {
+            let Some(key) = self.config().endpoints.key(id) else {
+                continue;
+            };
+            if *state == crate::event::VmState::Leaving {
+                let life = self.view.incarnation(key);
+                let changed = self.view.leaving(now.mono, key, life);
+                log_member(key, changed, out);
+            }
+        }
+    }
+
+    fn polled(
+        &mut self,
+        now: Now,
+        endpoint: EndpointKey,
+        report: Option<crate::event::Report>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(report) = report else {
+            let changed = self.view.seen(now.mono, endpoint, Seen::Silent);
+            log_member(endpoint, changed, out);
+            return;
+        };
+        self.view.heard(now.mono);
+        self.loads.report(now.mono, endpoint, &report);
+        let changed = self.view.life(now.mono, endpoint, report.incarnation);
+        log_member(endpoint, changed, out);
+        let changed = if report.leaving {
+            self.view.leaving(now.mono, endpoint, report.incarnation)
+        } else {
+            self.view.seen(now.mono, endpoint, Seen::Answered)
+        };
+        log_member(endpoint, changed, out);
+    }
+
+    fn tick(&mut self, now: Now, out: &mut Vec<Action>) {
+        if !self.watching {
+            self.watching = true;
+            out.push(Action::Watch {
+                since: self.store.held(),
+            });
+        }
+        self.tick_endpoints(now, out);
+        self.tick_peers(now, out);
+        self.tick_limits(now, out);
+        self.tick_drain(now, out);
+    }
+
+    fn tick_endpoints(&mut self, now: Now, out: &mut Vec<Action>) {
+        let config = Arc::clone(self.store.current());
+        let interval = config.policy.poll_interval;
+        for (key, endpoint) in config.endpoints.iter() {
+            let due = self
+                .polled
+                .get(key)
+                .is_none_or(|t| now.mono.since(*t) >= interval);
+            if due && endpoint.kind == crate::config::Kind::Engine {
+                self.polled.insert(key, now.mono);
+                out.push(Action::Poll { endpoint: key });
+            }
+        }
+        let to_probe: Vec<EndpointKey> = self.view.to_probe(now.mono).collect();
+        for key in to_probe {
+            let due = self
+                .probed
+                .get(key)
+                .is_none_or(|t| now.mono.since(*t) >= interval);
+            if due {
+                self.probed.insert(key, now.mono);
+                out.push(Action::Probe { endpoint: key });
+            }
+        }
+    }
+
+    fn drain(&mut self, now: Now, out: &mut Vec<Action>) {
+        if self.draining.is_none() {
+            self.draining = Some(now.mono);
+            out.push(Action::Log(Decision::Draining {
+                open: self.calls.len(),
+            }));
+        }
+        self.tick_drain(now, out);
+    }
+
+    fn tick_drain(&mut self, now: Now, out: &mut Vec<Action>) {
+        let Some(since) = self.draining else { return };
+        let late = now.mono.since(since) >= self.config().policy.drain_deadline;
+        if !self.exited && (self.calls.is_empty() || late) {
+            self.exited = true;
+            out.push(Action::Exit {
+                cut: self.calls.len(),
+            });
+        }
+    }
+
+    fn view_age(&self, now: Now) -> Millis {
+        self.view.age(now.mono)
+    }
+}
+
+fn log_member(
+    endpoint: EndpointKey,
+    changed: Option<crate::membership::State>,
+    out: &mut Vec<Action>,
+) {
+    if let Some(state) = changed {
+        out.push(Action::Log(Decision::Member { endpoint, state }));
+    }
+}
+
+/// Makes the attempt number of the n-th attempt.
+const fn attempt(n: u32) -> Attempt {
+    Attempt(n)
+}
