Serve a request through the filter chain and its own task

Cause: the node decides without I/O; this is the driver around it. One task a request carries out the node's steps, so that nothing but the node decides on a further attempt.

--- a/crates/core/src/config/store.rs
+++ b/crates/core/src/config/store.rs
@@ -409,7 +409,7 @@
 
 fn policy(raw: &raw::Policy, faults: &mut Vec<Fault>) -> Policy {
     let base = Policy::default();
-    let ratio = |v: Option<f64>, or: Permille| v.map_or(or, |v| Permille::from_ratio(v));
+    let ratio = |v: Option<f64>, or: Permille| v.map_or(or, Permille::from_ratio);
     let ms = |v: Option<u64>, or: Millis| v.map_or(or, Millis);
     let mut data_centers = IndexMap::new();
     for (name, region) in &raw.data_centers {
--- /dev/null
+++ b/crates/router/src/answers.rs
@@ -0,0 +1,198 @@
+//! Answers to callers: headers, errors in their one JSON shape, and relayed answers.
+
+use bytes::Bytes;
+use http::{
+    HeaderName,
+    HeaderValue,
+    StatusCode,
+    header, //
+};
+use salvo::Response;
+use serde_json::json;
+use tokio::sync::mpsc;
+use tokio_stream::{
+    StreamExt,
+    wrappers::ReceiverStream, //
+};
+use tokio_util::sync::DropGuard;
+use toucanturn_core::{
+    request::{
+        Code,
+        Outcome,
+        Refusal, //
+    },
+    units::Millis,
+};
+
+/// Header that carries a request's id.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// Header that carries the outcome.
+pub const OUTCOME: HeaderName = HeaderName::from_static("x-outcome");
+/// Header that carries the number of attempts.
+pub const ATTEMPTS: HeaderName = HeaderName::from_static("x-attempts");
+/// Header that carries the placement token.
+pub const CHAT: HeaderName = HeaderName::from_static("x-chat");
+/// Header that marks a repeated answer.
+pub const REPLAYED: HeaderName = HeaderName::from_static("x-replayed");
+
+/// `Meta` is what every answer carries beside its body.
+#[derive(Clone, Debug, Default)]
+pub struct Meta {
+    /// Attempts made at endpoints.
+    pub attempts: u32,
+    /// Placement token for the chat's next request.
+    pub chat: Option<String>,
+    /// Whether this is an earlier answer to the same key.
+    pub replayed: bool,
+}
+
+/// `Reply` is a final answer on its way to the caller.
+#[derive(Debug)]
+pub enum Reply {
+    /// A whole answer of an endpoint.
+    Whole {
+        /// HTTP status.
+        status: u16,
+        /// Content type.
+        content_type: Bytes,
+        /// Body.
+        body: Bytes,
+        /// What became of the action.
+        outcome: Outcome,
+        /// The rest.
+        meta: Meta,
+    },
+    /// A stream of server-sent events.
+    Stream {
+        /// Whole events.
+        events: mpsc::Receiver<Bytes>,
+        /// The rest.
+        meta: Meta,
+    },
+    /// A refusal.
+    Refused {
+        /// Why.
+        refusal: Refusal,
+        /// The rest.
+        meta: Meta,
+    },
+}
+
+/// Gets the HTTP status of a refusal.
+pub const fn status(code: Code) -> StatusCode {
+    match code {
+        Code::OverLimit => StatusCode::TOO_MANY_REQUESTS,
+        Code::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        Code::EndpointFailed | Code::Truncated => StatusCode::BAD_GATEWAY,
+        Code::KeyExpired | Code::KeyFuture | Code::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+        Code::KeyInProgress => StatusCode::CONFLICT,
+        Code::AnswerGone => StatusCode::OK,
+        Code::Forbidden => StatusCode::FORBIDDEN,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// Writes the JSON of a refusal.
+pub fn error_body(
+    code: &str,
+    message: &str,
+    id: &str,
+    outcome: Outcome,
+    after: Option<Millis>,
+) -> Bytes {
+    let error = json!({
+        "code": code,
+        "message": message,
+        "outcome": outcome,
+        "request_id": id,
+        "retry_after_ms": after.map(|m| m.0),
+    });
+    Bytes::from(json!({ "error": error }).to_string())
+}
+
+/// Writes the JSON of a refusal by the decisions.
+pub fn refusal_body(refusal: &Refusal, id: &str) -> Bytes {
+    let code: &'static str = refusal.code.into();
+    let message = code.replace('_', " ");
+    error_body(code, &message, id, refusal.outcome, refusal.retry_after)
+}
+
+fn text(value: &str) -> HeaderValue {
+    HeaderValue::from_str(value).unwrap_or(HeaderValue::from_static(""))
+}
+
+fn common(res: &mut Response, id: &str, meta: &Meta) {
+    let headers = res.headers_mut();
+    headers.insert(REQUEST_ID, text(id));
+    headers.insert(ATTEMPTS, HeaderValue::from(meta.attempts));
+    if let Some(chat) = &meta.chat {
+        headers.insert(CHAT, text(chat));
+    }
+    if meta.replayed {
+        headers.insert(REPLAYED, HeaderValue::from_static("true"));
+    }
+}
+
+/// Puts an error that the filter chain found into the response. Nothing was run.
+pub fn reject(res: &mut Response, status: StatusCode, code: &str, message: &str, id: &str) {
+    common(res, id, &Meta::default());
+    res.headers_mut()
+        .insert(OUTCOME, HeaderValue::from_static("not_run"));
+    res.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    res.status_code(status);
+    res.body(error_body(code, message, id, Outcome::NotRun, None));
+}
+
+/// Puts a final answer into the response.
+pub fn write(res: &mut Response, id: &str, reply: Reply, guard: DropGuard) {
+    match reply {
+        Reply::Whole {
+            status,
+            content_type,
+            body,
+            outcome,
+            meta,
+        } => {
+            common(res, id, &meta);
+            res.headers_mut()
+                .insert(OUTCOME, text(&outcome.to_string()));
+            if let Ok(value) = HeaderValue::from_bytes(&content_type) {
+                res.headers_mut().insert(header::CONTENT_TYPE, value);
+            }
+            res.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY));
+            res.body(body);
+        }
+        Reply::Stream { events, meta } => {
+            common(res, id, &meta);
+            let kind = HeaderValue::from_static("text/event-stream");
+            res.headers_mut().insert(header::CONTENT_TYPE, kind);
+            res.headers_mut()
+                .insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+            res.status_code(StatusCode::OK);
+            // The guard goes with the stream: when the caller goes away, the request's task hears.
+            let events = ReceiverStream::new(events).map(move |event| {
+                let _ = &guard;
+                Ok::<_, std::io::Error>(event)
+            });
+            res.stream(events);
+        }
+        Reply::Refused { refusal, meta } => {
+            common(res, id, &meta);
+            res.headers_mut()
+                .insert(OUTCOME, text(&refusal.outcome.to_string()));
+            let kind = HeaderValue::from_static("application/json");
+            res.headers_mut().insert(header::CONTENT_TYPE, kind);
+            if let Some(after) = refusal.retry_after {
+                // Whole seconds, rounded up (RFC 9110, section 10.2.3).
+                let secs = after.0.div_ceil(1000).max(1);
+                res.headers_mut()
+                    .insert(header::RETRY_AFTER, HeaderValue::from(secs));
+            }
+            res.status_code(status(refusal.code));
+            res.body(refusal_body(&refusal, id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/driver.rs
@@ -0,0 +1,284 @@
+//! The driver: feeds events to the node and carries out its actions.
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use indexmap::IndexMap;
+use tokio::sync::{
+    mpsc,
+    oneshot,
+    watch, //
+};
+use tokio_util::sync::CancellationToken;
+use toucanturn_core::{
+    action::Action,
+    arena::WorkspaceKey,
+    config::Config,
+    event::{
+        Event,
+        TICK, //
+    },
+    node::{
+        self,
+        Node, //
+    },
+    request::{
+        Attempt,
+        Call,
+        End, //
+    },
+};
+
+use crate::{
+    answers::{
+        Meta,
+        Reply, //
+    },
+    clock,
+    endpoints::Endpoints,
+    errors::Result,
+    events,
+    exchange::{
+        Dispatch,
+        Exchange,
+        Step,
+        Task, //
+    },
+    metrics::{
+        Metrics,
+        Name, //
+    },
+    options::Options,
+    platform,
+    polls,
+    tokens, //
+};
+
+/// Steps that wait for one request's task; the node gives one at a time, and a cancel.
+const STEPS: usize = 8;
+
+/// `Driver` is one router process around its node.
+#[derive(Debug)]
+pub struct Driver {
+    /// What it was told at the start.
+    pub options: Options,
+    pub(crate) endpoints: Endpoints,
+    pub(crate) control: reqwest::Client,
+    pub(crate) metrics: Metrics,
+    pub(crate) tokens: tokens::Key,
+    node: Mutex<Node>,
+    config: ArcSwap<Config>,
+    keys: ArcSwap<IndexMap<[u8; 32], WorkspaceKey>>,
+    calls: Mutex<IndexMap<Call, mpsc::Sender<Step>>>,
+    next: AtomicU64,
+    exit: watch::Sender<Option<usize>>,
+}
+
+impl Driver {
+    /// Makes a driver; nothing runs until [`Driver::start`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when an HTTP client or the metrics socket can't be had.
+    pub fn new(options: Options) -> Result<Arc<Self>> {
+        let about = node::Options {
+            id: options.id.clone(),
+            incarnation: options.incarnation,
+            seed: options.seed,
+        };
+        let driver = Self {
+            endpoints: Endpoints::new(options.connect_timeout)?,
+            control: platform::client(options.connect_timeout)?,
+            metrics: Metrics::new(options.statsd)?,
+            tokens: tokens::Key::new(&options.token_key),
+            node: Mutex::new(Node::new(about, clock::now())),
+            config: ArcSwap::default(),
+            keys: ArcSwap::default(),
+            calls: Mutex::default(),
+            next: AtomicU64::new(1),
+            exit: watch::channel(None).0,
+            options,
+        };
+        Ok(Arc::new(driver))
+    }
+
+    /// Runs the node's clock until the drain is over; gives the number of calls that were cut.
+    pub async fn run(self: &Arc<Self>) -> usize {
+        let mut exit = self.exit.subscribe();
+        let mut ticks = tokio::time::interval(Duration::from_millis(TICK.0));
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.feed(Event::Tick),
+                changed = exit.changed() => {
+                    if changed.is_err() {
+                        return 0;
+                    }
+                }
+            }
+            if let Some(cut) = *exit.borrow_and_update() {
+                return cut;
+            }
+        }
+    }
+
+    /// Gets the configuration in force.
+    pub fn config(&self) -> Arc<Config> {
+        self.config.load_full()
+    }
+
+    /// Gets the workspace of a bearer key's SHA-256 hash.
+    pub(crate) fn workspace(&self, hash: &[u8; 32]) -> Option<WorkspaceKey> {
+        self.keys.load().get(hash).copied()
+    }
+
+    /// Looks at the node.
+    pub fn with_node<T>(&self, look: impl FnOnce(&Node) -> T) -> T {
+        look(&self.lock())
+    }
+
+    /// Gets the number of calls in progress.
+    pub fn open(&self) -> usize {
+        self.calls().len()
+    }
+
+    /// Feeds an event to the node and carries out what it wants.
+    pub fn feed(self: &Arc<Self>, event: Event) {
+        let mut actions = Vec::new();
+        self.lock().handle(clock::now(), event, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    /// Starts a request's task and gives where its final answer will come.
+    pub(crate) fn start(
+        self: &Arc<Self>,
+        exchange: Exchange,
+        gone: CancellationToken,
+    ) -> oneshot::Receiver<Reply> {
+        let call = Call(self.next.fetch_add(1, Ordering::Relaxed));
+        let (sender, steps) = mpsc::channel(STEPS);
+        let (reply, answer) = oneshot::channel();
+        self.calls().insert(call, sender);
+        let request = exchange.request.clone();
+        let task = Task {
+            driver: Arc::clone(self),
+            call,
+            exchange,
+            steps,
+            reply: Some(reply),
+            stream: None,
+            held: None,
+            meta: Meta::default(),
+            arrived: clock::now().mono,
+            gone,
+        };
+        tokio::spawn(task.run());
+        self.feed(Event::Request { call, request });
+        answer
+    }
+
+    pub(crate) fn forget(&self, call: Call) {
+        self.calls().swap_remove(&call);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Node> {
+        // A panic while the node was locked is a fault of the program; going on with its state is
+        // better than ending every stream of this process.
+        self.node.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn calls(&self) -> MutexGuard<'_, IndexMap<Call, mpsc::Sender<Step>>> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn step(&self, call: Call, step: Step) {
+        let sender = self.calls().get(&call).cloned();
+        if let Some(sender) = sender {
+            let _ = sender.try_send(step);
+        }
+    }
+
+    fn carry_out(self: &Arc<Self>, action: Action) {
+        match action {
+            Action::Dispatch {
+                call,
+                attempt,
+                endpoint,
+                deadline,
+                idle,
+                token,
+            } => {
+                let Some(endpoint) = self.config.load().endpoints.get(endpoint).cloned() else {
+                    return self.vanished(call, attempt);
+                };
+                let dispatch = Dispatch {
+                    attempt,
+                    endpoint,
+                    deadline,
+                    idle,
+                    token,
+                };
+                self.step(call, Step::Dispatch(dispatch));
+            }
+            Action::Forward {
+                call,
+                router,
+                deadline,
+            } => match self.config.load().fleet.get(router).cloned() {
+                Some(router) => self.step(call, Step::Forward { router, deadline }),
+                None => self.feed(Event::ForwardFailed { call, sent: false }),
+            },
+            Action::Refuse { call, refusal } => self.step(call, Step::Refuse(refusal)),
+            Action::Replay { call, answer } => self.step(call, Step::Replay(answer)),
+            Action::Finish { call, outcome } => self.step(call, Step::Finish(outcome)),
+            Action::Cancel { call, .. } => self.step(call, Step::Cancel),
+            Action::Send { router, message } => {
+                let _ = (router, message);
+            }
+            Action::Poll { endpoint } => polls::poll(self, endpoint),
+            Action::Probe { endpoint } => polls::probe(self, endpoint),
+            Action::Watch { since } => platform::watch(self, since),
+            Action::ReadVms => platform::read_vms(self),
+            Action::Apply { .. } => self.apply(),
+            Action::Exit { cut } => {
+                self.exit.send_replace(Some(cut));
+            }
+            Action::Log(decision) => events::log(&self.config.load(), &decision),
+        }
+    }
+
+    /// An endpoint that went out of the configuration between decision and dispatch got nothing.
+    fn vanished(self: &Arc<Self>, call: Call, attempt: Attempt) {
+        let end = End::NotSent { leaving: false };
+        self.feed(Event::Ended { call, attempt, end });
+    }
+
+    fn apply(&self) {
+        // Read again under the lock, so that of two changes applied at once the newer one stays.
+        let node = self.lock();
+        let config = Arc::clone(node.config());
+        let key = |(key, w): (WorkspaceKey, &Arc<_>)| {
+            let w: &toucanturn_core::config::Workspace = w;
+            w.keys
+                .iter()
+                .map(move |hash| (*hash, key))
+                .collect::<Vec<_>>()
+        };
+        let keys = config.workspaces.iter().flat_map(key).collect();
+        self.keys.store(Arc::new(keys));
+        self.metrics.gauge(Name::ConfigRevision, config.revision.0);
+        self.config.store(config);
+        drop(node);
+    }
+}
--- /dev/null
+++ b/crates/router/src/filters/classify.rs
@@ -0,0 +1,226 @@
+//! Reads a request's body and finds out what it asks for.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use salvo::{
+    http::ParseError,
+    prelude::{
+        Depot,
+        FlowCtrl,
+        Handler,
+        Request,
+        Response,
+        async_trait, //
+    },
+};
+use toucanturn_core::{
+    config::{
+        Config,
+        Workspace, //
+    },
+    ids::Id,
+    request::{
+        Key,
+        Work, //
+    },
+};
+
+use super::{
+    Denial,
+    Draft,
+    chat::Chat,
+    deny, //
+};
+use crate::{
+    answers::CHAT,
+    driver::Driver,
+    exchange::Shape, //
+};
+
+const CHAT_PATH: &str = "/v1/chat/completions";
+const MODELS_PATH: &str = "/v1/models";
+
+pub(super) struct Classify(pub(super) Arc<Driver>);
+
+#[async_trait]
+impl Handler for Classify {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        depot: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
+        let draft = depot.get_typed::<Draft>().ok().cloned().unwrap_or_default();
+        let Some((_, workspace)) = &draft.workspace else {
+            return deny(
+                depot,
+                res,
+                ctrl,
+                Denial::new(401, "unauthorized", "no workspace"),
+            );
+        };
+        let config = self.0.config();
+        if req.uri().path() == MODELS_PATH && req.method() == http::Method::GET {
+            res.render(salvo::writing::Json(models(&config, workspace)));
+            ctrl.skip_rest();
+            return;
+        }
+        let result = match self.body(req).await {
+            Ok(body) => self.work(&config, workspace, req, &body).map(|w| (body, w)),
+            Err(denial) => Err(denial),
+        };
+        match (result, depot.get_typed_mut::<Draft>()) {
+            (Ok((body, (work, shape))), Ok(draft)) => {
+                draft.body = body;
+                draft.work = Some(work);
+                draft.shape = Some(shape);
+            }
+            (Err(denial), _) => deny(depot, res, ctrl, denial),
+            (Ok(_), Err(_)) => {}
+        }
+    }
+}
+
+impl Classify {
+    async fn body(&self, req: &mut Request) -> Result<Bytes, Denial> {
+        let most = self.0.options.max_body;
+        let limit: Duration = self.0.options.receive_timeout;
+        match tokio::time::timeout(limit, req.payload_with_max_size(most)).await {
+            Ok(Ok(body)) => Ok(body.clone()),
+            Ok(Err(ParseError::PayloadTooLarge)) => {
+                let message = format!("the body is longer than {most} bytes");
+                Err(Denial::new(413, "too_large", message))
+            }
+            Ok(Err(_)) => Err(Denial::new(400, "bad_request", "the body broke off")),
+            Err(_) => {
+                let message = format!("the body took longer than {} ms", limit.as_millis());
+                Err(Denial::new(408, "slow_sender", message))
+            }
+        }
+    }
+
+    fn work(
+        &self,
+        config: &Config,
+        workspace: &Workspace,
+        req: &Request,
+        body: &Bytes,
+    ) -> Result<(Work, Shape), Denial> {
+        if req.uri().path() == CHAT_PATH {
+            if req.method() != http::Method::POST {
+                return Err(Denial::new(405, "bad_request", "expected POST"));
+            }
+            return self.chat(config, workspace, req, body);
+        }
+        call(config, workspace, req, body).map(|work| (work, Shape::Whole))
+    }
+
+    fn chat(
+        &self,
+        config: &Config,
+        workspace: &Workspace,
+        req: &Request,
+        body: &Bytes,
+    ) -> Result<(Work, Shape), Denial> {
+        let chat: Chat<'_> = serde_json::from_slice(body)
+            .map_err(|e| Denial::new(400, "bad_request", format!("body: {e}")))?;
+        let found = Id::try_from(chat.model.as_ref())
+            .ok()
+            .and_then(|id| config.models.key(&id));
+        let Some(model) = found.filter(|m| workspace.models.contains(m)) else {
+            let message = format!("model: {:?} is none of this workspace's", chat.model);
+            return Err(Denial::new(404, "unknown_model", message));
+        };
+        let token = req.headers().get(CHAT);
+        let token = token.and_then(|t| self.0.tokens.check(workspace.tag, t.as_bytes()));
+        let prefix = token.map_or_else(|| chat.prefix(workspace.tag), |(prefix, _)| prefix);
+        let shape = if chat.stream {
+            Shape::Stream
+        } else {
+            Shape::Whole
+        };
+        Ok((
+            Work::Chat {
+                model,
+                prefix,
+                token: token.map(|(_, t)| t),
+            },
+            shape,
+        ))
+    }
+}
+
+fn call(
+    config: &Config,
+    workspace: &Workspace,
+    req: &Request,
+    body: &Bytes,
+) -> Result<Work, Denial> {
+    let path = req.uri().path().as_bytes();
+    let found = config
+        .service_at(path)
+        .filter(|(key, _)| workspace.services.contains(key));
+    let Some((key, service)) = found else {
+        return Err(Denial::new(
+            404,
+            "not_found",
+            "no model or service of this workspace here",
+        ));
+    };
+    let method = req.method();
+    if !service.is_once(method.as_str().as_bytes(), path) {
+        return Ok(Work::Plain {
+            service: key,
+            idempotent: method.is_idempotent(),
+        });
+    }
+    let Some(value) = req.headers().get("idempotency-key") else {
+        let message = "idempotency-key: expected a UUIDv7, for this call runs at most once";
+        return Err(Denial::new(400, "key_required", message));
+    };
+    let uuid = value
+        .to_str()
+        .ok()
+        .and_then(|v| uuid::Uuid::try_parse(v.trim_matches('"')).ok());
+    let Some(uuid) = uuid.filter(|u| u.get_version_num() == 7) else {
+        return Err(Denial::new(
+            400,
+            "bad_key",
+            "idempotency-key: expected a UUIDv7 (RFC 9562)",
+        ));
+    };
+    let key_of = Key {
+        workspace: workspace.tag,
+        uuid: uuid.as_u128(),
+    };
+    Ok(Work::Once {
+        service: key,
+        key: key_of,
+        content: content(req, body),
+    })
+}
+
+/// Hashes what makes two requests the same: method, path, query and body.
+fn content(req: &Request, body: &Bytes) -> u64 {
+    let mut hash = xxhash_rust::xxh3::Xxh3::new();
+    let target = req.uri().path_and_query().map_or("", |p| p.as_str());
+    for part in [req.method().as_str().as_bytes(), target.as_bytes(), body] {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.digest()
+}
+
+fn models(config: &Config, workspace: &Workspace) -> serde_json::Value {
+    let model = |key: &_| {
+        let found = config.models.get(*key)?;
+        Some(serde_json::json!({ "id": found.id.as_str(), "object": "model" }))
+    };
+    let data: Vec<_> = workspace.models.iter().filter_map(model).collect();
+    serde_json::json!({ "object": "list", "data": data })
+}
--- /dev/null
+++ b/crates/router/src/filters/mod.rs
@@ -0,0 +1,101 @@
+//! The filter chain of callers' requests: accept, authenticate, classify, deadline, serve.
+//!
+//! Each filter fills its part of the [`Draft`] or ends the chain with a clear error; what a filter
+//! ends was not run.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use salvo::{
+    Depot,
+    FlowCtrl,
+    Response,
+    Router, //
+};
+use toucanturn_core::{
+    arena::WorkspaceKey,
+    config::Workspace,
+    request::Work,
+    units::{
+        Millis,
+        Time, //
+    },
+};
+
+use crate::{
+    answers,
+    driver::Driver,
+    exchange::Shape, //
+};
+
+mod accept;
+mod authenticate;
+mod chat;
+mod classify;
+mod deadline;
+mod serve;
+
+/// `Draft` is a request on its way through the chain.
+#[derive(Clone, Debug, Default)]
+struct Draft {
+    /// Its id, the caller's or a new one.
+    id: String,
+    /// When it came.
+    arrived: Time,
+    /// The workspace that its bearer key belongs to.
+    workspace: Option<(WorkspaceKey, Arc<Workspace>)>,
+    /// What it asks for.
+    work: Option<Work>,
+    /// How its answer goes back.
+    shape: Option<Shape>,
+    /// Its body.
+    body: Bytes,
+    /// When its answer must be whole.
+    deadline: Time,
+}
+
+/// Makes the chain.
+pub(crate) fn chain(driver: &Arc<Driver>) -> Router {
+    Router::with_path("{**rest}")
+        .hoop(accept::Accept(Arc::clone(driver)))
+        .hoop(authenticate::Authenticate(Arc::clone(driver)))
+        .hoop(classify::Classify(Arc::clone(driver)))
+        .hoop(deadline::Deadline)
+        .goal(serve::Serve(Arc::clone(driver)))
+}
+
+/// `Denial` is why a filter ends the chain.
+#[derive(Clone, Debug)]
+struct Denial {
+    status: u16,
+    code: &'static str,
+    message: String,
+    retry_after: Option<Millis>,
+}
+
+impl Denial {
+    fn new(status: u16, code: &'static str, message: impl Into<String>) -> Self {
+        Self {
+            status,
+            code,
+            message: message.into(),
+            retry_after: None,
+        }
+    }
+}
+
+/// Ends the chain with an error.
+fn deny(depot: &Depot, res: &mut Response, ctrl: &mut FlowCtrl, denial: Denial) {
+    let id = depot
+        .get_typed::<Draft>()
+        .map(|d| d.id.clone())
+        .unwrap_or_default();
+    let status = http::StatusCode::from_u16(denial.status).unwrap_or_default();
+    answers::reject(res, status, denial.code, &denial.message, &id);
+    if let Some(after) = denial.retry_after {
+        let secs = after.0.div_ceil(1000).max(1);
+        res.headers_mut()
+            .insert(http::header::RETRY_AFTER, http::HeaderValue::from(secs));
+    }
+    ctrl.skip_rest();
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,27 @@
-//! Placeholder.
+//! A router around the decisions of `toucanturn-core`: sockets, clocks and streams.
+//!
+//! A request passes a filter chain ([`filters`]): accept, authenticate, classify, deadline; then
+//! its own task ([`exchange`]) carries out what the node decides: admit, place, dispatch, relay,
+//! account. Controllers feed the node what happens around it: [`platform`] reads the
+//! configuration service and the list of VMs, [`polls`] asks endpoints for their load, the peer
+//! link carries messages between routers. Nothing here decides.
+//!
+//! Start at [`driver::Driver`].
+
+#![forbid(unsafe_code)]
+
+pub mod answers;
+pub mod clock;
+pub mod driver;
+pub mod endpoints;
+pub mod errors;
+pub mod events;
+pub mod exchange;
+pub mod filters;
+pub mod metrics;
+pub mod options;
+pub mod platform;
+pub mod polls;
+pub mod relay;
+pub mod server;
+pub mod tokens;
--- /dev/null
+++ b/crates/router/src/platform.rs
@@ -0,0 +1,190 @@
+//! Reads the platform: the configuration service and the list of VMs.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use reqwest::Client;
+use serde::{
+    Deserialize,
+    de::DeserializeOwned, //
+};
+use serde_json::value::RawValue;
+use snafu::{
+    ResultExt,
+    Snafu, //
+};
+use toucanturn_core::{
+    event::{
+        Event,
+        Source,
+        VmState, //
+    },
+    ids::Id,
+    peer::{
+        Change,
+        Entry, //
+    },
+    units::{
+        Millis,
+        Revision, //
+    },
+};
+
+use crate::{
+    driver::Driver,
+    errors::{
+        ClientSnafu,
+        Result, //
+    },
+};
+
+/// Time that a watch waits at the service.
+const WATCH_WAIT: Duration = Duration::from_secs(30);
+
+/// Time beyond its wait after which a watch counts as lost.
+const GRACE: Duration = Duration::from_secs(5);
+
+/// Largest answer of the configuration service in bytes.
+const MAX_ANSWER: usize = 64 << 20;
+
+/// `Error` says why the platform could not be read.
+#[derive(Debug, Snafu)]
+enum Error {
+    #[snafu(display("the platform did not answer"))]
+    Call { source: reqwest::Error },
+    #[snafu(display("the platform answered with status {status}"))]
+    Status { status: u16 },
+    #[snafu(display("the platform's answer is longer than {MAX_ANSWER} bytes"))]
+    Oversize,
+    #[snafu(display("the platform's answer is not what the protocol says"))]
+    Parse { source: serde_json::Error },
+}
+
+#[derive(Deserialize)]
+struct RawEntry {
+    key: String,
+    revision: u64,
+    value: Option<Box<RawValue>>,
+}
+
+#[derive(Deserialize)]
+struct RawChange {
+    revision: u64,
+    entries: Vec<RawEntry>,
+}
+
+#[derive(Deserialize)]
+struct RawVm {
+    id: String,
+    state: String,
+}
+
+#[derive(Deserialize)]
+struct RawVms {
+    age_ms: u64,
+    vms: Vec<RawVm>,
+}
+
+/// Makes the client for the platform and for polls.
+pub(crate) fn client(connect_timeout: Duration) -> Result<Client> {
+    let client = Client::builder()
+        .http1_only()
+        .no_proxy()
+        .retry(reqwest::retry::never())
+        .connect_timeout(connect_timeout)
+        .tcp_keepalive(Duration::from_secs(5));
+    client.build().context(ClientSnafu)
+}
+
+/// Watches the configuration service for what comes after a revision.
+pub(crate) fn watch(driver: &Arc<Driver>, since: Revision) {
+    let driver = Arc::clone(driver);
+    tokio::spawn(async move {
+        let wait = WATCH_WAIT.as_millis();
+        let path = format!("/v1/config?since={}&wait_ms={wait}", since.0);
+        let event = match get::<RawChange>(&driver, &path, WATCH_WAIT + GRACE).await {
+            Ok(raw) if raw.revision >= since.0 => Event::Publish {
+                source: Source::Service,
+                change: change(since, raw),
+            },
+            // A service that is behind what is in force has nothing to say.
+            Ok(_) => Event::ReadFailed,
+            Err(error) => {
+                tracing::warn!(event = 301, %error, "configuration service not read");
+                Event::ReadFailed
+            }
+        };
+        driver.feed(event);
+    });
+}
+
+/// Reads the list of VMs.
+pub(crate) fn read_vms(driver: &Arc<Driver>) {
+    let driver = Arc::clone(driver);
+    tokio::spawn(async move {
+        let Ok(raw) = get::<RawVms>(&driver, "/v1/vms", GRACE).await else {
+            return;
+        };
+        let vm = |vm: RawVm| {
+            let id = Id::try_from(vm.id.as_str()).ok()?;
+            Some((id, vm.state.parse::<VmState>().ok()?))
+        };
+        let vms = raw.vms.into_iter().filter_map(vm).collect();
+        driver.feed(Event::Vms {
+            age: Millis(raw.age_ms),
+            vms,
+        });
+    });
+}
+
+fn change(since: Revision, raw: RawChange) -> Change {
+    let entry = |e: RawEntry| Entry {
+        key: Bytes::from(e.key),
+        revision: Revision(e.revision),
+        value: e.value.map(|v| Bytes::copy_from_slice(v.get().as_bytes())),
+    };
+    let entries = raw.entries.into_iter().map(entry).collect();
+    Change {
+        since,
+        revision: Revision(raw.revision),
+        entries,
+    }
+}
+
+async fn get<T: DeserializeOwned>(
+    driver: &Driver,
+    path: &str,
+    limit: Duration,
+) -> std::result::Result<T, Error> {
+    let url = format!("http://{}{path}", driver.options.platform);
+    let response = driver
+        .control
+        .get(url)
+        .timeout(limit)
+        .send()
+        .await
+        .context(CallSnafu)?;
+    let status = response.status().as_u16();
+    if status != 200 {
+        return StatusSnafu { status }.fail();
+    }
+    let body = bounded(response, MAX_ANSWER).await?;
+    serde_json::from_slice(&body).context(ParseSnafu)
+}
+
+async fn bounded(
+    mut response: reqwest::Response,
+    most: usize,
+) -> std::result::Result<Vec<u8>, Error> {
+    let mut body = Vec::new();
+    while let Some(chunk) = response.chunk().await.context(CallSnafu)? {
+        body.extend_from_slice(&chunk);
+        if body.len() > most {
+            return OversizeSnafu.fail();
+        }
+    }
+    Ok(body)
+}
--- /dev/null
+++ b/crates/router/src/relay.rs
@@ -0,0 +1,97 @@
+//! Server-sent events of one answer: whole events out of bytes, and the end mark.
+//!
+//! Only whole events are passed on. When a stream breaks inside an event, the caller has whole
+//! events up to there, and a resumed stream goes on after the last of them.
+
+use bytes::{
+    Buf,
+    Bytes,
+    BytesMut, //
+};
+
+/// Largest single event in bytes; a longer one breaks the answer.
+pub const MAX_EVENT: usize = 1 << 20;
+
+/// `Scanner` cuts a byte stream into events.
+#[derive(Debug, Default)]
+pub struct Scanner {
+    buffer: BytesMut,
+    searched: usize,
+    done: bool,
+    last: Option<u64>,
+}
+
+/// `Oversize` says that an event is longer than [`MAX_EVENT`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Oversize;
+
+impl Scanner {
+    /// Takes bytes in and gives the whole events that they complete, as one piece.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an event is longer than [`MAX_EVENT`].
+    pub fn push(&mut self, chunk: &[u8]) -> Result<Bytes, Oversize> {
+        self.buffer.extend_from_slice(chunk);
+        let mut whole = 0;
+        while let Some(end) = event_end(&self.buffer, whole.max(self.searched.saturating_sub(3))) {
+            self.note(whole, end);
+            whole = end;
+            self.searched = end;
+        }
+        self.searched = self.buffer.len() - whole;
+        if self.searched > MAX_EVENT {
+            return Err(Oversize);
+        }
+        Ok(self.buffer.split_to(whole).freeze())
+    }
+
+    /// Tells whether the end mark `data: [DONE]` has come.
+    pub fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// Gets the number of the last whole event, where events are numbered.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Forgets the started event, so that a resumed stream can go on.
+    pub fn restart(&mut self) {
+        self.buffer.clear();
+        self.searched = 0;
+    }
+
+    fn note(&mut self, from: usize, to: usize) {
+        for line in self.buffer[from..to].split(|b| *b == b'\n') {
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            if line
+                .strip_prefix(b"data:")
+                .is_some_and(|v| v.trim_ascii() == b"[DONE]")
+            {
+                self.done = true;
+            }
+            if let Some(number) = line.strip_prefix(b"id:") {
+                let text = std::str::from_utf8(number.trim_ascii()).unwrap_or_default();
+                self.last = text.parse().ok().or(self.last);
+            }
+        }
+    }
+}
+
+/// Finds the end of the first event after `from`: a blank line (WHATWG HTML, section 9.2.6).
+fn event_end(buffer: &[u8], from: usize) -> Option<usize> {
+    let mut at = from;
+    while let Some(found) = buffer.get(at..)?.iter().position(|b| *b == b'\n') {
+        let next = at + found + 1;
+        let mut rest = buffer.get(next..)?;
+        if rest.first() == Some(&b'\r') {
+            rest.advance(1);
+        }
+        if rest.first() == Some(&b'\n') {
+            return Some(buffer.len() - rest.len() + 1);
+        }
+        at = next;
+    }
+    None
+}
