--- /dev/null
+++ b/crates/standin/src/balancer.rs
@@ -0,0 +1,1 @@
+//! The platform's balancer.
