--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -188,7 +188,10 @@
 impl Leave {
     async fn handle(&self, res: &mut Response) {
         lock(&self.0.leaving).set(true);
-        let standing = Standing { leaving: true, incarnation: self.0.incarnation() };
+        let standing = Standing {
+            leaving: true,
+            incarnation: self.0.incarnation(),
+        };
         http::answer(res, StatusCode::OK, &standing);
     }
 }
@@ -201,6 +204,13 @@
     async fn handle(&self, res: &mut Response) {
         let incarnation = self.0.incarnation.fetch_add(1, Ordering::Relaxed) + 1;
         lock(&self.0.leaving).set(false);
-        http::answer(res, StatusCode::OK, &Standing { leaving: false, incarnation });
+        http::answer(
+            res,
+            StatusCode::OK,
+            &Standing {
+                leaving: false,
+                incarnation,
+            },
+        );
     }
 }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -75,7 +75,11 @@
 impl Fault {
     /// Gets the delay if the fault has this mode, otherwise zero.
     pub(crate) fn delay_of(&self, mode: Mode) -> Duration {
-        if self.mode == mode { self.delay } else { Duration::ZERO }
+        if self.mode == mode {
+            self.delay
+        } else {
+            Duration::ZERO
+        }
     }
 }
 
@@ -110,7 +114,10 @@
         if !concerns(&order) {
             return Fault::default();
         }
-        let fault = Fault { mode: order.mode, delay: Duration::from_millis(order.delay_ms) };
+        let fault = Fault {
+            mode: order.mode,
+            delay: Duration::from_millis(order.delay_ms),
+        };
         match order.count {
             0 => {}
             1 => *order = Order::default(),
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -31,7 +31,8 @@
 /// Answers with `body`, which the caller says is JSON.
 pub(crate) fn answer_bytes(res: &mut Response, status: StatusCode, body: Vec<u8>) {
     res.status_code(status);
-    res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    res.headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     res.body(body);
 }
 
@@ -79,7 +80,9 @@
 
 /// Cuts the answer in `res` to its first half, after which the connection breaks.
 pub(crate) fn cut(res: &mut Response) {
-    let ResBody::Once(mut body) = res.take_body() else { return };
+    let ResBody::Once(mut body) = res.take_body() else {
+        return;
+    };
     body.truncate(body.len() / 2);
     // The break comes with the next poll, so that the half is sent before the connection closes.
     let pause = async {
--- a/crates/standin/src/lagged.rs
+++ b/crates/standin/src/lagged.rs
@@ -20,7 +20,10 @@
 impl<T> Lagged<T> {
     /// Creates it with a value that is seen from the start.
     pub(crate) fn new(value: T) -> Self {
-        Self { first: (Instant::now(), value), later: VecDeque::new() }
+        Self {
+            first: (Instant::now(), value),
+            later: VecDeque::new(),
+        }
     }
 
     /// Sets the value from now on.
@@ -36,7 +39,11 @@
     /// Gets the value of `lag` ago and its age, which is shorter when there was none yet.
     pub(crate) fn seen(&self, lag: Duration) -> (Duration, &T) {
         let now = Instant::now();
-        let known = self.later.iter().rev().find(|(since, _)| *since + lag <= now);
+        let known = self
+            .later
+            .iter()
+            .rev()
+            .find(|(since, _)| *since + lag <= now);
         let (_, value) = known.unwrap_or(&self.first);
         (lag.min(now - self.first.0), value)
     }
--- a/crates/standin/src/platform/control.rs
+++ b/crates/standin/src/platform/control.rs
@@ -35,7 +35,9 @@
 #[handler]
 impl Publish {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
-        let Some(Transaction { entries }) = http::body(req, res).await else { return };
+        let Some(Transaction { entries }) = http::body(req, res).await else {
+            return;
+        };
         match self.0.change(|store| store.publish(entries)) {
             Ok(revision) => http::answer(res, StatusCode::OK, &Published { revision }),
             Err(error) => http::fail(res, StatusCode::BAD_REQUEST, &error.to_string()),
@@ -57,7 +59,9 @@
 #[handler]
 impl SetVms {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
-        let Some(new) = http::body::<NewVms>(req, res).await else { return };
+        let Some(new) = http::body::<NewVms>(req, res).await else {
+            return;
+        };
         http::answer(res, StatusCode::OK, &new);
         let mut vms = lock(&self.0.vms);
         vms.lag = Duration::from_millis(new.lag_ms);
@@ -71,7 +75,9 @@
 #[handler]
 impl SetFault {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
-        let Some(fault) = http::body::<Fault>(req, res).await else { return };
+        let Some(fault) = http::body::<Fault>(req, res).await else {
+            return;
+        };
         self.0.change(|store| store.set_fault(fault));
         http::answer(res, StatusCode::OK, &fault);
     }
--- a/crates/standin/src/platform/document.rs
+++ b/crates/standin/src/platform/document.rs
@@ -26,12 +26,20 @@
             entries.insert(name, Some(value));
         } else if MAP_KEYS.contains(&name.as_str()) {
             let Value::Object(members) = value else {
-                return DocumentSnafu { found: format!("no map under `{name}`") }.fail();
+                return DocumentSnafu {
+                    found: format!("no map under `{name}`"),
+                }
+                .fail();
             };
-            let keyed = members.into_iter().map(|(id, value)| (format!("{name}/{id}"), Some(value)));
+            let keyed = members
+                .into_iter()
+                .map(|(id, value)| (format!("{name}/{id}"), Some(value)));
             entries.extend(keyed);
         } else {
-            return DocumentSnafu { found: format!("the top-level key `{name}`") }.fail();
+            return DocumentSnafu {
+                found: format!("the top-level key `{name}`"),
+            }
+            .fail();
         }
     }
     Ok(entries)
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -38,7 +38,12 @@
 
 impl Default for Options {
     fn default() -> Self {
-        Self { ports: Ports::default(), publish: None, weight_tokens_per_s: 10, weight_burst: 10 }
+        Self {
+            ports: Ports::default(),
+            publish: None,
+            weight_tokens_per_s: 10,
+            weight_burst: 10,
+        }
     }
 }
 
@@ -122,14 +127,23 @@
     }
     let platform = Arc::new(Platform {
         store: Mutex::new(store),
-        vms: Mutex::new(VmList { list: Lagged::new(Vec::new()), lag: Duration::ZERO }),
-        weights: Mutex::new(Weights::new(options.weight_tokens_per_s, options.weight_burst)),
+        vms: Mutex::new(VmList {
+            list: Lagged::new(Vec::new()),
+            lag: Duration::ZERO,
+        }),
+        weights: Mutex::new(Weights::new(
+            options.weight_tokens_per_s,
+            options.weight_burst,
+        )),
         calls: Mutex::default(),
         changes: watch::Sender::new(()),
     });
     let gate = platform.clone();
-    server::start(options.ports, read::routes(&platform), control::routes(&platform), move || {
-        lock(&gate.store).mode() == Mode::Down
-    })
+    server::start(
+        options.ports,
+        read::routes(&platform),
+        control::routes(&platform),
+        move || lock(&gate.store).mode() == Mode::Down,
+    )
     .await
 }
--- a/crates/standin/src/platform/read.rs
+++ b/crates/standin/src/platform/read.rs
@@ -135,7 +135,14 @@
     async fn handle(&self, res: &mut Response) {
         let vms = lock(&self.0.vms);
         let (age, list) = vms.list.seen(vms.lag);
-        http::answer(res, StatusCode::OK, &Seen { age_ms: age.as_millis(), vms: list });
+        http::answer(
+            res,
+            StatusCode::OK,
+            &Seen {
+                age_ms: age.as_millis(),
+                vms: list,
+            },
+        );
     }
 }
 
@@ -159,14 +166,23 @@
             Ok(tokens) => {
                 let model = req.params().get("model").map_or("", String::as_str);
                 let version = req.params().get("version").map_or("", String::as_str);
-                let weight = Weight { model, version, bytes: WEIGHT_BYTES, tokens };
+                let weight = Weight {
+                    model,
+                    version,
+                    bytes: WEIGHT_BYTES,
+                    tokens,
+                };
                 http::answer(res, StatusCode::OK, &weight);
             }
             Err(wait) => {
                 // Whole seconds, rounded up (RFC 9110, section 10.2.3).
                 let seconds = wait.as_secs().saturating_add(1);
                 http::set_header(res, RETRY_AFTER.as_str(), seconds);
-                http::fail(res, StatusCode::TOO_MANY_REQUESTS, "over the rate of the weight store");
+                http::fail(
+                    res,
+                    StatusCode::TOO_MANY_REQUESTS,
+                    "over the rate of the weight store",
+                );
             }
         }
     }
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -50,8 +50,14 @@
 
 impl Snapshot {
     fn since(&self, revision: u64) -> Changes {
-        let newer = self.entries.values().filter(|entry| entry.revision > revision);
-        Changes { revision: self.revision, entries: newer.cloned().collect() }
+        let newer = self
+            .entries
+            .values()
+            .filter(|entry| entry.revision > revision);
+        Changes {
+            revision: self.revision,
+            entries: newer.cloned().collect(),
+        }
     }
 }
 
@@ -76,11 +82,24 @@
             let value = value.map(Arc::new);
             // Moves the key to the end, so that the order of revisions holds.
             next.entries.shift_remove(&key);
-            next.entries.insert(key.clone(), Entry { key, revision: next.revision, value });
+            next.entries.insert(
+                key.clone(),
+                Entry {
+                    key,
+                    revision: next.revision,
+                    value,
+                },
+            );
         }
-        ensure!(next.entries.len() <= MAX_KEYS, PublishSnafu { reason: "too many keys" });
+        ensure!(
+            next.entries.len() <= MAX_KEYS,
+            PublishSnafu {
+                reason: "too many keys"
+            }
+        );
         let revision = next.revision;
-        self.earlier.push_back(std::mem::replace(&mut self.current, Arc::new(next)));
+        self.earlier
+            .push_back(std::mem::replace(&mut self.current, Arc::new(next)));
         if self.earlier.len() > MAX_SNAPSHOTS {
             self.earlier.pop_front();
         }
@@ -114,15 +133,30 @@
     /// Gets the newest snapshot not above `revision`, or the oldest one kept.
     fn snapshot_at(&self, revision: u64) -> Arc<Snapshot> {
         let newest_first = std::iter::once(&self.current).chain(self.earlier.iter().rev());
-        let found = newest_first.clone().find(|snapshot| snapshot.revision <= revision);
-        found.or(newest_first.last()).unwrap_or(&self.current).clone()
+        let found = newest_first
+            .clone()
+            .find(|snapshot| snapshot.revision <= revision);
+        found
+            .or(newest_first.last())
+            .unwrap_or(&self.current)
+            .clone()
     }
 }
 
 fn check(entries: &Entries) -> Result<()> {
-    ensure!(!entries.is_empty(), PublishSnafu { reason: "no entries" });
+    ensure!(
+        !entries.is_empty(),
+        PublishSnafu {
+            reason: "no entries"
+        }
+    );
     let mut values = entries.values().flatten();
     let fits = values.all(|value| value.to_string().len() <= MAX_VALUE_BYTES);
-    ensure!(fits, PublishSnafu { reason: "a value above 1 MB" });
+    ensure!(
+        fits,
+        PublishSnafu {
+            reason: "a value above 1 MB"
+        }
+    );
     Ok(())
 }
--- a/crates/standin/src/platform/weights.rs
+++ b/crates/standin/src/platform/weights.rs
@@ -16,7 +16,12 @@
     /// Creates a full bucket.
     pub(super) fn new(per_second: u32, burst: u32) -> Self {
         let burst = f64::from(burst);
-        Self { per_second: f64::from(per_second), burst, tokens: burst, filled: Instant::now() }
+        Self {
+            per_second: f64::from(per_second),
+            burst,
+            tokens: burst,
+            filled: Instant::now(),
+        }
     }
 
     /// Takes one token and gets how many are left, or how long until there's one.
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -5,7 +5,6 @@
     Router, Server,
     conn::tcp::TcpAcceptor,
     fuse::{FuseAction, FuseConfig, FuseInfo},
-    server::ServerHandle,
 };
 use serde::Serialize;
 use snafu::ResultExt;
@@ -13,8 +12,7 @@
 use tokio::{net::TcpListener, task::JoinHandle};
 
 /// An address of this machine with a port that the system picks.
-pub const ANY_PORT: SocketAddr =
-    SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+pub const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 /// `Ports` are the two addresses of a stand-in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -28,7 +26,10 @@
 impl Default for Ports {
     /// Both ports picked by the system.
     fn default() -> Self {
-        Self { listen: ANY_PORT, control: ANY_PORT }
+        Self {
+            listen: ANY_PORT,
+            control: ANY_PORT,
+        }
     }
 }
 
@@ -39,35 +40,24 @@
     pub listen: SocketAddr,
     /// Where tests give it faults and ask for the truth.
     pub control: SocketAddr,
-    servers: [Running; 2],
+    tasks: Vec<JoinHandle<()>>,
 }
 
 impl Handle {
     /// Gets the bound addresses.
     pub fn ports(&self) -> Ports {
-        Ports { listen: self.listen, control: self.control }
+        Ports {
+            listen: self.listen,
+            control: self.control,
+        }
     }
 
     /// Stops at once, as a killed process would: open connections are closed.
     pub async fn stop(self) {
-        for server in self.servers {
-            server.stop().await;
-        }
-    }
-}
-
-/// `Running` is one served port.
-#[derive(Debug)]
-struct Running {
-    handle: ServerHandle,
-    task: JoinHandle<()>,
-}
-
-impl Running {
-    async fn stop(self) {
-        self.handle.stop_forceful();
-        if let Err(error) = self.task.await {
-            tracing::warn!(%error, "a server ended badly");
+        for task in self.tasks {
+            task.abort();
+            // The error only says that the task was aborted.
+            let _ = task.await;
         }
     }
 }
@@ -87,34 +77,61 @@
     Ok(Handle {
         listen,
         control,
-        servers: [
+        tasks: vec![
             serve(listen_acceptor, listen_routes, refuses),
             serve(control_acceptor, control_routes, || false),
         ],
     })
 }
 
+/// Binds both ports and serves the control calls; `forward` makes a task of the other port.
+pub(crate) async fn start_forwarding(
+    ports: Ports,
+    control_routes: Router,
+    forward: impl FnOnce(TcpListener) -> JoinHandle<()>,
+) -> Result<Handle> {
+    let (listen, listener) = listen_on(ports.listen).await?;
+    let (control, control_acceptor) = bind(ports.control).await?;
+    let tasks = vec![
+        forward(listener),
+        serve(control_acceptor, control_routes, || false),
+    ];
+    Ok(Handle {
+        listen,
+        control,
+        tasks,
+    })
+}
+
 async fn bind(address: SocketAddr) -> Result<(SocketAddr, TcpAcceptor)> {
-    let listener = TcpListener::bind(address).await.context(BindSnafu { address })?;
+    let (bound, listener) = listen_on(address).await?;
+    Ok((
+        bound,
+        TcpAcceptor::try_from(listener).context(BindSnafu { address })?,
+    ))
+}
+
+async fn listen_on(address: SocketAddr) -> Result<(SocketAddr, TcpListener)> {
+    let listener = TcpListener::bind(address)
+        .await
+        .context(BindSnafu { address })?;
     let bound = listener.local_addr().context(BindSnafu { address })?;
-    let acceptor = TcpAcceptor::try_from(listener).context(BindSnafu { address })?;
-    Ok((bound, acceptor))
+    Ok((bound, listener))
 }
 
 fn serve(
     acceptor: TcpAcceptor,
     routes: Router,
     refuses: impl Fn() -> bool + Send + Sync + 'static,
-) -> Running {
+) -> JoinHandle<()> {
     let server = Server::new(acceptor).fuse_policy(move |_: &FuseInfo| match refuses() {
         true => FuseAction::Reject,
         false => FuseAction::Accept(FuseConfig::disabled()),
     });
-    let handle = server.handle();
-    let task = tokio::spawn(async move {
+    // Connections live in the server's future, so that aborting the task closes them.
+    tokio::spawn(async move {
         if let Err(error) = server.try_serve(routes).await {
             tracing::warn!(%error, "a server stopped");
         }
-    });
-    Running { handle, task }
+    })
 }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -42,7 +42,11 @@
 
 impl Default for Options {
     fn default() -> Self {
-        Self { ports: Ports::default(), key_check: KeyCheck::default(), incarnation: 1 }
+        Self {
+            ports: Ports::default(),
+            key_check: KeyCheck::default(),
+            incarnation: 1,
+        }
     }
 }
 
@@ -85,14 +89,20 @@
         let mut runs = lock(&self.runs);
         let known = runs.contains_key(&name);
         if known && self.key_check == KeyCheck::On {
-            return Outcome::Replayed(Receipt { receipt: name, run: 1 });
+            return Outcome::Replayed(Receipt {
+                receipt: name,
+                run: 1,
+            });
         }
         if !known && runs.len() == MAX_KEYS {
             return Outcome::Full;
         }
         let count = runs.entry(name.clone()).or_default();
         *count += 1;
-        Outcome::Ran(Receipt { receipt: name, run: *count })
+        Outcome::Ran(Receipt {
+            receipt: name,
+            run: *count,
+        })
     }
 }
 
@@ -109,14 +119,21 @@
         runs: Mutex::default(),
     });
     let listen = Router::new()
-        .push(Router::with_path("readyz").hoop(Aside(endpoint.clone())).get(Ready(endpoint.clone())))
+        .push(
+            Router::with_path("readyz")
+                .hoop(Aside(endpoint.clone()))
+                .get(Ready(endpoint.clone())),
+        )
         .push(Router::with_path("{**path}").goal(Call(service.clone())));
     let control = Router::new()
         .push(Router::with_path("fault").post(SetFault(endpoint.faults.clone())))
         .push(Router::with_path("leave").post(Leave(endpoint.clone())))
         .push(Router::with_path("rejoin").post(Rejoin(endpoint.clone())))
         .push(Router::with_path("truth").get(GetTruth(service)));
-    server::start(options.ports, listen, control, move || endpoint.faults.refuses()).await
+    server::start(options.ports, listen, control, move || {
+        endpoint.faults.refuses()
+    })
+    .await
 }
 
 /// `Ready` tells a balancer whether new calls are welcome.
@@ -210,7 +227,10 @@
 impl GetTruth {
     async fn handle(&self, res: &mut Response) {
         let runs = lock(&self.0.runs).clone();
-        let truth = Truth { runs, requests: self.0.endpoint.log.requests() };
+        let truth = Truth {
+            runs,
+            requests: self.0.endpoint.log.requests(),
+        };
         http::answer(res, StatusCode::OK, &truth);
     }
 }
--- a/crates/standin/src/truth.rs
+++ b/crates/standin/src/truth.rs
@@ -22,6 +22,8 @@
     Done,
     /// Cancelled by a call.
     Cancelled,
+    /// Turned away before any of it ran.
+    TurnedAway,
     /// Given up because the caller's connection went away.
     Cut,
 }
@@ -80,7 +82,10 @@
 
 impl Default for Log {
     fn default() -> Self {
-        Self { started: Instant::now(), records: Mutex::default() }
+        Self {
+            started: Instant::now(),
+            records: Mutex::default(),
+        }
     }
 }
 
@@ -95,27 +100,44 @@
             records.records.pop_front();
             records.forgotten += 1;
         }
-        records.records.push_back(Record { request, cancel: cancel.clone() });
+        records.records.push_back(Record {
+            request,
+            cancel: cancel.clone(),
+        });
         let number = records.forgotten + records.records.len() - 1;
-        Run { log: self.clone(), number, cancel }
+        Run {
+            log: self.clone(),
+            number,
+            cancel,
+        }
     }
 
     /// Takes up the newest request with this id again.
     pub(crate) fn resume(self: &Arc<Self>, id: &str) -> Option<Run> {
         let mut records = lock(&self.records);
-        let position = records.records.iter().rposition(|record| record.request.id == id)?;
+        let position = records
+            .records
+            .iter()
+            .rposition(|record| record.request.id == id)?;
         let number = records.forgotten + position;
         let record = records.records.get_mut(position)?;
         record.request.state = State::Started;
         record.request.resumes += 1;
         record.cancel = CancellationToken::new();
-        Some(Run { log: self.clone(), number, cancel: record.cancel.clone() })
+        Some(Run {
+            log: self.clone(),
+            number,
+            cancel: record.cancel.clone(),
+        })
     }
 
     /// Cancels the started requests with this id and gets how many those were.
     pub(crate) fn cancel(&self, id: &str) -> usize {
         let mut records = lock(&self.records);
-        let named = records.records.iter_mut().filter(|record| record.request.id == id);
+        let named = records
+            .records
+            .iter_mut()
+            .filter(|record| record.request.id == id);
         let started = named.filter(|record| record.request.state == State::Started);
         started
             .map(|record| {
@@ -135,7 +157,11 @@
 
     /// Gets every request recorded, in the order of coming.
     pub(crate) fn requests(&self) -> Vec<Request> {
-        lock(&self.records).records.iter().map(|record| record.request.clone()).collect()
+        lock(&self.records)
+            .records
+            .iter()
+            .map(|record| record.request.clone())
+            .collect()
     }
 }
 
@@ -154,6 +180,11 @@
         self.end(State::Done);
     }
 
+    /// Records that the request was turned away.
+    pub(crate) fn turn_away(&self) {
+        self.end(State::TurnedAway);
+    }
+
     /// Changes the record.
     pub(crate) fn note(&self, change: impl FnOnce(&mut Request)) {
         if let Some(record) = lock(&self.log.records).get(self.number) {
