Show chats and a repeated order over separate processes

Cause: the README needs one command that a newcomer can run. The order goes through three routers with one key; it waits for the peer link to pass.

--- /dev/null
+++ b/crates/demo/src/fleet.rs
@@ -0,0 +1,200 @@
+//! The processes of the demonstration: platform, engines, a service, three routers.
+
+use std::{
+    net::TcpListener,
+    time::Duration, //
+};
+
+use serde_json::{
+    Value,
+    json, //
+};
+use sha2::{
+    Digest,
+    Sha256, //
+};
+use snafu::{
+    ResultExt,
+    ensure, //
+};
+use tempfile::TempDir;
+
+use crate::{
+    errors::{
+        IoSnafu,
+        NotReadySnafu,
+        Result,
+        UnexpectedSnafu, //
+    },
+    process::Process,
+};
+
+/// Bearer key of the workspace.
+pub(crate) const KEY: &str = "a-key-for-the-demonstration";
+
+const ROUTERS: usize = 3;
+const ENGINES: usize = 3;
+const DATA_CENTER: &str = "be-north-a";
+
+/// `Fleet` holds the started processes.
+pub(crate) struct Fleet {
+    pub(crate) routers: Vec<Process>,
+    pub(crate) engines: Vec<Process>,
+    pub(crate) service: Process,
+    pub(crate) client: reqwest::Client,
+    platform: Process,
+    _files: TempDir,
+}
+
+impl Fleet {
+    /// Starts everything and waits until the routers are ready.
+    pub(crate) async fn start() -> Result<Self> {
+        let files = TempDir::new().context(IoSnafu)?;
+        let engine = |n: usize| {
+            let args = ["engine", "--model", "assistant", "--incarnation", "1"];
+            Process::start(&format!("engine-{n}"), "toucanturn-standin", &args)
+        };
+        let engines = (1..=ENGINES).map(engine).collect::<Result<Vec<_>>>()?;
+        let service = Process::start("orders-1", "toucanturn-standin", &["service"])?;
+        let ports = free_ports(ROUTERS * 3)?;
+        let config = config(&engines, &service, &ports);
+        let path = files.path().join("config.json");
+        std::fs::write(&path, config.to_string()).context(IoSnafu)?;
+        let published = path.to_string_lossy();
+        let args = ["platform", "--publish", &published];
+        let platform = Process::start("platform", "toucanturn-standin", &args)?;
+        let mut routers = Vec::new();
+        for n in 0..ROUTERS {
+            let path = files.path().join(format!("router-{n}.json"));
+            let settings = settings(n, &ports, &platform.address("listen"));
+            std::fs::write(&path, settings.to_string()).context(IoSnafu)?;
+            let args = ["--settings", &path.to_string_lossy()];
+            routers.push(Process::start(
+                &format!("router-{}", n + 1),
+                "toucanturnd",
+                &args,
+            )?);
+        }
+        let client = reqwest::Client::new();
+        let fleet = Self {
+            routers,
+            engines,
+            service,
+            client,
+            platform,
+            _files: files,
+        };
+        for router in &fleet.routers {
+            fleet.wait_ready(router).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Gets the number of processes.
+    pub(crate) fn len(&self) -> usize {
+        self.routers.len() + self.engines.len() + 2
+    }
+
+    /// Prints the decisions on a request from all routers' logs.
+    pub(crate) fn print_decisions(&self, id: &str) {
+        for router in &self.routers {
+            for line in router.lines(id) {
+                let Ok(Value::Object(line)) = serde_json::from_str(&line) else {
+                    continue;
+                };
+                let fields = line.get("fields").cloned().unwrap_or_default();
+                println!("    {}: {fields}", router.name);
+            }
+        }
+    }
+
+    /// Drains the routers one after the other, then ends the stand-ins.
+    pub(crate) async fn stop(&mut self) -> Result<()> {
+        for router in self.routers.drain(..) {
+            let name = router.name.clone();
+            let code = router.stop()?;
+            println!("{name} drained and ended with exit code {code}");
+            ensure!(
+                code == 0,
+                UnexpectedSnafu {
+                    expected: "0",
+                    found: code.to_string()
+                }
+            );
+        }
+        println!(
+            "stopping {}, the engines and the service",
+            self.platform.name
+        );
+        Ok(())
+    }
+
+    async fn wait_ready(&self, router: &Process) -> Result<()> {
+        let url = format!("http://{}/readyz", router.address("admin"));
+        for _ in 0..200 {
+            let answer = self.client.get(&url).send().await;
+            if answer.is_ok_and(|a| a.status().is_success()) {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        NotReadySnafu { name: &router.name }.fail()
+    }
+}
+
+fn free_ports(count: usize) -> Result<Vec<u16>> {
+    let bind = |_| TcpListener::bind("127.0.0.1:0").context(IoSnafu);
+    let held = (0..count).map(bind).collect::<Result<Vec<_>>>()?;
+    held.iter()
+        .map(|l| Ok(l.local_addr().context(IoSnafu)?.port()))
+        .collect()
+}
+
+fn address(port: u16) -> String {
+    format!("127.0.0.1:{port}")
+}
+
+fn config(engines: &[Process], service: &Process, ports: &[u16]) -> Value {
+    let hash: String = Sha256::digest(KEY)
+        .iter()
+        .map(|b| format!("{b:02x}"))
+        .collect();
+    let mut endpoints = serde_json::Map::new();
+    for engine in engines {
+        let about = json!({"kind": "engine", "address": engine.address("listen"),
+            "data_center": DATA_CENTER, "models": ["assistant"], "capacity": 32});
+        endpoints.insert(engine.name.clone(), about);
+    }
+    let about = json!({"kind": "service", "address": service.address("listen"),
+        "data_center": DATA_CENTER, "service": "orders"});
+    endpoints.insert(service.name.clone(), about);
+    let mut fleet = serde_json::Map::new();
+    for (n, three) in ports.chunks(3).enumerate() {
+        let about = json!({"address": address(three[0]), "peer_address": address(three[1]),
+            "data_center": DATA_CENTER});
+        fleet.insert(format!("router-{}", n + 1), about);
+    }
+    json!({
+        "policy": {"data_centers": {DATA_CENTER: "be-north"}},
+        "fleet": fleet,
+        "endpoints": endpoints,
+        "services": {"orders": {"path": "/orders", "once": [{"method": "POST"}]}},
+        "models": {"assistant": {"version": "v1"}},
+        "workspaces": {"vitalbox-chat": {"key_sha256": [hash], "priority": 5,
+            "requests_per_s": 100, "models": ["assistant"], "services": ["orders"],
+            "deadline_ms": 10000}}
+    })
+}
+
+fn settings(n: usize, ports: &[u16], platform: &str) -> Value {
+    let three = &ports[n * 3..n * 3 + 3];
+    json!({
+        "id": format!("router-{}", n + 1),
+        "listen": address(three[0]),
+        "peer_listen": address(three[1]),
+        "admin_listen": address(three[2]),
+        "platform": platform,
+        "peer_key": "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff",
+        "token_key": "ffeeddccbbaa99887766554433221100ffeeddccbbaa99887766554433221100",
+    })
+}
--- a/crates/toucanturnd/src/run.rs
+++ b/crates/toucanturnd/src/run.rs
@@ -32,22 +32,33 @@
 #[derive(Debug, Snafu)]
 pub(crate) enum Error {
     #[snafu(display("can't read {}", path.display()))]
-    Read { path: PathBuf, source: std::io::Error },
+    Read {
+        path: PathBuf,
+        source: std::io::Error,
+    },
     #[snafu(display("{} is not a settings file", path.display()))]
-    Parse { path: PathBuf, source: serde_json::Error },
+    Parse {
+        path: PathBuf,
+        source: serde_json::Error,
+    },
     #[snafu(display("can't start the runtime"))]
     Runtime { source: std::io::Error },
     #[snafu(display("can't watch signals"))]
     Signal { source: std::io::Error },
     #[snafu(context(false), display("can't start the router"))]
-    Router { source: toucanturn_router::errors::Error },
+    Router {
+        source: toucanturn_router::errors::Error,
+    },
 }
 
 /// Runs the daemon until its drain is over.
 pub(crate) fn run(path: &Path) -> Result<ExitCode, Error> {
     let text = std::fs::read(path).context(ReadSnafu { path })?;
     let settings: Settings = serde_json::from_slice(&text).context(ParseSnafu { path })?;
-    tracing_subscriber::fmt().json().with_writer(std::io::stderr).init();
+    tracing_subscriber::fmt()
+        .json()
+        .with_writer(std::io::stderr)
+        .init();
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
@@ -88,6 +99,12 @@
         tracing::error!(event = 502, cut, "the drain ended before every request did");
     }
     // What is left are answers already handed to the sockets.
-    callers.handle.stop_graceful(std::time::Duration::from_secs(5));
-    Ok(if cut == 0 { ExitCode::SUCCESS } else { ExitCode::from(1) })
+    callers
+        .handle
+        .stop_graceful(std::time::Duration::from_secs(5));
+    Ok(if cut == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(1)
+    })
 }
