--- a/crates/standin/src/args.rs
+++ b/crates/standin/src/args.rs
@@ -73,6 +73,9 @@
     /// Places in the batch.
     #[options(default = "32")]
     capacity: usize,
+    /// Most requests that wait for the batch.
+    #[options(default = "1024")]
+    max_queued: usize,
     /// Milliseconds to the first token, prefix not cached.
     #[options(default = "200")]
     first_token_ms: u64,
@@ -168,6 +171,7 @@
             version: args.version,
             role: args.role,
             capacity: args.capacity,
+            max_queued: args.max_queued,
             first_token: Duration::from_millis(args.first_token_ms),
             first_token_cached: Duration::from_millis(args.first_token_cached_ms),
             per_token: Duration::from_millis(args.per_token_ms),
--- a/crates/standin/src/engine/calls.rs
+++ b/crates/standin/src/engine/calls.rs
@@ -190,6 +190,7 @@
         if cancelled == 0 {
             http::fail(res, StatusCode::NOT_FOUND, "no such request in progress");
         } else {
+            lock(&self.0.answers).shift_remove(id);
             http::answer(res, StatusCode::OK, &Cancelled { cancelled });
         }
     }
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -179,8 +179,8 @@
 
     /// Gets the answer to another request, made up when there was none.
     fn other(&self, answer: &Answer) -> Arc<Answer> {
-        let id = self.0.endpoint.log.other_than(&answer.id);
-        let kept = id.and_then(|id| self.0.kept(&id));
+        let other = self.0.endpoint.log.other_than(&answer.id);
+        let kept = other.and_then(|other| self.0.kept(&other.id));
         kept.unwrap_or_else(|| Arc::new(answer.another()))
     }
 }
--- a/crates/standin/src/engine/generation.rs
+++ b/crates/standin/src/engine/generation.rs
@@ -26,7 +26,7 @@
     first_token: Duration,
     per_token: Duration,
     run: Run,
-    _permit: Permit,
+    permit: Option<Permit>,
     _in_flight: InFlight,
 }
 
@@ -50,7 +50,7 @@
             options.first_token
         };
         let per_token = options.per_token;
-        let (_permit, _in_flight) = (permit, in_flight);
+        let (permit, _in_flight) = (Some(permit), in_flight);
         Self {
             answer,
             next: 0,
@@ -58,7 +58,7 @@
             first_token,
             per_token,
             run,
-            _permit,
+            permit,
             _in_flight,
         }
     }
@@ -94,12 +94,15 @@
         Step::Token(self.next - 1)
     }
 
-    /// Works out the rest and gets how it ended.
+    /// Works out the rest, leaves the batch and gets how it ended.
     pub(super) async fn finish(&mut self) -> Step {
         loop {
             match self.step().await {
                 Step::Token(_) => {}
-                end => return end,
+                end => {
+                    self.permit = None;
+                    return end;
+                }
             }
         }
     }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -49,6 +49,8 @@
     pub role: String,
     /// Places in the batch; by default 32.
     pub capacity: usize,
+    /// Most requests that wait for the batch; beyond it 503, not run; by default 1024.
+    pub max_queued: usize,
     /// Time to the first token when the prefix isn't cached; by default none.
     pub first_token: Duration,
     /// Time to the first token when the prefix is cached; by default none.
@@ -79,6 +81,7 @@
             version: "v1".into(),
             role: "mixed".into(),
             capacity: 32,
+            max_queued: 1024,
             first_token: Duration::ZERO,
             first_token_cached: Duration::ZERO,
             per_token: Duration::ZERO,
@@ -124,7 +127,7 @@
         };
         Self {
             endpoint: Endpoint::new(options.incarnation),
-            slots: Slots::new(options.capacity),
+            slots: Slots::new(options.capacity, options.max_queued),
             cache: Mutex::new(cache),
             deployment: Mutex::new(deployment),
             answers: Mutex::default(),
--- a/crates/standin/src/engine/slots.rs
+++ b/crates/standin/src/engine/slots.rs
@@ -9,9 +9,6 @@
 };
 use tokio::sync::oneshot;
 
-/// Most requests that wait; beyond it a request is turned away.
-const MAX_WAITING: usize = 1024;
-
 /// `Rank` orders the waiting: highest priority first, then by coming.
 type Rank = (Reverse<u8>, u64);
 
@@ -43,11 +40,13 @@
 #[derive(Debug)]
 pub(super) struct Slots {
     capacity: usize,
+    /// Most requests that wait; beyond it a request is turned away.
+    max_queued: usize,
     batch: Mutex<Batch>,
 }
 
 impl Slots {
-    pub(super) fn new(capacity: usize) -> Arc<Self> {
+    pub(super) fn new(capacity: usize, max_queued: usize) -> Arc<Self> {
         let seen = Lagged::new(Occupancy::default());
         let batch = Batch {
             running: 0,
@@ -57,6 +56,7 @@
         };
         Arc::new(Self {
             capacity,
+            max_queued,
             batch: Mutex::new(batch),
         })
     }
@@ -77,7 +77,7 @@
                 batch.note();
                 return Some(Permit(self.clone()));
             }
-            if batch.waiting.len() == MAX_WAITING {
+            if batch.waiting.len() >= self.max_queued {
                 return None;
             }
             batch.came += 1;
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -183,11 +183,10 @@
         let endpoint = &self.0.endpoint;
         let record = endpoint.record(req);
         let id = record.id.clone();
-        let name = record.key.clone().unwrap_or_else(|| id.clone());
+        let name = record.name().to_owned();
         let run = endpoint.log.start(record);
         sleep(fault.delay_of(Mode::Slow)).await;
         let outcome = self.0.run(name);
-        run.done();
         endpoint.set_headers(res, &id);
         let receipt = match outcome {
             Outcome::Ran(receipt) => receipt,
@@ -197,10 +196,12 @@
                 receipt
             }
             Outcome::Full => {
+                run.turn_away();
                 http::fail(res, StatusCode::SERVICE_UNAVAILABLE, "too many keys");
                 return;
             }
         };
+        run.done();
         if endpoint::after_work(fault, conn, res).await {
             self.answer(res, fault, &id, receipt);
         }
@@ -209,9 +210,12 @@
     fn answer(&self, res: &mut Response, fault: Fault, id: &str, mut receipt: Receipt) {
         if fault.mode == Mode::Crossed {
             let other = self.0.endpoint.log.other_than(id);
-            let other = other.unwrap_or_else(|| format!("{id}-other"));
-            http::set_header(res, "x-request-id", &other);
-            receipt.receipt = other;
+            let made_up = || format!("{id}-other");
+            let other_id = other
+                .as_ref()
+                .map_or_else(made_up, |other| other.id.clone());
+            http::set_header(res, "x-request-id", other_id);
+            receipt.receipt = other.map_or_else(made_up, |other| other.name().to_owned());
         }
         http::answer(res, StatusCode::OK, &receipt);
         if fault.mode == Mode::Truncate {
--- a/crates/standin/src/truth.rs
+++ b/crates/standin/src/truth.rs
@@ -67,6 +67,13 @@
     records: VecDeque<Record>,
 }
 
+impl Request {
+    /// Gets what the request's runs are counted under: its key, or its id where there's none.
+    pub fn name(&self) -> &str {
+        self.key.as_ref().unwrap_or(&self.id)
+    }
+}
+
 impl Records {
     fn get(&mut self, number: usize) -> Option<&mut Record> {
         self.records.get_mut(number.checked_sub(self.forgotten)?)
@@ -147,12 +154,12 @@
             .count()
     }
 
-    /// Gets the id of the newest request with another id.
-    pub(crate) fn other_than(&self, id: &str) -> Option<String> {
+    /// Gets the newest request with another id.
+    pub(crate) fn other_than(&self, id: &str) -> Option<Request> {
         let records = lock(&self.records);
         let mut newest_first = records.records.iter().rev();
         let other = newest_first.find(|record| record.request.id != id)?;
-        Some(other.request.id.clone())
+        Some(other.request.clone())
     }
 
     /// Gets every request recorded, in the order of coming.
