Let a node hand over what is in force and what is newer

Cause: with the newest published revision invalid, a peer could hand over only the newest content, so that a fresh router would end with nothing in force; and a router that skipped a valid revision between two reads (valid 4, invalid 5 in one delta) never asked for it, as it holds a newer number.

Ruled out: one message with an undo list (a second merge rule for the same thing); comparing held revisions in summaries (the invalid newest would hide the valid one).

--- a/crates/core/src/config/store.rs
+++ b/crates/core/src/config/store.rs
@@ -46,6 +46,12 @@
     pub reason: String,
 }
 
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}: {}", self.path, self.reason)
+    }
+}
+
 /// `Error` says why a change is not in force.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -65,8 +71,14 @@
         /// What is held.
         held: u64,
     },
+    /// The change contradicts itself or its bounds; nothing of it is held.
+    #[snafu(display("expected {expected}"))]
+    Malformed {
+        /// What was expected.
+        expected: String,
+    },
     /// The configuration is invalid; the older one stays in force.
-    #[snafu(display("{} faults, first {}: {}", faults.len(), faults[0].path, faults[0].reason))]
+    #[snafu(display("{} faults, first {}", faults.len(), faults.first().map(Fault::to_string).unwrap_or_default()))]
     Invalid {
         /// All that is wrong with it.
         faults: Vec<Fault>,
@@ -120,16 +132,18 @@
         Ok(())
     }
 
-    /// Gets all that was published after `since`, for a peer.
-    pub fn after(&self, since: Revision) -> Change {
+    /// Gets all that was published after `since`, for a peer: one change or more, to be applied in
+    /// this order.
+    pub fn after(&self, since: Revision) -> Vec<Change> {
         let newer = self.entries.values().filter(|e| e.revision > since);
         let mut entries: Vec<Entry> = newer.cloned().collect();
         entries.sort_by_key(|e| e.revision);
-        Change {
+        vec![Change {
             since,
             revision: self.held,
+            floor: None,
             entries,
-        }
+        }]
     }
 }
 
@@ -409,7 +423,7 @@
 
 fn policy(raw: &raw::Policy, faults: &mut Vec<Fault>) -> Policy {
     let base = Policy::default();
-    let ratio = |v: Option<f64>, or: Permille| v.map_or(or, |v| Permille::from_ratio(v));
+    let ratio = |v: Option<f64>, or: Permille| v.map_or(or, Permille::from_ratio);
     let ms = |v: Option<u64>, or: Millis| v.map_or(or, Millis);
     let mut data_centers = IndexMap::new();
     for (name, region) in &raw.data_centers {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -238,14 +238,18 @@
         match self.store.apply(change) {
             Ok(()) => self.applied(now, out),
             Err(store::Error::Invalid { faults }) => {
-                let line = |f: &store::Fault| format!("{}: {}", f.path, f.reason);
-                let errors = faults.iter().map(line).collect::<Vec<_>>().join("\n");
+                let lines: Vec<_> = faults.iter().map(store::Fault::to_string).collect();
+                let errors = lines.join("\n");
                 let revision = change.revision;
                 out.push(Action::Log(Decision::Rejected { revision, errors }));
             }
-            // An older or overlapping change is what a lagging service or peer sends; what is in
-            // force stays.
-            Err(store::Error::Old { .. } | store::Error::Gap { .. }) => {}
+            // An older, overlapping or broken change is what a lagging or faulty service or peer
+            // sends; what is in force stays.
+            Err(
+                store::Error::Old { .. }
+                | store::Error::Gap { .. }
+                | store::Error::Malformed { .. },
+            ) => {}
         }
     }
 
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -44,11 +44,13 @@
         match message {
             Message::Summary(summary) => self.summary(now, from, &summary, out),
             Message::Pull { since } => {
-                let message = Message::Push(self.store.after(since));
-                out.push(Action::Send {
-                    router: from,
-                    message,
-                });
+                for change in self.store.after(since) {
+                    let message = Message::Push(change);
+                    out.push(Action::Send {
+                        router: from,
+                        message,
+                    });
+                }
             }
             Message::Push(change) => {
                 self.publish(now, &change, out);
@@ -115,10 +117,11 @@
         if let Some(peer) = self.peers.get_mut(from) {
             peer.revision = summary.revision;
         }
-        if summary.revision > self.store.held() {
-            let message = Message::Pull {
-                since: self.store.held(),
-            };
+        // What counts is the revision in force: this node may hold a newer one that is invalid,
+        // and have missed the valid one in between that the peer has in force.
+        let since = self.config().revision;
+        if summary.revision > since {
+            let message = Message::Pull { since };
             out.push(Action::Send {
                 router: from,
                 message,
@@ -161,9 +164,8 @@
             let message = Message::Summary(summary.clone());
             out.push(Action::Send { router, message });
             if !self.synced {
-                let message = Message::Pull {
-                    since: self.store.held(),
-                };
+                let since = config.revision;
+                let message = Message::Pull { since };
                 out.push(Action::Send { router, message });
             }
         }
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -77,6 +77,9 @@
     pub since: Revision,
     /// The revision it brings its reader to.
     pub revision: Revision,
+    /// In a snapshot of a peer: the revision above which it names every deletion. `None`: it need
+    /// not name any, as in a snapshot of the configuration service.
+    pub floor: Option<Revision>,
     /// Entries in ascending revision.
     pub entries: Vec<Entry>,
 }
