Judge endpoints by life, score and damping

Cause: the first view took any answer as proof of health, let a late word of an earlier life count for the present one, took a VM list of any age, and trusted a flapping engine at once. Now leaving sticks to one life; health is a score of answers, refusals and probes on new connections, silence counted once a second; flaps are damped after RFC 2439 (suppress 2500, reuse 1000, half-life 10 s, ceiling 6000: at most 26 s); an endpoint not confirmed for 2.5 s by its own word gets no work; lists are compared by date, for each endpoint.

The node is adapted by small changes: word() for heads and polls, listed() for lists with their age, Finished for the end of an answer, which may have begun before the endpoint was leaving.

--- /dev/null
+++ b/crates/core/src/membership/member.rs
@@ -0,0 +1,260 @@
+//! One endpoint in a router's view: its life, its health and how sure the router is of both.
+
+use std::net::SocketAddr;
+
+use super::{
+    FRESH,
+    State,
+    damping::Penalty, //
+};
+use crate::{
+    event::VmState,
+    units::{
+        Incarnation,
+        Millis,
+        Time, //
+    },
+};
+
+/// Score at which an endpoint counts as down.
+const DOWN_AT: u32 = 6;
+
+/// Score of a refused connection or a 503: three in a row are enough.
+const REFUSED: u32 = 2;
+
+/// Score of a failed probe on a new connection: two in a row are enough.
+const UNREACHED: u32 = 3;
+
+/// Score of requests without progress: three are enough, [`STRIKE_GAP`] apart.
+const SILENT: u32 = 2;
+
+/// Time in which silent requests count once. One middlebox that loses its table silences all open
+/// connections together while new ones work; that is one fault, not many.
+const STRIKE_GAP: Millis = Millis(1000);
+
+/// Time after which an endpoint that the VM list named and no longer names is kept in reserve.
+/// Lists lag and differ, so to be missing is no proof of leaving.
+pub const MISSING_AFTER: Millis = Millis::from_secs(30);
+
+/// Shortest time between two probes of an endpoint that is down; doubles up to [`PROBE_MAX`].
+const PROBE_MIN: Millis = Millis(500);
+
+/// Longest time between two probes of an endpoint that is down, so none is lost for ever.
+pub const PROBE_MAX: Millis = Millis::from_secs(8);
+
+/// `Listed` is what the VM list last said of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Listed {
+    /// When the list was made.
+    pub(super) date: Time,
+    /// Its word; `None` when it no longer named the endpoint.
+    pub(super) state: Option<VmState>,
+}
+
+/// `Member` is one endpoint.
+///
+/// # Invariants
+///
+/// `leaving` goes back to false only together with a greater `life`.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Member {
+    pub(super) address: SocketAddr,
+    pub(super) life: Incarnation,
+    /// When this life was first seen to follow another.
+    pub(super) born: Time,
+    /// Whether the endpoint states its life itself.
+    pub(super) stated: bool,
+    pub(super) leaving: bool,
+    /// When it was last known not to be leaving, by its own word.
+    pub(super) sure: Option<Time>,
+    /// Word from before this moment doesn't count.
+    pub(super) doubt: Option<Time>,
+    /// Failures to reach it in a row.
+    reach: u32,
+    /// Requests that it left unanswered.
+    work: u32,
+    struck: Option<Time>,
+    down: bool,
+    pub(super) downed: Time,
+    pub(super) good: Option<Time>,
+    pub(super) bad: Option<Time>,
+    pub(super) penalty: Penalty,
+    pub(super) listed: Option<Listed>,
+    pub(super) missing: Option<Time>,
+    asked: Option<Time>,
+    misses: u32,
+    /// This router's place among the endpoint's pollers.
+    pub(super) rank: usize,
+    /// State last told to the node.
+    pub(super) told: State,
+}
+
+impl Member {
+    pub(super) fn new(address: SocketAddr, now: Time) -> Self {
+        Self {
+            address,
+            life: Incarnation(0),
+            born: Time(0),
+            stated: false,
+            leaving: false,
+            sure: None,
+            doubt: None,
+            reach: 0,
+            work: 0,
+            struck: None,
+            down: false,
+            downed: now,
+            good: None,
+            bad: None,
+            penalty: Penalty::default(),
+            listed: None,
+            missing: None,
+            asked: None,
+            misses: 0,
+            rank: 0,
+            told: State::Suspect,
+        }
+    }
+
+    /// Gets the state, worked out from what is known.
+    pub(super) fn state(&self, now: Time) -> State {
+        if self.leaving {
+            return State::Leaving;
+        }
+        if self.down || self.stale(now) {
+            return State::Down;
+        }
+        let missing = self.missing.is_some_and(|t| now.since(t) >= MISSING_AFTER);
+        let doubtful = self.sure.is_none()
+            || self.reach > 0
+            || self.work > 0
+            || missing
+            || self.penalty.suppressed(now);
+        if doubtful {
+            State::Suspect
+        } else {
+            State::Live
+        }
+    }
+
+    /// Tells whether the endpoint may have been leaving for [`FRESH`] without this router knowing.
+    /// One that was never heard is not stale but suspect, or a fleet could not start.
+    pub(super) fn stale(&self, now: Time) -> bool {
+        match (self.sure, self.doubt) {
+            (None, None) => false,
+            (None, Some(_)) => true,
+            (Some(sure), doubt) => now.since(sure) > FRESH || doubt.is_some_and(|d| sure < d),
+        }
+    }
+
+    /// Notes that it was known not to be leaving at `at`.
+    pub(super) fn confirm(&mut self, at: Time) {
+        self.sure = self.sure.max(Some(at));
+    }
+
+    /// Starts a later life.
+    pub(super) fn begin(&mut self, now: Time, life: Incarnation) {
+        let crashed = self.life != Incarnation(0) && !self.leaving && self.sure.is_some();
+        if crashed && !self.down {
+            self.penalty.flap(now);
+        }
+        self.born = if self.life == Incarnation(0) && !self.leaving {
+            Time(0)
+        } else {
+            now
+        };
+        self.life = life;
+        self.leaving = false;
+        self.sure = None;
+        self.reach = 0;
+        self.work = 0;
+        self.misses = 0;
+        self.down = false;
+    }
+
+    /// Notes that a request was answered.
+    pub(super) fn answered(&mut self, now: Time) {
+        self.work = 0;
+        self.reached(now);
+    }
+
+    /// Notes that a poll or probe was answered. It doesn't clear what requests have shown: an
+    /// endpoint that answers probes and no request comes back on trial, one strike from down.
+    pub(super) fn reached(&mut self, now: Time) {
+        self.good = Some(now);
+        self.reach = 0;
+        self.misses = 0;
+        self.down = false;
+        self.work = self.work.min(DOWN_AT - SILENT);
+    }
+
+    /// Notes a refusal.
+    pub(super) fn refused(&mut self, now: Time) {
+        self.bad = Some(now);
+        self.reach = (self.reach + REFUSED).min(DOWN_AT);
+    }
+
+    /// Notes a failed poll or probe.
+    pub(super) fn unreached(&mut self, now: Time) {
+        self.bad = Some(now);
+        self.reach = (self.reach + UNREACHED).min(DOWN_AT);
+        self.misses = self.misses.saturating_add(1);
+    }
+
+    /// Notes a request without progress.
+    pub(super) fn silent(&mut self, now: Time) {
+        self.bad = Some(now);
+        if self.struck.is_none_or(|t| now.since(t) >= STRIKE_GAP) {
+            self.struck = Some(now);
+            self.work = (self.work + SILENT).min(DOWN_AT);
+        }
+    }
+
+    /// Tells whether it has just failed often enough to count as down.
+    pub(super) fn failed(&self) -> bool {
+        !self.down && !self.leaving && (self.reach >= DOWN_AT || self.work >= DOWN_AT)
+    }
+
+    /// Counts it as down.
+    pub(super) fn fall(&mut self, now: Time) {
+        self.down = true;
+        self.downed = now;
+        self.penalty.flap(now);
+    }
+
+    /// Takes back that it is down: the fault was this router's link.
+    pub(super) fn excuse(&mut self, now: Time) {
+        if self.down {
+            self.down = false;
+            self.penalty.forgive(now);
+        }
+        self.reach = self.reach.min(DOWN_AT - 1);
+        self.work = self.work.min(DOWN_AT - 1);
+    }
+
+    /// Tells whether it counts as down.
+    pub(super) fn is_down(&self) -> bool {
+        self.down
+    }
+
+    /// Tells whether it must be looked at beside its polls.
+    pub(super) fn needs_probe(&self, now: Time) -> bool {
+        !self.leaving && (self.down || self.stale(now) || self.reach > 0 || self.work > 0)
+    }
+
+    /// Tells whether `wait` has passed since it was last asked.
+    pub(super) fn rested(&self, now: Time, wait: Millis) -> bool {
+        self.asked.is_none_or(|t| now.since(t) >= wait)
+    }
+
+    /// Gets the time between two probes.
+    pub(super) fn probe_wait(&self) -> Millis {
+        let doubled = PROBE_MIN.0 << self.misses.saturating_sub(2).min(8);
+        Millis(doubled.min(PROBE_MAX.0))
+    }
+
+    /// Notes that a poll or probe was sent.
+    pub(super) fn ask(&mut self, now: Time) {
+        self.asked = Some(now);
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/mod.rs
@@ -0,0 +1,318 @@
+//! Which endpoints may get work, as far as this router knows.
+//!
+//! Three questions are kept apart. *Is it leaving?* sticks to one life of the endpoint and is only
+//! ever learnt, never unlearnt. *Does it work?* is a score of answers, refusals and probes, with
+//! flap damping ([`damping`]). *How sure am I?* is the time at which the endpoint last said itself
+//! that it isn't leaving: when that is longer ago than [`FRESH`], it gets no new work until it was
+//! asked again. This last rule alone covers a router that was paused or cut off, as its own clock
+//! goes on while its news stops.
+
+use slotmap::SecondaryMap;
+
+use crate::{
+    arena::EndpointKey,
+    config::Config,
+    event::VmState,
+    units::{
+        Incarnation,
+        Millis,
+        Time, //
+    },
+};
+
+pub mod damping;
+mod member;
+
+use member::{
+    Listed,
+    Member, //
+};
+pub use member::{
+    MISSING_AFTER,
+    PROBE_MAX, //
+};
+
+/// Longest time since an endpoint's own word that it isn't leaving at which it still gets new
+/// work. What is left to the promised 3 s is for the error of that time.
+pub const FRESH: Millis = Millis(2500);
+
+/// `State` is an endpoint's state in this router's view.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display, serde::Serialize)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// Takes work.
+    #[default]
+    Live,
+    /// Takes work only where no live one can, until it is known better.
+    Suspect,
+    /// Gets no new work in this life.
+    Leaving,
+    /// Gets no work until a poll or a probe on a new connection succeeds.
+    Down,
+}
+
+/// `Seen` is one observation of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// It began to answer a request, and did not say that it is leaving.
+    Answered,
+    /// It ended an answer. The answer may have begun long ago: nothing is said about leaving.
+    Finished,
+    /// It answered a poll or probe, and did not say that it is leaving.
+    Reached,
+    /// A connection could not be made, or it said 503.
+    Refused,
+    /// It made no progress on a request, or broke off.
+    Silent,
+    /// A poll or a probe on a new connection failed.
+    Unreached,
+}
+
+/// `Word` is what an endpoint said of itself in an answer's head, a report or a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Word {
+    /// Its life, where it says.
+    pub life: Option<Incarnation>,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// The observation if it isn't.
+    pub seen: Seen,
+}
+
+/// `View` is the state of every endpoint. It holds one entry for each configured endpoint and
+/// nothing for others, so the configuration bounds it.
+#[derive(Debug, Default)]
+pub struct View {
+    members: SecondaryMap<EndpointKey, Member>,
+    heard: Time,
+}
+
+impl View {
+    /// Follows a new configuration: endpoints that are gone from it are forgotten, and one that
+    /// moved to another address starts afresh.
+    pub fn apply(&mut self, now: Time, config: &Config) {
+        self.members
+            .retain(|key, _| config.endpoints.get(key).is_some());
+        for (key, endpoint) in config.endpoints.iter() {
+            let known = self.members.get(key).map(|m| m.address);
+            if known != Some(endpoint.address) {
+                self.members.insert(key, Member::new(endpoint.address, now));
+            }
+        }
+    }
+
+    /// Gets an endpoint's state; unknown ones are down.
+    pub fn state(&self, now: Time, endpoint: EndpointKey) -> State {
+        self.members
+            .get(endpoint)
+            .map_or(State::Down, |m| m.state(now))
+    }
+
+    /// Gets an endpoint's latest known life.
+    pub fn incarnation(&self, endpoint: EndpointKey) -> Incarnation {
+        self.members
+            .get(endpoint)
+            .map_or(Incarnation::default(), |m| m.life)
+    }
+
+    /// Gets an endpoint's flap penalty ([`damping`]).
+    pub fn penalty(&self, now: Time, endpoint: EndpointKey) -> u32 {
+        self.members
+            .get(endpoint)
+            .map_or(0, |m| m.penalty.value(now))
+    }
+
+    /// Gets the number of endpoints held.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Tells whether no endpoint is held.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Gets the time since the view last heard anything from outside.
+    pub fn age(&self, now: Time) -> Millis {
+        now.since(self.heard)
+    }
+
+    /// Notes that something was heard from the platform, a peer or an endpoint.
+    pub fn heard(&mut self, now: Time) {
+        self.heard = now;
+    }
+
+    /// Notes what an endpoint said of itself; gives the new state if it changed. The word of an
+    /// earlier life says nothing of the present one.
+    pub fn word(&mut self, now: Time, endpoint: EndpointKey, word: Word) -> Option<State> {
+        let life = word.life.unwrap_or(self.incarnation(endpoint));
+        if life < self.incarnation(endpoint) {
+            return None;
+        }
+        self.heard = now;
+        if word.leaving {
+            return self.leaving(now, endpoint, life);
+        }
+        if word.life.is_some() {
+            self.begin(now, endpoint, life);
+        }
+        self.seen(now, endpoint, word.seen)
+    }
+
+    /// Notes an observation; gives the new state if it changed.
+    pub fn seen(&mut self, now: Time, endpoint: EndpointKey, seen: Seen) -> Option<State> {
+        let member = self.members.get_mut(endpoint)?;
+        match seen {
+            Seen::Answered => {
+                member.answered(now);
+                member.confirm(now);
+            }
+            Seen::Finished => member.answered(now),
+            Seen::Reached => {
+                member.reached(now);
+                member.confirm(now);
+            }
+            Seen::Refused => member.refused(now),
+            Seen::Silent => member.silent(now),
+            Seen::Unreached => member.unreached(now),
+        }
+        if member.failed() {
+            member.fall(now);
+        }
+        self.changed(now, endpoint)
+    }
+
+    /// Notes that one life of an endpoint is leaving. This sticks until a later life is seen.
+    pub fn leaving(
+        &mut self,
+        now: Time,
+        endpoint: EndpointKey,
+        incarnation: Incarnation,
+    ) -> Option<State> {
+        let member = self.members.get_mut(endpoint)?;
+        if incarnation < member.life {
+            return None;
+        }
+        member.life = incarnation;
+        member.leaving = true;
+        self.changed(now, endpoint)
+    }
+
+    /// Notes an endpoint's life; a later one starts afresh, suspect until it has answered.
+    pub fn life(
+        &mut self,
+        now: Time,
+        endpoint: EndpointKey,
+        incarnation: Incarnation,
+    ) -> Option<State> {
+        self.begin(now, endpoint, incarnation);
+        self.changed(now, endpoint)
+    }
+
+    /// Notes the platform's list of VMs of the given age; gives the states that changed.
+    ///
+    /// The list lags and differs between routers. It is believed when it says that a VM leaves,
+    /// unless it is older than what it said before or than the VM's present life. That a VM is
+    /// live or missing changes little: only what the endpoint says itself confirms it.
+    pub fn listed(
+        &mut self,
+        now: Time,
+        age: Millis,
+        vms: &[(EndpointKey, VmState)],
+    ) -> Vec<(EndpointKey, State)> {
+        self.heard = now;
+        let date = now - age;
+        let named: SecondaryMap<EndpointKey, VmState> = vms.iter().copied().collect();
+        for (key, member) in &mut self.members {
+            list(now, date, member, named.get(key).copied());
+        }
+        self.changes(now)
+    }
+
+    /// Lists the endpoints that are leaving.
+    pub fn all_leaving(&self) -> impl Iterator<Item = (EndpointKey, Incarnation)> {
+        let leaving = self.members.iter().filter(|(_, m)| m.leaving);
+        leaving.map(|(key, m)| (key, m.life))
+    }
+
+    /// Lists the endpoints that need a probe.
+    pub fn to_probe(&self, now: Time) -> impl Iterator<Item = EndpointKey> {
+        let due = move |m: &Member| m.needs_probe(now) && m.rested(now, m.probe_wait());
+        let due = self.members.iter().filter(move |(_, m)| due(m));
+        due.map(|(key, _)| key)
+    }
+
+    /// Notes that an endpoint is being polled or probed.
+    pub fn asked(&mut self, now: Time, endpoint: EndpointKey) {
+        if let Some(member) = self.members.get_mut(endpoint) {
+            member.ask(now);
+        }
+    }
+
+    /// Gives the states that changed since they were last given, also by time alone.
+    pub fn changes(&mut self, now: Time) -> Vec<(EndpointKey, State)> {
+        let mut changes = Vec::new();
+        for (key, member) in &mut self.members {
+            let state = member.state(now);
+            if member.told != state {
+                member.told = state;
+                changes.push((key, state));
+            }
+        }
+        changes
+    }
+
+    fn begin(&mut self, now: Time, endpoint: EndpointKey, life: Incarnation) {
+        let Some(member) = self.members.get_mut(endpoint) else {
+            return;
+        };
+        member.stated = true;
+        if life > member.life {
+            member.begin(now, life);
+        }
+    }
+
+    fn changed(&mut self, now: Time, endpoint: EndpointKey) -> Option<State> {
+        let member = self.members.get_mut(endpoint)?;
+        let state = member.state(now);
+        let changed = member.told != state;
+        member.told = state;
+        changed.then_some(state)
+    }
+}
+
+/// Notes what a list made at `date` says of one endpoint, `None` when it doesn't name it.
+fn list(now: Time, date: Time, member: &mut Member, state: Option<VmState>) {
+    let before = member.listed;
+    if before.is_some_and(|l| date < l.date) {
+        return;
+    }
+    if before.is_none() && state.is_none() {
+        // The platform doesn't know this endpoint at all, so that says nothing.
+        return;
+    }
+    member.listed = Some(Listed { date, state });
+    match state {
+        Some(VmState::Leaving) if date >= member.born => member.leaving = true,
+        // The list may mean the life before this one: ask the endpoint before it gets new work.
+        Some(VmState::Leaving) => {
+            if member.doubt.is_none_or(|d| d < member.born) {
+                member.doubt = Some(now);
+            }
+        }
+        Some(VmState::Live) => {
+            member.missing = None;
+            let was_gone = before.is_some_and(|l| l.state != Some(VmState::Live));
+            if was_gone && member.leaving && !member.stated {
+                // An endpoint that never states its life would otherwise be lost for ever. The
+                // number counts up from the one that left, so that peers that still spread the
+                // old life are not believed.
+                let next = Incarnation(member.life.0.saturating_add(1));
+                member.begin(now, next);
+                member.doubt = Some(now);
+            }
+        }
+        None => member.missing = member.missing.or(Some(now)),
+    }
+}
--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -19,7 +19,10 @@
         Outgo,
         Verdict, //
     },
-    membership::Seen,
+    membership::{
+        Seen,
+        Word, //
+    },
     once::Begin,
     peer::Message,
     place::{
@@ -273,17 +276,12 @@
             return;
         };
         let endpoint = *endpoint;
-        self.view.heard(now.mono);
-        if let Some(life) = incarnation {
-            let changed = self.view.life(now.mono, endpoint, life);
-            log_member(endpoint, changed, out);
-        }
-        let changed = if leaving {
-            let life = self.view.incarnation(endpoint);
-            self.view.leaving(now.mono, endpoint, life)
-        } else {
-            self.view.seen(now.mono, endpoint, Seen::Answered)
+        let word = Word {
+            life: incarnation,
+            leaving,
+            seen: Seen::Answered,
         };
+        let changed = self.view.word(now.mono, endpoint, word);
         log_member(endpoint, changed, out);
     }
 
@@ -306,7 +304,7 @@
         }
         self.loads.ended(now.mono, endpoint);
         let changed = match &end {
-            End::Whole(_) => self.view.seen(now.mono, endpoint, Seen::Answered),
+            End::Whole(_) => self.view.seen(now.mono, endpoint, Seen::Finished),
             End::NotSent { leaving: true } => {
                 let life = self.view.incarnation(endpoint);
                 self.view.leaving(now.mono, endpoint, life)
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -38,7 +38,8 @@
     load::Table,
     membership::{
         Seen,
-        View, //
+        View,
+        Word, //
     },
     once::Home,
     request::{
@@ -205,9 +206,9 @@
             Event::Polled { endpoint, report } => self.polled(now, endpoint, report, out),
             Event::Probed { endpoint, answered } => {
                 let seen = if answered {
-                    Seen::Answered
+                    Seen::Reached
                 } else {
-                    Seen::Silent
+                    Seen::Unreached
                 };
                 let changed = self.view.seen(now.mono, endpoint, seen);
                 log_member(endpoint, changed, out);
@@ -227,7 +228,7 @@
                 self.publish(now, &change, out);
             }
             Event::ReadFailed => self.watching = false,
-            Event::Vms { age: _, vms } => self.vms(now, &vms, out),
+            Event::Vms { age, vms } => self.vms(now, age, &vms, out),
             Event::Cache { .. } => self.view.heard(now.mono),
             Event::Tick => self.tick(now, out),
             Event::Drain => self.drain(now, out),
@@ -267,17 +268,18 @@
         out.push(Action::Log(Decision::Applied { revision }));
     }
 
-    fn vms(&mut self, now: Now, vms: &[(Id, crate::event::VmState)], out: &mut Vec<Action>) {
-        self.view.heard(now.mono);
-        for (id, state) in vms {
-            let Some(key) = self.config().endpoints.key(id) else {
-                continue;
-            };
-            if *state == crate::event::VmState::Leaving {
-                let life = self.view.incarnation(key);
-                let changed = self.view.leaving(now.mono, key, life);
-                log_member(key, changed, out);
-            }
+    fn vms(
+        &mut self,
+        now: Now,
+        age: Millis,
+        vms: &[(Id, crate::event::VmState)],
+        out: &mut Vec<Action>,
+    ) {
+        let config = Arc::clone(self.config());
+        let key = |(id, state): &(Id, _)| Some((config.endpoints.key(id)?, *state));
+        let vms: Vec<_> = vms.iter().filter_map(key).collect();
+        for (key, state) in self.view.listed(now.mono, age, &vms) {
+            log_member(key, Some(state), out);
         }
     }
 
@@ -289,19 +291,17 @@
         out: &mut Vec<Action>,
     ) {
         let Some(report) = report else {
-            let changed = self.view.seen(now.mono, endpoint, Seen::Silent);
+            let changed = self.view.seen(now.mono, endpoint, Seen::Unreached);
             log_member(endpoint, changed, out);
             return;
         };
-        self.view.heard(now.mono);
         self.loads.report(now.mono, endpoint, &report);
-        let changed = self.view.life(now.mono, endpoint, report.incarnation);
-        log_member(endpoint, changed, out);
-        let changed = if report.leaving {
-            self.view.leaving(now.mono, endpoint, report.incarnation)
-        } else {
-            self.view.seen(now.mono, endpoint, Seen::Answered)
+        let word = Word {
+            life: Some(report.incarnation),
+            leaving: report.leaving,
+            seen: Seen::Reached,
         };
+        let changed = self.view.word(now.mono, endpoint, word);
         log_member(endpoint, changed, out);
     }
 
--- /dev/null
+++ b/crates/core/tests/membership.rs
@@ -0,0 +1,251 @@
+//! Lives, leaving and damping of endpoints.
+
+use std::sync::Arc;
+
+use googletest::prelude::*;
+use toucanturn_core::{
+    event::VmState,
+    membership::{
+        PROBE_MAX,
+        Seen,
+        State,
+        View,
+        Word,
+        damping, //
+    },
+    units::{
+        Incarnation,
+        Millis,
+        Time, //
+    },
+};
+
+#[path = "membership/fixture.rs"]
+mod fixture;
+use fixture::*;
+
+const START: Time = Time(100_000);
+
+#[googletest::test]
+fn verify_leaving_sticks_to_one_life() {
+    // Symptom: an engine about to go got new chats again. Sequence: it says that it leaves, then
+    // answers a chat of before, a poll and stands as live in a lagging list. Cause: any good news
+    // put it back.
+    let (mut view, keys) = view(START, 2);
+    let key = keys[0];
+    expect_that!(view.word(START, key, farewell(1)), some(eq(State::Leaving)));
+    let mut now = START;
+    for seen in [Seen::Answered, Seen::Finished, Seen::Reached, Seen::Refused] {
+        now = now + Millis(100);
+        view.seen(now, key, seen);
+        view.word(now, key, word(1));
+        view.listed(now, Millis(0), &[(key, VmState::Live)]);
+        expect_that!(view.state(now, key), eq(State::Leaving));
+    }
+    let leaving: Vec<_> = view.all_leaving().collect();
+    expect_that!(leaving, eq(&vec![(key, Incarnation(1))]));
+}
+
+#[googletest::test]
+fn verify_later_life_starts_afresh() {
+    let (mut view, keys) = view(START, 2);
+    view.word(START, keys[0], farewell(1));
+    view.word(START + Millis(10), keys[0], word(2));
+    expect_that!(view.state(START + Millis(10), keys[0]), eq(State::Live));
+    expect_that!(view.all_leaving().count(), eq(0));
+}
+
+#[googletest::test]
+fn verify_late_word_of_an_earlier_life_says_nothing_of_the_present_one() {
+    // Symptom: a replaced engine got no work. Sequence: the new life is known, then a late answer
+    // or a peer's summary says that the old life leaves. Cause: the news went by address alone.
+    let (mut view, keys) = view(START, 2);
+    view.word(START, keys[0], word(5));
+    expect_that!(view.word(START, keys[0], farewell(4)), none());
+    expect_that!(view.leaving(START, keys[0], Incarnation(4)), none());
+    expect_that!(view.state(START, keys[0]), eq(State::Live));
+    let late = START + Millis(3000);
+    view.word(late, keys[0], word(4));
+    expect_that!(view.state(late, keys[0]), eq(State::Down));
+}
+
+#[googletest::test]
+fn verify_list_of_leaving_vms_is_believed() {
+    let (mut view, keys) = view(START, 2);
+    let now = START + Millis(1000);
+    let changes = view.listed(now, Millis(900), &[(keys[0], VmState::Leaving)]);
+    expect_that!(changes, eq(&vec![(keys[0], State::Leaving)]));
+}
+
+#[googletest::test]
+fn verify_list_older_than_the_life_only_makes_the_router_ask() {
+    // Symptom: a replaced engine stayed out for good. Sequence: life 1 leaves, life 2 is heard,
+    // then a lagging list says that the VM leaves. Cause: the list meant life 1.
+    let (mut view, keys) = view(START, 2);
+    let key = keys[0];
+    view.word(START + Millis(500), key, word(2));
+    let now = START + Millis(600);
+    let list = [(key, VmState::Leaving)];
+    view.listed(now, Millis(300), &list);
+    expect_that!(view.state(now, key), eq(State::Down));
+    expect_that!(view.to_probe(now).collect::<Vec<_>>(), eq(&vec![key]));
+    view.word(now + Millis(5), key, word(2));
+    expect_that!(view.state(now + Millis(5), key), not(eq(State::Down)));
+    // A list made after the new life began means that life.
+    let later = now + Millis(500);
+    view.listed(later, Millis(100), &list);
+    expect_that!(view.state(later, key), eq(State::Leaving));
+}
+
+#[googletest::test]
+fn verify_older_list_does_not_undo_a_newer_one() {
+    // Symptom: an engine that had come back was taken out again. Sequence: two replicas of the
+    // platform answer in turn, the second with an older list. Cause: the age was ignored.
+    let (mut view, keys) = view(START, 2);
+    view.listed(START, Millis(0), &[(keys[0], VmState::Live)]);
+    view.listed(
+        START + Millis(100),
+        Millis(5000),
+        &[(keys[0], VmState::Leaving)],
+    );
+    expect_that!(view.state(START + Millis(100), keys[0]), eq(State::Live));
+}
+
+#[googletest::test]
+fn verify_endpoint_without_a_stated_life_comes_back_after_the_list_said_so() {
+    // Symptom: a service replica that doesn't state its life was lost for ever after one restart.
+    // Sequence: it leaves, the list says so, it is replaced, the list names it live again, a peer
+    // still spreads that it leaves. Cause: nothing told the two lives apart.
+    let config = config(1, 1);
+    let mut view = View::default();
+    view.apply(START, &config);
+    let key = config.endpoints.iter().next().expect("one endpoint").0;
+    let mute = Word {
+        life: None,
+        ..farewell(0)
+    };
+    view.word(START, key, mute);
+    // The list lags: at first it still says live.
+    let mut now = START + Millis(100);
+    view.listed(now, Millis(0), &[(key, VmState::Live)]);
+    expect_that!(view.state(now, key), eq(State::Leaving));
+    for state in [VmState::Leaving, VmState::Live] {
+        now = now + Millis(1000);
+        view.listed(now, Millis(0), &[(key, state)]);
+    }
+    view.leaving(now, key, Incarnation(0));
+    expect_that!(view.state(now, key), eq(State::Down));
+    view.seen(now, key, Seen::Reached);
+    expect_that!(view.state(now, key), eq(State::Live));
+}
+
+#[googletest::test]
+fn verify_endpoint_at_a_new_address_starts_afresh() {
+    let mut config = config(1, 1);
+    let mut view = View::default();
+    view.apply(START, &config);
+    let (key, old) = config.endpoints.iter().next().expect("one endpoint");
+    let mut moved = endpoint(0, "dc-1");
+    moved.address = ([10, 0, 9, 9], 1).into();
+    let name = old.id.clone();
+    view.word(START, key, farewell(3));
+    view.apply(START, &config);
+    expect_that!(view.state(START, key), eq(State::Leaving));
+    config.endpoints.put(&name, Arc::new(moved));
+    view.apply(START, &config);
+    expect_that!(view.state(START, key), eq(State::Suspect));
+    expect_that!(view.len(), eq(1));
+}
+
+#[googletest::test]
+fn verify_endpoint_missing_from_the_list_is_kept_in_reserve_and_not_lost() {
+    let (mut view, keys) = view(START, 2);
+    let all = [(keys[0], VmState::Live), (keys[1], VmState::Live)];
+    view.listed(START, Millis(0), &all);
+    let mut now = START;
+    for _ in 0..61 {
+        now = now + Millis(500);
+        view.listed(now, Millis(0), &all[1..]);
+        view.word(now, keys[0], word(1));
+    }
+    expect_that!(view.state(now, keys[0]), eq(State::Suspect));
+    view.listed(now, Millis(0), &all);
+    expect_that!(view.state(now, keys[0]), eq(State::Live));
+}
+
+#[googletest::test]
+fn verify_flapping_engine_is_suppressed_and_then_used_again() {
+    // Symptom: chats broke off every few seconds at one engine. Sequence: it goes down and comes
+    // back in turns, and each time got its full share at once. Cause: its past was forgotten.
+    let (mut view, keys) = view(START, 5);
+    let key = keys[0];
+    let mut now = START;
+    for flap in 0..4 {
+        for _ in 0..2 {
+            now = now + Millis(500);
+            view.seen(now, key, Seen::Unreached);
+        }
+        expect_that!(view.state(now, key), eq(State::Down));
+        now = now + Millis(500);
+        view.word(now, key, word(1));
+        let trusted = view.state(now, key) == State::Live;
+        expect_that!(trusted, eq(flap < 2), "after flap {flap}");
+    }
+    let stable = now;
+    while view.state(now, key) != State::Live {
+        now = now + Millis(100);
+        view.word(now, key, word(1));
+        assert_that!(now.since(stable), lt(Millis(26_000)));
+    }
+    expect_that!(now.since(stable), gt(damping::HALF_LIFE));
+}
+
+#[googletest::test]
+fn verify_endpoint_that_answers_probes_but_no_request_is_taken_out() {
+    // Symptom: every chat at one engine timed out for minutes. Sequence: its health answer works,
+    // its requests hang. Cause: each answered probe wiped out what the requests had shown.
+    let (mut view, keys) = view(START, 5);
+    let mut now = START;
+    for _ in 0..3 {
+        now = now + Millis(2000);
+        view.word(now, keys[0], word(1));
+        view.seen(now, keys[0], Seen::Silent);
+    }
+    expect_that!(view.state(now, keys[0]), eq(State::Down));
+}
+
+#[googletest::test]
+fn verify_connections_that_go_silent_together_count_once() {
+    // Symptom: a healthy engine was taken out. Sequence: a middlebox loses its table, twenty open
+    // connections go silent at once, new ones work. Cause: one fault was counted twenty times.
+    let (mut view, keys) = view(START, 5);
+    for n in 0..20 {
+        view.seen(START + Millis(n * 10), keys[0], Seen::Silent);
+    }
+    let now = START + Millis(300);
+    expect_that!(view.state(now, keys[0]), eq(State::Suspect));
+    expect_that!(view.to_probe(now).collect::<Vec<_>>(), eq(&vec![keys[0]]));
+    view.seen(now, keys[0], Seen::Answered);
+    expect_that!(view.state(now, keys[0]), eq(State::Live));
+}
+
+#[googletest::test]
+fn verify_probes_of_a_dead_endpoint_slow_down_and_never_end() {
+    let (mut view, keys) = view(START, 5);
+    let key = keys[0];
+    let mut now = START;
+    let mut sent = Vec::new();
+    while now < START + Millis::from_secs(3600) {
+        now = now + Millis(50);
+        if view.to_probe(now).any(|k| k == key) {
+            view.asked(now, key);
+            view.seen(now, key, Seen::Unreached);
+            sent.push(now);
+        }
+    }
+    let gaps: Vec<_> = sent.windows(2).map(|w| w[1].since(w[0])).collect();
+    expect_that!(gaps.iter().max(), some(eq(&PROBE_MAX)));
+    expect_that!(sent.len(), le(460));
+    view.word(now, key, word(1));
+    expect_that!(view.state(now, key), not(eq(State::Down)));
+}
