Hold keys at a home under a lease of the published fleet

A home acts only while a majority of its epoch's fleet confirmed it, and runs only keys dated after the time since when it alone answers for them. Lease messages carry the lease's length and the voter's previous epoch (peer.rs and node/peers.rs change for that); tests follow.

--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -172,6 +172,11 @@
             }
             _ => match self.home.begin(now, &config, call, key, content) {
                 Begin::Run => self.dispatch(now, call, out),
+                Begin::Wait => {
+                    self.home.leave(key, call);
+                    let refusal = Refusal::unknown(Code::KeyInProgress, Some(SOON));
+                    self.refuse(now, call, refusal, out);
+                }
                 Begin::Refuse(refusal) => self.refuse(now, call, refusal, out),
                 Begin::Replay(answer) => {
                     self.calls.swap_remove(&call);
@@ -188,9 +193,9 @@
             return;
         };
         if let Work::Once { key, .. } = open.request.work
-            && !self.home.may_send(now, &config, key)
+            && self.home.may_send(now, key).is_none()
         {
-            self.home.end(now, key, Outcome::NotRun, None);
+            self.home.end(key, Outcome::NotRun, None);
             let refusal = Refusal::not_run(Code::HomeUnavailable, Some(SOON));
             return self.refuse(now, call, refusal, out);
         }
@@ -247,7 +252,7 @@
             return;
         };
         if let Work::Once { key, .. } = open.request.work {
-            self.home.end(now, key, Outcome::NotRun, None);
+            self.home.end(key, Outcome::NotRun, None);
         }
         self.refuse(
             now,
@@ -322,12 +327,12 @@
         self.failed(now, call, attempt, end, out);
     }
 
-    fn whole(&mut self, now: Now, call: Call, answer: Answer, out: &mut Vec<Action>) {
+    fn whole(&mut self, _now: Now, call: Call, answer: Answer, out: &mut Vec<Action>) {
         let Some(open) = self.calls.swap_remove(&call) else {
             return;
         };
         if let Work::Once { key, .. } = open.request.work {
-            self.home.end(now, key, Outcome::Done, Some(answer));
+            self.home.end(key, Outcome::Done, Some(answer));
         }
         let outcome = Outcome::Done;
         out.push(Action::Finish { call, outcome });
@@ -366,11 +371,11 @@
         }
         let work = request.work.clone();
         match end {
-            End::Cancelled => self.close(now, call, &work, Outcome::Unknown),
+            End::Cancelled => self.close(call, &work, Outcome::Unknown),
             // An endpoint's own error is an answer; the caller gets it as it is.
             End::Failed(answer) => {
                 if let Work::Once { key, .. } = work {
-                    self.home.end(now, key, Outcome::Unknown, Some(answer));
+                    self.home.end(key, Outcome::Unknown, Some(answer));
                 }
                 let outcome = Outcome::Unknown;
                 self.calls.swap_remove(&call);
@@ -383,14 +388,14 @@
             }
             End::NotSent { .. } => {
                 if let Work::Once { key, .. } = work {
-                    self.home.end(now, key, Outcome::NotRun, None);
+                    self.home.end(key, Outcome::NotRun, None);
                 }
                 let refusal = Refusal::not_run(Code::EndpointFailed, Some(SOON));
                 self.refuse(now, call, refusal, out);
             }
             End::Broken { .. } | End::Whole(_) => {
                 if let Work::Once { key, .. } = work {
-                    self.home.end(now, key, Outcome::Unknown, None);
+                    self.home.end(key, Outcome::Unknown, None);
                 }
                 let refusal = Refusal::unknown(Code::EndpointFailed, Some(SOON));
                 self.refuse(now, call, refusal, out);
@@ -398,9 +403,9 @@
         }
     }
 
-    fn close(&mut self, now: Now, call: Call, work: &Work, outcome: Outcome) {
+    fn close(&mut self, call: Call, work: &Work, outcome: Outcome) {
         if let Work::Once { key, .. } = work {
-            self.home.end(now, *key, outcome, None);
+            self.home.end(*key, outcome, None);
         }
         self.calls.swap_remove(&call);
     }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -125,6 +125,7 @@
     /// Makes a node that knows nothing yet.
     pub fn new(options: Options, now: Now) -> Self {
         let rng = StdRng::seed_from_u64(options.seed);
+        let home = Home::new(now, options.incarnation);
         Self {
             options,
             rng,
@@ -133,7 +134,7 @@
             view: View::default(),
             loads: Table::default(),
             limits: Limits::default(),
-            home: Home::default(),
+            home,
             budget: Budget::default(),
             peers: SecondaryMap::new(),
             calls: IndexMap::new(),
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -7,8 +7,15 @@
     log_member, //
 };
 use crate::{
-    action::Action,
+    action::{
+        Action,
+        Decision, //
+    },
     arena::RouterKey,
+    once::{
+        self,
+        Vote, //
+    },
     peer::{
         Leaving,
         Load,
@@ -88,13 +95,19 @@
                     .granted(now.mono, key, granted, retry_after, nonce, &mut outgo);
                 self.limits_out(now, outgo, out);
             }
-            Message::LeaseAsk { epoch, round } => {
-                let confirmed = self.home.vote(now, from, incarnation, epoch);
-                let epoch = config.epoch;
+            Message::LeaseAsk {
+                epoch,
+                round,
+                lease,
+            } => {
+                let vote = self
+                    .home
+                    .vote(now, &config, from, incarnation, (epoch, lease));
                 let message = Message::LeaseAnswer {
-                    epoch,
+                    epoch: config.epoch,
                     round,
-                    confirmed,
+                    confirmed: vote.confirmed,
+                    previous: vote.previous,
                 };
                 out.push(Action::Send {
                     router: from,
@@ -102,11 +115,16 @@
                 });
             }
             Message::LeaseAnswer {
-                epoch,
+                epoch: _,
                 round,
                 confirmed,
+                previous,
             } => {
-                self.home.voted(now, from, epoch, round, confirmed);
+                let vote = Vote {
+                    confirmed,
+                    previous,
+                };
+                self.home.voted(now, from, incarnation, round, vote);
             }
         }
     }
@@ -152,6 +170,9 @@
         self.home.tick(now, &config, &mut lease);
         let send = |(router, message)| Action::Send { router, message };
         out.extend(lease.into_iter().map(send));
+        if let Some(once::Held { epoch, held }) = self.home.changed(now) {
+            out.push(Action::Log(Decision::Lease { epoch, held }));
+        }
         if now.mono.since(self.summarized) < config.policy.summary_interval {
             return;
         }
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -119,6 +119,8 @@
         epoch: Revision,
         /// Number of the round.
         round: u64,
+        /// Length of the lease; the voter keeps its promise at least that long.
+        lease: Millis,
     },
     /// Answers [`Message::LeaseAsk`].
     LeaseAnswer {
@@ -128,5 +130,8 @@
         round: u64,
         /// Whether the voter confirms.
         confirmed: bool,
+        /// The epoch that the voter confirmed to anyone before this one, zero for none in this
+        /// life: shows the asker that no epoch in between was acted upon.
+        previous: Revision,
     },
 }
