Hook: tell "not run" of a key only where its home vouches for it

node/: refusals of calls that run once become unknown unless vouched for; repeats wait for the first answer; a broken attempt is repeated where every replica checks keys; Dispatch carries not_after, the end of the lease.

--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -40,6 +40,11 @@
         idle: Millis,
         /// Placement token to hand to the caller with the answer.
         token: Option<Token>,
+        /// For a call that runs at most once: the end of the home's lease. The driver reads the
+        /// clock right before it writes the first byte and, from this time on, writes nothing and
+        /// reports [`End::NotSent`](crate::request::End::NotSent): a process that was paused must
+        /// not send what another home may meanwhile answer for.
+        not_after: Option<Time>,
     },
     /// Send the call to its home router.
     Forward {
--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -65,7 +65,7 @@
         let refuse = |code| Refusal::not_run(code, Some(SOON));
         let early = if self.config().revision == Revision(0) {
             Some(refuse(Code::NotReady))
-        } else if self.draining.is_some() {
+        } else if self.draining.is_some() && !self.remembers(&request.work) {
             Some(refuse(Code::Draining))
         } else if now.mono >= request.deadline {
             Some(Refusal::not_run(Code::Deadline, None))
@@ -172,12 +172,8 @@
             }
             _ => match self.home.begin(now, &config, call, key, content) {
                 Begin::Run => self.dispatch(now, call, out),
-                Begin::Wait => {
-                    self.home.leave(key, call);
-                    let refusal = Refusal::unknown(Code::KeyInProgress, Some(SOON));
-                    self.refuse(now, call, refusal, out);
-                }
-                Begin::Refuse(refusal) => self.refuse(now, call, refusal, out),
+                Begin::Wait => open.stage = Stage::Waiting,
+                Begin::Refuse(refusal) => self.give(now, call, refusal, out),
                 Begin::Replay(answer) => {
                     self.calls.swap_remove(&call);
                     out.push(Action::Replay { call, answer });
@@ -192,12 +188,13 @@
         let Some(open) = self.calls.get_mut(&call) else {
             return;
         };
-        if let Work::Once { key, .. } = open.request.work
-            && self.home.may_send(now, key).is_none()
-        {
-            self.home.end(key, Outcome::NotRun, None);
-            let refusal = Refusal::not_run(Code::HomeUnavailable, Some(SOON));
-            return self.refuse(now, call, refusal, out);
+        let mut not_after = None;
+        if let Work::Once { key, .. } = open.request.work {
+            not_after = self.home.may_send(now, key);
+            if not_after.is_none() {
+                let refusal = Refusal::not_run(Code::HomeUnavailable, Some(SOON));
+                return self.end_refused(now, call, refusal, out);
+            }
         }
         let scene = Scene {
             config: &config,
@@ -234,6 +231,7 @@
             deadline,
             idle,
             token,
+            not_after,
         });
         let view_age = self.view_age(now);
         let decision = Decision::Placed {
@@ -248,18 +246,8 @@
     }
 
     fn no_endpoint(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
-        let Some(open) = self.calls.get(&call) else {
-            return;
-        };
-        if let Work::Once { key, .. } = open.request.work {
-            self.home.end(key, Outcome::NotRun, None);
-        }
-        self.refuse(
-            now,
-            call,
-            Refusal::not_run(Code::NoEndpoint, Some(SOON)),
-            out,
-        );
+        let refusal = Refusal::not_run(Code::NoEndpoint, Some(SOON));
+        self.end_refused(now, call, refusal, out);
     }
 
     pub(super) fn head(
@@ -327,13 +315,10 @@
         self.failed(now, call, attempt, end, out);
     }
 
-    fn whole(&mut self, _now: Now, call: Call, answer: Answer, out: &mut Vec<Action>) {
+    fn whole(&mut self, now: Now, call: Call, answer: Answer, out: &mut Vec<Action>) {
         let Some(open) = self.calls.swap_remove(&call) else {
             return;
         };
-        if let Work::Once { key, .. } = open.request.work {
-            self.home.end(key, Outcome::Done, Some(answer));
-        }
         let outcome = Outcome::Done;
         out.push(Action::Finish { call, outcome });
         out.push(Action::Log(Decision::Done {
@@ -341,6 +326,7 @@
             outcome,
             attempts: open.attempts,
         }));
+        self.end_key(now, &open.request.work, outcome, Some(answer), out);
     }
 
     fn failed(&mut self, now: Now, call: Call, attempt: Attempt, end: End, out: &mut Vec<Action>) {
@@ -354,7 +340,7 @@
         let (request, attempts) = (&open.request, open.attempts);
         let retried = retry::allowed(
             &policy,
-            &request.work,
+            &self.repeated_as(&request.work),
             attempts,
             &end,
             now.mono,
@@ -367,16 +353,17 @@
             retried,
         }));
         if retried {
+            self.touch(call, &end);
             return self.dispatch(now, call, out);
         }
         let work = request.work.clone();
         match end {
-            End::Cancelled => self.close(call, &work, Outcome::Unknown),
+            End::Cancelled => {
+                self.calls.swap_remove(&call);
+                self.end_key(now, &work, Outcome::Unknown, None, out);
+            }
             // An endpoint's own error is an answer; the caller gets it as it is.
-            End::Failed(answer) => {
-                if let Work::Once { key, .. } = work {
-                    self.home.end(key, Outcome::Unknown, Some(answer));
-                }
+            End::Failed(_) => {
                 let outcome = Outcome::Unknown;
                 self.calls.swap_remove(&call);
                 out.push(Action::Finish { call, outcome });
@@ -385,31 +372,19 @@
                     outcome,
                     attempts,
                 }));
+                self.end_key(now, &work, outcome, None, out);
             }
             End::NotSent { .. } => {
-                if let Work::Once { key, .. } = work {
-                    self.home.end(key, Outcome::NotRun, None);
-                }
                 let refusal = Refusal::not_run(Code::EndpointFailed, Some(SOON));
-                self.refuse(now, call, refusal, out);
+                self.end_refused(now, call, refusal, out);
             }
             End::Broken { .. } | End::Whole(_) => {
-                if let Work::Once { key, .. } = work {
-                    self.home.end(key, Outcome::Unknown, None);
-                }
                 let refusal = Refusal::unknown(Code::EndpointFailed, Some(SOON));
-                self.refuse(now, call, refusal, out);
+                self.end_refused(now, call, refusal, out);
             }
         }
     }
 
-    fn close(&mut self, call: Call, work: &Work, outcome: Outcome) {
-        if let Work::Once { key, .. } = work {
-            self.home.end(*key, outcome, None);
-        }
-        self.calls.swap_remove(&call);
-    }
-
     pub(super) fn gone(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
         let Some(open) = self.calls.get(&call) else {
             return;
@@ -431,62 +406,60 @@
             Stage::Forwarded => {
                 self.calls.swap_remove(&call);
             }
+            Stage::Waiting => {
+                self.leave(call, &work);
+                self.calls.swap_remove(&call);
+            }
         }
     }
 
-    pub(super) fn forward_failed(&mut self, call: Call, sent: bool, out: &mut Vec<Action>) {
-        let Some(open) = self.calls.swap_remove(&call) else {
-            return;
-        };
+    pub(super) fn forward_failed(
+        &mut self,
+        now: Now,
+        call: Call,
+        sent: bool,
+        out: &mut Vec<Action>,
+    ) {
         // An earlier request with this key may have run at the home, so even what was not sent is
         // only unknown to this router.
         let _ = sent;
         let refusal = Refusal::unknown(Code::HomeUnavailable, Some(SOON));
-        let workspace = open.request.workspace;
-        out.push(Action::Refuse { call, refusal });
-        let view_age = Millis(0);
-        out.push(Action::Log(Decision::Refused {
-            call,
-            workspace,
-            refusal,
-            view_age,
-        }));
+        self.give(now, call, refusal, out);
     }
 
     pub(super) fn forward_done(
         &mut self,
+        now: Now,
         call: Call,
         refusal: Option<Refusal>,
         out: &mut Vec<Action>,
     ) {
-        let Some(open) = self.calls.swap_remove(&call) else {
+        if let Some(refusal) = refusal {
+            return self.give(now, call, refusal, out);
+        }
+        if self.calls.swap_remove(&call).is_none() {
             return;
-        };
-        match refusal {
-            Some(refusal) => {
-                let workspace = open.request.workspace;
-                out.push(Action::Refuse { call, refusal });
-                let view_age = Millis(0);
-                out.push(Action::Log(Decision::Refused {
-                    call,
-                    workspace,
-                    refusal,
-                    view_age,
-                }));
-            }
-            None => {
-                let outcome = Outcome::Done;
-                out.push(Action::Finish { call, outcome });
-                out.push(Action::Log(Decision::Done {
-                    call,
-                    outcome,
-                    attempts: 1,
-                }));
-            }
         }
+        let outcome = Outcome::Done;
+        out.push(Action::Finish { call, outcome });
+        out.push(Action::Log(Decision::Done {
+            call,
+            outcome,
+            attempts: 1,
+        }));
+    }
+
+    /// Refuses a call. What it is told of an action that runs once must be vouched for.
+    pub(super) fn refuse(&mut self, now: Now, call: Call, refusal: Refusal, out: &mut Vec<Action>) {
+        let refusal = match self.calls.get(&call) {
+            Some(open) => self.vouched(now, &open.request.work, refusal),
+            None => return,
+        };
+        self.give(now, call, refusal, out);
     }
 
-    fn refuse(&mut self, now: Now, call: Call, refusal: Refusal, out: &mut Vec<Action>) {
+    /// Gives a refusal as it is.
+    pub(super) fn give(&mut self, now: Now, call: Call, refusal: Refusal, out: &mut Vec<Action>) {
         let Some(open) = self.calls.swap_remove(&call) else {
             return;
         };
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -57,6 +57,7 @@
 };
 
 mod calls;
+mod once;
 mod peers;
 
 /// `Options` is what a node must know of itself.
@@ -93,6 +94,8 @@
     Admission,
     /// The answer of the key's home.
     Forwarded,
+    /// The answer to the first request with the same key, here at the home.
+    Waiting,
     /// The answer of an endpoint.
     Sent { endpoint: EndpointKey },
 }
@@ -200,8 +203,8 @@
                 self.head(now, call, leaving, incarnation, out);
             }
             Event::Ended { call, attempt, end } => self.ended(now, call, attempt, end, out),
-            Event::ForwardFailed { call, sent } => self.forward_failed(call, sent, out),
-            Event::ForwardDone { call, refusal } => self.forward_done(call, refusal, out),
+            Event::ForwardFailed { call, sent } => self.forward_failed(now, call, sent, out),
+            Event::ForwardDone { call, refusal } => self.forward_done(now, call, refusal, out),
             Event::Gone { call } => self.gone(now, call, out),
             Event::Polled { endpoint, report } => self.polled(now, endpoint, report, out),
             Event::Probed { endpoint, answered } => {
@@ -316,6 +319,7 @@
         self.tick_endpoints(now, out);
         self.tick_peers(now, out);
         self.tick_limits(now, out);
+        self.tick_waiting(now, out);
         self.tick_drain(now, out);
     }
 
