--- /dev/null
+++ b/crates/wire-codegen/src/main.rs
@@ -0,0 +1,32 @@
+//! Makes the committed code of the wire crate from its .proto file.
+//!
+//! `cargo run -p toucanturn-wire-codegen` writes `crates/wire/src/generated/`. The .proto file is
+//! compiled by `protox`, so that no protoc is needed; the normal build doesn't run this at all.
+
+#![forbid(unsafe_code)]
+
+use std::path::Path;
+
+use snafu::{
+    ResultExt,
+    Whatever, //
+};
+
+/// The .proto file, under the wire crate.
+const PROTO: &str = "proto/peer.proto";
+
+/// Where the code goes, under the wire crate.
+const GENERATED: &str = "src/generated";
+
+#[snafu::report]
+fn main() -> Result<(), Whatever> {
+    let wire = Path::new(env!("CARGO_MANIFEST_DIR")).join("../wire");
+    let proto = wire.join(PROTO);
+    let files = protox::compile([&proto], [wire.join("proto")])
+        .whatever_context("could not compile the .proto file")?;
+    tonic_prost_build::configure()
+        .bytes(".")
+        .out_dir(wire.join(GENERATED))
+        .compile_fds(files)
+        .whatever_context("could not write the generated code")
+}
