Send calls that run once over a connection of their own

Cause: hyper-util's pool repeats a request that its pooled connection did not take, and that can't be switched off; and the home's lease ends at a time, so the clock must be read between connecting and writing. The call now goes through hyper's connection alone: a failed connect or a passed lease is certainly not sent, all else may be. Ruled out: reqwest with an empty pool (the clock can't be read after its connect). The wire messages follow the core's new fields.

--- a/crates/router/src/driver.rs
+++ b/crates/router/src/driver.rs
@@ -218,6 +218,7 @@
                 deadline,
                 idle,
                 token,
+                not_after,
             } => {
                 let Some(endpoint) = self.config.load().endpoints.get(endpoint).cloned() else {
                     return self.vanished(call, attempt);
@@ -228,6 +229,7 @@
                     deadline,
                     idle,
                     token,
+                    not_after,
                 };
                 self.step(call, Step::Dispatch(dispatch));
             }
--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -1,17 +1,23 @@
 //! Requests to endpoints over HTTP/1.1, and what is certain when one fails.
 //!
 //! `reqwest` repeats requests by itself after protocol errors, follows redirects and uses the
-//! environment's proxies; all of that is off here. `hyper` repeats a request when a pooled
-//! connection closed before the request was written to it; calls that run at most once therefore
-//! go on a new connection, which is never pooled.
+//! environment's proxies; all of that is off here. Beneath it, `hyper-util` repeats a request when
+//! a pooled connection closed before the request was written to it; that can't be switched off, so
+//! calls that run at most once don't go through a pool at all: [`Endpoints::send_once`] opens a
+//! connection, reads the clock, and writes the one request to it with `hyper` alone.
 
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{
     HeaderMap,
-    Method, //
+    HeaderValue,
+    Method,
+    header, //
 };
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
 use reqwest::{
     Client,
     ClientBuilder,
@@ -20,11 +26,18 @@
     retry, //
 };
 use snafu::ResultExt;
-use toucanturn_core::config::Endpoint;
+use tokio::net::TcpStream;
+use toucanturn_core::{
+    config::Endpoint,
+    units::Time, //
+};
 
-use crate::errors::{
-    ClientSnafu,
-    Result, //
+use crate::{
+    clock,
+    errors::{
+        ClientSnafu,
+        Result, //
+    },
 };
 
 /// Time between keep-alive probes of a connection; three unanswered ones end it.
@@ -37,15 +50,6 @@
 /// that a request does not meet one that went silent.
 const IDLE_TIME: Duration = Duration::from_secs(20);
 
-/// `Connection` says which connection a request may use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Connection {
-    /// A pooled one.
-    Pooled,
-    /// A new one, closed after the answer.
-    Fresh,
-}
-
 /// `Failure` says what is certain of a request that got no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -72,28 +76,27 @@
 #[derive(Clone, Debug)]
 pub struct Endpoints {
     pooled: Client,
-    fresh: Client,
+    connect_timeout: Duration,
 }
 
 impl Endpoints {
-    /// Makes the clients.
+    /// Makes the client.
     ///
     /// # Errors
     ///
     /// Fails when the library can't set up a client.
     pub fn new(connect_timeout: Duration) -> Result<Self> {
-        let base = || base(connect_timeout);
-        let pooled = base()
+        let base = base(connect_timeout);
+        let pooled = base
             .pool_max_idle_per_host(IDLE_PER_ENDPOINT)
             .pool_idle_timeout(IDLE_TIME);
-        let fresh = base().pool_max_idle_per_host(0);
         Ok(Self {
             pooled: pooled.build().context(ClientSnafu)?,
-            fresh: fresh.build().context(ClientSnafu)?,
+            connect_timeout,
         })
     }
 
-    /// Sends a request and gets the head of its answer.
+    /// Sends a request over a pooled connection and gets the head of its answer.
     ///
     /// # Errors
     ///
@@ -102,14 +105,10 @@
         &self,
         endpoint: &Endpoint,
         outgoing: Outgoing,
-        connection: Connection,
     ) -> std::result::Result<Response, Failure> {
-        let client = match connection {
-            Connection::Pooled => &self.pooled,
-            Connection::Fresh => &self.fresh,
-        };
         let url = format!("http://{}{}", endpoint.address, outgoing.path);
-        let request = client
+        let request = self
+            .pooled
             .request(outgoing.method, url)
             .headers(outgoing.headers);
         let sent = request.body(outgoing.body).send().await;
@@ -121,6 +120,58 @@
             }
         })
     }
+
+    /// Sends a request over a connection of its own, which is closed after the answer, and gets
+    /// the head of the answer.
+    ///
+    /// From `not_after` on nothing is sent: a process that was paused while it connected must not
+    /// send what another router may answer for by now. The clock is read after connecting, right
+    /// before the request is written.
+    ///
+    /// # Errors
+    ///
+    /// Fails with what is certain about the request.
+    pub async fn send_once(
+        &self,
+        endpoint: &Endpoint,
+        outgoing: Outgoing,
+        not_after: Option<Time>,
+    ) -> std::result::Result<Response, Failure> {
+        let connecting = TcpStream::connect(endpoint.address);
+        let stream = match tokio::time::timeout(self.connect_timeout, connecting).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(_)) | Err(_) => return Err(Failure::NotSent),
+        };
+        let _ = stream.set_nodelay(true);
+        let shaken = http1::handshake(TokioIo::new(stream)).await;
+        let Ok((mut sender, connection)) = shaken else {
+            return Err(Failure::NotSent);
+        };
+        let request = request(endpoint, outgoing).ok_or(Failure::NotSent)?;
+        if not_after.is_some_and(|end| clock::now().mono >= end) {
+            return Err(Failure::NotSent);
+        }
+        tokio::spawn(connection);
+        let response = sender
+            .send_request(request)
+            .await
+            .map_err(|_| Failure::MaybeSent)?;
+        Ok(Response::from(response.map(reqwest::Body::wrap)))
+    }
+}
+
+/// Makes the request as it goes over the wire; `None` when its path can't be written.
+fn request(endpoint: &Endpoint, outgoing: Outgoing) -> Option<http::Request<Full<Bytes>>> {
+    let mut request = http::Request::new(Full::new(outgoing.body));
+    *request.method_mut() = outgoing.method;
+    *request.uri_mut() = outgoing.path.parse().ok()?;
+    *request.headers_mut() = outgoing.headers;
+    let host = HeaderValue::from_str(&endpoint.address.to_string()).ok()?;
+    request.headers_mut().insert(header::HOST, host);
+    request
+        .headers_mut()
+        .insert(header::CONNECTION, HeaderValue::from_static("close"));
+    Some(request)
 }
 
 fn base(connect_timeout: Duration) -> ClientBuilder {
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -60,7 +60,6 @@
     clock,
     driver::Driver,
     endpoints::{
-        Connection,
         Failure,
         Outgoing, //
     },
@@ -139,6 +138,8 @@
     pub idle: Millis,
     /// Placement token for the caller.
     pub token: Option<Token>,
+    /// For a call that runs at most once: the time from which nothing may be sent any more.
+    pub not_after: Option<Time>,
 }
 
 /// `Task` carries one request through its steps.
@@ -247,16 +248,16 @@
 
     async fn send(&mut self, dispatch: &Dispatch) -> End {
         let once = matches!(self.exchange.request.work, request::Work::Once { .. });
-        let connection = if once {
-            Connection::Fresh
-        } else {
-            Connection::Pooled
-        };
         let outgoing = self.outgoing(dispatch);
-        let sending = self
-            .driver
-            .endpoints
-            .send(&dispatch.endpoint, outgoing, connection);
+        let endpoints = &self.driver.endpoints;
+        let (endpoint, not_after) = (&dispatch.endpoint, dispatch.not_after);
+        let sending = async {
+            if once {
+                endpoints.send_once(endpoint, outgoing, not_after).await
+            } else {
+                endpoints.send(endpoint, outgoing).await
+            }
+        };
         let idle = Duration::from_millis(dispatch.idle.0);
         // A whole answer shows no progress before its head; only the deadline bounds it.
         let head = match self.exchange.shape {
--- a/crates/router/src/platform.rs
+++ b/crates/router/src/platform.rs
@@ -151,6 +151,7 @@
         since,
         revision: Revision(raw.revision),
         entries,
+        floor: None,
     }
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -114,18 +114,25 @@
                 retry_after_ms: retry_after.0,
                 nonce,
             }),
-            Message::LeaseAsk { epoch, round } => Kind::LeaseAsk(proto::LeaseAsk {
+            Message::LeaseAsk {
+                epoch,
+                round,
+                lease,
+            } => Kind::LeaseAsk(proto::LeaseAsk {
                 epoch: epoch.0,
                 round,
+                lease_ms: lease.0,
             }),
             Message::LeaseAnswer {
                 epoch,
                 round,
                 confirmed,
+                previous,
             } => Kind::LeaseAnswer(proto::LeaseAnswer {
                 epoch: epoch.0,
                 round,
                 confirmed,
+                previous: previous.0,
             }),
         };
         Self { kind: Some(kind) }
@@ -162,11 +169,13 @@
             Kind::LeaseAsk(ask) => Self::LeaseAsk {
                 epoch: Revision(ask.epoch),
                 round: ask.round,
+                lease: Millis(ask.lease_ms),
             },
             Kind::LeaseAnswer(answer) => Self::LeaseAnswer {
                 epoch: Revision(answer.epoch),
                 round: answer.round,
                 confirmed: answer.confirmed,
+                previous: Revision(answer.previous),
             },
         })
     }
@@ -277,6 +286,7 @@
             since: change.since.0,
             revision: change.revision.0,
             entries: change.entries.iter().map(entry).collect(),
+            floor: change.floor.map(|r| r.0),
         }
     }
 }
@@ -290,6 +300,7 @@
             since: Revision(raw.since),
             revision: Revision(raw.revision),
             entries: raw.entries.into_iter().map(entry).collect::<Result<_>>()?,
+            floor: raw.floor.map(Revision),
         })
     }
 }
