Check the published configuration whole and tell every fault

Cause: the first version stopped at the first fault of an entry, took any number, kept the last of two fields of one name, and let two names share a tag, an address or a key hash. A deletion of `fleet` passed.

Ruled out: derived serde structs (they stop at the first fault of an entry, and maps silently keep the last of two equal names); showing a wrong key hash (somebody may have written the key itself).

Now each entry is read field by field against one table of names, units, ranges and defaults; what needs two entries to tell is a pass of its own; the store is a merge of two contents (in force, and newer but refused) and no longer parses.

Conclusion: one check serves a file and a revision alike.

--- /dev/null
+++ b/crates/core/src/config/fault.rs
@@ -0,0 +1,71 @@
+//! What is wrong with a document, all of it at once.
+
+use std::fmt;
+
+/// Most faults that are kept of one check; the rest is only counted, so that a broken value of a
+/// megabyte doesn't become a log line of many.
+pub const MAX_FAULTS: usize = 100;
+
+/// `Fault` is one thing wrong with a document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// JSON path of the field, such as `endpoints/eng-1.models[0]`.
+    pub path: String,
+    /// The value found, cut if long; secrets are only described.
+    pub found: String,
+    /// What was expected.
+    pub expected: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            path,
+            found,
+            expected,
+        } = self;
+        write!(f, "{path}: found {found}, expected {expected}")
+    }
+}
+
+/// `Faults` collects what a check finds.
+#[derive(Debug, Default)]
+pub(crate) struct Faults {
+    list: Vec<Fault>,
+    more: usize,
+}
+
+impl Faults {
+    /// Adds a fault, or counts it once [`MAX_FAULTS`] are there.
+    pub(crate) fn add(
+        &mut self,
+        path: impl Into<String>,
+        found: impl fmt::Display,
+        expected: impl fmt::Display,
+    ) {
+        if self.list.len() >= MAX_FAULTS {
+            self.more += 1;
+            return;
+        }
+        self.list.push(Fault {
+            path: path.into(),
+            found: found.to_string(),
+            expected: expected.to_string(),
+        });
+    }
+
+    /// Gives `value` if nothing is wrong, else all faults.
+    pub(crate) fn or<T>(mut self, value: T) -> Result<T, Vec<Fault>> {
+        if self.list.is_empty() {
+            return Ok(value);
+        }
+        if self.more > 0 {
+            self.list.push(Fault {
+                path: "...".to_owned(),
+                found: format!("{} more faults", self.more),
+                expected: "none".to_owned(),
+            });
+        }
+        Err(self.list)
+    }
+}
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -29,7 +29,16 @@
     },
 };
 
+mod build;
+mod cross;
+pub mod document;
+mod entry;
+pub mod fault;
+pub mod field;
+pub mod key;
+pub(crate) mod object;
 pub mod raw;
+pub mod reference;
 pub mod store;
 
 /// `Config` is one revision of the configuration, checked as a whole.
@@ -84,18 +93,20 @@
 
 impl Default for Policy {
     fn default() -> Self {
+        let millis = |field: &field::Field| Millis(field.number_or_least());
+        let small = |field: &field::Field| u32::try_from(field.number_or_least()).unwrap_or(0);
         Self {
-            load_multiple: Permille(1250),
-            drain_deadline: Millis::from_secs(600),
-            retry_budget: Permille(100),
-            max_attempts: 3,
-            key_ttl: Millis::from_secs(3600),
-            lease: Millis::from_secs(2),
-            clock_skew: Millis(1000),
-            idle_timeout: Millis::from_secs(15),
-            poll_interval: Millis(500),
-            summary_interval: Millis(200),
-            config_readers: 7,
+            load_multiple: Permille(small(&reference::LOAD_MULTIPLE)),
+            drain_deadline: millis(&reference::DRAIN_DEADLINE),
+            retry_budget: Permille(small(&reference::RETRY_BUDGET)),
+            max_attempts: small(&reference::MAX_ATTEMPTS),
+            key_ttl: millis(&reference::KEY_TTL),
+            lease: millis(&reference::LEASE),
+            clock_skew: millis(&reference::CLOCK_SKEW),
+            idle_timeout: millis(&reference::IDLE_TIMEOUT),
+            poll_interval: millis(&reference::POLL_INTERVAL),
+            summary_interval: millis(&reference::SUMMARY_INTERVAL),
+            config_readers: small(&reference::CONFIG_READERS),
             data_centers: indexmap::IndexMap::new(),
         }
     }
--- a/crates/core/src/config/raw.rs
+++ b/crates/core/src/config/raw.rs
@@ -1,118 +1,158 @@
-//! The published documents as they are written, before any check.
+//! JSON as it is written, before any check.
+//!
+//! `serde_json`'s own map keeps the last of two fields of one name. An operator who gives a limit
+//! twice would see the one and run with the other, so [`Value`] refuses the document instead.
 
+use std::fmt;
+
+use bytes::Bytes;
 use indexmap::IndexMap;
-use serde::Deserialize;
-
-/// `Document` is a whole configuration in one file.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Document {
-    /// Key `policy`.
-    #[serde(default)]
-    pub policy: Policy,
-    /// Key `fleet`.
-    pub fleet: IndexMap<String, Router>,
-    /// Keys `endpoints/NAME`.
-    pub endpoints: IndexMap<String, Endpoint>,
-    /// Keys `services/NAME`.
-    #[serde(default)]
-    pub services: IndexMap<String, Service>,
-    /// Keys `models/NAME`.
-    #[serde(default)]
-    pub models: IndexMap<String, Model>,
-    /// Keys `workspaces/NAME`.
-    pub workspaces: IndexMap<String, Workspace>,
-}
+use serde::{
+    Deserialize, Deserializer, Serialize, Serializer,
+    de::{
+        Error as _,
+        MapAccess,
+        SeqAccess,
+        Visitor, //
+    },
+};
 
-/// `Policy` as written.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-#[expect(missing_docs, reason = "docs/CONFIGURATION.md gives each field")]
-pub struct Policy {
-    pub load_multiple: Option<f64>,
-    pub drain_deadline_ms: Option<u64>,
-    pub retry_budget: Option<f64>,
-    pub max_attempts: Option<u32>,
-    pub key_ttl_ms: Option<u64>,
-    pub lease_ms: Option<u64>,
-    pub clock_skew_ms: Option<u64>,
-    pub idle_timeout_ms: Option<u64>,
-    pub poll_interval_ms: Option<u64>,
-    pub summary_interval_ms: Option<u64>,
-    pub config_readers: Option<u32>,
-    pub data_centers: IndexMap<String, String>,
-}
+use super::fault::Faults;
+
+/// Most bytes of one published value (the platform's own bound).
+pub const MAX_VALUE: usize = 1 << 20;
+/// Most characters of a value that a fault repeats.
+const MAX_SHOWN: usize = 60;
 
-/// `Router` as written.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-#[expect(missing_docs, reason = "docs/CONFIGURATION.md gives each field")]
-pub struct Router {
-    pub address: String,
-    pub peer_address: String,
-    pub data_center: String,
+/// `Value` is any JSON value; fields keep their order and none is given twice.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    /// `null`.
+    Null,
+    /// `true` or `false`.
+    Flag(bool),
+    /// A number.
+    Number(serde_json::Number),
+    /// A string.
+    Text(String),
+    /// An array.
+    List(Vec<Value>),
+    /// An object.
+    Object(IndexMap<String, Value>),
 }
 
-/// `Endpoint` as written.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-#[expect(missing_docs, reason = "docs/CONFIGURATION.md gives each field")]
-pub struct Endpoint {
-    pub kind: String,
-    pub address: String,
-    pub data_center: String,
-    #[serde(default)]
-    pub models: Vec<String>,
-    pub service: Option<String>,
-    pub capacity: Option<u32>,
-    #[serde(default)]
-    pub checks_fencing: bool,
-    #[serde(default)]
-    pub checks_key: bool,
+impl Value {
+    /// Parses a value of at most `max` bytes; adds a fault if it isn't JSON.
+    pub(crate) fn parse(path: &str, json: &[u8], max: usize, faults: &mut Faults) -> Option<Self> {
+        if json.len() > max {
+            let expected = format_args!("at most {max} bytes");
+            faults.add(path, format_args!("{} bytes", json.len()), expected);
+            return None;
+        }
+        match serde_json::from_slice(json) {
+            Ok(value) => Some(value),
+            Err(error) => {
+                faults.add(path, error, "a JSON value");
+                None
+            }
+        }
+    }
+
+    /// Writes the value as JSON.
+    pub fn to_json(&self) -> Bytes {
+        // INVARIANT: a `Value` has text keys and finite numbers only, so this can't fail.
+        serde_json::to_vec(self).unwrap_or_default().into()
+    }
 }
 
-/// `Rule` as written.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-#[expect(missing_docs, reason = "docs/CONFIGURATION.md gives each field")]
-pub struct Rule {
-    pub method: String,
-    #[serde(default)]
-    pub path: String,
+impl fmt::Display for Value {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Value::Null => f.write_str("null"),
+            Value::Flag(flag) => write!(f, "{flag}"),
+            Value::Number(number) => write!(f, "{number}"),
+            Value::Text(text) if text.chars().count() > MAX_SHOWN => {
+                let start: String = text.chars().take(MAX_SHOWN).collect();
+                write!(f, "{start:?}... ({} bytes)", text.len())
+            }
+            Value::Text(text) => write!(f, "{text:?}"),
+            Value::List(list) => write!(f, "a list of {}", list.len()),
+            Value::Object(object) => write!(f, "an object of {}", object.len()),
+        }
+    }
 }
 
-/// `Service` as written.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-#[expect(missing_docs, reason = "docs/CONFIGURATION.md gives each field")]
-pub struct Service {
-    pub path: String,
-    #[serde(default)]
-    pub once: Vec<Rule>,
+impl Serialize for Value {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        match self {
+            Value::Null => serializer.serialize_unit(),
+            Value::Flag(flag) => serializer.serialize_bool(*flag),
+            Value::Number(number) => number.serialize(serializer),
+            Value::Text(text) => serializer.serialize_str(text),
+            Value::List(list) => list.serialize(serializer),
+            Value::Object(object) => object.serialize(serializer),
+        }
+    }
 }
 
-/// `Model` as written.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-#[expect(missing_docs, reason = "docs/CONFIGURATION.md gives each field")]
-pub struct Model {
-    pub version: String,
-    #[serde(default)]
-    pub min_replicas: u32,
+impl<'de> Deserialize<'de> for Value {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(Reader)
+    }
 }
 
-/// `Workspace` as written.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-#[expect(missing_docs, reason = "docs/CONFIGURATION.md gives each field")]
-pub struct Workspace {
-    pub key_sha256: Vec<String>,
-    pub priority: u8,
-    pub requests_per_s: u32,
-    pub burst: Option<u32>,
-    #[serde(default)]
-    pub models: Vec<String>,
-    #[serde(default)]
-    pub services: Vec<String>,
-    pub deadline_ms: u64,
+struct Reader;
+
+impl<'de> Visitor<'de> for Reader {
+    type Value = Value;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a JSON value")
+    }
+
+    fn visit_unit<E>(self) -> Result<Value, E> {
+        Ok(Value::Null)
+    }
+
+    fn visit_bool<E>(self, flag: bool) -> Result<Value, E> {
+        Ok(Value::Flag(flag))
+    }
+
+    fn visit_u64<E>(self, number: u64) -> Result<Value, E> {
+        Ok(Value::Number(number.into()))
+    }
+
+    fn visit_i64<E>(self, number: i64) -> Result<Value, E> {
+        Ok(Value::Number(number.into()))
+    }
+
+    fn visit_f64<E: serde::de::Error>(self, number: f64) -> Result<Value, E> {
+        let number = serde_json::Number::from_f64(number);
+        number
+            .map(Value::Number)
+            .ok_or_else(|| E::custom("expected a finite number"))
+    }
+
+    fn visit_str<E>(self, text: &str) -> Result<Value, E> {
+        Ok(Value::Text(text.to_owned()))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<Value, A::Error> {
+        let mut out = Vec::new();
+        while let Some(value) = list.next_element()? {
+            out.push(value);
+        }
+        Ok(Value::List(out))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Value, A::Error> {
+        let mut out = IndexMap::new();
+        while let Some((name, value)) = map.next_entry::<String, Value>()? {
+            if out.contains_key(&name) {
+                return Err(A::Error::custom(format_args!("{name:?} given twice")));
+            }
+            out.insert(name, value);
+        }
+        Ok(Value::Object(out))
+    }
 }
--- a/crates/core/src/config/store.rs
+++ b/crates/core/src/config/store.rs
@@ -1,56 +1,48 @@
 //! The published entries by revision, and the newest valid configuration made from them.
 //!
-//! What is in force is a function of what was published alone: at each revision the whole content
-//! is checked, and an invalid one leaves the older one in force until a later revision is valid.
+//! The content at a revision alone decides whether it can be in force, so every router judges it
+//! alike. A store holds two contents: the one in force, which is the greatest valid revision it
+//! was given, and what was written after it (`pending`), which is empty or ends in a revision that
+//! was refused. Both only go up, and merging takes the greater of each, so routers that exchange
+//! [`Change`]s end at the same pair in whatever order these arrive.
 
-use std::sync::Arc;
+use std::{
+    collections::HashSet,
+    sync::Arc, //
+};
 
 use bytes::Bytes;
 use indexmap::IndexMap;
 use snafu::Snafu;
 
+pub use super::fault::Fault;
 use super::{
-    Check,
-    Config,
-    Endpoint,
-    Kind,
-    Limit,
-    Model,
-    Policy,
-    Priority,
-    Router,
-    Rule,
-    Service,
-    Workspace,
-    raw, //
+    Config, build,
+    raw::MAX_VALUE,
+    reference::{
+        MAX_CONTENT,
+        MAX_KEY, //
+    },
 };
 use crate::{
-    ids::Id,
     peer::{
         Change,
         Entry, //
     },
-    units::{
-        Millis,
-        Permille,
-        Revision, //
-    },
+    units::Revision,
 };
 
-/// `Fault` is one thing wrong with a configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Fault {
-    /// JSON path of the field.
-    pub path: String,
-    /// What was found and what was expected.
-    pub reason: String,
-}
+/// Deletions that are remembered for peers, besides those of the newest revision.
+///
+/// At more, the older half is forgotten, and a peer that holds less than the newest one forgotten
+/// is answered with a whole snapshot.
+pub const MAX_TOMBSTONES: usize = 4096;
 
-impl std::fmt::Display for Fault {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{}: {}", self.path, self.reason)
-    }
-}
+/// Most bytes of keys and values that are kept of refused revisions. A change that brings more is
+/// refused itself and read again.
+pub const MAX_PENDING: usize = 2 * MAX_CONTENT;
+/// Most entries that are kept of refused revisions.
+pub const MAX_PENDING_ENTRIES: usize = 65_536;
 
 /// `Error` says why a change is not in force.
 #[derive(Debug, Snafu)]
@@ -63,8 +55,8 @@
         /// What is held.
         held: u64,
     },
-    /// The change is not newer than what is held.
-    #[snafu(display("revision {found} is not above {held}"))]
+    /// The change brings nothing that this store doesn't hold.
+    #[snafu(display("revision {found} brings nothing to {held}"))]
     Old {
         /// Revision of the change.
         found: u64,
@@ -72,24 +64,41 @@
         held: u64,
     },
     /// The change contradicts itself or its bounds; nothing of it is held.
-    #[snafu(display("expected {expected}"))]
+    #[snafu(display("found {found}, expected {expected}"))]
     Malformed {
+        /// What was found.
+        found: String,
         /// What was expected.
-        expected: String,
+        expected: &'static str,
     },
     /// The configuration is invalid; the older one stays in force.
-    #[snafu(display("{} faults, first {}", faults.len(), faults.first().map(Fault::to_string).unwrap_or_default()))]
+    #[snafu(display("{} faults, first {}", faults.len(), first(faults)))]
     Invalid {
         /// All that is wrong with it.
         faults: Vec<Fault>,
     },
 }
 
+fn first(faults: &[Fault]) -> String {
+    faults.first().map(Fault::to_string).unwrap_or_default()
+}
+
+type Entries = IndexMap<Bytes, Entry>;
+
 /// `Store` holds the published entries and the configuration in force.
+///
+/// # Invariants
+///
+/// - `entries` overwritten with `pending` is the published content at `held`; `entries` alone is
+///   the content of `current`.
+/// - Every entry of `pending` is newer than `current`.
+/// - Every deletion after `floor` is named.
 #[derive(Debug, Default)]
 pub struct Store {
-    entries: IndexMap<Bytes, Entry>,
+    entries: Entries,
+    pending: Entries,
     held: Revision,
+    floor: Revision,
     current: Arc<Config>,
 }
 
@@ -105,345 +114,207 @@
     }
 
     /// Merges a change and puts the result in force if it is valid.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Gap`], [`Error::Old`] and [`Error::Malformed`] leave the store as it was;
+    /// [`Error::Invalid`] may have raised [`Store::held`].
     pub fn apply(&mut self, change: &Change) -> Result<(), Error> {
+        let revision = screen(change)?;
+        if revision > self.held {
+            self.apply_newest(change, revision)
+        } else {
+            self.apply_between(change, revision)
+        }
+    }
+
+    /// Applies a change that ends above all that is held.
+    fn apply_newest(&mut self, change: &Change, revision: Revision) -> Result<(), Error> {
         if change.since > self.held {
-            return GapSnafu {
-                since: change.since.0,
-                held: self.held.0,
-            }
-            .fail();
+            let (since, held) = (change.since.0, self.held.0);
+            return GapSnafu { since, held }.fail();
         }
-        if change.revision <= self.held {
-            return OldSnafu {
-                found: change.revision.0,
-                held: self.held.0,
+        let mut pending = self.newer(change, revision);
+        if change.since.0 > 0 {
+            for (key, old) in &self.pending {
+                let keep = |new: &Entry| new.revision < old.revision;
+                if pending.get(key).is_none_or(keep) {
+                    pending.insert(key.clone(), old.clone());
+                }
             }
-            .fail();
         }
-        for entry in &change.entries {
-            let newer = |old: &Entry| old.revision < entry.revision;
-            if self.entries.get(&entry.key).is_none_or(newer) {
-                self.entries.insert(entry.key.clone(), entry.clone());
-            }
+        let weight = |e: &Entry| e.key.len() + e.value.as_ref().map_or(0, Bytes::len);
+        let found = pending.values().map(weight).sum::<usize>();
+        if found > MAX_PENDING || pending.len() > MAX_PENDING_ENTRIES {
+            let found = format!("{} refused entries, {found} bytes", pending.len());
+            let expected = "no more than is kept of refused revisions";
+            return MalformedSnafu { found, expected }.fail();
         }
-        self.held = change.revision;
-        let next = check(&self.entries, self.held, &self.current)?;
-        self.current = Arc::new(next);
+        self.raise_floor(change, revision);
+        self.held = revision;
+        let built = self.build(revision, &pending);
+        self.pending = pending;
+        let config = built?;
+        self.put_in_force(config);
         Ok(())
     }
 
-    /// Gets all that was published after `since`, for a peer: one change or more, to be applied in
-    /// this order.
-    pub fn after(&self, since: Revision) -> Vec<Change> {
-        let newer = self.entries.values().filter(|e| e.revision > since);
-        let mut entries: Vec<Entry> = newer.cloned().collect();
-        entries.sort_by_key(|e| e.revision);
-        vec![Change {
-            since,
-            revision: self.held,
-            floor: None,
-            entries,
-        }]
+    /// Applies a change that ends between what is in force and what is held.
+    ///
+    /// A router that read two revisions in one delta, the newer one invalid, never saw the older
+    /// one by itself. A peer that did has it in force; without this step the two would differ
+    /// until the next valid revision.
+    fn apply_between(&mut self, change: &Change, revision: Revision) -> Result<(), Error> {
+        let current = self.current.revision;
+        let held = self.held;
+        if revision <= current || revision == held || change.since > current {
+            let (found, held) = (revision.0, held.0);
+            return OldSnafu { found, held }.fail();
+        }
+        let between = self.newer(change, revision);
+        let config = self.build(revision, &between)?;
+        self.raise_floor(change, revision);
+        let after = std::mem::replace(&mut self.pending, between);
+        self.put_in_force(config);
+        self.pending = after;
+        self.pending.retain(|_, entry| entry.revision > revision);
+        Ok(())
     }
-}
 
-fn parse<T: serde::de::DeserializeOwned>(
-    key: &str,
-    value: &Bytes,
-    faults: &mut Vec<Fault>,
-) -> Option<T> {
-    let mut raw = serde_json::Deserializer::from_slice(value);
-    match serde_path_to_error::deserialize(&mut raw) {
-        Ok(parsed) => Some(parsed),
-        Err(error) => {
-            let path = format!("{key}.{}", error.path());
-            faults.push(Fault {
-                path,
-                reason: error.inner().to_string(),
-            });
-            None
+    /// Gets the entries of a change that are newer than what is in force. A snapshot need not name
+    /// deletions, so what it lacks counts as deleted.
+    fn newer(&self, change: &Change, revision: Revision) -> Entries {
+        let current = self.current.revision;
+        let newer = change.entries.iter().filter(|e| e.revision > current);
+        let mut out: Entries = newer.map(|e| (e.key.clone(), e.clone())).collect();
+        if change.since.0 > 0 {
+            return out;
+        }
+        let named: HashSet<&Bytes> = change.entries.iter().map(|e| &e.key).collect();
+        let live = self.entries.values().filter(|e| e.value.is_some());
+        for lost in live.filter(|e| !named.contains(&e.key)) {
+            let tombstone = Entry {
+                key: lost.key.clone(),
+                revision,
+                value: None,
+            };
+            out.insert(lost.key.clone(), tombstone);
         }
+        out
     }
-}
-
-fn id(path: &str, text: &str, faults: &mut Vec<Fault>) -> Option<Id> {
-    let result = Id::try_from(text);
-    result
-        .map_err(|e| {
-            faults.push(Fault {
-                path: path.to_owned(),
-                reason: format!("{text:?}: {e}"),
-            })
-        })
-        .ok()
-}
 
-fn address(path: &str, text: &str, faults: &mut Vec<Fault>) -> Option<std::net::SocketAddr> {
-    let reason = || format!("{text:?}: expected IP:PORT");
-    text.parse()
-        .map_err(|_| {
-            faults.push(Fault {
-                path: path.to_owned(),
-                reason: reason(),
-            })
-        })
-        .ok()
-}
-
-fn hash(path: &str, text: &str, faults: &mut Vec<Fault>) -> Option<[u8; 32]> {
-    let mut out = [0; 32];
-    let digits = text.as_bytes();
-    let pair = |i: usize| std::str::from_utf8(digits.get(2 * i..2 * i + 2)?).ok();
-    let good = digits.len() == 64
-        && (0..32).all(|i| {
-            let byte = pair(i).and_then(|p| u8::from_str_radix(p, 16).ok());
-            byte.map(|b| out[i] = b).is_some()
-        });
-    if !good {
-        let reason = "expected 64 hexadecimal digits".to_owned();
-        faults.push(Fault {
-            path: path.to_owned(),
-            reason,
-        });
+    /// Notes after a snapshot from where on not every deletion is known.
+    fn raise_floor(&mut self, change: &Change, revision: Revision) {
+        let floor = change.floor.unwrap_or(revision);
+        if change.since.0 == 0 && floor > self.current.revision {
+            self.floor = self.floor.max(floor);
+        }
     }
-    good.then_some(out)
-}
 
-fn check(
-    entries: &IndexMap<Bytes, Entry>,
-    revision: Revision,
-    old: &Config,
-) -> Result<Config, Error> {
-    let mut faults = Vec::new();
-    let f = &mut faults;
-    let mut next = Config {
-        revision,
-        ..Config::default()
-    };
-    // Keys of things that stay must stay the same: start from the old arenas.
-    next.fleet = old.fleet.clone();
-    next.endpoints = old.endpoints.clone();
-    next.services = old.services.clone();
-    next.models = old.models.clone();
-    next.workspaces = old.workspaces.clone();
-    let live = |prefix: &'static str| {
-        entries.values().filter_map(move |e| {
-            let key = std::str::from_utf8(&e.key).ok()?;
-            let name = key.strip_prefix(prefix)?.strip_prefix('/')?;
-            Some((key, name, e.value.as_ref()?))
-        })
-    };
-    if let Some(Entry {
-        value: Some(value), ..
-    }) = entries.get(&b"policy"[..])
-        && let Some(p) = parse::<raw::Policy>("policy", value, f)
-    {
-        next.policy = Arc::new(policy(&p, f));
-    }
-    if let Some(Entry {
-        value: Some(value),
-        revision,
-        ..
-    }) = entries.get(&b"fleet"[..])
-    {
-        next.epoch = *revision;
-        let members = parse::<IndexMap<String, raw::Router>>("fleet", value, f).unwrap_or_default();
-        for (name, r) in &members {
-            let path = format!("fleet.{name}");
-            let parts = (
-                id(&path, name, f),
-                address(&format!("{path}.address"), &r.address, f),
-                address(&format!("{path}.peer_address"), &r.peer_address, f),
-                id(&format!("{path}.data_center"), &r.data_center, f),
-            );
-            if let (Some(id), Some(address), Some(peer_address), Some(data_center)) = parts {
-                let router = Router {
-                    tag: id.tag(),
-                    id: id.clone(),
-                    address,
-                    peer_address,
-                    data_center,
-                };
-                next.fleet.put(&id, Arc::new(router));
+    fn build(&self, revision: Revision, newer: &Entries) -> Result<Config, Error> {
+        let size = |e: &Entry| e.value.as_ref().map_or(0, |v| e.key.len() + v.len());
+        let old = self.entries.values();
+        let old = old.filter(|e| !newer.contains_key(&e.key)).map(size);
+        let bytes = old.sum::<usize>() + newer.values().map(size).sum::<usize>();
+        let built = build::build(&self.current, revision, newer.values());
+        match (built, build::check_size(bytes)) {
+            (Ok(config), None) => Ok(config),
+            (Ok(_), Some(fault)) => {
+                let faults = vec![fault];
+                InvalidSnafu { faults }.fail()
             }
-        }
-        prune(&mut next.fleet, |id| members.contains_key(id.as_str()));
-    }
-    for (key, name, value) in live("models") {
-        let Some(m) = parse::<raw::Model>(key, value, f) else {
-            continue;
-        };
-        let parts = (
-            id(key, name, f),
-            id(&format!("{key}.version"), &m.version, f),
-        );
-        if let (Some(id), Some(version)) = parts {
-            let model = Model {
-                id: id.clone(),
-                version,
-                min_replicas: m.min_replicas,
-            };
-            next.models.put(&id, Arc::new(model));
+            (Err(faults), _) => InvalidSnafu { faults }.fail(),
         }
     }
-    for (key, name, value) in live("services") {
-        let Some(s) = parse::<raw::Service>(key, value, f) else {
-            continue;
-        };
-        let Some(id) = id(key, name, f) else { continue };
-        let rule = |r: raw::Rule| Rule {
-            method: r.method.into(),
-            path: r.path.into(),
-        };
-        let once = s.once.into_iter().map(rule).collect();
-        let service = Service {
-            id: id.clone(),
-            path: s.path.into(),
-            once,
-        };
-        next.services.put(&id, Arc::new(service));
+
+    fn put_in_force(&mut self, config: Config) {
+        self.current = Arc::new(config);
+        self.entries.extend(self.pending.drain(..));
+        self.forget();
     }
-    for (key, name, value) in live("endpoints") {
-        let Some(e) = parse::<raw::Endpoint>(key, value, f) else {
-            continue;
-        };
-        let parts = (
-            id(key, name, f),
-            e.kind.parse::<Kind>().ok(),
-            address(&format!("{key}.address"), &e.address, f),
-            id(&format!("{key}.data_center"), &e.data_center, f),
-        );
-        if parts.1.is_none() {
-            let reason = format!("{:?}: expected \"engine\" or \"service\"", e.kind);
-            f.push(Fault {
-                path: format!("{key}.kind"),
-                reason,
-            });
+
+    /// Forgets the older half of the deletions once there are too many.
+    fn forget(&mut self) {
+        let deleted = self.entries.values().filter(|e| e.value.is_none());
+        let mut revisions: Vec<Revision> = deleted.map(|e| e.revision).collect();
+        if revisions.len() <= MAX_TOMBSTONES {
+            return;
         }
-        let (Some(id), Some(kind), Some(address), Some(data_center)) = parts else {
-            continue;
-        };
-        let models = keys(&next.models, &format!("{key}.models"), &e.models, f);
-        let service = e.service.iter().cloned().collect::<Vec<_>>();
-        let service = keys(&next.services, &format!("{key}.service"), &service, f)
-            .first()
-            .copied();
-        let checked = |yes| if yes { Check::Checked } else { Check::Ignored };
-        let endpoint = Endpoint {
-            tag: id.tag(),
-            id: id.clone(),
-            kind,
-            address,
-            data_center,
-            models,
-            service,
-            capacity: e.capacity.unwrap_or(32),
-            fencing: checked(e.checks_fencing),
-            key_check: checked(e.checks_key),
-        };
-        next.endpoints.put(&id, Arc::new(endpoint));
+        revisions.sort_unstable();
+        // Those of the newest revision stay: a change ends at the revision of its newest entry.
+        let newest = Revision(self.current.revision.0.saturating_sub(1));
+        let cut = revisions[revisions.len() / 2].min(newest);
+        self.entries
+            .retain(|_, e| e.value.is_some() || e.revision > cut);
+        self.floor = self.floor.max(cut);
     }
-    for (key, name, value) in live("workspaces") {
-        let Some(w) = parse::<raw::Workspace>(key, value, f) else {
-            continue;
-        };
-        let Some(id) = id(key, name, f) else { continue };
-        let path = format!("{key}.key_sha256");
-        let limit = Limit {
-            requests_per_s: w.requests_per_s,
-            burst: w.burst.unwrap_or(w.requests_per_s),
-        };
-        let workspace = Workspace {
-            tag: id.tag(),
-            id: id.clone(),
-            keys: w
-                .key_sha256
-                .iter()
-                .filter_map(|k| hash(&path, k, f))
-                .collect(),
-            priority: Priority(w.priority),
-            limit,
-            models: keys(&next.models, &format!("{key}.models"), &w.models, f),
-            services: keys(&next.services, &format!("{key}.services"), &w.services, f),
-            deadline: Millis(w.deadline_ms),
-        };
-        next.workspaces.put(&id, Arc::new(workspace));
-    }
-    let published = |kind: &str, id: &Id| {
-        let key = Bytes::from(format!("{kind}/{id}"));
-        entries.get(&key).is_some_and(|e| e.value.is_some())
-    };
-    prune(&mut next.models, |id| published("models", id));
-    prune(&mut next.services, |id| published("services", id));
-    prune(&mut next.endpoints, |id| published("endpoints", id));
-    prune(&mut next.workspaces, |id| published("workspaces", id));
-    if faults.is_empty() {
-        Ok(next)
-    } else {
-        InvalidSnafu { faults }.fail()
-    }
-}
 
-fn prune<K: slotmap::Key, V>(arena: &mut crate::arena::Arena<K, V>, keep: impl Fn(&Id) -> bool) {
-    let gone: Vec<Id> = arena
-        .names()
-        .map(|(id, _)| id)
-        .filter(|id| !keep(id))
-        .cloned()
-        .collect();
-    for id in gone {
-        arena.remove(&id);
+    /// Gets all that was published after `since`, for a peer: one change or two, to be applied in
+    /// this order. The first brings it to what is in force here, the second to what is newer and
+    /// was refused.
+    pub fn after(&self, since: Revision) -> Vec<Change> {
+        let current = self.current.revision;
+        let entries: Vec<&Entry> = self.entries.values().collect();
+        let mut out = vec![self.part(since, current, &entries)];
+        if !self.pending.is_empty() {
+            let old = entries.iter().copied();
+            let old = old.filter(|e| !self.pending.contains_key(&e.key));
+            let entries: Vec<&Entry> = old.chain(self.pending.values()).collect();
+            out.push(self.part(since.max(current), self.held, &entries));
+        }
+        out
     }
-}
 
-fn keys<K: slotmap::Key, V>(
-    arena: &crate::arena::Arena<K, V>,
-    path: &str,
-    names: &[String],
-    faults: &mut Vec<Fault>,
-) -> Vec<K> {
-    let mut found = Vec::new();
-    for name in names {
-        match Id::try_from(name.as_str())
-            .ok()
-            .and_then(|id| arena.key(&id))
-        {
-            Some(key) => found.push(key),
-            None => {
-                let reason = format!("{name:?}: expected a published name");
-                faults.push(Fault {
-                    path: path.to_owned(),
-                    reason,
-                });
-            }
+    /// Gets what changed from `since` to `revision`, whose content is `entries`; a snapshot if not
+    /// every deletion since then is known.
+    fn part(&self, since: Revision, revision: Revision, entries: &[&Entry]) -> Change {
+        let (since, floor) = if since < self.floor {
+            (Revision(0), Some(self.floor.min(revision)))
+        } else {
+            (since, (since.0 == 0).then_some(Revision(0)))
+        };
+        let newer = entries.iter().filter(|e| e.revision > since);
+        let mut entries: Vec<Entry> = newer.map(|e| (*e).clone()).collect();
+        entries.sort_by_key(|e| e.revision);
+        Change {
+            since,
+            revision,
+            floor,
+            entries,
         }
     }
-    found
 }
 
-fn policy(raw: &raw::Policy, faults: &mut Vec<Fault>) -> Policy {
-    let base = Policy::default();
-    let ratio = |v: Option<f64>, or: Permille| v.map_or(or, Permille::from_ratio);
-    let ms = |v: Option<u64>, or: Millis| v.map_or(or, Millis);
-    let mut data_centers = IndexMap::new();
-    for (name, region) in &raw.data_centers {
-        let path = format!("policy.data_centers.{name}");
-        if let (Some(name), Some(region)) = (id(&path, name, faults), id(&path, region, faults)) {
-            data_centers.insert(name, region);
+/// Checks a change by itself and gets the revision that it brings its reader to: that of its
+/// newest entry.
+///
+/// The change's own number is not believed above that. A service that reads its number and its
+/// entries in two steps gives a number whose entries are missing; whoever took the number would
+/// never ask for them again. One step lower, the next read brings them.
+fn screen(change: &Change) -> Result<Revision, Error> {
+    let malformed = |found: String, expected| MalformedSnafu { found, expected }.fail();
+    let mut keys = HashSet::new();
+    let mut bytes = 0_usize;
+    let mut newest = Revision(0);
+    for entry in &change.entries {
+        let size = entry.value.as_ref().map_or(0, Bytes::len);
+        if entry.key.len() > MAX_KEY || size > MAX_VALUE {
+            let found = format!("{} and {size} bytes", entry.key.len());
+            return malformed(found, "a key and a value within their bounds");
+        }
+        if entry.revision.0 == 0 || entry.revision > change.revision {
+            let found = format!("an entry of revision {}", entry.revision.0);
+            return malformed(found, "revisions from 1 to that of the change");
+        }
+        if !keys.insert(&entry.key) {
+            let found = String::from_utf8_lossy(&entry.key).into_owned();
+            return malformed(found, "each key once");
         }
+        bytes += entry.key.len() + size;
+        newest = newest.max(entry.revision);
     }
-    Policy {
-        load_multiple: ratio(raw.load_multiple, base.load_multiple),
-        drain_deadline: ms(raw.drain_deadline_ms, base.drain_deadline),
-        retry_budget: ratio(raw.retry_budget, base.retry_budget),
-        max_attempts: raw.max_attempts.unwrap_or(base.max_attempts),
-        key_ttl: ms(raw.key_ttl_ms, base.key_ttl),
-        lease: ms(raw.lease_ms, base.lease),
-        clock_skew: ms(raw.clock_skew_ms, base.clock_skew),
-        idle_timeout: ms(raw.idle_timeout_ms, base.idle_timeout),
-        poll_interval: ms(raw.poll_interval_ms, base.poll_interval),
-        summary_interval: ms(raw.summary_interval_ms, base.summary_interval),
-        config_readers: raw.config_readers.unwrap_or(base.config_readers),
-        data_centers,
+    if bytes > 2 * MAX_CONTENT {
+        return malformed(format!("{bytes} bytes"), "at most twice a whole content");
     }
+    Ok(newest)
 }
