Read the settings of a process

Cause: the daemon needs to know who it is, where it listens and whom it asks before any published configuration reaches it.

One JSON file of at most 64 KiB, read with the same reader and field table as the published configuration, so strict and with all faults at once. Keys are in `Secret`, whose Debug shows nothing; a wrong key is not shown either.

Conclusion: `Settings::try_from(bytes)` is all a program needs.

--- a/crates/core/src/config/field.rs
+++ b/crates/core/src/config/field.rs
@@ -35,6 +35,8 @@
         /// The most.
         max: usize,
     },
+    /// An object with fields of its own.
+    Object,
     /// An object whose field names are free.
     Table {
         /// What it maps.
@@ -116,6 +118,11 @@
         Self::new(name, Shape::Table { of, max }).or_absent("none")
     }
 
+    /// Makes an object of fields that all have defaults.
+    pub const fn object(name: &'static str) -> Self {
+        Self::new(name, Shape::Object).or_absent("all defaults")
+    }
+
     /// Gives the field a default number.
     pub const fn or(mut self, number: u64) -> Self {
         self.fallback = Fallback::Number(number);
@@ -150,6 +157,7 @@
             Shape::Number { unit, .. } => unit.to_owned(),
             Shape::Ratio { .. } => "ratio".to_owned(),
             Shape::Flag => "true or false".to_owned(),
+            Shape::Object => "object".to_owned(),
             Shape::Text(form) => form.to_owned(),
             Shape::List { of, .. } => format!("list of {of}"),
             Shape::Table { of, .. } => of.to_owned(),
@@ -161,7 +169,7 @@
         match self.shape {
             Shape::Number { min, max, .. } => format!("{min} to {max}"),
             Shape::Ratio { min, max } => format!("{} to {}", decimal(min), decimal(max)),
-            Shape::Flag | Shape::Text(_) => "-".to_owned(),
+            Shape::Flag | Shape::Text(_) | Shape::Object => "-".to_owned(),
             Shape::List { min, max, .. } => format!("{min} to {max} entries"),
             Shape::Table { max, .. } => format!("0 to {max} entries"),
         }
@@ -174,7 +182,7 @@
             Shape::Ratio { .. } => format!("a number, {}", self.range()),
             Shape::Table { .. } => format!("an object ({})", self.unit()),
             Shape::List { .. } => format!("a {}, {}", self.unit(), self.range()),
-            Shape::Flag | Shape::Text(_) => self.unit(),
+            Shape::Flag | Shape::Text(_) | Shape::Object => self.unit(),
         }
     }
 
--- a/crates/core/src/config/object.rs
+++ b/crates/core/src/config/object.rs
@@ -210,7 +210,7 @@
 }
 
 /// Parses `IP:PORT` that others can connect to.
-fn reachable(text: &str) -> Option<SocketAddr> {
+pub(crate) fn reachable(text: &str) -> Option<SocketAddr> {
     let address: SocketAddr = text.parse().ok()?;
     let ip = address.ip();
     let good = address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod place;
 pub mod request;
 pub mod retry;
+pub mod settings;
 pub mod units;
