--- /dev/null
+++ b/crates/core/tests/once/main.rs
@@ -0,0 +1,6 @@
+//! Calls that run at most once.
+#![expect(clippy::unwrap_used, reason = "tests")]
+
+mod keys;
+mod lease;
+mod rig;
