--- a/crates/core/src/once/fleet.rs
+++ b/crates/core/src/once/fleet.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use indexmap::IndexSet;
+
 use crate::{
     arena::RouterKey,
     config::Config,
@@ -28,7 +30,7 @@
     /// Revision of the list.
     pub epoch: Revision,
     /// Its members.
-    pub members: Vec<Member>,
+    pub members: IndexSet<Member>,
 }
 
 impl Fleet {
@@ -49,13 +51,13 @@
     /// Tells whether `voters` hold a majority.
     pub fn won<'a>(&self, voters: impl Iterator<Item = &'a Member>) -> bool {
         !self.members.is_empty()
-            && voters.filter(|v| self.members.contains(v)).count() >= self.quorum()
+            && voters.filter(|v| self.members.contains(*v)).count() >= self.quorum()
     }
 
     /// Tells whether every majority of this fleet shares a member with every majority of `other`.
     /// A publish that adds or takes out one member keeps this (Ongaro, 2014, section 4.1).
     pub fn overlaps(&self, other: &Self) -> bool {
-        let added = other.members.iter().filter(|m| !self.members.contains(m));
+        let added = other.members.iter().filter(|m| !self.members.contains(*m));
         self.quorum() + other.quorum() > self.members.len() + added.count()
     }
 
@@ -66,13 +68,17 @@
     }
 }
 
+/// Gets a router of a configuration.
+pub(super) fn member(config: &Config, key: RouterKey) -> Option<Member> {
+    let router = config.fleet.get(key)?;
+    Some(Member {
+        tag: router.tag,
+        address: router.peer_address,
+    })
+}
+
 /// Lists the routers of a configuration.
 pub(super) fn members(config: &Config) -> impl Iterator<Item = (RouterKey, Member)> {
-    config.fleet.iter().map(|(key, router)| {
-        let member = Member {
-            tag: router.tag,
-            address: router.peer_address,
-        };
-        (key, member)
-    })
+    let keys = config.fleet.iter().map(|(key, _)| key);
+    keys.filter_map(|key| Some((key, member(config, key)?)))
 }
--- a/crates/core/src/once/lease.rs
+++ b/crates/core/src/once/lease.rs
@@ -70,7 +70,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Lease {
     fleet: Fleet,
-    peers: Vec<(RouterKey, Member)>,
+    peers: IndexMap<RouterKey, Member>,
     me: Option<Member>,
     /// Earlier fleets that may still be acted under.
     earlier: Vec<Fleet>,
@@ -172,7 +172,7 @@
         round: u64,
         vote: Vote,
     ) -> Option<Start> {
-        let (_, member) = *self.peers.iter().find(|(key, _)| *key == from)?;
+        let member = *self.peers.get(&from)?;
         let open = self.round.as_mut()?;
         if round != self.number || !vote.confirmed {
             return None;
@@ -223,6 +223,9 @@
     }
 
     fn won(&self, round: &Round) -> bool {
+        if round.ballots.len() < self.fleet.quorum() {
+            return false;
+        }
         let voters = || round.ballots.keys();
         let apart = |f: &&Fleet| !f.overlaps(&self.fleet);
         self.fleet.won(voters()) && self.earlier.iter().filter(apart).all(|f| f.won(voters()))
@@ -248,7 +251,7 @@
     /// is asked by as many homes. After a round without a majority: all.
     fn targets(&self) -> Vec<RouterKey> {
         let count = self.peers.len();
-        let place = self.peers.iter().position(|(_, m)| Some(*m) == self.me);
+        let place = self.peers.values().position(|m| Some(*m) == self.me);
         let place = place.unwrap_or(0);
         let ring = self.peers.iter().cycle().skip(place + 1);
         let mut ring: Vec<_> = ring.take(count.saturating_sub(1)).collect();
--- a/crates/core/src/once/mod.rs
+++ b/crates/core/src/once/mod.rs
@@ -127,8 +127,7 @@
 
     /// Follows a new configuration. `me` is this router, `None` while it is not in the fleet list.
     pub fn apply(&mut self, now: Now, config: &Config, me: Option<RouterKey>) {
-        let mine = |(key, _): &(RouterKey, Member)| Some(*key) == me;
-        self.me = fleet::members(config).find(mine).map(|(_, m)| m);
+        self.me = me.and_then(|key| fleet::member(config, key));
         self.lease.apply(config, self.me);
         self.voter.prune(now, &self.lease.fleet().members);
     }
@@ -255,10 +254,8 @@
         asked: (Revision, Millis),
     ) -> Vote {
         let (epoch, lease) = asked;
-        let mut members = fleet::members(config);
-        let member = members.find(|(key, _)| *key == from);
-        match member {
-            Some((_, member)) if epoch == config.epoch => {
+        match fleet::member(config, from) {
+            Some(member) if epoch == config.epoch => {
                 let asker = Asker {
                     member,
                     incarnation,
--- a/crates/core/src/once/vote.rs
+++ b/crates/core/src/once/vote.rs
@@ -4,7 +4,10 @@
 //! no other epoch to anyone and no other life of that home. Two homes that act under two epochs
 //! would need a voter in both their quorums that broke this promise.
 
-use indexmap::IndexMap;
+use indexmap::{
+    IndexMap,
+    IndexSet, //
+};
 
 use super::Member;
 use crate::units::{
@@ -81,7 +84,7 @@
     }
 
     /// Forgets homes that left the fleet, once nothing promised to them is in force.
-    pub(super) fn prune(&mut self, now: Now, members: &[Member]) {
+    pub(super) fn prune(&mut self, now: Now, members: &IndexSet<Member>) {
         let kept = |life: &Life| now.mono < life.until || now.mono < life.after;
         self.lives
             .retain(|member, life| members.contains(member) || kept(life));
