node: tell the limits who asks, who failed and who was heard

A router that is asked must know whether it is the home itself, one whose home failed must find the next at once, and one that was passed over must be taken back when it speaks. Signatures only; the limits follow.

--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -74,6 +74,19 @@
     },
 }
 
+/// `Question` is what a peer asks of this router as a workspace's home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Question {
+    /// This router, `None` while it is not in the fleet list.
+    pub me: Option<RouterKey>,
+    /// The peer.
+    pub from: RouterKey,
+    /// The workspace.
+    pub workspace: WorkspaceKey,
+    /// Requests wanted.
+    pub want: u32,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     milli: u64,
@@ -136,11 +149,10 @@
         &mut self,
         _now: Time,
         _config: &Config,
-        _from: RouterKey,
-        _workspace: WorkspaceKey,
-        want: u32,
+        question: Question,
+        _out: &mut Vec<Outgo>,
     ) -> (u32, Millis) {
-        (want, Millis(0))
+        (question.want, Millis(0))
     }
 
     /// Notes a home's grant.
@@ -156,7 +168,18 @@
     }
 
     /// Notes that a router cannot be reached.
-    pub fn failed(&mut self, _now: Time, _router: RouterKey, _out: &mut Vec<Outgo>) {}
+    pub fn failed(
+        &mut self,
+        _now: Time,
+        _config: &Config,
+        _me: Option<RouterKey>,
+        _router: RouterKey,
+        _out: &mut Vec<Outgo>,
+    ) {
+    }
+
+    /// Notes that a router was heard, so that it can be asked again.
+    pub fn heard(&mut self, _router: RouterKey) {}
 
     /// Forgets a waiting call whose caller went away.
     pub fn gone(&mut self, _call: Call) {}
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -9,6 +9,7 @@
 use crate::{
     action::Action,
     arena::RouterKey,
+    limits::Question,
     peer::{
         Leaving,
         Load,
@@ -40,6 +41,7 @@
         };
         peer.heard = Some(now.mono);
         self.view.heard(now.mono);
+        self.limits.heard(from);
         let config = Arc::clone(self.store.current());
         match message {
             Message::Summary(summary) => self.summary(now, from, &summary, out),
@@ -62,7 +64,16 @@
                 let Some(key) = config.workspaces.by_tag(workspace) else {
                     return;
                 };
-                let (granted, retry_after) = self.limits.ask(now.mono, &config, from, key, want);
+                let question = Question {
+                    me: self.me,
+                    from,
+                    workspace: key,
+                    want,
+                };
+                let mut outgo = Vec::new();
+                let (granted, retry_after) =
+                    self.limits.ask(now.mono, &config, question, &mut outgo);
+                self.limits_out(now, outgo, out);
                 let message = Message::Grant {
                     workspace,
                     granted,
@@ -139,7 +150,9 @@
 
     pub(super) fn peer_failed(&mut self, now: Now, router: RouterKey, out: &mut Vec<Action>) {
         let mut outgo = Vec::new();
-        self.limits.failed(now.mono, router, &mut outgo);
+        let config = Arc::clone(self.store.current());
+        self.limits
+            .failed(now.mono, &config, self.me, router, &mut outgo);
         self.limits_out(now, outgo, out);
     }
 
