--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,3 @@
 //! Placeholder.
+
+pub mod peers;
