--- a/crates/router/tests/peers/support.rs
+++ b/crates/router/tests/peers/support.rs
@@ -118,7 +118,7 @@
     pub(crate) deliveries: mpsc::Receiver<Delivery>,
     pub(crate) rejected: mpsc::UnboundedReceiver<(Tag, &'static str)>,
     pub(crate) counters: Arc<Counters>,
-    pub(crate) stop: oneshot::Sender<()>,
+    pub(crate) stop: Option<oneshot::Sender<()>>,
 }
 
 pub(crate) struct Setup {
@@ -174,7 +174,7 @@
             deliveries: inbox,
             rejected,
             counters,
-            stop,
+            stop: Some(stop),
         }
     }
 }
@@ -220,3 +220,33 @@
     let got = tokio::time::timeout(PATIENCE, running.deliveries.recv()).await;
     got.expect("it comes in time").expect("the server is there")
 }
+
+/// Waits until a condition holds that other tasks bring about.
+pub(crate) async fn until(condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait)
+        .await
+        .expect("the condition comes to hold");
+}
+
+/// Tells a server to shut down, and waits until it has closed its listener.
+pub(crate) async fn stop(running: &mut Running) {
+    drop(running.stop.take());
+    let address = running.address;
+    until(|| std::net::TcpListener::bind(address).is_ok()).await;
+}
+
+/// Ends a server and starts another life of the router at its address.
+pub(crate) async fn restart(running: &mut Running, identity: Identity) {
+    stop(running).await;
+    let setup = Setup {
+        identity,
+        address: Some(running.address),
+        ..Setup::default()
+    };
+    *running = setup.run().await;
+}
