Tie the peer link to the driver and read checked settings

Cause: a call that runs once must get to its home, and the thin path read provisional settings. Messages become events, forwarded calls become exchanges of their own; the daemon starts from core's checked settings and ends its servers only when the last answers have left.

--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -193,7 +193,8 @@
         "listen": address(three[0]),
         "peer_listen": address(three[1]),
         "admin_listen": address(three[2]),
-        "platform": platform,
+        "data_center": DATA_CENTER,
+        "config_service": [platform],
         "peer_key": "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff",
         "token_key": "ffeeddccbbaa99887766554433221100ffeeddccbbaa99887766554433221100",
     })
--- a/crates/router/src/driver.rs
+++ b/crates/router/src/driver.rs
@@ -36,6 +36,8 @@
         Call,
         End, //
     },
+    settings::Settings,
+    units::Incarnation,
 };
 
 use crate::{
@@ -53,12 +55,16 @@
         Step,
         Task, //
     },
+    links,
     metrics::{
         Metrics,
         Name, //
     },
-    options::Options,
-    platform,
+    peers,
+    platform::{
+        self,
+        Addresses, //
+    },
     polls,
     tokens, //
 };
@@ -66,15 +72,22 @@
 /// Steps that wait for one request's task; the node gives one at a time, and a cancel.
 const STEPS: usize = 8;
 
+/// Time that connecting to an endpoint or to the platform may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// `Driver` is one router process around its node.
-#[derive(Debug)]
 pub struct Driver {
     /// What it was told at the start.
-    pub options: Options,
+    pub settings: Settings,
+    pub(crate) identity: peers::Identity,
     pub(crate) endpoints: Endpoints,
     pub(crate) control: reqwest::Client,
     pub(crate) metrics: Metrics,
+    pub(crate) config_service: Addresses,
+    pub(crate) vm_list: Addresses,
     pub(crate) tokens: tokens::Key,
+    pub(crate) counters: Arc<peers::Counters>,
+    peers: peers::Client,
     node: Mutex<Node>,
     config: ArcSwap<Config>,
     keys: ArcSwap<IndexMap<[u8; 32], WorkspaceKey>>,
@@ -89,26 +102,35 @@
     /// # Errors
     ///
     /// Fails when an HTTP client or the metrics socket can't be had.
-    pub fn new(options: Options) -> Result<Arc<Self>> {
+    pub fn new(settings: Settings, incarnation: Incarnation) -> Result<Arc<Self>> {
         let about = node::Options {
-            id: options.id.clone(),
-            incarnation: options.incarnation,
-            seed: options.seed,
+            id: settings.id.clone(),
+            incarnation,
+            seed: settings.seed.unwrap_or(incarnation.0),
         };
-        let driver = Self {
-            endpoints: Endpoints::new(options.connect_timeout)?,
-            control: platform::client(options.connect_timeout)?,
-            metrics: Metrics::new(options.statsd)?,
-            tokens: tokens::Key::new(&options.token_key),
+        let endpoints = Endpoints::new(CONNECT_TIMEOUT)?;
+        let control = platform::client(CONNECT_TIMEOUT)?;
+        let metrics = Metrics::new(settings.statsd)?;
+        let counters = Arc::new(peers::Counters::default());
+        let identity = links::identity(&settings, incarnation)?;
+        Ok(Arc::new_cyclic(|driver| Self {
+            endpoints,
+            control,
+            metrics,
+            config_service: Addresses::new(settings.config_service.clone()),
+            vm_list: Addresses::new(settings.vm_list.clone()),
+            tokens: tokens::Key::new(settings.token_key.expose()),
+            peers: links::client(identity.clone(), &counters, driver.clone()),
+            counters,
             node: Mutex::new(Node::new(about, clock::now())),
             config: ArcSwap::default(),
             keys: ArcSwap::default(),
             calls: Mutex::default(),
             next: AtomicU64::new(1),
             exit: watch::channel(None).0,
-            options,
-        };
-        Ok(Arc::new(driver))
+            identity,
+            settings,
+        }))
     }
 
     /// Runs the node's clock until the drain is over; gives the number of calls that were cut.
@@ -146,6 +168,10 @@
         look(&self.lock())
     }
 
+    pub(crate) fn peers(&self) -> &peers::Client {
+        &self.peers
+    }
+
     /// Gets the number of calls in progress.
     pub fn open(&self) -> usize {
         self.calls().len()
@@ -237,17 +263,14 @@
                 call,
                 router,
                 deadline,
-            } => match self.config.load().fleet.get(router).cloned() {
-                Some(router) => self.step(call, Step::Forward { router, deadline }),
-                None => self.feed(Event::ForwardFailed { call, sent: false }),
-            },
+            } => {
+                self.step(call, Step::Forward { router, deadline });
+            }
             Action::Refuse { call, refusal } => self.step(call, Step::Refuse(refusal)),
             Action::Replay { call, answer } => self.step(call, Step::Replay(answer)),
             Action::Finish { call, outcome } => self.step(call, Step::Finish(outcome)),
             Action::Cancel { call, .. } => self.step(call, Step::Cancel),
-            Action::Send { router, message } => {
-                let _ = (router, message);
-            }
+            Action::Send { router, message } => self.peers.send(router, message),
             Action::Poll { endpoint } => polls::poll(self, endpoint),
             Action::Probe { endpoint } => polls::probe(self, endpoint),
             Action::Watch { since } => platform::watch(self, since),
@@ -280,7 +303,19 @@
         let keys = config.workspaces.iter().flat_map(key).collect();
         self.keys.store(Arc::new(keys));
         self.metrics.gauge(Name::ConfigRevision, config.revision.0);
+        let me = node.me();
+        let others = config.fleet.iter().filter(|(key, _)| Some(*key) != me);
+        self.peers
+            .update(others.map(|(key, router)| links::peer(key, router)));
         self.config.store(config);
         drop(node);
     }
 }
+
+impl std::fmt::Debug for Driver {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Driver")
+            .field("settings", &self.settings)
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/router/src/errors.rs
+++ b/crates/router/src/errors.rs
@@ -22,6 +22,12 @@
         /// The cause.
         source: reqwest::Error,
     },
+    /// The fleet's key can't be used.
+    #[snafu(display("can't use the peers' key"))]
+    PeerKey {
+        /// The cause.
+        source: toucanturn_wire::Error,
+    },
     /// The metrics socket could not be had.
     #[snafu(display("can't send metrics to {address}"))]
     Metrics {
--- a/crates/router/src/filters/classify.rs
+++ b/crates/router/src/filters/classify.rs
@@ -88,8 +88,8 @@
 
 impl Classify {
     async fn body(&self, req: &mut Request) -> Result<Bytes, Denial> {
-        let most = self.0.options.max_body;
-        let limit: Duration = self.0.options.receive_timeout;
+        let most = self.0.settings.limits.max_body;
+        let limit = Duration::from_millis(self.0.settings.limits.slow_sender_timeout.0);
         match tokio::time::timeout(limit, req.payload_with_max_size(most)).await {
             Ok(Ok(body)) => Ok(body.clone()),
             Ok(Err(ParseError::PayloadTooLarge)) => {
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -1,8 +1,8 @@
 //! The sockets that callers and operators reach.
 
 use std::{
-    net::SocketAddr,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use salvo::{
@@ -21,7 +21,10 @@
 };
 use serde_json::json;
 use snafu::ResultExt;
-use tokio::net::TcpListener;
+use tokio::{
+    net::TcpListener,
+    task::JoinHandle, //
+};
 use toucanturn_core::event::Event;
 
 use crate::{
@@ -33,54 +36,57 @@
     filters, //
 };
 
-/// `Bound` is a server that runs.
-pub struct Bound {
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Stops it.
-    pub handle: ServerHandle,
+/// `Serving` is a server that runs.
+pub struct Serving {
+    handle: ServerHandle,
+    task: JoinHandle<()>,
+}
+
+impl Serving {
+    /// Takes no more connections, lets answers in progress go out for at most `limit`, and ends.
+    pub async fn stop(self, limit: Duration) {
+        self.handle.stop_graceful(limit);
+        let _ = self.task.await;
+    }
 }
 
 /// Serves callers.
 ///
 /// # Errors
 ///
-/// Fails when the address can't be listened on.
-pub async fn callers(driver: &Arc<Driver>) -> Result<Bound> {
+/// Fails when the listener can't be used.
+pub fn callers(driver: &Arc<Driver>, listener: TcpListener) -> Result<Serving> {
     let router = Router::new()
         .push(Router::with_path("healthz").get(Health))
         .push(Router::with_path("readyz").get(Ready(Arc::clone(driver))))
         .push(filters::chain(driver));
-    serve(driver.options.listen, router).await
+    serve(driver, listener, router)
 }
 
 /// Serves operators.
 ///
 /// # Errors
 ///
-/// Fails when the address can't be listened on.
-pub async fn operators(driver: &Arc<Driver>) -> Result<Bound> {
+/// Fails when the listener can't be used.
+pub fn operators(driver: &Arc<Driver>, listener: TcpListener) -> Result<Serving> {
     let router = Router::new()
         .push(Router::with_path("healthz").get(Health))
         .push(Router::with_path("readyz").get(Ready(Arc::clone(driver))))
         .push(Router::with_path("status").get(Status(Arc::clone(driver))))
         .push(Router::with_path("drain").post(Drain(Arc::clone(driver))));
-    serve(driver.options.admin_listen, router).await
+    serve(driver, listener, router)
 }
 
-async fn serve(address: SocketAddr, router: Router) -> Result<Bound> {
-    let listener = TcpListener::bind(address)
-        .await
-        .context(ListenSnafu { address })?;
-    let bound = listener.local_addr().context(ListenSnafu { address })?;
+fn serve(driver: &Driver, listener: TcpListener, router: Router) -> Result<Serving> {
+    let address = listener.local_addr().unwrap_or(driver.settings.listen);
     let acceptor = TcpAcceptor::try_from(listener).context(ListenSnafu { address })?;
-    let server = Server::new(acceptor);
+    let mut server = Server::new(acceptor);
+    server
+        .http1_mut()
+        .max_buf_size(driver.settings.limits.max_header);
     let handle = server.handle();
-    tokio::spawn(server.serve(router));
-    Ok(Bound {
-        address: bound,
-        handle,
-    })
+    let task = tokio::spawn(server.serve(router));
+    Ok(Serving { handle, task })
 }
 
 struct Health;
@@ -124,7 +130,7 @@
                 })
             };
             json!({
-                "id": self.0.options.id.as_str(),
+                "id": self.0.settings.id.as_str(),
                 "incarnation": n.incarnation().0,
                 "ready": n.ready(),
                 "revision": config.revision.0,
--- a/crates/toucanturnd/src/main.rs
+++ b/crates/toucanturnd/src/main.rs
@@ -13,7 +13,6 @@
 use gumdrop::Options as _;
 
 mod run;
-mod settings;
 
 /// `Args` is the command line.
 #[derive(Debug, gumdrop::Options)]
