--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -7,8 +7,16 @@
     log_member, //
 };
 use crate::{
-    action::Action,
+    action::{
+        Action,
+        Decision, //
+    },
     arena::RouterKey,
+    limits::Question,
+    once::{
+        self,
+        Vote, //
+    },
     peer::{
         Leaving,
         Load,
@@ -40,6 +48,7 @@
         };
         peer.heard = Some(now.mono);
         self.view.heard(now.mono);
+        self.limits.heard(from);
         let config = Arc::clone(self.store.current());
         match message {
             Message::Summary(summary) => self.summary(now, from, &summary, out),
@@ -64,7 +73,16 @@
                 let Some(key) = config.workspaces.by_tag(workspace) else {
                     return;
                 };
-                let (granted, retry_after) = self.limits.ask(now.mono, &config, from, key, want);
+                let question = Question {
+                    me: self.me,
+                    from,
+                    workspace: key,
+                    want,
+                };
+                let mut outgo = Vec::new();
+                let (granted, retry_after) =
+                    self.limits.ask(now.mono, &config, question, &mut outgo);
+                self.limits_out(now, outgo, out);
                 let message = Message::Grant {
                     workspace,
                     granted,
@@ -90,13 +108,19 @@
                     .granted(now.mono, key, granted, retry_after, nonce, &mut outgo);
                 self.limits_out(now, outgo, out);
             }
-            Message::LeaseAsk { epoch, round } => {
-                let confirmed = self.home.vote(now, from, incarnation, epoch);
-                let epoch = config.epoch;
+            Message::LeaseAsk {
+                epoch,
+                round,
+                lease,
+            } => {
+                let vote = self
+                    .home
+                    .vote(now, &config, from, incarnation, (epoch, lease));
                 let message = Message::LeaseAnswer {
-                    epoch,
+                    epoch: config.epoch,
                     round,
-                    confirmed,
+                    confirmed: vote.confirmed,
+                    previous: vote.previous,
                 };
                 out.push(Action::Send {
                     router: from,
@@ -104,11 +128,16 @@
                 });
             }
             Message::LeaseAnswer {
-                epoch,
+                epoch: _,
                 round,
                 confirmed,
+                previous,
             } => {
-                self.home.voted(now, from, epoch, round, confirmed);
+                let vote = Vote {
+                    confirmed,
+                    previous,
+                };
+                self.home.voted(now, from, incarnation, round, vote);
             }
         }
     }
@@ -142,7 +171,9 @@
 
     pub(super) fn peer_failed(&mut self, now: Now, router: RouterKey, out: &mut Vec<Action>) {
         let mut outgo = Vec::new();
-        self.limits.failed(now.mono, router, &mut outgo);
+        let config = Arc::clone(self.store.current());
+        self.limits
+            .failed(now.mono, &config, self.me, router, &mut outgo);
         self.limits_out(now, outgo, out);
     }
 
@@ -155,6 +186,9 @@
         self.home.tick(now, &config, &mut lease);
         let send = |(router, message)| Action::Send { router, message };
         out.extend(lease.into_iter().map(send));
+        if let Some(once::Held { epoch, held }) = self.home.changed(now) {
+            out.push(Action::Log(Decision::Lease { epoch, held }));
+        }
         if now.mono.since(self.summarized) < config.policy.summary_interval {
             return;
         }
