Read again after rubbish, take the newer of two values

Cause: (1) a rubbish answer with a revision far above the published ones is refused but held, and whoever asks only for what is above it hears nothing more. `Store::next_read` asks every other time from what is in force while the newest is refused. (2) a service may answer with every write since, so a key can come twice: the newer one holds.

Ruled out: not holding a refused revision (a reader would read it in a busy loop); a wall clock for the re-read (the store has none, and needs none).

Conclusion: one call more for each long wait while a revision is refused.

--- a/crates/core/src/config/store.rs
+++ b/crates/core/src/config/store.rs
@@ -7,7 +7,10 @@
 //! [`Change`]s end at the same pair in whatever order these arrive.
 
 use std::{
-    collections::HashSet,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     sync::Arc, //
 };
 
@@ -99,6 +102,7 @@
     pending: Entries,
     held: Revision,
     floor: Revision,
+    reread: bool,
     current: Arc<Config>,
 }
 
@@ -113,6 +117,21 @@
         self.held
     }
 
+    /// Gets the revision after which to read the service next: the newest held, but every other
+    /// time that in force while the newest is refused.
+    ///
+    /// A rubbish answer may have brought a revision far above the published ones. A router that
+    /// only asked for what is above that would wait for ever and miss every later publish; read
+    /// after what is in force, the service gives them.
+    pub fn next_read(&mut self) -> Revision {
+        self.reread = !self.reread && !self.pending.is_empty();
+        if self.reread {
+            self.current.revision
+        } else {
+            self.held
+        }
+    }
+
     /// Merges a change and puts the result in force if it is valid.
     ///
     /// # Errors
@@ -193,8 +212,13 @@
     /// deletions, so what it lacks counts as deleted.
     fn newer(&self, change: &Change, revision: Revision) -> Entries {
         let current = self.current.revision;
-        let newer = change.entries.iter().filter(|e| e.revision > current);
-        let mut out: Entries = newer.map(|e| (e.key.clone(), e.clone())).collect();
+        let mut out = Entries::new();
+        for entry in change.entries.iter().filter(|e| e.revision > current) {
+            let newer = |old: &Entry| old.revision < entry.revision;
+            if out.get(&entry.key).is_none_or(newer) {
+                out.insert(entry.key.clone(), entry.clone());
+            }
+        }
         if change.since.0 > 0 {
             return out;
         }
@@ -304,7 +328,7 @@
 /// never ask for them again. One step lower, the next read brings them.
 fn screen(change: &Change) -> Result<Revision, Error> {
     let malformed = |found: String, expected| MalformedSnafu { found, expected }.fail();
-    let mut keys = HashSet::new();
+    let mut seen = HashMap::new();
     let mut bytes = 0_usize;
     let mut newest = Revision(0);
     for entry in &change.entries {
@@ -317,9 +341,10 @@
             let found = format!("an entry of revision {}", entry.revision.0);
             return malformed(found, "revisions from 1 to that of the change");
         }
-        if !keys.insert(&entry.key) {
+        let other = seen.insert((&entry.key, entry.revision), &entry.value);
+        if other.is_some_and(|other| *other != entry.value) {
             let found = String::from_utf8_lossy(&entry.key).into_owned();
-            return malformed(found, "each key once");
+            return malformed(found, "one value of a key at a revision");
         }
         bytes += entry.key.len() + size;
         newest = newest.max(entry.revision);
