Ask the store where to read on

Nothing else in the node changes. Ruled out: a flag of the node's own, as the store knows when its newest revision is refused.

--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -316,9 +316,8 @@
     fn tick(&mut self, now: Now, out: &mut Vec<Action>) {
         if !self.watching {
             self.watching = true;
-            out.push(Action::Watch {
-                since: self.store.held(),
-            });
+            let since = self.store.next_read();
+            out.push(Action::Watch { since });
         }
         self.tick_endpoints(now, out);
         self.tick_peers(now, out);
