--- /dev/null
+++ b/crates/core/tests/config_reference.rs
@@ -0,0 +1,36 @@
+//! The reference page of operators against the code.
+
+use googletest::prelude::*;
+use toucanturn_core::{
+    config::{
+        field::Section,
+        reference::SECTIONS, //
+    },
+    settings, //
+};
+
+const PAGE: &str = include_str!("../../../docs/CONFIGURATION.md");
+
+/// Gets the rows of the table under a heading of the page.
+fn rows<'a>(heading: &str) -> Vec<&'a str> {
+    let title = format!("### {heading}");
+    let under = PAGE.lines().skip_while(|line| *line != title).skip(1);
+    let section = under.take_while(|line| !line.starts_with('#'));
+    section.filter(|line| line.starts_with("| `")).collect()
+}
+
+fn check(section: &Section) {
+    let rows = rows(section.name);
+    for (row, field) in rows.iter().zip(section.fields) {
+        expect_that!(*row, starts_with(field.row()), "{}", section.name);
+        let meaning = row.strip_prefix(&field.row()).unwrap_or_default();
+        expect_that!(meaning.len(), gt(10), "{row}: no meaning");
+    }
+    expect_that!(rows.len(), eq(section.fields.len()), "{}", section.name);
+}
+
+#[gtest]
+fn verify_the_reference_page_names_every_field_with_unit_default_and_range() {
+    SECTIONS.iter().for_each(check);
+    settings::reference::SECTIONS.iter().for_each(check);
+}
