--- /dev/null
+++ b/crates/toucanturn/src/explain/mod.rs
@@ -0,0 +1,101 @@
+//! `toucanturn explain`: where a request would go and why, by the core's own code.
+
+use rand::{
+    SeedableRng,
+    rngs::StdRng, //
+};
+use snafu::ResultExt;
+use toucanturn_core::{
+    arena::EndpointKey,
+    config::Config,
+    place,
+    request::{
+        Placed,
+        Work, //
+    },
+};
+
+use crate::{
+    Verdict, args, document,
+    errors::{
+        ConfigSnafu,
+        Error,
+        Result,
+        ViewSnafu, //
+    },
+    output,
+    view::{
+        Scene,
+        View, //
+    },
+};
+
+mod chat;
+mod report;
+mod subject;
+
+use report::Report;
+use subject::Subject;
+
+/// Explains a request.
+pub(crate) fn run(args: &args::Explain) -> Result<Verdict> {
+    let path = args.config.as_deref();
+    let path = path.ok_or_else(|| Error::usage("explain: expected --config FILE"))?;
+    let config = document::config(&document::read(path)?);
+    let config = config.map_err(|faults| {
+        let count = faults.len();
+        ConfigSnafu { path, count }.build()
+    })?;
+    let view = args.view.as_deref().map(read_view).transpose()?;
+    let subject = Subject::new(&config, args)?;
+    let scene = Scene::new(&config, view.as_ref())?;
+    let ranked = rank(&config, &scene, &subject.work, args.seed);
+    let report = Report::new(&config, &scene, &subject, &ranked, args.seed);
+    if args.json {
+        output::print_json(&report)?;
+    } else {
+        output::print(&report.text())?;
+    }
+    Ok(if ranked.is_empty() {
+        Verdict::No
+    } else {
+        Verdict::Yes
+    })
+}
+
+fn read_view(path: &std::path::Path) -> Result<View> {
+    let file = document::read(path)?;
+    serde_json::from_slice(&file).context(ViewSnafu { path })
+}
+
+/// Ranks the endpoints as the router's attempts would: each time all earlier ones were tried.
+fn rank(config: &Config, scene: &Scene, work: &Work, seed: u64) -> Vec<Placed> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut tried: Vec<EndpointKey> = Vec::new();
+    let mut ranked = Vec::new();
+    // INVARIANT: every placement is of an endpoint that was not tried, so this ends.
+    while let Some(placed) = choose(config, scene, work, &tried, &mut rng) {
+        if tried.contains(&placed.endpoint) {
+            break;
+        }
+        tried.push(placed.endpoint);
+        ranked.push(placed);
+    }
+    ranked
+}
+
+fn choose(
+    config: &Config,
+    scene: &Scene,
+    work: &Work,
+    tried: &[EndpointKey],
+    rng: &mut StdRng,
+) -> Option<Placed> {
+    let scene = place::Scene {
+        config,
+        view: &scene.view,
+        loads: &scene.loads,
+        now: scene.now,
+    };
+    place::choose(scene, work, tried, rng)
+}
