--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -19,7 +19,10 @@
         Outgo,
         Verdict, //
     },
-    membership::Seen,
+    membership::{
+        Seen,
+        Word, //
+    },
     once::Begin,
     peer::Message,
     place::{
@@ -65,7 +68,7 @@
         let refuse = |code| Refusal::not_run(code, Some(SOON));
         let early = if self.config().revision == Revision(0) {
             Some(refuse(Code::NotReady))
-        } else if self.draining.is_some() {
+        } else if self.draining.is_some() && !self.remembers(&request.work) {
             Some(refuse(Code::Draining))
         } else if now.mono >= request.deadline {
             Some(Refusal::not_run(Code::Deadline, None))
@@ -172,7 +175,8 @@
             }
             _ => match self.home.begin(now, &config, call, key, content) {
                 Begin::Run => self.dispatch(now, call, out),
-                Begin::Refuse(refusal) => self.refuse(now, call, refusal, out),
+                Begin::Wait => open.stage = Stage::Waiting,
+                Begin::Refuse(refusal) => self.give(now, call, refusal, out),
                 Begin::Replay(answer) => {
                     self.calls.swap_remove(&call);
                     out.push(Action::Replay { call, answer });
@@ -187,12 +191,13 @@
         let Some(open) = self.calls.get_mut(&call) else {
             return;
         };
-        if let Work::Once { key, .. } = open.request.work
-            && !self.home.may_send(now, &config, key)
-        {
-            self.home.end(now, key, Outcome::NotRun, None);
-            let refusal = Refusal::not_run(Code::HomeUnavailable, Some(SOON));
-            return self.refuse(now, call, refusal, out);
+        let mut not_after = None;
+        if let Work::Once { key, .. } = open.request.work {
+            not_after = self.home.may_send(now, key);
+            if not_after.is_none() {
+                let refusal = Refusal::not_run(Code::HomeUnavailable, Some(SOON));
+                return self.end_refused(now, call, refusal, out);
+            }
         }
         let scene = Scene {
             config: &config,
@@ -229,6 +234,7 @@
             deadline,
             idle,
             token,
+            not_after,
         });
         let view_age = self.view_age(now);
         let decision = Decision::Placed {
@@ -243,18 +249,8 @@
     }
 
     fn no_endpoint(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
-        let Some(open) = self.calls.get(&call) else {
-            return;
-        };
-        if let Work::Once { key, .. } = open.request.work {
-            self.home.end(now, key, Outcome::NotRun, None);
-        }
-        self.refuse(
-            now,
-            call,
-            Refusal::not_run(Code::NoEndpoint, Some(SOON)),
-            out,
-        );
+        let refusal = Refusal::not_run(Code::NoEndpoint, Some(SOON));
+        self.end_refused(now, call, refusal, out);
     }
 
     pub(super) fn head(
@@ -273,17 +269,12 @@
             return;
         };
         let endpoint = *endpoint;
-        self.view.heard(now.mono);
-        if let Some(life) = incarnation {
-            let changed = self.view.life(now.mono, endpoint, life);
-            log_member(endpoint, changed, out);
-        }
-        let changed = if leaving {
-            let life = self.view.incarnation(endpoint);
-            self.view.leaving(now.mono, endpoint, life)
-        } else {
-            self.view.seen(now.mono, endpoint, Seen::Answered)
+        let word = Word {
+            life: incarnation,
+            leaving,
+            seen: Seen::Answered,
         };
+        let changed = self.view.word(now.mono, endpoint, word);
         log_member(endpoint, changed, out);
     }
 
@@ -306,7 +297,7 @@
         }
         self.loads.ended(now.mono, endpoint);
         let changed = match &end {
-            End::Whole(_) => self.view.seen(now.mono, endpoint, Seen::Answered),
+            End::Whole(_) => self.view.seen(now.mono, endpoint, Seen::Finished),
             End::NotSent { leaving: true } => {
                 let life = self.view.incarnation(endpoint);
                 self.view.leaving(now.mono, endpoint, life)
@@ -326,9 +317,6 @@
         let Some(open) = self.calls.swap_remove(&call) else {
             return;
         };
-        if let Work::Once { key, .. } = open.request.work {
-            self.home.end(now, key, Outcome::Done, Some(answer));
-        }
         let outcome = Outcome::Done;
         out.push(Action::Finish { call, outcome });
         out.push(Action::Log(Decision::Done {
@@ -336,6 +324,7 @@
             outcome,
             attempts: open.attempts,
         }));
+        self.end_key(now, &open.request.work, outcome, Some(answer), out);
     }
 
     fn failed(&mut self, now: Now, call: Call, attempt: Attempt, end: End, out: &mut Vec<Action>) {
@@ -349,7 +338,7 @@
         let (request, attempts) = (&open.request, open.attempts);
         let retried = retry::allowed(
             &policy,
-            &request.work,
+            &self.repeated_as(&request.work),
             attempts,
             &end,
             now.mono,
@@ -362,16 +351,17 @@
             retried,
         }));
         if retried {
+            self.touch(call, &end);
             return self.dispatch(now, call, out);
         }
         let work = request.work.clone();
         match end {
-            End::Cancelled => self.close(now, call, &work, Outcome::Unknown),
+            End::Cancelled => {
+                self.calls.swap_remove(&call);
+                self.end_key(now, &work, Outcome::Unknown, None, out);
+            }
             // An endpoint's own error is an answer; the caller gets it as it is.
-            End::Failed(answer) => {
-                if let Work::Once { key, .. } = work {
-                    self.home.end(now, key, Outcome::Unknown, Some(answer));
-                }
+            End::Failed(_) => {
                 let outcome = Outcome::Unknown;
                 self.calls.swap_remove(&call);
                 out.push(Action::Finish { call, outcome });
@@ -380,31 +370,19 @@
                     outcome,
                     attempts,
                 }));
+                self.end_key(now, &work, outcome, None, out);
             }
             End::NotSent { .. } => {
-                if let Work::Once { key, .. } = work {
-                    self.home.end(now, key, Outcome::NotRun, None);
-                }
                 let refusal = Refusal::not_run(Code::EndpointFailed, Some(SOON));
-                self.refuse(now, call, refusal, out);
+                self.end_refused(now, call, refusal, out);
             }
             End::Broken { .. } | End::Whole(_) => {
-                if let Work::Once { key, .. } = work {
-                    self.home.end(now, key, Outcome::Unknown, None);
-                }
                 let refusal = Refusal::unknown(Code::EndpointFailed, Some(SOON));
-                self.refuse(now, call, refusal, out);
+                self.end_refused(now, call, refusal, out);
             }
         }
     }
 
-    fn close(&mut self, now: Now, call: Call, work: &Work, outcome: Outcome) {
-        if let Work::Once { key, .. } = work {
-            self.home.end(now, *key, outcome, None);
-        }
-        self.calls.swap_remove(&call);
-    }
-
     pub(super) fn gone(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
         let Some(open) = self.calls.get(&call) else {
             return;
@@ -426,62 +404,60 @@
             Stage::Forwarded => {
                 self.calls.swap_remove(&call);
             }
+            Stage::Waiting => {
+                self.leave(call, &work);
+                self.calls.swap_remove(&call);
+            }
         }
     }
 
-    pub(super) fn forward_failed(&mut self, call: Call, sent: bool, out: &mut Vec<Action>) {
-        let Some(open) = self.calls.swap_remove(&call) else {
-            return;
-        };
+    pub(super) fn forward_failed(
+        &mut self,
+        now: Now,
+        call: Call,
+        sent: bool,
+        out: &mut Vec<Action>,
+    ) {
         // An earlier request with this key may have run at the home, so even what was not sent is
         // only unknown to this router.
         let _ = sent;
         let refusal = Refusal::unknown(Code::HomeUnavailable, Some(SOON));
-        let workspace = open.request.workspace;
-        out.push(Action::Refuse { call, refusal });
-        let view_age = Millis(0);
-        out.push(Action::Log(Decision::Refused {
-            call,
-            workspace,
-            refusal,
-            view_age,
-        }));
+        self.give(now, call, refusal, out);
     }
 
     pub(super) fn forward_done(
         &mut self,
+        now: Now,
         call: Call,
         refusal: Option<Refusal>,
         out: &mut Vec<Action>,
     ) {
-        let Some(open) = self.calls.swap_remove(&call) else {
+        if let Some(refusal) = refusal {
+            return self.give(now, call, refusal, out);
+        }
+        if self.calls.swap_remove(&call).is_none() {
             return;
-        };
-        match refusal {
-            Some(refusal) => {
-                let workspace = open.request.workspace;
-                out.push(Action::Refuse { call, refusal });
-                let view_age = Millis(0);
-                out.push(Action::Log(Decision::Refused {
-                    call,
-                    workspace,
-                    refusal,
-                    view_age,
-                }));
-            }
-            None => {
-                let outcome = Outcome::Done;
-                out.push(Action::Finish { call, outcome });
-                out.push(Action::Log(Decision::Done {
-                    call,
-                    outcome,
-                    attempts: 1,
-                }));
-            }
         }
+        let outcome = Outcome::Done;
+        out.push(Action::Finish { call, outcome });
+        out.push(Action::Log(Decision::Done {
+            call,
+            outcome,
+            attempts: 1,
+        }));
+    }
+
+    /// Refuses a call. What it is told of an action that runs once must be vouched for.
+    pub(super) fn refuse(&mut self, now: Now, call: Call, refusal: Refusal, out: &mut Vec<Action>) {
+        let refusal = match self.calls.get(&call) {
+            Some(open) => self.vouched(now, &open.request.work, refusal),
+            None => return,
+        };
+        self.give(now, call, refusal, out);
     }
 
-    fn refuse(&mut self, now: Now, call: Call, refusal: Refusal, out: &mut Vec<Action>) {
+    /// Gives a refusal as it is.
+    pub(super) fn give(&mut self, now: Now, call: Call, refusal: Refusal, out: &mut Vec<Action>) {
         let Some(open) = self.calls.swap_remove(&call) else {
             return;
         };
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -38,7 +38,8 @@
     load::Table,
     membership::{
         Seen,
-        View, //
+        View,
+        Word, //
     },
     once::Home,
     request::{
@@ -57,6 +58,7 @@
 };
 
 mod calls;
+mod once;
 mod peers;
 
 /// `Options` is what a node must know of itself.
@@ -93,6 +95,8 @@
     Admission,
     /// The answer of the key's home.
     Forwarded,
+    /// The answer to the first request with the same key, here at the home.
+    Waiting,
     /// The answer of an endpoint.
     Sent { endpoint: EndpointKey },
 }
@@ -125,6 +129,7 @@
     /// Makes a node that knows nothing yet.
     pub fn new(options: Options, now: Now) -> Self {
         let rng = StdRng::seed_from_u64(options.seed);
+        let home = Home::new(now, options.incarnation);
         Self {
             options,
             rng,
@@ -133,7 +138,7 @@
             view: View::default(),
             loads: Table::default(),
             limits: Limits::default(),
-            home: Home::default(),
+            home,
             budget: Budget::default(),
             peers: SecondaryMap::new(),
             calls: IndexMap::new(),
@@ -199,15 +204,15 @@
                 self.head(now, call, leaving, incarnation, out);
             }
             Event::Ended { call, attempt, end } => self.ended(now, call, attempt, end, out),
-            Event::ForwardFailed { call, sent } => self.forward_failed(call, sent, out),
-            Event::ForwardDone { call, refusal } => self.forward_done(call, refusal, out),
+            Event::ForwardFailed { call, sent } => self.forward_failed(now, call, sent, out),
+            Event::ForwardDone { call, refusal } => self.forward_done(now, call, refusal, out),
             Event::Gone { call } => self.gone(now, call, out),
             Event::Polled { endpoint, report } => self.polled(now, endpoint, report, out),
             Event::Probed { endpoint, answered } => {
                 let seen = if answered {
-                    Seen::Answered
+                    Seen::Reached
                 } else {
-                    Seen::Silent
+                    Seen::Unreached
                 };
                 let changed = self.view.seen(now.mono, endpoint, seen);
                 log_member(endpoint, changed, out);
@@ -227,7 +232,7 @@
                 self.publish(now, &change, out);
             }
             Event::ReadFailed => self.watching = false,
-            Event::Vms { age: _, vms } => self.vms(now, &vms, out),
+            Event::Vms { age, vms } => self.vms(now, age, &vms, out),
             Event::Cache { .. } => self.view.heard(now.mono),
             Event::Tick => self.tick(now, out),
             Event::Drain => self.drain(now, out),
@@ -238,14 +243,18 @@
         match self.store.apply(change) {
             Ok(()) => self.applied(now, out),
             Err(store::Error::Invalid { faults }) => {
-                let line = |f: &store::Fault| format!("{}: {}", f.path, f.reason);
-                let errors = faults.iter().map(line).collect::<Vec<_>>().join("\n");
+                let lines: Vec<_> = faults.iter().map(store::Fault::to_string).collect();
+                let errors = lines.join("\n");
                 let revision = change.revision;
                 out.push(Action::Log(Decision::Rejected { revision, errors }));
             }
-            // An older or overlapping change is what a lagging service or peer sends; what is in
-            // force stays.
-            Err(store::Error::Old { .. } | store::Error::Gap { .. }) => {}
+            // An older, overlapping or broken change is what a lagging or faulty service or peer
+            // sends; what is in force stays.
+            Err(
+                store::Error::Old { .. }
+                | store::Error::Gap { .. }
+                | store::Error::Malformed { .. },
+            ) => {}
         }
     }
 
@@ -267,17 +276,18 @@
         out.push(Action::Log(Decision::Applied { revision }));
     }
 
-    fn vms(&mut self, now: Now, vms: &[(Id, crate::event::VmState)], out: &mut Vec<Action>) {
-        self.view.heard(now.mono);
-        for (id, state) in vms {
-            let Some(key) = self.config().endpoints.key(id) else {
-                continue;
-            };
-            if *state == crate::event::VmState::Leaving {
-                let life = self.view.incarnation(key);
-                let changed = self.view.leaving(now.mono, key, life);
-                log_member(key, changed, out);
-            }
+    fn vms(
+        &mut self,
+        now: Now,
+        age: Millis,
+        vms: &[(Id, crate::event::VmState)],
+        out: &mut Vec<Action>,
+    ) {
+        let config = Arc::clone(self.config());
+        let key = |(id, state): &(Id, _)| Some((config.endpoints.key(id)?, *state));
+        let vms: Vec<_> = vms.iter().filter_map(key).collect();
+        for (key, state) in self.view.listed(now.mono, age, &vms) {
+            log_member(key, Some(state), out);
         }
     }
 
@@ -289,19 +299,17 @@
         out: &mut Vec<Action>,
     ) {
         let Some(report) = report else {
-            let changed = self.view.seen(now.mono, endpoint, Seen::Silent);
+            let changed = self.view.seen(now.mono, endpoint, Seen::Unreached);
             log_member(endpoint, changed, out);
             return;
         };
-        self.view.heard(now.mono);
         self.loads.report(now.mono, endpoint, &report);
-        let changed = self.view.life(now.mono, endpoint, report.incarnation);
-        log_member(endpoint, changed, out);
-        let changed = if report.leaving {
-            self.view.leaving(now.mono, endpoint, report.incarnation)
-        } else {
-            self.view.seen(now.mono, endpoint, Seen::Answered)
+        let word = Word {
+            life: Some(report.incarnation),
+            leaving: report.leaving,
+            seen: Seen::Reached,
         };
+        let changed = self.view.word(now.mono, endpoint, word);
         log_member(endpoint, changed, out);
     }
 
@@ -315,6 +323,7 @@
         self.tick_endpoints(now, out);
         self.tick_peers(now, out);
         self.tick_limits(now, out);
+        self.tick_waiting(now, out);
         self.tick_drain(now, out);
     }
 
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -7,8 +7,15 @@
     log_member, //
 };
 use crate::{
-    action::Action,
+    action::{
+        Action,
+        Decision, //
+    },
     arena::RouterKey,
+    once::{
+        self,
+        Vote, //
+    },
     peer::{
         Leaving,
         Load,
@@ -44,11 +51,13 @@
         match message {
             Message::Summary(summary) => self.summary(now, from, &summary, out),
             Message::Pull { since } => {
-                let message = Message::Push(self.store.after(since));
-                out.push(Action::Send {
-                    router: from,
-                    message,
-                });
+                for change in self.store.after(since) {
+                    let message = Message::Push(change);
+                    out.push(Action::Send {
+                        router: from,
+                        message,
+                    });
+                }
             }
             Message::Push(change) => {
                 self.publish(now, &change, out);
@@ -88,13 +97,19 @@
                     .granted(now.mono, key, granted, retry_after, nonce, &mut outgo);
                 self.limits_out(now, outgo, out);
             }
-            Message::LeaseAsk { epoch, round } => {
-                let confirmed = self.home.vote(now, from, incarnation, epoch);
-                let epoch = config.epoch;
+            Message::LeaseAsk {
+                epoch,
+                round,
+                lease,
+            } => {
+                let vote = self
+                    .home
+                    .vote(now, &config, from, incarnation, (epoch, lease));
                 let message = Message::LeaseAnswer {
-                    epoch,
+                    epoch: config.epoch,
                     round,
-                    confirmed,
+                    confirmed: vote.confirmed,
+                    previous: vote.previous,
                 };
                 out.push(Action::Send {
                     router: from,
@@ -102,11 +117,16 @@
                 });
             }
             Message::LeaseAnswer {
-                epoch,
+                epoch: _,
                 round,
                 confirmed,
+                previous,
             } => {
-                self.home.voted(now, from, epoch, round, confirmed);
+                let vote = Vote {
+                    confirmed,
+                    previous,
+                };
+                self.home.voted(now, from, incarnation, round, vote);
             }
         }
     }
@@ -115,10 +135,11 @@
         if let Some(peer) = self.peers.get_mut(from) {
             peer.revision = summary.revision;
         }
-        if summary.revision > self.store.held() {
-            let message = Message::Pull {
-                since: self.store.held(),
-            };
+        // What counts is the revision in force: this node may hold a newer one that is invalid,
+        // and have missed the valid one in between that the peer has in force.
+        let since = self.config().revision;
+        if summary.revision > since {
+            let message = Message::Pull { since };
             out.push(Action::Send {
                 router: from,
                 message,
@@ -152,6 +173,9 @@
         self.home.tick(now, &config, &mut lease);
         let send = |(router, message)| Action::Send { router, message };
         out.extend(lease.into_iter().map(send));
+        if let Some(once::Held { epoch, held }) = self.home.changed(now) {
+            out.push(Action::Log(Decision::Lease { epoch, held }));
+        }
         if now.mono.since(self.summarized) < config.policy.summary_interval {
             return;
         }
@@ -161,9 +185,8 @@
             let message = Message::Summary(summary.clone());
             out.push(Action::Send { router, message });
             if !self.synced {
-                let message = Message::Pull {
-                    since: self.store.held(),
-                };
+                let since = config.revision;
+                let message = Message::Pull { since };
                 out.push(Action::Send { router, message });
             }
         }
--- a/crates/standin/src/engine/calls.rs
+++ b/crates/standin/src/engine/calls.rs
@@ -1,10 +1,31 @@
 //! The calls beside the chat: reports, cache moves, cancelling, and the truth.
 
-use super::{Engine, Order, cache::Events};
-use crate::{http, sync::lock, truth};
-use salvo::{Depot, FlowCtrl, Request, Response, handler, http::StatusCode};
-use serde::{Deserialize, Serialize};
-use std::{sync::Arc, time::Duration};
+use crate::{
+    engine::{
+        Engine,
+        Order,
+        cache::Events, //
+    },
+    http,
+    sync::lock,
+    truth,
+};
+use salvo::{
+    Depot,
+    FlowCtrl,
+    Request,
+    Response,
+    handler,
+    http::StatusCode, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 /// Longest wait for another engine that exports a prefix.
 const EXPORT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -190,6 +211,7 @@
         if cancelled == 0 {
             http::fail(res, StatusCode::NOT_FOUND, "no such request in progress");
         } else {
+            lock(&self.0.answers).shift_remove(id);
             http::answer(res, StatusCode::OK, &Cancelled { cancelled });
         }
     }
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -1,27 +1,48 @@
 //! The chat call, from the first look at its headers to the last byte of its answer.
 
-use super::{
-    Engine,
-    answer::Answer,
-    generation::{Generation, Step},
-    messages::{Chunk, Completion, Request as Body},
-};
 use crate::{
     endpoint,
-    fault::{Fault, Mode},
+    engine::{
+        Engine,
+        answer::Answer,
+        generation::{
+            Generation,
+            Step, //
+        },
+        messages::{
+            Chunk,
+            Completion,
+            Request as Body, //
+        },
+    },
+    fault::{
+        Fault,
+        Mode, //
+    },
     http,
     sync::lock,
     truth::Run,
 };
 use bytes::Bytes;
-use futures_util::{Stream, stream};
+use futures_util::{
+    Stream,
+    stream, //
+};
 use salvo::{
     Request, Response,
     conn::ConnCtrl,
     handler,
-    http::{HeaderValue, ResBody, StatusCode, header::CONTENT_TYPE},
+    http::{
+        HeaderValue,
+        ResBody,
+        StatusCode,
+        header::CONTENT_TYPE, //
+    },
+};
+use std::{
+    io,
+    sync::Arc, //
 };
-use std::{io, sync::Arc};
 
 /// `Chat` is the chat-completions call.
 pub(super) struct Chat(pub(super) Arc<Engine>);
@@ -179,8 +200,8 @@
 
     /// Gets the answer to another request, made up when there was none.
     fn other(&self, answer: &Answer) -> Arc<Answer> {
-        let id = self.0.endpoint.log.other_than(&answer.id);
-        let kept = id.and_then(|id| self.0.kept(&id));
+        let other = self.0.endpoint.log.other_than(&answer.id);
+        let kept = other.and_then(|other| self.0.kept(&other.id));
         kept.unwrap_or_else(|| Arc::new(answer.another()))
     }
 }
--- a/crates/standin/src/engine/generation.rs
+++ b/crates/standin/src/engine/generation.rs
@@ -1,8 +1,19 @@
 //! The making of an answer, one token at a time.
 
-use super::{Engine, answer::Answer, slots::Permit};
-use crate::{endpoint::InFlight, sync::lock, truth::Run};
-use std::{sync::Arc, time::Duration};
+use crate::{
+    endpoint::InFlight,
+    engine::{
+        Engine,
+        answer::Answer,
+        slots::Permit, //
+    },
+    sync::lock,
+    truth::Run,
+};
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 use tokio::time::sleep;
 
 /// `Step` is what comes next of an answer.
@@ -26,7 +37,7 @@
     first_token: Duration,
     per_token: Duration,
     run: Run,
-    _permit: Permit,
+    permit: Option<Permit>,
     _in_flight: InFlight,
 }
 
@@ -50,7 +61,7 @@
             options.first_token
         };
         let per_token = options.per_token;
-        let (_permit, _in_flight) = (permit, in_flight);
+        let (permit, _in_flight) = (Some(permit), in_flight);
         Self {
             answer,
             next: 0,
@@ -58,7 +69,7 @@
             first_token,
             per_token,
             run,
-            _permit,
+            permit,
             _in_flight,
         }
     }
@@ -94,12 +105,15 @@
         Step::Token(self.next - 1)
     }
 
-    /// Works out the rest and gets how it ended.
+    /// Works out the rest, leaves the batch and gets how it ended.
     pub(super) async fn finish(&mut self) -> Step {
         loop {
             match self.step().await {
                 Step::Token(_) => {}
-                end => return end,
+                end => {
+                    self.permit = None;
+                    return end;
+                }
             }
         }
     }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -9,27 +9,58 @@
 mod orders;
 mod slots;
 
-pub use crate::server::Handle;
 use crate::{
     Result,
-    endpoint::{Aside, Endpoint, Leave, Rejoin},
+    endpoint::{
+        Aside,
+        Endpoint,
+        Leave,
+        Rejoin, //
+    },
+    engine::{
+        answer::Answer,
+        cache::{
+            Cache,
+            Settings, //
+        },
+        orders::Deployment,
+        slots::Slots,
+    },
     fault::SetFault,
-    server::{self, Ports},
+    server::{
+        self,
+        Ports, //
+    },
     sync::lock,
 };
-use answer::Answer;
-pub use answer::answer;
-use cache::{Cache, Settings};
-pub use cache::{Event, Events, Kind};
-pub use calls::{Load, Truth};
+pub use crate::{
+    engine::{
+        answer::answer,
+        cache::{
+            Event,
+            Events,
+            Kind, //
+        },
+        calls::{
+            Load,
+            Truth, //
+        },
+        orders::{
+            Change,
+            Fencing,
+            Order, //
+        },
+    },
+    server::Handle,
+};
 use indexmap::IndexMap;
-use orders::Deployment;
-pub use orders::{Change, Fencing, Order};
 use salvo::Router;
-use slots::Slots;
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc,
+        Mutex, //
+    },
     time::Duration,
 };
 
@@ -49,6 +80,8 @@
     pub role: String,
     /// Places in the batch; by default 32.
     pub capacity: usize,
+    /// Most requests that wait for the batch; beyond it 503, not run; by default 1024.
+    pub max_queued: usize,
     /// Time to the first token when the prefix isn't cached; by default none.
     pub first_token: Duration,
     /// Time to the first token when the prefix is cached; by default none.
@@ -79,6 +112,7 @@
             version: "v1".into(),
             role: "mixed".into(),
             capacity: 32,
+            max_queued: 1024,
             first_token: Duration::ZERO,
             first_token_cached: Duration::ZERO,
             per_token: Duration::ZERO,
@@ -124,7 +158,7 @@
         };
         Self {
             endpoint: Endpoint::new(options.incarnation),
-            slots: Slots::new(options.capacity),
+            slots: Slots::new(options.capacity, options.max_queued),
             cache: Mutex::new(cache),
             deployment: Mutex::new(deployment),
             answers: Mutex::default(),
--- a/crates/standin/src/truth.rs
+++ b/crates/standin/src/truth.rs
@@ -1,10 +1,16 @@
 //! The record of what an endpoint really did, which tests compare with what callers were told.
 
 use crate::sync::lock;
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc,
+        Mutex, //
+    },
 };
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -67,6 +73,13 @@
     records: VecDeque<Record>,
 }
 
+impl Request {
+    /// Gets what the request's runs are counted under: its key, or its id where there's none.
+    pub fn name(&self) -> &str {
+        self.key.as_ref().unwrap_or(&self.id)
+    }
+}
+
 impl Records {
     fn get(&mut self, number: usize) -> Option<&mut Record> {
         self.records.get_mut(number.checked_sub(self.forgotten)?)
@@ -108,6 +121,7 @@
         Run {
             log: self.clone(),
             number,
+            resumes: 0,
             cancel,
         }
     }
@@ -123,10 +137,10 @@
         let record = records.records.get_mut(position)?;
         record.request.state = State::Started;
         record.request.resumes += 1;
-        record.cancel = CancellationToken::new();
         Some(Run {
             log: self.clone(),
             number,
+            resumes: record.request.resumes,
             cancel: record.cancel.clone(),
         })
     }
@@ -147,12 +161,12 @@
             .count()
     }
 
-    /// Gets the id of the newest request with another id.
-    pub(crate) fn other_than(&self, id: &str) -> Option<String> {
+    /// Gets the newest request with another id.
+    pub(crate) fn other_than(&self, id: &str) -> Option<Request> {
         let records = lock(&self.records);
         let mut newest_first = records.records.iter().rev();
         let other = newest_first.find(|record| record.request.id != id)?;
-        Some(other.request.id.clone())
+        Some(other.request.clone())
     }
 
     /// Gets every request recorded, in the order of coming.
@@ -170,6 +184,8 @@
 pub(crate) struct Run {
     log: Arc<Log>,
     number: usize,
+    /// How often the request had been resumed when this run of it began.
+    resumes: u32,
     /// Tells that the request was cancelled.
     pub(crate) cancel: CancellationToken,
 }
@@ -194,7 +210,10 @@
 
     fn end(&self, state: State) {
         self.note(|request| {
-            if request.state == State::Started {
+            // A stream that was resumed elsewhere may break long after; its break says nothing
+            // of the request, which would then stay recorded as cut though it was answered.
+            let is_latest = request.resumes == self.resumes;
+            if is_latest && request.state == State::Started {
                 request.state = state;
             }
         });
