Check settings, and configurations by the core's own reader

The new membership rules no longer reach down by silent requests at one moment. Done: check and explain use Config::try_from and Settings::try_from; the second reader is gone; files have a size bound; explain's scene is led to suspect and down by failed probes. Conclusion: faults carry path, value and expectation; examples pass.

--- a/crates/toucanturn/src/check.rs
+++ b/crates/toucanturn/src/check.rs
@@ -3,6 +3,13 @@
 use std::path::Path;
 
 use serde::Serialize;
+use toucanturn_core::{
+    config::{
+        Config,
+        fault, //
+    },
+    settings::Settings, //
+};
 
 use crate::{
     Verdict,
@@ -11,57 +18,80 @@
         CheckFile,
         CheckKind, //
     },
-    document::{
-        self,
-        Fault, //
-    },
     errors::{
-        AbsentSnafu,
         Error,
         Result, //
     },
-    output,
+    files,
+    output, //
 };
 
-#[derive(Serialize)]
-struct Report<'a> {
+/// `Fault` is one thing wrong with a file.
+#[derive(Debug, Serialize)]
+struct Fault {
+    path: String,
+    found: String,
+    expected: String,
+}
+
+impl From<fault::Fault> for Fault {
+    fn from(fault: fault::Fault) -> Self {
+        Self {
+            path: fault.path,
+            found: fault.found,
+            expected: fault.expected,
+        }
+    }
+}
+
+/// `Report` is what the operator is told.
+#[derive(Debug, Serialize)]
+struct Report {
     valid: bool,
-    faults: &'a [Fault],
+    faults: Vec<Fault>,
 }
 
 /// Checks a file.
 pub(crate) fn run(args: &args::Check) -> Result<Verdict> {
     match &args.kind {
-        Some(CheckKind::Config(file)) => {
-            let path = path(file)?;
-            let faults = document::config(&document::read(path)?).err();
-            report(path, file.json, &faults.unwrap_or_default())
-        }
-        Some(CheckKind::Settings(file)) => {
-            path(file)?;
-            AbsentSnafu {
-                what: "check settings",
-            }
-            .fail()
-        }
+        Some(CheckKind::Config(file)) => check(file, |text| Config::try_from(text).map(drop)),
+        Some(CheckKind::Settings(file)) => check(file, |text| Settings::try_from(text).map(drop)),
         None => Err(Error::usage("check: expected settings or config")),
     }
 }
 
-fn path(file: &CheckFile) -> Result<&Path> {
-    let path = file.file.as_deref();
-    path.ok_or_else(|| Error::usage("check: expected a file"))
-}
+type Faults = Vec<fault::Fault>;
 
-fn report(path: &Path, json: bool, faults: &[Fault]) -> Result<Verdict> {
-    let valid = faults.is_empty();
-    if json {
-        output::print_json(&Report { valid, faults })?;
-    } else if valid {
-        output::print(&format!("{}: valid\n", path.display()))?;
+fn check(
+    args: &CheckFile,
+    judge: impl FnOnce(&[u8]) -> std::result::Result<(), Faults>,
+) -> Result<Verdict> {
+    let path = args.file.as_deref();
+    let path = path.ok_or_else(|| Error::usage("check: expected a file"))?;
+    let judged = judge(&files::read(path)?);
+    let valid = judged.is_ok();
+    let faults = judged.err().unwrap_or_default();
+    let report = Report {
+        valid,
+        faults: faults.into_iter().map(Fault::from).collect(),
+    };
+    if args.json {
+        output::print_json(&report)?;
     } else {
-        let line = |f: &Fault| format!("{}: {}\n", f.path, f.reason);
-        output::print(&faults.iter().map(line).collect::<String>())?;
+        output::print(&report.text(path))?;
     }
     Ok(if valid { Verdict::Yes } else { Verdict::No })
 }
+
+impl Report {
+    fn text(&self, path: &Path) -> String {
+        if self.valid {
+            return format!("{}: valid\n", path.display());
+        }
+        let line = |f: &Fault| {
+            let place = if f.path.is_empty() { "file" } else { &f.path };
+            format!("{place}: found {}, expected {}\n", f.found, f.expected)
+        };
+        self.faults.iter().map(line).collect()
+    }
+}
--- a/crates/toucanturn/src/drain.rs
+++ b/crates/toucanturn/src/drain.rs
@@ -16,7 +16,8 @@
 use snafu::ResultExt;
 
 use crate::{
-    Verdict, args,
+    Verdict,
+    args,
     client::{
         self,
         Peer, //
@@ -31,7 +32,7 @@
         self,
         Progress, //
     },
-    status::Status,
+    status::Status, //
 };
 
 /// Time between two looks at a draining router.
--- a/crates/toucanturn/src/errors.rs
+++ b/crates/toucanturn/src/errors.rs
@@ -20,6 +20,9 @@
         path: PathBuf,
         source: std::io::Error,
     },
+    /// A file is too long.
+    #[snafu(display("{} is longer than {most} bytes", path.display()))]
+    TooLong { path: PathBuf, most: u64 },
     /// The configuration is invalid.
     #[snafu(display("{}: {count} faults, expected none; see check config", path.display()))]
     Config { path: PathBuf, count: usize },
--- a/crates/toucanturn/src/explain/mod.rs
+++ b/crates/toucanturn/src/explain/mod.rs
@@ -16,14 +16,14 @@
 };
 
 use crate::{
-    Verdict, args, document,
+    Verdict, args,
     errors::{
         ConfigSnafu,
         Error,
         Result,
         ViewSnafu, //
     },
-    output,
+    files, output,
     view::{
         Scene,
         View, //
@@ -41,7 +41,7 @@
 pub(crate) fn run(args: &args::Explain) -> Result<Verdict> {
     let path = args.config.as_deref();
     let path = path.ok_or_else(|| Error::usage("explain: expected --config FILE"))?;
-    let config = document::config(&document::read(path)?);
+    let config = Config::try_from(files::read(path)?.as_slice());
     let config = config.map_err(|faults| {
         let count = faults.len();
         ConfigSnafu { path, count }.build()
@@ -64,7 +64,7 @@
 }
 
 fn read_view(path: &std::path::Path) -> Result<View> {
-    let file = document::read(path)?;
+    let file = files::read(path)?;
     serde_json::from_slice(&file).context(ViewSnafu { path })
 }
 
--- a/crates/toucanturn/src/explain/subject.rs
+++ b/crates/toucanturn/src/explain/subject.rs
@@ -18,7 +18,7 @@
         Token,
         Work, //
     },
-    units::Incarnation,
+    units::Incarnation, //
 };
 
 use super::chat;
--- a/crates/toucanturn/src/view.rs
+++ b/crates/toucanturn/src/view.rs
@@ -151,7 +151,7 @@
             if self.view.state(self.now, key) == state.to_core() {
                 return;
             }
-            self.view.seen(self.now, key, Seen::Silent);
+            self.view.seen(self.now, key, Seen::Unreached);
         }
     }
 }
--- a/crates/toucanturn/tests/cli/check.rs
+++ b/crates/toucanturn/tests/cli/check.rs
@@ -32,10 +32,11 @@
     let run = toucanturn(["check", "config", &path]);
     expect_that!(run.code, some(eq(1)));
     for part in [
-        "endpoints/eng-1.address",
+        "endpoints/eng-1.address: found ",
         "eng-1.example:80",
         "assistent",
-        "key_sha256",
+        "workspaces/vitalbox-chat.key_sha256",
+        "expected ",
     ] {
         expect_that!(run.out, contains_substring(part));
     }
@@ -61,3 +62,50 @@
     expect_that!(run.code, some(eq(1)));
     expect_that!(run.err, contains_substring("/nonexistent/config.json"));
 }
+
+fn settings() -> serde_json::Value {
+    json!({
+        "id": "entry-1", "data_center": "be-north-1", "listen": "10.0.0.1:80",
+        "peer_listen": "10.0.0.1:81", "admin_listen": "10.0.0.1:82",
+        "config_service": ["10.0.9.1:7000"],
+        "peer_key": "11".repeat(32), "token_key": "22".repeat(32)
+    })
+}
+
+#[gtest]
+fn verify_valid_settings_pass() {
+    let files = Files::new();
+    let path = files.write("settings.json", settings());
+    let run = toucanturn(["check", "settings", &path]);
+    expect_that!(run.code, some(eq(0)), "{run:?}");
+    expect_that!(run.out, eq(&format!("{path}: valid\n")));
+}
+
+#[gtest]
+fn verify_all_faults_of_settings_are_named_and_no_secret_is_shown() {
+    let mut bad = settings();
+    bad["listen"] = json!("entry-1:80");
+    bad["listen_adress"] = json!("10.0.0.1:80");
+    bad["peer_key"] = json!("c0ffee");
+    let files = Files::new();
+    let path = files.write("settings.json", bad);
+    let run = toucanturn(["check", "settings", &path]);
+    expect_that!(run.code, some(eq(1)), "{run:?}");
+    for part in ["listen: found ", "listen_adress", "peer_key: "] {
+        expect_that!(run.out, contains_substring(part));
+    }
+    expect_that!(run.out, not(contains_substring("c0ffee")));
+    expect_that!(run.out, not(contains_substring("2222")));
+}
+
+#[gtest]
+fn verify_the_examples_pass() {
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
+    for name in ["vitalbox", "terenni"] {
+        for (kind, suffix) in [("config", "json"), ("settings", "settings.json")] {
+            let path = format!("{root}/{name}.{suffix}");
+            let run = toucanturn(["check", kind, &path]);
+            expect_that!(run.code, some(eq(0)), "{path}: {run:?}");
+        }
+    }
+}
