Name the request in its decisions' log lines

Cause: a line gave the router's own call number only, which no caller or engine knows, and two lines were written without a number of the enum. Done: events::log takes the request's id; the driver looks it up before it carries out the actions of one event, because the task may be gone when the line is written. Every line is written in events.rs: 301 and 502 have a Number, 402 awaits the peer link. Placed and refused lines name the revision. Conclusion: call sites changed are the driver's one and the platform's one.

--- a/crates/router/src/driver.rs
+++ b/crates/router/src/driver.rs
@@ -66,6 +66,13 @@
 /// Steps that wait for one request's task; the node gives one at a time, and a cancel.
 const STEPS: usize = 8;
 
+/// `Running` is a call's task as the driver knows it.
+#[derive(Debug)]
+struct Running {
+    steps: mpsc::Sender<Step>,
+    request_id: Arc<str>,
+}
+
 /// `Driver` is one router process around its node.
 #[derive(Debug)]
 pub struct Driver {
@@ -78,7 +85,7 @@
     node: Mutex<Node>,
     config: ArcSwap<Config>,
     keys: ArcSwap<IndexMap<[u8; 32], WorkspaceKey>>,
-    calls: Mutex<IndexMap<Call, mpsc::Sender<Step>>>,
+    calls: Mutex<IndexMap<Call, Running>>,
     next: AtomicU64,
     exit: watch::Sender<Option<usize>>,
 }
@@ -155,11 +162,27 @@
     pub fn feed(self: &Arc<Self>, event: Event) {
         let mut actions = Vec::new();
         self.lock().handle(clock::now(), event, &mut actions);
-        for action in actions {
-            self.carry_out(action);
+        // A call's task may end as soon as its last action is carried out, which is before its
+        // decision is logged: the line would lack the request's id.
+        let ids = self.request_ids(&actions);
+        for (action, id) in actions.into_iter().zip(ids) {
+            self.carry_out(action, id.as_deref());
         }
     }
 
+    /// Gets the id of the request that each action's log line is about.
+    fn request_ids(&self, actions: &[Action]) -> Vec<Option<Arc<str>>> {
+        let calls = self.calls();
+        let id = |action: &Action| match action {
+            Action::Log(decision) => {
+                let running = calls.get(&events::call(decision)?)?;
+                Some(Arc::clone(&running.request_id))
+            }
+            _ => None,
+        };
+        actions.iter().map(id).collect()
+    }
+
     /// Starts a request's task and gives where its final answer will come.
     pub(crate) fn start(
         self: &Arc<Self>,
@@ -169,7 +192,11 @@
         let call = Call(self.next.fetch_add(1, Ordering::Relaxed));
         let (sender, steps) = mpsc::channel(STEPS);
         let (reply, answer) = oneshot::channel();
-        self.calls().insert(call, sender);
+        let running = Running {
+            steps: sender,
+            request_id: exchange.id.as_str().into(),
+        };
+        self.calls().insert(call, running);
         let request = exchange.request.clone();
         let task = Task {
             driver: Arc::clone(self),
@@ -198,18 +225,18 @@
         self.node.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn calls(&self) -> MutexGuard<'_, IndexMap<Call, mpsc::Sender<Step>>> {
+    fn calls(&self) -> MutexGuard<'_, IndexMap<Call, Running>> {
         self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn step(&self, call: Call, step: Step) {
-        let sender = self.calls().get(&call).cloned();
-        if let Some(sender) = sender {
+        let steps = self.calls().get(&call).map(|running| running.steps.clone());
+        if let Some(sender) = steps {
             let _ = sender.try_send(step);
         }
     }
 
-    fn carry_out(self: &Arc<Self>, action: Action) {
+    fn carry_out(self: &Arc<Self>, action: Action, request_id: Option<&str>) {
         match action {
             Action::Dispatch {
                 call,
@@ -256,7 +283,7 @@
             Action::Exit { cut } => {
                 self.exit.send_replace(Some(cut));
             }
-            Action::Log(decision) => events::log(&self.config.load(), &decision),
+            Action::Log(decision) => events::log(&self.config.load(), request_id, &decision),
         }
     }
 
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -1,6 +1,9 @@
 //! The decision log: numbered events, one line each. docs/EVENTS.md is the catalogue.
 //!
-//! No message text, key or token is ever logged: ids, names and figures only.
+//! Every line of the router is written here, so that each has a number and the catalogue's test
+//! sees it. No message text, key or token is ever logged: ids, names and figures only.
+
+use std::fmt::Display;
 
 use strum::{
     EnumIter,
@@ -14,11 +17,18 @@
         WorkspaceKey, //
     },
     config::Config,
-    ids::Id,
+    ids::{
+        Id,
+        Tag, //
+    },
+    request::Call, //
 };
 
-/// `Number` is an event's number in the log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumIter, IntoStaticStr)]
+/// Target of the lines, by which a subscriber can pick them out.
+pub const TARGET: &str = "toucanturn::decision";
+
+/// `Number` is an event's number in the log. A number is never given to another event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 #[repr(u16)]
 pub enum Number {
@@ -36,41 +46,65 @@
     Done = 106,
     /// An endpoint's state changed.
     Member = 201,
+    /// The configuration service could not be read.
+    Unread = 301,
     /// A configuration was put in force.
     Applied = 302,
     /// A configuration was refused.
     Rejected = 303,
     /// A home's lease began or ended.
     Lease = 401,
+    /// A peer's message was refused.
+    PeerRejected = 402,
     /// The drain began.
     Draining = 501,
+    /// The drain ended before every call did.
+    Cut = 502,
 }
 
-fn name(id: Option<&Id>) -> &str {
-    id.map_or("", Id::as_str)
-}
-
-fn endpoint(config: &Config, key: EndpointKey) -> &str {
-    name(config.endpoints.get(key).map(|e| &e.id))
-}
+impl Number {
+    /// Gets the number itself.
+    pub const fn code(self) -> u16 {
+        self as u16
+    }
 
-fn workspace(config: &Config, key: WorkspaceKey) -> &str {
-    name(config.workspaces.get(key).map(|w| &w.id))
+    /// Gets the event's name, the field `label` of its line.
+    pub fn label(self) -> &'static str {
+        self.into()
+    }
 }
 
-fn router(config: &Config, key: RouterKey) -> &str {
-    name(config.fleet.get(key).map(|r| &r.id))
+macro_rules! event {
+    ($level:ident, $number:ident $(, $($field:tt)+)?) => {
+        tracing::$level!(
+            target: TARGET,
+            event = Number::$number.code(),
+            label = Number::$number.label()
+            $(, $($field)+)?
+        )
+    };
 }
 
-macro_rules! event {
-    ($level:ident, $number:ident, $($field:tt)*) => {{
-        let label: &'static str = Number::$number.into();
-        tracing::$level!(target: "toucanturn::decision", event = Number::$number as u16, label, $($field)*)
-    }};
+/// Gets the call that a decision is about; `None` where it is about no single one.
+pub const fn call(decision: &Decision) -> Option<Call> {
+    match decision {
+        Decision::Placed { call, .. }
+        | Decision::Refused { call, .. }
+        | Decision::Forwarded { call, .. }
+        | Decision::Replayed { call }
+        | Decision::AttemptFailed { call, .. }
+        | Decision::Done { call, .. } => Some(*call),
+        Decision::Member { .. }
+        | Decision::Applied { .. }
+        | Decision::Rejected { .. }
+        | Decision::Lease { .. }
+        | Decision::Draining { .. } => None,
+    }
 }
 
-/// Writes one decision's line.
-pub fn log(config: &Config, decision: &Decision) {
+/// Writes one decision's line. `request_id` is the id of the request that it is about, where the
+/// driver still knows it.
+pub fn log(config: &Config, request_id: Option<&str>, decision: &Decision) {
     match decision {
         Decision::Placed {
             call,
@@ -79,56 +113,113 @@
             placed,
             load,
             view_age,
-        } => {
-            let runner_up = placed.runner_up.map_or("", |key| endpoint(config, key));
-            event!(info, Placed, call = call.0, attempt = attempt.0, workspace = workspace(config, *w),
-                endpoint = endpoint(config, placed.endpoint), runner_up, reason = %placed.reason,
-                load, view_age_ms = view_age.0);
-        }
+        } => event!(
+            info,
+            Placed,
+            request_id,
+            call = call.0,
+            attempt = attempt.0,
+            workspace = workspace(config, *w),
+            endpoint = endpoint(config, placed.endpoint),
+            runner_up = placed.runner_up.map(|key| endpoint(config, key)),
+            reason = %placed.reason,
+            load,
+            view_age_ms = view_age.0,
+            revision = config.revision.0
+        ),
         Decision::Refused {
             call,
             workspace: w,
             refusal,
             view_age,
-        } => {
-            event!(info, Refused, call = call.0, workspace = workspace(config, *w),
-                reason = %refusal.code, outcome = %refusal.outcome,
-                retry_after_ms = refusal.retry_after.map(|m| m.0), view_age_ms = view_age.0);
-        }
-        Decision::Forwarded { call, router: r } => {
-            event!(info, Forwarded, call = call.0, home = router(config, *r));
-        }
-        Decision::Replayed { call } => event!(info, Replayed, call = call.0),
+        } => event!(
+            info,
+            Refused,
+            request_id,
+            call = call.0,
+            workspace = workspace(config, *w),
+            reason = %refusal.code,
+            outcome = %refusal.outcome,
+            retry_after_ms = refusal.retry_after.map(|m| m.0),
+            view_age_ms = view_age.0,
+            revision = config.revision.0
+        ),
+        Decision::Forwarded { call, router: r } => event!(
+            info,
+            Forwarded,
+            request_id,
+            call = call.0,
+            home = router(config, *r)
+        ),
+        Decision::Replayed { call } => event!(info, Replayed, request_id, call = call.0),
         Decision::AttemptFailed {
             call,
             attempt,
             endpoint: e,
             retried,
-        } => {
-            event!(
-                warn,
-                AttemptFailed,
-                call = call.0,
-                attempt = attempt.0,
-                endpoint = endpoint(config, *e),
-                retried
-            );
-        }
+        } => event!(
+            warn,
+            AttemptFailed,
+            request_id,
+            call = call.0,
+            attempt = attempt.0,
+            endpoint = endpoint(config, *e),
+            retried
+        ),
         Decision::Done {
             call,
             outcome,
             attempts,
-        } => {
-            event!(info, Done, call = call.0, outcome = %outcome, attempts);
-        }
-        Decision::Member { endpoint: e, state } => {
-            event!(info, Member, endpoint = endpoint(config, *e), state = %state);
-        }
+        } => event!(
+            info,
+            Done,
+            request_id,
+            call = call.0,
+            outcome = %outcome,
+            attempts
+        ),
+        Decision::Member { endpoint: e, state } => event!(
+            info,
+            Member,
+            endpoint = endpoint(config, *e),
+            state = %state
+        ),
         Decision::Applied { revision } => event!(info, Applied, revision = revision.0),
         Decision::Rejected { revision, errors } => {
-            event!(error, Rejected, revision = revision.0, errors);
+            event!(error, Rejected, revision = revision.0, errors)
         }
         Decision::Lease { epoch, held } => event!(info, Lease, epoch = epoch.0, held),
         Decision::Draining { open } => event!(info, Draining, open),
     }
 }
+
+/// Writes that the configuration service could not be read.
+pub fn unread(error: &dyn Display) {
+    event!(warn, Unread, error = %error);
+}
+
+/// Writes that a peer's message was refused.
+pub fn peer_rejected(from: Tag, error: &toucanturn_wire::Error) {
+    event!(warn, PeerRejected, from = from.0, error = %error);
+}
+
+/// Writes that a drain ended while calls were in progress.
+pub fn cut(calls: usize) {
+    event!(error, Cut, cut = calls);
+}
+
+fn name(id: Option<&Id>) -> &str {
+    id.map_or("", Id::as_str)
+}
+
+fn endpoint(config: &Config, key: EndpointKey) -> &str {
+    name(config.endpoints.get(key).map(|e| &e.id))
+}
+
+fn workspace(config: &Config, key: WorkspaceKey) -> &str {
+    name(config.workspaces.get(key).map(|w| &w.id))
+}
+
+fn router(config: &Config, key: RouterKey) -> &str {
+    name(config.fleet.get(key).map(|r| &r.id))
+}
--- a/crates/router/src/platform.rs
+++ b/crates/router/src/platform.rs
@@ -39,6 +39,7 @@
         ClientSnafu,
         Result, //
     },
+    events,
 };
 
 /// Time that a watch waits at the service.
@@ -113,7 +114,7 @@
             // A service that is behind what is in force has nothing to say.
             Ok(_) => Event::ReadFailed,
             Err(error) => {
-                tracing::warn!(event = 301, %error, "configuration service not read");
+                events::unread(&error);
                 Event::ReadFailed
             }
         };
