--- a/crates/router/src/platform.rs
+++ b/crates/router/src/platform.rs
@@ -46,6 +46,7 @@
         ClientSnafu,
         Result, //
     },
+    events,
 };
 
 /// Time that a watch waits at the service.
@@ -154,7 +155,7 @@
             }
             Err(error) => {
                 driver.config_service.failed();
-                tracing::warn!(event = 301, %error, "configuration service not read");
+                events::unread(&error);
                 Event::ReadFailed
             }
         };
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -119,7 +119,8 @@
 impl Handler for Status {
     async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let open = self.0.open();
-        let now = crate::clock::now().mono;
+        let clocks = crate::clock::now();
+        let now = clocks.mono;
         let status = self.0.with_node(|n| {
             let config = n.config();
             let endpoint = |(key, e): (_, &Arc<toucanturn_core::config::Endpoint>)| {
@@ -137,6 +138,7 @@
                 "epoch": config.epoch.0,
                 "view_age_ms": n.view().age(now).0,
                 "open": open,
+                "takes_keys": n.takes_keys(clocks),
                 "endpoints": config.endpoints.iter().map(endpoint).collect::<Vec<_>>(),
             })
         });
--- a/crates/toucanturnd/src/run.rs
+++ b/crates/toucanturnd/src/run.rs
@@ -114,7 +114,9 @@
         either(&mut term, &mut int).await;
     };
     let cut = process.run(hurry).await;
-    events::ended(cut);
+    if cut > 0 {
+        events::cut(cut);
+    }
     Ok(if cut == 0 {
         ExitCode::SUCCESS
     } else {
