--- a/crates/standin/src/args.rs
+++ b/crates/standin/src/args.rs
@@ -148,9 +148,6 @@
     /// Address to forward to; may be given several times.
     #[options(meta = "ADDRESS")]
     to: Vec<SocketAddr>,
-    /// Milliseconds between two checks of an address.
-    #[options(default = "500")]
-    check_ms: u64,
 }
 
 fn ports(listen: Option<SocketAddr>, control: Option<SocketAddr>) -> Ports {
@@ -222,7 +219,6 @@
         Self {
             ports: ports(args.listen, args.control),
             to: args.to,
-            check_interval: Duration::from_millis(args.check_ms),
         }
     }
 }
--- a/crates/standin/src/balancer.rs
+++ b/crates/standin/src/balancer.rs
@@ -2,28 +2,24 @@
 
 pub use crate::server::Handle;
 use crate::{
-    Result, http,
-    server::{
-        self,
-        Ports, //
-    },
+    Result,
+    http,
+    server,
+    sync::lock, //
 };
+use futures_util::StreamExt;
 use salvo::{
     Response,
     Router,
     handler,
     http::StatusCode, //
 };
-use serde::{
-    Deserialize,
-    Serialize, //
-};
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{
-            AtomicBool,
             AtomicUsize,
             Ordering, //
         },
@@ -36,113 +32,77 @@
         TcpListener,
         TcpStream, //
     },
-    task::JoinSet,
     time::{
         sleep,
         timeout, //
     },
 };
+use tokio_stream::wrappers::TcpListenerStream;
 
 /// Most connections forwarded at once; beyond it new ones wait to be accepted.
-const MAX_CONNECTIONS: usize = 4096;
+///
+/// Twice as many descriptors stay below the usual limit of 1024 for a process.
+const MAX_CONNECTIONS: usize = 256;
 /// Longest wait for an address to accept a connection or to say that it's ready.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Pause after a failed accept, lest it spins when descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+const TIMEOUT: Duration = Duration::from_secs(1);
+/// Time between two checks of the addresses.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// `Options` of a balancer.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Options {
     /// Addresses to bind; by default the system picks.
-    pub ports: Ports,
+    pub ports: server::Ports,
     /// Addresses to forward to; by default none.
     pub to: Vec<SocketAddr>,
-    /// Time between two checks of an address; by default half a second.
-    pub check_interval: Duration,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            ports: Ports::default(),
-            to: Vec::new(),
-            check_interval: Duration::from_millis(500),
-        }
-    }
-}
-
-/// `Target` is an address to forward to.
-#[derive(Debug)]
-struct Target {
-    address: SocketAddr,
-    ready: AtomicBool,
-}
-
-/// `Standing` is what the last check of an address found.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
-pub struct Standing {
-    /// The address.
-    pub address: SocketAddr,
-    /// Whether it answered 200 on `/readyz`.
-    pub ready: bool,
 }
 
 /// `Balancer` is the state behind both ports.
 #[derive(Debug)]
 struct Balancer {
-    targets: Vec<Target>,
+    options: Options,
+    /// The addresses that answered 200 on `/readyz`.
+    ready: Mutex<BTreeSet<SocketAddr>>,
     turn: AtomicUsize,
     client: reqwest::Client,
 }
 
 impl Balancer {
     /// Checks every address, again and again.
-    async fn check(&self, interval: Duration) {
+    async fn check(&self) {
         loop {
-            for target in &self.targets {
-                target
-                    .ready
-                    .store(self.is_ready(target.address).await, Ordering::Relaxed);
+            for address in &self.options.to {
+                let is_ready = self.is_ready(*address).await;
+                let mut ready = lock(&self.ready);
+                match is_ready {
+                    true => ready.insert(*address),
+                    false => ready.remove(address),
+                };
             }
-            sleep(interval).await;
+            sleep(CHECK_INTERVAL).await;
         }
     }
 
     async fn is_ready(&self, address: SocketAddr) -> bool {
-        let request = self
-            .client
-            .get(format!("http://{address}/readyz"))
-            .timeout(CONNECT_TIMEOUT);
-        request
-            .send()
-            .await
-            .is_ok_and(|response| response.status().is_success())
+        let request = self.client.get(format!("http://{address}/readyz"));
+        let answer = request.timeout(TIMEOUT).send().await;
+        answer.is_ok_and(|answer| answer.status().is_success())
     }
 
-    /// Connects to the next ready address that accepts.
-    async fn connect(&self) -> Option<TcpStream> {
-        for _ in &self.targets {
-            let turn = self.turn.fetch_add(1, Ordering::Relaxed) % self.targets.len();
-            let target = &self.targets[turn];
-            if !target.ready.load(Ordering::Relaxed) {
-                continue;
-            }
-            if let Ok(Ok(stream)) =
-                timeout(CONNECT_TIMEOUT, TcpStream::connect(target.address)).await
-            {
-                return Some(stream);
-            }
-        }
-        None
+    /// Gets the next ready address.
+    fn next(&self) -> Option<SocketAddr> {
+        let ready = lock(&self.ready);
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        ready.iter().nth(turn.checked_rem(ready.len())?).copied()
     }
 
-    /// Forwards one connection, or closes it when no address is ready.
+    /// Forwards one connection, or closes it when the address in turn doesn't accept.
     async fn forward(&self, mut caller: TcpStream) {
-        let Some(mut target) = self.connect().await else {
-            return;
-        };
-        if let Err(error) = copy_bidirectional(&mut caller, &mut target).await {
-            tracing::debug!(%error, "a forwarded connection broke");
+        if let Some(address) = self.next()
+            && let Ok(Ok(mut target)) = timeout(TIMEOUT, TcpStream::connect(address)).await
+        {
+            // A break of either side ends both, which is all there's to do about it.
+            let _ = copy_bidirectional(&mut caller, &mut target).await;
         }
     }
 }
@@ -153,54 +113,33 @@
 ///
 /// When a port can't be bound.
 pub async fn start(options: Options) -> Result<Handle> {
-    let target = |address| Target {
-        address,
-        ready: AtomicBool::new(false),
-    };
+    let ports = options.ports;
     let balancer = Arc::new(Balancer {
-        targets: options.to.into_iter().map(target).collect(),
+        options,
+        ready: Mutex::default(),
         turn: AtomicUsize::new(0),
         client: reqwest::Client::new(),
     });
-    let control = Router::with_path("targets").get(Targets(balancer.clone()));
-    server::start_forwarding(options.ports, control, |listener| {
-        tokio::spawn(async move {
-            tokio::join!(
-                balancer.check(options.check_interval),
-                accept(&balancer, &listener)
-            );
-        })
+    let control = Router::with_path("ready").get(Ready(balancer.clone()));
+    server::start_forwarding(ports, control, |listener| {
+        tokio::spawn(async move { tokio::join!(balancer.check(), accept(&balancer, listener)).1 })
     })
     .await
 }
 
-async fn accept(balancer: &Arc<Balancer>, listener: &TcpListener) {
-    let mut connections = JoinSet::new();
-    loop {
-        while connections.try_join_next().is_some() {}
-        if connections.len() == MAX_CONNECTIONS {
-            connections.join_next().await;
-        }
-        let Ok((caller, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let balancer = balancer.clone();
-        connections.spawn(async move { balancer.forward(caller).await });
-    }
+async fn accept(balancer: &Balancer, listener: TcpListener) {
+    let callers = TcpListenerStream::new(listener).filter_map(async |caller| caller.ok());
+    callers
+        .for_each_concurrent(MAX_CONNECTIONS, |caller| balancer.forward(caller))
+        .await;
 }
 
-/// `Targets` tells what the last checks found.
-struct Targets(Arc<Balancer>);
+/// `Ready` lists the addresses that the last check found ready.
+struct Ready(Arc<Balancer>);
 
 #[handler]
-impl Targets {
+impl Ready {
     async fn handle(&self, res: &mut Response) {
-        let standing = |target: &Target| Standing {
-            address: target.address,
-            ready: target.ready.load(Ordering::Relaxed),
-        };
-        let standings: Vec<_> = self.0.targets.iter().map(standing).collect();
-        http::answer(res, StatusCode::OK, &standings);
+        http::answer(res, StatusCode::OK, &*lock(&self.0.ready));
     }
 }
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -397,6 +397,37 @@
     verify_that!(resumed.send().await?.status(), eq(StatusCode::GONE))
 }
 
+#[gtest]
+#[tokio::test]
+async fn verify_a_waiting_request_can_be_cancelled() -> Result<()> {
+    let engine = start(Options {
+        capacity: 0,
+        ..Options::default()
+    })
+    .await?;
+    let waiting = tokio::spawn(Chat::whole("r1").request(engine.listen).send());
+    until(engine.listen, "v1/load", |load| load["queued"] == 1).await?;
+    let answer = post(engine.listen, "v1/cancel/r1", json!({})).await?;
+    verify_that!(answer, eq(&json!({"cancelled": 1})))?;
+    verify_that!(waiting.await??.status(), eq(StatusCode::CONFLICT))?;
+    verify_that!(
+        states(engine.control).await?,
+        eq(&vec![("r1".into(), State::Cancelled)])
+    )
+}
+
+#[gtest]
+#[tokio::test]
+async fn verify_a_rejoined_engine_has_an_empty_cache() -> Result<()> {
+    let engine = start(Options::default()).await?;
+    send_with_prefix(&engine, "a").await?;
+    post(engine.control, "rejoin", json!({})).await?;
+    let events = get(engine.listen, "v1/cache/events?since=2").await?;
+    let evicted = json!({"number": 2, "prefix": "a", "kind": "evicted"});
+    verify_that!(events["events"], eq(&json!([evicted])))?;
+    verify_that!(send_with_prefix(&engine, "a").await?, eq("0"))
+}
+
 #[gtest]
 #[tokio::test]
 async fn verify_fencing_refuses_old_numbers_only_where_it_is_on() -> Result<()> {
--- a/crates/standin/tests/program.rs
+++ b/crates/standin/tests/program.rs
@@ -21,13 +21,13 @@
         Command,
         Stdio, //
     },
-    time::Duration,
 };
 use toucanturn_standin::{
     balancer,
     server::Ports,
     service::{
         self,
+        Handle,
         Receipt, //
     },
 };
@@ -67,7 +67,7 @@
         ("platform", "calls", "-TERM"),
         ("engine", "truth", "-INT"),
         ("service", "truth", "-TERM"),
-        ("balancer", "targets", "-TERM"),
+        ("balancer", "ready", "-TERM"),
     ] {
         let (mut program, ports) = run(&[name])?;
         let answer = client().get(url(ports.control, path)).send().await?;
@@ -79,6 +79,50 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test]
+async fn verify_options_reach_the_stand_in() -> Result<()> {
+    let folder = tempfile::tempdir()?;
+    let path = folder.path().join("config.json");
+    std::fs::write(&path, r#"{"policy": 1, "endpoints": {"eng-1": 2}}"#)?;
+    let path = path.to_str().or_fail()?;
+    let (_platform, ports) = run(&["platform", "--publish", path])?;
+    let all = common::get(ports.listen, "v1/config").await?;
+    verify_that!(all["entries"].as_array().map(Vec::len), some(eq(2)))?;
+
+    let (_service, ports) = run(&["service", "--checks-key"])?;
+    for replayed in [false, true] {
+        let request = client()
+            .post(url(ports.listen, "orders"))
+            .header("idempotency-key", "k1");
+        let headers = request.send().await?.headers().clone();
+        verify_that!(headers.contains_key("x-replayed"), eq(replayed))?;
+    }
+
+    let (_engine, ports) = run(&[
+        "engine",
+        "--model",
+        "a",
+        "--model",
+        "b",
+        "--fencing",
+        "--incarnation",
+        "7",
+    ])?;
+    let load = common::get(ports.listen, "v1/load").await?;
+    verify_that!(
+        json!([load["models"], load["incarnation"]]),
+        eq(&json!([["a", "b"], 7]))
+    )?;
+    let order = json!({"fence": 0, "kind": "change_role", "role": "decode"});
+    let refused = client()
+        .post(url(ports.listen, "v1/orders"))
+        .json(&order)
+        .send()
+        .await?;
+    verify_that!(refused.status(), eq(409))
+}
+
 #[gtest]
 #[tokio::test]
 async fn verify_a_program_without_a_known_stand_in_fails() -> Result<()> {
@@ -95,16 +139,20 @@
     ];
     let balancer = balancer::start(balancer::Options {
         to: services.iter().map(|service| service.listen).collect(),
-        check_interval: Duration::from_millis(5),
         ..Default::default()
     })
     .await?;
-    let both = |ready: [bool; 2]| {
-        move |targets: &serde_json::Value| {
-            [&targets[0]["ready"], &targets[1]["ready"]] == [&json!(ready[0]), &json!(ready[1])]
-        }
+    let ready = |services: &[&Handle]| {
+        let mut addresses: Vec<_> = services.iter().map(|service| service.listen).collect();
+        addresses.sort();
+        move |ready: &serde_json::Value| *ready == json!(addresses)
     };
-    until(balancer.control, "targets", both([true, true])).await?;
+    until(
+        balancer.control,
+        "ready",
+        ready(&[&services[0], &services[1]]),
+    )
+    .await?;
     let call = async |id: &str| -> Result<Receipt> {
         let request = client()
             .post(url(balancer.listen, "orders"))
@@ -119,7 +167,7 @@
         verify_that!(runs, eq(&json!(2)))?;
     }
     post(services[0].control, "leave", json!({})).await?;
-    until(balancer.control, "targets", both([false, true])).await?;
+    until(balancer.control, "ready", ready(&[&services[1]])).await?;
     for _ in 0..3 {
         call("left").await?;
     }
