--- a/crates/demo/src/callers.rs
+++ b/crates/lab/src/bin/demo/callers.rs
@@ -10,8 +10,7 @@
     ResultExt,
     ensure, //
 };
-
-use crate::{
+use toucanturn_lab::{
     errors::{
         CallSnafu,
         Result,
--- a/crates/demo/src/main.rs
+++ b/crates/lab/src/bin/demo/main.rs
@@ -8,10 +8,15 @@
 
 use std::process::ExitCode;
 
+use toucanturn_lab::{
+    errors,
+    fleet::{
+        Fleet,
+        Shape, //
+    },
+};
+
 mod callers;
-mod errors;
-mod fleet;
-mod process;
 
 /// Chats that are held, each of which returns [`TURNS`] times.
 const CHATS: usize = 3;
@@ -31,7 +36,7 @@
 }
 
 async fn show() -> errors::Result<()> {
-    let mut fleet = fleet::Fleet::start().await?;
+    let mut fleet = Fleet::start(Shape::default()).await?;
     println!("started {} processes, three of them routers\n", fleet.len());
     for chat in 0..CHATS {
         callers::chat(&fleet, chat, TURNS).await?;
--- a/crates/demo/src/errors.rs
+++ b/crates/lab/src/errors.rs
@@ -4,8 +4,9 @@
 
 /// `Error` of the demonstration.
 #[derive(Debug, Snafu)]
-#[snafu(visibility(pub(crate)))]
-pub(crate) enum Error {
+#[snafu(visibility(pub))]
+#[expect(missing_docs, reason = "the messages say what each is")]
+pub enum Error {
     #[snafu(display("can't start {name}; build the workspace first"))]
     Start {
         name: String,
@@ -24,4 +25,4 @@
 }
 
 /// `Result` of the demonstration.
-pub(crate) type Result<T> = std::result::Result<T, Error>;
+pub type Result<T> = std::result::Result<T, Error>;
--- a/crates/demo/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -32,16 +32,18 @@
 
 /// `Process` is one started program; dropping it ends it.
 #[derive(Debug)]
-pub(crate) struct Process {
-    pub(crate) name: String,
-    pub(crate) addresses: Value,
+pub struct Process {
+    /// What the demonstration calls it.
+    pub name: String,
+    /// The addresses that it printed.
+    pub addresses: Value,
     child: Child,
     log: Arc<Mutex<Vec<String>>>,
 }
 
 impl Process {
     /// Starts a program of this workspace and reads the line with its addresses.
-    pub(crate) fn start(name: &str, program: &str, args: &[&str]) -> Result<Self> {
+    pub fn start(name: &str, program: &str, args: &[&str]) -> Result<Self> {
         let mut child = Command::new(beside(program)?)
             .args(args)
             .stdin(Stdio::null())
@@ -78,12 +80,12 @@
     }
 
     /// Gets one of its addresses.
-    pub(crate) fn address(&self, kind: &str) -> String {
+    pub fn address(&self, kind: &str) -> String {
         self.addresses[kind].as_str().unwrap_or_default().to_owned()
     }
 
     /// Gets the log lines that hold `part`.
-    pub(crate) fn lines(&self, part: &str) -> Vec<String> {
+    pub fn lines(&self, part: &str) -> Vec<String> {
         let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
         log.iter()
             .filter(|line| line.contains(part))
@@ -92,13 +94,33 @@
     }
 
     /// Asks it to end by SIGTERM and waits; gives its exit code.
-    pub(crate) fn stop(mut self) -> Result<i32> {
+    pub fn stop(mut self) -> Result<i32> {
         let pid = self.child.id().to_string();
         Command::new("kill").arg(&pid).status().context(IoSnafu)?;
         let status = self.child.wait().context(IoSnafu)?;
         Ok(status.code().unwrap_or(-1))
     }
 
+    /// Gets the memory that it holds, in bytes (`VmRSS` of proc(5)).
+    pub fn resident(&self) -> Result<u64> {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).context(IoSnafu)?;
+        let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok());
+        Ok(kib.unwrap_or_default() * 1024)
+    }
+
+    /// Gets the processor time that it has used, in milliseconds (proc(5), fields 14 and 15, at
+    /// the usual 100 ticks a second).
+    pub fn cpu_ms(&self) -> Result<u64> {
+        let path = format!("/proc/{}/stat", self.child.id());
+        let text = std::fs::read_to_string(path).context(IoSnafu)?;
+        let after = text.rsplit(')').next().unwrap_or_default();
+        let ticks = after.split_whitespace().skip(11).take(2);
+        let ticks: u64 = ticks.filter_map(|t| t.parse::<u64>().ok()).sum();
+        Ok(ticks * 10)
+    }
+
     fn text(&self) -> String {
         format!("{}: {}", self.name, self.lines("").join(" | "))
     }
