--- a/crates/core/tests/once/world.rs
+++ b/crates/core/tests/once/world.rs
@@ -503,6 +503,7 @@
             since,
             revision: Revision(serves),
             entries: parts.flat_map(|c| c.entries.clone()).collect(),
+            floor: None,
         };
         let source = Source::Service;
         let delay = self.latency();
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -14,7 +14,10 @@
         WorkspaceKey, //
     },
     config::Config,
-    ids::Id,
+    ids::{
+        Id,
+        Tag, //
+    },
 };
 
 /// `Number` is an event's number in the log.
@@ -42,8 +45,12 @@
     Rejected = 303,
     /// A home's lease began or ended.
     Lease = 401,
+    /// A peer's message was refused.
+    PeerRejected = 402,
     /// The drain began.
     Draining = 501,
+    /// The process ended.
+    Ended = 502,
 }
 
 fn name(id: Option<&Id>) -> &str {
@@ -69,6 +76,16 @@
     }};
 }
 
+/// Writes the line of the process's end.
+pub fn ended(cut: usize) {
+    event!(info, Ended, cut);
+}
+
+/// Writes the line of a peer's message that was refused.
+pub fn peer_rejected(from: Tag, error: &toucanturn_wire::Error) {
+    event!(warn, PeerRejected, from = from.0, error = %error);
+}
+
 /// Writes one decision's line.
 pub fn log(config: &Config, decision: &Decision) {
     match decision {
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -29,6 +29,7 @@
 };
 use tokio_util::sync::CancellationToken;
 use toucanturn_core::{
+    arena::RouterKey,
     config,
     event::Event,
     ids::Tag,
@@ -51,6 +52,8 @@
     },
 };
 
+use toucanturn_wire::forward;
+
 use crate::{
     answers::{
         self,
@@ -111,7 +114,7 @@
     /// Send it to its home router.
     Forward {
         /// The home.
-        router: Arc<config::Router>,
+        router: RouterKey,
         /// When the answer must be back.
         deadline: Time,
     },
@@ -181,7 +184,7 @@
                     true
                 }
                 Some(Step::Forward { router, deadline }) => {
-                    self.forward(&router, deadline).await;
+                    self.forward(router, deadline).await;
                     true
                 }
                 Some(Step::Refuse(refusal)) => {
@@ -420,12 +423,57 @@
         stream.send(events).await.is_ok()
     }
 
-    async fn forward(&mut self, router: &config::Router, deadline: Time) {
-        let _ = (router, deadline);
-        self.feed(Event::ForwardFailed {
-            call: self.call,
-            sent: false,
-        });
+    /// Sends the call to its home and reports what came of it.
+    async fn forward(&mut self, router: RouterKey, deadline: Time) {
+        let Some(request) = self.forwarded(deadline) else {
+            return;
+        };
+        let call = self.call;
+        let event = match self.driver.peers().forward(router, &request).await {
+            Ok(reply) => {
+                self.meta.attempts = reply.attempts;
+                self.meta.replayed = reply.replayed;
+                let refusal = refused(&reply);
+                self.held = Some(Answer {
+                    status: reply.status,
+                    content_type: reply.content_type,
+                    body: reply.body,
+                    cached_tokens: None,
+                });
+                Event::ForwardDone { call, refusal }
+            }
+            Err(error) => {
+                tracing::debug!(%error, sent = error.sent, "call not forwarded");
+                Event::ForwardFailed {
+                    call,
+                    sent: error.sent,
+                }
+            }
+        };
+        self.feed(event);
+    }
+
+    fn forwarded(&self, deadline: Time) -> Option<forward::Request> {
+        let request::Work::Once { key, content, .. } = self.exchange.request.work else {
+            return None;
+        };
+        let text = |v: &HeaderValue| Bytes::copy_from_slice(v.as_bytes());
+        Some(forward::Request {
+            request_id: Bytes::copy_from_slice(self.exchange.id.as_bytes()),
+            key,
+            priority: self.exchange.request.priority,
+            deadline: deadline.since(clock::now().mono),
+            method: Bytes::copy_from_slice(self.exchange.method.as_str().as_bytes()),
+            path: Bytes::copy_from_slice(self.exchange.path.as_bytes()),
+            content_type: self
+                .exchange
+                .content_type
+                .as_ref()
+                .map(text)
+                .unwrap_or_default(),
+            body: self.exchange.body.clone(),
+            content,
+        })
     }
 
     async fn refuse(&mut self, refusal: Refusal) {
@@ -483,6 +531,21 @@
     }
 }
 
+/// Gets the home's refusal out of its reply.
+fn refused(reply: &forward::Reply) -> Option<Refusal> {
+    let (outcome, retry_after) = (reply.outcome, reply.retry_after);
+    match reply.code {
+        Some(code) => Some(Refusal {
+            code,
+            outcome,
+            retry_after,
+        }),
+        // A reply without a status holds no answer to relay.
+        None if reply.status == 0 => Some(Refusal::unknown(Code::HomeUnavailable, retry_after)),
+        None => None,
+    }
+}
+
 /// Gets the prefix of a chat.
 fn prefix(exchange: &Exchange) -> Option<Prefix> {
     match exchange.request.work {
--- a/crates/router/src/platform.rs
+++ b/crates/router/src/platform.rs
@@ -1,8 +1,15 @@
 //! Reads the platform: the configuration service and the list of VMs.
 
 use std::{
-    sync::Arc,
-    time::Duration, //
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
+    },
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -63,6 +70,35 @@
     Parse { source: serde_json::Error },
 }
 
+/// `Addresses` are the addresses of one of the platform's services. One is used until it fails.
+#[derive(Debug)]
+pub(crate) struct Addresses {
+    all: Vec<SocketAddr>,
+    at: AtomicUsize,
+}
+
+impl Addresses {
+    /// Takes the addresses in their order; the settings hold at least one.
+    pub(crate) fn new(all: Vec<SocketAddr>) -> Self {
+        Self {
+            all,
+            at: AtomicUsize::new(0),
+        }
+    }
+
+    fn next(&self) -> SocketAddr {
+        let at = self.at.load(Ordering::Relaxed) % self.all.len().max(1);
+        self.all
+            .get(at)
+            .copied()
+            .unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0)))
+    }
+
+    fn failed(&self) {
+        self.at.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 #[derive(Deserialize)]
 struct RawEntry {
     key: String,
@@ -105,14 +141,19 @@
     tokio::spawn(async move {
         let wait = WATCH_WAIT.as_millis();
         let path = format!("/v1/config?since={}&wait_ms={wait}", since.0);
-        let event = match get::<RawChange>(&driver, &path, WATCH_WAIT + GRACE).await {
+        let address = driver.config_service.next();
+        let event = match get::<RawChange>(&driver, address, &path, WATCH_WAIT + GRACE).await {
             Ok(raw) if raw.revision >= since.0 => Event::Publish {
                 source: Source::Service,
                 change: change(since, raw),
             },
             // A service that is behind what is in force has nothing to say.
-            Ok(_) => Event::ReadFailed,
+            Ok(_) => {
+                driver.config_service.failed();
+                Event::ReadFailed
+            }
             Err(error) => {
+                driver.config_service.failed();
                 tracing::warn!(event = 301, %error, "configuration service not read");
                 Event::ReadFailed
             }
@@ -125,8 +166,9 @@
 pub(crate) fn read_vms(driver: &Arc<Driver>) {
     let driver = Arc::clone(driver);
     tokio::spawn(async move {
-        let Ok(raw) = get::<RawVms>(&driver, "/v1/vms", GRACE).await else {
-            return;
+        let address = driver.vm_list.next();
+        let Ok(raw) = get::<RawVms>(&driver, address, "/v1/vms", GRACE).await else {
+            return driver.vm_list.failed();
         };
         let vm = |vm: RawVm| {
             let id = Id::try_from(vm.id.as_str()).ok()?;
@@ -157,10 +199,11 @@
 
 async fn get<T: DeserializeOwned>(
     driver: &Driver,
+    address: SocketAddr,
     path: &str,
     limit: Duration,
 ) -> std::result::Result<T, Error> {
-    let url = format!("http://{}{path}", driver.options.platform);
+    let url = format!("http://{address}{path}");
     let response = driver
         .control
         .get(url)
--- a/crates/toucanturnd/src/run.rs
+++ b/crates/toucanturnd/src/run.rs
@@ -6,6 +6,7 @@
         PathBuf, //
     },
     process::ExitCode,
+    sync::Arc,
 };
 
 use snafu::{
@@ -13,20 +14,30 @@
     Snafu, //
 };
 use tokio::signal::unix::{
+    Signal,
     SignalKind,
     signal, //
 };
 use toucanturn_core::{
+    config::fault::Fault,
     event::Event,
-    units::Incarnation, //
+    settings::{
+        Format,
+        Log,
+        Settings, //
+    },
+    units::Incarnation,
 };
 use toucanturn_router::{
-    clock,
-    driver::Driver,
-    server, //
+    clock, events,
+    process::{
+        Process,
+        Sockets, //
+    },
 };
 
-use crate::settings::Settings;
+/// Threads that carry requests; the entry VMs are small.
+const THREADS: usize = 2;
 
 /// `Error` says why the daemon could not start.
 #[derive(Debug, Snafu)]
@@ -36,75 +47,84 @@
         path: PathBuf,
         source: std::io::Error,
     },
-    #[snafu(display("{} is not a settings file", path.display()))]
-    Parse {
-        path: PathBuf,
-        source: serde_json::Error,
-    },
+    #[snafu(display("{} is not valid:\n{}", path.display(), lines(faults)))]
+    Settings { path: PathBuf, faults: Vec<Fault> },
     #[snafu(display("can't start the runtime"))]
     Runtime { source: std::io::Error },
     #[snafu(display("can't watch signals"))]
-    Signal { source: std::io::Error },
+    Signals { source: std::io::Error },
     #[snafu(context(false), display("can't start the router"))]
     Router {
         source: toucanturn_router::errors::Error,
     },
 }
 
+fn lines(faults: &[Fault]) -> String {
+    let line = |f: &Fault| format!("  {f}");
+    faults.iter().map(line).collect::<Vec<_>>().join("\n")
+}
+
 /// Runs the daemon until its drain is over.
 pub(crate) fn run(path: &Path) -> Result<ExitCode, Error> {
     let text = std::fs::read(path).context(ReadSnafu { path })?;
-    let settings: Settings = serde_json::from_slice(&text).context(ParseSnafu { path })?;
-    tracing_subscriber::fmt()
-        .json()
-        .with_writer(std::io::stderr)
-        .init();
+    let settings = Settings::try_from(text.as_slice())
+        .map_err(|faults| SettingsSnafu { path, faults }.build())?;
+    log_to_stderr(settings.log);
     let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
+        .worker_threads(THREADS)
         .enable_all()
         .build()
         .context(RuntimeSnafu)?;
     runtime.block_on(serve(settings))
 }
 
+fn log_to_stderr(log: Log) {
+    let filter = tracing_subscriber::EnvFilter::new(format!(
+        "warn,toucanturn={0},toucanturn_router={0},toucanturnd={0}",
+        log.level
+    ));
+    let lines = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr);
+    match log.format {
+        Format::Json => lines.json().init(),
+        Format::Text => lines.init(),
+    }
+}
+
 async fn serve(settings: Settings) -> Result<ExitCode, Error> {
     // A later life at the same address must have a greater number: the wall clock gives one
     // without anything being kept.
     let incarnation = Incarnation(clock::now().wall.0);
-    let driver = Driver::new(settings.options(incarnation))?;
-    let callers = server::callers(&driver).await?;
-    let operators = server::operators(&driver).await?;
-    println!(
-        "{}",
-        serde_json::json!({ "listen": callers.address, "admin": operators.address })
-    );
-    let mut term = signal(SignalKind::terminate()).context(SignalSnafu)?;
-    let mut int = signal(SignalKind::interrupt()).context(SignalSnafu)?;
-    let running = driver.run();
-    tokio::pin!(running);
-    let mut draining = false;
-    let cut = loop {
-        tokio::select! {
-            cut = &mut running => break cut,
-            _ = term.recv() => {}
-            _ = int.recv() => {}
-        }
-        if draining {
-            break driver.open();
-        }
-        draining = true;
+    let sockets = Sockets::bind(&settings).await?;
+    let address = |l: &tokio::net::TcpListener| l.local_addr().ok();
+    let addresses = serde_json::json!({
+        "listen": address(&sockets.callers),
+        "peers": address(&sockets.peers),
+        "admin": address(&sockets.operators),
+    });
+    let process = Process::start(settings, incarnation, sockets)?;
+    println!("{addresses}");
+    let mut term = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+    let mut int = signal(SignalKind::interrupt()).context(SignalsSnafu)?;
+    let driver = Arc::clone(process.driver());
+    let hurry = async move {
+        either(&mut term, &mut int).await;
         driver.feed(Event::Drain);
+        either(&mut term, &mut int).await;
     };
-    if cut > 0 {
-        tracing::error!(event = 502, cut, "the drain ended before every request did");
-    }
-    // What is left are answers already handed to the sockets.
-    callers
-        .handle
-        .stop_graceful(std::time::Duration::from_secs(5));
+    let cut = process.run(hurry).await;
+    events::ended(cut);
     Ok(if cut == 0 {
         ExitCode::SUCCESS
     } else {
-        ExitCode::from(1)
+        ExitCode::FAILURE
     })
 }
+
+async fn either(one: &mut Signal, other: &mut Signal) {
+    tokio::select! {
+        _ = one.recv() => {}
+        _ = other.recv() => {}
+    }
+}
