Give the fixtures of limits and once a configuration that is valid

The checks now refuse what these fixtures published: workspaces without a key hash, and a router whose callers' and peers' addresses are the same. No assertion changes. Ruled out: easing the checks (a workspace that nobody can use and two listeners on one address are operators' mistakes).

Seen on the way: once's verify_no_key_runs_twice_and_not_run_is_true passes also when no configuration is in force and nothing runs; it should ask for some runs. Not changed here.

--- a/crates/core/tests/limits_fleet/mod.rs
+++ b/crates/core/tests/limits_fleet/mod.rs
@@ -55,11 +55,13 @@
             store: Store::default(),
             routers,
         };
-        let workspace = format!(
-            r#"{{"key_sha256":[],"priority":5,"requests_per_s":{per_s},"burst":{burst},"deadline_ms":5000}}"#
-        );
+        let workspace = |i: usize| {
+            format!(
+                r#"{{"key_sha256":["{i:064x}"],"priority":5,"requests_per_s":{per_s},"burst":{burst},"deadline_ms":5000}}"#
+            )
+        };
         let mut entries: Vec<(String, String)> = (0..workspaces)
-            .map(|i| (format!("workspaces/w{i}"), workspace.clone()))
+            .map(|i| (format!("workspaces/w{i}"), workspace(i)))
             .collect();
         entries.push(("fleet".to_owned(), fleet(routers, &[])));
         published.publish(entries);
--- a/crates/core/tests/once/rig.rs
+++ b/crates/core/tests/once/rig.rs
@@ -77,9 +77,9 @@
     let member = |name: &&str| {
         let (id, place) = name.split_once('@').unwrap_or((name, "1"));
         let number: u32 = id.trim_start_matches('r').parse().unwrap();
-        let address = format!("10.{place}.{}.{}:7000", number / 250, number % 250);
-        let router =
-            json!({"address": address, "peer_address": address, "data_center": "be-north-1"});
+        let ip = format!("10.{place}.{}.{}", number / 250, number % 250);
+        let (address, peer) = (format!("{ip}:7000"), format!("{ip}:7001"));
+        let router = json!({"address": address, "peer_address": peer, "data_center": "be-north-1"});
         (id.to_owned(), router)
     };
     Value::Object(names.iter().map(member).collect())
