limits: homes that fail, move or are cut off

The next router in rendezvous order takes over when a further one agrees; after a change of the fleet the old home goes on until it has followed too; the two sides of a partition share the rate.

--- a/crates/core/src/limits/bucket.rs
+++ b/crates/core/src/limits/bucket.rs
@@ -20,9 +20,11 @@
 pub const MAX_RETRY: Millis = Millis(1000);
 /// Questions a second about one workspace at which its home starts to spread them further.
 pub const ASKS_PER_S: u64 = 330;
-/// Time after its start during which a bucket fills at half its rate: another router may still
-/// hold a bucket for the same workspace.
+/// Time after its start during which a substitute's bucket fills at half its rate: the home may
+/// only be cut off, and not know it yet.
 pub const CAUTION: Millis = Millis(1000);
+/// The same for a home's own bucket: a substitute may not have heard yet that the home is back.
+pub const HOME_CAUTION: Millis = Millis(250);
 
 /// Millionths of a request, the unit in which buckets count.
 const REQUEST: u64 = 1_000_000;
@@ -53,7 +55,7 @@
 pub(super) struct Bucket {
     micro: u64,
     filled: Time,
-    born: Time,
+    cautious: Time,
     grants: IndexMap<RouterKey, Grant>,
     unused: u64,
     cleaned: Time,
@@ -73,19 +75,27 @@
 }
 
 impl Bucket {
-    /// Makes a nearly empty bucket that began to fill at `born`.
-    pub(super) fn new(born: Time, limit: Limit) -> Self {
+    /// Makes a nearly empty bucket that began to fill at `born`, at half its rate for a time.
+    pub(super) fn new(born: Time, caution: Millis, limit: Limit) -> Self {
         let second = u64::from(limit.requests_per_s) * REQUEST;
         Self {
             micro: (second / START_PART).max(REQUEST),
             filled: born,
-            born,
+            cautious: born + caution,
             grants: IndexMap::new(),
             unused: 0,
             cleaned: born,
         }
     }
 
+    /// Makes a full bucket.
+    pub(super) fn full(born: Time, limit: Limit) -> Self {
+        Self {
+            micro: u64::from(limit.burst) * REQUEST,
+            ..Self::new(born, Millis(0), limit)
+        }
+    }
+
     /// Takes up to the wanted number of requests; gives those, and the time until more can be
     /// had if they are fewer.
     pub(super) fn take(&mut self, now: Time, take: Take) -> (u32, Millis) {
@@ -126,7 +136,7 @@
     fn fill(&mut self, now: Time, limit: Limit, part: Permille) {
         let rate = u64::from(limit.requests_per_s);
         let per_milli = rate * u64::from(part.0);
-        let cautious = (self.born + CAUTION).since(self.filled).0;
+        let cautious = self.cautious.since(self.filled).0;
         let elapsed = now.since(self.filled).0;
         let slow = elapsed.min(cautious);
         let added = per_milli.saturating_mul(elapsed - slow) + per_milli * slow / 2;
--- a/crates/core/src/limits/homes.rs
+++ b/crates/core/src/limits/homes.rs
@@ -21,8 +21,11 @@
 pub const DOWN_FOR: Millis = Millis(30_000);
 /// Time after a fleet change during which a new home draws on the one before it.
 pub const HANDOVER: Millis = Millis(5000);
-/// What a home that reaches most of the fleet fills beyond the part that it reaches.
-pub const ALLOWANCE: Permille = Permille(80);
+/// What the two sides of a partition together may fill beyond the limit.
+pub const ALLOWANCE: Permille = Permille(30);
+
+/// Summary intervals without a word from any peer after which a router counts as cut off alone.
+pub const SILENT_INTERVALS: u64 = 3;
 
 /// `Homes` knows the order of homes and who cannot be reached.
 #[derive(Debug, Default)]
@@ -32,6 +35,9 @@
     fleet: Vec<(RouterKey, Tag)>,
     before: Vec<(RouterKey, Tag)>,
     moved: Time,
+    silence: Millis,
+    spoken: bool,
+    heard: Option<Time>,
 }
 
 impl Homes {
@@ -40,6 +46,8 @@
         self.down.retain(|key, _| config.fleet.get(key).is_some());
         self.round_trips
             .retain(|key, _| config.fleet.get(key).is_some());
+        let interval = config.policy.summary_interval.0;
+        self.silence = Millis(interval.saturating_mul(SILENT_INTERVALS));
         let fleet: Vec<_> = config.fleet.iter().map(|(k, r)| (k, r.tag)).collect();
         if fleet != self.fleet {
             self.before = std::mem::replace(&mut self.fleet, fleet);
@@ -54,16 +62,19 @@
 
     /// Gets a workspace's home as this router sees it.
     pub(super) fn first(&self, now: Time, me: Option<RouterKey>, item: Tag) -> Option<RouterKey> {
-        self.best(&self.fleet, now, me, item)
+        self.best(self.fleet.iter(), now, me, item)
     }
 
-    /// Tells whether a router comes first in the published order, reachable or not.
-    pub(super) fn is_published(&self, router: RouterKey, item: Tag) -> bool {
+    /// Gets a workspace's home in the published order, reachable or not.
+    pub(super) fn published(&self, item: Tag) -> Option<RouterKey> {
         let best = self.fleet.iter().max_by_key(|(_, tag)| score(item, *tag));
-        best.is_some_and(|(key, _)| *key == router)
+        best.map(|(key, _)| *key)
     }
 
-    /// Gets the home under the fleet before the last change, while it may still act as such.
+    /// Gets the home under the fleet before the last change, for as long as it may still be that.
+    ///
+    /// Routers that have followed the change go on asking it; once it has followed too, it passes
+    /// them on. So the bucket changes hands at one moment, though routers follow one by one.
     pub(super) fn predecessor(
         &self,
         now: Time,
@@ -73,11 +84,25 @@
         if now.since(self.moved) >= HANDOVER {
             return None;
         }
-        let key = self.best(&self.before, now, me, item)?;
+        let key = self.best(self.before.iter(), now, me, item)?;
         let stays = self.fleet.iter().any(|(k, _)| *k == key);
         (stays && Some(key) != me).then_some(key)
     }
 
+    /// Gets the router that has a say in whether `me`, first of those it can reach, is the home
+    /// now; `None` when nobody has.
+    ///
+    /// After a change of the fleet that is the home before it. A substitute needs the word of the
+    /// next in order: it alone may have lost its path to the home, and a second bucket would then
+    /// double the limit.
+    pub(super) fn witness(&self, now: Time, me: RouterKey, item: Tag) -> Option<RouterKey> {
+        if self.published(item) == Some(me) {
+            return self.predecessor(now, Some(me), item);
+        }
+        let others = self.fleet.iter().filter(|(key, _)| *key != me);
+        self.best(others, now, None, item)
+    }
+
     /// Notes that a router cannot be reached.
     pub(super) fn failed(&mut self, now: Time, router: RouterKey) {
         self.down.insert(router, now + DOWN_FOR);
@@ -86,6 +111,14 @@
     /// Notes that a router was heard.
     pub(super) fn heard(&mut self, router: RouterKey) {
         self.down.remove(router);
+        self.spoken = true;
+    }
+
+    /// Lets time pass.
+    pub(super) fn tick(&mut self, now: Time) {
+        if std::mem::take(&mut self.spoken) {
+            self.heard = Some(now);
+        }
     }
 
     /// Notes how long an answer took.
@@ -101,16 +134,23 @@
 
     /// Gets the part of its rate at which a home may fill.
     ///
-    /// The two sides of a partition each have a home. Filling by the part of the fleet that each
-    /// reaches keeps their sum near the limit; the allowance keeps one dead router of seven from
-    /// costing the others a seventh, and only one side can hold the majority that has it.
+    /// The two sides of a partition each have a home. The smaller one fills at half of the part of
+    /// the fleet that it reaches, and the greater one leaves that room, but for [`ALLOWANCE`]. So
+    /// their sum stays near the limit, and routers that are dead, not cut off, cost the living
+    /// little: one of seven costs 4 %.
     pub(super) fn fill(&self, now: Time) -> Permille {
         let all = self.fleet.len().max(1) as u64;
         let down = self.down.values().filter(|until| now < **until).count() as u64;
-        let reached = all.saturating_sub(down).max(1);
-        let part = reached * 1000 / all;
-        let extra = if reached * 2 > all { ALLOWANCE.0 } else { 0 };
-        Permille(u32::try_from(part).unwrap_or(1000) + extra).min(Permille(1000))
+        // A router that is cut off alone hears it from its peers' silence before its own
+        // connections fail.
+        let silent = self.heard.is_some_and(|t| now.since(t) > self.silence);
+        let down = if silent { all - 1 } else { down.min(all - 1) };
+        let half = |routers: u64| u32::try_from(routers * 500 / all).unwrap_or(500);
+        if down * 2 < all {
+            Permille((1000 + ALLOWANCE.0 - half(down)).min(1000))
+        } else {
+            Permille(half(all - down))
+        }
     }
 
     /// Gets the number of routers in the fleet.
@@ -118,9 +158,9 @@
         self.fleet.len()
     }
 
-    fn best(
+    fn best<'a>(
         &self,
-        fleet: &[(RouterKey, Tag)],
+        routers: impl Iterator<Item = &'a (RouterKey, Tag)>,
         now: Time,
         me: Option<RouterKey>,
         item: Tag,
@@ -128,7 +168,7 @@
         let up = |key: RouterKey| {
             Some(key) == me || self.down.get(key).is_none_or(|until| now >= *until)
         };
-        let reached = fleet.iter().filter(|(key, _)| up(*key));
+        let reached = routers.filter(|(key, _)| up(*key));
         let best = reached.max_by_key(|(_, tag)| score(item, *tag));
         best.map(|(key, _)| *key)
     }
--- a/crates/core/src/limits/mod.rs
+++ b/crates/core/src/limits/mod.rs
@@ -6,10 +6,9 @@
 //! then the router's static share of the limit decides.
 //!
 //! When a home cannot be reached, the next in rendezvous order takes over with a nearly empty
-//! bucket. A router that is asked but is not the home passes on what it gets from the home itself,
+//! bucket, once a further router agrees. A router that is asked but is not the home passes on what it gets from the home itself,
 //! so that a lost path between two routers costs time, not requests. After a change of the fleet
-//! the new home draws on the old one until that says that it has moved too: at no time do two
-//! reachable buckets exist for one workspace.
+//! the old home goes on until it has followed the change itself, and passes on questions then.
 //!
 //! docs/design/limits.md weighs this against other ways.
 //!
@@ -40,6 +39,8 @@
 };
 
 mod bucket;
+mod entry;
+mod grant;
 mod homes;
 mod row;
 mod share;
@@ -48,25 +49,22 @@
     ASKS_PER_S,
     CAUTION,
     GRANT_TTL,
+    HOME_CAUTION,
     MAX_RETRY,
     MIN_RETRY, //
 };
 pub use homes::{
     ALLOWANCE,
     DOWN_FOR,
-    HANDOVER, //
+    HANDOVER,
+    SILENT_INTERVALS, //
 };
 pub use share::MAX_LOTS;
 
-use bucket::{
-    Bucket,
-    Take, //
-};
 use homes::Homes;
 use row::{
     Pending,
-    Row,
-    Waiting, //
+    Row, //
 };
 
 /// Longest time that a call waits for a grant (up to a tick later).
@@ -85,6 +83,8 @@
 pub const MAX_ASKS: u32 = 3;
 /// When to come back to a router that has to ask the home itself.
 pub const RELAY_RETRY: Millis = Millis(20);
+/// Time between two signs of life that a substitute asks of the published home.
+pub const PROBE: Millis = Millis(250);
 /// Time over which the returns of refused callers are spread.
 pub const SPREAD: Millis = Millis(1000);
 /// Time after which a workspace without requests is forgotten here.
@@ -207,141 +207,10 @@
             .retain(|key, _| config.workspaces.get(key).is_some());
         let moved = self.homes.moved();
         self.homes.apply(now, config);
-        if self.homes.moved() != moved {
-            self.rows.values_mut().for_each(|row| row.handed = false);
-        }
-    }
-
-    /// Asks to admit one request.
-    pub fn admit(&mut self, now: Time, config: &Config, ask: Ask, out: &mut Vec<Outgo>) -> Verdict {
-        let Some(scene) = Scene::new(now, config, ask.me, ask.workspace) else {
-            return refuse(ask.me, ask.call, MIN_RETRY);
-        };
-        self.me = ask.me;
-        let role = self.role(scene);
-        let Some(row) = row(&mut self.rows, scene) else {
-            return refuse(ask.me, ask.call, MIN_RETRY);
-        };
-        row.used = now;
-        row.demand.note(now, 1);
-        let home = match role {
-            Role::Home => return self.admit_as_home(scene, ask.call),
-            Role::Entry(home) => home,
-        };
-        if row.lots.take(now, 1) == 1 {
-            if row.is_low(now) {
-                self.send_ask(scene, home, out);
-            }
-            return Verdict::Admit;
-        }
-        if now < row.refuse_until {
-            return refuse(ask.me, ask.call, row.refuse_until.since(now));
-        }
-        let Some(home) = home.filter(|_| !row.is_unanswered(now)) else {
-            return row.static_verdict(scene, self.homes.len(), ask.call);
-        };
-        if self.waiting.len() >= MAX_WAITING || row.waiting.len() >= MAX_WAITING_WORKSPACE {
-            return refuse(ask.me, ask.call, MIN_RETRY);
-        }
-        row.wait(Waiting {
-            call: ask.call,
-            priority: ask.priority,
-            since: now,
-        });
-        self.waiting.insert(ask.call, ask.workspace);
-        self.send_ask(scene, Some(home), out);
-        Verdict::Wait
-    }
-
-    /// Answers a router's question as the workspace's home: requests granted and the time until
-    /// more can be had. Nothing granted and no time says that the asker is the home itself.
-    pub fn ask(
-        &mut self,
-        now: Time,
-        config: &Config,
-        question: Question,
-        out: &mut Vec<Outgo>,
-    ) -> (u32, Millis) {
-        let Question {
-            me,
-            from,
-            workspace,
-            want,
-        } = question;
-        let Some(scene) = Scene::new(now, config, me, workspace) else {
-            return (0, MAX_RETRY);
-        };
-        self.homes.heard(from);
-        // A predecessor that asks has followed the change of the fleet itself.
-        let mut role = self.role(scene);
-        if role == Role::Entry(Some(from)) && self.homes.first(now, me, scene.tag) == me {
-            if let Some(row) = row(&mut self.rows, scene) {
-                row.handed = true;
-            }
-            role = Role::Home;
-        }
-        match role {
-            Role::Home => self.take(scene, Some(from), want),
-            Role::Entry(Some(home)) if home == from => (0, Millis(0)),
-            Role::Entry(home) => self.relay(scene, home, want, out),
-        }
-    }
-
-    /// Notes a home's grant.
-    pub fn granted(
-        &mut self,
-        now: Time,
-        workspace: WorkspaceKey,
-        granted: u32,
-        retry_after: Millis,
-        nonce: u64,
-        out: &mut Vec<Outgo>,
-    ) {
-        let Some(row) = self.rows.get_mut(workspace) else {
-            return;
-        };
-        // An answer to a question that was given up or answered before brings nothing: its grant
-        // expires unused.
-        let Some(pending) = row.pending.take_if(|p| p.nonce == nonce) else {
-            return;
-        };
-        self.homes.heard(pending.home);
-        self.homes.answered(pending.home, now.since(pending.sent));
-        if granted == 0 && retry_after == Millis(0) {
-            row.handed = true;
-            return;
-        }
-        row.static_share = None;
-        // A home counts a single request as used at once, so it must not be kept for later.
-        if granted > 1 || !row.waiting.is_empty() || row.relayed > 0 {
-            row.lots.add(granted, pending.at + GRANT_TTL);
-        }
-        row.relayed = 0;
-        let me = self.me;
-        row.admit_waiting(now, |call| {
-            self.waiting.swap_remove(&call);
-            out.push(Outgo::Decided {
-                call,
-                verdict: Verdict::Admit,
-            });
-        });
-        if granted < pending.want {
-            row.refuse_until = now + retry_after;
-            row.refuse_waiting(now, |call, after| {
-                self.waiting.swap_remove(&call);
-                let verdict = refuse(me, call, after);
-                out.push(Outgo::Decided { call, verdict });
-            });
-        } else if !row.waiting.is_empty() {
-            self.nonce += 1;
-            let want = row.want(now);
-            row.pending = Some(Pending::new(now, pending.home, want, self.nonce));
-            out.push(Outgo::Ask {
-                home: pending.home,
-                workspace,
-                want,
-                nonce: self.nonce,
-            });
+        let stays = |p: &Pending| config.fleet.get(p.home).is_some();
+        for row in self.rows.values_mut() {
+            row.handed &= self.homes.moved() == moved;
+            row.pending = row.pending.filter(stays);
         }
     }
 
@@ -393,6 +262,7 @@
         me: Option<RouterKey>,
         out: &mut Vec<Outgo>,
     ) {
+        self.homes.tick(now);
         self.tick_pending(now, out);
         for key in self.rows.keys().collect::<Vec<_>>() {
             let Some(scene) = Scene::new(now, config, me, key) else {
@@ -400,6 +270,7 @@
             };
             self.ask_for_waiting(scene, out);
             self.tick_waiting(scene, out);
+            self.tick_probe(scene, out);
         }
         self.rows.retain(|_, row| !row.is_idle(now));
     }
@@ -408,172 +279,6 @@
     pub fn waiting(&self) -> usize {
         self.waiting.len()
     }
-
-    fn tick_pending(&mut self, now: Time, out: &mut Vec<Outgo>) {
-        for (workspace, row) in &mut self.rows {
-            let Some(pending) = &mut row.pending else {
-                continue;
-            };
-            let home = pending.home;
-            if now.since(pending.sent) < self.homes.patience(home, ASK_AGAIN) {
-                continue;
-            }
-            if pending.asks >= MAX_ASKS {
-                self.homes.failed(now, home);
-                row.pending = None;
-                continue;
-            }
-            pending.asks += 1;
-            pending.sent = now;
-            out.push(Outgo::Ask {
-                home,
-                workspace,
-                want: pending.want,
-                nonce: pending.nonce,
-            });
-        }
-    }
-
-    /// Decides what has waited too long by the static share.
-    fn tick_waiting(&mut self, scene: Scene, out: &mut Vec<Outgo>) {
-        let Some(row) = self.rows.get_mut(scene.workspace) else {
-            return;
-        };
-        while let Some(waiting) = row.overdue(scene.now) {
-            let call = waiting.call;
-            let verdict = row.static_verdict(scene, self.homes.len(), call);
-            self.waiting.swap_remove(&call);
-            out.push(Outgo::Decided { call, verdict });
-        }
-    }
-
-    /// Asks for the calls that wait without a question on its way, or decides them where this
-    /// router has become the home.
-    fn ask_for_waiting(&mut self, scene: Scene, out: &mut Vec<Outgo>) {
-        let Some(row) = self.rows.get(scene.workspace) else {
-            return;
-        };
-        if row.pending.is_some() || scene.now < row.refuse_until || !row.is_wanting() {
-            return;
-        }
-        match self.role(scene) {
-            Role::Entry(home) => self.send_ask(scene, home, out),
-            Role::Home => {
-                let Some(row) = self.rows.get_mut(scene.workspace) else {
-                    return;
-                };
-                row.relayed = 0;
-                for waiting in std::mem::take(&mut row.waiting) {
-                    let call = waiting.call;
-                    self.waiting.swap_remove(&call);
-                    let verdict = self.admit_as_home(scene, call);
-                    out.push(Outgo::Decided { call, verdict });
-                }
-            }
-        }
-    }
-
-    fn send_ask(&mut self, scene: Scene, home: Option<RouterKey>, out: &mut Vec<Outgo>) {
-        let (Some(home), Some(row)) = (home, self.rows.get_mut(scene.workspace)) else {
-            return;
-        };
-        if row.pending.is_some() || scene.now < row.refuse_until {
-            return;
-        }
-        self.nonce += 1;
-        let want = row.want(scene.now);
-        row.pending = Some(Pending::new(scene.now, home, want, self.nonce));
-        out.push(Outgo::Ask {
-            home,
-            workspace: scene.workspace,
-            want,
-            nonce: self.nonce,
-        });
-    }
-
-    /// Finds this router's part. A router that is not the home holds no bucket, so that a later
-    /// take-over starts afresh.
-    fn role(&mut self, scene: Scene) -> Role {
-        let Scene { now, me, tag, .. } = scene;
-        let first = self.homes.first(now, me, tag);
-        if self.homes.len() == 0 {
-            return Role::Home;
-        }
-        let row = self.rows.get_mut(scene.workspace);
-        if me.is_none() || first != me {
-            if let Some(row) = row {
-                row.bucket = None;
-            }
-            return Role::Entry(first);
-        }
-        if row.is_some_and(|row| row.handed || row.bucket.is_some()) {
-            return Role::Home;
-        }
-        match self.homes.predecessor(now, me, tag) {
-            Some(old) => Role::Entry(Some(old)),
-            None => Role::Home,
-        }
-    }
-
-    fn admit_as_home(&mut self, scene: Scene, call: Call) -> Verdict {
-        match self.take(scene, None, 1) {
-            (0, retry_after) => refuse(scene.me, call, retry_after),
-            _ => Verdict::Admit,
-        }
-    }
-
-    fn take(&mut self, scene: Scene, from: Option<RouterKey>, want: u32) -> (u32, Millis) {
-        // The first in the published order fills from the time it became that; a substitute, and
-        // one that draws on a predecessor first, from now.
-        let published = scene
-            .me
-            .is_none_or(|me| self.homes.is_published(me, scene.tag));
-        let fill = self.homes.fill(scene.now);
-        let moved = self.homes.moved();
-        let Some(row) = row(&mut self.rows, scene) else {
-            return (0, MAX_RETRY);
-        };
-        let born = if published && !row.handed {
-            moved
-        } else {
-            scene.now
-        };
-        let bucket = row
-            .bucket
-            .get_or_insert_with(|| Bucket::new(born, scene.limit));
-        let take = Take {
-            limit: scene.limit,
-            fill,
-            want,
-            from,
-        };
-        bucket.take(scene.now, take)
-    }
-
-    /// Passes on what this router itself was granted.
-    fn relay(
-        &mut self,
-        scene: Scene,
-        home: Option<RouterKey>,
-        want: u32,
-        out: &mut Vec<Outgo>,
-    ) -> (u32, Millis) {
-        let Some(row) = row(&mut self.rows, scene) else {
-            return (0, MAX_RETRY);
-        };
-        row.used = scene.now;
-        row.demand.note(scene.now, want);
-        let granted = row.lots.take(scene.now, want);
-        if granted == want {
-            return (granted, Millis(0));
-        }
-        if scene.now < row.refuse_until {
-            return (granted, row.refuse_until.since(scene.now));
-        }
-        row.relayed = row.relayed.saturating_add(want - granted);
-        self.send_ask(scene, home, out);
-        (granted, RELAY_RETRY)
-    }
 }
 
 fn row(rows: &mut SecondaryMap<WorkspaceKey, Row>, scene: Scene) -> Option<&mut Row> {
--- a/crates/core/src/limits/row.rs
+++ b/crates/core/src/limits/row.rs
@@ -37,6 +37,8 @@
     pub(super) want: u32,
     /// How often it was asked.
     pub(super) asks: u32,
+    /// Whether that router is asked as the home before the last change of the fleet.
+    pub(super) is_old: bool,
 }
 
 impl Pending {
@@ -48,6 +50,7 @@
             sent: now,
             want,
             asks: 1,
+            is_old: false,
         }
     }
 }
@@ -79,8 +82,10 @@
     pub(super) relayed: u32,
     /// The bucket, while this router is the home.
     pub(super) bucket: Option<Bucket>,
-    /// Whether the home before the last change of the fleet has said that it is that no more.
+    /// Whether another router has said that this one is the home.
     pub(super) handed: bool,
+    /// When the published home was last asked for a sign of life.
+    pub(super) probed: Time,
     /// When a request last came.
     pub(super) used: Time,
 }
--- a/crates/core/tests/limits_fleet/mod.rs
+++ b/crates/core/tests/limits_fleet/mod.rs
@@ -1,6 +1,11 @@
 //! A fleet of `Limits` in one process, with message delay, loss, cuts and restarts. Time moves in
 //! steps of one millisecond; the same seed gives the same run.
 
+#![expect(
+    clippy::expect_used,
+    reason = "a harness of tests stops at what it can't do"
+)]
+
 use std::{
     collections::BTreeMap,
     sync::Arc, //
@@ -121,6 +126,7 @@
         retry_after: Millis,
         nonce: u64,
     },
+    /// Not sent: the receiver's driver says that the sender cannot be reached.
     Failed,
     Summary,
 }
@@ -147,6 +153,8 @@
     pub(crate) limits: Limits,
     pub(crate) config: Arc<Config>,
     pub(crate) up: bool,
+    /// The process stands still until then; what it gets meanwhile it reads when it wakes.
+    pub(crate) paused: Time,
     /// Side of a partition; two routers talk when they are on one side.
     pub(crate) side: u8,
     pub(crate) sent: u64,
@@ -174,6 +182,8 @@
     pub(crate) admitted: Vec<Admitted>,
     pub(crate) refused: Vec<(Time, Millis)>,
     pub(crate) waits: Vec<u64>,
+    /// Two routers that cannot reach each other, though all others reach both.
+    pub(crate) severed: Option<(usize, usize)>,
     ids: Vec<Id>,
     queue: BTreeMap<(Time, u64), Letter>,
     asked: BTreeMap<u64, (Time, usize, WorkspaceKey)>,
@@ -192,6 +202,7 @@
                 limits,
                 config: Arc::clone(&config),
                 up: true,
+                paused: Time(0),
                 side: 0,
                 sent: 0,
                 received: 0,
@@ -209,6 +220,7 @@
             admitted: Vec::new(),
             refused: Vec::new(),
             waits: Vec::new(),
+            severed: None,
             ids: (0..published.routers).map(id).collect(),
             queue: BTreeMap::new(),
             asked: BTreeMap::new(),
@@ -226,7 +238,11 @@
 
     /// Index of a workspace's home in the published order.
     pub(crate) fn home(&self, workspace: WorkspaceKey) -> usize {
-        let config = &self.routers[0].config;
+        self.home_in(&self.routers[0].config, workspace)
+    }
+
+    /// The same under a certain configuration.
+    pub(crate) fn home_in(&self, config: &Config, workspace: WorkspaceKey) -> usize {
         let tag = config.workspaces.get(workspace).expect("published").tag;
         let home = config.home(u64::from(tag.0)).expect("a fleet");
         let is_home = |i: &usize| config.fleet.key(&self.ids[*i]) == Some(home);
@@ -241,6 +257,42 @@
         router.up = true;
     }
 
+    /// Cuts the fleet in two: the routers in `far` and the others. Each driver notices within
+    /// 1.5 s that the peers of the other side cannot be reached.
+    pub(crate) fn cut(&mut self, far: &[usize]) {
+        for index in far {
+            self.routers[*index].side = 1;
+        }
+        let others: Vec<usize> = (0..self.routers.len())
+            .filter(|i| !far.contains(i))
+            .collect();
+        for (a, b) in far
+            .iter()
+            .flat_map(|a| others.iter().map(move |b| (*a, *b)))
+        {
+            for (from, to) in [(a, b), (b, a)] {
+                let message = Message::Failed;
+                let delay = self.rng.random_range(500..1500);
+                self.post(delay, Letter { from, to, message });
+            }
+        }
+    }
+
+    /// Joins the two sides; peers hear from each other again within 300 ms.
+    pub(crate) fn heal(&mut self) {
+        let all = self.routers.len();
+        for (a, b) in (0..all).flat_map(|a| (0..all).map(move |b| (a, b))) {
+            if self.routers[a].side != self.routers[b].side {
+                let (from, to, message) = (a, b, Message::Summary);
+                let delay = self.rng.random_range(1..300);
+                self.post(delay, Letter { from, to, message });
+            }
+        }
+        for router in &mut self.routers {
+            router.side = 0;
+        }
+    }
+
     /// Puts a configuration in force at one router.
     pub(crate) fn apply(&mut self, index: usize, config: &Arc<Config>) {
         let router = &mut self.routers[index];
@@ -265,7 +317,7 @@
 
     /// One call at a router.
     pub(crate) fn call(&mut self, index: usize, workspace: WorkspaceKey) {
-        if !self.routers[index].up {
+        if !self.routers[index].up || self.now < self.routers[index].paused {
             return;
         }
         self.number += 1;
@@ -294,14 +346,22 @@
                 break;
             }
             let letter = entry.remove();
-            self.deliver(letter);
+            let paused = self.routers[letter.to].paused;
+            if self.now < paused {
+                self.post(paused.since(self.now).0, letter);
+            } else {
+                self.deliver(letter);
+            }
         }
         for index in 0..self.routers.len() {
             let phase = index as u64 * 7;
-            if self.routers[index].up && (self.now.0 + phase).is_multiple_of(TICK.0) {
+            if !self.routers[index].up || self.now < self.routers[index].paused {
+                continue;
+            }
+            if (self.now.0 + phase).is_multiple_of(TICK.0) {
                 self.tick(index);
             }
-            if self.routers[index].up && (self.now.0 + phase).is_multiple_of(200) {
+            if (self.now.0 + phase).is_multiple_of(200) {
                 self.summarize(index);
             }
         }
@@ -428,7 +488,8 @@
             };
             return self.post(delay, letter);
         }
-        let cut = self.routers[from].side != self.routers[to].side;
+        let severed = self.severed == Some((from, to)) || self.severed == Some((to, from));
+        let cut = severed || self.routers[from].side != self.routers[to].side;
         if cut || self.rng.random_range(0..1000) < self.network.loss {
             return;
         }
