Place by token under a limit, on flat pools of corrected loads

Cause of the shortfall: the first placement gave new chats the room that returning chats need, and bounded loads by a total that left out reports.

Now a chat without a token goes to the first by hash among those below 0.9 of the mean, one with a token to its engine up to the multiple less 0.025, and elsewhere with an import from the holder. Each router sends an endpoint one or two requests at most before its peers are told.

--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -13,6 +13,7 @@
         Call,
         Outcome,
         Placed,
+        Prefix,
         Refusal,
         Token, //
     },
@@ -46,6 +47,19 @@
         /// not send what another home may meanwhile answer for.
         not_after: Option<Time>,
     },
+    /// Have an engine import a prefix's KV cache from another engine. It is advice: where it fails,
+    /// the prompt is computed again.
+    Import {
+        /// The call that waits for it, whose dispatch follows; `None` for a chat that is to move
+        /// before it returns.
+        call: Option<Call>,
+        /// The prefix.
+        prefix: Prefix,
+        /// Engine that holds it.
+        from: EndpointKey,
+        /// Engine that is to hold it.
+        to: EndpointKey,
+    },
     /// Send the call to its home router.
     Forward {
         /// The call.
--- /dev/null
+++ b/crates/core/src/place/moves.rs
@@ -0,0 +1,151 @@
+//! Chats that move with their KV cache before they return.
+//!
+//! Each router remembers the chats that it sent out last. When an engine starts to leave, they go
+//! to their home by rendezvous hash among the engines that stay, a few with each tick; a chat that
+//! returns with a token for the engine that is gone is looked for there. What is forgotten or
+//! moved in vain costs a prefill.
+
+use indexmap::IndexMap;
+
+use super::Scene;
+use crate::{
+    arena::{
+        EndpointKey,
+        ModelKey, //
+    },
+    config::Config,
+    load::{
+        Group,
+        Usable, //
+    },
+    membership::State,
+    request::{
+        Prefix,
+        Token,
+        Work, //
+    },
+    units::Incarnation,
+};
+
+/// Chats that a router remembers; the one sent longest ago is forgotten. About 1.5 MB.
+const MAX_RECENT: usize = 32_768;
+/// Moves with each tick, so that a leaving engine's network is left to its answers.
+const MOVES_PER_TICK: usize = 8;
+
+/// `Move` is a prefix that is to be imported elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Move {
+    /// The prefix.
+    pub prefix: Prefix,
+    /// The engine that leaves.
+    pub from: EndpointKey,
+    /// The engine that is to hold it.
+    pub to: EndpointKey,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Chat {
+    model: ModelKey,
+    engine: EndpointKey,
+    life: Incarnation,
+}
+
+/// `Recent` is the chats that this router sent out last.
+#[derive(Debug, Default)]
+pub struct Recent {
+    // A ring: the next slot to overwrite is `next`.
+    chats: IndexMap<Prefix, Chat>,
+    next: usize,
+    // Engines that leave, with the slot down to which their chats were moved.
+    leaving: IndexMap<EndpointKey, usize>,
+}
+
+impl Recent {
+    /// Notes where a chat was sent.
+    pub fn note(
+        &mut self,
+        prefix: Prefix,
+        model: ModelKey,
+        (engine, life): (EndpointKey, Incarnation),
+    ) {
+        let chat = Chat {
+            model,
+            engine,
+            life,
+        };
+        if let Some(known) = self.chats.get_mut(&prefix) {
+            *known = chat;
+        } else if self.chats.len() < MAX_RECENT {
+            self.chats.insert(prefix, chat);
+        } else {
+            // The slot's old chat is forgotten; the new one takes its place.
+            self.chats.swap_remove_index(self.next);
+            let (last, _) = self.chats.insert_full(prefix, chat);
+            self.chats.swap_indices(self.next, last);
+            self.next = (self.next + 1) % MAX_RECENT;
+        }
+    }
+
+    /// Gets the work with a token for the engine that this router sent the chat to, where the caller
+    /// brought none.
+    pub fn recall(&self, config: &Config, work: &Work) -> Work {
+        let mut work = work.clone();
+        if let Work::Chat { prefix, token, .. } = &mut work
+            && token.is_none()
+        {
+            *token = self.token(config, *prefix);
+        }
+        work
+    }
+
+    fn token(&self, config: &Config, prefix: Prefix) -> Option<Token> {
+        let chat = self.chats.get(&prefix)?;
+        let engine = config.endpoints.get(chat.engine)?;
+        Some(Token {
+            last: engine.tag,
+            incarnation: chat.life,
+            before: None,
+        })
+    }
+
+    /// Gets the next chats to move away from engines that leave.
+    pub fn moves(&mut self, scene: Scene<'_>) -> Vec<Move> {
+        let leaves = |key: EndpointKey| scene.view.state(scene.now, key) == State::Leaving;
+        self.leaving.retain(|key, _| leaves(*key));
+        for (key, _) in scene.view.all_leaving() {
+            self.leaving.entry(key).or_insert(self.chats.len());
+        }
+        let mut out = Vec::new();
+        for (&from, left) in &mut self.leaving {
+            while *left > 0 && out.len() < MOVES_PER_TICK {
+                *left -= 1;
+                let Some((prefix, chat)) = self.chats.get_index_mut(*left) else {
+                    continue;
+                };
+                if chat.engine != from {
+                    continue;
+                }
+                if let Some(to) = home(scene, *prefix, chat.model) {
+                    chat.engine = to;
+                    chat.life = scene.view.incarnation(to);
+                    let prefix = *prefix;
+                    out.push(Move { prefix, from, to });
+                }
+            }
+        }
+        out
+    }
+}
+
+/// Gets the first engine by rendezvous hash among those that take work, whatever its load.
+fn home(scene: Scene<'_>, prefix: Prefix, model: ModelKey) -> Option<EndpointKey> {
+    let pool = scene.loads.pool(Group::Model(model))?;
+    let stays = |at: &usize| {
+        pool.usable(*at) == Usable::Yes
+            && scene.view.state(scene.now, pool.keys()[*at]) == State::Live
+    };
+    let score = |at: &usize| pool.score(*at, prefix.0);
+    let near = pool.near().filter(stays).max_by_key(score);
+    let found = near.or_else(|| pool.far().filter(stays).max_by_key(score));
+    found.map(|at| pool.keys()[at])
+}
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -275,6 +275,10 @@
     pub endpoint: EndpointKey,
     /// Second best, for the decision log.
     pub runner_up: Option<EndpointKey>,
+    /// Engine to import the chat's KV cache from first.
+    pub import_from: Option<EndpointKey>,
+    /// Load at which the endpoint gets no more.
+    pub limit: u32,
     /// Why this one.
     pub reason: Reason,
 }
