Hook placement into the node

Dispatch recalls the engine of a chat without a token, asks for the import of a prefix and tells peers early where an endpoint is close to its limit. A head's count of requests is a load report without age. Ticks refresh the states of the pools and move the chats of engines that leave.

--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -205,8 +205,8 @@
             loads: &self.loads,
             now: now.mono,
         };
-        let Some(placed) = place::choose(scene, &open.request.work, &open.tried, &mut self.rng)
-        else {
+        let work = self.recent.recall(&config, &open.request.work);
+        let Some(placed) = place::choose(scene, &work, &open.tried, &mut self.rng) else {
             return self.no_endpoint(now, call, out);
         };
         let endpoint = placed.endpoint;
@@ -215,6 +215,7 @@
         open.tried.push(endpoint);
         let load = self.loads.estimate(now.mono, endpoint);
         self.loads.sent(now.mono, endpoint);
+        let must_tell = self.loads.must_tell(endpoint, placed.limit);
         let token = match (&open.request.work, config.endpoints.get(endpoint)) {
             (Work::Chat { token, .. }, Some(e)) => Some(Token {
                 last: e.tag,
@@ -227,6 +228,18 @@
         let workspace = open.request.workspace;
         let deadline = open.request.deadline;
         let idle = config.policy.idle_timeout;
+        if let Work::Chat { model, prefix, .. } = open.request.work {
+            if let Some(from) = placed.import_from {
+                out.push(Action::Import {
+                    call: Some(call),
+                    prefix,
+                    from,
+                    to: endpoint,
+                });
+            }
+            let life = self.view.incarnation(endpoint);
+            self.recent.note(prefix, model, (endpoint, life));
+        }
         out.push(Action::Dispatch {
             call,
             attempt,
@@ -246,6 +259,9 @@
             view_age,
         };
         out.push(Action::Log(decision));
+        if must_tell {
+            self.tell_soon(now, out);
+        }
     }
 
     fn no_endpoint(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
@@ -253,6 +269,15 @@
         self.end_refused(now, call, refusal, out);
     }
 
+    pub(super) fn head_load(&mut self, now: Now, call: Call, in_flight: Option<u32>) {
+        if let Some(open) = self.calls.get(&call)
+            && let Stage::Sent { endpoint } = open.stage
+            && let Some(in_flight) = in_flight
+        {
+            self.loads.stated(now.mono, endpoint, in_flight);
+        }
+    }
+
     pub(super) fn head(
         &mut self,
         now: Now,
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -42,6 +42,10 @@
         Word, //
     },
     once::Home,
+    place::{
+        Scene,
+        moves::Recent, //
+    },
     request::{
         Attempt,
         Call,
@@ -110,6 +114,7 @@
     me: Option<RouterKey>,
     view: View,
     loads: Table,
+    recent: Recent,
     limits: Limits,
     home: Home,
     budget: Budget,
@@ -118,6 +123,8 @@
     polled: SecondaryMap<EndpointKey, Time>,
     probed: SecondaryMap<EndpointKey, Time>,
     summarized: Time,
+    // Whether peers are to hear of own requests before the next summary is due.
+    early: bool,
     started: Time,
     watching: bool,
     synced: bool,
@@ -137,6 +144,7 @@
             me: None,
             view: View::default(),
             loads: Table::default(),
+            recent: Recent::default(),
             limits: Limits::default(),
             home,
             budget: Budget::default(),
@@ -145,6 +153,7 @@
             polled: SecondaryMap::new(),
             probed: SecondaryMap::new(),
             summarized: now.mono,
+            early: false,
             started: now.mono,
             watching: false,
             synced: false,
@@ -200,7 +209,8 @@
                 leaving,
                 incarnation,
             } => {
-                let _ = (attempt, in_flight);
+                let _ = attempt;
+                self.head_load(now, call, in_flight);
                 self.head(now, call, leaving, incarnation, out);
             }
             Event::Ended { call, attempt, end } => self.ended(now, call, attempt, end, out),
@@ -262,7 +272,7 @@
         let config = Arc::clone(self.store.current());
         self.me = config.fleet.key(&self.options.id);
         self.view.apply(now.mono, &config);
-        self.loads.apply(&config);
+        self.loads.apply(&config, self.me);
         self.limits.apply(now.mono, &config);
         self.home.apply(now, &config, self.me);
         self.peers.retain(|key, _| config.fleet.get(key).is_some());
@@ -319,6 +329,8 @@
             let since = self.store.next_read();
             out.push(Action::Watch { since });
         }
+        self.loads.refresh(now.mono, &self.view);
+        self.tick_moves(now, out);
         self.tick_endpoints(now, out);
         self.tick_peers(now, out);
         self.tick_limits(now, out);
@@ -326,6 +338,24 @@
         self.tick_drain(now, out);
     }
 
+    fn tick_moves(&mut self, now: Now, out: &mut Vec<Action>) {
+        let config = Arc::clone(self.store.current());
+        let scene = Scene {
+            config: &config,
+            view: &self.view,
+            loads: &self.loads,
+            now: now.mono,
+        };
+        for moved in self.recent.moves(scene) {
+            out.push(Action::Import {
+                call: None,
+                prefix: moved.prefix,
+                from: moved.from,
+                to: moved.to,
+            });
+        }
+    }
+
     fn tick_endpoints(&mut self, now: Now, out: &mut Vec<Action>) {
         let config = Arc::clone(self.store.current());
         let interval = config.policy.poll_interval;
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -12,6 +12,7 @@
         Decision, //
     },
     arena::RouterKey,
+    event::TICK,
     limits::Question,
     once::{
         self,
@@ -34,6 +35,9 @@
 /// fleet can start.
 const ALONE_AFTER: Millis = Millis(1500);
 
+/// Shortest time between two summaries, which bounds what a burst of requests adds to them.
+const EARLY_GAP: Millis = TICK;
+
 impl Node {
     pub(super) fn peer(
         &mut self,
@@ -189,16 +193,32 @@
         if let Some(once::Held { epoch, held }) = self.home.changed(now) {
             out.push(Action::Log(Decision::Lease { epoch, held }));
         }
-        if now.mono.since(self.summarized) < config.policy.summary_interval {
-            return;
+        let interval = config.policy.summary_interval;
+        if self.early || now.mono.since(self.summarized) >= interval {
+            self.tell_peers(now, out);
+        }
+    }
+
+    /// Sends every peer a summary before its time, but no sooner than [`EARLY_GAP`] after the last.
+    pub(super) fn tell_soon(&mut self, now: Now, out: &mut Vec<Action>) {
+        if now.mono.since(self.summarized) >= EARLY_GAP {
+            self.tell_peers(now, out);
+        } else {
+            self.early = true;
         }
+    }
+
+    /// Sends every peer a summary now.
+    fn tell_peers(&mut self, now: Now, out: &mut Vec<Action>) {
+        let since = self.config().revision;
         self.summarized = now.mono;
+        self.early = false;
         let summary = self.make_summary();
+        self.loads.shared();
         for router in self.peers.keys() {
             let message = Message::Summary(summary.clone());
             out.push(Action::Send { router, message });
             if !self.synced {
-                let since = config.revision;
                 let message = Message::Pull { since };
                 out.push(Action::Send { router, message });
             }
