--- a/crates/core/src/load/mod.rs
+++ b/crates/core/src/load/mod.rs
@@ -40,9 +40,13 @@
 
 use entry::Entry;
 pub use pool::{
+    CLOSED,
     Pool,
     Spot,
-    Usable, //
+    Sum,
+    Usable,
+    item_seed,
+    score, //
 };
 
 /// Age at which a peer's summary says nothing any more: five summaries missed.
--- a/crates/core/src/load/pool.rs
+++ b/crates/core/src/load/pool.rs
@@ -2,13 +2,7 @@
 
 use std::ops::Range;
 
-use crate::{
-    arena::EndpointKey,
-    ids::{
-        Tag,
-        rendezvous, //
-    },
-};
+use crate::{arena::EndpointKey, ids::Tag};
 
 /// `Usable` says whether an endpoint may get work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -35,34 +29,66 @@
     pub near: bool,
 }
 
+/// Load of an endpoint that gets no work: above every limit.
+pub const CLOSED: u32 = u32::MAX;
+
+/// Odd constant of the score: 2^64 over the golden ratio (Knuth, TAOCP 3, section 6.4).
+const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// `Sum` is the requests in progress at some endpoints, and their number.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sum {
+    /// Requests in progress.
+    pub total: u64,
+    /// Endpoints.
+    pub count: u64,
+}
+
 /// `Pool` is the endpoints of one model or service, those of the own region first.
 ///
 /// # Invariants
 ///
-/// All arrays are of one length; `near` is at most that.
+/// All arrays are of one length; `near` is at most that. `open` and `sums` follow from the others.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     keys: Vec<EndpointKey>,
-    tags: Vec<Tag>,
+    seeds: Vec<u64>,
     capacities: Vec<u32>,
     loads: Vec<u32>,
     unshared: Vec<u32>,
     usable: Vec<Usable>,
+    // By kind of round: the load, or `CLOSED` where the round must not place.
+    open: [Vec<u32>; 2],
+    // By kind of round and region, the own one first.
+    sums: [[Sum; 2]; 2],
     near: usize,
 }
 
+/// Gets the index of a round that takes endpoints at least as `usable`.
+const fn round(usable: Usable) -> usize {
+    match usable {
+        Usable::Yes => 0,
+        Usable::LastResort | Usable::No => 1,
+    }
+}
+
 impl Pool {
     pub(super) fn new(mut spots: Vec<Spot>) -> Self {
         spots.sort_by_key(|s| (!s.near, s.tag));
-        Self {
+        let seed = |s: &Spot| xxhash_rust::xxh3::xxh3_64(&s.tag.0.to_le_bytes());
+        let mut pool = Self {
             keys: spots.iter().map(|s| s.key).collect(),
-            tags: spots.iter().map(|s| s.tag).collect(),
+            seeds: spots.iter().map(seed).collect(),
             capacities: spots.iter().map(|s| s.capacity).collect(),
             loads: vec![0; spots.len()],
             unshared: vec![0; spots.len()],
             usable: vec![Usable::Yes; spots.len()],
+            open: [vec![CLOSED; spots.len()], vec![CLOSED; spots.len()]],
+            sums: <[[Sum; 2]; 2]>::default(),
             near: spots.iter().filter(|s| s.near).count(),
-        }
+        };
+        pool.work_out();
+        pool
     }
 
     /// Lists the endpoints.
@@ -80,18 +106,25 @@
         self.near..self.keys.len()
     }
 
-    /// Gets the requests in progress and the number of endpoints that are at least as `usable`.
-    pub fn sum(&self, span: Range<usize>, usable: Usable) -> (u64, u64) {
-        let both = self.loads[span.clone()].iter().zip(&self.usable[span]);
-        both.fold((0, 0), |(total, count), (load, u)| {
-            let counts = u64::from(*u >= usable);
-            (total + u64::from(*load) * counts, count + counts)
-        })
+    /// Gets the load of the endpoints of [`Pool::near`] or [`Pool::far`] that are at least as
+    /// `usable`.
+    pub fn sum(&self, span: &Range<usize>, usable: Usable) -> Sum {
+        self.sums[round(usable)][usize::from(span.end > self.near)]
+    }
+
+    /// Lists the loads of a span, [`CLOSED`] for endpoints that are full or less than `usable`.
+    pub fn open(&self, span: &Range<usize>, usable: Usable) -> &[u32] {
+        &self.open[round(usable)][span.clone()]
     }
 
-    /// Gets the load at a place.
-    pub fn load(&self, at: usize) -> u32 {
-        self.loads[at]
+    /// Lists the seeds of a span, for [`score`].
+    pub fn seeds(&self, span: &Range<usize>) -> &[u64] {
+        &self.seeds[span.clone()]
+    }
+
+    /// Gets the load at a place, [`CLOSED`] where it is full or less than `usable`.
+    pub fn open_at(&self, at: usize, usable: Usable) -> u32 {
+        self.open[round(usable)][at]
     }
 
     /// Gets the own requests at a place of which peers were not told yet.
@@ -99,24 +132,23 @@
         self.unshared[at]
     }
 
-    /// Tells whether the endpoint at a place takes one more.
-    pub fn has_room(&self, at: usize, usable: Usable) -> bool {
-        self.usable[at] >= usable && self.loads[at] < self.capacities[at]
-    }
-
     /// Tells whether the endpoint at a place may get work.
     pub fn usable(&self, at: usize) -> Usable {
         self.usable[at]
     }
 
-    /// Gets the rendezvous score of a place for `item`.
-    pub fn score(&self, at: usize, item: u64) -> u64 {
-        rendezvous(item, self.tags[at])
-    }
-
     pub(super) fn set(&mut self, at: usize, load: u32, unshared: u32) {
+        let old = u64::from(self.loads[at]);
+        let region = usize::from(at >= self.near);
+        for (kind, usable) in [Usable::Yes, Usable::LastResort].into_iter().enumerate() {
+            if self.usable[at] >= usable {
+                let sum = &mut self.sums[kind][region];
+                sum.total = sum.total - old + u64::from(load);
+            }
+        }
         self.loads[at] = load;
         self.unshared[at] = unshared;
+        self.work_out_open(at);
     }
 
     pub(super) fn shared(&mut self) {
@@ -124,8 +156,49 @@
     }
 
     pub(super) fn set_states(&mut self, state: impl Fn(EndpointKey) -> Usable) {
+        let mut changed = false;
         for (usable, key) in self.usable.iter_mut().zip(&self.keys) {
-            *usable = state(*key);
+            let next = state(*key);
+            changed |= *usable != next;
+            *usable = next;
+        }
+        if changed {
+            self.work_out();
+        }
+    }
+
+    fn work_out(&mut self) {
+        self.sums = <[[Sum; 2]; 2]>::default();
+        for at in 0..self.keys.len() {
+            let region = usize::from(at >= self.near);
+            for (kind, usable) in [Usable::Yes, Usable::LastResort].into_iter().enumerate() {
+                if self.usable[at] >= usable {
+                    let sum = &mut self.sums[kind][region];
+                    sum.total += u64::from(self.loads[at]);
+                    sum.count += 1;
+                }
+            }
+            self.work_out_open(at);
         }
     }
+
+    fn work_out_open(&mut self, at: usize) {
+        for (kind, usable) in [Usable::Yes, Usable::LastResort].into_iter().enumerate() {
+            let takes = self.usable[at] >= usable && self.loads[at] < self.capacities[at];
+            self.open[kind][at] = if takes { self.loads[at] } else { CLOSED };
+        }
+    }
+}
+
+/// Gets the seed of an item, for [`score`].
+pub fn item_seed(item: u64) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(&item.to_le_bytes())
+}
+
+/// Gets the rendezvous score of an endpoint for an item, both by their seeds: the two halves of
+/// their product folded, one multiplication where a hash of both would take several.
+#[expect(clippy::cast_possible_truncation, reason = "the halves are what is wanted")]
+pub const fn score(item: u64, endpoint: u64) -> u64 {
+    let product = (item ^ endpoint) as u128 * GOLDEN as u128;
+    (product >> 64) as u64 ^ product as u64
 }
--- a/crates/core/src/place/moves.rs
+++ b/crates/core/src/place/moves.rs
@@ -16,7 +16,9 @@
     config::Config,
     load::{
         Group,
-        Usable, //
+        Usable,
+        item_seed,
+        score, //
     },
     membership::State,
     request::{
@@ -144,7 +146,9 @@
         pool.usable(*at) == Usable::Yes
             && scene.view.state(scene.now, pool.keys()[*at]) == State::Live
     };
-    let score = |at: &usize| pool.score(*at, prefix.0);
+    let item = item_seed(prefix.0);
+    let all = 0..pool.keys().len();
+    let score = |at: &usize| score(item, pool.seeds(&all)[*at]);
     let near = pool.near().filter(stays).max_by_key(score);
     let found = near.or_else(|| pool.far().filter(stays).max_by_key(score));
     found.map(|at| pool.keys()[at])
--- a/crates/core/src/place/round.rs
+++ b/crates/core/src/place/round.rs
@@ -12,10 +12,14 @@
     arena::EndpointKey,
     ids::Tag,
     load::{
+        CLOSED,
         Group,
         Pool,
+        Sum,
         Usable,
-        quota, //
+        item_seed,
+        quota,
+        score, //
     },
     membership::State,
     request::{
@@ -44,37 +48,7 @@
     span: Range<usize>,
     usable: Usable,
     barred: &'a [EndpointKey],
-    total: u64,
-    count: u64,
-}
-
-/// `Found` is what a scan over a round's endpoints finds, by place in the pool.
-#[derive(Clone, Copy, Debug, Default)]
-struct Found {
-    /// First by rendezvous hash.
-    first: Option<usize>,
-    /// First among those below the mean.
-    low: Option<usize>,
-    /// First among those below the limit.
-    under: Option<usize>,
-    /// Least loaded.
-    least: Option<usize>,
-}
-
-/// `Best` is the place with the greatest score so far.
-#[derive(Clone, Copy, Debug, Default)]
-struct Best {
-    score: u64,
-    at: Option<usize>,
-}
-
-impl Best {
-    fn offer(&mut self, score: u64, at: usize) {
-        if self.at.is_none() || score > self.score {
-            self.score = score;
-            self.at = Some(at);
-        }
-    }
+    sum: Sum,
 }
 
 impl<'a> Round<'a> {
@@ -85,15 +59,14 @@
         usable: Usable,
         barred: &'a [EndpointKey],
     ) -> Self {
-        let (total, count) = pool.sum(span.clone(), usable);
+        let sum = pool.sum(&span, usable);
         Self {
             scene,
             pool,
             span,
             usable,
             barred,
-            total,
-            count,
+            sum,
         }
     }
 
@@ -117,7 +90,9 @@
     /// Gets the load at which an endpoint gets no more: the multiple of the mean, with the request
     /// that is being placed, rounded up (Mirrokni, Thorup and Zadimoghaddam, 2018).
     fn limit(&self, multiple: Permille) -> u32 {
-        let limit = multiple.of(self.total + 1).div_ceil(self.count.max(1));
+        let limit = multiple
+            .of(self.sum.total + 1)
+            .div_ceil(self.sum.count.max(1));
         u32::try_from(limit).unwrap_or(u32::MAX)
     }
 
@@ -126,39 +101,69 @@
         self.limit(Permille(multiple.saturating_sub(MARGIN.0).max(1000)))
     }
 
-    fn open(&self, at: usize) -> bool {
-        self.pool.has_room(at, self.usable) && !self.barred.contains(&self.pool.keys()[at])
+    fn barred(&self, at: usize) -> bool {
+        self.barred.contains(&self.pool.keys()[at])
     }
 
+    /// Tells whether an endpoint may get the request under the limit, and without the peers'
+    /// hearing of more than they may miss.
     fn fits(&self, at: usize, limit: u32) -> bool {
-        let load = self.pool.load(at);
+        let load = self.pool.open_at(at, self.usable);
         let unshared = self.pool.unshared(at);
-        load < limit && unshared < quota(load - unshared, limit) && self.open(at)
+        load < limit && unshared < quota(load.saturating_sub(unshared), limit) && !self.barred(at)
     }
 
     fn chat(&self, group: Group, prefix: Prefix, token: Option<Token>) -> Option<Placed> {
         let limit = self.hard_limit();
         let held = token.and_then(|t| self.holder(t.last, Some(t.incarnation)));
         let before = token.and_then(|t| self.holder(t.before?, None));
-        let found = self.scan(prefix, limit);
-        let kept = [(held, Reason::Token), (before, Reason::TokenBefore)];
-        for (key, reason) in kept {
-            let at = key.and_then(|key| self.scene.loads.place(group, key));
-            if let Some(at) = at.filter(|at| self.span.contains(at) && self.fits(*at, limit)) {
-                let import_from = held.filter(|_| reason == Reason::TokenBefore);
-                return Some(self.placed(at, reason, limit, found, import_from));
-            }
+        let place = |key| {
+            let at = self.scene.loads.place(group, key)?;
+            (self.span.contains(&at) && self.fits(at, limit)).then_some(at)
+        };
+        if let Some(at) = held.and_then(place) {
+            return Some(self.placed(at, Reason::Token, limit, before));
         }
-        // The chats of an engine that left were moved to their home by hash (`moves`).
-        let moved = token.is_some() && held.is_none();
+        if let Some(at) = before.and_then(place) {
+            let placed = self.placed(at, Reason::TokenBefore, limit, held);
+            let import_from = held;
+            return Some(Placed {
+                import_from,
+                ..placed
+            });
+        }
+        self.search(prefix, token.is_some(), limit, held, before)
+    }
+
+    /// Looks for an engine that doesn't hold the chat's prefix, or can't be told to.
+    fn search(
+        &self,
+        prefix: Prefix,
+        returns: bool,
+        limit: u32,
+        held: Option<EndpointKey>,
+        before: Option<EndpointKey>,
+    ) -> Option<Placed> {
+        let found = Scan::run(self, prefix, limit);
+        // The chats of an engine that leaves were moved to their home by hash ([`super::moves`]).
+        let moved = returns && !held.is_some_and(|key| self.takes_work(key));
         let low = found.low.filter(|_| !moved);
-        let at = low.or(found.under).or(found.least)?;
+        let at = low.or(found.under).or_else(|| self.least())?;
         let reason = match at {
             _ if found.first == Some(at) => Reason::Home,
             _ if self.fits(at, limit) => Reason::Overflow,
             _ => Reason::LeastLoaded,
         };
-        Some(self.placed(at, reason, limit, found, held.or(before)))
+        let key = |at: usize| self.pool.keys()[at];
+        let second = [found.first, found.under].into_iter().flatten();
+        let second = second.map(key).find(|other| *other != key(at));
+        let home = found.first.filter(|_| moved).map(key);
+        let import_from = held.or(before).or(home).filter(|from| *from != key(at));
+        let placed = self.placed(at, reason, limit, second);
+        Some(Placed {
+            import_from,
+            ..placed
+        })
     }
 
     /// Gets the engine of a tag if it may still hold what it held in that life.
@@ -171,32 +176,11 @@
         (up && same).then_some(key)
     }
 
-    fn scan(&self, prefix: Prefix, limit: u32) -> Found {
-        let low_limit = self.limit(LOW).min(limit);
-        let (mut first, mut low, mut under) = (Best::default(), Best::default(), Best::default());
-        let mut least = (u32::MAX, 0);
-        let mut least_at = None;
-        for at in self.span.clone().filter(|at| self.open(*at)) {
-            let score = self.pool.score(at, prefix.0);
-            let load = self.pool.load(at);
-            first.offer(score, at);
-            if load < limit && self.fits(at, limit) {
-                under.offer(score, at);
-                if load < low_limit {
-                    low.offer(score, at);
-                }
-            }
-            if least_at.is_none() || (load, !score) < least {
-                least = (load, !score);
-                least_at = Some(at);
-            }
-        }
-        Found {
-            first: first.at,
-            low: low.at,
-            under: under.at,
-            least: least_at,
-        }
+    /// Gets the least loaded endpoint that has room, whatever the limit.
+    fn least(&self) -> Option<usize> {
+        let load = |at: &usize| self.pool.open_at(*at, self.usable);
+        let open = |at: &usize| load(at) != CLOSED && !self.barred(*at);
+        self.span.clone().filter(open).min_by_key(load)
     }
 
     fn placed(
@@ -204,44 +188,70 @@
         at: usize,
         reason: Reason,
         limit: u32,
-        found: Found,
-        import_from: Option<EndpointKey>,
+        runner_up: Option<EndpointKey>,
     ) -> Placed {
-        let key = |at: usize| self.pool.keys()[at];
-        let other = |f: &usize| *f != at;
-        let runner_up = found.first.filter(other).or(found.under.filter(other));
         Placed {
-            endpoint: key(at),
-            runner_up: runner_up.map(key),
-            import_from: import_from.filter(|from| *from != key(at)),
+            endpoint: self.pool.keys()[at],
+            runner_up,
+            import_from: None,
             limit,
             reason,
         }
     }
 
     /// Picks the less loaded of two drawn at random, or the least loaded where both are at the
-    /// limit.
+    /// limit (Mitzenmacher, 2001).
     fn plain(&self, rng: &mut impl Rng) -> Option<Placed> {
+        if self.span.is_empty() {
+            return None;
+        }
         let limit = self.hard_limit();
-        let mut draw =
-            || Some(rng.random_range(self.span.clone())).filter(|at| self.fits(*at, limit));
-        let drawn = if self.span.is_empty() {
-            [None, None]
-        } else {
-            [draw(), draw()]
-        };
-        let load = |at: &usize| self.pool.load(*at);
-        let open = || self.span.clone().filter(|at| self.open(*at));
-        let at = drawn.into_iter().flatten().min_by_key(load);
-        let at = at.or_else(|| open().min_by_key(load))?;
-        let other = drawn.into_iter().flatten().find(|other| *other != at);
-        let key = |at: usize| self.pool.keys()[at];
-        Some(Placed {
-            endpoint: key(at),
-            runner_up: other.map(key),
-            import_from: None,
-            limit,
-            reason: Reason::LeastLoaded,
-        })
+        let drawn = [(); 2].map(|()| rng.random_range(self.span.clone()));
+        let load = |at: &usize| self.pool.open_at(*at, self.usable);
+        let fit = drawn.into_iter().filter(|at| self.fits(*at, limit));
+        let at = fit.min_by_key(load).or_else(|| self.least())?;
+        let other = drawn.into_iter().find(|other| *other != at);
+        let runner_up = other.map(|other| self.pool.keys()[other]);
+        Some(self.placed(at, Reason::LeastLoaded, limit, runner_up))
+    }
+}
+
+/// `Scan` is what one look at all endpoints of a round finds, by place in the pool.
+#[derive(Clone, Copy, Debug, Default)]
+struct Scan {
+    /// First by rendezvous hash.
+    first: Option<usize>,
+    /// First among those below the mean.
+    low: Option<usize>,
+    /// First among those below the limit.
+    under: Option<usize>,
+}
+
+impl Scan {
+    /// Looks at every endpoint once; the costly checks come only where a score is the best so far.
+    fn run(round: &Round<'_>, prefix: Prefix, limit: u32) -> Self {
+        let item = item_seed(prefix.0);
+        let low_limit = round.limit(LOW).min(limit);
+        let loads = round.pool.open(&round.span, round.usable);
+        let seeds = round.pool.seeds(&round.span);
+        let mut found = Self::default();
+        let (mut first, mut low, mut under) = (0, 0, 0);
+        for (i, (load, seed)) in loads.iter().zip(seeds).enumerate() {
+            let score = score(item, *seed);
+            let at = round.span.start + i;
+            if score >= first && *load != CLOSED && !round.barred(at) {
+                first = score;
+                found.first = Some(at);
+            }
+            if score >= under && *load < limit && round.fits(at, limit) {
+                under = score;
+                found.under = Some(at);
+            }
+            if score >= low && *load < low_limit && round.fits(at, limit) {
+                low = score;
+                found.low = Some(at);
+            }
+        }
+        found
     }
 }
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -29,6 +29,8 @@
     pub excess: f64,
     /// Worst load above the published multiple of the mean rounded up, in requests.
     pub beyond: f64,
+    /// When that was.
+    pub beyond_at: u64,
     /// Share of windows in which some engine was above the multiple rounded up.
     pub over: f64,
     /// Worst load over the mean in the median window.
@@ -60,7 +62,11 @@
             sum += mean;
             ratios.push(most / mean);
             skew.excess = skew.excess.max(most - multiple * mean);
-            skew.beyond = skew.beyond.max(most - (multiple * mean).ceil());
+            let beyond = most - (multiple * mean).ceil();
+            if beyond > skew.beyond {
+                skew.beyond = beyond;
+                skew.beyond_at = start as u64 * SAMPLE_MS;
+            }
             over += u64::from(most > (multiple * mean).ceil());
             if mean >= STEADY_MEAN {
                 skew.worst = skew.worst.max(most / mean);
