--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -66,6 +66,39 @@
     FirstByteMs,
 }
 
+/// `Kind` is a kind of metric, by its name in StatsD's own documentation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Kind {
+    /// Summed up by the receiver.
+    Counter,
+    /// The last value counts.
+    Gauge,
+    /// A length of time, of which the receiver makes percentiles.
+    Timer,
+}
+
+impl Name {
+    /// Gets the kind that the name is sent as.
+    pub const fn kind(self) -> Kind {
+        match self {
+            Self::Requests
+            | Self::Done
+            | Self::NotRun
+            | Self::Unknown
+            | Self::Retries
+            | Self::Refusals
+            | Self::CachedTokens
+            | Self::CacheHits
+            | Self::CacheReturns
+            | Self::ControlBytesOut
+            | Self::ControlBytesIn => Kind::Counter,
+            Self::Skew | Self::ViewAgeMs | Self::ConfigRevision | Self::Open => Kind::Gauge,
+            Self::FirstByteMs => Kind::Timer,
+        }
+    }
+}
+
 /// `Metrics` sends this process's metrics.
 #[derive(Debug)]
 pub struct Metrics(StatsdClient);
@@ -100,16 +133,23 @@
 
     /// Adds to a counter. A metric that cannot be sent is lost on purpose.
     pub fn count(&self, name: Name, by: u64) {
+        debug_assert_eq!(name.kind(), Kind::Counter, "{name:?}");
         let _ = self.0.count(name.into(), by);
     }
 
     /// Sets a gauge.
     pub fn gauge(&self, name: Name, value: u64) {
+        debug_assert_eq!(name.kind(), Kind::Gauge, "{name:?}");
         let _ = self.0.gauge(name.into(), value);
     }
 
     /// Notes a time in milliseconds.
     pub fn time(&self, name: Name, millis: u64) {
+        debug_assert_eq!(name.kind(), Kind::Timer, "{name:?}");
         let _ = self.0.time(name.into(), millis);
     }
+    /// Sends what waits for its datagram to fill. Where metrics are few, they would wait for long.
+    pub fn flush(&self) {
+        let _ = self.0.flush();
+    }
 }
