--- a/crates/core/src/node/once.rs
+++ b/crates/core/src/node/once.rs
@@ -16,12 +16,14 @@
         Check,
         Endpoint, //
     },
+    ids::Tag,
     once::Ended,
     request::{
         Answer,
         Call,
         Code,
         End,
+        Key,
         Outcome,
         Refusal,
         Work, //
@@ -35,7 +37,23 @@
 /// When a repeat that waited in vain should come back.
 const COME_BACK: Millis = Millis(1000);
 
+/// Keys tried to find one that this router is home to.
+const TRIES: u128 = 4096;
+
 impl Node {
+    /// Tells whether a key that a caller makes now would be run here: this router holds its lease
+    /// and has been home for long enough. A fresh fleet, and a fresh router, need a while.
+    pub fn takes_keys(&self, now: Now) -> bool {
+        let config = self.store.current();
+        let dated = |n: u128| Key {
+            workspace: Tag::default(),
+            uuid: u128::from(now.wall.0) << 80 | n,
+        };
+        let own = |key: &Key| self.me.is_some() && config.home(key.item()) == self.me;
+        let key = (0..TRIES).map(dated).find(own);
+        key.is_some_and(|key| self.home.vouches(now, config, key))
+    }
+
     /// Tells whether this router, as the home, remembers a request with the key of `work`.
     pub(super) fn remembers(&self, work: &Work) -> bool {
         matches!(work, Work::Once { key, .. } if self.home.remembers(*key))
--- a/crates/core/tests/limits_fleet/mod.rs
+++ b/crates/core/tests/limits_fleet/mod.rs
@@ -88,6 +88,7 @@
             since,
             revision,
             entries: entries.into_iter().map(entry).collect(),
+            floor: None,
         };
         self.store.apply(&change).expect("the fleet is valid");
         self.config()
--- a/crates/core/tests/once/rig.rs
+++ b/crates/core/tests/once/rig.rs
@@ -68,6 +68,7 @@
         since: Revision(since),
         revision: Revision(revision),
         entries: entries.iter().map(entry).collect(),
+        floor: None,
     }
 }
 
--- a/crates/demo/src/callers.rs
+++ b/crates/demo/src/callers.rs
@@ -75,6 +75,7 @@
 
 /// Sends an order through one router and repeats it through another.
 pub(crate) async fn order(fleet: &Fleet) -> Result<()> {
+    fleet.wait_for_leases().await?;
     let key = uuid::Uuid::now_v7().to_string();
     let mut answers = Vec::new();
     for (n, router) in fleet.routers.iter().enumerate() {
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     errors::{
+        CallSnafu,
         IoSnafu,
         NotReadySnafu,
         Result,
@@ -33,6 +34,12 @@
 pub(crate) const KEY: &str = "a-key-for-the-demonstration";
 
 const ROUTERS: usize = 3;
+/// Times that a router is asked before it counts as not ready.
+const WAITS: usize = 200;
+
+/// Time between two such questions.
+const WAIT: Duration = Duration::from_millis(50);
+
 const ENGINES: usize = 3;
 const DATA_CENTER: &str = "be-north-a";
 
@@ -129,14 +136,33 @@
         Ok(())
     }
 
+    /// Waits until every router would run a new order: the homes of keys need their leases.
+    pub(crate) async fn wait_for_leases(&self) -> Result<()> {
+        for router in &self.routers {
+            let url = format!("http://{}/status", router.address("admin"));
+            let mut takes_keys = false;
+            for _ in 0..WAITS {
+                let answer = self.client.get(&url).send().await.context(CallSnafu)?;
+                let status: Value = answer.json().await.context(CallSnafu)?;
+                takes_keys = status["takes_keys"] == true;
+                if takes_keys {
+                    break;
+                }
+                tokio::time::sleep(WAIT).await;
+            }
+            ensure!(takes_keys, NotReadySnafu { name: &router.name });
+        }
+        Ok(())
+    }
+
     async fn wait_ready(&self, router: &Process) -> Result<()> {
         let url = format!("http://{}/readyz", router.address("admin"));
-        for _ in 0..200 {
+        for _ in 0..WAITS {
             let answer = self.client.get(&url).send().await;
             if answer.is_ok_and(|a| a.status().is_success()) {
                 return Ok(());
             }
-            tokio::time::sleep(Duration::from_millis(50)).await;
+            tokio::time::sleep(WAIT).await;
         }
         NotReadySnafu { name: &router.name }.fail()
     }
@@ -193,7 +219,8 @@
         "listen": address(three[0]),
         "peer_listen": address(three[1]),
         "admin_listen": address(three[2]),
-        "platform": platform,
+        "data_center": DATA_CENTER,
+        "config_service": [platform],
         "peer_key": "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff",
         "token_key": "ffeeddccbbaa99887766554433221100ffeeddccbbaa99887766554433221100",
     })
