--- a/crates/toucanturn/src/status.rs
+++ b/crates/toucanturn/src/status.rs
@@ -38,6 +38,9 @@
     pub(crate) view_age_ms: u64,
     /// Calls in progress.
     pub(crate) open: u64,
+    /// Whether it would run a new key as its home; routers of older versions don't say.
+    #[serde(default)]
+    pub(crate) takes_keys: Option<bool>,
     /// Endpoints as it sees them.
     pub(crate) endpoints: Vec<Endpoint>,
 }
@@ -53,15 +56,17 @@
     }
 
     fn text(&self) -> String {
-        let ready = if self.ready { "yes" } else { "no" };
+        let word = |yes| if yes { "yes" } else { "no" };
+        let takes_keys = self.takes_keys.map_or("not said", word);
         let about = [
             ("router", self.id.to_string()),
             ("incarnation", self.incarnation.to_string()),
-            ("ready", ready.to_owned()),
+            ("ready", word(self.ready).to_owned()),
             ("revision", self.revision.to_string()),
             ("fleet epoch", self.epoch.to_string()),
             ("view age", format!("{} ms", self.view_age_ms)),
             ("open calls", self.open.to_string()),
+            ("takes keys", takes_keys.to_owned()),
         ];
         let mut out = String::new();
         for (name, value) in about {
--- a/crates/toucanturn/tests/cli/support.rs
+++ b/crates/toucanturn/tests/cli/support.rs
@@ -156,7 +156,7 @@
     let endpoint = |(id, state, load): &(&str, &str, u32)| serde_json::json!({"id": id, "state": state, "load": load});
     serde_json::json!({
         "id": "entry-1", "incarnation": 7, "ready": ready, "revision": 42, "epoch": 40,
-        "view_age_ms": 120, "open": open,
+        "view_age_ms": 120, "open": open, "takes_keys": ready,
         "endpoints": endpoints.iter().map(endpoint).collect::<Vec<_>>()
     })
 }
