--- a/crates/toucanturn/tests/cli/check.rs
+++ b/crates/toucanturn/tests/cli/check.rs
@@ -6,6 +6,7 @@
 use crate::support::{
     Files,
     config,
+    settings,
     toucanturn, //
 };
 
@@ -63,15 +64,6 @@
     expect_that!(run.err, contains_substring("/nonexistent/config.json"));
 }
 
-fn settings() -> serde_json::Value {
-    json!({
-        "id": "entry-1", "data_center": "be-north-1", "listen": "10.0.0.1:80",
-        "peer_listen": "10.0.0.1:81", "admin_listen": "10.0.0.1:82",
-        "config_service": ["10.0.9.1:7000"],
-        "peer_key": "11".repeat(32), "token_key": "22".repeat(32)
-    })
-}
-
 #[gtest]
 fn verify_valid_settings_pass() {
     let files = Files::new();
--- a/crates/toucanturn/tests/cli/support.rs
+++ b/crates/toucanturn/tests/cli/support.rs
@@ -160,3 +160,13 @@
         "endpoints": endpoints.iter().map(endpoint).collect::<Vec<_>>()
     })
 }
+
+/// Gets valid settings.
+pub(crate) fn settings() -> Value {
+    serde_json::json!({
+        "id": "entry-1", "data_center": "be-north-1", "listen": "10.0.0.1:80",
+        "peer_listen": "10.0.0.1:81", "admin_listen": "10.0.0.1:82",
+        "config_service": ["10.0.9.1:7000"],
+        "peer_key": "11".repeat(32), "token_key": "22".repeat(32)
+    })
+}
