--- a/crates/core/src/load/pool.rs
+++ b/crates/core/src/load/pool.rs
@@ -197,7 +197,10 @@
 
 /// Gets the rendezvous score of an endpoint for an item, both by their seeds: the two halves of
 /// their product folded, one multiplication where a hash of both would take several.
-#[expect(clippy::cast_possible_truncation, reason = "the halves are what is wanted")]
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "the halves are what is wanted"
+)]
 pub const fn score(item: u64, endpoint: u64) -> u64 {
     let product = (item ^ endpoint) as u128 * GOLDEN as u128;
     (product >> 64) as u64 ^ product as u64
--- a/crates/router/src/driver.rs
+++ b/crates/router/src/driver.rs
@@ -14,6 +14,7 @@
 use arc_swap::ArcSwap;
 use indexmap::IndexMap;
 use tokio::sync::{
+    Semaphore,
     mpsc,
     oneshot,
     watch, //
@@ -21,7 +22,10 @@
 use tokio_util::sync::CancellationToken;
 use toucanturn_core::{
     action::Action,
-    arena::WorkspaceKey,
+    arena::{
+        EndpointKey,
+        WorkspaceKey, //
+    },
     config::Config,
     event::{
         Event,
@@ -34,7 +38,8 @@
     request::{
         Attempt,
         Call,
-        End, //
+        End,
+        Prefix, //
     },
     settings::Settings,
     units::Incarnation,
@@ -55,6 +60,10 @@
         Step,
         Task, //
     },
+    imports::{
+        self,
+        Import, //
+    },
     links,
     metrics::{
         Metrics,
@@ -90,6 +99,7 @@
     pub(crate) endpoints: Endpoints,
     pub(crate) control: reqwest::Client,
     pub(crate) metrics: Metrics,
+    pub(crate) imports: Arc<Semaphore>,
     pub(crate) config_service: Addresses,
     pub(crate) vm_list: Addresses,
     pub(crate) tokens: tokens::Key,
@@ -124,6 +134,7 @@
             endpoints,
             control,
             metrics,
+            imports: Arc::new(Semaphore::new(imports::BACKGROUND)),
             config_service: Addresses::new(settings.config_service.clone()),
             vm_list: Addresses::new(settings.vm_list.clone()),
             tokens: tokens::Key::new(settings.token_key.expose()),
@@ -286,6 +297,12 @@
                 };
                 self.step(call, Step::Dispatch(dispatch));
             }
+            Action::Import {
+                call,
+                prefix,
+                from,
+                to,
+            } => self.import(call, prefix, (from, to)),
             Action::Forward {
                 call,
                 router,
@@ -316,6 +333,25 @@
         self.feed(Event::Ended { call, attempt, end });
     }
 
+    fn import(
+        self: &Arc<Self>,
+        call: Option<Call>,
+        prefix: Prefix,
+        way: (EndpointKey, EndpointKey),
+    ) {
+        let config = self.config.load();
+        let ends = (config.endpoints.get(way.0), config.endpoints.get(way.1));
+        let (Some(from), Some(to)) = ends else {
+            return;
+        };
+        let (from, to) = (Arc::clone(from), Arc::clone(to));
+        let import = Import { prefix, from, to };
+        match call {
+            Some(call) => self.step(call, Step::Import(import)),
+            None => imports::start(self, import),
+        }
+    }
+
     fn apply(&self) {
         // Read again under the lock, so that of two changes applied at once the newer one stays.
         let node = self.lock();
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -67,6 +67,10 @@
         Outgoing, //
     },
     events,
+    imports::{
+        self,
+        Import, //
+    },
     metrics::Name,
     relay::Scanner,
 };
@@ -109,9 +113,11 @@
 
 /// `Step` is what the node wants of a request's task.
 #[derive(Clone, Debug)]
-pub enum Step {
+pub(crate) enum Step {
     /// Send it to an endpoint.
     Dispatch(Dispatch),
+    /// Have its prefix imported before the next dispatch.
+    Import(Import),
     /// Send it to its home router.
     Forward {
         /// The home.
@@ -184,6 +190,10 @@
                     self.attempt(dispatch).await;
                     true
                 }
+                Some(Step::Import(import)) => {
+                    imports::run(&self.driver, &import).await;
+                    true
+                }
                 Some(Step::Forward { router, deadline }) => {
                     self.forward(router, deadline).await;
                     true
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod events;
 pub mod exchange;
 pub mod filters;
+mod imports;
 pub mod links;
 pub mod metrics;
 pub mod peers;
--- a/crates/router/tests/catalogue/decisions.rs
+++ b/crates/router/tests/catalogue/decisions.rs
@@ -108,6 +108,8 @@
             endpoint,
             runner_up,
             reason: Reason::Home,
+            import_from: None,
+            limit: 0,
         },
         load: 3,
         view_age,
--- a/crates/toucanturn/src/view.rs
+++ b/crates/toucanturn/src/view.rs
@@ -98,7 +98,7 @@
             now: NOW,
         };
         scene.view.apply(NOW, config);
-        scene.loads.apply(config);
+        scene.loads.apply(config, None);
         match view {
             Some(view) => {
                 for endpoint in &view.endpoints {
