Test that the lines of a request name it

Cause: that the driver hands the request's id on was seen by no test. Done: a router on one thread, with engines that break off every chat; every line about the call has the caller's id, none has the text or the key. Conclusion: the race between a task's end and its line isn't shown by it.

--- a/crates/router/tests/catalogue.rs
+++ b/crates/router/tests/catalogue.rs
@@ -10,6 +10,8 @@
 mod metrics;
 #[path = "catalogue/page.rs"]
 mod page;
+#[path = "catalogue/requests.rs"]
+mod requests;
 #[path = "catalogue/secrets.rs"]
 mod secrets;
 #[path = "catalogue/source.rs"]
