Replay traces, and explain by the new placement

Cause: the replay library and the new placement. Done: replay judges a trace against its stated outcome, as text or JSON, and refuses a line that names a router which the setup lacks. explain takes the deciding router's region, gives load limit and import, and names the next attempt's endpoint as runner-up; event 101 has limit and import_from.

--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -132,7 +132,9 @@
             endpoint = endpoint(config, placed.endpoint),
             runner_up = placed.runner_up.map(|key| endpoint(config, key)),
             reason = %placed.reason,
+            import_from = placed.import_from.map(|key| endpoint(config, key)),
             load,
+            limit = placed.limit,
             view_age_ms = view_age.0,
             revision = config.revision.0
         ),
--- a/crates/router/tests/catalogue/decisions.rs
+++ b/crates/router/tests/catalogue/decisions.rs
@@ -107,6 +107,8 @@
         placed: Placed {
             endpoint,
             runner_up,
+            import_from: runner_up,
+            limit: 8,
             reason: Reason::Home,
         },
         load: 3,
--- a/crates/toucanturn/src/args.rs
+++ b/crates/toucanturn/src/args.rs
@@ -88,6 +88,9 @@
     /// States and loads of endpoints, from `status --json`; without it all are live and idle.
     #[options(no_short, meta = "FILE")]
     pub(crate) view: Option<PathBuf>,
+    /// The router that decides; without it the one of the view.
+    #[options(no_short, meta = "NAME")]
+    pub(crate) router: Option<String>,
     /// The workspace that sends it.
     #[options(no_short, meta = "NAME")]
     pub(crate) workspace: Option<String>,
--- a/crates/toucanturn/src/errors.rs
+++ b/crates/toucanturn/src/errors.rs
@@ -94,9 +94,26 @@
     /// A value could not be written as JSON.
     #[snafu(display("can't write JSON"))]
     Json { source: serde_json::Error },
-    /// The subcommand waits for another part of the system.
-    #[snafu(display("{what} is not part of this build yet"))]
-    Absent { what: &'static str },
+    /// The trace is not one.
+    #[snafu(display("{}", path.display()))]
+    Trace {
+        path: PathBuf,
+        source: toucanturn_replay::trace::Error,
+    },
+    /// The trace names a router that its setup lacks.
+    #[snafu(display(
+        "{}: line {line}: expected a router below {count}, found {found}",
+        path.display()
+    ))]
+    Index {
+        path: PathBuf,
+        line: usize,
+        found: usize,
+        count: usize,
+    },
+    /// The replay ended without a report.
+    #[snafu(display("the replay ended without a report, a fault of the replay or the library"))]
+    Replay,
 }
 
 impl Error {
--- a/crates/toucanturn/src/explain/mod.rs
+++ b/crates/toucanturn/src/explain/mod.rs
@@ -6,7 +6,10 @@
 };
 use snafu::ResultExt;
 use toucanturn_core::{
-    arena::EndpointKey,
+    arena::{
+        EndpointKey,
+        RouterKey, //
+    },
     config::Config,
     place,
     request::{
@@ -48,7 +51,8 @@
     })?;
     let view = args.view.as_deref().map(read_view).transpose()?;
     let subject = Subject::new(&config, args)?;
-    let scene = Scene::new(&config, view.as_ref())?;
+    let me = router(&config, args, view.as_ref())?;
+    let scene = Scene::new(&config, me, view.as_ref())?;
     let ranked = rank(&config, &scene, &subject.work, args.seed);
     let report = Report::new(&config, &scene, &subject, &ranked, args.seed);
     if args.json {
@@ -68,6 +72,15 @@
     serde_json::from_slice(&file).context(ViewSnafu { path })
 }
 
+/// Gets the router that decides. It places in its own region first.
+fn router(config: &Config, args: &args::Explain, view: Option<&View>) -> Result<Option<RouterKey>> {
+    if let Some(name) = &args.router {
+        return subject::find("router", name, config.fleet.names()).map(Some);
+    }
+    let id = view.and_then(|view| view.id.as_ref());
+    Ok(id.and_then(|id| config.fleet.key(id)))
+}
+
 /// Ranks the endpoints as the router's attempts would: each time all earlier ones were tried.
 fn rank(config: &Config, scene: &Scene, work: &Work, seed: u64) -> Vec<Placed> {
     let mut rng = StdRng::seed_from_u64(seed);
--- a/crates/toucanturn/src/explain/report.rs
+++ b/crates/toucanturn/src/explain/report.rs
@@ -28,7 +28,11 @@
 struct Choice {
     endpoint: String,
     reason: Reason,
+    /// Where the next attempt would go.
     runner_up: Option<String>,
+    import_from: Option<String>,
+    /// Requests at which the endpoint gets no more.
+    limit: u32,
 }
 
 /// `Candidate` is an endpoint that can take the request.
@@ -47,6 +51,7 @@
     endpoint: String,
     state: String,
     load: u32,
+    capacity: u32,
 }
 
 /// `Report` is an explanation.
@@ -86,7 +91,9 @@
         let choice = ranked.first().map(|placed| Choice {
             endpoint: endpoint(config, placed.endpoint),
             reason: placed.reason,
-            runner_up: placed.runner_up.map(|key| endpoint(config, key)),
+            runner_up: ranked.get(1).map(|next| endpoint(config, next.endpoint)),
+            import_from: placed.import_from.map(|key| endpoint(config, key)),
+            limit: placed.limit,
         });
         let is_ranked = |key| ranked.iter().any(|p| p.endpoint == key);
         let left_out = config
@@ -97,6 +104,7 @@
             endpoint: e.id.to_string(),
             state: state(key),
             load: load(key),
+            capacity: e.capacity,
         });
         Self {
             workspace: subject.workspace.id.to_string(),
@@ -122,6 +130,11 @@
         about.push(("limit home", self.limit_home.clone().unwrap_or_else(none)));
         about.extend(self.key_home.clone().map(|home| ("key home", home)));
         about.push(("choice", self.choice_text()));
+        if let Some(choice) = &self.choice {
+            about.push(("load limit", choice.limit.to_string()));
+            let from = choice.import_from.clone();
+            about.extend(from.map(|from| ("import from", from)));
+        }
         let mut out = String::new();
         for (name, value) in about {
             out.push_str(&format!("{name:<11} {value}\n"));
@@ -132,7 +145,10 @@
         }
         if !self.excluded.is_empty() {
             out.push('\n');
-            let row = |e: &Excluded| [e.endpoint.clone(), e.state.clone(), e.load.to_string()];
+            let row = |e: &Excluded| {
+                let load = format!("{} of {}", e.load, e.capacity);
+                [e.endpoint.clone(), e.state.clone(), load]
+            };
             let rows: Vec<_> = self.excluded.iter().map(row).collect();
             out.push_str(&output::table(["excluded", "state", "load"], &rows));
         }
--- a/crates/toucanturn/src/explain/subject.rs
+++ b/crates/toucanturn/src/explain/subject.rs
@@ -157,7 +157,8 @@
     })
 }
 
-fn find<'a, K>(
+/// Gets what has a name, or says which names there are.
+pub(super) fn find<'a, K>(
     what: &'static str,
     name: &str,
     names: impl Iterator<Item = (&'a Id, K)>,
--- a/crates/toucanturn/src/view.rs
+++ b/crates/toucanturn/src/view.rs
@@ -5,7 +5,10 @@
     Serialize, //
 };
 use toucanturn_core::{
-    arena::EndpointKey,
+    arena::{
+        EndpointKey,
+        RouterKey, //
+    },
     config::Config,
     ids::Id,
     load::Table,
@@ -73,6 +76,9 @@
 /// `View` is what the file of a view must hold; a whole status has it too.
 #[derive(Clone, Debug, Deserialize)]
 pub(crate) struct View {
+    /// The router whose view it is.
+    #[serde(default)]
+    pub(crate) id: Option<Id>,
     /// The endpoints.
     pub(crate) endpoints: Vec<Endpoint>,
 }
@@ -89,16 +95,17 @@
 }
 
 impl Scene {
-    /// Makes the scene of a view; without one, every endpoint is live and idle. An endpoint that
-    /// the view lacks stays what the core makes of one that it never heard of.
-    pub(crate) fn new(config: &Config, view: Option<&View>) -> Result<Self> {
+    /// Makes the scene of a view at the router `me`; without a view, every endpoint is live and
+    /// idle. An endpoint that the view lacks stays what the core makes of one that it never heard
+    /// of.
+    pub(crate) fn new(config: &Config, me: Option<RouterKey>, view: Option<&View>) -> Result<Self> {
         let mut scene = Self {
             view: membership::View::default(),
             loads: Table::default(),
             now: NOW,
         };
         scene.view.apply(NOW, config);
-        scene.loads.apply(config);
+        scene.loads.apply(config, me);
         match view {
             Some(view) => {
                 for endpoint in &view.endpoints {
@@ -118,6 +125,9 @@
                 }
             }
         }
+        // The requests are known to the other routers, too: what is new to them is bounded.
+        scene.loads.shared();
+        scene.loads.refresh(NOW, &scene.view);
         Ok(scene)
     }
 
--- a/crates/toucanturn/tests/cli/main.rs
+++ b/crates/toucanturn/tests/cli/main.rs
@@ -5,6 +5,7 @@
 mod drain;
 mod explain;
 mod manual;
+mod replay;
 mod router;
 mod status;
 mod support;
