--- a/crates/router/src/peers/counters.rs
+++ b/crates/router/src/peers/counters.rs
@@ -12,6 +12,8 @@
 use strum::IntoEnumIterator;
 use toucanturn_core::peer::Message;
 
+use super::errors::Failure;
+
 /// `Kind` is a kind of message as it is counted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumIter, strum::EnumCount)]
 #[strum(serialize_all = "snake_case")]
@@ -95,6 +97,22 @@
     }
 }
 
+/// `Tally` counts by reason. Reasons are names of enum variants, so there are few.
+#[derive(Debug, Default)]
+struct Tally(Mutex<IndexMap<&'static str, u64>>);
+
+impl Tally {
+    fn add(&self, reason: &'static str) {
+        let mut counts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        *counts.entry(reason).or_default() += 1;
+    }
+
+    fn all(&self) -> Vec<(&'static str, u64)> {
+        let counts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        counts.iter().map(|(k, v)| (*k, *v)).collect()
+    }
+}
+
 /// `Counters` are the counts of one router's peer link. The client and the server share them.
 ///
 /// Bytes are those of the envelopes. HTTP/2, TCP and IP add to them; docs/design/peer-link.md says
@@ -115,22 +133,31 @@
     pub lost: AtomicU64,
     /// Connections made.
     pub connects: AtomicU64,
-    /// Failures reported to the driver.
-    pub failures: AtomicU64,
-    rejected: Mutex<IndexMap<&'static str, u64>>,
+    /// Connections that could not be accepted.
+    pub accept_errors: AtomicU64,
+    failures: Tally,
+    rejected: Tally,
 }
 
 impl Counters {
+    /// Counts a failure that is reported to the driver.
+    pub(super) fn fail(&self, failure: &Failure) {
+        self.failures.add(failure.into());
+    }
+
     /// Counts a message that was refused on arrival.
     pub(super) fn reject(&self, error: &toucanturn_wire::Error) {
-        let mut rejected = self.rejected.lock().unwrap_or_else(PoisonError::into_inner);
-        *rejected.entry(error.into()).or_default() += 1;
+        self.rejected.add(error.into());
+    }
+
+    /// Gets the failures reported to the driver, by reason.
+    pub fn failures(&self) -> Vec<(&'static str, u64)> {
+        self.failures.all()
     }
 
     /// Gets the messages refused on arrival, by reason.
     pub fn rejected(&self) -> Vec<(&'static str, u64)> {
-        let rejected = self.rejected.lock().unwrap_or_else(PoisonError::into_inner);
-        rejected.iter().map(|(k, v)| (*k, *v)).collect()
+        self.rejected.all()
     }
 }
 
--- a/crates/router/src/peers/errors.rs
+++ b/crates/router/src/peers/errors.rs
@@ -1,13 +1,13 @@
 //! Why a message or a forwarded call did not get through.
 
 use snafu::Snafu;
-use toucanturn_wire::{
-    receipt::Refusal, //
-};
+use toucanturn_wire::receipt::Refusal;
 
-/// `Failure` is what went wrong between this router and a peer.
-#[derive(Debug, Snafu)]
+/// `Failure` is what went wrong between this router and a peer. Its name as text
+/// (`<&str>::from(&failure)`) is stable and labels the counter of failures.
+#[derive(Debug, Snafu, strum::IntoStaticStr)]
 #[snafu(visibility(pub(super)))]
+#[strum(serialize_all = "snake_case")]
 pub enum Failure {
     /// The configuration in force has no such router.
     #[snafu(display("expected a router of the fleet"))]
--- a/crates/router/src/peers/incoming.rs
+++ b/crates/router/src/peers/incoming.rs
@@ -38,6 +38,11 @@
     TcpConnectInfo, //
 };
 
+use super::counters::{
+    Counters,
+    add, //
+};
+
 /// Time to wait after a failed accept. It fails while file descriptors are short; the loop must
 /// neither spin nor end then.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -53,20 +58,24 @@
 pub(super) fn accept(
     listener: TcpListener,
     bound: usize,
+    counters: Arc<Counters>,
 ) -> impl Stream<Item = io::Result<Connection>> {
     let permits = Arc::new(Semaphore::new(bound));
-    unfold((listener, permits), |(listener, permits)| async {
-        let permit = Arc::clone(&permits).acquire_owned().await.ok()?;
-        let io = accept_one(&listener).await;
-        let connection = Connection {
-            io,
-            _permit: permit,
-        };
-        Some((Ok(connection), (listener, permits)))
-    })
+    unfold(
+        (listener, permits, counters),
+        |(listener, permits, counters)| async {
+            let permit = Arc::clone(&permits).acquire_owned().await.ok()?;
+            let io = accept_one(&listener, &counters).await;
+            let connection = Connection {
+                io,
+                _permit: permit,
+            };
+            Some((Ok(connection), (listener, permits, counters)))
+        },
+    )
 }
 
-async fn accept_one(listener: &TcpListener) -> TcpStream {
+async fn accept_one(listener: &TcpListener, counters: &Counters) -> TcpStream {
     loop {
         match listener.accept().await {
             Ok((io, _)) => {
@@ -74,8 +83,8 @@
                 let _ = io.set_nodelay(true);
                 return io;
             }
-            Err(error) => {
-                tracing::warn!(%error, "could not accept a peer's connection");
+            Err(_) => {
+                add(&counters.accept_errors, 1);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/router/src/peers/link.rs
+++ b/crates/router/src/peers/link.rs
@@ -176,8 +176,7 @@
     fn fail(&self, failure: &Failure, batch: usize) {
         let counters = &self.shared.counters;
         add(&counters.lost, batch + self.queue().clear());
-        add(&counters.failures, 1);
-        tracing::debug!(peer = ?self.peer, %failure, "peer link failed");
+        counters.fail(failure);
         (self.shared.failed)(self.peer.router);
     }
 
@@ -409,12 +408,9 @@
         sent: Header,
         reply: Envelope,
     ) -> Result<(Header, Receipt), Failure> {
-        let Identity { tag, ref key, .. } = self.shared.identity;
+        let key = &self.shared.identity.key;
         let size = reply.encoded_len();
-        let (header, payload) = envelope::open(key, label, tag, reply).context(WireSnafu)?;
-        if header != sent.reply(header.incarnation) {
-            return WrongReplySnafu.fail();
-        }
+        let (header, payload) = envelope::open_reply(key, label, sent, reply).context(WireSnafu)?;
         let received = &self.shared.counters.received;
         received.of(Kind::Envelope).add(size - payload.len());
         let size = payload.len();
@@ -431,8 +427,10 @@
 /// Checks that a reply accepts its request, in the incarnation that the request named.
 fn accepted(reply: Header, sent: Header, receipt: &Receipt) -> Result<(), Failure> {
     match *receipt {
-        Receipt::Refused(refusal) => RefusedSnafu { refusal }.fail(),
+        // Another incarnation can refuse in its own name only; see `refused_unprocessed`.
+        Receipt::Refused(refusal @ Refusal::WrongIncarnation) => RefusedSnafu { refusal }.fail(),
         _ if reply.incarnation != sent.to_incarnation => WrongReplySnafu.fail(),
+        Receipt::Refused(refusal) => RefusedSnafu { refusal }.fail(),
         Receipt::Accepted => Ok(()),
         Receipt::Reply(_) => WrongReplySnafu.fail(),
     }
--- a/crates/router/src/peers/server.rs
+++ b/crates/router/src/peers/server.rs
@@ -135,6 +135,7 @@
     state: State,
     shutdown: impl Future<Output = ()>,
 ) -> Result<(), Error> {
+    let counters = Arc::clone(&state.counters);
     let service = Service {
         state,
         forwards: Arc::new(Semaphore::new(options.forwards)),
@@ -146,7 +147,10 @@
         .http2_keepalive_interval(Some(options.ping_interval))
         .http2_keepalive_timeout(Some(options.ping_timeout))
         .add_service(service)
-        .serve_with_incoming_shutdown(incoming::accept(listener, options.connections), shutdown)
+        .serve_with_incoming_shutdown(
+            incoming::accept(listener, options.connections, counters),
+            shutdown,
+        )
         .await
         .context(Snafu)
 }
--- a/crates/router/tests/peers/deliver.rs
+++ b/crates/router/tests/peers/deliver.rs
@@ -134,6 +134,7 @@
     entry.client.send(router_key(HOME), pull(1));
     expect_that!(next(&mut entry.failures).await, eq(router_key(HOME)));
     expect_that!(entry.counters.lost.load(Relaxed), eq(1));
+    expect_that!(entry.counters.failures(), eq(&vec![("connect", 1)]));
 }
 
 // Symptom: messages to a peer are lost for minutes though it could be reached.
@@ -280,20 +281,20 @@
         ..options()
     };
     let entry = sender(identity(ENTRY, 1_796_236_800_000), quiet, proxy.address);
-    entry.client.send(router_key(HOME), summary(1, 10));
-    delivery(&mut home).await;
-    entry.client.send(router_key(HOME), summary(2, 10));
-    delivery(&mut home).await;
-    let (passed, counted) = (proxy.bytes(), traffic(&entry));
-    for round in 0..ROUNDS {
-        entry.client.send(router_key(HOME), summary(round, 10));
+    for rows in [0, 10, 40, 100] {
+        entry.client.send(router_key(HOME), summary(1, rows));
         delivery(&mut home).await;
+        let (passed, counted) = (proxy.bytes(), traffic(&entry));
+        for round in 0..ROUNDS {
+            entry.client.send(router_key(HOME), summary(round, rows));
+            delivery(&mut home).await;
+        }
+        let passed = (proxy.bytes() - passed) / ROUNDS;
+        let counted = (traffic(&entry) - counted) / ROUNDS;
+        let alone = toucanturn_wire::size(&summary(ROUNDS, rows)) as u64;
+        println!("{rows} rows: {alone} bytes, {counted} with envelopes, {passed} over TCP");
+        expect_that!(passed - alone, le(EXCHANGE as u64));
     }
-    let passed = (proxy.bytes() - passed) / ROUNDS;
-    let counted = (traffic(&entry) - counted) / ROUNDS;
-    let alone = toucanturn_wire::size(&summary(ROUNDS, 10)) as u64;
-    println!("10 rows: {alone} bytes, {counted} with envelopes, {passed} over TCP");
-    expect_that!(passed - alone, le(EXCHANGE as u64));
 }
 
 fn traffic(entry: &crate::support::Sender) -> u64 {
--- a/crates/router/tests/peers/refuse.rs
+++ b/crates/router/tests/peers/refuse.rs
@@ -15,7 +15,10 @@
         Revision, //
     },
 };
-use toucanturn_router::peers::counters::Kind;
+use toucanturn_router::peers::{
+    counters::Kind,
+    errors::Failure, //
+};
 use toucanturn_wire::{
     envelope::{
         self,
@@ -231,7 +234,15 @@
     );
     expect_that!(home.deliveries.try_recv(), err(anything()));
     let answer = sender.client.forward(router_key(HOME), &call(b"box")).await;
-    expect_that!(answer.expect_err("it is refused").sent, eq(false));
+    let error = answer.expect_err("it is refused");
+    let refusal = Refusal::UnknownSender;
+    expect_that!(error.sent, eq(false));
+    expect_that!(
+        error.failure,
+        pat!(Failure::Refused {
+            refusal: eq(&refusal)
+        })
+    );
 }
 
 // Symptom: one bad message takes a router down or is half heard.
--- a/crates/wire/src/envelope.rs
+++ b/crates/wire/src/envelope.rs
@@ -24,6 +24,7 @@
         ShortKeySnafu,
         VersionSnafu,
         WrongReceiverSnafu,
+        WrongReplySnafu,
         bounded, //
     },
     limits::{
@@ -175,6 +176,29 @@
     Ok((header, envelope.payload))
 }
 
+/// Checks an envelope that came as the reply to the request `sent`, and gets its header and payload.
+///
+/// # Errors
+///
+/// Refuses what [`open`] refuses, and the reply to another request: an old "not processed" must
+/// not pass for the answer to a call that was.
+pub fn open_reply(
+    key: &Key,
+    label: Label,
+    sent: Header,
+    envelope: proto::Envelope,
+) -> Result<(Header, Bytes)> {
+    let (header, payload) = open(key, label, sent.from, envelope)?;
+    if header != sent.reply(header.incarnation) {
+        return WrongReplySnafu {
+            expected: sent.sequence,
+            found: header.sequence,
+        }
+        .fail();
+    }
+    Ok((header, payload))
+}
+
 fn mac(key: &Key, label: Label, version: u32, header: Header, payload: &[u8]) -> Hmac<Sha256> {
     let mut mac = key.0.clone();
     mac.update(DOMAIN);
--- a/crates/wire/src/errors.rs
+++ b/crates/wire/src/errors.rs
@@ -117,6 +117,14 @@
         /// Highest number refused.
         below: u64,
     },
+    /// An authentic reply is to another request than the one that it was given for.
+    #[snafu(display("sequence: expected the reply to {expected}, found the one to {found}"))]
+    WrongReply {
+        /// Sequence number of the request.
+        expected: u64,
+        /// Sequence number that the reply carries.
+        found: u64,
+    },
     /// The receiver remembers as many senders as it can.
     #[snafu(display("from: expected at most {} senders", crate::limits::MAX_SENDERS))]
     TooManySenders,
--- a/crates/wire/tests/envelope.rs
+++ b/crates/wire/tests/envelope.rs
@@ -142,6 +142,36 @@
     expect_that!(opened, err(eq(&Error::BadMac)));
 }
 
+// Symptom: a caller is told "not run" for a call that ran.
+// Sequence: the reply to a call is withheld, and an authentic refusal of an earlier one is given in
+// its place; or one to another router or to a former life of the sender.
+// Cause: a reply that is not bound to its request.
+#[gtest]
+fn verify_a_reply_opens_for_its_own_request_only() {
+    let key = key();
+    let reply_to = |sent: Header| {
+        let header = sent.reply(Incarnation(200));
+        envelope::seal(&key, Label::DeliverReply, header, Bytes::new())
+    };
+    let open = |reply| envelope::open_reply(&key, Label::DeliverReply, header(5), reply);
+    expect_that!(open(reply_to(header(5))), ok(anything()));
+    let wrong = Error::WrongReply {
+        expected: 5,
+        found: 4,
+    };
+    expect_that!(open(reply_to(header(4))), err(eq(&wrong)));
+    let other = Header {
+        to: Tag(3),
+        ..header(5)
+    };
+    expect_that!(open(reply_to(other)), err(anything()));
+    let former = Header {
+        incarnation: Incarnation(99),
+        ..header(5)
+    };
+    expect_that!(open(reply_to(former)), err(anything()));
+}
+
 // Symptom: fields of a later version are misread.
 // Sequence: a router of another version sends.
 // Cause: two versions run side by side during a roll-out.
