--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -132,7 +132,7 @@
                 });
             }
             Message::LeaseAnswer {
-                epoch: _,
+                epoch,
                 round,
                 confirmed,
                 previous,
@@ -141,7 +141,8 @@
                     confirmed,
                     previous,
                 };
-                self.home.voted(now, from, incarnation, round, vote);
+                self.home
+                    .voted(now, from, incarnation, (epoch, round), vote);
             }
         }
     }
--- a/crates/router/src/peers/link.rs
+++ b/crates/router/src/peers/link.rs
@@ -177,7 +177,7 @@
     fn fail(&self, failure: &Failure, batch: usize) {
         let counters = &self.shared.counters;
         add(&counters.lost, batch + self.queue().clear());
-        events::peer_unreached(self.peer.tag, self.peer.address, &failure);
+        events::peer_unreached(self.peer.tag, self.peer.address, failure);
         counters.fail(failure);
         (self.shared.failed)(self.peer.router);
     }
