--- a/crates/core/tests/once/world/mod.rs
+++ b/crates/core/tests/once/world/mod.rs
@@ -206,7 +206,7 @@
         };
         let policy = json!({"lease_ms": LEASE, "clock_skew_ms": SKEW, "key_ttl_ms": 60_000,
             "summary_interval_ms": 1000, "idle_timeout_ms": 2000, "drain_deadline_ms": 600_000});
-        let workspace = json!({"key_sha256": [], "priority": 5, "requests_per_s": 1000,
+        let workspace = json!({"key_sha256": ["0".repeat(64)], "priority": 5, "requests_per_s": 1000,
             "burst": 1000, "models": [], "services": ["orders"], "deadline_ms": DEADLINE});
         let once = json!([{"method": "POST", "path": ""}]);
         let entries = [
