--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -65,6 +65,8 @@
     PeerUnreached = 404,
     /// The port for other routers is closed.
     PeerPortClosed = 405,
+    /// A connection of another router could not be accepted.
+    PeerNotAccepted = 406,
     /// The drain began.
     Draining = 501,
     /// The drain ended before every call did.
@@ -230,6 +232,11 @@
     event!(error, PeerPortClosed, error = %error);
 }
 
+/// Writes that a connection of another router could not be accepted.
+pub fn peer_not_accepted(error: &dyn Display) {
+    event!(warn, PeerNotAccepted, error = %error);
+}
+
 /// Writes that a drain ended while calls were in progress.
 pub fn cut(calls: usize) {
     event!(error, Cut, cut = calls);
--- a/crates/router/src/peers/incoming.rs
+++ b/crates/router/src/peers/incoming.rs
@@ -38,6 +38,8 @@
     TcpConnectInfo, //
 };
 
+use crate::events;
+
 /// Time to wait after a failed accept. It fails while file descriptors are short; the loop must
 /// neither spin nor end then.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -75,7 +77,7 @@
                 return io;
             }
             Err(error) => {
-                tracing::warn!(%error, "could not accept a peer's connection");
+                events::peer_not_accepted(&error);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/router/tests/catalogue/events.rs
+++ b/crates/router/tests/catalogue/events.rs
@@ -80,6 +80,7 @@
         events::not_forwarded("0198-request", Call(17), false, &failure);
         events::peer_unreached(Tag(7), SocketAddr::from(([10, 0, 0, 2], 81)), &failure);
         events::peer_port_closed(&failure);
+        events::peer_not_accepted(&failure);
         events::cut(3);
     };
     capture::lines(write)
--- a/crates/router/tests/catalogue/secrets.rs
+++ b/crates/router/tests/catalogue/secrets.rs
@@ -143,8 +143,6 @@
 fn drive() -> (Bench, Vec<Line>) {
     let mut bench = Bench::new();
     bench.publish(0, &decisions::document());
-    // The driver's clock lets the node see the endpoints' states.
-    bench.feed(Event::Tick);
     let attempt = Attempt(1);
     bench.chat(Call(1));
     let answer = Answer {
--- a/crates/toucanturn/tests/cli/replay.rs
+++ b/crates/toucanturn/tests/cli/replay.rs
@@ -13,6 +13,7 @@
 };
 
 /// Gets a setup of two routers and three engines, with an outcome to come.
+#[expect(clippy::expect_used, reason = "a test without a setup fails")]
 fn setup(expect: &Value) -> Value {
     let config = config();
     let mut publish = serde_json::Map::new();
@@ -41,6 +42,7 @@
 }
 
 /// Gets a trace in which ten chats come and return.
+#[expect(clippy::expect_used, reason = "a test without a trace fails")]
 fn trace(expect: &Value) -> String {
     let mut lines = vec![setup(expect).to_string()];
     for i in 0..40 {
