--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -47,6 +47,8 @@
     AttemptFailed = 105,
     /// A call ended with an answer.
     Done = 106,
+    /// An engine did not import a prefix.
+    NotImported = 107,
     /// An endpoint's state changed.
     Member = 201,
     /// The configuration service could not be read.
@@ -65,8 +67,6 @@
     PeerUnreached = 404,
     /// The port for other routers is closed.
     PeerPortClosed = 405,
-    /// A connection of another router could not be accepted.
-    PeerNotAccepted = 406,
     /// The drain began.
     Draining = 501,
     /// The drain ended before every call did.
@@ -206,6 +206,11 @@
     }
 }
 
+/// Writes that an engine did not import a prefix from another.
+pub fn not_imported(from: &Id, to: &Id, error: &dyn Display) {
+    event!(debug, NotImported, from = from.as_str(), to = to.as_str(), error = %error);
+}
+
 /// Writes that the configuration service could not be read.
 pub fn unread(error: &dyn Display) {
     event!(warn, Unread, error = %error);
@@ -232,11 +237,6 @@
     event!(error, PeerPortClosed, error = %error);
 }
 
-/// Writes that a connection of another router could not be accepted.
-pub fn peer_not_accepted(error: &dyn Display) {
-    event!(warn, PeerNotAccepted, error = %error);
-}
-
 /// Writes that a drain ended while calls were in progress.
 pub fn cut(calls: usize) {
     event!(error, Cut, cut = calls);
