--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -47,6 +47,8 @@
     AttemptFailed = 105,
     /// A call ended with an answer.
     Done = 106,
+    /// An engine did not import a prefix.
+    NotImported = 107,
     /// An endpoint's state changed.
     Member = 201,
     /// The configuration service could not be read.
@@ -204,6 +206,11 @@
     }
 }
 
+/// Writes that an engine did not import a prefix from another.
+pub fn not_imported(from: &Id, to: &Id, error: &dyn Display) {
+    event!(debug, NotImported, from = from.as_str(), to = to.as_str(), error = %error);
+}
+
 /// Writes that the configuration service could not be read.
 pub fn unread(error: &dyn Display) {
     event!(warn, Unread, error = %error);
--- a/crates/router/src/imports.rs
+++ b/crates/router/src/imports.rs
@@ -12,7 +12,10 @@
     request::Prefix, //
 };
 
-use crate::driver::Driver;
+use crate::{
+    driver::Driver,
+    events, //
+};
 
 /// Time that an import may take; a prompt is computed again in about that time.
 const IMPORT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -44,7 +47,7 @@
         .await
         .and_then(reqwest::Response::error_for_status);
     if let Err(error) = answer {
-        tracing::debug!(%error, to = %import.to.id, "prefix not imported");
+        events::not_imported(&import.from.id, &import.to.id, &error);
     }
 }
 
--- a/crates/router/tests/catalogue.rs
+++ b/crates/router/tests/catalogue.rs
@@ -1,5 +1,7 @@
 //! The catalogues of log events and metrics hold what the code has, and the code what they have.
 
+#[path = "catalogue/bench.rs"]
+mod bench;
 #[path = "catalogue/capture.rs"]
 mod capture;
 #[path = "catalogue/decisions.rs"]
@@ -10,6 +12,8 @@
 mod metrics;
 #[path = "catalogue/page.rs"]
 mod page;
+#[path = "catalogue/placement.rs"]
+mod placement;
 #[path = "catalogue/requests.rs"]
 mod requests;
 #[path = "catalogue/secrets.rs"]
--- a/crates/router/tests/catalogue/decisions.rs
+++ b/crates/router/tests/catalogue/decisions.rs
@@ -59,9 +59,14 @@
     Config::try_from(document().to_string().as_bytes()).expect("a valid configuration")
 }
 
+/// Makes a name.
+#[expect(clippy::expect_used, reason = "a test without its names fails")]
+pub(crate) fn id(name: &str) -> Id {
+    Id::try_from(name).expect("a name")
+}
+
 #[expect(clippy::expect_used, reason = "a test without its names fails")]
 fn keys(config: &Config) -> (EndpointKey, EndpointKey, WorkspaceKey, RouterKey) {
-    let id = |name| Id::try_from(name).expect("a name");
     let endpoint = |name| config.endpoints.key(&id(name)).expect("an endpoint");
     let workspace = config.workspaces.key(&id("vitalbox-chat"));
     let router = config.fleet.key(&id("entry-1"));
@@ -110,8 +115,6 @@
             import_from: runner_up,
             limit: 8,
             reason: Reason::Home,
-            import_from: None,
-            limit: 0,
         },
         load: 3,
         view_age,
