--- a/crates/core/src/load/entry.rs
+++ b/crates/core/src/load/entry.rs
@@ -10,6 +10,9 @@
 /// Time that one slot stands for; together they reach back further than a report's lag.
 const SLOT: Millis = Millis(200);
 
+/// Requests by which a report may differ from what routers say of themselves at the same time.
+const BLUR: u32 = 2;
+
 /// `Entry` is the load of one endpoint.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Entry {
@@ -28,10 +31,12 @@
 }
 
 impl Entry {
-    /// Gets the load, with the share of routers that are not heard unless all are.
+    /// Gets the load. While every router is heard (`whole`), a report's surplus is mostly the time
+    /// between a request and its summary, and counts only above [`BLUR`].
     pub(super) fn load(&self, whole: bool) -> u32 {
-        let unheard = self.unheard.filter(|_| !whole).map_or(0, |(_, n)| n);
-        self.known().saturating_add(unheard)
+        let surplus = self.unheard.map_or(0, |(_, n)| n);
+        let blur = if whole { BLUR } else { 0 };
+        self.known().saturating_add(surplus.saturating_sub(blur))
     }
 
     /// Notes the load that is known now.
@@ -57,7 +62,8 @@
         self.unheard = self.unheard.filter(|(at, _)| now.since(*at) <= age);
     }
 
-    fn known(&self) -> u32 {
+    /// Gets the requests of this router and the peers that it hears.
+    pub(super) fn known(&self) -> u32 {
         self.own.saturating_add(self.peers)
     }
 
--- a/crates/core/src/load/mod.rs
+++ b/crates/core/src/load/mod.rs
@@ -85,6 +85,8 @@
 #[derive(Clone, Debug, Default)]
 struct Peer {
     heard: Option<Time>,
+    // Whether it is in the own region: others seldom send to the same endpoints.
+    near: bool,
     loads: Vec<(EndpointKey, u32)>,
 }
 
@@ -95,7 +97,7 @@
     peers: SecondaryMap<RouterKey, Peer>,
     pools: IndexMap<Group, Pool>,
     me: Option<RouterKey>,
-    // Whether every other router of the fleet is heard.
+    // Whether every other router of the own region is heard.
     whole: bool,
 }
 
@@ -145,11 +147,13 @@
         for key in gone {
             self.forget(key);
         }
-        for (key, _) in config.fleet.iter().filter(|(key, _)| Some(*key) != me) {
-            if !self.peers.contains_key(key) {
-                self.peers.insert(key, Peer::default());
+        for (key, router) in config.fleet.iter().filter(|(key, _)| Some(*key) != me) {
+            if let Some(entry) = self.peers.entry(key) {
+                let there = self::region(config, &router.data_center);
+                entry.or_default().near = region.is_none() || region == there;
             }
         }
+        self.hear();
         self.spread_all();
     }
 
@@ -305,7 +309,7 @@
 
     /// Finds out anew whether every peer is heard.
     fn hear(&mut self) {
-        let whole = self.peers.values().all(|p| p.heard.is_some());
+        let whole = self.peers.values().all(|p| p.heard.is_some() || !p.near);
         if whole != self.whole {
             self.whole = whole;
             self.spread_all();
@@ -320,7 +324,7 @@
         let load = entry.load(self.whole);
         for &(index, at) in &entry.places {
             if let Some((_, pool)) = self.pools.get_index_mut(index) {
-                pool.set(at, load, entry.unshared);
+                pool.set(at, (load, entry.known()), entry.unshared);
             }
         }
     }
--- a/crates/core/src/load/pool.rs
+++ b/crates/core/src/load/pool.rs
@@ -40,6 +40,8 @@
 pub struct Sum {
     /// Requests in progress.
     pub total: u64,
+    /// Those of this router and the peers that it hears.
+    pub heard: u64,
     /// Endpoints.
     pub count: u64,
 }
@@ -55,6 +57,7 @@
     seeds: Vec<u64>,
     capacities: Vec<u32>,
     loads: Vec<u32>,
+    heard: Vec<u32>,
     unshared: Vec<u32>,
     usable: Vec<Usable>,
     // By kind of round: the load, or `CLOSED` where the round must not place.
@@ -81,6 +84,7 @@
             seeds: spots.iter().map(seed).collect(),
             capacities: spots.iter().map(|s| s.capacity).collect(),
             loads: vec![0; spots.len()],
+            heard: vec![0; spots.len()],
             unshared: vec![0; spots.len()],
             usable: vec![Usable::Yes; spots.len()],
             open: [vec![CLOSED; spots.len()], vec![CLOSED; spots.len()]],
@@ -127,6 +131,11 @@
         self.open[round(usable)][at]
     }
 
+    /// Gets the requests at a place of this router and the peers that it hears.
+    pub fn heard(&self, at: usize) -> u32 {
+        self.heard[at]
+    }
+
     /// Gets the own requests at a place of which peers were not told yet.
     pub fn unshared(&self, at: usize) -> u32 {
         self.unshared[at]
@@ -137,16 +146,18 @@
         self.usable[at]
     }
 
-    pub(super) fn set(&mut self, at: usize, load: u32, unshared: u32) {
-        let old = u64::from(self.loads[at]);
+    pub(super) fn set(&mut self, at: usize, (load, heard): (u32, u32), unshared: u32) {
+        let old = (u64::from(self.loads[at]), u64::from(self.heard[at]));
         let region = usize::from(at >= self.near);
         for (kind, usable) in [Usable::Yes, Usable::LastResort].into_iter().enumerate() {
             if self.usable[at] >= usable {
                 let sum = &mut self.sums[kind][region];
-                sum.total = sum.total - old + u64::from(load);
+                sum.total = sum.total - old.0 + u64::from(load);
+                sum.heard = sum.heard - old.1 + u64::from(heard);
             }
         }
         self.loads[at] = load;
+        self.heard[at] = heard;
         self.unshared[at] = unshared;
         self.work_out_open(at);
     }
@@ -175,6 +186,7 @@
                 if self.usable[at] >= usable {
                     let sum = &mut self.sums[kind][region];
                     sum.total += u64::from(self.loads[at]);
+                    sum.heard += u64::from(self.heard[at]);
                     sum.count += 1;
                 }
             }
@@ -197,7 +209,10 @@
 
 /// Gets the rendezvous score of an endpoint for an item, both by their seeds: the two halves of
 /// their product folded, one multiplication where a hash of both would take several.
-#[expect(clippy::cast_possible_truncation, reason = "the halves are what is wanted")]
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "the halves are what is wanted"
+)]
 pub const fn score(item: u64, endpoint: u64) -> u64 {
     let product = (item ^ endpoint) as u128 * GOLDEN as u128;
     (product >> 64) as u64 ^ product as u64
--- a/crates/core/src/place/round.rs
+++ b/crates/core/src/place/round.rs
@@ -51,6 +51,17 @@
     sum: Sum,
 }
 
+/// `Limits` is the loads at which an endpoint gets no more. Both are the same while every router
+/// is heard. Where routers have lost each other, each side keeps its own requests even, so that
+/// the sum is even whatever the others do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Limits {
+    /// Of all requests there, as estimated.
+    load: u32,
+    /// Of those of this router and the peers that it hears.
+    heard: u32,
+}
+
 impl<'a> Round<'a> {
     pub(super) fn new(
         scene: Scene<'a>,
@@ -89,16 +100,18 @@
 
     /// Gets the load at which an endpoint gets no more: the multiple of the mean, with the request
     /// that is being placed, rounded up (Mirrokni, Thorup and Zadimoghaddam, 2018).
-    fn limit(&self, multiple: Permille) -> u32 {
-        let limit = multiple
-            .of(self.sum.total + 1)
-            .div_ceil(self.sum.count.max(1));
+    fn limit(&self, multiple: Permille, total: u64) -> u32 {
+        let limit = multiple.of(total + 1).div_ceil(self.sum.count.max(1));
         u32::try_from(limit).unwrap_or(u32::MAX)
     }
 
-    fn hard_limit(&self) -> u32 {
+    fn limits(&self) -> Limits {
         let multiple = self.scene.config.policy.load_multiple.0;
-        self.limit(Permille(multiple.saturating_sub(MARGIN.0).max(1000)))
+        let multiple = Permille(multiple.saturating_sub(MARGIN.0).max(1000));
+        Limits {
+            load: self.limit(multiple, self.sum.total),
+            heard: self.limit(multiple, self.sum.heard),
+        }
     }
 
     fn barred(&self, at: usize) -> bool {
@@ -107,32 +120,35 @@
 
     /// Tells whether an endpoint may get the request under the limit, and without the peers'
     /// hearing of more than they may miss.
-    fn fits(&self, at: usize, limit: u32) -> bool {
+    fn fits(&self, at: usize, limits: Limits) -> bool {
         let load = self.pool.open_at(at, self.usable);
         let unshared = self.pool.unshared(at);
-        load < limit && unshared < quota(load.saturating_sub(unshared), limit) && !self.barred(at)
+        load < limits.load
+            && self.pool.heard(at) < limits.heard
+            && unshared < quota(load.saturating_sub(unshared), limits.load)
+            && !self.barred(at)
     }
 
     fn chat(&self, group: Group, prefix: Prefix, token: Option<Token>) -> Option<Placed> {
-        let limit = self.hard_limit();
+        let limits = self.limits();
         let held = token.and_then(|t| self.holder(t.last, Some(t.incarnation)));
         let before = token.and_then(|t| self.holder(t.before?, None));
         let place = |key| {
             let at = self.scene.loads.place(group, key)?;
-            (self.span.contains(&at) && self.fits(at, limit)).then_some(at)
+            (self.span.contains(&at) && self.fits(at, limits)).then_some(at)
         };
         if let Some(at) = held.and_then(place) {
-            return Some(self.placed(at, Reason::Token, limit, before));
+            return Some(self.placed(at, Reason::Token, limits, before));
         }
         if let Some(at) = before.and_then(place) {
-            let placed = self.placed(at, Reason::TokenBefore, limit, held);
+            let placed = self.placed(at, Reason::TokenBefore, limits, held);
             let import_from = held;
             return Some(Placed {
                 import_from,
                 ..placed
             });
         }
-        self.search(prefix, token.is_some(), limit, held, before)
+        self.search(prefix, token.is_some(), limits, held, before)
     }
 
     /// Looks for an engine that doesn't hold the chat's prefix, or can't be told to.
@@ -140,18 +156,18 @@
         &self,
         prefix: Prefix,
         returns: bool,
-        limit: u32,
+        limits: Limits,
         held: Option<EndpointKey>,
         before: Option<EndpointKey>,
     ) -> Option<Placed> {
-        let found = Scan::run(self, prefix, limit);
+        let found = Scan::run(self, prefix, limits);
         // The chats of an engine that leaves were moved to their home by hash ([`super::moves`]).
         let moved = returns && !held.is_some_and(|key| self.takes_work(key));
         let low = found.low.filter(|_| !moved);
         let at = low.or(found.under).or_else(|| self.least())?;
         let reason = match at {
             _ if found.first == Some(at) => Reason::Home,
-            _ if self.fits(at, limit) => Reason::Overflow,
+            _ if self.fits(at, limits) => Reason::Overflow,
             _ => Reason::LeastLoaded,
         };
         let key = |at: usize| self.pool.keys()[at];
@@ -159,7 +175,7 @@
         let second = second.map(key).find(|other| *other != key(at));
         let home = found.first.filter(|_| moved).map(key);
         let import_from = held.or(before).or(home).filter(|from| *from != key(at));
-        let placed = self.placed(at, reason, limit, second);
+        let placed = self.placed(at, reason, limits, second);
         Some(Placed {
             import_from,
             ..placed
@@ -187,14 +203,14 @@
         &self,
         at: usize,
         reason: Reason,
-        limit: u32,
+        limits: Limits,
         runner_up: Option<EndpointKey>,
     ) -> Placed {
         Placed {
             endpoint: self.pool.keys()[at],
             runner_up,
             import_from: None,
-            limit,
+            limit: limits.load,
             reason,
         }
     }
@@ -205,14 +221,14 @@
         if self.span.is_empty() {
             return None;
         }
-        let limit = self.hard_limit();
+        let limits = self.limits();
         let drawn = [(); 2].map(|()| rng.random_range(self.span.clone()));
         let load = |at: &usize| self.pool.open_at(*at, self.usable);
-        let fit = drawn.into_iter().filter(|at| self.fits(*at, limit));
+        let fit = drawn.into_iter().filter(|at| self.fits(*at, limits));
         let at = fit.min_by_key(load).or_else(|| self.least())?;
         let other = drawn.into_iter().find(|other| *other != at);
         let runner_up = other.map(|other| self.pool.keys()[other]);
-        Some(self.placed(at, Reason::LeastLoaded, limit, runner_up))
+        Some(self.placed(at, Reason::LeastLoaded, limits, runner_up))
     }
 }
 
@@ -229,9 +245,9 @@
 
 impl Scan {
     /// Looks at every endpoint once; the costly checks come only where a score is the best so far.
-    fn run(round: &Round<'_>, prefix: Prefix, limit: u32) -> Self {
+    fn run(round: &Round<'_>, prefix: Prefix, limits: Limits) -> Self {
         let item = item_seed(prefix.0);
-        let low_limit = round.limit(LOW).min(limit);
+        let low_limit = round.limit(LOW, round.sum.total).min(limits.load);
         let loads = round.pool.open(&round.span, round.usable);
         let seeds = round.pool.seeds(&round.span);
         let mut found = Self::default();
@@ -243,11 +259,11 @@
                 first = score;
                 found.first = Some(at);
             }
-            if score >= under && *load < limit && round.fits(at, limit) {
+            if score >= under && *load < limits.load && round.fits(at, limits) {
                 under = score;
                 found.under = Some(at);
             }
-            if score >= low && *load < low_limit && round.fits(at, limit) {
+            if score >= low && *load < low_limit && round.fits(at, limits) {
                 low = score;
                 found.low = Some(at);
             }
