--- a/crates/core/src/once/lease.rs
+++ b/crates/core/src/once/lease.rs
@@ -60,6 +60,8 @@
     asked: Time,
     lease: Millis,
     ballots: IndexMap<Member, Ballot>,
+    /// Whether the lease counts it already.
+    counted: bool,
 }
 
 /// `Start` says what a new hold of the lease means for the memory of keys.
@@ -174,6 +176,7 @@
             asked: now.mono,
             lease,
             ballots: IndexMap::new(),
+            counted: false,
         };
         if let Some(me) = self.me
             && own.confirmed
@@ -219,6 +222,13 @@
             previous,
         };
         open.ballots.insert(member, ballot);
+        if open.counted {
+            // An answer that comes after the lease proves nothing of the time before.
+            if self.held(now).is_some() {
+                self.known.insert(member, incarnation);
+            }
+            return None;
+        }
         self.settle(now, Start::Linked)
     }
 
@@ -232,7 +242,7 @@
         }
         if self.held(now).is_some() {
             self.until = self.until.max(Some(until));
-            self.remember();
+            self.count();
             return None;
         }
         let start = if self.linked(round) {
@@ -248,12 +258,14 @@
         self.last = self.fleet.clone();
         self.earlier.clear();
         self.known.clear();
-        self.remember();
+        self.count();
         Some(start)
     }
 
-    fn remember(&mut self) {
-        let Some(round) = &self.round else { return };
+    /// Counts the round, and the lives that confirmed it among those that later ones must match.
+    fn count(&mut self) {
+        let Some(round) = &mut self.round else { return };
+        round.counted = true;
         let lives = round.ballots.iter().map(|(m, b)| (*m, b.incarnation));
         self.known.extend(lives);
     }
