Hook: let a draining home serve its keys while its own callers' calls last

Nobody else may run these keys until it is gone, so each drain refused a share of all actions for as long as its streams took (node/calls.rs, node/once.rs).

Red without it: verify_a_draining_home_serves_its_keys_while_it_is_up, 33 of 40 actions done. Green with it: 40 of 40.

--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -65,7 +65,7 @@
         let refuse = |code| Refusal::not_run(code, Some(SOON));
         let early = if self.config().revision == Revision(0) {
             Some(refuse(Code::NotReady))
-        } else if self.draining.is_some() && !self.remembers(&request.work) {
+        } else if self.draining.is_some() && !self.goes_on(&request) {
             Some(refuse(Code::Draining))
         } else if now.mono >= request.deadline {
             Some(Refusal::not_run(Code::Deadline, None))
--- a/crates/core/src/node/once.rs
+++ b/crates/core/src/node/once.rs
@@ -5,6 +5,7 @@
 
 use super::{
     Node,
+    Open,
     Stage, //
 };
 use crate::{
@@ -22,8 +23,10 @@
         Call,
         Code,
         End,
+        Origin,
         Outcome,
         Refusal,
+        Request,
         Work, //
     },
     units::{
@@ -37,10 +40,25 @@
 
 impl Node {
     /// Tells whether this router, as the home, remembers a request with the key of `work`.
-    pub(super) fn remembers(&self, work: &Work) -> bool {
+    fn remembers(&self, work: &Work) -> bool {
         matches!(work, Work::Once { key, .. } if self.home.remembers(*key))
     }
 
+    /// Tells whether a draining router still takes a call as its home: a key that it remembers, or
+    /// any that a peer brings while calls of its own callers keep it up anyway. Nobody else may run
+    /// these keys before it is gone, so refusing them early would only make the gap longer.
+    pub(super) fn goes_on(&self, request: &Request) -> bool {
+        let Work::Once { .. } = request.work else {
+            return false;
+        };
+        let end = self.draining.unwrap_or_default() + self.config().policy.drain_deadline;
+        let own = |open: &Open| open.request.origin == Origin::Caller;
+        let forwarded = request.origin != Origin::Caller
+            && request.deadline <= end
+            && self.calls.values().any(own);
+        forwarded || self.remembers(&request.work)
+    }
+
     /// Turns "not run" into "unknown" for a key that this router doesn't answer for: an earlier
     /// request with it may have run by way of another router, and the caller would run it anew
     /// under another key.
@@ -117,8 +135,7 @@
 
     /// Refuses the repeats whose deadline came before the first answer.
     pub(super) fn tick_waiting(&mut self, now: Now, out: &mut Vec<Action>) {
-        let late =
-            |open: &super::Open| open.stage == Stage::Waiting && now.mono >= open.request.deadline;
+        let late = |open: &Open| open.stage == Stage::Waiting && now.mono >= open.request.deadline;
         let late = self.calls.iter().filter(|(_, open)| late(open));
         let late: Vec<(Call, Work)> = late
             .map(|(call, open)| (*call, open.request.work.clone()))
--- a/crates/core/tests/once/property.rs
+++ b/crates/core/tests/once/property.rs
@@ -186,6 +186,25 @@
     expect_that!(outcomes(&world.trials[before..], Outcome::NotRun), gt(0));
 }
 
+#[gtest]
+fn verify_a_draining_home_serves_its_keys_while_it_is_up() {
+    // Symptom: for minutes a seventh of all payments is refused in each rolling update.
+    // Sequence: a home drains for as long as its own callers' streams last; peers bring its keys.
+    // Cause: a drain that refuses work which nobody else may do.
+    let mut world = World::new(1);
+    world.fault = Fault::Silent;
+    world.fresh("r1", SKEW / 2);
+    world.run(500);
+    world.fault = Fault::None;
+    world.drain("r1");
+    for entry in ["r2", "r3", "r4", "r5"].repeat(10) {
+        world.fresh(entry, SKEW / 2);
+    }
+    world.run(2000);
+    let done = |t: &&crate::world::Trial| matches!(t.told, Some((Outcome::Done, _)));
+    expect_that!(world.trials.iter().filter(done).count(), eq(40));
+}
+
 #[gtest]
 fn verify_no_key_runs_twice_and_not_run_is_true() {
     // Symptom: a payment is taken twice, or a caller is told "not run" of one that was taken.
