--- a/crates/core/tests/once/lease.rs
+++ b/crates/core/tests/once/lease.rs
@@ -139,6 +139,28 @@
     expect_that!(ask(now + kept(MAX_LEASE) + kept(MAX_LEASE), 1), eq(false));
 }
 
+#[gtest]
+fn verify_a_voter_confirms_its_own_epoch_only() {
+    // Symptom: a home of a list that is no longer in force goes on.
+    // Sequence: a voter has the next list, the home that asks has the last; and the other way.
+    // Cause: a voter that keeps an old home going is no witness that it ended.
+    let mut rig = Rig::new(&["r1", "r2", "r3"]);
+    let three = ["r1", "r2", "r3"];
+    rig.publish(2, &three, &three);
+    let now = rig.now;
+    let voter = rig.at("r2");
+    let config = voter.config();
+    let asker = config.fleet.key(&"r1".try_into().unwrap()).unwrap();
+    let mut ask = |epoch| {
+        let asked = (Revision(epoch), LEASE);
+        let vote = voter.home.vote(now, &config, asker, Incarnation(1), asked);
+        vote.confirmed
+    };
+    expect_that!(ask(1), eq(false));
+    expect_that!(ask(3), eq(false));
+    expect_that!(ask(2), eq(true));
+}
+
 #[gtest]
 fn verify_a_shorter_published_lease_does_not_shorten_promises() {
     // Symptom: a home acts under a lease that its voters think is over.
