Trust nothing stale, spare endpoints for faults of the own link, share polls

Cause: a router that was paused or cut off went on sending by its last view; a router whose own link failed counted all endpoints as down; every router polled every endpoint. Now an endpoint's word that it isn't leaving is dated by the question, not by its reading, and holds for 2.5 s; after a pause nothing that waited in a socket confirms anything; when most contacts, peers included, fail together, nobody is blamed; each endpoint has one first poller by rendezvous in its region, others take over by rank when reports stop, within a budget.

--- a/crates/core/src/membership/member.rs
+++ b/crates/core/src/membership/member.rs
@@ -5,7 +5,8 @@
 use super::{
     FRESH,
     State,
-    damping::Penalty, //
+    damping::Penalty,
+    link::Contact, //
 };
 use crate::{
     event::VmState,
@@ -32,6 +33,9 @@
 /// connections together while new ones work; that is one fault, not many.
 const STRIKE_GAP: Millis = Millis(1000);
 
+/// Time for which a request without progress is held against an endpoint that answers probes.
+const STRIKE_MEMORY: Millis = Millis::from_secs(30);
+
 /// Time after which an endpoint that the VM list named and no longer names is kept in reserve.
 /// Lists lag and differ, so to be missing is no proof of leaving.
 pub const MISSING_AFTER: Millis = Millis::from_secs(30);
@@ -39,9 +43,15 @@
 /// Shortest time between two probes of an endpoint that is down; doubles up to [`PROBE_MAX`].
 const PROBE_MIN: Millis = Millis(500);
 
+/// Longest time between two polls by an endpoint's first poller.
+const POLL_MAX: Millis = Millis::from_secs(2);
+
 /// Longest time between two probes of an endpoint that is down, so none is lost for ever.
 pub const PROBE_MAX: Millis = Millis::from_secs(8);
 
+/// Time after which the driver gives up a poll or probe and says that it failed.
+pub const POLL_TIMEOUT: Millis = Millis(1000);
+
 /// `Listed` is what the VM list last said of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Listed {
@@ -75,18 +85,21 @@
     work: u32,
     struck: Option<Time>,
     down: bool,
-    pub(super) downed: Time,
-    pub(super) good: Option<Time>,
-    pub(super) bad: Option<Time>,
+    downed: Time,
+    pub(super) contact: Contact,
     pub(super) penalty: Penalty,
     pub(super) listed: Option<Listed>,
     pub(super) missing: Option<Time>,
+    /// When the poll or probe that is still out was sent.
+    out: Option<Time>,
+    /// When the last one was sent.
     asked: Option<Time>,
     misses: u32,
     /// This router's place among the endpoint's pollers.
     pub(super) rank: usize,
-    /// State last told to the node.
-    pub(super) told: State,
+    pub(super) added: Time,
+    /// State last given to the node.
+    pub(super) given: State,
 }
 
 impl Member {
@@ -104,15 +117,16 @@
             struck: None,
             down: false,
             downed: now,
-            good: None,
-            bad: None,
+            contact: Contact::default(),
             penalty: Penalty::default(),
             listed: None,
             missing: None,
+            out: None,
             asked: None,
             misses: 0,
             rank: 0,
-            told: State::Suspect,
+            added: now,
+            given: State::Suspect,
         }
     }
 
@@ -127,7 +141,7 @@
         let missing = self.missing.is_some_and(|t| now.since(t) >= MISSING_AFTER);
         let doubtful = self.sure.is_none()
             || self.reach > 0
-            || self.work > 0
+            || self.struck_lately(now)
             || missing
             || self.penalty.suppressed(now);
         if doubtful {
@@ -143,7 +157,7 @@
         match (self.sure, self.doubt) {
             (None, None) => false,
             (None, Some(_)) => true,
-            (Some(sure), doubt) => now.since(sure) > FRESH || doubt.is_some_and(|d| sure < d),
+            (Some(sure), _) => now.since(sure) > FRESH || self.doubted(),
         }
     }
 
@@ -181,7 +195,7 @@
     /// Notes that a poll or probe was answered. It doesn't clear what requests have shown: an
     /// endpoint that answers probes and no request comes back on trial, one strike from down.
     pub(super) fn reached(&mut self, now: Time) {
-        self.good = Some(now);
+        self.contact.good = Some(now);
         self.reach = 0;
         self.misses = 0;
         self.down = false;
@@ -190,20 +204,23 @@
 
     /// Notes a refusal.
     pub(super) fn refused(&mut self, now: Time) {
-        self.bad = Some(now);
+        self.contact.bad = Some(now);
         self.reach = (self.reach + REFUSED).min(DOWN_AT);
     }
 
     /// Notes a failed poll or probe.
     pub(super) fn unreached(&mut self, now: Time) {
-        self.bad = Some(now);
+        self.contact.bad = Some(now);
         self.reach = (self.reach + UNREACHED).min(DOWN_AT);
         self.misses = self.misses.saturating_add(1);
     }
 
     /// Notes a request without progress.
     pub(super) fn silent(&mut self, now: Time) {
-        self.bad = Some(now);
+        self.contact.bad = Some(now);
+        if !self.struck_lately(now) {
+            self.work = 0;
+        }
         if self.struck.is_none_or(|t| now.since(t) >= STRIKE_GAP) {
             self.struck = Some(now);
             self.work = (self.work + SILENT).min(DOWN_AT);
@@ -222,7 +239,7 @@
         self.penalty.flap(now);
     }
 
-    /// Takes back that it is down: the fault was this router's link.
+    /// Takes back that it is down or nearly so: the fault was this router's link.
     pub(super) fn excuse(&mut self, now: Time) {
         if self.down {
             self.down = false;
@@ -232,29 +249,93 @@
         self.work = self.work.min(DOWN_AT - 1);
     }
 
-    /// Tells whether it counts as down.
-    pub(super) fn is_down(&self) -> bool {
-        self.down
-    }
-
-    /// Tells whether it must be looked at beside its polls.
-    pub(super) fn needs_probe(&self, now: Time) -> bool {
-        !self.leaving && (self.down || self.stale(now) || self.reach > 0 || self.work > 0)
+    /// Tells whether it fell within `span`.
+    pub(super) fn fell_within(&self, now: Time, span: Millis) -> bool {
+        self.down && now.since(self.downed) <= span
     }
 
-    /// Tells whether `wait` has passed since it was last asked.
-    pub(super) fn rested(&self, now: Time, wait: Millis) -> bool {
-        self.asked.is_none_or(|t| now.since(t) >= wait)
+    /// Tells whether a probe on a new connection is due.
+    pub(super) fn probe_due(&self, now: Time) -> bool {
+        let blamed = self.contact.bad > self.contact.good;
+        let wanted = self.down || self.stale(now) || blamed;
+        wanted && !self.leaving && self.may_ask(now) && self.rested(now, self.probe_wait())
     }
 
-    /// Gets the time between two probes.
-    pub(super) fn probe_wait(&self) -> Millis {
-        let doubled = PROBE_MIN.0 << self.misses.saturating_sub(2).min(8);
-        Millis(doubled.min(PROBE_MAX.0))
+    /// Tells whether a poll is due at a router that polls when news is `patience` old.
+    pub(super) fn poll_due(&self, now: Time, patience: Millis) -> bool {
+        if !self.may_ask(now) {
+            return false;
+        }
+        if self.rank == 0 {
+            let slowed = self.probe_wait().min(POLL_MAX);
+            let patience = if self.misses > 0 {
+                patience.max(slowed)
+            } else {
+                patience
+            };
+            return self.rested(now, patience);
+        }
+        let old = now.since(self.sure.unwrap_or(self.added)) >= patience;
+        let wait = if self.leaving {
+            // Only to find its next life when the first poller does not.
+            PROBE_MAX
+        } else {
+            self.probe_wait()
+        };
+        (old || self.doubted()) && self.rested(now, wait)
     }
 
     /// Notes that a poll or probe was sent.
     pub(super) fn ask(&mut self, now: Time) {
+        self.out = Some(now);
         self.asked = Some(now);
     }
+
+    /// Notes that the poll or probe that was out ended; gives when it was sent.
+    pub(super) fn told(&mut self) -> Option<Time> {
+        self.out.take()
+    }
+
+    /// Forgets what was out before a pause: its answer, if it still comes, may be as old.
+    pub(super) fn wake(&mut self, now: Time) {
+        self.out = None;
+        self.asked = None;
+        self.misses = 0;
+        if self.sure.is_none() {
+            self.doubt = Some(now);
+        }
+    }
+
+    /// Notes that a peer reaches it, so that it is soon probed from here again.
+    pub(super) fn reached_by_peer(&mut self) {
+        self.misses = 0;
+    }
+
+    /// Gets when it was last asked.
+    pub(super) fn last_asked(&self) -> Option<Time> {
+        self.asked
+    }
+
+    fn struck_lately(&self, now: Time) -> bool {
+        let lately = |t| now.since(t) < STRIKE_MEMORY;
+        self.work > 0 && self.struck.is_some_and(lately)
+    }
+
+    fn doubted(&self) -> bool {
+        self.doubt.is_some_and(|d| self.sure.is_none_or(|s| s < d))
+    }
+
+    /// Only one poll or probe is out at a time, or an answer could be taken for a later one's.
+    fn may_ask(&self, now: Time) -> bool {
+        self.out.is_none_or(|t| now.since(t) >= POLL_TIMEOUT)
+    }
+
+    fn rested(&self, now: Time, wait: Millis) -> bool {
+        self.asked.is_none_or(|t| now.since(t) >= wait)
+    }
+
+    fn probe_wait(&self) -> Millis {
+        let doubled = PROBE_MIN.0 << self.misses.saturating_sub(2).min(8);
+        Millis(doubled.min(PROBE_MAX.0))
+    }
 }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -10,8 +10,14 @@
 use slotmap::SecondaryMap;
 
 use crate::{
-    arena::EndpointKey,
-    config::Config,
+    arena::{
+        EndpointKey,
+        RouterKey, //
+    },
+    config::{
+        Config,
+        Policy, //
+    },
     event::VmState,
     units::{
         Incarnation,
@@ -21,19 +27,30 @@
 };
 
 pub mod damping;
+pub mod link;
 mod member;
+pub mod pollers;
+pub mod wake;
 
+use link::{
+    Contact,
+    Tally, //
+};
 use member::{
     Listed,
     Member, //
 };
 pub use member::{
     MISSING_AFTER,
+    POLL_TIMEOUT,
     PROBE_MAX, //
 };
+use pollers::Meter;
+use wake::Wake;
 
 /// Longest time since an endpoint's own word that it isn't leaving at which it still gets new
-/// work. What is left to the promised 3 s is for the error of that time.
+/// work. What is left to the promised 3 s is for
+/// [`wake::PAUSE`], the error of that time, and for the way to the socket.
 pub const FRESH: Millis = Millis(2500);
 
 /// `State` is an endpoint's state in this router's view.
@@ -78,6 +95,9 @@
     pub leaving: bool,
     /// The observation if it isn't.
     pub seen: Seen,
+    /// When it was asked: what it says was true then or later. `None` for the answer to the poll
+    /// or probe that was last sent ([`View::asked`]).
+    pub since: Option<Time>,
 }
 
 /// `View` is the state of every endpoint. It holds one entry for each configured endpoint and
@@ -85,13 +105,41 @@
 #[derive(Debug, Default)]
 pub struct View {
     members: SecondaryMap<EndpointKey, Member>,
+    peers: SecondaryMap<RouterKey, Contact>,
     heard: Time,
+    wake: Wake,
+    meter: Meter,
+    /// Since when this router's own link is at fault.
+    cut: Option<Time>,
 }
 
 impl View {
+    /// Notes the time of an event, before the event itself. Gives the length of the pause of this
+    /// process that it ended, if one did: nothing from before counts as fresh then.
+    pub fn advance(&mut self, now: Time) -> Option<Millis> {
+        let pause = self.wake.advance(now);
+        if pause.is_some() {
+            for (_, member) in &mut self.members {
+                member.wake(now);
+            }
+        }
+        pause
+    }
+
+    /// Tells whether requests should wait a moment for endpoints to be confirmed after a wake-up.
+    pub fn waking(&self, now: Time) -> bool {
+        self.wake.waiting(now)
+    }
+
+    /// Tells since when this router's own link is at fault.
+    pub fn cut(&self) -> Option<Time> {
+        self.cut
+    }
+
     /// Follows a new configuration: endpoints that are gone from it are forgotten, and one that
     /// moved to another address starts afresh.
     pub fn apply(&mut self, now: Time, config: &Config) {
+        self.peers.retain(|key, _| config.fleet.get(key).is_some());
         self.members
             .retain(|key, _| config.endpoints.get(key).is_some());
         for (key, endpoint) in config.endpoints.iter() {
@@ -102,6 +150,17 @@
         }
     }
 
+    /// Works out which endpoints this router polls; `me` is `None` while it is not in the fleet.
+    pub fn assign(&mut self, config: &Config, me: Option<RouterKey>) {
+        for (key, member) in &mut self.members {
+            let endpoint = config.endpoints.get(key);
+            let rank = me
+                .zip(endpoint)
+                .and_then(|(me, e)| pollers::rank(config, me, e));
+            member.rank = rank.unwrap_or(usize::MAX);
+        }
+    }
+
     /// Gets an endpoint's state; unknown ones are down.
     pub fn state(&self, now: Time, endpoint: EndpointKey) -> State {
         self.members
@@ -116,6 +175,11 @@
             .map_or(Incarnation::default(), |m| m.life)
     }
 
+    /// Gets when an endpoint last was known not to be leaving, by its own word.
+    pub fn sure(&self, endpoint: EndpointKey) -> Option<Time> {
+        self.members.get(endpoint).and_then(|m| m.sure)
+    }
+
     /// Gets an endpoint's flap penalty ([`damping`]).
     pub fn penalty(&self, now: Time, endpoint: EndpointKey) -> u32 {
         self.members
@@ -146,39 +210,78 @@
     /// Notes what an endpoint said of itself; gives the new state if it changed. The word of an
     /// earlier life says nothing of the present one.
     pub fn word(&mut self, now: Time, endpoint: EndpointKey, word: Word) -> Option<State> {
-        let life = word.life.unwrap_or(self.incarnation(endpoint));
-        if life < self.incarnation(endpoint) {
+        self.heard = now;
+        let member = self.members.get_mut(endpoint)?;
+        let since = word.since.or_else(|| member.told());
+        let life = word.life.unwrap_or(member.life);
+        if life < member.life {
             return None;
         }
-        self.heard = now;
         if word.leaving {
             return self.leaving(now, endpoint, life);
         }
         if word.life.is_some() {
             self.begin(now, endpoint, life);
         }
+        if let Some(since) = since {
+            self.confirm(endpoint, since);
+        }
         self.seen(now, endpoint, word.seen)
     }
 
-    /// Notes an observation; gives the new state if it changed.
+    /// Notes that a peer polled an endpoint, which was not leaving, at most one summary interval
+    /// and [`pollers::TRANSIT`] before it sent the report; gives the new state if it changed.
+    pub fn reported(
+        &mut self,
+        now: Time,
+        endpoint: EndpointKey,
+        incarnation: Incarnation,
+        interval: Millis,
+    ) -> Option<State> {
+        let member = self.members.get_mut(endpoint)?;
+        if incarnation < member.life {
+            return None;
+        }
+        member.reached_by_peer();
+        self.begin(now, endpoint, incarnation);
+        if !self.wake.settling(now) {
+            let since = now - interval - pollers::TRANSIT - pollers::TRANSIT;
+            self.confirm(endpoint, since);
+        }
+        self.changed(now, endpoint)
+    }
+
+    /// Notes whether a peer was reached.
+    pub fn peer(&mut self, now: Time, router: RouterKey, reached: bool) {
+        let Some(entry) = self.peers.entry(router) else {
+            return;
+        };
+        let contact = entry.or_default();
+        if reached {
+            contact.good = Some(now);
+        } else {
+            contact.bad = Some(now);
+        }
+    }
+
+    /// Notes an observation of an endpoint's health; gives the new state if it changed.
     pub fn seen(&mut self, now: Time, endpoint: EndpointKey, seen: Seen) -> Option<State> {
+        let settling = self.wake.settling(now);
         let member = self.members.get_mut(endpoint)?;
         match seen {
-            Seen::Answered => {
-                member.answered(now);
-                member.confirm(now);
-            }
-            Seen::Finished => member.answered(now),
-            Seen::Reached => {
-                member.reached(now);
-                member.confirm(now);
-            }
+            Seen::Answered | Seen::Finished => member.answered(now),
+            Seen::Reached => member.reached(now),
+            // What failed while this process was paused is not the endpoint's fault.
+            _ if settling => {}
             Seen::Refused => member.refused(now),
             Seen::Silent => member.silent(now),
-            Seen::Unreached => member.unreached(now),
+            Seen::Unreached => {
+                member.told();
+                member.unreached(now);
+            }
         }
         if member.failed() {
-            member.fall(now);
+            self.blame(now, endpoint);
         }
         self.changed(now, endpoint)
     }
@@ -236,11 +339,16 @@
         leaving.map(|(key, m)| (key, m.life))
     }
 
-    /// Lists the endpoints that need a probe.
-    pub fn to_probe(&self, now: Time) -> impl Iterator<Item = EndpointKey> {
-        let due = move |m: &Member| m.needs_probe(now) && m.rested(now, m.probe_wait());
-        let due = self.members.iter().filter(move |(_, m)| due(m));
-        due.map(|(key, _)| key)
+    /// Lists the endpoints that need a probe on a new connection now. The caller says
+    /// [`View::asked`] of each.
+    pub fn to_probe(&mut self, now: Time) -> Vec<EndpointKey> {
+        self.due(now, |m| m.probe_due(now))
+    }
+
+    /// Lists the endpoints that this router should poll now. The caller says [`View::asked`] of
+    /// each.
+    pub fn to_poll(&mut self, now: Time, policy: &Policy) -> Vec<EndpointKey> {
+        self.due(now, |m| m.poll_due(now, pollers::patience(policy, m.rank)))
     }
 
     /// Notes that an endpoint is being polled or probed.
@@ -252,11 +360,14 @@
 
     /// Gives the states that changed since they were last given, also by time alone.
     pub fn changes(&mut self, now: Time) -> Vec<(EndpointKey, State)> {
+        if self.cut.is_some() {
+            self.check_link(now);
+        }
         let mut changes = Vec::new();
         for (key, member) in &mut self.members {
             let state = member.state(now);
-            if member.told != state {
-                member.told = state;
+            if member.given != state {
+                member.given = state;
                 changes.push((key, state));
             }
         }
@@ -273,11 +384,55 @@
         }
     }
 
+    /// Lists the endpoints that `wanted` picks, longest unasked first, as many as
+    /// [`pollers::BUDGET`] leaves.
+    fn due(&mut self, now: Time, wanted: impl Fn(&Member) -> bool) -> Vec<EndpointKey> {
+        if self.wake.settling(now) {
+            return Vec::new();
+        }
+        let due = self.members.iter().filter(|(_, m)| wanted(m));
+        let mut due: Vec<_> = due.map(|(key, m)| (m.last_asked(), key)).collect();
+        due.sort();
+        due.truncate(self.meter.take(now, due.len()));
+        due.into_iter().map(|(_, key)| key).collect()
+    }
+
+    fn confirm(&mut self, endpoint: EndpointKey, since: Time) {
+        if let Some(member) = self.members.get_mut(endpoint) {
+            member.confirm(since);
+        }
+    }
+
+    /// Counts an endpoint as down, unless most others fail as well: then the fault is this
+    /// router's link, and those that fell in the last moments are taken back, too.
+    fn blame(&mut self, now: Time, endpoint: EndpointKey) {
+        if self.check_link(now) {
+            for (_, member) in &mut self.members {
+                if member.failed() || member.fell_within(now, link::ONSET) {
+                    member.excuse(now);
+                }
+            }
+        } else if let Some(member) = self.members.get_mut(endpoint) {
+            member.fall(now);
+        }
+    }
+
+    fn check_link(&mut self, now: Time) -> bool {
+        let mut tally = Tally::default();
+        self.members
+            .values()
+            .for_each(|m| tally.add(now, m.contact));
+        self.peers.values().for_each(|c| tally.add(now, *c));
+        let fault = tally.fault();
+        self.cut = fault.then(|| self.cut.unwrap_or(now));
+        fault
+    }
+
     fn changed(&mut self, now: Time, endpoint: EndpointKey) -> Option<State> {
         let member = self.members.get_mut(endpoint)?;
         let state = member.state(now);
-        let changed = member.told != state;
-        member.told = state;
+        let changed = member.given != state;
+        member.given = state;
         changed.then_some(state)
     }
 }
--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -280,6 +280,7 @@
             life: incarnation,
             leaving,
             seen: Seen::Answered,
+            since: Some(now.mono),
         };
         let changed = self.view.word(now.mono, endpoint, word);
         log_member(endpoint, changed, out);
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -300,6 +300,7 @@
             life: Some(report.incarnation),
             leaving: report.leaving,
             seen: Seen::Reached,
+            since: None,
         };
         let changed = self.view.word(now.mono, endpoint, word);
         log_member(endpoint, changed, out);
@@ -328,11 +329,12 @@
                 .is_none_or(|t| now.mono.since(*t) >= interval);
             if due && endpoint.kind == crate::config::Kind::Engine {
                 self.polled.insert(key, now.mono);
+                self.view.asked(now.mono, key);
                 out.push(Action::Poll { endpoint: key });
             }
         }
-        let to_probe: Vec<EndpointKey> = self.view.to_probe(now.mono).collect();
-        for key in to_probe {
+        for key in self.view.to_probe(now.mono) {
+            self.view.asked(now.mono, key);
             let due = self
                 .probed
                 .get(key)
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -37,6 +37,14 @@
     }
 }
 
+impl Add for Millis {
+    type Output = Millis;
+
+    fn add(self, span: Millis) -> Millis {
+        Millis(self.0.saturating_add(span.0))
+    }
+}
+
 impl Add<Millis> for Time {
     type Output = Time;
 
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -38,7 +38,7 @@
     for seen in [Seen::Answered, Seen::Finished, Seen::Reached, Seen::Refused] {
         now = now + Millis(100);
         view.seen(now, key, seen);
-        view.word(now, key, word(1));
+        view.word(now, key, fresh(now, 1));
         view.listed(now, Millis(0), &[(key, VmState::Live)]);
         expect_that!(view.state(now, key), eq(State::Leaving));
     }
@@ -50,7 +50,7 @@
 fn verify_later_life_starts_afresh() {
     let (mut view, keys) = view(START, 2);
     view.word(START, keys[0], farewell(1));
-    view.word(START + Millis(10), keys[0], word(2));
+    view.word(START + Millis(10), keys[0], fresh(START + Millis(10), 2));
     expect_that!(view.state(START + Millis(10), keys[0]), eq(State::Live));
     expect_that!(view.all_leaving().count(), eq(0));
 }
@@ -60,12 +60,12 @@
     // Symptom: a replaced engine got no work. Sequence: the new life is known, then a late answer
     // or a peer's summary says that the old life leaves. Cause: the news went by address alone.
     let (mut view, keys) = view(START, 2);
-    view.word(START, keys[0], word(5));
+    view.word(START, keys[0], fresh(START, 5));
     expect_that!(view.word(START, keys[0], farewell(4)), none());
     expect_that!(view.leaving(START, keys[0], Incarnation(4)), none());
     expect_that!(view.state(START, keys[0]), eq(State::Live));
     let late = START + Millis(3000);
-    view.word(late, keys[0], word(4));
+    view.word(late, keys[0], fresh(late, 4));
     expect_that!(view.state(late, keys[0]), eq(State::Down));
 }
 
@@ -83,13 +83,13 @@
     // then a lagging list says that the VM leaves. Cause: the list meant life 1.
     let (mut view, keys) = view(START, 2);
     let key = keys[0];
-    view.word(START + Millis(500), key, word(2));
+    view.word(START + Millis(500), key, fresh(START + Millis(500), 2));
     let now = START + Millis(600);
     let list = [(key, VmState::Leaving)];
     view.listed(now, Millis(300), &list);
     expect_that!(view.state(now, key), eq(State::Down));
-    expect_that!(view.to_probe(now).collect::<Vec<_>>(), eq(&vec![key]));
-    view.word(now + Millis(5), key, word(2));
+    expect_that!(view.to_probe(now), eq(&vec![key]));
+    view.word(now + Millis(5), key, fresh(now + Millis(5), 2));
     expect_that!(view.state(now + Millis(5), key), not(eq(State::Down)));
     // A list made after the new life began means that life.
     let later = now + Millis(500);
@@ -135,7 +135,11 @@
     }
     view.leaving(now, key, Incarnation(0));
     expect_that!(view.state(now, key), eq(State::Down));
-    view.seen(now, key, Seen::Reached);
+    let back = Word {
+        life: None,
+        ..fresh(now, 0)
+    };
+    view.word(now, key, back);
     expect_that!(view.state(now, key), eq(State::Live));
 }
 
@@ -166,7 +170,7 @@
     for _ in 0..61 {
         now = now + Millis(500);
         view.listed(now, Millis(0), &all[1..]);
-        view.word(now, keys[0], word(1));
+        view.word(now, keys[0], fresh(now, 1));
     }
     expect_that!(view.state(now, keys[0]), eq(State::Suspect));
     view.listed(now, Millis(0), &all);
@@ -187,14 +191,14 @@
         }
         expect_that!(view.state(now, key), eq(State::Down));
         now = now + Millis(500);
-        view.word(now, key, word(1));
+        view.word(now, key, fresh(now, 1));
         let trusted = view.state(now, key) == State::Live;
         expect_that!(trusted, eq(flap < 2), "after flap {flap}");
     }
     let stable = now;
     while view.state(now, key) != State::Live {
         now = now + Millis(100);
-        view.word(now, key, word(1));
+        view.word(now, key, fresh(now, 1));
         assert_that!(now.since(stable), lt(Millis(26_000)));
     }
     expect_that!(now.since(stable), gt(damping::HALF_LIFE));
@@ -208,7 +212,7 @@
     let mut now = START;
     for _ in 0..3 {
         now = now + Millis(2000);
-        view.word(now, keys[0], word(1));
+        view.word(now, keys[0], fresh(now, 1));
         view.seen(now, keys[0], Seen::Silent);
     }
     expect_that!(view.state(now, keys[0]), eq(State::Down));
@@ -224,7 +228,7 @@
     }
     let now = START + Millis(300);
     expect_that!(view.state(now, keys[0]), eq(State::Suspect));
-    expect_that!(view.to_probe(now).collect::<Vec<_>>(), eq(&vec![keys[0]]));
+    expect_that!(view.to_probe(now), eq(&vec![keys[0]]));
     view.seen(now, keys[0], Seen::Answered);
     expect_that!(view.state(now, keys[0]), eq(State::Live));
 }
@@ -237,15 +241,19 @@
     let mut sent = Vec::new();
     while now < START + Millis::from_secs(3600) {
         now = now + Millis(50);
-        if view.to_probe(now).any(|k| k == key) {
-            view.asked(now, key);
-            view.seen(now, key, Seen::Unreached);
-            sent.push(now);
+        for due in view.to_probe(now) {
+            view.asked(now, due);
+            if due == key {
+                view.seen(now, key, Seen::Unreached);
+                sent.push(now);
+            } else {
+                view.word(now, due, word(1));
+            }
         }
     }
     let gaps: Vec<_> = sent.windows(2).map(|w| w[1].since(w[0])).collect();
     expect_that!(gaps.iter().max(), some(eq(&PROBE_MAX)));
     expect_that!(sent.len(), le(460));
-    view.word(now, key, word(1));
+    view.word(now, key, fresh(now, 1));
     expect_that!(view.state(now, key), not(eq(State::Down)));
 }
--- a/crates/core/tests/membership/fixture.rs
+++ b/crates/core/tests/membership/fixture.rs
@@ -78,17 +78,26 @@
     view.apply(now, &config);
     let keys: Vec<_> = config.endpoints.iter().map(|(key, _)| key).collect();
     for key in &keys {
-        view.word(now, *key, word(1));
+        view.word(now, *key, fresh(now, 1));
     }
     (view, keys)
 }
 
-/// Makes the answer to a poll of a life that isn't leaving.
+/// Makes the answer to the poll that is out, of a life that isn't leaving.
 pub(crate) fn word(life: u64) -> Word {
     Word {
         life: Some(Incarnation(life)),
         leaving: false,
         seen: Seen::Reached,
+        since: None,
+    }
+}
+
+/// Makes the answer to a poll that was sent at `now`.
+pub(crate) fn fresh(now: Time, life: u64) -> Word {
+    Word {
+        since: Some(now),
+        ..word(life)
     }
 }
 
