--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -68,7 +68,7 @@
         let refuse = |code| Refusal::not_run(code, Some(SOON));
         let early = if self.config().revision == Revision(0) {
             Some(refuse(Code::NotReady))
-        } else if self.draining.is_some() {
+        } else if self.draining.is_some() && !self.remembers(&request.work) {
             Some(refuse(Code::Draining))
         } else if now.mono >= request.deadline {
             Some(Refusal::not_run(Code::Deadline, None))
@@ -175,7 +175,8 @@
             }
             _ => match self.home.begin(now, &config, call, key, content) {
                 Begin::Run => self.dispatch(now, call, out),
-                Begin::Refuse(refusal) => self.refuse(now, call, refusal, out),
+                Begin::Wait => open.stage = Stage::Waiting,
+                Begin::Refuse(refusal) => self.give(now, call, refusal, out),
                 Begin::Replay(answer) => {
                     self.calls.swap_remove(&call);
                     out.push(Action::Replay { call, answer });
@@ -190,12 +191,13 @@
         let Some(open) = self.calls.get_mut(&call) else {
             return;
         };
-        if let Work::Once { key, .. } = open.request.work
-            && !self.home.may_send(now, &config, key)
-        {
-            self.home.end(now, key, Outcome::NotRun, None);
-            let refusal = Refusal::not_run(Code::HomeUnavailable, Some(SOON));
-            return self.refuse(now, call, refusal, out);
+        let mut not_after = None;
+        if let Work::Once { key, .. } = open.request.work {
+            not_after = self.home.may_send(now, key);
+            if not_after.is_none() {
+                let refusal = Refusal::not_run(Code::HomeUnavailable, Some(SOON));
+                return self.end_refused(now, call, refusal, out);
+            }
         }
         let scene = Scene {
             config: &config,
@@ -203,8 +205,8 @@
             loads: &self.loads,
             now: now.mono,
         };
-        let Some(placed) = place::choose(scene, &open.request.work, &open.tried, &mut self.rng)
-        else {
+        let work = self.recent.recall(&config, &open.request.work);
+        let Some(placed) = place::choose(scene, &work, &open.tried, &mut self.rng) else {
             return self.no_endpoint(now, call, out);
         };
         let endpoint = placed.endpoint;
@@ -213,6 +215,7 @@
         open.tried.push(endpoint);
         let load = self.loads.estimate(now.mono, endpoint);
         self.loads.sent(now.mono, endpoint);
+        let must_tell = self.loads.must_tell(endpoint, placed.limit);
         let token = match (&open.request.work, config.endpoints.get(endpoint)) {
             (Work::Chat { token, .. }, Some(e)) => Some(Token {
                 last: e.tag,
@@ -225,6 +228,18 @@
         let workspace = open.request.workspace;
         let deadline = open.request.deadline;
         let idle = config.policy.idle_timeout;
+        if let Work::Chat { model, prefix, .. } = open.request.work {
+            if let Some(from) = placed.import_from {
+                out.push(Action::Import {
+                    call: Some(call),
+                    prefix,
+                    from,
+                    to: endpoint,
+                });
+            }
+            let life = self.view.incarnation(endpoint);
+            self.recent.note(prefix, model, (endpoint, life));
+        }
         out.push(Action::Dispatch {
             call,
             attempt,
@@ -232,6 +247,7 @@
             deadline,
             idle,
             token,
+            not_after,
         });
         let view_age = self.view_age(now);
         let decision = Decision::Placed {
@@ -243,21 +259,23 @@
             view_age,
         };
         out.push(Action::Log(decision));
+        if must_tell {
+            self.tell_soon(now, out);
+        }
     }
 
     fn no_endpoint(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
-        let Some(open) = self.calls.get(&call) else {
-            return;
-        };
-        if let Work::Once { key, .. } = open.request.work {
-            self.home.end(now, key, Outcome::NotRun, None);
+        let refusal = Refusal::not_run(Code::NoEndpoint, Some(SOON));
+        self.end_refused(now, call, refusal, out);
+    }
+
+    pub(super) fn head_load(&mut self, now: Now, call: Call, in_flight: Option<u32>) {
+        if let Some(open) = self.calls.get(&call)
+            && let Stage::Sent { endpoint } = open.stage
+            && let Some(in_flight) = in_flight
+        {
+            self.loads.stated(now.mono, endpoint, in_flight);
         }
-        self.refuse(
-            now,
-            call,
-            Refusal::not_run(Code::NoEndpoint, Some(SOON)),
-            out,
-        );
     }
 
     pub(super) fn head(
@@ -325,9 +343,6 @@
         let Some(open) = self.calls.swap_remove(&call) else {
             return;
         };
-        if let Work::Once { key, .. } = open.request.work {
-            self.home.end(now, key, Outcome::Done, Some(answer));
-        }
         let outcome = Outcome::Done;
         out.push(Action::Finish { call, outcome });
         out.push(Action::Log(Decision::Done {
@@ -335,6 +350,7 @@
             outcome,
             attempts: open.attempts,
         }));
+        self.end_key(now, &open.request.work, outcome, Some(answer), out);
     }
 
     fn failed(&mut self, now: Now, call: Call, attempt: Attempt, end: End, out: &mut Vec<Action>) {
@@ -348,7 +364,7 @@
         let (request, attempts) = (&open.request, open.attempts);
         let retried = retry::allowed(
             &policy,
-            &request.work,
+            &self.repeated_as(&request.work),
             attempts,
             &end,
             now.mono,
@@ -361,16 +377,17 @@
             retried,
         }));
         if retried {
+            self.touch(call, &end);
             return self.dispatch(now, call, out);
         }
         let work = request.work.clone();
         match end {
-            End::Cancelled => self.close(now, call, &work, Outcome::Unknown),
+            End::Cancelled => {
+                self.calls.swap_remove(&call);
+                self.end_key(now, &work, Outcome::Unknown, None, out);
+            }
             // An endpoint's own error is an answer; the caller gets it as it is.
-            End::Failed(answer) => {
-                if let Work::Once { key, .. } = work {
-                    self.home.end(now, key, Outcome::Unknown, Some(answer));
-                }
+            End::Failed(_) => {
                 let outcome = Outcome::Unknown;
                 self.calls.swap_remove(&call);
                 out.push(Action::Finish { call, outcome });
@@ -379,31 +396,19 @@
                     outcome,
                     attempts,
                 }));
+                self.end_key(now, &work, outcome, None, out);
             }
             End::NotSent { .. } => {
-                if let Work::Once { key, .. } = work {
-                    self.home.end(now, key, Outcome::NotRun, None);
-                }
                 let refusal = Refusal::not_run(Code::EndpointFailed, Some(SOON));
-                self.refuse(now, call, refusal, out);
+                self.end_refused(now, call, refusal, out);
             }
             End::Broken { .. } | End::Whole(_) => {
-                if let Work::Once { key, .. } = work {
-                    self.home.end(now, key, Outcome::Unknown, None);
-                }
                 let refusal = Refusal::unknown(Code::EndpointFailed, Some(SOON));
-                self.refuse(now, call, refusal, out);
+                self.end_refused(now, call, refusal, out);
             }
         }
     }
 
-    fn close(&mut self, now: Now, call: Call, work: &Work, outcome: Outcome) {
-        if let Work::Once { key, .. } = work {
-            self.home.end(now, *key, outcome, None);
-        }
-        self.calls.swap_remove(&call);
-    }
-
     pub(super) fn gone(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
         let Some(open) = self.calls.get(&call) else {
             return;
@@ -425,62 +430,60 @@
             Stage::Forwarded => {
                 self.calls.swap_remove(&call);
             }
+            Stage::Waiting => {
+                self.leave(call, &work);
+                self.calls.swap_remove(&call);
+            }
         }
     }
 
-    pub(super) fn forward_failed(&mut self, call: Call, sent: bool, out: &mut Vec<Action>) {
-        let Some(open) = self.calls.swap_remove(&call) else {
-            return;
-        };
+    pub(super) fn forward_failed(
+        &mut self,
+        now: Now,
+        call: Call,
+        sent: bool,
+        out: &mut Vec<Action>,
+    ) {
         // An earlier request with this key may have run at the home, so even what was not sent is
         // only unknown to this router.
         let _ = sent;
         let refusal = Refusal::unknown(Code::HomeUnavailable, Some(SOON));
-        let workspace = open.request.workspace;
-        out.push(Action::Refuse { call, refusal });
-        let view_age = Millis(0);
-        out.push(Action::Log(Decision::Refused {
-            call,
-            workspace,
-            refusal,
-            view_age,
-        }));
+        self.give(now, call, refusal, out);
     }
 
     pub(super) fn forward_done(
         &mut self,
+        now: Now,
         call: Call,
         refusal: Option<Refusal>,
         out: &mut Vec<Action>,
     ) {
-        let Some(open) = self.calls.swap_remove(&call) else {
+        if let Some(refusal) = refusal {
+            return self.give(now, call, refusal, out);
+        }
+        if self.calls.swap_remove(&call).is_none() {
             return;
-        };
-        match refusal {
-            Some(refusal) => {
-                let workspace = open.request.workspace;
-                out.push(Action::Refuse { call, refusal });
-                let view_age = Millis(0);
-                out.push(Action::Log(Decision::Refused {
-                    call,
-                    workspace,
-                    refusal,
-                    view_age,
-                }));
-            }
-            None => {
-                let outcome = Outcome::Done;
-                out.push(Action::Finish { call, outcome });
-                out.push(Action::Log(Decision::Done {
-                    call,
-                    outcome,
-                    attempts: 1,
-                }));
-            }
         }
+        let outcome = Outcome::Done;
+        out.push(Action::Finish { call, outcome });
+        out.push(Action::Log(Decision::Done {
+            call,
+            outcome,
+            attempts: 1,
+        }));
+    }
+
+    /// Refuses a call. What it is told of an action that runs once must be vouched for.
+    pub(super) fn refuse(&mut self, now: Now, call: Call, refusal: Refusal, out: &mut Vec<Action>) {
+        let refusal = match self.calls.get(&call) {
+            Some(open) => self.vouched(now, &open.request.work, refusal),
+            None => return,
+        };
+        self.give(now, call, refusal, out);
     }
 
-    fn refuse(&mut self, now: Now, call: Call, refusal: Refusal, out: &mut Vec<Action>) {
+    /// Gives a refusal as it is.
+    pub(super) fn give(&mut self, now: Now, call: Call, refusal: Refusal, out: &mut Vec<Action>) {
         let Some(open) = self.calls.swap_remove(&call) else {
             return;
         };
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -42,6 +42,10 @@
         Word, //
     },
     once::Home,
+    place::{
+        Scene,
+        moves::Recent, //
+    },
     request::{
         Attempt,
         Call,
@@ -58,6 +62,7 @@
 };
 
 mod calls;
+mod once;
 mod peers;
 
 /// `Options` is what a node must know of itself.
@@ -94,6 +99,8 @@
     Admission,
     /// The answer of the key's home.
     Forwarded,
+    /// The answer to the first request with the same key, here at the home.
+    Waiting,
     /// The answer of an endpoint.
     Sent { endpoint: EndpointKey },
 }
@@ -107,6 +114,7 @@
     me: Option<RouterKey>,
     view: View,
     loads: Table,
+    recent: Recent,
     limits: Limits,
     home: Home,
     budget: Budget,
@@ -115,6 +123,8 @@
     polled: SecondaryMap<EndpointKey, Time>,
     probed: SecondaryMap<EndpointKey, Time>,
     summarized: Time,
+    // Whether peers are to hear of own requests before the next summary is due.
+    early: bool,
     started: Time,
     watching: bool,
     synced: bool,
@@ -126,6 +136,7 @@
     /// Makes a node that knows nothing yet.
     pub fn new(options: Options, now: Now) -> Self {
         let rng = StdRng::seed_from_u64(options.seed);
+        let home = Home::new(now, options.incarnation);
         Self {
             options,
             rng,
@@ -133,14 +144,16 @@
             me: None,
             view: View::default(),
             loads: Table::default(),
+            recent: Recent::default(),
             limits: Limits::default(),
-            home: Home::default(),
+            home,
             budget: Budget::default(),
             peers: SecondaryMap::new(),
             calls: IndexMap::new(),
             polled: SecondaryMap::new(),
             probed: SecondaryMap::new(),
             summarized: now.mono,
+            early: false,
             started: now.mono,
             watching: false,
             synced: false,
@@ -196,12 +209,13 @@
                 leaving,
                 incarnation,
             } => {
-                let _ = (attempt, in_flight);
+                let _ = attempt;
+                self.head_load(now, call, in_flight);
                 self.head(now, call, leaving, incarnation, out);
             }
             Event::Ended { call, attempt, end } => self.ended(now, call, attempt, end, out),
-            Event::ForwardFailed { call, sent } => self.forward_failed(call, sent, out),
-            Event::ForwardDone { call, refusal } => self.forward_done(call, refusal, out),
+            Event::ForwardFailed { call, sent } => self.forward_failed(now, call, sent, out),
+            Event::ForwardDone { call, refusal } => self.forward_done(now, call, refusal, out),
             Event::Gone { call } => self.gone(now, call, out),
             Event::Polled { endpoint, report } => self.polled(now, endpoint, report, out),
             Event::Probed { endpoint, answered } => {
@@ -239,14 +253,18 @@
         match self.store.apply(change) {
             Ok(()) => self.applied(now, out),
             Err(store::Error::Invalid { faults }) => {
-                let line = |f: &store::Fault| format!("{}: {}", f.path, f.reason);
-                let errors = faults.iter().map(line).collect::<Vec<_>>().join("\n");
+                let lines: Vec<_> = faults.iter().map(store::Fault::to_string).collect();
+                let errors = lines.join("\n");
                 let revision = change.revision;
                 out.push(Action::Log(Decision::Rejected { revision, errors }));
             }
-            // An older or overlapping change is what a lagging service or peer sends; what is in
-            // force stays.
-            Err(store::Error::Old { .. } | store::Error::Gap { .. }) => {}
+            // An older, overlapping or broken change is what a lagging or faulty service or peer
+            // sends; what is in force stays.
+            Err(
+                store::Error::Old { .. }
+                | store::Error::Gap { .. }
+                | store::Error::Malformed { .. },
+            ) => {}
         }
     }
 
@@ -254,7 +272,7 @@
         let config = Arc::clone(self.store.current());
         self.me = config.fleet.key(&self.options.id);
         self.view.apply(now.mono, &config);
-        self.loads.apply(&config);
+        self.loads.apply(&config, self.me);
         self.limits.apply(now.mono, &config);
         self.home.apply(now, &config, self.me);
         self.peers.retain(|key, _| config.fleet.get(key).is_some());
@@ -309,16 +327,36 @@
     fn tick(&mut self, now: Now, out: &mut Vec<Action>) {
         if !self.watching {
             self.watching = true;
-            out.push(Action::Watch {
-                since: self.store.held(),
-            });
+            let since = self.store.next_read();
+            out.push(Action::Watch { since });
         }
+        self.loads.refresh(now.mono, &self.view);
+        self.tick_moves(now, out);
         self.tick_endpoints(now, out);
         self.tick_peers(now, out);
         self.tick_limits(now, out);
+        self.tick_waiting(now, out);
         self.tick_drain(now, out);
     }
 
+    fn tick_moves(&mut self, now: Now, out: &mut Vec<Action>) {
+        let config = Arc::clone(self.store.current());
+        let scene = Scene {
+            config: &config,
+            view: &self.view,
+            loads: &self.loads,
+            now: now.mono,
+        };
+        for moved in self.recent.moves(scene) {
+            out.push(Action::Import {
+                call: None,
+                prefix: moved.prefix,
+                from: moved.from,
+                to: moved.to,
+            });
+        }
+    }
+
     fn tick_endpoints(&mut self, now: Now, out: &mut Vec<Action>) {
         let config = Arc::clone(self.store.current());
         let interval = config.policy.poll_interval;
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -7,8 +7,17 @@
     log_member, //
 };
 use crate::{
-    action::Action,
+    action::{
+        Action,
+        Decision, //
+    },
     arena::RouterKey,
+    event::TICK,
+    limits::Question,
+    once::{
+        self,
+        Vote, //
+    },
     peer::{
         Leaving,
         Load,
@@ -26,6 +35,9 @@
 /// fleet can start.
 const ALONE_AFTER: Millis = Millis(1500);
 
+/// Shortest time between two summaries, which bounds what a burst of requests adds to them.
+const EARLY_GAP: Millis = TICK;
+
 impl Node {
     pub(super) fn peer(
         &mut self,
@@ -40,15 +52,18 @@
         };
         peer.heard = Some(now.mono);
         self.view.heard(now.mono);
+        self.limits.heard(from);
         let config = Arc::clone(self.store.current());
         match message {
             Message::Summary(summary) => self.summary(now, from, &summary, out),
             Message::Pull { since } => {
-                let message = Message::Push(self.store.after(since));
-                out.push(Action::Send {
-                    router: from,
-                    message,
-                });
+                for change in self.store.after(since) {
+                    let message = Message::Push(change);
+                    out.push(Action::Send {
+                        router: from,
+                        message,
+                    });
+                }
             }
             Message::Push(change) => {
                 self.publish(now, &change, out);
@@ -62,7 +77,16 @@
                 let Some(key) = config.workspaces.by_tag(workspace) else {
                     return;
                 };
-                let (granted, retry_after) = self.limits.ask(now.mono, &config, from, key, want);
+                let question = Question {
+                    me: self.me,
+                    from,
+                    workspace: key,
+                    want,
+                };
+                let mut outgo = Vec::new();
+                let (granted, retry_after) =
+                    self.limits.ask(now.mono, &config, question, &mut outgo);
+                self.limits_out(now, outgo, out);
                 let message = Message::Grant {
                     workspace,
                     granted,
@@ -88,13 +112,19 @@
                     .granted(now.mono, key, granted, retry_after, nonce, &mut outgo);
                 self.limits_out(now, outgo, out);
             }
-            Message::LeaseAsk { epoch, round } => {
-                let confirmed = self.home.vote(now, from, incarnation, epoch);
-                let epoch = config.epoch;
+            Message::LeaseAsk {
+                epoch,
+                round,
+                lease,
+            } => {
+                let vote = self
+                    .home
+                    .vote(now, &config, from, incarnation, (epoch, lease));
                 let message = Message::LeaseAnswer {
-                    epoch,
+                    epoch: config.epoch,
                     round,
-                    confirmed,
+                    confirmed: vote.confirmed,
+                    previous: vote.previous,
                 };
                 out.push(Action::Send {
                     router: from,
@@ -105,8 +135,14 @@
                 epoch,
                 round,
                 confirmed,
+                previous,
             } => {
-                self.home.voted(now, from, epoch, round, confirmed);
+                let vote = Vote {
+                    confirmed,
+                    previous,
+                };
+                self.home
+                    .voted(now, from, incarnation, (epoch, round), vote);
             }
         }
     }
@@ -115,10 +151,11 @@
         if let Some(peer) = self.peers.get_mut(from) {
             peer.revision = summary.revision;
         }
-        if summary.revision > self.store.held() {
-            let message = Message::Pull {
-                since: self.store.held(),
-            };
+        // What counts is the revision in force: this node may hold a newer one that is invalid,
+        // and have missed the valid one in between that the peer has in force.
+        let since = self.config().revision;
+        if summary.revision > since {
+            let message = Message::Pull { since };
             out.push(Action::Send {
                 router: from,
                 message,
@@ -139,7 +176,9 @@
 
     pub(super) fn peer_failed(&mut self, now: Now, router: RouterKey, out: &mut Vec<Action>) {
         let mut outgo = Vec::new();
-        self.limits.failed(now.mono, router, &mut outgo);
+        let config = Arc::clone(self.store.current());
+        self.limits
+            .failed(now.mono, &config, self.me, router, &mut outgo);
         self.limits_out(now, outgo, out);
     }
 
@@ -152,18 +191,36 @@
         self.home.tick(now, &config, &mut lease);
         let send = |(router, message)| Action::Send { router, message };
         out.extend(lease.into_iter().map(send));
-        if now.mono.since(self.summarized) < config.policy.summary_interval {
-            return;
+        if let Some(once::Held { epoch, held }) = self.home.changed(now) {
+            out.push(Action::Log(Decision::Lease { epoch, held }));
+        }
+        let interval = config.policy.summary_interval;
+        if self.early || now.mono.since(self.summarized) >= interval {
+            self.tell_peers(now, out);
         }
+    }
+
+    /// Sends every peer a summary before its time, but no sooner than [`EARLY_GAP`] after the last.
+    pub(super) fn tell_soon(&mut self, now: Now, out: &mut Vec<Action>) {
+        if now.mono.since(self.summarized) >= EARLY_GAP {
+            self.tell_peers(now, out);
+        } else {
+            self.early = true;
+        }
+    }
+
+    /// Sends every peer a summary now.
+    fn tell_peers(&mut self, now: Now, out: &mut Vec<Action>) {
+        let since = self.config().revision;
         self.summarized = now.mono;
+        self.early = false;
         let summary = self.make_summary();
+        self.loads.shared();
         for router in self.peers.keys() {
             let message = Message::Summary(summary.clone());
             out.push(Action::Send { router, message });
             if !self.synced {
-                let message = Message::Pull {
-                    since: self.store.held(),
-                };
+                let message = Message::Pull { since };
                 out.push(Action::Send { router, message });
             }
         }
