--- a/crates/core/examples/bench_place.rs
+++ b/crates/core/examples/bench_place.rs
@@ -146,7 +146,7 @@
         }
     }
     nanos.sort_unstable();
-    let at = |share: f64| nanos[(share * (nanos.len() - 1) as f64) as usize];
+    let at = |permille: usize| nanos[(nanos.len() - 1) * permille / 1000];
     println!(
         "{:>5} endpoints, {:<13} median {:>6} ns, 99 in 100 {:>6} ns ({} placed)",
         keys.len(),
@@ -155,8 +155,8 @@
         } else {
             "without:"
         },
-        at(0.5),
-        at(0.99),
+        at(500),
+        at(990),
         nanos.len()
     );
 }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -360,12 +360,12 @@
     fn tick_endpoints(&mut self, now: Now, out: &mut Vec<Action>) {
         let config = Arc::clone(self.store.current());
         let interval = config.policy.poll_interval;
-        for (key, endpoint) in config.endpoints.iter() {
+        for (key, _) in config.endpoints.iter() {
             let due = self
                 .polled
                 .get(key)
                 .is_none_or(|t| now.mono.since(*t) >= interval);
-            if due && endpoint.kind == crate::config::Kind::Engine {
+            if due {
                 self.polled.insert(key, now.mono);
                 self.view.asked(now.mono, key);
                 out.push(Action::Poll { endpoint: key });
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -1,7 +1,10 @@
 //! Answers to callers: headers, errors in their one JSON shape, and relayed answers.
 
+use std::str::FromStr;
+
 use bytes::Bytes;
 use http::{
+    HeaderMap,
     HeaderName,
     HeaderValue,
     StatusCode,
@@ -209,3 +212,13 @@
         }
     }
 }
+
+/// Tells whether an endpoint's header says `true`.
+pub(crate) fn flag(headers: &HeaderMap, name: &str) -> bool {
+    headers.get(name).is_some_and(|v| v.as_bytes() == b"true")
+}
+
+/// Reads a number out of an endpoint's header.
+pub(crate) fn number<T: FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -287,7 +287,7 @@
         };
         self.note_head(dispatch, &response);
         let status = response.status().as_u16();
-        let leaving = flag(response.headers(), "x-leaving");
+        let leaving = answers::flag(response.headers(), "x-leaving");
         if status == 503 && leaving {
             return End::NotSent { leaving: true };
         }
@@ -354,9 +354,9 @@
         self.feed(Event::Head {
             call: self.call,
             attempt: dispatch.attempt,
-            in_flight: number(headers, "x-in-flight"),
-            leaving: flag(headers, "x-leaving"),
-            incarnation: number(headers, "x-incarnation").map(Incarnation),
+            in_flight: answers::number(headers, "x-in-flight"),
+            leaving: answers::flag(headers, "x-leaving"),
+            incarnation: answers::number(headers, "x-incarnation").map(Incarnation),
         });
     }
 
@@ -379,7 +379,7 @@
 
     /// Relays a stream event by event until its end mark.
     async fn relay(&mut self, response: Response, idle: Duration) -> End {
-        let cached = number(response.headers(), "x-cached-tokens");
+        let cached = answers::number(response.headers(), "x-cached-tokens");
         self.note_cache(cached);
         let mut chunks = response.bytes_stream();
         let mut scanner = Scanner::default();
@@ -572,7 +572,7 @@
     let headers = response.headers();
     let content_type = headers.get(http::header::CONTENT_TYPE);
     let content_type = content_type.map(|v| Bytes::copy_from_slice(v.as_bytes()));
-    let cached_tokens = number(headers, "x-cached-tokens");
+    let cached_tokens = answers::number(headers, "x-cached-tokens");
     let mut chunks = response.bytes_stream();
     let mut body = BytesMut::new();
     while let Some(chunk) = chunks.next().await {
@@ -589,11 +589,3 @@
         cached_tokens,
     })
 }
-
-fn flag(headers: &HeaderMap, name: &str) -> bool {
-    headers.get(name).is_some_and(|v| v.as_bytes() == b"true")
-}
-
-fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
-    headers.get(name)?.to_str().ok()?.parse().ok()
-}
--- a/crates/router/src/polls.rs
+++ b/crates/router/src/polls.rs
@@ -5,9 +5,15 @@
     time::Duration, //
 };
 
+use bytes::Bytes;
+use http::{
+    HeaderMap,
+    Method, //
+};
 use serde::Deserialize;
 use toucanturn_core::{
     arena::EndpointKey,
+    config::Kind,
     event::{
         Event,
         Report, //
@@ -18,7 +24,11 @@
     },
 };
 
-use crate::driver::Driver;
+use crate::{
+    answers,
+    driver::Driver,
+    endpoints::Outgoing, //
+};
 
 /// Time that a poll or probe may take.
 const POLL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -46,7 +56,7 @@
 }
 
 /// Probes an endpoint on a new connection, so that one silent connection is told apart from a
-/// silent endpoint.
+/// silent endpoint. An endpoint that answers at all has been reached.
 pub(crate) fn probe(driver: &Arc<Driver>, endpoint: EndpointKey) {
     let driver = Arc::clone(driver);
     tokio::spawn(async move {
@@ -54,20 +64,37 @@
         let Some(target) = config.endpoints.get(endpoint) else {
             return;
         };
-        let connect = tokio::net::TcpStream::connect(target.address);
-        let connected = tokio::time::timeout(POLL_TIMEOUT, connect).await;
-        let answered = connected.is_ok_and(|c| c.is_ok());
+        let outgoing = Outgoing {
+            method: Method::GET,
+            path: path(target.kind).to_owned(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        };
+        let asked = driver.endpoints.send_once(target, outgoing, None);
+        let answer = tokio::time::timeout(POLL_TIMEOUT, asked).await;
+        let answered = answer.is_ok_and(|a| a.is_ok());
         driver.feed(Event::Probed { endpoint, answered });
     });
 }
 
+/// Gets the path that is asked of an endpoint.
+const fn path(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Engine => "/v1/load",
+        Kind::Service => "/readyz",
+    }
+}
+
 async fn read(driver: &Driver, endpoint: EndpointKey) -> Option<Report> {
     let config = driver.config();
     let target = config.endpoints.get(endpoint)?;
-    let url = format!("http://{}/v1/load", target.address);
+    let url = format!("http://{}{}", target.address, path(target.kind));
     let request = driver.control.get(url).timeout(POLL_TIMEOUT);
-    let response = request.send().await.ok()?.error_for_status().ok()?;
-    let raw: RawReport = response.json().await.ok()?;
+    let response = request.send().await.ok()?;
+    if target.kind == Kind::Service {
+        return Some(service_report(response.headers()));
+    }
+    let raw: RawReport = response.error_for_status().ok()?.json().await.ok()?;
     Some(Report {
         incarnation: Incarnation(raw.incarnation),
         age: Millis(raw.age_ms),
@@ -76,3 +103,14 @@
         leaving: raw.leaving,
     })
 }
+
+/// Makes a report of what a plain service says in its headers; it has no load report.
+fn service_report(headers: &HeaderMap) -> Report {
+    Report {
+        incarnation: Incarnation(answers::number(headers, "x-incarnation").unwrap_or_default()),
+        age: Millis(0),
+        in_flight: answers::number(headers, "x-in-flight").unwrap_or_default(),
+        queued: 0,
+        leaving: answers::flag(headers, "x-leaving"),
+    }
+}
--- a/crates/toucanturn/src/view.rs
+++ b/crates/toucanturn/src/view.rs
@@ -14,12 +14,10 @@
     load::Table,
     membership::{
         self,
-        Seen, //
-    },
-    units::{
-        Incarnation,
-        Time, //
+        Seen,
+        Word, //
     },
+    units::Time,
 };
 
 use crate::errors::{
@@ -150,11 +148,15 @@
 
     /// Leads the core's view to a state by what a router would observe.
     fn observe(&mut self, key: EndpointKey, state: State) {
-        self.view.heard(self.now);
-        self.view.seen(self.now, key, Seen::Answered);
-        if state == State::Leaving {
-            let life = Incarnation::default();
-            self.view.leaving(self.now, key, life);
+        let leaving = state == State::Leaving;
+        let word = Word {
+            life: None,
+            leaving,
+            seen: Seen::Reached,
+            since: Some(self.now),
+        };
+        self.view.word(self.now, key, word);
+        if leaving {
             return;
         }
         for _ in 0..MOST_OBSERVATIONS {
