Hold the time left and the connection of a slow home by tests

Cause: two trials survived: a call that kept its first deadline, and one that gave up the connection of a home that was only slow. Both fail a test now.

--- a/crates/router/tests/peers/forward.rs
+++ b/crates/router/tests/peers/forward.rs
@@ -63,6 +63,8 @@
 struct Gauge {
     begun: AtomicU64,
     ended: AtomicU64,
+    /// Time left of the last call, in milliseconds.
+    deadline: AtomicU64,
     release: Notify,
 }
 
@@ -73,6 +75,7 @@
         Arc::new(move |call| {
             let gauge = Arc::clone(&gauge);
             Box::pin(async move {
+                gauge.deadline.store(call.request.deadline.0, SeqCst);
                 gauge.begun.fetch_add(1, SeqCst);
                 gauge.release.notified().await;
                 gauge.ended.fetch_add(1, SeqCst);
@@ -180,6 +183,44 @@
     expect_that!(gauge.begun.load(SeqCst), eq(1));
     gauge.release.notify_one();
     until(|| gauge.ended.load(SeqCst) == 1).await;
+    // A slow home is not a silent one: its connection stays.
+    gauge.release.notify_one();
+    let next = entry.client.forward(router_key(HOME), &call(b"b")).await;
+    expect_that!(next, ok(anything()));
+    expect_that!(entry.counters.connects.load(SeqCst), eq(1));
+}
+
+// Symptom: the home runs a call after its caller has given up.
+// Sequence: a call waits at the entry router before it leaves; the home counts its time from the
+// arrival.
+// Cause: the time left is not counted down while the call waits.
+#[gtest]
+#[tokio::test]
+async fn verify_the_home_hears_the_time_that_is_left() {
+    let gauge = Arc::new(Gauge::default());
+    let home = Setup {
+        answer: gauge.held(),
+        ..Setup::default()
+    };
+    let home = home.run().await;
+    let one = Options {
+        peer_forwards: 1,
+        ..options()
+    };
+    let entry = sender(identity(ENTRY, 100), one, home.address);
+    let client = Arc::clone(&entry.client);
+    let first = tokio::spawn(async move { client.forward(router_key(HOME), &call(b"a")).await });
+    until(|| gauge.begun.load(SeqCst) == 1).await;
+    let start = Instant::now();
+    let client = Arc::clone(&entry.client);
+    let second = tokio::spawn(async move { client.forward(router_key(HOME), &call(b"b")).await });
+    until(|| start.elapsed() > Duration::from_millis(50)).await;
+    gauge.release.notify_one();
+    expect_that!(first.await.expect("it runs"), ok(anything()));
+    gauge.release.notify_one();
+    expect_that!(second.await.expect("it runs"), ok(anything()));
+    let left = gauge.deadline.load(SeqCst);
+    expect_that!(left, le(call(b"b").deadline.0 - 50));
 }
 
 // Symptom: a call whose caller was told "not run" runs after all.
