Keep plain services in reserve when only their port answers

Cause: a plain service has no load report, so nothing but a request's answer says that it isn't leaving; by the rule of 2.5 s a quiet one would get no work. The VM list's word counts for it, dated; without one it is suspect while a new connection reaches it. Its own 503 before it reads a request is then what is left.

--- a/crates/core/src/membership/member.rs
+++ b/crates/core/src/membership/member.rs
@@ -9,6 +9,10 @@
     link::Contact, //
 };
 use crate::{
+    config::{
+        Endpoint,
+        Kind, //
+    },
     event::VmState,
     units::{
         Incarnation,
@@ -69,6 +73,9 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Member {
     pub(super) address: SocketAddr,
+    /// Whether it has no report, so that it may have no way to say between two requests that it is
+    /// not leaving.
+    mute: bool,
     pub(super) life: Incarnation,
     /// When this life was first seen to follow another.
     pub(super) born: Time,
@@ -103,9 +110,10 @@
 }
 
 impl Member {
-    pub(super) fn new(address: SocketAddr, now: Time) -> Self {
+    pub(super) fn new(endpoint: &Endpoint, now: Time) -> Self {
         Self {
-            address,
+            address: endpoint.address,
+            mute: endpoint.kind == Kind::Service,
             life: Incarnation(0),
             born: Time(0),
             stated: false,
@@ -135,11 +143,12 @@
         if self.leaving {
             return State::Leaving;
         }
-        if self.down || self.stale(now) {
+        if self.down || (self.stale(now) && !self.reached_lately(now)) {
             return State::Down;
         }
         let missing = self.missing.is_some_and(|t| now.since(t) >= MISSING_AFTER);
         let doubtful = self.sure.is_none()
+            || self.stale(now)
             || self.reach > 0
             || self.struck_lately(now)
             || missing
@@ -161,6 +170,14 @@
         }
     }
 
+    /// Notes that a list made at `date` names it live. Lists lag, so the word of an endpoint that
+    /// has reports goes first.
+    pub(super) fn vouch(&mut self, date: Time) {
+        if self.mute {
+            self.confirm(date);
+        }
+    }
+
     /// Notes that it was known not to be leaving at `at`.
     pub(super) fn confirm(&mut self, at: Time) {
         self.sure = self.sure.max(Some(at));
@@ -321,6 +338,13 @@
         self.work > 0 && self.struck.is_some_and(lately)
     }
 
+    /// Tells whether an endpoint without reports was reached of late. It is then kept in reserve:
+    /// its own refusal before it reads a request is what is left to go by.
+    fn reached_lately(&self, now: Time) -> bool {
+        let reached = |t| now.since(t) <= FRESH && self.doubt.is_none_or(|d| t >= d);
+        self.mute && self.contact.good.is_some_and(reached)
+    }
+
     fn doubted(&self) -> bool {
         self.doubt.is_some_and(|d| self.sure.is_none_or(|s| s < d))
     }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -145,7 +145,7 @@
         for (key, endpoint) in config.endpoints.iter() {
             let known = self.members.get(key).map(|m| m.address);
             if known != Some(endpoint.address) {
-                self.members.insert(key, Member::new(endpoint.address, now));
+                self.members.insert(key, Member::new(endpoint, now));
             }
         }
     }
@@ -317,7 +317,8 @@
     ///
     /// The list lags and differs between routers. It is believed when it says that a VM leaves,
     /// unless it is older than what it said before or than the VM's present life. That a VM is
-    /// live or missing changes little: only what the endpoint says itself confirms it.
+    /// live or missing changes little: what the endpoint says itself confirms it, and the list only
+    /// a service that has no reports.
     pub fn listed(
         &mut self,
         now: Time,
@@ -458,6 +459,7 @@
         }
         Some(VmState::Live) => {
             member.missing = None;
+            member.vouch(date);
             let was_gone = before.is_some_and(|l| l.state != Some(VmState::Live));
             if was_gone && member.leaving && !member.stated {
                 // An endpoint that never states its life would otherwise be lost for ever. The
