Hook wake-up, polls by rank and reports of peers into the node

Cause: the view now tells pauses from the time of each event, says itself whom to poll, and takes peers' reports and their reachability. New event Stated: what an endpoint said of itself in the answer to a probe.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -119,6 +119,16 @@
         /// Whether it answered.
         answered: bool,
     },
+    /// An endpoint said this of itself in an answer to a probe; comes before [`Event::Probed`].
+    /// From a plain service, which has no report, this is the only word between two requests.
+    Stated {
+        /// The endpoint.
+        endpoint: EndpointKey,
+        /// Whether it says that it is leaving.
+        leaving: bool,
+        /// Its life, where it says.
+        incarnation: Option<Incarnation>,
+    },
     /// A peer's message, authenticated.
     Peer {
         /// The sender.
--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -207,11 +207,19 @@
         };
         let work = self.recent.recall(&config, &open.request.work);
         let Some(placed) = place::choose(scene, &work, &open.tried, &mut self.rng) else {
+            if self.view.waking(now.mono) {
+                open.stage = Stage::Confirm;
+                return;
+            }
             return self.no_endpoint(now, call, out);
         };
         let endpoint = placed.endpoint;
         open.attempts += 1;
-        open.stage = Stage::Sent { endpoint };
+        open.stage = Stage::Sent {
+            endpoint,
+            life: self.view.incarnation(endpoint),
+            since: now.mono,
+        };
         open.tried.push(endpoint);
         let load = self.loads.estimate(now.mono, endpoint);
         self.loads.sent(now.mono, endpoint);
@@ -264,6 +272,15 @@
         }
     }
 
+    /// Tries again to place the calls that wait for an endpoint to be confirmed.
+    pub(super) fn tick_confirm(&mut self, now: Now, out: &mut Vec<Action>) {
+        let waits = |(call, open): (&Call, &Open)| (open.stage == Stage::Confirm).then_some(*call);
+        let waiting: Vec<Call> = self.calls.iter().filter_map(waits).collect();
+        for call in waiting {
+            self.dispatch(now, call, out);
+        }
+    }
+
     fn no_endpoint(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
         let refusal = Refusal::not_run(Code::NoEndpoint, Some(SOON));
         self.end_refused(now, call, refusal, out);
@@ -271,7 +288,7 @@
 
     pub(super) fn head_load(&mut self, now: Now, call: Call, in_flight: Option<u32>) {
         if let Some(open) = self.calls.get(&call)
-            && let Stage::Sent { endpoint } = open.stage
+            && let Stage::Sent { endpoint, .. } = open.stage
             && let Some(in_flight) = in_flight
         {
             self.loads.stated(now.mono, endpoint, in_flight);
@@ -287,7 +304,9 @@
         out: &mut Vec<Action>,
     ) {
         let Some(Open {
-            stage: Stage::Sent { endpoint },
+            stage: Stage::Sent {
+                endpoint, since, ..
+            },
             ..
         }) = self.calls.get(&call)
         else {
@@ -298,7 +317,7 @@
             life: incarnation,
             leaving,
             seen: Seen::Answered,
-            since: Some(now.mono),
+            since: Some(*since),
         };
         let changed = self.view.word(now.mono, endpoint, word);
         log_member(endpoint, changed, out);
@@ -315,7 +334,7 @@
         let Some(open) = self.calls.get(&call) else {
             return;
         };
-        let Stage::Sent { endpoint } = open.stage else {
+        let Stage::Sent { endpoint, life, .. } = open.stage else {
             return;
         };
         if attempt.0 != open.attempts {
@@ -324,10 +343,7 @@
         self.loads.ended(now.mono, endpoint);
         let changed = match &end {
             End::Whole(_) => self.view.seen(now.mono, endpoint, Seen::Finished),
-            End::NotSent { leaving: true } => {
-                let life = self.view.incarnation(endpoint);
-                self.view.leaving(now.mono, endpoint, life)
-            }
+            End::NotSent { leaving: true } => self.view.leaving(now.mono, endpoint, life),
             End::NotSent { leaving: false } => self.view.seen(now.mono, endpoint, Seen::Refused),
             End::Broken { .. } => self.view.seen(now.mono, endpoint, Seen::Silent),
             End::Failed(_) | End::Cancelled => None,
@@ -357,7 +373,7 @@
         let Some(open) = self.calls.get(&call) else {
             return;
         };
-        let Stage::Sent { endpoint } = open.stage else {
+        let Stage::Sent { endpoint, .. } = open.stage else {
             return;
         };
         let policy = Arc::clone(&self.store.current().policy);
@@ -417,7 +433,7 @@
         match open.stage {
             // A call that runs once goes on: its repeat wants the answer.
             Stage::Sent { .. } if matches!(work, Work::Once { .. }) => {}
-            Stage::Sent { endpoint } => {
+            Stage::Sent { endpoint, .. } => {
                 let attempt = attempt(open.attempts);
                 self.loads.ended(now.mono, endpoint);
                 self.calls.swap_remove(&call);
@@ -427,6 +443,10 @@
                 self.limits.gone(call);
                 self.calls.swap_remove(&call);
             }
+            Stage::Confirm => {
+                self.calls.swap_remove(&call);
+                self.end_key(now, &work, Outcome::NotRun, None, out);
+            }
             Stage::Forwarded => {
                 self.calls.swap_remove(&call);
             }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -23,7 +23,7 @@
         RouterKey, //
     },
     config::{
-        Config,
+        Config, Kind,
         store::{
             self,
             Store, //
@@ -31,6 +31,7 @@
     },
     event::{
         Event,
+        Report,
         Source, //
     },
     ids::Id,
@@ -65,6 +66,9 @@
 mod once;
 mod peers;
 
+/// Time between two readings of the platform's list of VMs.
+const LIST_INTERVAL: Millis = Millis(1000);
+
 /// `Options` is what a node must know of itself.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -102,7 +106,15 @@
     /// The answer to the first request with the same key, here at the home.
     Waiting,
     /// The answer of an endpoint.
-    Sent { endpoint: EndpointKey },
+    Sent {
+        endpoint: EndpointKey,
+        /// The endpoint's life then, as far as known.
+        life: Incarnation,
+        /// When it was sent.
+        since: Time,
+    },
+    /// An endpoint that is known not to be leaving; the view is from before a pause.
+    Confirm,
 }
 
 /// `Node` is one router.
@@ -120,8 +132,8 @@
     budget: Budget,
     peers: SecondaryMap<RouterKey, Peer>,
     calls: IndexMap<Call, Open>,
-    polled: SecondaryMap<EndpointKey, Time>,
-    probed: SecondaryMap<EndpointKey, Time>,
+    reports: SecondaryMap<EndpointKey, (Time, Report)>,
+    listed: Time,
     summarized: Time,
     // Whether peers are to hear of own requests before the next summary is due.
     early: bool,
@@ -150,8 +162,8 @@
             budget: Budget::default(),
             peers: SecondaryMap::new(),
             calls: IndexMap::new(),
-            polled: SecondaryMap::new(),
-            probed: SecondaryMap::new(),
+            reports: SecondaryMap::new(),
+            listed: Time(0),
             summarized: now.mono,
             early: false,
             started: now.mono,
@@ -200,6 +212,7 @@
 
     /// Handles one event and appends what is to be done.
     pub fn handle(&mut self, now: Now, event: Event, out: &mut Vec<Action>) {
+        self.view.advance(now.mono);
         match event {
             Event::Request { call, request } => self.request(now, call, request, out),
             Event::Head {
@@ -227,6 +240,20 @@
                 let changed = self.view.seen(now.mono, endpoint, seen);
                 log_member(endpoint, changed, out);
             }
+            Event::Stated {
+                endpoint,
+                leaving,
+                incarnation,
+            } => {
+                let word = Word {
+                    life: incarnation,
+                    leaving,
+                    seen: Seen::Reached,
+                    since: None,
+                };
+                let changed = self.view.word(now.mono, endpoint, word);
+                log_member(endpoint, changed, out);
+            }
             Event::Peer {
                 from,
                 incarnation,
@@ -272,6 +299,7 @@
         let config = Arc::clone(self.store.current());
         self.me = config.fleet.key(&self.options.id);
         self.view.apply(now.mono, &config);
+        self.view.assign(&config, self.me);
         self.loads.apply(&config, self.me);
         self.limits.apply(now.mono, &config);
         self.home.apply(now, &config, self.me);
@@ -305,7 +333,7 @@
         &mut self,
         now: Now,
         endpoint: EndpointKey,
-        report: Option<crate::event::Report>,
+        report: Option<Report>,
         out: &mut Vec<Action>,
     ) {
         let Some(report) = report else {
@@ -314,6 +342,7 @@
             return;
         };
         self.loads.report(now.mono, endpoint, &report);
+        self.reports.insert(endpoint, (now.mono, report));
         let word = Word {
             life: Some(report.incarnation),
             leaving: report.leaving,
@@ -336,6 +365,7 @@
         self.tick_peers(now, out);
         self.tick_limits(now, out);
         self.tick_waiting(now, out);
+        self.tick_confirm(now, out);
         self.tick_drain(now, out);
     }
 
@@ -359,28 +389,25 @@
 
     fn tick_endpoints(&mut self, now: Now, out: &mut Vec<Action>) {
         let config = Arc::clone(self.store.current());
-        let interval = config.policy.poll_interval;
-        for (key, endpoint) in config.endpoints.iter() {
-            let due = self
-                .polled
-                .get(key)
-                .is_none_or(|t| now.mono.since(*t) >= interval);
-            if due && endpoint.kind == crate::config::Kind::Engine {
-                self.polled.insert(key, now.mono);
-                self.view.asked(now.mono, key);
-                out.push(Action::Poll { endpoint: key });
-            }
+        for (endpoint, state) in self.view.changes(now.mono) {
+            log_member(endpoint, Some(state), out);
         }
-        for key in self.view.to_probe(now.mono) {
-            self.view.asked(now.mono, key);
-            let due = self
-                .probed
-                .get(key)
-                .is_none_or(|t| now.mono.since(*t) >= interval);
-            if due {
-                self.probed.insert(key, now.mono);
-                out.push(Action::Probe { endpoint: key });
-            }
+        for endpoint in self.view.to_probe(now.mono) {
+            self.view.asked(now.mono, endpoint);
+            out.push(Action::Probe { endpoint });
+        }
+        for endpoint in self.view.to_poll(now.mono, &config.policy) {
+            self.view.asked(now.mono, endpoint);
+            let kind = config.endpoints.get(endpoint).map(|e| e.kind);
+            out.push(match kind {
+                Some(Kind::Engine) => Action::Poll { endpoint },
+                // A plain service has no report.
+                _ => Action::Probe { endpoint },
+            });
+        }
+        if now.mono.since(self.listed) >= LIST_INTERVAL {
+            self.listed = now.mono;
+            out.push(Action::ReadVms);
         }
     }
 
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -12,13 +12,22 @@
         Decision, //
     },
     arena::RouterKey,
-    event::TICK,
+    config::Config,
+    event::{
+        self,
+        TICK, //
+    },
     limits::Question,
+    membership::{
+        State,
+        pollers::TRANSIT, //
+    },
     once::{
         self,
         Vote, //
     },
     peer::{
+        self,
         Leaving,
         Load,
         Message,
@@ -52,6 +61,7 @@
         };
         peer.heard = Some(now.mono);
         self.view.heard(now.mono);
+        self.view.peer(now.mono, from, true);
         self.limits.heard(from);
         let config = Arc::clone(self.store.current());
         match message {
@@ -172,9 +182,37 @@
             let changed = self.view.leaving(now.mono, key, one.incarnation);
             log_member(key, changed, out);
         }
+        self.reports(now, &config, &summary.reports, out);
+    }
+
+    fn reports(
+        &mut self,
+        now: Now,
+        config: &Config,
+        reports: &[peer::Report],
+        out: &mut Vec<Action>,
+    ) {
+        let interval = config.policy.summary_interval;
+        for one in reports {
+            let Some(key) = config.endpoints.by_tag(one.endpoint) else {
+                continue;
+            };
+            let report = event::Report {
+                incarnation: one.incarnation,
+                age: one.age,
+                in_flight: one.in_flight,
+                queued: one.queued,
+                leaving: false,
+            };
+            self.loads.report(now.mono, key, &report);
+            let life = one.incarnation;
+            let changed = self.view.reported(now.mono, key, life, interval);
+            log_member(key, changed, out);
+        }
     }
 
     pub(super) fn peer_failed(&mut self, now: Now, router: RouterKey, out: &mut Vec<Action>) {
+        self.view.peer(now.mono, router, false);
         let mut outgo = Vec::new();
         let config = Arc::clone(self.store.current());
         self.limits
@@ -214,7 +252,7 @@
         let since = self.config().revision;
         self.summarized = now.mono;
         self.early = false;
-        let summary = self.make_summary();
+        let summary = self.make_summary(now);
         self.loads.shared();
         for router in self.peers.keys() {
             let message = Message::Summary(summary.clone());
@@ -226,7 +264,8 @@
         }
     }
 
-    fn make_summary(&self) -> Summary {
+    fn make_summary(&mut self, now: Now) -> Summary {
+        let polled = std::mem::take(&mut self.reports);
         let config = self.store.current();
         let tag = |key| config.endpoints.get(key).map(|e| e.tag);
         let load = |(key, in_flight)| {
@@ -241,12 +280,29 @@
                 incarnation,
             })
         };
+        // Those that leave are told as leaving; a poll from before a pause is no news.
+        let known = config.policy.summary_interval + TRANSIT;
+        let fresh = |key: &_| {
+            let sure = self.view.sure(*key);
+            self.view.state(now.mono, *key) != State::Leaving
+                && sure.is_some_and(|t| now.mono.since(t) <= known)
+        };
+        let report = |(key, (at, report)): (_, (_, event::Report))| {
+            Some(peer::Report {
+                endpoint: tag(key)?,
+                incarnation: report.incarnation,
+                in_flight: report.in_flight,
+                queued: report.queued,
+                age: report.age + now.mono.since(at),
+            })
+        };
+        let polled = polled.into_iter().filter(|(key, _)| fresh(key));
         Summary {
             revision: config.revision,
             epoch: config.epoch,
             loads: self.loads.own().filter_map(load).collect(),
             leaving: self.view.all_leaving().filter_map(leaving).collect(),
-            reports: Vec::new(),
+            reports: polled.filter_map(report).collect(),
         }
     }
 }
