--- a/crates/router/tests/catalogue/events.rs
+++ b/crates/router/tests/catalogue/events.rs
@@ -73,6 +73,8 @@
             events::log(&config, id, &decision);
             events::log(&config, None, &decision);
         }
+        let (from, to) = (decisions::id("eng-1"), decisions::id("eng-2"));
+        events::not_imported(&from, &to, &"status 500");
         events::unread(&"the platform did not answer");
         let error = toucanturn_wire::Error::Version { found: 9 };
         events::peer_rejected(Tag(7), &error);
