limits: hear of a dead home though it said to come back later

A substitute that was told 'nothing for a second' by the home did not ask it again when peers turned to it, so it stood in 0.7 s late.

--- a/crates/core/src/limits/bucket.rs
+++ b/crates/core/src/limits/bucket.rs
@@ -22,7 +22,7 @@
 pub const ASKS_PER_S: u64 = 330;
 /// Time after its start during which a substitute's bucket fills at half its rate: the home may
 /// only be cut off, and not know it yet.
-pub const CAUTION: Millis = Millis(1000);
+pub const CAUTION: Millis = Millis(750);
 /// The same for a home's own bucket: a substitute may not have heard yet that the home is back.
 pub const HOME_CAUTION: Millis = Millis(250);
 
--- a/crates/core/src/limits/entry.rs
+++ b/crates/core/src/limits/entry.rs
@@ -102,6 +102,8 @@
         });
         if granted < pending.want {
             row.refuse_until = now + retry_after;
+            row.refused = now;
+            row.refuser = Some(pending.home);
             row.refuse_waiting(now, |call, after| {
                 self.waiting.swap_remove(&call);
                 let verdict = refuse(me, call, after);
--- a/crates/core/src/limits/grant.rs
+++ b/crates/core/src/limits/grant.rs
@@ -150,6 +150,8 @@
         if granted == want {
             return (granted, Millis(0));
         }
+        // Whoever asks here finds the home unreachable: hear soon whether it is.
+        row.refuse_until = row.refuse_until.min(row.refused + MIN_RETRY);
         if scene.now < row.refuse_until {
             return (granted, row.refuse_until.since(scene.now));
         }
--- a/crates/core/src/limits/mod.rs
+++ b/crates/core/src/limits/mod.rs
@@ -227,12 +227,18 @@
             return;
         }
         self.homes.failed(now, router);
-        let hit = |row: &Row| row.pending.is_some_and(|p| p.home == router);
-        let rows = self.rows.iter().filter(|(_, row)| hit(row));
-        for key in rows.map(|(key, _)| key).collect::<Vec<_>>() {
-            if let Some(row) = self.rows.get_mut(key) {
-                row.pending = None;
+        for key in self.rows.keys().collect::<Vec<_>>() {
+            let Some(row) = self.rows.get_mut(key) else {
+                continue;
+            };
+            // What a router said of its bucket ends with the bucket.
+            if row.refuser == Some(router) {
+                row.refuse_until = now;
+            }
+            if row.pending.is_none_or(|p| p.home != router) {
+                continue;
             }
+            row.pending = None;
             if let Some(scene) = Scene::new(now, config, me, key) {
                 self.ask_for_waiting(scene, out);
             }
--- a/crates/core/src/limits/row.rs
+++ b/crates/core/src/limits/row.rs
@@ -76,6 +76,10 @@
     pub(super) waiting: VecDeque<Waiting>,
     /// Until when the home has nothing more to grant.
     pub(super) refuse_until: Time,
+    /// When it said so.
+    pub(super) refused: Time,
+    /// The router that said so.
+    pub(super) refuser: Option<RouterKey>,
     /// The static share, while no home answers.
     pub(super) static_share: Option<Static>,
     /// Requests that peers wanted of this router though it is not the home.
