--- a/crates/core/src/limits/mod.rs
+++ b/crates/core/src/limits/mod.rs
@@ -39,6 +39,7 @@
 };
 
 mod bucket;
+mod demand;
 mod entry;
 mod grant;
 mod homes;
@@ -61,6 +62,8 @@
 };
 pub use share::MAX_LOTS;
 
+pub(crate) use demand::Demand;
+
 use homes::Homes;
 use row::{
     Pending,
--- a/crates/core/src/limits/row.rs
+++ b/crates/core/src/limits/row.rs
@@ -3,11 +3,10 @@
 use std::collections::VecDeque;
 
 use super::{
-    BATCH, IDLE, LOW_WATER, MAX_WAIT, Scene, Verdict,
+    BATCH, Demand, IDLE, LOW_WATER, MAX_WAIT, Scene, Verdict,
     bucket::Bucket,
     refuse,
     share::{
-        Demand,
         Lots,
         Static, //
     },
--- a/crates/core/src/limits/share.rs
+++ b/crates/core/src/limits/share.rs
@@ -1,12 +1,8 @@
-//! What one router holds of a workspace's limit: its demand, its grants, and the static share it
-//! falls back to.
+//! What one router holds of a workspace's limit: its grants, and the static share it falls back to.
 
 use crate::{
     config::Limit,
-    units::{
-        Millis,
-        Time, //
-    },
+    units::Time, //
 };
 
 /// Most grants held at once for one workspace; at the bound the oldest is given up.
@@ -15,32 +11,6 @@
 const REQUEST: u64 = 1_000_000;
 const SECOND: u64 = 1000;
 
-/// `Demand` estimates requests a second, with a memory of about one second.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Demand {
-    milli: u64,
-    noted: Time,
-}
-
-impl Demand {
-    /// Notes requests.
-    pub(super) fn note(&mut self, now: Time, requests: u32) {
-        self.milli = self.milli(now) + u64::from(requests) * 1000;
-        self.noted = now;
-    }
-
-    /// Gets the requests that a time of this length brings.
-    pub(super) fn within(&self, now: Time, span: Millis) -> u32 {
-        let requests = self.milli(now).saturating_mul(span.0) / SECOND / 1000;
-        u32::try_from(requests).unwrap_or(u32::MAX)
-    }
-
-    fn milli(&self, now: Time) -> u64 {
-        let left = SECOND.saturating_sub(now.since(self.noted).0);
-        self.milli * left / SECOND
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Lot {
     requests: u32,
--- /dev/null
+++ b/crates/core/src/overload.rs
@@ -0,0 +1,254 @@
+//! Which requests are turned away, and when, so that the rest are answered in time.
+//!
+//! [`Gate`] compares the requests in progress at all endpoints that could serve a request with
+//! what those endpoints take at once. Each priority has a part of that capacity beyond which it is
+//! shed, so the lowest is shed first and a higher one always finds room. Just below that part a
+//! workspace that has more than its fair share here is shed already: a surge fills the reserve of
+//! nobody else.
+//!
+//! Work with a far deadline (a night batch) starts at its own priority and rises towards
+//! [`BATCH_TOP`] as the time left shrinks. docs/design/overload.md weighs this against other ways.
+
+use indexmap::IndexMap;
+use rand::{
+    Rng,
+    RngExt, //
+};
+
+use crate::{
+    arena::{
+        ModelKey,
+        ServiceKey,
+        WorkspaceKey, //
+    },
+    config::{
+        Config,
+        Endpoint,
+        Priority, //
+    },
+    limits::Demand,
+    membership::State,
+    place::Scene,
+    request::{
+        Request,
+        Work, //
+    },
+    units::{
+        Millis,
+        Permille, //
+    },
+};
+
+/// Part of the capacity at which the highest published priority is shed.
+pub const FULL: Permille = Permille(1000);
+/// By how much less of the capacity each lower priority may fill.
+pub const STEP: Permille = Permille(30);
+/// Part of the capacity below a priority's bound that only workspaces at or below their fair share
+/// may fill.
+pub const FAIR_BAND: Permille = Permille(60);
+/// Default deadline of a workspace above which its requests count as batch work.
+pub const PATIENT: Millis = Millis::from_secs(60);
+/// Priority to which batch work rises until its deadline. Chat should have a higher one.
+pub const BATCH_TOP: Priority = Priority(6);
+/// Shortest time after which a shed caller may come back.
+pub const RETRY: Millis = Millis(1000);
+/// Longest time over which shed callers are spread.
+pub const MAX_SPREAD: Millis = Millis::from_secs(30);
+/// Part of the time left after which batch work comes back: one sixty-fourth, so that it tries
+/// often enough before its deadline.
+const BATCH_RETRY_PART: u64 = 64;
+/// Weight of the newest service time in the mean: one sixteenth.
+const MEAN_PART: u64 = 16;
+
+/// `Verdict` is what the gate says of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// There is room.
+    Admit,
+    /// There is none for this priority and workspace.
+    Shed {
+        /// When to come back.
+        retry_after: Millis,
+    },
+    /// Its turn would come after its deadline.
+    Late,
+}
+
+/// `Target` is what a request needs an endpoint for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Target {
+    Model(ModelKey),
+    Service(ServiceKey),
+}
+
+impl Target {
+    /// Gets the target of work that may be shed. A call that runs at most once is not: its first
+    /// attempt may have run elsewhere, so that "not run" could not be promised.
+    fn of(work: &Work) -> Option<Self> {
+        match work {
+            Work::Chat { model, .. } => Some(Self::Model(*model)),
+            Work::Plain { service, .. } => Some(Self::Service(*service)),
+            Work::Once { .. } => None,
+        }
+    }
+
+    fn is_served(self, endpoint: &Endpoint) -> bool {
+        match self {
+            Self::Model(model) => endpoint.models.contains(&model),
+            Self::Service(service) => endpoint.service == Some(service),
+        }
+    }
+}
+
+/// `Load` is the work in progress for one target, and what its endpoints take at once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Load {
+    in_flight: u64,
+    capacity: u64,
+}
+
+impl Load {
+    fn new(scene: Scene<'_>, target: Target) -> Self {
+        let mut load = Self::default();
+        for (key, endpoint) in scene.config.endpoints.iter() {
+            let state = scene.view.state(scene.now, key);
+            if target.is_served(endpoint) && matches!(state, State::Live | State::Suspect) {
+                load.in_flight += u64::from(scene.loads.estimate(scene.now, key));
+                load.capacity += u64::from(endpoint.capacity);
+            }
+        }
+        load
+    }
+
+    fn is_below(self, part: Permille) -> bool {
+        self.in_flight * 1000 < self.capacity * u64::from(part.0)
+    }
+}
+
+/// `Gate` decides which requests are turned away.
+#[derive(Debug, Default)]
+pub struct Gate {
+    top: Priority,
+    /// Mean service times, at most one for each published model and service.
+    service_times: IndexMap<Target, Millis>,
+    shed: Demand,
+    taken: Demand,
+}
+
+impl Gate {
+    /// Follows a new configuration.
+    pub fn apply(&mut self, config: &Config) {
+        let priorities = config.workspaces.iter().map(|(_, w)| w.priority);
+        self.top = priorities.max().unwrap_or_default();
+        self.service_times.retain(|target, _| match target {
+            Target::Model(key) => config.models.get(*key).is_some(),
+            Target::Service(key) => config.services.get(*key).is_some(),
+        });
+    }
+
+    /// Decides on a request that is within its workspace's limit. `open` gives the workspace of
+    /// each call that this router has in progress.
+    pub fn admit(
+        &mut self,
+        scene: Scene<'_>,
+        request: &Request,
+        open: impl Iterator<Item = WorkspaceKey>,
+        rng: &mut impl Rng,
+    ) -> Verdict {
+        let Some(target) = Target::of(&request.work) else {
+            return Verdict::Admit;
+        };
+        let load = Load::new(scene, target);
+        // Without an endpoint, placement says so.
+        if load.capacity == 0 {
+            return Verdict::Admit;
+        }
+        let left = request.deadline.since(scene.now);
+        if self.wait(target, load) > left {
+            return Verdict::Late;
+        }
+        let bound = self.bound(scene.config, request, left);
+        let reserve = Permille(bound.0.saturating_sub(FAIR_BAND.0));
+        let fits = load.is_below(reserve)
+            || load.is_below(bound) && has_fair_share(request.workspace, open);
+        if fits {
+            self.taken.note(scene.now, 1);
+            return Verdict::Admit;
+        }
+        self.shed.note(scene.now, 1);
+        let retry_after = self.retry_after(scene, request, left, rng);
+        Verdict::Shed { retry_after }
+    }
+
+    /// Notes how long an answer took.
+    pub fn ended(&mut self, work: &Work, took: Millis) {
+        let Some(target) = Target::of(work) else {
+            return;
+        };
+        let mean = self.service_times.entry(target).or_insert(took);
+        mean.0 = (mean.0 * (MEAN_PART - 1) + took.0) / MEAN_PART;
+    }
+
+    /// Estimates the time until a request gets its turn: those above the capacity, at the rate at
+    /// which a full pool ends them (Little's law).
+    fn wait(&self, target: Target, load: Load) -> Millis {
+        let mean = self.service_times.get(&target).copied().unwrap_or_default();
+        let ahead = load.in_flight.saturating_sub(load.capacity);
+        Millis(ahead.saturating_mul(mean.0) / load.capacity.max(1))
+    }
+
+    /// Gets the part of the capacity at which a request is shed.
+    fn bound(&self, config: &Config, request: &Request, left: Millis) -> Permille {
+        let below = |priority: Priority| {
+            let steps = u32::from(self.top.0.saturating_sub(priority.0));
+            FULL.0.saturating_sub(steps * STEP.0)
+        };
+        let own = below(request.priority);
+        let Some(window) = window(config, request) else {
+            return Permille(own);
+        };
+        let highest = below(BATCH_TOP).max(own);
+        let rise = u64::from(highest - own) * window.0.saturating_sub(left.0) / window.0;
+        Permille(own + u32::try_from(rise).unwrap_or_default())
+    }
+
+    /// Spreads the returns: the more is shed of what comes, the longer.
+    fn retry_after(
+        &self,
+        scene: Scene<'_>,
+        request: &Request,
+        left: Millis,
+        rng: &mut impl Rng,
+    ) -> Millis {
+        let second = Millis::from_secs(1);
+        let shed = u64::from(self.shed.within(scene.now, second));
+        let taken = u64::from(self.taken.within(scene.now, second));
+        let spread = RETRY.0.saturating_mul(1 + shed / (taken + 1));
+        let mut base = RETRY.0;
+        let mut spread = spread.min(MAX_SPREAD.0);
+        if window(scene.config, request).is_some() {
+            base = (left.0 / BATCH_RETRY_PART).clamp(base, MAX_SPREAD.0);
+            spread = spread.max(base);
+        }
+        Millis(base + rng.random_range(0..spread.max(1)))
+    }
+}
+
+/// Gets the time that a batch has from its start to its deadline; `None` for other work.
+fn window(config: &Config, request: &Request) -> Option<Millis> {
+    let workspace = config.workspaces.get(request.workspace)?;
+    (workspace.deadline > PATIENT).then_some(workspace.deadline)
+}
+
+/// Tells whether a workspace has no more calls in progress here than the mean of those that have
+/// any, itself included.
+fn has_fair_share(workspace: WorkspaceKey, open: impl Iterator<Item = WorkspaceKey>) -> bool {
+    let mut counts: IndexMap<WorkspaceKey, u64> = IndexMap::new();
+    counts.insert(workspace, 0);
+    for one in open {
+        *counts.entry(one).or_default() += 1;
+    }
+    let all: u64 = counts.values().sum();
+    let own = counts.get(&workspace).copied().unwrap_or_default();
+    own == 0 || own * (counts.len() as u64) < all
+}
