node: ask the overload gate between limits and dispatch

A call that the limits admit is turned away where the endpoints for its model or service have no room for its priority. Open calls remember when they were sent, so that the gate learns service times.

--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -21,6 +21,7 @@
     },
     membership::Seen,
     once::Begin,
+    overload,
     peer::Message,
     place::{
         self,
@@ -77,6 +78,7 @@
             stage: Stage::Admission,
             attempts: 0,
             tried: Vec::new(),
+            sent: now.mono,
         };
         self.calls.insert(call, open);
         if let Some(refusal) = early {
@@ -143,7 +145,31 @@
         }
     }
 
+    /// Asks the gate whether a call has to be turned away for overload.
+    fn shed(&mut self, now: Now, call: Call) -> Option<Refusal> {
+        let open = self.calls.get(&call)?;
+        let scene = Scene {
+            config: self.store.current(),
+            view: &self.view,
+            loads: &self.loads,
+            now: now.mono,
+        };
+        let sent = |o: &&Open| matches!(o.stage, Stage::Sent { .. });
+        let others = self.calls.values().filter(sent);
+        let others = others.map(|o| o.request.workspace);
+        match self.gate.admit(scene, &open.request, others, &mut self.rng) {
+            overload::Verdict::Admit => None,
+            overload::Verdict::Late => Some(Refusal::not_run(Code::Deadline, None)),
+            overload::Verdict::Shed { retry_after } => {
+                Some(Refusal::not_run(Code::Overloaded, Some(retry_after)))
+            }
+        }
+    }
+
     fn admitted(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
+        if let Some(refusal) = self.shed(now, call) {
+            return self.refuse(now, call, refusal, out);
+        }
         let Some(open) = self.calls.get_mut(&call) else {
             return;
         };
@@ -208,6 +234,7 @@
         open.attempts += 1;
         open.stage = Stage::Sent { endpoint };
         open.tried.push(endpoint);
+        open.sent = now.mono;
         let load = self.loads.estimate(now.mono, endpoint);
         self.loads.sent(now.mono, endpoint);
         let token = match (&open.request.work, config.endpoints.get(endpoint)) {
@@ -329,6 +356,8 @@
         if let Work::Once { key, .. } = open.request.work {
             self.home.end(now, key, Outcome::Done, Some(answer));
         }
+        let took = now.mono.since(open.sent);
+        self.gate.ended(&open.request.work, took);
         let outcome = Outcome::Done;
         out.push(Action::Finish { call, outcome });
         out.push(Action::Log(Decision::Done {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -41,6 +41,7 @@
         View, //
     },
     once::Home,
+    overload::Gate,
     request::{
         Attempt,
         Call,
@@ -84,6 +85,7 @@
     stage: Stage,
     attempts: u32,
     tried: Vec<EndpointKey>,
+    sent: Time,
 }
 
 /// `Stage` says what an open call waits for.
@@ -107,6 +109,7 @@
     view: View,
     loads: Table,
     limits: Limits,
+    gate: Gate,
     home: Home,
     budget: Budget,
     peers: SecondaryMap<RouterKey, Peer>,
@@ -133,6 +136,7 @@
             view: View::default(),
             loads: Table::default(),
             limits: Limits::default(),
+            gate: Gate::default(),
             home: Home::default(),
             budget: Budget::default(),
             peers: SecondaryMap::new(),
@@ -255,6 +259,7 @@
         self.view.apply(now.mono, &config);
         self.loads.apply(&config);
         self.limits.apply(now.mono, &config);
+        self.gate.apply(&config);
         self.home.apply(now, &config, self.me);
         self.peers.retain(|key, _| config.fleet.get(key).is_some());
         for (key, _) in config.fleet.iter() {
