--- a/crates/core/src/once/mod.rs
+++ b/crates/core/src/once/mod.rs
@@ -72,6 +72,9 @@
 /// Time between two searches for keys that are too old to be remembered.
 const EXPIRE_EVERY: Millis = Millis::from_secs(10);
 
+/// Furthest that a key may be dated ahead for its caller to be asked to come back.
+const MAX_AHEAD: Millis = Millis::from_secs(60);
+
 /// `Begin` is what the home says to a call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Begin {
@@ -208,7 +211,9 @@
             return Err(Refusal::unknown(Code::KeyExpired, None));
         }
         if created > now.wall + skew {
-            return Err(Refusal::not_run(Code::KeyFuture, None));
+            let wait = Millis(created.0 - (now.wall + skew).0);
+            let after = Some(wait).filter(|w| *w <= MAX_AHEAD);
+            return Err(Refusal::not_run(Code::KeyFuture, after));
         }
         if self.keys.is_full() {
             return Err(Refusal::not_run(Code::KeysFull, Some(EXPIRE_EVERY)));
--- a/crates/core/tests/once/property.rs
+++ b/crates/core/tests/once/property.rs
@@ -99,12 +99,14 @@
         Step::Spread { entry } => spread(world, entry),
         Step::Takeover { router, speed } => {
             world.groups.insert(NAMES[router], 1);
+            world.serves.insert(NAMES[router], world.revision());
             world.publish(&without(router));
             for number in 0..20 {
                 spread(world, router + number);
                 world.run(speed);
             }
             world.groups.insert(NAMES[router], 0);
+            world.serves.insert(NAMES[router], u64::MAX);
         }
         Step::Fresh { entry, ahead } => world.fresh(NAMES[entry], ahead),
         Step::Repeat { entry, back } => world.repeat(NAMES[entry], back),
