--- a/crates/core/tests/once/lease.rs
+++ b/crates/core/tests/once/lease.rs
@@ -233,6 +233,25 @@
     expect_that!(rig.holders().len(), eq(7));
 }
 
+#[gtest]
+fn verify_a_home_that_knows_the_old_fleet_waits_without_its_voters() {
+    // Symptom: an action runs under two fleet lists at once.
+    // Sequence: as above, but r6 and r7 restart and know only the new list, as r8 does.
+    // Cause: a home that leaves the old fleet to its voters.
+    let mut rig = Rig::new(&SEVEN);
+    rig.add("r8");
+    rig.publish(1, &SEVEN, &SEVEN);
+    rig.pass(kept(MAX_LEASE), open);
+    let next = ["r2", "r3", "r4", "r5", "r6", "r7", "r8"];
+    rig.publish(2, &next, &["r5"]);
+    for name in ["r6", "r7", "r8"] {
+        rig.restart(name);
+        rig.publish(2, &next, &[name]);
+    }
+    rig.pass(Millis(3 * MAX_LEASE.0), split);
+    expect_that!(rig.holders(), not(contains(eq(&"r5"))));
+}
+
 #[gtest]
 fn verify_a_router_at_a_new_address_is_another_voter() {
     // Symptom: an action runs under two fleet lists at once.
