--- a/crates/core/tests/once/property.rs
+++ b/crates/core/tests/once/property.rs
@@ -269,6 +269,38 @@
     expect_that!(world.trials.iter().filter(done).count(), eq(40));
 }
 
+#[gtest]
+fn verify_a_broken_attempt_is_repeated_where_keys_are_checked() {
+    // Symptom: a caller is told "unknown" of what the service could have answered again; or "not
+    // run" of what it ran.
+    // Sequence: the connection breaks after the service ran the call; the next attempt gets its
+    // answer, or finds no service to send to.
+    // Cause: a retry rule that ignores the service's own check, or an outcome of the last attempt.
+    let cases = [
+        (Fault::None, Outcome::Done),
+        (Fault::Refuse, Outcome::Unknown),
+    ];
+    for (then, outcome) in cases {
+        let mut world = World::new(1);
+        world.check_keys();
+        for number in 0..100 {
+            world.fresh(NAMES[number % 5], SKEW / 2);
+        }
+        world.run(1000);
+        let runs = world.runs.len();
+        world.fault = Fault::Break;
+        world.fresh("r1", SKEW / 2);
+        while world.runs.len() == runs {
+            world.run(1);
+        }
+        world.fault = then;
+        world.run(3000);
+        let told = world.trials[100].told.map(|(outcome, _)| outcome);
+        expect_that!(told, some(eq(outcome)));
+        expect_that!(world.broken, is_empty());
+    }
+}
+
 #[gtest]
 fn verify_a_takeover_runs_no_key_twice() {
     // Symptom: a payment is taken twice.
--- a/crates/core/tests/once/world/mod.rs
+++ b/crates/core/tests/once/world/mod.rs
@@ -167,6 +167,12 @@
     pub(crate) runs: BTreeMap<Key, u32>,
     pub(crate) broken: Vec<String>,
     keys: u64,
+    checked: bool,
+}
+
+fn endpoint(number: u8, checks_key: bool) -> serde_json::Value {
+    json!({"kind": "service", "address": format!("10.9.0.{number}:80"),
+           "data_center": "be-north-1", "service": "orders", "checks_key": checks_key})
 }
 
 impl World {
@@ -190,6 +196,7 @@
             runs: BTreeMap::new(),
             broken: Vec::new(),
             keys: 0,
+            checked: false,
         };
         world.first();
         for name in NAMES {
@@ -200,10 +207,6 @@
     }
 
     fn first(&mut self) {
-        let endpoint = |n: u8| {
-            json!({"kind": "service", "address": format!("10.9.0.{n}:80"),
-                   "data_center": "be-north-1", "service": "orders"})
-        };
         let policy = json!({"lease_ms": LEASE, "clock_skew_ms": SKEW, "key_ttl_ms": 60_000,
             "summary_interval_ms": 1000, "idle_timeout_ms": 2000, "drain_deadline_ms": 600_000});
         let workspace = json!({"key_sha256": [], "priority": 5, "requests_per_s": 1000,
@@ -213,8 +216,8 @@
             ("policy", policy),
             ("fleet", fleet(&NAMES)),
             ("services/orders", json!({"path": "/orders", "once": once})),
-            ("endpoints/ord-1", endpoint(1)),
-            ("endpoints/ord-2", endpoint(2)),
+            ("endpoints/ord-1", endpoint(1, false)),
+            ("endpoints/ord-2", endpoint(2, false)),
             ("workspaces/vitalbox", workspace),
         ];
         self.history.push(change(0, 1, &entries));
@@ -227,6 +230,17 @@
         self.history.push(change(revision - 1, revision, &entries));
     }
 
+    /// Publishes that endpoints check keys, and lets them do so.
+    pub(crate) fn check_keys(&mut self) {
+        let revision = self.history.len() as u64 + 1;
+        let entries = [
+            ("endpoints/ord-1", endpoint(1, true)),
+            ("endpoints/ord-2", endpoint(2, true)),
+        ];
+        self.history.push(change(revision - 1, revision, &entries));
+        self.checked = true;
+    }
+
     /// Gets the newest published revision.
     pub(crate) fn revision(&self) -> u64 {
         self.history.len() as u64
@@ -375,7 +389,7 @@
         let trial = self.trial(index, call);
         let key = self.trials[trial].key;
         let runs = self.runs.entry(key).or_default();
-        *runs += 1;
+        *runs = if self.checked { 1 } else { *runs + 1 };
         if *runs > 1 {
             let at = self.now;
             self.broken
