--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -19,7 +19,10 @@
         Outgo,
         Verdict, //
     },
-    membership::Seen,
+    membership::{
+        Seen,
+        Word, //
+    },
     once::Begin,
     peer::Message,
     place::{
@@ -202,16 +205,25 @@
             loads: &self.loads,
             now: now.mono,
         };
-        let Some(placed) = place::choose(scene, &open.request.work, &open.tried, &mut self.rng)
-        else {
+        let work = self.recent.recall(&config, &open.request.work);
+        let Some(placed) = place::choose(scene, &work, &open.tried, &mut self.rng) else {
+            if self.view.waking(now.mono) {
+                open.stage = Stage::Confirm;
+                return;
+            }
             return self.no_endpoint(now, call, out);
         };
         let endpoint = placed.endpoint;
         open.attempts += 1;
-        open.stage = Stage::Sent { endpoint };
+        open.stage = Stage::Sent {
+            endpoint,
+            life: self.view.incarnation(endpoint),
+            since: now.mono,
+        };
         open.tried.push(endpoint);
         let load = self.loads.estimate(now.mono, endpoint);
         self.loads.sent(now.mono, endpoint);
+        let must_tell = self.loads.must_tell(endpoint, placed.limit);
         let token = match (&open.request.work, config.endpoints.get(endpoint)) {
             (Work::Chat { token, .. }, Some(e)) => Some(Token {
                 last: e.tag,
@@ -224,6 +236,18 @@
         let workspace = open.request.workspace;
         let deadline = open.request.deadline;
         let idle = config.policy.idle_timeout;
+        if let Work::Chat { model, prefix, .. } = open.request.work {
+            if let Some(from) = placed.import_from {
+                out.push(Action::Import {
+                    call: Some(call),
+                    prefix,
+                    from,
+                    to: endpoint,
+                });
+            }
+            let life = self.view.incarnation(endpoint);
+            self.recent.note(prefix, model, (endpoint, life));
+        }
         out.push(Action::Dispatch {
             call,
             attempt,
@@ -243,6 +267,18 @@
             view_age,
         };
         out.push(Action::Log(decision));
+        if must_tell {
+            self.tell_soon(now, out);
+        }
+    }
+
+    /// Tries again to place the calls that wait for an endpoint to be confirmed.
+    pub(super) fn tick_confirm(&mut self, now: Now, out: &mut Vec<Action>) {
+        let waits = |(call, open): (&Call, &Open)| (open.stage == Stage::Confirm).then_some(*call);
+        let waiting: Vec<Call> = self.calls.iter().filter_map(waits).collect();
+        for call in waiting {
+            self.dispatch(now, call, out);
+        }
     }
 
     fn no_endpoint(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
@@ -250,6 +286,15 @@
         self.end_refused(now, call, refusal, out);
     }
 
+    pub(super) fn head_load(&mut self, now: Now, call: Call, in_flight: Option<u32>) {
+        if let Some(open) = self.calls.get(&call)
+            && let Stage::Sent { endpoint, .. } = open.stage
+            && let Some(in_flight) = in_flight
+        {
+            self.loads.stated(now.mono, endpoint, in_flight);
+        }
+    }
+
     pub(super) fn head(
         &mut self,
         now: Now,
@@ -259,24 +304,22 @@
         out: &mut Vec<Action>,
     ) {
         let Some(Open {
-            stage: Stage::Sent { endpoint },
+            stage: Stage::Sent {
+                endpoint, since, ..
+            },
             ..
         }) = self.calls.get(&call)
         else {
             return;
         };
         let endpoint = *endpoint;
-        self.view.heard(now.mono);
-        if let Some(life) = incarnation {
-            let changed = self.view.life(now.mono, endpoint, life);
-            log_member(endpoint, changed, out);
-        }
-        let changed = if leaving {
-            let life = self.view.incarnation(endpoint);
-            self.view.leaving(now.mono, endpoint, life)
-        } else {
-            self.view.seen(now.mono, endpoint, Seen::Answered)
+        let word = Word {
+            life: incarnation,
+            leaving,
+            seen: Seen::Answered,
+            since: Some(*since),
         };
+        let changed = self.view.word(now.mono, endpoint, word);
         log_member(endpoint, changed, out);
     }
 
@@ -291,7 +334,7 @@
         let Some(open) = self.calls.get(&call) else {
             return;
         };
-        let Stage::Sent { endpoint } = open.stage else {
+        let Stage::Sent { endpoint, life, .. } = open.stage else {
             return;
         };
         if attempt.0 != open.attempts {
@@ -299,11 +342,8 @@
         }
         self.loads.ended(now.mono, endpoint);
         let changed = match &end {
-            End::Whole(_) => self.view.seen(now.mono, endpoint, Seen::Answered),
-            End::NotSent { leaving: true } => {
-                let life = self.view.incarnation(endpoint);
-                self.view.leaving(now.mono, endpoint, life)
-            }
+            End::Whole(_) => self.view.seen(now.mono, endpoint, Seen::Finished),
+            End::NotSent { leaving: true } => self.view.leaving(now.mono, endpoint, life),
             End::NotSent { leaving: false } => self.view.seen(now.mono, endpoint, Seen::Refused),
             End::Broken { .. } => self.view.seen(now.mono, endpoint, Seen::Silent),
             End::Failed(_) | End::Cancelled => None,
@@ -333,7 +373,7 @@
         let Some(open) = self.calls.get(&call) else {
             return;
         };
-        let Stage::Sent { endpoint } = open.stage else {
+        let Stage::Sent { endpoint, .. } = open.stage else {
             return;
         };
         let policy = Arc::clone(&self.store.current().policy);
@@ -393,7 +433,7 @@
         match open.stage {
             // A call that runs once goes on: its repeat wants the answer.
             Stage::Sent { .. } if matches!(work, Work::Once { .. }) => {}
-            Stage::Sent { endpoint } => {
+            Stage::Sent { endpoint, .. } => {
                 let attempt = attempt(open.attempts);
                 self.loads.ended(now.mono, endpoint);
                 self.calls.swap_remove(&call);
@@ -403,6 +443,10 @@
                 self.limits.gone(call);
                 self.calls.swap_remove(&call);
             }
+            Stage::Confirm => {
+                self.calls.swap_remove(&call);
+                self.end_key(now, &work, Outcome::NotRun, None, out);
+            }
             Stage::Forwarded => {
                 self.calls.swap_remove(&call);
             }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -23,7 +23,7 @@
         RouterKey, //
     },
     config::{
-        Config,
+        Config, Kind,
         store::{
             self,
             Store, //
@@ -31,6 +31,7 @@
     },
     event::{
         Event,
+        Report,
         Source, //
     },
     ids::Id,
@@ -38,9 +39,14 @@
     load::Table,
     membership::{
         Seen,
-        View, //
+        View,
+        Word, //
     },
     once::Home,
+    place::{
+        Scene,
+        moves::Recent, //
+    },
     request::{
         Attempt,
         Call,
@@ -60,6 +66,9 @@
 mod once;
 mod peers;
 
+/// Time between two readings of the platform's list of VMs.
+const LIST_INTERVAL: Millis = Millis(1000);
+
 /// `Options` is what a node must know of itself.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -97,7 +106,15 @@
     /// The answer to the first request with the same key, here at the home.
     Waiting,
     /// The answer of an endpoint.
-    Sent { endpoint: EndpointKey },
+    Sent {
+        endpoint: EndpointKey,
+        /// The endpoint's life then, as far as known.
+        life: Incarnation,
+        /// When it was sent.
+        since: Time,
+    },
+    /// An endpoint that is known not to be leaving; the view is from before a pause.
+    Confirm,
 }
 
 /// `Node` is one router.
@@ -109,14 +126,17 @@
     me: Option<RouterKey>,
     view: View,
     loads: Table,
+    recent: Recent,
     limits: Limits,
     home: Home,
     budget: Budget,
     peers: SecondaryMap<RouterKey, Peer>,
     calls: IndexMap<Call, Open>,
-    polled: SecondaryMap<EndpointKey, Time>,
-    probed: SecondaryMap<EndpointKey, Time>,
+    reports: SecondaryMap<EndpointKey, (Time, Report)>,
+    listed: Time,
     summarized: Time,
+    // Whether peers are to hear of own requests before the next summary is due.
+    early: bool,
     started: Time,
     watching: bool,
     synced: bool,
@@ -136,14 +156,16 @@
             me: None,
             view: View::default(),
             loads: Table::default(),
+            recent: Recent::default(),
             limits: Limits::default(),
             home,
             budget: Budget::default(),
             peers: SecondaryMap::new(),
             calls: IndexMap::new(),
-            polled: SecondaryMap::new(),
-            probed: SecondaryMap::new(),
+            reports: SecondaryMap::new(),
+            listed: Time(0),
             summarized: now.mono,
+            early: false,
             started: now.mono,
             watching: false,
             synced: false,
@@ -190,6 +212,7 @@
 
     /// Handles one event and appends what is to be done.
     pub fn handle(&mut self, now: Now, event: Event, out: &mut Vec<Action>) {
+        self.view.advance(now.mono);
         match event {
             Event::Request { call, request } => self.request(now, call, request, out),
             Event::Head {
@@ -199,7 +222,8 @@
                 leaving,
                 incarnation,
             } => {
-                let _ = (attempt, in_flight);
+                let _ = attempt;
+                self.head_load(now, call, in_flight);
                 self.head(now, call, leaving, incarnation, out);
             }
             Event::Ended { call, attempt, end } => self.ended(now, call, attempt, end, out),
@@ -209,13 +233,27 @@
             Event::Polled { endpoint, report } => self.polled(now, endpoint, report, out),
             Event::Probed { endpoint, answered } => {
                 let seen = if answered {
-                    Seen::Answered
+                    Seen::Reached
                 } else {
-                    Seen::Silent
+                    Seen::Unreached
                 };
                 let changed = self.view.seen(now.mono, endpoint, seen);
                 log_member(endpoint, changed, out);
             }
+            Event::Stated {
+                endpoint,
+                leaving,
+                incarnation,
+            } => {
+                let word = Word {
+                    life: incarnation,
+                    leaving,
+                    seen: Seen::Reached,
+                    since: None,
+                };
+                let changed = self.view.word(now.mono, endpoint, word);
+                log_member(endpoint, changed, out);
+            }
             Event::Peer {
                 from,
                 incarnation,
@@ -231,7 +269,7 @@
                 self.publish(now, &change, out);
             }
             Event::ReadFailed => self.watching = false,
-            Event::Vms { age: _, vms } => self.vms(now, &vms, out),
+            Event::Vms { age, vms } => self.vms(now, age, &vms, out),
             Event::Cache { .. } => self.view.heard(now.mono),
             Event::Tick => self.tick(now, out),
             Event::Drain => self.drain(now, out),
@@ -242,14 +280,18 @@
         match self.store.apply(change) {
             Ok(()) => self.applied(now, out),
             Err(store::Error::Invalid { faults }) => {
-                let line = |f: &store::Fault| format!("{}: {}", f.path, f.reason);
-                let errors = faults.iter().map(line).collect::<Vec<_>>().join("\n");
+                let lines: Vec<_> = faults.iter().map(store::Fault::to_string).collect();
+                let errors = lines.join("\n");
                 let revision = change.revision;
                 out.push(Action::Log(Decision::Rejected { revision, errors }));
             }
-            // An older or overlapping change is what a lagging service or peer sends; what is in
-            // force stays.
-            Err(store::Error::Old { .. } | store::Error::Gap { .. }) => {}
+            // An older, overlapping or broken change is what a lagging or faulty service or peer
+            // sends; what is in force stays.
+            Err(
+                store::Error::Old { .. }
+                | store::Error::Gap { .. }
+                | store::Error::Malformed { .. },
+            ) => {}
         }
     }
 
@@ -257,7 +299,8 @@
         let config = Arc::clone(self.store.current());
         self.me = config.fleet.key(&self.options.id);
         self.view.apply(now.mono, &config);
-        self.loads.apply(&config);
+        self.view.assign(&config, self.me);
+        self.loads.apply(&config, self.me);
         self.limits.apply(now.mono, &config);
         self.home.apply(now, &config, self.me);
         self.peers.retain(|key, _| config.fleet.get(key).is_some());
@@ -271,17 +314,18 @@
         out.push(Action::Log(Decision::Applied { revision }));
     }
 
-    fn vms(&mut self, now: Now, vms: &[(Id, crate::event::VmState)], out: &mut Vec<Action>) {
-        self.view.heard(now.mono);
-        for (id, state) in vms {
-            let Some(key) = self.config().endpoints.key(id) else {
-                continue;
-            };
-            if *state == crate::event::VmState::Leaving {
-                let life = self.view.incarnation(key);
-                let changed = self.view.leaving(now.mono, key, life);
-                log_member(key, changed, out);
-            }
+    fn vms(
+        &mut self,
+        now: Now,
+        age: Millis,
+        vms: &[(Id, crate::event::VmState)],
+        out: &mut Vec<Action>,
+    ) {
+        let config = Arc::clone(self.config());
+        let key = |(id, state): &(Id, _)| Some((config.endpoints.key(id)?, *state));
+        let vms: Vec<_> = vms.iter().filter_map(key).collect();
+        for (key, state) in self.view.listed(now.mono, age, &vms) {
+            log_member(key, Some(state), out);
         }
     }
 
@@ -289,63 +333,76 @@
         &mut self,
         now: Now,
         endpoint: EndpointKey,
-        report: Option<crate::event::Report>,
+        report: Option<Report>,
         out: &mut Vec<Action>,
     ) {
         let Some(report) = report else {
-            let changed = self.view.seen(now.mono, endpoint, Seen::Silent);
+            let changed = self.view.seen(now.mono, endpoint, Seen::Unreached);
             log_member(endpoint, changed, out);
             return;
         };
-        self.view.heard(now.mono);
         self.loads.report(now.mono, endpoint, &report);
-        let changed = self.view.life(now.mono, endpoint, report.incarnation);
-        log_member(endpoint, changed, out);
-        let changed = if report.leaving {
-            self.view.leaving(now.mono, endpoint, report.incarnation)
-        } else {
-            self.view.seen(now.mono, endpoint, Seen::Answered)
+        self.reports.insert(endpoint, (now.mono, report));
+        let word = Word {
+            life: Some(report.incarnation),
+            leaving: report.leaving,
+            seen: Seen::Reached,
+            since: None,
         };
+        let changed = self.view.word(now.mono, endpoint, word);
         log_member(endpoint, changed, out);
     }
 
     fn tick(&mut self, now: Now, out: &mut Vec<Action>) {
         if !self.watching {
             self.watching = true;
-            out.push(Action::Watch {
-                since: self.store.held(),
-            });
+            let since = self.store.next_read();
+            out.push(Action::Watch { since });
         }
+        self.loads.refresh(now.mono, &self.view);
+        self.tick_moves(now, out);
         self.tick_endpoints(now, out);
         self.tick_peers(now, out);
         self.tick_limits(now, out);
         self.tick_waiting(now, out);
+        self.tick_confirm(now, out);
         self.tick_drain(now, out);
     }
 
+    fn tick_moves(&mut self, now: Now, out: &mut Vec<Action>) {
+        let config = Arc::clone(self.store.current());
+        let scene = Scene {
+            config: &config,
+            view: &self.view,
+            loads: &self.loads,
+            now: now.mono,
+        };
+        for moved in self.recent.moves(scene) {
+            out.push(Action::Import {
+                call: None,
+                prefix: moved.prefix,
+                from: moved.from,
+                to: moved.to,
+            });
+        }
+    }
+
     fn tick_endpoints(&mut self, now: Now, out: &mut Vec<Action>) {
         let config = Arc::clone(self.store.current());
-        let interval = config.policy.poll_interval;
-        for (key, endpoint) in config.endpoints.iter() {
-            let due = self
-                .polled
-                .get(key)
-                .is_none_or(|t| now.mono.since(*t) >= interval);
-            if due && endpoint.kind == crate::config::Kind::Engine {
-                self.polled.insert(key, now.mono);
-                out.push(Action::Poll { endpoint: key });
-            }
+        for (endpoint, state) in self.view.changes(now.mono) {
+            log_member(endpoint, Some(state), out);
         }
-        let to_probe: Vec<EndpointKey> = self.view.to_probe(now.mono).collect();
-        for key in to_probe {
-            let due = self
-                .probed
-                .get(key)
-                .is_none_or(|t| now.mono.since(*t) >= interval);
-            if due {
-                self.probed.insert(key, now.mono);
-                out.push(Action::Probe { endpoint: key });
-            }
+        for endpoint in self.view.to_probe(now.mono) {
+            self.view.asked(now.mono, endpoint);
+            out.push(Action::Probe { endpoint });
+        }
+        for endpoint in self.view.to_poll(now.mono, &config.policy) {
+            self.view.asked(now.mono, endpoint);
+            out.push(Action::Poll { endpoint });
+        }
+        if now.mono.since(self.listed) >= LIST_INTERVAL {
+            self.listed = now.mono;
+            out.push(Action::ReadVms);
         }
     }
 
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -12,11 +12,22 @@
         Decision, //
     },
     arena::RouterKey,
+    config::Config,
+    event::{
+        self,
+        TICK, //
+    },
+    limits::Question,
+    membership::{
+        State,
+        pollers::TRANSIT, //
+    },
     once::{
         self,
         Vote, //
     },
     peer::{
+        self,
         Leaving,
         Load,
         Message,
@@ -33,6 +44,9 @@
 /// fleet can start.
 const ALONE_AFTER: Millis = Millis(1500);
 
+/// Shortest time between two summaries, which bounds what a burst of requests adds to them.
+const EARLY_GAP: Millis = TICK;
+
 impl Node {
     pub(super) fn peer(
         &mut self,
@@ -47,15 +61,19 @@
         };
         peer.heard = Some(now.mono);
         self.view.heard(now.mono);
+        self.view.peer(now.mono, from, true);
+        self.limits.heard(from);
         let config = Arc::clone(self.store.current());
         match message {
             Message::Summary(summary) => self.summary(now, from, &summary, out),
             Message::Pull { since } => {
-                let message = Message::Push(self.store.after(since));
-                out.push(Action::Send {
-                    router: from,
-                    message,
-                });
+                for change in self.store.after(since) {
+                    let message = Message::Push(change);
+                    out.push(Action::Send {
+                        router: from,
+                        message,
+                    });
+                }
             }
             Message::Push(change) => {
                 self.publish(now, &change, out);
@@ -69,7 +87,16 @@
                 let Some(key) = config.workspaces.by_tag(workspace) else {
                     return;
                 };
-                let (granted, retry_after) = self.limits.ask(now.mono, &config, from, key, want);
+                let question = Question {
+                    me: self.me,
+                    from,
+                    workspace: key,
+                    want,
+                };
+                let mut outgo = Vec::new();
+                let (granted, retry_after) =
+                    self.limits.ask(now.mono, &config, question, &mut outgo);
+                self.limits_out(now, outgo, out);
                 let message = Message::Grant {
                     workspace,
                     granted,
@@ -134,10 +161,11 @@
         if let Some(peer) = self.peers.get_mut(from) {
             peer.revision = summary.revision;
         }
-        if summary.revision > self.store.held() {
-            let message = Message::Pull {
-                since: self.store.held(),
-            };
+        // What counts is the revision in force: this node may hold a newer one that is invalid,
+        // and have missed the valid one in between that the peer has in force.
+        let since = self.config().revision;
+        if summary.revision > since {
+            let message = Message::Pull { since };
             out.push(Action::Send {
                 router: from,
                 message,
@@ -154,11 +182,41 @@
             let changed = self.view.leaving(now.mono, key, one.incarnation);
             log_member(key, changed, out);
         }
+        self.reports(now, &config, &summary.reports, out);
+    }
+
+    fn reports(
+        &mut self,
+        now: Now,
+        config: &Config,
+        reports: &[peer::Report],
+        out: &mut Vec<Action>,
+    ) {
+        let interval = config.policy.summary_interval;
+        for one in reports {
+            let Some(key) = config.endpoints.by_tag(one.endpoint) else {
+                continue;
+            };
+            let report = event::Report {
+                incarnation: one.incarnation,
+                age: one.age,
+                in_flight: one.in_flight,
+                queued: one.queued,
+                leaving: false,
+            };
+            self.loads.report(now.mono, key, &report);
+            let life = one.incarnation;
+            let changed = self.view.reported(now.mono, key, life, interval);
+            log_member(key, changed, out);
+        }
     }
 
     pub(super) fn peer_failed(&mut self, now: Now, router: RouterKey, out: &mut Vec<Action>) {
+        self.view.peer(now.mono, router, false);
         let mut outgo = Vec::new();
-        self.limits.failed(now.mono, router, &mut outgo);
+        let config = Arc::clone(self.store.current());
+        self.limits
+            .failed(now.mono, &config, self.me, router, &mut outgo);
         self.limits_out(now, outgo, out);
     }
 
@@ -174,24 +232,40 @@
         if let Some(once::Held { epoch, held }) = self.home.changed(now) {
             out.push(Action::Log(Decision::Lease { epoch, held }));
         }
-        if now.mono.since(self.summarized) < config.policy.summary_interval {
-            return;
+        let interval = config.policy.summary_interval;
+        if self.early || now.mono.since(self.summarized) >= interval {
+            self.tell_peers(now, out);
+        }
+    }
+
+    /// Sends every peer a summary before its time, but no sooner than [`EARLY_GAP`] after the last.
+    pub(super) fn tell_soon(&mut self, now: Now, out: &mut Vec<Action>) {
+        if now.mono.since(self.summarized) >= EARLY_GAP {
+            self.tell_peers(now, out);
+        } else {
+            self.early = true;
         }
+    }
+
+    /// Sends every peer a summary now.
+    fn tell_peers(&mut self, now: Now, out: &mut Vec<Action>) {
+        let since = self.config().revision;
         self.summarized = now.mono;
-        let summary = self.make_summary();
+        self.early = false;
+        let summary = self.make_summary(now);
+        self.loads.shared();
         for router in self.peers.keys() {
             let message = Message::Summary(summary.clone());
             out.push(Action::Send { router, message });
             if !self.synced {
-                let message = Message::Pull {
-                    since: self.store.held(),
-                };
+                let message = Message::Pull { since };
                 out.push(Action::Send { router, message });
             }
         }
     }
 
-    fn make_summary(&self) -> Summary {
+    fn make_summary(&mut self, now: Now) -> Summary {
+        let polled = std::mem::take(&mut self.reports);
         let config = self.store.current();
         let tag = |key| config.endpoints.get(key).map(|e| e.tag);
         let load = |(key, in_flight)| {
@@ -206,12 +280,29 @@
                 incarnation,
             })
         };
+        // Those that leave are told as leaving; a poll from before a pause is no news.
+        let known = config.policy.summary_interval + TRANSIT;
+        let fresh = |key: &_| {
+            let sure = self.view.sure(*key);
+            self.view.state(now.mono, *key) != State::Leaving
+                && sure.is_some_and(|t| now.mono.since(t) <= known)
+        };
+        let report = |(key, (at, report)): (_, (_, event::Report))| {
+            Some(peer::Report {
+                endpoint: tag(key)?,
+                incarnation: report.incarnation,
+                in_flight: report.in_flight,
+                queued: report.queued,
+                age: report.age + now.mono.since(at),
+            })
+        };
+        let polled = polled.into_iter().filter(|(key, _)| fresh(key));
         Summary {
             revision: config.revision,
             epoch: config.epoch,
             loads: self.loads.own().filter_map(load).collect(),
             leaving: self.view.all_leaving().filter_map(leaving).collect(),
-            reports: Vec::new(),
+            reports: polled.filter_map(report).collect(),
         }
     }
 }
--- /dev/null
+++ b/crates/toucanturn/tests/cli/main.rs
@@ -0,0 +1,12 @@
+//! Runs `toucanturn` as a process.
+
+mod chat;
+mod check;
+mod drain;
+mod explain;
+mod manual;
+mod replay;
+mod router;
+mod status;
+mod support;
+mod usage;
