Presume the home by hash where callers keep no tokens

A router now notes the share of requests that bring a token, by workspace and, while that has few, of all. A router also recalls the chats that it sent itself.

--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -205,7 +205,9 @@
             loads: &self.loads,
             now: now.mono,
         };
-        let work = self.recent.recall(&config, &open.request.work);
+        let work = self
+            .recent
+            .recall(scene, open.request.workspace, &open.request.work);
         let Some(placed) = place::choose(scene, &work, &open.tried, &mut self.rng) else {
             return self.no_endpoint(now, call, out);
         };
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -273,6 +273,7 @@
         self.me = config.fleet.key(&self.options.id);
         self.view.apply(now.mono, &config);
         self.loads.apply(&config, self.me);
+        self.recent.apply(&config);
         self.limits.apply(now.mono, &config);
         self.home.apply(now, &config, self.me);
         self.peers.retain(|key, _| config.fleet.get(key).is_some());
--- a/crates/core/src/place/moves.rs
+++ b/crates/core/src/place/moves.rs
@@ -6,12 +6,14 @@
 //! moved in vain costs a prefill.
 
 use indexmap::IndexMap;
+use slotmap::SecondaryMap;
 
 use super::Scene;
 use crate::{
     arena::{
         EndpointKey,
-        ModelKey, //
+        ModelKey,
+        WorkspaceKey, //
     },
     config::Config,
     load::{
@@ -26,7 +28,10 @@
         Token,
         Work, //
     },
-    units::Incarnation,
+    units::{
+        Incarnation,
+        Permille, //
+    },
 };
 
 /// Chats that a router remembers; the one sent longest ago is forgotten. About 1.5 MB.
@@ -34,6 +39,11 @@
 /// Moves with each tick, so that a leaving engine's network is left to its answers.
 const MOVES_PER_TICK: usize = 8;
 
+/// Requests over which a workspace's share of tokens is taken.
+const SHARE_REQUESTS: u32 = 16;
+/// Share of tokens from which on a chat without one counts as new.
+const KEEPS: Permille = Permille(500);
+
 /// `Move` is a prefix that is to be imported elsewhere.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Move {
@@ -52,12 +62,39 @@
     life: Incarnation,
 }
 
+/// `Share` is the share of requests that brought a token, of late.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    kept: Permille,
+    requests: u32,
+}
+
+impl Default for Share {
+    fn default() -> Self {
+        Self {
+            kept: Permille(1000),
+            requests: 0,
+        }
+    }
+}
+
+impl Share {
+    fn note(&mut self, brought: bool) {
+        let target = if brought { 1000 } else { 0 };
+        self.kept.0 = (self.kept.0 * (SHARE_REQUESTS - 1) + target) / SHARE_REQUESTS;
+        self.requests = self.requests.saturating_add(1);
+    }
+}
+
 /// `Recent` is the chats that this router sent out last.
 #[derive(Debug, Default)]
 pub struct Recent {
     // A ring: the next slot to overwrite is `next`.
     chats: IndexMap<Prefix, Chat>,
     next: usize,
+    // Share of requests that brought a token, of late. One entry for each configured workspace.
+    tokens: SecondaryMap<WorkspaceKey, Share>,
+    all_tokens: Share,
     // Engines that leave, with the slot down to which their chats were moved.
     leaving: IndexMap<EndpointKey, usize>,
 }
@@ -88,18 +125,52 @@
         }
     }
 
-    /// Gets the work with a token for the engine that this router sent the chat to, where the caller
-    /// brought none.
-    pub fn recall(&self, config: &Config, work: &Work) -> Work {
+    /// Gets the work with a token, where the caller brought none and one can be presumed: for the
+    /// engine that this router sent the chat to, or, in a workspace whose callers seldom bring
+    /// tokens, for the chat's home by hash.
+    ///
+    /// A chat without a token is new or its caller doesn't keep tokens. Taken for new, it goes
+    /// where the load is low, and callers without tokens would find their prefix by chance alone.
+    pub fn recall(&mut self, scene: Scene<'_>, workspace: WorkspaceKey, work: &Work) -> Work {
         let mut work = work.clone();
-        if let Work::Chat { prefix, token, .. } = &mut work
-            && token.is_none()
-        {
-            *token = self.token(config, *prefix);
+        let Work::Chat {
+            prefix,
+            token,
+            model,
+        } = &mut work
+        else {
+            return work;
+        };
+        let keeps = self.keeps_tokens(workspace, token.is_some());
+        if token.is_none() {
+            *token = self.token(scene.config, *prefix);
+        }
+        if token.is_none() && !keeps {
+            let home = home(scene, *prefix, *model);
+            let engine = home.and_then(|key| scene.config.endpoints.get(key));
+            *token = engine.map(|e| Token {
+                last: e.tag,
+                ..Token::default()
+            });
         }
         work
     }
 
+    /// Notes whether a request of a workspace brought a token; tells whether most do, of the
+    /// workspace or, while that has few, of all.
+    fn keeps_tokens(&mut self, workspace: WorkspaceKey, brought: bool) -> bool {
+        self.all_tokens.note(brought);
+        let Some(entry) = self.tokens.entry(workspace) else {
+            return self.all_tokens.kept >= KEEPS;
+        };
+        let share = entry.or_default();
+        share.note(brought);
+        if share.requests < SHARE_REQUESTS {
+            share.kept = self.all_tokens.kept;
+        }
+        share.kept >= KEEPS
+    }
+
     fn token(&self, config: &Config, prefix: Prefix) -> Option<Token> {
         let chat = self.chats.get(&prefix)?;
         let engine = config.endpoints.get(chat.engine)?;
@@ -110,6 +181,12 @@
         })
     }
 
+    /// Follows a new configuration.
+    pub fn apply(&mut self, config: &Config) {
+        self.tokens
+            .retain(|key, _| config.workspaces.get(key).is_some());
+    }
+
     /// Gets the next chats to move away from engines that leave.
     pub fn moves(&mut self, scene: Scene<'_>) -> Vec<Move> {
         let leaves = |key: EndpointKey| scene.view.state(scene.now, key) == State::Leaving;
--- a/crates/replay/src/generate.rs
+++ b/crates/replay/src/generate.rs
@@ -126,7 +126,6 @@
             pause_ms: 15_000.0,
             answer_ms: 4000.0,
             cache_tokens: 120_000,
-            tokenless_share: 0.1,
             ..Self::vitalbox()
         }
     }
