--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -305,6 +305,7 @@
         self.view.apply(now.mono, &config);
         self.view.assign(&config, self.me);
         self.loads.apply(&config, self.me);
+        self.recent.apply(&config);
         self.limits.apply(now.mono, &config);
         self.gate.apply(&config);
         self.home.apply(now, &config, self.me);
