Start the fault matrix: a fleet in one process behind links that fail

A cluster of stand-ins and routers, each router in a runtime of its own that a test can freeze or kill as a whole; a proxy in front of every socket, with gates that hold one request's bytes at a chosen point; callers that check each answer; a judge by the stand-ins' truth.

--- /dev/null
+++ b/crates/router/tests/faults/main.rs
@@ -0,0 +1,12 @@
+//! The fault matrix: every fault at every step, against real routers over loopback sockets, judged
+//! by what the stand-ins really did. docs/FAULTS.md shows the table and its results.
+
+#![allow(missing_docs, reason = "tests")]
+
+mod caller;
+mod cluster;
+mod gate;
+mod host;
+mod judge;
+mod proxy;
+mod smoke;
--- /dev/null
+++ b/crates/router/tests/faults/proxy.rs
@@ -0,0 +1,311 @@
+//! A TCP proxy in front of one socket, with the faults of a link, and gates that hold one
+//! request's bytes at a chosen point.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+    },
+    time::Duration,
+};
+
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::{
+        TcpListener,
+        TcpSocket,
+        TcpStream,
+        tcp::{
+            ReadHalf,
+            WriteHalf, //
+        },
+    },
+    sync::watch,
+};
+
+use crate::gate::{
+    Gate,
+    Point,
+    Progress, //
+};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// `Mode` is what the link does with bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Mode {
+    /// Passes them on.
+    Pass,
+    /// Refuses new connections, as a dead process does.
+    Refuse,
+    /// Loses them both ways.
+    Drop,
+    /// Loses what goes to the server.
+    DropRequests,
+    /// Loses what comes from the server.
+    DropAnswers,
+    /// Keeps them until the mode changes, as a frozen process does.
+    Pause,
+    /// Passes every piece on after a while.
+    Slow(Duration),
+    /// Resets the connection in place of the first byte of an answer.
+    ResetAnswers,
+    /// Passes half of the answer's next piece on and closes the connection.
+    HalfAnswers,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct State {
+    mode: Mode,
+    upstream: Option<SocketAddr>,
+    /// Connections with lower numbers pass nothing on, and stay open.
+    silent_below: u64,
+    /// Connections with lower numbers are reset.
+    reset_below: u64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    Requests,
+    Answers,
+}
+
+struct Shared {
+    number: usize,
+    state: watch::Sender<State>,
+    accepted: AtomicU64,
+    gates: Mutex<Vec<Arc<Gate>>>,
+}
+
+/// `Link` is the proxy. Its address stays the same whatever happens behind it.
+#[derive(Clone)]
+pub(crate) struct Link {
+    pub(crate) address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+fn socket(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+impl Link {
+    /// Opens a link that leads nowhere yet; `number` tells it apart at a gate.
+    pub(crate) fn open(number: usize) -> Self {
+        // A socket that is bound and never listens keeps the port while the link refuses.
+        let holder = socket(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port is free");
+        let address = holder.local_addr().expect("the socket is bound");
+        let state = State {
+            mode: Mode::Pass,
+            upstream: None,
+            silent_below: 0,
+            reset_below: 0,
+        };
+        let shared = Arc::new(Shared {
+            number,
+            state: watch::Sender::new(state),
+            accepted: AtomicU64::new(0),
+            gates: Mutex::default(),
+        });
+        let listener = listen(address).expect("the port is held");
+        tokio::spawn(serve(listener, holder, address, Arc::clone(&shared)));
+        Self { address, shared }
+    }
+
+    /// Leads new connections to another server.
+    pub(crate) fn point(&self, upstream: SocketAddr) {
+        self.change(|state| state.upstream = Some(upstream));
+    }
+
+    /// Changes what happens to bytes, on open connections too.
+    pub(crate) fn set(&self, mode: Mode) {
+        self.change(|state| state.mode = mode);
+    }
+
+    /// Silences the connections there are for good; new ones work.
+    pub(crate) fn silence(&self) {
+        let accepted = self.shared.accepted.load(Ordering::SeqCst);
+        self.change(|state| state.silent_below = accepted);
+    }
+
+    /// Resets the connections there are.
+    pub(crate) fn reset(&self) {
+        let accepted = self.shared.accepted.load(Ordering::SeqCst);
+        self.change(|state| state.reset_below = accepted);
+    }
+
+    /// Sets up the gates for what comes.
+    pub(crate) fn arm(&self, gates: &[Arc<Gate>]) {
+        *self.shared.gates.lock().expect("no test panicked here") = gates.to_vec();
+    }
+
+    fn change(&self, change: impl FnOnce(&mut State)) {
+        self.shared.state.send_modify(change);
+    }
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    socket(address)?.listen(BACKLOG)
+}
+
+async fn serve(
+    listener: TcpListener,
+    _holder: TcpSocket,
+    address: SocketAddr,
+    shared: Arc<Shared>,
+) {
+    let mut state = shared.state.subscribe();
+    let mut listener = Some(listener);
+    loop {
+        let refuses = state.borrow_and_update().mode == Mode::Refuse;
+        if refuses {
+            listener = None;
+        } else if listener.is_none() {
+            listener = Some(listen(address).expect("the port is held"));
+        }
+        let accepted = async {
+            match &listener {
+                Some(listener) => listener.accept().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            changed = state.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+            Ok((near, _)) = accepted => {
+                let number = shared.accepted.fetch_add(1, Ordering::SeqCst);
+                tokio::spawn(connection(near, number, Arc::clone(&shared)));
+            }
+        }
+    }
+}
+
+async fn connection(mut near: TcpStream, number: u64, shared: Arc<Shared>) {
+    let _ = near.set_nodelay(true);
+    let mut state = shared.state.subscribe();
+    let reset = state.wait_for(|state| number < state.reset_below);
+    let ended = tokio::select! {
+        ended = relay(&mut near, number, &shared) => ended,
+        _ = reset => Err(Reset),
+    };
+    if ended.is_err() {
+        let _ = near.set_zero_linger();
+    }
+}
+
+/// `Reset` ends a connection at once.
+struct Reset;
+
+async fn relay(near: &mut TcpStream, number: u64, shared: &Shared) -> Result<(), Reset> {
+    for gate in shared.gates() {
+        if gate.point == Point::Connect {
+            gate.hold(shared.number).await;
+        }
+    }
+    let upstream = shared.state.borrow().upstream.ok_or(Reset)?;
+    let mut far = TcpStream::connect(upstream).await.map_err(|_| Reset)?;
+    let _ = far.set_nodelay(true);
+    let (near_in, near_out) = near.split();
+    let (far_in, far_out) = far.split();
+    let progress = Mutex::new(Progress::default());
+    let pump = |way, from, to| pump(shared, number, &progress, way, from, to);
+    tokio::try_join!(
+        pump(Way::Requests, near_in, far_out),
+        pump(Way::Answers, far_in, near_out)
+    )?;
+    Ok(())
+}
+
+async fn pump(
+    shared: &Shared,
+    number: u64,
+    progress: &Mutex<Progress>,
+    way: Way,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
+) -> Result<(), Reset> {
+    let mut buffer = vec![0; 64 << 10];
+    loop {
+        let read = from.read(&mut buffer).await.map_err(|_| Reset)?;
+        if read == 0 {
+            shared.unpaused().await;
+            let _ = to.shutdown().await;
+            return Ok(());
+        }
+        let bytes = &buffer[..read];
+        let held = {
+            let mut progress = progress.lock().expect("no test panicked here");
+            match way {
+                Way::Requests => progress.request(bytes, &shared.gates()),
+                Way::Answers => progress.answer(bytes),
+            }
+        };
+        let mut rest = bytes;
+        for (gate, at) in held {
+            let done = read - rest.len();
+            let (first, later) = rest.split_at(at.clamp(done, read) - done);
+            shared.pass(number, way, first, &mut to).await?;
+            gate.hold(shared.number).await;
+            rest = later;
+        }
+        shared.pass(number, way, rest, &mut to).await?;
+    }
+}
+
+impl Shared {
+    fn gates(&self) -> Vec<Arc<Gate>> {
+        self.gates.lock().expect("no test panicked here").clone()
+    }
+
+    async fn unpaused(&self) {
+        let mut state = self.state.subscribe();
+        let _ = state.wait_for(|state| state.mode != Mode::Pause).await;
+    }
+
+    async fn pass(
+        &self,
+        number: u64,
+        way: Way,
+        bytes: &[u8],
+        to: &mut WriteHalf<'_>,
+    ) -> Result<(), Reset> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        self.unpaused().await;
+        let state = *self.state.borrow();
+        if number < state.silent_below {
+            return std::future::pending().await;
+        }
+        match (state.mode, way) {
+            // What was lost stays lost: the connection is silent for good.
+            (Mode::Drop, _)
+            | (Mode::DropRequests, Way::Requests)
+            | (Mode::DropAnswers, Way::Answers) => return std::future::pending().await,
+            (Mode::Slow(delay), _) => tokio::time::sleep(delay).await,
+            (Mode::ResetAnswers, Way::Answers) => return Err(Reset),
+            (Mode::HalfAnswers, Way::Answers) => {
+                let _ = to.write_all(&bytes[..bytes.len() / 2]).await;
+                let _ = to.shutdown().await;
+                return std::future::pending().await;
+            }
+            _ => {}
+        }
+        to.write_all(bytes).await.map_err(|_| Reset)
+    }
+}
