--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -24,6 +24,8 @@
     units::Millis,
 };
 
+use crate::filters::Denial;
+
 /// Header that carries a request's id.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 /// Header that carries the outcome.
@@ -134,7 +136,7 @@
 }
 
 /// Puts an error that the filter chain found into the response. Nothing was run.
-pub fn reject(res: &mut Response, status: StatusCode, code: &str, message: &str, id: &str) {
+pub(crate) fn reject(res: &mut Response, id: &str, denial: &Denial) {
     common(res, id, &Meta::default());
     res.headers_mut()
         .insert(OUTCOME, HeaderValue::from_static("not_run"));
@@ -142,8 +144,24 @@
         header::CONTENT_TYPE,
         HeaderValue::from_static("application/json"),
     );
-    res.status_code(status);
-    res.body(error_body(code, message, id, Outcome::NotRun, None));
+    retry_after(res, denial.retry_after);
+    res.status_code(StatusCode::from_u16(denial.status).unwrap_or_default());
+    let Denial {
+        code,
+        message,
+        retry_after,
+        ..
+    } = denial;
+    res.body(error_body(code, message, id, Outcome::NotRun, *retry_after));
+}
+
+/// Says when to come back, in whole seconds, rounded up (RFC 9110, section 10.2.3).
+fn retry_after(res: &mut Response, after: Option<Millis>) {
+    if let Some(after) = after {
+        let secs = after.0.div_ceil(1000).max(1);
+        res.headers_mut()
+            .insert(header::RETRY_AFTER, HeaderValue::from(secs));
+    }
 }
 
 /// Puts a final answer into the response.
@@ -185,12 +203,7 @@
                 .insert(OUTCOME, text(&refusal.outcome.to_string()));
             let kind = HeaderValue::from_static("application/json");
             res.headers_mut().insert(header::CONTENT_TYPE, kind);
-            if let Some(after) = refusal.retry_after {
-                // Whole seconds, rounded up (RFC 9110, section 10.2.3).
-                let secs = after.0.div_ceil(1000).max(1);
-                res.headers_mut()
-                    .insert(header::RETRY_AFTER, HeaderValue::from(secs));
-            }
+            retry_after(res, refusal.retry_after);
             res.status_code(status(refusal.code));
             res.body(refusal_body(&refusal, id));
         }
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -66,6 +66,11 @@
         Failure,
         Outgoing, //
     },
+    events,
+    imports::{
+        self,
+        Import, //
+    },
     metrics::Name,
     relay::Scanner,
 };
@@ -108,9 +113,11 @@
 
 /// `Step` is what the node wants of a request's task.
 #[derive(Clone, Debug)]
-pub enum Step {
+pub(crate) enum Step {
     /// Send it to an endpoint.
     Dispatch(Dispatch),
+    /// Have its prefix imported before the next dispatch.
+    Import(Import),
     /// Send it to its home router.
     Forward {
         /// The home.
@@ -183,6 +190,10 @@
                     self.attempt(dispatch).await;
                     true
                 }
+                Some(Step::Import(import)) => {
+                    imports::run(&self.driver, &import).await;
+                    true
+                }
                 Some(Step::Forward { router, deadline }) => {
                     self.forward(router, deadline).await;
                     true
@@ -443,7 +454,7 @@
                 Event::ForwardDone { call, refusal }
             }
             Err(error) => {
-                tracing::debug!(%error, sent = error.sent, "call not forwarded");
+                events::not_forwarded(&self.exchange.id, call, error.sent, &error);
                 Event::ForwardFailed {
                     call,
                     sent: error.sent,
--- a/crates/router/src/peers/link.rs
+++ b/crates/router/src/peers/link.rs
@@ -20,7 +20,10 @@
 use prost::Message as _;
 use snafu::ResultExt;
 use tokio::{
-    sync::Notify,
+    sync::{
+        Notify,
+        Semaphore, //
+    },
     time::Instant, //
 };
 use tonic::transport::{
@@ -30,7 +33,10 @@
 use toucanturn_core::{
     arena::RouterKey,
     peer::Message,
-    units::Incarnation, //
+    units::{
+        Incarnation,
+        Millis, //
+    },
 };
 use toucanturn_wire::{
     envelope::{
@@ -78,6 +84,7 @@
         Waiting, //
     },
 };
+use crate::events;
 
 /// `Shared` is what all links of a client have in common.
 pub(super) struct Shared {
@@ -112,6 +119,7 @@
     shared: Arc<Shared>,
     queue: Mutex<Queue>,
     filled: Notify,
+    forwards: Semaphore,
     state: tokio::sync::Mutex<State>,
 }
 
@@ -120,10 +128,11 @@
         Self {
             peer,
             sequence,
-            shared,
             queue: Mutex::default(),
             filled: Notify::new(),
+            forwards: Semaphore::new(shared.options.peer_forwards),
             state: tokio::sync::Mutex::default(),
+            shared,
         }
     }
 
@@ -168,8 +177,8 @@
     fn fail(&self, failure: &Failure, batch: usize) {
         let counters = &self.shared.counters;
         add(&counters.lost, batch + self.queue().clear());
-        add(&counters.failures, 1);
-        tracing::debug!(peer = ?self.peer, %failure, "peer link failed");
+        events::peer_unreached(self.peer.tag, self.peer.address, failure);
+        counters.fail(failure);
         (self.shared.failed)(self.peer.router);
     }
 
@@ -226,14 +235,18 @@
             failure,
         };
         let deadline = Instant::now() + Duration::from_millis(request.deadline.0);
-        let payload = request.encode().context(WireSnafu).map_err(not_sent)?;
-        let connection = tokio::time::timeout_at(deadline, self.probed())
+        request.check().context(WireSnafu).map_err(not_sent)?;
+        let prepare = async {
+            let permit = self.forwards.acquire().await;
+            Ok((permit, self.probed().await?))
+        };
+        let (_permit, connection) = tokio::time::timeout_at(deadline, prepare)
             .await
             .unwrap_or_else(|_| TimeoutSnafu.fail())
             .map_err(not_sent)?;
         let gate = Arc::new(Gate::default());
         let result = self
-            .forward_raw(&connection, &gate, payload, deadline)
+            .forward_raw(&connection, &gate, request, deadline)
             .await;
         // A call that outlives its deadline says nothing about the connection; pings and the next
         // probe do.
@@ -251,10 +264,17 @@
         &self,
         connection: &Connection,
         gate: &Arc<Gate>,
-        payload: Bytes,
+        request: &forward::Request,
         deadline: Instant,
     ) -> Result<forward::Reply, Failure> {
         let header = self.header(connection.incarnation);
+        let left = deadline.saturating_duration_since(Instant::now());
+        // The home starts its own clock when the call arrives; the time spent so far is gone.
+        let request = forward::Request {
+            deadline: Millis(u64::try_from(left.as_millis()).unwrap_or(u64::MAX)),
+            ..request.clone()
+        };
+        let payload = request.encode();
         let sent = &self.shared.counters.sent;
         sent.of(Kind::Forward).add(payload.len());
         let envelope = self.seal(Label::Forward, header, payload);
@@ -263,7 +283,6 @@
             gate: Arc::clone(gate),
         };
         let mut client = PeerClient::new(gated).max_decoding_message_size(MAX_ENVELOPE);
-        let left = deadline.saturating_duration_since(Instant::now());
         let reply = within(left, client.forward(envelope)).await?;
         let (reply, receipt) = self.open(Label::ForwardReply, header, reply.into_inner())?;
         match receipt {
@@ -391,12 +410,9 @@
         sent: Header,
         reply: Envelope,
     ) -> Result<(Header, Receipt), Failure> {
-        let Identity { tag, ref key, .. } = self.shared.identity;
+        let key = &self.shared.identity.key;
         let size = reply.encoded_len();
-        let (header, payload) = envelope::open(key, label, tag, reply).context(WireSnafu)?;
-        if header != sent.reply(header.incarnation) {
-            return WrongReplySnafu.fail();
-        }
+        let (header, payload) = envelope::open_reply(key, label, sent, reply).context(WireSnafu)?;
         let received = &self.shared.counters.received;
         received.of(Kind::Envelope).add(size - payload.len());
         let size = payload.len();
@@ -413,8 +429,10 @@
 /// Checks that a reply accepts its request, in the incarnation that the request named.
 fn accepted(reply: Header, sent: Header, receipt: &Receipt) -> Result<(), Failure> {
     match *receipt {
-        Receipt::Refused(refusal) => RefusedSnafu { refusal }.fail(),
+        // Another incarnation can refuse in its own name only; see `refused_unprocessed`.
+        Receipt::Refused(refusal @ Refusal::WrongIncarnation) => RefusedSnafu { refusal }.fail(),
         _ if reply.incarnation != sent.to_incarnation => WrongReplySnafu.fail(),
+        Receipt::Refused(refusal) => RefusedSnafu { refusal }.fail(),
         Receipt::Accepted => Ok(()),
         Receipt::Reply(_) => WrongReplySnafu.fail(),
     }
