Answer polls in the once world

Cause: plain services are polled now, and the world's driver answered no poll, so the service went down and a test that waited for a run hung for ten minutes.

--- a/crates/core/tests/once/world/driver.rs
+++ b/crates/core/tests/once/world/driver.rs
@@ -3,8 +3,10 @@
 use rand::RngExt;
 use toucanturn_core::{
     action::Action,
+    arena::EndpointKey,
     event::{
         Event,
+        Report,
         Source,
         TICK, //
     },
@@ -163,10 +165,19 @@
                 self.post(index, &to.unwrap_or_default(), job);
             }
             Action::Watch { since } => self.watch(index, since),
+            Action::Poll { endpoint } | Action::Probe { endpoint } => self.polled(index, endpoint),
             _ => {}
         }
     }
 
+    /// The service itself is well and stays: what fails here are routers and the way to them.
+    fn polled(&mut self, index: usize, endpoint: EndpointKey) {
+        let delay = self.latency();
+        let report = Some(Report::default());
+        let event = Event::Polled { endpoint, report };
+        self.push(delay, index, Job::Event(Box::new(event)));
+    }
+
     pub(super) fn watch(&mut self, index: usize, since: Revision) {
         let serves = self.serves[self.processes[index].name].min(self.revision());
         if serves <= since.0 {
