--- a/crates/core/tests/once/property.rs
+++ b/crates/core/tests/once/property.rs
@@ -285,6 +285,7 @@
         world.check_keys();
         for number in 0..100 {
             world.fresh(NAMES[number % 5], SKEW / 2);
+            world.run(20);
         }
         world.run(1000);
         let runs = world.runs.len();
