--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -24,6 +24,7 @@
         Word, //
     },
     once::Begin,
+    overload,
     peer::Message,
     place::{
         self,
@@ -80,6 +81,7 @@
             stage: Stage::Admission,
             attempts: 0,
             tried: Vec::new(),
+            sent: now.mono,
         };
         self.calls.insert(call, open);
         if let Some(refusal) = early {
@@ -146,7 +148,31 @@
         }
     }
 
+    /// Asks the gate whether a call has to be turned away for overload.
+    fn shed(&mut self, now: Now, call: Call) -> Option<Refusal> {
+        let open = self.calls.get(&call)?;
+        let scene = Scene {
+            config: self.store.current(),
+            view: &self.view,
+            loads: &self.loads,
+            now: now.mono,
+        };
+        let sent = |o: &&Open| matches!(o.stage, Stage::Sent { .. });
+        let others = self.calls.values().filter(sent);
+        let others = others.map(|o| o.request.workspace);
+        match self.gate.admit(scene, &open.request, others, &mut self.rng) {
+            overload::Verdict::Admit => None,
+            overload::Verdict::Late => Some(Refusal::not_run(Code::Deadline, None)),
+            overload::Verdict::Shed { retry_after } => {
+                Some(Refusal::not_run(Code::Overloaded, Some(retry_after)))
+            }
+        }
+    }
+
     fn admitted(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
+        if let Some(refusal) = self.shed(now, call) {
+            return self.refuse(now, call, refusal, out);
+        }
         let Some(open) = self.calls.get_mut(&call) else {
             return;
         };
@@ -205,7 +231,9 @@
             loads: &self.loads,
             now: now.mono,
         };
-        let work = self.recent.recall(&config, &open.request.work);
+        let work = self
+            .recent
+            .recall(scene, open.request.workspace, &open.request.work);
         let Some(placed) = place::choose(scene, &work, &open.tried, &mut self.rng) else {
             if self.view.waking(now.mono) {
                 open.stage = Stage::Confirm;
@@ -221,6 +249,7 @@
             since: now.mono,
         };
         open.tried.push(endpoint);
+        open.sent = now.mono;
         let load = self.loads.estimate(now.mono, endpoint);
         self.loads.sent(now.mono, endpoint);
         let must_tell = self.loads.must_tell(endpoint, placed.limit);
@@ -359,6 +388,8 @@
         let Some(open) = self.calls.swap_remove(&call) else {
             return;
         };
+        let took = now.mono.since(open.sent);
+        self.gate.ended(&open.request.work, took);
         let outcome = Outcome::Done;
         out.push(Action::Finish { call, outcome });
         out.push(Action::Log(Decision::Done {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -23,7 +23,7 @@
         RouterKey, //
     },
     config::{
-        Config, Kind,
+        Config,
         store::{
             self,
             Store, //
@@ -43,6 +43,7 @@
         Word, //
     },
     once::Home,
+    overload::Gate,
     place::{
         Scene,
         moves::Recent, //
@@ -94,6 +95,7 @@
     stage: Stage,
     attempts: u32,
     tried: Vec<EndpointKey>,
+    sent: Time,
 }
 
 /// `Stage` says what an open call waits for.
@@ -128,6 +130,7 @@
     loads: Table,
     recent: Recent,
     limits: Limits,
+    gate: Gate,
     home: Home,
     budget: Budget,
     peers: SecondaryMap<RouterKey, Peer>,
@@ -158,6 +161,7 @@
             loads: Table::default(),
             recent: Recent::default(),
             limits: Limits::default(),
+            gate: Gate::default(),
             home,
             budget: Budget::default(),
             peers: SecondaryMap::new(),
@@ -301,7 +305,9 @@
         self.view.apply(now.mono, &config);
         self.view.assign(&config, self.me);
         self.loads.apply(&config, self.me);
+        self.recent.apply(&config);
         self.limits.apply(now.mono, &config);
+        self.gate.apply(&config);
         self.home.apply(now, &config, self.me);
         self.peers.retain(|key, _| config.fleet.get(key).is_some());
         for (key, _) in config.fleet.iter() {
