--- a/crates/core/tests/membership_link.rs
+++ b/crates/core/tests/membership_link.rs
@@ -61,6 +61,26 @@
     expect_that!(view.cut(), none());
 }
 
+#[googletest::test]
+fn verify_endpoints_that_fell_before_the_fault_was_seen_are_taken_back() {
+    // Symptom: after a fault of its own link a router kept two engines out and damped. Sequence:
+    // the polls of two fail a second before those of the others. Cause: the first to fail were
+    // judged when most still counted as reached.
+    let (mut view, keys) = view(START, 10);
+    for (n, key) in keys.iter().enumerate() {
+        let at = START + Millis(if n < 2 { 500 } else { 1500 });
+        view.seen(at, *key, Seen::Unreached);
+        view.seen(at + Millis(500), *key, Seen::Unreached);
+        if n == 1 {
+            let now = START + Millis(1000);
+            expect_that!(count(&view, now, &keys, State::Down), eq(2));
+        }
+    }
+    let now = START + Millis(2000);
+    expect_that!(count(&view, now, &keys, State::Suspect), eq(10));
+    expect_that!(view.penalty(now, keys[0]), le(20));
+}
+
 #[googletest::test]
 fn verify_dead_data_center_is_not_taken_for_the_own_link() {
     let (mut view, keys) = view(START, 12);
