--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -303,17 +303,6 @@
         self.changed(now, endpoint)
     }
 
-    /// Notes an endpoint's life; a later one starts afresh, suspect until it has answered.
-    pub fn life(
-        &mut self,
-        now: Time,
-        endpoint: EndpointKey,
-        incarnation: Incarnation,
-    ) -> Option<State> {
-        self.begin(now, endpoint, incarnation);
-        self.changed(now, endpoint)
-    }
-
     /// Notes the platform's list of VMs of the given age; gives the states that changed.
     ///
     /// The list lags and differs between routers. It is believed when it says that a VM leaves,
