overload: foresee the others, compare equals, let a short line form

Each router takes it that its peers grew as it did itself; workspaces are compared with those of their own priority; the highest priority may queue for up to 300 ms.

--- a/crates/core/src/overload.rs
+++ b/crates/core/src/overload.rs
@@ -35,25 +35,35 @@
     },
     units::{
         Millis,
-        Permille, //
+        Permille,
+        Time, //
     },
 };
 
 /// Part of the capacity at which the highest published priority is shed.
 pub const FULL: Permille = Permille(1000);
+/// Longest wait at engines that the highest priority is let into; the goal is a first token within
+/// 1.1 s.
+pub const MAX_QUEUE: Millis = Millis(300);
+/// Greatest part of the capacity that may so queue.
+pub const MAX_QUEUE_PART: Permille = Permille(100);
 /// By how much less of the capacity each lower priority may fill.
 pub const STEP: Permille = Permille(30);
-/// Part of the capacity below a priority's bound that only workspaces at or below their fair share
-/// may fill.
-pub const FAIR_BAND: Permille = Permille(60);
+/// Part of the capacity below a priority's bound that a workspace leaves free for others, for each
+/// multiple of its fair share that it has here.
+pub const FAIR_BAND: Permille = Permille(50);
+/// Greatest multiple that counts.
+pub const MAX_FAIR_MULTIPLE: u32 = 4;
 /// Default deadline of a workspace above which its requests count as batch work.
 pub const PATIENT: Millis = Millis::from_secs(60);
 /// Priority to which batch work rises until its deadline. Chat should have a higher one.
-pub const BATCH_TOP: Priority = Priority(6);
+pub const BATCH_TOP: Priority = Priority(5);
 /// Shortest time after which a shed caller may come back.
 pub const RETRY: Millis = Millis(1000);
 /// Longest time over which shed callers are spread.
 pub const MAX_SPREAD: Millis = Millis::from_secs(30);
+/// Time that a peer's summary may be old.
+pub const VIEW_LAG: Millis = Millis(250);
 /// Part of the time left after which batch work comes back: one sixty-fourth, so that it tries
 /// often enough before its deadline.
 const BATCH_RETRY_PART: u64 = 64;
@@ -103,13 +113,59 @@
 /// `Load` is the work in progress for one target, and what its endpoints take at once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Load {
+    own: u64,
     in_flight: u64,
     capacity: u64,
 }
 
+/// `Growth` foresees what the other routers have sent since they last told.
+///
+/// A surge reaches all routers at once, and each would fill the same free room until it hears of
+/// the others. So each takes it that the others grew as it did itself, unless it knows better.
+#[derive(Clone, Copy, Debug, Default)]
+struct Growth {
+    at: Time,
+    marks: [Load; 2],
+}
+
+impl Growth {
+    /// Gets the load with what is foreseen.
+    fn foresee(&mut self, now: Time, routers: u64, load: Load) -> Load {
+        let age = now.since(self.at);
+        if age >= VIEW_LAG {
+            // After a quiet time the older mark says nothing.
+            let newer = if age >= Millis(2 * VIEW_LAG.0) {
+                load
+            } else {
+                self.marks[1]
+            };
+            self.marks = [newer, load];
+            self.at = now;
+        }
+        let mark = self.marks[0];
+        // One standard deviation of a Poisson count is chance, not growth.
+        let grown = load.own.saturating_sub(mark.own + mark.own.isqrt());
+        let grown = grown * routers.saturating_sub(1);
+        let others = (load.in_flight - load.own).max(mark.in_flight - mark.own + grown);
+        Load {
+            in_flight: load.own + others,
+            ..load
+        }
+    }
+}
+
 impl Load {
     fn new(scene: Scene<'_>, target: Target) -> Self {
         let mut load = Self::default();
+        let serves = |key| {
+            scene
+                .config
+                .endpoints
+                .get(key)
+                .is_some_and(|e| target.is_served(e))
+        };
+        let own = scene.loads.own().filter(|(key, _)| serves(*key));
+        load.own = own.map(|(_, n)| u64::from(n)).sum();
         for (key, endpoint) in scene.config.endpoints.iter() {
             let state = scene.view.state(scene.now, key);
             if target.is_served(endpoint) && matches!(state, State::Live | State::Suspect) {
@@ -117,6 +173,8 @@
                 load.capacity += u64::from(endpoint.capacity);
             }
         }
+        // Own requests at endpoints that are down are not in the estimate.
+        load.in_flight = load.in_flight.max(load.own);
         load
     }
 
@@ -131,6 +189,8 @@
     top: Priority,
     /// Mean service times, at most one for each published model and service.
     service_times: IndexMap<Target, Millis>,
+    /// Growth of own work, at most one for each published model and service.
+    growths: IndexMap<Target, Growth>,
     shed: Demand,
     taken: Demand,
 }
@@ -140,10 +200,12 @@
     pub fn apply(&mut self, config: &Config) {
         let priorities = config.workspaces.iter().map(|(_, w)| w.priority);
         self.top = priorities.max().unwrap_or_default();
-        self.service_times.retain(|target, _| match target {
+        let stays = |target: &Target| match target {
             Target::Model(key) => config.models.get(*key).is_some(),
             Target::Service(key) => config.services.get(*key).is_some(),
-        });
+        };
+        self.service_times.retain(|target, _| stays(target));
+        self.growths.retain(|target, _| stays(target));
     }
 
     /// Decides on a request that is within its workspace's limit. `open` gives the workspace of
@@ -163,14 +225,32 @@
         if load.capacity == 0 {
             return Verdict::Admit;
         }
+        let routers = scene.config.fleet.len() as u64;
+        let growth = self.growths.entry(target).or_default();
+        let foreseen = growth.foresee(scene.now, routers, load);
         let left = request.deadline.since(scene.now);
         if self.wait(target, load) > left {
             return Verdict::Late;
         }
         let bound = self.bound(scene.config, request, left);
-        let reserve = Permille(bound.0.saturating_sub(FAIR_BAND.0));
-        let fits = load.is_below(reserve)
-            || load.is_below(bound) && has_fair_share(request.workspace, open);
+        let priority = |key| scene.config.workspaces.get(key).map(|w| w.priority);
+        let own = priority(request.workspace);
+        let equals = open.filter(|key| priority(*key) == own);
+        let queue = if bound == FULL {
+            self.queue(target)
+        } else {
+            Permille(0)
+        };
+        let most = Permille(bound.0 + queue.0);
+        let fits = match fair_multiple(request.workspace, equals) {
+            // What has less than its share is not what grows.
+            Some(0) => load.is_below(most),
+            Some(multiple) => {
+                let free = FAIR_BAND.0 * multiple;
+                foreseen.is_below(Permille(bound.0.saturating_sub(free)))
+            }
+            None => foreseen.is_below(most),
+        };
         if fits {
             self.taken.note(scene.now, 1);
             return Verdict::Admit;
@@ -197,6 +277,16 @@
         Millis(ahead.saturating_mul(mean.0) / load.capacity.max(1))
     }
 
+    /// Gets the part of the capacity that may queue at engines without a wait above [`MAX_QUEUE`].
+    fn queue(&self, target: Target) -> Permille {
+        let mean = self.service_times.get(&target).map_or(0, |t| t.0);
+        if mean == 0 {
+            return Permille(0);
+        }
+        let part = u32::try_from(MAX_QUEUE.0 * 1000 / mean).unwrap_or(u32::MAX);
+        Permille(part).min(MAX_QUEUE_PART)
+    }
+
     /// Gets the part of the capacity at which a request is shed.
     fn bound(&self, config: &Config, request: &Request, left: Millis) -> Permille {
         let below = |priority: Priority| {
@@ -240,15 +330,29 @@
     (workspace.deadline > PATIENT).then_some(workspace.deadline)
 }
 
-/// Tells whether a workspace has no more calls in progress here than the mean of those that have
-/// any, itself included.
-fn has_fair_share(workspace: WorkspaceKey, open: impl Iterator<Item = WorkspaceKey>) -> bool {
-    let mut counts: IndexMap<WorkspaceKey, u64> = IndexMap::new();
+/// Gets the multiple of its fair share that a workspace has in progress here, rounded down and at
+/// most [`MAX_FAIR_MULTIPLE`]; zero up to its fair share, and `None` where it has no other beside
+/// it. The fair share is the mean of those that have any, itself included. `open` gives the calls
+/// in progress of workspaces of its priority.
+///
+/// A router sees a sliver, so counts are small: two standard deviations of a Poisson count above
+/// the mean still pass for fair.
+fn fair_multiple(workspace: WorkspaceKey, open: impl Iterator<Item = WorkspaceKey>) -> Option<u32> {
+    let mut counts: IndexMap<WorkspaceKey, u32> = IndexMap::new();
     counts.insert(workspace, 0);
     for one in open {
         *counts.entry(one).or_default() += 1;
     }
-    let all: u64 = counts.values().sum();
     let own = counts.get(&workspace).copied().unwrap_or_default();
-    own == 0 || own * (counts.len() as u64) < all
+    let workspaces = u32::try_from(counts.len()).unwrap_or(u32::MAX);
+    if workspaces == 1 && own > 0 {
+        return None;
+    }
+    let all: u32 = counts.values().sum();
+    let scaled = own.saturating_mul(workspaces);
+    let above = u64::from(scaled.saturating_sub(all));
+    if above * above <= 4 * u64::from(all) * u64::from(workspaces) {
+        return Some(0);
+    }
+    Some((scaled / all.max(1)).clamp(1, MAX_FAIR_MULTIPLE))
 }
--- /dev/null
+++ b/crates/core/tests/overload_pool/mod.rs
@@ -0,0 +1,390 @@
+//! A small queue model: routers with gates before engines with a capacity each. An engine runs
+//! what fits, and queues the rest by priority. Time moves in steps of ten milliseconds.
+
+#![expect(
+    clippy::expect_used,
+    reason = "a harness of tests stops at what it can't do"
+)]
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
+use toucanturn_core::{
+    arena::{
+        EndpointKey,
+        RouterKey,
+        WorkspaceKey, //
+    },
+    config::{
+        Config,
+        store::Store, //
+    },
+    ids::Id,
+    load::Table,
+    membership::View,
+    overload::{
+        Gate,
+        Verdict, //
+    },
+    peer::{
+        Change,
+        Entry, //
+    },
+    place::Scene,
+    request::{
+        Origin,
+        Prefix,
+        Request,
+        Work, //
+    },
+    units::{
+        Millis,
+        Revision,
+        Time, //
+    },
+};
+
+/// Step of the model.
+pub(crate) const STEP: u64 = 10;
+/// Time between two summaries of a router.
+const SUMMARY: u64 = 200;
+
+/// One workspace of the model.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Workspace {
+    pub(crate) priority: u8,
+    pub(crate) deadline: Millis,
+}
+
+/// What stands in the way of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Guard {
+    /// Nothing.
+    None,
+    /// The gate.
+    Gate,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Job {
+    router: usize,
+    workspace: usize,
+    priority: u8,
+    came: Time,
+    started: Time,
+    ends: Time,
+    service: Millis,
+}
+
+#[derive(Debug, Default)]
+struct Engine {
+    running: Vec<Job>,
+    queue: Vec<Job>,
+}
+
+struct Router {
+    gate: Gate,
+    loads: Table,
+    open: Vec<WorkspaceKey>,
+}
+
+/// The answer to one request of the model.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Answer {
+    pub(crate) workspace: usize,
+    pub(crate) came: Time,
+    /// Time until its first token: the wait at the engine.
+    pub(crate) wait: Millis,
+    /// Time until the whole answer.
+    pub(crate) took: Millis,
+}
+
+pub(crate) struct Pool {
+    pub(crate) now: Time,
+    pub(crate) answers: Vec<Answer>,
+    pub(crate) shed: Vec<(usize, Time, Verdict)>,
+    pub(crate) config: Arc<Config>,
+    pub(crate) rng: StdRng,
+    view: View,
+    workspaces: Vec<(WorkspaceKey, Workspace)>,
+    endpoints: Vec<EndpointKey>,
+    members: Vec<RouterKey>,
+    engines: Vec<Engine>,
+    routers: Vec<Router>,
+    pub(crate) guard: Guard,
+    capacity: usize,
+}
+
+impl Pool {
+    pub(crate) fn new(
+        routers: usize,
+        engines: usize,
+        capacity: usize,
+        workspaces: &[Workspace],
+        guard: Guard,
+    ) -> Self {
+        let config = publish(routers, engines, capacity, workspaces);
+        let mut view = View::default();
+        view.apply(Time(0), &config);
+        let id = |text: String| Id::try_from(text.as_str()).expect("a good name");
+        let router = |_| {
+            let mut gate = Gate::default();
+            gate.apply(&config);
+            let mut loads = Table::default();
+            loads.apply(&config);
+            Router {
+                gate,
+                loads,
+                open: Vec::new(),
+            }
+        };
+        let workspace = |(i, w): (usize, &Workspace)| {
+            let key = config.workspaces.key(&id(format!("w{i}")));
+            (key.expect("published"), *w)
+        };
+        let endpoint = |i| {
+            config
+                .endpoints
+                .key(&id(format!("e{i}")))
+                .expect("published")
+        };
+        let member = |i| config.fleet.key(&id(format!("r{i}"))).expect("published");
+        Self {
+            now: Time(0),
+            answers: Vec::new(),
+            shed: Vec::new(),
+            rng: StdRng::seed_from_u64(1),
+            view,
+            workspaces: workspaces.iter().enumerate().map(workspace).collect(),
+            endpoints: (0..engines).map(endpoint).collect(),
+            members: (0..routers).map(member).collect(),
+            engines: (0..engines).map(|_| Engine::default()).collect(),
+            routers: (0..routers).map(router).collect(),
+            guard,
+            capacity,
+            config,
+        }
+    }
+
+    /// Lets one step pass: answers end, waiting ones start, summaries go out.
+    pub(crate) fn step(&mut self) {
+        self.now = self.now + Millis(STEP);
+        for index in 0..self.engines.len() {
+            self.end(index);
+            self.start(index);
+        }
+        if self.now.0.is_multiple_of(SUMMARY) {
+            self.summarize();
+        }
+    }
+
+    /// One request at a router; gives whether it was taken.
+    pub(crate) fn request(&mut self, router: usize, workspace: usize, service: Millis) -> bool {
+        let left = self.workspaces[workspace].1.deadline;
+        self.request_until(router, workspace, service, self.now + left)
+    }
+
+    /// The same with a deadline.
+    pub(crate) fn request_until(
+        &mut self,
+        router: usize,
+        workspace: usize,
+        service: Millis,
+        deadline: Time,
+    ) -> bool {
+        let verdict = self.admit(router, workspace, deadline);
+        if verdict != Verdict::Admit {
+            self.shed.push((workspace, self.now, verdict));
+            return false;
+        }
+        let at = self.least(router);
+        let entry = &mut self.routers[router];
+        entry.loads.sent(self.now, self.endpoints[at]);
+        entry.open.push(self.workspaces[workspace].0);
+        self.engines[at].queue.push(Job {
+            router,
+            workspace,
+            priority: self.workspaces[workspace].1.priority,
+            came: self.now,
+            started: self.now,
+            ends: self.now,
+            service,
+        });
+        self.start(at);
+        true
+    }
+
+    /// Gets all requests at engines, waiting ones included.
+    pub(crate) fn in_flight(&self) -> usize {
+        let of = |e: &Engine| e.running.len() + e.queue.len();
+        self.engines.iter().map(of).sum()
+    }
+
+    /// Gets the 99th percentile of a workspace's times, whole answers, of requests after `from`.
+    pub(crate) fn p99(&self, workspace: usize, from: Time) -> Millis {
+        self.percentile(workspace, from, 99, |a| a.took)
+    }
+
+    /// Gets a percentile of some time of a workspace.
+    pub(crate) fn percentile(
+        &self,
+        workspace: usize,
+        from: Time,
+        percent: usize,
+        of: impl Fn(&Answer) -> Millis,
+    ) -> Millis {
+        let own = self
+            .answers
+            .iter()
+            .filter(|a| a.workspace == workspace && a.came >= from);
+        let mut times: Vec<Millis> = own.map(of).collect();
+        times.sort();
+        let at = times.len().saturating_sub(1) * percent / 100;
+        times.get(at).copied().unwrap_or_default()
+    }
+
+    fn admit(&mut self, router: usize, workspace: usize, deadline: Time) -> Verdict {
+        if self.guard == Guard::None {
+            return Verdict::Admit;
+        }
+        let (key, published) = self.workspaces[workspace];
+        let request = Request {
+            origin: Origin::Caller,
+            workspace: key,
+            priority: toucanturn_core::config::Priority(published.priority),
+            work: self.work(),
+            deadline,
+        };
+        let entry = &mut self.routers[router];
+        let scene = Scene {
+            config: &self.config,
+            view: &self.view,
+            loads: &entry.loads,
+            now: self.now,
+        };
+        let open = entry.open.iter().copied();
+        entry.gate.admit(scene, &request, open, &mut self.rng)
+    }
+
+    fn work(&self) -> Work {
+        let model = self.config.models.iter().next().expect("a model").0;
+        Work::Chat {
+            model,
+            prefix: Prefix(0),
+            token: None,
+        }
+    }
+
+    fn least(&mut self, router: usize) -> usize {
+        let count = self.engines.len();
+        let first = self.rng.random_range(0..count);
+        let loads = &self.routers[router].loads;
+        let load = |i: &usize| loads.estimate(self.now, self.endpoints[*i]);
+        let order = (0..count).map(|n| (first + n) % count);
+        order.min_by_key(load).expect("an engine")
+    }
+
+    fn end(&mut self, index: usize) {
+        let now = self.now;
+        let (done, running): (Vec<Job>, Vec<Job>) = self.engines[index]
+            .running
+            .iter()
+            .partition(|job| job.ends <= now);
+        self.engines[index].running = running;
+        let work = self.work();
+        for job in done {
+            let took = now.since(job.came);
+            let entry = &mut self.routers[job.router];
+            entry.loads.ended(now, self.endpoints[index]);
+            entry.gate.ended(&work, took);
+            let key = self.workspaces[job.workspace].0;
+            let at = entry.open.iter().position(|w| *w == key);
+            entry.open.swap_remove(at.expect("an open call"));
+            self.answers.push(Answer {
+                workspace: job.workspace,
+                came: job.came,
+                wait: job.started.since(job.came),
+                took,
+            });
+        }
+    }
+
+    fn start(&mut self, index: usize) {
+        let engine = &mut self.engines[index];
+        engine
+            .queue
+            .sort_by_key(|j| (std::cmp::Reverse(j.priority), j.came));
+        while engine.running.len() < self.capacity && !engine.queue.is_empty() {
+            let mut job = engine.queue.remove(0);
+            job.started = self.now;
+            job.ends = self.now + job.service;
+            engine.running.push(job);
+        }
+    }
+
+    fn summarize(&mut self) {
+        for from in 0..self.routers.len() {
+            let own: Vec<_> = self.routers[from].loads.own().collect();
+            for to in (0..self.routers.len()).filter(|to| *to != from) {
+                let loads = &mut self.routers[to].loads;
+                loads.peer(self.now, self.members[from], &own);
+            }
+        }
+    }
+}
+
+fn publish(
+    routers: usize,
+    engines: usize,
+    capacity: usize,
+    workspaces: &[Workspace],
+) -> Arc<Config> {
+    let mut store = Store::default();
+    let mut entries = vec![
+        ("models/m".to_owned(), r#"{"version":"v1"}"#.to_owned()),
+        ("fleet".to_owned(), fleet(routers)),
+    ];
+    for i in 0..engines {
+        let (high, low) = (i / 250, i % 250 + 1);
+        let address = format!(r#""address":"10.1.{high}.{low}:80""#);
+        let rest = format!(r#""data_center":"dc1","models":["m"],"capacity":{capacity}"#);
+        let value = format!(r#"{{"kind":"engine",{address},{rest}}}"#);
+        entries.push((format!("endpoints/e{i}"), value));
+    }
+    for (i, w) in workspaces.iter().enumerate() {
+        let limit = r#""requests_per_s":100000"#;
+        let rest = format!(
+            r#""priority":{},"deadline_ms":{}"#,
+            w.priority, w.deadline.0
+        );
+        let value = format!(r#"{{"key_sha256":[],{limit},{rest},"models":["m"]}}"#);
+        entries.push((format!("workspaces/w{i}"), value));
+    }
+    let entry = |(key, value): (String, String)| Entry {
+        key: Bytes::from(key),
+        revision: Revision(1),
+        value: Some(Bytes::from(value)),
+    };
+    let change = Change {
+        since: Revision(0),
+        revision: Revision(1),
+        entries: entries.into_iter().map(entry).collect(),
+    };
+    store.apply(&change).expect("a valid configuration");
+    Arc::clone(store.current())
+}
+
+fn fleet(routers: usize) -> String {
+    let member = |i| {
+        let address = format!(r#""address":"10.0.0.{}:80""#, i + 1);
+        let peer = format!(r#""peer_address":"10.0.0.{}:81""#, i + 1);
+        format!(r#""r{i}":{{{address},{peer},"data_center":"dc1"}}"#)
+    };
+    let members: Vec<String> = (0..routers).map(member).collect();
+    format!("{{{}}}", members.join(","))
+}
