--- a/crates/core/src/limits/row.rs
+++ b/crates/core/src/limits/row.rs
@@ -3,11 +3,10 @@
 use std::collections::VecDeque;
 
 use super::{
-    BATCH, IDLE, LOW_WATER, MAX_WAIT, Scene, Verdict,
+    BATCH, Demand, IDLE, LOW_WATER, MAX_WAIT, Scene, Verdict,
     bucket::Bucket,
     refuse,
     share::{
-        Demand,
         Lots,
         Static, //
     },
@@ -37,6 +36,8 @@
     pub(super) want: u32,
     /// How often it was asked.
     pub(super) asks: u32,
+    /// Whether that router is asked as the home before the last change of the fleet.
+    pub(super) is_old: bool,
 }
 
 impl Pending {
@@ -48,6 +49,7 @@
             sent: now,
             want,
             asks: 1,
+            is_old: false,
         }
     }
 }
@@ -73,14 +75,20 @@
     pub(super) waiting: VecDeque<Waiting>,
     /// Until when the home has nothing more to grant.
     pub(super) refuse_until: Time,
+    /// When it said so.
+    pub(super) refused: Time,
+    /// The router that said so.
+    pub(super) refuser: Option<RouterKey>,
     /// The static share, while no home answers.
     pub(super) static_share: Option<Static>,
     /// Requests that peers wanted of this router though it is not the home.
     pub(super) relayed: u32,
     /// The bucket, while this router is the home.
     pub(super) bucket: Option<Bucket>,
-    /// Whether the home before the last change of the fleet has said that it is that no more.
+    /// Whether another router has said that this one is the home.
     pub(super) handed: bool,
+    /// When the published home was last asked for a sign of life.
+    pub(super) probed: Time,
     /// When a request last came.
     pub(super) used: Time,
 }
--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -24,6 +24,7 @@
         Word, //
     },
     once::Begin,
+    overload,
     peer::Message,
     place::{
         self,
@@ -68,7 +69,7 @@
         let refuse = |code| Refusal::not_run(code, Some(SOON));
         let early = if self.config().revision == Revision(0) {
             Some(refuse(Code::NotReady))
-        } else if self.draining.is_some() && !self.remembers(&request.work) {
+        } else if self.draining.is_some() && !self.goes_on(&request) {
             Some(refuse(Code::Draining))
         } else if now.mono >= request.deadline {
             Some(Refusal::not_run(Code::Deadline, None))
@@ -80,6 +81,7 @@
             stage: Stage::Admission,
             attempts: 0,
             tried: Vec::new(),
+            sent: now.mono,
         };
         self.calls.insert(call, open);
         if let Some(refusal) = early {
@@ -146,7 +148,31 @@
         }
     }
 
+    /// Asks the gate whether a call has to be turned away for overload.
+    fn shed(&mut self, now: Now, call: Call) -> Option<Refusal> {
+        let open = self.calls.get(&call)?;
+        let scene = Scene {
+            config: self.store.current(),
+            view: &self.view,
+            loads: &self.loads,
+            now: now.mono,
+        };
+        let sent = |o: &&Open| matches!(o.stage, Stage::Sent { .. });
+        let others = self.calls.values().filter(sent);
+        let others = others.map(|o| o.request.workspace);
+        match self.gate.admit(scene, &open.request, others, &mut self.rng) {
+            overload::Verdict::Admit => None,
+            overload::Verdict::Late => Some(Refusal::not_run(Code::Deadline, None)),
+            overload::Verdict::Shed { retry_after } => {
+                Some(Refusal::not_run(Code::Overloaded, Some(retry_after)))
+            }
+        }
+    }
+
     fn admitted(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
+        if let Some(refusal) = self.shed(now, call) {
+            return self.refuse(now, call, refusal, out);
+        }
         let Some(open) = self.calls.get_mut(&call) else {
             return;
         };
@@ -209,12 +235,21 @@
             .recent
             .recall(scene, open.request.workspace, &open.request.work);
         let Some(placed) = place::choose(scene, &work, &open.tried, &mut self.rng) else {
+            if self.view.waking(now.mono) {
+                open.stage = Stage::Confirm;
+                return;
+            }
             return self.no_endpoint(now, call, out);
         };
         let endpoint = placed.endpoint;
         open.attempts += 1;
-        open.stage = Stage::Sent { endpoint };
+        open.stage = Stage::Sent {
+            endpoint,
+            life: self.view.incarnation(endpoint),
+            since: now.mono,
+        };
         open.tried.push(endpoint);
+        open.sent = now.mono;
         let load = self.loads.estimate(now.mono, endpoint);
         self.loads.sent(now.mono, endpoint);
         let must_tell = self.loads.must_tell(endpoint, placed.limit);
@@ -266,6 +301,15 @@
         }
     }
 
+    /// Tries again to place the calls that wait for an endpoint to be confirmed.
+    pub(super) fn tick_confirm(&mut self, now: Now, out: &mut Vec<Action>) {
+        let waits = |(call, open): (&Call, &Open)| (open.stage == Stage::Confirm).then_some(*call);
+        let waiting: Vec<Call> = self.calls.iter().filter_map(waits).collect();
+        for call in waiting {
+            self.dispatch(now, call, out);
+        }
+    }
+
     fn no_endpoint(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
         let refusal = Refusal::not_run(Code::NoEndpoint, Some(SOON));
         self.end_refused(now, call, refusal, out);
@@ -273,7 +317,7 @@
 
     pub(super) fn head_load(&mut self, now: Now, call: Call, in_flight: Option<u32>) {
         if let Some(open) = self.calls.get(&call)
-            && let Stage::Sent { endpoint } = open.stage
+            && let Stage::Sent { endpoint, .. } = open.stage
             && let Some(in_flight) = in_flight
         {
             self.loads.stated(now.mono, endpoint, in_flight);
@@ -289,7 +333,9 @@
         out: &mut Vec<Action>,
     ) {
         let Some(Open {
-            stage: Stage::Sent { endpoint },
+            stage: Stage::Sent {
+                endpoint, since, ..
+            },
             ..
         }) = self.calls.get(&call)
         else {
@@ -300,6 +346,7 @@
             life: incarnation,
             leaving,
             seen: Seen::Answered,
+            since: Some(*since),
         };
         let changed = self.view.word(now.mono, endpoint, word);
         log_member(endpoint, changed, out);
@@ -316,7 +363,7 @@
         let Some(open) = self.calls.get(&call) else {
             return;
         };
-        let Stage::Sent { endpoint } = open.stage else {
+        let Stage::Sent { endpoint, life, .. } = open.stage else {
             return;
         };
         if attempt.0 != open.attempts {
@@ -325,10 +372,7 @@
         self.loads.ended(now.mono, endpoint);
         let changed = match &end {
             End::Whole(_) => self.view.seen(now.mono, endpoint, Seen::Finished),
-            End::NotSent { leaving: true } => {
-                let life = self.view.incarnation(endpoint);
-                self.view.leaving(now.mono, endpoint, life)
-            }
+            End::NotSent { leaving: true } => self.view.leaving(now.mono, endpoint, life),
             End::NotSent { leaving: false } => self.view.seen(now.mono, endpoint, Seen::Refused),
             End::Broken { .. } => self.view.seen(now.mono, endpoint, Seen::Silent),
             End::Failed(_) | End::Cancelled => None,
@@ -344,6 +388,8 @@
         let Some(open) = self.calls.swap_remove(&call) else {
             return;
         };
+        let took = now.mono.since(open.sent);
+        self.gate.ended(&open.request.work, took);
         let outcome = Outcome::Done;
         out.push(Action::Finish { call, outcome });
         out.push(Action::Log(Decision::Done {
@@ -358,7 +404,7 @@
         let Some(open) = self.calls.get(&call) else {
             return;
         };
-        let Stage::Sent { endpoint } = open.stage else {
+        let Stage::Sent { endpoint, .. } = open.stage else {
             return;
         };
         let policy = Arc::clone(&self.store.current().policy);
@@ -418,7 +464,7 @@
         match open.stage {
             // A call that runs once goes on: its repeat wants the answer.
             Stage::Sent { .. } if matches!(work, Work::Once { .. }) => {}
-            Stage::Sent { endpoint } => {
+            Stage::Sent { endpoint, .. } => {
                 let attempt = attempt(open.attempts);
                 self.loads.ended(now.mono, endpoint);
                 self.calls.swap_remove(&call);
@@ -428,6 +474,10 @@
                 self.limits.gone(call);
                 self.calls.swap_remove(&call);
             }
+            Stage::Confirm => {
+                self.calls.swap_remove(&call);
+                self.end_key(now, &work, Outcome::NotRun, None, out);
+            }
             Stage::Forwarded => {
                 self.calls.swap_remove(&call);
             }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -31,6 +31,7 @@
     },
     event::{
         Event,
+        Report,
         Source, //
     },
     ids::Id,
@@ -42,6 +43,7 @@
         Word, //
     },
     once::Home,
+    overload::Gate,
     place::{
         Scene,
         moves::Recent, //
@@ -65,6 +67,9 @@
 mod once;
 mod peers;
 
+/// Time between two readings of the platform's list of VMs.
+const LIST_INTERVAL: Millis = Millis(1000);
+
 /// `Options` is what a node must know of itself.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -90,6 +95,7 @@
     stage: Stage,
     attempts: u32,
     tried: Vec<EndpointKey>,
+    sent: Time,
 }
 
 /// `Stage` says what an open call waits for.
@@ -102,7 +108,15 @@
     /// The answer to the first request with the same key, here at the home.
     Waiting,
     /// The answer of an endpoint.
-    Sent { endpoint: EndpointKey },
+    Sent {
+        endpoint: EndpointKey,
+        /// The endpoint's life then, as far as known.
+        life: Incarnation,
+        /// When it was sent.
+        since: Time,
+    },
+    /// An endpoint that is known not to be leaving; the view is from before a pause.
+    Confirm,
 }
 
 /// `Node` is one router.
@@ -116,12 +130,13 @@
     loads: Table,
     recent: Recent,
     limits: Limits,
+    gate: Gate,
     home: Home,
     budget: Budget,
     peers: SecondaryMap<RouterKey, Peer>,
     calls: IndexMap<Call, Open>,
-    polled: SecondaryMap<EndpointKey, Time>,
-    probed: SecondaryMap<EndpointKey, Time>,
+    reports: SecondaryMap<EndpointKey, (Time, Report)>,
+    listed: Time,
     summarized: Time,
     // Whether peers are to hear of own requests before the next summary is due.
     early: bool,
@@ -146,12 +161,13 @@
             loads: Table::default(),
             recent: Recent::default(),
             limits: Limits::default(),
+            gate: Gate::default(),
             home,
             budget: Budget::default(),
             peers: SecondaryMap::new(),
             calls: IndexMap::new(),
-            polled: SecondaryMap::new(),
-            probed: SecondaryMap::new(),
+            reports: SecondaryMap::new(),
+            listed: Time(0),
             summarized: now.mono,
             early: false,
             started: now.mono,
@@ -200,6 +216,7 @@
 
     /// Handles one event and appends what is to be done.
     pub fn handle(&mut self, now: Now, event: Event, out: &mut Vec<Action>) {
+        self.view.advance(now.mono);
         match event {
             Event::Request { call, request } => self.request(now, call, request, out),
             Event::Head {
@@ -227,6 +244,20 @@
                 let changed = self.view.seen(now.mono, endpoint, seen);
                 log_member(endpoint, changed, out);
             }
+            Event::Stated {
+                endpoint,
+                leaving,
+                incarnation,
+            } => {
+                let word = Word {
+                    life: incarnation,
+                    leaving,
+                    seen: Seen::Reached,
+                    since: None,
+                };
+                let changed = self.view.word(now.mono, endpoint, word);
+                log_member(endpoint, changed, out);
+            }
             Event::Peer {
                 from,
                 incarnation,
@@ -272,9 +303,11 @@
         let config = Arc::clone(self.store.current());
         self.me = config.fleet.key(&self.options.id);
         self.view.apply(now.mono, &config);
+        self.view.assign(&config, self.me);
         self.loads.apply(&config, self.me);
         self.recent.apply(&config);
         self.limits.apply(now.mono, &config);
+        self.gate.apply(&config);
         self.home.apply(now, &config, self.me);
         self.peers.retain(|key, _| config.fleet.get(key).is_some());
         for (key, _) in config.fleet.iter() {
@@ -306,7 +339,7 @@
         &mut self,
         now: Now,
         endpoint: EndpointKey,
-        report: Option<crate::event::Report>,
+        report: Option<Report>,
         out: &mut Vec<Action>,
     ) {
         let Some(report) = report else {
@@ -315,10 +348,12 @@
             return;
         };
         self.loads.report(now.mono, endpoint, &report);
+        self.reports.insert(endpoint, (now.mono, report));
         let word = Word {
             life: Some(report.incarnation),
             leaving: report.leaving,
             seen: Seen::Reached,
+            since: None,
         };
         let changed = self.view.word(now.mono, endpoint, word);
         log_member(endpoint, changed, out);
@@ -336,6 +371,7 @@
         self.tick_peers(now, out);
         self.tick_limits(now, out);
         self.tick_waiting(now, out);
+        self.tick_confirm(now, out);
         self.tick_drain(now, out);
     }
 
@@ -359,27 +395,20 @@
 
     fn tick_endpoints(&mut self, now: Now, out: &mut Vec<Action>) {
         let config = Arc::clone(self.store.current());
-        let interval = config.policy.poll_interval;
-        for (key, endpoint) in config.endpoints.iter() {
-            let due = self
-                .polled
-                .get(key)
-                .is_none_or(|t| now.mono.since(*t) >= interval);
-            if due && endpoint.kind == crate::config::Kind::Engine {
-                self.polled.insert(key, now.mono);
-                out.push(Action::Poll { endpoint: key });
-            }
+        for (endpoint, state) in self.view.changes(now.mono) {
+            log_member(endpoint, Some(state), out);
         }
-        let to_probe: Vec<EndpointKey> = self.view.to_probe(now.mono).collect();
-        for key in to_probe {
-            let due = self
-                .probed
-                .get(key)
-                .is_none_or(|t| now.mono.since(*t) >= interval);
-            if due {
-                self.probed.insert(key, now.mono);
-                out.push(Action::Probe { endpoint: key });
-            }
+        for endpoint in self.view.to_probe(now.mono) {
+            self.view.asked(now.mono, endpoint);
+            out.push(Action::Probe { endpoint });
+        }
+        for endpoint in self.view.to_poll(now.mono, &config.policy) {
+            self.view.asked(now.mono, endpoint);
+            out.push(Action::Poll { endpoint });
+        }
+        if now.mono.since(self.listed) >= LIST_INTERVAL {
+            self.listed = now.mono;
+            out.push(Action::ReadVms);
         }
     }
 
--- a/crates/core/src/once/mod.rs
+++ b/crates/core/src/once/mod.rs
@@ -72,6 +72,9 @@
 /// Time between two searches for keys that are too old to be remembered.
 const EXPIRE_EVERY: Millis = Millis::from_secs(10);
 
+/// Furthest that a key may be dated ahead for its caller to be asked to come back.
+const MAX_AHEAD: Millis = Millis::from_secs(60);
+
 /// `Begin` is what the home says to a call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Begin {
@@ -128,7 +131,7 @@
     /// Follows a new configuration. `me` is this router, `None` while it is not in the fleet list.
     pub fn apply(&mut self, now: Now, config: &Config, me: Option<RouterKey>) {
         self.me = me.and_then(|key| fleet::member(config, key));
-        self.lease.apply(config, self.me);
+        self.lease.apply(now, config, self.me);
         self.voter.prune(now, &self.lease.fleet().members);
     }
 
@@ -208,7 +211,9 @@
             return Err(Refusal::unknown(Code::KeyExpired, None));
         }
         if created > now.wall + skew {
-            return Err(Refusal::not_run(Code::KeyFuture, None));
+            let wait = Millis(created.0 - (now.wall + skew).0);
+            let after = Some(wait).filter(|w| *w <= MAX_AHEAD);
+            return Err(Refusal::not_run(Code::KeyFuture, after));
         }
         if self.keys.is_full() {
             return Err(Refusal::not_run(Code::KeysFull, Some(EXPIRE_EVERY)));
@@ -255,7 +260,7 @@
     ) -> Vote {
         let (epoch, lease) = asked;
         match fleet::member(config, from) {
-            Some(member) if epoch == config.epoch => {
+            Some(member) if epoch == config.epoch && self.lease.settled(now) => {
                 let asker = Asker {
                     member,
                     incarnation,
@@ -269,13 +274,13 @@
         }
     }
 
-    /// Notes a fleet member's answer.
+    /// Notes a fleet member's answer: the epoch that it holds, the round, and its vote.
     pub fn voted(
         &mut self,
         now: Now,
         from: RouterKey,
         incarnation: Incarnation,
-        round: u64,
+        round: (Revision, u64),
         vote: Vote,
     ) {
         let start = self.lease.voted(now, from, incarnation, round, vote);
--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -62,9 +62,11 @@
         Work::Plain { service, .. } | Work::Once { service, .. } => Group::Service(*service),
     };
     let pool = scene.loads.pool(group)?;
-    let mut barred = tried.to_vec();
     // Another region's engine comes before a suspect one of the own region.
     for usable in [Usable::Yes, Usable::LastResort] {
+        // Made anew for each state: what the rounds for live ones found suspect is just what the
+        // rounds of last resort are for.
+        let mut barred = tried.to_vec();
         for span in [pool.near(), pool.far()] {
             for _ in 0..MAX_PASSES {
                 let round = Round::new(scene, pool, span.clone(), usable, &barred);
--- a/crates/core/src/settings/reference.rs
+++ b/crates/core/src/settings/reference.rs
@@ -58,7 +58,7 @@
 pub const MAX_HEADER: Field = Field::number("max_header_bytes", "bytes", 4096, 262_144).or(32_768);
 /// Field of [`super::Limits`].
 pub const MAX_OPEN_REQUESTS: Field =
-    Field::number("max_open_requests", "requests", 1, 65_536).or(1024);
+    Field::number("max_open_requests", "requests", 1, 65_536).or(4096);
 /// Field of [`super::Limits`].
 pub const SLOW_SENDER_TIMEOUT: Field =
     Field::number("slow_sender_timeout_ms", "ms", 100, 600_000).or(10_000);
--- a/crates/core/tests/once/world.rs
+++ b/crates/core/tests/once/world/mod.rs
@@ -16,11 +16,9 @@
 };
 use serde_json::json;
 use toucanturn_core::{
-    action::Action,
     config::Priority,
     event::{
         Event,
-        Source,
         TICK, //
     },
     ids::Id,
@@ -33,11 +31,9 @@
         Message, //
     },
     request::{
-        Answer,
         Attempt,
         Call,
         Code,
-        End,
         Key,
         Origin,
         Outcome,
@@ -49,7 +45,6 @@
         Incarnation,
         Millis,
         Now,
-        Revision,
         Time,
         Wall, //
     },
@@ -62,14 +57,15 @@
 };
 
 /// Largest distance of two routers' wall clocks.
-pub(crate) const SKEW: u64 = 400;
+pub(crate) const SKEW: u64 = 100;
 
 /// Length of the lease.
-pub(crate) const LEASE: u64 = 1000;
+pub(crate) const LEASE: u64 = 2000;
+
+mod driver;
 
 const WALL: u64 = 1_800_000_000_000;
 const DEADLINE: u64 = 3000;
-const WATCH: u64 = 500;
 
 /// The names of all routers.
 pub(crate) const NAMES: [&str; 5] = ["r1", "r2", "r3", "r4", "r5"];
@@ -85,6 +81,8 @@
     Break,
     /// They run it and answer with an error.
     Error,
+    /// They run it and never answer; the driver gives up at the idle timeout.
+    Silent,
 }
 
 /// `Process` is one life of a router.
@@ -169,6 +167,12 @@
     pub(crate) runs: BTreeMap<Key, u32>,
     pub(crate) broken: Vec<String>,
     keys: u64,
+    checked: bool,
+}
+
+fn endpoint(number: u8, checks_key: bool) -> serde_json::Value {
+    json!({"kind": "service", "address": format!("10.9.0.{number}:80"),
+           "data_center": "be-north-1", "service": "orders", "checks_key": checks_key})
 }
 
 impl World {
@@ -192,6 +196,7 @@
             runs: BTreeMap::new(),
             broken: Vec::new(),
             keys: 0,
+            checked: false,
         };
         world.first();
         for name in NAMES {
@@ -202,21 +207,17 @@
     }
 
     fn first(&mut self) {
-        let endpoint = |n: u8| {
-            json!({"kind": "service", "address": format!("10.9.0.{n}:80"),
-                   "data_center": "be-north-1", "service": "orders"})
-        };
         let policy = json!({"lease_ms": LEASE, "clock_skew_ms": SKEW, "key_ttl_ms": 60_000,
             "summary_interval_ms": 1000, "idle_timeout_ms": 2000, "drain_deadline_ms": 600_000});
-        let workspace = json!({"key_sha256": [], "priority": 5, "requests_per_s": 1000,
+        let workspace = json!({"key_sha256": ["0".repeat(64)], "priority": 5, "requests_per_s": 1000,
             "burst": 1000, "models": [], "services": ["orders"], "deadline_ms": DEADLINE});
         let once = json!([{"method": "POST", "path": ""}]);
         let entries = [
             ("policy", policy),
             ("fleet", fleet(&NAMES)),
             ("services/orders", json!({"path": "/orders", "once": once})),
-            ("endpoints/ord-1", endpoint(1)),
-            ("endpoints/ord-2", endpoint(2)),
+            ("endpoints/ord-1", endpoint(1, false)),
+            ("endpoints/ord-2", endpoint(2, false)),
             ("workspaces/vitalbox", workspace),
         ];
         self.history.push(change(0, 1, &entries));
@@ -229,6 +230,17 @@
         self.history.push(change(revision - 1, revision, &entries));
     }
 
+    /// Publishes that endpoints check keys, and lets them do so.
+    pub(crate) fn check_keys(&mut self) {
+        let revision = self.history.len() as u64 + 1;
+        let entries = [
+            ("endpoints/ord-1", endpoint(1, true)),
+            ("endpoints/ord-2", endpoint(2, true)),
+        ];
+        self.history.push(change(revision - 1, revision, &entries));
+        self.checked = true;
+    }
+
     /// Gets the newest published revision.
     pub(crate) fn revision(&self) -> u64 {
         self.history.len() as u64
@@ -284,6 +296,12 @@
         process.paused = process.paused.max(self.now + span);
     }
 
+    /// Lets a router drain.
+    pub(crate) fn drain(&mut self, name: &str) {
+        let index = self.current(name);
+        self.push(0, index, Job::Event(Box::new(Event::Drain)));
+    }
+
     /// Sets a router's wall clock within what is allowed.
     pub(crate) fn set_clock(&mut self, name: &str, ahead: u64) {
         let index = self.current(name);
@@ -367,187 +385,11 @@
         self.now = end;
     }
 
-    fn work(&mut self, index: usize, job: Job) {
-        match job {
-            Job::Tick => {
-                self.push(TICK.0, index, Job::Tick);
-                self.handle(index, Event::Tick);
-            }
-            Job::Event(event) => self.handle(index, *event),
-            Job::Peer {
-                from,
-                life,
-                message,
-            } => {
-                let node = &self.processes[index].node;
-                let Some(from) = node.config().fleet.key(&Id::try_from(from).unwrap()) else {
-                    return;
-                };
-                let incarnation = Incarnation(life);
-                let event = Event::Peer {
-                    from,
-                    incarnation,
-                    message,
-                };
-                self.handle(index, event);
-            }
-            Job::Forward {
-                from,
-                call,
-                trial,
-                left,
-            } => {
-                let sender = Id::try_from(self.processes[from].name).unwrap();
-                let Some(peer) = self.processes[index].node.config().fleet.key(&sender) else {
-                    return;
-                };
-                let own = self.call(index);
-                let back = Back::Entry {
-                    process: from,
-                    call,
-                    trial,
-                };
-                self.backs.insert((index, own), back);
-                let key = self.trials[trial].key;
-                let event = self.request(index, own, key, Origin::Peer(peer), left);
-                self.handle(index, event);
-            }
-            Job::Write {
-                call,
-                attempt,
-                not_after,
-            } => self.write(index, call, attempt, not_after),
-        }
-    }
-
-    fn handle(&mut self, index: usize, event: Event) {
-        let now = self.clock(index);
-        let mut out = Vec::new();
-        self.processes[index].node.handle(now, event, &mut out);
-        for action in out {
-            self.act(index, action);
-        }
-    }
-
-    fn act(&mut self, index: usize, action: Action) {
-        match action {
-            Action::Dispatch {
-                call,
-                attempt,
-                not_after,
-                ..
-            } => {
-                let delay = self.rng.random_range(0..20);
-                self.push(
-                    delay,
-                    index,
-                    Job::Write {
-                        call,
-                        attempt,
-                        not_after,
-                    },
-                );
-            }
-            Action::Forward {
-                call,
-                router,
-                deadline,
-            } => {
-                let left = deadline.since(self.clock(index).mono).0;
-                let failed = Event::ForwardFailed { call, sent: true };
-                self.push(left, index, Job::Event(Box::new(failed)));
-                let trial = self.trial(index, call);
-                let job = Job::Forward {
-                    from: index,
-                    call,
-                    trial,
-                    left,
-                };
-                let config = self.processes[index].node.config();
-                let to = config.fleet.get(router).map(|r| r.id.to_string());
-                self.post(index, &to.unwrap_or_default(), job);
-            }
-            Action::Refuse { call, refusal } => self.answer(index, call, Some(refusal)),
-            Action::Replay { call, .. } | Action::Finish { call, .. } => {
-                self.answer(index, call, None);
-            }
-            Action::Send { router, message } => {
-                let process = &self.processes[index];
-                let (from, life) = (process.name, process.life);
-                let to = process
-                    .node
-                    .config()
-                    .fleet
-                    .get(router)
-                    .map(|r| r.id.to_string());
-                let job = Job::Peer {
-                    from,
-                    life,
-                    message,
-                };
-                self.post(index, &to.unwrap_or_default(), job);
-            }
-            Action::Watch { since } => self.watch(index, since),
-            _ => {}
-        }
-    }
-
-    fn watch(&mut self, index: usize, since: Revision) {
-        let serves = self.serves[self.processes[index].name].min(self.revision());
-        if serves <= since.0 {
-            return self.push(WATCH, index, Job::Event(Box::new(Event::ReadFailed)));
-        }
-        let newer = |c: &&Change| c.revision > since && c.revision.0 <= serves;
-        let parts = self.history.iter().filter(newer);
-        let change = Change {
-            since,
-            revision: Revision(serves),
-            entries: parts.flat_map(|c| c.entries.clone()).collect(),
-            floor: None,
-        };
-        let source = Source::Service;
-        let delay = self.latency();
-        let event = Event::Publish { source, change };
-        self.push(delay, index, Job::Event(Box::new(event)));
-    }
-
-    /// Sends something to another router, if it gets there.
-    fn post(&mut self, from: usize, to: &str, job: Job) {
-        let name = self.processes[from].name;
-        let apart = self.groups.get(to) != self.groups.get(name);
-        let lost = self.rng.random_range(0..1000) < self.loss;
-        let heard = self.processes[from].reachable;
-        if apart || lost || !heard || !NAMES.contains(&to) {
-            return;
-        }
-        let delay = self.latency();
-        let to = self.current(to);
-        self.push(delay, to, job);
-    }
-
-    /// Writes an attempt's bytes, unless the clock says that it is too late.
-    fn write(&mut self, index: usize, call: Call, attempt: Attempt, not_after: Option<Time>) {
-        let late = not_after.is_some_and(|end| self.clock(index).mono >= end);
-        let end = if late || self.fault == Fault::Refuse {
-            End::NotSent { leaving: false }
-        } else {
-            self.ran(index, call);
-            match self.fault {
-                Fault::Break => End::Broken { relayed: false },
-                Fault::Error => End::Failed(Answer::default()),
-                _ => End::Whole(Answer::default()),
-            }
-        };
-        let delay = self.rng.random_range(1..400);
-        let ended = Event::Ended { call, attempt, end };
-        self.push(delay, index, Job::Event(Box::new(ended)));
-    }
-
     fn ran(&mut self, index: usize, call: Call) {
         let trial = self.trial(index, call);
         let key = self.trials[trial].key;
         let runs = self.runs.entry(key).or_default();
-        *runs += 1;
+        *runs = if self.checked { 1 } else { *runs + 1 };
         if *runs > 1 {
             let at = self.now;
             self.broken
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -3,7 +3,10 @@
 //! Every line of the router is written here, so that each has a number and the catalogue's test
 //! sees it. No message text, key or token is ever logged: ids, names and figures only.
 
-use std::fmt::Display;
+use std::{
+    fmt::Display,
+    net::SocketAddr, //
+};
 
 use strum::{
     EnumIter,
@@ -44,6 +47,8 @@
     AttemptFailed = 105,
     /// A call ended with an answer.
     Done = 106,
+    /// An engine did not import a prefix.
+    NotImported = 107,
     /// An endpoint's state changed.
     Member = 201,
     /// The configuration service could not be read.
@@ -56,6 +61,12 @@
     Lease = 401,
     /// A peer's message was refused.
     PeerRejected = 402,
+    /// A call could not be brought to its home or back.
+    NotForwarded = 403,
+    /// Messages could not be brought to a peer.
+    PeerUnreached = 404,
+    /// The port for other routers is closed.
+    PeerPortClosed = 405,
     /// The drain began.
     Draining = 501,
     /// The drain ended before every call did.
@@ -123,7 +134,9 @@
             endpoint = endpoint(config, placed.endpoint),
             runner_up = placed.runner_up.map(|key| endpoint(config, key)),
             reason = %placed.reason,
+            import_from = placed.import_from.map(|key| endpoint(config, key)),
             load,
+            limit = placed.limit,
             view_age_ms = view_age.0,
             revision = config.revision.0
         ),
@@ -193,6 +206,11 @@
     }
 }
 
+/// Writes that an engine did not import a prefix from another.
+pub fn not_imported(from: &Id, to: &Id, error: &dyn Display) {
+    event!(debug, NotImported, from = from.as_str(), to = to.as_str(), error = %error);
+}
+
 /// Writes that the configuration service could not be read.
 pub fn unread(error: &dyn Display) {
     event!(warn, Unread, error = %error);
@@ -203,6 +221,22 @@
     event!(warn, PeerRejected, from = from.0, error = %error);
 }
 
+/// Writes that a call could not be brought to its home or back; `sent` says whether bytes of it may
+/// have left.
+pub fn not_forwarded(request_id: &str, call: Call, sent: bool, error: &dyn Display) {
+    event!(debug, NotForwarded, request_id, call = call.0, sent, error = %error);
+}
+
+/// Writes that messages could not be brought to a peer.
+pub fn peer_unreached(peer: Tag, address: SocketAddr, error: &dyn Display) {
+    event!(debug, PeerUnreached, peer = peer.0, address = %address, error = %error);
+}
+
+/// Writes that the port for other routers is closed.
+pub fn peer_port_closed(error: &dyn Display) {
+    event!(error, PeerPortClosed, error = %error);
+}
+
 /// Writes that a drain ended while calls were in progress.
 pub fn cut(calls: usize) {
     event!(error, Cut, cut = calls);
--- a/crates/router/src/filters/classify.rs
+++ b/crates/router/src/filters/classify.rs
@@ -162,6 +162,10 @@
     body: &Bytes,
 ) -> Result<Work, Denial> {
     let path = req.uri().path().as_bytes();
+    if !is_plain(req.uri().path()) {
+        let message = "path: expected no '%', '//', '/./' or '/../'";
+        return Err(Denial::new(400, "bad_request", message));
+    }
     let found = config
         .service_at(path)
         .filter(|(key, _)| workspace.services.contains(key));
@@ -205,6 +209,16 @@
     })
 }
 
+/// Tells whether a path has one spelling only. The rules for calls that run at most once compare
+/// bytes: a service that takes `/orders/./new` or `/%6Frders` for `/orders/new` would run, again
+/// and again, what the rules were to hold to once.
+fn is_plain(path: &str) -> bool {
+    let odd = |part: &str| part.is_empty() || part == "." || part == "..";
+    let inner = path.strip_prefix('/').unwrap_or(path);
+    let inner = inner.strip_suffix('/').unwrap_or(inner);
+    !path.contains(['%', '\\', ';']) && (inner.is_empty() || !inner.split('/').any(odd))
+}
+
 /// Hashes what makes two requests the same: method, path, query and body.
 fn content(req: &Request, body: &Bytes) -> u64 {
     let mut hash = xxhash_rust::xxh3::Xxh3::new();
--- a/crates/router/src/filters/mod.rs
+++ b/crates/router/src/filters/mod.rs
@@ -66,11 +66,15 @@
 
 /// `Denial` is why a filter ends the chain.
 #[derive(Clone, Debug)]
-struct Denial {
-    status: u16,
-    code: &'static str,
-    message: String,
-    retry_after: Option<Millis>,
+pub(crate) struct Denial {
+    /// HTTP status.
+    pub(crate) status: u16,
+    /// Stable code.
+    pub(crate) code: &'static str,
+    /// What was found and what was expected.
+    pub(crate) message: String,
+    /// When to come back.
+    pub(crate) retry_after: Option<Millis>,
 }
 
 impl Denial {
@@ -90,12 +94,6 @@
         .get_typed::<Draft>()
         .map(|d| d.id.clone())
         .unwrap_or_default();
-    let status = http::StatusCode::from_u16(denial.status).unwrap_or_default();
-    answers::reject(res, status, denial.code, &denial.message, &id);
-    if let Some(after) = denial.retry_after {
-        let secs = after.0.div_ceil(1000).max(1);
-        res.headers_mut()
-            .insert(http::header::RETRY_AFTER, http::HeaderValue::from(secs));
-    }
+    answers::reject(res, &id, &denial);
     ctrl.skip_rest();
 }
--- a/crates/router/src/peers/server.rs
+++ b/crates/router/src/peers/server.rs
@@ -28,13 +28,7 @@
         mpsc, //
     },
 };
-use tonic::{
-    Response, Status,
-    transport::server::{
-        Server,
-        TcpIncoming, //
-    },
-};
+use tonic::{Response, Status, transport::server::Server};
 use toucanturn_core::{
     arena::RouterKey,
     ids::Tag,
@@ -62,15 +56,20 @@
         Receipt,
         Refusal, //
     },
-    window::Senders,
+    window::{
+        Order,
+        Senders, //
+    },
 };
 
 use super::{
-    Identity, Options,
+    Identity,
+    Options,
     counters::{
         Counters,
         Kind, //
     },
+    incoming, //
 };
 
 /// `Error` says why the server ended.
@@ -136,6 +135,7 @@
     state: State,
     shutdown: impl Future<Output = ()>,
 ) -> Result<(), Error> {
+    let counters = Arc::clone(&state.counters);
     let service = Service {
         state,
         forwards: Arc::new(Semaphore::new(options.forwards)),
@@ -148,7 +148,7 @@
         .http2_keepalive_timeout(Some(options.ping_timeout))
         .add_service(service)
         .serve_with_incoming_shutdown(
-            TcpIncoming::from(listener).with_nodelay(Some(true)),
+            incoming::accept(listener, options.connections, counters),
             shutdown,
         )
         .await
@@ -187,10 +187,16 @@
         let received = &self.state.counters.received;
         received.of(Kind::Envelope).add(size - payload.len());
         self.check_incarnation(header)?;
+        // A link sends its batches one after the other. One that comes after a later one is one
+        // that the sender gave up; what it says is out of date. Probes are empty and go in between.
+        let order = match label {
+            Label::Deliver if !payload.is_empty() => Order::Ascending,
+            _ => Order::Any,
+        };
         self.senders
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .accept(&header, |tag| (self.state.resolve)(tag).is_some())
+            .accept(&header, order, |tag| (self.state.resolve)(tag).is_some())
             .map_err(|error| self.reject(claimed, &error))?;
         let Some(from) = (self.state.resolve)(header.from) else {
             self.reject(claimed, &wire::Error::UnknownSender { tag: claimed });
--- a/crates/wire/src/errors.rs
+++ b/crates/wire/src/errors.rs
@@ -108,14 +108,23 @@
         /// Sequence number.
         sequence: u64,
     },
-    /// The sequence number is below the window, so that a replay can't be told.
+    /// The sequence number is below the window, so that a replay can't be told, or below that of
+    /// a later batch.
     #[snafu(display("sequence: expected more than {below}, found {sequence}"))]
     TooOld {
         /// Sequence number.
         sequence: u64,
-        /// Highest number below the window.
+        /// Highest number refused.
         below: u64,
     },
+    /// An authentic reply is to another request than the one that it was given for.
+    #[snafu(display("sequence: expected the reply to {expected}, found the one to {found}"))]
+    WrongReply {
+        /// Sequence number of the request.
+        expected: u64,
+        /// Sequence number that the reply carries.
+        found: u64,
+    },
     /// The receiver remembers as many senders as it can.
     #[snafu(display("from: expected at most {} senders", crate::limits::MAX_SENDERS))]
     TooManySenders,
