--- a/crates/core/tests/place.rs
+++ b/crates/core/tests/place/choose.rs
@@ -12,9 +12,7 @@
     units::Incarnation,
 };
 
-mod place_fixture;
-
-use place_fixture::{
+use crate::fixture::{
     LIFE,
     ROUTERS,
     Router,
--- a/crates/core/tests/place_fixture/mod.rs
+++ b/crates/core/tests/place/fixture.rs
@@ -1,7 +1,5 @@
 //! A router's placement with its configuration, view and loads.
 
-#![expect(dead_code, reason = "each test file uses its own part")]
-
 use std::sync::Arc;
 
 use bytes::Bytes;
--- a/crates/core/tests/load.rs
+++ b/crates/core/tests/place/load.rs
@@ -6,9 +6,7 @@
     units::Millis, //
 };
 
-mod place_fixture;
-
-use place_fixture::{
+use crate::fixture::{
     LIFE,
     Router,
     router, //
