Show two faults that the matrix found, red

A chat whose first attempt ran is told not run when its retry finds no engine; a request that waits for admission is never answered when its workspace is removed.

--- a/crates/router/tests/faults/main.rs
+++ b/crates/router/tests/faults/main.rs
@@ -5,6 +5,7 @@
 
 mod caller;
 mod cluster;
+mod found;
 mod gate;
 mod host;
 mod inject;
