Tell no caller "not run" after an attempt that may have run

Symptom: a chat is told not_run (no_endpoint) and the engine's truth has a run. Sequence: the engine runs it, its connection is reset in place of the answer, the retry finds no other engine. Cause: the refusal spoke of the last attempt only; keys had their own memory of it (touch), chats and plain calls had none. An open call now remembers that an earlier attempt may have run, and its final refusal says unknown then.

--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -81,6 +81,7 @@
             stage: Stage::Admission,
             attempts: 0,
             tried: Vec::new(),
+            touched: false,
             sent: now.mono,
         };
         self.calls.insert(call, open);
@@ -533,11 +534,20 @@
         self.give(now, call, refusal, out);
     }
 
-    /// Gives a refusal as it is.
+    /// Gives a refusal; what it says of the last attempt is corrected by the earlier ones.
     pub(super) fn give(&mut self, now: Now, call: Call, refusal: Refusal, out: &mut Vec<Action>) {
         let Some(open) = self.calls.swap_remove(&call) else {
             return;
         };
+        // The refusal is about the last attempt alone: one before it may have run and lost its
+        // answer, and a caller that is told "not run" would then have it run twice.
+        let refusal = match refusal.outcome {
+            Outcome::NotRun if open.touched => Refusal {
+                outcome: Outcome::Unknown,
+                ..refusal
+            },
+            _ => refusal,
+        };
         let workspace = open.request.workspace;
         let view_age = self.view_age(now);
         out.push(Action::Refuse { call, refusal });
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -96,6 +96,8 @@
     attempts: u32,
     tried: Vec<EndpointKey>,
     sent: Time,
+    /// Whether an attempt that has failed may have run at its endpoint.
+    touched: bool,
 }
 
 /// `Stage` says what an open call waits for.
--- a/crates/core/src/node/once.rs
+++ b/crates/core/src/node/once.rs
@@ -186,12 +186,14 @@
 
     /// Notes that an attempt which is now repeated may have reached an endpoint.
     pub(super) fn touch(&mut self, call: Call, end: &End) {
-        let Some(open) = self.calls.get(&call) else {
+        let Some(open) = self.calls.get_mut(&call) else {
             return;
         };
-        if let Work::Once { key, .. } = open.request.work
-            && !matches!(end, End::NotSent { .. })
-        {
+        if matches!(end, End::NotSent { .. }) {
+            return;
+        }
+        open.touched = true;
+        if let Work::Once { key, .. } = open.request.work {
             self.home.touch(key);
         }
     }
--- a/crates/router/tests/faults/found.rs
+++ b/crates/router/tests/faults/found.rs
@@ -55,14 +55,17 @@
     for round in 0..rounds {
         // Grants that are held run out while nobody asks, so that the next request must wait.
         tokio::time::sleep(std::time::Duration::from_millis(1100)).await;
-        cluster.routers.iter().for_each(|r| r.peers.set(Mode::Pause));
+        cluster
+            .routers
+            .iter()
+            .for_each(|r| r.peers.set(Mode::Pause));
         let callers = cluster.callers();
         let sent: Vec<_> = (0..3)
             .map(|router| {
                 let (callers, id) = (callers.clone(), format!("gone-{round}-{router}"));
-                tokio::spawn(async move {
-                    callers.send(router, Kind::Whole, &id, Uuid::nil(), 4).await
-                })
+                tokio::spawn(
+                    async move { callers.send(router, Kind::Whole, &id, Uuid::nil(), 4).await },
+                )
             })
             .collect();
         let open = || cluster.routers.iter().all(|r| r.driver().open() > 0);
