Answer what waits for admission when its workspace is removed

Symptom: a request is never answered. Sequence: it waits for a grant of its workspace's home, the workspace is removed. Cause: its row in the limits goes with the workspace and with it everything that would have decided; the call stayed open for ever, in a drain too. It is refused now, forbidden and not run, when the configuration is applied.

--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -14,6 +14,7 @@
         Action,
         Decision, //
     },
+    config::Config,
     limits::{
         Ask,
         Outgo,
@@ -534,6 +535,21 @@
         self.give(now, call, refusal, out);
     }
 
+    /// Refuses what waits for the grant of a workspace that was removed: the row that it waited in
+    /// is gone with the workspace, so that nothing else would ever answer the caller.
+    pub(super) fn refuse_removed(&mut self, now: Now, config: &Config, out: &mut Vec<Action>) {
+        let removed = |open: &Open| {
+            open.stage == Stage::Admission
+                && config.workspaces.get(open.request.workspace).is_none()
+        };
+        let removed = self.calls.iter().filter(|(_, open)| removed(open));
+        let removed: Vec<Call> = removed.map(|(call, _)| *call).collect();
+        for call in removed {
+            self.limits.gone(call);
+            self.refuse(now, call, Refusal::not_run(Code::Forbidden, None), out);
+        }
+    }
+
     /// Gives a refusal; what it says of the last attempt is corrected by the earlier ones.
     pub(super) fn give(&mut self, now: Now, call: Call, refusal: Refusal, out: &mut Vec<Action>) {
         let Some(open) = self.calls.swap_remove(&call) else {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -320,6 +320,7 @@
         let revision = config.revision;
         out.push(Action::Apply { revision });
         out.push(Action::Log(Decision::Applied { revision }));
+        self.refuse_removed(now, &config, out);
     }
 
     fn vms(
