--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -303,6 +303,7 @@
         let revision = config.revision;
         out.push(Action::Apply { revision });
         out.push(Action::Log(Decision::Applied { revision }));
+        self.refuse_removed(now, &config, out);
     }
 
     fn tick(&mut self, now: Now, out: &mut Vec<Action>) {
--- a/crates/core/src/node/once.rs
+++ b/crates/core/src/node/once.rs
@@ -189,9 +189,10 @@
         let Some(open) = self.calls.get(&call) else {
             return;
         };
-        if let Work::Once { key, .. } = open.request.work
-            && !matches!(end, End::NotSent { .. })
-        {
+        if matches!(end, End::NotSent { .. }) {
+            return;
+        }
+        if let Work::Once { key, .. } = open.request.work {
             self.home.touch(key);
         }
     }
--- a/crates/core/tests/overload_pool/mod.rs
+++ b/crates/core/tests/overload_pool/mod.rs
@@ -136,7 +136,7 @@
             let mut gate = Gate::default();
             gate.apply(&config);
             let mut loads = Table::default();
-            loads.apply(&config);
+            loads.apply(&config, None);
             Router {
                 gate,
                 loads,
@@ -374,6 +374,7 @@
         since: Revision(0),
         revision: Revision(1),
         entries: entries.into_iter().map(entry).collect(),
+        floor: None,
     };
     store.apply(&change).expect("a valid configuration");
     Arc::clone(store.current())
--- a/crates/core/tests/place/choose.rs
+++ b/crates/core/tests/place/choose.rs
@@ -18,7 +18,8 @@
     Router,
     id,
     router,
-    router_at, //
+    router_at,
+    word, //
 };
 
 #[gtest]
@@ -62,8 +63,8 @@
     let mut router = router(12, 0, 64);
     let key = router.key("near-0");
     let now = router.now;
-    router.view.life(now, key, Incarnation(LIFE.0 + 1));
-    router.view.seen(now, key, Seen::Answered);
+    let next = word(now, Incarnation(LIFE.0 + 1));
+    router.view.word(now, key, next);
     let work = router.chat(7, Some(router.token("near-0", None)));
     let placed = router.choose(&work).unwrap();
     expect_that!(placed.reason, eq(Reason::Home));
--- a/crates/core/tests/place/fixture.rs
+++ b/crates/core/tests/place/fixture.rs
@@ -24,7 +24,8 @@
     load::Table,
     membership::{
         Seen,
-        View, //
+        View,
+        Word, //
     },
     peer::{
         Change,
@@ -65,6 +66,16 @@
     router_at(0, near, far, capacity)
 }
 
+/// Makes the word of a live endpoint in one of its lives.
+pub(crate) fn word(now: Time, life: Incarnation) -> Word {
+    Word {
+        life: Some(life),
+        leaving: false,
+        seen: Seen::Reached,
+        since: Some(now),
+    }
+}
+
 pub(crate) fn router_at(index: usize, near: usize, far: usize, capacity: u32) -> Router {
     let config = config(near, far, capacity);
     let me = config.fleet.key(&id(&format!("rt-{index}")));
@@ -73,8 +84,7 @@
     let mut loads = Table::default();
     loads.apply(&config, me);
     for (key, _) in config.endpoints.iter() {
-        view.life(NOW, key, LIFE);
-        view.seen(NOW, key, Seen::Answered);
+        view.word(NOW, key, word(NOW, LIFE));
     }
     loads.refresh(NOW, &view);
     Router {
--- a/crates/router/src/polls.rs
+++ b/crates/router/src/polls.rs
@@ -18,6 +18,7 @@
         Event,
         Report, //
     },
+    membership,
     units::{
         Incarnation,
         Millis, //
@@ -31,7 +32,7 @@
 };
 
 /// Time that a poll or probe may take.
-const POLL_TIMEOUT: Duration = Duration::from_secs(2);
+const POLL_TIMEOUT: Duration = Duration::from_millis(membership::POLL_TIMEOUT.0);
 
 #[derive(Deserialize)]
 struct RawReport {
