--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -13,6 +13,7 @@
         Call,
         Outcome,
         Placed,
+        Prefix,
         Refusal,
         Token, //
     },
@@ -40,6 +41,24 @@
         idle: Millis,
         /// Placement token to hand to the caller with the answer.
         token: Option<Token>,
+        /// For a call that runs at most once: the end of the home's lease. The driver reads the
+        /// clock right before it writes the first byte and, from this time on, writes nothing and
+        /// reports [`End::NotSent`](crate::request::End::NotSent): a process that was paused must
+        /// not send what another home may meanwhile answer for.
+        not_after: Option<Time>,
+    },
+    /// Have an engine import a prefix's KV cache from another engine. It is advice: where it fails,
+    /// the prompt is computed again.
+    Import {
+        /// The call that waits for it, whose dispatch follows; `None` for a chat that is to move
+        /// before it returns.
+        call: Option<Call>,
+        /// The prefix.
+        prefix: Prefix,
+        /// Engine that holds it.
+        from: EndpointKey,
+        /// Engine that is to hold it.
+        to: EndpointKey,
     },
     /// Send the call to its home router.
     Forward {
--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -19,7 +19,10 @@
         Outgo,
         Verdict, //
     },
-    membership::Seen,
+    membership::{
+        Seen,
+        Word, //
+    },
     once::Begin,
     overload,
     peer::Message,
@@ -66,7 +69,7 @@
         let refuse = |code| Refusal::not_run(code, Some(SOON));
         let early = if self.config().revision == Revision(0) {
             Some(refuse(Code::NotReady))
-        } else if self.draining.is_some() {
+        } else if self.draining.is_some() && !self.goes_on(&request) {
             Some(refuse(Code::Draining))
         } else if now.mono >= request.deadline {
             Some(Refusal::not_run(Code::Deadline, None))
@@ -198,7 +201,8 @@
             }
             _ => match self.home.begin(now, &config, call, key, content) {
                 Begin::Run => self.dispatch(now, call, out),
-                Begin::Refuse(refusal) => self.refuse(now, call, refusal, out),
+                Begin::Wait => open.stage = Stage::Waiting,
+                Begin::Refuse(refusal) => self.give(now, call, refusal, out),
                 Begin::Replay(answer) => {
                     self.calls.swap_remove(&call);
                     out.push(Action::Replay { call, answer });
@@ -213,12 +217,13 @@
         let Some(open) = self.calls.get_mut(&call) else {
             return;
         };
-        if let Work::Once { key, .. } = open.request.work
-            && !self.home.may_send(now, &config, key)
-        {
-            self.home.end(now, key, Outcome::NotRun, None);
-            let refusal = Refusal::not_run(Code::HomeUnavailable, Some(SOON));
-            return self.refuse(now, call, refusal, out);
+        let mut not_after = None;
+        if let Work::Once { key, .. } = open.request.work {
+            not_after = self.home.may_send(now, key);
+            if not_after.is_none() {
+                let refusal = Refusal::not_run(Code::HomeUnavailable, Some(SOON));
+                return self.end_refused(now, call, refusal, out);
+            }
         }
         let scene = Scene {
             config: &config,
@@ -226,17 +231,28 @@
             loads: &self.loads,
             now: now.mono,
         };
-        let Some(placed) = place::choose(scene, &open.request.work, &open.tried, &mut self.rng)
-        else {
+        let work = self
+            .recent
+            .recall(scene, open.request.workspace, &open.request.work);
+        let Some(placed) = place::choose(scene, &work, &open.tried, &mut self.rng) else {
+            if self.view.waking(now.mono) {
+                open.stage = Stage::Confirm;
+                return;
+            }
             return self.no_endpoint(now, call, out);
         };
         let endpoint = placed.endpoint;
         open.attempts += 1;
-        open.stage = Stage::Sent { endpoint };
+        open.stage = Stage::Sent {
+            endpoint,
+            life: self.view.incarnation(endpoint),
+            since: now.mono,
+        };
         open.tried.push(endpoint);
         open.sent = now.mono;
         let load = self.loads.estimate(now.mono, endpoint);
         self.loads.sent(now.mono, endpoint);
+        let must_tell = self.loads.must_tell(endpoint, placed.limit);
         let token = match (&open.request.work, config.endpoints.get(endpoint)) {
             (Work::Chat { token, .. }, Some(e)) => Some(Token {
                 last: e.tag,
@@ -249,6 +265,18 @@
         let workspace = open.request.workspace;
         let deadline = open.request.deadline;
         let idle = config.policy.idle_timeout;
+        if let Work::Chat { model, prefix, .. } = open.request.work {
+            if let Some(from) = placed.import_from {
+                out.push(Action::Import {
+                    call: Some(call),
+                    prefix,
+                    from,
+                    to: endpoint,
+                });
+            }
+            let life = self.view.incarnation(endpoint);
+            self.recent.note(prefix, model, (endpoint, life));
+        }
         out.push(Action::Dispatch {
             call,
             attempt,
@@ -256,6 +284,7 @@
             deadline,
             idle,
             token,
+            not_after,
         });
         let view_age = self.view_age(now);
         let decision = Decision::Placed {
@@ -267,21 +296,32 @@
             view_age,
         };
         out.push(Action::Log(decision));
+        if must_tell {
+            self.tell_soon(now, out);
+        }
+    }
+
+    /// Tries again to place the calls that wait for an endpoint to be confirmed.
+    pub(super) fn tick_confirm(&mut self, now: Now, out: &mut Vec<Action>) {
+        let waits = |(call, open): (&Call, &Open)| (open.stage == Stage::Confirm).then_some(*call);
+        let waiting: Vec<Call> = self.calls.iter().filter_map(waits).collect();
+        for call in waiting {
+            self.dispatch(now, call, out);
+        }
     }
 
     fn no_endpoint(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
-        let Some(open) = self.calls.get(&call) else {
-            return;
-        };
-        if let Work::Once { key, .. } = open.request.work {
-            self.home.end(now, key, Outcome::NotRun, None);
+        let refusal = Refusal::not_run(Code::NoEndpoint, Some(SOON));
+        self.end_refused(now, call, refusal, out);
+    }
+
+    pub(super) fn head_load(&mut self, now: Now, call: Call, in_flight: Option<u32>) {
+        if let Some(open) = self.calls.get(&call)
+            && let Stage::Sent { endpoint, .. } = open.stage
+            && let Some(in_flight) = in_flight
+        {
+            self.loads.stated(now.mono, endpoint, in_flight);
         }
-        self.refuse(
-            now,
-            call,
-            Refusal::not_run(Code::NoEndpoint, Some(SOON)),
-            out,
-        );
     }
 
     pub(super) fn head(
@@ -293,24 +333,22 @@
         out: &mut Vec<Action>,
     ) {
         let Some(Open {
-            stage: Stage::Sent { endpoint },
+            stage: Stage::Sent {
+                endpoint, since, ..
+            },
             ..
         }) = self.calls.get(&call)
         else {
             return;
         };
         let endpoint = *endpoint;
-        self.view.heard(now.mono);
-        if let Some(life) = incarnation {
-            let changed = self.view.life(now.mono, endpoint, life);
-            log_member(endpoint, changed, out);
-        }
-        let changed = if leaving {
-            let life = self.view.incarnation(endpoint);
-            self.view.leaving(now.mono, endpoint, life)
-        } else {
-            self.view.seen(now.mono, endpoint, Seen::Answered)
+        let word = Word {
+            life: incarnation,
+            leaving,
+            seen: Seen::Answered,
+            since: Some(*since),
         };
+        let changed = self.view.word(now.mono, endpoint, word);
         log_member(endpoint, changed, out);
     }
 
@@ -325,7 +363,7 @@
         let Some(open) = self.calls.get(&call) else {
             return;
         };
-        let Stage::Sent { endpoint } = open.stage else {
+        let Stage::Sent { endpoint, life, .. } = open.stage else {
             return;
         };
         if attempt.0 != open.attempts {
@@ -333,11 +371,8 @@
         }
         self.loads.ended(now.mono, endpoint);
         let changed = match &end {
-            End::Whole(_) => self.view.seen(now.mono, endpoint, Seen::Answered),
-            End::NotSent { leaving: true } => {
-                let life = self.view.incarnation(endpoint);
-                self.view.leaving(now.mono, endpoint, life)
-            }
+            End::Whole(_) => self.view.seen(now.mono, endpoint, Seen::Finished),
+            End::NotSent { leaving: true } => self.view.leaving(now.mono, endpoint, life),
             End::NotSent { leaving: false } => self.view.seen(now.mono, endpoint, Seen::Refused),
             End::Broken { .. } => self.view.seen(now.mono, endpoint, Seen::Silent),
             End::Failed(_) | End::Cancelled => None,
@@ -353,9 +388,6 @@
         let Some(open) = self.calls.swap_remove(&call) else {
             return;
         };
-        if let Work::Once { key, .. } = open.request.work {
-            self.home.end(now, key, Outcome::Done, Some(answer));
-        }
         let took = now.mono.since(open.sent);
         self.gate.ended(&open.request.work, took);
         let outcome = Outcome::Done;
@@ -365,20 +397,21 @@
             outcome,
             attempts: open.attempts,
         }));
+        self.end_key(now, &open.request.work, outcome, Some(answer), out);
     }
 
     fn failed(&mut self, now: Now, call: Call, attempt: Attempt, end: End, out: &mut Vec<Action>) {
         let Some(open) = self.calls.get(&call) else {
             return;
         };
-        let Stage::Sent { endpoint } = open.stage else {
+        let Stage::Sent { endpoint, .. } = open.stage else {
             return;
         };
         let policy = Arc::clone(&self.store.current().policy);
         let (request, attempts) = (&open.request, open.attempts);
         let retried = retry::allowed(
             &policy,
-            &request.work,
+            &self.repeated_as(&request.work),
             attempts,
             &end,
             now.mono,
@@ -391,16 +424,17 @@
             retried,
         }));
         if retried {
+            self.touch(call, &end);
             return self.dispatch(now, call, out);
         }
         let work = request.work.clone();
         match end {
-            End::Cancelled => self.close(now, call, &work, Outcome::Unknown),
+            End::Cancelled => {
+                self.calls.swap_remove(&call);
+                self.end_key(now, &work, Outcome::Unknown, None, out);
+            }
             // An endpoint's own error is an answer; the caller gets it as it is.
-            End::Failed(answer) => {
-                if let Work::Once { key, .. } = work {
-                    self.home.end(now, key, Outcome::Unknown, Some(answer));
-                }
+            End::Failed(_) => {
                 let outcome = Outcome::Unknown;
                 self.calls.swap_remove(&call);
                 out.push(Action::Finish { call, outcome });
@@ -409,31 +443,19 @@
                     outcome,
                     attempts,
                 }));
+                self.end_key(now, &work, outcome, None, out);
             }
             End::NotSent { .. } => {
-                if let Work::Once { key, .. } = work {
-                    self.home.end(now, key, Outcome::NotRun, None);
-                }
                 let refusal = Refusal::not_run(Code::EndpointFailed, Some(SOON));
-                self.refuse(now, call, refusal, out);
+                self.end_refused(now, call, refusal, out);
             }
             End::Broken { .. } | End::Whole(_) => {
-                if let Work::Once { key, .. } = work {
-                    self.home.end(now, key, Outcome::Unknown, None);
-                }
                 let refusal = Refusal::unknown(Code::EndpointFailed, Some(SOON));
-                self.refuse(now, call, refusal, out);
+                self.end_refused(now, call, refusal, out);
             }
         }
     }
 
-    fn close(&mut self, now: Now, call: Call, work: &Work, outcome: Outcome) {
-        if let Work::Once { key, .. } = work {
-            self.home.end(now, *key, outcome, None);
-        }
-        self.calls.swap_remove(&call);
-    }
-
     pub(super) fn gone(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
         let Some(open) = self.calls.get(&call) else {
             return;
@@ -442,7 +464,7 @@
         match open.stage {
             // A call that runs once goes on: its repeat wants the answer.
             Stage::Sent { .. } if matches!(work, Work::Once { .. }) => {}
-            Stage::Sent { endpoint } => {
+            Stage::Sent { endpoint, .. } => {
                 let attempt = attempt(open.attempts);
                 self.loads.ended(now.mono, endpoint);
                 self.calls.swap_remove(&call);
@@ -452,65 +474,67 @@
                 self.limits.gone(call);
                 self.calls.swap_remove(&call);
             }
+            Stage::Confirm => {
+                self.calls.swap_remove(&call);
+                self.end_key(now, &work, Outcome::NotRun, None, out);
+            }
             Stage::Forwarded => {
                 self.calls.swap_remove(&call);
             }
+            Stage::Waiting => {
+                self.leave(call, &work);
+                self.calls.swap_remove(&call);
+            }
         }
     }
 
-    pub(super) fn forward_failed(&mut self, call: Call, sent: bool, out: &mut Vec<Action>) {
-        let Some(open) = self.calls.swap_remove(&call) else {
-            return;
-        };
+    pub(super) fn forward_failed(
+        &mut self,
+        now: Now,
+        call: Call,
+        sent: bool,
+        out: &mut Vec<Action>,
+    ) {
         // An earlier request with this key may have run at the home, so even what was not sent is
         // only unknown to this router.
         let _ = sent;
         let refusal = Refusal::unknown(Code::HomeUnavailable, Some(SOON));
-        let workspace = open.request.workspace;
-        out.push(Action::Refuse { call, refusal });
-        let view_age = Millis(0);
-        out.push(Action::Log(Decision::Refused {
-            call,
-            workspace,
-            refusal,
-            view_age,
-        }));
+        self.give(now, call, refusal, out);
     }
 
     pub(super) fn forward_done(
         &mut self,
+        now: Now,
         call: Call,
         refusal: Option<Refusal>,
         out: &mut Vec<Action>,
     ) {
-        let Some(open) = self.calls.swap_remove(&call) else {
+        if let Some(refusal) = refusal {
+            return self.give(now, call, refusal, out);
+        }
+        if self.calls.swap_remove(&call).is_none() {
             return;
-        };
-        match refusal {
-            Some(refusal) => {
-                let workspace = open.request.workspace;
-                out.push(Action::Refuse { call, refusal });
-                let view_age = Millis(0);
-                out.push(Action::Log(Decision::Refused {
-                    call,
-                    workspace,
-                    refusal,
-                    view_age,
-                }));
-            }
-            None => {
-                let outcome = Outcome::Done;
-                out.push(Action::Finish { call, outcome });
-                out.push(Action::Log(Decision::Done {
-                    call,
-                    outcome,
-                    attempts: 1,
-                }));
-            }
         }
+        let outcome = Outcome::Done;
+        out.push(Action::Finish { call, outcome });
+        out.push(Action::Log(Decision::Done {
+            call,
+            outcome,
+            attempts: 1,
+        }));
+    }
+
+    /// Refuses a call. What it is told of an action that runs once must be vouched for.
+    pub(super) fn refuse(&mut self, now: Now, call: Call, refusal: Refusal, out: &mut Vec<Action>) {
+        let refusal = match self.calls.get(&call) {
+            Some(open) => self.vouched(now, &open.request.work, refusal),
+            None => return,
+        };
+        self.give(now, call, refusal, out);
     }
 
-    fn refuse(&mut self, now: Now, call: Call, refusal: Refusal, out: &mut Vec<Action>) {
+    /// Gives a refusal as it is.
+    pub(super) fn give(&mut self, now: Now, call: Call, refusal: Refusal, out: &mut Vec<Action>) {
         let Some(open) = self.calls.swap_remove(&call) else {
             return;
         };
--- a/crates/core/src/overload.rs
+++ b/crates/core/src/overload.rs
@@ -17,17 +17,20 @@
 
 use crate::{
     arena::{
-        ModelKey,
-        ServiceKey,
+        RouterKey,
         WorkspaceKey, //
     },
     config::{
         Config,
-        Endpoint,
-        Priority, //
+        Priority,
+        Router, //
     },
+    ids::Id,
     limits::Demand,
-    membership::State,
+    load::{
+        Group,
+        Usable, //
+    },
     place::Scene,
     request::{
         Request,
@@ -84,33 +87,23 @@
     Late,
 }
 
-/// `Target` is what a request needs an endpoint for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Target {
-    Model(ModelKey),
-    Service(ServiceKey),
-}
-
-impl Target {
-    /// Gets the target of work that may be shed. A call that runs at most once is not: its first
-    /// attempt may have run elsewhere, so that "not run" could not be promised.
-    fn of(work: &Work) -> Option<Self> {
-        match work {
-            Work::Chat { model, .. } => Some(Self::Model(*model)),
-            Work::Plain { service, .. } => Some(Self::Service(*service)),
-            Work::Once { .. } => None,
-        }
+/// Gets what a request needs an endpoint for, if it may be shed. A call that runs at most once is
+/// not shed: its first attempt may have run elsewhere, so that "not run" could not be promised.
+fn group(work: &Work) -> Option<Group> {
+    match work {
+        Work::Chat { model, .. } => Some(Group::Model(*model)),
+        Work::Plain { service, .. } => Some(Group::Service(*service)),
+        Work::Once { .. } => None,
     }
+}
 
-    fn is_served(self, endpoint: &Endpoint) -> bool {
-        match self {
-            Self::Model(model) => endpoint.models.contains(&model),
-            Self::Service(service) => endpoint.service == Some(service),
-        }
-    }
+/// Gets the region of a router or endpoint, `None` where the policy names none.
+fn region<'a>(config: &'a Config, data_center: &Id) -> Option<&'a Id> {
+    config.policy.data_centers.get(data_center)
 }
 
-/// `Load` is the work in progress for one target, and what its endpoints take at once.
+/// `Load` is the work in progress for one model or service, and what its endpoints take at once.
+/// It counts the own region's endpoints, or all where that has none: only their load is known well.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Load {
     own: u64,
@@ -155,24 +148,24 @@
 }
 
 impl Load {
-    fn new(scene: Scene<'_>, target: Target) -> Self {
+    fn new(scene: Scene<'_>, group: Group) -> Self {
         let mut load = Self::default();
-        let serves = |key| {
-            scene
-                .config
-                .endpoints
-                .get(key)
-                .is_some_and(|e| target.is_served(e))
+        let Some(pool) = scene.loads.pool(group) else {
+            return load;
         };
-        let own = scene.loads.own().filter(|(key, _)| serves(*key));
-        load.own = own.map(|(_, n)| u64::from(n)).sum();
-        for (key, endpoint) in scene.config.endpoints.iter() {
-            let state = scene.view.state(scene.now, key);
-            if target.is_served(endpoint) && matches!(state, State::Live | State::Suspect) {
-                load.in_flight += u64::from(scene.loads.estimate(scene.now, key));
-                load.capacity += u64::from(endpoint.capacity);
+        let near = pool.near();
+        let span = if near.is_empty() { pool.far() } else { near };
+        let keys = pool.keys().get(span.clone()).unwrap_or_default();
+        for (at, &key) in span.zip(keys) {
+            if pool.usable(at) == Usable::No {
+                continue;
             }
+            let endpoint = scene.config.endpoints.get(key);
+            load.capacity += endpoint.map_or(0, |e| u64::from(e.capacity));
+            load.in_flight += u64::from(scene.loads.estimate(scene.now, key));
         }
+        let own = scene.loads.own().filter(|(key, _)| keys.contains(key));
+        load.own = own.map(|(_, n)| u64::from(n)).sum();
         // Own requests at endpoints that are down are not in the estimate.
         load.in_flight = load.in_flight.max(load.own);
         load
@@ -187,25 +180,31 @@
 #[derive(Debug, Default)]
 pub struct Gate {
     top: Priority,
+    /// Routers of the own region, this one included.
+    routers: u64,
     /// Mean service times, at most one for each published model and service.
-    service_times: IndexMap<Target, Millis>,
+    service_times: IndexMap<Group, Millis>,
     /// Growth of own work, at most one for each published model and service.
-    growths: IndexMap<Target, Growth>,
+    growths: IndexMap<Group, Growth>,
     shed: Demand,
     taken: Demand,
 }
 
 impl Gate {
-    /// Follows a new configuration.
-    pub fn apply(&mut self, config: &Config) {
+    /// Follows a new configuration; `me` is this router, `None` while it is not in the fleet list.
+    pub fn apply(&mut self, config: &Config, me: Option<RouterKey>) {
         let priorities = config.workspaces.iter().map(|(_, w)| w.priority);
         self.top = priorities.max().unwrap_or_default();
-        let stays = |target: &Target| match target {
-            Target::Model(key) => config.models.get(*key).is_some(),
-            Target::Service(key) => config.services.get(*key).is_some(),
+        let own = me.and_then(|me| config.fleet.get(me));
+        let own = own.and_then(|r| region(config, &r.data_center));
+        let near = |r: &Router| own.is_none() || region(config, &r.data_center) == own;
+        self.routers = config.fleet.iter().filter(|(_, r)| near(r)).count() as u64;
+        let stays = |group: &Group| match group {
+            Group::Model(key) => config.models.get(*key).is_some(),
+            Group::Service(key) => config.services.get(*key).is_some(),
         };
-        self.service_times.retain(|target, _| stays(target));
-        self.growths.retain(|target, _| stays(target));
+        self.service_times.retain(|group, _| stays(group));
+        self.growths.retain(|group, _| stays(group));
     }
 
     /// Decides on a request that is within its workspace's limit. `open` gives the workspace of
@@ -217,19 +216,18 @@
         open: impl Iterator<Item = WorkspaceKey>,
         rng: &mut impl Rng,
     ) -> Verdict {
-        let Some(target) = Target::of(&request.work) else {
+        let Some(group) = group(&request.work) else {
             return Verdict::Admit;
         };
-        let load = Load::new(scene, target);
+        let load = Load::new(scene, group);
         // Without an endpoint, placement says so.
         if load.capacity == 0 {
             return Verdict::Admit;
         }
-        let routers = scene.config.fleet.len() as u64;
-        let growth = self.growths.entry(target).or_default();
-        let foreseen = growth.foresee(scene.now, routers, load);
+        let growth = self.growths.entry(group).or_default();
+        let foreseen = growth.foresee(scene.now, self.routers, load);
         let left = request.deadline.since(scene.now);
-        if self.wait(target, load) > left {
+        if self.wait(group, load) > left {
             return Verdict::Late;
         }
         let bound = self.bound(scene.config, request, left);
@@ -237,7 +235,7 @@
         let own = priority(request.workspace);
         let equals = open.filter(|key| priority(*key) == own);
         let queue = if bound == FULL {
-            self.queue(target)
+            self.queue(group)
         } else {
             Permille(0)
         };
@@ -262,24 +260,24 @@
 
     /// Notes how long an answer took.
     pub fn ended(&mut self, work: &Work, took: Millis) {
-        let Some(target) = Target::of(work) else {
+        let Some(group) = group(work) else {
             return;
         };
-        let mean = self.service_times.entry(target).or_insert(took);
+        let mean = self.service_times.entry(group).or_insert(took);
         mean.0 = (mean.0 * (MEAN_PART - 1) + took.0) / MEAN_PART;
     }
 
     /// Estimates the time until a request gets its turn: those above the capacity, at the rate at
     /// which a full pool ends them (Little's law).
-    fn wait(&self, target: Target, load: Load) -> Millis {
-        let mean = self.service_times.get(&target).copied().unwrap_or_default();
+    fn wait(&self, group: Group, load: Load) -> Millis {
+        let mean = self.service_times.get(&group).copied().unwrap_or_default();
         let ahead = load.in_flight.saturating_sub(load.capacity);
         Millis(ahead.saturating_mul(mean.0) / load.capacity.max(1))
     }
 
     /// Gets the part of the capacity that may queue at engines without a wait above [`MAX_QUEUE`].
-    fn queue(&self, target: Target) -> Permille {
-        let mean = self.service_times.get(&target).map_or(0, |t| t.0);
+    fn queue(&self, group: Group) -> Permille {
+        let mean = self.service_times.get(&group).map_or(0, |t| t.0);
         if mean == 0 {
             return Permille(0);
         }
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -77,6 +77,9 @@
     pub since: Revision,
     /// The revision it brings its reader to.
     pub revision: Revision,
+    /// In a snapshot of a peer: the revision above which it names every deletion. `None`: it need
+    /// not name any, as in a snapshot of the configuration service.
+    pub floor: Option<Revision>,
     /// Entries in ascending revision.
     pub entries: Vec<Entry>,
 }
@@ -119,6 +122,8 @@
         epoch: Revision,
         /// Number of the round.
         round: u64,
+        /// Length of the lease; the voter keeps its promise at least that long.
+        lease: Millis,
     },
     /// Answers [`Message::LeaseAsk`].
     LeaseAnswer {
@@ -128,5 +133,8 @@
         round: u64,
         /// Whether the voter confirms.
         confirmed: bool,
+        /// The epoch that the voter confirmed to anyone before this one, zero for none in this
+        /// life: shows the asker that no epoch in between was acted upon.
+        previous: Revision,
     },
 }
