--- a/crates/core/tests/limits_fleet/mod.rs
+++ b/crates/core/tests/limits_fleet/mod.rs
@@ -56,18 +56,27 @@
 
 impl Published {
     pub(crate) fn new(routers: usize, workspaces: usize, per_s: u32, burst: u32) -> Self {
+        Self::make(routers, &vec![(per_s, burst); workspaces])
+    }
+
+    /// A workspace for each limit; the burst is a second's worth.
+    pub(crate) fn with_limits(routers: usize, limits: &[u32]) -> Self {
+        let limits: Vec<_> = limits.iter().map(|l| (*l, *l)).collect();
+        Self::make(routers, &limits)
+    }
+
+    fn make(routers: usize, limits: &[(u32, u32)]) -> Self {
         let mut published = Self {
             store: Store::default(),
             routers,
         };
-        let workspace = |i: usize| {
-            format!(
-                r#"{{"key_sha256":["{i:064x}"],"priority":5,"requests_per_s":{per_s},"burst":{burst},"deadline_ms":5000}}"#
-            )
+        let workspace = |(i, (per_s, burst)): (usize, &(u32, u32))| {
+            let limit = format!(r#""requests_per_s":{per_s},"burst":{burst}"#);
+            let rest = r#""priority":5,"deadline_ms":5000"#;
+            let value = format!(r#"{{"key_sha256":["{i:064x}"],{limit},{rest}}}"#);
+            (format!("workspaces/w{i}"), value)
         };
-        let mut entries: Vec<(String, String)> = (0..workspaces)
-            .map(|i| (format!("workspaces/w{i}"), workspace(i)))
-            .collect();
+        let mut entries: Vec<_> = limits.iter().enumerate().map(workspace).collect();
         entries.push(("fleet".to_owned(), fleet(routers, &[])));
         published.publish(entries);
         published
