--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -292,7 +292,7 @@
         self.loads.apply(&config, self.me);
         self.recent.apply(&config);
         self.limits.apply(now.mono, &config);
-        self.gate.apply(&config);
+        self.gate.apply(&config, self.me);
         self.home.apply(now, &config, self.me);
         self.peers.retain(|key, _| config.fleet.get(key).is_some());
         for (key, _) in config.fleet.iter() {
--- a/crates/core/tests/overload_pool/mod.rs
+++ b/crates/core/tests/overload_pool/mod.rs
@@ -132,11 +132,12 @@
         let mut view = View::default();
         view.apply(Time(0), &config);
         let id = |text: String| Id::try_from(text.as_str()).expect("a good name");
-        let router = |_| {
+        let member = |i| config.fleet.key(&id(format!("r{i}"))).expect("published");
+        let router = |i| {
             let mut gate = Gate::default();
-            gate.apply(&config);
+            gate.apply(&config, Some(member(i)));
             let mut loads = Table::default();
-            loads.apply(&config, None);
+            loads.apply(&config, Some(member(i)));
             Router {
                 gate,
                 loads,
@@ -362,7 +363,7 @@
             r#""priority":{},"deadline_ms":{}"#,
             w.priority, w.deadline.0
         );
-        let value = format!(r#"{{"key_sha256":[],{limit},{rest},"models":["m"]}}"#);
+        let value = format!(r#"{{"key_sha256":["{i:064x}"],{limit},{rest},"models":["m"]}}"#);
         entries.push((format!("workspaces/w{i}"), value));
     }
     let entry = |(key, value): (String, String)| Entry {
