--- a/crates/core/src/membership/member.rs
+++ b/crates/core/src/membership/member.rs
@@ -9,10 +9,7 @@
     link::Contact, //
 };
 use crate::{
-    config::{
-        Endpoint,
-        Kind, //
-    },
+    config::Endpoint,
     event::VmState,
     units::{
         Incarnation,
@@ -73,9 +70,6 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Member {
     pub(super) address: SocketAddr,
-    /// Whether it has no report, so that it may have no way to say between two requests that it is
-    /// not leaving.
-    mute: bool,
     pub(super) life: Incarnation,
     /// When this life was first seen to follow another.
     pub(super) born: Time,
@@ -113,7 +107,6 @@
     pub(super) fn new(endpoint: &Endpoint, now: Time) -> Self {
         Self {
             address: endpoint.address,
-            mute: endpoint.kind == Kind::Service,
             life: Incarnation(0),
             born: Time(0),
             stated: false,
@@ -143,12 +136,11 @@
         if self.leaving {
             return State::Leaving;
         }
-        if self.down || (self.stale(now) && !self.reached_lately(now)) {
+        if self.down || self.stale(now) {
             return State::Down;
         }
         let missing = self.missing.is_some_and(|t| now.since(t) >= MISSING_AFTER);
         let doubtful = self.sure.is_none()
-            || self.stale(now)
             || self.reach > 0
             || self.struck_lately(now)
             || missing
@@ -170,14 +162,6 @@
         }
     }
 
-    /// Notes that a list made at `date` names it live. Lists lag, so the word of an endpoint that
-    /// has reports goes first.
-    pub(super) fn vouch(&mut self, date: Time) {
-        if self.mute {
-            self.confirm(date);
-        }
-    }
-
     /// Notes that it was known not to be leaving at `at`.
     pub(super) fn confirm(&mut self, at: Time) {
         self.sure = self.sure.max(Some(at));
@@ -274,7 +258,7 @@
     /// Tells whether a probe on a new connection is due.
     pub(super) fn probe_due(&self, now: Time) -> bool {
         let blamed = self.contact.bad > self.contact.good;
-        let wanted = self.down || self.stale(now) || blamed;
+        let wanted = self.down || blamed;
         wanted && !self.leaving && self.may_ask(now) && self.rested(now, self.probe_wait())
     }
 
@@ -283,6 +267,9 @@
         if !self.may_ask(now) {
             return false;
         }
+        if self.doubted() && self.asked < self.doubt {
+            return true;
+        }
         if self.rank == 0 {
             let slowed = self.probe_wait().min(POLL_MAX);
             let patience = if self.misses > 0 {
@@ -299,7 +286,7 @@
         } else {
             self.probe_wait()
         };
-        (old || self.doubted()) && self.rested(now, wait)
+        old && self.rested(now, wait)
     }
 
     /// Notes that a poll or probe was sent.
@@ -338,13 +325,6 @@
         self.work > 0 && self.struck.is_some_and(lately)
     }
 
-    /// Tells whether an endpoint without reports was reached of late. It is then kept in reserve:
-    /// its own refusal before it reads a request is what is left to go by.
-    fn reached_lately(&self, now: Time) -> bool {
-        let reached = |t| now.since(t) <= FRESH && self.doubt.is_none_or(|d| t >= d);
-        self.mute && self.contact.good.is_some_and(reached)
-    }
-
     fn doubted(&self) -> bool {
         self.doubt.is_some_and(|d| self.sure.is_none_or(|s| s < d))
     }
