--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -67,6 +67,11 @@
     for usable in rounds(pool) {
         // Made anew for each state: what the rounds for live ones found suspect is just what the
         // rounds of last resort are for.
+        if scene.view.waking(scene.now) && few_known(pool) {
+            // The requests that came while this process stood still would all go to the one endpoint
+            // that it hears first; the node holds them for the answers of the others.
+            return None;
+        }
         let mut barred = tried.to_vec();
         for span in [pool.near(), pool.far()] {
             if pool.sum(&span, usable).count == 0 {
@@ -102,3 +107,10 @@
     let first = (!few).then_some(Usable::Yes);
     first.into_iter().chain([Usable::LastResort])
 }
+
+/// Tells whether less than half of the endpoints are known to take work.
+fn few_known(pool: &Pool) -> bool {
+    let count = |span| pool.sum(&span, Usable::LastResort).count;
+    let known = count(pool.near()) + count(pool.far());
+    2 * known < pool.keys().len() as u64
+}
--- a/crates/core/tests/place/choose.rs
+++ b/crates/core/tests/place/choose.rs
@@ -9,7 +9,10 @@
         Reason,
         Work, //
     },
-    units::Incarnation,
+    units::{
+        Incarnation,
+        Millis, //
+    },
 };
 
 use crate::fixture::{
@@ -61,9 +64,7 @@
     // alone was believed.
     let mut router = router(12, 0, 64);
     let key = router.key("near-0");
-    let now = router.now;
-    router.view.life(now, key, Incarnation(LIFE.0 + 1));
-    router.confirm(key);
+    router.confirm(key, Incarnation(LIFE.0 + 1));
     let work = router.chat(7, Some(router.token("near-0", None)));
     let placed = router.choose(&work).unwrap();
     expect_that!(placed.reason, eq(Reason::Home));
@@ -290,3 +291,28 @@
     let first = router.loads.estimate(router.now, router.key("near-4"));
     expect_that!(first, le(7));
 }
+
+#[gtest]
+fn verify_router_that_woke_late_places_nothing_before_it_hears_its_endpoints() {
+    // Symptom: one engine carries twice the mean for a second. Sequence: a router stands still for
+    // three seconds and wakes with a queue of requests; one engine is heard, then the others.
+    // Cause: until then that one is all that is known to take work.
+    let mut router = router(12, 0, 1000);
+    router.view.advance(router.now);
+    router.now = router.now + Millis(3000);
+    router.view.advance(router.now);
+    router.now = router.now + Millis(200);
+    let now = router.now;
+    let confirm = |router: &mut Router, range: std::ops::Range<usize>| {
+        for engine in range {
+            let key = router.key(&format!("near-{engine}"));
+            router.confirm(key, LIFE);
+        }
+        router.loads.refresh(now, &router.view);
+    };
+    let work = router.chat(7, None);
+    confirm(&mut router, 4..5);
+    expect_that!(router.choose(&work), none());
+    confirm(&mut router, 0..12);
+    expect_that!(router.choose(&work), some(anything()));
+}
--- a/crates/core/tests/place/fixture.rs
+++ b/crates/core/tests/place/fixture.rs
@@ -74,8 +74,7 @@
     let mut loads = Table::default();
     loads.apply(&config, me);
     for (key, _) in config.endpoints.iter() {
-        view.life(NOW, key, LIFE);
-        view.word(NOW, key, answer(LIFE));
+        view.word(NOW, key, answer(NOW, LIFE));
     }
     loads.refresh(NOW, &view);
     Router {
@@ -130,12 +129,12 @@
     Arc::clone(store.current())
 }
 
-fn answer(life: Incarnation) -> Word {
+fn answer(now: Time, life: Incarnation) -> Word {
     Word {
         life: Some(life),
         leaving: false,
         seen: Seen::Answered,
-        since: Some(NOW),
+        since: Some(now),
     }
 }
 
@@ -144,10 +143,9 @@
 }
 
 impl Router {
-    /// Hears an engine say that it is live, in the life that is known.
-    pub(crate) fn confirm(&mut self, key: EndpointKey) {
-        let life = self.view.incarnation(key);
-        self.view.word(self.now, key, answer(life));
+    /// Hears an engine say that it is live, and which life this is.
+    pub(crate) fn confirm(&mut self, key: EndpointKey, life: Incarnation) {
+        self.view.word(self.now, key, answer(self.now, life));
     }
 
     pub(crate) fn key(&self, name: &str) -> EndpointKey {
