--- a/crates/replay/examples/plots.rs
+++ b/crates/replay/examples/plots.rs
@@ -26,6 +26,9 @@
     excess: f64,
 }
 
+/// `Line` is a line's label, colour and value.
+type Line = (&'static str, RGBColor, fn(&Point) -> f64);
+
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let folder = std::env::args().nth(1).ok_or("expected a folder")?;
     for profile in [Profile::vitalbox(), Profile::terenni(), Profile::churn()] {
@@ -87,7 +90,7 @@
         .x_desc("published multiple of the mean load")
         .y_desc("%")
         .draw()?;
-    let lines: [(&str, RGBColor, fn(&Point) -> f64); 3] = [
+    let lines: [Line; 3] = [
         ("with imports", RGBColor(0, 90, 160), |p| p.with_imports),
         ("own cache", RGBColor(200, 90, 0), |p| p.own_cache),
         ("oracle, own cache", RGBColor(120, 120, 120), |p| p.oracle),
--- /dev/null
+++ b/crates/replay/tests/replay/main.rs
@@ -0,0 +1,6 @@
+//! The replay and its traces.
+
+#[cfg(test)]
+mod engine;
+#[cfg(test)]
+mod traces;
