Tighten three tests that a broken placement passed

Eight faults were put in by hand; the limit of a partition's side, the time that a report speaks of and the home of moved chats were not missed. Now they are.

--- a/crates/core/tests/place/choose.rs
+++ b/crates/core/tests/place/choose.rs
@@ -184,8 +184,12 @@
 fn verify_sides_of_a_partition_stay_even() {
     // Symptom: an engine carries twice the mean during a partition. Sequence: the peers' summaries
     // stop, and reports lag by a second. Cause: the load that both sides saw low was filled by
-    // both. Here a router that hears nobody has a report of no load for one engine.
+    // both. Here a router that hears nobody has reports of load for all engines but one.
     let mut router = router(4, 0, 1000);
+    for engine in 1..4 {
+        let key = router.key(&format!("near-{engine}"));
+        router.loads.stated(router.now, key, 2);
+    }
     let work = router.chat(7, Some(router.token("near-0", None)));
     let mut count = [0_u32; 4];
     for sent in 1..=80_u32 {
@@ -235,6 +239,11 @@
         moved.extend(recent.moves(router.scene()));
     }
     expect_that!(moved.len(), eq(40));
+    // Some engines are below the mean: that is where new chats go, but not these.
+    for engine in (0..12).filter(|e| *e != 4) {
+        let load = if engine < 3 { 6 } else { 8 };
+        router.fill(&format!("near-{engine}"), load);
+    }
     for one in moved {
         let work = router.chat(one.prefix.0, Some(router.token("near-4", None)));
         let placed = router.choose(&work).unwrap();
--- a/crates/core/tests/place/load.rs
+++ b/crates/core/tests/place/load.rs
@@ -69,6 +69,9 @@
     router.fill("near-0", 6);
     router.loads.report(router.now, key, &report(4));
     expect_that!(estimate(&router, "near-0"), eq(10));
+    router.loads.report(router.now, key, &report(7));
+    expect_that!(estimate(&router, "near-0"), eq(13));
+    router.loads.report(router.now, key, &report(4));
     for _ in 0..4 {
         router.loads.ended(router.now, key);
     }
