--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -353,7 +353,8 @@
         self.loads.report(now.mono, endpoint, &report);
         self.reports.insert(endpoint, (now.mono, report));
         let word = Word {
-            life: Some(report.incarnation),
+            // A service that states no life says something of its present one all the same.
+            life: Some(report.incarnation).filter(|life| *life > Incarnation(0)),
             leaving: report.leaving,
             seen: Seen::Reached,
             since: None,
--- a/crates/router/tests/faults/cluster.rs
+++ b/crates/router/tests/faults/cluster.rs
@@ -60,7 +60,7 @@
 /// Bearer key of the workspace that the load belongs to.
 pub(crate) const KEY: &str = "key-of-main";
 /// Longest wait for the fleet to come to rest; a bound, never a wait by itself.
-pub(crate) const REST: Duration = Duration::from_secs(30);
+pub(crate) const REST: Duration = Duration::from_secs(20);
 /// Time between two looks at a condition.
 pub(crate) const LOOK: Duration = Duration::from_millis(10);
 /// Length of a home's lease in the tests.
@@ -353,16 +353,6 @@
         answer.json().await.expect("the truth is JSON")
     }
 
-    /// Gets how often a key ran, at all replicas and in all their lives.
-    pub(crate) async fn runs(&self, key: &str) -> u64 {
-        let mut runs = 0;
-        for life in self.replicas.iter().flat_map(|r| &r.lives) {
-            let truth: service::Truth = self.truth(life).await;
-            runs += truth.runs.get(key).copied().unwrap_or_default();
-        }
-        runs
-    }
-
     /// Gets how often a chat ran, at all engines and in all their lives.
     pub(crate) async fn chat_runs(&self, id: &str) -> usize {
         let mut runs = 0;
--- a/crates/router/tests/faults/main.rs
+++ b/crates/router/tests/faults/main.rs
@@ -11,6 +11,8 @@
 mod inject;
 mod judge;
 mod matrix;
+mod page;
+mod promises;
 mod proxy;
 mod rows;
 mod run;
