Let no fresh router be ready before it asked its peers

Symptom: a replaced router is ready with the old configuration that a stale service shows, while its peers have a newer one in force. Sequence: the service goes stale, a router is replaced. Cause: it counted as synced at its first tick, because no peer is known before the first configuration.

--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -36,7 +36,8 @@
     units::{
         Incarnation,
         Millis,
-        Now, //
+        Now,
+        Revision, //
     },
 };
 
@@ -222,7 +223,10 @@
 
     pub(super) fn tick_peers(&mut self, now: Now, out: &mut Vec<Action>) {
         let config = Arc::clone(self.store.current());
-        if self.peers.is_empty() || now.mono.since(self.started) >= ALONE_AFTER {
+        // Before the first configuration no peer is known, which doesn't mean that there is none: a
+        // fresh router on a stale service would be ready with what its peers have left behind.
+        let alone = self.peers.is_empty() && config.revision > Revision(0);
+        if alone || now.mono.since(self.started) >= ALONE_AFTER {
             self.synced = true;
         }
         let mut lease = Vec::new();
--- a/crates/router/tests/faults/promises.rs
+++ b/crates/router/tests/faults/promises.rs
@@ -34,7 +34,8 @@
 async fn gather(sent: Vec<tokio::task::JoinHandle<Told>>) -> Vec<Told> {
     let told = join_all(sent).await;
     let told = told.into_iter();
-    told.map(|one| one.expect("a caller does not panic")).collect()
+    told.map(|one| one.expect("a caller does not panic"))
+        .collect()
 }
 
 /// Symptom: a caller gets another's bytes, or a part for the whole. Sequence: 1,000 callers at
@@ -139,7 +140,9 @@
         };
         let sent: Vec<_> = (0..60).map(send).collect();
         let driver = std::sync::Arc::clone(cluster.routers[router].driver());
-        cluster.until("requests are open", || driver.open() > 5).await;
+        cluster
+            .until("requests are open", || driver.open() > 5)
+            .await;
         cluster.routers[router].drain();
         let cut = cluster.routers[router].drained().await;
         verify_that!(cut, eq(0))?;
@@ -187,7 +190,9 @@
     let everywhere = || cluster.routers.iter().all(|r| r.revision().0 >= revision);
     verify_that!(cluster::reached(IN_FORCE, everywhere).await, is_true())?;
     let stale = json!({"mode": "older", "revision": old});
-    cluster.control(cluster.platform.control, "fault", stale).await;
+    cluster
+        .control(cluster.platform.control, "fault", stale)
+        .await;
     cluster.routers[2].freeze().await;
     cluster.start_router(1).await;
     let mut served = Vec::new();
--- a/crates/router/tests/faults/rows.rs
+++ b/crates/router/tests/faults/rows.rs
@@ -38,6 +38,7 @@
                 matrix::name(step),
                 began.elapsed().as_millis()
             );
+            found.iter().for_each(|fault| println!("{fault}"));
             if !found.is_empty() {
                 // The next cell shall not fail for what this one left behind.
                 cluster = Cluster::start(Options::default()).await;
