--- a/crates/router/tests/faults/main.rs
+++ b/crates/router/tests/faults/main.rs
@@ -1,7 +1,7 @@
 //! The fault matrix: every fault at every step, against real routers over loopback sockets, judged
 //! by what the stand-ins really did. docs/FAULTS.md shows the table and its results.
 
-#![allow(missing_docs, reason = "tests")]
+#![expect(clippy::expect_used, reason = "a test that can't set itself up fails")]
 
 mod caller;
 mod cluster;
--- a/crates/router/tests/faults/run.rs
+++ b/crates/router/tests/faults/run.rs
@@ -6,7 +6,6 @@
 
 use crate::{
     caller::{
-        self,
         Kind,
         Told,
         Word, //
@@ -293,13 +292,27 @@
             return Vec::new();
         }
         if std::time::Instant::now() >= end {
-            return vec![format!("the fleet did not recover: {undone:?}")];
+            let views: Vec<_> = cluster.routers.iter().map(view).collect();
+            let one = &undone[0];
+            return vec![format!("the fleet did not recover: {views:?}, {one:?}")];
         }
         round += 1;
         tokio::time::sleep(LOOK).await;
     }
 }
 
+/// Gets a router's name and the state of each endpoint in its view.
+fn view(router: &cluster::Router) -> (String, Vec<String>) {
+    let states = router.driver().with_node(|node| {
+        let now = toucanturn_router::clock::now().mono;
+        let state = |(key, e): (_, &Arc<toucanturn_core::config::Endpoint>)| {
+            format!("{} {:?}", e.id.as_str(), node.view().state(now, key))
+        };
+        node.config().endpoints.iter().map(state).collect()
+    });
+    (router.name.clone(), states)
+}
+
 fn revisions(cluster: &Cluster) -> Vec<Option<u64>> {
     let routers = cluster.routers.iter();
     routers.map(|r| r.is_up().then(|| r.revision().0)).collect()
