--- a/crates/router/tests/faults/main.rs
+++ b/crates/router/tests/faults/main.rs
@@ -1,7 +1,7 @@
 //! The fault matrix: every fault at every step, against real routers over loopback sockets, judged
 //! by what the stand-ins really did. docs/FAULTS.md shows the table and its results.
 
-#![allow(missing_docs, reason = "tests")]
+#![expect(clippy::expect_used, reason = "a test that can't set itself up fails")]
 
 mod caller;
 mod cluster;
@@ -11,6 +11,8 @@
 mod inject;
 mod judge;
 mod matrix;
+mod page;
+mod promises;
 mod proxy;
 mod rows;
 mod run;
