Tell the caller the outcome that the home stated

Cause: ForwardDone carried no outcome, so an entry router said done beside a service's error 500 that the home had called unknown.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -11,6 +11,7 @@
         Attempt,
         Call,
         End,
+        Outcome,
         Refusal,
         Request, //
     },
@@ -97,6 +98,8 @@
     ForwardDone {
         /// The call.
         call: Call,
+        /// What the home says became of the action.
+        outcome: Outcome,
         /// The home's refusal, if it was one.
         refusal: Option<Refusal>,
     },
--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -464,7 +464,7 @@
         &mut self,
         now: Now,
         call: Call,
-        refusal: Option<Refusal>,
+        (outcome, refusal): (Outcome, Option<Refusal>),
         out: &mut Vec<Action>,
     ) {
         if let Some(refusal) = refusal {
@@ -473,7 +473,6 @@
         if self.calls.swap_remove(&call).is_none() {
             return;
         }
-        let outcome = Outcome::Done;
         out.push(Action::Finish { call, outcome });
         out.push(Action::Log(Decision::Done {
             call,
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -231,7 +231,11 @@
             }
             Event::Ended { call, attempt, end } => self.ended(now, call, attempt, end, out),
             Event::ForwardFailed { call, sent } => self.forward_failed(now, call, sent, out),
-            Event::ForwardDone { call, refusal } => self.forward_done(now, call, refusal, out),
+            Event::ForwardDone {
+                call,
+                outcome,
+                refusal,
+            } => self.forward_done(now, call, (outcome, refusal), out),
             Event::Gone { call } => self.gone(now, call, out),
             Event::Polled { endpoint, report } => self.polled(now, endpoint, report, out),
             Event::Probed { endpoint, answered } => {
--- a/crates/core/tests/once/world/mod.rs
+++ b/crates/core/tests/once/world/mod.rs
@@ -405,7 +405,11 @@
         match self.backs.get(&(index, call)).copied() {
             Some(Back::Caller { trial }) => self.tell(trial, refusal),
             Some(Back::Entry { process, call, .. }) => {
-                let event = Event::ForwardDone { call, refusal };
+                let event = Event::ForwardDone {
+                    call,
+                    outcome: Outcome::Done,
+                    refusal,
+                };
                 let to = self.processes[process].name;
                 if self.current(to) == process {
                     self.post(index, to, Job::Event(Box::new(event)));
--- a/crates/replay/src/fleet/acts.rs
+++ b/crates/replay/src/fleet/acts.rs
@@ -245,7 +245,11 @@
     }
 
     fn forwarded(&mut self, from: (usize, u64), call: Call, refusal: Option<Refusal>) {
-        let event = Event::ForwardDone { call, refusal };
+        let event = Event::ForwardDone {
+            call,
+            outcome: Outcome::Done,
+            refusal,
+        };
         let at = self.world.now + self.trace.setup.latency;
         self.world
             .plan(at, Due::Router(from.0, from.1, Input::Event(event)));
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -444,14 +444,18 @@
             Ok(reply) => {
                 self.meta.attempts = reply.attempts;
                 self.meta.replayed = reply.replayed;
-                let refusal = refused(&reply);
+                let (outcome, refusal) = (reply.outcome, refused(&reply));
                 self.held = Some(Answer {
                     status: reply.status,
                     content_type: reply.content_type,
                     body: reply.body,
                     cached_tokens: None,
                 });
-                Event::ForwardDone { call, refusal }
+                Event::ForwardDone {
+                    call,
+                    outcome,
+                    refusal,
+                }
             }
             Err(error) => {
                 events::not_forwarded(&self.exchange.id, call, error.sent, &error);
