Let few routers watch the configuration service, and ask one peer

Cause: config_readers was read by nobody: every router watched, a failed read was followed by the next within one tick (20 calls/s a router), and a new revision was pulled from every peer that told of it. Readers are now the first by rendezvous in each region; the others pull from one peer at a time and read every 30 s; failed or empty reads pause 0.5 to 1.5 s.

--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -66,8 +66,14 @@
 mod endpoints;
 mod once;
 mod peers;
+mod reading;
 mod retries;
 
+use reading::{
+    Brought,
+    Reading, //
+};
+
 /// `Options` is what a node must know of itself.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -140,7 +146,7 @@
     // Whether peers are to hear of own requests before the next summary is due.
     early: bool,
     started: Time,
-    watching: bool,
+    reading: Reading,
     synced: bool,
     draining: Option<Time>,
     exited: bool,
@@ -170,7 +176,7 @@
             summarized: now.mono,
             early: false,
             started: now.mono,
-            watching: false,
+            reading: Reading::default(),
             synced: false,
             draining: None,
             exited: false,
@@ -256,12 +262,21 @@
             }
             Event::PeerFailed { router } => self.peer_failed(now, router, out),
             Event::Publish { source, change } => {
+                let held = self.store.held();
+                self.publish(now, &change, out);
                 if source == Source::Service {
-                    self.watching = false;
+                    let news = self.store.held() > held;
+                    let brought = if news {
+                        Brought::News
+                    } else {
+                        Brought::Nothing
+                    };
+                    self.reading.end(now.mono, brought, &mut self.rng);
                 }
-                self.publish(now, &change, out);
             }
-            Event::ReadFailed => self.watching = false,
+            Event::ReadFailed => {
+                self.reading.end(now.mono, Brought::Nothing, &mut self.rng);
+            }
             Event::Vms { age, vms } => self.vms(now, age, &vms, out),
             Event::Cache { .. } => self.view.heard(now.mono),
             Event::Tick => self.tick(now, out),
@@ -291,6 +306,7 @@
     fn applied(&mut self, now: Now, out: &mut Vec<Action>) {
         let config = Arc::clone(self.store.current());
         self.me = config.fleet.key(&self.options.id);
+        self.reading.apply(&config, self.me);
         self.view.apply(now.mono, &config);
         self.view.assign(&config, self.me);
         self.loads.apply(&config, self.me);
@@ -311,8 +327,8 @@
     }
 
     fn tick(&mut self, now: Now, out: &mut Vec<Action>) {
-        if !self.watching {
-            self.watching = true;
+        let heard = self.peers.values().filter_map(|p| p.heard).max();
+        if self.reading.begin(now.mono, heard) {
             let since = self.store.next_read();
             out.push(Action::Watch { since });
         }
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -165,7 +165,7 @@
         // What counts is the revision in force: this node may hold a newer one that is invalid,
         // and have missed the valid one in between that the peer has in force.
         let since = self.config().revision;
-        if summary.revision > since {
+        if summary.revision > since && self.reading.pull(now.mono) {
             let message = Message::Pull { since };
             out.push(Action::Send {
                 router: from,
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/node/forward.rs
@@ -1,27 +1,12 @@
 //! Calls that an entry router forwards to their home.
 
-use bytes::Bytes;
 use googletest::prelude::*;
-use serde_json::{
-    Value,
-    json, //
-};
 use toucanturn_core::{
     action::Action,
     config::Priority,
-    event::{
-        Event,
-        Source, //
-    },
+    event::Event,
     ids::Id,
-    node::{
-        Node,
-        Options, //
-    },
-    peer::{
-        Change,
-        Entry, //
-    },
+    node::Node,
     request::{
         Call,
         Key,
@@ -30,63 +15,17 @@
         Request,
         Work, //
     },
-    units::{
-        Incarnation,
-        Millis,
-        Now,
-        Revision,
-        Time,
-        Wall, //
-    },
+    units::Millis,
 };
 
-const NOW: Now = Now {
-    mono: Time(1_000_000),
-    wall: Wall(1_790_000_000_000),
+use crate::fixture::{
+    NOW,
+    node, //
 };
 
-fn entry(key: &str, value: Value) -> Entry {
-    Entry {
-        key: Bytes::copy_from_slice(key.as_bytes()),
-        revision: Revision(1),
-        value: Some(Bytes::from(value.to_string())),
-    }
-}
-
-fn change() -> Change {
-    let router = |n: u16| {
-        json!({"address": format!("10.0.0.{n}:80"), "peer_address": format!("10.0.0.{n}:81"),
-            "data_center": "be-north-1"})
-    };
-    let workspace = json!({"key_sha256": ["0".repeat(64)], "priority": 5, "requests_per_s": 100,
-        "burst": 100, "models": [], "services": ["orders"], "deadline_ms": 5000});
-    let endpoint = json!({"kind": "service", "address": "10.0.1.1:80",
-        "data_center": "be-north-1", "service": "orders"});
-    let once = json!([{"method": "POST", "path": ""}]);
-    Change {
-        since: Revision(0),
-        revision: Revision(1),
-        entries: vec![
-            entry("fleet", json!({"r1": router(1), "r2": router(2)})),
-            entry("services/orders", json!({"path": "/orders", "once": once})),
-            entry("endpoints/ord-1", endpoint),
-            entry("workspaces/shop", workspace),
-        ],
-        floor: None,
-    }
-}
-
-/// Makes router `r1` with the configuration, and a key whose home is `r2`.
+/// Makes router `r1` of two, and a key whose home is `r2`.
 fn entry_router(out: &mut Vec<Action>) -> (Node, Key) {
-    let options = Options {
-        id: Id::try_from("r1").unwrap(),
-        incarnation: Incarnation(7),
-        seed: 1,
-    };
-    let mut node = Node::new(options, NOW);
-    let source = Source::Service;
-    let change = change();
-    node.handle(NOW, Event::Publish { source, change }, out);
+    let node = node("r1", 2, 7, out);
     let config = node.config();
     let workspace = Id::try_from("shop").unwrap().tag();
     let dated = |n: u128| Key {
--- /dev/null
+++ b/crates/core/tests/node/main.rs
@@ -0,0 +1,5 @@
+//! Whole nodes, each alone with events made by hand.
+
+mod fixture;
+mod forward;
+mod reading;
