--- a/crates/core/src/node/reading.rs
+++ b/crates/core/src/node/reading.rs
@@ -38,7 +38,7 @@
 const ITEM: u64 = 0x636f_6e66;
 
 /// `Reading` is this router's part in reading the service.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(super) struct Reading {
     /// Its own random numbers: how often the service fails must not change where requests go.
     rng: StdRng,
