Split the request's task by what it does

Cause: exchange.rs had 595 lines and three jobs. Now the steps, one attempt, and the way to the home stand apart; no code changed. Catalogue and peers tests pass.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange/attempt.rs
@@ -1,12 +1,6 @@
-//! One request's own task: it carries out the steps that the node decides for it.
-//!
-//! The task owns the request's body and its way back to the caller. It reports each attempt's
-//! head and end to the node and waits for the next step; it never tries again by itself.
+//! One attempt at an endpoint: the request out, the answer's head, and its body whole or as events.
 
-use std::{
-    sync::Arc,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use bytes::{
     Bytes,
@@ -16,61 +10,40 @@
 use http::{
     HeaderMap,
     HeaderName,
-    HeaderValue,
-    Method, //
+    HeaderValue, //
 };
 use reqwest::Response;
 use tokio::{
-    sync::{
-        mpsc,
-        oneshot, //
-    },
+    sync::mpsc,
     time::timeout, //
 };
-use tokio_util::sync::CancellationToken;
 use toucanturn_core::{
-    arena::RouterKey,
-    config,
     event::Event,
-    ids::Tag,
     request::{
         self,
         Answer,
-        Attempt,
-        Call,
-        Code,
         End,
-        Outcome,
-        Prefix,
-        Refusal,
-        Token, //
-    },
-    units::{
-        Incarnation,
-        Millis,
-        Time, //
+        Prefix, //
     },
+    units::Incarnation,
 };
 
-use toucanturn_wire::forward;
-
+use super::{
+    Dispatch,
+    Exchange,
+    Shape,
+    Task, //
+};
 use crate::{
     answers::{
         self,
-        Meta,
         Reply, //
     },
     clock,
-    driver::Driver,
     endpoints::{
         Failure,
         Outgoing, //
     },
-    events,
-    imports::{
-        self,
-        Import, //
-    },
     metrics::Name,
     relay::Scanner,
 };
@@ -81,152 +54,9 @@
 /// Events on their way to a caller; a slow caller holds its own stream back.
 const RELAY_QUEUE: usize = 16;
 
-/// `Shape` says how a request's answer goes back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Shape {
-    /// In one piece.
-    Whole,
-    /// As server-sent events with an end mark.
-    Stream,
-}
-
-/// `Exchange` is a request as its task needs it.
-#[derive(Clone, Debug)]
-pub struct Exchange {
-    /// The caller's request id.
-    pub id: String,
-    /// HTTP method.
-    pub method: Method,
-    /// Path and query.
-    pub path: String,
-    /// Content type of the body.
-    pub content_type: Option<HeaderValue>,
-    /// Body.
-    pub body: Bytes,
-    /// How the answer goes back.
-    pub shape: Shape,
-    /// Tag of its workspace.
-    pub workspace: Tag,
-    /// What the node was told.
-    pub request: request::Request,
-}
-
-/// `Step` is what the node wants of a request's task.
-#[derive(Clone, Debug)]
-pub(crate) enum Step {
-    /// Send it to an endpoint.
-    Dispatch(Dispatch),
-    /// Have its prefix imported before the next dispatch.
-    Import(Import),
-    /// Send it to its home router.
-    Forward {
-        /// The home.
-        router: RouterKey,
-        /// When the answer must be back.
-        deadline: Time,
-    },
-    /// Refuse it.
-    Refuse(Refusal),
-    /// Give an earlier answer.
-    Replay(Answer),
-    /// Give the answer that the last attempt brought.
-    Finish(Outcome),
-    /// Drop it; the caller is gone.
-    Cancel,
-}
-
-/// `Dispatch` is one attempt.
-#[derive(Clone, Debug)]
-pub struct Dispatch {
-    /// Its number.
-    pub attempt: Attempt,
-    /// Where it goes.
-    pub endpoint: Arc<config::Endpoint>,
-    /// When the answer must be whole.
-    pub deadline: Time,
-    /// Time without progress after which it is broken.
-    pub idle: Millis,
-    /// Placement token for the caller.
-    pub token: Option<Token>,
-    /// For a call that runs at most once: the time from which nothing may be sent any more.
-    pub not_after: Option<Time>,
-}
-
-/// `Task` carries one request through its steps.
-#[derive(Debug)]
-pub(crate) struct Task {
-    pub(crate) driver: Arc<Driver>,
-    pub(crate) call: Call,
-    pub(crate) exchange: Exchange,
-    pub(crate) steps: mpsc::Receiver<Step>,
-    pub(crate) reply: Option<oneshot::Sender<Reply>>,
-    /// The stream to the caller, once its first event has been relayed.
-    pub(crate) stream: Option<mpsc::Sender<Bytes>>,
-    pub(crate) held: Option<Answer>,
-    pub(crate) meta: Meta,
-    pub(crate) arrived: Time,
-    /// Cancelled when the caller's connection goes away.
-    pub(crate) gone: CancellationToken,
-}
-
 impl Task {
-    /// Runs until the caller has its final answer.
-    pub(crate) async fn run(mut self) {
-        let mut told = false;
-        loop {
-            let gone = self.gone.clone();
-            let step = tokio::select! {
-                biased;
-                step = self.steps.recv() => step,
-                () = gone.cancelled(), if !told => {
-                    told = true;
-                    self.feed(Event::Gone { call: self.call });
-                    continue;
-                }
-            };
-            let more = match step {
-                None | Some(Step::Cancel) => false,
-                Some(Step::Dispatch(dispatch)) => {
-                    self.attempt(dispatch).await;
-                    true
-                }
-                Some(Step::Import(import)) => {
-                    imports::run(&self.driver, &import).await;
-                    true
-                }
-                Some(Step::Forward { router, deadline }) => {
-                    self.forward(router, deadline).await;
-                    true
-                }
-                Some(Step::Refuse(refusal)) => {
-                    self.refuse(refusal).await;
-                    false
-                }
-                Some(Step::Replay(answer)) => {
-                    self.meta.replayed = true;
-                    self.answer(answer, Outcome::Done);
-                    false
-                }
-                Some(Step::Finish(outcome)) => {
-                    if let Some(answer) = self.held.take() {
-                        self.answer(answer, outcome);
-                    }
-                    false
-                }
-            };
-            if !more {
-                break;
-            }
-        }
-        self.driver.forget(self.call);
-    }
-
-    fn feed(&self, event: Event) {
-        self.driver.feed(event);
-    }
-
     /// Makes one attempt and reports its end.
-    async fn attempt(&mut self, dispatch: Dispatch) {
+    pub(super) async fn attempt(&mut self, dispatch: Dispatch) {
         self.meta.attempts = dispatch.attempt.0;
         if self.meta.attempts > 1 {
             self.driver.metrics.count(Name::Retries, 1);
@@ -433,132 +263,6 @@
         };
         stream.send(events).await.is_ok()
     }
-
-    /// Sends the call to its home and reports what came of it.
-    async fn forward(&mut self, router: RouterKey, deadline: Time) {
-        let Some(request) = self.forwarded(deadline) else {
-            return;
-        };
-        let call = self.call;
-        let event = match self.driver.peers().forward(router, &request).await {
-            Ok(reply) => {
-                self.meta.attempts = reply.attempts;
-                self.meta.replayed = reply.replayed;
-                let (outcome, refusal) = (reply.outcome, refused(&reply));
-                self.held = Some(Answer {
-                    status: reply.status,
-                    content_type: reply.content_type,
-                    body: reply.body,
-                    cached_tokens: None,
-                });
-                Event::ForwardDone {
-                    call,
-                    outcome,
-                    refusal,
-                }
-            }
-            Err(error) => {
-                events::not_forwarded(&self.exchange.id, call, error.sent, &error);
-                Event::ForwardFailed {
-                    call,
-                    sent: error.sent,
-                }
-            }
-        };
-        self.feed(event);
-    }
-
-    fn forwarded(&self, deadline: Time) -> Option<forward::Request> {
-        let request::Work::Once { key, content, .. } = self.exchange.request.work else {
-            return None;
-        };
-        let text = |v: &HeaderValue| Bytes::copy_from_slice(v.as_bytes());
-        Some(forward::Request {
-            request_id: Bytes::copy_from_slice(self.exchange.id.as_bytes()),
-            key,
-            priority: self.exchange.request.priority,
-            deadline: deadline.since(clock::now().mono),
-            method: Bytes::copy_from_slice(self.exchange.method.as_str().as_bytes()),
-            path: Bytes::copy_from_slice(self.exchange.path.as_bytes()),
-            content_type: self
-                .exchange
-                .content_type
-                .as_ref()
-                .map(text)
-                .unwrap_or_default(),
-            body: self.exchange.body.clone(),
-            content,
-        })
-    }
-
-    async fn refuse(&mut self, refusal: Refusal) {
-        self.driver.metrics.count(Name::Refusals, 1);
-        self.count(refusal.outcome);
-        if let Some(stream) = self.stream.take() {
-            // The stream has begun: the caller learns of the break by an event, never by an end
-            // mark, so that a part cannot pass for the whole.
-            let refusal = Refusal {
-                code: Code::Truncated,
-                ..refusal
-            };
-            let body = answers::refusal_body(&refusal, &self.exchange.id);
-            let mut event = BytesMut::from(&b"event: error\ndata: "[..]);
-            event.extend_from_slice(&body);
-            event.extend_from_slice(b"\n\n");
-            let _ = stream.send(event.freeze()).await;
-            return;
-        }
-        if let Some(reply) = self.reply.take() {
-            let _ = reply.send(Reply::Refused {
-                refusal,
-                meta: self.meta.clone(),
-            });
-        }
-    }
-
-    fn answer(&mut self, answer: Answer, outcome: Outcome) {
-        self.count(outcome);
-        let Answer {
-            status,
-            content_type,
-            body,
-            ..
-        } = answer;
-        let meta = self.meta.clone();
-        if let Some(reply) = self.reply.take() {
-            let _ = reply.send(Reply::Whole {
-                status,
-                content_type,
-                body,
-                outcome,
-                meta,
-            });
-        }
-    }
-
-    fn count(&self, outcome: Outcome) {
-        let name = match outcome {
-            Outcome::Done => Name::Done,
-            Outcome::NotRun => Name::NotRun,
-            Outcome::Unknown => Name::Unknown,
-        };
-        self.driver.metrics.count(name, 1);
-    }
-}
-
-/// Gets the home's refusal out of its reply.
-fn refused(reply: &forward::Reply) -> Option<Refusal> {
-    let (outcome, retry_after) = (reply.outcome, reply.retry_after);
-    match reply.code {
-        Some(code) => Some(Refusal {
-            code,
-            outcome,
-            retry_after,
-        }),
-        // A reply without a status holds no answer to relay.
-        None if reply.status == 0 => Some(Refusal::unknown(Code::HomeUnavailable, retry_after)),
-        None => None,
-    }
 }
 
 /// Gets the prefix of a chat.
