--- a/crates/replay/src/generate.rs
+++ b/crates/replay/src/generate.rs
@@ -113,7 +113,9 @@
             expect: Expect {
                 reuse_of_oracle: Some(98.0),
                 own_cache_of_oracle: Some(95.0),
-                lead: Some(-0.5),
+                // The lead over plain rendezvous differs by seed more than it is; a test judges
+                // it over many (`verify_vitalbox_leads_every_baseline_over_many_seeds`).
+                lead: None,
                 slack: Some(2.0),
                 worst_multiple: Some(1.5),
                 refused: Some(20),
--- a/crates/replay/tests/replay/traces.rs
+++ b/crates/replay/tests/replay/traces.rs
@@ -33,6 +33,24 @@
     expect_that!(stated("vitalbox"), is_empty());
 }
 
+#[gtest]
+fn verify_vitalbox_leads_every_baseline_over_many_seeds() {
+    // Symptom: returning chats find their prefix less often than with plain hashing. Sequence:
+    // engines at the load multiple pass chats on. Cause: their caches stay behind. One seed's lead
+    // says little: it lies between -0.9 and 2.0 points.
+    let lead = |seed| {
+        let profile = Profile {
+            seed,
+            ..Profile::vitalbox()
+        };
+        run(&profile.trace(), &estimated).lead()
+    };
+    let leads: Vec<f64> = (1..=12).map(lead).collect();
+    let mean = leads.iter().sum::<f64>() / 12.0;
+    expect_that!(mean, gt(0.0));
+    expect_that!(leads, each(ge(&-1.0)));
+}
+
 #[gtest]
 fn verify_terenni_stays_even_with_a_small_load() {
     expect_that!(stated("terenni"), is_empty());
