Let a service that states no life when polled come back by its own word

Cause: leaving sticks to a life. The service stand-in states `x-incarnation` in answers to calls and in the 503 of a leaving `/readyz`, not in its 200. A leaving replica gets no call, so no router ever heard the next life. The VM list couldn't help: `stated` was set by heads, so the view waited for a stated word that polls don't give.

Mended in core: where polls of an endpoint tell of leaving, a poll sent after its own last word that it is leaving, which says neither leaving nor a life, begins the next life. It overrules neither a peer nor a VM list. `stated` now means stated when polled, so the VM list's way back works for a service that states its life to callers alone.

--- a/crates/core/src/membership/member.rs
+++ b/crates/core/src/membership/member.rs
@@ -4,6 +4,7 @@
 
 use super::{
     FRESH,
+    Seen,
     State,
     damping::Penalty,
     link::Contact, //
@@ -73,9 +74,14 @@
     pub(super) life: Incarnation,
     /// When this life was first seen to follow another.
     pub(super) born: Time,
-    /// Whether the endpoint states its life itself.
+    /// Whether the endpoint states its life when it is polled. One that states it only in answers
+    /// to requests can't say that a next life began, as it gets no request while it is leaving.
     pub(super) stated: bool,
     pub(super) leaving: bool,
+    /// When this life last said itself that it is leaving.
+    own_left: Option<Time>,
+    /// Whether a poll, of any life, has said that the endpoint is leaving.
+    polls_tell: bool,
     /// When it was last known not to be leaving, by its own word.
     pub(super) sure: Option<Time>,
     /// Word from before this moment doesn't count.
@@ -111,6 +117,8 @@
             born: Time(0),
             stated: false,
             leaving: false,
+            own_left: None,
+            polls_tell: false,
             sure: None,
             doubt: None,
             reach: 0,
@@ -180,6 +188,7 @@
         };
         self.life = life;
         self.leaving = false;
+        self.own_left = None;
         self.sure = None;
         self.reach = 0;
         self.work = 0;
@@ -187,6 +196,40 @@
         self.down = false;
     }
 
+    /// Notes that it said itself that it is leaving, in the answer to a poll or to a request.
+    pub(super) fn said_leaving(&mut self, now: Time, seen: Seen) {
+        self.own_left = Some(now);
+        self.polls_tell |= seen == Seen::Reached;
+    }
+
+    /// Notes that a life is leaving, the present one or a later one.
+    pub(super) fn leave(&mut self, life: Incarnation) {
+        if life > self.life {
+            self.own_left = None;
+        }
+        self.life = life;
+        self.leaving = true;
+    }
+
+    /// Tells whether a poll sent at `since`, whose answer says neither that the endpoint is leaving
+    /// nor which life it is, shows a next life.
+    ///
+    /// An endpoint whose polls never state a life would otherwise stay out for good after one
+    /// restart, which shows as requests refused with `no_endpoint` while it serves. Nothing is
+    /// shown where its polls don't tell that it is leaving, or such a leaving would end at once, and
+    /// nothing against a peer or a VM list, which may know more than its process.
+    pub(super) fn back_unstated(&self, since: Time) -> bool {
+        let list_agrees = self.listed.and_then(|l| l.state) == Some(VmState::Leaving);
+        let said = self.own_left.is_some_and(|left| since >= left);
+        self.leaving && self.polls_tell && said && !list_agrees
+    }
+
+    /// Gets the number that counts up from this life, for a next one that is not stated. Peers
+    /// that still spread that this life is leaving are then not believed.
+    pub(super) fn next_life(&self) -> Incarnation {
+        Incarnation(self.life.0.saturating_add(1))
+    }
+
     /// Notes that a request was answered.
     pub(super) fn answered(&mut self, now: Time) {
         self.work = 0;
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -218,10 +218,21 @@
             return None;
         }
         if word.leaving {
-            return self.leaving(now, endpoint, life);
+            let changed = self.leaving(now, endpoint, life);
+            if let Some(member) = self.members.get_mut(endpoint) {
+                member.said_leaving(now, word.seen);
+            }
+            return changed;
         }
-        member.stated |= word.life.is_some();
-        if word.life.is_some() {
+        let polled = word.seen == Seen::Reached;
+        member.stated |= polled && word.life.is_some();
+        let back = word.life.is_none() && polled && since.is_some_and(|s| member.back_unstated(s));
+        let next = if back {
+            Some(member.next_life())
+        } else {
+            word.life
+        };
+        if let Some(life) = next {
             self.begin(now, endpoint, life);
         }
         if let Some(since) = since {
@@ -298,8 +309,7 @@
         if incarnation < member.life {
             return None;
         }
-        member.life = incarnation;
-        member.leaving = true;
+        member.leave(incarnation);
         self.changed(now, endpoint)
     }
 
@@ -449,10 +459,8 @@
             member.missing = None;
             let was_gone = before.is_some_and(|l| l.state != Some(VmState::Live));
             if was_gone && member.leaving && !member.stated {
-                // An endpoint that never states its life would otherwise be lost for ever. The
-                // number counts up from the one that left, so that peers that still spread the
-                // old life are not believed.
-                let next = Incarnation(member.life.0.saturating_add(1));
+                // An endpoint that never states its life would otherwise be lost for ever.
+                let next = member.next_life();
                 member.begin(now, next);
                 member.doubt = Some(now);
             }
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -4,6 +4,7 @@
 
 use googletest::prelude::*;
 use toucanturn_core::{
+    arena::EndpointKey,
     config::Policy,
     event::VmState,
     membership::{
@@ -150,6 +151,148 @@
     expect_that!(view.state(now, key), eq(State::Live));
 }
 
+/// Makes a word without a life, asked at `now`.
+fn unstated(now: Time, leaving: bool) -> Word {
+    Word {
+        life: None,
+        leaving,
+        ..fresh(now, 0)
+    }
+}
+
+/// Polls an endpoint that states no life in the answer.
+fn poll(view: &mut View, now: Time, key: EndpointKey, leaving: bool) {
+    view.asked(now, key);
+    let answer = Word {
+        since: None,
+        ..unstated(now, leaving)
+    };
+    view.word(now + Millis(2), key, answer);
+}
+
+#[googletest::test]
+fn verify_service_that_states_no_life_when_polled_comes_back_by_its_own_word() {
+    // Symptom: every order was refused with `no_endpoint`, for good, though both replicas of the
+    // service took calls again. Sequence: a replica states its life in the answers to calls, not in
+    // those to polls; it says in a poll that it leaves, rejoins, and its polls no longer say so.
+    // Cause: leaving sticks to a life, only a greater stated one or the VM list ended it, and a
+    // leaving replica gets no call whose answer could state one.
+    let (mut view, keys) = view(START, 2);
+    let key = keys[0];
+    let head = |life| Word {
+        seen: Seen::Answered,
+        ..fresh(START, life)
+    };
+    view.word(START, key, head(3));
+    let mut now = START + Millis(100);
+    poll(&mut view, now, key, true);
+    expect_that!(view.state(now, key), eq(State::Leaving));
+    now = now + Millis(500);
+    poll(&mut view, now, key, false);
+    expect_that!(view.state(now + Millis(2), key), eq(State::Live));
+    expect_that!(view.incarnation(key), eq(Incarnation(4)));
+    // What peers still spread of the life that left doesn't hit the next one.
+    view.leaving(now, key, Incarnation(3));
+    expect_that!(view.state(now + Millis(2), key), eq(State::Live));
+}
+
+#[googletest::test]
+fn verify_service_whose_short_leaving_no_poll_met_comes_back_by_its_own_word() {
+    // Symptom: a flapping replica was lost for good. Sequence: its polls told of an earlier
+    // leaving; it leaves again, only a 503 says so, and it is back before the next poll. Cause: the
+    // poll was believed only where one had told of this very leaving.
+    let (mut view, keys) = view(START, 1);
+    let key = keys[0];
+    poll(&mut view, START, key, true);
+    poll(&mut view, START + Millis(500), key, false);
+    let now = START + Millis(700);
+    let turned_away = Word {
+        seen: Seen::Answered,
+        ..unstated(now, true)
+    };
+    view.word(now, key, turned_away);
+    expect_that!(view.state(now, key), eq(State::Leaving));
+    poll(&mut view, now + Millis(300), key, false);
+    expect_that!(view.state(now + Millis(302), key), eq(State::Live));
+}
+
+#[googletest::test]
+fn verify_unstated_poll_ends_no_leaving_that_polls_do_not_tell() {
+    // Symptom: a leaving replica gets new calls again. Sequence: its 503, a peer or the VM list
+    // says that it leaves, while its polls say nothing of it at any time. Cause: silence in a poll
+    // is taken for the news of a next life.
+    let (mut view, keys) = view(START, 3);
+    let turned_away = Word {
+        seen: Seen::Answered,
+        ..unstated(START, true)
+    };
+    view.word(START, keys[0], turned_away);
+    view.leaving(START, keys[1], Incarnation(1));
+    view.listed(START, Millis(0), &[(keys[2], VmState::Leaving)]);
+    for key in keys {
+        poll(&mut view, START + Millis(100), key, false);
+        expect_that!(view.state(START + Millis(102), key), eq(State::Leaving));
+    }
+}
+
+#[googletest::test]
+fn verify_unstated_poll_does_not_overrule_a_vm_list_that_says_leaving() {
+    // Symptom: a replica on a VM that is going gets new calls every second. Sequence: its polls say
+    // that it leaves and then nothing, as its process is replaced on the same VM; the list says
+    // leaving all along. Cause: each poll began a life that the next list ended.
+    let (mut view, keys) = view(START, 1);
+    let key = keys[0];
+    poll(&mut view, START, key, true);
+    view.listed(START, Millis(0), &[(key, VmState::Leaving)]);
+    poll(&mut view, START + Millis(500), key, false);
+    expect_that!(view.state(START + Millis(502), key), eq(State::Leaving));
+}
+
+#[googletest::test]
+fn verify_poll_sent_before_the_leaving_does_not_end_it() {
+    // Symptom: a leaving replica got calls again at once. Sequence: a poll is sent and times out, a
+    // second one says that the replica leaves, the answer to the first is read late. Cause: an old
+    // answer is taken for the news of a next life.
+    let (mut view, keys) = view(START, 1);
+    let key = keys[0];
+    poll(&mut view, START + Millis(1100), key, true);
+    view.word(START + Millis(1200), key, unstated(START, false));
+    // And one that belongs to no poll that is out says nothing, either.
+    let stray = Word {
+        since: None,
+        ..unstated(START, false)
+    };
+    view.word(START + Millis(1300), key, stray);
+    expect_that!(view.state(START + Millis(1300), key), eq(State::Leaving));
+}
+
+#[googletest::test]
+fn verify_service_that_states_its_life_to_callers_alone_comes_back_after_the_list_said_so() {
+    // Symptom: a service replica was lost for ever after one restart. Sequence: it states its life
+    // in answers to calls, not in those to polls; its 503 says that it leaves; the list names it
+    // leaving, then live again. Cause: it counted as one that states its life, so that its own word
+    // was waited for, which a leaving replica is not asked for.
+    let config = config(1, 1);
+    let mut view = View::default();
+    view.apply(START, &config);
+    let key = config.endpoints.iter().next().expect("one endpoint").0;
+    let head = |now, leaving| Word {
+        seen: Seen::Answered,
+        leaving,
+        ..fresh(now, 2)
+    };
+    view.word(START, key, head(START, false));
+    view.word(START, key, head(START, true));
+    let mut now = START;
+    for state in [VmState::Leaving, VmState::Live] {
+        now = now + Millis(1000);
+        view.listed(now, Millis(0), &[(key, state)]);
+    }
+    poll(&mut view, now, key, false);
+    expect_that!(view.state(now + Millis(2), key), eq(State::Live));
+    expect_that!(view.incarnation(key), eq(Incarnation(3)));
+}
+
 #[googletest::test]
 fn verify_endpoint_at_a_new_address_starts_afresh() {
     let mut config = config(1, 1);
