--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -1,11 +1,14 @@
 //! What can happen to a node.
 
+use std::sync::Arc;
+
 use crate::{
     arena::{
         EndpointKey,
         RouterKey, //
     },
     ids::Id,
+    orders::Loaded,
     peer,
     request::{
         Attempt,
@@ -21,7 +24,7 @@
 };
 
 /// `Report` is an endpoint's own load report.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Report {
     /// Its life.
     pub incarnation: Incarnation,
@@ -33,6 +36,8 @@
     pub queued: u32,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// What it holds, where it says.
+    pub loaded: Option<Arc<Loaded>>,
 }
 
 /// `VmState` is a VM's state in the platform's list.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod membership;
 pub mod node;
 pub mod once;
+pub mod orders;
 pub mod overload;
 pub mod peer;
 pub mod place;
--- a/crates/core/src/membership/pollers.rs
+++ b/crates/core/src/membership/pollers.rs
@@ -44,6 +44,16 @@
 /// Gets the place of `me` among the pollers of an endpoint, from 0; `None` when another region
 /// polls it. An endpoint in a region without routers is polled by all regions' routers.
 pub fn rank(config: &Config, me: RouterKey, endpoint: &Endpoint) -> Option<usize> {
+    rank_among(config, me, endpoint, |_| true)
+}
+
+/// Gets the place of `me` among those pollers of an endpoint that `there` picks.
+pub fn rank_among(
+    config: &Config,
+    me: RouterKey,
+    endpoint: &Endpoint,
+    there: impl Fn(RouterKey) -> bool,
+) -> Option<usize> {
     let home = region(config, &endpoint.data_center);
     let near = |dc: &Id| region(config, dc) == home;
     let anyone = !config.fleet.iter().any(|(_, r)| near(&r.data_center));
@@ -54,7 +64,7 @@
         chosen.then(|| (rendezvous(item, router.tag), router.tag))
     };
     let mine = score(me)?;
-    let above = |(key, _): &(RouterKey, _)| score(*key).is_some_and(|s| s > mine);
+    let above = |(key, _): &(RouterKey, _)| there(*key) && score(*key).is_some_and(|s| s > mine);
     Some(config.fleet.iter().filter(above).count())
 }
 
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -57,7 +57,6 @@
             return;
         };
         self.loads.report(now.mono, endpoint, &report);
-        self.reports.insert(endpoint, (now.mono, report));
         let word = Word {
             // A plain service may not state its life.
             life: Some(report.incarnation).filter(|life| *life != Incarnation(0)),
@@ -65,6 +64,7 @@
             seen: Seen::Reached,
             since: None,
         };
+        self.reports.insert(endpoint, (now.mono, report));
         let changed = self.view.word(now.mono, endpoint, word);
         log_member(endpoint, changed, out);
     }
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -204,6 +204,7 @@
                 in_flight: one.in_flight,
                 queued: one.queued,
                 leaving: false,
+                loaded: None,
             };
             self.loads.report(now.mono, key, &report);
             let life = one.incarnation;
--- a/crates/replay/src/fleet/acts.rs
+++ b/crates/replay/src/fleet/acts.rs
@@ -148,6 +148,7 @@
             in_flight: engine.lagged(self.world.now, lag),
             queued: 0,
             leaving: engine.state == EngineState::Leaving,
+            loaded: None,
         })
     }
 
