--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -6,6 +6,13 @@
         RouterKey,
         WorkspaceKey, //
     },
+    orders::{
+        Change,
+        Hold,
+        Number,
+        Order,
+        Reply, //
+    },
     peer,
     request::{
         Answer,
@@ -121,6 +128,24 @@
     },
     /// Read the platform's list of VMs.
     ReadVms,
+    /// Ask the weight store for the token of a load.
+    AskWeights {
+        /// The engine that is to load.
+        endpoint: EndpointKey,
+        /// Number of the question.
+        number: Number,
+        /// What is to be loaded.
+        change: Change,
+    },
+    /// Give an engine an order. Right before the first byte the driver looks whether the time is
+    /// before `not_after` and the order's revision still in force; otherwise it writes nothing and
+    /// reports [`Reply::NotSent`].
+    Order {
+        /// The engine.
+        endpoint: EndpointKey,
+        /// The order.
+        order: Order,
+    },
     /// A new configuration is in force.
     Apply {
         /// Its revision.
@@ -203,6 +228,27 @@
         /// The new state.
         state: crate::membership::State,
     },
+    /// An engine is given an order.
+    Ordered {
+        /// The engine.
+        endpoint: EndpointKey,
+        /// The order.
+        order: Order,
+    },
+    /// An engine needs an order and gets none now.
+    OrderHeld {
+        /// The engine.
+        endpoint: EndpointKey,
+        /// Why.
+        hold: Hold,
+    },
+    /// An order was answered, or will not be.
+    OrderEnded {
+        /// The engine.
+        endpoint: EndpointKey,
+        /// What came of it.
+        reply: Reply,
+    },
     /// A configuration was put in force.
     Applied {
         /// Its revision.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -8,7 +8,12 @@
         RouterKey, //
     },
     ids::Id,
-    orders::Loaded,
+    orders::{
+        Grant,
+        Loaded,
+        Number,
+        Reply, //
+    },
     peer,
     request::{
         Attempt,
@@ -161,6 +166,24 @@
         /// Prefixes and whether they are stored now.
         prefixes: Vec<(crate::request::Prefix, bool)>,
     },
+    /// The weight store answered, or did not.
+    Weights {
+        /// The engine that is to load.
+        endpoint: EndpointKey,
+        /// Number of the question.
+        number: Number,
+        /// The answer.
+        grant: Grant,
+    },
+    /// An order was answered, or will not be.
+    OrderEnded {
+        /// The engine.
+        endpoint: EndpointKey,
+        /// The order's number.
+        number: Number,
+        /// What came of it.
+        reply: Reply,
+    },
     /// Time has passed; the driver sends this every [`TICK`].
     Tick,
     /// The operator or a signal asked for a drain.
--- a/crates/core/src/membership/member.rs
+++ b/crates/core/src/membership/member.rs
@@ -330,7 +330,7 @@
     }
 
     /// Only one poll or probe is out at a time, or an answer could be taken for a later one's.
-    fn may_ask(&self, now: Time) -> bool {
+    pub(super) fn may_ask(&self, now: Time) -> bool {
         self.out.is_none_or(|t| now.since(t) >= POLL_TIMEOUT)
     }
 
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -341,6 +341,13 @@
         self.due(now, |m| m.poll_due(now, pollers::patience(policy, m.rank)))
     }
 
+    /// Tells whether an endpoint may be polled out of turn now, and counts that poll. The caller
+    /// says [`View::asked`] of it.
+    pub fn spare_poll(&mut self, now: Time, endpoint: EndpointKey) -> bool {
+        let free = self.members.get(endpoint).is_some_and(|m| m.may_ask(now));
+        free && !self.wake.settling(now) && self.meter.take(now, 1) == 1
+    }
+
     /// Notes that an endpoint is being polled or probed.
     pub fn asked(&mut self, now: Time, endpoint: EndpointKey) {
         if let Some(member) = self.members.get_mut(endpoint) {
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -57,6 +57,7 @@
             return;
         };
         self.loads.report(now.mono, endpoint, &report);
+        self.orders.report(now.mono, endpoint, &report);
         let word = Word {
             // A plain service may not state its life.
             life: Some(report.incarnation).filter(|life| *life != Incarnation(0)),
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -42,6 +42,7 @@
         View, //
     },
     once::Home,
+    orders::Orders,
     overload::Gate,
     place::{
         Scene,
@@ -65,6 +66,7 @@
 mod calls;
 mod endpoints;
 mod once;
+mod orders;
 mod peers;
 mod retries;
 
@@ -132,6 +134,7 @@
     gate: Gate,
     home: Home,
     budget: Budget,
+    orders: Orders,
     peers: SecondaryMap<RouterKey, Peer>,
     calls: IndexMap<Call, Open>,
     reports: SecondaryMap<EndpointKey, (Time, Report)>,
@@ -163,6 +166,7 @@
             gate: Gate::default(),
             home,
             budget: Budget::default(),
+            orders: Orders::default(),
             peers: SecondaryMap::new(),
             calls: IndexMap::new(),
             reports: SecondaryMap::new(),
@@ -215,7 +219,9 @@
 
     /// Handles one event and appends what is to be done.
     pub fn handle(&mut self, now: Now, event: Event, out: &mut Vec<Action>) {
-        self.view.advance(now.mono);
+        if self.view.advance(now.mono).is_some() {
+            self.orders.woke(now.mono);
+        }
         match event {
             Event::Request { call, request } => self.request(now, call, request, out),
             Event::Head {
@@ -254,11 +260,22 @@
             Event::Publish { source, change } => {
                 if source == Source::Service {
                     self.watching = false;
+                    self.orders.read(now.mono);
                 }
                 self.publish(now, &change, out);
             }
             Event::ReadFailed => self.watching = false,
             Event::Vms { age, vms } => self.vms(now, age, &vms, out),
+            Event::Weights {
+                endpoint,
+                number,
+                grant,
+            } => self.weights(now, (endpoint, number), grant, out),
+            Event::OrderEnded {
+                endpoint,
+                number,
+                reply,
+            } => self.order_ended(now, (endpoint, number), reply, out),
             Event::Cache { .. } => self.view.heard(now.mono),
             Event::Tick => self.tick(now, out),
             Event::Drain => self.drain(now, out),
@@ -294,6 +311,7 @@
         self.limits.apply(now.mono, &config);
         self.gate.apply(&config, self.me);
         self.home.apply(now, &config, self.me);
+        self.orders.apply(&config);
         self.peers.retain(|key, _| config.fleet.get(key).is_some());
         for (key, _) in config.fleet.iter() {
             if Some(key) != self.me && !self.peers.contains_key(key) {
@@ -319,6 +337,7 @@
         self.tick_limits(now, out);
         self.tick_waiting(now, out);
         self.tick_later(now, out);
+        self.tick_orders(now, out);
         self.tick_drain(now, out);
     }
 
--- /dev/null
+++ b/crates/core/src/node/orders.rs
@@ -0,0 +1,110 @@
+//! Orders to engines as actions and log lines.
+
+use std::sync::Arc;
+
+use super::Node;
+use crate::{
+    action::{
+        Action,
+        Decision, //
+    },
+    arena::EndpointKey,
+    orders::{
+        Grant,
+        Number,
+        Reply,
+        Scene,
+        Step, //
+    },
+    units::Now,
+};
+
+impl Node {
+    pub(super) fn tick_orders(&mut self, now: Now, out: &mut Vec<Action>) {
+        // A router that is about to go starts nothing that it can't see to its end.
+        if self.draining.is_some() {
+            return;
+        }
+        let config = Arc::clone(self.store.current());
+        let scene = Scene {
+            config: &config,
+            me: self.me,
+            view: &self.view,
+            now: now.mono,
+        };
+        let mut steps = Vec::new();
+        self.orders.tick(scene, &mut steps);
+        self.order_steps(now, steps, out);
+    }
+
+    pub(super) fn weights(
+        &mut self,
+        now: Now,
+        question: (EndpointKey, Number),
+        grant: Grant,
+        out: &mut Vec<Action>,
+    ) {
+        let config = Arc::clone(self.store.current());
+        let scene = Scene {
+            config: &config,
+            me: self.me,
+            view: &self.view,
+            now: now.mono,
+        };
+        let mut steps = Vec::new();
+        self.orders
+            .granted(scene, question, grant, &mut self.rng, &mut steps);
+        self.order_steps(now, steps, out);
+    }
+
+    pub(super) fn order_ended(
+        &mut self,
+        now: Now,
+        order: (EndpointKey, Number),
+        reply: Reply,
+        out: &mut Vec<Action>,
+    ) {
+        let config = Arc::clone(self.store.current());
+        let scene = Scene {
+            config: &config,
+            me: self.me,
+            view: &self.view,
+            now: now.mono,
+        };
+        if self.orders.ended(scene, order, reply, &mut self.rng) {
+            let endpoint = order.0;
+            out.push(Action::Log(Decision::OrderEnded { endpoint, reply }));
+        }
+    }
+
+    fn order_steps(&mut self, now: Now, steps: Vec<Step>, out: &mut Vec<Action>) {
+        for step in steps {
+            match step {
+                Step::Poll(endpoint) => {
+                    if self.view.spare_poll(now.mono, endpoint) {
+                        self.view.asked(now.mono, endpoint);
+                        out.push(Action::Poll { endpoint });
+                    }
+                }
+                Step::Ask {
+                    endpoint,
+                    number,
+                    change,
+                } => out.push(Action::AskWeights {
+                    endpoint,
+                    number,
+                    change,
+                }),
+                Step::Give { endpoint, order } => {
+                    let logged = order.clone();
+                    out.push(Action::Order { endpoint, order });
+                    let order = logged;
+                    out.push(Action::Log(Decision::Ordered { endpoint, order }));
+                }
+                Step::Held { endpoint, hold } => {
+                    out.push(Action::Log(Decision::OrderHeld { endpoint, hold }));
+                }
+            }
+        }
+    }
+}
--- a/crates/core/src/node/peers.rs
+++ b/crates/core/src/node/peers.rs
@@ -162,6 +162,7 @@
         if let Some(peer) = self.peers.get_mut(from) {
             peer.revision = summary.revision;
         }
+        self.orders.heard(now.mono, from, summary.revision);
         // What counts is the revision in force: this node may hold a newer one that is invalid,
         // and have missed the valid one in between that the peer has in force.
         let since = self.config().revision;
--- a/crates/core/tests/orders/world.rs
+++ b/crates/core/tests/orders/world.rs
@@ -285,7 +285,7 @@
         self.now = self.now + TICK;
         self.land();
         self.load();
-        if self.now.0 % 200 == 0 {
+        if self.now.0.is_multiple_of(200) {
             self.talk();
         }
         for n in 0..self.routers.len() {
@@ -340,7 +340,7 @@
         if router.view.advance(now).is_some() {
             router.orders.woke(now);
         }
-        if now.0 % 500 == 0 {
+        if now.0.is_multiple_of(500) {
             for engine in 0..self.engines.len() {
                 self.see(n, engine);
                 let router = &self.routers[n];
