router: carry out orders, read the weight store's token first

send_once asks right before the first byte whether the request still stands: a lease's end as before, and for an order its time and revision.

--- a/crates/core/src/orders/message.rs
+++ b/crates/core/src/orders/message.rs
@@ -25,7 +25,8 @@
 }
 
 /// `Change` is what an order asks for.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
 pub enum Change {
     /// Load a model that the engine lacks.
     LoadModel {
--- a/crates/router/src/driver.rs
+++ b/crates/router/src/driver.rs
@@ -69,6 +69,7 @@
         Metrics,
         Name, //
     },
+    orders,
     peers,
     platform::{
         self,
@@ -319,6 +320,12 @@
             Action::Probe { endpoint } => polls::probe(self, endpoint),
             Action::Watch { since } => platform::watch(self, since),
             Action::ReadVms => platform::read_vms(self),
+            Action::AskWeights {
+                endpoint,
+                number,
+                change,
+            } => orders::ask(self, endpoint, number, change),
+            Action::Order { endpoint, order } => orders::send(self, endpoint, order),
             Action::Apply { .. } => self.apply(),
             Action::Exit { cut } => {
                 self.exit.send_replace(Some(cut));
--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -4,7 +4,7 @@
 //! environment's proxies; all of that is off here. Beneath it, `hyper-util` repeats a request when
 //! a pooled connection closed before the request was written to it; that can't be switched off, so
 //! calls that run at most once don't go through a pool at all: [`Endpoints::send_once`] opens a
-//! connection, reads the clock, and writes the one request to it with `hyper` alone.
+//! connection, looks whether the request still stands, and writes the one request to it with `hyper` alone.
 
 use std::time::Duration;
 
@@ -27,17 +27,11 @@
 };
 use snafu::ResultExt;
 use tokio::net::TcpStream;
-use toucanturn_core::{
-    config::Endpoint,
-    units::Time, //
-};
+use toucanturn_core::config::Endpoint;
 
-use crate::{
-    clock,
-    errors::{
-        ClientSnafu,
-        Result, //
-    },
+use crate::errors::{
+    ClientSnafu,
+    Result, //
 };
 
 /// Time between keep-alive probes of a connection; three unanswered ones end it.
@@ -124,9 +118,9 @@
     /// Sends a request over a connection of its own, which is closed after the answer, and gets
     /// the head of the answer.
     ///
-    /// From `not_after` on nothing is sent: a process that was paused while it connected must not
-    /// send what another router may answer for by now. The clock is read after connecting, right
-    /// before the request is written.
+    /// Nothing is sent unless `stands` holds: a process that was paused while it connected must not
+    /// send what another router may answer for by now. It is asked after connecting, right before
+    /// the request is written.
     ///
     /// # Errors
     ///
@@ -135,7 +129,7 @@
         &self,
         endpoint: &Endpoint,
         outgoing: Outgoing,
-        not_after: Option<Time>,
+        stands: impl Fn() -> bool + Send,
     ) -> std::result::Result<Response, Failure> {
         let connecting = TcpStream::connect(endpoint.address);
         let stream = match tokio::time::timeout(self.connect_timeout, connecting).await {
@@ -148,7 +142,7 @@
             return Err(Failure::NotSent);
         };
         let request = request(endpoint, outgoing).ok_or(Failure::NotSent)?;
-        if not_after.is_some_and(|end| clock::now().mono >= end) {
+        if !stands() {
             return Err(Failure::NotSent);
         }
         tokio::spawn(connection);
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -24,6 +24,7 @@
         Id,
         Tag, //
     },
+    orders::Reply,
     request::Call, //
 };
 
@@ -51,6 +52,12 @@
     NotImported = 107,
     /// An endpoint's state changed.
     Member = 201,
+    /// An engine is given an order.
+    Ordered = 202,
+    /// An engine needs an order and gets none now.
+    OrderHeld = 203,
+    /// An order was answered, or will not be.
+    OrderEnded = 204,
     /// The configuration service could not be read.
     Unread = 301,
     /// A configuration was put in force.
@@ -106,6 +113,9 @@
         | Decision::AttemptFailed { call, .. }
         | Decision::Done { call, .. } => Some(*call),
         Decision::Member { .. }
+        | Decision::Ordered { .. }
+        | Decision::OrderHeld { .. }
+        | Decision::OrderEnded { .. }
         | Decision::Applied { .. }
         | Decision::Rejected { .. }
         | Decision::Lease { .. }
@@ -197,6 +207,38 @@
             endpoint = endpoint(config, *e),
             state = %state
         ),
+        Decision::Ordered { endpoint: e, order } => {
+            let (model, version) = order.change.weights();
+            event!(
+                info,
+                Ordered,
+                endpoint = endpoint(config, *e),
+                change = %order.change,
+                model = model.as_str(),
+                version = version.as_str(),
+                fence = order.fence,
+                revision = order.revision.0
+            );
+        }
+        Decision::OrderHeld { endpoint: e, hold } => event!(
+            info,
+            OrderHeld,
+            endpoint = endpoint(config, *e),
+            reason = %hold
+        ),
+        Decision::OrderEnded { endpoint: e, reply } => {
+            let held_fence = match reply {
+                Reply::Fenced(fence) => Some(*fence),
+                _ => None,
+            };
+            event!(
+                info,
+                OrderEnded,
+                endpoint = endpoint(config, *e),
+                reply = %reply,
+                held_fence
+            );
+        }
         Decision::Applied { revision } => event!(info, Applied, revision = revision.0),
         Decision::Rejected { revision, errors } => {
             event!(error, Rejected, revision = revision.0, errors)
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -267,7 +267,8 @@
         let (endpoint, not_after) = (&dispatch.endpoint, dispatch.not_after);
         let sending = async {
             if once {
-                endpoints.send_once(endpoint, outgoing, not_after).await
+                let in_time = || not_after.is_none_or(|end| clock::now().mono < end);
+                endpoints.send_once(endpoint, outgoing, in_time).await
             } else {
                 endpoints.send(endpoint, outgoing).await
             }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -21,6 +21,7 @@
 mod imports;
 pub mod links;
 pub mod metrics;
+mod orders;
 pub mod peers;
 pub mod platform;
 pub mod polls;
--- a/crates/router/src/platform.rs
+++ b/crates/router/src/platform.rs
@@ -87,7 +87,7 @@
         }
     }
 
-    fn next(&self) -> SocketAddr {
+    pub(crate) fn next(&self) -> SocketAddr {
         let at = self.at.load(Ordering::Relaxed) % self.all.len().max(1);
         self.all
             .get(at)
--- a/crates/router/src/polls.rs
+++ b/crates/router/src/polls.rs
@@ -18,7 +18,12 @@
         Event,
         Report, //
     },
+    ids::Id,
     membership,
+    orders::{
+        self,
+        Loaded, //
+    },
     units::{
         Incarnation,
         Millis, //
@@ -45,6 +50,23 @@
     queued: u32,
     #[serde(default)]
     leaving: bool,
+    models: Option<Vec<String>>,
+    version: Option<String>,
+    #[serde(default)]
+    fence: u64,
+}
+
+impl RawReport {
+    /// Gets what the engine holds; `None` where it doesn't say, so that nothing is ordered.
+    fn loaded(&self) -> Option<Arc<Loaded>> {
+        let id = |name: &String| Id::try_from(name.as_str()).ok();
+        let models = self.models.as_ref()?.iter().take(orders::MAX_MODELS);
+        Some(Arc::new(Loaded {
+            models: models.filter_map(id).collect(),
+            version: self.version.as_ref().and_then(id),
+            fence: self.fence,
+        }))
+    }
 }
 
 /// Polls an endpoint's load report.
@@ -71,7 +93,7 @@
             headers: HeaderMap::new(),
             body: Bytes::new(),
         };
-        let asked = driver.endpoints.send_once(target, outgoing, None);
+        let asked = driver.endpoints.send_once(target, outgoing, || true);
         let answer = tokio::time::timeout(POLL_TIMEOUT, asked).await;
         let answered = answer.is_ok_and(|a| a.is_ok());
         driver.feed(Event::Probed { endpoint, answered });
@@ -97,6 +119,7 @@
     }
     let raw: RawReport = response.error_for_status().ok()?.json().await.ok()?;
     Some(Report {
+        loaded: raw.loaded(),
         incarnation: Incarnation(raw.incarnation),
         age: Millis(raw.age_ms),
         in_flight: raw.in_flight,
@@ -113,5 +136,6 @@
         in_flight: answers::number(headers, "x-in-flight").unwrap_or_default(),
         queued: 0,
         leaving: answers::flag(headers, "x-leaving"),
+        loaded: None,
     }
 }
