--- a/crates/router/tests/catalogue/decisions.rs
+++ b/crates/router/tests/catalogue/decisions.rs
@@ -10,6 +10,13 @@
     config::Config,
     ids::Id,
     membership::State,
+    orders::{
+        Change,
+        Hold,
+        Number,
+        Order,
+        Reply, //
+    },
     request::{
         Attempt,
         Call,
@@ -20,8 +27,10 @@
         Refusal, //
     },
     units::{
+        Incarnation,
         Millis,
-        Revision, //
+        Revision,
+        Time, //
     },
 };
 
@@ -79,7 +88,7 @@
 }
 
 /// Number of variants of [`Decision`].
-pub(crate) const VARIANTS: usize = 11;
+pub(crate) const VARIANTS: usize = 14;
 
 /// Gets the place of a decision's variant. A new variant breaks the build here: give it an example
 /// below.
@@ -96,6 +105,23 @@
         Decision::Rejected { .. } => 8,
         Decision::Lease { .. } => 9,
         Decision::Draining { .. } => 10,
+        Decision::Ordered { .. } => 11,
+        Decision::OrderHeld { .. } => 12,
+        Decision::OrderEnded { .. } => 13,
+    }
+}
+
+fn order() -> Order {
+    Order {
+        number: Number(3),
+        fence: 5,
+        revision: Revision(42),
+        life: Incarnation(1),
+        change: Change::LoadVersion {
+            model: id("assistant"),
+            version: id("v4"),
+        },
+        not_after: Time(100),
     }
 }
 
@@ -159,5 +185,21 @@
             held: true,
         },
         Decision::Draining { open: 5 },
+        Decision::Ordered {
+            endpoint,
+            order: order(),
+        },
+        Decision::OrderHeld {
+            endpoint,
+            hold: Hold::MinReplicas,
+        },
+        Decision::OrderEnded {
+            endpoint,
+            reply: Reply::Obeyed,
+        },
+        Decision::OrderEnded {
+            endpoint,
+            reply: Reply::Fenced(7),
+        },
     ]
 }
