--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -1,11 +1,19 @@
 //! What can happen to a node.
 
+use std::sync::Arc;
+
 use crate::{
     arena::{
         EndpointKey,
         RouterKey, //
     },
     ids::Id,
+    orders::{
+        Grant,
+        Loaded,
+        Number,
+        Reply, //
+    },
     peer,
     request::{
         Attempt,
@@ -22,7 +30,7 @@
 };
 
 /// `Report` is an endpoint's own load report.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Report {
     /// Its life.
     pub incarnation: Incarnation,
@@ -34,6 +42,8 @@
     pub queued: u32,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// What it holds, where it says.
+    pub loaded: Option<Arc<Loaded>>,
 }
 
 /// `VmState` is a VM's state in the platform's list.
@@ -159,6 +169,24 @@
         /// Prefixes and whether they are stored now.
         prefixes: Vec<(crate::request::Prefix, bool)>,
     },
+    /// The weight store answered, or did not.
+    Weights {
+        /// The engine that is to load.
+        endpoint: EndpointKey,
+        /// Number of the question.
+        number: Number,
+        /// The answer.
+        grant: Grant,
+    },
+    /// An order was answered, or will not be.
+    OrderEnded {
+        /// The engine.
+        endpoint: EndpointKey,
+        /// The order's number.
+        number: Number,
+        /// What came of it.
+        reply: Reply,
+    },
     /// Time has passed; the driver sends this every [`TICK`].
     Tick,
     /// The operator or a signal asked for a drain.
