--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -66,8 +66,14 @@
 mod endpoints;
 mod once;
 mod peers;
+mod reading;
 mod retries;
 
+use reading::{
+    Brought,
+    Reading, //
+};
+
 /// `Options` is what a node must know of itself.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -140,7 +146,7 @@
     // Whether peers are to hear of own requests before the next summary is due.
     early: bool,
     started: Time,
-    watching: bool,
+    reading: Reading,
     synced: bool,
     draining: Option<Time>,
     exited: bool,
@@ -151,6 +157,7 @@
     pub fn new(options: Options, now: Now) -> Self {
         let rng = StdRng::seed_from_u64(options.seed);
         let home = Home::new(now, options.incarnation);
+        let reading = Reading::new(options.seed);
         Self {
             options,
             rng,
@@ -170,7 +177,7 @@
             summarized: now.mono,
             early: false,
             started: now.mono,
-            watching: false,
+            reading,
             synced: false,
             draining: None,
             exited: false,
@@ -231,7 +238,11 @@
             }
             Event::Ended { call, attempt, end } => self.ended(now, call, attempt, end, out),
             Event::ForwardFailed { call, sent } => self.forward_failed(now, call, sent, out),
-            Event::ForwardDone { call, refusal } => self.forward_done(now, call, refusal, out),
+            Event::ForwardDone {
+                call,
+                outcome,
+                refusal,
+            } => self.forward_done(now, call, (outcome, refusal), out),
             Event::Gone { call } => self.gone(now, call, out),
             Event::Polled { endpoint, report } => self.polled(now, endpoint, report, out),
             Event::Probed { endpoint, answered } => {
@@ -252,12 +263,21 @@
             }
             Event::PeerFailed { router } => self.peer_failed(now, router, out),
             Event::Publish { source, change } => {
+                let held = self.store.held();
+                self.publish(now, &change, out);
                 if source == Source::Service {
-                    self.watching = false;
+                    let news = self.store.held() > held;
+                    let brought = if news {
+                        Brought::News
+                    } else {
+                        Brought::Nothing
+                    };
+                    self.reading.end(now.mono, brought);
                 }
-                self.publish(now, &change, out);
             }
-            Event::ReadFailed => self.watching = false,
+            Event::ReadFailed => {
+                self.reading.end(now.mono, Brought::Nothing);
+            }
             Event::Vms { age, vms } => self.vms(now, age, &vms, out),
             Event::Cache { .. } => self.view.heard(now.mono),
             Event::Tick => self.tick(now, out),
@@ -287,6 +307,7 @@
     fn applied(&mut self, now: Now, out: &mut Vec<Action>) {
         let config = Arc::clone(self.store.current());
         self.me = config.fleet.key(&self.options.id);
+        self.reading.apply(&config, self.me);
         self.view.apply(now.mono, &config);
         self.view.assign(&config, self.me);
         self.loads.apply(&config, self.me);
@@ -307,8 +328,8 @@
     }
 
     fn tick(&mut self, now: Now, out: &mut Vec<Action>) {
-        if !self.watching {
-            self.watching = true;
+        let heard = self.peers.values().filter_map(|p| p.heard).max();
+        if self.reading.begin(now.mono, heard) {
             let since = self.store.next_read();
             out.push(Action::Watch { since });
         }
