Say takes_keys only when every new key would run

Symptom: an operator, or a test, that waits for takes_keys sends orders and is told key_expired. Sequence: the fleet list changes; keys that stayed at this home run at once, those that came from another home are refused until they are dated after the new tenure and twice clock_skew. Cause: /status tried one key only, mostly one that had stayed.

Ruled out: trying several keys (at 330 routers up to 4,096 x 330 scores under the node's lock, and still a matter of luck). The start of the newest term bounds all of them and costs one comparison. What runs is not changed, only what is said.

Conclusion: takes_keys now comes 2 x clock_skew after each change of the list.

--- a/crates/core/src/node/once.rs
+++ b/crates/core/src/node/once.rs
@@ -44,8 +44,9 @@
 const TRIES: u128 = 4096;
 
 impl Node {
-    /// Tells whether a key that a caller makes now would be run here: this router holds its lease
-    /// and has been home for long enough. A fresh fleet, and a fresh router, need a while.
+    /// Tells whether any key that a caller makes now and that has its home here would be run: this
+    /// router holds its lease and has been home for long enough. A fresh fleet, a fresh router and
+    /// every router after a change of the fleet list need a while.
     pub fn takes_keys(&self, now: Now) -> bool {
         let config = self.store.current();
         let dated = |n: u128| Key {
@@ -54,7 +55,7 @@
         };
         let own = |key: &Key| self.me.is_some() && config.home(key.item()) == self.me;
         let key = (0..TRIES).map(dated).find(own);
-        key.is_some_and(|key| self.home.vouches(now, config, key))
+        self.home.settled(now, config) && key.is_some_and(|key| self.home.vouches(now, config, key))
     }
 
     /// Tells whether this router, as the home, remembers a request with the key of `work`.
--- a/crates/core/src/once/mod.rs
+++ b/crates/core/src/once/mod.rs
@@ -185,6 +185,16 @@
         never && self.keys.get(key).is_none()
     }
 
+    /// Tells whether every key made now is dated after the newest change of homes.
+    ///
+    /// For a while after such a change the keys that stayed here run and those that came from
+    /// another home are refused; one key says nothing of the rest.
+    pub fn settled(&self, now: Now, config: &Config) -> bool {
+        let skew = config.policy.clock_skew;
+        let begun = |since| now.wall >= tenure::dated(now, since) + skew + skew;
+        self.tenure.newest().is_some_and(begun)
+    }
+
     /// Tells whether this router remembers a request with the key.
     pub fn remembers(&self, key: Key) -> bool {
         self.keys.get(key).is_some()
--- a/crates/core/src/once/tenure.rs
+++ b/crates/core/src/once/tenure.rs
@@ -58,6 +58,11 @@
         self.link(now, fleet);
     }
 
+    /// Gets the start of the newest term, before which some of the items may have been another's.
+    pub(super) fn newest(&self) -> Option<Now> {
+        self.terms.back().map(|term| term.since)
+    }
+
     /// Gets the time since when `me` alone answers for `item`; `None` if it doesn't.
     pub(super) fn since(&self, me: Tag, item: u64) -> Option<Now> {
         let mine = |t: &&Term| t.fleet.home(item) == Some(me);
