Hold what the daemon never passes on, and a freeze over its list

Cause: no test held the one spelling of an order's path, a stream that ends without its end mark, a crossed answer or another workspace's placement token against a real daemon.

Ruled out: asking for one code on the crossed answer (with every engine crossed the last attempt meets no endpoint): the outcome is what the caller acts on, and it must be unknown, as the engines ran it.

--- a/crates/toucanturnd/tests/daemon/callers.rs
+++ b/crates/toucanturnd/tests/daemon/callers.rs
@@ -29,6 +29,7 @@
         status: u16,
         retry_after: Option<u64>,
         code: String,
+        outcome: String,
     },
     /// Nobody took the connection.
     NotConnected,
@@ -83,14 +84,15 @@
     let header = answer.headers().get("retry-after");
     let retry_after = header.and_then(|v| v.to_str().ok()?.parse().ok());
     let body: Value = answer.json().await.unwrap_or_default();
-    let code = body["error"]["code"]
-        .as_str()
-        .unwrap_or_default()
-        .to_owned();
+    let text = |name: &str| {
+        let text = body["error"][name].as_str();
+        text.unwrap_or_default().to_owned()
+    };
     Chat::Refused {
         status,
         retry_after,
-        code,
+        code: text("code"),
+        outcome: text("outcome"),
     }
 }
 
--- a/crates/toucanturnd/tests/daemon/drain.rs
+++ b/crates/toucanturnd/tests/daemon/drain.rs
@@ -82,6 +82,7 @@
             status: eq(&503),
             retry_after: some(gt(&0)),
             code: eq("draining"),
+            outcome: eq("not_run"),
         })
     )?;
     let still = open.iter().filter(|stream| !stream.is_finished()).count();
--- a/crates/toucanturnd/tests/daemon/main.rs
+++ b/crates/toucanturnd/tests/daemon/main.rs
@@ -4,6 +4,7 @@
 
 #![expect(clippy::expect_used, reason = "a test that can't set itself up fails")]
 
+mod answers;
 mod callers;
 mod command;
 mod daemon;
