--- a/crates/core/src/orders/message.rs
+++ b/crates/core/src/orders/message.rs
@@ -3,7 +3,6 @@
 use crate::{
     ids::Id,
     units::{
-        Incarnation,
         Millis,
         Revision,
         Time, //
@@ -68,8 +67,6 @@
     pub fence: u64,
     /// The configuration revision that it follows.
     pub revision: Revision,
-    /// The engine's life that it is meant for.
-    pub life: Incarnation,
     /// What to do.
     pub change: Change,
     /// From this time on the driver writes no byte of it, so that a process that was paused sends
--- a/crates/core/src/orders/mod.rs
+++ b/crates/core/src/orders/mod.rs
@@ -95,6 +95,9 @@
 /// Longest wait that the weight store can impose.
 const STORE_WAIT_MAX: Millis = Millis::from_secs(600);
 
+/// Time between two looks at what engines hold.
+const TURN: Millis = Millis(500);
+
 /// Time between two rounds of polls of engines that an order waits for.
 const SURVEY: Millis = Millis(1000);
 
@@ -180,6 +183,7 @@
     store: Time,
     store_failures: u32,
     surveyed: Time,
+    turned: Time,
     next: Number,
 }
 
@@ -243,10 +247,13 @@
 
     /// Does what is due. Call it again and again.
     pub fn tick(&mut self, scene: Scene<'_>, out: &mut Vec<Step>) {
+        if scene.now.since(self.turned) < TURN {
+            return;
+        }
+        self.turned = scene.now;
         self.expire(scene);
-        let keys: Vec<_> = self.engines.keys().collect();
         let mut survey = Vec::new();
-        for key in keys {
+        for key in self.reporting(scene.now) {
             self.turn(scene, key, &mut survey, out);
         }
         if scene.now.since(self.surveyed) >= SURVEY && !survey.is_empty() {
@@ -256,6 +263,21 @@
         }
     }
 
+    /// Lists the engines that this router heard itself lately. Only those can be its own, so that
+    /// the work of a turn grows with the engines that it polls, not with all.
+    fn reporting(&mut self, now: Time) -> Vec<EndpointKey> {
+        let mut keys = Vec::new();
+        for (key, engine) in &mut self.engines {
+            let fresh = |news: &News| now.since(news.at) <= FRESH;
+            if engine.news.as_ref().is_some_and(fresh) {
+                keys.push(key);
+            } else {
+                engine.issuer = None;
+            }
+        }
+        keys
+    }
+
     /// Notes the weight store's answer and gives the order, if all still stands as it did.
     pub fn granted(
         &mut self,
@@ -396,7 +418,7 @@
             Err(hold) => hold,
         };
         let waits = matches!(hold, Hold::Pace | Hold::MinReplicas | Hold::Unreported);
-        if waits && !self.settling(scene.now) {
+        if waits && survey.is_empty() && !self.settling(scene.now) {
             let since = scene.now - FRESH;
             survey.extend(pace::unknown(&scene, &self.engines, key, since));
         }
@@ -549,7 +571,6 @@
             number,
             fence,
             revision,
-            life: scene.view.incarnation(endpoint),
             change,
             not_after: scene.now + wake::PAUSE,
         };
--- a/crates/core/tests/orders/issue.rs
+++ b/crates/core/tests/orders/issue.rs
@@ -95,11 +95,17 @@
     engine.life = 2;
     engine.loading = None;
     engine.fence = 0;
-    engine.models.clear();
     world.run(Millis::from_secs(15));
     expect_that!(world.versions(), each(eq(&"v2")));
-    expect_that!(world.engines[0].models, not(is_empty()));
     expect_that!(world.given, len(eq(2)));
+    // A life that holds nothing at all.
+    let engine = &mut world.engines[0];
+    engine.life = 3;
+    engine.fence = 0;
+    engine.models.clear();
+    world.run(Millis::from_secs(15));
+    expect_that!(world.engines[0].models, not(is_empty()));
+    expect_that!(world.given, len(eq(3)));
 }
 
 #[gtest]
--- a/crates/core/tests/orders/world.rs
+++ b/crates/core/tests/orders/world.rs
@@ -509,7 +509,10 @@
         } else if fenced && one.order.fence <= engine.fence {
             Reply::Fenced(engine.fence)
         } else {
-            engine.fence = one.order.fence;
+            // One that ignores the number doesn't keep it either: nothing may rest on its report.
+            if fenced {
+                engine.fence = one.order.fence;
+            }
             engine.loading = Some((one.order.change, until));
             Reply::Obeyed
         };
