Cut streams into the same events however they arrive

Cause: an event over MAX_EVENT was refused only when it came in several chunks, and bytes after the end mark were passed on when they came in its chunk.

--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -26,18 +26,28 @@
 pub struct Oversize;
 
 impl Scanner {
-    /// Takes bytes in and gives the whole events that they complete, as one piece.
+    /// Takes bytes in and gives the whole events that they complete, as one piece. What follows the
+    /// end mark is no part of the answer and is dropped.
     ///
     /// # Errors
     ///
-    /// Fails when an event is longer than [`MAX_EVENT`].
+    /// Fails when an event is longer than [`MAX_EVENT`], however many chunks it came in.
     pub fn push(&mut self, chunk: &[u8]) -> Result<Bytes, Oversize> {
+        if self.done {
+            return Ok(Bytes::new());
+        }
         self.buffer.extend_from_slice(chunk);
         let mut whole = 0;
         while let Some(end) = event_end(&self.buffer, whole.max(self.searched.saturating_sub(3))) {
+            if end - whole > MAX_EVENT {
+                return Err(Oversize);
+            }
             self.note(whole, end);
             whole = end;
             self.searched = end;
+            if self.done {
+                self.buffer.truncate(end);
+            }
         }
         self.searched = self.buffer.len() - whole;
         if self.searched > MAX_EVENT {
