--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -40,6 +40,9 @@
 /// Header that marks a repeated answer.
 pub const REPLAYED: HeaderName = HeaderName::from_static("x-replayed");
 
+/// When to come back after a 429 or 503 that doesn't say.
+const SOON: Millis = Millis(1000);
+
 /// `Meta` is what every answer carries beside its body.
 #[derive(Clone, Debug, Default)]
 pub struct Meta {
@@ -117,9 +120,42 @@
 
 /// Writes the JSON of a refusal by the decisions.
 pub fn refusal_body(refusal: &Refusal, id: &str) -> Bytes {
-    let code: &'static str = refusal.code.into();
-    let message = code.replace('_', " ");
-    error_body(code, &message, id, refusal.outcome, refusal.retry_after)
+    let after = come_back(status(refusal.code), refusal.retry_after);
+    let message = message(refusal.code);
+    error_body(refusal.code.into(), message, id, refusal.outcome, after)
+}
+
+/// Gets the text of a refusal: what was found, by the name of the field where there is one.
+const fn message(code: Code) -> &'static str {
+    match code {
+        Code::Draining => "this router is draining",
+        Code::NotReady => "this router has no configuration yet",
+        Code::OverLimit => "the workspace is over its limit",
+        Code::Overloaded => "requests of this priority are turned away for overload",
+        Code::Deadline => "x-deadline-ms: the deadline has passed or can't be met",
+        Code::NoEndpoint => "no endpoint can take the request",
+        Code::EndpointFailed => "every attempt at an endpoint failed",
+        Code::Truncated => "the answer broke off",
+        Code::HomeUnavailable => "idempotency-key: the router that remembers it can't be reached",
+        Code::KeyExpired => "idempotency-key: older than what is remembered",
+        Code::KeyFuture => "idempotency-key: its date is in the future",
+        Code::KeyReused => "idempotency-key: came before with another method, path or body",
+        Code::KeyInProgress => "idempotency-key: its first request is still in progress",
+        Code::KeysFull => "idempotency-key: no more keys can be remembered now",
+        Code::AnswerGone => "idempotency-key: it ran, and its answer is no longer kept",
+        Code::Forbidden => "the workspace or its rights changed while the request waited",
+    }
+}
+
+/// Gets when to come back. 429 and 503 always say it: a caller that is not told comes at once, or
+/// never.
+fn come_back(status: StatusCode, after: Option<Millis>) -> Option<Millis> {
+    let soon = match status {
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Some(SOON),
+        _ => None,
+    };
+    // Never zero: the header's least is a second, and the body must not say "at once".
+    after.or(soon).map(|after| after.max(Millis(1)))
 }
 
 fn text(value: &str) -> HeaderValue {
@@ -147,15 +183,29 @@
         header::CONTENT_TYPE,
         HeaderValue::from_static("application/json"),
     );
-    retry_after(res, denial.retry_after);
-    res.status_code(StatusCode::from_u16(denial.status).unwrap_or_default());
-    let Denial {
-        code,
-        message,
-        retry_after,
-        ..
-    } = denial;
-    res.body(error_body(code, message, id, Outcome::NotRun, *retry_after));
+    if let Some(method) = denial.allow {
+        let value = HeaderValue::from_static(method);
+        res.headers_mut().insert(header::ALLOW, value);
+    }
+    let status = StatusCode::from_u16(denial.status).unwrap_or_default();
+    let after = come_back(status, denial.retry_after);
+    retry_after(res, after);
+    res.status_code(status);
+    let Denial { code, message, .. } = denial;
+    res.body(error_body(code, message, id, Outcome::NotRun, after));
+}
+
+/// Puts an answer of the router's own into the response.
+pub(crate) fn own(res: &mut Response, id: &str, body: &serde_json::Value) {
+    common(res, id, &Meta::default());
+    res.headers_mut()
+        .insert(OUTCOME, HeaderValue::from_static("done"));
+    res.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    res.status_code(StatusCode::OK);
+    res.body(body.to_string());
 }
 
 /// Says when to come back, in whole seconds, rounded up (RFC 9110, section 10.2.3).
@@ -183,7 +233,9 @@
             if let Ok(value) = HeaderValue::from_bytes(&content_type) {
                 res.headers_mut().insert(header::CONTENT_TYPE, value);
             }
-            res.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY));
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+            retry_after(res, come_back(status, None));
+            res.status_code(status);
             res.body(body);
         }
         Reply::Stream { events, meta } => {
@@ -206,8 +258,9 @@
                 .insert(OUTCOME, text(&refusal.outcome.to_string()));
             let kind = HeaderValue::from_static("application/json");
             res.headers_mut().insert(header::CONTENT_TYPE, kind);
-            retry_after(res, refusal.retry_after);
-            res.status_code(status(refusal.code));
+            let status = status(refusal.code);
+            retry_after(res, come_back(status, refusal.retry_after));
+            res.status_code(status);
             res.body(refusal_body(&refusal, id));
         }
     }
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -49,6 +49,8 @@
     Done = 106,
     /// An engine did not import a prefix.
     NotImported = 107,
+    /// A filter refused a request before a decision.
+    Denied = 108,
     /// An endpoint's state changed.
     Member = 201,
     /// The configuration service could not be read.
@@ -57,6 +59,8 @@
     Applied = 302,
     /// A configuration was refused.
     Rejected = 303,
+    /// The list of VMs could not be read.
+    VmsUnread = 304,
     /// A home's lease began or ended.
     Lease = 401,
     /// A peer's message was refused.
@@ -211,11 +215,22 @@
     event!(debug, NotImported, from = from.as_str(), to = to.as_str(), error = %error);
 }
 
+/// Writes that a filter refused a request. The caller's own words are not in the line: they may
+/// hold its key or its text.
+pub fn denied(request_id: &str, status: u16, code: &str) {
+    event!(info, Denied, request_id, status, code);
+}
+
 /// Writes that the configuration service could not be read.
 pub fn unread(error: &dyn Display) {
     event!(warn, Unread, error = %error);
 }
 
+/// Writes that the list of VMs could not be read.
+pub fn vms_unread(error: &dyn Display) {
+    event!(warn, VmsUnread, error = %error);
+}
+
 /// Writes that a peer's message was refused.
 pub fn peer_rejected(from: Tag, error: &toucanturn_wire::Error) {
     event!(warn, PeerRejected, from = from.0, error = %error);
--- a/crates/router/src/filters/accept.rs
+++ b/crates/router/src/filters/accept.rs
@@ -49,12 +49,18 @@
         if given.is_some_and(|id| checked_id(&id).is_none()) {
             let message =
                 format!("x-request-id: expected 1 to {MAX_ID} letters, digits, '-' or '_'");
-            return deny(depot, res, ctrl, Denial::new(400, "bad_request", message));
+            return deny(
+                &self.0,
+                depot,
+                res,
+                ctrl,
+                Denial::new(400, "bad_request", message),
+            );
         }
         if self.0.open() >= self.0.settings.limits.max_open_requests {
             let mut denial = Denial::new(503, "overloaded", "too many requests are open here");
             denial.retry_after = Some(Millis(1000));
-            deny(depot, res, ctrl, denial);
+            deny(&self.0, depot, res, ctrl, denial);
         }
     }
 }
--- a/crates/router/src/filters/authenticate.rs
+++ b/crates/router/src/filters/authenticate.rs
@@ -48,7 +48,13 @@
             (Some(found), Ok(draft)) => draft.workspace = Some(found),
             _ => {
                 let message = "authorization: expected \"Bearer KEY\" with a workspace's key";
-                deny(depot, res, ctrl, Denial::new(401, "unauthorized", message));
+                deny(
+                    &self.0,
+                    depot,
+                    res,
+                    ctrl,
+                    Denial::new(401, "unauthorized", message),
+                );
             }
         }
     }
--- a/crates/router/src/filters/classify.rs
+++ b/crates/router/src/filters/classify.rs
@@ -1,21 +1,15 @@
 //! Reads a request's body and finds out what it asks for.
 
-use std::{
-    sync::Arc,
-    time::Duration, //
-};
+use std::sync::Arc;
 
 use bytes::Bytes;
-use salvo::{
-    http::ParseError,
-    prelude::{
-        Depot,
-        FlowCtrl,
-        Handler,
-        Request,
-        Response,
-        async_trait, //
-    },
+use salvo::prelude::{
+    Depot,
+    FlowCtrl,
+    Handler,
+    Request,
+    Response,
+    async_trait, //
 };
 use toucanturn_core::{
     config::{
@@ -32,13 +26,18 @@
 use super::{
     Denial,
     Draft,
+    body,
     chat::Chat,
     deny, //
 };
 use crate::{
-    answers::CHAT,
+    answers::{
+        self,
+        CHAT, //
+    },
     driver::Driver,
-    exchange::Shape, //
+    exchange::Shape,
+    metrics::Name, //
 };
 
 const CHAT_PATH: &str = "/v1/chat/completions";
@@ -57,20 +56,17 @@
     ) {
         let draft = depot.get_typed::<Draft>().ok().cloned().unwrap_or_default();
         let Some((_, workspace)) = &draft.workspace else {
-            return deny(
-                depot,
-                res,
-                ctrl,
-                Denial::new(401, "unauthorized", "no workspace"),
-            );
+            let denial = Denial::new(401, "unauthorized", "no workspace");
+            return deny(&self.0, depot, res, ctrl, denial);
         };
         let config = self.0.config();
         if req.uri().path() == MODELS_PATH && req.method() == http::Method::GET {
-            res.render(salvo::writing::Json(models(&config, workspace)));
+            self.0.metrics.count(Name::Done, 1);
+            answers::own(res, &draft.id, &models(&config, workspace));
             ctrl.skip_rest();
             return;
         }
-        let result = match self.body(req).await {
+        let result = match body::read(req, &self.0.settings.limits, draft.deadline).await {
             Ok(body) => self.work(&config, workspace, req, &body).map(|w| (body, w)),
             Err(denial) => Err(denial),
         };
@@ -80,30 +76,13 @@
                 draft.work = Some(work);
                 draft.shape = Some(shape);
             }
-            (Err(denial), _) => deny(depot, res, ctrl, denial),
+            (Err(denial), _) => deny(&self.0, depot, res, ctrl, denial),
             (Ok(_), Err(_)) => {}
         }
     }
 }
 
 impl Classify {
-    async fn body(&self, req: &mut Request) -> Result<Bytes, Denial> {
-        let most = self.0.settings.limits.max_body;
-        let limit = Duration::from_millis(self.0.settings.limits.slow_sender_timeout.0);
-        match tokio::time::timeout(limit, req.payload_with_max_size(most)).await {
-            Ok(Ok(body)) => Ok(body.clone()),
-            Ok(Err(ParseError::PayloadTooLarge)) => {
-                let message = format!("the body is longer than {most} bytes");
-                Err(Denial::new(413, "too_large", message))
-            }
-            Ok(Err(_)) => Err(Denial::new(400, "bad_request", "the body broke off")),
-            Err(_) => {
-                let message = format!("the body took longer than {} ms", limit.as_millis());
-                Err(Denial::new(408, "slow_sender", message))
-            }
-        }
-    }
-
     fn work(
         &self,
         config: &Config,
@@ -111,11 +90,13 @@
         req: &Request,
         body: &Bytes,
     ) -> Result<(Work, Shape), Denial> {
-        if req.uri().path() == CHAT_PATH {
-            if req.method() != http::Method::POST {
-                return Err(Denial::new(405, "bad_request", "expected POST"));
+        match req.uri().path() {
+            CHAT_PATH if req.method() == http::Method::POST => {
+                return self.chat(config, workspace, req, body);
             }
-            return self.chat(config, workspace, req, body);
+            CHAT_PATH => return Err(wrong_method(req, "POST")),
+            MODELS_PATH => return Err(wrong_method(req, "GET")),
+            _ => {}
         }
         call(config, workspace, req, body).map(|work| (work, Shape::Whole))
     }
@@ -127,7 +108,7 @@
         req: &Request,
         body: &Bytes,
     ) -> Result<(Work, Shape), Denial> {
-        let chat: Chat<'_> = serde_json::from_slice(body)
+        let chat = Chat::try_from(body.as_ref())
             .map_err(|e| Denial::new(400, "bad_request", format!("body: {e}")))?;
         let found = Id::try_from(chat.model.as_ref())
             .ok()
@@ -139,7 +120,7 @@
         let token = req.headers().get(CHAT);
         let token = token.and_then(|t| self.0.tokens.check(workspace.tag, t.as_bytes()));
         let prefix = token.map_or_else(|| chat.prefix(workspace.tag), |(prefix, _)| prefix);
-        let shape = if chat.stream {
+        let shape = if chat.stream == Some(true) {
             Shape::Stream
         } else {
             Shape::Whole
@@ -163,52 +144,67 @@
 ) -> Result<Work, Denial> {
     let path = req.uri().path().as_bytes();
     if !is_plain(req.uri().path()) {
-        let message = "path: expected no '%', '//', '/./' or '/../'";
+        let message = "path: expected no '%', ';', '\\', '//', '/./' or '/../'";
+        return Err(Denial::new(400, "bad_request", message));
+    }
+    let method = req.method();
+    if method.as_str().contains(|c: char| c.is_ascii_lowercase()) {
+        // Methods are case-sensitive (RFC 9110, section 9.1), but not every service knows: one that
+        // takes `post` for `POST` would run again and again what the rules hold to once.
+        let message = format!("method: found {method}, expected capital letters");
         return Err(Denial::new(400, "bad_request", message));
     }
     let found = config
         .service_at(path)
         .filter(|(key, _)| workspace.services.contains(key));
     let Some((key, service)) = found else {
-        return Err(Denial::new(
-            404,
-            "not_found",
-            "no model or service of this workspace here",
-        ));
+        let message = "path: no service of this workspace is there";
+        return Err(Denial::new(404, "not_found", message));
     };
-    let method = req.method();
     if !service.is_once(method.as_str().as_bytes(), path) {
         return Ok(Work::Plain {
             service: key,
             idempotent: method.is_idempotent(),
         });
     }
-    let Some(value) = req.headers().get("idempotency-key") else {
-        let message = "idempotency-key: expected a UUIDv7, for this call runs at most once";
-        return Err(Denial::new(400, "key_required", message));
-    };
-    let uuid = value
-        .to_str()
-        .ok()
-        .and_then(|v| uuid::Uuid::try_parse(v.trim_matches('"')).ok());
-    let Some(uuid) = uuid.filter(|u| u.get_version_num() == 7) else {
-        return Err(Denial::new(
-            400,
-            "bad_key",
-            "idempotency-key: expected a UUIDv7 (RFC 9562)",
-        ));
-    };
-    let key_of = Key {
-        workspace: workspace.tag,
-        uuid: uuid.as_u128(),
-    };
+    let uuid = key_header(req)?;
     Ok(Work::Once {
         service: key,
-        key: key_of,
+        key: Key {
+            workspace: workspace.tag,
+            uuid: uuid.as_u128(),
+        },
         content: content(req, body),
     })
 }
 
+/// Gets the idempotency key of a call that runs at most once.
+fn key_header(req: &Request) -> Result<uuid::Uuid, Denial> {
+    let mut values = req.headers().get_all("idempotency-key").iter();
+    let Some(value) = values.next() else {
+        let message = "idempotency-key: expected a UUIDv7, for this call runs at most once";
+        return Err(Denial::new(400, "key_required", message));
+    };
+    if values.next().is_some() {
+        // Of two keys, another part of the way could take the other one.
+        let message = "idempotency-key: found several, expected one";
+        return Err(Denial::new(400, "bad_key", message));
+    }
+    let text = value.to_str().unwrap_or_default().trim_matches('"');
+    let uuid = uuid::Uuid::try_parse(text).ok();
+    uuid.filter(|u| u.get_version_num() == 7).ok_or_else(|| {
+        let message = "idempotency-key: expected a UUIDv7 (RFC 9562)";
+        Denial::new(400, "bad_key", message)
+    })
+}
+
+fn wrong_method(req: &Request, right: &'static str) -> Denial {
+    let message = format!("method: found {}, expected {right}", req.method());
+    let mut denial = Denial::new(405, "bad_request", message);
+    denial.allow = Some(right);
+    denial
+}
+
 /// Tells whether a path has one spelling only. The rules for calls that run at most once compare
 /// bytes: a service that takes `/orders/./new` or `/%6Frders` for `/orders/new` would run, again
 /// and again, what the rules were to hold to once.
@@ -216,7 +212,9 @@
     let odd = |part: &str| part.is_empty() || part == "." || part == "..";
     let inner = path.strip_prefix('/').unwrap_or(path);
     let inner = inner.strip_suffix('/').unwrap_or(inner);
-    !path.contains(['%', '\\', ';']) && (inner.is_empty() || !inner.split('/').any(odd))
+    !path.contains(['%', '\\', ';'])
+        && !path.contains("//")
+        && (inner.is_empty() || !inner.split('/').any(odd))
 }
 
 /// Hashes what makes two requests the same: method, path, query and body.
--- a/crates/router/src/filters/deadline.rs
+++ b/crates/router/src/filters/deadline.rs
@@ -1,5 +1,10 @@
 //! Sets when a request's answer must be whole.
 
+use std::{
+    num::IntErrorKind,
+    sync::Arc, //
+};
+
 use salvo::prelude::{
     Depot,
     FlowCtrl,
@@ -15,11 +20,12 @@
     Draft,
     deny, //
 };
+use crate::driver::Driver;
 
 /// Longest deadline that a caller may ask for.
 const MAX_DEADLINE: Millis = Millis(24 * 3600 * 1000);
 
-pub(super) struct Deadline;
+pub(super) struct Deadline(pub(super) Arc<Driver>);
 
 #[async_trait]
 impl Handler for Deadline {
@@ -30,42 +36,31 @@
         res: &mut Response,
         ctrl: &mut FlowCtrl,
     ) {
-        let header = req
-            .headers()
-            .get("x-deadline-ms")
-            .map(|v| v.as_bytes().to_vec());
-        let given = header.map(|raw| {
-            let text = String::from_utf8_lossy(&raw).into_owned();
-            text.trim().parse::<i64>().map_err(|_| text)
-        });
+        let header = req.headers().get("x-deadline-ms");
+        let given = header.map(|v| left(&String::from_utf8_lossy(v.as_bytes())));
         let Ok(draft) = depot.get_typed_mut::<Draft>() else {
             return;
         };
-        let standard = draft
-            .workspace
-            .as_ref()
-            .map(|(_, w)| w.deadline)
-            .unwrap_or_default();
-        let denial = match given {
-            None => {
-                draft.deadline = draft.arrived + standard;
-                return;
-            }
-            Some(Ok(left)) if left > 0 => {
-                let left = Millis(left.unsigned_abs()).min(MAX_DEADLINE);
-                draft.deadline = draft.arrived + left;
-                return;
-            }
-            Some(Ok(left)) => Denial::new(
-                400,
-                "deadline",
-                format!("x-deadline-ms: {left} is in the past"),
-            ),
-            Some(Err(text)) => {
-                let message = format!("x-deadline-ms: {text:?}: expected milliseconds left");
-                Denial::new(400, "bad_request", message)
-            }
-        };
-        deny(depot, res, ctrl, denial);
+        let workspace = draft.workspace.as_ref();
+        let standard = workspace.map(|(_, w)| w.deadline).unwrap_or_default();
+        match given.unwrap_or(Ok(standard)) {
+            Ok(left) => draft.deadline = draft.arrived + left,
+            Err(denial) => deny(&self.0, depot, res, ctrl, denial),
+        }
+    }
+}
+
+/// Reads the milliseconds left. A number that no integer holds is still one: beyond the cap, or
+/// past.
+fn left(text: &str) -> Result<Millis, Denial> {
+    let past = || Denial::new(400, "deadline", format!("x-deadline-ms: {text} is past"));
+    match text.parse::<i64>().map_err(|e| e.kind().clone()) {
+        Ok(left @ 1..) => Ok(Millis(left.unsigned_abs()).min(MAX_DEADLINE)),
+        Err(IntErrorKind::PosOverflow) => Ok(MAX_DEADLINE),
+        Ok(_) | Err(IntErrorKind::NegOverflow) => Err(past()),
+        Err(_) => {
+            let message = format!("x-deadline-ms: {text:?}: expected milliseconds left");
+            Err(Denial::new(400, "bad_request", message))
+        }
     }
 }
--- a/crates/router/src/filters/mod.rs
+++ b/crates/router/src/filters/mod.rs
@@ -1,4 +1,5 @@
-//! The filter chain of callers' requests: accept, authenticate, classify, deadline, serve.
+//! The filter chain of callers' requests: accept, authenticate, deadline, priority,
+//! classify, serve.
 //!
 //! Each filter fills its part of the [`Draft`] or ends the chain with a clear error; what a filter
 //! ends was not run.
@@ -14,7 +15,10 @@
 };
 use toucanturn_core::{
     arena::WorkspaceKey,
-    config::Workspace,
+    config::{
+        Priority,
+        Workspace, //
+    },
     request::Work,
     units::{
         Millis,
@@ -25,14 +29,18 @@
 use crate::{
     answers,
     driver::Driver,
-    exchange::Shape, //
+    events,
+    exchange::Shape,
+    metrics::Name, //
 };
 
 mod accept;
 mod authenticate;
+mod body;
 mod chat;
 mod classify;
 mod deadline;
+mod priority;
 mod serve;
 
 /// `Draft` is a request on its way through the chain.
@@ -52,6 +60,8 @@
     body: Bytes,
     /// When its answer must be whole.
     deadline: Time,
+    /// Its priority, at most its workspace's.
+    priority: Priority,
 }
 
 /// Makes the chain.
@@ -59,8 +69,9 @@
     Router::with_path("{**rest}")
         .hoop(accept::Accept(Arc::clone(driver)))
         .hoop(authenticate::Authenticate(Arc::clone(driver)))
+        .hoop(deadline::Deadline(Arc::clone(driver)))
+        .hoop(priority::Priorities(Arc::clone(driver)))
         .hoop(classify::Classify(Arc::clone(driver)))
-        .hoop(deadline::Deadline)
         .goal(serve::Serve(Arc::clone(driver)))
 }
 
@@ -75,6 +86,8 @@
     pub(crate) message: String,
     /// When to come back.
     pub(crate) retry_after: Option<Millis>,
+    /// The method that the path takes, where another was found.
+    pub(crate) allow: Option<&'static str>,
 }
 
 impl Denial {
@@ -84,16 +97,21 @@
             code,
             message: message.into(),
             retry_after: None,
+            allow: None,
         }
     }
 }
 
-/// Ends the chain with an error.
-fn deny(depot: &Depot, res: &mut Response, ctrl: &mut FlowCtrl, denial: Denial) {
+/// Ends the chain with an error. The decisions never hear of the request, so it is counted and
+/// logged here.
+fn deny(driver: &Driver, depot: &Depot, res: &mut Response, ctrl: &mut FlowCtrl, denial: Denial) {
     let id = depot
         .get_typed::<Draft>()
         .map(|d| d.id.clone())
         .unwrap_or_default();
+    driver.metrics.count(Name::Refusals, 1);
+    driver.metrics.count(Name::NotRun, 1);
+    events::denied(&id, denial.status, denial.code);
     answers::reject(res, &id, &denial);
     ctrl.skip_rest();
 }
--- a/crates/router/src/filters/serve.rs
+++ b/crates/router/src/filters/serve.rs
@@ -11,14 +11,11 @@
     async_trait, //
 };
 use tokio_util::sync::CancellationToken;
-use toucanturn_core::{
-    config::Priority,
-    request::{
-        self,
-        Code,
-        Origin,
-        Refusal, //
-    },
+use toucanturn_core::request::{
+    self,
+    Code,
+    Origin,
+    Refusal, //
 };
 
 use super::Draft;
@@ -68,11 +65,6 @@
 
 fn exchange(req: &Request, draft: Draft) -> Option<Exchange> {
     let (key, workspace) = draft.workspace?;
-    let asked = req
-        .headers()
-        .get("x-priority")
-        .and_then(|v| v.to_str().ok()?.parse().ok());
-    let priority = asked.map_or(workspace.priority, |p| Priority(p).min(workspace.priority));
     let target = req
         .uri()
         .path_and_query()
@@ -89,7 +81,7 @@
         request: request::Request {
             origin: Origin::Caller,
             workspace: key,
-            priority,
+            priority: draft.priority,
             work: draft.work?,
             deadline: draft.deadline,
         },
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,6 +1,7 @@
 //! A router around the decisions of `toucanturn-core`: sockets, clocks and streams.
 //!
-//! A request passes a filter chain ([`filters`]): accept, authenticate, classify, deadline; then
+//! A request passes a filter chain ([`filters`]): accept, authenticate, deadline, priority,
+//! classify; then
 //! its own task ([`exchange`]) carries out what the node decides: admit, place, dispatch, relay,
 //! account. Controllers feed the node what happens around it: [`platform`] reads the
 //! configuration service and the list of VMs, [`polls`] asks endpoints for their load, the peer
--- a/crates/router/src/platform.rs
+++ b/crates/router/src/platform.rs
@@ -168,8 +168,12 @@
     let driver = Arc::clone(driver);
     tokio::spawn(async move {
         let address = driver.vm_list.next();
-        let Ok(raw) = get::<RawVms>(&driver, address, "/v1/vms", GRACE).await else {
-            return driver.vm_list.failed();
+        let raw = match get::<RawVms>(&driver, address, "/v1/vms", GRACE).await {
+            Ok(raw) => raw,
+            Err(error) => {
+                events::vms_unread(&error);
+                return driver.vm_list.failed();
+            }
         };
         let vm = |vm: RawVm| {
             let id = Id::try_from(vm.id.as_str()).ok()?;
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -36,6 +36,9 @@
     filters, //
 };
 
+/// Least read buffer of the HTTP library in bytes; it panics at less.
+const LEAST_BUFFER: usize = 8192;
+
 /// `Serving` is a server that runs.
 pub struct Serving {
     handle: ServerHandle,
@@ -81,9 +84,11 @@
     let address = listener.local_addr().unwrap_or(driver.settings.listen);
     let acceptor = TcpAcceptor::try_from(listener).context(ListenSnafu { address })?;
     let mut server = Server::new(acceptor);
+    let limits = &driver.settings.limits;
     server
         .http1_mut()
-        .max_buf_size(driver.settings.limits.max_header);
+        .max_header_size(limits.max_header)
+        .max_buf_size(limits.max_header.max(LEAST_BUFFER));
     let handle = server.handle();
     let task = tokio::spawn(server.serve(router));
     Ok(Serving { handle, task })
--- a/crates/router/tests/catalogue/events.rs
+++ b/crates/router/tests/catalogue/events.rs
@@ -75,6 +75,8 @@
         }
         let (from, to) = (decisions::id("eng-1"), decisions::id("eng-2"));
         events::not_imported(&from, &to, &"status 500");
+        events::denied("0198-request", 401, "unauthorized");
+        events::vms_unread(&"the platform did not answer");
         events::unread(&"the platform did not answer");
         let error = toucanturn_wire::Error::Version { found: 9 };
         events::peer_rejected(Tag(7), &error);
