Send gauges and control bytes once a second

Cause: skew, control_bytes_out, control_bytes_in, view_age_ms and open were named and never sent, config_revision was sent once a change and could be lost, and few metrics waited for their datagram to fill. The driver's loop now sends them and flushes.

--- a/crates/router/src/driver.rs
+++ b/crates/router/src/driver.rs
@@ -60,6 +60,10 @@
         Step,
         Task, //
     },
+    gauges::{
+        self,
+        Gauges, //
+    },
     imports::{
         self,
         Import, //
@@ -156,9 +160,13 @@
         let mut exit = self.exit.subscribe();
         let mut ticks = tokio::time::interval(Duration::from_millis(TICK.0));
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut gauges = Gauges::default();
+        let mut seconds = tokio::time::interval(gauges::INTERVAL);
+        seconds.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 _ = ticks.tick() => self.feed(Event::Tick),
+                _ = seconds.tick() => gauges.send(self),
                 changed = exit.changed() => {
                     if changed.is_err() {
                         return 0;
@@ -166,6 +174,7 @@
                 }
             }
             if let Some(cut) = *exit.borrow_and_update() {
+                gauges.send(self);
                 return cut;
             }
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod events;
 pub mod exchange;
 pub mod filters;
+mod gauges;
 mod imports;
 pub mod links;
 pub mod metrics;
--- a/crates/router/tests/edge/main.rs
+++ b/crates/router/tests/edge/main.rs
@@ -10,6 +10,7 @@
 mod headers;
 mod keys;
 mod log;
+mod metrics;
 mod paths;
 mod rig;
 mod scanner;
