Read long lists of VMs less often, rank only new endpoints

The list is now read once a second for each hundred endpoints, and an endpoint is ranked when it, the fleet or the regions change.

--- a/crates/core/src/membership/member.rs
+++ b/crates/core/src/membership/member.rs
@@ -1,6 +1,9 @@
 //! One endpoint in a router's view: its life, its health and how sure the router is of both.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    sync::Arc, //
+};
 
 use super::{
     FRESH,
@@ -68,7 +71,7 @@
 /// # Invariants
 ///
 /// `leaving` goes back to false only together with a greater `life`.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Member {
     pub(super) address: SocketAddr,
     pub(super) life: Incarnation,
@@ -104,6 +107,8 @@
     misses: u32,
     /// This router's place among the endpoint's pollers.
     pub(super) rank: usize,
+    /// The endpoint as it was when it was ranked.
+    pub(super) ranked: Option<Arc<Endpoint>>,
     pub(super) added: Time,
     /// State last given to the node.
     pub(super) given: State,
@@ -134,6 +139,7 @@
             asked: None,
             misses: 0,
             rank: 0,
+            ranked: None,
             added: now,
             given: State::Suspect,
         }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -7,6 +7,9 @@
 //! asked again. This last rule alone covers a router that was paused or cut off, as its own clock
 //! goes on while its news stops.
 
+use std::sync::Arc;
+
+use indexmap::IndexMap;
 use slotmap::SecondaryMap;
 
 use crate::{
@@ -19,9 +22,11 @@
         Policy, //
     },
     event::VmState,
+    ids::Id,
     units::{
         Incarnation,
         Millis,
+        Revision,
         Time, //
     },
 };
@@ -111,6 +116,16 @@
     meter: Meter,
     /// Since when this router's own link is at fault.
     cut: Option<Time>,
+    /// The fleet for which the endpoints were ranked.
+    fleet: Option<Fleet>,
+}
+
+/// `Fleet` is what ranks depend on besides the endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Fleet {
+    epoch: Revision,
+    me: Option<RouterKey>,
+    regions: IndexMap<Id, Id>,
 }
 
 impl View {
@@ -151,13 +166,31 @@
     }
 
     /// Works out which endpoints this router polls; `me` is `None` while it is not in the fleet.
+    ///
+    /// Ranking an endpoint walks the fleet, and most changes of the configuration touch neither the
+    /// fleet nor many endpoints: only what is new is ranked then.
     pub fn assign(&mut self, config: &Config, me: Option<RouterKey>) {
+        let fleet = Fleet {
+            epoch: config.epoch,
+            me,
+            regions: config.policy.data_centers.clone(),
+        };
+        let same = self.fleet.as_ref() == Some(&fleet);
+        self.fleet = Some(fleet);
         for (key, member) in &mut self.members {
-            let endpoint = config.endpoints.get(key);
-            let rank = me
-                .zip(endpoint)
-                .and_then(|(me, e)| pollers::rank(config, me, e));
+            let Some(endpoint) = config.endpoints.get(key) else {
+                continue;
+            };
+            let known = member
+                .ranked
+                .as_ref()
+                .is_some_and(|e| Arc::ptr_eq(e, endpoint));
+            if same && known {
+                continue;
+            }
+            let rank = me.and_then(|me| pollers::rank(config, me, endpoint));
             member.rank = rank.unwrap_or(usize::MAX);
+            member.ranked = Some(Arc::clone(endpoint));
         }
     }
 
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -25,9 +25,13 @@
     },
 };
 
-/// Time between two readings of the platform's list of VMs.
+/// Least time between two readings of the platform's list of VMs.
 const LIST_INTERVAL: Millis = Millis(1000);
 
+/// Endpoints whose entries in the list may be read in that time; a longer list is read less often,
+/// as each reading brings the whole. An endpoint's own word comes sooner anyway.
+const LISTED_AT_ONCE: u64 = 100;
+
 impl Node {
     pub(super) fn vms(
         &mut self,
@@ -119,7 +123,10 @@
             self.view.asked(now.mono, endpoint);
             out.push(Action::Poll { endpoint });
         }
-        if now.mono.since(self.listed) >= LIST_INTERVAL {
+        let parts = (config.endpoints.len() as u64)
+            .div_ceil(LISTED_AT_ONCE)
+            .max(1);
+        if now.mono.since(self.listed) >= Millis(LIST_INTERVAL.0.saturating_mul(parts)) {
             self.listed = now.mono;
             out.push(Action::ReadVms);
         }
--- a/crates/lab/src/bin/capacity/world.rs
+++ b/crates/lab/src/bin/capacity/world.rs
@@ -50,6 +50,7 @@
         End,
         Key,
         Origin,
+        Outcome,
         Prefix,
         Request,
         Work, //
@@ -445,7 +446,14 @@
             }
             Action::Forward { call, .. } => {
                 let refusal = None;
-                self.later(self.round_trip, Event::ForwardDone { call, refusal });
+                self.later(
+                    self.round_trip,
+                    Event::ForwardDone {
+                        call,
+                        outcome: Outcome::Done,
+                        refusal,
+                    },
+                );
             }
             Action::Poll { endpoint } => {
                 let in_flight = u32::try_from(IN_FLIGHT).unwrap_or(0);
