Mend what made the fault matrix red without a fault of the fleet

The thousand callers: 210 to 355 got an answer, more than 500 expected. What they were told, counted in one run: 210 done, 381 `overloaded`, 285 `over_limit`, 124 others. 1,000 chats at once are three times what five engines of 64 take; since the overload gate is in, the rest is turned away truly as not run (and some wait over the 100 ms for a grant on a busy machine). `judge` asks each engine for its truth once instead of once a refused chat.

vm_lists_differ: in some runs both replicas stay `Leaving`. A list said that the life leaves, the replica is replaced, and the stand-in's `/readyz` answers 200 without `x-incarnation`, against PROTOCOLS.md; what a list says is rightly not undone by a poll that states no life.

endpoint_silent at draining: the held whole chat and order went into a connection that the cell before had silenced (told `endpoint_failed`, unknown, at its deadline), so none came to the gate. Once the fleet was seen to serve beside silent connections, they are closed between cells.

A cell whose request misses its gate now says what callers were told and what routers saw.

--- a/crates/router/tests/faults/caller.rs
+++ b/crates/router/tests/faults/caller.rs
@@ -57,6 +57,18 @@
     pub(crate) runs_then: u64,
 }
 
+impl Told {
+    /// Gets the time after which the caller may come back, if it was told that nothing was run.
+    pub(crate) fn retry_after(&self) -> Option<std::time::Duration> {
+        let Word::NotRun(text) = &self.word else {
+            return None;
+        };
+        let error: Value = serde_json::from_str(text).ok()?;
+        let wait = error["error"]["retry_after_ms"].as_u64()?;
+        Some(std::time::Duration::from_millis(wait))
+    }
+}
+
 /// `Kind` is what a request is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Kind {
--- a/crates/router/tests/faults/cluster.rs
+++ b/crates/router/tests/faults/cluster.rs
@@ -45,8 +45,7 @@
     engine,
     platform,
     server::Handle,
-    service,
-    truth::State, //
+    service, //
 };
 
 use crate::{
@@ -353,19 +352,6 @@
         answer.json().await.expect("the truth is JSON")
     }
 
-    /// Gets how often a chat ran, at all engines and in all their lives.
-    pub(crate) async fn chat_runs(&self, id: &str) -> usize {
-        let mut runs = 0;
-        for life in self.engines.iter().flat_map(|e| &e.lives) {
-            let truth: engine::Truth = self.truth(life).await;
-            let ran = |r: &&toucanturn_standin::truth::Request| {
-                r.id == id && r.state != State::TurnedAway
-            };
-            runs += truth.requests.iter().filter(ran).count();
-        }
-        runs
-    }
-
     /// Makes a new idempotency key whose home is the given router.
     pub(crate) fn key_at(&self, router: usize) -> uuid::Uuid {
         let up = self.routers.iter().find(|r| r.is_up());
--- a/crates/router/tests/faults/inject.rs
+++ b/crates/router/tests/faults/inject.rs
@@ -197,6 +197,16 @@
         }
     }
 
+    /// Closes the connections that were silenced, once the fleet was seen to serve beside them: the
+    /// next cell's held requests would be lost in them and never come to their gates.
+    pub(crate) fn close_silent(&self, fault: Fault, to: &Targets) {
+        match fault {
+            Fault::EndpointSilent => self.targets(to).for_each(|one| one.link.reset()),
+            Fault::PeerSilent => self.routers.iter().for_each(|r| r.peers.reset()),
+            _ => {}
+        }
+    }
+
     async fn flap(&self, to: &Targets) {
         for _ in 0..3 {
             self.order_endpoints(to, "leave", json!({})).await;
--- a/crates/router/tests/faults/judge.rs
+++ b/crates/router/tests/faults/judge.rs
@@ -1,8 +1,12 @@
 //! Judges what callers were told by what the stand-ins did.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use toucanturn_standin::{
+    engine,
     service,
     truth::State, //
 };
@@ -28,8 +32,9 @@
         let runs = runs.get(key).copied().unwrap_or_default();
         order(key, runs, &told, &mut faults);
     }
+    let ran = chats(cluster).await;
     for one in told.iter().filter(|one| one.kind != Kind::Order) {
-        if matches!(one.word, Word::NotRun(_)) && cluster.chat_runs(&one.name).await > 0 {
+        if matches!(one.word, Word::NotRun(_)) && ran.contains(&one.name) {
             faults.push(format!("told not run, later run: {one:?}"));
         }
     }
@@ -85,6 +90,21 @@
     }
 }
 
+/// Gets the ids of all chats that ran, at any engine and in any of its lives.
+async fn chats(cluster: &Cluster) -> BTreeSet<String> {
+    let mut ran = BTreeSet::new();
+    for life in cluster.engines.iter().flat_map(|e| &e.lives) {
+        let truth: engine::Truth = cluster.truth(life).await;
+        let requests = truth.requests.into_iter();
+        ran.extend(
+            requests
+                .filter(|r| r.state != State::TurnedAway)
+                .map(|r| r.id),
+        );
+    }
+    ran
+}
+
 async fn runs(cluster: &Cluster) -> BTreeMap<String, u64> {
     let mut runs = BTreeMap::new();
     for life in cluster.replicas.iter().flat_map(|r| &r.lives) {
--- a/crates/router/tests/faults/promises.rs
+++ b/crates/router/tests/faults/promises.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     caller::{
+        Callers,
         Kind,
         Told,
         Word, //
@@ -28,6 +29,8 @@
 
 /// Time within which an accepted configuration is in force everywhere.
 const IN_FORCE: Duration = Duration::from_secs(5);
+/// Time for which a caller that is turned away comes back.
+const PERSISTENCE: Duration = Duration::from_secs(20);
 /// Time after which an endpoint that is leaving gets no new work.
 const LEFT: Duration = Duration::from_secs(3);
 
@@ -38,9 +41,28 @@
         .collect()
 }
 
+/// Sends a chat, and again whenever it was told "not run, come back after a while", as callers do.
+/// Gives what was told each time; each try is a request of its own.
+async fn persist(callers: Callers, n: usize) -> Vec<Told> {
+    let kind = [Kind::Stream, Kind::Whole][n % 2];
+    let end = Instant::now() + PERSISTENCE;
+    let mut told = Vec::new();
+    loop {
+        let id = format!("caller-{n}-{}", told.len());
+        let one = callers.send(n % 3, kind, &id, Uuid::nil(), 8).await;
+        let wait = one.retry_after();
+        told.push(one);
+        match wait {
+            Some(wait) if Instant::now() + wait < end => tokio::time::sleep(wait).await,
+            _ => return told,
+        }
+    }
+}
+
 /// Symptom: a caller gets another's bytes, or a part for the whole. Sequence: 1,000 callers at
-/// once while engines answer late, crossed, truncated and without an end mark. Cause: identity or
-/// end mark that nobody checks.
+/// once, three times what the engines take, while engines answer late, crossed, truncated and
+/// without an end mark; who is turned away comes back when told. Cause: identity or end mark that
+/// nobody checks.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn verify_a_thousand_callers_get_their_own_whole_answer_or_an_error() -> Result<()> {
@@ -57,21 +79,21 @@
         cluster.control(engine.control(), "fault", fault).await;
     }
     let callers = cluster.callers();
-    let send = |n: usize| {
-        let callers = callers.clone();
-        let kind = [Kind::Stream, Kind::Whole][n % 2];
-        tokio::spawn(async move {
-            let id = format!("caller-{n}");
-            callers.send(n % 3, kind, &id, Uuid::nil(), 8).await
-        })
-    };
-    let told = gather((0..1000).map(send).collect()).await;
-    let done = told.iter().filter(|t| matches!(t.word, Word::Done(_)));
-    let done = done.count();
-    println!("{done} of {} got their whole answer", told.len());
+    let send = |n: usize| tokio::spawn(persist(callers.clone(), n));
+    let all = join_all((0..1000).map(send)).await;
+    let all: Vec<Vec<Told>> = all.into_iter().collect::<std::result::Result<_, _>>()?;
+    let last = all.iter().filter_map(|tries| tries.last());
+    let done = last.filter(|t| matches!(t.word, Word::Done(_))).count();
+    let callers = all.len();
+    let told: Vec<Told> = all.into_iter().flatten().collect();
+    println!(
+        "{done} of {callers} got their whole answer, in {} requests",
+        told.len()
+    );
     verify_that!(judge::judge(&cluster, &told).await, is_empty())?;
-    verify_that!(told.len(), eq(1000))?;
-    verify_that!(done, gt(500))
+    verify_that!(callers, eq(1000))?;
+    // Four engines spoil 60 answers each.
+    verify_that!(done, gt(700))
 }
 
 /// Symptom: a leaving engine still gets work. Sequence: it leaves while one router is cut off from
--- a/crates/router/tests/faults/run.rs
+++ b/crates/router/tests/faults/run.rs
@@ -105,13 +105,13 @@
         tokio::spawn(async move { callers.send(ENTRY, kind, &id, key, TOKENS).await })
     });
     let sent: Vec<_> = sent.collect();
-    let targets = match at_gates(cluster, step, &held).await {
-        Ok(targets) => targets,
-        Err(missing) => {
-            faults.push(missing);
-            Targets::default()
-        }
-    };
+    let mut missing = None;
+    let targets = at_gates(cluster, step, &held).await;
+    let targets = targets.unwrap_or_else(|gate| {
+        let views: Vec<_> = cluster.routers.iter().map(view).collect();
+        missing = Some(format!("{gate} with {views:?}"));
+        Targets::default()
+    });
     if step == Step::Draining {
         cluster.routers[ENTRY].drain();
     }
@@ -129,7 +129,9 @@
         told.extend(join(during).await);
         cluster.lift(fault, &targets).await;
     }
-    told.extend(join(sent).await);
+    let sent = join(sent).await;
+    faults.extend(missing.map(|gate| format!("{gate}: {sent:?}")));
+    told.extend(sent);
     links(cluster, step).iter().for_each(|link| link.arm(&[]));
     if step == Step::Draining && fault != Fault::EntryKilled {
         faults.extend(drained(cluster, &told[told.len() - kinds.len()..], fault).await);
@@ -139,6 +141,7 @@
     }
     faults.extend(in_force(cluster, fault, &before).await);
     faults.extend(recovered(cluster, &label, &mut told, key).await);
+    cluster.close_silent(fault, &targets);
     faults.extend(judge::judge(cluster, &told).await);
     faults
         .into_iter()
@@ -303,6 +306,9 @@
 
 /// Gets a router's name and the state of each endpoint in its view.
 fn view(router: &cluster::Router) -> (String, Vec<String>) {
+    if !router.is_up() {
+        return (router.name.clone(), Vec::new());
+    }
     let states = router.driver().with_node(|node| {
         let now = toucanturn_router::clock::now().mono;
         let state = |(key, e): (_, &Arc<toucanturn_core::config::Endpoint>)| {
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -113,7 +113,8 @@
         self.set_own_headers(res);
     }
 
-    fn set_own_headers(&self, res: &mut Response) {
+    /// Sets the headers that tell of the endpoint itself.
+    pub(crate) fn set_own_headers(&self, res: &mut Response) {
         http::set_header(res, "x-in-flight", self.in_flight.load(Ordering::Relaxed));
         http::set_header(res, "x-incarnation", self.incarnation());
         if self.is_leaving() {
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -171,6 +171,7 @@
         if self.0.is_leaving() {
             self.0.turn_away(req, res);
         } else {
+            self.0.set_own_headers(res);
             res.status_code(StatusCode::OK);
             res.render("ready");
         }
