Read chats in the core, once for router and command line

Cause: the hash of a chat's prefix stood twice, and a test compiled the router's file into the command line's tests to compare them; a new dependency of that file then broke the build. Core's chat module has it now.

--- a/crates/router/src/filters/chat.rs
+++ b/crates/core/src/chat.rs
@@ -1,34 +1,38 @@
 //! The parts of a chat-completions request that routing needs.
 
+use std::borrow::Cow;
+
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use toucanturn_core::{
+
+use crate::{
     ids::Tag,
     request::Prefix, //
 };
 
 /// `Chat` is a chat-completions request; fields that routing does not need are left alone.
 #[derive(Debug, Deserialize)]
-pub(super) struct Chat<'a> {
+pub struct Chat<'a> {
     /// Model asked for.
-    pub(super) model: std::borrow::Cow<'a, str>,
+    pub model: Cow<'a, str>,
     /// Whether the answer shall come as events; null is as absent.
     #[serde(default)]
-    pub(super) stream: Option<bool>,
+    pub stream: Option<bool>,
     /// The messages as they were written.
     #[serde(borrow)]
-    pub(super) messages: Vec<&'a RawValue>,
+    pub messages: Vec<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
 struct Role<'a> {
     #[serde(borrow)]
-    role: std::borrow::Cow<'a, str>,
+    role: Cow<'a, str>,
 }
 
 impl<'a> TryFrom<&'a [u8]> for Chat<'a> {
     type Error = serde_path_to_error::Error<serde_json::Error>;
 
+    /// Reads a request's body.
     fn try_from(body: &'a [u8]) -> Result<Self, Self::Error> {
         let mut json = serde_json::Deserializer::from_slice(body);
         let chat = serde_path_to_error::deserialize(&mut json)?;
@@ -40,18 +44,23 @@
 }
 
 impl Chat<'_> {
-    /// Gets the hash of the part that stays when the chat returns: everything up to the first
-    /// message of the user. A chat that returns with a placement token keeps the token's.
-    pub(super) fn prefix(&self, workspace: Tag) -> Prefix {
-        let mut hash = xxhash_rust::xxh3::Xxh3::with_seed(u64::from(workspace.0));
-        hash.update(self.model.as_bytes());
-        for message in &self.messages {
-            hash.update(message.get().as_bytes());
-            let role = serde_json::from_str::<Role<'_>>(message.get());
-            if role.is_ok_and(|r| r.role == "user") {
-                break;
-            }
+    /// Gets the chat's prefix. A chat that returns with a placement token keeps the token's.
+    pub fn prefix(&self, workspace: Tag) -> Prefix {
+        prefix(workspace, &self.model, &self.messages)
+    }
+}
+
+/// Hashes the part of a chat that stays when it returns: the model and all messages up to the first
+/// one of the user.
+pub fn prefix(workspace: Tag, model: &str, messages: &[&RawValue]) -> Prefix {
+    let mut hash = xxhash_rust::xxh3::Xxh3::with_seed(u64::from(workspace.0));
+    hash.update(model.as_bytes());
+    for message in messages {
+        hash.update(message.get().as_bytes());
+        let role = serde_json::from_str::<Role<'_>>(message.get());
+        if role.is_ok_and(|r| r.role == "user") {
+            break;
         }
-        Prefix(hash.digest())
     }
+    Prefix(hash.digest())
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod action;
 pub mod arena;
+pub mod chat;
 pub mod config;
 pub mod event;
 pub mod ids;
--- a/crates/router/src/filters/classify.rs
+++ b/crates/router/src/filters/classify.rs
@@ -12,6 +12,7 @@
     async_trait, //
 };
 use toucanturn_core::{
+    chat::Chat,
     config::{
         Config,
         Workspace, //
@@ -27,7 +28,6 @@
     Denial,
     Draft,
     body,
-    chat::Chat,
     deny, //
 };
 use crate::{
--- a/crates/router/src/filters/mod.rs
+++ b/crates/router/src/filters/mod.rs
@@ -37,7 +37,6 @@
 mod accept;
 mod authenticate;
 mod body;
-mod chat;
 mod classify;
 mod deadline;
 mod priority;
--- a/crates/toucanturn/tests/cli/chat.rs
+++ b/crates/toucanturn/tests/cli/chat.rs
@@ -1,9 +1,10 @@
 //! `toucanturn explain --chat` and the router's own classification.
-//!
-//! The router keeps its reading of a chat to itself, so its source is part of this test.
 
 use googletest::prelude::*;
-use toucanturn_core::ids::Tag;
+use toucanturn_core::{
+    chat::Chat,
+    ids::Tag, //
+};
 
 use crate::support::{
     Files,
@@ -11,10 +12,6 @@
     toucanturn, //
 };
 
-#[expect(dead_code, reason = "the router reads more of a chat")]
-#[path = "../../../router/src/filters/chat.rs"]
-mod classified;
-
 /// Symptom: `explain` names another engine than the one that a chat goes to. Cause: the tool and
 /// the router hash different parts of the chat.
 #[gtest]
@@ -32,7 +29,7 @@
         r#"{"model":"assistant","messages":[]}"#,
     ];
     for chat in chats {
-        let classified: classified::Chat<'_> = serde_json::from_str(chat).expect("a chat");
+        let classified = Chat::try_from(chat.as_bytes()).expect("a chat");
         let prefix = classified.prefix(Tag::of(b"vitalbox-chat"));
         let run = toucanturn([
             "explain",
