Test skew, control bytes and Retry-After by their values

Cause: the tests so far saw that the metrics come, not that their values are right, and a Retry-After under a second or of an endpoint's own 503 was tried by none. Red: none of the three found a fault in the code; the first form of the skew test failed by its own fault (mode slow delays every token, so the chat outlived its deadline; now late).

--- a/crates/router/tests/edge/headers.rs
+++ b/crates/router/tests/edge/headers.rs
@@ -1,9 +1,25 @@
 //! Headers with values that are wrong, past or out of range.
 
+use bytes::Bytes;
 use googletest::prelude::*;
+use tokio_util::sync::CancellationToken;
+use toucanturn_core::{
+    request::{
+        Code,
+        Outcome,
+        Refusal, //
+    },
+    units::Millis,
+};
+use toucanturn_router::answers::{
+    self,
+    Meta,
+    Reply, //
+};
 
 use crate::{
     answer::{
+        Answer,
         expect_denied,
         expect_retry_after, //
     },
@@ -119,6 +135,58 @@
     expect_retry_after(&refused);
 }
 
+/// Symptom: a caller comes back a moment before it would be served, and is refused again. Cause: a
+/// time in milliseconds cut off to the header's whole seconds, or a 429 or 503 without one.
+#[gtest]
+fn verify_retry_after_is_rounded_up_and_the_body_says_the_same() {
+    let cases = [
+        (Code::OverLimit, Some(0), "1", Some(1)),
+        (Code::OverLimit, Some(1), "1", Some(1)),
+        (Code::OverLimit, Some(1000), "1", Some(1000)),
+        (Code::OverLimit, Some(1001), "2", Some(1001)),
+        (Code::NoEndpoint, None, "1", Some(1000)),
+        (Code::KeyReused, None, "", None),
+    ];
+    for (code, after, header, body) in cases {
+        let refusal = Refusal::not_run(code, after.map(Millis));
+        let meta = Meta::default();
+        let answer = written(Reply::Refused { refusal, meta });
+        expect_that!(answer.header("retry-after").unwrap_or_default(), eq(header));
+        let said = answer.json()["error"]["retry_after_ms"].as_u64();
+        expect_that!(said, eq(body), "{code:?}");
+    }
+    for (status, header) in [(503, "1"), (429, "1"), (200, ""), (500, "")] {
+        let answer = written(Reply::Whole {
+            status,
+            content_type: Bytes::from_static(b"text/plain"),
+            body: Bytes::from_static(b"an endpoint's own"),
+            outcome: Outcome::Unknown,
+            meta: Meta::default(),
+        });
+        expect_that!(answer.header("retry-after").unwrap_or_default(), eq(header));
+    }
+}
+
+/// Writes a reply as a caller gets it.
+fn written(reply: Reply) -> Answer {
+    let mut res = salvo::Response::new();
+    let guard = CancellationToken::new().drop_guard();
+    answers::write(&mut res, "0198-request", reply, guard);
+    let header = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
+        let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+        (name.to_string(), value)
+    };
+    let body = match &res.body {
+        salvo::http::ResBody::Once(body) => body.to_vec(),
+        _ => Vec::new(),
+    };
+    Answer {
+        status: res.status_code.map_or(0, |s| s.as_u16()),
+        headers: res.headers().iter().map(header).collect(),
+        body,
+    }
+}
+
 /// Symptom: a caller that lists the models can't find its request in the log. Cause: an answer
 /// that the chain gives itself, without the headers that every answer carries.
 #[gtest]
--- a/crates/router/tests/edge/metrics.rs
+++ b/crates/router/tests/edge/metrics.rs
@@ -22,12 +22,24 @@
 /// Time for metrics that are sent once a second.
 const REST: Duration = Duration::from_secs(4);
 
-/// Listens until each of `names` has come; gives the latest value of each metric seen.
-fn listen(socket: &UdpSocket, names: &[&str]) -> BTreeMap<String, String> {
+/// Opens a socket for metrics; gives it with its address.
+fn open() -> (UdpSocket, String) {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("bind");
+    let time_out = Some(Duration::from_millis(50));
+    socket.set_read_timeout(time_out).expect("a time-out");
+    let address = socket.local_addr().expect("address").to_string();
+    (socket, address)
+}
+
+/// Listens until metrics are as wanted; gives the latest value of each.
+fn listen(
+    socket: &UdpSocket,
+    wanted: impl Fn(&BTreeMap<String, String>) -> bool,
+) -> BTreeMap<String, String> {
     let end = Instant::now() + REST;
     let mut seen = BTreeMap::new();
     let mut buffer = [0; 65_536];
-    while Instant::now() < end && !names.iter().all(|n| seen.contains_key(*n)) {
+    while Instant::now() < end && !wanted(&seen) {
         let Ok(length) = socket.recv(&mut buffer) else {
             continue;
         };
@@ -46,10 +58,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn verify_gauges_and_counts_come_within_seconds() {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("bind");
-    let time_out = Some(Duration::from_millis(50));
-    socket.set_read_timeout(time_out).expect("a time-out");
-    let address = socket.local_addr().expect("address").to_string();
+    let (socket, address) = open();
     let rig = Rig::start_with(json!({ "statsd": address })).await;
     let chat = rig.chat(MAIN, &[], &chat_body("assistant")).await;
     expect_that!(chat.status, eq(200));
@@ -66,7 +75,9 @@
         "config_revision",
         "open",
     ];
-    let seen = tokio::task::spawn_blocking(move || listen(&socket, &names));
+    let seen = tokio::task::spawn_blocking(move || {
+        listen(&socket, |seen| names.iter().all(|n| seen.contains_key(*n)))
+    });
     let seen = seen.await.expect("no panic");
     for name in names {
         expect_that!(seen.contains_key(name), eq(true), "{name} in {seen:?}");
@@ -78,6 +89,54 @@
     expect_that!(seen.get("control_bytes_out"), some(eq("0|c")));
 }
 
+/// Symptom: one engine carries everything and no page shows it. Sequence: of two engines, one has a
+/// chat in progress: twice the mean.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn verify_skew_is_the_highest_load_over_the_mean() {
+    let (socket, address) = open();
+    let rig = Rig::start_with(json!({ "statsd": address })).await;
+    let late = json!({"mode": "late", "count": 1, "delay_ms": 4000});
+    rig.engine_fault(late).await;
+    let body = chat_body("assistant");
+    let chat = rig.chat(MAIN, &[("x-deadline-ms", "10000")], &body);
+    let seen = async {
+        // The chat is to go to the only engine that there is yet.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        rig.add_engine().await;
+        let is_uneven = |seen: &BTreeMap<String, String>| {
+            let value = |name: &str| seen.get(name).map(String::as_str);
+            value("skew") == Some("2000|g") && value("open") == Some("1|g")
+        };
+        let seen = tokio::task::spawn_blocking(move || listen(&socket, is_uneven));
+        seen.await.expect("no panic")
+    };
+    let (chat, seen) = tokio::join!(chat, seen);
+    expect_that!(chat.status, eq(200), "{chat:?}");
+    expect_that!(seen.get("skew"), some(eq("2000|g")), "{seen:?}");
+    expect_that!(seen.get("open"), some(eq("1|g")), "{seen:?}");
+}
+
+/// Symptom: control traffic eats the network and no page shows it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn verify_control_bytes_are_counted_both_ways() {
+    let (socket, address) = open();
+    let rig = Rig::start_with(json!({ "statsd": address })).await;
+    let other = rig.add_router().await;
+    let names = ["control_bytes_out", "control_bytes_in"];
+    let counted = move |seen: &BTreeMap<String, String>| {
+        let counted = |n: &str| seen.get(n).is_some_and(|v| v != "0|c");
+        names.iter().all(|n| counted(n))
+    };
+    let seen = tokio::task::spawn_blocking(move || listen(&socket, counted));
+    let seen = seen.await.expect("no panic");
+    other.abort();
+    for name in names {
+        expect_that!(seen.get(name), some(not(eq("0|c"))), "{name} in {seen:?}");
+    }
+}
+
 /// Symptom: callers wait because the metrics server is gone. Sequence: nobody listens at the
 /// address, or a black hole is there, and every request counts several metrics.
 #[gtest]
--- a/crates/router/tests/edge/rig.rs
+++ b/crates/router/tests/edge/rig.rs
@@ -70,7 +70,8 @@
 /// `Rig` is the router with everything around it.
 pub(crate) struct Rig {
     pub(crate) callers: SocketAddr,
-    pub(crate) driver: Arc<Driver>,
+    driver: Arc<Driver>,
+    peers: SocketAddr,
     engine: Handle,
     service: Handle,
     platform: Handle,
@@ -99,21 +100,13 @@
         let service = service.await.expect("a service starts");
         let platform = platform::start(platform::Options::default());
         let platform = platform.await.expect("a platform starts");
-        let any = || TcpListener::bind("127.0.0.1:0");
-        let sockets = Sockets {
-            callers: any().await.expect("a port is free"),
-            peers: any().await.expect("a port is free"),
-            operators: any().await.expect("a port is free"),
-        };
+        let sockets = sockets().await;
         let address = |l: &TcpListener| l.local_addr().expect("the listener is bound");
         let callers = address(&sockets.callers);
         let peers = address(&sockets.peers);
         let settings = settings(&sockets, platform.listen, change);
         let entries = document(callers, peers, &engine, &service);
-        let body = json!({ "entries": entries }).to_string();
-        let publish = answer::request("POST", "/publish", &[], body.as_bytes());
-        let published = answer::exchange(platform.control, &publish).await;
-        assert_eq!(published.status, 200, "{published:?}");
+        control(&platform, "/publish", &json!({ "entries": entries })).await;
         let incarnation = Incarnation(clock::now().wall.0);
         let process = Process::start(settings, incarnation, sockets).expect("a router starts");
         let driver = Arc::clone(process.driver());
@@ -121,6 +114,7 @@
         let rig = Self {
             callers,
             driver,
+            peers,
             engine,
             service,
             platform,
@@ -211,17 +205,63 @@
 
     /// Makes the platform answer as a fault says.
     pub(crate) async fn platform_fault(&self, mode: &str) {
-        let body = json!({ "mode": mode }).to_string();
-        let raw = answer::request("POST", "/fault", &[], body.as_bytes());
-        let set = answer::exchange(self.platform.control, &raw).await;
-        assert_eq!(set.status, 200, "{set:?}");
+        control(&self.platform, "/fault", &json!({ "mode": mode })).await;
     }
 
     /// Makes the service answer as a fault says.
     pub(crate) async fn service_fault(&self, fault: Value) {
-        let raw = answer::request("POST", "/fault", &[], fault.to_string().as_bytes());
-        let set = answer::exchange(self.service.control, &raw).await;
-        assert_eq!(set.status, 200, "{set:?}");
+        control(&self.service, "/fault", &fault).await;
+    }
+
+    /// Makes the engine answer as a fault says.
+    pub(crate) async fn engine_fault(&self, fault: Value) {
+        control(&self.engine, "/fault", &fault).await;
+    }
+
+    /// Adds an engine without work to the pool.
+    pub(crate) async fn add_engine(&self) {
+        let engine = engine::start(engine::Options::default()).await;
+        let engine = engine.expect("an engine starts");
+        let about = json!({"kind": "engine", "address": engine.listen.to_string(),
+            "data_center": DATA_CENTER, "models": ["assistant"], "capacity": 64});
+        let entries = json!({ "endpoints/engine-1": about });
+        control(&self.platform, "/publish", &json!({ "entries": entries })).await;
+    }
+
+    /// Adds a router to the fleet; it runs as long as its task is kept.
+    pub(crate) async fn add_router(&self) -> JoinHandle<usize> {
+        let sockets = sockets().await;
+        let listens = |l: &TcpListener| l.local_addr().expect("the listener is bound");
+        let about = |callers: SocketAddr, peers: SocketAddr| {
+            json!({"address": callers.to_string(), "peer_address": peers.to_string(),
+                "data_center": DATA_CENTER})
+        };
+        let entries = json!({"fleet": {
+            "router-0": about(self.callers, self.peers),
+            "router-1": about(listens(&sockets.callers), listens(&sockets.peers)),
+        }});
+        control(&self.platform, "/publish", &json!({ "entries": entries })).await;
+        let change = json!({"id": "router-1"});
+        let settings = settings(&sockets, self.platform.listen, change);
+        let incarnation = Incarnation(clock::now().wall.0);
+        let process = Process::start(settings, incarnation, sockets).expect("a router starts");
+        tokio::spawn(process.run(std::future::pending()))
+    }
+}
+
+/// Makes a control call at a stand-in.
+async fn control(of: &Handle, path: &str, body: &Value) {
+    let raw = answer::request("POST", path, &[], body.to_string().as_bytes());
+    let done = answer::exchange(of.control, &raw).await;
+    assert_eq!(done.status, 200, "{done:?}");
+}
+
+async fn sockets() -> Sockets {
+    let any = || TcpListener::bind("127.0.0.1:0");
+    Sockets {
+        callers: any().await.expect("a port is free"),
+        peers: any().await.expect("a port is free"),
+        operators: any().await.expect("a port is free"),
     }
 }
 
