Keep the chat's parts free of the JSON reader

Cause: the cli test of toucanturn takes filters/chat.rs in by its path, and the reader that names the wrong field needs a crate that toucanturn has not: the workspace's tests no longer compiled.

--- a/crates/router/src/filters/chat.rs
+++ b/crates/router/src/filters/chat.rs
@@ -26,19 +26,6 @@
     role: std::borrow::Cow<'a, str>,
 }
 
-impl<'a> TryFrom<&'a [u8]> for Chat<'a> {
-    type Error = serde_path_to_error::Error<serde_json::Error>;
-
-    fn try_from(body: &'a [u8]) -> Result<Self, Self::Error> {
-        let mut json = serde_json::Deserializer::from_slice(body);
-        let chat = serde_path_to_error::deserialize(&mut json)?;
-        let end = json.end();
-        let nowhere = || serde_path_to_error::Track::new().path();
-        end.map_err(|e| serde_path_to_error::Error::new(nowhere(), e))?;
-        Ok(chat)
-    }
-}
-
 impl Chat<'_> {
     /// Gets the hash of the part that stays when the chat returns: everything up to the first
     /// message of the user. A chat that returns with a placement token keeps the token's.
--- a/crates/router/src/filters/classify.rs
+++ b/crates/router/src/filters/classify.rs
@@ -28,7 +28,8 @@
     Draft,
     body,
     chat::Chat,
-    deny, //
+    deny,
+    json, //
 };
 use crate::{
     answers::{
@@ -108,8 +109,8 @@
         req: &Request,
         body: &Bytes,
     ) -> Result<(Work, Shape), Denial> {
-        let chat = Chat::try_from(body.as_ref())
-            .map_err(|e| Denial::new(400, "bad_request", format!("body: {e}")))?;
+        let chat: Chat<'_> =
+            json::read(body).map_err(|e| Denial::new(400, "bad_request", format!("body: {e}")))?;
         let found = Id::try_from(chat.model.as_ref())
             .ok()
             .and_then(|id| config.models.key(&id));
--- a/crates/router/src/filters/mod.rs
+++ b/crates/router/src/filters/mod.rs
@@ -40,6 +40,7 @@
 mod chat;
 mod classify;
 mod deadline;
+mod json;
 mod priority;
 mod serve;
 
