--- a/crates/core/src/chat.rs
+++ b/crates/core/src/chat.rs
@@ -29,20 +29,6 @@
     role: Cow<'a, str>,
 }
 
-impl<'a> TryFrom<&'a [u8]> for Chat<'a> {
-    type Error = serde_path_to_error::Error<serde_json::Error>;
-
-    /// Reads a request's body.
-    fn try_from(body: &'a [u8]) -> Result<Self, Self::Error> {
-        let mut json = serde_json::Deserializer::from_slice(body);
-        let chat = serde_path_to_error::deserialize(&mut json)?;
-        let end = json.end();
-        let nowhere = || serde_path_to_error::Track::new().path();
-        end.map_err(|e| serde_path_to_error::Error::new(nowhere(), e))?;
-        Ok(chat)
-    }
-}
-
 impl Chat<'_> {
     /// Gets the chat's prefix. A chat that returns with a placement token keeps the token's.
     pub fn prefix(&self, workspace: Tag) -> Prefix {
--- a/crates/router/src/filters/mod.rs
+++ b/crates/router/src/filters/mod.rs
@@ -39,6 +39,7 @@
 mod body;
 mod classify;
 mod deadline;
+mod json;
 mod priority;
 mod serve;
 
--- a/crates/toucanturn/tests/cli/chat.rs
+++ b/crates/toucanturn/tests/cli/chat.rs
@@ -29,7 +29,7 @@
         r#"{"model":"assistant","messages":[]}"#,
     ];
     for chat in chats {
-        let classified = Chat::try_from(chat.as_bytes()).expect("a chat");
+        let classified: Chat<'_> = serde_json::from_str(chat).expect("a chat");
         let prefix = classified.prefix(Tag::of(b"vitalbox-chat"));
         let run = toucanturn([
             "explain",
