Add the list of guards and the script that takes each out

Cause: nothing outside at-most-once.md says which lines must not go, nor shows that a test would miss them.

Ruled out: patches (they break with every change near them; a sed edit that no longer matches is told); cargo's own success as green (a name that matches no test passes), a copy that doesn't build as red.

--- /dev/null
+++ b/tools/guards.sh
@@ -0,0 +1,115 @@
+#!/usr/bin/env bash
+# Takes the guards of docs/GUARDS.md out one at a time, on a copy, and checks that the test named
+# for each goes red. Not part of .ci/run: it builds the workspace anew and then once a guard.
+#
+#     tools/guards.sh [GUARD...]      all guards, or those that are named
+#
+# Exits 1 if a guard isn't missed by its test, and 2 if that can't be told: the guard's line wasn't
+# found, the copy doesn't build without it, or its test fails also with it.
+set -euo pipefail
+
+# Longest run of one test; one that hangs without its guard counts as red.
+LIMIT=300
+
+root=$(cd "$(dirname "$0")/.." && pwd)
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+mkdir "$copy/tree"
+git -C "$root" archive HEAD | tar -x -C "$copy/tree"
+cd "$copy/tree"
+export CARGO_TARGET_DIR="$copy/target" CARGO_TERM_COLOR=never
+
+wanted=("$@")
+worst=0
+printf '%-22s %-38s %s\n' guard test verdict
+
+# report GUARD TEST VERDICT CODE
+report() {
+    printf '%-22s %-38s %s\n' "$1" "$2" "$3"
+    if [ "$4" -gt "$worst" ]; then worst=$4; fi
+}
+
+is_wanted() {
+    [ ${#wanted[@]} -eq 0 ] && return 0
+    local name
+    for name in "${wanted[@]}"; do
+        [ "$name" = "$1" ] && return 0
+    done
+    return 1
+}
+
+# run_test CRATE TARGET TEST: succeeds when the test ran and passed. A name that matches no test
+# passes in cargo's eyes, and would show every guard as not missed.
+run_test() {
+    timeout "$LIMIT" cargo test -q -p "$1" --test "$2" -- --exact "$3" >"$copy/out" 2>&1 || return 1
+    grep -q 'test result: ok. 1 passed' "$copy/out"
+}
+
+# guard NAME FILE SED CRATE TARGET TEST
+guard() {
+    local name=$1 file=$2 edit=$3 crate=$4 target=$5 test=$6
+    local short="$crate $target"
+    is_wanted "$name" || return 0
+    if ! run_test "$crate" "$target" "$test"; then
+        report "$name" "$short" "its test fails with the guard" 2
+        return 0
+    fi
+    cp "$file" "$copy/kept"
+    sed -i -E "$edit" "$file"
+    if cmp -s "$file" "$copy/kept"; then
+        report "$name" "$short" "its line was not found" 2
+    elif ! cargo test -q -p "$crate" --test "$target" --no-run >"$copy/out" 2>&1; then
+        report "$name" "$short" "no build without it" 2
+    elif run_test "$crate" "$target" "$test"; then
+        report "$name" "$short" "NOT MISSED" 1
+    else
+        report "$name" "$short" "red without it" 0
+    fi
+    # A new time of change, so that cargo builds it again.
+    cat "$copy/kept" >"$file"
+}
+
+guard lease crates/core/src/once/mod.rs \
+    's/let until = self\.lease\.held\(now\)\?;/let until = now.mono + Millis(1000);/' \
+    toucanturn-core once keys::verify_nothing_is_sent_after_the_lease
+guard promise crates/core/src/once/vote.rs \
+    '/Some\(promise\) if now\.mono < promise\.until => return false,/d' \
+    toucanturn-core once lease::verify_a_voter_keeps_its_promise_over_a_change_of_epoch
+guard key_date crates/core/src/once/mod.rs \
+    's/if foreign \|\| old \|\|/if old ||/' \
+    toucanturn-core once keys::verify_a_key_made_before_the_tenure_is_unknown
+guard one_spelling crates/router/src/filters/classify.rs \
+    's/if !is_plain\(/if false \&\& !is_plain(/' \
+    toucanturnd daemon answers::verify_an_order_has_one_spelling
+guard own_answer crates/router/src/exchange.rs \
+    's/if (!response\.headers\(\)\.get\(answers::REQUEST_ID\))/if false \&\& \1/' \
+    toucanturnd daemon answers::verify_a_crossed_answer_reaches_nobody
+guard end_mark crates/router/src/exchange.rs \
+    's|// Silent, broken off, or ended; .*|Ok(None) => return End::Whole(Answer::default()),|' \
+    toucanturnd daemon answers::verify_a_stream_without_its_end_mark_is_told_as_broken
+guard leaving_sticks crates/core/src/membership/mod.rs \
+    's/member\.stated \|= word\.life\.is_some\(\);/member.leaving = false; &/' \
+    toucanturn-core membership verify_leaving_sticks_to_one_life
+guard fresh_view crates/core/src/membership/member.rs \
+    's/\(Some\(sure\), _\) => .*/(Some(_), _) => false,/' \
+    toucanturnd daemon freeze::verify_a_router_that_wakes_gives_a_leaving_engine_no_work
+guard revision_up crates/core/src/config/store.rs \
+    's/if revision <= current \|\| revision == held \|\| /if /' \
+    toucanturn-core config_merge verify_a_stale_or_broken_service_changes_nothing
+guard mac crates/wire/src/envelope.rs \
+    's/if !whole \|\| checked\.is_err\(\)/if !whole/' \
+    toucanturn-wire envelope verify_no_altered_bit_opens
+guard replay crates/wire/src/window.rs \
+    's/if \*block & bit != 0 \{/if false {/' \
+    toucanturn-wire envelope verify_the_window_takes_each_number_once
+guard token_workspace crates/router/src/tokens.rs \
+    '/mac\.update\(&workspace\.0\.to_le_bytes\(\)\);/d' \
+    toucanturnd daemon answers::verify_a_token_serves_its_own_workspace_only
+guard grants crates/core/src/limits/bucket.rs \
+    '/self\.micro -= micro;/d' \
+    toucanturn-core limits verify_limit_is_fleet_wide_with_7_routers
+guard nothing_left crates/core/src/retry.rs \
+    's/Work::Once \{ \.\. \} => false,/Work::Once { .. } => true,/' \
+    toucanturn-core retry verify_what_may_not_be_repeated_is_sent_again_only_when_nothing_left
+
+exit "$worst"
