Let the killed home's orders run before the kill

Cause: the test of the killed router was not red without the key's date: the slow service stopped an order whose connection broke, so its repeat was the first run.

Ruled out: a longer wait. The service now runs each order and holds its answer back, and the kill comes when all have run.

--- a/crates/toucanturnd/tests/daemon/once.rs
+++ b/crates/toucanturnd/tests/daemon/once.rs
@@ -26,8 +26,9 @@
 /// Orders of one wave.
 const ORDERS: usize = 9;
 
-/// Time that the slow service takes before it runs an order.
-const SLOW_MS: u64 = 1500;
+/// Time for which the service holds back an answer. It has run the order by then: one that a
+/// broken connection still stopped would show no second run.
+const LATE_MS: u64 = 1500;
 
 /// Routers of the fleet.
 const ALL: [usize; 3] = [0, 1, 2];
@@ -59,14 +60,10 @@
     (0..ORDERS).map(|_| Uuid::now_v7()).collect()
 }
 
-/// Waits until the service took up every request of a wave.
-async fn taken_up(fleet: &Fleet, wave: &str) {
-    let all = async || {
-        let requests = fleet.truth().await.requests;
-        let of = requests.iter().filter(|r| r.id.starts_with(wave));
-        of.count() == ORDERS
-    };
-    until(REST, "every order is at the service", all).await;
+/// Waits until the service has run every order of the first wave.
+async fn all_ran(fleet: &Fleet) {
+    let all = async || fleet.truth().await.runs.len() == ORDERS;
+    until(REST, "every order ran", all).await;
 }
 
 /// Holds what callers were told against what the service did: no key ran twice, its receipts are
@@ -122,7 +119,7 @@
 }
 
 /// Symptom: a renewal is charged twice. Sequence: the router that is home to some of the orders,
-/// and brings others to their homes, is killed while the service works on them; callers repeat
+/// and brings others to their homes, is killed before their answers come; callers repeat
 /// through the other routers, and through its next process. Cause: another router, or a home that
 /// forgot the key, takes the repeat for new; or a caller is told "not run" of what may have run.
 #[gtest]
@@ -130,11 +127,11 @@
 async fn verify_an_order_whose_router_is_killed_never_runs_twice() -> Result<()> {
     let mut fleet = Fleet::start(Duration::ZERO).await;
     fleet.wait_keys(&ALL, 0).await;
-    let slow = json!({"mode": "slow", "delay_ms": SLOW_MS});
-    fleet.control(fleet.service.control, "fault", slow).await;
+    let late = json!({"mode": "late", "delay_ms": LATE_MS});
+    fleet.control(fleet.service.control, "fault", late).await;
     let keys = keys();
     let first = send(&fleet, &keys, "first", |n| n % 3);
-    taken_up(&fleet, "first").await;
+    all_ran(&fleet).await;
     fleet.kill(1).await;
     let mut told = gather(send(&fleet, &keys, "second", |n| {
         if n % 2 == 0 { 0 } else { 2 }
@@ -153,7 +150,7 @@
     }
     summary("and repeated", &told);
     judge(&fleet, &told).await?;
-    // Every key was at the service before the kill.
+    // Every order ran before the kill.
     let not_run = told.iter().filter(|t| matches!(t.word, Word::NotRun(_)));
     verify_that!(not_run.collect::<Vec<_>>(), is_empty())?;
     verify_that!(count(&told, |w| matches!(w, Word::Unknown(_))), gt(0))?;
@@ -181,11 +178,11 @@
 async fn verify_an_order_whose_home_is_frozen_runs_at_most_once() -> Result<()> {
     let fleet = Fleet::start(Duration::ZERO).await;
     fleet.wait_keys(&ALL, 0).await;
-    let slow = json!({"mode": "slow", "delay_ms": SLOW_MS});
-    fleet.control(fleet.service.control, "fault", slow).await;
+    let late = json!({"mode": "late", "delay_ms": LATE_MS});
+    fleet.control(fleet.service.control, "fault", late).await;
     let mut keys_sent = keys();
     let mut sent = send(&fleet, &keys_sent, "first", |_| 0);
-    taken_up(&fleet, "first").await;
+    all_ran(&fleet).await;
     let home = busiest_home(&fleet);
     let others: Vec<usize> = ALL.into_iter().filter(|n| *n != home).collect();
     fleet.routers[home].daemon().freeze().await;
