--- a/crates/lab/src/bin/capacity/cases.rs
+++ b/crates/lab/src/bin/capacity/cases.rs
@@ -170,6 +170,11 @@
         .iter()
         .map(|w| w.event("peer failed").count.to_string())
         .collect();
+    let wronged: Vec<String> = parts.iter().map(|w| w.wronged().to_string()).collect();
+    println!(
+        "| reachable endpoints of its region not live at the end | {} |",
+        wronged.join(" | ")
+    );
     println!("| peers found lost | {} |", failed.join(" | "));
     let ms = |w: &World| w.events.values().map(|t| t.time.as_secs_f64()).sum::<f64>() * 1000.0;
     let times: Vec<String> = parts.iter().map(|w| short(ms(w))).collect();
--- a/crates/lab/src/bin/capacity/main.rs
+++ b/crates/lab/src/bin/capacity/main.rs
@@ -201,6 +201,14 @@
         "us for a grant heard (with what it lets go)",
         of(busy, &|w| w.event("grant").micros()),
     );
+    put(
+        "us for a grant question answered",
+        of(busy, &|w| w.event("ask").micros()),
+    );
+    put(
+        "us for a lease question answered",
+        of(busy, &|w| w.event("lease ask").micros()),
+    );
     put(
         "us for a poll's answer",
         of(busy, &|w| w.event("polled").micros()),
@@ -243,22 +251,23 @@
 fn memories() -> (memory::Held, memory::Held) {
     println!("@@ memory");
     println!(
-        "| routers, endpoints, workspaces | configuration, KB | heard of peers, KB | one open chat, B | one key, B |"
+        "| routers, endpoints, workspaces | configuration, KB | heard of peers, KB | one open chat, B | one key, B | chats kept for moves, KB |"
     );
-    println!("|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|");
     let small = Size::new(7, 83, 10);
     let sizes = [small, Size::new(7, 83, 3800), FLEETS[1], PLAN];
     let held = sizes.map(memory::measure);
     for (size, held) in sizes.iter().zip(held) {
         println!(
-            "| {}, {}, {} | {} | {} | {} | {} |",
+            "| {}, {}, {} | {} | {} | {} | {} | {} |",
             size.routers,
             size.endpoints,
             size.workspaces,
             short(held.config / 1000.0),
             short(held.heard / 1000.0),
             short(held.calls / f64::from(memory::CALLS)),
-            short(held.keys / f64::from(memory::KEYS))
+            short(held.keys / f64::from(memory::KEYS)),
+            short(held.recent / 1000.0)
         );
     }
     (held[1], held[3])
--- a/crates/lab/src/bin/capacity/memory.rs
+++ b/crates/lab/src/bin/capacity/memory.rs
@@ -27,6 +27,8 @@
     pub(crate) calls: f64,
     /// 30,000 keys with an answer of 200 bytes each.
     pub(crate) keys: f64,
+    /// What stays of 40,000 chats that ended, more than are kept for moves.
+    pub(crate) recent: f64,
 }
 
 /// Open chats that are made.
@@ -51,10 +53,11 @@
         heard: next(),
         calls: next(),
         keys: next(),
+        recent: next(),
     }
 }
 
-/// Measures here and prints the four figures.
+/// Measures here and prints the five figures.
 pub(crate) fn child(size: Size) {
     let change = published::snapshot(size);
     let weight = |e: &Entry| e.key.len() + e.value.as_ref().map_or(0, bytes::Bytes::len);
@@ -76,7 +79,21 @@
     } else {
         f64::NAN
     };
-    println!("{config} {heard} {calls} {keys}");
+    let recent = if size.routers <= 7 {
+        recent(&mut World::with(&change).surround())
+    } else {
+        f64::NAN
+    };
+    println!("{config} {heard} {calls} {keys} {recent}");
+}
+
+fn recent(world: &mut World) -> f64 {
+    world.answer = Some(Millis(20));
+    // So that grants and rows for all workspaces are there before.
+    world.run(Millis(5000), 1000.0);
+    let before = resident();
+    world.run(Millis(40_000), 1000.0);
+    resident() - before
 }
 
 fn keys(world: &mut World) -> f64 {
--- a/crates/lab/src/bin/capacity/plan.rs
+++ b/crates/lab/src/bin/capacity/plan.rs
@@ -35,10 +35,18 @@
     all += line("early summaries", sent - peers * 5.0, summary);
     let asks = per_second(usual.action("ask").count);
     all += line("grants: questions", asks, 14.0 + exchange);
-    all += line("grants: answers as a home, mean", asks, 18.0 + exchange);
+    let grants = usual.action("grant");
+    let rate = per_second(grants.count);
+    all += line(
+        "grants: answers as a home, mean",
+        rate,
+        grants.each() + exchange,
+    );
     let lease = per_second(usual.action("lease ask").count);
     all += line("lease questions, `lease_ms` 8000", lease, 11.0 + exchange);
-    all += line("lease answers", lease, 10.0 + exchange);
+    let answers = usual.action("lease answer");
+    let rate = per_second(answers.count);
+    all += line("lease answers", rate, answers.each() + exchange);
     let polls = per_second(usual.action("poll").count);
     all += line("polls, `poll_interval_ms` 1000, both ways", polls, poll);
     let list = published::vm_list(PLAN.endpoints).len() as f64;
@@ -71,6 +79,8 @@
     line("decisions: summaries heard", kind("summary"));
     line("decisions: ticks", kind("tick"));
     line("decisions: grants heard", kind("grant"));
+    line("decisions: questions answered as a home", kind("ask"));
+    line("decisions: lease questions answered", kind("lease ask"));
     line("decisions: all", busy_ms(busy));
     line("changes applied", apply / 1000.0 * CHANGES);
     let daemon = idle.1.at(330.0);
@@ -100,6 +110,7 @@
     all += line("142 open chats, decisions only", calls / 1e6);
     let keys = small.keys / f64::from(memory::KEYS) * 40_000.0;
     all += line("40,000 keys with 200 B each, the bound", keys / 1e6);
+    all += line("chats kept for moves, 32,768 at most", small.recent / 1e6);
     println!("| all | {} | {:.0}% |", short(all), all / MAY.2 * 100.0);
     all
 }
--- a/crates/lab/src/bin/capacity/world.rs
+++ b/crates/lab/src/bin/capacity/world/mod.rs
@@ -19,7 +19,6 @@
 use toucanturn_core::{
     action::Action,
     arena::{
-        EndpointKey,
         RouterKey,
         WorkspaceKey, //
     },
@@ -33,7 +32,10 @@
         Source,
         TICK, //
     },
-    ids::Id,
+    ids::{
+        Id,
+        Tag, //
+    },
     membership::POLL_TIMEOUT,
     node::{
         Node,
@@ -58,7 +60,6 @@
         Incarnation,
         Millis,
         Now,
-        Revision,
         Time,
         Wall, //
     },
@@ -79,12 +80,11 @@
     },
 };
 
+mod others;
+
 /// Time from a dispatch to the answer's end: 242 tokens at 25 ms and a first token at 1.1 s.
 const ANSWER: Millis = Millis(7100);
 
-/// Time after which a message to a peer that is cut off is reported lost.
-const LOST_AFTER: Millis = Millis(1250);
-
 /// A chat in this many is a call of the plain service, every other one to run at most once.
 const PLAIN_EVERY: u64 = 10;
 
@@ -119,6 +119,8 @@
     /// Data centres that the node can't reach.
     pub(crate) lost: Vec<Id>,
     failing: BTreeSet<RouterKey>,
+    /// Workspaces whose home the node is.
+    own: Vec<Tag>,
     calls: u64,
     out: Vec<Action>,
 }
@@ -167,6 +169,7 @@
             body: 0,
             lost: Vec::new(),
             failing: BTreeSet::new(),
+            own: Vec::new(),
             calls: 0,
             out: Vec::new(),
         };
@@ -178,6 +181,10 @@
     /// Puts the other routers round the node.
     pub(crate) fn surround(mut self) -> Self {
         self.peers = peers(&self.config, self.node.me());
+        let me = self.node.me();
+        let own = |tag: &Tag| self.config.home(u64::from(tag.0)) == me;
+        let tags = self.config.workspaces.iter().map(|(_, w)| w.id.tag());
+        self.own = tags.filter(own).collect();
         self
     }
 
@@ -222,6 +229,7 @@
             self.now = self.now + Millis(1);
             self.deliver();
             self.summaries();
+            self.questions();
             due += rate / 1000.0;
             while due >= 1.0 {
                 due -= 1.0;
@@ -310,49 +318,6 @@
         self.handle(kind, Event::Request { call, request });
     }
 
-    /// Lets each peer send its summary at its turn within the interval.
-    fn summaries(&mut self) {
-        let interval = self.pace.0;
-        let phase = usize::try_from(self.now.mono.0 % interval).unwrap_or(0);
-        let step = usize::try_from(interval).unwrap_or(1);
-        let beat = self.now.mono.0 / interval;
-        let all = self.peers.len();
-        for n in (phase..all).step_by(step) {
-            let (from, mut summary) = self.peers[n].clone();
-            if self.cut(from) {
-                continue;
-            }
-            // Each report comes once in a poll interval.
-            let rounds = self.config.policy.poll_interval.0 / interval;
-            let mut at = 0;
-            summary.reports.retain(|_| {
-                at += 1;
-                at % rounds == beat % rounds
-            });
-            self.peer("summary", from, Message::Summary(summary));
-        }
-    }
-
-    /// Lets a peer say something.
-    fn peer(&mut self, kind: &'static str, from: RouterKey, message: Message) {
-        let bytes = size(&message) + EXCHANGE;
-        let incarnation = Incarnation(1);
-        let event = Event::Peer {
-            from,
-            incarnation,
-            message,
-        };
-        self.handle(kind, event);
-        self.events.entry(kind).or_default().bytes += bytes;
-    }
-
-    /// Changes the revision that peers tell of.
-    pub(crate) fn told(&mut self, revision: Revision) {
-        for (_, summary) in &mut self.peers {
-            summary.revision = revision;
-        }
-    }
-
     fn deliver(&mut self) {
         let now = self.now.mono.0;
         while let Some(first) = self.due.first_entry()
@@ -474,55 +439,6 @@
         let router = self.config.fleet.get(router);
         router.is_some_and(|r| self.lost.contains(&r.data_center))
     }
-
-    /// Tells whether an endpoint can't be reached.
-    fn gone(&self, endpoint: EndpointKey) -> bool {
-        let endpoint = self.config.endpoints.get(endpoint);
-        endpoint.is_some_and(|e| self.lost.contains(&e.data_center))
-    }
-
-    fn reply(&mut self, from: RouterKey, message: Message) {
-        if self.cut(from) {
-            if self.failing.insert(from) {
-                self.later(LOST_AFTER, Event::PeerFailed { router: from });
-            }
-            return;
-        }
-        let answers = match message {
-            Message::Ask {
-                workspace,
-                want,
-                nonce,
-            } => vec![Message::Grant {
-                workspace,
-                granted: want,
-                retry_after: Millis(0),
-                nonce,
-            }],
-            Message::LeaseAsk { epoch, round, .. } => vec![Message::LeaseAnswer {
-                epoch,
-                round,
-                confirmed: true,
-                previous: Revision(0),
-            }],
-            Message::Pull { since } => {
-                let changes = self.store.after(since).into_iter();
-                changes.map(Message::Push).collect()
-            }
-            _ => Vec::new(),
-        };
-        for message in answers {
-            let tally = self.events.entry(of(&message)).or_default();
-            tally.bytes += size(&message) + EXCHANGE;
-            let incarnation = Incarnation(1);
-            let event = Event::Peer {
-                from,
-                incarnation,
-                message,
-            };
-            self.later(self.round_trip, event);
-        }
-    }
 }
 
 /// Gets the name of a message's kind.
