--- a/crates/lab/src/bin/capacity/cases.rs
+++ b/crates/lab/src/bin/capacity/cases.rs
@@ -134,18 +134,24 @@
 pub(crate) fn losses() {
     println!("@@ losses");
     println!(
-        "| actions of one node in a minute, and ms of decisions | none lost | one data centre of its region | another region |"
+        "| actions of one node in a minute, and ms of decisions | none lost | a rack: a quarter of a data centre of its region | the whole data centre | another region |"
     );
-    println!("|---|---|---|---|");
+    println!("|---|---|---|---|---|");
     let center = |n: u32| world::name(&format!("dc{n}"));
     let region: Vec<_> = [1, 6, 11, 16].map(center).to_vec();
-    let cases = [Vec::new(), vec![center(5)], region];
+    let cases = [
+        (Vec::new(), 1),
+        (vec![center(5)], 4),
+        (vec![center(5)], 1),
+        (region, 1),
+    ];
     let mut parts = Vec::new();
-    for lost in cases {
+    for (lost, part) in cases {
         let mut world = World::new(PLAN).surround();
         world.run(Millis::from_secs(WARM), RATE);
         world.reset();
         world.lost = lost;
+        world.part = part;
         world.run(Millis::from_secs(60), RATE);
         parts.push(world);
     }
--- a/crates/lab/src/bin/capacity/main.rs
+++ b/crates/lab/src/bin/capacity/main.rs
@@ -234,7 +234,7 @@
             .collect()
     };
     let most = firsts.iter().max().copied().unwrap_or(0);
-    let mean = firsts.iter().sum::<usize>() / firsts.len().max(1);
+    let mean = short(firsts.iter().sum::<usize>() as f64 / firsts.len().max(1) as f64);
     println!();
     println!(
         "Endpoints that one {} {most}, {} {mean}, at the plan.",
--- a/crates/lab/src/bin/capacity/world/mod.rs
+++ b/crates/lab/src/bin/capacity/world/mod.rs
@@ -118,6 +118,8 @@
     pub(crate) body: usize,
     /// Data centres that the node can't reach.
     pub(crate) lost: Vec<Id>,
+    /// One router and endpoint in this many of them is lost.
+    pub(crate) part: u32,
     failing: BTreeSet<RouterKey>,
     /// Workspaces whose home the node is.
     own: Vec<Tag>,
@@ -168,6 +170,7 @@
             round_trip: Millis(5),
             body: 0,
             lost: Vec::new(),
+            part: 1,
             failing: BTreeSet::new(),
             own: Vec::new(),
             calls: 0,
--- a/crates/lab/src/bin/capacity/world/others.rs
+++ b/crates/lab/src/bin/capacity/world/others.rs
@@ -7,7 +7,10 @@
     },
     config::Endpoint,
     event::Event,
-    ids::Id,
+    ids::{
+        Id,
+        Tag, //
+    },
     membership::State,
     peer::Message,
     units::{
@@ -131,7 +134,8 @@
     /// Tells whether an endpoint can't be reached.
     pub(super) fn gone(&self, endpoint: EndpointKey) -> bool {
         let endpoint = self.config.endpoints.get(endpoint);
-        endpoint.is_some_and(|e| self.lost.contains(&e.data_center))
+        let part = |tag: Tag| tag.0.is_multiple_of(self.part);
+        endpoint.is_some_and(|e| self.lost.contains(&e.data_center) && part(e.tag))
     }
 
     pub(super) fn reply(&mut self, from: RouterKey, message: Message) {
