--- a/crates/lab/src/bin/capacity/world/mod.rs
+++ b/crates/lab/src/bin/capacity/world/mod.rs
@@ -440,7 +440,8 @@
     /// Tells whether a router can't be reached.
     fn cut(&self, router: RouterKey) -> bool {
         let router = self.config.fleet.get(router);
-        router.is_some_and(|r| self.lost.contains(&r.data_center))
+        let part = |tag: Tag| tag.0.is_multiple_of(self.part);
+        router.is_some_and(|r| self.lost.contains(&r.data_center) && part(r.tag))
     }
 }
 
