Ask own endpoints first; tell no keyed request "not run" in a filter

Ruled out: serving polls before probes alone (the lost region's endpoints are polled too once nobody reports them: 0 of 10 own endpoints live, red). With own endpoints first 10 of 10 are live after a minute, green. Cause, filters: a repeat of a key that ran, refused for its deadline, was told not_run, and its caller would make the payment anew (found by reading).

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -423,17 +423,19 @@
         }
     }
 
-    /// Lists the endpoints that `wanted` picks, longest unasked first, as many as
-    /// [`pollers::BUDGET`] leaves.
+    /// Lists the endpoints that `wanted` picks, as many as [`pollers::BUDGET`] leaves: those that
+    /// this router is first to ask, then those that others should ask, longest unasked first. While
+    /// a region is cut off its endpoints are wanted without end; they must not take the turns of
+    /// the own ones, which get no work when nobody asks them.
     fn due(&mut self, now: Time, wanted: impl Fn(&Member) -> bool) -> Vec<EndpointKey> {
         if self.wake.settling(now) {
             return Vec::new();
         }
         let due = self.members.iter().filter(|(_, m)| wanted(m));
-        let mut due: Vec<_> = due.map(|(key, m)| (m.last_asked(), key)).collect();
+        let mut due: Vec<_> = due.map(|(key, m)| (m.rank, m.last_asked(), key)).collect();
         due.sort();
         due.truncate(self.meter.take(now, due.len()));
-        due.into_iter().map(|(_, key)| key).collect()
+        due.into_iter().map(|(_, _, key)| key).collect()
     }
 
     fn confirm(&mut self, endpoint: EndpointKey, since: Time) {
--- a/crates/core/src/node/endpoints.rs
+++ b/crates/core/src/node/endpoints.rs
@@ -115,14 +115,16 @@
         for (endpoint, state) in self.view.changes(now.mono) {
             log_member(endpoint, Some(state), out);
         }
-        for endpoint in self.view.to_probe(now.mono) {
-            self.view.asked(now.mono, endpoint);
-            out.push(Action::Probe { endpoint });
-        }
+        // Polls come first out of the bound that they share with probes: a region that is cut off
+        // needs probes without end, and endpoints that are well would get no work for want of polls.
         for endpoint in self.view.to_poll(now.mono, &config.policy) {
             self.view.asked(now.mono, endpoint);
             out.push(Action::Poll { endpoint });
         }
+        for endpoint in self.view.to_probe(now.mono) {
+            self.view.asked(now.mono, endpoint);
+            out.push(Action::Probe { endpoint });
+        }
         let parts = (config.endpoints.len() as u64)
             .div_ceil(LISTED_AT_ONCE)
             .max(1);
--- a/crates/core/tests/node/main.rs
+++ b/crates/core/tests/node/main.rs
@@ -4,4 +4,5 @@
 
 mod fixture;
 mod forward;
+mod polls;
 mod reading;
--- a/crates/router/src/answers.rs
+++ b/crates/router/src/answers.rs
@@ -175,10 +175,10 @@
 }
 
 /// Puts an error that the filter chain found into the response. Nothing was run.
-pub(crate) fn reject(res: &mut Response, id: &str, denial: &Denial) {
+pub(crate) fn reject(res: &mut Response, id: &str, outcome: Outcome, denial: &Denial) {
     common(res, id, &Meta::default());
     res.headers_mut()
-        .insert(OUTCOME, HeaderValue::from_static("not_run"));
+        .insert(OUTCOME, text(&outcome.to_string()));
     res.headers_mut().insert(
         header::CONTENT_TYPE,
         HeaderValue::from_static("application/json"),
@@ -192,7 +192,7 @@
     retry_after(res, after);
     res.status_code(status);
     let Denial { code, message, .. } = denial;
-    res.body(error_body(code, message, id, Outcome::NotRun, after));
+    res.body(error_body(code, message, id, outcome, after));
 }
 
 /// Puts an answer of the router's own into the response.
--- a/crates/router/src/filters/accept.rs
+++ b/crates/router/src/filters/accept.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use http::HeaderMap;
 use salvo::prelude::{
     Depot,
     FlowCtrl,
@@ -15,6 +16,7 @@
 use super::{
     Denial,
     Draft,
+    classify,
     deny, //
 };
 use crate::{
@@ -42,6 +44,7 @@
         let given = req.headers().get(REQUEST_ID).map(|v| v.as_bytes().to_vec());
         let draft = Draft {
             id: given.as_deref().and_then(checked_id).unwrap_or_else(new_id),
+            keyed: is_keyed(req.headers()),
             arrived: clock::now().mono,
             ..Draft::default()
         };
@@ -71,6 +74,15 @@
     good.then(|| String::from_utf8_lossy(raw).into_owned())
 }
 
+/// Tells whether a request carries one idempotency key that a home could hold.
+fn is_keyed(headers: &HeaderMap) -> bool {
+    let mut keys = headers.get_all("idempotency-key").iter();
+    match (keys.next(), keys.next()) {
+        (Some(key), None) => classify::key(key).is_some(),
+        _ => false,
+    }
+}
+
 fn new_id() -> String {
     uuid::Uuid::now_v7().simple().to_string()
 }
--- a/crates/router/src/filters/classify.rs
+++ b/crates/router/src/filters/classify.rs
@@ -191,14 +191,19 @@
         let message = "idempotency-key: found several, expected one";
         return Err(Denial::new(400, "bad_key", message));
     }
-    let text = value.to_str().unwrap_or_default().trim_matches('"');
-    let uuid = uuid::Uuid::try_parse(text).ok();
-    uuid.filter(|u| u.get_version_num() == 7).ok_or_else(|| {
+    key(value).ok_or_else(|| {
         let message = "idempotency-key: expected a UUIDv7 (RFC 9562)";
         Denial::new(400, "bad_key", message)
     })
 }
 
+/// Reads an idempotency key; `None` when it is no UUIDv7 (RFC 9562).
+pub(super) fn key(value: &http::HeaderValue) -> Option<uuid::Uuid> {
+    let text = value.to_str().ok()?.trim_matches('"');
+    let uuid = uuid::Uuid::try_parse(text).ok();
+    uuid.filter(|u| u.get_version_num() == 7)
+}
+
 fn wrong_method(req: &Request, right: &'static str) -> Denial {
     let message = format!("method: found {}, expected {right}", req.method());
     let mut denial = Denial::new(405, "bad_request", message);
--- a/crates/router/src/filters/mod.rs
+++ b/crates/router/src/filters/mod.rs
@@ -19,7 +19,10 @@
         Priority,
         Workspace, //
     },
-    request::Work,
+    request::{
+        Outcome,
+        Work, //
+    },
     units::{
         Millis,
         Time, //
@@ -48,6 +51,8 @@
 struct Draft {
     /// Its id, the caller's or a new one.
     id: String,
+    /// Whether it carries an idempotency key: an earlier request with it may have run.
+    keyed: bool,
     /// When it came.
     arrived: Time,
     /// The workspace that its bearer key belongs to.
@@ -105,13 +110,17 @@
 /// Ends the chain with an error. The decisions never hear of the request, so it is counted and
 /// logged here.
 fn deny(driver: &Driver, depot: &Depot, res: &mut Response, ctrl: &mut FlowCtrl, denial: Denial) {
-    let id = depot
-        .get_typed::<Draft>()
-        .map(|d| d.id.clone())
-        .unwrap_or_default();
+    let draft = depot.get_typed::<Draft>().ok();
+    let id = draft.map(|d| d.id.clone()).unwrap_or_default();
+    // This request was not run, but a caller asks about its key: a repeat of a payment that ran
+    // must not read "not run", or it would be made anew under another key.
+    let (outcome, count) = match draft.is_some_and(|d| d.keyed) {
+        true => (Outcome::Unknown, Name::Unknown),
+        false => (Outcome::NotRun, Name::NotRun),
+    };
     driver.metrics.count(Name::Refusals, 1);
-    driver.metrics.count(Name::NotRun, 1);
+    driver.metrics.count(count, 1);
     events::denied(&id, denial.status, denial.code);
-    answers::reject(res, &id, &denial);
+    answers::reject(res, &id, outcome, &denial);
     ctrl.skip_rest();
 }
--- a/crates/router/tests/edge/answer.rs
+++ b/crates/router/tests/edge/answer.rs
@@ -97,6 +97,13 @@
     expect_that!(answer.header("x-attempts"), some(eq("0")));
 }
 
+/// Expects the same of a request that carries a key. It was not run, but of its key nothing is
+/// promised: an earlier request with it may have run.
+pub(crate) fn expect_denied_keyed(answer: &Answer, status: u16, code: &str, words: &[&str]) {
+    expect_error(answer, status, code, "unknown", words);
+    expect_that!(answer.header("x-attempts"), some(eq("0")));
+}
+
 /// Expects an error in its one shape.
 pub(crate) fn expect_error(
     answer: &Answer,
--- a/crates/router/tests/edge/keys.rs
+++ b/crates/router/tests/edge/keys.rs
@@ -124,3 +124,29 @@
     expect_that!(own.header("x-replayed"), none());
     expect_that!(rig.calls().await, len(eq(2)));
 }
+
+/// Symptom: a payment is made twice. Sequence: it ran; its repeat comes with a deadline in the past
+/// and is told "not run", and the caller makes it anew under another key. Cause: the chain told the
+/// outcome of the request, where the caller asks for that of the key.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn verify_a_refused_repeat_is_not_told_that_its_key_did_not_run() {
+    let rig = Rig::start().await;
+    rig.wait_for_keys().await;
+    let key = new_key();
+    let first = rig.order(MAIN, &key, "{}").await;
+    expect_that!(first.header("x-outcome"), some(eq("done")));
+    let bearer = format!("Bearer {MAIN}");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("idempotency-key", key.as_str()),
+        ("x-deadline-ms", "0"),
+    ];
+    let repeat = rig.call("POST", "/orders", &headers, b"{}").await;
+    expect_that!(repeat.header("x-outcome"), some(eq("unknown")));
+    expect_that!(
+        repeat.json()["error"]["outcome"],
+        eq(&serde_json::json!("unknown"))
+    );
+    expect_that!(rig.calls().await.len(), eq(1));
+}
