Don't count as untold what has ended; split how calls end from how they go

Cause: a chat that came back within a summary's 200 ms of its last answer was placed elsewhere (overflow) on an idle fleet: the ended request still counted as one that peers had not heard of, and at a limit of one that is the whole quota. Ruled out: the machine's load (red alone, too), the token's incarnation.

--- a/crates/core/src/load/mod.rs
+++ b/crates/core/src/load/mod.rs
@@ -193,6 +193,8 @@
     pub fn ended(&mut self, now: Time, endpoint: EndpointKey) {
         if let Some(entry) = self.entries.get_mut(endpoint) {
             entry.own = entry.own.saturating_sub(1);
+            // What has ended before peers were told of it is nothing that they miss.
+            entry.unshared = entry.unshared.min(entry.own);
             entry.remember(now);
         }
         self.spread(endpoint);
--- a/crates/core/src/node/calls.rs
+++ b/crates/core/src/node/calls.rs
@@ -1,4 +1,4 @@
-//! A call's way through the node: admission, home, placement, attempts, end.
+//! A call's way through the node: admission, home, placement, dispatch, refusal.
 
 use std::sync::Arc;
 
@@ -6,8 +6,7 @@
     Node,
     Open,
     Stage,
-    attempt,
-    log_member, //
+    attempt, //
 };
 use crate::{
     action::{
@@ -20,7 +19,6 @@
         Outgo,
         Verdict, //
     },
-    membership::Seen,
     once::Begin,
     overload,
     peer::Message,
@@ -29,19 +27,14 @@
         Scene, //
     },
     request::{
-        Answer,
-        Attempt,
         Call,
         Code,
-        End,
         Origin,
-        Outcome,
         Refusal,
         Request,
         Token,
         Work, //
     },
-    retry,
     units::{
         Millis,
         Now,
@@ -50,7 +43,7 @@
 };
 
 /// When to come back after a refusal whose cause should be over in a moment.
-const SOON: Millis = Millis(1000);
+pub(super) const SOON: Millis = Millis(1000);
 
 impl Node {
     pub(super) fn request(
@@ -304,183 +297,6 @@
         self.end_refused(now, call, refusal, out);
     }
 
-    pub(super) fn ended(
-        &mut self,
-        now: Now,
-        call: Call,
-        attempt: Attempt,
-        end: End,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(open) = self.calls.get(&call) else {
-            return;
-        };
-        let Stage::Sent { endpoint, life, .. } = open.stage else {
-            return;
-        };
-        if attempt.0 != open.attempts {
-            return;
-        }
-        self.loads.ended(now.mono, endpoint);
-        let changed = match &end {
-            End::Whole(_) => self.view.seen(now.mono, endpoint, Seen::Finished),
-            End::NotSent { leaving: true } => self.view.leaving(now.mono, endpoint, life),
-            End::NotSent { leaving: false } => self.view.seen(now.mono, endpoint, Seen::Refused),
-            End::Broken { .. } => self.view.seen(now.mono, endpoint, Seen::Silent),
-            End::Failed(_) | End::Cancelled => None,
-        };
-        log_member(endpoint, changed, out);
-        if let End::Whole(answer) = end {
-            return self.whole(now, call, answer, out);
-        }
-        self.failed(now, call, attempt, end, out);
-    }
-
-    fn whole(&mut self, now: Now, call: Call, answer: Answer, out: &mut Vec<Action>) {
-        let Some(open) = self.calls.swap_remove(&call) else {
-            return;
-        };
-        let took = now.mono.since(open.sent);
-        self.gate.ended(&open.request.work, took);
-        let outcome = Outcome::Done;
-        out.push(Action::Finish { call, outcome });
-        out.push(Action::Log(Decision::Done {
-            call,
-            outcome,
-            attempts: open.attempts,
-        }));
-        self.end_key(now, &open.request.work, outcome, Some(answer), out);
-    }
-
-    fn failed(&mut self, now: Now, call: Call, attempt: Attempt, end: End, out: &mut Vec<Action>) {
-        if let Some(open) = self.calls.get_mut(&call) {
-            open.reached |= !matches!(end, End::NotSent { .. });
-        }
-        let Some(open) = self.calls.get(&call) else {
-            return;
-        };
-        let Stage::Sent { endpoint, .. } = open.stage else {
-            return;
-        };
-        let policy = Arc::clone(&self.store.current().policy);
-        let (request, attempts) = (&open.request, open.attempts);
-        let retried = retry::allowed(
-            &policy,
-            &self.repeated_as(&request.work),
-            attempts,
-            &end,
-            now.mono,
-            request.deadline,
-        );
-        let wait = retry::pause(attempts, &mut self.rng);
-        let in_time = now.mono + wait < request.deadline;
-        let retried = retried && in_time && self.budget.take();
-        out.push(Action::Log(Decision::AttemptFailed {
-            call,
-            attempt,
-            endpoint,
-            retried,
-        }));
-        if retried {
-            self.touch(call, &end);
-            return self.again(now, call, wait, out);
-        }
-        let work = request.work.clone();
-        match end {
-            End::Cancelled => {
-                self.calls.swap_remove(&call);
-                self.end_key(now, &work, Outcome::Unknown, None, out);
-            }
-            // An endpoint's own error is an answer; the caller gets it as it is.
-            End::Failed(_) => {
-                let outcome = Outcome::Unknown;
-                self.calls.swap_remove(&call);
-                out.push(Action::Finish { call, outcome });
-                out.push(Action::Log(Decision::Done {
-                    call,
-                    outcome,
-                    attempts,
-                }));
-                self.end_key(now, &work, outcome, None, out);
-            }
-            End::NotSent { .. } => {
-                let refusal = Refusal::not_run(Code::EndpointFailed, Some(SOON));
-                self.end_refused(now, call, refusal, out);
-            }
-            End::Broken { .. } | End::Whole(_) => {
-                let refusal = Refusal::unknown(Code::EndpointFailed, Some(SOON));
-                self.end_refused(now, call, refusal, out);
-            }
-        }
-    }
-
-    pub(super) fn gone(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
-        let Some(open) = self.calls.get(&call) else {
-            return;
-        };
-        let work = open.request.work.clone();
-        match open.stage {
-            // A call that runs once goes on: its repeat wants the answer.
-            Stage::Sent { .. } if matches!(work, Work::Once { .. }) => {}
-            Stage::Sent { endpoint, .. } => {
-                let attempt = attempt(open.attempts);
-                self.loads.ended(now.mono, endpoint);
-                self.calls.swap_remove(&call);
-                out.push(Action::Cancel { call, attempt });
-            }
-            Stage::Admission => {
-                self.limits.gone(call);
-                self.calls.swap_remove(&call);
-            }
-            Stage::Later { .. } => {
-                self.calls.swap_remove(&call);
-                self.end_key(now, &work, Outcome::NotRun, None, out);
-            }
-            Stage::Forwarded => {
-                self.calls.swap_remove(&call);
-            }
-            Stage::Waiting => {
-                self.leave(call, &work);
-                self.calls.swap_remove(&call);
-            }
-        }
-    }
-
-    pub(super) fn forward_failed(
-        &mut self,
-        now: Now,
-        call: Call,
-        sent: bool,
-        out: &mut Vec<Action>,
-    ) {
-        // An earlier request with this key may have run at the home, so even what was not sent is
-        // only unknown to this router.
-        let _ = sent;
-        let refusal = Refusal::unknown(Code::HomeUnavailable, Some(SOON));
-        self.give(now, call, refusal, out);
-    }
-
-    pub(super) fn forward_done(
-        &mut self,
-        now: Now,
-        call: Call,
-        (outcome, refusal): (Outcome, Option<Refusal>),
-        out: &mut Vec<Action>,
-    ) {
-        if let Some(refusal) = refusal {
-            return self.give(now, call, refusal, out);
-        }
-        if self.calls.swap_remove(&call).is_none() {
-            return;
-        }
-        out.push(Action::Finish { call, outcome });
-        out.push(Action::Log(Decision::Done {
-            call,
-            outcome,
-            attempts: 1,
-        }));
-    }
-
     /// Refuses a call. What it is told of an action that runs once must be vouched for.
     pub(super) fn refuse(&mut self, now: Now, call: Call, refusal: Refusal, out: &mut Vec<Action>) {
         let refusal = match self.calls.get(&call) {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -65,6 +65,7 @@
 
 mod calls;
 mod endpoints;
+mod ends;
 mod once;
 mod orders;
 mod peers;
--- a/crates/core/tests/place/choose.rs
+++ b/crates/core/tests/place/choose.rs
@@ -343,3 +343,17 @@
     // 1.225 times 265 over 12 engines, rounded up.
     expect_that!(router.choose(&work).unwrap().limit, eq(28));
 }
+
+#[gtest]
+fn verify_a_chat_that_returns_at_once_goes_to_its_engine() {
+    // Symptom: on a quiet fleet a returning chat goes to another engine and waits for its prefix.
+    // Sequence: its last answer has ended, and it comes back before the next summary to peers.
+    // Cause: a request that has ended counted as one that peers don't know of yet.
+    let mut router = router(12, 0, 64);
+    let (key, now) = (router.key("near-0"), router.now);
+    router.loads.sent(now, key);
+    router.loads.ended(now, key);
+    let work = router.chat(7, Some(router.token("near-0", None)));
+    let placed = router.choose(&work).unwrap();
+    expect_that!(placed.reason, eq(Reason::Token));
+}
