Take out what the change left dead

Cause: reading the whole change once more. Behaviour stays as it is. Left: node/orders.rs makes its scene three times (a method would borrow the whole node while its orders change).

--- a/crates/core/src/node/ends.rs
+++ b/crates/core/src/node/ends.rs
@@ -173,16 +173,9 @@
         }
     }
 
-    pub(super) fn forward_failed(
-        &mut self,
-        now: Now,
-        call: Call,
-        sent: bool,
-        out: &mut Vec<Action>,
-    ) {
-        // An earlier request with this key may have run at the home, so even what was not sent is
-        // only unknown to this router.
-        let _ = sent;
+    pub(super) fn forward_failed(&mut self, now: Now, call: Call, out: &mut Vec<Action>) {
+        // Whether it was sent makes no difference: an earlier request with this key may have run at
+        // the home, so even what was not sent is only unknown to this router.
         let refusal = Refusal::unknown(Code::HomeUnavailable, Some(SOON));
         self.give(now, call, refusal, out);
     }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -244,7 +244,7 @@
                 self.head(now, call, leaving, incarnation, out);
             }
             Event::Ended { call, attempt, end } => self.ended(now, call, attempt, end, out),
-            Event::ForwardFailed { call, sent } => self.forward_failed(now, call, sent, out),
+            Event::ForwardFailed { call, sent: _ } => self.forward_failed(now, call, out),
             Event::ForwardDone {
                 call,
                 outcome,
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -1,7 +1,7 @@
 //! Server-sent events of one answer: whole events out of bytes, and the end mark.
 //!
-//! Only whole events are passed on. When a stream breaks inside an event, the caller has whole
-//! events up to there, and a resumed stream goes on after the last of them.
+//! Only whole events are passed on. When a stream breaks inside an event, the caller has whole events
+//! up to there, and then an error event.
 
 use bytes::{
     Buf,
@@ -66,12 +66,6 @@
         self.last
     }
 
-    /// Forgets the started event, so that a resumed stream can go on.
-    pub fn restart(&mut self) {
-        self.buffer.clear();
-        self.searched = 0;
-    }
-
     fn note(&mut self, from: usize, to: usize) {
         for line in self.buffer[from..to].split(|b| *b == b'\n') {
             let line = line.strip_suffix(b"\r").unwrap_or(line);
