--- a/crates/router/src/clock.rs
+++ b/crates/clock/src/lib.rs
@@ -3,6 +3,8 @@
 //! The monotonic one counts the time that the machine was suspended (`CLOCK_BOOTTIME`): a process
 //! that wakes late must see how old its view is, or it would act on it.
 
+#![forbid(unsafe_code)]
+
 use std::time::{
     SystemTime,
     UNIX_EPOCH, //
--- /dev/null
+++ b/crates/core/src/gateway/endpoint.rs
@@ -0,0 +1,219 @@
+//! One life of an endpoint: what its entry says, and what its answers have shown.
+
+use std::net::SocketAddrV4;
+
+use bytes::Bytes;
+
+use crate::{
+    gateway::fate::Fate,
+    units::{
+        Millis,
+        Time, //
+    },
+};
+
+/// First pause after an endpoint could not be reached; doubles with each further failure.
+const PAUSE: Millis = Millis(400);
+/// Longest pause between attempts to reach an endpoint again.
+const PAUSE_MAX: Millis = Millis(3200);
+/// Broken or stalled answers in a row after which an endpoint is paused.
+const BROKEN_IN_A_ROW: u32 = 2;
+/// Age at which a stated load says nothing any more: many requests have come and gone since.
+const LOAD_STALE: Millis = Millis(2000);
+/// Weight of the newest answer in the share of failures: about the last eight count.
+const FAILURE_WEIGHT: f32 = 0.125;
+
+/// `Entry` is what the registry says of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Name of this life; a restart has another.
+    pub id: Bytes,
+    /// Name of its service.
+    pub service: Bytes,
+    /// Where it listens.
+    pub address: SocketAddrV4,
+    /// Data centre where it runs.
+    pub data_center: Bytes,
+    /// Requests that it runs at once; zero where none is published.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// How much longer it is slow after its start.
+    pub cold: Millis,
+}
+
+/// `State` says whether an endpoint may get work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum State {
+    /// It may.
+    Ready,
+    /// It finishes what it has.
+    Leaving,
+    /// Its entry lapsed while the registry was away; it may, until that is decided.
+    Lapsed {
+        /// When the entry was first missed.
+        since: Time,
+    },
+    /// It has left.
+    Gone,
+}
+
+/// `Load` is what an endpoint states of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that it can run at once.
+    pub slots: u32,
+}
+
+/// `Endpoint` is one life of an endpoint.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// What the registry says.
+    pub entry: Entry,
+    /// Whether it may get work.
+    pub state: State,
+    /// Hash of its name, for rendezvous.
+    pub seed: u64,
+    /// Own requests in progress there.
+    pub own: u32,
+    stated: Option<Stated>,
+    failures: u32,
+    paused: Option<Time>,
+    failing: f32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Stated {
+    at: Time,
+    load: Load,
+    /// Own requests in progress then.
+    own: u32,
+}
+
+impl Endpoint {
+    /// Makes an endpoint from its first entry.
+    pub fn new(entry: Entry) -> Self {
+        let state = state_of(&entry);
+        let seed = xxhash_rust::xxh3::xxh3_64(&entry.id);
+        Self {
+            entry,
+            state,
+            seed,
+            own: 0,
+            stated: None,
+            failures: 0,
+            paused: None,
+            failing: 0.0,
+        }
+    }
+
+    /// Follows a new entry; returns whether the state changed. One that leaves never comes back:
+    /// a restart has another name.
+    pub fn follow(&mut self, entry: Entry) -> bool {
+        let before = self.state;
+        self.state = match before {
+            State::Leaving | State::Gone => before,
+            _ => state_of(&entry),
+        };
+        self.entry = entry;
+        before != self.state
+    }
+
+    /// Tells whether it may get new requests.
+    pub fn usable(&self) -> bool {
+        matches!(self.state, State::Ready | State::Lapsed { .. })
+    }
+
+    /// Tells whether it is left out for a while, as it could not be reached or broke off.
+    pub fn paused(&self, now: Time) -> bool {
+        self.paused.is_some_and(|until| now < until)
+    }
+
+    /// Gets the share of its newest answers that were failures, 0 to 1.
+    pub fn failing(&self) -> f32 {
+        self.failing
+    }
+
+    /// Estimates its requests in progress from all routers.
+    ///
+    /// A stated load is corrected by the own requests that came and went since.
+    pub fn load(&self, now: Time) -> u32 {
+        let fresh = self.stated.filter(|s| now.since(s.at) < LOAD_STALE);
+        let Some(stated) = fresh else {
+            return self.own;
+        };
+        let all = stated.load.running.saturating_add(stated.load.waiting);
+        let since = all.saturating_add(self.own).saturating_sub(stated.own);
+        since.max(self.own)
+    }
+
+    /// Gets the load that it stated last, while that says something.
+    pub fn stated(&self, now: Time) -> Option<Load> {
+        let fresh = self.stated.filter(|s| now.since(s.at) < LOAD_STALE);
+        fresh.map(|s| s.load)
+    }
+
+    /// Notes that a request goes out.
+    pub fn sent(&mut self) {
+        self.own = self.own.saturating_add(1);
+    }
+
+    /// Notes the load that it states.
+    pub fn state_load(&mut self, now: Time, load: Load) {
+        self.stated = Some(Stated {
+            at: now,
+            load,
+            own: self.own,
+        });
+    }
+
+    /// Notes how an attempt ended.
+    pub fn ended(&mut self, now: Time, fate: Fate) {
+        self.own = self.own.saturating_sub(1);
+        match fate {
+            Fate::Answered => {
+                self.failures = 0;
+                self.paused = None;
+                self.failing -= self.failing * FAILURE_WEIGHT;
+            }
+            Fate::Failed => self.failed(),
+            Fate::Broken | Fate::Stalled => {
+                self.failed();
+                self.failures += 1;
+                if self.failures >= BROKEN_IN_A_ROW {
+                    self.pause(now, self.failures - BROKEN_IN_A_ROW);
+                }
+            }
+            Fate::Misdirected => self.state = State::Gone,
+            Fate::NotSent | Fate::Rejected | Fate::Left => {}
+        }
+    }
+
+    /// Notes that it could not be reached.
+    pub fn unreached(&mut self, now: Time) {
+        self.pause(now, self.failures);
+        self.failures += 1;
+    }
+
+    fn failed(&mut self) {
+        self.failing += (1.0 - self.failing) * FAILURE_WEIGHT;
+    }
+
+    fn pause(&mut self, now: Time, doublings: u32) {
+        let pause = PAUSE.0 << doublings.min(8);
+        self.paused = Some(now + Millis(pause.min(PAUSE_MAX.0)));
+    }
+}
+
+fn state_of(entry: &Entry) -> State {
+    if entry.leaving {
+        State::Leaving
+    } else {
+        State::Ready
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/mod.rs
@@ -0,0 +1,386 @@
+//! The decisions of a router in front of replicated services that a registry lists.
+//!
+//! [`Gateway`] takes checked requests, what the registry says and how attempts ended, each with its
+//! time; it answers which endpoint gets a request, whether a failed attempt is followed by another,
+//! and what a caller is told. It does no I/O and reads no clock.
+//!
+//! A request passes [`Gateway::admit`] (route, key, age of what is known), then for each attempt
+//! [`Gateway::place`] and [`Gateway::ended`].
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+
+use crate::{
+    arena::EndpointKey,
+    units::{
+        Millis,
+        Time, //
+    },
+};
+
+pub mod ask;
+pub mod budget;
+pub mod catalog;
+pub mod endpoint;
+pub mod fate;
+pub mod place;
+pub mod proof;
+pub mod refusal;
+pub mod registry;
+pub mod route;
+pub mod settings;
+
+use ask::Ask;
+use budget::Budget;
+use catalog::{
+    Catalog,
+    Workspace, //
+};
+use endpoint::Entry;
+use fate::{
+    Fate,
+    Next, //
+};
+use proof::Proof;
+use refusal::{
+    Cause,
+    Refusal, //
+};
+use registry::Registry;
+use route::{
+    Kind,
+    Route, //
+};
+use settings::Bounds;
+
+/// `Ticket` is an admitted request on its way through its attempts.
+#[derive(Clone, Debug)]
+pub struct Ticket {
+    /// Route that it took.
+    pub route: Arc<Route>,
+    /// Service that the route's split drew.
+    pub service: Bytes,
+    /// Workspace that sent it; `None` on routes open to everybody.
+    pub workspace: Option<Arc<Workspace>>,
+    /// Rank under overload; 0 goes first.
+    pub priority: u8,
+    /// When the caller stops waiting.
+    pub deadline: Time,
+    /// When it must have its final answer: the deadline or the route's limit, if that is earlier.
+    pub until: Time,
+    /// Version of the configuration that admitted it.
+    pub version: u64,
+    /// Endpoints that it was sent to.
+    pub tried: Vec<EndpointKey>,
+    /// Endpoints that could not be reached; they don't count as attempts.
+    pub unreached: Vec<EndpointKey>,
+    /// Whether some attempt may have run.
+    pub may_have_run: bool,
+}
+
+/// `Change` is one thing that the registry says.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// The published configuration.
+    Catalog(Box<Catalog>),
+    /// An endpoint's entry, new or changed.
+    Entry(Entry),
+    /// An endpoint's entry is gone.
+    Removed(Bytes),
+    /// All entries that there are; what is not among them is gone.
+    Entries(Vec<Entry>),
+}
+
+/// `News` is what became of a change, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum News {
+    /// A configuration is in force.
+    Applied {
+        /// Its version.
+        version: u64,
+    },
+    /// A configuration was refused, as a newer one is in force.
+    Older {
+        /// Its version.
+        version: u64,
+        /// The version in force.
+        held: u64,
+    },
+    /// An endpoint changed its state.
+    Endpoint {
+        /// Its name.
+        id: Bytes,
+        /// The new state.
+        state: endpoint::State,
+    },
+}
+
+/// `Gateway` is one router.
+#[derive(Debug)]
+pub struct Gateway {
+    bounds: Bounds,
+    catalog: Option<Arc<Catalog>>,
+    registry: Registry,
+    proof: Proof,
+    budgets: IndexMap<Bytes, Budget>,
+    draws: u64,
+}
+
+impl Gateway {
+    /// Makes a gateway that knows nothing yet; `seed` is that of its random draws.
+    pub fn new(bounds: Bounds, seed: u64) -> Self {
+        Self {
+            bounds,
+            catalog: None,
+            registry: Registry::default(),
+            proof: Proof::default(),
+            budgets: IndexMap::new(),
+            draws: seed,
+        }
+    }
+
+    /// Gets the configuration in force.
+    pub fn catalog(&self) -> Option<&Arc<Catalog>> {
+        self.catalog.as_ref()
+    }
+
+    /// Gets the endpoints.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Gets the age of what is known.
+    pub fn proof(&self) -> &Proof {
+        &self.proof
+    }
+
+    /// Gets the bounds that it keeps.
+    pub fn bounds(&self) -> &Bounds {
+        &self.bounds
+    }
+
+    /// Tells whether callers may be sent here.
+    pub fn ready(&self, now: Time) -> bool {
+        let reachable = self.registry.usable().next().is_some();
+        self.catalog.is_some() && reachable && self.proof.holds(now, self.bounds.proof)
+    }
+
+    /// Notes a read of the registry that was sent at `sent` and answered with the newest state.
+    pub fn proved(&mut self, sent: Time) {
+        self.proof.renew(sent);
+    }
+
+    /// Follows the registry.
+    pub fn follow(&mut self, now: Time, change: Change) -> Vec<News> {
+        let mut news = Vec::new();
+        match change {
+            Change::Catalog(catalog) => self.publish(*catalog, &mut news),
+            Change::Entry(entry) => self.registry.put(now, entry, &mut news),
+            Change::Removed(id) => self.registry.remove(now, &id, &mut news),
+            Change::Entries(entries) => {
+                let grace = self.bounds.lapse;
+                self.registry.replace(now, entries, grace, &mut news);
+            }
+        }
+        news
+    }
+
+    /// Notes that the registry could not be read, so that entries may lapse without their
+    /// endpoints being gone.
+    pub fn registry_lost(&mut self, now: Time) {
+        self.registry.lost(now);
+    }
+
+    /// Notes that the registry is read again.
+    pub fn registry_back(&mut self, now: Time) {
+        self.registry.back(now);
+    }
+
+    /// Ends what has waited long enough.
+    pub fn tick(&mut self, now: Time) -> Vec<News> {
+        let mut news = Vec::new();
+        self.registry.expire(now, self.bounds.lapse, &mut news);
+        news
+    }
+
+    fn publish(&mut self, catalog: Catalog, news: &mut Vec<News>) {
+        let version = catalog.version;
+        match &self.catalog {
+            Some(held) if held.version > version => news.push(News::Older {
+                version,
+                held: held.version,
+            }),
+            Some(held) if held.version == version => {}
+            _ => {
+                self.catalog = Some(Arc::new(catalog));
+                news.push(News::Applied { version });
+            }
+        }
+    }
+
+    /// Admits a request, or says why not.
+    ///
+    /// # Errors
+    ///
+    /// The refusal that the caller gets at once.
+    pub fn admit(&mut self, now: Time, ask: &Ask) -> Result<Ticket, Refusal> {
+        let Some(catalog) = self.catalog.clone() else {
+            return Err(Refusal::later(Cause::NotReady));
+        };
+        if !self.proof.holds(now, self.bounds.proof) {
+            return Err(Refusal::later(Cause::Stale));
+        }
+        let Some(route) = catalog.route(&ask.host, &ask.path) else {
+            return Err(Refusal::never(Cause::UnknownRoute));
+        };
+        let workspace = match &ask.key {
+            Some(key) => catalog.holder(key),
+            None => None,
+        };
+        if workspace.is_none() && !route.anonymous && catalog.has_workspaces() {
+            return Err(Refusal::never(Cause::UnknownKey));
+        }
+        let deadline = ask.deadline.map_or(now + route.limit, |left| now + left);
+        let draw = self.draw();
+        let Some(service) = route.service(draw) else {
+            return Err(Refusal::later(Cause::NoEndpoint));
+        };
+        let priority = workspace
+            .as_ref()
+            .and_then(|w| w.priority)
+            .unwrap_or(route.priority);
+        let budget = self.budgets.entry(service.clone()).or_default();
+        budget.first(now, self.bounds.retry.window);
+        Ok(Ticket {
+            service,
+            workspace,
+            priority,
+            deadline,
+            until: deadline.min(now + route.limit),
+            version: catalog.version,
+            route: Arc::clone(route),
+            tried: Vec::new(),
+            unreached: Vec::new(),
+            may_have_run: false,
+        })
+    }
+
+    /// Chooses the endpoint of the next attempt.
+    ///
+    /// # Errors
+    ///
+    /// The refusal that the caller gets at once.
+    pub fn place(
+        &mut self,
+        now: Time,
+        ticket: &Ticket,
+        ask: &Ask,
+    ) -> Result<place::Placed, Refusal> {
+        if now >= ticket.until {
+            return Err(Refusal::given_up(Cause::Deadline, ticket.may_have_run));
+        }
+        let draw = self.draw();
+        let scene = place::Scene {
+            registry: &self.registry,
+            bounds: &self.bounds,
+            now,
+            draw,
+        };
+        let placed = place::choose(&scene, ticket, ask.prompt.as_ref());
+        placed.ok_or_else(|| Refusal::given_up(Cause::NoEndpoint, ticket.may_have_run))
+    }
+
+    /// Notes that an attempt goes out; returns the state that its end needs.
+    pub fn sent(&mut self, now: Time, ticket: &mut Ticket, endpoint: EndpointKey) {
+        if !ticket.tried.is_empty() {
+            let budget = self.budgets.entry(ticket.service.clone()).or_default();
+            budget.repeat(now, self.bounds.retry.window);
+        }
+        ticket.tried.push(endpoint);
+        self.registry.sent(now, endpoint);
+    }
+
+    /// Notes the load that an endpoint states of itself.
+    pub fn stated(&mut self, now: Time, endpoint: EndpointKey, load: endpoint::Load) {
+        self.registry.stated(now, endpoint, load);
+    }
+
+    /// Notes how an attempt ended and says what follows.
+    pub fn ended(
+        &mut self,
+        now: Time,
+        ticket: &mut Ticket,
+        endpoint: EndpointKey,
+        fate: Fate,
+    ) -> Next {
+        self.registry.ended(now, endpoint, fate);
+        self.judge(now, ticket, endpoint, fate)
+    }
+
+    /// Notes that the caller of an attempt left.
+    pub fn left(&mut self, now: Time, endpoint: EndpointKey) {
+        self.registry.ended(now, endpoint, Fate::Left);
+    }
+
+    /// Notes that no connection to an endpoint could be made, so that nothing was sent.
+    pub fn unreached(&mut self, now: Time, ticket: &mut Ticket, endpoint: EndpointKey) -> Next {
+        self.registry.unreached(now, endpoint);
+        self.judge(now, ticket, endpoint, Fate::NotSent)
+    }
+
+    fn judge(&mut self, now: Time, ticket: &mut Ticket, endpoint: EndpointKey, fate: Fate) -> Next {
+        if fate == Fate::NotSent {
+            ticket.tried.retain(|k| *k != endpoint);
+            ticket.unreached.push(endpoint);
+        }
+        ticket.may_have_run |= fate.may_have_run();
+        if matches!(fate, Fate::Answered | Fate::Left) {
+            return Next::Deliver;
+        }
+        let attempts = u32::try_from(ticket.tried.len()).unwrap_or(u32::MAX);
+        let open = now < ticket.until && attempts < ticket.route.attempts;
+        let free = fate == Fate::NotSent && ticket.tried.is_empty();
+        let allowed = fate.repeatable(ticket.route.kind)
+            && (!ticket.may_have_run || ticket.route.kind.repeatable());
+        if open && allowed && ticket.unreached.len() < MAX_UNREACHED {
+            let budget = self.budgets.entry(ticket.service.clone()).or_default();
+            if free || budget.allows(now, &self.bounds.retry) {
+                return Next::Again;
+            }
+        }
+        Next::GiveUp
+    }
+
+    /// Draws a number (SplitMix64; Steele, Lea, Flood, OOPSLA 2014).
+    fn draw(&mut self) -> u64 {
+        self.draws = self.draws.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.draws;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+}
+
+/// Endpoints that may prove unreachable in one request before it is given up: each costs a
+/// connection's timeout.
+const MAX_UNREACHED: usize = 3;
+
+/// Gets when a refused caller should come back: soon, spread by `draw` so that those refused
+/// together don't return together, and within a third of the time that it has left.
+pub fn come_back(now: Time, deadline: Time, draw: u64) -> Millis {
+    let left = deadline.since(now).0;
+    let wait = COME_BACK.0 + draw % COME_BACK.0;
+    Millis(wait.min(left / 3))
+}
+
+/// Shortest wait that a refused caller is told: two rounds of news between routers.
+const COME_BACK: Millis = Millis(150);
+
+impl Kind {
+    /// Tells whether a request that may have run may be sent again.
+    pub const fn repeatable(self) -> bool {
+        matches!(self, Kind::Repeatable | Kind::Stream { resumable: true })
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/registry.rs
@@ -0,0 +1,202 @@
+//! All endpoints that the registry lists or has listed.
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use slotmap::SlotMap;
+
+use crate::{
+    arena::EndpointKey,
+    gateway::{
+        News,
+        endpoint::{
+            Endpoint,
+            Entry,
+            Load,
+            State, //
+        },
+        fate::Fate,
+    },
+    units::{
+        Millis,
+        Time, //
+    },
+};
+
+/// `Registry` is the endpoints by name and by service.
+#[derive(Debug, Default)]
+pub struct Registry {
+    slots: SlotMap<EndpointKey, Endpoint>,
+    names: IndexMap<Bytes, EndpointKey>,
+    services: IndexMap<Bytes, Vec<EndpointKey>>,
+    away: Option<Time>,
+    returned: Option<Time>,
+}
+
+impl Registry {
+    /// Gets an endpoint.
+    pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
+        self.slots.get(key)
+    }
+
+    /// Lists a service's endpoints that may get work.
+    pub fn of(&self, service: &[u8]) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
+        let keys = self.services.get(service).into_iter().flatten();
+        let found = keys.filter_map(|k| self.slots.get(*k).map(|e| (*k, e)));
+        found.filter(|(_, e)| e.usable())
+    }
+
+    /// Lists all endpoints that may get work.
+    pub fn usable(&self) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
+        self.slots.iter().filter(|(_, e)| e.usable())
+    }
+
+    /// Counts the endpoints that are listed.
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Tells whether none is listed.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Notes that the registry can't be read.
+    pub fn lost(&mut self, now: Time) {
+        self.away.get_or_insert(now);
+        self.returned = None;
+    }
+
+    /// Notes that the registry is read again.
+    pub fn back(&mut self, now: Time) {
+        if self.away.take().is_some() {
+            self.returned = Some(now);
+        }
+    }
+
+    /// Puts an entry in.
+    pub fn put(&mut self, now: Time, entry: Entry, news: &mut Vec<News>) {
+        let _ = now;
+        if let Some(key) = self.names.get(&entry.id)
+            && let Some(endpoint) = self.slots.get_mut(*key)
+        {
+            let moved = endpoint.entry.service != entry.service;
+            if endpoint.follow(entry) {
+                news.push(told(endpoint));
+            }
+            if moved {
+                self.index();
+            }
+            return;
+        }
+        let endpoint = Endpoint::new(entry);
+        news.push(told(&endpoint));
+        let id = endpoint.entry.id.clone();
+        let service = endpoint.entry.service.clone();
+        let key = self.slots.insert(endpoint);
+        self.names.insert(id, key);
+        self.services.entry(service).or_default().push(key);
+    }
+
+    /// Takes an entry out.
+    pub fn remove(&mut self, now: Time, id: &Bytes, news: &mut Vec<News>) {
+        let _ = now;
+        let Some(key) = self.names.swap_remove(id) else {
+            return;
+        };
+        if let Some(mut endpoint) = self.slots.remove(key) {
+            endpoint.state = State::Gone;
+            news.push(told(&endpoint));
+        }
+        self.index();
+    }
+
+    /// Follows a whole list. What is not in it is gone, unless the registry has just come back:
+    /// then it lapses, and is gone after `grace`.
+    pub fn replace(&mut self, now: Time, entries: Vec<Entry>, grace: Millis, news: &mut Vec<News>) {
+        let listed: indexmap::IndexSet<Bytes> = entries.iter().map(|e| e.id.clone()).collect();
+        for entry in entries {
+            self.put(now, entry, news);
+        }
+        let names = self.names.keys();
+        let missing: Vec<Bytes> = names.filter(|id| !listed.contains(*id)).cloned().collect();
+        let lapsing = self.returned.is_some_and(|at| now.since(at) < grace);
+        for id in missing {
+            if !lapsing || !self.lapse(now, &id, news) {
+                self.remove(now, &id, news);
+            }
+        }
+    }
+
+    /// Ends the grace of entries that lapsed.
+    pub fn expire(&mut self, now: Time, grace: Millis, news: &mut Vec<News>) {
+        let over = |e: &Endpoint| match e.state {
+            State::Lapsed { since } => now.since(since) >= grace,
+            _ => false,
+        };
+        let gone = self.slots.values().filter(|e| over(e));
+        let gone: Vec<Bytes> = gone.map(|e| e.entry.id.clone()).collect();
+        for id in gone {
+            self.remove(now, &id, news);
+        }
+    }
+
+    fn lapse(&mut self, now: Time, id: &Bytes, news: &mut Vec<News>) -> bool {
+        let key = self.names.get(id);
+        let Some(endpoint) = key.and_then(|k| self.slots.get_mut(*k)) else {
+            return false;
+        };
+        match endpoint.state {
+            State::Ready => {
+                endpoint.state = State::Lapsed { since: now };
+                news.push(told(endpoint));
+                true
+            }
+            State::Lapsed { .. } => true,
+            State::Leaving | State::Gone => false,
+        }
+    }
+
+    /// Notes that a request goes out.
+    pub fn sent(&mut self, now: Time, key: EndpointKey) {
+        let _ = now;
+        if let Some(endpoint) = self.slots.get_mut(key) {
+            endpoint.sent();
+        }
+    }
+
+    /// Notes the load that an endpoint states.
+    pub fn stated(&mut self, now: Time, key: EndpointKey, load: Load) {
+        if let Some(endpoint) = self.slots.get_mut(key) {
+            endpoint.state_load(now, load);
+        }
+    }
+
+    /// Notes how an attempt ended.
+    pub fn ended(&mut self, now: Time, key: EndpointKey, fate: Fate) {
+        if let Some(endpoint) = self.slots.get_mut(key) {
+            endpoint.ended(now, fate);
+        }
+    }
+
+    /// Notes that an endpoint could not be reached.
+    pub fn unreached(&mut self, now: Time, key: EndpointKey) {
+        if let Some(endpoint) = self.slots.get_mut(key) {
+            endpoint.unreached(now);
+        }
+    }
+
+    fn index(&mut self) {
+        self.services.clear();
+        for (key, endpoint) in &self.slots {
+            let service = endpoint.entry.service.clone();
+            self.services.entry(service).or_default().push(key);
+        }
+    }
+}
+
+fn told(endpoint: &Endpoint) -> News {
+    News::Endpoint {
+        id: endpoint.entry.id.clone(),
+        state: endpoint.state,
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/settings.rs
@@ -0,0 +1,22 @@
+//! The bounds that a gateway keeps, in the product's own terms.
+
+use crate::{
+    gateway::budget::Policy,
+    units::{
+        Millis,
+        Permille, //
+    },
+};
+
+/// `Bounds` is what the place where it runs asks of a gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Greatest age of the newest proof on which keys and routes are acted on.
+    pub proof: Millis,
+    /// How long an entry that lapsed while the registry was away is still used after its return.
+    pub lapse: Millis,
+    /// Greatest multiple of the mean load that an endpoint may carry in calm times.
+    pub skew: Permille,
+    /// Bounds of repeats.
+    pub retry: Policy,
+}
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,80 @@
+//! Server-sent events (WHATWG HTML, section 9.2), cut at their borders.
+//!
+//! Only whole events go on to callers: an endpoint may stop in the middle of one, and another that
+//! goes on after the last whole event would else leave a torn one in between.
+
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+
+/// Most bytes of one event; a longer one is not one of ours.
+const MAX_EVENT: usize = 1 << 20;
+
+/// `Cutter` cuts a stream of bytes into whole events.
+#[derive(Debug, Default)]
+pub struct Cutter {
+    rest: BytesMut,
+}
+
+/// `Event` is one whole event with its blank line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Its number, if it has one.
+    pub id: Option<u64>,
+    /// Its bytes.
+    pub bytes: Bytes,
+}
+
+impl Cutter {
+    /// Takes bytes in.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.rest.extend_from_slice(bytes);
+    }
+
+    /// Gets the next whole event.
+    pub fn next(&mut self) -> Option<Event> {
+        let end = end_of_event(&self.rest)?;
+        let bytes = self.rest.split_to(end).freeze();
+        let id = id_of(&bytes);
+        Some(Event { id, bytes })
+    }
+
+    /// Tells whether bytes of an event that is not whole are left.
+    pub fn torn(&self) -> bool {
+        !self.rest.is_empty()
+    }
+
+    /// Tells whether the event that is coming is longer than any may be.
+    pub fn overlong(&self) -> bool {
+        self.rest.len() > MAX_EVENT
+    }
+
+    /// Takes what is left.
+    pub fn rest(&mut self) -> Bytes {
+        self.rest.split().freeze()
+    }
+}
+
+/// Finds the end of the blank line that ends an event.
+fn end_of_event(bytes: &[u8]) -> Option<usize> {
+    let mut line = 0;
+    for (at, byte) in bytes.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let text = &bytes[line..at];
+        if (text.is_empty() || text == b"\r") && line > 0 {
+            return Some(at + 1);
+        }
+        line = at + 1;
+    }
+    None
+}
+
+fn id_of(event: &[u8]) -> Option<u64> {
+    let lines = event.split(|b| *b == b'\n');
+    let value = lines.filter_map(|l| l.strip_prefix(b"id:")).next_back()?;
+    let text = std::str::from_utf8(value).ok()?;
+    text.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,25 @@
+//! Sockets, clocks and streams around the gateway decisions of `toucanturn-core`.
+//!
+//! One thread serves callers, keeps connections to endpoints and follows the registry. It decides
+//! nothing: [`exchange`] asks [`toucanturn_core::gateway::Gateway`] at each step. How requests,
+//! answers and the registry look on the wire is told by a [`dialect::Dialect`] and a
+//! [`feed::Reader`], which the program at the rim brings along.
+//!
+//! Start at [`process::run`].
+
+#![forbid(unsafe_code)]
+
+pub mod client;
+pub mod dialect;
+pub mod errors;
+pub mod events;
+pub mod exchange;
+pub mod feed;
+pub mod log;
+pub mod metrics;
+pub mod pool;
+pub mod process;
+pub mod relay;
+pub mod server;
+pub mod settings;
+pub mod state;
--- /dev/null
+++ b/crates/gateway/src/process.rs
@@ -0,0 +1,118 @@
+//! The life of a gateway process, from its sockets to its end.
+
+use std::time::Duration;
+
+use snafu::ResultExt;
+use tokio::{
+    signal::unix::{
+        SignalKind,
+        signal, //
+    },
+    task::{
+        LocalSet,
+        spawn_local, //
+    },
+    time::{
+        Instant,
+        sleep,
+        sleep_until, //
+    },
+};
+use toucanturn_core::gateway::Gateway;
+
+use crate::{
+    dialect::Dialect,
+    errors::{
+        Result,
+        SignalsSnafu, //
+    },
+    feed::{
+        self,
+        Reader, //
+    },
+    server,
+    settings::Settings,
+    state::{
+        Phase,
+        Shared,
+        State,
+        now, //
+    },
+};
+
+/// How often what has waited is looked at.
+const TICK: Duration = Duration::from_millis(100);
+/// Reads of the registry within the shortest bound on changes: one may be lost, one be slow.
+const READS_PER_BOUND: u64 = 3;
+/// How long a stopping process waits for callers on kept connections to send their next request,
+/// which is then answered as their last: two checks of a balancer that asks once a second, and
+/// the requests that come meanwhile.
+const LAST_REQUESTS: Duration = Duration::from_millis(3000);
+/// Time before the kill that a stopping process leaves unused.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// How often a stopping process looks whether all connections have ended.
+const STOP_STEP: Duration = Duration::from_millis(50);
+
+/// Runs a gateway until a signal has stopped it; returns the connections that it cut.
+///
+/// # Errors
+///
+/// An address can't be listened on, or signals can't be watched.
+pub async fn run(settings: Settings, dialect: Dialect, reader: Reader) -> Result<usize> {
+    let local = LocalSet::new();
+    local.run_until(serve(settings, dialect, reader)).await
+}
+
+async fn serve(settings: Settings, dialect: Dialect, reader: Reader) -> Result<usize> {
+    let mut term = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+    let mut hup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+    let checks = server::listen(settings.listen.ready).await?;
+    let callers = server::listen(settings.listen.callers).await?;
+    let seed = toucanturn_clock::now().wall.0;
+    let state = State::new(Gateway::new(settings.bounds.bounds(), seed), dialect);
+    tracing::info!(
+        event = 600,
+        id = settings.id,
+        data_center = settings.data_center,
+        "started"
+    );
+    let bound = settings.bounds.config_ms.min(settings.bounds.leaving_ms);
+    let pace = Duration::from_millis(bound / READS_PER_BOUND);
+    spawn_local(server::checks(state.clone(), checks));
+    spawn_local(server::callers(state.clone(), callers));
+    spawn_local(feed::follow(state.clone(), settings.registry, pace, reader));
+    spawn_local(tick(state.clone()));
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hup.recv() => tracing::info!(event = 605, "settings unchanged"),
+        }
+    }
+    Ok(stop(&state, Duration::from_secs_f64(settings.bounds.stop_s)).await)
+}
+
+async fn tick(state: Shared) {
+    loop {
+        sleep(TICK).await;
+        let gateway = state.gateway.borrow();
+        let listed = |key| gateway.registry().get(key).is_some();
+        state.pool.tick(now(), listed);
+    }
+}
+
+/// Stops: not ready at once, then the last request on each connection, then the end.
+async fn stop(state: &Shared, grace: Duration) -> usize {
+    let began = Instant::now();
+    let last = began + grace.saturating_sub(STOP_MARGIN);
+    let open = state.connections.get();
+    tracing::info!(event = 691, open, "stopping");
+    state.phase.send_replace(Phase::Stopping);
+    sleep_until(last.min(began + LAST_REQUESTS)).await;
+    state.phase.send_replace(Phase::Closing);
+    while state.connections.get() > 0 && Instant::now() < last {
+        sleep(STOP_STEP).await;
+    }
+    let cut = state.connections.get();
+    tracing::info!(event = 692, cut, "stopped");
+    cut
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,274 @@
+//! Streams: events go on as they come, and another endpoint goes on where one broke off.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream::{
+    StreamExt as _,
+    unfold, //
+};
+use http::{
+    Response,
+    StatusCode,
+    header, //
+};
+use http_body_util::{
+    BodyExt as _,
+    Either,
+    Full,
+    StreamBody, //
+};
+use hyper::body::{
+    Frame,
+    Incoming, //
+};
+use tokio::time::timeout;
+use toucanturn_core::gateway::{
+    fate::{
+        Fate,
+        Next, //
+    },
+    refusal::{
+        Cause,
+        Refusal, //
+    },
+    route::Kind,
+};
+
+use crate::{
+    client::Connection,
+    dialect::Reply,
+    events::Cutter,
+    exchange::{
+        Attempt,
+        Body,
+        Broken,
+        Call,
+        Flight, //
+    },
+};
+
+/// `Relay` is a stream in progress.
+struct Relay {
+    call: Call,
+    attempt: Option<Source>,
+    cutter: Cutter,
+    /// Last event that the caller has.
+    last: Option<u64>,
+}
+
+/// `Source` is where the events come from.
+struct Source {
+    status: StatusCode,
+    reply: Reply,
+    body: Incoming,
+    connection: Connection,
+    flight: Flight,
+}
+
+/// `Piece` is what comes next.
+enum Piece {
+    Bytes(Bytes),
+    /// The endpoint's answer ended as it should.
+    End,
+    /// It broke off.
+    Broken,
+    /// Time ran out.
+    Late,
+}
+
+/// Answers a request with a stream.
+///
+/// The head goes out with the first event: until then another endpoint can be tried, and the
+/// caller can be told what became of its request.
+pub(crate) async fn answer(mut call: Call) -> Response<Body> {
+    let mut last = call.ask.resume;
+    loop {
+        let attempt = match call.start(None).await {
+            Ok(attempt) => attempt,
+            Err(refusal) => return call.refuse(refusal),
+        };
+        if !attempt.head.status.is_success() {
+            return failure(call, attempt).await;
+        }
+        let (head, source) = split(attempt);
+        let mut relay = Relay {
+            call,
+            attempt: Some(source),
+            cutter: Cutter::default(),
+            last,
+        };
+        match relay.piece().await {
+            Piece::Bytes(first) => return relay.respond(&head, Some(first)),
+            Piece::End => {
+                relay.finish();
+                return relay.respond(&head, None);
+            }
+            ended @ (Piece::Broken | Piece::Late) => {
+                let (fate, cause) = fate(&ended);
+                let next = relay.end(fate);
+                last = relay.last;
+                call = relay.call;
+                if next != Next::Again {
+                    let refusal = Refusal::given_up(cause, call.ticket.may_have_run);
+                    return call.refuse(refusal);
+                }
+            }
+        }
+    }
+}
+
+fn fate(piece: &Piece) -> (Fate, Cause) {
+    match piece {
+        Piece::Late => (Fate::Stalled, Cause::Deadline),
+        _ => (Fate::Broken, Cause::EndpointFailed),
+    }
+}
+
+/// Hands on an endpoint's own failure, which is no stream.
+async fn failure(mut call: Call, attempt: Attempt) -> Response<Body> {
+    let status = attempt.head.status;
+    let (head, source) = split(attempt);
+    let collected = timeout(call.left(), source.body.collect()).await;
+    let Ok(Ok(body)) = collected else {
+        call.end(source.flight, Fate::Broken, Some(status));
+        let refusal = Refusal::given_up(Cause::EndpointFailed, call.ticket.may_have_run);
+        return call.refuse(refusal);
+    };
+    call.keep(&source.flight, source.connection, &source.reply);
+    let fate = if status.is_server_error() {
+        Fate::Failed
+    } else {
+        Fate::Answered
+    };
+    if call.end(source.flight, fate, Some(status)) == Next::Again {
+        return Box::pin(answer(call)).await;
+    }
+    call.deliver(&head, Either::Left(Full::new(body.to_bytes())))
+}
+
+fn split(attempt: Attempt) -> (http::response::Parts, Source) {
+    let source = Source {
+        status: attempt.head.status,
+        reply: attempt.reply,
+        body: attempt.body,
+        connection: attempt.connection,
+        flight: attempt.flight,
+    };
+    (attempt.head, source)
+}
+
+impl Relay {
+    /// Makes the answer whose body goes on with this stream.
+    fn respond(self, head: &http::response::Parts, first: Option<Bytes>) -> Response<Body> {
+        let mut head = head.clone();
+        // Another endpoint may go on, and its part is not in the first one's length.
+        head.headers.remove(header::CONTENT_LENGTH);
+        let whole = self.attempt.is_none();
+        let response = self.call.deliver(&head, Either::Left(Full::default()));
+        let start = futures_util::stream::iter(first.map(|b| Ok(Frame::data(b))));
+        let rest = unfold(Some(self), |relay| async move { step(relay?).await });
+        let body = if whole {
+            start.boxed_local()
+        } else {
+            start.chain(rest).boxed_local()
+        };
+        response.map(|_| Either::Right(StreamBody::new(body)))
+    }
+
+    /// Gets the next whole event, or what ended the endpoint's answer.
+    async fn piece(&mut self) -> Piece {
+        loop {
+            while let Some(event) = self.cutter.next() {
+                let seen = event.id.is_some() && event.id <= self.last;
+                if !seen {
+                    self.last = event.id.or(self.last);
+                    return Piece::Bytes(event.bytes);
+                }
+            }
+            let left = self.call.left();
+            let Some(source) = &mut self.attempt else {
+                return Piece::End;
+            };
+            if left == Duration::ZERO || self.cutter.overlong() {
+                return Piece::Late;
+            }
+            match timeout(left, source.body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.cutter.push(&data);
+                    }
+                }
+                Ok(None) if self.cutter.torn() => return Piece::Bytes(self.cutter.rest()),
+                Ok(None) => return Piece::End,
+                Ok(Some(Err(error))) => {
+                    tracing::debug!(%error, "stream broke off");
+                    return Piece::Broken;
+                }
+                Err(_) => return Piece::Late,
+            }
+        }
+    }
+
+    /// Ends the attempt as whole.
+    fn finish(&mut self) {
+        if let Some(source) = self.attempt.take() {
+            self.call
+                .keep(&source.flight, source.connection, &source.reply);
+            self.call
+                .end(source.flight, Fate::Answered, Some(source.status));
+        }
+    }
+
+    /// Ends the attempt, which closes its connection: the endpoint stops before another goes on.
+    fn end(&mut self, fate: Fate) -> Next {
+        self.cutter = Cutter::default();
+        let Some(source) = self.attempt.take() else {
+            return Next::GiveUp;
+        };
+        drop(source.connection);
+        self.call.end(source.flight, fate, Some(source.status))
+    }
+
+    /// Goes on at another endpoint after the last event; returns whether one does.
+    async fn resume(&mut self) -> bool {
+        let resumable = matches!(
+            self.call.ticket.route.kind,
+            Kind::Stream { resumable: true }
+        );
+        let Some(last) = self.last.filter(|_| resumable) else {
+            return false;
+        };
+        let Ok(attempt) = self.call.start(Some(last)).await else {
+            return false;
+        };
+        if !attempt.head.status.is_success() {
+            let status = attempt.head.status;
+            self.call.end(attempt.flight, Fate::Failed, Some(status));
+            return false;
+        }
+        let (_, source) = split(attempt);
+        self.attempt = Some(source);
+        true
+    }
+}
+
+type Step = Option<(Result<Frame<Bytes>, Broken>, Option<Relay>)>;
+
+async fn step(mut relay: Relay) -> Step {
+    loop {
+        match relay.piece().await {
+            Piece::Bytes(bytes) => return Some((Ok(Frame::data(bytes)), Some(relay))),
+            Piece::End => {
+                relay.finish();
+                return None;
+            }
+            ended @ (Piece::Broken | Piece::Late) => {
+                let (fate, _) = fate(&ended);
+                if relay.end(fate) != Next::Again || !relay.resume().await {
+                    return Some((Err(Broken), None));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,151 @@
+//! Listeners: for callers, and for the balancer's checks and metrics.
+
+use std::{
+    convert::Infallible,
+    net::SocketAddrV4,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http::{
+    Request,
+    Response,
+    StatusCode, //
+};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::{
+    TokioIo,
+    TokioTimer, //
+};
+use snafu::ResultExt;
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    task::spawn_local,
+    time::sleep,
+};
+
+use crate::{
+    errors::{
+        ListenSnafu,
+        Result, //
+    },
+    exchange,
+    state::{
+        Phase,
+        Shared, //
+    },
+};
+
+/// Pause after a connection could not be accepted, as when descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Least buffer that the library takes.
+const MIN_BUFFER: usize = 8192;
+
+/// Listens on an address.
+///
+/// # Errors
+///
+/// The address can't be used.
+pub async fn listen(address: SocketAddrV4) -> Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.context(ListenSnafu { address })
+}
+
+/// Serves callers for good.
+pub async fn callers(state: Shared, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(caller(state.clone(), stream));
+            }
+            Err(error) => {
+                state.metrics.count("accepts", "failed");
+                tracing::warn!(event = 640, %error, "connection not accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn caller(state: Shared, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "connection ended at once");
+        return;
+    }
+    let limits = {
+        let gateway = state.gateway.borrow();
+        gateway.catalog().map(|c| c.limits).unwrap_or_default()
+    };
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle.0))
+        .max_header_size(limits.head.max(MIN_BUFFER));
+    let shared = state.clone();
+    let service = service_fn(move |request| exchange::serve(shared.clone(), request));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let mut phase = state.phase.subscribe();
+    state.connections.set(state.connections.get() + 1);
+    let mut closing = false;
+    let ended = loop {
+        tokio::select! {
+            ended = connection.as_mut() => break ended,
+            _ = phase.wait_for(|p| *p == Phase::Closing), if !closing => {
+                closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    };
+    state.connections.set(state.connections.get() - 1);
+    if let Err(error) = ended {
+        tracing::debug!(%error, "caller's connection ended");
+    }
+}
+
+/// Serves readiness and metrics for good.
+pub async fn checks(state: Shared, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let shared = state.clone();
+        spawn_local(async move {
+            let service = service_fn(move |request| check(shared.clone(), request));
+            let builder = http1::Builder::new();
+            let served = builder.serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = served.await {
+                tracing::debug!(%error, "check's connection ended");
+            }
+        });
+    }
+}
+
+async fn check(
+    state: Shared,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let path = request.uri().path();
+    let (status, text) = if path == state.dialect.ready_path {
+        match state.ready() {
+            true => (StatusCode::OK, String::new()),
+            false => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        }
+    } else if path == "/metrics" {
+        (StatusCode::OK, state.metrics.text())
+    } else {
+        (StatusCode::NOT_FOUND, String::new())
+    };
+    let mut response = Response::new(Full::from(text));
+    *response.status_mut() = status;
+    Ok(response)
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,121 @@
+//! What this process is told at its start, as JSON.
+
+use std::net::SocketAddrV4;
+
+use serde::Deserialize;
+use snafu::Snafu;
+use toucanturn_core::{
+    gateway::{
+        budget::Policy,
+        settings::Bounds, //
+    },
+    units::{
+        Millis,
+        Permille, //
+    },
+};
+
+/// Part of a bound on the age of keys that is left for what passes between the check and the
+/// endpoint's start, and for clocks that drift: a twentieth.
+const PROOF_MARGIN: u64 = 20;
+/// Routers among which the fleet's extra retries are divided while their number is not known.
+const UNKNOWN_FLEET: u32 = 16;
+/// Part of the published share of retries that is used: windows of routers are not aligned.
+const RETRY_MARGIN: f64 = 0.8;
+
+/// `Settings` is the settings file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this router.
+    pub id: String,
+    /// Data centre where it runs.
+    pub data_center: String,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// Address of the registry.
+    pub registry: SocketAddrV4,
+    /// Peers to begin with; some may be down.
+    #[serde(default)]
+    pub seeds: Vec<String>,
+    /// Bounds to keep.
+    pub bounds: Promises,
+}
+
+/// `Listen` is the addresses to listen on.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddrV4,
+    /// For the balancer's readiness checks, and metrics.
+    pub ready: SocketAddrV4,
+    /// For peers.
+    pub peers: SocketAddrV4,
+}
+
+/// `Promises` is the bounds that operators publish for the place where the router runs.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Promises {
+    /// Milliseconds within which a change of the configuration is in force.
+    pub config_ms: u64,
+    /// Milliseconds after which a key that was taken away opens nothing.
+    pub revoke_ms: u64,
+    /// Milliseconds within which a leaving endpoint gets no more requests.
+    pub leaving_ms: u64,
+    /// Seconds from the signal to stop until the process is killed.
+    pub stop_s: f64,
+    /// Seconds after the registry's return within which lapsed entries come back.
+    pub lapse_s: f64,
+    /// Greatest multiple of the mean load.
+    pub skew: f64,
+    /// Retries as a share of requests.
+    pub retry_share: f64,
+    /// Retries of the whole fleet besides that share.
+    pub retry_extra: f64,
+    /// Seconds over which both are counted.
+    pub retry_window_s: f64,
+}
+
+/// `Error` says why settings are refused.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// They are not the JSON that is expected.
+    #[snafu(display("expected settings as JSON: {source}"))]
+    Json {
+        /// Where and why.
+        source: serde_json::Error,
+    },
+}
+
+impl TryFrom<&[u8]> for Settings {
+    type Error = Error;
+
+    fn try_from(text: &[u8]) -> Result<Self, Error> {
+        use snafu::ResultExt as _;
+        serde_json::from_slice(text).context(JsonSnafu)
+    }
+}
+
+impl Promises {
+    /// Gets the bounds that the decisions keep.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a float cast saturates"
+    )]
+    pub fn bounds(&self) -> Bounds {
+        let millis = |seconds: f64| Millis((seconds * 1000.0) as u64);
+        Bounds {
+            proof: Millis(self.revoke_ms - self.revoke_ms / PROOF_MARGIN),
+            lapse: millis(self.lapse_s),
+            skew: Permille::from_ratio(self.skew),
+            retry: Policy {
+                window: millis(self.retry_window_s),
+                share: Permille::from_ratio(self.retry_share * RETRY_MARGIN),
+                extra: self.retry_extra as u32 / UNKNOWN_FLEET,
+            },
+        }
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,7 +12,7 @@
 #![forbid(unsafe_code)]
 
 pub mod answers;
-pub mod clock;
+pub use toucanturn_clock as clock;
 pub mod driver;
 pub mod endpoints;
 pub mod errors;
--- /dev/null
+++ b/crates/toucanturnd/src/front.rs
@@ -0,0 +1,79 @@
+//! Runs the router as a gateway on the users' platform.
+
+use std::{
+    path::Path,
+    process::ExitCode, //
+};
+
+use snafu::{
+    ResultExt,
+    Snafu, //
+};
+use toucanturn_gateway::{
+    process,
+    settings::{
+        self,
+        Settings, //
+    },
+};
+use tracing_appender::non_blocking::{
+    NonBlockingBuilder,
+    WorkerGuard, //
+};
+
+/// Log lines that wait for a slow reader before further ones are dropped; each is about 400 bytes.
+const WAITING_LINES: usize = 2000;
+
+/// `Error` says why the gateway could not start.
+#[derive(Debug, Snafu)]
+pub(crate) enum Error {
+    #[snafu(display("can't read {}", path.display()))]
+    Read {
+        path: std::path::PathBuf,
+        source: std::io::Error,
+    },
+    #[snafu(display("{} is not valid", path.display()))]
+    Settings {
+        path: std::path::PathBuf,
+        source: settings::Error,
+    },
+    #[snafu(display("can't start the runtime"))]
+    Runtime { source: std::io::Error },
+    #[snafu(context(false), display("can't start the gateway"))]
+    Gateway {
+        source: toucanturn_gateway::errors::Error,
+    },
+}
+
+/// Runs the gateway until a signal has stopped it.
+pub(crate) fn run(path: &Path) -> Result<ExitCode, Error> {
+    let text = std::fs::read(path).context(ReadSnafu { path })?;
+    let settings = Settings::try_from(text.as_slice()).context(SettingsSnafu { path })?;
+    let _guard = log_to_stdout();
+    // One thread: the entry VMs have a part of one core.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
+    let dialect = toucanturn_platform::dialect();
+    let reader = toucanturn_platform::store::reader();
+    runtime.block_on(process::run(settings, dialect, reader))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Writes log lines as JSON from a thread of their own: a reader that doesn't read must not hold
+/// requests up, so lines beyond [`WAITING_LINES`] are dropped.
+fn log_to_stdout() -> WorkerGuard {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(WAITING_LINES)
+        .finish(std::io::stdout());
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .with_max_level(tracing::Level::INFO)
+        .with_writer(writer)
+        .init();
+    guard
+}
--- a/crates/toucanturnd/src/main.rs
+++ b/crates/toucanturnd/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! It reads its settings, binds its sockets, prints one JSON line with the addresses it got, and
 //! serves until a drain is over. SIGTERM or SIGINT starts a drain; a second one ends it at once.
+//! Started by the users' platform, which names the settings file itself, it runs as a gateway.
 
 #![forbid(unsafe_code)]
 
@@ -12,6 +13,7 @@
 
 use gumdrop::Options as _;
 
+mod front;
 mod run;
 
 /// `Args` is the command line.
@@ -50,11 +52,21 @@
         println!("toucanturnd {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
+    if args.settings.is_none()
+        && let Some(path) = toucanturn_platform::settings_path()
+    {
+        return exit(front::run(&path));
+    }
     let Some(path) = args.settings else {
         eprintln!("toucanturnd: --settings FILE is missing; see --help");
         return ExitCode::from(WRONG_USAGE);
     };
-    match run::run(&path) {
+    exit(run::run(&path))
+}
+
+/// Makes the exit code of a run, with a line on what went wrong.
+fn exit<E: std::error::Error>(ended: Result<ExitCode, E>) -> ExitCode {
+    match ended {
         Ok(code) => code,
         Err(error) => {
             eprintln!("toucanturnd: {}", snafu::Report::from_error(error));
