--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -18,7 +18,9 @@
     pub window: Millis,
     /// Repeats allowed, as a share of this router's requests in the window.
     pub share: Permille,
-    /// Repeats allowed besides, at this router.
+    /// Repeats allowed besides, at all routers together.
+    pub fleet: u32,
+    /// This router's part of them.
     pub extra: u32,
 }
 
--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -27,6 +27,9 @@
     pub workspaces: Vec<(Workspace, Vec<Bytes>)>,
     /// What callers may send.
     pub limits: Limits,
+    /// Hash of the whole document, which holds every key and is known to operators and routers
+    /// alone. Routers authenticate each other with it.
+    pub secret: [u8; 32],
 }
 
 /// `Service` is one published service.
@@ -137,6 +140,8 @@
     pub version: u64,
     /// What callers may send.
     pub limits: Limits,
+    /// Secret that routers which hold this configuration share.
+    pub secret: [u8; 32],
     hosts: IndexMap<Bytes, IndexMap<Bytes, Arc<Route>>>,
     services: IndexMap<Bytes, Service>,
     keys: IndexMap<Bytes, Arc<Workspace>>,
@@ -181,6 +186,7 @@
         let mut catalog = Self {
             version: raw.version,
             limits: raw.limits,
+            secret: raw.secret,
             has_workspaces: !raw.workspaces.is_empty(),
             ..Self::default()
         };
--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -1,11 +1,17 @@
 //! One life of an endpoint: what its entry says, and what its answers have shown.
 
-use std::net::SocketAddrV4;
+use std::{
+    collections::VecDeque,
+    net::SocketAddrV4, //
+};
 
 use bytes::Bytes;
 
 use crate::{
-    gateway::fate::Fate,
+    gateway::{
+        fate::Fate,
+        mesh::Sight, //
+    },
     units::{
         Millis,
         Time, //
@@ -20,6 +26,8 @@
 const BROKEN_IN_A_ROW: u32 = 2;
 /// Age at which a stated load says nothing any more: many requests have come and gone since.
 const LOAD_STALE: Millis = Millis(2000);
+/// Own requests whose times are kept, to correct loads that peers know.
+const MAX_SENT: usize = 32;
 /// Weight of the newest answer in the share of failures: about the last eight count.
 const FAILURE_WEIGHT: f32 = 0.125;
 
@@ -52,8 +60,8 @@
     Leaving,
     /// Its entry lapsed while the registry was away; it may, until that is decided.
     Lapsed {
-        /// When the entry was first missed.
-        since: Time,
+        /// When the registry came back.
+        returned: Time,
     },
     /// It has left.
     Gone,
@@ -85,6 +93,8 @@
     failures: u32,
     paused: Option<Time>,
     failing: f32,
+    /// When the newest own requests went out.
+    sent: VecDeque<Time>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -109,6 +119,7 @@
             failures: 0,
             paused: None,
             failing: 0.0,
+            sent: VecDeque::new(),
         }
     }
 
@@ -158,8 +169,48 @@
         fresh.map(|s| s.load)
     }
 
+    /// Gets the tag that stands for it between routers.
+    #[expect(clippy::cast_possible_truncation, reason = "half of a hash is a hash")]
+    pub fn tag(&self) -> u32 {
+        self.seed as u32
+    }
+
+    /// Gets its newest stated load, for peers.
+    pub fn sight(&self, now: Time) -> Option<Sight> {
+        let stated = self.stated?;
+        let age = now.since(stated.at);
+        let load = stated.load.running.saturating_add(stated.load.waiting);
+        (age < LOAD_STALE).then(|| Sight {
+            endpoint: self.tag(),
+            load,
+            age,
+        })
+    }
+
+    /// Notes a load that a peer knows, if it is newer than what is known here. Own requests that
+    /// were sent since it was stated are not in it.
+    pub fn seen(&mut self, now: Time, sight: Sight) {
+        let at = now - sight.age;
+        if self.stated.is_some_and(|s| s.at >= at) {
+            return;
+        }
+        let recent = self.sent.iter().filter(|t| **t > at).count();
+        let recent = u32::try_from(recent).unwrap_or(u32::MAX);
+        let load = Load {
+            running: sight.load,
+            waiting: 0,
+            slots: self.entry.slots,
+        };
+        let own = self.own.saturating_sub(recent);
+        self.stated = Some(Stated { at, load, own });
+    }
+
     /// Notes that a request goes out.
-    pub fn sent(&mut self) {
+    pub fn sent(&mut self, now: Time) {
+        self.sent.push_back(now);
+        if self.sent.len() > MAX_SENT {
+            self.sent.pop_front();
+        }
         self.own = self.own.saturating_add(1);
     }
 
--- /dev/null
+++ b/crates/core/src/gateway/mesh.rs
@@ -0,0 +1,271 @@
+//! Which other routers there are, and what they tell each other.
+//!
+//! Nobody lists the routers. Each knows a few addresses to begin with, which may be down, and sends
+//! a short digest to a few others several times a second, whatever the size of the fleet. A digest
+//! carries the sender's heartbeat, a sample of the heartbeats that it knows and the newest loads
+//! that endpoints stated, so news reach N routers in about log(N) rounds and the bytes a second
+//! don't grow with N.
+
+use std::net::SocketAddrV4;
+
+use indexmap::IndexMap;
+
+use crate::{
+    load::score,
+    units::{
+        Incarnation,
+        Millis,
+        Time, //
+    },
+};
+
+/// Time between rounds. Five a second carry a load to 66 routers in about three rounds, 0.6 s.
+pub const ROUND: Millis = Millis(200);
+/// Routers that a digest goes to in each round.
+const FANOUT: usize = 2;
+/// Heartbeats in a digest besides the sender's.
+pub const MAX_RUMORS: usize = 12;
+/// Loads in a digest: with 8 bytes each it stays within one packet of 1,200 bytes.
+pub const MAX_SIGHTS: usize = 90;
+/// Time without a newer heartbeat after which a router isn't counted: at 330 routers one is in a
+/// sample about each 1.5 s, so this misses two.
+const SILENT: Millis = Millis(4000);
+/// Time after which a silent router is forgotten.
+const FORGOTTEN: Millis = Millis(30_000);
+/// Most routers that are kept; beyond it the one that was heard least recently goes.
+const MAX_PEERS: usize = 2048;
+/// Routers of one data centre for each that reads the registry.
+const ROUTERS_PER_READER: usize = 40;
+/// Rounds after which a seed is tried again, as it may have come back with others behind it.
+const SEED_ROUNDS: u64 = 10;
+
+/// `Rumor` is a router's heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rumor {
+    /// Where the router hears its peers.
+    pub address: SocketAddrV4,
+    /// Tag of its data centre.
+    pub data_center: u32,
+    /// This life of it; a later one is greater.
+    pub incarnation: Incarnation,
+    /// Number of its round.
+    pub beat: u64,
+}
+
+/// `Sight` is a load that an endpoint stated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sight {
+    /// Tag of the endpoint's name.
+    pub endpoint: u32,
+    /// Requests there, running and waiting.
+    pub load: u32,
+    /// How old it is.
+    pub age: Millis,
+}
+
+/// `Digest` is one message between routers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Digest {
+    /// The sender's heartbeat.
+    pub from: Rumor,
+    /// Whether it reads the registry and what it holds is fresh.
+    pub reads: bool,
+    /// Heartbeats of others.
+    pub rumors: Vec<Rumor>,
+    /// Loads of endpoints.
+    pub sights: Vec<Sight>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+    rumor: Rumor,
+    /// When its heartbeat last went up.
+    heard: Time,
+    /// Until when it is not asked for the registry, as it failed.
+    avoided: Time,
+    /// Whether it said that it reads the registry.
+    reads: bool,
+}
+
+/// `Mesh` is what a router knows of the others.
+#[derive(Debug)]
+pub struct Mesh {
+    me: Rumor,
+    seeds: Vec<SocketAddrV4>,
+    peers: IndexMap<SocketAddrV4, Peer>,
+    next: usize,
+}
+
+impl Mesh {
+    /// Makes a mesh of this router alone.
+    pub fn new(me: Rumor, seeds: Vec<SocketAddrV4>) -> Self {
+        let seeds = seeds.into_iter().filter(|s| *s != me.address).collect();
+        Self {
+            me,
+            seeds,
+            peers: IndexMap::new(),
+            next: 0,
+        }
+    }
+
+    /// Takes new addresses to begin with.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
+        let me = self.me.address;
+        self.seeds = seeds.into_iter().filter(|s| *s != me).collect();
+    }
+
+    /// Begins a round; gets where its digest goes.
+    pub fn round(&mut self, now: Time, draw: u64) -> Vec<SocketAddrV4> {
+        self.me.beat += 1;
+        self.peers.retain(|_, p| now.since(p.heard) < FORGOTTEN);
+        let live: Vec<SocketAddrV4> = self.live(now).map(|r| r.address).collect();
+        let mut targets = Vec::with_capacity(FANOUT + 1);
+        for turn in 0..FANOUT.min(live.len()) as u64 {
+            let pick = score(draw, turn) % live.len() as u64;
+            let target = live[usize::try_from(pick).unwrap_or_default()];
+            if !targets.contains(&target) {
+                targets.push(target);
+            }
+        }
+        let lonely = live.len() < FANOUT;
+        if (lonely || self.me.beat % SEED_ROUNDS == 0) && !self.seeds.is_empty() {
+            let pick = score(draw, u64::MAX) % self.seeds.len() as u64;
+            targets.push(self.seeds[usize::try_from(pick).unwrap_or_default()]);
+        }
+        targets
+    }
+
+    /// Makes this round's digest.
+    pub fn digest(&mut self, now: Time, reads: bool, sights: Vec<Sight>) -> Digest {
+        let known = self.peers.len();
+        let mut rumors = Vec::with_capacity(MAX_RUMORS.min(known));
+        for _ in 0..known {
+            if rumors.len() == MAX_RUMORS {
+                break;
+            }
+            self.next = (self.next + 1) % known;
+            let Some((_, peer)) = self.peers.get_index(self.next) else {
+                break;
+            };
+            if now.since(peer.heard) < SILENT {
+                rumors.push(peer.rumor);
+            }
+        }
+        Digest {
+            from: self.me,
+            reads,
+            rumors,
+            sights,
+        }
+    }
+
+    /// Takes a digest in; returns whether it is news of its sender. What is none may be replayed,
+    /// and nothing in it counts.
+    pub fn hear(&mut self, now: Time, digest: &Digest) -> bool {
+        if digest.from.address == self.me.address || !self.note(now, digest.from) {
+            return false;
+        }
+        if let Some(peer) = self.peers.get_mut(&digest.from.address) {
+            peer.reads = digest.reads;
+        }
+        for rumor in &digest.rumors {
+            if rumor.address != self.me.address {
+                self.note(now, *rumor);
+            }
+        }
+        true
+    }
+
+    /// Lists the routers that are heard of, this one left out.
+    pub fn live(&self, now: Time) -> impl Iterator<Item = &Rumor> {
+        let heard = move |p: &&Peer| now.since(p.heard) < SILENT;
+        self.peers.values().filter(heard).map(|p| &p.rumor)
+    }
+
+    /// Counts the routers, this one among them.
+    pub fn size(&self, now: Time) -> u32 {
+        u32::try_from(self.live(now).count() + 1).unwrap_or(u32::MAX)
+    }
+
+    /// Tells whether this router is one of those that read the registry for its data centre: the
+    /// first ones by rendezvous hashing, which all agree on that know the same routers. If they
+    /// don't, one reads too many or nobody is found, and that one reads itself.
+    pub fn reads(&self, now: Time) -> bool {
+        let readers = self.readers(now);
+        readers.contains(&self.me.address)
+    }
+
+    /// Gets the router to ask for the registry's state; `None` where this one must read itself.
+    pub fn upstream(&self, now: Time, draw: u64) -> Option<SocketAddrV4> {
+        let readers = self.readers(now);
+        if readers.contains(&self.me.address) {
+            return None;
+        }
+        let usable = |a: &&SocketAddrV4| {
+            let peer = self.peers.get(*a);
+            peer.is_some_and(|p| p.reads && now >= p.avoided)
+        };
+        let open: Vec<&SocketAddrV4> = readers.iter().filter(usable).collect();
+        let pick = draw.checked_rem(open.len() as u64)?;
+        open.get(usize::try_from(pick).ok()?).map(|a| **a)
+    }
+
+    /// Notes that a router did not answer, or with what is too old.
+    pub fn avoid(&mut self, now: Time, address: SocketAddrV4, pause: Millis) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.avoided = now + pause;
+        }
+    }
+
+    fn readers(&self, now: Time) -> Vec<SocketAddrV4> {
+        let near = self.me.data_center;
+        let local = self.live(now).chain([&self.me]);
+        let mut local: Vec<&Rumor> = local.filter(|r| r.data_center == near).collect();
+        local.sort_by_key(|r| score(u64::from(near), tag(r.address)));
+        let count = local.len().div_ceil(ROUTERS_PER_READER);
+        local.iter().take(count).map(|r| r.address).collect()
+    }
+
+    fn note(&mut self, now: Time, rumor: Rumor) -> bool {
+        let fresh = Peer {
+            rumor,
+            heard: now,
+            avoided: Time(0),
+            reads: false,
+        };
+        match self.peers.get_mut(&rumor.address) {
+            Some(peer) => {
+                let held = (peer.rumor.incarnation, peer.rumor.beat);
+                let newer = (rumor.incarnation, rumor.beat) > held;
+                if newer && peer.rumor.incarnation != rumor.incarnation {
+                    *peer = fresh;
+                } else if newer {
+                    peer.rumor = rumor;
+                    peer.heard = now;
+                }
+                newer
+            }
+            None => {
+                if self.peers.len() >= MAX_PEERS {
+                    self.forget_oldest();
+                }
+                self.peers.insert(rumor.address, fresh);
+                true
+            }
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self.peers.values().enumerate().min_by_key(|(_, p)| p.heard);
+        if let Some(at) = oldest.map(|(at, _)| at) {
+            self.peers.swap_remove_index(at);
+        }
+    }
+}
+
+/// Spreads addresses over all numbers, as rendezvous wants them.
+fn tag(address: SocketAddrV4) -> u64 {
+    let port = address.port().to_le_bytes();
+    let ip = address.ip().octets();
+    xxhash_rust::xxh3::xxh3_64(&[ip.as_slice(), &port].concat())
+}
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -25,6 +25,8 @@
 pub mod catalog;
 pub mod endpoint;
 pub mod fate;
+pub mod mesh;
+pub mod mirror;
 pub mod place;
 pub mod proof;
 pub mod refusal;
@@ -89,8 +91,6 @@
     Entry(Entry),
     /// An endpoint's entry is gone.
     Removed(Bytes),
-    /// All entries that there are; what is not among them is gone.
-    Entries(Vec<Entry>),
 }
 
 /// `News` is what became of a change, for the log.
@@ -125,6 +125,7 @@
     registry: Registry,
     proof: Proof,
     budgets: IndexMap<Bytes, Budget>,
+    end: Option<Time>,
     draws: u64,
 }
 
@@ -137,6 +138,7 @@
             registry: Registry::default(),
             proof: Proof::default(),
             budgets: IndexMap::new(),
+            end: None,
             draws: seed,
         }
     }
@@ -167,37 +169,35 @@
         self.catalog.is_some() && reachable && self.proof.holds(now, self.bounds.proof)
     }
 
-    /// Notes a read of the registry that was sent at `sent` and answered with the newest state.
-    pub fn proved(&mut self, sent: Time) {
+    /// Notes a read of the registry that was sent at `sent` and answered with the newest state;
+    /// what it has changed follows. After a long time without one, the registry counts as back.
+    pub fn proved(&mut self, now: Time, sent: Time) {
+        if self.proof.age(now).is_some_and(|age| age >= AWAY) {
+            self.registry.back(now);
+        }
         self.proof.renew(sent);
     }
 
+    /// Notes that this router ends at `end`. From now on it takes no request that may last longer:
+    /// its answer would be cut, though a router that stays could have given it.
+    pub fn end_at(&mut self, end: Time) {
+        self.end = Some(end);
+    }
+
     /// Follows the registry.
     pub fn follow(&mut self, now: Time, change: Change) -> Vec<News> {
         let mut news = Vec::new();
         match change {
             Change::Catalog(catalog) => self.publish(*catalog, &mut news),
-            Change::Entry(entry) => self.registry.put(now, entry, &mut news),
-            Change::Removed(id) => self.registry.remove(now, &id, &mut news),
-            Change::Entries(entries) => {
+            Change::Entry(entry) => self.registry.put(entry, &mut news),
+            Change::Removed(id) => {
                 let grace = self.bounds.lapse;
-                self.registry.replace(now, entries, grace, &mut news);
+                self.registry.remove(now, &id, grace, &mut news);
             }
         }
         news
     }
 
-    /// Notes that the registry could not be read, so that entries may lapse without their
-    /// endpoints being gone.
-    pub fn registry_lost(&mut self, now: Time) {
-        self.registry.lost(now);
-    }
-
-    /// Notes that the registry is read again.
-    pub fn registry_back(&mut self, now: Time) {
-        self.registry.back(now);
-    }
-
     /// Ends what has waited long enough.
     pub fn tick(&mut self, now: Time) -> Vec<News> {
         let mut news = Vec::new();
@@ -243,6 +243,10 @@
             return Err(Refusal::never(Cause::UnknownKey));
         }
         let deadline = ask.deadline.map_or(now + route.limit, |left| now + left);
+        let until = deadline.min(now + route.limit);
+        if self.end.is_some_and(|end| until > end) {
+            return Err(Refusal::later(Cause::Stopping));
+        }
         let draw = self.draw();
         let Some(service) = route.service(draw) else {
             return Err(Refusal::later(Cause::NoEndpoint));
@@ -258,7 +262,7 @@
             workspace,
             priority,
             deadline,
-            until: deadline.min(now + route.limit),
+            until,
             version: catalog.version,
             route: Arc::clone(route),
             tried: Vec::new(),
@@ -353,8 +357,26 @@
         Next::GiveUp
     }
 
+    /// Lists the newest loads that are known, for peers.
+    pub fn sights(&self, now: Time) -> Vec<mesh::Sight> {
+        self.registry.sights(now, mesh::MAX_SIGHTS)
+    }
+
+    /// Notes loads that a peer knows.
+    pub fn seen(&mut self, now: Time, sights: &[mesh::Sight]) {
+        for sight in sights {
+            self.registry.seen(now, *sight);
+        }
+    }
+
+    /// Follows the number of routers among which the fleet's retries are divided.
+    pub fn fleet(&mut self, routers: u32) {
+        let all = self.bounds.retry.fleet;
+        self.bounds.retry.extra = all / routers.max(1);
+    }
+
     /// Draws a number (SplitMix64; Steele, Lea, Flood, OOPSLA 2014).
-    fn draw(&mut self) -> u64 {
+    pub fn draw(&mut self) -> u64 {
         self.draws = self.draws.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut z = self.draws;
         z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -363,6 +385,11 @@
     }
 }
 
+/// Age of the last proof from which on a new one means that the registry was away. Copies that come
+/// by a peer are up to 1.7 s old in calm times (an ask that waits 0.5 s, a read each 0.67 s, a lost
+/// one); with less, entries that leave in calm times would be taken for lapsed, and used on.
+const AWAY: Millis = Millis(2500);
+
 /// Endpoints that may prove unreachable in one request before it is given up: each costs a
 /// connection's timeout.
 const MAX_UNREACHED: usize = 3;
--- a/crates/core/src/gateway/refusal.rs
+++ b/crates/core/src/gateway/refusal.rs
@@ -24,6 +24,8 @@
     EndpointFailed,
     /// Time ran out.
     Deadline,
+    /// This router stops before the request could be done.
+    Stopping,
     /// The service has more work than it can do in time.
     Overloaded,
 }
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -15,6 +15,7 @@
             State, //
         },
         fate::Fate,
+        mesh::Sight,
     },
     units::{
         Millis,
@@ -27,8 +28,8 @@
 pub struct Registry {
     slots: SlotMap<EndpointKey, Endpoint>,
     names: IndexMap<Bytes, EndpointKey>,
+    tags: IndexMap<u32, EndpointKey>,
     services: IndexMap<Bytes, Vec<EndpointKey>>,
-    away: Option<Time>,
     returned: Option<Time>,
 }
 
@@ -60,22 +61,13 @@
         self.slots.is_empty()
     }
 
-    /// Notes that the registry can't be read.
-    pub fn lost(&mut self, now: Time) {
-        self.away.get_or_insert(now);
-        self.returned = None;
-    }
-
-    /// Notes that the registry is read again.
+    /// Notes that the registry is read again after it was away.
     pub fn back(&mut self, now: Time) {
-        if self.away.take().is_some() {
-            self.returned = Some(now);
-        }
+        self.returned = Some(now);
     }
 
     /// Puts an entry in.
-    pub fn put(&mut self, now: Time, entry: Entry, news: &mut Vec<News>) {
-        let _ = now;
+    pub fn put(&mut self, entry: Entry, news: &mut Vec<News>) {
         if let Some(key) = self.names.get(&entry.id)
             && let Some(endpoint) = self.slots.get_mut(*key)
         {
@@ -94,12 +86,23 @@
         let service = endpoint.entry.service.clone();
         let key = self.slots.insert(endpoint);
         self.names.insert(id, key);
+        if let Some(endpoint) = self.slots.get(key) {
+            self.tags.insert(endpoint.tag(), key);
+        }
         self.services.entry(service).or_default().push(key);
     }
 
-    /// Takes an entry out.
-    pub fn remove(&mut self, now: Time, id: &Bytes, news: &mut Vec<News>) {
-        let _ = now;
+    /// Takes an entry out. Its endpoint is gone, unless the registry has just come back: then the
+    /// entry may have lapsed meanwhile, and the endpoint is used until that is decided.
+    pub fn remove(&mut self, now: Time, id: &Bytes, grace: Millis, news: &mut Vec<News>) {
+        let returned = self.returned.filter(|at| now.since(*at) < grace);
+        let lapses = returned.is_some_and(|at| self.lapse(at, id, news));
+        if !lapses {
+            self.drop(id, news);
+        }
+    }
+
+    fn drop(&mut self, id: &Bytes, news: &mut Vec<News>) {
         let Some(key) = self.names.swap_remove(id) else {
             return;
         };
@@ -110,44 +113,27 @@
         self.index();
     }
 
-    /// Follows a whole list. What is not in it is gone, unless the registry has just come back:
-    /// then it lapses, and is gone after `grace`.
-    pub fn replace(&mut self, now: Time, entries: Vec<Entry>, grace: Millis, news: &mut Vec<News>) {
-        let listed: indexmap::IndexSet<Bytes> = entries.iter().map(|e| e.id.clone()).collect();
-        for entry in entries {
-            self.put(now, entry, news);
-        }
-        let names = self.names.keys();
-        let missing: Vec<Bytes> = names.filter(|id| !listed.contains(*id)).cloned().collect();
-        let lapsing = self.returned.is_some_and(|at| now.since(at) < grace);
-        for id in missing {
-            if !lapsing || !self.lapse(now, &id, news) {
-                self.remove(now, &id, news);
-            }
-        }
-    }
-
     /// Ends the grace of entries that lapsed.
     pub fn expire(&mut self, now: Time, grace: Millis, news: &mut Vec<News>) {
         let over = |e: &Endpoint| match e.state {
-            State::Lapsed { since } => now.since(since) >= grace,
+            State::Lapsed { returned } => now.since(returned) >= grace,
             _ => false,
         };
         let gone = self.slots.values().filter(|e| over(e));
         let gone: Vec<Bytes> = gone.map(|e| e.entry.id.clone()).collect();
         for id in gone {
-            self.remove(now, &id, news);
+            self.drop(&id, news);
         }
     }
 
-    fn lapse(&mut self, now: Time, id: &Bytes, news: &mut Vec<News>) -> bool {
+    fn lapse(&mut self, returned: Time, id: &Bytes, news: &mut Vec<News>) -> bool {
         let key = self.names.get(id);
         let Some(endpoint) = key.and_then(|k| self.slots.get_mut(*k)) else {
             return false;
         };
         match endpoint.state {
             State::Ready => {
-                endpoint.state = State::Lapsed { since: now };
+                endpoint.state = State::Lapsed { returned };
                 news.push(told(endpoint));
                 true
             }
@@ -158,9 +144,8 @@
 
     /// Notes that a request goes out.
     pub fn sent(&mut self, now: Time, key: EndpointKey) {
-        let _ = now;
         if let Some(endpoint) = self.slots.get_mut(key) {
-            endpoint.sent();
+            endpoint.sent(now);
         }
     }
 
@@ -185,7 +170,26 @@
         }
     }
 
+    /// Lists the newest loads that are known.
+    pub fn sights(&self, now: Time, most: usize) -> Vec<Sight> {
+        let mut sights: Vec<Sight> = self.slots.values().filter_map(|e| e.sight(now)).collect();
+        if sights.len() > most {
+            sights.sort_by_key(|s| s.age);
+            sights.truncate(most);
+        }
+        sights
+    }
+
+    /// Notes a load that a peer knows.
+    pub fn seen(&mut self, now: Time, sight: Sight) {
+        let key = self.tags.get(&sight.endpoint);
+        if let Some(endpoint) = key.and_then(|k| self.slots.get_mut(*k)) {
+            endpoint.seen(now, sight);
+        }
+    }
+
     fn index(&mut self) {
+        self.tags = self.slots.iter().map(|(k, e)| (e.tag(), k)).collect();
         self.services.clear();
         for (key, endpoint) in &self.slots {
             let service = endpoint.entry.service.clone();
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -1,5 +1,5 @@
-//! Follows the registry: reads it whole again and again, and tells the decisions what changed and
-//! how old it is.
+//! Follows the registry: reads it, or asks a peer that does, and tells the decisions what changed
+//! and how old it is.
 
 use std::{
     net::SocketAddrV4,
@@ -23,18 +23,26 @@
 };
 use toucanturn_core::{
     gateway::{
-        Change,
-        News, //
+        Change, News,
+        mirror::{
+            Delta,
+            Record, //
+        },
+    },
+    units::{
+        Millis,
+        Time, //
     },
-    units::Time,
 };
 
 use crate::{
     client::{
+        self,
         Connection,
         Sent, //
     },
     log::text,
+    peers,
     state::{
         Shared,
         now, //
@@ -47,8 +55,15 @@
 const AGAIN: Duration = Duration::from_millis(150);
 /// Most bytes of one answer.
 const MAX_ANSWER: usize = 16 << 20;
-/// Reads that fail in a row after which the registry counts as away: one may be lost on the way.
-const AWAY: u32 = 2;
+/// Reads that fail in a row after which the registry counts as lost: one may be lost on the way.
+const LOST: u32 = 2;
+/// Age at which a peer's copy is not good enough: its own reads fail, and this router may do
+/// better.
+const COPY_STALE: Millis = Millis(1500);
+/// Time for which a peer is not asked that failed.
+const AVOID: Millis = Millis(2000);
+/// Pause between asks, so that a peer that answers at once is not asked without end.
+const ASK_PAUSE: Duration = Duration::from_millis(50);
 
 /// `Reader` translates reads of the registry. It does no I/O.
 pub struct Reader {
@@ -56,6 +71,8 @@
     pub begin: Box<dyn FnMut() -> String>,
     /// Takes an answer's body in.
     pub took: Box<dyn FnMut(&[u8]) -> Result<Step, String>>,
+    /// Says what a record means; `None` where it means nothing here.
+    pub change: fn(&Record) -> Result<Option<Change>, String>,
 }
 
 /// `Step` is what follows an answer of the registry.
@@ -64,13 +81,13 @@
     /// The read goes on with the call of this path.
     More(String),
     /// The read is whole.
-    Whole(Vec<Change>),
+    Whole(Delta),
 }
 
 #[derive(Debug, Snafu)]
 enum Error {
     #[snafu(display("{source}"), context(false))]
-    Connect { source: crate::client::Error },
+    Connect { source: client::Error },
     #[snafu(display("no answer in time"))]
     Slow,
     #[snafu(display("the connection broke"))]
@@ -81,28 +98,47 @@
     Body { why: String },
 }
 
-/// Follows the registry at `address` for good, a whole read each `pace`.
+/// Follows the registry at `address` for good; own reads begin `pace` apart.
 pub async fn follow(state: Shared, address: SocketAddrV4, pace: Duration, mut reader: Reader) {
-    let mut connection = None;
+    let mut registry = None;
+    let mut upstream: Option<(SocketAddrV4, Option<Connection>)> = None;
     let mut failures = 0;
     loop {
+        let draw = state.gateway.borrow_mut().draw();
+        let peer = state.mesh.borrow().upstream(now(), draw);
+        // The same peer for as long as it will do: its connection is kept.
+        let same = upstream.as_ref().map(|(at, _)| *at);
+        if let Some(peer) = peer.filter(|_| state.gateway.borrow().catalog().is_some()) {
+            if same != Some(peer) {
+                upstream = Some((peer, None));
+            }
+            if let Some((at, link)) = &mut upstream
+                && copied(&state, *at, link, &reader).await
+            {
+                state.reads.set(false);
+                sleep(ASK_PAUSE).await;
+                continue;
+            }
+        }
         let sent = now();
-        match read(address, &mut connection, &mut reader).await {
-            Ok(changes) => {
-                if failures >= AWAY {
+        match read(address, &mut registry, &mut reader).await {
+            Ok(delta) => {
+                if failures >= LOST {
                     tracing::info!(event = 652, failures, "registry regained");
                 }
                 failures = 0;
-                apply(&state, sent, changes);
+                state.reads.set(true);
+                state.metrics.count("registry", "read");
+                apply(&state, sent, delta, &reader);
                 let spent = Duration::from_millis(now().since(sent).0);
                 sleep(pace.saturating_sub(spent)).await;
             }
             Err(error) => {
-                connection = None;
+                registry = None;
                 failures += 1;
                 state.metrics.count("registry", "failed");
-                if failures == AWAY {
-                    state.gateway.borrow_mut().registry_lost(now());
+                if failures == LOST {
+                    state.reads.set(false);
                     tracing::warn!(event = 651, %error, "registry lost");
                 }
                 sleep(AGAIN).await;
@@ -111,22 +147,73 @@
     }
 }
 
-fn apply(state: &Shared, sent: Time, changes: Vec<Change>) {
-    state.metrics.count("registry", "read");
-    let mut gateway = state.gateway.borrow_mut();
-    gateway.registry_back(now());
-    for change in changes {
-        for news in gateway.follow(now(), change) {
-            log(&news);
+/// Asks a peer; returns whether its copy will do.
+async fn copied(
+    state: &Shared,
+    peer: SocketAddrV4,
+    link: &mut Option<Connection>,
+    reader: &Reader,
+) -> bool {
+    let why = match peers::ask(state, peer, link).await {
+        Ok((read, delta)) => {
+            state.metrics.count("registry", "copied");
+            apply(state, read, delta, reader);
+            let age = now().since(read);
+            if age < COPY_STALE {
+                return true;
+            }
+            format!("its copy is {} ms old", age.0)
+        }
+        Err(error) => error.to_string(),
+    };
+    state.metrics.count("registry", "copy failed");
+    tracing::warn!(event = 656, %peer, why, "peer's copy of the registry won't do");
+    state.mesh.borrow_mut().avoid(now(), peer, AVOID);
+    false
+}
+
+fn apply(state: &Shared, read: Time, delta: Delta, reader: &Reader) {
+    let revision = delta.revision;
+    if revision < state.mirror.borrow().revision() {
+        tracing::debug!(
+            revision = revision.0,
+            "older state of the registry passed over"
+        );
+        return;
+    }
+    state.gateway.borrow_mut().proved(now(), read);
+    let records = state.mirror.borrow_mut().apply(delta);
+    for record in &records {
+        match (reader.change)(record) {
+            Ok(Some(change)) => follow_change(state, change),
+            Ok(None) => {}
+            Err(why) => {
+                let key = text(&record.key);
+                tracing::warn!(event = 657, %key, why, "record refused");
+            }
         }
     }
-    gateway.proved(sent);
-    for news in gateway.tick(now()) {
+    state.changes.send_if_modified(|held| {
+        let newer = revision > *held;
+        *held = revision.max(*held);
+        newer
+    });
+}
+
+fn follow_change(state: &Shared, change: Change) {
+    let news = state.gateway.borrow_mut().follow(now(), change);
+    for news in news {
+        if let News::Applied { version } = news
+            && let Some(catalog) = state.gateway.borrow().catalog()
+        {
+            state.remember(version, catalog.secret);
+        }
         log(&news);
     }
 }
 
-fn log(news: &News) {
+/// Writes news to the log.
+pub(crate) fn log(news: &News) {
     match news {
         News::Applied { version } => {
             tracing::info!(event = 653, version, "configuration in force");
@@ -149,14 +236,14 @@
     address: SocketAddrV4,
     connection: &mut Option<Connection>,
     reader: &mut Reader,
-) -> Result<Vec<Change>, Error> {
+) -> Result<Delta, Error> {
     let mut path = (reader.begin)();
     loop {
         let call = fetch(address, connection, &path);
         let body = timeout(PATIENCE, call).await.map_err(|_| Error::Slow)??;
         match (reader.took)(&body).map_err(|why| Error::Body { why })? {
             Step::More(next) => path = next,
-            Step::Whole(changes) => return Ok(changes),
+            Step::Whole(delta) => return Ok(delta),
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/gossip.rs
@@ -0,0 +1,87 @@
+//! Digests between routers, by datagram.
+//!
+//! A datagram that is lost, late or replayed does no harm: the next round brings the same news, and
+//! one that isn't newer than what its sender said before is passed over.
+
+use std::time::Duration;
+
+use tokio::{
+    net::UdpSocket,
+    time::{
+        MissedTickBehavior,
+        interval, //
+    },
+};
+use toucanturn_core::gateway::mesh::ROUND;
+use toucanturn_wire::gossip::{
+    MAX_DATAGRAM,
+    decode_digest,
+    encode_digest,
+    open,
+    seal, //
+};
+
+use crate::state::{
+    Shared,
+    now, //
+};
+
+/// Hears and tells for good.
+pub async fn run(state: Shared, socket: UdpSocket) {
+    let mut buffer = [0; MAX_DATAGRAM];
+    let mut rounds = interval(Duration::from_millis(ROUND.0));
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = rounds.tick() => tell(&state, &socket).await,
+            heard = socket.recv_from(&mut buffer) => match heard {
+                Ok((length, _)) => hear(&state, &buffer[..length]),
+                // A peer that is gone may be told of by its machine; the next one is heard.
+                Err(error) => tracing::debug!(%error, "no datagram"),
+            },
+        }
+    }
+}
+
+async fn tell(state: &Shared, socket: &UdpSocket) {
+    let at = now();
+    let (sealed, targets) = {
+        let mut gateway = state.gateway.borrow_mut();
+        let Some(catalog) = gateway.catalog().cloned() else {
+            return;
+        };
+        let draw = gateway.draw();
+        let mut mesh = state.mesh.borrow_mut();
+        let targets = mesh.round(at, draw);
+        let reads = state.reads.get();
+        let digest = mesh.digest(at, reads, gateway.sights(at));
+        gateway.fleet(mesh.size(at));
+        let payload = encode_digest(&digest);
+        (seal(&catalog.secret, catalog.version, payload), targets)
+    };
+    for target in targets {
+        if let Err(error) = socket.send_to(&sealed, target).await {
+            tracing::debug!(%error, %target, "digest not sent");
+        }
+    }
+}
+
+fn hear(state: &Shared, datagram: &[u8]) {
+    let opened = open(datagram, |epoch| state.secret(epoch));
+    let digest = opened.and_then(|(_, payload)| decode_digest(&payload));
+    match digest {
+        Ok(digest) => {
+            let fresh = state.mesh.borrow_mut().hear(now(), &digest);
+            if fresh {
+                state.gateway.borrow_mut().seen(now(), &digest.sights);
+            }
+            state
+                .metrics
+                .count("digests", if fresh { "heard" } else { "old" });
+        }
+        Err(error) => {
+            state.metrics.count("digests", "refused");
+            tracing::debug!(%error, "digest passed over");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,232 @@
+//! Copies of the registry between routers: one asks, the other answers with what has changed.
+
+use std::{
+    convert::Infallible,
+    net::SocketAddrV4,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http::{
+    Request,
+    Response,
+    StatusCode, //
+};
+use http_body_util::{
+    BodyExt as _,
+    Full,
+    Limited, //
+};
+use hyper::{
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use tokio::{
+    net::TcpListener,
+    task::spawn_local,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+use toucanturn_core::{
+    gateway::mirror::Delta,
+    units::{
+        Millis,
+        Time, //
+    },
+};
+use toucanturn_wire::gossip::{
+    Ask,
+    Copy,
+    MAX_DATAGRAM,
+    decode_ask,
+    decode_copy,
+    encode_ask,
+    encode_copy,
+    open,
+    seal, //
+};
+
+use crate::{
+    client::{
+        self,
+        Connection,
+        Sent, //
+    },
+    state::{
+        Shared,
+        now, //
+    },
+};
+
+/// Path of the copies.
+const PATH: &str = "/registry";
+/// Longest wait of a copy for a change.
+pub const WAIT: Millis = Millis(500);
+/// Time after that in which the answer must be there.
+const PATIENCE: Duration = Duration::from_millis(300);
+/// Most bytes of a copy.
+const MAX_COPY: usize = 16 << 20;
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// `Error` says why no copy came.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// No connection.
+    #[snafu(display("{source}"), context(false))]
+    Connect {
+        /// Why.
+        source: client::Error,
+    },
+    /// No answer in time.
+    #[snafu(display("expected an answer in time"))]
+    Slow,
+    /// The connection broke.
+    #[snafu(display("expected a whole answer"))]
+    Lost,
+    /// The peer can't say.
+    #[snafu(display("expected a copy, found status {status}"))]
+    Status {
+        /// The answer's status.
+        status: StatusCode,
+    },
+    /// The answer is not from a router with the same configuration, or not to this ask.
+    #[snafu(display("{source}"), context(false))]
+    Message {
+        /// Why.
+        source: toucanturn_wire::gossip::Error,
+    },
+    /// The answer is to another ask.
+    #[snafu(display("expected the answer to this ask"))]
+    Other,
+}
+
+/// Asks a peer for what has changed; gets it with the time at which it was the newest state.
+///
+/// That time is this router's own: the ask went out before the peer stated the age, so the read
+/// behind the copy is no older than the ask's time less that age, whatever the clocks say.
+///
+/// # Errors
+///
+/// No copy came, or one that can't be trusted.
+pub async fn ask(
+    state: &Shared,
+    address: SocketAddrV4,
+    connection: &mut Option<Connection>,
+) -> Result<(Time, Delta), Error> {
+    let sent = now();
+    let patience = Duration::from_millis(WAIT.0) + PATIENCE;
+    let asked = timeout(patience, exchange(state, address, connection)).await;
+    let copy = asked.map_err(|_| Error::Slow)??;
+    Ok((sent - copy.age, copy.delta))
+}
+
+async fn exchange(
+    state: &Shared,
+    address: SocketAddrV4,
+    connection: &mut Option<Connection>,
+) -> Result<Copy, Error> {
+    let mut link = match connection.take().filter(Connection::free) {
+        Some(link) => link,
+        None => Connection::open(address, PATIENCE).await?,
+    };
+    let (ask, body) = {
+        let mut gateway = state.gateway.borrow_mut();
+        let ask = Ask {
+            revision: state.mirror.borrow().revision(),
+            nonce: gateway.draw(),
+            wait: WAIT,
+        };
+        let catalog = gateway.catalog().ok_or(Error::Other)?;
+        let body = seal(&catalog.secret, catalog.version, encode_ask(&ask));
+        (ask, body)
+    };
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = http::Method::POST;
+    *request.uri_mut() = http::Uri::from_static(PATH);
+    let Sent::Head(response) = link.send(request).await else {
+        return Err(Error::Lost);
+    };
+    let status = response.status();
+    snafu::ensure!(status.is_success(), StatusSnafu { status });
+    let body = Limited::new(response.into_body(), MAX_COPY).collect().await;
+    let body = body.map_err(|_| Error::Lost)?.to_bytes();
+    *connection = Some(link);
+    let (_, payload) = open(&body, |epoch| state.secret(epoch))?;
+    let copy = decode_copy(payload)?;
+    snafu::ensure!(copy.nonce == ask.nonce, OtherSnafu);
+    Ok(copy)
+}
+
+/// Answers peers for good.
+pub async fn serve(state: Shared, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let shared = state.clone();
+        spawn_local(async move {
+            let service = service_fn(move |request| answer(shared.clone(), request));
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = served.await {
+                tracing::debug!(%error, "peer's connection ended");
+            }
+        });
+    }
+}
+
+async fn answer(
+    state: Shared,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    if request.uri().path() != PATH {
+        return Ok(status(StatusCode::NOT_FOUND));
+    }
+    let body = Limited::new(request.into_body(), MAX_DATAGRAM)
+        .collect()
+        .await;
+    let Ok(body) = body else {
+        return Ok(status(StatusCode::BAD_REQUEST));
+    };
+    let opened = open(&body.to_bytes(), |epoch| state.secret(epoch));
+    let asked = opened.and_then(|(epoch, payload)| Ok((epoch, decode_ask(&payload)?)));
+    Ok(match asked {
+        Ok((epoch, ask)) => copy(&state, epoch, ask).await,
+        Err(error) => {
+            tracing::debug!(%error, "ask passed over");
+            status(StatusCode::FORBIDDEN)
+        }
+    })
+}
+
+async fn copy(state: &Shared, epoch: u64, ask: Ask) -> Response<Full<Bytes>> {
+    let mut changes = state.changes.subscribe();
+    let wait = Duration::from_millis(ask.wait.min(WAIT).0);
+    let news = changes.wait_for(|revision| *revision > ask.revision);
+    // Nothing new in time is an answer, too: it renews the asker's proof.
+    let _ = timeout(wait, news).await;
+    let age = state.gateway.borrow().proof().age(now());
+    // Only first-hand reads are handed on, so that ages don't add up along a chain.
+    let (Some(age), Some(secret), true) = (age, state.secret(epoch), state.reads.get()) else {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    let delta = state.mirror.borrow().since(ask.revision);
+    let payload = encode_copy(Copy {
+        nonce: ask.nonce,
+        age,
+        delta,
+    });
+    Response::new(Full::new(seal(&secret, epoch, payload)))
+}
+
+fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -4,6 +4,7 @@
 
 use snafu::ResultExt;
 use tokio::{
+    net::UdpSocket,
     signal::unix::{
         SignalKind,
         signal, //
@@ -18,11 +19,24 @@
         sleep_until, //
     },
 };
-use toucanturn_core::gateway::Gateway;
+use toucanturn_core::{
+    gateway::{
+        Gateway,
+        mesh::{
+            Mesh,
+            Rumor, //
+        },
+    },
+    units::{
+        Incarnation,
+        Millis, //
+    },
+};
 
 use crate::{
     dialect::Dialect,
     errors::{
+        ListenSnafu,
         Result,
         SignalsSnafu, //
     },
@@ -30,7 +44,7 @@
         self,
         Reader, //
     },
-    server,
+    gossip, peers, server,
     settings::Settings,
     state::{
         Phase,
@@ -69,7 +83,18 @@
     let checks = server::listen(settings.listen.ready).await?;
     let callers = server::listen(settings.listen.callers).await?;
     let seed = toucanturn_clock::now().wall.0;
-    let state = State::new(Gateway::new(settings.bounds.bounds(), seed), dialect);
+    let peers = server::listen(settings.listen.peers).await?;
+    let address = settings.listen.peers;
+    let socket = UdpSocket::bind(address).await;
+    let socket = socket.context(ListenSnafu { address })?;
+    let me = Rumor {
+        address,
+        data_center: tag(&settings.data_center),
+        incarnation: Incarnation(seed),
+        beat: 0,
+    };
+    let mesh = Mesh::new(me, settings.peers());
+    let state = State::new(Gateway::new(settings.bounds.bounds(), seed), mesh, dialect);
     tracing::info!(
         event = 600,
         id = settings.id,
@@ -80,6 +105,8 @@
     let pace = Duration::from_millis(bound / READS_PER_BOUND);
     spawn_local(server::checks(state.clone(), checks));
     spawn_local(server::callers(state.clone(), callers));
+    spawn_local(peers::serve(state.clone(), peers));
+    spawn_local(gossip::run(state.clone(), socket));
     spawn_local(feed::follow(state.clone(), settings.registry, pace, reader));
     spawn_local(tick(state.clone()));
     loop {
@@ -91,12 +118,22 @@
     Ok(stop(&state, Duration::from_secs_f64(settings.bounds.stop_s)).await)
 }
 
+/// Gets the tag that stands for a data centre between routers.
+#[expect(clippy::cast_possible_truncation, reason = "half of a hash is a hash")]
+fn tag(name: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32
+}
+
 async fn tick(state: Shared) {
     loop {
         sleep(TICK).await;
         let gateway = state.gateway.borrow();
         let listed = |key| gateway.registry().get(key).is_some();
         state.pool.tick(now(), listed);
+        drop(gateway);
+        for news in state.gateway.borrow_mut().tick(now()) {
+            feed::log(&news);
+        }
     }
 }
 
@@ -108,6 +145,9 @@
     tracing::info!(event = 691, open, "stopping");
     state.phase.send_replace(Phase::Stopping);
     sleep_until(last.min(began + LAST_REQUESTS)).await;
+    let left = last.saturating_duration_since(Instant::now());
+    let left = Millis(u64::try_from(left.as_millis()).unwrap_or(u64::MAX));
+    state.gateway.borrow_mut().end_at(now() + left);
     state.phase.send_replace(Phase::Closing);
     while state.connections.get() > 0 && Instant::now() < last {
         sleep(STOP_STEP).await;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -35,9 +35,9 @@
     pub listen: Listen,
     /// Address of the registry.
     pub registry: SocketAddrV4,
-    /// Peers to begin with; some may be down.
+    /// Peers to begin with; some may be down. Only their IP addresses count.
     #[serde(default)]
-    pub seeds: Vec<String>,
+    pub seeds: Vec<SocketAddrV4>,
     /// Bounds to keep.
     pub bounds: Promises,
 }
@@ -50,7 +50,7 @@
     pub callers: SocketAddrV4,
     /// For the balancer's readiness checks, and metrics.
     pub ready: SocketAddrV4,
-    /// For peers.
+    /// For peers, by TCP and UDP; the same port at all routers.
     pub peers: SocketAddrV4,
 }
 
@@ -98,6 +98,15 @@
     }
 }
 
+impl Settings {
+    /// Gets the addresses where the first peers hear.
+    pub fn peers(&self) -> Vec<SocketAddrV4> {
+        let port = self.listen.peers.port();
+        let peer = |seed: &SocketAddrV4| SocketAddrV4::new(*seed.ip(), port);
+        self.seeds.iter().map(peer).collect()
+    }
+}
+
 impl Promises {
     /// Gets the bounds that the decisions keep.
     #[expect(
@@ -114,6 +123,7 @@
             retry: Policy {
                 window: millis(self.retry_window_s),
                 share: Permille::from_ratio(self.retry_share * RETRY_MARGIN),
+                fleet: self.retry_extra as u32,
                 extra: self.retry_extra as u32 / UNKNOWN_FLEET,
             },
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,14 +5,23 @@
         Cell,
         RefCell, //
     },
+    collections::VecDeque,
     rc::Rc,
 };
 
 use tokio::sync::watch;
 use toucanturn_core::{
-    gateway::Gateway,
-    units::Time, //
+    gateway::{
+        Gateway,
+        mesh::Mesh,
+        mirror::Mirror, //
+    },
+    units::{
+        Revision,
+        Time, //
+    },
 };
+use toucanturn_wire::gossip::Secret;
 
 use crate::{
     dialect::Dialect,
@@ -21,6 +30,10 @@
     pool::Pool, //
 };
 
+/// Configurations whose secrets are remembered: routers follow a change at different moments, and
+/// several changes may come within a second.
+const MAX_SECRETS: usize = 8;
+
 /// `Phase` is where the process is on its way to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -45,6 +58,16 @@
     pub metrics: Metrics,
     /// The decision log.
     pub log: Log,
+    /// What is known of the other routers.
+    pub mesh: RefCell<Mesh>,
+    /// The copy of the registry.
+    pub mirror: RefCell<Mirror>,
+    /// Tells the revision of the copy whenever it grows.
+    pub changes: watch::Sender<Revision>,
+    /// Whether the copy comes from own reads.
+    pub reads: Cell<bool>,
+    /// Secrets of the newest configurations, by version.
+    secrets: RefCell<VecDeque<(u64, Secret)>>,
     /// Where the process is on its way to its end.
     pub phase: watch::Sender<Phase>,
     /// Open connections of callers.
@@ -56,13 +79,18 @@
 
 impl State {
     /// Makes the state of a process.
-    pub fn new(gateway: Gateway, dialect: Dialect) -> Shared {
+    pub fn new(gateway: Gateway, mesh: Mesh, dialect: Dialect) -> Shared {
         Rc::new(Self {
             gateway: RefCell::new(gateway),
             pool: Pool::default(),
             dialect,
             metrics: Metrics::default(),
             log: Log::default(),
+            mesh: RefCell::new(mesh),
+            mirror: RefCell::default(),
+            changes: watch::Sender::new(Revision(0)),
+            reads: Cell::new(false),
+            secrets: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
             connections: Cell::new(0),
         })
@@ -73,6 +101,22 @@
         *self.phase.borrow()
     }
 
+    /// Gets the secret of a configuration's version, if it is one of the newest.
+    pub fn secret(&self, version: u64) -> Option<Secret> {
+        let secrets = self.secrets.borrow();
+        let found = secrets.iter().find(|(held, _)| *held == version);
+        found.map(|(_, secret)| *secret)
+    }
+
+    /// Remembers a configuration's secret.
+    pub fn remember(&self, version: u64, secret: Secret) {
+        let mut secrets = self.secrets.borrow_mut();
+        secrets.push_back((version, secret));
+        if secrets.len() > MAX_SECRETS {
+            secrets.pop_front();
+        }
+    }
+
     /// Tells whether callers may be sent here.
     pub fn ready(&self) -> bool {
         self.phase() == Phase::Serving && self.gateway.borrow().ready(now())
--- a/crates/wire-codegen/src/main.rs
+++ b/crates/wire-codegen/src/main.rs
@@ -1,7 +1,7 @@
-//! Makes the committed code of the wire crate from its .proto file.
+//! Makes the committed code of the wire crate from its .proto files.
 //!
 //! `cargo run -p toucanturn-wire-codegen` writes `crates/wire/src/generated/`, or the folder that
-//! it is given. The .proto file is
+//! it is given. The .proto files are
 //! compiled by `protox`, so that no protoc is needed; the normal build doesn't run this at all.
 
 #![forbid(unsafe_code)]
@@ -16,8 +16,8 @@
     Whatever, //
 };
 
-/// The .proto file, under the wire crate.
-const PROTO: &str = "proto/peer.proto";
+/// The .proto files, under the wire crate.
+const PROTOS: [&str; 2] = ["proto/peer.proto", "proto/gossip.proto"];
 
 /// Where the code goes, under the wire crate.
 const GENERATED: &str = "src/generated";
@@ -25,11 +25,11 @@
 #[snafu::report]
 fn main() -> Result<(), Whatever> {
     let wire = Path::new(env!("CARGO_MANIFEST_DIR")).join("../wire");
-    let proto = wire.join(PROTO);
+    let protos = PROTOS.map(|proto| wire.join(proto));
     let out = std::env::args_os()
         .nth(1)
         .map_or_else(|| wire.join(GENERATED), PathBuf::from);
-    let files = protox::compile([&proto], [wire.join("proto")])
+    let files = protox::compile(&protos, [wire.join("proto")])
         .whatever_context("could not compile the .proto file")?;
     tonic_prost_build::configure()
         .bytes(".")
--- /dev/null
+++ b/crates/wire/src/gossip.rs
@@ -0,0 +1,285 @@
+//! What gateway routers tell each other, as bytes, and the code that authenticates it.
+//!
+//! Routers share no key of their own. What they share is the published configuration, which holds
+//! the callers' keys and which only operators and routers read; its hash is the key of the code,
+//! and its version the epoch by which a receiver finds the key. A message that was changed, made
+//! by others or belongs to another epoch changes nothing.
+
+use std::net::{
+    Ipv4Addr,
+    SocketAddrV4, //
+};
+
+use bytes::Bytes;
+use hmac::{
+    Hmac,
+    Mac, //
+};
+use prost::Message as _;
+use sha2::Sha256;
+use snafu::{
+    OptionExt as _,
+    ResultExt as _,
+    Snafu,
+    ensure, //
+};
+use toucanturn_core::{
+    gateway::{
+        mesh::{
+            Digest,
+            MAX_RUMORS,
+            MAX_SIGHTS,
+            Rumor,
+            Sight, //
+        },
+        mirror::{
+            Delta,
+            Record, //
+        },
+    },
+    units::{
+        Incarnation,
+        Millis,
+        Revision, //
+    },
+};
+
+/// Generated from `proto/gossip.proto` by `cargo run -p toucanturn-wire-codegen`.
+#[expect(
+    clippy::allow_attributes,
+    reason = "the generator writes its own attributes"
+)]
+pub mod proto {
+    include!("generated/toucanturn.gossip.v1.rs");
+}
+
+/// Bytes of the code (RFC 4868, section 2.3: half of the hash).
+const MAC_LEN: usize = 16;
+/// Separates this use of the secret from any other.
+const DOMAIN: &[u8] = b"toucanturn.gossip.v1";
+/// Most bytes of a sealed message that is not a copy of the registry: one packet.
+pub const MAX_DATAGRAM: usize = 1400;
+/// Longest age in a digest; what is older says nothing.
+const MAX_AGE: u64 = 60_000;
+
+/// `Error` says why a message is passed over.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// It is not of this protocol.
+    #[snafu(display("expected a message: {source}"))]
+    Codec {
+        /// Where and why.
+        source: prost::DecodeError,
+    },
+    /// Its epoch is not known here.
+    #[snafu(display("expected a known epoch, found {epoch}"))]
+    Epoch {
+        /// The epoch.
+        epoch: u64,
+    },
+    /// Its code is wrong.
+    #[snafu(display("expected the code of epoch {epoch}"))]
+    Code {
+        /// The epoch.
+        epoch: u64,
+    },
+    /// A part is missing or out of bounds.
+    #[snafu(display("expected {what}"))]
+    Part {
+        /// What.
+        what: &'static str,
+    },
+}
+
+/// `Result` is that of opening a message.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// `Secret` is what routers with the same configuration share.
+pub type Secret = [u8; 32];
+
+fn code(secret: &Secret, epoch: u64, payload: &[u8]) -> Option<Hmac<Sha256>> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(secret).ok()?;
+    mac.update(DOMAIN);
+    mac.update(&epoch.to_le_bytes());
+    mac.update(payload);
+    Some(mac)
+}
+
+/// Seals a payload.
+pub fn seal(secret: &Secret, epoch: u64, payload: Vec<u8>) -> Bytes {
+    let made = code(secret, epoch, &payload).map(|m| m.finalize().into_bytes());
+    let mac = made.map(|m| Bytes::copy_from_slice(&m[..MAC_LEN]));
+    let sealed = proto::Sealed {
+        epoch,
+        payload: payload.into(),
+        mac: mac.unwrap_or_default(),
+    };
+    sealed.encode_to_vec().into()
+}
+
+/// Opens a sealed payload; `secret` finds that of an epoch.
+///
+/// # Errors
+///
+/// Not of this protocol, of an unknown epoch, or not made with its secret.
+pub fn open(bytes: &[u8], secret: impl Fn(u64) -> Option<Secret>) -> Result<(u64, Bytes)> {
+    let sealed = proto::Sealed::decode(bytes).context(CodecSnafu)?;
+    let epoch = sealed.epoch;
+    let secret = secret(epoch).context(EpochSnafu { epoch })?;
+    let mac = code(&secret, epoch, &sealed.payload).context(CodeSnafu { epoch })?;
+    let whole = sealed.mac.len() == MAC_LEN;
+    ensure!(
+        whole && mac.verify_truncated_left(&sealed.mac).is_ok(),
+        CodeSnafu { epoch }
+    );
+    Ok((epoch, sealed.payload))
+}
+
+fn heartbeat(rumor: &Rumor) -> proto::Heartbeat {
+    proto::Heartbeat {
+        ip: u32::from(*rumor.address.ip()),
+        port: rumor.address.port().into(),
+        data_center: rumor.data_center,
+        incarnation: rumor.incarnation.0,
+        beat: rumor.beat,
+    }
+}
+
+/// Encodes a digest.
+pub fn encode_digest(digest: &Digest) -> Vec<u8> {
+    let age = |s: &Sight| u32::try_from(s.age.0.min(MAX_AGE)).unwrap_or(u32::MAX);
+    proto::Digest {
+        from: Some(heartbeat(&digest.from)),
+        reads: digest.reads,
+        rumors: digest.rumors.iter().map(heartbeat).collect(),
+        endpoints: digest.sights.iter().map(|s| s.endpoint).collect(),
+        loads: digest.sights.iter().map(|s| s.load).collect(),
+        ages: digest.sights.iter().map(age).collect(),
+    }
+    .encode_to_vec()
+}
+
+/// Decodes a digest.
+///
+/// # Errors
+///
+/// Not a digest, or larger than one may be.
+pub fn decode_digest(payload: &[u8]) -> Result<Digest> {
+    let raw = proto::Digest::decode(payload).context(CodecSnafu)?;
+    let from = raw.from.context(PartSnafu { what: "a sender" })?;
+    let columns = raw.endpoints.len() == raw.loads.len() && raw.loads.len() == raw.ages.len();
+    let what = "columns of one bounded length";
+    ensure!(columns && raw.loads.len() <= MAX_SIGHTS, PartSnafu { what });
+    let what = "a bounded sample of routers";
+    ensure!(raw.rumors.len() <= MAX_RUMORS, PartSnafu { what });
+    let rumors: Result<Vec<Rumor>> = raw.rumors.into_iter().map(rumor).collect();
+    let rows = raw.endpoints.iter().zip(&raw.loads).zip(&raw.ages);
+    let sights = rows.map(|((endpoint, load), age)| Sight {
+        endpoint: *endpoint,
+        load: *load,
+        age: Millis(u64::from(*age)),
+    });
+    Ok(Digest {
+        from: rumor(from)?,
+        reads: raw.reads,
+        rumors: rumors?,
+        sights: sights.collect(),
+    })
+}
+
+fn rumor(raw: proto::Heartbeat) -> Result<Rumor> {
+    let port = u16::try_from(raw.port).ok().filter(|p| *p > 0);
+    let port = port.context(PartSnafu { what: "a port" })?;
+    Ok(Rumor {
+        address: SocketAddrV4::new(Ipv4Addr::from(raw.ip), port),
+        data_center: raw.data_center,
+        incarnation: Incarnation(raw.incarnation),
+        beat: raw.beat,
+    })
+}
+
+/// `Ask` asks for what has changed in the registry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// Revision that the asker has.
+    pub revision: Revision,
+    /// Number that the copy brings back.
+    pub nonce: u64,
+    /// How long the copy may wait for a change.
+    pub wait: Millis,
+}
+
+/// Encodes an ask.
+pub fn encode_ask(ask: &Ask) -> Vec<u8> {
+    proto::Ask {
+        revision: ask.revision.0,
+        nonce: ask.nonce,
+        wait_ms: u32::try_from(ask.wait.0).unwrap_or(u32::MAX),
+    }
+    .encode_to_vec()
+}
+
+/// Decodes an ask.
+///
+/// # Errors
+///
+/// Not an ask.
+pub fn decode_ask(payload: &[u8]) -> Result<Ask> {
+    let raw = proto::Ask::decode(payload).context(CodecSnafu)?;
+    Ok(Ask {
+        revision: Revision(raw.revision),
+        nonce: raw.nonce,
+        wait: Millis(u64::from(raw.wait_ms)),
+    })
+}
+
+/// `Copy` is what has changed in the registry, and how old that is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Copy {
+    /// Number of the ask.
+    pub nonce: u64,
+    /// Age of the read behind it when it was sent.
+    pub age: Millis,
+    /// What has changed.
+    pub delta: Delta,
+}
+
+/// Encodes a copy.
+pub fn encode_copy(copy: Copy) -> Vec<u8> {
+    let record = |r: Record| proto::Record {
+        key: r.key,
+        value: r.value,
+        revision: r.revision.0,
+    };
+    proto::Copy {
+        nonce: copy.nonce,
+        age_ms: copy.age.0,
+        revision: copy.delta.revision.0,
+        whole: copy.delta.whole,
+        records: copy.delta.records.into_iter().map(record).collect(),
+    }
+    .encode_to_vec()
+}
+
+/// Decodes a copy.
+///
+/// # Errors
+///
+/// Not a copy.
+pub fn decode_copy(payload: Bytes) -> Result<Copy> {
+    let raw = proto::Copy::decode(payload).context(CodecSnafu)?;
+    let record = |r: proto::Record| Record {
+        key: r.key,
+        value: r.value,
+        revision: Revision(r.revision),
+    };
+    Ok(Copy {
+        nonce: raw.nonce,
+        age: Millis(raw.age_ms),
+        delta: Delta {
+            revision: Revision(raw.revision),
+            whole: raw.whole,
+            records: raw.records.into_iter().map(record).collect(),
+        },
+    })
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,8 @@
 //! them into an [`envelope`] with a keyed MAC and checks one that arrives, replays included
 //! ([`window`]). It opens no socket and keeps no connection; `toucanturn-router` does.
 //!
+//! [`gossip`] is what gateway routers tell each other.
+//!
 //! Start at [`envelope::seal`] and [`envelope::open`]; [`message`] has the control messages,
 //! [`forward`] the call on its way to its home, and [`receipt`] the replies to both. Nothing that
 //! arrives is trusted: each conversion from [`proto`] is a `TryFrom` that checks the bounds in
@@ -14,6 +16,7 @@
 pub mod envelope;
 pub mod errors;
 pub mod forward;
+pub mod gossip;
 pub mod limits;
 pub mod message;
 pub mod receipt;
