Keep lapsed entries only where a service would be emptied

Ruled out: a late copy alone; the removal was known at 25.5 s and kept for the grace. Conclusion: a few missing entries are gone; a third of a service missing at once after an outage has lapsed.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -184,17 +184,19 @@
         self.end = Some(end);
     }
 
-    /// Follows the registry.
-    pub fn follow(&mut self, now: Time, change: Change) -> Vec<News> {
+    /// Follows what one read of the registry has changed.
+    pub fn follow(&mut self, now: Time, changes: Vec<Change>) -> Vec<News> {
         let mut news = Vec::new();
-        match change {
-            Change::Catalog(catalog) => self.publish(*catalog, &mut news),
-            Change::Entry(entry) => self.registry.put(entry, &mut news),
-            Change::Removed(id) => {
-                let grace = self.bounds.lapse;
-                self.registry.remove(now, &id, grace, &mut news);
+        let mut removed = Vec::new();
+        for change in changes {
+            match change {
+                Change::Catalog(catalog) => self.publish(*catalog, &mut news),
+                Change::Entry(entry) => self.registry.put(entry, &mut news),
+                Change::Removed(id) => removed.push(id),
             }
         }
+        let grace = self.bounds.lapse;
+        self.registry.remove(now, &removed, grace, &mut news);
         news
     }
 
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -23,6 +23,9 @@
     },
 };
 
+/// One in so many of a service's endpoints may leave between two reads; more than that is no plan.
+const LAPSED_PART: usize = 3;
+
 /// `Registry` is the endpoints by name and by service.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -92,16 +95,40 @@
         self.services.entry(service).or_default().push(key);
     }
 
-    /// Takes an entry out. Its endpoint is gone, unless the registry has just come back: then the
-    /// entry may have lapsed meanwhile, and the endpoint is used until that is decided.
-    pub fn remove(&mut self, now: Time, id: &Bytes, grace: Millis, news: &mut Vec<News>) {
+    /// Takes entries out that one read missed.
+    ///
+    /// Their endpoints are gone, unless the registry has just come back and a large part of a
+    /// service is missing: then the entries have lapsed while nobody could renew them, and without
+    /// them the service would have nobody left to serve it. They are used until `grace` after the
+    /// return. A few that are missing are gone: the others carry their work meanwhile if not.
+    pub fn remove(&mut self, now: Time, ids: &[Bytes], grace: Millis, news: &mut Vec<News>) {
         let returned = self.returned.filter(|at| now.since(*at) < grace);
-        let lapses = returned.is_some_and(|at| self.lapse(at, id, news));
-        if !lapses {
-            self.drop(id, news);
+        let emptied = self.emptied(ids);
+        for id in ids {
+            let lapses = returned.is_some_and(|at| self.lapse(at, id, &emptied, news));
+            if !lapses {
+                self.drop(id, news);
+            }
         }
     }
 
+    /// Lists the services that would lose a large part of their endpoints.
+    fn emptied(&self, ids: &[Bytes]) -> Vec<Bytes> {
+        let mut lost: IndexMap<&Bytes, usize> = IndexMap::new();
+        for id in ids {
+            let key = self.names.get(id);
+            if let Some(endpoint) = key.and_then(|k| self.slots.get(*k)) {
+                *lost.entry(&endpoint.entry.service).or_default() += 1;
+            }
+        }
+        let large = |(service, count): &(&Bytes, usize)| {
+            let all = self.of(service.as_ref()).count();
+            count * LAPSED_PART > all
+        };
+        let emptied = lost.into_iter().filter(large);
+        emptied.map(|(service, _)| service.clone()).collect()
+    }
+
     fn drop(&mut self, id: &Bytes, news: &mut Vec<News>) {
         let Some(key) = self.names.swap_remove(id) else {
             return;
@@ -126,11 +153,20 @@
         }
     }
 
-    fn lapse(&mut self, returned: Time, id: &Bytes, news: &mut Vec<News>) -> bool {
+    fn lapse(
+        &mut self,
+        returned: Time,
+        id: &Bytes,
+        emptied: &[Bytes],
+        news: &mut Vec<News>,
+    ) -> bool {
         let key = self.names.get(id);
         let Some(endpoint) = key.and_then(|k| self.slots.get_mut(*k)) else {
             return false;
         };
+        if !emptied.contains(&endpoint.entry.service) {
+            return false;
+        }
         match endpoint.state {
             State::Ready => {
                 endpoint.state = State::Lapsed { returned };
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -183,16 +183,17 @@
     }
     state.gateway.borrow_mut().proved(now(), read);
     let records = state.mirror.borrow_mut().apply(delta);
+    let mut changes = Vec::new();
     for record in &records {
         match (reader.change)(record) {
-            Ok(Some(change)) => follow_change(state, change),
-            Ok(None) => {}
+            Ok(change) => changes.extend(change),
             Err(why) => {
                 let key = text(&record.key);
                 tracing::warn!(event = 657, %key, why, "record refused");
             }
         }
     }
+    follow_changes(state, changes);
     state.changes.send_if_modified(|held| {
         let newer = revision > *held;
         *held = revision.max(*held);
@@ -200,8 +201,8 @@
     });
 }
 
-fn follow_change(state: &Shared, change: Change) {
-    let news = state.gateway.borrow_mut().follow(now(), change);
+fn follow_changes(state: &Shared, changes: Vec<Change>) {
+    let news = state.gateway.borrow_mut().follow(now(), changes);
     for news in news {
         if let News::Applied { version } = news
             && let Some(catalog) = state.gateway.borrow().catalog()
