Prove the gateway's decisions by tests; spread who reads the registry by heartbeat

Cause: the new tests of the mesh failed: at 66 routers some were not counted and followers did not know who reads, as only the reader's own datagrams told it (one in 6.5 s); at 330 heartbeats went stale between samples. Ruled out: more datagrams. Conclusion: who reads travels with the heartbeat, silence is judged by the fleet's size, and a reader that fails is replaced by the next.

--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -27,9 +27,12 @@
 pub const MAX_RUMORS: usize = 12;
 /// Loads in a digest: with 8 bytes each it stays within one packet of 1,200 bytes.
 pub const MAX_SIGHTS: usize = 90;
-/// Time without a newer heartbeat after which a router isn't counted: at 330 routers one is in a
-/// sample about each 1.5 s, so this misses two.
-const SILENT: Millis = Millis(4000);
+/// Time without a newer heartbeat after which a router of a small fleet isn't counted: one that is
+/// told of directly is heard several times within it.
+const SILENT: Millis = Millis(3000);
+/// By how much longer for each router of the fleet: a router hears about 130 heartbeats a second,
+/// so one of 330 is in them each 2.6 s, and at times is missed three times in a row.
+const SILENT_PER_ROUTER: Millis = Millis(40);
 /// Time after which a silent router is forgotten.
 const FORGOTTEN: Millis = Millis(30_000);
 /// Most routers that are kept; beyond it the one that was heard least recently goes.
@@ -50,6 +53,8 @@
     pub incarnation: Incarnation,
     /// Number of its round.
     pub beat: u64,
+    /// Whether it reads the registry and what it holds is fresh.
+    pub reads: bool,
 }
 
 /// `Sight` is a load that an endpoint stated.
@@ -68,8 +73,6 @@
 pub struct Digest {
     /// The sender's heartbeat.
     pub from: Rumor,
-    /// Whether it reads the registry and what it holds is fresh.
-    pub reads: bool,
     /// Heartbeats of others.
     pub rumors: Vec<Rumor>,
     /// Loads of endpoints.
@@ -83,8 +86,6 @@
     heard: Time,
     /// Until when it is not asked for the registry, as it failed.
     avoided: Time,
-    /// Whether it said that it reads the registry.
-    reads: bool,
 }
 
 /// `Mesh` is what a router knows of the others.
@@ -137,7 +138,9 @@
 
     /// Makes this round's digest.
     pub fn digest(&mut self, now: Time, reads: bool, sights: Vec<Sight>) -> Digest {
+        self.me.reads = reads;
         let known = self.peers.len();
+        let silent = self.silent();
         let mut rumors = Vec::with_capacity(MAX_RUMORS.min(known));
         for _ in 0..known {
             if rumors.len() == MAX_RUMORS {
@@ -147,13 +150,12 @@
             let Some((_, peer)) = self.peers.get_index(self.next) else {
                 break;
             };
-            if now.since(peer.heard) < SILENT {
+            if now.since(peer.heard) < silent {
                 rumors.push(peer.rumor);
             }
         }
         Digest {
             from: self.me,
-            reads,
             rumors,
             sights,
         }
@@ -165,9 +167,6 @@
         if digest.from.address == self.me.address || !self.note(now, digest.from) {
             return false;
         }
-        if let Some(peer) = self.peers.get_mut(&digest.from.address) {
-            peer.reads = digest.reads;
-        }
         for rumor in &digest.rumors {
             if rumor.address != self.me.address {
                 self.note(now, *rumor);
@@ -178,10 +177,16 @@
 
     /// Lists the routers that are heard of, this one left out.
     pub fn live(&self, now: Time) -> impl Iterator<Item = &Rumor> {
-        let heard = move |p: &&Peer| now.since(p.heard) < SILENT;
+        let silent = self.silent();
+        let heard = move |p: &&Peer| now.since(p.heard) < silent;
         self.peers.values().filter(heard).map(|p| &p.rumor)
     }
 
+    fn silent(&self) -> Millis {
+        let routers = u64::try_from(self.peers.len()).unwrap_or(u64::MAX);
+        SILENT + Millis(SILENT_PER_ROUTER.0.saturating_mul(routers))
+    }
+
     /// Counts the routers, this one among them.
     pub fn size(&self, now: Time) -> u32 {
         u32::try_from(self.live(now).count() + 1).unwrap_or(u32::MAX)
@@ -201,16 +206,14 @@
         if readers.contains(&self.me.address) {
             return None;
         }
-        let usable = |a: &&SocketAddrV4| {
-            let peer = self.peers.get(*a);
-            peer.is_some_and(|p| p.reads && now >= p.avoided)
-        };
+        let usable = |a: &&SocketAddrV4| self.peers.get(*a).is_some_and(|p| p.rumor.reads);
         let open: Vec<&SocketAddrV4> = readers.iter().filter(usable).collect();
         let pick = draw.checked_rem(open.len() as u64)?;
         open.get(usize::try_from(pick).ok()?).map(|a| **a)
     }
 
-    /// Notes that a router did not answer, or with what is too old.
+    /// Notes that a router did not answer, or with what is too old. Until then another one of the
+    /// data centre reads: all that asked the same one find out within a second.
     pub fn avoid(&mut self, now: Time, address: SocketAddrV4, pause: Millis) {
         if let Some(peer) = self.peers.get_mut(&address) {
             peer.avoided = now + pause;
@@ -220,7 +223,12 @@
     fn readers(&self, now: Time) -> Vec<SocketAddrV4> {
         let near = self.me.data_center;
         let local = self.live(now).chain([&self.me]);
-        let mut local: Vec<&Rumor> = local.filter(|r| r.data_center == near).collect();
+        let avoided = |r: &Rumor| {
+            let peer = self.peers.get(&r.address);
+            peer.is_some_and(|p| now < p.avoided)
+        };
+        let local = local.filter(|r| r.data_center == near && !avoided(r));
+        let mut local: Vec<&Rumor> = local.collect();
         local.sort_by_key(|r| score(u64::from(near), tag(r.address)));
         let count = local.len().div_ceil(ROUTERS_PER_READER);
         local.iter().take(count).map(|r| r.address).collect()
@@ -231,7 +239,6 @@
             rumor,
             heard: now,
             avoided: Time(0),
-            reads: false,
         };
         match self.peers.get_mut(&rumor.address) {
             Some(peer) => {
--- /dev/null
+++ b/crates/core/tests/gateway/catalog.rs
@@ -0,0 +1,127 @@
+//! The published configuration: what is found in it, and what is refused whole.
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use toucanturn_core::{
+    gateway::{
+        catalog::{
+            Catalog,
+            Error,
+            Raw,
+            Workspace, //
+        },
+        route::{
+            Kind,
+            Share, //
+        },
+    },
+    units::Millis,
+};
+
+use crate::fixture::{
+    HOST,
+    raw,
+    route,
+    service, //
+};
+
+fn refused(change: impl FnOnce(&mut Raw)) -> Error {
+    let mut raw = raw(1);
+    change(&mut raw);
+    Catalog::try_from(raw).expect_err("it is refused")
+}
+
+#[gtest]
+fn verify_longest_prefix_wins() {
+    let mut raw = raw(1);
+    raw.routes.push(route("deep", "/chat/deep/", Kind::Once));
+    raw.routes.push(route("root", "/", Kind::Once));
+    let catalog = Catalog::try_from(raw).expect("it is valid");
+    let named = |path: &str| {
+        let found = catalog.route(HOST.as_bytes(), path.as_bytes());
+        found.map(|r| String::from_utf8_lossy(&r.name).into_owned())
+    };
+    expect_that!(named("/chat/x").as_deref(), some(eq("chat")));
+    expect_that!(named("/chat/deep/x").as_deref(), some(eq("deep")));
+    expect_that!(named("/chat/deeper").as_deref(), some(eq("chat")));
+    expect_that!(named("/chat").as_deref(), some(eq("root")));
+    expect_that!(named("/").as_deref(), some(eq("root")));
+    expect_that!(named("").as_deref(), none());
+}
+
+#[gtest]
+fn verify_other_hosts_have_no_route() {
+    let catalog = Catalog::try_from(raw(1)).expect("it is valid");
+    expect_true!(catalog.route(b"other.example", b"/chat/x").is_none());
+}
+
+#[gtest]
+fn verify_shares_follow_their_weights() {
+    let mut split = route("split", "/split/", Kind::Once);
+    let share = |name: &'static [u8], weight| Share {
+        service: Bytes::from_static(name),
+        weight,
+    };
+    split.shares = vec![
+        share(b"engines", 90),
+        share(b"others", 10),
+        share(b"none", 0),
+    ];
+    let drawn = (0..100).filter_map(|n| split.service(n));
+    let others = drawn.filter(|s| s == "others").count();
+    expect_that!(others, eq(10));
+}
+
+#[gtest]
+fn verify_contradictions_are_refused_whole() {
+    let engines = || service("engines");
+    expect_that!(
+        refused(|raw| raw.services.push(engines())),
+        pat!(Error::Twice { .. })
+    );
+    expect_that!(
+        refused(|raw| raw.routes.push(route("again", "/chat/", Kind::Once))),
+        pat!(Error::Twice { .. })
+    );
+    expect_that!(
+        refused(|raw| raw.routes[0].prefix = Bytes::from_static(b"/chat")),
+        pat!(Error::Prefix { .. })
+    );
+    expect_that!(
+        refused(|raw| raw.routes[0].shares.clear()),
+        pat!(Error::Nowhere { .. })
+    );
+    expect_that!(
+        refused(|raw| raw.routes[0].shares[0].weight = 0),
+        pat!(Error::Nowhere { .. })
+    );
+    expect_that!(
+        refused(|raw| raw.services.clear()),
+        pat!(Error::Service { .. })
+    );
+    expect_that!(
+        refused(|raw| raw.routes[0].attempts = 0),
+        pat!(Error::Number { .. })
+    );
+    expect_that!(
+        refused(|raw| raw.routes[0].limit = Millis(0)),
+        pat!(Error::Number { .. })
+    );
+    expect_that!(
+        refused(|raw| raw.services[0].connections = 0),
+        pat!(Error::Number { .. })
+    );
+}
+
+#[gtest]
+fn verify_a_key_of_two_workspaces_is_refused() {
+    let error = refused(|raw| {
+        let other = Workspace {
+            name: Bytes::from_static(b"two"),
+            priority: None,
+        };
+        let keys = raw.workspaces[0].1.clone();
+        raw.workspaces.push((other, keys));
+    });
+    expect_that!(error, pat!(Error::Twice { .. }));
+}
--- /dev/null
+++ b/crates/core/tests/gateway/endpoint.rs
@@ -0,0 +1,180 @@
+//! One life of an endpoint.
+
+use googletest::prelude::*;
+use proptest::prelude::{
+    Just,
+    ProptestConfig,
+    Strategy,
+    any,
+    prop_assert,
+    prop_assert_eq,
+    prop_oneof,
+    proptest, //
+};
+use toucanturn_core::{
+    gateway::{
+        endpoint::{
+            Endpoint,
+            Load,
+            State, //
+        },
+        fate::Fate,
+        mesh::Sight,
+    },
+    units::{
+        Millis,
+        Time, //
+    },
+};
+
+use crate::fixture::entry;
+
+fn load(running: u32) -> Load {
+    Load {
+        running,
+        waiting: 0,
+        slots: 64,
+    }
+}
+
+#[gtest]
+fn verify_stated_load_is_corrected_by_own_requests() {
+    let mut endpoint = Endpoint::new(entry(1));
+    endpoint.sent(Time(0));
+    endpoint.state_load(Time(10), load(5));
+    endpoint.sent(Time(20));
+    expect_that!(endpoint.load(Time(30)), eq(6));
+    endpoint.ended(Time(40), Fate::Answered);
+    endpoint.ended(Time(40), Fate::Answered);
+    expect_that!(endpoint.load(Time(50)), eq(4));
+}
+
+#[gtest]
+fn verify_old_loads_say_nothing() {
+    let mut endpoint = Endpoint::new(entry(1));
+    endpoint.state_load(Time(0), load(50));
+    expect_that!(endpoint.load(Time(1999)), eq(50));
+    expect_that!(endpoint.load(Time(2000)), eq(0));
+    expect_that!(endpoint.sight(Time(2000)), none());
+}
+
+/// A peer's load counts if it is newer, with the own requests that were sent after it.
+#[gtest]
+fn verify_a_peer_s_load_counts_if_it_is_newer() {
+    let mut endpoint = Endpoint::new(entry(1));
+    endpoint.state_load(Time(1000), load(5));
+    let sight = |load, age| Sight {
+        endpoint: 0,
+        load,
+        age: Millis(age),
+    };
+    endpoint.seen(Time(1500), sight(9, 600));
+    expect_that!(endpoint.load(Time(1500)), eq(5));
+    endpoint.sent(Time(1450));
+    endpoint.seen(Time(1500), sight(9, 100));
+    expect_that!(endpoint.load(Time(1500)), eq(10));
+}
+
+#[gtest]
+fn verify_an_unreachable_endpoint_is_paused_for_longer_each_time() {
+    let mut endpoint = Endpoint::new(entry(1));
+    endpoint.unreached(Time(0));
+    expect_true!(endpoint.paused(Time(399)));
+    expect_false!(endpoint.paused(Time(400)));
+    endpoint.unreached(Time(400));
+    expect_true!(endpoint.paused(Time(1199)));
+    expect_false!(endpoint.paused(Time(1200)));
+    endpoint.sent(Time(1200));
+    endpoint.ended(Time(1300), Fate::Answered);
+    endpoint.unreached(Time(2000));
+    expect_false!(endpoint.paused(Time(2400)));
+}
+
+#[gtest]
+fn verify_two_broken_answers_in_a_row_pause() {
+    let mut endpoint = Endpoint::new(entry(1));
+    endpoint.sent(Time(0));
+    endpoint.sent(Time(0));
+    endpoint.ended(Time(10), Fate::Broken);
+    expect_false!(endpoint.paused(Time(11)));
+    endpoint.ended(Time(12), Fate::Stalled);
+    expect_true!(endpoint.paused(Time(13)));
+}
+
+#[gtest]
+fn verify_a_misdirected_answer_ends_the_life() {
+    let mut endpoint = Endpoint::new(entry(1));
+    endpoint.sent(Time(0));
+    endpoint.ended(Time(10), Fate::Misdirected);
+    expect_that!(endpoint.state, eq(State::Gone));
+    endpoint.follow(entry(1));
+    expect_false!(endpoint.usable());
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ready,
+    Leaving,
+    Sent,
+    Ended(Fate),
+    Unreached,
+    Stated(u32),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let fate = prop_oneof![
+        Just(Fate::Answered),
+        Just(Fate::Failed),
+        Just(Fate::Broken),
+        Just(Fate::Rejected),
+        Just(Fate::Misdirected),
+        Just(Fate::Left),
+    ];
+    prop_oneof![
+        4 => Just(Step::Ready),
+        1 => Just(Step::Leaving),
+        8 => Just(Step::Sent),
+        8 => fate.prop_map(Step::Ended),
+        1 => Just(Step::Unreached),
+        2 => any::<u8>().prop_map(|n| Step::Stated(u32::from(n))),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever happens to an endpoint: once it leaves it never gets work again, its own requests
+    /// are never miscounted, and a pause ends.
+    #[test]
+    fn verify_lives_over_random_sequences(steps in proptest::collection::vec(step(), 1..80)) {
+        let mut endpoint = Endpoint::new(entry(1));
+        let mut own = 0_u32;
+        let mut left = false;
+        let mut now = Time(0);
+        for step in steps {
+            now = now + Millis(100);
+            match step {
+                Step::Ready => { endpoint.follow(entry(1)); }
+                Step::Leaving => {
+                    let mut leaving = entry(1);
+                    leaving.leaving = true;
+                    endpoint.follow(leaving);
+                    left = true;
+                }
+                Step::Sent => { endpoint.sent(now); own += 1; }
+                Step::Ended(fate) if own > 0 => {
+                    endpoint.ended(now, fate);
+                    own -= 1;
+                    left |= fate == Fate::Misdirected;
+                }
+                Step::Ended(_) => {}
+                Step::Unreached => endpoint.unreached(now),
+                Step::Stated(n) => endpoint.state_load(now, load(n)),
+            }
+            prop_assert_eq!(endpoint.own, own);
+            prop_assert!(endpoint.load(now) >= own);
+            prop_assert!(!(left && endpoint.usable()));
+            prop_assert!(!endpoint.paused(now + Millis(3200)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/gateway/fixture.rs
@@ -0,0 +1,150 @@
+//! A small published world for the tests.
+
+use std::net::{
+    Ipv4Addr,
+    SocketAddrV4, //
+};
+
+use bytes::Bytes;
+use toucanturn_core::{
+    gateway::{
+        Change, Gateway,
+        ask::{
+            Ask,
+            Part,
+            Prompt, //
+        },
+        budget::Policy,
+        catalog::{
+            Catalog,
+            Limits,
+            Raw,
+            Service,
+            Workspace, //
+        },
+        endpoint::Entry,
+        route::{
+            Kind,
+            Route,
+            Share, //
+        },
+        settings::Bounds,
+    },
+    units::{
+        Millis,
+        Permille,
+        Time, //
+    },
+};
+
+pub(crate) const HOST: &str = "shop.example";
+pub(crate) const KEY: &str = "key-of-one";
+
+pub(crate) fn bounds() -> Bounds {
+    Bounds {
+        proof: Millis(4750),
+        lapse: Millis(2000),
+        skew: Permille(2000),
+        retry: Policy {
+            window: Millis(10_000),
+            share: Permille(200),
+            fleet: 54,
+            extra: 3,
+        },
+    }
+}
+
+pub(crate) fn route(name: &str, prefix: &str, kind: Kind) -> Route {
+    Route {
+        name: Bytes::copy_from_slice(name.as_bytes()),
+        host: Bytes::from_static(HOST.as_bytes()),
+        prefix: Bytes::copy_from_slice(prefix.as_bytes()),
+        kind,
+        shares: vec![Share {
+            service: Bytes::from_static(b"engines"),
+            weight: 1,
+        }],
+        limit: Millis(4000),
+        goal: Millis(500),
+        pause: Millis(300),
+        attempts: 2,
+        priority: 1,
+        anonymous: false,
+    }
+}
+
+pub(crate) fn service(name: &str) -> Service {
+    Service {
+        name: Bytes::copy_from_slice(name.as_bytes()),
+        health: Bytes::from_static(b"/health"),
+        connections: 100,
+        engine: None,
+    }
+}
+
+pub(crate) fn raw(version: u64) -> Raw {
+    let workspace = Workspace {
+        name: Bytes::from_static(b"one"),
+        priority: None,
+    };
+    Raw {
+        version,
+        routes: vec![
+            route("chat", "/chat/", Kind::Stream { resumable: true }),
+            route("once", "/once/", Kind::Once),
+            route("read", "/read/", Kind::Repeatable),
+        ],
+        services: vec![service("engines"), service("others")],
+        workspaces: vec![(workspace, vec![Bytes::from_static(KEY.as_bytes())])],
+        limits: Limits::default(),
+        secret: [7; 32],
+    }
+}
+
+pub(crate) fn catalog(version: u64) -> Change {
+    let checked = Catalog::try_from(raw(version)).expect("it is valid");
+    Change::Catalog(Box::new(checked))
+}
+
+pub(crate) fn entry(number: u8) -> Entry {
+    Entry {
+        id: Bytes::from(format!("e-{number}")),
+        service: Bytes::from_static(b"engines"),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 8000),
+        data_center: Bytes::from_static(b"a"),
+        slots: 64,
+        leaving: false,
+        cold: Millis(0),
+    }
+}
+
+/// Makes a gateway that knows a configuration and `endpoints` endpoints, read at time 0.
+pub(crate) fn gateway(endpoints: u8) -> Gateway {
+    let mut gateway = Gateway::new(bounds(), 1);
+    let mut changes = vec![catalog(1)];
+    changes.extend((0..endpoints).map(|n| Change::Entry(entry(n))));
+    gateway.proved(Time(0), Time(0));
+    gateway.follow(Time(0), changes);
+    gateway
+}
+
+pub(crate) fn ask(path: &str) -> Ask {
+    Ask {
+        id: Bytes::from_static(b"a1"),
+        host: Bytes::from_static(HOST.as_bytes()),
+        path: Bytes::copy_from_slice(path.as_bytes()),
+        key: Some(Bytes::from_static(KEY.as_bytes())),
+        deadline: Some(Millis(3000)),
+        ..Ask::default()
+    }
+}
+
+pub(crate) fn prompt(shared: u64, own: u64) -> Prompt {
+    let part = |id| Part { id, tokens: 1000 };
+    Prompt {
+        model: Bytes::from_static(b"m"),
+        parts: vec![part(1), part(shared), part(own)].into(),
+        input: 3000,
+        output: 50,
+    }
+}
--- /dev/null
+++ b/crates/core/tests/gateway/mesh.rs
@@ -0,0 +1,199 @@
+//! Routers that find each other and tell each other loads.
+
+use std::net::{
+    Ipv4Addr,
+    SocketAddrV4, //
+};
+
+use googletest::prelude::*;
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
+use toucanturn_core::{
+    gateway::mesh::{
+        Digest,
+        MAX_RUMORS,
+        Mesh,
+        ROUND,
+        Rumor, //
+    },
+    units::{
+        Incarnation,
+        Millis,
+        Time, //
+    },
+};
+
+fn address(number: usize) -> SocketAddrV4 {
+    let number = u32::try_from(number).expect("it is small");
+    SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + number), 7000)
+}
+
+fn rumor(number: usize, incarnation: u64) -> Rumor {
+    Rumor {
+        address: address(number),
+        data_center: u32::try_from(number % 4).expect("it is small"),
+        incarnation: Incarnation(incarnation),
+        beat: 0,
+        reads: false,
+    }
+}
+
+/// A fleet in one process, with a network that loses a part of the datagrams.
+struct Fleet {
+    routers: Vec<Option<Mesh>>,
+    rng: StdRng,
+    now: Time,
+    loss: f64,
+    /// Datagrams sent, and heartbeats in them.
+    sent: (usize, usize),
+}
+
+impl Fleet {
+    fn new(count: usize, seeds: &[usize], loss: f64) -> Self {
+        let seeds: Vec<SocketAddrV4> = seeds.iter().map(|n| address(*n)).collect();
+        let router = |n| Some(Mesh::new(rumor(n, 1), seeds.clone()));
+        Self {
+            routers: (0..count).map(router).collect(),
+            rng: StdRng::seed_from_u64(7),
+            now: Time(1000),
+            loss,
+            sent: (0, 0),
+        }
+    }
+
+    fn round(&mut self) {
+        self.now = self.now + ROUND;
+        for n in 0..self.routers.len() {
+            let draw = self.rng.random();
+            let Some(mesh) = &mut self.routers[n] else {
+                continue;
+            };
+            let targets = mesh.round(self.now, draw);
+            let reads = mesh.reads(self.now);
+            let digest = mesh.digest(self.now, reads, Vec::new());
+            for target in targets {
+                self.sent.0 += 1;
+                self.sent.1 += digest.rumors.len();
+                self.deliver(target, &digest);
+            }
+        }
+    }
+
+    fn deliver(&mut self, target: SocketAddrV4, digest: &Digest) {
+        let lost = self.rng.random_bool(self.loss);
+        let at = u32::from(*target.ip()) - 0x0a00_0000;
+        let found = self
+            .routers
+            .get_mut(usize::try_from(at).expect("it is small"));
+        if let (Some(Some(mesh)), false) = (found, lost) {
+            mesh.hear(self.now, digest);
+        }
+    }
+
+    fn sizes(&self) -> Vec<u32> {
+        let live = self.routers.iter().flatten();
+        live.map(|mesh| mesh.size(self.now)).collect()
+    }
+
+    fn rounds(&mut self, seconds: u64) {
+        for _ in 0..seconds * 1000 / ROUND.0 {
+            self.round();
+        }
+    }
+}
+
+#[gtest]
+fn verify_all_find_each_other_by_one_live_seed_of_three() {
+    let mut fleet = Fleet::new(66, &[500, 501, 3], 0.05);
+    fleet.rounds(8);
+    expect_that!(fleet.sizes(), each(eq(&66)));
+}
+
+#[gtest]
+fn verify_the_fleet_holds_at_330_routers_with_bounded_bytes() {
+    let mut fleet = Fleet::new(330, &[1, 2, 3], 0.02);
+    fleet.rounds(25);
+    expect_that!(fleet.sizes(), each(ge(&320)));
+    fleet.sent = (0, 0);
+    fleet.rounds(10);
+    let datagrams = fleet.sent.0 as f64 / 330.0 / 10.0;
+    // Two targets in each of five rounds a second, and a seed in each tenth round.
+    expect_that!(datagrams, le(10.6));
+    expect_that!(fleet.sent.1, le(fleet.sent.0 * MAX_RUMORS));
+}
+
+#[gtest]
+fn verify_routers_that_stop_are_not_counted_after_a_while() {
+    let mut fleet = Fleet::new(40, &[1], 0.0);
+    fleet.rounds(5);
+    for n in 20..40 {
+        fleet.routers[n] = None;
+    }
+    fleet.rounds(10);
+    expect_that!(fleet.sizes(), each(eq(&20)));
+}
+
+#[gtest]
+fn verify_routers_that_all_restart_find_each_other_again() {
+    let mut fleet = Fleet::new(20, &[1, 2], 0.0);
+    fleet.rounds(5);
+    for n in 0..20 {
+        fleet.routers[n] = Some(Mesh::new(rumor(n, 2), vec![address(1), address(2)]));
+    }
+    fleet.rounds(5);
+    expect_that!(fleet.sizes(), each(eq(&20)));
+}
+
+/// Symptom: a router acted on loads of a minute ago.
+/// Sequence: a datagram is recorded and sent again later.
+/// Cause: its ages count from its arrival.
+#[gtest]
+fn verify_a_replayed_digest_is_no_news() {
+    let mut one = Mesh::new(rumor(1, 1), vec![]);
+    let mut other = Mesh::new(rumor(2, 1), vec![]);
+    other.round(Time(0), 1);
+    let old = other.digest(Time(0), true, Vec::new());
+    expect_true!(one.hear(Time(0), &old));
+    other.round(Time(200), 1);
+    expect_true!(one.hear(Time(200), &other.digest(Time(200), true, Vec::new())));
+    expect_false!(one.hear(Time(300), &old));
+    // Its own words that come back are none, either.
+    expect_false!(other.hear(Time(300), &old));
+}
+
+/// In each data centre some router reads for the others, and the others ask one that reads.
+#[gtest]
+fn verify_each_data_centre_has_a_reader_that_the_others_ask() {
+    let mut fleet = Fleet::new(66, &[1, 2, 3], 0.0);
+    fleet.rounds(8);
+    let now = fleet.now;
+    let mut readers = 0;
+    for mesh in fleet.routers.iter().flatten() {
+        if mesh.reads(now) {
+            readers += 1;
+            expect_that!(mesh.upstream(now, 5), none());
+        } else {
+            let upstream = mesh.upstream(now, 5).expect("there is one");
+            let at = u32::from(*upstream.ip()) - 0x0a00_0000;
+            let asked = fleet.routers[usize::try_from(at).expect("it is small")].as_ref();
+            expect_true!(asked.is_some_and(|m| m.reads(now)));
+        }
+    }
+    expect_that!(readers, eq(4));
+}
+
+#[gtest]
+fn verify_a_reader_that_fails_is_not_asked_for_a_while() {
+    let mut fleet = Fleet::new(8, &[1], 0.0);
+    fleet.rounds(5);
+    let now = fleet.now;
+    let follower = fleet.routers.iter_mut().flatten().find(|m| !m.reads(now));
+    let mesh = follower.expect("not all of them read");
+    let upstream = mesh.upstream(now, 1).expect("there is one");
+    mesh.avoid(now, upstream, Millis(2000));
+    expect_that!(mesh.upstream(now, 1), not(eq(Some(upstream))));
+    expect_that!(mesh.upstream(now + Millis(2000), 1), some(eq(upstream)));
+}
--- /dev/null
+++ b/crates/core/tests/gateway/place.rs
@@ -0,0 +1,149 @@
+//! Which endpoint gets a request.
+
+use googletest::prelude::*;
+use toucanturn_core::{
+    arena::EndpointKey,
+    gateway::{
+        Gateway,
+        Ticket,
+        ask::Ask,
+        endpoint::Load,
+        fate::Fate, //
+    },
+    units::Time,
+};
+
+use crate::fixture::{
+    ask,
+    gateway,
+    prompt, //
+};
+
+fn chat(shared: u64, own: u64) -> Ask {
+    Ask {
+        prompt: Some(prompt(shared, own)),
+        ..ask("/chat/x")
+    }
+}
+
+fn admit(gateway: &mut Gateway, ask: &Ask) -> Ticket {
+    gateway.admit(Time(10), ask).expect("it is admitted")
+}
+
+fn place(gateway: &mut Gateway, ask: &Ask) -> EndpointKey {
+    let ticket = admit(gateway, ask);
+    let placed = gateway.place(Time(10), &ticket, ask);
+    placed.expect("there is one").endpoint
+}
+
+fn name(gateway: &Gateway, key: EndpointKey) -> bytes::Bytes {
+    let endpoint = gateway.registry().get(key).expect("it is listed");
+    endpoint.entry.id.clone()
+}
+
+/// Routers that have never heard of each other, with other random numbers, agree.
+#[gtest]
+fn verify_prompts_with_a_shared_part_meet_whichever_router_they_come_by() {
+    let (mut one, mut other) = (gateway(12), gateway(12));
+    other.draw();
+    for shared in 0..50 {
+        let first = place(&mut one, &chat(shared, 1));
+        let second = place(&mut other, &chat(shared, 2));
+        let same = name(&one, first) == name(&other, second);
+        expect_true!(same, "part {shared}");
+    }
+}
+
+#[gtest]
+fn verify_a_leaving_endpoint_moves_only_its_own_prompts() {
+    let mut full = gateway(12);
+    let mut less = gateway(11);
+    let mut moved = 0;
+    for shared in 0..400 {
+        let before = place(&mut full, &chat(shared, 1));
+        let after = place(&mut less, &chat(shared, 1));
+        let before = name(&full, before);
+        if before != name(&less, after) {
+            expect_that!(before, eq(&bytes::Bytes::from_static(b"e-11")));
+            moved += 1;
+        }
+    }
+    expect_that!(moved, all!(gt(10), lt(80)));
+}
+
+/// However hot one part is, no endpoint gets more than the multiple of the mean and the slack.
+#[gtest]
+fn verify_a_hot_part_spreads_before_its_endpoint_is_over_the_multiple() {
+    let mut gateway = gateway(12);
+    let mut own: std::collections::HashMap<EndpointKey, u32> = Default::default();
+    for n in 0..240 {
+        let ask = chat(7, n);
+        let mut ticket = admit(&mut gateway, &ask);
+        let placed = gateway
+            .place(Time(10), &ticket, &ask)
+            .expect("there is one");
+        gateway.sent(Time(10), &mut ticket, placed.endpoint);
+        *own.entry(placed.endpoint).or_default() += 1;
+        let mean = (n + 1) as f32 / 12.0;
+        let most = own.values().max().copied().unwrap_or_default();
+        expect_that!(most as f32, le(2.0 * mean + 3.0));
+    }
+}
+
+#[gtest]
+fn verify_a_stated_load_keeps_work_away() {
+    let mut gateway = gateway(12);
+    let first = place(&mut gateway, &chat(7, 1));
+    let load = Load {
+        running: 40,
+        waiting: 3,
+        slots: 64,
+    };
+    gateway.stated(Time(10), first, load);
+    expect_that!(place(&mut gateway, &chat(7, 2)), not(eq(first)));
+}
+
+#[gtest]
+fn verify_paused_endpoints_are_passed_over_while_others_are_there() {
+    let mut gateway = gateway(2);
+    let ask = chat(7, 1);
+    let first = place(&mut gateway, &ask);
+    let mut ticket = admit(&mut gateway, &ask);
+    gateway.unreached(Time(10), &mut ticket, first);
+    let second = place(&mut gateway, &ask);
+    expect_that!(second, not(eq(first)));
+    gateway.unreached(Time(10), &mut ticket, second);
+    // Nobody else is left: a paused one is better than none.
+    let one = place(&mut gateway, &ask);
+    expect_true!(one == first || one == second);
+}
+
+#[gtest]
+fn verify_requests_without_a_prompt_go_where_the_least_is_in_progress() {
+    let mut gateway = gateway(4);
+    let ask = ask("/read/x");
+    let mut seen = Vec::new();
+    for _ in 0..4 {
+        let mut ticket = admit(&mut gateway, &ask);
+        let placed = gateway
+            .place(Time(10), &ticket, &ask)
+            .expect("there is one");
+        gateway.sent(Time(10), &mut ticket, placed.endpoint);
+        expect_false!(seen.contains(&placed.endpoint));
+        seen.push(placed.endpoint);
+    }
+}
+
+#[gtest]
+fn verify_an_endpoint_that_fails_often_gets_less() {
+    let mut gateway = gateway(4);
+    let ask = ask("/read/x");
+    let bad = place(&mut gateway, &ask);
+    for _ in 0..8 {
+        let mut ticket = admit(&mut gateway, &ask);
+        gateway.sent(Time(10), &mut ticket, bad);
+        gateway.ended(Time(10), &mut ticket, bad, Fate::Failed);
+    }
+    let again = (0..100).filter(|_| place(&mut gateway, &ask) == bad);
+    expect_that!(again.count(), eq(0));
+}
--- /dev/null
+++ b/crates/core/tests/gateway/proof.rs
@@ -0,0 +1,26 @@
+//! Age of what is known.
+
+use googletest::prelude::*;
+use toucanturn_core::{
+    gateway::proof::Proof,
+    units::{
+        Millis,
+        Time, //
+    },
+};
+
+#[gtest]
+fn verify_nothing_is_proved_before_the_first_read() {
+    expect_false!(Proof::default().holds(Time(0), Millis(u64::MAX)));
+}
+
+#[gtest]
+fn verify_age_counts_from_the_sending_of_the_newest_read() {
+    let mut proof = Proof::default();
+    proof.renew(Time(1000));
+    // An answer that was overtaken says nothing new.
+    proof.renew(Time(400));
+    expect_that!(proof.age(Time(1500)), some(eq(Millis(500))));
+    expect_true!(proof.holds(Time(5999), Millis(5000)));
+    expect_false!(proof.holds(Time(6000), Millis(5000)));
+}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -61,7 +61,7 @@
 /// better.
 const COPY_STALE: Millis = Millis(1500);
 /// Time for which a peer is not asked that failed.
-const AVOID: Millis = Millis(2000);
+const AVOID: Millis = Millis(4000);
 /// Pause between asks, so that a peer that answers at once is not asked without end.
 const ASK_PAUSE: Duration = Duration::from_millis(50);
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -92,8 +92,9 @@
         data_center: tag(&settings.data_center),
         incarnation: Incarnation(seed),
         beat: 0,
+        reads: false,
     };
-    let mesh = Mesh::new(me, settings.peers());
+    let mesh = Mesh::new(me, settings.seeds.clone());
     let state = State::new(Gateway::new(settings.bounds.bounds(), seed), mesh, dialect);
     tracing::info!(
         event = 600,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -35,7 +35,7 @@
     pub listen: Listen,
     /// Address of the registry.
     pub registry: SocketAddrV4,
-    /// Peers to begin with; some may be down. Only their IP addresses count.
+    /// Peers to begin with; some may be down.
     #[serde(default)]
     pub seeds: Vec<SocketAddrV4>,
     /// Bounds to keep.
@@ -50,7 +50,7 @@
     pub callers: SocketAddrV4,
     /// For the balancer's readiness checks, and metrics.
     pub ready: SocketAddrV4,
-    /// For peers, by TCP and UDP; the same port at all routers.
+    /// For peers, by TCP and UDP.
     pub peers: SocketAddrV4,
 }
 
@@ -98,15 +98,6 @@
     }
 }
 
-impl Settings {
-    /// Gets the addresses where the first peers hear.
-    pub fn peers(&self) -> Vec<SocketAddrV4> {
-        let port = self.listen.peers.port();
-        let peer = |seed: &SocketAddrV4| SocketAddrV4::new(*seed.ip(), port);
-        self.seeds.iter().map(peer).collect()
-    }
-}
-
 impl Promises {
     /// Gets the bounds that the decisions keep.
     #[expect(
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -142,6 +142,7 @@
         data_center: rumor.data_center,
         incarnation: rumor.incarnation.0,
         beat: rumor.beat,
+        reads: rumor.reads,
     }
 }
 
@@ -150,7 +151,6 @@
     let age = |s: &Sight| u32::try_from(s.age.0.min(MAX_AGE)).unwrap_or(u32::MAX);
     proto::Digest {
         from: Some(heartbeat(&digest.from)),
-        reads: digest.reads,
         rumors: digest.rumors.iter().map(heartbeat).collect(),
         endpoints: digest.sights.iter().map(|s| s.endpoint).collect(),
         loads: digest.sights.iter().map(|s| s.load).collect(),
@@ -181,7 +181,6 @@
     });
     Ok(Digest {
         from: rumor(from)?,
-        reads: raw.reads,
         rumors: rumors?,
         sights: sights.collect(),
     })
@@ -195,6 +194,7 @@
         data_center: raw.data_center,
         incarnation: Incarnation(raw.incarnation),
         beat: raw.beat,
+        reads: raw.reads,
     })
 }
 
