--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -129,7 +129,7 @@
             }
         }
         let lonely = live.len() < FANOUT;
-        if (lonely || self.me.beat % SEED_ROUNDS == 0) && !self.seeds.is_empty() {
+        if (lonely || self.me.beat.is_multiple_of(SEED_ROUNDS)) && !self.seeds.is_empty() {
             let pick = score(draw, u64::MAX) % self.seeds.len() as u64;
             targets.push(self.seeds[usize::try_from(pick).unwrap_or_default()]);
         }
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -1,5 +1,7 @@
 //! The gateway's decisions, without I/O.
 
+#![expect(clippy::expect_used, reason = "a test fails by its panic")]
+
 mod budget;
 mod catalog;
 mod endpoint;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -33,7 +33,7 @@
     }
 
     /// Gets the next whole event.
-    pub fn next(&mut self) -> Option<Event> {
+    pub fn cut(&mut self) -> Option<Event> {
         let end = end_of_event(&self.rest)?;
         let bytes = self.rest.split_to(end).freeze();
         let id = id_of(&bytes);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -26,6 +26,7 @@
     StreamBody, //
 };
 use hyper::body::{
+    Body as _,
     Frame,
     Incoming, //
 };
@@ -181,6 +182,10 @@
         let gateway = state.gateway.borrow();
         gateway.catalog().map(|c| c.limits).unwrap_or_default()
     };
+    // A body that says itself that it is too long isn't waited for.
+    if body.size_hint().lower() > u64::try_from(limits.body).unwrap_or(u64::MAX) {
+        return Err((ask.id, Refusal::never(Cause::TooLarge)));
+    }
     let patience = ask.deadline.unwrap_or(limits.idle).min(limits.idle);
     let whole = timeout(
         Duration::from_millis(patience.0),
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -70,11 +70,14 @@
     /// Begins a read of everything; gets the path of its first call.
     pub begin: Box<dyn FnMut() -> String>,
     /// Takes an answer's body in.
-    pub took: Box<dyn FnMut(&[u8]) -> Result<Step, String>>,
+    pub took: Box<Took>,
     /// Says what a record means; `None` where it means nothing here.
     pub change: fn(&Record) -> Result<Option<Change>, String>,
 }
 
+/// `Took` takes an answer's body in; the error says what is wrong with it.
+pub type Took = dyn FnMut(&[u8]) -> Result<Step, String>;
+
 /// `Step` is what follows an answer of the registry.
 #[derive(Debug)]
 pub enum Step {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -1,10 +1,19 @@
 //! The life of a gateway process, from its sockets to its end.
 
-use std::time::Duration;
+use std::{
+    net::{
+        SocketAddr,
+        SocketAddrV4, //
+    },
+    time::Duration,
+};
 
 use snafu::ResultExt;
 use tokio::{
-    net::UdpSocket,
+    net::{
+        TcpListener,
+        UdpSocket, //
+    },
     signal::unix::{
         SignalKind,
         signal, //
@@ -80,15 +89,52 @@
 async fn serve(settings: Settings, dialect: Dialect, reader: Reader) -> Result<usize> {
     let mut term = signal(SignalKind::terminate()).context(SignalsSnafu)?;
     let mut hup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
-    let checks = server::listen(settings.listen.ready).await?;
-    let callers = server::listen(settings.listen.callers).await?;
+    let grace = Duration::from_secs_f64(settings.bounds.stop_s);
+    let process = start(settings, dialect, reader).await?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hup.recv() => tracing::info!(event = 605, "settings unchanged"),
+        }
+    }
+    Ok(stop(&process.state, grace).await)
+}
+
+/// `Process` is a gateway that runs.
+#[derive(Debug)]
+pub struct Process {
+    /// What its tasks share.
+    pub state: Shared,
+    /// Where callers are heard.
+    pub callers: SocketAddr,
+    /// Where readiness is told.
+    pub ready: SocketAddr,
+    /// Where peers are heard.
+    pub peers: SocketAddr,
+}
+
+/// Starts a gateway on the current `LocalSet`.
+///
+/// # Errors
+///
+/// An address can't be listened on.
+pub async fn start(settings: Settings, dialect: Dialect, reader: Reader) -> Result<Process> {
+    let listen = settings.listen;
+    let checks = server::listen(listen.ready).await?;
+    let callers = server::listen(listen.callers).await?;
+    let peers = server::listen(listen.peers).await?;
+    let context = |address| ListenSnafu { address };
+    let own = |l: &TcpListener, a: SocketAddrV4| l.local_addr().context(context(a));
+    let addresses = (
+        own(&callers, listen.callers)?,
+        own(&checks, listen.ready)?,
+        own(&peers, listen.peers)?,
+    );
+    let heard = SocketAddrV4::new(*listen.peers.ip(), addresses.2.port());
+    let socket = UdpSocket::bind(heard).await.context(context(heard))?;
     let seed = toucanturn_clock::now().wall.0;
-    let peers = server::listen(settings.listen.peers).await?;
-    let address = settings.listen.peers;
-    let socket = UdpSocket::bind(address).await;
-    let socket = socket.context(ListenSnafu { address })?;
     let me = Rumor {
-        address,
+        address: heard,
         data_center: tag(&settings.data_center),
         incarnation: Incarnation(seed),
         beat: 0,
@@ -110,13 +156,12 @@
     spawn_local(gossip::run(state.clone(), socket));
     spawn_local(feed::follow(state.clone(), settings.registry, pace, reader));
     spawn_local(tick(state.clone()));
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = hup.recv() => tracing::info!(event = 605, "settings unchanged"),
-        }
-    }
-    Ok(stop(&state, Duration::from_secs_f64(settings.bounds.stop_s)).await)
+    Ok(Process {
+        state,
+        callers: addresses.0,
+        ready: addresses.1,
+        peers: addresses.2,
+    })
 }
 
 /// Gets the tag that stands for a data centre between routers.
@@ -138,8 +183,9 @@
     }
 }
 
-/// Stops: not ready at once, then the last request on each connection, then the end.
-async fn stop(state: &Shared, grace: Duration) -> usize {
+/// Stops: not ready at once, then the last request on each connection, then the end; returns the
+/// connections that were cut.
+pub async fn stop(state: &Shared, grace: Duration) -> usize {
     let began = Instant::now();
     let last = began + grace.saturating_sub(STOP_MARGIN);
     let open = state.connections.get();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -179,7 +179,7 @@
     /// Gets the next whole event, or what ended the endpoint's answer.
     async fn piece(&mut self) -> Piece {
         loop {
-            while let Some(event) = self.cutter.next() {
+            while let Some(event) = self.cutter.cut() {
                 let seen = event.id.is_some() && event.id <= self.last;
                 if !seen {
                     self.last = event.id.or(self.last);
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -45,10 +45,6 @@
 };
 
 /// Generated from `proto/gossip.proto` by `cargo run -p toucanturn-wire-codegen`.
-#[expect(
-    clippy::allow_attributes,
-    reason = "the generator writes its own attributes"
-)]
 pub mod proto {
     include!("generated/toucanturn.gossip.v1.rs");
 }
