--- a/crates/toucanturn/src/trace.rs
+++ b/crates/toucanturn/src/trace.rs
@@ -20,6 +20,8 @@
 const BELIEFS: std::ops::Range<u64> = 650..700;
 /// Events of the process itself that matter to every request.
 const LIFE: std::ops::Range<u64> = 600..606;
+/// Event of a process that has started.
+const STARTED: u64 = 600;
 /// Most belief lines that are shown before the request's first line.
 const MAX_BEFORE: usize = 5;
 
@@ -30,6 +32,9 @@
     event: u64,
     message: String,
     fields: serde_json::Map<String, Value>,
+    /// Number of the log that it stands in.
+    #[serde(skip)]
+    log: usize,
 }
 
 /// `Story` is what is told of a request.
@@ -55,9 +60,10 @@
         return Err(Error::Usage { message });
     }
     let mut lines = Vec::new();
-    for path in &args.logs {
+    for (log, path) in args.logs.iter().enumerate() {
         let text = files::read(path)?;
-        lines.extend(text.split(|b| *b == b'\n').filter_map(line));
+        let raw = text.split(|b| *b == b'\n');
+        lines.extend(raw.filter_map(|raw| line(raw, log)));
     }
     lines.sort_by(|a, b| a.time.cmp(&b.time));
     let story = tell(id, lines);
@@ -71,7 +77,7 @@
 }
 
 /// Reads a line; what stands before its JSON (a host's name, a time) is left out.
-fn line(raw: &[u8]) -> Option<Line> {
+fn line(raw: &[u8], log: usize) -> Option<Line> {
     let start = raw.iter().position(|b| *b == b'{')?;
     let value: Value = serde_json::from_slice(&raw[start..]).ok()?;
     let Value::Object(mut fields) = value else {
@@ -90,6 +96,7 @@
         event,
         message,
         fields,
+        log,
     })
 }
 
@@ -101,7 +108,13 @@
     let mut before: Vec<Line> = Vec::new();
     let mut lines: Vec<Line> = Vec::new();
     let last = all.iter().rposition(|l| names(l, id));
+    let restart = last.and_then(|at| restart(&all[at..]));
+    let logs: Vec<usize> = all.iter().filter(|l| names(l, id)).map(|l| l.log).collect();
     for (at, line) in all.into_iter().enumerate() {
+        // What other routers believed had no part in it.
+        if !logs.contains(&line.log) {
+            continue;
+        }
         let own = names(&line, id);
         if last.is_none_or(|last| at > last) {
             break;
@@ -117,7 +130,7 @@
             }
         }
     }
-    let cause = cause(id, &lines);
+    let cause = cause(id, &lines, restart.as_deref());
     Story {
         id: id.to_owned(),
         lines,
@@ -125,8 +138,15 @@
     }
 }
 
+/// Gets when the router that wrote the first of these lines started again, if it did.
+fn restart(lines: &[Line]) -> Option<String> {
+    let first = lines.first()?;
+    let again = |l: &&Line| l.log == first.log && l.event == STARTED;
+    lines.iter().find(again).map(|l| l.time.clone())
+}
+
 /// Says what the last line of the request means.
-fn cause(id: &str, lines: &[Line]) -> String {
+fn cause(id: &str, lines: &[Line], restart: Option<&str>) -> String {
     let Some(last) = lines.iter().rev().find(|l| names(l, id)) else {
         return "no line names this id: it never came to these routers, or their logs left it out \
                 (event 690 counts those)"
@@ -138,10 +158,13 @@
         None => "?".to_owned(),
     };
     match last.event {
-        610 => format!(
-            "sent to {} and no end was written: the caller left, or the router ended",
-            field("endpoint")
-        ),
+        610 => match restart {
+            Some(time) => format!(
+                "sent to {} and no end was written: this router ended, and started again at {time}",
+                field("endpoint")
+            ),
+            None => format!("sent to {}, then its caller left", field("endpoint")),
+        },
         611 => ended(&field("fate"), &field("endpoint"), &field("status")),
         612 => format!("{} was not reached: {}", field("endpoint"), field("error")),
         620 => refused(&field("cause"), &field("may_have_run"), &field("age")),
--- a/crates/toucanturn/tests/cli/trace.rs
+++ b/crates/toucanturn/tests/cli/trace.rs
@@ -38,10 +38,26 @@
     );
     let run = toucanturn(["trace", "--json", "--id", "b2", &one]);
     let cause = run.json()["cause"].as_str().unwrap_or_default().to_owned();
+    expect_that!(cause, eq("sent to e-2, then its caller left"));
+}
+
+#[gtest]
+fn verify_a_router_that_ended_is_named() {
+    let files = Files::new();
+    let again =
+        r#"{"timestamp":"2026-01-01T00:00:05.0Z","message":"started","event":600,"id":"vm-1"}"#;
+    let one = files.write("one.log", format!("{ONE}{again}\n"));
+    let other = files.write("other.log", OTHER);
+    let run = toucanturn(["trace", "--id", "b2", &one, &other]);
     expect_that!(
-        cause,
-        contains_substring("sent to e-2 and no end was written")
+        run.out,
+        contains_substring("started again at 2026-01-01T00:00:05.0Z")
     );
+    // The restart of another router says nothing.
+    let other = files.write("other.log", again);
+    let one = files.write("one.log", ONE);
+    let run = toucanturn(["trace", "--id", "b2", &one, &other]);
+    expect_that!(run.out, contains_substring("its caller left"));
 }
 
 #[gtest]
