Fetch a prompt's cache from the endpoint that held it; keep to a share of the connections

Ruled out: stickiness by own memory (a router of 7 sees a part each 20 s). Connections were not bounded by the endpoint's own bound; each router now keeps to its part.

Conclusion: who held a part until now is known without a word between routers.

--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -52,6 +52,8 @@
     pub slots: u32,
     /// Tokens that its memory holds.
     pub memory: u64,
+    /// Whether engines hand what they have read on to each other.
+    pub shares: bool,
 }
 
 /// `Workspace` is one published workspace.
@@ -173,6 +175,12 @@
         self.services.get(name)
     }
 
+    /// Tells whether a service's engines hand what they have read on to each other.
+    pub fn shares(&self, service: &[u8]) -> bool {
+        let engine = self.services.get(service).and_then(|s| s.engine);
+        engine.is_some_and(|e| e.shares)
+    }
+
     /// Counts the routes.
     pub fn routes(&self) -> usize {
         self.hosts.values().map(IndexMap::len).sum()
--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -28,6 +28,9 @@
 const LOAD_STALE: Millis = Millis(2000);
 /// Own requests whose times are kept, to correct loads that peers know.
 const MAX_SENT: usize = 32;
+/// Time after which an endpoint is taken to hold the parts that it gets: those in use return within
+/// seconds.
+const YOUNG: Millis = Millis(10_000);
 /// Weight of the newest answer in the share of failures: about the last eight count.
 const FAILURE_WEIGHT: f32 = 0.125;
 
@@ -87,6 +90,8 @@
     pub state: State,
     /// Hash of its name, for rendezvous.
     pub seed: u64,
+    /// When it came; `None` if it was there before this router.
+    since: Option<Time>,
     /// Own requests in progress there.
     pub own: u32,
     stated: Option<Stated>,
@@ -107,13 +112,14 @@
 
 impl Endpoint {
     /// Makes an endpoint from its first entry.
-    pub fn new(entry: Entry) -> Self {
+    pub fn new(since: Option<Time>, entry: Entry) -> Self {
         let state = state_of(&entry);
         let seed = xxhash_rust::xxh3::xxh3_64(&entry.id);
         Self {
             entry,
             state,
             seed,
+            since,
             own: 0,
             stated: None,
             failures: 0,
@@ -135,6 +141,11 @@
         before != self.state
     }
 
+    /// Tells whether it came so lately that it can't hold much yet.
+    pub fn young(&self, now: Time) -> bool {
+        self.since.is_some_and(|since| now.since(since) < YOUNG)
+    }
+
     /// Tells whether it may get new requests.
     pub fn usable(&self) -> bool {
         matches!(self.state, State::Ready | State::Lapsed { .. })
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -126,6 +126,7 @@
     proof: Proof,
     budgets: IndexMap<Bytes, Budget>,
     end: Option<Time>,
+    routers: u32,
     draws: u64,
 }
 
@@ -139,6 +140,7 @@
             proof: Proof::default(),
             budgets: IndexMap::new(),
             end: None,
+            routers: 1,
             draws: seed,
         }
     }
@@ -193,10 +195,12 @@
     pub fn follow(&mut self, now: Time, changes: Vec<Change>) -> Vec<News> {
         let mut news = Vec::new();
         let mut removed = Vec::new();
+        // What the first read lists has been there before this router.
+        let since = (!self.registry.is_empty()).then_some(now);
         for change in changes {
             match change {
                 Change::Catalog(catalog) => self.publish(*catalog, &mut news),
-                Change::Entry(entry) => self.registry.put(entry, &mut news),
+                Change::Entry(entry) => self.registry.put(since, entry, &mut news),
                 Change::Removed(id) => removed.push(id),
             }
         }
@@ -294,12 +298,21 @@
         }
         let draw = self.draw();
         let scene = place::Scene {
+            share: self.share(&ticket.service),
             registry: &self.registry,
             bounds: &self.bounds,
             now,
             draw,
         };
         let placed = place::choose(&scene, ticket, ask.prompt.as_ref());
+        let shares = self
+            .catalog
+            .as_ref()
+            .is_some_and(|c| c.shares(&ticket.service));
+        let placed = placed.map(|placed| place::Placed {
+            holder: placed.holder.filter(|_| shares),
+            ..placed
+        });
         placed.ok_or_else(|| Refusal::given_up(Cause::NoEndpoint, ticket.may_have_run))
     }
 
@@ -398,10 +411,21 @@
         }
     }
 
-    /// Follows the number of routers among which the fleet's retries are divided.
+    /// Follows the number of routers among which the fleet's retries and the endpoints' connections
+    /// are divided.
     pub fn fleet(&mut self, routers: u32) {
-        let all = self.bounds.retry.fleet;
-        self.bounds.retry.extra = all / routers.max(1);
+        self.routers = routers.max(1);
+        self.bounds.retry.extra = self.bounds.retry.fleet / self.routers;
+    }
+
+    /// Gets the requests that this router may have in progress at one endpoint of a service: its
+    /// part of the connections that the endpoint takes. Beyond them it resets new ones, and what was
+    /// sent there may or may not have run.
+    fn share(&self, service: &[u8]) -> u32 {
+        let catalog = self.catalog.as_ref();
+        let service = catalog.and_then(|c| c.service(service));
+        let all = service.map_or(u32::MAX, |s| s.connections);
+        (all / self.routers).max(MIN_SHARE)
     }
 
     /// Draws a number (SplitMix64; Steele, Lea, Flood, OOPSLA 2014).
@@ -427,6 +451,9 @@
 /// Shortest patience: below it, a busy endpoint would be taken for one that hangs.
 const MIN_PATIENCE: Millis = Millis(600);
 
+/// Least requests in progress at one endpoint, however many routers there are.
+const MIN_SHARE: u32 = 2;
+
 /// Endpoints that may prove unreachable in one request before it is given up: each costs a
 /// connection's timeout.
 const MAX_UNREACHED: usize = 3;
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -56,6 +56,8 @@
     pub registry: &'a Registry,
     /// The bounds that are kept.
     pub bounds: &'a Bounds,
+    /// Own requests in progress that an endpoint may have.
+    pub share: u32,
     /// The time.
     pub now: Time,
     /// A random number.
@@ -73,6 +75,8 @@
     pub limit: f32,
     /// How many endpoints came before it in the order of preference.
     pub rank: u32,
+    /// Endpoint that most likely holds the prompt's shared parts, where it is another one.
+    pub holder: Option<EndpointKey>,
 }
 
 /// Chooses an endpoint that the ticket has not tried; `None` where there is none.
@@ -80,7 +84,7 @@
     let all: Vec<(EndpointKey, &Endpoint)> = scene.registry.of(&ticket.service).collect();
     let fresh = |k: &EndpointKey| !ticket.tried.contains(k) && !ticket.unreached.contains(k);
     let mut open: Vec<(EndpointKey, &Endpoint)> = Vec::with_capacity(all.len());
-    open.extend(all.iter().filter(|(k, _)| fresh(k)));
+    open.extend(all.iter().filter(|(k, e)| fresh(k) && e.own < scene.share));
     let sound: Vec<_> = open
         .iter()
         .filter(|(_, e)| !e.paused(scene.now))
@@ -92,7 +96,12 @@
     let mean = mean(scene, &all);
     let anchor = prompt.and_then(Prompt::anchor);
     match anchor {
-        Some(part) => by_affinity(scene, open, part.id, mean),
+        Some(part) => {
+            let placed = by_affinity(scene, open, part.id, mean)?;
+            let holder = holder(scene, ticket, part.id);
+            let holder = holder.filter(|h| *h != placed.endpoint);
+            Some(Placed { holder, ..placed })
+        }
         None => by_load(scene, &open, mean),
     }
 }
@@ -119,6 +128,15 @@
     endpoint.load(scene.now) as f32 + endpoint.failing() * FAILURE_LOAD
 }
 
+/// Finds the endpoint that had prompts with `item` until now: the first in their order that has been
+/// there for long enough, also if it is leaving. One that has just come has read nothing yet.
+fn holder(scene: &Scene<'_>, ticket: &Ticket, item: u64) -> Option<EndpointKey> {
+    let known = scene.registry.known(&ticket.service);
+    let settled = known.filter(|(_, e)| !e.young(scene.now) && !e.paused(scene.now));
+    let first = settled.max_by_key(|(_, e)| score(item, e.seed));
+    first.map(|(key, _)| key)
+}
+
 fn by_affinity(
     scene: &Scene<'_>,
     mut open: Vec<(EndpointKey, &Endpoint)>,
@@ -162,5 +180,6 @@
         load: chosen.load(scene.now),
         limit: limit(scene, chosen, mean),
         rank: u32::try_from(rank).unwrap_or(u32::MAX),
+        holder: None,
     })
 }
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -44,9 +44,13 @@
 
     /// Lists a service's endpoints that may get work.
     pub fn of(&self, service: &[u8]) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
+        self.known(service).filter(|(_, e)| e.usable())
+    }
+
+    /// Lists a service's endpoints, also those that are leaving.
+    pub fn known(&self, service: &[u8]) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
         let keys = self.services.get(service).into_iter().flatten();
-        let found = keys.filter_map(|k| self.slots.get(*k).map(|e| (*k, e)));
-        found.filter(|(_, e)| e.usable())
+        keys.filter_map(|k| self.slots.get(*k).map(|e| (*k, e)))
     }
 
     /// Lists all endpoints that may get work.
@@ -69,8 +73,8 @@
         self.returned = Some(now);
     }
 
-    /// Puts an entry in.
-    pub fn put(&mut self, entry: Entry, news: &mut Vec<News>) {
+    /// Puts an entry in; `since` is when its endpoint came, if that is known.
+    pub fn put(&mut self, since: Option<Time>, entry: Entry, news: &mut Vec<News>) {
         if let Some(key) = self.names.get(&entry.id)
             && let Some(endpoint) = self.slots.get_mut(*key)
         {
@@ -83,7 +87,7 @@
             }
             return;
         }
-        let endpoint = Endpoint::new(entry);
+        let endpoint = Endpoint::new(since, entry);
         news.push(told(&endpoint));
         let id = endpoint.entry.id.clone();
         let service = endpoint.entry.service.clone();
--- a/crates/core/tests/gateway/endpoint.rs
+++ b/crates/core/tests/gateway/endpoint.rs
@@ -39,7 +39,7 @@
 
 #[gtest]
 fn verify_stated_load_is_corrected_by_own_requests() {
-    let mut endpoint = Endpoint::new(entry(1));
+    let mut endpoint = Endpoint::new(None, entry(1));
     endpoint.sent(Time(0));
     endpoint.state_load(Time(10), load(5));
     endpoint.sent(Time(20));
@@ -51,7 +51,7 @@
 
 #[gtest]
 fn verify_old_loads_say_nothing() {
-    let mut endpoint = Endpoint::new(entry(1));
+    let mut endpoint = Endpoint::new(None, entry(1));
     endpoint.state_load(Time(0), load(50));
     expect_that!(endpoint.load(Time(1999)), eq(50));
     expect_that!(endpoint.load(Time(2000)), eq(0));
@@ -61,7 +61,7 @@
 /// A peer's load counts if it is newer, with the own requests that were sent after it.
 #[gtest]
 fn verify_a_peer_s_load_counts_if_it_is_newer() {
-    let mut endpoint = Endpoint::new(entry(1));
+    let mut endpoint = Endpoint::new(None, entry(1));
     endpoint.state_load(Time(1000), load(5));
     let sight = |load, age| Sight {
         endpoint: 0,
@@ -77,7 +77,7 @@
 
 #[gtest]
 fn verify_an_unreachable_endpoint_is_paused_for_longer_each_time() {
-    let mut endpoint = Endpoint::new(entry(1));
+    let mut endpoint = Endpoint::new(None, entry(1));
     endpoint.unreached(Time(0));
     expect_true!(endpoint.paused(Time(399)));
     expect_false!(endpoint.paused(Time(400)));
@@ -92,7 +92,7 @@
 
 #[gtest]
 fn verify_two_broken_answers_in_a_row_pause() {
-    let mut endpoint = Endpoint::new(entry(1));
+    let mut endpoint = Endpoint::new(None, entry(1));
     endpoint.sent(Time(0));
     endpoint.sent(Time(0));
     endpoint.ended(Time(10), Fate::Broken);
@@ -103,7 +103,7 @@
 
 #[gtest]
 fn verify_a_misdirected_answer_ends_the_life() {
-    let mut endpoint = Endpoint::new(entry(1));
+    let mut endpoint = Endpoint::new(None, entry(1));
     endpoint.sent(Time(0));
     endpoint.ended(Time(10), Fate::Misdirected);
     expect_that!(endpoint.state, eq(State::Gone));
@@ -147,7 +147,7 @@
     /// are never miscounted, and a pause ends.
     #[test]
     fn verify_lives_over_random_sequences(steps in proptest::collection::vec(step(), 1..80)) {
-        let mut endpoint = Endpoint::new(entry(1));
+        let mut endpoint = Endpoint::new(None, entry(1));
         let mut own = 0_u32;
         let mut left = false;
         let mut now = Time(0);
--- a/crates/core/tests/gateway/fixture.rs
+++ b/crates/core/tests/gateway/fixture.rs
@@ -17,6 +17,7 @@
         budget::Policy,
         catalog::{
             Catalog,
+            Engine,
             Limits,
             Raw,
             Service,
@@ -78,7 +79,11 @@
         name: Bytes::copy_from_slice(name.as_bytes()),
         health: Bytes::from_static(b"/health"),
         connections: 100,
-        engine: None,
+        engine: Some(Engine {
+            slots: 64,
+            memory: 400_000,
+            shares: true,
+        }),
     }
 }
 
--- a/crates/core/tests/gateway/place.rs
+++ b/crates/core/tests/gateway/place.rs
@@ -4,6 +4,7 @@
 use toucanturn_core::{
     arena::EndpointKey,
     gateway::{
+        Change,
         Gateway,
         Ticket,
         ask::Ask,
@@ -15,6 +16,7 @@
 
 use crate::fixture::{
     ask,
+    entry,
     gateway,
     prompt, //
 };
@@ -148,3 +150,72 @@
     let again = (0..100).filter(|_| place(&mut gateway, &ask) == bad);
     expect_that!(again.count(), eq(0));
 }
+
+/// Symptom: after a release or a new endpoint, prompts were read again that others still held.
+/// Sequence: an endpoint joins and becomes the first for some parts; or the first one leaves.
+/// Cause: who held a part until then was forgotten.
+#[gtest]
+fn verify_a_prompt_that_moves_fetches_from_who_held_it() {
+    let mut gateway = gateway(8);
+    let placed = |gateway: &mut Gateway, shared, at| {
+        let ask = chat(shared, 1);
+        let ticket = gateway.admit(at, &ask).expect("it is admitted");
+        gateway.place(at, &ticket, &ask).expect("there is one")
+    };
+    let before: Vec<_> = (0..60)
+        .map(|s| placed(&mut gateway, s, Time(10)).endpoint)
+        .collect();
+    let joined = vec![Change::Entry(entry(50))];
+    gateway.follow(Time(20), joined);
+    let mut moved = 0;
+    for (shared, held) in (0..60).zip(&before) {
+        let now = placed(&mut gateway, shared, Time(30));
+        if now.endpoint == *held {
+            expect_that!(now.holder, none());
+        } else {
+            expect_that!(now.holder, some(eq(*held)));
+            moved += 1;
+        }
+    }
+    expect_that!(moved, gt(1));
+    // Once it has been there for a while it holds what it gets.
+    gateway.proved(Time(20_000), Time(20_000));
+    expect_that!(placed(&mut gateway, 3, Time(20_000)).holder, none());
+    // One that leaves can still be fetched from.
+    let held = placed(&mut gateway, 3, Time(20_000)).endpoint;
+    let id = name(&gateway, held);
+    let number = String::from_utf8_lossy(&id[2..]).parse().expect("a number");
+    let mut leaving = entry(number);
+    leaving.leaving = true;
+    gateway.follow(Time(20_010), vec![Change::Entry(leaving)]);
+    let next = placed(&mut gateway, 3, Time(20_020));
+    expect_that!(next.endpoint, not(eq(held)));
+    expect_that!(next.holder, some(eq(held)));
+}
+
+/// Symptom: connections were reset under load, and calls that may run once were lost with them.
+/// Sequence: an endpoint takes 100 connections from all; each of ten routers opens as many as it
+/// needs.
+/// Cause: the bound was taken for each router's own.
+#[gtest]
+fn verify_a_router_keeps_to_its_part_of_the_connections() {
+    let mut gateway = gateway(2);
+    gateway.fleet(10);
+    let ask = ask("/read/x");
+    for _ in 0..20 {
+        let mut ticket = admit(&mut gateway, &ask);
+        let placed = gateway
+            .place(Time(10), &ticket, &ask)
+            .expect("there is room");
+        gateway.sent(Time(10), &mut ticket, placed.endpoint);
+    }
+    let ticket = admit(&mut gateway, &ask);
+    let refusal = gateway
+        .place(Time(10), &ticket, &ask)
+        .expect_err("both are full");
+    expect_false!(refusal.may_have_run);
+    // However many routers there are, each gets a little through.
+    gateway.fleet(1000);
+    let own = gateway.registry().usable().map(|(_, e)| e.own);
+    expect_that!(own.max(), some(eq(10)));
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -1,5 +1,7 @@
 //! How requests and answers look on the wire, as functions that a program brings along.
 
+use std::net::SocketAddrV4;
+
 use bytes::Bytes;
 use http::{
     HeaderMap,
@@ -47,6 +49,8 @@
     pub resume: Option<u64>,
     /// Whether the request is a generation.
     pub generates: bool,
+    /// Endpoint from which the cache of the prompt's shared parts may be fetched.
+    pub holder: Option<SocketAddrV4>,
 }
 
 /// `Reply` is what the head of an endpoint's answer says.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -366,7 +366,7 @@
         mut connection: Connection,
         resume: Option<u64>,
     ) -> Result<Attempt, (Flight, Fate, Option<StatusCode>)> {
-        let request = self.request(placed.endpoint, resume);
+        let request = self.request(placed, resume);
         let flight = Flight::start(self, placed.endpoint);
         self.log_placed(placed);
         let sent = timeout(self.patience(false), connection.send(request)).await;
@@ -427,9 +427,10 @@
         }
     }
 
-    fn request(&self, endpoint: EndpointKey, resume: Option<u64>) -> Request<Full<Bytes>> {
+    fn request(&self, placed: &Placed, resume: Option<u64>) -> Request<Full<Bytes>> {
         let gateway = self.state.gateway.borrow();
-        let named = gateway.registry().get(endpoint);
+        let named = gateway.registry().get(placed.endpoint);
+        let holder = placed.holder.and_then(|h| gateway.registry().get(h));
         let nobody = Bytes::new();
         let forward = Forward {
             endpoint: named.map_or(&nobody, |e| &e.entry.id),
@@ -438,6 +439,7 @@
             priority: self.ticket.priority,
             resume,
             generates: self.ask.prompt.is_some(),
+            holder: holder.map(|h| h.entry.address),
         };
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
@@ -504,6 +506,7 @@
             load = placed.load,
             limit = f64::from(placed.limit),
             rank = placed.rank,
+            holder = placed.holder.map(|h| name(&gateway, h)),
             attempt = self.ticket.tried.len(),
             left = self.ticket.until.since(now()).0,
             "placed"
