--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -25,8 +25,9 @@
 const FANOUT: usize = 2;
 /// Heartbeats in a digest besides the sender's.
 pub const MAX_RUMORS: usize = 12;
-/// Loads in a digest: with 8 bytes each it stays within one packet of 1,200 bytes.
-pub const MAX_SIGHTS: usize = 90;
+/// Loads in a digest. With 8 bytes each the largest digest has 1,088 bytes, so that a router sends and
+/// hears 23.7 KB a second at most, IP and UDP headers included: control may take 24.
+pub const MAX_SIGHTS: usize = 80;
 /// Time without a newer heartbeat after which a router of a small fleet isn't counted: one that is
 /// told of directly is heard several times within it.
 const SILENT: Millis = Millis(3000);
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -320,7 +320,7 @@
         placed.ok_or_else(|| Refusal::given_up(Cause::NoEndpoint, ticket.may_have_run))
     }
 
-    /// Notes that an attempt goes out; returns the state that its end needs.
+    /// Notes that an attempt goes out.
     pub fn sent(&mut self, now: Time, ticket: &mut Ticket, endpoint: EndpointKey) {
         if !ticket.tried.is_empty() {
             let budget = self.budgets.entry(ticket.service.clone()).or_default();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -175,7 +175,9 @@
 ) -> Result<(Ask, Bytes), (Bytes, Refusal)> {
     let unnamed = Bytes::new();
     let ask = (state.dialect.ask)(parts).map_err(|why| {
-        tracing::warn!(event = 601, why, "request is malformed");
+        if state.log.admits() {
+            tracing::warn!(event = 601, why, "request is malformed");
+        }
         (unnamed, Refusal::never(Cause::Malformed))
     })?;
     let limits = {
@@ -197,12 +199,18 @@
             Err((ask.id, Refusal::never(Cause::TooLarge)))
         }
         Ok(Err(error)) => {
-            tracing::warn!(event = 602, id = %text(&ask.id), %error, "request's body broke off");
+            if state.log.admits() {
+                let id = text(&ask.id);
+                tracing::warn!(event = 602, %id, %error, "request's body broke off");
+            }
             Err((ask.id, Refusal::never(Cause::Malformed)))
         }
         Err(_) => {
             let waited = now().since(began).0;
-            tracing::warn!(event = 603, id = %text(&ask.id), waited, "request's body is slow");
+            if state.log.admits() {
+                let id = text(&ask.id);
+                tracing::warn!(event = 603, %id, waited, "request's body is slow");
+            }
             Err((ask.id, Refusal::never(Cause::TooSlow)))
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -17,20 +17,11 @@
     Full,
     Limited, //
 };
-use hyper::{
-    body::Incoming,
-    server::conn::http1,
-    service::service_fn, //
-};
-use hyper_util::rt::TokioIo;
+use hyper::body::Incoming;
 use snafu::Snafu;
 use tokio::{
     net::TcpListener,
-    task::spawn_local,
-    time::{
-        sleep,
-        timeout, //
-    },
+    time::timeout, //
 };
 use toucanturn_core::{
     gateway::mirror::Delta,
@@ -57,6 +48,7 @@
         Connection,
         Sent, //
     },
+    server,
     state::{
         Shared,
         now, //
@@ -71,8 +63,6 @@
 const PATIENCE: Duration = Duration::from_millis(300);
 /// Most bytes of a copy.
 const MAX_COPY: usize = 16 << 20;
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// `Error` says why no copy came.
 #[derive(Debug, Snafu)]
@@ -165,20 +155,7 @@
 
 /// Answers peers for good.
 pub async fn serve(state: Shared, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let shared = state.clone();
-        spawn_local(async move {
-            let service = service_fn(move |request| answer(shared.clone(), request));
-            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = served.await {
-                tracing::debug!(%error, "peer's connection ended");
-            }
-        });
-    }
+    server::serve(state, listener, answer).await;
 }
 
 async fn answer(
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -46,6 +46,8 @@
 
 /// Pause after a connection could not be accepted, as when descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Longest time that a connection of the balancer or a peer stays idle; they ask several times within.
+const SHORT_IDLE: Duration = Duration::from_secs(30);
 /// Least buffer that the library takes.
 const MIN_BUFFER: usize = 8192;
 
@@ -114,18 +116,32 @@
 
 /// Serves readiness and metrics for good.
 pub async fn checks(state: Shared, listener: TcpListener) {
+    serve(state, listener, check).await;
+}
+
+/// Answers all that comes to a listener for good. Its callers are the balancer and peers, whose
+/// requests are short.
+pub(crate) async fn serve<F, A>(state: Shared, listener: TcpListener, answer: F)
+where
+    F: Fn(Shared, Request<Incoming>) -> A + Copy + 'static,
+    A: Future<Output = Result<Response<Full<Bytes>>, Infallible>> + 'static,
+{
     loop {
         let Ok((stream, _)) = listener.accept().await else {
+            state.metrics.count("accepts", "failed");
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let shared = state.clone();
         spawn_local(async move {
-            let service = service_fn(move |request| check(shared.clone(), request));
-            let builder = http1::Builder::new();
+            let service = service_fn(move |request| answer(shared.clone(), request));
+            let mut builder = http1::Builder::new();
+            builder
+                .timer(TokioTimer::new())
+                .header_read_timeout(SHORT_IDLE);
             let served = builder.serve_connection(TokioIo::new(stream), service);
             if let Err(error) = served.await {
-                tracing::debug!(%error, "check's connection ended");
+                tracing::debug!(%error, "connection ended");
             }
         });
     }
