--- a/crates/core/src/gateway/mirror.rs
+++ b/crates/core/src/gateway/mirror.rs
@@ -116,7 +116,8 @@
     }
 
     fn remove(&mut self, key: Bytes, at: Revision, changed: &mut Vec<Record>) {
-        if self.records.swap_remove(&key).is_none() {
+        let older = self.records.get(&key).is_some_and(|(held, _)| *held < at);
+        if !older || self.records.swap_remove(&key).is_none() {
             return;
         }
         self.removed.insert(key.clone(), at);
