--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 #![forbid(unsafe_code)]
 
+mod call;
 pub mod client;
 pub mod dialect;
 pub mod errors;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -36,15 +36,17 @@
 };
 
 use crate::{
+    call::{
+        Attempt,
+        Call,
+        Flight, //
+    },
     client::Connection,
     dialect::Reply,
     events::Cutter,
     exchange::{
-        Attempt,
         Body,
-        Broken,
-        Call,
-        Flight, //
+        Broken, //
     },
 };
 
