--- /dev/null
+++ b/crates/toucanturnd/tests/gateway.rs
@@ -0,0 +1,125 @@
+//! The daemon as a gateway on the users' platform: its start, its signals and its end.
+
+#![expect(clippy::expect_used, reason = "a test fails by its panic")]
+
+use std::{
+    io::{
+        BufRead,
+        BufReader,
+        Read as _, //
+    },
+    path::Path,
+    process::{
+        Child,
+        Command,
+        ExitStatus,
+        Stdio, //
+    },
+};
+
+use googletest::prelude::*;
+use serde_json::Value;
+use toucanturn_platform::names::SETTINGS_VARIABLE;
+
+/// Settings of a gateway whose registry refuses connections.
+fn settings(stop_s: f64) -> String {
+    let any = "127.0.0.1:0";
+    serde_json::json!({
+        "id": "r1", "data_center": "a", "registry": "127.0.0.1:1", "seeds": [],
+        "listen": {"callers": any, "ready": any, "peers": any},
+        "bounds": {"config_ms": 2000, "revoke_ms": 5000, "leaving_ms": 2000, "stop_s": stop_s,
+            "lapse_s": 2, "skew": 2, "retry_share": 0.2, "retry_extra": 54, "retry_window_s": 10},
+    })
+    .to_string()
+}
+
+/// A running daemon; dropping it ends it.
+struct Daemon {
+    child: Child,
+    lines: BufReader<std::process::ChildStdout>,
+}
+
+impl Daemon {
+    fn start(path: &Path) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_toucanturnd"))
+            .env(SETTINGS_VARIABLE, path)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        let lines = BufReader::new(child.stdout.take().expect("it is piped"));
+        Self { child, lines }
+    }
+
+    /// Reads log lines until one of `event`; gives it.
+    fn until(&mut self, event: u64) -> Value {
+        let mut line = String::new();
+        while self.lines.read_line(&mut line).expect("it writes text") > 0 {
+            let value: Value = serde_json::from_str(&line).expect("a line is JSON");
+            if value["event"] == event {
+                return value;
+            }
+            line.clear();
+        }
+        panic!("event {event} did not come");
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &pid]).status();
+        assert!(sent.expect("kill can be run").success(), "{name} was sent");
+    }
+
+    fn end(&mut self) -> ExitStatus {
+        self.child.wait().expect("it ends")
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[gtest]
+fn verify_it_starts_follows_its_settings_and_stops_by_signal() {
+    let folder = tempfile::tempdir().expect("there is room");
+    let path = folder.path().join("settings.json");
+    std::fs::write(&path, settings(2.0)).expect("it can be written");
+    let mut daemon = Daemon::start(&path);
+    expect_that!(daemon.until(600)["id"], eq(&Value::from("r1")));
+    std::fs::write(&path, "{").expect("it can be written");
+    daemon.signal("HUP");
+    daemon.until(604);
+    std::fs::write(&path, settings(0.5)).expect("it can be written");
+    daemon.signal("HUP");
+    expect_that!(daemon.until(605)["needs_restart"], eq(&Value::from(false)));
+    daemon.signal("TERM");
+    daemon.until(691);
+    expect_that!(daemon.until(692)["cut"], eq(&Value::from(0)));
+    expect_that!(daemon.end().code(), some(eq(0)));
+}
+
+#[gtest]
+fn verify_settings_that_cannot_be_used_end_the_start() {
+    let folder = tempfile::tempdir().expect("there is room");
+    let path = folder.path().join("settings.json");
+    let bad = [
+        "{".to_owned(),
+        settings(2.0).replace("\"skew\":2", "\"skew\":0"),
+        settings(2.0).replace("127.0.0.1:0", "192.0.2.1:0"),
+    ];
+    for text in bad {
+        std::fs::write(&path, &text).expect("it can be written");
+        let mut daemon = Daemon::start(&path);
+        expect_that!(daemon.end().code(), some(eq(1)), "{text}");
+        let mut said = String::new();
+        let mut errors = daemon.child.stderr.take().expect("it is piped");
+        errors.read_to_string(&mut said).expect("it is text");
+        expect_that!(said, starts_with("toucanturnd: "));
+    }
+    std::fs::remove_file(&path).expect("it is there");
+    expect_that!(Daemon::start(&path).end().code(), some(eq(1)));
+}
