Let each router read a large change itself

Its ask of the data centre's reader timed out: configurations came in quick succession, and the reader handed each whole document to 15 others over a link of 10 Mbit/s. Ruled out: the store, which answered at once; a frozen router (its log goes on). Conclusion: a reader hands on up to 24 KB; what is more costs each router calls of its own.

--- a/crates/core/src/gateway/mirror.rs
+++ b/crates/core/src/gateway/mirror.rs
@@ -34,6 +34,14 @@
     pub records: Vec<Record>,
 }
 
+impl Delta {
+    /// Counts the bytes of its keys and values.
+    pub fn bytes(&self) -> usize {
+        let value = |r: &Record| r.value.as_ref().map_or(0, Bytes::len);
+        self.records.iter().map(|r| r.key.len() + value(r)).sum()
+    }
+}
+
 /// `Mirror` is the copy.
 ///
 /// # Invariants
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -198,6 +198,12 @@
             }
             (format!("its copy is {} ms old", age.0), AVOID_STALE)
         }
+        Err(peers::Error::Status {
+            status: StatusCode::PAYLOAD_TOO_LARGE,
+        }) => {
+            state.metrics.count("registry", "too large to copy");
+            return false;
+        }
         Err(error @ peers::Error::Status { .. }) => (error.to_string(), AVOID_STALE),
         Err(error) => (error.to_string(), AVOID),
     };
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -61,6 +61,10 @@
 pub const WAIT: Millis = Millis(500);
 /// Time after that in which the answer must be there.
 const PATIENCE: Duration = Duration::from_millis(300);
+/// Most bytes of changes that are handed on; the asker reads what is more by itself. A reader's link
+/// may be as small as 10 Mbit/s: with large configurations in quick succession, copies of each to 15
+/// routers filled it, and a change was in force after 3.1 s.
+const MAX_HANDED: usize = 24 << 10;
 /// Most bytes of a copy.
 const MAX_COPY: usize = 16 << 20;
 
@@ -194,6 +198,9 @@
         return status(StatusCode::SERVICE_UNAVAILABLE);
     };
     let delta = state.mirror.borrow().since(ask.revision);
+    if delta.bytes() > MAX_HANDED {
+        return status(StatusCode::PAYLOAD_TOO_LARGE);
+    }
     let payload = encode_copy(Copy {
         nonce: ask.nonce,
         age,
