Say once what a fate means to a caller; take out what the gateway left dead

Cause: read as a newcomer. The cause that a caller is told was worked out from an attempt's fate in four places, a whole answer's fate in two, and the core's Tag was hashed again twice; patience counted all endpoints for each event of a stream though one is enough; Kind was split over two files; five functions had no caller; placement's page promised the own data centre first, which it does not do. Ruled out: behaviour; no bound, status or assertion changed. Conclusion: one function says it.

--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -180,11 +180,6 @@
         let engine = self.services.get(service).and_then(|s| s.engine);
         engine.is_some_and(|e| e.shares)
     }
-
-    /// Counts the routes.
-    pub fn routes(&self) -> usize {
-        self.hosts.values().map(IndexMap::len).sum()
-    }
 }
 
 impl TryFrom<Raw> for Catalog {
--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -12,6 +12,7 @@
         fate::Fate,
         mesh::Sight, //
     },
+    ids::Tag,
     units::{
         Millis,
         Time, //
@@ -180,16 +181,9 @@
         age.filter(|age| *age < LOAD_STALE)
     }
 
-    /// Gets the load that it stated last, while that says something.
-    pub fn stated(&self, now: Time) -> Option<Load> {
-        let fresh = self.stated.filter(|s| now.since(s.at) < LOAD_STALE);
-        fresh.map(|s| s.load)
-    }
-
     /// Gets the tag that stands for it between routers.
-    #[expect(clippy::cast_possible_truncation, reason = "half of a hash is a hash")]
-    pub fn tag(&self) -> u32 {
-        self.seed as u32
+    pub fn tag(&self) -> Tag {
+        Tag::of(&self.entry.id)
     }
 
     /// Gets its newest stated load, for peers.
@@ -198,7 +192,7 @@
         let age = now.since(stated.at);
         let load = stated.load.running.saturating_add(stated.load.waiting);
         (age < LOAD_STALE).then(|| Sight {
-            endpoint: self.tag(),
+            endpoint: self.tag().0,
             load,
             age,
         })
--- a/crates/core/src/gateway/fate.rs
+++ b/crates/core/src/gateway/fate.rs
@@ -1,7 +1,10 @@
 //! What is known of an attempt once it has ended. Retries, refusals and statuses follow from it
 //! alone.
 
-use crate::gateway::route::Kind;
+use crate::gateway::{
+    refusal::Cause,
+    route::Kind, //
+};
 
 /// `Fate` is what became of one attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -40,9 +43,13 @@
         }
     }
 
-    /// Tells whether it speaks against the endpoint.
-    pub const fn faulty(self) -> bool {
-        matches!(self, Fate::Failed | Fate::Broken | Fate::Stalled)
+    /// Gets what a caller is told when no attempt follows this end.
+    pub const fn cause(self) -> Cause {
+        match self {
+            Fate::Stalled => Cause::Deadline,
+            Fate::NotSent | Fate::Rejected | Fate::Misdirected => Cause::NoEndpoint,
+            _ => Cause::EndpointFailed,
+        }
     }
 }
 
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -51,10 +51,7 @@
     Refusal, //
 };
 use registry::Registry;
-use route::{
-    Kind,
-    Route, //
-};
+use route::Route;
 use settings::Bounds;
 
 /// `Ticket` is an admitted request on its way through its attempts.
@@ -160,11 +157,6 @@
         &self.proof
     }
 
-    /// Gets the bounds that it keeps.
-    pub fn bounds(&self) -> &Bounds {
-        &self.bounds
-    }
-
     /// Follows new bounds.
     pub fn set_bounds(&mut self, bounds: Bounds) {
         self.bounds = bounds;
@@ -345,9 +337,10 @@
             return None;
         }
         let others = self.registry.of(&ticket.service);
-        let others = others.filter(|(key, e)| !ticket.tried.contains(key) && !e.paused(now));
+        let mut others = others.filter(|(key, e)| !ticket.tried.contains(key) && !e.paused(now));
+        others.next()?;
         let budget = self.budgets.entry(ticket.service.clone()).or_default();
-        if others.count() == 0 || !budget.allows(now, &self.bounds.retry) {
+        if !budget.allows(now, &self.bounds.retry) {
             return None;
         }
         Some(if begun {
@@ -467,10 +460,3 @@
 
 /// Shortest wait that a refused caller is told: two rounds of news between routers.
 const COME_BACK: Millis = Millis(150);
-
-impl Kind {
-    /// Tells whether a request that may have run may be sent again.
-    pub const fn repeatable(self) -> bool {
-        matches!(self, Kind::Repeatable | Kind::Stream { resumable: true })
-    }
-}
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -3,7 +3,7 @@
 //! A prompt goes to the endpoint that rendezvous hashing gives its last shared part, as long as
 //! that carries less than its limit, else to the next in that order: the same few endpoints then
 //! hold the part, whichever router the request came by, without a word between routers. Other
-//! requests go where the fewest are in progress, the own data centre first among equals.
+//! requests go where the fewest are in progress, to a random one among equals.
 
 use crate::{
     arena::EndpointKey,
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -17,6 +17,7 @@
         fate::Fate,
         mesh::Sight,
     },
+    ids::Tag,
     units::{
         Millis,
         Time, //
@@ -31,7 +32,7 @@
 pub struct Registry {
     slots: SlotMap<EndpointKey, Endpoint>,
     names: IndexMap<Bytes, EndpointKey>,
-    tags: IndexMap<u32, EndpointKey>,
+    tags: IndexMap<Tag, EndpointKey>,
     services: IndexMap<Bytes, Vec<EndpointKey>>,
     returned: Option<Time>,
 }
@@ -222,7 +223,7 @@
 
     /// Notes a load that a peer knows.
     pub fn seen(&mut self, now: Time, sight: Sight) {
-        let key = self.tags.get(&sight.endpoint);
+        let key = self.tags.get(&Tag(sight.endpoint));
         if let Some(endpoint) = key.and_then(|k| self.slots.get_mut(*k)) {
             endpoint.seen(now, sight);
         }
--- a/crates/core/src/gateway/route.rs
+++ b/crates/core/src/gateway/route.rs
@@ -20,6 +20,11 @@
 }
 
 impl Kind {
+    /// Tells whether a request that may have run may be sent again.
+    pub const fn repeatable(self) -> bool {
+        matches!(self, Kind::Repeatable | Kind::Stream { resumable: true })
+    }
+
     /// Tells whether answers are streams of events.
     pub const fn streams(self) -> bool {
         matches!(self, Kind::Stream { .. })
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -84,6 +84,17 @@
     open: bool,
 }
 
+impl Attempt {
+    /// Gets the fate of an attempt whose whole answer came.
+    pub(crate) fn whole(status: StatusCode) -> Fate {
+        if status.is_server_error() {
+            Fate::Failed
+        } else {
+            Fate::Answered
+        }
+    }
+}
+
 impl Flight {
     fn start(call: &mut Call, endpoint: EndpointKey) -> Self {
         let mut gateway = call.state.gateway.borrow_mut();
@@ -174,18 +185,14 @@
                 Ok(attempt) => return Ok(attempt),
                 Err(ended) => ended,
             };
-            let cause = match fate {
-                Fate::Stalled => Cause::Deadline,
-                Fate::Rejected | Fate::Misdirected | Fate::NotSent => Cause::NoEndpoint,
-                _ => Cause::EndpointFailed,
-            };
             if self.end(flight, fate, status) != Next::Again {
-                return Err(self.given_up(cause));
+                return Err(self.given_up(fate.cause()));
             }
         }
     }
 
-    fn given_up(&self, cause: Cause) -> Refusal {
+    /// Gives the call up after its attempts.
+    pub(crate) fn given_up(&self, cause: Cause) -> Refusal {
         Refusal::given_up(cause, self.ticket.may_have_run)
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -174,11 +174,7 @@
         let (fate, response) = match collected {
             Ok(Ok(body)) => {
                 call.keep(&flight, connection, &reply);
-                let fate = if head.status.is_server_error() {
-                    Fate::Failed
-                } else {
-                    Fate::Answered
-                };
+                let fate = Attempt::whole(head.status);
                 (
                     fate,
                     Some(call.deliver(&head, Either::Left(Full::new(body.to_bytes())))),
@@ -195,12 +191,7 @@
             (Next::Again, kept) => failure = kept.or(failure),
             (_, Some(response)) => return response,
             (_, None) => {
-                let cause = if fate == Fate::Stalled {
-                    Cause::Deadline
-                } else {
-                    Cause::EndpointFailed
-                };
-                let refusal = Refusal::given_up(cause, call.ticket.may_have_run);
+                let refusal = call.given_up(fate.cause());
                 return failure.unwrap_or_else(|| call.refuse(refusal));
             }
         }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -87,9 +87,4 @@
     pub async fn open(address: std::net::SocketAddrV4) -> Result<Connection, Error> {
         Connection::open(address, CONNECT_TIMEOUT).await
     }
-
-    /// Counts the idle connections of an endpoint.
-    pub fn kept(&self, endpoint: EndpointKey) -> usize {
-        self.idle.borrow().get(&endpoint).map_or(0, Vec::len)
-    }
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -37,6 +37,7 @@
             Rumor, //
         },
     },
+    ids::Tag,
     units::{
         Incarnation,
         Millis, //
@@ -169,7 +170,7 @@
     let seed = toucanturn_clock::now().wall.0;
     let me = Rumor {
         address: heard,
-        data_center: tag(&settings.data_center),
+        data_center: Tag::of(settings.data_center.as_bytes()).0,
         incarnation: Incarnation(seed),
         beat: 0,
         reads: false,
@@ -197,12 +198,6 @@
     })
 }
 
-/// Gets the tag that stands for a data centre between routers.
-#[expect(clippy::cast_possible_truncation, reason = "half of a hash is a hash")]
-fn tag(name: &str) -> u32 {
-    xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32
-}
-
 async fn tick(state: Shared) {
     loop {
         sleep(TICK).await;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -28,10 +28,6 @@
         Fate,
         Next, //
     },
-    refusal::{
-        Cause,
-        Refusal, //
-    },
     route::Kind,
 };
 
@@ -110,23 +106,25 @@
                 return relay.respond(&head, None);
             }
             ended @ (Piece::Broken | Piece::Late) => {
-                let (fate, cause) = fate(&ended);
+                let fate = ended.fate();
                 let next = relay.end(fate);
                 last = relay.last;
                 call = relay.call;
                 if next != Next::Again {
-                    let refusal = Refusal::given_up(cause, call.ticket.may_have_run);
-                    return call.refuse(refusal);
+                    return call.refuse(call.given_up(fate.cause()));
                 }
             }
         }
     }
 }
 
-fn fate(piece: &Piece) -> (Fate, Cause) {
-    match piece {
-        Piece::Late => (Fate::Stalled, Cause::Deadline),
-        _ => (Fate::Broken, Cause::EndpointFailed),
+impl Piece {
+    /// Gets the fate of an attempt that this ended before its proper end.
+    fn fate(&self) -> Fate {
+        match self {
+            Piece::Late => Fate::Stalled,
+            _ => Fate::Broken,
+        }
     }
 }
 
@@ -137,15 +135,10 @@
     let collected = timeout(call.left(), source.body.collect()).await;
     let Ok(Ok(body)) = collected else {
         call.end(source.flight, Fate::Broken, Some(status));
-        let refusal = Refusal::given_up(Cause::EndpointFailed, call.ticket.may_have_run);
-        return call.refuse(refusal);
+        return call.refuse(call.given_up(Fate::Broken.cause()));
     };
     call.keep(&source.flight, source.connection, &source.reply);
-    let fate = if status.is_server_error() {
-        Fate::Failed
-    } else {
-        Fate::Answered
-    };
+    let fate = Attempt::whole(status);
     if call.end(source.flight, fate, Some(status)) == Next::Again {
         return Box::pin(answer(call)).await;
     }
@@ -270,8 +263,7 @@
                 return None;
             }
             ended @ (Piece::Broken | Piece::Late) => {
-                let (fate, _) = fate(&ended);
-                if relay.end(fate) != Next::Again || !relay.resume().await {
+                if relay.end(ended.fate()) != Next::Again || !relay.resume().await {
                     return Some((Err(Broken), None));
                 }
             }
