Make calls to registry and peers by one link; let a stream keep its attempt

Cause: read as a newcomer. Reads of the registry and asks of peers each took a kept connection, sent, judged the status, gathered the body and put the connection back, with two sets of errors; a stream copied its attempt into a second type of the same fields; the budget of a service was looked up in four places; SplitMix64 stood beside the library's generator that Node uses. Ruled out: behaviour, but that a peer's ask names its host, too. Conclusion: client::Link, one Attempt, one budget, one generator.

--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -82,6 +82,13 @@
     pub slots: u32,
 }
 
+impl Load {
+    /// Counts its requests, running and waiting.
+    pub const fn requests(self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 /// `Endpoint` is one life of an endpoint.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -170,7 +177,7 @@
         let Some(stated) = fresh else {
             return self.own;
         };
-        let all = stated.load.running.saturating_add(stated.load.waiting);
+        let all = stated.load.requests();
         let since = all.saturating_add(self.own).saturating_sub(stated.own);
         since.max(self.own)
     }
@@ -188,13 +195,10 @@
 
     /// Gets its newest stated load, for peers.
     pub fn sight(&self, now: Time) -> Option<Sight> {
-        let stated = self.stated?;
-        let age = now.since(stated.at);
-        let load = stated.load.running.saturating_add(stated.load.waiting);
-        (age < LOAD_STALE).then(|| Sight {
+        Some(Sight {
             endpoint: self.tag().0,
-            load,
-            age,
+            age: self.age(now)?,
+            load: self.stated?.load.requests(),
         })
     }
 
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -11,6 +11,11 @@
 
 use bytes::Bytes;
 use indexmap::IndexMap;
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
 
 use crate::{
     arena::EndpointKey,
@@ -79,6 +84,13 @@
     pub may_have_run: bool,
 }
 
+impl Ticket {
+    /// Counts the endpoints that it was sent to.
+    pub fn attempts(&self) -> u32 {
+        u32::try_from(self.tried.len()).unwrap_or(u32::MAX)
+    }
+}
+
 /// `Change` is one thing that the registry says.
 #[derive(Clone, Debug)]
 pub enum Change {
@@ -124,7 +136,7 @@
     budgets: IndexMap<Bytes, Budget>,
     end: Option<Time>,
     routers: u32,
-    draws: u64,
+    rng: StdRng,
 }
 
 impl Gateway {
@@ -138,7 +150,7 @@
             budgets: IndexMap::new(),
             end: None,
             routers: 1,
-            draws: seed,
+            rng: StdRng::seed_from_u64(seed),
         }
     }
 
@@ -262,8 +274,8 @@
             .as_ref()
             .and_then(|w| w.priority)
             .unwrap_or(route.priority);
-        let budget = self.budgets.entry(service.clone()).or_default();
-        budget.first(now, self.bounds.retry.window);
+        let window = self.bounds.retry.window;
+        self.budget(&service).first(now, window);
         Ok(Ticket {
             service,
             workspace,
@@ -315,8 +327,8 @@
     /// Notes that an attempt goes out.
     pub fn sent(&mut self, now: Time, ticket: &mut Ticket, endpoint: EndpointKey) {
         if !ticket.tried.is_empty() {
-            let budget = self.budgets.entry(ticket.service.clone()).or_default();
-            budget.repeat(now, self.bounds.retry.window);
+            let window = self.bounds.retry.window;
+            self.budget(&ticket.service).repeat(now, window);
         }
         ticket.tried.push(endpoint);
         self.registry.sent(now, endpoint);
@@ -331,16 +343,15 @@
     /// sent a part of the answer. `None` where no other attempt could follow: then waiting is all
     /// that is left.
     pub fn patience(&mut self, now: Time, ticket: &Ticket, begun: bool) -> Option<Millis> {
-        let attempts = u32::try_from(ticket.tried.len()).unwrap_or(u32::MAX);
         let route = &ticket.route;
-        if !route.kind.repeatable() || attempts >= route.attempts {
+        if !route.kind.repeatable() || ticket.attempts() >= route.attempts {
             return None;
         }
-        let others = self.registry.of(&ticket.service);
-        let mut others = others.filter(|(key, e)| !ticket.tried.contains(key) && !e.paused(now));
-        others.next()?;
-        let budget = self.budgets.entry(ticket.service.clone()).or_default();
-        if !budget.allows(now, &self.bounds.retry) {
+        let other = |(key, e): &(EndpointKey, &endpoint::Endpoint)| {
+            !ticket.tried.contains(key) && !e.paused(now)
+        };
+        self.registry.of(&ticket.service).find(other)?;
+        if !self.may_repeat(now, &ticket.service) {
             return None;
         }
         Some(if begun {
@@ -382,18 +393,25 @@
         if matches!(fate, Fate::Answered | Fate::Left) {
             return Next::Deliver;
         }
-        let attempts = u32::try_from(ticket.tried.len()).unwrap_or(u32::MAX);
-        let open = now < ticket.until && attempts < ticket.route.attempts;
+        let open = now < ticket.until && ticket.attempts() < ticket.route.attempts;
         let free = fate == Fate::NotSent && ticket.tried.is_empty();
         let allowed = fate.repeatable(ticket.route.kind)
             && (!ticket.may_have_run || ticket.route.kind.repeatable());
-        if open && allowed && ticket.unreached.len() < MAX_UNREACHED {
-            let budget = self.budgets.entry(ticket.service.clone()).or_default();
-            if free || budget.allows(now, &self.bounds.retry) {
-                return Next::Again;
-            }
+        let open = open && allowed && ticket.unreached.len() < MAX_UNREACHED;
+        if open && (free || self.may_repeat(now, &ticket.service)) {
+            Next::Again
+        } else {
+            Next::GiveUp
         }
-        Next::GiveUp
+    }
+
+    fn budget(&mut self, service: &Bytes) -> &mut Budget {
+        self.budgets.entry(service.clone()).or_default()
+    }
+
+    fn may_repeat(&mut self, now: Time, service: &Bytes) -> bool {
+        let policy = self.bounds.retry;
+        self.budget(service).allows(now, &policy)
     }
 
     /// Lists the newest loads that are known, for peers.
@@ -425,13 +443,9 @@
         (all / self.routers).max(MIN_SHARE)
     }
 
-    /// Draws a number (SplitMix64; Steele, Lea, Flood, OOPSLA 2014).
+    /// Draws a number.
     pub fn draw(&mut self) -> u64 {
-        self.draws = self.draws.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.draws;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        z ^ (z >> 31)
+        self.rng.random()
     }
 }
 
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -7,10 +7,17 @@
 
 use bytes::Bytes;
 use http::{
+    HeaderValue,
     Request,
-    Response, //
+    Response,
+    StatusCode,
+    header, //
+};
+use http_body_util::{
+    BodyExt as _,
+    Full,
+    Limited, //
 };
-use http_body_util::Full;
 use hyper::{
     body::Incoming,
     client::conn::http1::{
@@ -22,7 +29,8 @@
 use rustix::net::sockopt::set_tcp_user_timeout;
 use snafu::{
     ResultExt,
-    Snafu, //
+    Snafu,
+    ensure, //
 };
 use tokio::{
     net::TcpStream,
@@ -30,6 +38,8 @@
     time::timeout, //
 };
 
+/// Most bytes of the answer to a call.
+const MAX_ANSWER: usize = 16 << 20;
 /// Milliseconds after which unacknowledged bytes end a connection. A peer behind a partition sends
 /// no reset; without this its connections would hang for minutes.
 const USER_TIMEOUT_MS: u32 = 2000;
@@ -53,6 +63,18 @@
         /// Why.
         source: std::io::Error,
     },
+    /// No whole answer in time.
+    #[snafu(display("no answer in time"))]
+    Late,
+    /// The connection broke before the answer was whole.
+    #[snafu(display("the connection broke"))]
+    Lost,
+    /// The answer is no success.
+    #[snafu(display("status {status}"))]
+    Status {
+        /// Its status.
+        status: StatusCode,
+    },
     /// The first step of the protocol failed.
     #[snafu(display("can't start HTTP with {address}"))]
     Handshake {
@@ -63,6 +85,72 @@
     },
 }
 
+/// `Times` bounds a call.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// For a new connection.
+    pub open: Duration,
+    /// For all of it.
+    pub whole: Duration,
+}
+
+/// `Link` makes calls to one address, one after the other, over a connection that is kept while each
+/// answer is whole.
+#[derive(Debug)]
+pub struct Link {
+    /// Where it goes.
+    pub address: SocketAddrV4,
+    connection: Option<Connection>,
+}
+
+impl Link {
+    /// Makes a link that is not connected yet.
+    pub const fn new(address: SocketAddrV4) -> Self {
+        Self {
+            address,
+            connection: None,
+        }
+    }
+
+    /// Makes a call; gets the body of an answer with a success.
+    ///
+    /// # Errors
+    ///
+    /// No connection, no whole answer in time, or one without success.
+    pub async fn call(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        times: Times,
+    ) -> Result<Bytes, Error> {
+        let called = timeout(times.whole, self.exchange(request, times.open)).await;
+        called.map_err(|_| Error::Late)?
+    }
+
+    async fn exchange(
+        &mut self,
+        mut request: Request<Full<Bytes>>,
+        within: Duration,
+    ) -> Result<Bytes, Error> {
+        let address = self.address;
+        let kept = self.connection.take().filter(Connection::free);
+        let mut open = match kept {
+            Some(open) => open,
+            None => Connection::open(address, within).await?,
+        };
+        let host = HeaderValue::try_from(address.to_string()).map_err(|_| Error::Lost)?;
+        request.headers_mut().insert(header::HOST, host);
+        let Sent::Head(response) = open.send(request).await else {
+            return Err(Error::Lost);
+        };
+        let status = response.status();
+        ensure!(status.is_success(), StatusSnafu { status });
+        let body = Limited::new(response.into_body(), MAX_ANSWER).collect();
+        let body = body.await.map_err(|_| Error::Lost)?;
+        self.connection = Some(open);
+        Ok(body.to_bytes())
+    }
+}
+
 /// `Connection` is an open connection; dropping it closes the socket, whatever goes on there.
 #[derive(Debug)]
 pub struct Connection {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -6,21 +6,13 @@
     time::Duration, //
 };
 
-use bytes::Bytes;
 use http::{
     Request,
     StatusCode, //
 };
-use http_body_util::{
-    BodyExt as _,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use snafu::Snafu;
-use tokio::time::{
-    sleep,
-    timeout, //
-};
+use tokio::time::sleep;
 use toucanturn_core::{
     gateway::{
         Change, News,
@@ -38,8 +30,8 @@
 use crate::{
     client::{
         self,
-        Connection,
-        Sent, //
+        Link,
+        Times, //
     },
     log::text,
     peers,
@@ -58,8 +50,6 @@
 /// The same of one that doesn't: it asks a peer meanwhile, which costs no call. With 150 ms for all,
 /// 66 routers made 3,500 calls in an outage of 8 s, more than on the rest of the day.
 const FOLLOWER_PAUSE: Duration = Duration::from_millis(1200);
-/// Most bytes of one answer.
-const MAX_ANSWER: usize = 16 << 20;
 /// Reads that fail in a row after which the registry counts as lost: one may be lost on the way.
 const LOST: u32 = 2;
 /// Reads whose time a peer's copy may be old before it is not good enough: one under way, one lost.
@@ -97,21 +87,17 @@
 #[derive(Debug, Snafu)]
 enum Error {
     #[snafu(display("{source}"), context(false))]
-    Connect { source: client::Error },
-    #[snafu(display("no answer in time"))]
-    Slow,
-    #[snafu(display("the connection broke"))]
-    Lost,
-    #[snafu(display("status {status}"))]
-    Status { status: StatusCode },
+    Call { source: client::Error },
+    #[snafu(display("expected the path of a call, found {path:?}"))]
+    Path { path: String },
     #[snafu(display("{why}"))]
     Body { why: String },
 }
 
 /// Follows the registry at `address` for good; own reads begin `pace` apart.
 pub async fn follow(state: Shared, address: SocketAddrV4, pace: Duration, mut reader: Reader) {
-    let mut registry = None;
-    let mut upstream: Option<(SocketAddrV4, Option<Connection>)> = None;
+    let mut registry = Link::new(address);
+    let mut upstream: Option<Link> = None;
     let mut failures = 0;
     let mut own_read = now();
     let stale = peers::WAIT + millis(pace * COPY_READS);
@@ -123,12 +109,9 @@
         let peer = state.mesh.borrow().upstream(now(), draw);
         if let Some(peer) = peer.filter(|_| informed) {
             // The same peer for as long as it will do: its connection is kept.
-            if upstream.as_ref().is_none_or(|(at, _)| *at != peer) {
-                upstream = Some((peer, None));
-            }
-            if let Some((at, link)) = &mut upstream
-                && copied(&state, *at, link, &reader, stale).await
-            {
+            let kept = upstream.take().filter(|link| link.address == peer);
+            let link = upstream.insert(kept.unwrap_or_else(|| Link::new(peer)));
+            if copied(&state, link, &reader, stale).await {
                 state.reads.set(false);
                 sleep(ASK_PAUSE).await;
                 continue;
@@ -139,7 +122,7 @@
             continue;
         }
         let sent = now();
-        match read(address, &mut registry, &mut reader).await {
+        match read(&mut registry, &mut reader).await {
             Ok(delta) => {
                 if failures >= LOST {
                     tracing::info!(event = 652, failures, "registry regained");
@@ -152,7 +135,8 @@
                 sleep(pace.saturating_sub(spent)).await;
             }
             Err(error) => {
-                registry = None;
+                // Whatever was wrong with it, the next read begins on a new connection.
+                registry = Link::new(address);
                 failures += 1;
                 state.metrics.count("registry", "failed");
                 if failures == LOST {
@@ -181,14 +165,9 @@
 }
 
 /// Asks a peer; returns whether its copy will do.
-async fn copied(
-    state: &Shared,
-    peer: SocketAddrV4,
-    link: &mut Option<Connection>,
-    reader: &Reader,
-    stale: Millis,
-) -> bool {
-    let (why, avoid) = match peers::ask(state, peer, link).await {
+async fn copied(state: &Shared, link: &mut Link, reader: &Reader, stale: Millis) -> bool {
+    let peer = link.address;
+    let (why, avoid) = match peers::ask(state, link).await {
         Ok((read, delta)) => {
             state.metrics.count("registry", "copied");
             apply(state, read, delta, reader);
@@ -198,13 +177,20 @@
             }
             (format!("its copy is {} ms old", age.0), AVOID_STALE)
         }
-        Err(peers::Error::Status {
-            status: StatusCode::PAYLOAD_TOO_LARGE,
+        Err(peers::Error::Call {
+            source:
+                client::Error::Status {
+                    status: StatusCode::PAYLOAD_TOO_LARGE,
+                },
         }) => {
             state.metrics.count("registry", "too large to copy");
             return false;
         }
-        Err(error @ peers::Error::Status { .. }) => (error.to_string(), AVOID_STALE),
+        Err(
+            error @ peers::Error::Call {
+                source: client::Error::Status { .. },
+            },
+        ) => (error.to_string(), AVOID_STALE),
         Err(error) => (error.to_string(), AVOID),
     };
     state.metrics.count("registry", "copy failed");
@@ -276,42 +262,20 @@
     }
 }
 
-async fn read(
-    address: SocketAddrV4,
-    connection: &mut Option<Connection>,
-    reader: &mut Reader,
-) -> Result<Delta, Error> {
+async fn read(registry: &mut Link, reader: &mut Reader) -> Result<Delta, Error> {
+    let times = Times {
+        open: PATIENCE,
+        whole: PATIENCE,
+    };
     let mut path = (reader.begin)();
     loop {
-        let call = fetch(address, connection, &path);
-        let body = timeout(PATIENCE, call).await.map_err(|_| Error::Slow)??;
+        let uri = path.parse().map_err(|_| Error::Path { path })?;
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = uri;
+        let body = registry.call(request, times).await?;
         match (reader.took)(&body).map_err(|why| Error::Body { why })? {
             Step::More(next) => path = next,
             Step::Whole(delta) => return Ok(delta),
         }
     }
 }
-
-async fn fetch(
-    address: SocketAddrV4,
-    connection: &mut Option<Connection>,
-    path: &str,
-) -> Result<Bytes, Error> {
-    let mut open = match connection.take().filter(Connection::free) {
-        Some(open) => open,
-        None => Connection::open(address, PATIENCE).await?,
-    };
-    let request = Request::get(path)
-        .header(http::header::HOST, address.to_string())
-        .body(Full::default());
-    let request = request.map_err(|e| Error::Body { why: e.to_string() })?;
-    let Sent::Head(response) = open.send(request).await else {
-        return Err(Error::Lost);
-    };
-    let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_ANSWER).collect();
-    let body = body.await.map_err(|e| Error::Body { why: e.to_string() })?;
-    snafu::ensure!(status.is_success(), StatusSnafu { status });
-    *connection = Some(open);
-    Ok(body.to_bytes())
-}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,7 +2,6 @@
 
 use std::{
     convert::Infallible,
-    net::SocketAddrV4,
     time::Duration, //
 };
 
@@ -45,8 +44,8 @@
 use crate::{
     client::{
         self,
-        Connection,
-        Sent, //
+        Link,
+        Times, //
     },
     server,
     state::{
@@ -65,36 +64,25 @@
 /// may be as small as 10 Mbit/s: with large configurations in quick succession, copies of each to 15
 /// routers filled it, and a change was in force after 3.1 s.
 const MAX_HANDED: usize = 24 << 10;
-/// Most bytes of a copy.
-const MAX_COPY: usize = 16 << 20;
 
 /// `Error` says why no copy came.
 #[derive(Debug, Snafu)]
 pub enum Error {
-    /// No connection.
+    /// No whole answer came, or one without success.
     #[snafu(display("{source}"), context(false))]
-    Connect {
+    Call {
         /// Why.
         source: client::Error,
     },
-    /// No answer in time.
-    #[snafu(display("expected an answer in time"))]
-    Slow,
-    /// The connection broke.
-    #[snafu(display("expected a whole answer"))]
-    Lost,
-    /// The peer can't say.
-    #[snafu(display("expected a copy, found status {status}"))]
-    Status {
-        /// The answer's status.
-        status: StatusCode,
-    },
     /// The answer is not from a router with the same configuration, or not to this ask.
     #[snafu(display("{source}"), context(false))]
     Message {
         /// Why.
         source: toucanturn_wire::gossip::Error,
     },
+    /// No configuration is known here, with whose secret an ask could be made.
+    #[snafu(display("expected a configuration to be in force"))]
+    Uninformed,
     /// The answer is to another ask.
     #[snafu(display("expected the answer to this ask"))]
     Other,
@@ -108,27 +96,8 @@
 /// # Errors
 ///
 /// No copy came, or one that can't be trusted.
-pub async fn ask(
-    state: &Shared,
-    address: SocketAddrV4,
-    connection: &mut Option<Connection>,
-) -> Result<(Time, Delta), Error> {
+pub async fn ask(state: &Shared, link: &mut Link) -> Result<(Time, Delta), Error> {
     let sent = now();
-    let patience = Duration::from_millis(WAIT.0) + PATIENCE;
-    let asked = timeout(patience, exchange(state, address, connection)).await;
-    let copy = asked.map_err(|_| Error::Slow)??;
-    Ok((sent - copy.age, copy.delta))
-}
-
-async fn exchange(
-    state: &Shared,
-    address: SocketAddrV4,
-    connection: &mut Option<Connection>,
-) -> Result<Copy, Error> {
-    let mut link = match connection.take().filter(Connection::free) {
-        Some(link) => link,
-        None => Connection::open(address, PATIENCE).await?,
-    };
     let (ask, body) = {
         let mut gateway = state.gateway.borrow_mut();
         let ask = Ask {
@@ -136,25 +105,22 @@
             nonce: gateway.draw(),
             wait: WAIT,
         };
-        let catalog = gateway.catalog().ok_or(Error::Other)?;
+        let catalog = gateway.catalog().ok_or(Error::Uninformed)?;
         let body = seal(&catalog.secret, catalog.version, encode_ask(&ask));
         (ask, body)
     };
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = http::Method::POST;
     *request.uri_mut() = http::Uri::from_static(PATH);
-    let Sent::Head(response) = link.send(request).await else {
-        return Err(Error::Lost);
+    let times = Times {
+        open: PATIENCE,
+        whole: Duration::from_millis(WAIT.0) + PATIENCE,
     };
-    let status = response.status();
-    snafu::ensure!(status.is_success(), StatusSnafu { status });
-    let body = Limited::new(response.into_body(), MAX_COPY).collect().await;
-    let body = body.map_err(|_| Error::Lost)?.to_bytes();
-    *connection = Some(link);
+    let body = link.call(request, times).await?;
     let (_, payload) = open(&body, |epoch| state.secret(epoch))?;
     let copy = decode_copy(payload)?;
     snafu::ensure!(copy.nonce == ask.nonce, OtherSnafu);
-    Ok(copy)
+    Ok((sent - copy.age, copy.delta))
 }
 
 /// Answers peers for good.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,7 +9,6 @@
 };
 use http::{
     Response,
-    StatusCode,
     header, //
 };
 use http_body_util::{
@@ -18,10 +17,7 @@
     Full,
     StreamBody, //
 };
-use hyper::body::{
-    Frame,
-    Incoming, //
-};
+use hyper::body::Frame;
 use tokio::time::timeout;
 use toucanturn_core::gateway::{
     fate::{
@@ -34,11 +30,8 @@
 use crate::{
     call::{
         Attempt,
-        Call,
-        Flight, //
+        Call, //
     },
-    client::Connection,
-    dialect::Reply,
     events::Cutter,
     exchange::{
         Body,
@@ -49,7 +42,7 @@
 /// `Relay` is a stream in progress.
 struct Relay {
     call: Call,
-    attempt: Option<Source>,
+    attempt: Option<Attempt>,
     cutter: Cutter,
     /// Last event that the caller has.
     last: Option<u64>,
@@ -57,15 +50,6 @@
     begun: bool,
 }
 
-/// `Source` is where the events come from.
-struct Source {
-    status: StatusCode,
-    reply: Reply,
-    body: Incoming,
-    connection: Connection,
-    flight: Flight,
-}
-
 /// `Piece` is what comes next.
 enum Piece {
     Bytes(Bytes),
@@ -91,19 +75,19 @@
         if !attempt.head.status.is_success() {
             return failure(call, attempt).await;
         }
-        let (head, source) = split(attempt);
+        let head = attempt.head.clone();
         let mut relay = Relay {
             call,
-            attempt: Some(source),
+            attempt: Some(attempt),
             cutter: Cutter::default(),
             last,
             begun: false,
         };
         match relay.piece().await {
-            Piece::Bytes(first) => return relay.respond(&head, Some(first)),
+            Piece::Bytes(first) => return relay.respond(head, Some(first)),
             Piece::End => {
                 relay.finish();
-                return relay.respond(&head, None);
+                return relay.respond(head, None);
             }
             ended @ (Piece::Broken | Piece::Late) => {
                 let fate = ended.fate();
@@ -130,36 +114,30 @@
 
 /// Hands on an endpoint's own failure, which is no stream.
 async fn failure(mut call: Call, attempt: Attempt) -> Response<Body> {
-    let status = attempt.head.status;
-    let (head, source) = split(attempt);
-    let collected = timeout(call.left(), source.body.collect()).await;
+    let Attempt {
+        head,
+        reply,
+        body,
+        connection,
+        flight,
+    } = attempt;
+    let status = head.status;
+    let collected = timeout(call.left(), body.collect()).await;
     let Ok(Ok(body)) = collected else {
-        call.end(source.flight, Fate::Broken, Some(status));
+        call.end(flight, Fate::Broken, Some(status));
         return call.refuse(call.given_up(Fate::Broken.cause()));
     };
-    call.keep(&source.flight, source.connection, &source.reply);
+    call.keep(&flight, connection, &reply);
     let fate = Attempt::whole(status);
-    if call.end(source.flight, fate, Some(status)) == Next::Again {
+    if call.end(flight, fate, Some(status)) == Next::Again {
         return Box::pin(answer(call)).await;
     }
     call.deliver(&head, Either::Left(Full::new(body.to_bytes())))
 }
 
-fn split(attempt: Attempt) -> (http::response::Parts, Source) {
-    let source = Source {
-        status: attempt.head.status,
-        reply: attempt.reply,
-        body: attempt.body,
-        connection: attempt.connection,
-        flight: attempt.flight,
-    };
-    (attempt.head, source)
-}
-
 impl Relay {
     /// Makes the answer whose body goes on with this stream.
-    fn respond(self, head: &http::response::Parts, first: Option<Bytes>) -> Response<Body> {
-        let mut head = head.clone();
+    fn respond(self, mut head: http::response::Parts, first: Option<Bytes>) -> Response<Body> {
         // Another endpoint may go on, and its part is not in the first one's length.
         head.headers.remove(header::CONTENT_LENGTH);
         let whole = self.attempt.is_none();
@@ -186,13 +164,13 @@
                 }
             }
             let left = self.call.patience(self.begun);
-            let Some(source) = &mut self.attempt else {
+            let Some(attempt) = &mut self.attempt else {
                 return Piece::End;
             };
             if left == Duration::ZERO || self.cutter.overlong() {
                 return Piece::Late;
             }
-            match timeout(left, source.body.frame()).await {
+            match timeout(left, attempt.body.frame()).await {
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
                         self.cutter.push(&data);
@@ -211,22 +189,23 @@
 
     /// Ends the attempt as whole.
     fn finish(&mut self) {
-        if let Some(source) = self.attempt.take() {
-            self.call
-                .keep(&source.flight, source.connection, &source.reply);
+        if let Some(attempt) = self.attempt.take() {
+            let status = attempt.head.status;
             self.call
-                .end(source.flight, Fate::Answered, Some(source.status));
+                .keep(&attempt.flight, attempt.connection, &attempt.reply);
+            self.call.end(attempt.flight, Fate::Answered, Some(status));
         }
     }
 
     /// Ends the attempt, which closes its connection: the endpoint stops before another goes on.
     fn end(&mut self, fate: Fate) -> Next {
         self.cutter = Cutter::default();
-        let Some(source) = self.attempt.take() else {
+        let Some(attempt) = self.attempt.take() else {
             return Next::GiveUp;
         };
-        drop(source.connection);
-        self.call.end(source.flight, fate, Some(source.status))
+        drop(attempt.connection);
+        let status = attempt.head.status;
+        self.call.end(attempt.flight, fate, Some(status))
     }
 
     /// Goes on at another endpoint after the last event; returns whether one does.
@@ -246,8 +225,7 @@
             self.call.end(attempt.flight, Fate::Failed, Some(status));
             return false;
         }
-        let (_, source) = split(attempt);
-        self.attempt = Some(source);
+        self.attempt = Some(attempt);
         true
     }
 }
