Find the end of a streamed event by one function

Cause: the own interface and the gateway each had a function for an event's end and a bound on its length, with the same result on each case compared (blank lines first, CR LF, LF alone). Ruled out: the numbers of events, which the two read differently where one is malformed; they stay apart.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod chat;
 pub mod config;
 pub mod event;
+pub mod event_stream;
 pub mod gateway;
 pub mod ids;
 pub mod limits;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -7,9 +7,10 @@
     Bytes,
     BytesMut, //
 };
-
-/// Most bytes of one event; a longer one is not one of ours.
-const MAX_EVENT: usize = 1 << 20;
+use toucanturn_core::event_stream::{
+    MAX_EVENT,
+    event_end, //
+};
 
 /// `Cutter` cuts a stream of bytes into whole events.
 #[derive(Debug, Default)]
@@ -34,7 +35,7 @@
 
     /// Gets the next whole event.
     pub fn cut(&mut self) -> Option<Event> {
-        let end = end_of_event(&self.rest)?;
+        let end = event_end(&self.rest, 0)?;
         let bytes = self.rest.split_to(end).freeze();
         let id = id_of(&bytes);
         Some(Event { id, bytes })
@@ -56,22 +57,6 @@
     }
 }
 
-/// Finds the end of the blank line that ends an event.
-fn end_of_event(bytes: &[u8]) -> Option<usize> {
-    let mut line = 0;
-    for (at, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let text = &bytes[line..at];
-        if (text.is_empty() || text == b"\r") && line > 0 {
-            return Some(at + 1);
-        }
-        line = at + 1;
-    }
-    None
-}
-
 fn id_of(event: &[u8]) -> Option<u64> {
     let lines = event.split(|b| *b == b'\n');
     let value = lines.filter_map(|l| l.strip_prefix(b"id:")).next_back()?;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -4,13 +4,11 @@
 //! up to there, and then an error event.
 
 use bytes::{
-    Buf,
     Bytes,
     BytesMut, //
 };
-
-/// Largest single event in bytes; a longer one breaks the answer.
-pub const MAX_EVENT: usize = 1 << 20;
+pub use toucanturn_core::event_stream::MAX_EVENT;
+use toucanturn_core::event_stream::event_end;
 
 /// `Scanner` cuts a byte stream into events.
 #[derive(Debug, Default)]
@@ -82,20 +80,3 @@
         }
     }
 }
-
-/// Finds the end of the first event after `from`: a blank line (WHATWG HTML, section 9.2.6).
-fn event_end(buffer: &[u8], from: usize) -> Option<usize> {
-    let mut at = from;
-    while let Some(found) = buffer.get(at..)?.iter().position(|b| *b == b'\n') {
-        let next = at + found + 1;
-        let mut rest = buffer.get(next..)?;
-        if rest.first() == Some(&b'\r') {
-            rest.advance(1);
-        }
-        if rest.first() == Some(&b'\n') {
-            return Some(buffer.len() - rest.len() + 1);
-        }
-        at = next;
-    }
-    None
-}
