--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod gossip;
 pub mod log;
 pub mod metrics;
+mod pace;
 pub mod peers;
 pub mod pool;
 pub mod process;
--- /dev/null
+++ b/crates/gateway/src/pace.rs
@@ -0,0 +1,196 @@
+//! The clock of a request's head, apart from the one of an idle connection.
+//!
+//! A caller that sends a head byte by byte holds a connection and its buffers without a request.
+//! Seen as connections that are neither idle nor in the counts of requests. The library has one clock
+//! for an idle connection and a head together, so such a head could last for the idle time, which is
+//! minutes where callers keep connections: this one runs from a head's first byte.
+
+use std::{
+    cell::Cell,
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{
+        Context,
+        Poll,
+        ready, //
+    },
+    time::Duration,
+};
+
+use hyper::body::{
+    Body,
+    Frame,
+    SizeHint, //
+};
+use tokio::{
+    io::{
+        AsyncRead,
+        AsyncWrite,
+        ReadBuf, //
+    },
+    net::TcpStream,
+    time::{
+        Instant,
+        Sleep,
+        sleep_until, //
+    },
+};
+
+/// `Pace` is how far a connection's requests are.
+#[derive(Debug, Default)]
+pub(crate) struct Pace {
+    /// Heads that came whole.
+    heads: Cell<u64>,
+    /// Requests whose answer has not ended.
+    open: Cell<u32>,
+}
+
+/// `Open` is a request from its whole head until its answer's end.
+#[derive(Debug)]
+pub(crate) struct Open(Rc<Pace>);
+
+impl Open {
+    /// Notes that a request's head came whole.
+    pub(crate) fn new(pace: &Rc<Pace>) -> Self {
+        pace.heads.set(pace.heads.get().wrapping_add(1));
+        pace.open.set(pace.open.get() + 1);
+        Self(Rc::clone(pace))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// `Answering` is an answer's body; its request is open until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Answering<B> {
+    pub(crate) body: B,
+    pub(crate) _open: Open,
+}
+
+impl<B: Body + Unpin> Body for Answering<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// `Paced` is a caller's connection that breaks when a head takes too long.
+#[derive(Debug)]
+pub(crate) struct Paced {
+    stream: TcpStream,
+    pace: Rc<Pace>,
+    limit: Duration,
+    /// Number of the head that is being read, and when it must be whole.
+    head: Option<(u64, Instant)>,
+    /// Made only for a head that doesn't come at once: nearly all do.
+    clock: Option<Pin<Box<Sleep>>>,
+}
+
+impl Paced {
+    /// Makes a connection whose heads may take `limit`.
+    pub(crate) fn new(stream: TcpStream, pace: &Rc<Pace>, limit: Duration) -> Self {
+        Self {
+            stream,
+            pace: Rc::clone(pace),
+            limit,
+            head: None,
+            clock: None,
+        }
+    }
+
+    /// Notes that bytes came.
+    fn came(&mut self) {
+        let number = self.pace.heads.get();
+        if self.pace.open.get() > 0 {
+            self.head = None;
+        } else if self.head.is_none_or(|(n, _)| n != number) {
+            self.head = Some((number, Instant::now() + self.limit));
+        }
+    }
+
+    /// Waits for the end of the time that the head has.
+    fn poll_late(&mut self, context: &mut Context<'_>) -> Poll<io::Error> {
+        let number = self.pace.heads.get();
+        let running = self.head.filter(|(n, _)| *n == number);
+        let Some((_, end)) = running else {
+            self.clock = None;
+            return Poll::Pending;
+        };
+        let clock = self.clock.get_or_insert_with(|| Box::pin(sleep_until(end)));
+        if clock.deadline() != end {
+            clock.as_mut().reset(end);
+        }
+        ready!(clock.as_mut().poll(context));
+        Poll::Ready(io::Error::new(
+            io::ErrorKind::TimedOut,
+            "request head took too long",
+        ))
+    }
+}
+
+impl AsyncRead for Paced {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        match Pin::new(&mut self.stream).poll_read(context, buffer) {
+            Poll::Ready(read) => {
+                if buffer.filled().len() > before {
+                    self.came();
+                }
+                Poll::Ready(read)
+            }
+            Poll::Pending => self.poll_late(context).map(Err),
+        }
+    }
+}
+
+impl AsyncWrite for Paced {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -3,6 +3,7 @@
 use std::{
     convert::Infallible,
     net::SocketAddrV4,
+    rc::Rc,
     time::Duration, //
 };
 
@@ -38,6 +39,12 @@
         Result, //
     },
     exchange,
+    pace::{
+        Answering,
+        Open,
+        Pace,
+        Paced, //
+    },
     state::{
         Phase,
         Shared, //
@@ -92,7 +99,17 @@
         .header_read_timeout(Duration::from_millis(limits.idle.0))
         .max_header_size(limits.head.max(MIN_BUFFER));
     let shared = state.clone();
-    let service = service_fn(move |request| exchange::serve(shared.clone(), request));
+    let pace = Rc::new(Pace::default());
+    let head_time = Duration::from_millis(limits.head_time.0);
+    let stream = Paced::new(stream, &pace, head_time);
+    let service = service_fn(move |request| {
+        let open = Open::new(&pace);
+        let answer = exchange::serve(shared.clone(), request);
+        async move {
+            let answer: Result<_, Infallible> = answer.await;
+            answer.map(|answer| answer.map(|body| Answering { body, _open: open }))
+        }
+    });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut phase = state.phase.subscribe();
