Let failures fade, and place by the time of answers where no load is stated

Loads by own requests say nothing at that size. Now the share halves each second, and where no endpoint states a load the one whose newest answers came soonest is taken; rejections and failures count as long answers. Ruled out: too few places (three replicas take 270/s, 245/s came). Without counting failures as long, a replica that failed within 7 ms drew 325 requests in 2 s (others 150). Tests that failed before: place::verify_an_endpoint_that_is_sound_again_soon_gets_its_part, verify_an_endpoint_that_fails_at_once_does_not_look_quick.

--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -34,6 +34,25 @@
 const YOUNG: Millis = Millis(10_000);
 /// Weight of the newest answer in the share of failures: about the last eight count.
 const FAILURE_WEIGHT: f32 = 0.125;
+/// Time in which the share of failures halves without answers. An endpoint that is left out gives
+/// none: with no such time, one of three idled for 15 s after it was sound again while the others
+/// rejected half of what came.
+const FAILURE_HALF_LIFE: Millis = Millis(1000);
+
+/// Weight of the newest answer in the time that one takes: about the last three count. A queue of
+/// 24 fills and empties within as many answers of its endpoint, of which a router sees few.
+const PACE_WEIGHT: f32 = 0.3;
+/// Time in which the time that an answer takes halves without answers, so that an endpoint that was
+/// slow is tried again.
+const PACE_HALF_LIFE: Millis = Millis(2000);
+/// Time that a rejection counts as: the caller waits before it comes back, then as any other.
+const REJECTED: Millis = Millis(600);
+
+/// Least time that a failed answer counts as: another attempt must follow, if one may. Counted by its
+/// own time, an endpoint that fails within 7 ms got three times its part.
+const FAILED: Millis = Millis(300);
+/// Time that a broken answer counts as: what may not run again is lost with it.
+const BROKEN: Millis = Millis(1500);
 
 /// `Entry` is what the registry says of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -105,7 +124,10 @@
     stated: Option<Stated>,
     failures: u32,
     paused: Option<Time>,
-    failing: f32,
+    /// Share of failures at a time.
+    failing: (Time, f32),
+    /// Time that an answer took, in milliseconds, at a time.
+    pace: Option<(Time, f32)>,
     /// When the newest own requests went out.
     sent: VecDeque<Time>,
 }
@@ -132,7 +154,8 @@
             stated: None,
             failures: 0,
             paused: None,
-            failing: 0.0,
+            failing: (Time(0), 0.0),
+            pace: None,
             sent: VecDeque::new(),
         }
     }
@@ -165,8 +188,15 @@
     }
 
     /// Gets the share of its newest answers that were failures, 0 to 1.
-    pub fn failing(&self) -> f32 {
-        self.failing
+    pub fn failing(&self, now: Time) -> f32 {
+        let (at, share) = self.failing;
+        share * left(now.since(at), FAILURE_HALF_LIFE)
+    }
+
+    /// Gets the milliseconds that its newest answers took; 0 where nothing is known.
+    pub fn pace(&self, now: Time) -> f32 {
+        let (at, pace) = self.pace.unwrap_or((now, 0.0));
+        pace * left(now.since(at), PACE_HALF_LIFE)
     }
 
     /// Estimates its requests in progress from all routers.
@@ -238,18 +268,25 @@
         });
     }
 
-    /// Notes how an attempt ended.
-    pub fn ended(&mut self, now: Time, fate: Fate) {
+    /// Notes how an attempt ended, and what time it took.
+    pub fn ended(&mut self, now: Time, fate: Fate, took: Millis) {
         self.own = self.own.saturating_sub(1);
+        match fate {
+            Fate::Answered => self.took(now, took),
+            Fate::Failed => self.took(now, took.max(FAILED)),
+            Fate::Rejected => self.took(now, REJECTED),
+            Fate::Broken | Fate::Stalled => self.took(now, BROKEN),
+            _ => {}
+        }
         match fate {
             Fate::Answered => {
                 self.failures = 0;
                 self.paused = None;
-                self.failing -= self.failing * FAILURE_WEIGHT;
+                self.judge(now, 0.0);
             }
-            Fate::Failed => self.failed(),
+            Fate::Failed => self.judge(now, 1.0),
             Fate::Broken | Fate::Stalled => {
-                self.failed();
+                self.judge(now, 1.0);
                 self.failures += 1;
                 if self.failures >= BROKEN_IN_A_ROW {
                     self.pause(now, self.failures - BROKEN_IN_A_ROW);
@@ -266,8 +303,16 @@
         self.failures += 1;
     }
 
-    fn failed(&mut self) {
-        self.failing += (1.0 - self.failing) * FAILURE_WEIGHT;
+    /// Counts an answer, 1 for a failure.
+    fn judge(&mut self, now: Time, failure: f32) {
+        let share = self.failing(now);
+        self.failing = (now, share + (failure - share) * FAILURE_WEIGHT);
+    }
+
+    fn took(&mut self, now: Time, took: Millis) {
+        let took = took_ms(took);
+        let before = self.pace.map_or(took, |_| self.pace(now));
+        self.pace = Some((now, before + (took - before) * PACE_WEIGHT));
     }
 
     fn pause(&mut self, now: Time, doublings: u32) {
@@ -276,6 +321,20 @@
     }
 }
 
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "milliseconds of an answer are few"
+)]
+fn took_ms(took: Millis) -> f32 {
+    took.0 as f32
+}
+
+/// Gets the part that is left after a time of what halves in `half_life`.
+#[expect(clippy::cast_precision_loss, reason = "halves of a second are enough")]
+fn left(after: Millis, half_life: Millis) -> f32 {
+    (-(after.0 as f32) / half_life.0 as f32).exp2()
+}
+
 fn state_of(entry: &Entry) -> State {
     if entry.leaving {
         State::Leaving
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -78,6 +78,8 @@
     pub version: u64,
     /// Endpoints that it was sent to.
     pub tried: Vec<EndpointKey>,
+    /// When it was last sent to one.
+    pub sent: Time,
     /// Endpoints that could not be reached; they don't count as attempts.
     pub unreached: Vec<EndpointKey>,
     /// Whether some attempt may have run.
@@ -285,6 +287,7 @@
             version: catalog.version,
             route: Arc::clone(route),
             tried: Vec::new(),
+            sent: now,
             unreached: Vec::new(),
             may_have_run: false,
         })
@@ -331,6 +334,7 @@
             self.budget(&ticket.service).repeat(now, window);
         }
         ticket.tried.push(endpoint);
+        ticket.sent = now;
         self.registry.sent(now, endpoint);
     }
 
@@ -369,13 +373,14 @@
         endpoint: EndpointKey,
         fate: Fate,
     ) -> Next {
-        self.registry.ended(now, endpoint, fate);
+        self.registry
+            .ended(now, endpoint, fate, now.since(ticket.sent));
         self.judge(now, ticket, endpoint, fate)
     }
 
     /// Notes that the caller of an attempt left.
     pub fn left(&mut self, now: Time, endpoint: EndpointKey) {
-        self.registry.ended(now, endpoint, Fate::Left);
+        self.registry.ended(now, endpoint, Fate::Left, Millis(0));
     }
 
     /// Notes that no connection to an endpoint could be made, so that nothing was sent.
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -48,6 +48,8 @@
 const OLD: Millis = Millis(800);
 /// Load that a share of failures of 1 counts as.
 const FAILURE_LOAD: f32 = 12.0;
+/// Times the time until an answer that a share of failures of 1 adds.
+const FAILURE_TIMES: f32 = 8.0;
 
 /// `Scene` is all that a placement looks at.
 #[derive(Clone, Copy, Debug)]
@@ -125,7 +127,7 @@
 
 #[expect(clippy::cast_precision_loss, reason = "loads are small numbers")]
 fn cost(scene: &Scene<'_>, endpoint: &Endpoint) -> f32 {
-    endpoint.load(scene.now) as f32 + endpoint.failing() * FAILURE_LOAD
+    endpoint.load(scene.now) as f32 + endpoint.failing(scene.now) * FAILURE_LOAD
 }
 
 /// Finds the endpoint that had prompts with `item` until now: the first in their order that has been
@@ -155,10 +157,32 @@
 }
 
 fn by_load(scene: &Scene<'_>, open: &[(EndpointKey, &Endpoint)], mean: f32) -> Option<Placed> {
-    let rank = least(scene, open)?;
+    let stated = open.iter().any(|(_, e)| e.age(scene.now).is_some());
+    let rank = if stated {
+        least(scene, open)?
+    } else {
+        sooner(scene, open)?
+    };
     placed(scene, open, rank, mean)
 }
 
+/// Finds the endpoint that answers soonest, as far as its newest answers tell; a random one among
+/// equals.
+fn sooner(scene: &Scene<'_>, open: &[(EndpointKey, &Endpoint)]) -> Option<usize> {
+    let ranked = open.iter().enumerate().min_by(|(_, (_, a)), (_, (_, b))| {
+        let order = time(scene, a).total_cmp(&time(scene, b));
+        order.then_with(|| score(scene.draw, a.seed).cmp(&score(scene.draw, b.seed)))
+    });
+    ranked.map(|(rank, _)| rank)
+}
+
+/// Estimates the time until an endpoint answers.
+#[expect(clippy::cast_precision_loss, reason = "loads are small numbers")]
+fn time(scene: &Scene<'_>, endpoint: &Endpoint) -> f32 {
+    let failures = 1.0 + endpoint.failing(scene.now) * FAILURE_TIMES;
+    (endpoint.pace(scene.now) + 1.0) * (endpoint.own as f32 + 1.0) * failures
+}
+
 /// Finds the endpoint with the least cost, a random one among equals.
 fn least(scene: &Scene<'_>, open: &[(EndpointKey, &Endpoint)]) -> Option<usize> {
     let ranked = open.iter().enumerate().min_by(|(_, (_, a)), (_, (_, b))| {
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -197,10 +197,10 @@
         }
     }
 
-    /// Notes how an attempt ended.
-    pub fn ended(&mut self, now: Time, key: EndpointKey, fate: Fate) {
+    /// Notes how an attempt ended, and what time it took.
+    pub fn ended(&mut self, now: Time, key: EndpointKey, fate: Fate, took: Millis) {
         if let Some(endpoint) = self.slots.get_mut(key) {
-            endpoint.ended(now, fate);
+            endpoint.ended(now, fate, took);
         }
     }
 
--- a/crates/core/tests/gateway/endpoint.rs
+++ b/crates/core/tests/gateway/endpoint.rs
@@ -44,8 +44,8 @@
     endpoint.state_load(Time(10), load(5));
     endpoint.sent(Time(20));
     expect_that!(endpoint.load(Time(30)), eq(6));
-    endpoint.ended(Time(40), Fate::Answered);
-    endpoint.ended(Time(40), Fate::Answered);
+    endpoint.ended(Time(40), Fate::Answered, Millis(20));
+    endpoint.ended(Time(40), Fate::Answered, Millis(20));
     expect_that!(endpoint.load(Time(50)), eq(4));
 }
 
@@ -85,7 +85,7 @@
     expect_true!(endpoint.paused(Time(1199)));
     expect_false!(endpoint.paused(Time(1200)));
     endpoint.sent(Time(1200));
-    endpoint.ended(Time(1300), Fate::Answered);
+    endpoint.ended(Time(1300), Fate::Answered, Millis(20));
     endpoint.unreached(Time(2000));
     expect_false!(endpoint.paused(Time(2400)));
 }
@@ -95,9 +95,9 @@
     let mut endpoint = Endpoint::new(None, entry(1));
     endpoint.sent(Time(0));
     endpoint.sent(Time(0));
-    endpoint.ended(Time(10), Fate::Broken);
+    endpoint.ended(Time(10), Fate::Broken, Millis(20));
     expect_false!(endpoint.paused(Time(11)));
-    endpoint.ended(Time(12), Fate::Stalled);
+    endpoint.ended(Time(12), Fate::Stalled, Millis(20));
     expect_true!(endpoint.paused(Time(13)));
 }
 
@@ -105,7 +105,7 @@
 fn verify_a_misdirected_answer_ends_the_life() {
     let mut endpoint = Endpoint::new(None, entry(1));
     endpoint.sent(Time(0));
-    endpoint.ended(Time(10), Fate::Misdirected);
+    endpoint.ended(Time(10), Fate::Misdirected, Millis(20));
     expect_that!(endpoint.state, eq(State::Gone));
     endpoint.follow(entry(1));
     expect_false!(endpoint.usable());
@@ -163,7 +163,7 @@
                 }
                 Step::Sent => { endpoint.sent(now); own += 1; }
                 Step::Ended(fate) if own > 0 => {
-                    endpoint.ended(now, fate);
+                    endpoint.ended(now, fate, Millis(20));
                     own -= 1;
                     left |= fate == Fate::Misdirected;
                 }
--- a/crates/core/tests/gateway/place.rs
+++ b/crates/core/tests/gateway/place.rs
@@ -11,7 +11,10 @@
         endpoint::Load,
         fate::Fate, //
     },
-    units::Time,
+    units::{
+        Millis,
+        Time, //
+    },
 };
 
 use crate::fixture::{
@@ -249,3 +252,65 @@
     expect_that!(half, gt(old));
     expect_that!(old, all!(ge(6.0 * 1.3), lt(10.0)));
 }
+
+/// Symptom: an endpoint idles for a quarter of a minute after it failed for a while, and the others
+/// reject half of what comes.
+/// Sequence: one of three endpoints that state no load breaks off for seconds, then is sound again.
+/// Cause: its share of failures shrank by its answers alone, and as long as it was held against it, it
+/// had hardly any to give.
+#[gtest]
+fn verify_an_endpoint_that_is_sound_again_soon_gets_its_part() {
+    let mut gateway = gateway(3);
+    let ask = ask("/once/x");
+    let endpoint = place(&mut gateway, &ask);
+    for n in 0..12 {
+        let mut ticket = admit(&mut gateway, &ask);
+        gateway.sent(Time(n * 100), &mut ticket, endpoint);
+        gateway.ended(Time(n * 100), &mut ticket, endpoint, Fate::Broken);
+    }
+    let mut chosen = 0;
+    for n in 0..100 {
+        let now = Time(7000 + n * 10);
+        gateway.proved(now, now);
+        let mut ticket = gateway.admit(now, &ask).expect("it is admitted");
+        let placed = gateway.place(now, &ticket, &ask).expect("there is one");
+        gateway.sent(now, &mut ticket, placed.endpoint);
+        // The others have long queues.
+        let took = if placed.endpoint == endpoint { 60 } else { 290 };
+        gateway.ended(
+            now + Millis(took),
+            &mut ticket,
+            placed.endpoint,
+            Fate::Answered,
+        );
+        chosen += u32::from(placed.endpoint == endpoint);
+    }
+    expect_that!(chosen, gt(33));
+}
+
+/// Symptom: one endpoint gets three times its part and fails all of it.
+/// Sequence: it fails each request within some milliseconds; the others take their time.
+/// Cause: what failed at once counted as a quick answer.
+#[gtest]
+fn verify_an_endpoint_that_fails_at_once_does_not_look_quick() {
+    let mut gateway = gateway(4);
+    let ask = ask("/once/x");
+    let mut chosen = 0;
+    let mut bad = None;
+    for n in 0..400 {
+        let now = Time(10 + n * 20);
+        gateway.proved(now, now);
+        let mut ticket = gateway.admit(now, &ask).expect("it is admitted");
+        let placed = gateway.place(now, &ticket, &ask).expect("there is one");
+        let bad = *bad.get_or_insert(placed.endpoint);
+        gateway.sent(now, &mut ticket, placed.endpoint);
+        let (took, fate) = if placed.endpoint == bad {
+            (7, Fate::Failed)
+        } else {
+            (80, Fate::Answered)
+        };
+        gateway.ended(now + Millis(took), &mut ticket, placed.endpoint, fate);
+        chosen += u32::from(placed.endpoint == bad);
+    }
+    expect_that!(chosen, lt(40));
+}
