Move the link with its faults into the stand-ins

Cause: the soak of separate processes needs the proxy that the fault matrix has; a second one would do the same.

--- a/crates/router/tests/faults/cluster.rs
+++ b/crates/router/tests/faults/cluster.rs
@@ -43,17 +43,15 @@
 };
 use toucanturn_standin::{
     engine,
+    link::Link,
     platform,
     server::Handle,
     service, //
 };
 
-use crate::{
-    host::{
-        Frozen,
-        Host, //
-    },
-    proxy::Link,
+use crate::host::{
+    Frozen,
+    Host, //
 };
 
 /// Bearer key of the workspace that the load belongs to.
@@ -196,7 +194,7 @@
         let mut number = 0;
         let mut link = || {
             number += 1;
-            Link::open(number - 1)
+            Link::open(number - 1).expect("a port is free")
         };
         let mut engines = Vec::new();
         for n in 0..options.engines {
--- a/crates/router/tests/faults/found.rs
+++ b/crates/router/tests/faults/found.rs
@@ -4,6 +4,8 @@
 use serde_json::json;
 use uuid::Uuid;
 
+use toucanturn_standin::link::Mode;
+
 use crate::{
     caller::{
         Kind,
@@ -15,7 +17,6 @@
         Options, //
     },
     judge,
-    proxy::Mode,
 };
 
 /// Symptom: a caller is told that its chat was not run, and the engine ran it. Sequence: the
--- a/crates/router/tests/faults/inject.rs
+++ b/crates/router/tests/faults/inject.rs
@@ -7,6 +7,8 @@
     json, //
 };
 
+use toucanturn_standin::link::Mode;
+
 use crate::{
     cluster::{
         self,
@@ -14,7 +16,6 @@
         LEASE, //
     },
     matrix::Fault,
-    proxy::Mode,
 };
 
 /// Router that callers of the held requests go through.
--- a/crates/router/tests/faults/main.rs
+++ b/crates/router/tests/faults/main.rs
@@ -6,14 +6,12 @@
 mod caller;
 mod cluster;
 mod found;
-mod gate;
 mod host;
 mod inject;
 mod judge;
 mod matrix;
 mod page;
 mod promises;
-mod proxy;
 mod rows;
 mod run;
 mod smoke;
--- a/crates/router/tests/faults/promises.rs
+++ b/crates/router/tests/faults/promises.rs
@@ -8,7 +8,10 @@
 use futures_util::future::join_all;
 use googletest::prelude::*;
 use serde_json::json;
-use toucanturn_standin::engine;
+use toucanturn_standin::{
+    engine,
+    link::Mode, //
+};
 use uuid::Uuid;
 
 use crate::{
@@ -24,7 +27,6 @@
         Options, //
     },
     judge,
-    proxy::Mode,
 };
 
 /// Time within which an accepted configuration is in force everywhere.
--- a/crates/router/tests/faults/run.rs
+++ b/crates/router/tests/faults/run.rs
@@ -4,6 +4,14 @@
 
 use futures_util::future::join_all;
 
+use toucanturn_standin::link::{
+    Link, Mode,
+    gate::{
+        Gate,
+        Point, //
+    },
+};
+
 use crate::{
     caller::{
         Kind,
@@ -16,10 +24,6 @@
         LOOK,
         REST, //
     },
-    gate::{
-        Gate,
-        Point, //
-    },
     inject::{
         ENTRY,
         HOME,
@@ -31,10 +35,6 @@
         Step,
         name, //
     },
-    proxy::{
-        Link,
-        Mode, //
-    },
 };
 
 /// Time within which an accepted configuration is in force on every router.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fault;
 mod http;
 mod lagged;
+pub mod link;
 pub mod platform;
 pub mod server;
 pub mod service;
--- a/crates/router/tests/faults/gate.rs
+++ b/crates/standin/src/link/gate.rs
@@ -12,7 +12,7 @@
 
 /// `Point` is where in a request's life its bytes are held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Point {
+pub enum Point {
     /// The connection is made, nothing has passed.
     Connect,
     /// The request has come and none of it has passed.
@@ -30,8 +30,9 @@
 }
 
 /// `Gate` holds the request with its marker once; without a marker it holds every connection.
-pub(crate) struct Gate {
-    pub(crate) point: Point,
+pub struct Gate {
+    /// Where it holds.
+    pub point: Point,
     marker: Option<Vec<u8>>,
     used: AtomicBool,
     reached: watch::Sender<Option<usize>>,
@@ -39,7 +40,8 @@
 }
 
 impl Gate {
-    pub(crate) fn new(point: Point, marker: Option<&str>) -> Arc<Self> {
+    /// Makes a closed gate.
+    pub fn new(point: Point, marker: Option<&str>) -> Arc<Self> {
         Arc::new(Self {
             point,
             marker: marker.map(|text| text.as_bytes().to_vec()),
@@ -50,19 +52,19 @@
     }
 
     /// Waits until something is held here; gives the number of the link.
-    pub(crate) async fn reached(&self) -> usize {
+    pub async fn reached(&self) -> usize {
         let mut reached = self.reached.subscribe();
         let seen = reached.wait_for(Option::is_some).await;
         seen.ok().and_then(|link| *link).unwrap_or_default()
     }
 
     /// Lets everything pass from now on.
-    pub(crate) fn open(&self) {
+    pub fn open(&self) {
         self.open.send_replace(true);
     }
 
     /// Holds the caller until the gate is opened.
-    pub(crate) async fn hold(&self, link: usize) {
+    pub async fn hold(&self, link: usize) {
         self.reached.send_if_modified(|reached| {
             let first = reached.is_none();
             *reached = reached.or(Some(link));
@@ -88,7 +90,7 @@
 
 /// `Progress` is how far the request that a gate waits for has got on a connection.
 #[derive(Default)]
-pub(crate) struct Progress {
+pub struct Progress {
     waiting: Option<Arc<Gate>>,
     /// Bytes of the answer that came, and how many its head promises in all.
     came: usize,
@@ -100,7 +102,7 @@
 
 impl Progress {
     /// Looks at a piece of requests; gives where in it to hold, and at which gate.
-    pub(crate) fn request(&mut self, bytes: &[u8], gates: &[Arc<Gate>]) -> Held {
+    pub fn request(&mut self, bytes: &[u8], gates: &[Arc<Gate>]) -> Held {
         let Some(gate) = gates.iter().find(|gate| gate.matches(bytes)) else {
             return Vec::new();
         };
@@ -119,7 +121,7 @@
     }
 
     /// Looks at a piece of answers; gives where in it to hold, and at which gate.
-    pub(crate) fn answer(&mut self, bytes: &[u8], gates: &[Arc<Gate>]) -> Held {
+    pub fn answer(&mut self, bytes: &[u8], gates: &[Arc<Gate>]) -> Held {
         let any = || gates.iter().find(|gate| gate.takes_any()).cloned();
         let Some(gate) = self.waiting.clone().or_else(any) else {
             return Vec::new();
--- a/crates/router/tests/faults/proxy.rs
+++ b/crates/standin/src/link/mod.rs
@@ -5,7 +5,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, PoisonError,
         atomic::{
             AtomicU64,
             Ordering, //
@@ -29,18 +29,22 @@
     sync::watch,
 };
 
-use crate::gate::{
+pub mod gate;
+
+use gate::{
     Gate,
     Point,
     Progress, //
 };
 
+/// Pause after the port could not be listened on.
+const AGAIN: Duration = Duration::from_millis(10);
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 
 /// `Mode` is what the link does with bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Mode {
+pub enum Mode {
     /// Passes them on.
     Pass,
     /// Refuses new connections, as a dead process does.
@@ -86,8 +90,9 @@
 
 /// `Link` is the proxy. Its address stays the same whatever happens behind it.
 #[derive(Clone)]
-pub(crate) struct Link {
-    pub(crate) address: SocketAddr,
+pub struct Link {
+    /// Where it listens.
+    pub address: SocketAddr,
     shared: Arc<Shared>,
 }
 
@@ -100,10 +105,14 @@
 
 impl Link {
     /// Opens a link that leads nowhere yet; `number` tells it apart at a gate.
-    pub(crate) fn open(number: usize) -> Self {
+    ///
+    /// # Errors
+    ///
+    /// No port of the loopback is free.
+    pub fn open(number: usize) -> io::Result<Self> {
         // A socket that is bound and never listens keeps the port while the link refuses.
-        let holder = socket(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port is free");
-        let address = holder.local_addr().expect("the socket is bound");
+        let holder = socket(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let address = holder.local_addr()?;
         let state = State {
             mode: Mode::Pass,
             upstream: None,
@@ -116,36 +125,36 @@
             accepted: AtomicU64::new(0),
             gates: Mutex::default(),
         });
-        let listener = listen(address).expect("the port is held");
+        let listener = listen(address)?;
         tokio::spawn(serve(listener, holder, address, Arc::clone(&shared)));
-        Self { address, shared }
+        Ok(Self { address, shared })
     }
 
     /// Leads new connections to another server.
-    pub(crate) fn point(&self, upstream: SocketAddr) {
+    pub fn point(&self, upstream: SocketAddr) {
         self.change(|state| state.upstream = Some(upstream));
     }
 
     /// Changes what happens to bytes, on open connections too.
-    pub(crate) fn set(&self, mode: Mode) {
+    pub fn set(&self, mode: Mode) {
         self.change(|state| state.mode = mode);
     }
 
     /// Silences the connections there are for good; new ones work.
-    pub(crate) fn silence(&self) {
+    pub fn silence(&self) {
         let accepted = self.shared.accepted.load(Ordering::SeqCst);
         self.change(|state| state.silent_below = accepted);
     }
 
     /// Resets the connections there are.
-    pub(crate) fn reset(&self) {
+    pub fn reset(&self) {
         let accepted = self.shared.accepted.load(Ordering::SeqCst);
         self.change(|state| state.reset_below = accepted);
     }
 
     /// Sets up the gates for what comes.
-    pub(crate) fn arm(&self, gates: &[Arc<Gate>]) {
-        *self.shared.gates.lock().expect("no test panicked here") = gates.to_vec();
+    pub fn arm(&self, gates: &[Arc<Gate>]) {
+        *lock(&self.shared.gates) = gates.to_vec();
     }
 
     fn change(&self, change: impl FnOnce(&mut State)) {
@@ -153,6 +162,11 @@
     }
 }
 
+/// Gets what a mutex holds; nothing that holds one here can leave it half changed.
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     socket(address)?.listen(BACKLOG)
 }
@@ -170,7 +184,12 @@
         if refuses {
             listener = None;
         } else if listener.is_none() {
-            listener = Some(listen(address).expect("the port is held"));
+            // The holder keeps the port; a moment without descriptors passes.
+            listener = listen(address).ok();
+            if listener.is_none() {
+                tokio::time::sleep(AGAIN).await;
+                continue;
+            }
         }
         let accepted = async {
             match &listener {
@@ -246,7 +265,7 @@
         }
         let bytes = &buffer[..read];
         let held = {
-            let mut progress = progress.lock().expect("no test panicked here");
+            let mut progress = lock(progress);
             match way {
                 Way::Requests => progress.request(bytes, &shared.gates()),
                 Way::Answers => progress.answer(bytes, &shared.gates()),
@@ -266,7 +285,7 @@
 
 impl Shared {
     fn gates(&self) -> Vec<Arc<Gate>> {
-        self.gates.lock().expect("no test panicked here").clone()
+        lock(&self.gates).clone()
     }
 
     async fn unpaused(&self) {
