--- /dev/null
+++ b/crates/soak/src/caller.rs
@@ -0,0 +1,163 @@
+//! The callers, and the balancer that says which routers take them.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
+use strum::IntoEnumIterator;
+use tokio::time::{
+    sleep,
+    timeout, //
+};
+use toucanturn_platform_standin::{
+    caller::{
+        Ask,
+        Caller,
+        ready, //
+    },
+    clock_ms,
+};
+
+use crate::{
+    fleet::{
+        Fleet,
+        key_name, //
+    },
+    record::{
+        Call,
+        Kind, //
+    },
+};
+
+/// Time that a caller gives the system, in milliseconds.
+const DEADLINE_MS: u64 = 3000;
+/// Time for which it waits for an answer's end.
+const PATIENCE: Duration = Duration::from_millis(3500);
+/// Time between two looks of the balancer, and for which it waits for an answer.
+const LOOK: Duration = Duration::from_millis(150);
+/// Most requests of one connection.
+const KEPT: u32 = 12;
+
+/// `Street` is what callers know: where routers are, and whether the run goes on.
+#[derive(Default)]
+pub struct Street {
+    /// Routers in rotation: number, process and address.
+    pub rotation: RefCell<Vec<(usize, u32, SocketAddr)>>,
+    /// Whether the callers go home.
+    pub over: Cell<bool>,
+}
+
+/// Asks routers whether they take callers, until the run is over. Where none does, all are used.
+pub async fn balance(fleet: Rc<Fleet>, street: Rc<Street>) {
+    while !street.over.get() {
+        let mut rotation = Vec::new();
+        let mut all = Vec::new();
+        for (n, router) in fleet.routers.iter().enumerate() {
+            let (life, callers, asked) = {
+                let router = router.borrow();
+                (router.life, router.callers, router.ready)
+            };
+            all.push((n, life, callers));
+            if timeout(LOOK, ready(asked)).await == Ok(true) {
+                rotation.push((n, life, callers));
+            }
+        }
+        *street.rotation.borrow_mut() = if rotation.is_empty() { all } else { rotation };
+        sleep(LOOK).await;
+    }
+}
+
+/// Makes calls one after the other, on connections that are kept until they end.
+pub async fn call(fleet: Rc<Fleet>, street: Rc<Street>, number: usize, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed ^ number as u64);
+    let mut count = 0;
+    while !street.over.get() {
+        let place = {
+            let rotation = street.rotation.borrow();
+            let pick = rng.random_range(0..rotation.len().max(1));
+            rotation.get(pick).copied()
+        };
+        let Some((router, life, address)) = place else {
+            sleep(LOOK).await;
+            continue;
+        };
+        let connected = timeout(Duration::from_secs(1), Caller::connect(address)).await;
+        let Ok(Ok(mut caller)) = connected else {
+            sleep(LOOK).await;
+            continue;
+        };
+        for _ in 0..rng.random_range(1..KEPT) {
+            count += 1;
+            let kinds: Vec<Kind> = Kind::iter().collect();
+            let kind = kinds[rng.random_range(0..kinds.len())];
+            let key = pick_key(&fleet, &mut rng);
+            let id = format!("c{number}-{count}");
+            let place = (router, life);
+            let call = one(&mut caller, place, kind, key, id).await;
+            let goes_on = call.whole && !street.over.get();
+            fleet.record.borrow_mut().calls.push(call);
+            sleep(Duration::from_millis(rng.random_range(0..60))).await;
+            if !goes_on {
+                break;
+            }
+        }
+    }
+}
+
+/// Picks a good key mostly, and now and then any that ever was.
+fn pick_key(fleet: &Fleet, rng: &mut StdRng) -> usize {
+    let good = fleet.good_keys();
+    if rng.random_range(0..100) < 15 || good.is_empty() {
+        return rng.random_range(0..fleet.record.borrow().keys.len().max(1));
+    }
+    good[rng.random_range(0..good.len())]
+}
+
+/// Makes one call on an open connection.
+pub async fn one(
+    caller: &mut Caller,
+    (router, life): (usize, u32),
+    kind: Kind,
+    key: usize,
+    id: String,
+) -> Call {
+    let name = key_name(key);
+    let ask = Ask {
+        kind: kind.into(),
+        id: &id,
+        key: &name,
+        deadline_ms: DEADLINE_MS,
+    };
+    let sent = clock_ms();
+    let answered = async {
+        caller.write(&ask.text("")).await.ok()?;
+        Some(caller.told().await)
+    };
+    let told = timeout(PATIENCE, answered).await;
+    let gave_up = told.is_err();
+    let told = told.ok().flatten().unwrap_or_default();
+    Call {
+        kind,
+        key,
+        router,
+        life,
+        sent,
+        ended: clock_ms(),
+        status: told.status,
+        whole: told.whole,
+        body: told.body,
+        gave_up,
+        id,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/fleet.rs
@@ -0,0 +1,380 @@
+//! The processes of a run, the links between them, and what is published.
+
+use std::{
+    cell::RefCell,
+    fs::File,
+    net::{
+        SocketAddr,
+        SocketAddrV4, //
+    },
+    path::{
+        Path,
+        PathBuf, //
+    },
+    process::Stdio,
+    rc::Rc,
+};
+
+use snafu::ensure;
+use tokio::{
+    net::TcpSocket,
+    process::Command,
+    task::spawn_local, //
+};
+use toucanturn_platform::names::SETTINGS_VARIABLE;
+use toucanturn_platform_standin::{
+    clock_ms, control,
+    document::{
+        self,
+        Shape, //
+    },
+    replica, store,
+};
+use toucanturn_standin::link::Link;
+
+use crate::{
+    errors::{
+        OrderSnafu,
+        Result, //
+    },
+    plan::Size,
+    process::{
+        Child,
+        beside, //
+    },
+    record::{
+        Key,
+        Record,
+        Span,
+        Target, //
+    },
+};
+
+/// Milliseconds within which a published change is in force; the bounds are shorter than a
+/// deployment's, so that a run of seconds goes past them.
+pub const CONFIG_MS: u64 = 1000;
+/// Milliseconds after which a key that was taken away opens nothing.
+pub const REVOKE_MS: u64 = 2500;
+/// Milliseconds within which a leaving endpoint gets no more requests.
+pub const LEAVING_MS: u64 = 1000;
+/// Seconds from the signal to stop until a router is killed.
+pub const STOP_S: f64 = 4.0;
+/// Longest time of a request by its route, in milliseconds.
+pub const ROUTE_MS: u64 = 2000;
+/// Retries allowed for each hundred requests.
+pub const RETRY_PERCENT: usize = 20;
+/// Retries of all routers besides.
+pub const RETRY_EXTRA: usize = 40;
+/// Seconds over which both are counted.
+pub const RETRY_WINDOW_S: u64 = 10;
+/// Milliseconds that an endpoint works on a request.
+const WORK_MS: u64 = 30;
+
+/// `Router` is a router behind its link to the store.
+pub struct Router {
+    /// Where it takes callers.
+    pub callers: SocketAddr,
+    /// Where it is asked whether it takes them.
+    pub ready: SocketAddr,
+    /// Its link to the store.
+    pub link: Link,
+    /// Its process, while there is one.
+    pub child: Option<Child>,
+    /// Which process it is.
+    pub life: u32,
+    /// Whether a fault of the process is on its way.
+    pub busy: bool,
+    settings: PathBuf,
+    /// Sockets that keep its ports and never listen.
+    _holders: Vec<TcpSocket>,
+}
+
+/// `Replica` is an endpoint behind its link.
+pub struct Replica {
+    /// Its name.
+    pub id: String,
+    /// The link that its entry names.
+    pub link: Link,
+    /// Its process.
+    pub child: Child,
+    /// Where it takes orders.
+    pub control: SocketAddr,
+    /// Whether a fault of the process is on its way.
+    pub busy: bool,
+    life: u32,
+}
+
+/// `Fleet` is everything that runs.
+pub struct Fleet {
+    /// How much runs.
+    pub size: Size,
+    /// Routers.
+    pub routers: Vec<RefCell<Router>>,
+    /// Endpoints.
+    pub replicas: Vec<RefCell<Replica>>,
+    /// The store's process.
+    pub store: RefCell<Child>,
+    /// What was seen.
+    pub record: Rc<RefCell<Record>>,
+    folder: PathBuf,
+    store_control: SocketAddr,
+    version: RefCell<u64>,
+}
+
+fn held() -> Result<(SocketAddrV4, TcpSocket)> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    let port = socket.local_addr()?.port();
+    Ok((SocketAddrV4::new([127, 0, 0, 1].into(), port), socket))
+}
+
+fn v4(address: SocketAddr) -> SocketAddrV4 {
+    SocketAddrV4::new([127, 0, 0, 1].into(), address.port())
+}
+
+impl Fleet {
+    /// Starts everything; logs go to `folder`.
+    ///
+    /// # Errors
+    ///
+    /// A program can't be started or a file not written.
+    pub async fn start(size: Size, folder: &Path) -> Result<Rc<Self>> {
+        let program = beside("toucanturn-platform-standin")?;
+        let mut child = Child::start(Command::new(&program).arg("store").stdout(Stdio::piped()))?;
+        let (ports, _lines) = child.ports("the store").await?;
+        let record = Rc::new(RefCell::new(Record::default()));
+        let mut replicas = Vec::new();
+        for n in 0..size.replicas {
+            let link = Link::open(n)?;
+            let one = start_replica(n, 0, link, &record).await?;
+            replicas.push(RefCell::new(one));
+        }
+        let mut routers = Vec::new();
+        let mut seeds = Vec::new();
+        for n in 0..size.routers {
+            let link = Link::open(size.replicas + n)?;
+            link.point(ports.listen);
+            let (router, peers) = lay_out(n, link, folder)?;
+            seeds.push(peers.to_string());
+            routers.push((router, peers));
+        }
+        seeds.truncate(3);
+        for (n, (router, peers)) in routers.iter().enumerate() {
+            let text = settings(n, router, *peers, &seeds);
+            std::fs::write(&router.settings, text)?;
+        }
+        let fleet = Rc::new(Self {
+            size,
+            routers: routers.into_iter().map(|(r, _)| RefCell::new(r)).collect(),
+            replicas,
+            store: RefCell::new(child),
+            record,
+            folder: folder.to_owned(),
+            store_control: ports.control,
+            version: RefCell::new(0),
+        });
+        fleet.change_keys(&[0, 1]).await?;
+        for n in 0..size.replicas {
+            fleet.enter(n, "ready").await?;
+        }
+        for n in 0..size.routers {
+            fleet.start_router(n)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts a router's next process.
+    ///
+    /// # Errors
+    ///
+    /// It can't be started.
+    pub fn start_router(&self, n: usize) -> Result<()> {
+        let mut router = self.routers[n].borrow_mut();
+        router.life += 1;
+        let log = File::create(self.folder.join(format!("router-{n}-{}.log", router.life)))?;
+        let errors = log.try_clone()?;
+        let program = beside("toucanturnd")?;
+        let started = Child::start(
+            Command::new(program)
+                .env(SETTINGS_VARIABLE, &router.settings)
+                .stdout(log)
+                .stderr(errors),
+        );
+        router.child = Some(started?);
+        Ok(())
+    }
+
+    /// Starts an endpoint's next process, under a new name at the same address, and enters it.
+    ///
+    /// # Errors
+    ///
+    /// It can't be started.
+    pub async fn replace(&self, n: usize) -> Result<()> {
+        let (old, link, life) = {
+            let replica = self.replicas[n].borrow();
+            (replica.id.clone(), replica.link.clone(), replica.life + 1)
+        };
+        let key = document::entry_key(&old);
+        self.tell_store(&store::Order::Remove { key }).await?;
+        let next = start_replica(n, life, link, &self.record).await?;
+        *self.replicas[n].borrow_mut() = next;
+        self.enter(n, "ready").await
+    }
+
+    /// Publishes an endpoint's entry.
+    ///
+    /// # Errors
+    ///
+    /// The store does not obey.
+    pub async fn enter(&self, n: usize, state: &str) -> Result<()> {
+        let (key, value) = {
+            let replica = self.replicas[n].borrow();
+            let value = document::entry(v4(replica.link.address), state);
+            (document::entry_key(&replica.id), value)
+        };
+        self.tell_store(&store::Order::Put { key, value }).await
+    }
+
+    /// Publishes a configuration in which just these keys are good, by number; new ones are made.
+    ///
+    /// # Errors
+    ///
+    /// The store does not obey.
+    pub async fn change_keys(&self, good: &[usize]) -> Result<()> {
+        *self.version.borrow_mut() += 1;
+        let version = *self.version.borrow();
+        let names: Vec<String> = good.iter().map(|n| key_name(*n)).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let shape = Shape {
+            version,
+            keys: &names,
+            timeout_ms: ROUTE_MS,
+            idle_ms: 5000,
+        };
+        let value = document::config(&shape);
+        let key = document::CONFIG.to_owned();
+        let before = clock_ms();
+        self.tell_store(&store::Order::Put { key, value }).await?;
+        let now = clock_ms();
+        let mut record = self.record.borrow_mut();
+        for (n, key) in record.keys.iter_mut().enumerate() {
+            if !good.contains(&n) && key.revoked.is_none() {
+                key.revoked = Some(now);
+            }
+        }
+        while record.keys.len() <= good.iter().copied().max().unwrap_or(0) {
+            record.keys.push(Key {
+                since: before,
+                revoked: None,
+            });
+        }
+        Ok(())
+    }
+
+    /// Lists the keys that are good now, by number.
+    pub fn good_keys(&self) -> Vec<usize> {
+        let record = self.record.borrow();
+        let good = record.keys.iter().enumerate();
+        let good = good.filter(|(_, key)| key.revoked.is_none());
+        good.map(|(n, _)| n).collect()
+    }
+
+    /// Tells the store an order.
+    ///
+    /// # Errors
+    ///
+    /// It does not obey.
+    pub async fn tell_store(&self, order: &store::Order) -> Result<()> {
+        let name = "the store";
+        ensure!(
+            control::order(self.store_control, order).await,
+            OrderSnafu { name }
+        );
+        Ok(())
+    }
+
+    /// Tells an endpoint an order. One that was just killed can't hear it, which changes nothing.
+    pub async fn tell_replica(&self, n: usize, order: &replica::Order) {
+        let control = self.replicas[n].borrow().control;
+        control::order(control, order).await;
+    }
+
+    /// Notes a fault that has been there since `from`, and whose effects last a while longer.
+    pub fn note_span(&self, target: Target, from: u64, after: u64) {
+        let to = clock_ms() + after;
+        self.record
+            .borrow_mut()
+            .spans
+            .push(Span { target, from, to });
+    }
+}
+
+/// Gets the text of a key by its number.
+pub fn key_name(number: usize) -> String {
+    format!("key-{number}")
+}
+
+async fn start_replica(
+    n: usize,
+    life: u32,
+    link: Link,
+    record: &Rc<RefCell<Record>>,
+) -> Result<Replica> {
+    let id = format!("i-{n}-{life}");
+    let work = WORK_MS.to_string();
+    let mut child = Child::start(
+        Command::new(beside("toucanturn-platform-standin")?)
+            .args(["replica", "--id", &id, "--work-ms", &work])
+            .stdout(Stdio::piped()),
+    )?;
+    let (ports, mut lines) = child.ports(&id).await?;
+    link.point(ports.listen);
+    let record = Rc::clone(record);
+    spawn_local(async move {
+        while let Ok(Some(line)) = lines.next_line().await {
+            // A line that was cut by a kill is no word.
+            if let Ok(note) = serde_json::from_str(&line) {
+                record.borrow_mut().notes.push(note);
+            }
+        }
+    });
+    Ok(Replica {
+        id,
+        link,
+        child,
+        control: ports.control,
+        busy: false,
+        life,
+    })
+}
+
+fn lay_out(n: usize, link: Link, folder: &Path) -> Result<(Router, SocketAddrV4)> {
+    let (callers, one) = held()?;
+    let (ready, two) = held()?;
+    let (peers, three) = held()?;
+    let router = Router {
+        callers: callers.into(),
+        ready: ready.into(),
+        link,
+        child: None,
+        life: 0,
+        busy: false,
+        settings: folder.join(format!("router-{n}.json")),
+        _holders: vec![one, two, three],
+    };
+    Ok((router, peers))
+}
+
+fn settings(n: usize, router: &Router, peers: SocketAddrV4, seeds: &[String]) -> String {
+    serde_json::json!({
+        "id": format!("router-{n}"), "data_center": "a",
+        "registry": router.link.address.to_string(), "seeds": seeds,
+        "listen": {"callers": router.callers.to_string(), "ready": router.ready.to_string(),
+            "peers": peers.to_string()},
+        "bounds": {"config_ms": CONFIG_MS, "revoke_ms": REVOKE_MS, "leaving_ms": LEAVING_MS,
+            "stop_s": STOP_S, "lapse_s": 1.5, "skew": 2, "retry_share": RETRY_PERCENT as f64 / 100.0,
+            "retry_extra": RETRY_EXTRA, "retry_window_s": RETRY_WINDOW_S},
+    })
+    .to_string()
+}
--- /dev/null
+++ b/crates/soak/src/judge.rs
@@ -0,0 +1,274 @@
+//! The promises, judged from what callers and endpoints saw. No judge looks at the routers' logs.
+
+use std::collections::HashMap;
+
+use strum::IntoEnumIterator;
+use toucanturn_platform_standin::replica::{
+    EVENTS,
+    Note,
+    What, //
+};
+
+use crate::{
+    fleet::{
+        CONFIG_MS,
+        LEAVING_MS,
+        RETRY_EXTRA,
+        RETRY_PERCENT,
+        RETRY_WINDOW_S,
+        REVOKE_MS, //
+    },
+    record::{
+        Call,
+        Record,
+        Target, //
+    },
+};
+
+/// Time that a judge allows for what passes between the clocks of two processes, in milliseconds.
+const SLACK: u64 = 500;
+/// Time for which a fault may still be felt in what a router knows, in milliseconds.
+const FELT: u64 = 3000;
+
+/// `Promise` is what the system owes its users.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumIter)]
+#[strum(serialize_all = "snake_case")]
+pub enum Promise {
+    /// What may run once runs at most once, and nothing at more endpoints than allowed.
+    Once,
+    /// What is said not to have run has not.
+    NotRun,
+    /// An answer is the request's own and whole, a stream without gap or repeat.
+    Own,
+    /// A router that stops, or goes on, cuts no answer.
+    Uncut,
+    /// A leaving endpoint gets nothing new after the bound.
+    Leaving,
+    /// A key that was taken away opens nothing after the bound.
+    Revoked,
+    /// A router never goes back to what it has acted against.
+    Forward,
+    /// A published key opens requests within the bound.
+    InForce,
+    /// Retries stay within the budget.
+    Budget,
+    /// No process ends by itself, and a stop takes no longer than it may.
+    Alive,
+    /// When all faults are over, everything is served again.
+    Recovered,
+}
+
+/// `Finding` is a promise that was not kept.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// Which.
+    pub promise: Promise,
+    /// How that was seen.
+    pub what: String,
+}
+
+/// Runs of each request, in the order of their beginnings.
+type Runs<'a> = HashMap<&'a str, Vec<&'a Note>>;
+
+/// Judges a run.
+pub fn judge(record: &Record) -> Vec<Finding> {
+    let mut runs: Runs<'_> = HashMap::new();
+    for note in &record.notes {
+        runs.entry(&note.id).or_default().push(note);
+    }
+    let mut findings = Vec::new();
+    for promise in Promise::iter() {
+        let found = match promise {
+            Promise::Once => each(record, |call| once(call, &runs)),
+            Promise::NotRun => each(record, |call| not_run(call, &runs)),
+            Promise::Own => each(record, |call| own(record, call)),
+            Promise::Uncut => each(record, |call| uncut(record, call, &runs)),
+            Promise::Revoked => each(record, |call| revoked(record, call, &runs)),
+            Promise::InForce => each(record, |call| in_force(record, call)),
+            Promise::Forward => forward(record, &runs),
+            Promise::Leaving => leaving(record),
+            Promise::Budget => budget(record, &runs),
+            Promise::Alive => record.processes.clone(),
+            Promise::Recovered => record.unrecovered.clone(),
+        };
+        let found = found.into_iter().map(|what| Finding { promise, what });
+        findings.extend(found);
+    }
+    findings
+}
+
+fn each(record: &Record, judge: impl Fn(&Call) -> Option<String>) -> Vec<String> {
+    record.calls.iter().filter_map(judge).collect()
+}
+
+fn began<'a>(runs: &'a Runs<'_>, id: &str) -> impl Iterator<Item = &'a Note> {
+    let notes = runs.get(id).into_iter().flatten();
+    notes.copied().filter(|note| note.what == What::Began)
+}
+
+fn once(call: &Call, runs: &Runs<'_>) -> Option<String> {
+    let count = began(runs, &call.id).count();
+    let most = call.kind.attempts();
+    (count > most).then(|| format!("{} ran {count} times, {most} allowed", call.id))
+}
+
+/// Tells whether a status promises that the request has not run.
+fn promises(status: u16) -> bool {
+    matches!(status, 400 | 401 | 404 | 408 | 413 | 421 | 429 | 431 | 503)
+}
+
+fn not_run(call: &Call, runs: &Runs<'_>) -> Option<String> {
+    let ran = promises(call.status) && began(runs, &call.id).next().is_some();
+    ran.then(|| format!("{} was answered {} and has run", call.id, call.status))
+}
+
+fn own(record: &Record, call: &Call) -> Option<String> {
+    if call.status != 200 {
+        return None;
+    }
+    let Call { id, body, .. } = call;
+    // An endpoint that breaks the protocol may still answer whole, in few words.
+    let odd = record.faulty(call.sent, call.ended, |t| matches!(t, Target::Replica(_)));
+    let short = odd && body == "done";
+    let right = match (call.whole, call.kind.streams()) {
+        (true, true) => *body == events(id) || short,
+        (true, false) => *body == format!("done {id}") || short,
+        (false, true) => in_order(body, id),
+        (false, false) => true,
+    };
+    (!right).then(|| format!("{id} got another's or a wrong answer: {body:.200}"))
+}
+
+/// Gets the whole stream of a request.
+fn events(id: &str) -> String {
+    let event = |n| format!("id: {n}\ndata: piece {n} of {id}\n\n");
+    (1..=EVENTS).map(event).collect()
+}
+
+/// Tells whether all events are of one request and count up from 1 without a gap.
+fn in_order(body: &str, id: &str) -> bool {
+    // The last line may be cut.
+    let (lines, _) = body.rsplit_once('\n').unwrap_or_default();
+    let pieces = lines.lines().filter_map(|l| l.strip_prefix("data: piece "));
+    let numbers = pieces.map(|piece| {
+        let (number, of) = piece.split_once(" of ")?;
+        (of == id).then(|| number.parse::<u64>().ok())?
+    });
+    numbers.zip(1..).all(|(number, n)| number == Some(n))
+}
+
+fn uncut(record: &Record, call: &Call, runs: &Runs<'_>) -> Option<String> {
+    let cut = call.status == 0 || (call.status == 200 && !call.whole);
+    if !cut || call.gave_up {
+        return None;
+    }
+    // Whoever was killed, suspended or hidden behind a fault can't be asked for an answer.
+    let place = |t| t == Target::Router(call.router) || matches!(t, Target::Replica(_));
+    if record.faulty(call.sent, call.ended, place) {
+        return None;
+    }
+    let ran = began(runs, &call.id).next().is_some();
+    // A connection that closes as the request comes was idle: nothing ran, the caller sends again.
+    ran.then(|| {
+        let Call { id, router, .. } = call;
+        format!(
+            "{id}'s answer of router {router} was cut, status {}",
+            call.status
+        )
+    })
+}
+
+fn revoked(record: &Record, call: &Call, runs: &Runs<'_>) -> Option<String> {
+    let at = record.keys.get(call.key)?.revoked?;
+    let late = call.sent > at + REVOKE_MS + SLACK / 2;
+    let ran = late && began(runs, &call.id).next().is_some();
+    ran.then(|| format!("{} ran {} ms after its key went", call.id, call.sent - at))
+}
+
+fn in_force(record: &Record, call: &Call) -> Option<String> {
+    let key = record.keys.get(call.key)?;
+    let good = key.revoked.is_none_or(|at| call.ended < at);
+    let due = call.sent > key.since + CONFIG_MS + SLACK;
+    let blind = |t| matches!(t, Target::Store | Target::Router(_));
+    let excused = record.faulty(key.since.saturating_sub(FELT), call.sent, blind);
+    let refused = call.status == 401 && good && due && !excused;
+    refused.then(|| {
+        let age = call.sent - key.since;
+        format!("{} was refused though its key is {age} ms old", call.id)
+    })
+}
+
+fn forward(record: &Record, runs: &Runs<'_>) -> Vec<String> {
+    let mut gone: HashMap<(usize, u32, usize), u64> = HashMap::new();
+    let mut calls: Vec<&Call> = record.calls.iter().collect();
+    calls.sort_by_key(|call| call.ended);
+    let mut found = Vec::new();
+    for call in calls {
+        let place = (call.router, call.life, call.key);
+        let revoked = record.keys.get(call.key).and_then(|key| key.revoked);
+        if call.status == 401 && revoked.is_some_and(|at| at < call.ended) {
+            gone.entry(place).or_insert(call.ended);
+        }
+        let after = gone.get(&place).is_some_and(|at| call.sent > *at);
+        if after && began(runs, &call.id).next().is_some() {
+            let Call {
+                id, router, key, ..
+            } = call;
+            found.push(format!(
+                "{id} ran by key {key}, which router {router} had refused"
+            ));
+        }
+    }
+    found
+}
+
+fn leaving(record: &Record) -> Vec<String> {
+    let mut found = Vec::new();
+    for leaving in &record.leaving {
+        let end = leaving.at + LEAVING_MS + SLACK;
+        let blind = |t| matches!(t, Target::Store | Target::Router(_));
+        let late = |note: &&Note| {
+            let new = note.replica == leaving.replica && note.what == What::Began;
+            let from = leaving.at.saturating_sub(FELT);
+            new && note.at_ms > end && !record.faulty(from, note.at_ms, blind)
+        };
+        let late = record.notes.iter().filter(late);
+        found.extend(late.map(|note| {
+            let after = note.at_ms - leaving.at;
+            format!(
+                "{} began at {} {after} ms after it left",
+                note.id, note.replica
+            )
+        }));
+    }
+    found
+}
+
+fn budget(record: &Record, runs: &Runs<'_>) -> Vec<String> {
+    let window = RETRY_WINDOW_S * 1000;
+    let mut repeats: Vec<u64> = Vec::new();
+    for notes in runs.values() {
+        let arrivals = notes
+            .iter()
+            .filter(|n| matches!(n.what, What::Began | What::Rejected));
+        repeats.extend(arrivals.skip(1).map(|note| note.at_ms));
+    }
+    repeats.sort_unstable();
+    let mut worst = None;
+    for (n, from) in repeats.iter().enumerate() {
+        let inside = repeats[n..].iter().take_while(|at| **at < from + window);
+        let count = inside.count();
+        // Requests of the window before count as well: a retry may follow its request late.
+        let since = from.saturating_sub(window / 2);
+        let asked = |call: &&Call| (since..from + window).contains(&call.sent);
+        let asked = record.calls.iter().filter(asked).count();
+        let allowed = asked * RETRY_PERCENT / 100 + RETRY_EXTRA;
+        if count > allowed {
+            worst = worst.max(Some((count, allowed)));
+        }
+    }
+    let told = worst.map(|(count, allowed)| {
+        format!("{count} retries in {RETRY_WINDOW_S} s, {allowed} allowed")
+    });
+    told.into_iter().collect()
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,130 @@
+//! When which fault comes: the same seed, the same plan.
+
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
+use strum::{
+    EnumCount,
+    FromRepr, //
+};
+
+/// Time before the first fault, in milliseconds: the fleet has served by then.
+const CALM: u64 = 1500;
+/// Longest pause between the beginnings of two faults, in milliseconds; most overlap.
+const GAP: u64 = 900;
+/// Longest time of a fault, in milliseconds: over the bounds on keys and on leaving.
+const LONGEST: u64 = 3500;
+
+/// `Size` is how much runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Routers.
+    pub routers: usize,
+    /// Endpoints.
+    pub replicas: usize,
+    /// Callers at once.
+    pub callers: usize,
+    /// Milliseconds in which faults come.
+    pub millis: u64,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Self {
+            routers: 3,
+            replicas: 5,
+            callers: 24,
+            millis: 10_000,
+        }
+    }
+}
+
+/// `Fault` is what comes; where it names a router or an endpoint, the step says which.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumCount, FromRepr, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+#[repr(usize)]
+pub enum Fault {
+    /// A router is told to stop, and started again.
+    RouterStops,
+    /// A router is killed, and started again.
+    RouterKilled,
+    /// All routers are killed at once, and started again.
+    AllKilled,
+    /// A router is suspended.
+    RouterPaused,
+    /// A router is told to read its settings again.
+    RouterReloads,
+    /// An endpoint is killed; another one takes its address.
+    ReplicaKilled,
+    /// An endpoint is suspended.
+    ReplicaPaused,
+    /// An endpoint leaves as it should, and is replaced.
+    ReplicaLeaves,
+    /// An endpoint breaks the protocol in its next answers.
+    ReplicaMisbehaves,
+    /// What comes to and from an endpoint is slow.
+    ReplicaSlow,
+    /// What an endpoint answers is lost.
+    AnswersLost,
+    /// An endpoint's connections are reset.
+    ReplicaReset,
+    /// An endpoint's connections go silent for good; new ones work.
+    ReplicaSilent,
+    /// Nothing passes between a router and the store.
+    StoreCut,
+    /// What the store answers a router is lost.
+    StoreAnswersLost,
+    /// A router's connections to the store go silent for good; new ones work.
+    StoreSilent,
+    /// The store turns all away.
+    StoreBusy,
+    /// The store is slow.
+    StoreSlow,
+    /// The store is suspended.
+    StorePaused,
+    /// The store forgets its history.
+    StoreCompacts,
+    /// A new configuration.
+    Published,
+    /// A key is taken away and another one given.
+    KeyRevoked,
+}
+
+/// `Step` is one fault at its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// Milliseconds after the run's beginning.
+    pub at: u64,
+    /// How long it lasts, in milliseconds.
+    pub lasts: u64,
+    /// What it is.
+    pub fault: Fault,
+    /// Which router.
+    pub router: usize,
+    /// Which endpoint.
+    pub replica: usize,
+    /// Which variant, where there are several.
+    pub variant: usize,
+}
+
+/// Makes the plan of a seed.
+pub fn plan(seed: u64, size: &Size) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut steps = Vec::new();
+    let mut at = CALM;
+    while at < CALM + size.millis {
+        let fault = Fault::from_repr(rng.random_range(0..Fault::COUNT));
+        steps.push(Step {
+            at,
+            lasts: rng.random_range(100..LONGEST),
+            fault: fault.unwrap_or(Fault::Published),
+            router: rng.random_range(0..size.routers.max(1)),
+            replica: rng.random_range(0..size.replicas.max(1)),
+            variant: rng.random_range(0..1000),
+        });
+        at += rng.random_range(20..GAP);
+    }
+    steps
+}
--- /dev/null
+++ b/crates/soak/src/record.rs
@@ -0,0 +1,130 @@
+//! What is noted during a run, for the judges. Times are milliseconds of the clock that all processes
+//! share.
+
+use serde::Serialize;
+use toucanturn_platform_standin::replica::Note;
+
+/// `Kind` is a route of the published configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, strum::EnumIter, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// May run once.
+    Once,
+    /// May run again.
+    Read,
+    /// A stream that another endpoint may go on with.
+    Chat,
+    /// A stream that may run once.
+    Talk,
+}
+
+impl Kind {
+    /// Tells whether its answer is a stream.
+    pub const fn streams(self) -> bool {
+        matches!(self, Kind::Chat | Kind::Talk)
+    }
+
+    /// Gets how many endpoints it may be sent to.
+    pub const fn attempts(self) -> usize {
+        match self {
+            Kind::Once | Kind::Talk => 1,
+            Kind::Read => 2,
+            Kind::Chat => 3,
+        }
+    }
+}
+
+/// `Call` is a request as its caller saw it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Call {
+    /// Its id.
+    pub id: String,
+    /// Its route.
+    pub kind: Kind,
+    /// Number of its key.
+    pub key: usize,
+    /// Router that it was sent to.
+    pub router: usize,
+    /// Which process of that router.
+    pub life: u32,
+    /// When its first byte went out.
+    pub sent: u64,
+    /// When its answer ended.
+    pub ended: u64,
+    /// Its status; 0 where none came.
+    pub status: u16,
+    /// Whether the answer came to its proper end.
+    pub whole: bool,
+    /// Its body, as far as it came.
+    pub body: String,
+    /// Whether the caller gave up waiting.
+    pub gave_up: bool,
+}
+
+/// `Key` is a key that a configuration lists or listed.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Key {
+    /// When it was published.
+    pub since: u64,
+    /// When it was taken away.
+    pub revoked: Option<u64>,
+}
+
+/// `Target` is what a fault comes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Target {
+    /// A router's process.
+    Router(usize),
+    /// An endpoint or the link before it.
+    Replica(usize),
+    /// The store, or a router's link to it.
+    Store,
+}
+
+/// `Span` is a fault from its beginning to when its effects are over.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Span {
+    /// What it came to.
+    pub target: Target,
+    /// When it began.
+    pub from: u64,
+    /// When it was over.
+    pub to: u64,
+}
+
+/// `Leaving` is an endpoint whose entry said that it is leaving.
+#[derive(Clone, Debug, Serialize)]
+pub struct Leaving {
+    /// The endpoint's name.
+    pub replica: String,
+    /// When it was published.
+    pub at: u64,
+}
+
+/// `Record` is all of a run.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Record {
+    /// Requests, in the order of their ends.
+    pub calls: Vec<Call>,
+    /// What endpoints saw, in the order of their words.
+    pub notes: Vec<Note>,
+    /// Keys by number.
+    pub keys: Vec<Key>,
+    /// Faults.
+    pub spans: Vec<Span>,
+    /// Endpoints that left.
+    pub leaving: Vec<Leaving>,
+    /// What went wrong with a process: an end of its own, a stop that cut or took too long.
+    pub processes: Vec<String>,
+    /// What was not served when all faults were over.
+    pub unrecovered: Vec<String>,
+}
+
+impl Record {
+    /// Tells whether a fault of some target overlaps a time.
+    pub fn faulty(&self, from: u64, to: u64, of: impl Fn(Target) -> bool) -> bool {
+        let hit = |span: &&Span| span.from <= to && span.to >= from && of(span.target);
+        self.spans.iter().any(|span| hit(&span))
+    }
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,412 @@
+//! Plays a plan against a fleet, and collects what callers and endpoints saw.
+
+use std::{
+    path::Path,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use rustix::process::Signal;
+use tokio::{
+    task::spawn_local,
+    time::{
+        sleep,
+        sleep_until,
+        timeout, //
+    },
+};
+use toucanturn_platform_standin::{
+    caller::{
+        Caller,
+        ready, //
+    },
+    clock_ms,
+    replica::{
+        self,
+        Act, //
+    },
+    store::{
+        Mode as Answers,
+        Order, //
+    },
+};
+use toucanturn_standin::link::{
+    Link,
+    Mode, //
+};
+
+use crate::{
+    caller::{
+        Street,
+        balance,
+        call,
+        one, //
+    },
+    errors::Result,
+    fleet::{
+        Fleet,
+        ROUTE_MS,
+        STOP_S, //
+    },
+    plan::{
+        Fault,
+        Size,
+        Step,
+        plan, //
+    },
+    record::{
+        Kind,
+        Leaving,
+        Record,
+        Target, //
+    },
+};
+
+/// Time within which routers serve once all faults are over.
+const RECOVERY: Duration = Duration::from_secs(8);
+/// Time for which a fault is still felt, in milliseconds: a request that it met may last so long.
+const AFTER: u64 = ROUTE_MS;
+/// Time after which the entry of an endpoint that was killed is taken out.
+const LAPSE: Duration = Duration::from_millis(700);
+/// Time over the published one that a router may take to end, for what the system needs.
+const STOP_MARGIN: Duration = Duration::from_millis(1500);
+/// Requests by which each router shows that it serves again.
+const PROOFS: usize = 5;
+/// Delay of a slow link.
+const SLOW: Duration = Duration::from_millis(60);
+
+/// Plays the plan of a seed; logs go to `folder`.
+///
+/// # Errors
+///
+/// A program could not be started or did not obey.
+pub async fn run(seed: u64, size: Size, folder: &Path) -> Result<Record> {
+    let fleet = Fleet::start(size, folder).await?;
+    let began = Instant::now();
+    while !all_ready(&fleet).await && began.elapsed() < RECOVERY {
+        sleep(Duration::from_millis(50)).await;
+    }
+    let street = Rc::new(Street::default());
+    let balancer = spawn_local(balance(Rc::clone(&fleet), Rc::clone(&street)));
+    let callers: Vec<_> = (0..size.callers)
+        .map(|n| spawn_local(call(Rc::clone(&fleet), Rc::clone(&street), n, seed)))
+        .collect();
+    let origin = tokio::time::Instant::now();
+    let mut faults = Vec::new();
+    for step in plan(seed, &size) {
+        sleep_until(origin + Duration::from_millis(step.at)).await;
+        let fleet = Rc::clone(&fleet);
+        faults.push(spawn_local(async move { play(&fleet, step).await }));
+    }
+    for fault in faults {
+        if let Ok(played) = fault.await {
+            played?;
+        }
+    }
+    recover(&fleet, seed).await;
+    street.over.set(true);
+    for caller in callers {
+        let _ = caller.await;
+    }
+    balancer.abort();
+    let stops: Vec<_> = (0..size.routers)
+        .map(|n| {
+            let fleet = Rc::clone(&fleet);
+            spawn_local(async move { stop(&fleet, n).await })
+        })
+        .collect();
+    for stop in stops {
+        let _ = stop.await;
+    }
+    // What endpoints wrote last is still on its way.
+    sleep(Duration::from_millis(200)).await;
+    let record = fleet.record.borrow().clone();
+    Ok(record)
+}
+
+async fn all_ready(fleet: &Fleet) -> bool {
+    for router in &fleet.routers {
+        let address = router.borrow().ready;
+        if !ready(address).await {
+            return false;
+        }
+    }
+    true
+}
+
+/// Takes a router's process for one fault; false while another has it or there is none.
+fn take(fleet: &Fleet, n: usize) -> bool {
+    let mut router = fleet.routers[n].borrow_mut();
+    let free = !router.busy && router.child.is_some();
+    router.busy |= free;
+    free
+}
+
+fn signal(fleet: &Fleet, n: usize, signal: Signal) {
+    if let Some(child) = &fleet.routers[n].borrow().child {
+        child.signal(signal);
+    }
+}
+
+async fn play(fleet: &Rc<Fleet>, step: Step) -> Result<()> {
+    let lasts = Duration::from_millis(step.lasts);
+    let (n, router) = (step.replica, step.router);
+    match step.fault {
+        Fault::RouterStops if take(fleet, router) => {
+            stop(fleet, router).await;
+            sleep(lasts / 2).await;
+            restart(fleet, router)?;
+        }
+        Fault::RouterKilled if take(fleet, router) => killed(fleet, &[router], lasts).await?,
+        Fault::AllKilled => {
+            let all: Vec<usize> = (0..fleet.size.routers)
+                .filter(|n| take(fleet, *n))
+                .collect();
+            killed(fleet, &all, lasts).await?;
+        }
+        Fault::RouterPaused if take(fleet, router) => {
+            let from = clock_ms();
+            signal(fleet, router, Signal::STOP);
+            sleep(lasts).await;
+            signal(fleet, router, Signal::CONT);
+            fleet.note_span(Target::Router(router), from, AFTER);
+            fleet.routers[router].borrow_mut().busy = false;
+        }
+        Fault::RouterReloads if take(fleet, router) => {
+            signal(fleet, router, Signal::HUP);
+            fleet.routers[router].borrow_mut().busy = false;
+        }
+        Fault::ReplicaKilled | Fault::ReplicaPaused | Fault::ReplicaLeaves => {
+            let free = !std::mem::replace(&mut fleet.replicas[n].borrow_mut().busy, true);
+            if free {
+                replica_process(fleet, step, lasts).await?;
+            }
+        }
+        Fault::ReplicaMisbehaves => {
+            let from = clock_ms();
+            let order = replica::Order::Next(odd_acts(step.variant));
+            fleet.tell_replica(n, &order).await;
+            sleep(lasts).await;
+            fleet.note_span(Target::Replica(n), from, AFTER);
+        }
+        Fault::ReplicaSlow | Fault::AnswersLost | Fault::ReplicaReset | Fault::ReplicaSilent => {
+            let link = fleet.replicas[n].borrow().link.clone();
+            let from = clock_ms();
+            link_fault(&link, step.fault, lasts).await;
+            fleet.note_span(Target::Replica(n), from, AFTER);
+        }
+        Fault::StoreCut | Fault::StoreAnswersLost | Fault::StoreSilent => {
+            let link = fleet.routers[router].borrow().link.clone();
+            let from = clock_ms();
+            link_fault(&link, step.fault, lasts).await;
+            fleet.note_span(Target::Store, from, AFTER);
+        }
+        Fault::StoreBusy | Fault::StoreSlow | Fault::StorePaused | Fault::StoreCompacts => {
+            let from = clock_ms();
+            store_fault(fleet, step.fault, lasts).await?;
+            fleet.note_span(Target::Store, from, AFTER);
+        }
+        Fault::Published => fleet.change_keys(&fleet.good_keys()).await?,
+        Fault::KeyRevoked => {
+            let next = fleet.record.borrow().keys.len();
+            let mut good = fleet.good_keys();
+            good.remove(0);
+            good.push(next);
+            fleet.change_keys(&good).await?;
+        }
+        // Another fault has the process.
+        _ => {}
+    }
+    Ok(())
+}
+
+/// Stops a router by its signal, and judges its end. Its process is taken by the caller.
+async fn stop(fleet: &Rc<Fleet>, n: usize) {
+    let child = fleet.routers[n].borrow_mut().child.take();
+    let Some(mut child) = child else {
+        return;
+    };
+    let early = child.ended();
+    child.signal(Signal::TERM);
+    let limit = Duration::from_secs_f64(STOP_S) + STOP_MARGIN;
+    let told = match (early, child.wait(limit).await) {
+        (Some(status), _) => Some(format!("router {n} ended by itself: {status}")),
+        (None, None) => Some(format!("router {n} did not end in {limit:?}")),
+        (None, Some(status)) if !status.success() => {
+            Some(format!("router {n} cut requests as it stopped: {status}"))
+        }
+        _ => None,
+    };
+    fleet.record.borrow_mut().processes.extend(told);
+}
+
+async fn killed(fleet: &Rc<Fleet>, routers: &[usize], lasts: Duration) -> Result<()> {
+    let from = clock_ms();
+    for n in routers {
+        let child = fleet.routers[*n].borrow_mut().child.take();
+        if let Some(mut child) = child {
+            if let Some(status) = child.ended() {
+                let told = format!("router {n} ended by itself: {status}");
+                fleet.record.borrow_mut().processes.push(told);
+            }
+            child.signal(Signal::KILL);
+            child.wait(STOP_MARGIN).await;
+        }
+    }
+    sleep(lasts / 2).await;
+    for n in routers {
+        restart(fleet, *n)?;
+        fleet.note_span(Target::Router(*n), from, AFTER);
+    }
+    Ok(())
+}
+
+fn restart(fleet: &Fleet, n: usize) -> Result<()> {
+    fleet.start_router(n)?;
+    fleet.routers[n].borrow_mut().busy = false;
+    Ok(())
+}
+
+async fn replica_process(fleet: &Rc<Fleet>, step: Step, lasts: Duration) -> Result<()> {
+    let n = step.replica;
+    let signal = |signal| fleet.replicas[n].borrow().child.signal(signal);
+    let mut from = clock_ms();
+    match step.fault {
+        Fault::ReplicaPaused => {
+            signal(Signal::STOP);
+            sleep(lasts).await;
+            signal(Signal::CONT);
+            fleet.note_span(Target::Replica(n), from, AFTER);
+            fleet.replicas[n].borrow_mut().busy = false;
+            return Ok(());
+        }
+        Fault::ReplicaLeaves => {
+            fleet.enter(n, "draining").await?;
+            let at = clock_ms();
+            let replica = fleet.replicas[n].borrow().id.clone();
+            fleet
+                .record
+                .borrow_mut()
+                .leaving
+                .push(Leaving { replica, at });
+            // Whoever heard of it in time has his answer by then.
+            sleep(Duration::from_millis(2 * ROUTE_MS)).await;
+            from = clock_ms();
+            signal(Signal::KILL);
+        }
+        _ => {
+            signal(Signal::KILL);
+            sleep(LAPSE).await;
+        }
+    }
+    fleet.replace(n).await?;
+    fleet.note_span(Target::Replica(n), from, AFTER);
+    Ok(())
+}
+
+/// Brings a fault of a link about and takes it away.
+async fn link_fault(link: &Link, fault: Fault, lasts: Duration) {
+    let mode = match fault {
+        Fault::ReplicaReset => return link.reset(),
+        Fault::ReplicaSilent | Fault::StoreSilent => return link.silence(),
+        Fault::ReplicaSlow => Mode::Slow(SLOW),
+        Fault::StoreCut => Mode::Drop,
+        _ => Mode::DropAnswers,
+    };
+    link.set(mode);
+    sleep(lasts).await;
+    link.set(Mode::Pass);
+    if mode != Mode::Slow(SLOW) {
+        // What was lost stays lost: its connections would be silent for good.
+        link.reset();
+    }
+}
+
+async fn store_fault(fleet: &Rc<Fleet>, fault: Fault, lasts: Duration) -> Result<()> {
+    let mode = match fault {
+        Fault::StoreCompacts => return fleet.tell_store(&Order::Compact).await,
+        Fault::StorePaused => {
+            // Orders wait until it goes on: short enough for them.
+            fleet.store.borrow().signal(Signal::STOP);
+            sleep(lasts).await;
+            fleet.store.borrow().signal(Signal::CONT);
+            return Ok(());
+        }
+        Fault::StoreBusy => Answers::Busy,
+        _ => Answers::Slow(400),
+    };
+    fleet.tell_store(&Order::Mode(mode)).await?;
+    sleep(lasts).await;
+    fleet.tell_store(&Order::Mode(Answers::Sound)).await
+}
+
+/// Gets acts that break the protocol: one kind, up to four times.
+fn odd_acts(variant: usize) -> Vec<Act> {
+    let acts = [
+        Act::OtherId,
+        Act::Unsealed,
+        Act::Encoded,
+        Act::Reject,
+        Act::Fail,
+        Act::Truncate,
+        Act::Extra,
+        Act::Unframed,
+        Act::Close,
+        Act::Hang,
+        Act::Torn { to: 3 },
+        Act::Stuck { to: 3 },
+    ];
+    let act = &acts[variant % acts.len()];
+    vec![act.clone(); 1 + variant / acts.len() % 4]
+}
+
+/// Waits until all routers serve, and makes each of them show it.
+async fn recover(fleet: &Rc<Fleet>, seed: u64) {
+    let began = Instant::now();
+    let mut left = vec!["nothing was asked".to_owned()];
+    while !left.is_empty() && began.elapsed() < RECOVERY {
+        sleep(Duration::from_millis(100)).await;
+        left = proofs(fleet, seed, began.elapsed().as_millis()).await;
+    }
+    fleet.record.borrow_mut().unrecovered = left;
+}
+
+/// Sends requests through each router; gives what was not served.
+async fn proofs(fleet: &Rc<Fleet>, seed: u64, round: u128) -> Vec<String> {
+    let mut left = Vec::new();
+    let Some(key) = fleet.good_keys().last().copied() else {
+        return left;
+    };
+    for n in 0..fleet.size.routers {
+        let (address, life) = {
+            let router = fleet.routers[n].borrow();
+            (router.callers, router.life)
+        };
+        let connected = timeout(Duration::from_secs(1), Caller::connect(address)).await;
+        let Ok(Ok(mut caller)) = connected else {
+            left.push(format!("router {n} takes no connection"));
+            continue;
+        };
+        for proof in 0..PROOFS {
+            let kind = if proof % 2 == 0 {
+                Kind::Once
+            } else {
+                Kind::Chat
+            };
+            let id = format!("p{seed}-{round}-{n}-{proof}");
+            let call = one(&mut caller, (n, life), kind, key, id).await;
+            let served = call.status == 200 && call.whole;
+            if !served {
+                left.push(format!("{} at router {n}: status {}", call.id, call.status));
+            }
+            fleet.record.borrow_mut().calls.push(call);
+            if !served {
+                break;
+            }
+        }
+    }
+    left
+}
--- /dev/null
+++ b/crates/soak/tests/judge.rs
@@ -0,0 +1,266 @@
+//! Each judge notices a broken promise, and lets pass what is none.
+
+use googletest::prelude::*;
+use toucanturn_platform_standin::replica::{
+    EVENTS,
+    Note,
+    What, //
+};
+use toucanturn_soak::{
+    judge::{
+        Promise,
+        judge, //
+    },
+    record::{
+        Call,
+        Key,
+        Kind,
+        Leaving,
+        Record,
+        Span,
+        Target, //
+    },
+};
+
+fn call(id: &str, kind: Kind) -> Call {
+    let event = |n| format!("id: {n}\ndata: piece {n} of {id}\n\n");
+    let body = match kind.streams() {
+        true => (1..=EVENTS).map(event).collect(),
+        false => format!("done {id}"),
+    };
+    Call {
+        id: id.to_owned(),
+        kind,
+        key: 0,
+        router: 0,
+        life: 1,
+        sent: 10_000,
+        ended: 10_050,
+        status: 200,
+        whole: true,
+        body,
+        gave_up: false,
+    }
+}
+
+fn note(id: &str, at_ms: u64) -> Note {
+    Note {
+        at_ms,
+        replica: "i-0-0".to_owned(),
+        id: id.to_owned(),
+        after: None,
+        what: What::Began,
+    }
+}
+
+fn record(calls: Vec<Call>, notes: Vec<Note>) -> Record {
+    let keys = vec![
+        Key {
+            since: 0,
+            revoked: None,
+        };
+        2
+    ];
+    Record {
+        calls,
+        notes,
+        keys,
+        ..Record::default()
+    }
+}
+
+fn found(record: &Record) -> Vec<Promise> {
+    judge(record).into_iter().map(|f| f.promise).collect()
+}
+
+#[gtest]
+fn verify_a_sound_run_has_no_findings() {
+    let kinds = [Kind::Once, Kind::Read, Kind::Chat, Kind::Talk];
+    let calls: Vec<Call> = kinds.iter().map(|kind| call("c1-1", *kind)).collect();
+    for call in calls {
+        let notes = vec![note("c1-1", 10_010)];
+        expect_that!(found(&record(vec![call], notes)), is_empty());
+    }
+}
+
+#[gtest]
+fn verify_a_second_run_is_noticed() {
+    for (kind, runs) in [
+        (Kind::Once, 2),
+        (Kind::Talk, 2),
+        (Kind::Read, 3),
+        (Kind::Chat, 4),
+    ] {
+        let notes = (0..runs).map(|n| note("a", 10_000 + n)).collect();
+        let record = record(vec![call("a", kind)], notes);
+        expect_that!(found(&record), contains(eq(&Promise::Once)));
+    }
+}
+
+#[gtest]
+fn verify_a_false_not_run_is_noticed() {
+    for status in [503, 429, 408, 421, 401] {
+        let mut refused = call("a", Kind::Read);
+        refused.status = status;
+        let with = record(vec![refused.clone()], vec![note("a", 10_010)]);
+        expect_that!(found(&with), contains(eq(&Promise::NotRun)), "{status}");
+        expect_that!(
+            found(&record(vec![refused], Vec::new())),
+            not(contains(eq(&Promise::NotRun)))
+        );
+    }
+}
+
+#[gtest]
+fn verify_wrong_answers_are_noticed() {
+    let whole = call("a", Kind::Chat).body;
+    let wrong = [
+        whole.replace("piece 3 of a", "piece 3 of b"),
+        whole.replacen("id: 3\ndata: piece 3 of a\n\n", "", 1),
+        whole.replacen("id: 3\n", "id: 3\ndata: piece 3 of a\n\nid: 3\n", 1),
+        whole.replacen("id: 8\ndata: piece 8 of a\n\n", "", 1),
+        String::new(),
+    ];
+    for body in wrong {
+        let answer = Call {
+            body,
+            ..call("a", Kind::Chat)
+        };
+        let record = record(vec![answer], vec![note("a", 10_010)]);
+        expect_that!(found(&record), contains(eq(&Promise::Own)));
+    }
+    let other = Call {
+        body: "done b".to_owned(),
+        ..call("a", Kind::Once)
+    };
+    let record = record(vec![other], vec![note("a", 10_010)]);
+    expect_that!(found(&record), contains(eq(&Promise::Own)));
+}
+
+#[gtest]
+fn verify_a_broken_stream_must_be_a_beginning() {
+    let cut = |body: &str| Call {
+        whole: false,
+        gave_up: true,
+        body: body.to_owned(),
+        ..call("a", Kind::Talk)
+    };
+    let fine = cut("1a\r\nid: 1\ndata: piece 1 of a\n\n\r\nid: 2\nda");
+    expect_that!(
+        found(&record(vec![fine], vec![note("a", 10_010)])),
+        is_empty()
+    );
+    let gap = cut("id: 1\ndata: piece 1 of a\n\nid: 3\ndata: piece 3 of a\n\n");
+    let record = record(vec![gap], vec![note("a", 10_010)]);
+    expect_that!(found(&record), contains(eq(&Promise::Own)));
+}
+
+#[gtest]
+fn verify_a_cut_answer_is_noticed_unless_a_fault_explains_it() {
+    let cut = Call {
+        status: 0,
+        whole: false,
+        body: String::new(),
+        ..call("a", Kind::Once)
+    };
+    let mut record = record(vec![cut], vec![note("a", 10_010)]);
+    expect_that!(found(&record), contains(eq(&Promise::Uncut)));
+    for target in [Target::Router(0), Target::Replica(3)] {
+        record.spans = vec![Span {
+            target,
+            from: 9000,
+            to: 10_020,
+        }];
+        expect_that!(found(&record), not(contains(eq(&Promise::Uncut))));
+    }
+    record.spans = vec![Span {
+        target: Target::Router(1),
+        from: 9000,
+        to: 10_020,
+    }];
+    expect_that!(found(&record), contains(eq(&Promise::Uncut)));
+}
+
+#[gtest]
+fn verify_work_at_a_leaving_endpoint_is_noticed() {
+    let mut record = record(vec![call("a", Kind::Read)], vec![note("a", 10_010)]);
+    let leaving = |at| Leaving {
+        replica: "i-0-0".to_owned(),
+        at,
+    };
+    record.leaving = vec![leaving(9000)];
+    expect_that!(found(&record), is_empty());
+    record.leaving = vec![leaving(8000)];
+    expect_that!(found(&record), contains(eq(&Promise::Leaving)));
+    record.spans = vec![Span {
+        target: Target::Store,
+        from: 7000,
+        to: 7900,
+    }];
+    expect_that!(found(&record), is_empty());
+}
+
+#[gtest]
+fn verify_a_revoked_key_that_opens_is_noticed() {
+    let mut record = record(vec![call("a", Kind::Read)], vec![note("a", 10_010)]);
+    record.keys[0].revoked = Some(7000);
+    expect_that!(found(&record), contains(eq(&Promise::Revoked)));
+    record.keys[0].revoked = Some(8000);
+    expect_that!(found(&record), is_empty());
+}
+
+#[gtest]
+fn verify_a_step_back_is_noticed() {
+    let refused = Call {
+        status: 401,
+        sent: 9000,
+        ended: 9005,
+        ..call("a", Kind::Read)
+    };
+    let mut record = record(
+        vec![refused, call("b", Kind::Read)],
+        vec![note("b", 10_010)],
+    );
+    record.keys[0].revoked = Some(8900);
+    expect_that!(found(&record), contains(eq(&Promise::Forward)));
+    // Another process knows less.
+    record.calls[0].life = 2;
+    expect_that!(found(&record), is_empty());
+}
+
+#[gtest]
+fn verify_a_good_key_that_opens_nothing_is_noticed() {
+    let refused = Call {
+        status: 401,
+        ..call("a", Kind::Read)
+    };
+    let mut record = record(vec![refused], Vec::new());
+    record.keys[0].since = 8000;
+    expect_that!(found(&record), contains(eq(&Promise::InForce)));
+    record.keys[0].since = 9000;
+    expect_that!(found(&record), is_empty());
+}
+
+#[gtest]
+fn verify_too_many_retries_are_noticed() {
+    let ids: Vec<String> = (0..100).map(|n| format!("c{n}")).collect();
+    let calls: Vec<Call> = ids.iter().map(|id| call(id, Kind::Read)).collect();
+    let two = |id: &String| [note(id, 10_010), note(id, 10_020)];
+    let few = record(calls.clone(), ids[..50].iter().flat_map(two).collect());
+    expect_that!(found(&few), is_empty());
+    let many = record(calls, ids.iter().flat_map(two).collect());
+    expect_that!(found(&many), contains(eq(&Promise::Budget)));
+}
+
+#[gtest]
+fn verify_ends_and_what_stays_unserved_are_findings() {
+    let record = Record {
+        processes: vec!["one".to_owned()],
+        unrecovered: vec!["two".to_owned()],
+        ..record(Vec::new(), Vec::new())
+    };
+    expect_that!(
+        found(&record),
+        eq(&vec![Promise::Alive, Promise::Recovered])
+    );
+}
