Publish one configuration after the other in the soak; look closer at leaving and keys

The routers were right: a publish that overlapped a revocation in a suspended store was made of the keys from before and went out last.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -16,11 +16,7 @@
 };
 
 use snafu::ensure;
-use tokio::{
-    net::TcpSocket,
-    process::Command,
-    task::spawn_local, //
-};
+use tokio::{net::TcpSocket, process::Command, sync::Mutex, task::spawn_local};
 use toucanturn_platform::names::SETTINGS_VARIABLE;
 use toucanturn_platform_standin::{
     clock_ms, control,
@@ -28,7 +24,11 @@
         self,
         Shape, //
     },
-    replica, store,
+    replica::{
+        Act,
+        Order as Told, //
+    },
+    store,
 };
 use toucanturn_standin::link::Link;
 
@@ -69,6 +69,8 @@
 pub const RETRY_WINDOW_S: u64 = 10;
 /// Milliseconds that an endpoint works on a request.
 const WORK_MS: u64 = 30;
+/// What an endpoint does with a request.
+pub const USUAL: Act = Act::Serve { ms: WORK_MS };
 
 /// `Router` is a router behind its link to the store.
 pub struct Router {
@@ -118,7 +120,7 @@
     pub record: Rc<RefCell<Record>>,
     folder: PathBuf,
     store_control: SocketAddr,
-    version: RefCell<u64>,
+    version: Mutex<u64>,
 }
 
 fn held() -> Result<(SocketAddrV4, TcpSocket)> {
@@ -172,9 +174,9 @@
             record,
             folder: folder.to_owned(),
             store_control: ports.control,
-            version: RefCell::new(0),
+            version: Mutex::new(0),
         });
-        fleet.change_keys(&[0, 1]).await?;
+        fleet.publish(|_| vec![0, 1]).await?;
         for n in 0..size.replicas {
             fleet.enter(n, "ready").await?;
         }
@@ -236,18 +238,21 @@
         self.tell_store(&store::Order::Put { key, value }).await
     }
 
-    /// Publishes a configuration in which just these keys are good, by number; new ones are made.
+    /// Publishes a configuration, whose good keys `choose` picks by number from those that are good;
+    /// new ones are made. One goes out after the other: a slow store would else take an older choice
+    /// for the newer.
     ///
     /// # Errors
     ///
     /// The store does not obey.
-    pub async fn change_keys(&self, good: &[usize]) -> Result<()> {
-        *self.version.borrow_mut() += 1;
-        let version = *self.version.borrow();
+    pub async fn publish(&self, choose: impl FnOnce(Vec<usize>) -> Vec<usize>) -> Result<()> {
+        let mut version = self.version.lock().await;
+        *version += 1;
+        let good = choose(self.good_keys());
         let names: Vec<String> = good.iter().map(|n| key_name(*n)).collect();
         let names: Vec<&str> = names.iter().map(String::as_str).collect();
         let shape = Shape {
-            version,
+            version: *version,
             keys: &names,
             timeout_ms: ROUTE_MS,
             idle_ms: 5000,
@@ -256,6 +261,12 @@
         let key = document::CONFIG.to_owned();
         let before = clock_ms();
         self.tell_store(&store::Order::Put { key, value }).await?;
+        self.note_keys(&good, before);
+        Ok(())
+    }
+
+    /// Notes which keys are good from now on; new ones may be since `before`.
+    fn note_keys(&self, good: &[usize], before: u64) {
         let now = clock_ms();
         let mut record = self.record.borrow_mut();
         for (n, key) in record.keys.iter_mut().enumerate() {
@@ -269,7 +280,21 @@
                 revoked: None,
             });
         }
-        Ok(())
+    }
+
+    /// Takes the oldest good key away and gives a new one.
+    ///
+    /// # Errors
+    ///
+    /// The store does not obey.
+    pub async fn revoke(&self) -> Result<()> {
+        let next = || self.record.borrow().keys.len();
+        let choose = |mut good: Vec<usize>| {
+            good.remove(0);
+            good.push(next());
+            good
+        };
+        self.publish(choose).await
     }
 
     /// Lists the keys that are good now, by number.
@@ -295,7 +320,7 @@
     }
 
     /// Tells an endpoint an order. One that was just killed can't hear it, which changes nothing.
-    pub async fn tell_replica(&self, n: usize, order: &replica::Order) {
+    pub async fn tell_replica(&self, n: usize, order: &Told) {
         let control = self.replicas[n].borrow().control;
         control::order(control, order).await;
     }
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -226,11 +226,9 @@
     let mut found = Vec::new();
     for leaving in &record.leaving {
         let end = leaving.at + LEAVING_MS + SLACK;
-        let blind = |t| matches!(t, Target::Store | Target::Router(_));
         let late = |note: &&Note| {
             let new = note.replica == leaving.replica && note.what == What::Began;
-            let from = leaving.at.saturating_sub(FELT);
-            new && note.at_ms > end && !record.faulty(from, note.at_ms, blind)
+            new && note.at_ms > end && !excused(record, note, leaving.at)
         };
         let late = record.notes.iter().filter(late);
         found.extend(late.map(|note| {
@@ -244,6 +242,13 @@
     found
 }
 
+/// Tells whether a fault kept the router of a run from hearing what was published at `at`.
+fn excused(record: &Record, note: &Note, at: u64) -> bool {
+    let call = record.calls.iter().find(|call| call.id == note.id);
+    let router = call.map(|call| Target::Router(call.router));
+    record.faulty(at, note.at_ms, |t| t == Target::Store || Some(t) == router)
+}
+
 fn budget(record: &Record, runs: &Runs<'_>) -> Vec<String> {
     let window = RETRY_WINDOW_S * 1000;
     let mut repeats: Vec<u64> = Vec::new();
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -89,12 +89,14 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let record = LocalSet::new().block_on(&runtime, run(seed, size, folder.path()))?;
+    let steps = plan(seed, &size);
+    let played = run(&steps, seed, size, folder.path());
+    let record = LocalSet::new().block_on(&runtime, played)?;
     let findings = judge(&record);
     let served = record.calls.iter().filter(|c| c.status == 200 && c.whole);
     println!(
         "seed {seed}: {} faults, {} calls, {} served, {} runs noted, {} findings, {:.1} s",
-        plan(seed, &size).len(),
+        steps.len(),
         record.calls.len(),
         served.count(),
         record.notes.len(),
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -90,6 +90,10 @@
     Published,
     /// A key is taken away and another one given.
     KeyRevoked,
+    /// A key is taken away while the store turns all away, for longer than it may still open anything.
+    RevokedUnseen,
+    /// All endpoints fail all that they run.
+    AllFail,
 }
 
 /// `Step` is one fault at its time.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -48,14 +48,15 @@
     errors::Result,
     fleet::{
         Fleet,
+        REVOKE_MS,
         ROUTE_MS,
-        STOP_S, //
+        STOP_S,
+        USUAL, //
     },
     plan::{
         Fault,
         Size,
-        Step,
-        plan, //
+        Step, //
     },
     record::{
         Kind,
@@ -78,12 +79,12 @@
 /// Delay of a slow link.
 const SLOW: Duration = Duration::from_millis(60);
 
-/// Plays the plan of a seed; logs go to `folder`.
+/// Plays a plan; `seed` is that of the callers' choices, and logs go to `folder`.
 ///
 /// # Errors
 ///
 /// A program could not be started or did not obey.
-pub async fn run(seed: u64, size: Size, folder: &Path) -> Result<Record> {
+pub async fn run(steps: &[Step], seed: u64, size: Size, folder: &Path) -> Result<Record> {
     let fleet = Fleet::start(size, folder).await?;
     let began = Instant::now();
     while !all_ready(&fleet).await && began.elapsed() < RECOVERY {
@@ -96,7 +97,7 @@
         .collect();
     let origin = tokio::time::Instant::now();
     let mut faults = Vec::new();
-    for step in plan(seed, &size) {
+    for step in steps.iter().copied() {
         sleep_until(origin + Duration::from_millis(step.at)).await;
         let fleet = Rc::clone(&fleet);
         faults.push(spawn_local(async move { play(&fleet, step).await }));
@@ -209,13 +210,27 @@
             store_fault(fleet, step.fault, lasts).await?;
             fleet.note_span(Target::Store, from, AFTER);
         }
-        Fault::Published => fleet.change_keys(&fleet.good_keys()).await?,
-        Fault::KeyRevoked => {
-            let next = fleet.record.borrow().keys.len();
-            let mut good = fleet.good_keys();
-            good.remove(0);
-            good.push(next);
-            fleet.change_keys(&good).await?;
+        Fault::Published => fleet.publish(|good| good).await?,
+        Fault::KeyRevoked => fleet.revoke().await?,
+        Fault::RevokedUnseen => {
+            let from = clock_ms();
+            fleet.tell_store(&Order::Mode(Answers::Busy)).await?;
+            fleet.revoke().await?;
+            sleep(Duration::from_millis(REVOKE_MS + AFTER)).await;
+            fleet.tell_store(&Order::Mode(Answers::Sound)).await?;
+            fleet.note_span(Target::Store, from, AFTER);
+        }
+        Fault::AllFail => {
+            let from = clock_ms();
+            let usual = |act| replica::Order::Usual(act);
+            for n in 0..fleet.size.replicas {
+                fleet.tell_replica(n, &usual(Act::Fail)).await;
+            }
+            sleep(lasts).await;
+            for n in 0..fleet.size.replicas {
+                fleet.tell_replica(n, &usual(USUAL)).await;
+                fleet.note_span(Target::Replica(n), from, AFTER);
+            }
         }
         // Another fault has the process.
         _ => {}
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -195,7 +195,7 @@
     record.spans = vec![Span {
         target: Target::Store,
         from: 7000,
-        to: 7900,
+        to: 8100,
     }];
     expect_that!(found(&record), is_empty());
 }
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -10,7 +10,9 @@
         judge, //
     },
     plan::{
+        Fault,
         Size,
+        Step,
         plan, //
     },
     run::run,
@@ -24,13 +26,13 @@
     millis: 6000,
 };
 
-fn findings(seed: u64, size: Size) -> Vec<Finding> {
+fn findings(steps: &[Step], seed: u64) -> Vec<Finding> {
     let folder = tempfile::tempdir().expect("there is room");
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
     let runtime = runtime.expect("a runtime");
-    let played = LocalSet::new().block_on(&runtime, run(seed, size, folder.path()));
+    let played = LocalSet::new().block_on(&runtime, run(steps, seed, SHORT, folder.path()));
     let record = played.expect("the programs were built");
     assert!(record.calls.len() > 100, "callers were served");
     judge(&record)
@@ -39,10 +41,38 @@
 #[gtest]
 fn verify_promises_hold_under_the_faults_of_some_seeds() {
     for seed in [1, 2] {
-        expect_that!(findings(seed, SHORT), is_empty(), "seed {seed}");
+        expect_that!(
+            findings(&plan(seed, &SHORT), seed),
+            is_empty(),
+            "seed {seed}"
+        );
     }
 }
 
+/// Symptom: 129 runs by a key up to 11 s after it was taken away (seed 137 of the first plans).
+/// Sequence: a key is taken away while the store is suspended; another configuration is published
+/// before it goes on.
+/// Cause: the soak's own: the second one was made of the keys from before, went out last, and made the
+/// key good again, while the record had it as taken away. Publishes now wait for each other.
+#[gtest]
+fn verify_publishes_that_overlap_are_recorded_as_the_store_has_them() {
+    let step = |at, lasts, fault| Step {
+        at,
+        lasts,
+        fault,
+        router: 0,
+        replica: 0,
+        variant: 0,
+    };
+    let steps = [
+        step(500, 1000, Fault::StorePaused),
+        step(700, 100, Fault::KeyRevoked),
+        step(750, 100, Fault::Published),
+        step(5500, 100, Fault::RouterReloads),
+    ];
+    expect_that!(findings(&steps, 137), is_empty());
+}
+
 #[gtest]
 fn verify_a_seed_makes_one_plan() {
     for seed in 0..20 {
