--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -113,17 +113,40 @@
     pub variant: usize,
 }
 
-/// Makes the plan of a seed.
+impl Fault {
+    /// Tells whether it keeps a router from what is published. Such a fault excuses much of what comes
+    /// after it.
+    const fn blinds(self) -> bool {
+        use Fault::*;
+        matches!(
+            self,
+            StoreCut
+                | StoreAnswersLost
+                | StoreSilent
+                | StoreBusy
+                | StoreSlow
+                | StorePaused
+                | RevokedUnseen
+        )
+    }
+}
+
+/// Makes the plan of a seed. Those of even seeds leave the store alone: what is published must be in
+/// force in time then, whatever else fails.
 pub fn plan(seed: u64, size: &Size) -> Vec<Step> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut steps = Vec::new();
     let mut at = CALM;
     while at < CALM + size.millis {
         let fault = Fault::from_repr(rng.random_range(0..Fault::COUNT));
+        let fault = fault.unwrap_or(Fault::Published);
+        if fault.blinds() && seed % 2 == 0 {
+            continue;
+        }
         steps.push(Step {
             at,
             lasts: rng.random_range(100..LONGEST),
-            fault: fault.unwrap_or(Fault::Published),
+            fault,
             router: rng.random_range(0..size.routers.max(1)),
             replica: rng.random_range(0..size.replicas.max(1)),
             variant: rng.random_range(0..1000),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -363,7 +363,7 @@
     fleet.tell_store(&Order::Mode(Answers::Sound)).await
 }
 
-/// Gets acts that break the protocol: up to six of different kinds.
+/// Gets acts that break the protocol: up to all kinds, each once.
 fn odd_acts(variant: usize) -> Vec<Act> {
     let acts = [
         Act::OtherId,
@@ -379,7 +379,7 @@
         Act::Torn { to: 3 },
         Act::Stuck { to: 3 },
     ];
-    let count = 1 + variant / acts.len() % 6;
+    let count = 1 + variant % acts.len();
     let other = |n: usize| acts[(variant + n * STRIDE) % acts.len()].clone();
     (0..count).map(other).collect()
 }
