--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -140,7 +140,7 @@
     while at < CALM + size.millis {
         let fault = Fault::from_repr(rng.random_range(0..Fault::COUNT));
         let fault = fault.unwrap_or(Fault::Published);
-        if fault.blinds() && seed % 2 == 0 {
+        if fault.blinds() && seed.is_multiple_of(2) {
             continue;
         }
         steps.push(Step {
