--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -163,7 +163,8 @@
         return None;
     }
     // Whoever was killed, suspended or hidden behind a fault can't be asked for an answer.
-    let place = |t| t == Target::Router(call.router) || matches!(t, Target::Replica(_));
+    let own = [Target::Router(call.router), Target::Paused(call.router)];
+    let place = |t| own.contains(&t) || matches!(t, Target::Replica(_));
     if record.faulty(call.sent, call.ended, place) {
         return None;
     }
@@ -189,7 +190,7 @@
     let key = record.keys.get(call.key)?;
     let good = key.revoked.is_none_or(|at| call.ended < at);
     let due = call.sent > key.since + CONFIG_MS + SLACK;
-    let blind = |t| !matches!(t, Target::Replica(_));
+    let blind = |target: Target| target.blinds(Some(call.router));
     let excused = record.faulty(key.since.saturating_sub(FELT), call.sent, blind);
     let refused = call.status == 401 && good && due && !excused;
     refused.then(|| {
@@ -246,11 +247,7 @@
 fn excused(record: &Record, note: &Note, at: u64) -> bool {
     let call = record.calls.iter().find(|call| call.id == note.id);
     let router = call.map(|call| call.router);
-    record.faulty(at, note.at_ms, |target| match target {
-        Target::Store => true,
-        Target::Router(n) | Target::Link(n) => Some(n) == router,
-        Target::Replica(_) => false,
-    })
+    record.faulty(at, note.at_ms, |target| target.blinds(router))
 }
 
 fn budget(record: &Record, runs: &Runs<'_>) -> Vec<String> {
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -74,8 +74,10 @@
 /// `Target` is what a fault comes to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum Target {
-    /// A router's process.
+    /// A router's process, killed and started again: what it knows is new then.
     Router(usize),
+    /// A router's process, suspended: it may not have heard what was published.
+    Paused(usize),
     /// An endpoint or the link before it.
     Replica(usize),
     /// The store.
@@ -123,6 +125,17 @@
     pub unrecovered: Vec<String>,
 }
 
+impl Target {
+    /// Tells whether it keeps a router from hearing what is published; `None` for any router.
+    pub fn blinds(self, router: Option<usize>) -> bool {
+        match self {
+            Target::Store => true,
+            Target::Paused(n) | Target::Link(n) => router.is_none_or(|router| router == n),
+            Target::Router(_) | Target::Replica(_) => false,
+        }
+    }
+}
+
 impl Record {
     /// Tells whether a fault of some target overlaps a time.
     pub fn faulty(&self, from: u64, to: u64, of: impl Fn(Target) -> bool) -> bool {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -178,7 +178,7 @@
             signal(fleet, router, Signal::STOP);
             sleep(lasts).await;
             signal(fleet, router, Signal::CONT);
-            fleet.note_span(Target::Router(router), from, AFTER);
+            fleet.note_span(Target::Paused(router), from, AFTER);
             fleet.routers[router].borrow_mut().busy = false;
         }
         Fault::RouterReloads if take(fleet, router) => {
@@ -210,7 +210,8 @@
             link_fault(&link, step.fault, lasts).await;
             fleet.note_span(Target::Link(router), from, AFTER);
         }
-        Fault::StoreBusy | Fault::StoreSlow | Fault::StorePaused | Fault::StoreCompacts => {
+        Fault::StoreCompacts => fleet.tell_store(&Order::Compact).await?,
+        Fault::StoreBusy | Fault::StoreSlow | Fault::StorePaused => {
             let from = clock_ms();
             store_fault(fleet, step.fault, lasts).await?;
             fleet.note_span(Target::Store, from, AFTER);
@@ -347,7 +348,6 @@
 
 async fn store_fault(fleet: &Rc<Fleet>, fault: Fault, lasts: Duration) -> Result<()> {
     let mode = match fault {
-        Fault::StoreCompacts => return fleet.tell_store(&Order::Compact).await,
         Fault::StorePaused => {
             // Orders wait until it goes on: short enough for them.
             fleet.store.borrow().signal(Signal::STOP);
