Refuse from a stop's beginning what it would have to cut; count cut requests, not connections

Before: stopping::verify_a_stop_takes_nothing_that_it_would_have_to_cut and verify_a_connection_without_a_request_is_no_cut_request failed.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -128,6 +128,14 @@
     },
 }
 
+/// `End` is when a router that stops ends.
+#[derive(Clone, Copy, Debug)]
+struct End {
+    at: Time,
+    /// Longest limit of a route that counts: that of the whole stop, then any.
+    whole: Millis,
+}
+
 /// `Gateway` is one router.
 #[derive(Debug)]
 pub struct Gateway {
@@ -136,7 +144,7 @@
     registry: Registry,
     proof: Proof,
     budgets: IndexMap<Bytes, Budget>,
-    end: Option<Time>,
+    end: Option<End>,
     routers: u32,
     rng: StdRng,
 }
@@ -195,10 +203,20 @@
         self.proof.renew(sent);
     }
 
-    /// Notes that this router ends at `end`. From now on it takes no request that may last longer:
-    /// its answer would be cut, though a router that stays could have given it.
-    pub fn end_at(&mut self, end: Time) {
-        self.end = Some(end);
+    /// Notes that this router stops and ends at `end`. From now on it takes no request that may last
+    /// longer: its answer would be cut, though a router that stays could have given it. Routes whose
+    /// limit is longer than the whole stop are the exception until [`Gateway::close`], as callers
+    /// still come for some time and most answers take a small part of such a limit.
+    pub fn end_at(&mut self, now: Time, end: Time) {
+        let whole = end.since(now);
+        self.end = Some(End { at: end, whole });
+    }
+
+    /// Notes that callers go to other routers by now: nothing is taken that may be cut.
+    pub fn close(&mut self) {
+        if let Some(end) = &mut self.end {
+            end.whole = Millis(u64::MAX);
+        }
     }
 
     /// Follows what one read of the registry has changed.
@@ -265,7 +283,10 @@
         }
         let deadline = ask.deadline.map_or(now + route.limit, |left| now + left);
         let until = deadline.min(now + route.limit);
-        if self.end.is_some_and(|end| until > end) {
+        if self
+            .end
+            .is_some_and(|end| until > end.at && route.limit <= end.whole)
+        {
             return Err(Refusal::later(Cause::Stopping));
         }
         let draw = self.draw();
--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -38,12 +38,25 @@
 };
 
 /// `Pace` is how far a connection's requests are.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pace {
     /// Heads that came whole.
     heads: Cell<u64>,
     /// Requests whose answer has not ended.
     open: Cell<u32>,
+    /// The same of all connections.
+    all: Rc<Cell<usize>>,
+}
+
+impl Pace {
+    /// Makes that of a new connection; `all` counts the open requests of all.
+    pub(crate) fn new(all: &Rc<Cell<usize>>) -> Self {
+        Self {
+            heads: Cell::new(0),
+            open: Cell::new(0),
+            all: Rc::clone(all),
+        }
+    }
 }
 
 /// `Open` is a request from its whole head until its answer's end.
@@ -55,6 +68,7 @@
     pub(crate) fn new(pace: &Rc<Pace>) -> Self {
         pace.heads.set(pace.heads.get().wrapping_add(1));
         pace.open.set(pace.open.get() + 1);
+        pace.all.set(pace.all.get() + 1);
         Self(Rc::clone(pace))
     }
 }
@@ -62,6 +76,7 @@
 impl Drop for Open {
     fn drop(&mut self) {
         self.0.open.set(self.0.open.get() - 1);
+        self.0.all.set(self.0.all.get() - 1);
     }
 }
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -78,7 +78,7 @@
 /// How often a stopping process looks whether all connections have ended.
 const STOP_STEP: Duration = Duration::from_millis(50);
 
-/// Runs a gateway until a signal has stopped it; returns the connections that it cut.
+/// Runs a gateway until a signal has stopped it; returns the requests that it cut.
 ///
 /// `reload` reads the settings again: on SIGHUP, and now and then, as they may change without it.
 ///
@@ -212,22 +212,23 @@
 }
 
 /// Stops: not ready at once, then the last request on each connection, then the end; returns the
-/// connections that were cut.
+/// requests that were cut.
 pub async fn stop(state: &Shared, grace: Duration) -> usize {
     let began = Instant::now();
     let last = began + grace.saturating_sub(STOP_MARGIN);
     let open = state.connections.get();
     tracing::info!(event = 691, open, "stopping");
+    let left = last.saturating_duration_since(began);
+    let left = Millis(u64::try_from(left.as_millis()).unwrap_or(u64::MAX));
+    state.gateway.borrow_mut().end_at(now(), now() + left);
     state.phase.send_replace(Phase::Stopping);
     sleep_until(last.min(began + LAST_REQUESTS)).await;
-    let left = last.saturating_duration_since(Instant::now());
-    let left = Millis(u64::try_from(left.as_millis()).unwrap_or(u64::MAX));
-    state.gateway.borrow_mut().end_at(now() + left);
+    state.gateway.borrow_mut().close();
     state.phase.send_replace(Phase::Closing);
     while state.connections.get() > 0 && Instant::now() < last {
         sleep(STOP_STEP).await;
     }
-    let cut = state.connections.get();
+    let cut = state.requests.get();
     tracing::info!(event = 692, cut, "stopped");
     cut
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -99,7 +99,7 @@
         .header_read_timeout(Duration::from_millis(limits.idle.0))
         .max_header_size(limits.head.max(MIN_BUFFER));
     let shared = state.clone();
-    let pace = Rc::new(Pace::default());
+    let pace = Rc::new(Pace::new(&state.requests));
     let head_time = Duration::from_millis(limits.head_time.0);
     let stream = Paced::new(stream, &pace, head_time);
     let service = service_fn(move |request| {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -72,6 +72,8 @@
     pub phase: watch::Sender<Phase>,
     /// Open connections of callers.
     pub connections: Cell<usize>,
+    /// Requests whose answer has not ended.
+    pub requests: Rc<Cell<usize>>,
 }
 
 /// `Shared` is the state as tasks hold it.
@@ -93,6 +95,7 @@
             secrets: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
             connections: Cell::new(0),
+            requests: Rc::default(),
         })
     }
 
