--- a/crates/soak/src/errors.rs
+++ b/crates/soak/src/errors.rs
@@ -35,6 +35,12 @@
         /// The program.
         name: String,
     },
+    /// A part of the soak itself failed.
+    #[snafu(display("a part of the soak failed: {source}"))]
+    Task {
+        /// Why.
+        source: tokio::task::JoinError,
+    },
     /// A stand-in did not do as told.
     #[snafu(display("expected {name} to obey"))]
     Order {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,6 +10,7 @@
 };
 
 use rustix::process::Signal;
+use snafu::ResultExt;
 use tokio::{
     task::spawn_local,
     time::{
@@ -45,7 +46,10 @@
         call,
         one, //
     },
-    errors::Result,
+    errors::{
+        Result,
+        TaskSnafu, //
+    },
     fleet::{
         Fleet,
         REVOKE_MS,
@@ -108,14 +112,12 @@
         faults.push(spawn_local(async move { play(&fleet, step).await }));
     }
     for fault in faults {
-        if let Ok(played) = fault.await {
-            played?;
-        }
+        fault.await.context(TaskSnafu)??;
     }
     recover(&fleet, seed).await;
     street.over.set(true);
     for caller in callers {
-        let _ = caller.await;
+        caller.await.context(TaskSnafu)?;
     }
     balancer.abort();
     let stops: Vec<_> = (0..size.routers)
@@ -125,7 +127,7 @@
         })
         .collect();
     for stop in stops {
-        let _ = stop.await;
+        stop.await.context(TaskSnafu)?;
     }
     // What endpoints wrote last is still on its way.
     sleep(Duration::from_millis(200)).await;
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -26,13 +26,13 @@
     millis: 6000,
 };
 
-fn findings(steps: &[Step], seed: u64) -> Vec<Finding> {
+fn findings(steps: &[Step], seed: u64, size: Size) -> Vec<Finding> {
     let folder = tempfile::tempdir().expect("there is room");
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
     let runtime = runtime.expect("a runtime");
-    let played = LocalSet::new().block_on(&runtime, run(steps, seed, SHORT, folder.path()));
+    let played = LocalSet::new().block_on(&runtime, run(steps, seed, size, folder.path()));
     let record = played.expect("the programs were built");
     assert!(record.calls.len() > 100, "callers were served");
     judge(&record)
@@ -42,7 +42,7 @@
 fn verify_promises_hold_under_the_faults_of_some_seeds() {
     for seed in [1, 2] {
         expect_that!(
-            findings(&plan(seed, &SHORT), seed),
+            findings(&plan(seed, &SHORT), seed, SHORT),
             is_empty(),
             "seed {seed}"
         );
@@ -70,7 +70,18 @@
         step(750, 100, Fault::Published),
         step(5500, 100, Fault::RouterReloads),
     ];
-    expect_that!(findings(&steps, 137), is_empty());
+    expect_that!(findings(&steps, 137, SHORT), is_empty());
+}
+
+/// Symptom: routers ended with the code for cut requests. Sequences: those of the plans. Causes: a
+/// stop took what it could not finish (314); a connection without a request counted (323, 347).
+#[gtest]
+fn verify_seeds_that_failed_before_hold() {
+    for seed in [314, 323, 347] {
+        let size = Size::default();
+        let found = findings(&plan(seed, &size), seed, size);
+        expect_that!(found, is_empty(), "seed {seed}");
+    }
 }
 
 #[gtest]
