Find the least cost by one function; plainer names in the soak

What a newcomer stumbled over: the same search stood twice in placement, 'whole' said nothing of a limit, and the soak's callers shared a 'street'.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -133,7 +133,7 @@
 struct End {
     at: Time,
     /// Longest limit of a route that counts: that of the whole stop, then any.
-    whole: Millis,
+    covers: Millis,
 }
 
 /// `Gateway` is one router.
@@ -208,14 +208,14 @@
     /// limit is longer than the whole stop are the exception until [`Gateway::close`], as callers
     /// still come for some time and most answers take a small part of such a limit.
     pub fn end_at(&mut self, now: Time, end: Time) {
-        let whole = end.since(now);
-        self.end = Some(End { at: end, whole });
+        let covers = end.since(now);
+        self.end = Some(End { at: end, covers });
     }
 
     /// Notes that callers go to other routers by now: nothing is taken that may be cut.
     pub fn close(&mut self) {
         if let Some(end) = &mut self.end {
-            end.whole = Millis(u64::MAX);
+            end.covers = Millis(u64::MAX);
         }
     }
 
@@ -285,7 +285,7 @@
         let until = deadline.min(now + route.limit);
         if self
             .end
-            .is_some_and(|end| until > end.at && route.limit <= end.whole)
+            .is_some_and(|end| until > end.at && route.limit <= end.covers)
         {
             return Err(Refusal::later(Cause::Stopping));
         }
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -3,7 +3,8 @@
 //! A prompt goes to the endpoint that rendezvous hashing gives its last shared part, as long as
 //! that carries less than its limit, else to the next in that order: the same few endpoints then
 //! hold the part, whichever router the request came by, without a word between routers. Other
-//! requests go where the fewest are in progress, to a random one among equals.
+//! requests go where the fewest are in progress; where no endpoint states its load, to the one whose
+//! newest answers came soonest, as the own requests of one of many routers say nothing then.
 
 use crate::{
     arena::EndpointKey,
@@ -151,7 +152,7 @@
         .position(|(_, e)| cost(scene, e) < limit(scene, e, mean));
     let rank = match below {
         Some(rank) => rank,
-        None => least(scene, &open)?,
+        None => least(scene, &open, cost)?,
     };
     placed(scene, &open, rank, mean)
 }
@@ -159,23 +160,13 @@
 fn by_load(scene: &Scene<'_>, open: &[(EndpointKey, &Endpoint)], mean: f32) -> Option<Placed> {
     let stated = open.iter().any(|(_, e)| e.age(scene.now).is_some());
     let rank = if stated {
-        least(scene, open)?
+        least(scene, open, cost)?
     } else {
-        sooner(scene, open)?
+        least(scene, open, time)?
     };
     placed(scene, open, rank, mean)
 }
 
-/// Finds the endpoint that answers soonest, as far as its newest answers tell; a random one among
-/// equals.
-fn sooner(scene: &Scene<'_>, open: &[(EndpointKey, &Endpoint)]) -> Option<usize> {
-    let ranked = open.iter().enumerate().min_by(|(_, (_, a)), (_, (_, b))| {
-        let order = time(scene, a).total_cmp(&time(scene, b));
-        order.then_with(|| score(scene.draw, a.seed).cmp(&score(scene.draw, b.seed)))
-    });
-    ranked.map(|(rank, _)| rank)
-}
-
 /// Estimates the time until an endpoint answers.
 #[expect(clippy::cast_precision_loss, reason = "loads are small numbers")]
 fn time(scene: &Scene<'_>, endpoint: &Endpoint) -> f32 {
@@ -184,7 +175,11 @@
 }
 
 /// Finds the endpoint with the least cost, a random one among equals.
-fn least(scene: &Scene<'_>, open: &[(EndpointKey, &Endpoint)]) -> Option<usize> {
+fn least(
+    scene: &Scene<'_>,
+    open: &[(EndpointKey, &Endpoint)],
+    cost: impl Fn(&Scene<'_>, &Endpoint) -> f32,
+) -> Option<usize> {
     let ranked = open.iter().enumerate().min_by(|(_, (_, a)), (_, (_, b))| {
         let order = cost(scene, a).total_cmp(&cost(scene, b));
         order.then_with(|| score(scene.draw, a.seed).cmp(&score(scene.draw, b.seed)))
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -49,18 +49,18 @@
 /// Most requests of one connection.
 const KEPT: u32 = 12;
 
-/// `Street` is what callers know: where routers are, and whether the run goes on.
+/// `Shared` is what callers and balancer share.
 #[derive(Default)]
-pub struct Street {
+pub struct Shared {
     /// Routers in rotation: number, process and address.
     pub rotation: RefCell<Vec<(usize, u32, SocketAddr)>>,
-    /// Whether the callers go home.
+    /// Whether the callers end.
     pub over: Cell<bool>,
 }
 
 /// Asks routers whether they take callers, until the run is over. Where none does, all are used.
-pub async fn balance(fleet: Rc<Fleet>, street: Rc<Street>) {
-    while !street.over.get() {
+pub async fn balance(fleet: Rc<Fleet>, shared: Rc<Shared>) {
+    while !shared.over.get() {
         let mut rotation = Vec::new();
         let mut all = Vec::new();
         for (n, router) in fleet.routers.iter().enumerate() {
@@ -73,18 +73,18 @@
                 rotation.push((n, life, callers));
             }
         }
-        *street.rotation.borrow_mut() = if rotation.is_empty() { all } else { rotation };
+        *shared.rotation.borrow_mut() = if rotation.is_empty() { all } else { rotation };
         sleep(LOOK).await;
     }
 }
 
 /// Makes calls one after the other, on connections that are kept until they end.
-pub async fn call(fleet: Rc<Fleet>, street: Rc<Street>, number: usize, seed: u64) {
+pub async fn call(fleet: Rc<Fleet>, shared: Rc<Shared>, number: usize, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed ^ number as u64);
     let mut count = 0;
-    while !street.over.get() {
+    while !shared.over.get() {
         let place = {
-            let rotation = street.rotation.borrow();
+            let rotation = shared.rotation.borrow();
             let pick = rng.random_range(0..rotation.len().max(1));
             rotation.get(pick).copied()
         };
@@ -105,7 +105,7 @@
             let id = format!("c{number}-{count}");
             let place = (router, life);
             let call = one(&mut caller, place, kind, key, id).await;
-            let goes_on = call.whole && !street.over.get();
+            let goes_on = call.whole && !shared.over.get();
             fleet.record.borrow_mut().calls.push(call);
             sleep(Duration::from_millis(rng.random_range(0..60))).await;
             if !goes_on {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -41,7 +41,7 @@
 
 use crate::{
     caller::{
-        Street,
+        Shared,
         balance,
         call,
         one, //
@@ -99,10 +99,10 @@
     while !all_ready(&fleet).await && began.elapsed() < RECOVERY {
         sleep(Duration::from_millis(50)).await;
     }
-    let street = Rc::new(Street::default());
-    let balancer = spawn_local(balance(Rc::clone(&fleet), Rc::clone(&street)));
+    let shared = Rc::new(Shared::default());
+    let balancer = spawn_local(balance(Rc::clone(&fleet), Rc::clone(&shared)));
     let callers: Vec<_> = (0..size.callers)
-        .map(|n| spawn_local(call(Rc::clone(&fleet), Rc::clone(&street), n, seed)))
+        .map(|n| spawn_local(call(Rc::clone(&fleet), Rc::clone(&shared), n, seed)))
         .collect();
     let origin = tokio::time::Instant::now();
     let mut faults = Vec::new();
@@ -115,7 +115,7 @@
         fault.await.context(TaskSnafu)??;
     }
     recover(&fleet, seed).await;
-    street.over.set(true);
+    shared.over.set(true);
     for caller in callers {
         caller.await.context(TaskSnafu)?;
     }
