Tell copies of the registry what went before they were made

Cause: all routers start at once after a kill. Eight read everything at 34.59 s, one endpoint's entry goes at 34.607 s, the others read everything after that. A router of the first eight asks one of the others what has changed since its revision: that one never knew the endpoint, remembered no removal, and took its memory to reach back to revision 0. The same for what comes and goes between two whole reads, for a removal that pages had missed already, and for what came by a chain of copies.

Ruled out: a stale proof (ages at placement at most 2.1 s outside the outage), the grace for lapsed entries (none lapsed), a lost watch (the reader's own read told of the entry at once).

Conclusion: a copy now knows the spans in which it can't tell all removals, and gives one who asks from within such a span everything.

--- a/crates/core/src/gateway/mirror.rs
+++ b/crates/core/src/gateway/mirror.rs
@@ -4,6 +4,8 @@
 //! and the others ask that one for what has changed, and how old it is. The copy holds records as
 //! they were published, without their meaning.
 
+use std::collections::VecDeque;
+
 use bytes::Bytes;
 use indexmap::IndexMap;
 
@@ -11,6 +13,9 @@
 
 /// Removals that are remembered; one who asks for older ones gets everything.
 const MAX_REMOVED: usize = 1024;
+/// Spans that are remembered of which a copy can't tell all removals; one who asks from before the
+/// oldest of more gets everything.
+const MAX_BLIND: usize = 64;
 
 /// `Record` is one published item.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,13 +51,29 @@
 ///
 /// # Invariants
 ///
-/// No record is newer than `revision`. Every removal after `horizon` is remembered.
+/// Every removal after `horizon` is remembered, but for records that came and went within a span of
+/// `blind`. Spans are in order and don't overlap.
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
     revision: Revision,
     horizon: Revision,
     records: IndexMap<Bytes, (Revision, Bytes)>,
     removed: IndexMap<Bytes, Revision>,
+    blind: VecDeque<Blind>,
+}
+
+/// `Blind` is a span of revisions that was passed in one step: what came and went between its ends
+/// was never seen here. One whose copy is of a revision between them may hold such a record.
+#[derive(Clone, Copy, Debug)]
+struct Blind {
+    after: Revision,
+    before: Revision,
+}
+
+impl Blind {
+    fn holds(&self, revision: Revision) -> bool {
+        self.after < revision && revision < self.before
+    }
 }
 
 impl Mirror {
@@ -61,12 +82,49 @@
         self.revision
     }
 
-    /// Takes a delta in; returns the records that it changes. One that is older than the copy
-    /// changes nothing: a whole read may overtake another.
+    /// Takes a read of the registry in; returns the records that it changes. One that is older than
+    /// the copy changes nothing: a whole read may overtake another.
     pub fn apply(&mut self, delta: Delta) -> Vec<Record> {
         if delta.revision < self.revision {
             return Vec::new();
         }
+        if delta.whole {
+            self.pass(delta.revision);
+        }
+        self.take(delta)
+    }
+
+    /// Takes a peer's delta in, as [`Mirror::apply`] does. The peer may not know what came and went.
+    pub fn copy(&mut self, delta: Delta) -> Vec<Record> {
+        if delta.revision < self.revision {
+            return Vec::new();
+        }
+        self.pass(delta.revision);
+        self.take(delta)
+    }
+
+    /// Notes that the copy goes to `revision` in one step.
+    ///
+    /// Without this, routers that had started a moment earlier than the peer that they copied from
+    /// were never told of an endpoint that was removed between the two first reads, and sent it
+    /// requests until it was gone, under a fresh proof of age: up to 4.2 s after its removal.
+    fn pass(&mut self, revision: Revision) {
+        let span = Blind {
+            after: self.revision,
+            before: revision,
+        };
+        if span.after.0.saturating_add(1) >= span.before.0 {
+            return;
+        }
+        self.blind.push_back(span);
+        if self.blind.len() > MAX_BLIND
+            && let Some(oldest) = self.blind.pop_front()
+        {
+            self.horizon = self.horizon.max(oldest.before);
+        }
+    }
+
+    fn take(&mut self, delta: Delta) -> Vec<Record> {
         let mut changed = Vec::new();
         if delta.whole {
             let kept: indexmap::IndexSet<&Bytes> = delta.records.iter().map(|r| &r.key).collect();
@@ -88,7 +146,9 @@
 
     /// Gets what has changed since `revision`.
     pub fn since(&self, revision: Revision) -> Delta {
-        let whole = revision < self.horizon || revision > self.revision || revision == Revision(0);
+        let blind = self.blind.iter().any(|span| span.holds(revision));
+        let outside = revision < self.horizon || revision > self.revision;
+        let whole = blind || outside || revision == Revision(0);
         let newer = |at: Revision| whole || at > revision;
         let records = self.records.iter().filter(|(_, (at, _))| newer(*at));
         let records = records.map(|(key, (at, value))| Record {
@@ -123,21 +183,28 @@
         });
     }
 
+    /// Takes a record out. The removal is remembered also where the record is not known: pages of a
+    /// whole read may have missed it already, and one whose copy is of that time has it.
     fn remove(&mut self, key: Bytes, at: Revision, changed: &mut Vec<Record>) {
-        let older = self.records.get(&key).is_some_and(|(held, _)| *held < at);
-        if !older || self.records.swap_remove(&key).is_none() {
+        let held = self.records.get(&key).map(|(held, _)| *held);
+        let told = self.removed.get(&key).is_some_and(|told| *told >= at);
+        if told || held.is_some_and(|held| held >= at) {
             return;
         }
+        self.records.swap_remove(&key);
+        self.removed.shift_remove(&key);
         self.removed.insert(key.clone(), at);
         if self.removed.len() > MAX_REMOVED
             && let Some((_, oldest)) = self.removed.shift_remove_index(0)
         {
             self.horizon = self.horizon.max(oldest);
         }
-        changed.push(Record {
-            key,
-            value: None,
-            revision: at,
-        });
+        if held.is_some() {
+            changed.push(Record {
+                key,
+                value: None,
+                revision: at,
+            });
+        }
     }
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -18,6 +18,7 @@
         Change, News,
         mirror::{
             Delta,
+            Mirror,
             Record, //
         },
     },
@@ -131,7 +132,7 @@
                 failures = 0;
                 state.reads.set(true);
                 state.metrics.count("registry", "read");
-                apply(&state, sent, delta, &reader);
+                apply(&state, sent, delta, (Mirror::apply, &reader));
                 let spent = Duration::from_millis(now().since(sent).0);
                 sleep(pace.saturating_sub(spent)).await;
             }
@@ -167,7 +168,7 @@
     let (why, avoid) = match peers::ask(state, link).await {
         Ok((read, delta)) => {
             state.metrics.count("registry", "copied");
-            apply(state, read, delta, reader);
+            apply(state, read, delta, (Mirror::copy, reader));
             let age = now().since(read);
             if age < stale {
                 return true;
@@ -198,7 +199,10 @@
     false
 }
 
-fn apply(state: &Shared, read: Time, delta: Delta, reader: &Reader) {
+/// How a delta is taken into the copy.
+type Take = fn(&mut Mirror, Delta) -> Vec<Record>;
+
+fn apply(state: &Shared, read: Time, delta: Delta, (take, reader): (Take, &Reader)) {
     let revision = delta.revision;
     if revision < state.mirror.borrow().revision() {
         tracing::debug!(
@@ -208,7 +212,7 @@
         return;
     }
     state.gateway.borrow_mut().proved(now(), read);
-    let records = state.mirror.borrow_mut().apply(delta);
+    let records = take(&mut state.mirror.borrow_mut(), delta);
     let mut changes = Vec::new();
     for record in &records {
         match (reader.change)(record) {
