Let the edge tests' lease outlast a stall of the test process

Cause: a home's lease in these tests held for 400 ms. When the process stands still for longer between the making of a key and its use, the lease lapses, the home begins a new tenure, and refuses the key with key_expired, as another home could have run it: what the router must do. The test took it that nothing stands still.

Ruled out: load alone (6 runs of the file beside 10 busy processes, none failed), random stops of 16 processes (none), a stop that ends before the next tick (none of 3).

No check is changed; the failing one now prints the answer.

--- a/crates/router/tests/edge/keys.rs
+++ b/crates/router/tests/edge/keys.rs
@@ -135,7 +135,7 @@
     rig.wait_for_keys().await;
     let key = new_key();
     let first = rig.order(MAIN, &key, "{}").await;
-    expect_that!(first.header("x-outcome"), some(eq("done")));
+    expect_that!(first.header("x-outcome"), some(eq("done")), "{first:?}");
     let bearer = format!("Bearer {MAIN}");
     let headers = [
         ("authorization", bearer.as_str()),
--- a/crates/router/tests/edge/rig.rs
+++ b/crates/router/tests/edge/rig.rs
@@ -302,9 +302,14 @@
     Settings::try_from(settings.to_string().as_bytes()).expect("the settings are valid")
 }
 
+/// Time for which a router's lease holds, in milliseconds. A test process that stands still for longer
+/// between the making of a key and its use has it refused, rightly, as one that may have run: with
+/// 400 ms, 1 of 60 processes that were stopped for 500 ms just then, and one run of CI.
+const LEASE_MS: u32 = 5000;
+
 fn document(callers: SocketAddr, peers: SocketAddr, engine: &Handle, service: &Handle) -> Value {
     json!({
-        "policy": {"data_centers": {DATA_CENTER: "be-north"}, "lease_ms": 400,
+        "policy": {"data_centers": {DATA_CENTER: "be-north"}, "lease_ms": LEASE_MS,
             "clock_skew_ms": 10, "poll_interval_ms": 50},
         "fleet": {"router-0": {"address": callers.to_string(),
             "peer_address": peers.to_string(), "data_center": DATA_CENTER}},
