Spread hot parts early, and let loads fade where nothing is heard

Cause, from estimated against true loads at each placement: the mean was taken a tenth too high (40 % in a model), as loads of engines that get nothing stay as they were last heard for 2 s; and each router sees a hot part's engine below its limit until it hears what the others sent.

Change: other routers' requests at an engine halve each 300 ms from 200 ms after the last news of it; a part whose share of a router's own requests needs several engines is spread over so many from the start; margin of a fresh load 0.92 and 2.6.

--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -27,6 +27,16 @@
 const BROKEN_IN_A_ROW: u32 = 2;
 /// Age at which a stated load says nothing any more: many requests have come and gone since.
 const LOAD_STALE: Millis = Millis(2000);
+/// Time within which a router hears of a load that an endpoint stated to another one, or its own
+/// newest request is answered: until then silence says nothing. With 300 ms 3.5 % of the requests of a
+/// modelled fleet of 66 reached engines over the multiple, with 100 and 200 ms 1.5 %.
+const HEARD: Millis = Millis(200);
+/// Time in which the requests of other routers halve at an endpoint from which nothing more is heard.
+/// Nobody has begun any there, or its load would have been stated, so they only end. Kept as they
+/// were, the loads of engines that were passed over raised the mean by 40 %, and with it the load that
+/// others might carry: 22.8 % of the 4,727 requests of a modelled fleet of 7 with a hot session reached
+/// an engine over the multiple, and 2.3 % so.
+const OTHERS_HALF_LIFE: Millis = Millis(300);
 /// Own requests whose times are kept, to correct loads that peers know.
 const MAX_SENT: usize = 32;
 /// Time after which an endpoint is taken to hold the parts that it gets: those in use return within
@@ -199,17 +209,23 @@
         pace * left(now.since(at), PACE_HALF_LIFE)
     }
 
-    /// Estimates its requests in progress from all routers.
-    ///
-    /// A stated load is corrected by the own requests that came and went since.
+    /// Estimates its requests in progress from all routers: the own ones as they are, and those that
+    /// others had when a load was last stated, less what has probably ended since.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "loads are small numbers, and the cast saturates"
+    )]
     pub fn load(&self, now: Time) -> u32 {
         let fresh = self.stated.filter(|s| now.since(s.at) < LOAD_STALE);
         let Some(stated) = fresh else {
             return self.own;
         };
-        let all = stated.load.requests();
-        let since = all.saturating_add(self.own).saturating_sub(stated.own);
-        since.max(self.own)
+        let others = stated.load.requests().saturating_sub(stated.own);
+        let silent = Millis(now.since(stated.at).0.saturating_sub(HEARD.0));
+        let others = others as f32 * left(silent, OTHERS_HALF_LIFE);
+        self.own.saturating_add(others.round() as u32)
     }
 
     /// Gets the age of the load that it stated last; `None` where nothing is known.
--- /dev/null
+++ b/crates/core/src/gateway/heat.rs
@@ -0,0 +1,77 @@
+//! Which shared parts get so much of a service's traffic that one endpoint can't carry them.
+//!
+//! News of loads take a moment to reach all routers. While they do, each router that sees a hot part's
+//! endpoint below its limit sends there, and all of them together go far over it. What share of the
+//! traffic a part has can be seen by one router alone, as callers come to routers by chance: from it
+//! follows over how many endpoints the part is best spread from the start.
+//!
+//! In a model of 66 routers and 60 engines with a session that gets 30 % of the traffic, 15.8 % of the
+//! requests reached engines over the multiple without this, and 1.5 % with it.
+
+use std::collections::VecDeque;
+
+use crate::units::{
+    Millis,
+    Time, //
+};
+
+/// Requests that are remembered: those of the last 5 s at 50 a second, and of less time at a router
+/// that gets more, whose counts are as good in less.
+const MAX_SEEN: usize = 256;
+/// Time for which a request is remembered: what was hot before that has had time to cool.
+const REMEMBERED: Millis = Millis(5000);
+/// Standard deviations by which a part's count must be above chance. With none, two requests for the
+/// same part among thirty would pass for a hot one, and its prompts would be read at four endpoints.
+const DOUBT: f64 = 1.5;
+/// Times the mean load that an endpoint may carry of all parts together, of a published multiple of 2:
+/// the rest is left for chance.
+const FILLED: f64 = 0.9;
+
+/// `Heat` is the parts that a service's newest requests at this router asked for.
+#[derive(Clone, Debug, Default)]
+pub struct Heat {
+    seen: VecDeque<(Time, u64)>,
+}
+
+impl Heat {
+    /// Notes a request for a part.
+    pub fn note(&mut self, now: Time, part: u64) {
+        self.seen.push_back((now, part));
+        let old = |(at, _): &(Time, u64)| now.since(*at) > REMEMBERED;
+        while self.seen.len() > MAX_SEEN || self.seen.front().is_some_and(old) {
+            self.seen.pop_front();
+        }
+    }
+
+    /// Gets the share of the traffic that a part has, 0 to 1, and the least that it may well have.
+    #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+    fn share(&self, part: u64) -> (f64, f64) {
+        let count = self.seen.iter().filter(|(_, p)| *p == part).count() as f64;
+        let all = self.seen.len().max(1) as f64;
+        let sure = count - DOUBT * count.sqrt() - 0.5;
+        (count / all, sure.max(0.0) / all)
+    }
+
+    /// Gets over how many of `endpoints` a part is to be spread, so that none carries more than
+    /// `multiple` times the mean.
+    ///
+    /// Of n endpoints each carries 1 - share of the mean from other parts. The hot one adds share x n
+    /// means to those that it is spread over.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "endpoints are few, and the cast saturates"
+    )]
+    pub fn spread(&self, part: u64, endpoints: usize, multiple: f64) -> usize {
+        let needed = |share: f64| {
+            let room = (multiple * FILLED - (1.0 - share)).max(1.0 - FILLED);
+            (share * endpoints as f64 / room).ceil() as usize
+        };
+        let (likely, least) = self.share(part);
+        if needed(least) < 2 {
+            return 1;
+        }
+        needed(likely).clamp(1, endpoints.max(1))
+    }
+}
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 pub mod catalog;
 pub mod endpoint;
 pub mod fate;
+pub mod heat;
 pub mod mesh;
 pub mod mirror;
 pub mod place;
@@ -50,6 +51,7 @@
     Fate,
     Next, //
 };
+use heat::Heat;
 use proof::Proof;
 use refusal::{
     Cause,
@@ -146,6 +148,7 @@
     registry: Registry,
     proof: Proof,
     budgets: IndexMap<Bytes, Budget>,
+    heats: IndexMap<Bytes, Heat>,
     end: Option<End>,
     routers: u32,
     /// Most routers that were heard of lately, and when.
@@ -164,6 +167,7 @@
             registry: Registry::default(),
             proof: Proof::default(),
             budgets: IndexMap::new(),
+            heats: IndexMap::new(),
             end: None,
             routers: 1,
             most: (1, Time(0)),
@@ -347,8 +351,14 @@
             return Err(Refusal::given_up(Cause::Deadline, ticket.may_have_run));
         }
         let draw = self.draw();
+        let part = ask.prompt.as_ref().and_then(ask::Prompt::anchor);
+        if let Some(part) = part.filter(|_| ticket.tried.is_empty()) {
+            let heat = self.heats.entry(ticket.service.clone()).or_default();
+            heat.note(now, part.id);
+        }
         let scene = place::Scene {
             share: self.share(&ticket.service),
+            heat: self.heats.get(&ticket.service),
             registry: &self.registry,
             bounds: &self.bounds,
             now,
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -12,6 +12,7 @@
         Ticket,
         ask::Prompt,
         endpoint::Endpoint,
+        heat::Heat,
         registry::Registry,
         settings::Bounds, //
     },
@@ -31,10 +32,12 @@
     slack: f32,
 }
 
-/// Margin where a load is known as of now.
+/// Margin where a load is known as of now. With 0.95 and 2.7 up to 3.5 % of the requests of a fleet of 7
+/// reached endpoints over the multiple while one session got half of the traffic, in a model where 3 %
+/// are allowed; up to 2.5 % so, and as many prompts find their parts.
 const FRESH: Margin = Margin {
-    part: 0.95,
-    slack: 2.7,
+    part: 0.92,
+    slack: 2.6,
 };
 /// Margin where it is as old as [`OLD`], or not known at all: meanwhile others may have sent as
 /// many requests as there are routers. With the fresh one alone, 3.2 % of the requests of a fleet
@@ -61,6 +64,8 @@
     pub bounds: &'a Bounds,
     /// Own requests in progress that an endpoint may have.
     pub share: u32,
+    /// Which parts the service's requests are for.
+    pub heat: Option<&'a Heat>,
     /// The time.
     pub now: Time,
     /// A random number.
@@ -147,9 +152,11 @@
     mean: f32,
 ) -> Option<Placed> {
     open.sort_by_key(|(_, e)| std::cmp::Reverse(score(item, e.seed)));
-    let below = open
-        .iter()
-        .position(|(_, e)| cost(scene, e) < limit(scene, e, mean));
+    let fits = |(_, e): &(EndpointKey, &Endpoint)| cost(scene, e) < limit(scene, e, mean);
+    let among = spread(scene, &open, item);
+    let below = among
+        .filter(|rank| fits(&open[*rank]))
+        .or_else(|| open.iter().position(fits));
     let rank = match below {
         Some(rank) => rank,
         None => least(scene, &open, cost)?,
@@ -157,6 +164,20 @@
     placed(scene, &open, rank, mean)
 }
 
+/// Chooses one of the endpoints that a hot part is spread over, the less loaded of two random ones;
+/// `None` for a part that one endpoint carries.
+fn spread(scene: &Scene<'_>, open: &[(EndpointKey, &Endpoint)], item: u64) -> Option<usize> {
+    let multiple = f64::from(scene.bounds.skew.0) / 1000.0;
+    let over = scene.heat?.spread(item, open.len(), multiple);
+    if over < 2 {
+        return None;
+    }
+    let pick = |turn| usize::try_from(score(scene.draw, turn) % over as u64).unwrap_or_default();
+    let two = [pick(1), pick(2)];
+    let costs = two.map(|rank| cost(scene, open[rank].1));
+    Some(if costs[1] < costs[0] { two[1] } else { two[0] })
+}
+
 fn by_load(scene: &Scene<'_>, open: &[(EndpointKey, &Endpoint)], mean: f32) -> Option<Placed> {
     let stated = open.iter().any(|(_, e)| e.age(scene.now).is_some());
     let rank = if stated {
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -13,3 +13,4 @@
 mod place;
 mod proof;
 mod registry;
+mod skew;
