Ask another reader before the registry while what is known is fresh

Cause: a router whose peer's copy won't do read the registry itself at once, though what it knew was a fraction of a second old, and though others that it heard of read. In outages for some routers, and after a start of all, most calls came from that (calls counted by path in a scratch build).

Change: no own read while the proof is younger than half the time between reads; where none of the first readers of a data centre reads, the next that says it does is asked.

--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -197,20 +197,25 @@
     /// first ones by rendezvous hashing, which all agree on that know the same routers. If they
     /// don't, one reads too many or nobody is found, and that one reads itself.
     pub fn reads(&self, now: Time) -> bool {
-        let readers = self.readers(now);
-        readers.contains(&self.me.address)
+        let near = self.near(now);
+        readers(&near).iter().any(|r| r.address == self.me.address)
     }
 
     /// Gets the router to ask for the registry's state; `None` where this one must read itself.
+    ///
+    /// After a start of many, some know a reader that others have not heard of yet. Where none of those
+    /// that should read does, any other that does is asked before the registry is.
     pub fn upstream(&self, now: Time, draw: u64) -> Option<SocketAddrV4> {
-        let readers = self.readers(now);
-        if readers.contains(&self.me.address) {
+        let near = self.near(now);
+        let readers = readers(&near);
+        if readers.iter().any(|r| r.address == self.me.address) {
             return None;
         }
-        let usable = |a: &&SocketAddrV4| self.peers.get(*a).is_some_and(|p| p.rumor.reads);
-        let open: Vec<&SocketAddrV4> = readers.iter().filter(usable).collect();
-        let pick = draw.checked_rem(open.len() as u64)?;
-        open.get(usize::try_from(pick).ok()?).map(|a| **a)
+        let open: Vec<&&Rumor> = readers.iter().filter(|r| r.reads).collect();
+        match draw.checked_rem(open.len() as u64) {
+            Some(pick) => open.get(usize::try_from(pick).ok()?).map(|r| r.address),
+            None => near.iter().find(|r| r.reads).map(|r| r.address),
+        }
     }
 
     /// Notes that a router did not answer, or with what is too old. Until then another one of the
@@ -221,7 +226,9 @@
         }
     }
 
-    fn readers(&self, now: Time) -> Vec<SocketAddrV4> {
+    /// Lists the routers of this data centre that are heard of and not avoided, this one among them, in
+    /// the order in which they read.
+    fn near(&self, now: Time) -> Vec<&Rumor> {
         let near = self.me.data_center;
         let local = self.live(now).chain([&self.me]);
         let avoided = |r: &Rumor| {
@@ -231,8 +238,7 @@
         let local = local.filter(|r| r.data_center == near && !avoided(r));
         let mut local: Vec<&Rumor> = local.collect();
         local.sort_by_key(|r| score(u64::from(near), tag(r.address)));
-        let count = local.len().div_ceil(ROUTERS_PER_READER);
-        local.iter().take(count).map(|r| r.address).collect()
+        local
     }
 
     fn note(&mut self, now: Time, rumor: Rumor) -> bool {
@@ -271,6 +277,12 @@
     }
 }
 
+/// Gets those of a data centre's routers, in their order, that read the registry.
+fn readers<'a, 'b>(near: &'a [&'b Rumor]) -> &'a [&'b Rumor] {
+    let count = near.len().div_ceil(ROUTERS_PER_READER);
+    &near[..count]
+}
+
 /// Spreads addresses over all numbers, as rendezvous wants them.
 fn tag(address: SocketAddrV4) -> u64 {
     let port = address.port().to_le_bytes();
--- a/crates/core/tests/gateway/mesh.rs
+++ b/crates/core/tests/gateway/mesh.rs
@@ -93,6 +93,18 @@
         }
     }
 
+    fn router(&mut self, n: usize) -> &mut Mesh {
+        self.routers[n].as_mut().expect("it runs")
+    }
+
+    /// Has one router tell another whether it reads the registry.
+    fn tell(&mut self, from: usize, to: usize, reads: bool) {
+        let now = self.now;
+        self.router(from).round(now, 1);
+        let digest = self.router(from).digest(now, reads, Vec::new());
+        expect_true!(self.router(to).hear(now, &digest));
+    }
+
     fn sizes(&self) -> Vec<u32> {
         let live = self.routers.iter().flatten();
         live.map(|mesh| mesh.size(self.now)).collect()
@@ -185,6 +197,31 @@
     expect_that!(readers, eq(4));
 }
 
+/// Symptom: routers that start together, or whose reader is turned away, call the registry more than once
+/// a second each. Sequence: a router knows by name the one that is to read for its data centre, which
+/// reads from another itself, as it knows one that comes before it. Cause: none that should read did, so
+/// the router read itself, though others that it knew read.
+#[gtest]
+fn verify_another_reader_is_asked_where_those_that_should_read_do_not() {
+    let mut fleet = Fleet::new(16, &[1], 0.0);
+    fleet.rounds(5);
+    let now = fleet.now;
+    let all = 0..fleet.routers.len();
+    let (readers, rest): (Vec<usize>, Vec<usize>) = all.partition(|n| fleet.router(*n).reads(now));
+    let follower = rest[0];
+    let near = rumor(follower, 1).data_center;
+    let mut others = rest.into_iter().skip(1);
+    let other = others.find(|n| rumor(*n, 1).data_center == near);
+    let other = other.expect("it is not alone");
+    for reader in readers {
+        fleet.tell(reader, follower, false);
+    }
+    expect_that!(fleet.router(follower).upstream(now, 1), none());
+    fleet.tell(other, follower, true);
+    let upstream = fleet.router(follower).upstream(now, 1);
+    expect_that!(upstream, some(eq(address(other))));
+}
+
 #[gtest]
 fn verify_a_reader_that_fails_is_not_asked_for_a_while() {
     let mut fleet = Fleet::new(8, &[1], 0.0);
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -56,6 +56,10 @@
 const LOST: u32 = 2;
 /// Reads whose time a peer's copy may be old before it is not good enough: one under way, one lost.
 const COPY_READS: u32 = 2;
+/// Part of the time between reads within which another peer is asked, and no call made, after one whose
+/// copy won't do. While the registry turned some routers away, and their copies were too old, this took
+/// the calls of a day from 1,482 to 1,223 (66 routers) and from 2,259 to 2,081 (83).
+const FRESH_PART: u32 = 2;
 /// Time for which a peer is not asked that gave no answer.
 const AVOID: Millis = Millis(4000);
 /// Time for which a peer is not asked whose copy is too old: it may just not reach the registry, as
@@ -109,7 +113,8 @@
             (gateway.draw(), gateway.catalog().is_some())
         };
         let peer = state.mesh.borrow().upstream(now(), draw);
-        if let Some(peer) = peer.filter(|_| informed) {
+        let peer = peer.filter(|_| informed);
+        if let Some(peer) = peer {
             // The same peer for as long as it will do: its connection is kept.
             let kept = upstream.take().filter(|link| link.address == peer);
             let link = upstream.insert(kept.unwrap_or_else(|| Link::new(peer)));
@@ -119,7 +124,8 @@
                 continue;
             }
         }
-        if now() < own_read {
+        let other = peer.is_some() && fresh(&state, pace / FRESH_PART);
+        if now() < own_read || other {
             sleep(AGAIN).await;
             continue;
         }
@@ -152,6 +158,12 @@
     }
 }
 
+/// Tells whether what is known was the newest state less than `bound` ago.
+fn fresh(state: &Shared, bound: Duration) -> bool {
+    let age = state.gateway.borrow().proof().age(now());
+    age.is_some_and(|age| age < millis(bound))
+}
+
 /// Gets how long to wait before an own read after `failures` that failed in a row; it doubles, and
 /// is spread so that routers that failed together don't call together.
 fn pause(state: &Shared, failures: u32, draw: u64) -> Millis {
