--- a/crates/core/src/gateway/heat.rs
+++ b/crates/core/src/gateway/heat.rs
@@ -23,8 +23,7 @@
 /// Standard deviations by which a part's count must be above chance. With none, two requests for the
 /// same part among thirty would pass for a hot one, and its prompts would be read at four endpoints.
 const DOUBT: f64 = 1.5;
-/// Times the mean load that an endpoint may carry of all parts together, of a published multiple of 2:
-/// the rest is left for chance.
+/// Part of the published multiple that is filled; the rest is left for chance.
 const FILLED: f64 = 0.9;
 
 /// `Heat` is the parts that a service's newest requests at this router asked for.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -151,10 +151,10 @@
     heats: IndexMap<Bytes, Heat>,
     end: Option<End>,
     routers: u32,
-    /// Most routers that were heard of lately, and when.
+    /// Most routers that were heard of lately, this one among them, and when.
     most: (u32, Time),
     /// From when this router's part of the fleet's extra repeats may be used.
-    extra: Time,
+    extra_from: Time,
     rng: StdRng,
 }
 
@@ -171,7 +171,7 @@
             end: None,
             routers: 1,
             most: (1, Time(0)),
-            extra: Time(0),
+            extra_from: Time(0),
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -202,7 +202,7 @@
     /// of the window. Without this, 7 routers that were killed every two seconds while most answers
     /// were failures sent 303 repeats of 849 requests in 10 s, where 224 were allowed.
     pub fn restarted(&mut self, now: Time) {
-        self.extra = now + self.bounds.retry.window;
+        self.extra_from = now + self.bounds.retry.window;
     }
 
     /// Tells whether callers may be sent here.
@@ -274,6 +274,7 @@
             }),
             Some(held) if held.version == version => {}
             _ => {
+                self.heats.retain(|name, _| catalog.service(name).is_some());
                 self.catalog = Some(Arc::new(catalog));
                 news.push(News::Applied { version });
             }
@@ -352,7 +353,8 @@
         }
         let draw = self.draw();
         let part = ask.prompt.as_ref().and_then(ask::Prompt::anchor);
-        if let Some(part) = part.filter(|_| ticket.tried.is_empty()) {
+        let first = ticket.tried.is_empty() && ticket.unreached.is_empty();
+        if let Some(part) = part.filter(|_| first) {
             let heat = self.heats.entry(ticket.service.clone()).or_default();
             heat.note(now, part.id);
         }
@@ -475,7 +477,7 @@
 
     fn may_repeat(&mut self, now: Time, service: &Bytes) -> bool {
         let mut policy = self.bounds.retry;
-        if now < self.extra {
+        if now < self.extra_from {
             policy.extra = 0;
         }
         self.budget(service).allows(now, &policy)
@@ -507,6 +509,8 @@
         self.divide();
     }
 
+    /// Sets this router's part of the fleet's extra repeats. Until another router was heard of it stays
+    /// the one that the settings give to a fleet of unknown size.
     fn divide(&mut self) {
         if self.most.0 > 1 {
             self.bounds.retry.extra = self.bounds.retry.fleet / self.most.0;
