--- a/crates/toucanturnd/tests/gateway.rs
+++ b/crates/gatewayd/tests/gateway.rs
@@ -41,7 +41,7 @@
 
 impl Daemon {
     fn start(path: &Path) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_toucanturnd"))
+        let mut child = Command::new(env!("CARGO_BIN_EXE_toucanturn-gatewayd"))
             .env(SETTINGS_VARIABLE, path)
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
@@ -118,7 +118,7 @@
         let mut said = String::new();
         let mut errors = daemon.child.stderr.take().expect("it is piped");
         errors.read_to_string(&mut said).expect("it is text");
-        expect_that!(said, starts_with("toucanturnd: "));
+        expect_that!(said, starts_with("toucanturn-gatewayd: "));
     }
     std::fs::remove_file(&path).expect("it is there");
     expect_that!(Daemon::start(&path).end().code(), some(eq(1)));
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -196,7 +196,7 @@
         router.life += 1;
         let log = File::create(self.folder.join(format!("router-{n}-{}.log", router.life)))?;
         let errors = log.try_clone()?;
-        let program = beside("toucanturnd")?;
+        let program = beside("toucanturn-gatewayd")?;
         let started = Child::start(
             Command::new(program)
                 .env(SETTINGS_VARIABLE, &router.settings)
--- a/crates/toucanturnd/src/main.rs
+++ b/crates/toucanturnd/src/main.rs
@@ -2,7 +2,6 @@
 //!
 //! It reads its settings, binds its sockets, prints one JSON line with the addresses it got, and
 //! serves until a drain is over. SIGTERM or SIGINT starts a drain; a second one ends it at once.
-//! Started by the users' platform, which names the settings file itself, it runs as a gateway.
 
 #![forbid(unsafe_code)]
 
@@ -13,7 +12,6 @@
 
 use gumdrop::Options as _;
 
-mod front;
 mod run;
 
 /// `Args` is the command line.
@@ -52,21 +50,11 @@
         println!("toucanturnd {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    if args.settings.is_none()
-        && let Some(path) = toucanturn_platform::settings_path()
-    {
-        return exit(front::run(&path));
-    }
     let Some(path) = args.settings else {
         eprintln!("toucanturnd: --settings FILE is missing; see --help");
         return ExitCode::from(WRONG_USAGE);
     };
-    exit(run::run(&path))
-}
-
-/// Makes the exit code of a run, with a line on what went wrong.
-fn exit<E: std::error::Error>(ended: Result<ExitCode, E>) -> ExitCode {
-    match ended {
+    match run::run(&path) {
         Ok(code) => code,
         Err(error) => {
             eprintln!("toucanturnd: {}", snafu::Report::from_error(error));
