Let callers' idle connections go after 3 s; box a request's state

Callers are told to use a connection again within 3 s (Keep-Alive), and it is closed a second later.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -8,6 +8,8 @@
 use bytes::Bytes;
 use futures_util::stream::LocalBoxStream;
 use http::{
+    HeaderName,
+    HeaderValue,
     Request,
     Response,
     header,
@@ -58,6 +60,12 @@
 /// Most bytes of an answer that is held until it is whole; longer ones are not taken.
 pub(crate) const MAX_ANSWER: usize = 8 << 20;
 
+/// Seconds for which a caller may use its connection again after an answer.
+pub(crate) const KEEP_S: u64 = 3;
+/// The same as callers are told.
+const KEEP: &str = "timeout=3";
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// `Broken` ends an answer to a caller that can't be made whole.
 #[derive(Debug, Snafu)]
 #[snafu(display("the endpoint's answer broke off"))]
@@ -78,9 +86,11 @@
         Ok((ask, body)) => run(&state, ask, parts, body, began).await,
         Err((id, refusal)) => refuse(&state, &id, refusal, None),
     };
+    let headers = response.headers_mut();
     if state.phase() >= Phase::Stopping {
-        let close = header::HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    } else {
+        headers.insert(KEEP_ALIVE, HeaderValue::from_static(KEEP));
     }
     Ok(response)
 }
--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -46,6 +46,8 @@
     open: Cell<u32>,
     /// The same of all connections.
     all: Rc<Cell<usize>>,
+    /// When the last answer ended; `None` before the first request and while one is open.
+    idle: Cell<Option<Instant>>,
 }
 
 impl Pace {
@@ -55,6 +57,19 @@
             heads: Cell::new(0),
             open: Cell::new(0),
             all: Rc::clone(all),
+            idle: Cell::new(None),
+        }
+    }
+
+    /// Waits until the connection has been idle for `limit` after an answer.
+    pub(crate) async fn idle_for(&self, limit: Duration) {
+        loop {
+            let now = Instant::now();
+            match self.idle.get().map(|since| since + limit) {
+                Some(end) if end <= now => return,
+                Some(end) => sleep_until(end).await,
+                None => sleep_until(now + limit).await,
+            }
         }
     }
 }
@@ -69,6 +84,7 @@
         pace.heads.set(pace.heads.get().wrapping_add(1));
         pace.open.set(pace.open.get() + 1);
         pace.all.set(pace.all.get() + 1);
+        pace.idle.set(None);
         Self(Rc::clone(pace))
     }
 }
@@ -77,6 +93,9 @@
     fn drop(&mut self) {
         self.0.open.set(self.0.open.get() - 1);
         self.0.all.set(self.0.all.get() - 1);
+        if self.0.open.get() == 0 {
+            self.0.idle.set(Some(Instant::now()));
+        }
     }
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -55,6 +55,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Longest time that a connection of the balancer or a peer stays idle; they ask several times within.
 const SHORT_IDLE: Duration = Duration::from_secs(30);
+/// Time after its last answer from which on a caller's connection is closed: the time that callers are
+/// told, and one second for a request on its way.
+const CALLER_IDLE: Duration = Duration::from_secs(exchange::KEEP_S + 1);
 /// Least buffer that the library takes.
 const MIN_BUFFER: usize = 8192;
 
@@ -102,9 +105,11 @@
     let pace = Rc::new(Pace::new(&state.requests));
     let head_time = Duration::from_millis(limits.head_time.0);
     let stream = Paced::new(stream, &pace, head_time);
+    let requests = Rc::clone(&pace);
     let service = service_fn(move |request| {
-        let open = Open::new(&pace);
-        let answer = exchange::serve(shared.clone(), request);
+        let open = Open::new(&requests);
+        // In a box, as the library keeps room for one in each connection, also while it is idle: 6.3 KB.
+        let answer = Box::pin(exchange::serve(shared.clone(), request));
         async move {
             let answer: Result<_, Infallible> = answer.await;
             answer.map(|answer| answer.map(|body| Answering { body, _open: open }))
@@ -123,6 +128,10 @@
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
+            () = pace.idle_for(CALLER_IDLE), if !closing => {
+                closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
         }
     };
     state.connections.set(state.connections.get() - 1);
