Tell callers to let go only where the configuration keeps connections longer

The told time was 3 s also where the published limit of idle connections is shorter: a caller might have used one that was closed already.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -53,6 +53,7 @@
     state::{
         Phase,
         Shared,
+        State,
         now, //
     },
 };
@@ -89,12 +90,20 @@
     let headers = response.headers_mut();
     if state.phase() >= Phase::Stopping {
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
-    } else {
+    } else if keeps(&state) {
         headers.insert(KEEP_ALIVE, HeaderValue::from_static(KEEP));
     }
     Ok(response)
 }
 
+/// Tells whether a caller may use its connection again for the time that it is told: the published limit
+/// of idle connections may be shorter.
+fn keeps(state: &State) -> bool {
+    let gateway = state.gateway.borrow();
+    let limits = gateway.catalog().map(|c| c.limits);
+    limits.is_some_and(|limits| limits.idle.0 > KEEP_S * 1000)
+}
+
 async fn read(
     state: &Shared,
     parts: &Parts,
