Tell an endpoint's lives apart by their start; let bad entries name nobody

Cause: an endpoint may now start again under the name that it had, and states when it started. The registry keyed by name alone: a new life kept load, pauses, the leaving state and what it was taken to hold; leaving was final for a name. And one item of the store that could not be read failed its whole page, while an entry that made no sense left the endpoint as it was.

An endpoint is now its name and its start. An entry of a later life ends the earlier one (its key, its connections, what was sent to it); one of an earlier life that comes late changes nothing; between routers a load's tag stands for the life. A removal and a return in one read are taken in their order: before, all removals came last. Entries with a field missing, of another type or unreadable name nobody, at once; the others of the page hold; log line 657 is bounded.

--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -15,7 +15,8 @@
     ids::Tag,
     units::{
         Millis,
-        Time, //
+        Time,
+        Wall, //
     },
 };
 
@@ -67,8 +68,10 @@
 /// `Entry` is what the registry says of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
-    /// Name of this life; a restart has another.
+    /// Name; a restart may have the same.
     pub id: Bytes,
+    /// When this life began; `None` where entries don't say, and each name is one life.
+    pub born: Option<Wall>,
     /// Name of its service.
     pub service: Bytes,
     /// Where it listens.
@@ -118,7 +121,8 @@
     }
 }
 
-/// `Endpoint` is one life of an endpoint.
+/// `Endpoint` is one life of an endpoint. Nothing of it holds for the next one of the same name: that
+/// has no load, holds no part of a prompt, and answers for no attempt that was sent before.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
     /// What the registry says.
@@ -170,8 +174,8 @@
         }
     }
 
-    /// Follows a new entry; returns whether the state changed. One that leaves never comes back:
-    /// a restart has another name.
+    /// Follows a new entry of this life; returns whether the state changed. A life that leaves never
+    /// comes back: a restart is another one.
     pub fn follow(&mut self, entry: Entry) -> bool {
         let before = self.state;
         self.state = match before {
@@ -234,9 +238,13 @@
         age.filter(|age| *age < LOAD_STALE)
     }
 
-    /// Gets the tag that stands for it between routers.
+    /// Gets the tag that stands for this life between routers: what one knows of the life before must
+    /// not be taken for news of this one.
     pub fn tag(&self) -> Tag {
-        Tag::of(&self.entry.id)
+        match self.entry.born {
+            Some(born) => Tag::of(&[self.entry.id.as_ref(), &born.0.to_le_bytes()].concat()),
+            None => Tag::of(&self.entry.id),
+        }
     }
 
     /// Gets its newest stated load, for peers.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -106,6 +106,8 @@
     Entry(Entry),
     /// An endpoint's entry is gone.
     Removed(Bytes),
+    /// An endpoint's entry can't be understood: somebody else has written there, and it names nobody.
+    Unreadable(Bytes),
 }
 
 /// `News` is what became of a change, for the log.
@@ -249,8 +251,13 @@
         for change in changes {
             match change {
                 Change::Catalog(catalog) => self.publish(*catalog, &mut news),
-                Change::Entry(entry) => self.registry.put(since, entry, &mut news),
+                Change::Entry(entry) => {
+                    // It was there again before this read ended.
+                    removed.retain(|id| *id != entry.id);
+                    self.registry.put(since, entry, &mut news);
+                }
                 Change::Removed(id) => removed.push(id),
+                Change::Unreadable(id) => self.registry.drop(&id, &mut news),
             }
         }
         let grace = self.bounds.lapse;
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -1,5 +1,7 @@
 //! All endpoints that the registry lists or has listed.
 
+use std::cmp::Ordering;
+
 use bytes::Bytes;
 use indexmap::IndexMap;
 use slotmap::SlotMap;
@@ -75,7 +77,21 @@
     }
 
     /// Puts an entry in; `since` is when its endpoint came, if that is known.
+    ///
+    /// The life that began last counts. An entry of an earlier one came late, and changes nothing; with
+    /// one of a later life the earlier one is gone. Without this, a restarted endpoint would keep the load
+    /// and the leaving state of its life before, and be counted on for prompts that it has forgotten.
     pub fn put(&mut self, since: Option<Time>, entry: Entry, news: &mut Vec<News>) {
+        let known = self.names.get(&entry.id);
+        let held = known.and_then(|k| self.slots.get(*k));
+        let held = held.map(|e| e.entry.born);
+        match held.map(|born| entry.born.cmp(&born)) {
+            // Only another writer leaves out what this endpoint states: the entry names nobody.
+            Some(Ordering::Less) if entry.born.is_none() => return self.drop(&entry.id, news),
+            Some(Ordering::Less) => return,
+            Some(Ordering::Greater) => self.drop(&entry.id, news),
+            Some(Ordering::Equal) | None => {}
+        }
         if let Some(key) = self.names.get(&entry.id)
             && let Some(endpoint) = self.slots.get_mut(*key)
         {
@@ -134,7 +150,8 @@
         emptied.map(|(service, _)| service.clone()).collect()
     }
 
-    fn drop(&mut self, id: &Bytes, news: &mut Vec<News>) {
+    /// Takes an endpoint out at once.
+    pub fn drop(&mut self, id: &Bytes, news: &mut Vec<News>) {
         let Some(key) = self.names.swap_remove(id) else {
             return;
         };
--- a/crates/core/tests/gateway/fixture.rs
+++ b/crates/core/tests/gateway/fixture.rs
@@ -117,6 +117,7 @@
         id: Bytes::from(format!("e-{number}")),
         service: Bytes::from_static(b"engines"),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 8000),
+        born: None,
         data_center: Bytes::from_static(b"a"),
         slots: 64,
         leaving: false,
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod fate;
 mod fixture;
 mod flow;
+mod lives;
 mod mesh;
 mod mirror;
 mod place;
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -74,8 +74,17 @@
     pub begin: Box<dyn FnMut() -> String>,
     /// Takes an answer's body in.
     pub took: Box<Took>,
-    /// Says what a record means; `None` where it means nothing here.
-    pub change: fn(&Record) -> Result<Option<Change>, String>,
+    /// Says what a record means.
+    pub change: fn(&Record) -> Meaning,
+}
+
+/// `Meaning` is what a record changes, if anything, and what is wrong with it, if it can't be understood.
+#[derive(Debug, Default)]
+pub struct Meaning {
+    /// What it changes.
+    pub change: Option<Change>,
+    /// What is wrong with it.
+    pub fault: Option<String>,
 }
 
 /// `Took` takes an answer's body in; the error says what is wrong with it.
@@ -227,12 +236,11 @@
     let records = take(&mut state.mirror.borrow_mut(), delta);
     let mut changes = Vec::new();
     for record in &records {
-        match (reader.change)(record) {
-            Ok(change) => changes.extend(change),
-            Err(why) => {
-                let key = text(&record.key);
-                tracing::warn!(event = 657, %key, why, "record refused");
-            }
+        let meaning = (reader.change)(record);
+        changes.extend(meaning.change);
+        if let Some(why) = meaning.fault.filter(|_| state.log.admits()) {
+            let key = text(&record.key);
+            tracing::warn!(event = 657, %key, why, "record refused");
         }
     }
     follow_changes(state, changes);
--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -448,6 +448,7 @@
         id: Bytes::from(number.to_string()),
         service: Bytes::from_static(SERVICE),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 0, high, low), 8000),
+        born: None,
         data_center: Bytes::from_static(b"a"),
         slots: sheet.shape.slots,
         leaving: false,
