Pack changes of the registry that routers hand on

Copies are now deflated, once for all that ask for the same span, and the bound is on the packed bytes.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    rc::Rc,
     time::Duration, //
 };
 
@@ -26,17 +27,17 @@
     gateway::mirror::Delta,
     units::{
         Millis,
+        Revision,
         Time, //
     },
 };
 use toucanturn_wire::gossip::{
     Ask,
-    Copy,
     MAX_DATAGRAM,
+    Pack,
     decode_ask,
     decode_copy,
     encode_ask,
-    encode_copy,
     open,
     seal, //
 };
@@ -60,7 +61,9 @@
 pub const WAIT: Millis = Millis(500);
 /// Time after that in which the answer must be there.
 const PATIENCE: Duration = Duration::from_millis(300);
-/// Most bytes of changes that are handed on; the asker reads what is more by itself. A reader's link
+/// Most bytes of changes that are packed to be handed on: of more, not even the packed form is small.
+const MAX_PACKED: usize = 256 << 10;
+/// Most packed bytes of changes that are handed on; the asker reads what is more by itself. A reader's link
 /// may be as small as 10 Mbit/s: with large configurations in quick succession, copies of each to 15
 /// routers filled it, and a change was in force after 3.1 s.
 const MAX_HANDED: usize = 24 << 10;
@@ -163,18 +166,35 @@
     let (Some(age), Some(secret), true) = (age, state.secret(epoch), state.reads.get()) else {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     };
-    let delta = state.mirror.borrow().since(ask.revision);
-    if delta.bytes() > MAX_HANDED {
-        return status(StatusCode::PAYLOAD_TOO_LARGE);
-    }
-    let payload = encode_copy(Copy {
-        nonce: ask.nonce,
-        age,
-        delta,
-    });
+    let payload = match packed(state, ask.revision) {
+        Some(pack) if pack.bytes() <= MAX_HANDED => pack.encode(ask.nonce, age),
+        _ => return status(StatusCode::PAYLOAD_TOO_LARGE),
+    };
     Response::new(Full::new(seal(&secret, epoch, payload)))
 }
 
+/// Packs what has changed since a revision; `None` where it is too much. The last pack is kept: after a
+/// change, all that follow it ask for the same.
+fn packed(state: &Shared, since: Revision) -> Option<Rc<Pack>> {
+    let span = (since, state.mirror.borrow().revision());
+    let kept = state.pack.take().filter(|(kept, _)| *kept == span);
+    let pack = match kept {
+        Some((_, pack)) => pack,
+        None => {
+            let delta = state.mirror.borrow().since(since);
+            if delta.bytes() > MAX_PACKED {
+                return None;
+            }
+            let packed = Pack::new(delta).inspect_err(|error| {
+                tracing::error!(event = 658, %error, "changes can't be packed");
+            });
+            Rc::new(packed.ok()?)
+        }
+    };
+    state.pack.replace(Some((span, Rc::clone(&pack))));
+    Some(pack)
+}
+
 fn status(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = status;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,7 +23,10 @@
         Time, //
     },
 };
-use toucanturn_wire::gossip::Secret;
+use toucanturn_wire::gossip::{
+    Pack,
+    Secret, //
+};
 
 use crate::{
     dialect::Dialect,
@@ -66,6 +69,8 @@
     pub mirror: RefCell<Mirror>,
     /// Tells the revision of the copy whenever it grows.
     pub changes: watch::Sender<Revision>,
+    /// The changes that were last packed for peers, with the revisions from and to which they lead.
+    pub pack: RefCell<Option<((Revision, Revision), Rc<Pack>)>>,
     /// Whether the copy comes from own reads.
     pub reads: Cell<bool>,
     /// Secrets of the newest configurations, by version.
@@ -93,6 +98,7 @@
             mesh: RefCell::new(mesh),
             mirror: RefCell::default(),
             changes: watch::Sender::new(Revision(0)),
+            pack: RefCell::default(),
             reads: Cell::new(false),
             secrets: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -5,12 +5,23 @@
 //! and its version the epoch by which a receiver finds the key. A message that was changed, made
 //! by others or belongs to another epoch changes nothing.
 
-use std::net::{
-    Ipv4Addr,
-    SocketAddrV4, //
+use std::{
+    io::{
+        Read as _,
+        Write as _, //
+    },
+    net::{
+        Ipv4Addr,
+        SocketAddrV4, //
+    },
 };
 
 use bytes::Bytes;
+use flate2::{
+    Compression,
+    read::DeflateDecoder,
+    write::DeflateEncoder, //
+};
 use hmac::{
     Hmac,
     Mac, //
@@ -55,6 +66,9 @@
 const DOMAIN: &[u8] = b"toucanturn.gossip.v1";
 /// Most bytes of a sealed message that is not a copy of the registry: one packet.
 pub const MAX_DATAGRAM: usize = 1400;
+/// Most bytes of unpacked items. A sender packs a few hundred kilobytes at most; without a bound, a faulty
+/// one could take all memory with a small message.
+const MAX_UNPACKED: u64 = 4 << 20;
 /// Longest age in a digest; what is older says nothing.
 const MAX_AGE: u64 = 60_000;
 
@@ -240,21 +254,57 @@
     pub delta: Delta,
 }
 
-/// Encodes a copy.
-pub fn encode_copy(copy: Copy) -> Vec<u8> {
-    let record = |r: Record| proto::Record {
-        key: r.key,
-        value: r.value,
-        revision: r.revision.0,
-    };
-    proto::Copy {
-        nonce: copy.nonce,
-        age_ms: copy.age.0,
-        revision: copy.delta.revision.0,
-        whole: copy.delta.whole,
-        records: copy.delta.records.into_iter().map(record).collect(),
+/// `Pack` is a delta made ready to be sent, once for all that ask for the same.
+///
+/// A published configuration is mostly text that repeats itself, and 25 routers may ask one for it over a
+/// link of 10 Mbit/s.
+#[derive(Clone, Debug)]
+pub struct Pack {
+    revision: Revision,
+    whole: bool,
+    records: Bytes,
+}
+
+impl Pack {
+    /// Packs a delta.
+    ///
+    /// # Errors
+    ///
+    /// It can't be deflated, which is a fault of the library or of memory.
+    pub fn new(delta: Delta) -> std::io::Result<Self> {
+        let record = |r: Record| proto::Record {
+            key: r.key,
+            value: r.value,
+            revision: r.revision.0,
+        };
+        let records = proto::Records {
+            records: delta.records.into_iter().map(record).collect(),
+        };
+        let mut packed = DeflateEncoder::new(Vec::new(), Compression::fast());
+        packed.write_all(&records.encode_to_vec())?;
+        Ok(Self {
+            revision: delta.revision,
+            whole: delta.whole,
+            records: packed.finish()?.into(),
+        })
+    }
+
+    /// Counts its bytes.
+    pub fn bytes(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Encodes the copy that answers the ask with `nonce`; `age` is that of the read behind it.
+    pub fn encode(&self, nonce: u64, age: Millis) -> Vec<u8> {
+        proto::Copy {
+            nonce,
+            age_ms: age.0,
+            revision: self.revision.0,
+            whole: self.whole,
+            packed: self.records.clone(),
+        }
+        .encode_to_vec()
     }
-    .encode_to_vec()
 }
 
 /// Decodes a copy.
@@ -264,6 +314,12 @@
 /// Not a copy.
 pub fn decode_copy(payload: Bytes) -> Result<Copy> {
     let raw = proto::Copy::decode(payload).context(CodecSnafu)?;
+    let mut bytes = Vec::new();
+    let packed = DeflateDecoder::new(raw.packed.as_ref());
+    let read = packed.take(MAX_UNPACKED).read_to_end(&mut bytes);
+    let what = "items that can be unpacked";
+    ensure!(read.is_ok(), PartSnafu { what });
+    let records = proto::Records::decode(bytes.as_slice()).context(CodecSnafu)?;
     let record = |r: proto::Record| Record {
         key: r.key,
         value: r.value,
@@ -275,7 +331,7 @@
         delta: Delta {
             revision: Revision(raw.revision),
             whole: raw.whole,
-            records: raw.records.into_iter().map(record).collect(),
+            records: records.records.into_iter().map(record).collect(),
         },
     })
 }
