--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -147,7 +147,7 @@
                 failures = 0;
                 state.reads.set(true);
                 state.metrics.count("registry", "read");
-                apply(&state, sent, delta, (Mirror::apply, &reader));
+                apply(&state, sent, delta, Mirror::apply, &reader);
                 let spent = Duration::from_millis(now().since(sent).0);
                 sleep(pace.saturating_sub(spent)).await;
             }
@@ -190,7 +190,7 @@
     let (why, avoid) = match peers::ask(state, link).await {
         Ok((read, delta)) => {
             state.metrics.count("registry", "copied");
-            apply(state, read, delta, (Mirror::copy, reader));
+            apply(state, read, delta, Mirror::copy, reader);
             let age = now().since(read);
             if age < stale {
                 return true;
@@ -224,7 +224,7 @@
 /// How a delta is taken into the copy.
 type Take = fn(&mut Mirror, Delta) -> Vec<Record>;
 
-fn apply(state: &Shared, read: Time, delta: Delta, (take, reader): (Take, &Reader)) {
+fn apply(state: &Shared, read: Time, delta: Delta, take: Take, reader: &Reader) {
     let revision = delta.revision;
     if revision < state.mirror.borrow().revision() {
         tracing::debug!(
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -50,6 +50,7 @@
     },
     server,
     state::{
+        Packed,
         Shared,
         now, //
     },
@@ -176,22 +177,26 @@
 /// Packs what has changed since a revision; `None` where it is too much. The last pack is kept: after a
 /// change, all that follow it ask for the same.
 fn packed(state: &Shared, since: Revision) -> Option<Rc<Pack>> {
-    let span = (since, state.mirror.borrow().revision());
-    let kept = state.pack.take().filter(|(kept, _)| *kept == span);
-    let pack = match kept {
-        Some((_, pack)) => pack,
-        None => {
-            let delta = state.mirror.borrow().since(since);
-            if delta.bytes() > MAX_PACKED {
-                return None;
-            }
-            let packed = Pack::new(delta).inspect_err(|error| {
-                tracing::error!(event = 658, %error, "changes can't be packed");
-            });
-            Rc::new(packed.ok()?)
-        }
-    };
-    state.pack.replace(Some((span, Rc::clone(&pack))));
+    let until = state.mirror.borrow().revision();
+    if let Some(kept) = &*state.packed.borrow()
+        && kept.since == since
+        && kept.until == until
+    {
+        return Some(Rc::clone(&kept.pack));
+    }
+    let delta = state.mirror.borrow().since(since);
+    if delta.bytes() > MAX_PACKED {
+        return None;
+    }
+    let pack = Pack::new(delta).inspect_err(|error| {
+        tracing::error!(event = 658, %error, "changes can't be packed");
+    });
+    let pack = Rc::new(pack.ok()?);
+    state.packed.replace(Some(Packed {
+        since,
+        until,
+        pack: Rc::clone(&pack),
+    }));
     Some(pack)
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -47,6 +47,17 @@
 /// 982 requests meanwhile, a third of what came.
 const FIRST_READ: Millis = Millis(700);
 
+/// `Packed` is changes of the registry that were packed for a peer, kept for the next that asks for the same.
+#[derive(Clone, Debug)]
+pub struct Packed {
+    /// Revision from which they lead.
+    pub since: Revision,
+    /// Revision to which they lead.
+    pub until: Revision,
+    /// The changes.
+    pub pack: Rc<Pack>,
+}
+
 /// `Phase` is where the process is on its way to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -77,8 +88,8 @@
     pub mirror: RefCell<Mirror>,
     /// Tells the revision of the copy whenever it grows.
     pub changes: watch::Sender<Revision>,
-    /// The changes that were last packed for peers, with the revisions from and to which they lead.
-    pub pack: RefCell<Option<((Revision, Revision), Rc<Pack>)>>,
+    /// The changes that were last packed for peers.
+    pub packed: RefCell<Option<Packed>>,
     /// Whether the copy comes from own reads.
     pub reads: Cell<bool>,
     /// Until when the first read of the registry may be waited for.
@@ -108,7 +119,7 @@
             mesh: RefCell::new(mesh),
             mirror: RefCell::default(),
             changes: watch::Sender::new(Revision(0)),
-            pack: RefCell::default(),
+            packed: RefCell::default(),
             reads: Cell::new(false),
             first_read: Cell::new(now() + FIRST_READ),
             secrets: RefCell::default(),
