Act on each kind of knowledge for as long as it is proved; read what is large for its link

Cause: two engines got requests 3,103 and 3,573 ms after they had left, where 3 s are promised. One bound of age, that of keys (4.75 s), covered routes and endpoints as well. What was known had grown so old as reads could not end: an answer had 0.9 s, a configuration of 1.1 MB takes as long on a link of 10 Mbit/s, each try began anew, and each probe whose entry had been removed was followed by a read of everything. The class: something is acted on for longer than it is proved. Change: an endpoint gets a request only if the registry listed it, or it stayed by its own word, less than leaving_ms less a tenth ago; looked at again right before the sending. Its word is the head of an answer without the end of its connection, as of its request's sending; routers tell each other in their digests, less what may have passed on the way. Routes: config_ms, once the registry has told of something newer. A request whose body came slowly is judged by what is proved then. Ruled out: a store that was slow (it answered in 4 to 9 ms); the registry as the only witness (it ends all service of an outage at 1.8 or 2.7 s, and no answer was found that leaves without saying so). Not measured yet: what an outage costs.

--- a/crates/core/src/gateway/ask.rs
+++ b/crates/core/src/gateway/ask.rs
@@ -18,8 +18,10 @@
     pub path: Bytes,
     /// Key that tells the workspace.
     pub key: Option<Bytes>,
-    /// How long the caller waits from now.
+    /// How long the caller waits, from when the request's head came.
     pub deadline: Option<Millis>,
+    /// How long ago that was.
+    pub waited: Millis,
     /// Prompt of a generation.
     pub prompt: Option<Prompt>,
     /// Caller's estimate of the output, in tokens.
--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -90,7 +90,7 @@
         let Some(catalog) = self.catalog.clone() else {
             return Err(Refusal::later(Cause::NotReady));
         };
-        if !self.proof.holds(now, self.bounds.proof) {
+        if !self.proof.covers_routes(now, &self.bounds) {
             return Err(Refusal::later(Cause::Stale));
         }
         let Some(route) = catalog.route(&ask.host, &ask.path) else {
@@ -103,8 +103,10 @@
         if workspace.is_none() && !route.anonymous && catalog.has_workspaces() {
             return Err(Refusal::never(Cause::UnknownKey));
         }
-        let deadline = ask.deadline.map_or(now + route.limit, |left| now + left);
-        let until = deadline.min(now + route.limit);
+        let began = now - ask.waited;
+        let limit = began + route.limit;
+        let deadline = ask.deadline.map_or(limit, |left| began + left);
+        let until = deadline.min(limit);
         if self.outlasts(route, until) {
             return Err(Refusal::later(Cause::Stopping));
         }
@@ -159,11 +161,17 @@
             share: self.share(&ticket.service),
             heat: self.heats.get(&ticket.service),
             registry: &self.registry,
+            proof: &self.proof,
             bounds: &self.bounds,
             now,
             draw,
         };
         let placed = place::choose(&scene, ticket, ask.prompt.as_ref());
+        let missed = if place::unproved(&scene, ticket) {
+            Cause::Stale
+        } else {
+            Cause::NoEndpoint
+        };
         let shares = self
             .catalog
             .as_ref()
@@ -172,7 +180,19 @@
             holder: placed.holder.filter(|_| shares),
             ..placed
         });
-        placed.ok_or_else(|| Refusal::given_up(Cause::NoEndpoint, ticket.may_have_run))
+        placed.ok_or_else(|| Refusal::given_up(missed, ticket.may_have_run))
+    }
+
+    /// Tells whether an endpoint may get a request now. Asked right before it is sent: a connection may
+    /// have taken so long that what was proved when the endpoint was chosen isn't any more.
+    pub fn may_send(&self, now: Time, endpoint: EndpointKey) -> bool {
+        let endpoint = self.registry.get(endpoint);
+        endpoint.is_some_and(|e| e.usable() && e.stays(now, self.proof.read(), self.bounds.staying))
+    }
+
+    /// Notes that an endpoint's answer doesn't say that it leaves; `ticket` says when it was asked.
+    pub fn stays(&mut self, ticket: &Ticket, endpoint: EndpointKey) {
+        self.registry.told_stays(endpoint, ticket.sent);
     }
 
     /// Notes that an attempt goes out.
--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -10,7 +10,10 @@
 use crate::{
     gateway::{
         fate::Fate,
-        mesh::Sight, //
+        mesh::{
+            self,
+            Sight, //
+        },
     },
     ids::Tag,
     units::{
@@ -136,6 +139,10 @@
     /// Own requests in progress there.
     pub own: u32,
     stated: Option<Stated>,
+    /// When it last stayed by its own word to this router.
+    told: Option<Time>,
+    /// The same to another router.
+    heard: Option<Time>,
     failures: u32,
     paused: Option<Time>,
     /// Share of failures at a time.
@@ -166,6 +173,8 @@
             since,
             own: 0,
             stated: None,
+            told: None,
+            heard: None,
             failures: 0,
             paused: None,
             failing: (Time(0), 0.0),
@@ -196,6 +205,29 @@
         matches!(self.state, State::Ready | State::Lapsed { .. })
     }
 
+    /// Notes that it stayed by its own word at `at`: the answer to a request that was sent then doesn't
+    /// say that it leaves, and a later one would.
+    pub fn told_stays(&mut self, at: Time) {
+        self.told = self.told.max(Some(at));
+    }
+
+    /// Notes that it stayed by its word to another router.
+    pub fn heard_stays(&mut self, at: Time) {
+        self.heard = self.heard.max(Some(at));
+    }
+
+    /// Tells whether it is known to have stayed less than `bound` ago; `read` is when the registry listed
+    /// it last.
+    ///
+    /// What the registry says isn't proved for longer than it takes to leave. Judged by the bound of keys,
+    /// endpoints got requests up to 3.6 s after they had left where 3 s are promised. With the registry
+    /// alone as a witness, each outage of it would cost the service between the two bounds as well; the
+    /// endpoints' own answers cost nothing.
+    pub fn stays(&self, now: Time, read: Option<Time>, bound: Millis) -> bool {
+        let newest = read.max(self.told).max(self.heard);
+        newest.is_some_and(|at| now.since(at) < bound)
+    }
+
     /// Tells whether it is left out for a while, as it could not be reached or broke off.
     pub fn paused(&self, now: Time) -> bool {
         self.paused.is_some_and(|until| now < until)
@@ -247,12 +279,24 @@
         }
     }
 
-    /// Gets its newest stated load, for peers.
+    /// Gets its newest stated load, for peers; where it states none, that it stays.
     pub fn sight(&self, now: Time) -> Option<Sight> {
-        Some(Sight {
-            endpoint: self.tag().0,
-            age: self.age(now)?,
-            load: self.stated?.load.requests(),
+        let endpoint = self.tag().0;
+        if let (Some(age), Some(stated)) = (self.age(now), self.stated) {
+            let stays = self.told.is_some_and(|at| at + mesh::HELD >= stated.at);
+            return Some(Sight {
+                endpoint,
+                age,
+                load: Some(stated.load.requests()),
+                stays,
+            });
+        }
+        let age = now.since(self.told?);
+        (age < LOAD_STALE).then_some(Sight {
+            endpoint,
+            age,
+            load: None,
+            stays: true,
         })
     }
 
@@ -260,13 +304,16 @@
     /// were sent since it was stated are not in it.
     pub fn seen(&mut self, now: Time, sight: Sight) {
         let at = now - sight.age;
+        let Some(load) = sight.load else {
+            return;
+        };
         if self.stated.is_some_and(|s| s.at >= at) {
             return;
         }
         let recent = self.sent.iter().filter(|t| **t > at).count();
         let recent = u32::try_from(recent).unwrap_or(u32::MAX);
         let load = Load {
-            running: sight.load,
+            running: load,
             waiting: 0,
             slots: self.entry.slots,
         };
--- a/crates/core/src/gateway/knowledge.rs
+++ b/crates/core/src/gateway/knowledge.rs
@@ -25,6 +25,11 @@
 /// Cuts between data centres last seconds; routers that are gone for good cost the others a part of
 /// the retries for so long.
 const MOST_KEPT: Millis = Millis(30_000);
+/// Time between two ticks that shows that the process was suspended: ticks are 100 ms apart, and a busy
+/// machine delays one by two or three of them.
+const PAUSE: Millis = Millis(400);
+/// Time within which what had come during a suspension is read.
+const SETTLE: Millis = Millis(100);
 /// Least requests in progress at one endpoint, however many routers there are.
 const MIN_SHARE: u32 = 2;
 
@@ -79,6 +84,12 @@
         self.proof.renew(sent);
     }
 
+    /// Notes that the registry told of something newer than what is known, in answer to a call that was
+    /// sent at `sent`.
+    pub fn outdated(&mut self, sent: Time) {
+        self.proof.outdated(sent);
+    }
+
     /// Follows what one read of the registry has changed.
     pub fn follow(&mut self, now: Time, changes: Vec<Change>) -> Vec<News> {
         let mut news = Vec::new();
@@ -102,8 +113,12 @@
         news
     }
 
-    /// Ends what has waited long enough.
+    /// Ends what has waited long enough; called each 100 ms.
     pub fn tick(&mut self, now: Time) -> Vec<News> {
+        if now.since(self.ticked) >= PAUSE {
+            self.woke = now;
+        }
+        self.ticked = now;
         let mut news = Vec::new();
         self.registry.expire(now, self.bounds.lapse, &mut news);
         news
@@ -125,15 +140,20 @@
         }
     }
 
-    /// Lists the newest loads that are known, for peers.
-    pub fn sights(&self, now: Time) -> Vec<mesh::Sight> {
-        self.registry.sights(now, mesh::MAX_SIGHTS)
+    /// Lists the newest sights of endpoints, for peers.
+    pub fn sights(&self, now: Time, draw: u64) -> Vec<mesh::Sight> {
+        self.registry.sights(now, draw)
     }
 
-    /// Notes loads that a peer knows.
+    /// Notes what a peer knows of endpoints.
+    ///
+    /// Their ages count from the sending, so what waited in a socket while this process was suspended
+    /// looks new. A load may; a word that an endpoint stays is passed over until all that waited is read.
     pub fn seen(&mut self, now: Time, sights: &[mesh::Sight]) {
+        let runs = now.since(self.ticked) < PAUSE;
+        let timely = runs && now.since(self.woke) >= SETTLE;
         for sight in sights {
-            self.registry.seen(now, *sight);
+            self.registry.seen(now, *sight, timely);
         }
     }
 
--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -27,9 +27,16 @@
 pub const FANOUT: usize = 2;
 /// Heartbeats in a digest besides the sender's.
 pub const MAX_RUMORS: usize = 7;
-/// Loads in a digest. With 8 bytes each the largest digest has 542 bytes, so that a router sends and
-/// hears 23.4 KB a second at most, IP and UDP headers included: control may take 24.
+/// Endpoints in a digest. With 8 bytes each the largest digest has 552 bytes, so that a router sends and
+/// hears 23.9 KB a second at most, IP and UDP headers included: control may take 24.
 pub const MAX_SIGHTS: usize = 32;
+/// Those of them that state no load: few services do, and the loads of the others need the room.
+pub const MAX_LOADLESS: usize = 2;
+/// Longest time from a request to its answer's head of an endpoint that is told to stay.
+pub const HELD: Millis = Millis(300);
+/// Longest time that a digest is taken to be on its way. A link on which bytes wait for longer counts as
+/// broken; one of 10 Mbit/s that carries a large configuration holds them for less.
+pub const ON_ITS_WAY: Millis = Millis(500);
 /// Time without a newer heartbeat after which a router of a small fleet isn't counted: one that is
 /// told of directly is heard several times within it.
 const SILENT: Millis = Millis(3000);
@@ -63,15 +70,25 @@
     pub reads: bool,
 }
 
-/// `Sight` is a load that an endpoint stated.
+/// `Sight` is what an endpoint's answer said.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sight {
     /// Tag of the endpoint's name.
     pub endpoint: u32,
-    /// Requests there, running and waiting.
-    pub load: u32,
+    /// Requests there, running and waiting; `None` where it states none.
+    pub load: Option<u32>,
     /// How old it is.
     pub age: Millis,
+    /// Whether it told the sender itself that it stays, no more than [`HELD`] before.
+    pub stays: bool,
+}
+
+impl Sight {
+    /// Gets the age of the endpoint's word that it stays, however long this was on its way; `None`
+    /// without one.
+    pub fn stayed(&self) -> Option<Millis> {
+        self.stays.then_some(self.age + HELD + ON_ITS_WAY)
+    }
 }
 
 /// `Digest` is one message between routers.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -65,6 +65,9 @@
     catalog: Option<Arc<Catalog>>,
     registry: Registry,
     proof: Proof,
+    /// When the last tick was, and when the first one after a suspension.
+    ticked: Time,
+    woke: Time,
     budgets: IndexMap<Bytes, Budget>,
     heats: IndexMap<Bytes, Heat>,
     end: Option<End>,
@@ -84,6 +87,8 @@
             catalog: None,
             registry: Registry::default(),
             proof: Proof::default(),
+            ticked: Time(0),
+            woke: Time(0),
             budgets: IndexMap::new(),
             heats: IndexMap::new(),
             end: None,
@@ -126,7 +131,7 @@
     /// Tells whether callers may be sent here.
     pub fn ready(&self, now: Time) -> bool {
         let reachable = self.registry.usable().next().is_some();
-        self.catalog.is_some() && reachable && self.proof.holds(now, self.bounds.proof)
+        self.catalog.is_some() && reachable && self.proof.covers_routes(now, &self.bounds)
     }
 
     /// Draws a number.
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -13,6 +13,7 @@
         ask::Prompt,
         endpoint::Endpoint,
         heat::Heat,
+        proof::Proof,
         registry::Registry,
         settings::Bounds, //
     },
@@ -67,6 +68,8 @@
 pub struct Scene<'a> {
     /// The endpoints.
     pub registry: &'a Registry,
+    /// How old what the registry says is.
+    pub proof: &'a Proof,
     /// The bounds that are kept.
     pub bounds: &'a Bounds,
     /// Own requests in progress that an endpoint may have.
@@ -79,6 +82,12 @@
     pub draw: u64,
 }
 
+impl Scene<'_> {
+    fn stays(&self, endpoint: &Endpoint) -> bool {
+        endpoint.stays(self.now, self.proof.read(), self.bounds.staying)
+    }
+}
+
 /// `Placed` is the endpoint chosen, and what decided it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Placed {
@@ -97,9 +106,12 @@
 /// Chooses an endpoint that the ticket has not tried; `None` where there is none.
 pub fn choose(scene: &Scene<'_>, ticket: &Ticket, prompt: Option<&Prompt>) -> Option<Placed> {
     let all: Vec<(EndpointKey, &Endpoint)> = scene.registry.of(&ticket.service).collect();
-    let fresh = |k: &EndpointKey| !ticket.tried.contains(k) && !ticket.unreached.contains(k);
+    let fresh = |k: &EndpointKey| !tried(ticket, *k);
     let mut open: Vec<(EndpointKey, &Endpoint)> = Vec::with_capacity(all.len());
-    open.extend(all.iter().filter(|(k, e)| fresh(k) && e.own < scene.share));
+    open.extend(
+        all.iter()
+            .filter(|(k, e)| fresh(k) && scene.stays(e) && e.own < scene.share),
+    );
     let sound: Vec<_> = open
         .iter()
         .filter(|(_, e)| !e.paused(scene.now))
@@ -120,6 +132,17 @@
     }
 }
 
+/// Tells whether an endpoint that the ticket has not tried is left out only as nothing proves that it
+/// stays.
+pub fn unproved(scene: &Scene<'_>, ticket: &Ticket) -> bool {
+    let mut all = scene.registry.of(&ticket.service);
+    all.any(|(k, e)| !tried(ticket, k) && !scene.stays(e))
+}
+
+fn tried(ticket: &Ticket, endpoint: EndpointKey) -> bool {
+    ticket.tried.contains(&endpoint) || ticket.unreached.contains(&endpoint)
+}
+
 /// `Usual` is what the endpoints of a service have in the mean.
 #[derive(Clone, Copy, Debug)]
 struct Usual {
--- a/crates/core/src/gateway/refusal.rs
+++ b/crates/core/src/gateway/refusal.rs
@@ -6,7 +6,7 @@
 pub enum Cause {
     /// No configuration is in force yet.
     NotReady,
-    /// What is known of keys and routes is too old to act on.
+    /// What is known of keys, routes or endpoints is too old to act on.
     Stale,
     /// The request is not well formed.
     Malformed,
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -17,9 +17,14 @@
             State, //
         },
         fate::Fate,
-        mesh::Sight,
+        mesh::{
+            MAX_LOADLESS,
+            MAX_SIGHTS,
+            Sight, //
+        },
     },
     ids::Tag,
+    load::score,
     units::{
         Millis,
         Time, //
@@ -228,21 +233,37 @@
         }
     }
 
-    /// Lists the newest loads that are known.
-    pub fn sights(&self, now: Time, most: usize) -> Vec<Sight> {
-        let mut sights: Vec<Sight> = self.slots.values().filter_map(|e| e.sight(now)).collect();
+    /// Notes that an endpoint stayed by its own word at a time.
+    pub fn told_stays(&mut self, key: EndpointKey, at: Time) {
+        if let Some(endpoint) = self.slots.get_mut(key) {
+            endpoint.told_stays(at);
+        }
+    }
+
+    /// Lists the newest sights of endpoints, with a few of those that state no load; `draw` picks them.
+    pub fn sights(&self, now: Time, draw: u64) -> Vec<Sight> {
+        let all = self.slots.values().filter_map(|e| e.sight(now));
+        let (mut sights, mut loadless): (Vec<Sight>, Vec<Sight>) =
+            all.partition(|s| s.load.is_some());
+        loadless.sort_by_key(|s| score(draw, s.endpoint.into()));
+        loadless.truncate(MAX_LOADLESS);
+        let most = MAX_SIGHTS - loadless.len();
         if sights.len() > most {
             sights.sort_by_key(|s| s.age);
             sights.truncate(most);
         }
+        sights.append(&mut loadless);
         sights
     }
 
-    /// Notes a load that a peer knows.
-    pub fn seen(&mut self, now: Time, sight: Sight) {
+    /// Notes what a peer knows of an endpoint; `timely` unless it may have waited here for long.
+    pub fn seen(&mut self, now: Time, sight: Sight, timely: bool) {
         let key = self.tags.get(&Tag(sight.endpoint));
         if let Some(endpoint) = key.and_then(|k| self.slots.get_mut(*k)) {
             endpoint.seen(now, sight);
+            if let Some(age) = sight.stayed().filter(|_| timely) {
+                endpoint.heard_stays(now - age);
+            }
         }
     }
 
--- a/crates/core/src/gateway/settings.rs
+++ b/crates/core/src/gateway/settings.rs
@@ -11,8 +11,12 @@
 /// `Bounds` is what the place where it runs asks of a gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
-    /// Greatest age of the newest proof on which keys and routes are acted on.
-    pub proof: Millis,
+    /// Greatest age of the newest proof on which keys, and the routes with them, are acted on.
+    pub keys: Millis,
+    /// The same for routes once the registry has said that it holds something newer.
+    pub routes: Millis,
+    /// Greatest age of the newest sign that an endpoint stays on which it gets a request.
+    pub staying: Millis,
     /// Age of the last proof from which on a new one means that the registry was away. Copies that
     /// come by a peer are old in calm times, too; with less, entries that leave would be taken for
     /// lapsed, and used on.
--- a/crates/core/tests/gateway/endpoint.rs
+++ b/crates/core/tests/gateway/endpoint.rs
@@ -70,8 +70,9 @@
     endpoint.state_load(Time(1000), load(5));
     let sight = |load, age| Sight {
         endpoint: 0,
-        load,
+        load: Some(load),
         age: Millis(age),
+        stays: false,
     };
     endpoint.seen(Time(1150), sight(9, 250));
     expect_that!(endpoint.load(Time(1150)), eq(5));
--- a/crates/core/tests/gateway/fixture.rs
+++ b/crates/core/tests/gateway/fixture.rs
@@ -43,7 +43,9 @@
 
 pub(crate) fn bounds() -> Bounds {
     Bounds {
-        proof: Millis(4750),
+        keys: Millis(4750),
+        routes: Millis(2850),
+        staying: Millis(2700),
         away: Millis(2500),
         lapse: Millis(2000),
         skew: Permille(2000),
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -15,3 +15,4 @@
 mod proof;
 mod registry;
 mod skew;
+mod staying;
--- /dev/null
+++ b/crates/core/tests/gateway/staying.rs
@@ -0,0 +1,207 @@
+//! Endpoints get requests only while something proves that they stay.
+
+use googletest::prelude::*;
+use toucanturn_core::{
+    gateway::{
+        Change,
+        Gateway,
+        Ticket,
+        mesh::Sight,
+        refusal::Cause, //
+    },
+    units::{
+        Millis,
+        Time, //
+    },
+};
+
+use crate::fixture::{
+    ask,
+    entry,
+    gateway, //
+};
+
+/// What the fixture's gateway read last, it read at time 0, and its bound is 2.7 s.
+const PROVED: Time = Time(2699);
+const UNPROVED: Time = Time(2700);
+
+fn admitted(gateway: &mut Gateway, now: Time) -> Ticket {
+    let admitted = gateway.admit(now, &ask("/read/x"));
+    admitted.expect("keys may be acted on for longer")
+}
+
+fn placed(gateway: &mut Gateway, now: Time) -> std::result::Result<(), Cause> {
+    let ticket = admitted(gateway, now);
+    let placed = gateway.place(now, &ticket, &ask("/read/x"));
+    placed.map(|_| ()).map_err(|refusal| refusal.cause)
+}
+
+/// Sends a request at `sent` and has its answer say that its endpoint stays.
+fn told(gateway: &mut Gateway, sent: Time) {
+    let mut ticket = admitted(gateway, sent);
+    let placed = gateway.place(sent, &ticket, &ask("/read/x"));
+    let endpoint = placed.expect("it is proved").endpoint;
+    gateway.sent(sent, &mut ticket, endpoint);
+    gateway.stays(&ticket, endpoint);
+}
+
+fn tick(gateway: &mut Gateway, from: u64, to: u64) {
+    for now in (from..=to).step_by(100) {
+        gateway.tick(Time(now));
+    }
+}
+
+/// An endpoint got a request 3.6 s after it had left: its entry was held to be true for as long as keys are.
+#[gtest]
+fn verify_an_entry_proves_nothing_for_longer_than_leaving_takes() {
+    let mut gateway = gateway(1);
+    expect_that!(placed(&mut gateway, PROVED), ok(anything()));
+    expect_that!(placed(&mut gateway, UNPROVED), err(eq(Cause::Stale)));
+    gateway.proved(Time(2800), Time(2790));
+    expect_that!(placed(&mut gateway, Time(2800)), ok(anything()));
+}
+
+/// With the registry as the only witness, an outage would end all service 2 s before the bound of keys does.
+#[gtest]
+fn verify_an_endpoint_s_own_word_is_a_proof_while_the_registry_is_away() {
+    let mut gateway = gateway(1);
+    told(&mut gateway, Time(2000));
+    expect_that!(placed(&mut gateway, UNPROVED), ok(anything()));
+    expect_that!(placed(&mut gateway, Time(4699)), ok(anything()));
+    expect_that!(placed(&mut gateway, Time(4700)), err(eq(Cause::Stale)));
+}
+
+/// The word counts from the sending of the request: the answer may have waited here.
+#[gtest]
+fn verify_a_word_that_came_late_is_as_old_as_its_request() {
+    let mut gateway = gateway(1);
+    let mut ticket = admitted(&mut gateway, Time(1000));
+    let placed_at = gateway.place(Time(1000), &ticket, &ask("/read/x"));
+    let endpoint = placed_at.expect("it is proved").endpoint;
+    gateway.sent(Time(1000), &mut ticket, endpoint);
+    // The process is suspended, and the head is read at 3500.
+    gateway.stays(&ticket, endpoint);
+    expect_that!(placed(&mut gateway, Time(3699)), ok(anything()));
+    expect_that!(placed(&mut gateway, Time(3700)), err(eq(Cause::Stale)));
+}
+
+#[gtest]
+fn verify_an_endpoint_that_leaves_gets_nothing_whatever_it_said_before() {
+    let mut gateway = gateway(1);
+    told(&mut gateway, Time(2000));
+    let mut leaving = entry(0);
+    leaving.leaving = true;
+    gateway.follow(Time(2100), vec![Change::Entry(leaving)]);
+    expect_that!(placed(&mut gateway, Time(2100)), err(eq(Cause::NoEndpoint)));
+}
+
+/// A connection took so long that the proof ran out, or the endpoint was heard to leave, before the request
+/// could be sent.
+#[gtest]
+fn verify_what_was_chosen_is_looked_at_again_before_it_is_sent() {
+    let mut gateway = gateway(1);
+    let ticket = admitted(&mut gateway, PROVED);
+    let chosen = gateway.place(PROVED, &ticket, &ask("/read/x"));
+    let endpoint = chosen.expect("it is proved").endpoint;
+    expect_true!(gateway.may_send(PROVED, endpoint));
+    expect_false!(gateway.may_send(UNPROVED, endpoint));
+    gateway.proved(Time(2800), Time(2790));
+    expect_true!(gateway.may_send(Time(2800), endpoint));
+    let mut leaving = entry(0);
+    leaving.leaving = true;
+    gateway.follow(Time(2900), vec![Change::Entry(leaving)]);
+    expect_false!(gateway.may_send(Time(2900), endpoint));
+}
+
+/// Another router's answer is a proof too, less the longest time that it may have been held and on its way.
+#[gtest]
+fn verify_a_word_to_another_router_counts_with_all_that_it_may_have_taken() {
+    let mut one = gateway(1);
+    told(&mut one, Time(2500));
+    let mut other = gateway(1);
+    tick(&mut other, 0, 2600);
+    let sights = one.sights(Time(2600), 1);
+    other.seen(Time(2600), &sights);
+    // Told at 2500, taken for 1700: 300 to be answered and 500 on its way.
+    expect_that!(placed(&mut other, UNPROVED), ok(anything()));
+    expect_that!(placed(&mut other, Time(4399)), ok(anything()));
+    expect_that!(placed(&mut other, Time(4400)), err(eq(Cause::Stale)));
+    // It is not handed on: how long it was on its way would add up unseen.
+    expect_that!(other.sights(Time(2600), 1), is_empty());
+}
+
+/// A digest that waited in a socket while its receiver was suspended looks new. What it says of an endpoint's
+/// staying may be as old as the suspension was long.
+#[gtest]
+fn verify_a_word_that_waited_for_a_suspended_router_proves_nothing() {
+    let stays = |gateway: &Gateway, load| Sight {
+        endpoint: gateway.registry().usable().next().expect("one").1.tag().0,
+        load,
+        age: Millis(10),
+        stays: true,
+    };
+    for load in [None, Some(3)] {
+        let mut asleep = gateway(1);
+        tick(&mut asleep, 0, 1000);
+        let sight = stays(&asleep, load);
+        // Suspended from 1000 to 4000; the datagram is read before the first tick, or after it.
+        asleep.seen(Time(4000), &[sight]);
+        asleep.tick(Time(4001));
+        asleep.seen(Time(4002), &[sight]);
+        expect_that!(placed(&mut asleep, Time(4003)), err(eq(Cause::Stale)));
+        tick(&mut asleep, 4100, 4200);
+        asleep.seen(Time(4200), &[sight]);
+        expect_that!(placed(&mut asleep, Time(4201)), ok(anything()));
+    }
+}
+
+/// An endpoint that states no load is told of as well; it gets no load by it.
+#[gtest]
+fn verify_the_word_of_an_endpoint_without_a_load_is_handed_on() {
+    let mut one = gateway(1);
+    told(&mut one, Time(2500));
+    let sights = one.sights(Time(2600), 1);
+    expect_that!(
+        sights,
+        elements_are![matches_pattern!(Sight {
+            load: none(),
+            age: eq(&Millis(100)),
+            stays: eq(&true),
+            ..
+        })]
+    );
+    let mut other = gateway(1);
+    other.seen(Time(2600), &sights);
+    let (_, endpoint) = other.registry().usable().next().expect("one");
+    expect_that!(endpoint.age(Time(2600)), none());
+}
+
+/// The registry told of something newer at 1000, and it could not be read: it may be another configuration,
+/// which is promised to be in force in 3 s. An outage, in which nothing is published, is borne for longer.
+#[gtest]
+fn verify_routes_are_acted_on_for_less_time_once_something_newer_is_known() {
+    let mut gateway = gateway(1);
+    expect_that!(gateway.admit(Time(4749), &ask("/read/x")), ok(anything()));
+    gateway.outdated(Time(1000));
+    expect_true!(gateway.ready(Time(2849)));
+    expect_false!(gateway.ready(Time(2850)));
+    let refused = gateway.admit(Time(2850), &ask("/read/x"));
+    expect_that!(refused.expect_err("it is").cause, eq(Cause::Stale));
+    // A copy of before that call doesn't have it either; a later one does.
+    gateway.proved(Time(2860), Time(900));
+    expect_false!(gateway.ready(Time(3750)));
+    gateway.proved(Time(2870), Time(1000));
+    expect_true!(gateway.ready(Time(5749)));
+}
+
+/// A request's time counts from its head, and what is known from when its body is there.
+#[gtest]
+fn verify_a_request_that_waited_keeps_its_deadline() {
+    let mut gateway = gateway(1);
+    let mut waited = ask("/read/x");
+    waited.waited = Millis(600);
+    let ticket = gateway.admit(Time(1000), &waited);
+    let ticket = ticket.expect("it is admitted");
+    expect_that!(ticket.deadline, eq(Time(3400)));
+    expect_that!(ticket.until, eq(Time(3400)));
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -171,6 +171,12 @@
                 Err(Next::Again) => continue,
                 Err(_) => return Err(self.given_up(Cause::NoEndpoint)),
             };
+            if !self.may_send(&placed) {
+                self.state.metrics.count("attempts", "overtaken");
+                let pool = &self.state.pool;
+                pool.keep(now(), placed.endpoint, connection, None);
+                continue;
+            }
             let (flight, fate, status) = match self.send(&placed, connection, resume).await {
                 Ok(attempt) => return Ok(attempt),
                 Err(ended) => ended,
@@ -186,6 +192,11 @@
         Refusal::given_up(cause, self.ticket.may_have_run)
     }
 
+    fn may_send(&self, placed: &Placed) -> bool {
+        let gateway = self.state.gateway.borrow();
+        gateway.may_send(now(), placed.endpoint)
+    }
+
     async fn connect(&mut self, placed: &Placed) -> Result<Connection, Next> {
         if let Some(kept) = self.state.pool.take(now(), placed.endpoint) {
             return Ok(kept);
@@ -245,9 +256,13 @@
         if reply.id.as_ref() != Some(&self.ask.id) {
             return Err((flight, Fate::Broken, status));
         }
-        if head.status == StatusCode::MISDIRECTED_REQUEST || reply.rejected {
+        let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        if !reply.closes && !misdirected {
+            let mut gateway = self.state.gateway.borrow_mut();
+            gateway.stays(&self.ticket, placed.endpoint);
+        }
+        if misdirected || reply.rejected {
             self.reject(&flight, connection, body, &reply).await;
-            let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
             let fate = if misdirected {
                 Fate::Misdirected
             } else {
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -100,6 +100,8 @@
 pub struct Times {
     /// For a new connection.
     pub open: Duration,
+    /// For the next piece of the answer.
+    pub piece: Duration,
     /// For all of it.
     pub whole: Duration,
 }
@@ -133,35 +135,46 @@
         times: Times,
     ) -> Result<Bytes, Error> {
         let mut received = 0;
-        let called = self.exchange(request, times.open, &mut received);
+        let called = self.exchange(request, times, &mut received);
         let called = timeout(times.whole, called).await;
-        called.map_err(|_| Error::Late { received })?
+        called.unwrap_or(Err(Error::Late { received }))
     }
 
     async fn exchange(
         &mut self,
         mut request: Request<Full<Bytes>>,
-        within: Duration,
+        times: Times,
         received: &mut usize,
     ) -> Result<Bytes, Error> {
         let address = self.address;
         let kept = self.connection.take().filter(Connection::free);
         let mut open = match kept {
             Some(open) => open,
-            None => Connection::open(address, within).await?,
+            None => Connection::open(address, times.open).await?,
         };
         let host = HeaderValue::try_from(address.to_string()).map_err(|_| Error::Lost)?;
         request.headers_mut().insert(header::HOST, host);
-        let Sent::Head(response) = open.send(request).await else {
-            return Err(Error::Lost);
+        let sent = timeout(times.piece, open.send(request)).await;
+        let response = match sent {
+            Ok(Sent::Head(response)) => response,
+            Ok(_) => return Err(Error::Lost),
+            Err(_) => return Err(Error::Late { received: 0 }),
         };
         let status = response.status();
         ensure!(status.is_success(), StatusSnafu { status });
         let mut body = Limited::new(response.into_body(), MAX_ANSWER);
         let stated = usize::try_from(body.size_hint().lower()).unwrap_or(MAX_ANSWER);
         let mut bytes = BytesMut::with_capacity(stated.min(MAX_ANSWER));
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| Error::Lost)?;
+        loop {
+            let frame = match timeout(times.piece, body.frame()).await {
+                Ok(Some(frame)) => frame.map_err(|_| Error::Lost)?,
+                Ok(None) => break,
+                Err(_) => {
+                    return Err(Error::Late {
+                        received: *received,
+                    });
+                }
+            };
             if let Ok(data) = frame.into_data() {
                 *received += data.len();
                 bytes.extend_from_slice(&data);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -155,9 +155,18 @@
     }
 }
 
-async fn run(state: &Shared, ask: Ask, parts: Parts, body: Bytes, began: Time) -> Response<Body> {
+async fn run(
+    state: &Shared,
+    mut ask: Ask,
+    parts: Parts,
+    body: Bytes,
+    began: Time,
+) -> Response<Body> {
     state.first_read().await;
-    let admitted = state.gateway.borrow_mut().admit(began, &ask);
+    // What is known may have grown old while the body came.
+    let now = now();
+    ask.waited = now.since(began);
+    let admitted = state.gateway.borrow_mut().admit(now, &ask);
     let ticket = match admitted {
         Ok(ticket) => ticket,
         Err(refusal) => return refuse(state, &ask.id, refusal, ask.deadline.map(|d| began + d)),
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -43,8 +43,12 @@
     },
 };
 
-/// Longest wait for one answer of the registry.
+/// Longest wait for the next piece of an answer of the registry.
 const PATIENCE: Duration = Duration::from_millis(900);
+/// Longest time of a whole answer. A configuration of 1.3 MB is 1.8 MB in base64, 2.9 s on half of a link of
+/// 10 Mbit/s. With 0.9 s for the whole, routers on such links never read one of 1.1 MB: each try began anew,
+/// and 58 of 66 refused everything until the fleet's tries had thinned out, some 3 s.
+const WHOLE: Duration = Duration::from_secs(4);
 /// Pause after a read that failed, or a copy that won't do.
 const AGAIN: Duration = Duration::from_millis(150);
 /// Longest pause between reads that fail in a row, of a router that reads for others.
@@ -95,6 +99,8 @@
 pub enum Step {
     /// The read goes on with the call of this path.
     More(String),
+    /// The registry holds something newer, and the read goes on with the call of this path.
+    Newer(String),
     /// The read is whole.
     Whole(Delta),
 }
@@ -115,7 +121,12 @@
     let mut upstream: Option<Link> = None;
     let mut failures = 0;
     let mut own_read = now();
-    let stale = peers::WAIT + millis(pace * COPY_READS);
+    // Where changes are promised within a second, a copy that waits for longer than a read is too old.
+    let wait = peers::WAIT.min(millis(pace));
+    let copy = Copying {
+        wait,
+        stale: wait + millis(pace * COPY_READS),
+    };
     loop {
         let (draw, informed) = {
             let mut gateway = state.gateway.borrow_mut();
@@ -127,7 +138,7 @@
             // The same peer for as long as it will do: its connection is kept.
             let kept = upstream.take().filter(|link| link.address == peer);
             let link = upstream.insert(kept.unwrap_or_else(|| Link::new(peer)));
-            if copied(&state, link, &reader, stale).await {
+            if copied(&state, link, &reader, copy).await {
                 state.reads.set(false);
                 sleep(ASK_PAUSE).await;
                 continue;
@@ -139,7 +150,7 @@
             continue;
         }
         let sent = now();
-        match read(&mut registry, &mut reader).await {
+        match read(&state, &mut registry, &mut reader).await {
             Ok(delta) => {
                 if failures >= LOST {
                     tracing::info!(event = 652, failures, "registry regained");
@@ -185,15 +196,24 @@
     Millis(most.0 / 2 + draw % (most.0 / 2 + 1))
 }
 
+/// `Copying` is how peers are asked.
+#[derive(Clone, Copy, Debug)]
+struct Copying {
+    /// How long an answer may wait for a change.
+    wait: Millis,
+    /// Age from which on a copy won't do.
+    stale: Millis,
+}
+
 /// Asks a peer; returns whether its copy will do.
-async fn copied(state: &Shared, link: &mut Link, reader: &Reader, stale: Millis) -> bool {
+async fn copied(state: &Shared, link: &mut Link, reader: &Reader, copying: Copying) -> bool {
     let peer = link.address;
-    let (why, avoid) = match peers::ask(state, link).await {
+    let (why, avoid) = match peers::ask(state, link, copying.wait).await {
         Ok((read, delta)) => {
             state.metrics.count("registry", "copied");
             apply(state, read, delta, Mirror::copy, reader);
             let age = now().since(read);
-            if age < stale {
+            if age < copying.stale {
                 return true;
             }
             (format!("its copy is {} ms old", age.0), AVOID_STALE)
@@ -285,11 +305,13 @@
     }
 }
 
-async fn read(registry: &mut Link, reader: &mut Reader) -> Result<Delta, Error> {
+async fn read(state: &Shared, registry: &mut Link, reader: &mut Reader) -> Result<Delta, Error> {
     let times = Times {
         open: PATIENCE,
-        whole: PATIENCE,
+        piece: PATIENCE,
+        whole: WHOLE,
     };
+    let sent = now();
     let mut path = (reader.begin)();
     loop {
         let uri = path.parse().map_err(|_| Error::Path { path })?;
@@ -298,6 +320,10 @@
         let body = registry.call(request, times).await?;
         match (reader.took)(&body).map_err(|why| Error::Body { why })? {
             Step::More(next) => path = next,
+            Step::Newer(next) => {
+                state.gateway.borrow_mut().outdated(sent);
+                path = next;
+            }
             Step::Whole(delta) => return Ok(delta),
         }
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -54,7 +54,7 @@
         let mut mesh = state.mesh.borrow_mut();
         let targets = mesh.round(at, draw);
         let reads = state.reads.get();
-        let digest = mesh.digest(at, reads, gateway.sights(at));
+        let digest = mesh.digest(at, reads, gateway.sights(at, draw));
         gateway.fleet(at, mesh.size(at));
         let payload = encode_digest(&digest);
         (seal(&catalog.secret, catalog.version, payload), targets)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -92,7 +92,8 @@
     Other,
 }
 
-/// Asks a peer for what has changed; gets it with the time at which it was the newest state.
+/// Asks a peer for what has changed, and to wait for a change if there is none; gets it with the time at
+/// which it was the newest state.
 ///
 /// That time is this router's own: the ask went out before the peer stated the age, so the read
 /// behind the copy is no older than the ask's time less that age, whatever the clocks say.
@@ -100,14 +101,14 @@
 /// # Errors
 ///
 /// No copy came, or one that can't be trusted.
-pub async fn ask(state: &Shared, link: &mut Link) -> Result<(Time, Delta), Error> {
+pub async fn ask(state: &Shared, link: &mut Link, wait: Millis) -> Result<(Time, Delta), Error> {
     let sent = now();
     let (ask, body) = {
         let mut gateway = state.gateway.borrow_mut();
         let ask = Ask {
             revision: state.mirror.borrow().revision(),
             nonce: gateway.draw(),
-            wait: WAIT,
+            wait,
         };
         let catalog = gateway.catalog().ok_or(Error::Uninformed)?;
         let body = seal(&catalog.secret, catalog.version, encode_ask(&ask));
@@ -118,7 +119,8 @@
     *request.uri_mut() = http::Uri::from_static(PATH);
     let times = Times {
         open: PATIENCE,
-        whole: Duration::from_millis(WAIT.0) + PATIENCE,
+        piece: Duration::MAX,
+        whole: Duration::from_millis(wait.0) + PATIENCE,
     };
     let body = link.call(request, times).await?;
     let (_, payload) = open(&body, |epoch| state.secret(epoch))?;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -21,9 +21,13 @@
 
 use crate::peers::WAIT;
 
-/// Part of a bound on the age of keys that is left for what passes between the check and the
+/// Part of a bound on the age of keys and routes that is left for what passes between the check and the
 /// endpoint's start, and for clocks that drift: a twentieth.
 const PROOF_MARGIN: u64 = 20;
+/// The same of the bound on endpoints that leave, which counts until a request reaches one: a tenth, 200 ms
+/// of 2 s. Between the check and the endpoint 2 ms pass as a rule; a VM whose quota is used up stands still
+/// for up to 100 ms.
+const STAYING_MARGIN: u64 = 10;
 /// Reads of the registry within the shortest bound on changes: one may be lost, one be slow.
 const READS_PER_BOUND: u64 = 3;
 /// Reads whose time must have passed without a proof before the registry counts as away: more than
@@ -173,7 +177,9 @@
     pub fn bounds(&self) -> Bounds {
         let millis = |seconds: f64| Millis((seconds * 1000.0) as u64);
         Bounds {
-            proof: Millis(self.revoke_ms - self.revoke_ms / PROOF_MARGIN),
+            keys: Millis(self.revoke_ms - self.revoke_ms / PROOF_MARGIN),
+            routes: Millis(self.config_ms - self.config_ms / PROOF_MARGIN),
+            staying: Millis(self.leaving_ms - self.leaving_ms / STAYING_MARGIN),
             away: Millis(self.pace().0 * AWAY_READS) + WAIT,
             lapse: millis(self.lapse_s),
             skew: Permille::from_ratio(self.skew),
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -23,7 +23,9 @@
 fn verify_bounds_follow_from_what_is_published() {
     let settings = Settings::try_from(GOOD.as_bytes()).expect("they are valid");
     let bounds = settings.bounds.bounds();
-    expect_that!(bounds.proof, eq(Millis(4750)));
+    expect_that!(bounds.keys, eq(Millis(4750)));
+    expect_that!(bounds.routes, eq(Millis(1900)));
+    expect_that!(bounds.staying, eq(Millis(1800)));
     expect_that!(bounds.lapse, eq(Millis(2000)));
     expect_that!(settings.bounds.pace(), eq(Millis(666)));
     // Above what a peer's copy may be old in calm times: two reads and a wait.
--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -357,7 +357,7 @@
             }
             let router = &mut self.routers[who];
             router.fleet(Time(now), u32::try_from(routers).unwrap_or(u32::MAX));
-            let sights = router.sights(Time(now));
+            let sights = router.sights(Time(now), now);
             debug_assert!(sights.len() <= MAX_SIGHTS);
             for _ in 0..FANOUT {
                 let whom = self.rng.random_range(0..self.routers.len());
@@ -379,7 +379,9 @@
 /// Makes a router that has just read the registry and knows no loads.
 fn router(sheet: &Sheet, now: u64, seed: u64) -> Gateway {
     let bounds = Bounds {
-        proof: Millis(4750),
+        keys: Millis(4750),
+        routes: Millis(2850),
+        staying: Millis(2700),
         away: Millis(2500),
         lapse: Millis(2000),
         skew: Permille(2000),
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -69,6 +69,8 @@
 /// Most bytes of unpacked items. A sender packs a few hundred kilobytes at most; without a bound, a faulty
 /// one could take all memory with a small message.
 const MAX_UNPACKED: u64 = 4 << 20;
+// Digests have 32 bits for what holds of each sight.
+const _: () = assert!(MAX_SIGHTS <= 32);
 /// Longest age in a digest; what is older says nothing.
 const MAX_AGE: u64 = 60_000;
 
@@ -159,16 +161,26 @@
 /// Encodes a digest.
 pub fn encode_digest(digest: &Digest) -> Vec<u8> {
     let age = |s: &Sight| u32::try_from(s.age.0.min(MAX_AGE)).unwrap_or(u32::MAX);
+    let loads = digest.sights.iter().map(|s| s.load.unwrap_or_default());
     proto::Digest {
         from: Some(heartbeat(&digest.from)),
         rumors: digest.rumors.iter().map(heartbeat).collect(),
         endpoints: digest.sights.iter().map(|s| s.endpoint).collect(),
-        loads: digest.sights.iter().map(|s| s.load).collect(),
+        loads: loads.collect(),
         ages: digest.sights.iter().map(age).collect(),
+        staying: bits(&digest.sights, |s| s.stays),
+        loadless: bits(&digest.sights, |s| s.load.is_none()),
     }
     .encode_to_vec()
 }
 
+/// Gets a bit for each sight, the first one lowest.
+fn bits(sights: &[Sight], holds: impl Fn(&Sight) -> bool) -> u32 {
+    let rows = sights.iter().take(MAX_SIGHTS).enumerate();
+    let set = rows.filter(|(_, sight)| holds(sight));
+    set.fold(0, |bits, (row, _)| bits | 1 << row)
+}
+
 /// Decodes a digest.
 ///
 /// # Errors
@@ -184,11 +196,14 @@
     ensure!(raw.rumors.len() <= MAX_RUMORS, PartSnafu { what });
     let rumors: Result<Vec<Rumor>> = raw.rumors.into_iter().map(rumor).collect();
     let rows = raw.endpoints.iter().zip(&raw.loads).zip(&raw.ages);
-    let sights = rows.map(|((endpoint, load), age)| Sight {
-        endpoint: *endpoint,
-        load: *load,
-        age: Millis(u64::from(*age)),
-    });
+    let sights = rows
+        .enumerate()
+        .map(|(row, ((endpoint, load), age))| Sight {
+            endpoint: *endpoint,
+            load: (raw.loadless >> row & 1 == 0).then_some(*load),
+            age: Millis(u64::from(*age)),
+            stays: raw.staying >> row & 1 == 1,
+        });
     Ok(Digest {
         from: rumor(from)?,
         rumors: rumors?,
--- a/crates/wire/tests/gossip.rs
+++ b/crates/wire/tests/gossip.rs
@@ -65,8 +65,9 @@
 fn digest(rumors: usize, sights: usize) -> Digest {
     let sight = |n: usize| Sight {
         endpoint: u32::MAX - u32::try_from(n).expect("it is small"),
-        load: 300,
+        load: (!n.is_multiple_of(3)).then_some(300),
         age: Millis(1999),
+        stays: n.is_multiple_of(2),
     };
     Digest {
         from: rumor(0),
