--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -190,9 +190,10 @@
         endpoint.is_some_and(|e| e.usable() && e.stays(now, self.proof.read(), self.bounds.staying))
     }
 
-    /// Notes that an endpoint's answer doesn't say that it leaves; `ticket` says when it was asked.
-    pub fn stays(&mut self, ticket: &Ticket, endpoint: EndpointKey) {
-        self.registry.told_stays(endpoint, ticket.sent);
+    /// Notes that an endpoint's answer doesn't say that it leaves. It counts from the request's sending, as
+    /// the answer may have waited here.
+    pub fn confirm(&mut self, ticket: &Ticket, endpoint: EndpointKey) {
+        self.registry.confirm(endpoint, ticket.sent);
     }
 
     /// Notes that an attempt goes out.
--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -139,10 +139,10 @@
     /// Own requests in progress there.
     pub own: u32,
     stated: Option<Stated>,
-    /// When it last stayed by its own word to this router.
-    told: Option<Time>,
-    /// The same to another router.
-    heard: Option<Time>,
+    /// Time as of which its answer to this router last confirmed that it is not leaving.
+    confirmed: Option<Time>,
+    /// The same of an answer to another router.
+    confirmed_by_peer: Option<Time>,
     failures: u32,
     paused: Option<Time>,
     /// Share of failures at a time.
@@ -173,8 +173,8 @@
             since,
             own: 0,
             stated: None,
-            told: None,
-            heard: None,
+            confirmed: None,
+            confirmed_by_peer: None,
             failures: 0,
             paused: None,
             failing: (Time(0), 0.0),
@@ -205,26 +205,23 @@
         matches!(self.state, State::Ready | State::Lapsed { .. })
     }
 
-    /// Notes that it stayed by its own word at `at`: the answer to a request that was sent then doesn't
-    /// say that it leaves, and a later one would.
-    pub fn told_stays(&mut self, at: Time) {
-        self.told = self.told.max(Some(at));
+    /// Notes that it was not leaving at `at`, when a request was sent whose answer doesn't say so.
+    pub fn confirm(&mut self, at: Time) {
+        self.confirmed = self.confirmed.max(Some(at));
     }
 
-    /// Notes that it stayed by its word to another router.
-    pub fn heard_stays(&mut self, at: Time) {
-        self.heard = self.heard.max(Some(at));
+    /// Notes the same of another router's request.
+    pub fn confirm_by_peer(&mut self, at: Time) {
+        self.confirmed_by_peer = self.confirmed_by_peer.max(Some(at));
     }
 
-    /// Tells whether it is known to have stayed less than `bound` ago; `read` is when the registry listed
-    /// it last.
+    /// Tells whether it was not leaving less than `bound` ago; `read` is when the registry last listed it.
     ///
-    /// What the registry says isn't proved for longer than it takes to leave. Judged by the bound of keys,
-    /// endpoints got requests up to 3.6 s after they had left where 3 s are promised. With the registry
-    /// alone as a witness, each outage of it would cost the service between the two bounds as well; the
-    /// endpoints' own answers cost nothing.
+    /// Judged by the longer bound of keys, endpoints got requests up to 3.6 s after they had left where 3 s
+    /// are promised. Judged by the registry alone, each of its outages would end all service at this bound;
+    /// answers of the endpoints themselves are evidence that costs nothing.
     pub fn stays(&self, now: Time, read: Option<Time>, bound: Millis) -> bool {
-        let newest = read.max(self.told).max(self.heard);
+        let newest = read.max(self.confirmed).max(self.confirmed_by_peer);
         newest.is_some_and(|at| now.since(at) < bound)
     }
 
@@ -279,24 +276,25 @@
         }
     }
 
-    /// Gets its newest stated load, for peers; where it states none, that it stays.
+    /// Gets its newest stated load, for peers; where it states none, that it is not leaving.
     pub fn sight(&self, now: Time) -> Option<Sight> {
         let endpoint = self.tag().0;
         if let (Some(age), Some(stated)) = (self.age(now), self.stated) {
-            let stays = self.told.is_some_and(|at| at + mesh::HELD >= stated.at);
+            let recent = |at| at + mesh::ANSWER_MAX >= stated.at;
+            let confirmed = self.confirmed.is_some_and(recent);
             return Some(Sight {
                 endpoint,
                 age,
                 load: Some(stated.load.requests()),
-                stays,
+                confirmed,
             });
         }
-        let age = now.since(self.told?);
+        let age = now.since(self.confirmed?);
         (age < LOAD_STALE).then_some(Sight {
             endpoint,
             age,
             load: None,
-            stays: true,
+            confirmed: true,
         })
     }
 
--- a/crates/core/src/gateway/knowledge.rs
+++ b/crates/core/src/gateway/knowledge.rs
@@ -147,8 +147,9 @@
 
     /// Notes what a peer knows of endpoints.
     ///
-    /// Their ages count from the sending, so what waited in a socket while this process was suspended
-    /// looks new. A load may; a word that an endpoint stays is passed over until all that waited is read.
+    /// Their ages count from the sending, so what waited in a socket while this process was suspended looks
+    /// new. An old load does little harm; a confirmation is passed over until all that waited is read, or
+    /// the endpoint might have left as long ago as the suspension was long.
     pub fn seen(&mut self, now: Time, sights: &[mesh::Sight]) {
         let runs = now.since(self.ticked) < PAUSE;
         let timely = runs && now.since(self.woke) >= SETTLE;
--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -32,11 +32,12 @@
 pub const MAX_SIGHTS: usize = 32;
 /// Those of them that state no load: few services do, and the loads of the others need the room.
 pub const MAX_LOADLESS: usize = 2;
-/// Longest time from a request to its answer's head of an endpoint that is told to stay.
-pub const HELD: Millis = Millis(300);
-/// Longest time that a digest is taken to be on its way. A link on which bytes wait for longer counts as
-/// broken; one of 10 Mbit/s that carries a large configuration holds them for less.
-pub const ON_ITS_WAY: Millis = Millis(500);
+/// Longest time from a request to its answer's head for which the answer's load is told as a confirmation,
+/// too. Most heads come within 0.1 s.
+pub const ANSWER_MAX: Millis = Millis(300);
+/// Longest time that a digest is taken to be under way. A link on which bytes wait for longer counts as
+/// broken.
+const TRANSIT_MAX: Millis = Millis(500);
 /// Time without a newer heartbeat after which a router of a small fleet isn't counted: one that is
 /// told of directly is heard several times within it.
 const SILENT: Millis = Millis(3000);
@@ -79,15 +80,17 @@
     pub load: Option<u32>,
     /// How old it is.
     pub age: Millis,
-    /// Whether it told the sender itself that it stays, no more than [`HELD`] before.
-    pub stays: bool,
+    /// Whether it was not leaving by its answer to a request that the sender sent no more than
+    /// [`ANSWER_MAX`] before.
+    pub confirmed: bool,
 }
 
 impl Sight {
-    /// Gets the age of the endpoint's word that it stays, however long this was on its way; `None`
-    /// without one.
-    pub fn stayed(&self) -> Option<Millis> {
-        self.stays.then_some(self.age + HELD + ON_ITS_WAY)
+    /// Gets the greatest age that its confirmation may have on arrival; `None` without one. Clocks of
+    /// routers aren't compared, so the longest time under way counts.
+    pub fn confirmation(&self) -> Option<Millis> {
+        let age = self.age + ANSWER_MAX + TRANSIT_MAX;
+        self.confirmed.then_some(age)
     }
 }
 
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -233,10 +233,10 @@
         }
     }
 
-    /// Notes that an endpoint stayed by its own word at a time.
-    pub fn told_stays(&mut self, key: EndpointKey, at: Time) {
+    /// Notes that an endpoint was not leaving at a time, by its own answer.
+    pub fn confirm(&mut self, key: EndpointKey, at: Time) {
         if let Some(endpoint) = self.slots.get_mut(key) {
-            endpoint.told_stays(at);
+            endpoint.confirm(at);
         }
     }
 
@@ -256,13 +256,14 @@
         sights
     }
 
-    /// Notes what a peer knows of an endpoint; `timely` unless it may have waited here for long.
+    /// Notes what a peer knows of an endpoint. Its confirmation counts only if `timely`: not where the
+    /// message may have waited here for long.
     pub fn seen(&mut self, now: Time, sight: Sight, timely: bool) {
         let key = self.tags.get(&Tag(sight.endpoint));
         if let Some(endpoint) = key.and_then(|k| self.slots.get_mut(*k)) {
             endpoint.seen(now, sight);
-            if let Some(age) = sight.stayed().filter(|_| timely) {
-                endpoint.heard_stays(now - age);
+            if let Some(age) = sight.confirmation().filter(|_| timely) {
+                endpoint.confirm_by_peer(now - age);
             }
         }
     }
--- a/crates/core/tests/gateway/endpoint.rs
+++ b/crates/core/tests/gateway/endpoint.rs
@@ -72,7 +72,7 @@
         endpoint: 0,
         load: Some(load),
         age: Millis(age),
-        stays: false,
+        confirmed: false,
     };
     endpoint.seen(Time(1150), sight(9, 250));
     expect_that!(endpoint.load(Time(1150)), eq(5));
--- a/crates/core/tests/gateway/staying.rs
+++ b/crates/core/tests/gateway/staying.rs
@@ -37,12 +37,12 @@
 }
 
 /// Sends a request at `sent` and has its answer say that its endpoint stays.
-fn told(gateway: &mut Gateway, sent: Time) {
+fn answered(gateway: &mut Gateway, sent: Time) {
     let mut ticket = admitted(gateway, sent);
     let placed = gateway.place(sent, &ticket, &ask("/read/x"));
     let endpoint = placed.expect("it is proved").endpoint;
     gateway.sent(sent, &mut ticket, endpoint);
-    gateway.stays(&ticket, endpoint);
+    gateway.confirm(&ticket, endpoint);
 }
 
 fn tick(gateway: &mut Gateway, from: u64, to: u64) {
@@ -63,24 +63,24 @@
 
 /// With the registry as the only witness, an outage would end all service 2 s before the bound of keys does.
 #[gtest]
-fn verify_an_endpoint_s_own_word_is_a_proof_while_the_registry_is_away() {
+fn verify_an_endpoint_s_answer_is_a_proof_while_the_registry_is_away() {
     let mut gateway = gateway(1);
-    told(&mut gateway, Time(2000));
+    answered(&mut gateway, Time(2000));
     expect_that!(placed(&mut gateway, UNPROVED), ok(anything()));
     expect_that!(placed(&mut gateway, Time(4699)), ok(anything()));
     expect_that!(placed(&mut gateway, Time(4700)), err(eq(Cause::Stale)));
 }
 
-/// The word counts from the sending of the request: the answer may have waited here.
+/// An answer counts from the sending of its request: it may have waited here.
 #[gtest]
-fn verify_a_word_that_came_late_is_as_old_as_its_request() {
+fn verify_an_answer_that_came_late_is_as_old_as_its_request() {
     let mut gateway = gateway(1);
     let mut ticket = admitted(&mut gateway, Time(1000));
     let placed_at = gateway.place(Time(1000), &ticket, &ask("/read/x"));
     let endpoint = placed_at.expect("it is proved").endpoint;
     gateway.sent(Time(1000), &mut ticket, endpoint);
     // The process is suspended, and the head is read at 3500.
-    gateway.stays(&ticket, endpoint);
+    gateway.confirm(&ticket, endpoint);
     expect_that!(placed(&mut gateway, Time(3699)), ok(anything()));
     expect_that!(placed(&mut gateway, Time(3700)), err(eq(Cause::Stale)));
 }
@@ -88,7 +88,7 @@
 #[gtest]
 fn verify_an_endpoint_that_leaves_gets_nothing_whatever_it_said_before() {
     let mut gateway = gateway(1);
-    told(&mut gateway, Time(2000));
+    answered(&mut gateway, Time(2000));
     let mut leaving = entry(0);
     leaving.leaving = true;
     gateway.follow(Time(2100), vec![Change::Entry(leaving)]);
@@ -115,14 +115,14 @@
 
 /// Another router's answer is a proof too, less the longest time that it may have been held and on its way.
 #[gtest]
-fn verify_a_word_to_another_router_counts_with_all_that_it_may_have_taken() {
+fn verify_an_answer_to_another_router_counts_with_all_the_time_that_it_may_have_taken() {
     let mut one = gateway(1);
-    told(&mut one, Time(2500));
+    answered(&mut one, Time(2500));
     let mut other = gateway(1);
     tick(&mut other, 0, 2600);
     let sights = one.sights(Time(2600), 1);
     other.seen(Time(2600), &sights);
-    // Told at 2500, taken for 1700: 300 to be answered and 500 on its way.
+    // Sent at 2500, taken for 1700: 300 to be answered and 500 on its way.
     expect_that!(placed(&mut other, UNPROVED), ok(anything()));
     expect_that!(placed(&mut other, Time(4399)), ok(anything()));
     expect_that!(placed(&mut other, Time(4400)), err(eq(Cause::Stale)));
@@ -133,12 +133,12 @@
 /// A digest that waited in a socket while its receiver was suspended looks new. What it says of an endpoint's
 /// staying may be as old as the suspension was long.
 #[gtest]
-fn verify_a_word_that_waited_for_a_suspended_router_proves_nothing() {
+fn verify_a_digest_that_waited_for_a_suspended_router_proves_nothing() {
     let stays = |gateway: &Gateway, load| Sight {
         endpoint: gateway.registry().usable().next().expect("one").1.tag().0,
         load,
         age: Millis(10),
-        stays: true,
+        confirmed: true,
     };
     for load in [None, Some(3)] {
         let mut asleep = gateway(1);
@@ -155,18 +155,18 @@
     }
 }
 
-/// An endpoint that states no load is told of as well; it gets no load by it.
+/// Endpoints that state no load are in the digests as well, and get none by it.
 #[gtest]
-fn verify_the_word_of_an_endpoint_without_a_load_is_handed_on() {
+fn verify_an_answer_without_a_load_is_handed_on() {
     let mut one = gateway(1);
-    told(&mut one, Time(2500));
+    answered(&mut one, Time(2500));
     let sights = one.sights(Time(2600), 1);
     expect_that!(
         sights,
         elements_are![matches_pattern!(Sight {
             load: none(),
             age: eq(&Millis(100)),
-            stays: eq(&true),
+            confirmed: eq(&true),
             ..
         })]
     );
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -257,9 +257,10 @@
             return Err((flight, Fate::Broken, status));
         }
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        // An endpoint that leaves ends its connections with each answer, and few others do.
         if !reply.closes && !misdirected {
             let mut gateway = self.state.gateway.borrow_mut();
-            gateway.stays(&self.ticket, placed.endpoint);
+            gateway.confirm(&self.ticket, placed.endpoint);
         }
         if misdirected || reply.rejected {
             self.reject(&flight, connection, body, &reply).await;
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -168,7 +168,7 @@
         endpoints: digest.sights.iter().map(|s| s.endpoint).collect(),
         loads: loads.collect(),
         ages: digest.sights.iter().map(age).collect(),
-        staying: bits(&digest.sights, |s| s.stays),
+        confirmed: bits(&digest.sights, |s| s.confirmed),
         loadless: bits(&digest.sights, |s| s.load.is_none()),
     }
     .encode_to_vec()
@@ -202,7 +202,7 @@
             endpoint: *endpoint,
             load: (raw.loadless >> row & 1 == 0).then_some(*load),
             age: Millis(u64::from(*age)),
-            stays: raw.staying >> row & 1 == 1,
+            confirmed: raw.confirmed >> row & 1 == 1,
         });
     Ok(Digest {
         from: rumor(from)?,
--- a/crates/wire/tests/gossip.rs
+++ b/crates/wire/tests/gossip.rs
@@ -67,7 +67,7 @@
         endpoint: u32::MAX - u32::try_from(n).expect("it is small"),
         load: (!n.is_multiple_of(3)).then_some(300),
         age: Millis(1999),
-        stays: n.is_multiple_of(2),
+        confirmed: n.is_multiple_of(2),
     };
     Digest {
         from: rumor(0),
