--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -167,8 +167,8 @@
             draw,
         };
         let placed = place::choose(&scene, ticket, ask.prompt.as_ref());
-        let missed = if place::unproved(&scene, ticket) {
-            Cause::Stale
+        let missed = if place::unconfirmed(&scene, ticket) {
+            Cause::Unconfirmed
         } else {
             Cause::NoEndpoint
         };
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -132,9 +132,9 @@
     }
 }
 
-/// Tells whether an endpoint that the ticket has not tried is left out only as nothing proves that it
-/// stays.
-pub fn unproved(scene: &Scene<'_>, ticket: &Ticket) -> bool {
+/// Tells whether an endpoint that the ticket has not tried is left out as nothing confirms that it isn't
+/// leaving.
+pub fn unconfirmed(scene: &Scene<'_>, ticket: &Ticket) -> bool {
     let mut all = scene.registry.of(&ticket.service);
     all.any(|(k, e)| !tried(ticket, k) && !scene.stays(e))
 }
--- a/crates/core/src/gateway/refusal.rs
+++ b/crates/core/src/gateway/refusal.rs
@@ -6,8 +6,10 @@
 pub enum Cause {
     /// No configuration is in force yet.
     NotReady,
-    /// What is known of keys, routes or endpoints is too old to act on.
+    /// What is known of keys and routes is too old to act on.
     Stale,
+    /// Nothing confirms that an endpoint that could take it isn't leaving.
+    Unconfirmed,
     /// The request is not well formed.
     Malformed,
     /// The request is larger than callers may send.
--- a/crates/core/tests/gateway/staying.rs
+++ b/crates/core/tests/gateway/staying.rs
@@ -56,7 +56,7 @@
 fn verify_an_entry_proves_nothing_for_longer_than_leaving_takes() {
     let mut gateway = gateway(1);
     expect_that!(placed(&mut gateway, PROVED), ok(anything()));
-    expect_that!(placed(&mut gateway, UNPROVED), err(eq(Cause::Stale)));
+    expect_that!(placed(&mut gateway, UNPROVED), err(eq(Cause::Unconfirmed)));
     gateway.proved(Time(2800), Time(2790));
     expect_that!(placed(&mut gateway, Time(2800)), ok(anything()));
 }
@@ -68,7 +68,10 @@
     answered(&mut gateway, Time(2000));
     expect_that!(placed(&mut gateway, UNPROVED), ok(anything()));
     expect_that!(placed(&mut gateway, Time(4699)), ok(anything()));
-    expect_that!(placed(&mut gateway, Time(4700)), err(eq(Cause::Stale)));
+    expect_that!(
+        placed(&mut gateway, Time(4700)),
+        err(eq(Cause::Unconfirmed))
+    );
 }
 
 /// An answer counts from the sending of its request: it may have waited here.
@@ -82,7 +85,10 @@
     // The process is suspended, and the head is read at 3500.
     gateway.confirm(&ticket, endpoint);
     expect_that!(placed(&mut gateway, Time(3699)), ok(anything()));
-    expect_that!(placed(&mut gateway, Time(3700)), err(eq(Cause::Stale)));
+    expect_that!(
+        placed(&mut gateway, Time(3700)),
+        err(eq(Cause::Unconfirmed))
+    );
 }
 
 #[gtest]
@@ -125,7 +131,7 @@
     // Sent at 2500, taken for 1700: 300 to be answered and 500 on its way.
     expect_that!(placed(&mut other, UNPROVED), ok(anything()));
     expect_that!(placed(&mut other, Time(4399)), ok(anything()));
-    expect_that!(placed(&mut other, Time(4400)), err(eq(Cause::Stale)));
+    expect_that!(placed(&mut other, Time(4400)), err(eq(Cause::Unconfirmed)));
     // It is not handed on: how long it was on its way would add up unseen.
     expect_that!(other.sights(Time(2600), 1), is_empty());
 }
@@ -148,7 +154,7 @@
         asleep.seen(Time(4000), &[sight]);
         asleep.tick(Time(4001));
         asleep.seen(Time(4002), &[sight]);
-        expect_that!(placed(&mut asleep, Time(4003)), err(eq(Cause::Stale)));
+        expect_that!(placed(&mut asleep, Time(4003)), err(eq(Cause::Unconfirmed)));
         tick(&mut asleep, 4100, 4200);
         asleep.seen(Time(4200), &[sight]);
         expect_that!(placed(&mut asleep, Time(4201)), ok(anything()));
--- a/crates/toucanturn/src/trace.rs
+++ b/crates/toucanturn/src/trace.rs
@@ -193,7 +193,12 @@
     };
     let why = match cause {
         "not_ready" => "this router knew no configuration yet".to_owned(),
-        "stale" => format!("what this router knew was {age} ms old, over the bound for keys"),
+        "stale" => {
+            format!("what this router knew was {age} ms old, over the bound for keys or routes")
+        }
+        "unconfirmed" => format!(
+            "what this router knew was {age} ms old, and no endpoint had confirmed since that it isn't leaving"
+        ),
         "unknown_route" => "no route matched its host and path".to_owned(),
         "unknown_key" => "no workspace held its key".to_owned(),
         "no_endpoint" => "no endpoint was left that could take it".to_owned(),
