Take sealed answers alone as confirmation; say that a router is not ready that may send to nobody

Cause: a router whose endpoints nobody confirms refused what the balancer went on sending to it, though another may have heard of them. A rejection may come from a queue before the endpoint's own word.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -130,7 +130,10 @@
 
     /// Tells whether callers may be sent here.
     pub fn ready(&self, now: Time) -> bool {
-        let reachable = self.registry.usable().next().is_some();
+        let reachable = self
+            .registry
+            .usable()
+            .any(|(key, _)| self.may_send(now, key));
         self.catalog.is_some() && reachable && self.proof.covers_routes(now, &self.bounds)
     }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -257,11 +257,6 @@
             return Err((flight, Fate::Broken, status));
         }
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
-        // An endpoint that leaves ends its connections with each answer, and few others do.
-        if !reply.closes && !misdirected {
-            let mut gateway = self.state.gateway.borrow_mut();
-            gateway.confirm(&self.ticket, placed.endpoint);
-        }
         if misdirected || reply.rejected {
             self.reject(&flight, connection, body, &reply).await;
             let fate = if misdirected {
@@ -275,6 +270,11 @@
         if !reply.sealed || reply.encoded {
             return Err((flight, Fate::Broken, status));
         }
+        // An endpoint that leaves ends its connections with each answer, and few others do.
+        if !reply.closes {
+            let mut gateway = self.state.gateway.borrow_mut();
+            gateway.confirm(&self.ticket, placed.endpoint);
+        }
         Ok(Attempt {
             head,
             reply,
