--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -154,7 +154,7 @@
         let part = ask.prompt.as_ref().and_then(ask::Prompt::anchor);
         let first = ticket.tried.is_empty() && ticket.unreached.is_empty();
         if let Some(part) = part.filter(|_| first) {
-            self.note(now, &ticket.service, heat::tag(part.id), ask.work());
+            self.note_request(now, &ticket.service, heat::tag(part.id), ask.work());
         }
         let scene = place::Scene {
             share: self.share(&ticket.service),
--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -170,16 +170,16 @@
         self.has_workspaces
     }
 
-    /// Gets the place of a service among all.
-    pub fn place(&self, service: &[u8]) -> Option<u32> {
-        let place = self.services.get_index_of(service)?;
-        u32::try_from(place).ok()
+    /// Gets the index of a service, by which routers with this configuration name it to each other.
+    pub fn index_of(&self, service: &[u8]) -> Option<u32> {
+        let index = self.services.get_index_of(service)?;
+        u32::try_from(index).ok()
     }
 
-    /// Gets the name of the service at a place.
-    pub fn at(&self, place: u32) -> Option<&Bytes> {
-        let place = usize::try_from(place).ok()?;
-        self.services.get_index(place).map(|(name, _)| name)
+    /// Gets the name of the service with an index.
+    pub fn name_at(&self, index: u32) -> Option<&Bytes> {
+        let index = usize::try_from(index).ok()?;
+        self.services.get_index(index).map(|(name, _)| name)
     }
 
     /// Gets a service.
--- a/crates/core/src/gateway/knowledge.rs
+++ b/crates/core/src/gateway/knowledge.rs
@@ -136,7 +136,7 @@
             Some(held) if held.version == version => {}
             _ => {
                 self.heats.retain(|name, _| catalog.service(name).is_some());
-                // They name services by their places in the configuration before.
+                // They name services by their indices in the configuration before.
                 self.samples.clear();
                 self.catalog = Some(Arc::new(catalog));
                 news.push(News::Applied { version });
@@ -163,11 +163,11 @@
     }
 
     /// Notes a request for a shared part, and keeps it for the next digest.
-    pub(super) fn note(&mut self, now: Time, service: &Bytes, part: u32, work: u32) {
+    pub(super) fn note_request(&mut self, now: Time, service: &Bytes, part: u32, work: u32) {
         let heat = self.heats.entry(service.clone()).or_default();
         heat.note(now, part, work);
-        let place = self.catalog.as_ref().and_then(|c| c.place(service));
-        let Some(service) = place else {
+        let index = self.catalog.as_ref().and_then(|c| c.index_of(service));
+        let Some(service) = index else {
             return;
         };
         if self.samples.len() == mesh::MAX_SAMPLES {
@@ -188,7 +188,10 @@
     /// Notes requests that a peer placed under the configuration in force here.
     pub fn sampled(&mut self, now: Time, samples: &[Sample]) {
         for sample in samples {
-            let name = self.catalog.as_ref().and_then(|c| c.at(sample.service));
+            let name = self
+                .catalog
+                .as_ref()
+                .and_then(|c| c.name_at(sample.service));
             if let Some(name) = name.cloned() {
                 let heat = self.heats.entry(name).or_default();
                 heat.note(now, sample.part, sample.work);
--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -102,7 +102,7 @@
 /// that reaches it, and as unbiased.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sample {
-    /// Place of its service in the published configuration.
+    /// Index of its service in the published configuration.
     pub service: u32,
     /// Tag of the shared part that decides its placement.
     pub part: u32,
@@ -117,7 +117,7 @@
     pub from: Rumor,
     /// Heartbeats of others.
     pub rumors: Vec<Rumor>,
-    /// Loads of endpoints.
+    /// What is known of endpoints.
     pub sights: Vec<Sight>,
     /// Requests that the sender placed since its last round.
     pub samples: Vec<Sample>,
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -309,22 +309,23 @@
     }
 }
 
+/// Makes the calls of one read; gets what has changed since the last one.
 async fn read(state: &Shared, registry: &mut Link, reader: &mut Reader) -> Result<Delta, Error> {
-    let mut times = Times {
-        open: PATIENCE,
-        first: PATIENCE,
-        piece: PATIENCE,
-        whole: WHOLE,
-    };
     let sent = now();
     let mut path = (reader.begin)();
     let mut watches = false;
     loop {
-        times.first = if watches { WATCH_PATIENCE } else { PATIENCE };
+        let times = Times {
+            open: PATIENCE,
+            first: if watches { WATCH_PATIENCE } else { PATIENCE },
+            piece: PATIENCE,
+            whole: WHOLE,
+        };
         let uri = path.parse().map_err(|_| Error::Path { path })?;
         let mut request = Request::new(Full::default());
         *request.uri_mut() = uri;
         let body = match registry.call(request, times).await {
+            // The watch hears nothing: the reader begins with everything.
             Err(client::Error::Late { received: 0 }) if watches => {
                 watches = false;
                 path = (reader.begin)();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -82,7 +82,7 @@
             if fresh {
                 let mut gateway = state.gateway.borrow_mut();
                 gateway.seen(now(), &digest.sights);
-                // Services have other places in another configuration.
+                // Services have other indices in another configuration.
                 if gateway.catalog().is_some_and(|c| c.version == epoch) {
                     gateway.sampled(now(), &digest.samples);
                 }
