--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -50,8 +50,8 @@
 /// 1 Gbit/s busy for 0.6 s.
 const WATCH_PATIENCE: Duration = Duration::from_millis(700);
 /// Longest time of a whole answer. A configuration of 1.3 MB is 1.8 MB in base64, 2.9 s on half of a link of
-/// 10 Mbit/s. With 0.9 s for the whole, routers on such links never read one of 1.1 MB: each try began anew,
-/// and 58 of 66 refused everything until the fleet's tries had thinned out, some 3 s.
+/// 10 Mbit/s. With 0.9 s for the whole, routers on such links did not read one of 1.1 MB, as each try began anew:
+/// 58 of 66 refused everything, for 1.7 to 3.1 s each until the record's end.
 const WHOLE: Duration = Duration::from_secs(4);
 /// Pause after a read that failed, or a copy that won't do.
 const AGAIN: Duration = Duration::from_millis(150);
