--- a/crates/core/src/gateway/ask.rs
+++ b/crates/core/src/gateway/ask.rs
@@ -4,7 +4,7 @@
 
 use crate::units::Millis;
 
-/// Tokens that an engine writes in the time until the first one of an answer: some 50 ms at 4 ms each.
+/// Tokens that an engine writes in the time until the first one of an answer.
 const BEGINNING: u32 = 12;
 
 /// `Ask` is one checked request.
--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -32,14 +32,12 @@
 /// Age at which a stated load says nothing any more: many requests have come and gone since.
 const LOAD_STALE: Millis = Millis(2000);
 /// Time within which a router hears of a load that an endpoint stated to another one, or its own
-/// newest request is answered: until then silence says nothing. With 300 ms 3.5 % of the requests of a
-/// modelled fleet of 66 reached engines over the multiple, with 100 and 200 ms 1.5 %.
+/// newest request is answered: until then silence says nothing.
 const HEARD: Millis = Millis(200);
 /// Time in which the requests of other routers halve at an endpoint from which nothing more is heard.
 /// Nobody has begun any there, or its load would have been stated, so they only end. Kept as they
-/// were, the loads of engines that were passed over raised the mean by 40 %, and with it the load that
-/// others might carry: 22.8 % of the 4,727 requests of a modelled fleet of 7 with a hot session reached
-/// an engine over the multiple, and 2.3 % so.
+/// were, the loads of engines that are passed over would raise the mean, and with it the load that
+/// others might carry: over the multiple.
 const OTHERS_HALF_LIFE: Millis = Millis(300);
 /// Own requests whose times are kept, to correct loads that peers know.
 const MAX_SENT: usize = 32;
@@ -49,12 +47,11 @@
 /// Weight of the newest answer in the share of failures: about the last eight count.
 const FAILURE_WEIGHT: f32 = 0.125;
 /// Time in which the share of failures halves without answers. An endpoint that is left out gives
-/// none: with no such time, one of three idled for 15 s after it was sound again while the others
-/// rejected half of what came.
+/// none: with no such time, it would idle long after it is sound again while the others are overloaded.
 const FAILURE_HALF_LIFE: Millis = Millis(1000);
 
-/// Weight of the newest answer in the time that one takes: about the last three count. A queue of
-/// 24 fills and empties within as many answers of its endpoint, of which a router sees few.
+/// Weight of the newest answer in the time that one takes: about the last three count. A queue fills and empties
+/// within a few answers of its endpoint, of which a router sees few.
 const PACE_WEIGHT: f32 = 0.3;
 /// Time in which the time that an answer takes halves without answers, so that an endpoint that was
 /// slow is tried again.
@@ -63,7 +60,7 @@
 const REJECTED: Millis = Millis(600);
 
 /// Least time that a failed answer counts as: another attempt must follow, if one may. Counted by its
-/// own time, an endpoint that fails within 7 ms got three times its part.
+/// own time, an endpoint that fails at once would get several times its part.
 const FAILED: Millis = Millis(300);
 /// Time that a broken answer counts as: what may not run again is lost with it.
 const BROKEN: Millis = Millis(1500);
@@ -217,8 +214,8 @@
 
     /// Tells whether it was not leaving less than `bound` ago; `read` is when the registry last listed it.
     ///
-    /// Judged by the longer bound of keys, endpoints got requests up to 3.6 s after they had left where 3 s
-    /// are promised. Judged by the registry alone, each of its outages would end all service at this bound;
+    /// Judged by the longer bound of keys, endpoints would get requests after the time in which leaving is promised.
+    /// Judged by the registry alone, each of its outages would end all service at this bound;
     /// answers of the endpoints themselves are evidence that costs nothing.
     pub fn stays(&self, now: Time, read: Option<Time>, bound: Millis) -> bool {
         let newest = read.max(self.confirmed).max(self.confirmed_by_peer);
--- a/crates/core/src/gateway/heat.rs
+++ b/crates/core/src/gateway/heat.rs
@@ -7,11 +7,8 @@
 //! too few requests for that within a second, so routers tell each other of a sample of theirs.
 //!
 //! Work counts, not requests, as the multiple is of requests in progress: a session whose answers last
-//! twice as long has twice the share of these. Spread by its share of requests, the session of a modelled
-//! fleet of 75 (`lab_multiple` of the replay) was put on half of the engines that it needed.
-//!
-//! In a model of 66 routers and 60 engines with a session that gets 30 % of the traffic, 15.8 % of the
-//! requests reached engines over the multiple without this, and 1.5 % with it.
+//! twice as long has twice the share of these. Spread by its share of requests, a session with long answers is
+//! put on too few endpoints.
 
 use std::collections::VecDeque;
 
@@ -20,21 +17,16 @@
     Time, //
 };
 
-/// Requests that are remembered: those of the last 3 s at 85 a second, and of less time at a router
-/// that gets more, whose counts are as good in less.
+/// Requests that are remembered: at a usual rate those of the time below, and of less time at a router that gets more,
+/// whose counts are as good in less.
 const MAX_SEEN: usize = 256;
 /// Time for which a request is remembered: what was hot before that has had time to cool, and what has just
-/// become hot is soon most of what is remembered. With 5 s 3.2 % of the requests of a modelled fleet of 75
-/// reached engines over the multiple, with 2 s 2.7 %, and 2.4 % so (`lab_multiple`, most of 12 seeds, 0.9 of the
-/// multiple filled).
+/// become hot is soon most of what is remembered.
 const REMEMBERED: Millis = Millis(3000);
 /// Standard deviations by which a part's count must be above chance. With none, two requests for the
 /// same part among thirty would pass for a hot one, and its prompts would be read at four endpoints.
 const DOUBT: f64 = 1.5;
-/// Part of the published multiple that is filled; the rest is left for chance. Of a modelled fleet of 66 with
-/// a session that gets 30 % of the traffic 3.0 % of the requests reached engines over the multiple with 0.9,
-/// 1.6 % with 0.85 and 0.7 % so (`skew` of the gateway's tests, mean of 6 seeds); of one of 75 no more
-/// prompts were read than before (`lab_multiple`, 4.74 M tokens each).
+/// Part of the published multiple that is filled; the rest is left for chance.
 const FILLED: f64 = 0.8;
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/core/src/gateway/mirror.rs
+++ b/crates/core/src/gateway/mirror.rs
@@ -107,7 +107,7 @@
     ///
     /// Without this, routers that had started a moment earlier than the peer that they copied from
     /// were never told of an endpoint that was removed between the two first reads, and sent it
-    /// requests until it was gone, under a fresh proof of age: up to 4.2 s after its removal.
+    /// requests until it was gone, under a fresh proof of age.
     fn pass(&mut self, revision: Revision) {
         let span = Blind {
             after: self.revision,
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -136,8 +136,8 @@
 
     /// Notes that an earlier life of this router may have ended just now. It may have used the
     /// router's part of the fleet's extra repeats, so this life uses its share alone for the length
-    /// of the window. Without this, 7 routers that were killed every two seconds while most answers
-    /// were failures sent 303 repeats of 849 requests in 10 s, where 224 were allowed.
+    /// of the window. Without this, routers that are killed again and again while answers are failures repeat
+    /// more than is allowed.
     pub fn restarted(&mut self, now: Time) {
         self.extra_from = now + self.bounds.retry.window;
     }
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -36,32 +36,25 @@
     slack: f32,
 }
 
-/// Margin where a load is known as of now. With 0.95 and 2.7 up to 3.5 % of the requests of a fleet of 7
-/// reached endpoints over the multiple while one session got half of the traffic, in a model where 3 %
-/// are allowed; up to 2.5 % so, and as many prompts find their parts.
+/// Margin where a load is known as of now. Closer to the multiple, chance and a hot session put endpoints over it.
 const FRESH: Margin = Margin {
     part: 0.92,
     slack: 2.6,
 };
-/// Margin where it is as old as [`OLD`], or not known at all: meanwhile others may have sent as
-/// many requests as there are routers. With the fresh one alone, 3.2 % of the requests of a fleet
-/// of 83 reached endpoints over the multiple within seconds of a cold start; with this one alone,
-/// 7 % of a calm day's prompts in a fleet of 7 went past their endpoint, and their parts were read
-/// again.
+/// Margin where it is as old as [`OLD`], or not known at all: meanwhile others may have sent as many requests as there
+/// are routers. The fresh margin alone would break the multiple after a cold start; this one alone would send calm
+/// prompts past their endpoint, where their parts are read again.
 const STALE: Margin = Margin {
     part: 0.65,
     slack: 1.5,
 };
-/// Age from which a load is stale. With 800 ms 3.8 % of the requests of a modelled fleet of 75 reached engines
-/// over the multiple within 5 s of a surge, and 3.3 % so, at a third more tokens read again.
+/// Age from which a load is stale.
 const OLD: Millis = Millis(500);
 /// Load that a share of failures of 1 counts as, where it is above the usual one by more than chance.
 const FAILURE_LOAD: f32 = 24.0;
-/// Share of failures above the usual one that chance may give: two standard deviations of about eight
-/// answers of which half fail. Where all engines fail alike there is no better one to go to. Counted in
-/// full, each was over its limit, prompts went wherever it was least and were read again: with failures of
-/// 45 % at all of 9 engines for 4 s, the two worst moments of a day earned 0.79 (mean of six seeds), 0.81
-/// with the usual share taken off, and 0.87 with this, too.
+/// Share of failures above the usual one that chance may give: two standard deviations of about eight answers of which
+/// half fail. Where all engines fail alike there is no better one to go to, and counted in full each would be over its
+/// limit: prompts would go wherever is least and be read again.
 const FAILURE_DOUBT: f32 = 0.25;
 /// Times the time until an answer that a share of failures of 1 adds.
 const FAILURE_TIMES: f32 = 8.0;
@@ -186,8 +179,7 @@
 /// Finds the endpoint besides `chosen` that most likely holds prompts with `item`: the first in their
 /// order that has been there for long enough, also if it is leaving. One that has just come has read
 /// nothing yet. Where `chosen` is the first itself, the next one may have stood in for it; a fetch of
-/// what is held already costs nothing. Without that, 0.025 of a day's worth were lost to parts read
-/// again, and 0.021 so (mean of six days, 7 routers before 9 engines).
+/// what is held already costs nothing.
 fn holder(
     scene: &Scene<'_>,
     ticket: &Ticket,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -61,9 +61,8 @@
 /// Most bytes of an answer that is held until it is whole; longer ones are not taken.
 pub(crate) const MAX_ANSWER: usize = 8 << 20;
 
-/// Seconds for which a caller may use its connection again after an answer. Connections without a request
-/// hold about 40 KB each: kept for the 12 s that a configuration allowed, 100 of them took most of a router's
-/// 8.7 MB at its peak (7 routers, 100 requests a second); 6.1 MB so.
+/// Seconds for which a caller may use its connection again after an answer. Connections without a request hold
+/// memory, which is most of what a router has at its peak if each is kept for as long as a configuration allows.
 pub(crate) const KEEP_S: u64 = 3;
 /// The same as callers are told.
 const KEEP: &str = "timeout=3";
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -12,7 +12,7 @@
 
 use crate::state;
 
-/// Lines a second that are written; the rest is counted. 300 lines of 400 bytes are 120 KB/s.
+/// Lines a second that are written; the rest is counted.
 const MAX_LINES: u32 = 300;
 const SECOND: Millis = Millis(1000);
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -71,9 +71,8 @@
 const LITTLE: Millis = Millis(1);
 /// Most bytes of changes that are packed to be handed on: of more, not even the packed form is small.
 const MAX_PACKED: usize = 256 << 10;
-/// Most packed bytes of changes that are handed on; the asker reads what is more by itself. A reader's link
-/// may be as small as 10 Mbit/s: with large configurations in quick succession, copies of each to 15
-/// routers filled it, and a change was in force after 3.1 s.
+/// Most packed bytes of changes that are handed on; the asker reads what is more by itself. Copies of large
+/// configurations in quick succession would fill a reader's link, and a change would be in force late at all that ask it.
 const MAX_HANDED: usize = 24 << 10;
 
 /// `Error` says why no copy came.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -108,7 +108,7 @@
     let requests = Rc::clone(&pace);
     let service = service_fn(move |request| {
         let open = Open::new(&requests);
-        // In a box, as the library keeps room for one in each connection, also while it is idle: 6.3 KB.
+        // In a box, as the library keeps room for one in each connection, also while it is idle.
         let answer = Box::pin(exchange::serve(shared.clone(), request));
         async move {
             let answer: Result<_, Infallible> = answer.await;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -22,9 +22,8 @@
 /// Part of a bound on the age of keys and routes that is left for what passes between the check and the
 /// endpoint's start, and for clocks that drift: a twentieth.
 const PROOF_MARGIN: u64 = 20;
-/// The same of the bound on endpoints that leave, which counts until a request reaches one: a tenth, 200 ms
-/// of 2 s. Between the check and the endpoint 2 ms pass as a rule; a VM whose quota is used up stands still
-/// for up to 100 ms.
+/// The same of the bound on endpoints that leave, which counts until a request reaches one: a tenth, as a VM whose
+/// quota is used up stands still for a while between the check and the sending.
 const STAYING_MARGIN: u64 = 10;
 /// Reads of the registry within the shortest bound on changes: one may be lost, one be slow.
 const READS_PER_BOUND: u64 = 3;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -47,9 +47,8 @@
 /// several changes may come within a second.
 const MAX_SECRETS: usize = 8;
 
-/// Time from the start within which the first read of the registry is expected. 89 routers that started
-/// together with 0.12 to 0.5 of a core and links of 10 Mbit/s had theirs after 0.04 to 0.64 s; without the
-/// wait they refused 982 requests meanwhile.
+/// Time from the start within which the first read of the registry is expected. Routers that start together share
+/// the registry's link; without the wait, they would refuse what comes meanwhile.
 const FIRST_READ: Millis = Millis(700);
 
 /// `Known` is the state of the registry that is known.
--- a/crates/gatewayd/src/main.rs
+++ b/crates/gatewayd/src/main.rs
@@ -1,8 +1,7 @@
 //! `toucanturn-gatewayd`, one router of the fleet on the users' platform.
 //!
 //! The platform names the settings file in an environment variable and serves until SIGTERM. It is a
-//! program of its own, as each of its pages in memory is paid for on every VM: with the own interface
-//! linked in, a router that has just started holds 6.5 MB.
+//! program of its own, without the own interface, as each of its pages in memory is paid for on every VM.
 
 #![forbid(unsafe_code)]
 
--- a/crates/gatewayd/src/run.rs
+++ b/crates/gatewayd/src/run.rs
@@ -21,7 +21,7 @@
     WorkerGuard, //
 };
 
-/// Log lines that wait for a slow reader before further ones are dropped; each is about 400 bytes.
+/// Log lines that wait for a slow reader before further ones are dropped.
 const WAITING_LINES: usize = 2000;
 
 /// `Error` says why the gateway could not start.
