End what a killed soak has started, by a guard

The death signal of a parent would have to be set between fork and exec, which takes unsafe code; a process group doesn't end with its leader.

A guard, the soak's program with `--guard` in a group of its own, hears by a pipe which processes were started. The system ends the pipe with the soak; the guard then ends those that still run, known by id and start.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod caller;
 pub mod errors;
 pub mod fleet;
+pub mod guard;
 pub mod judge;
 pub mod plan;
 pub mod process;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -11,7 +11,7 @@
 use gumdrop::Options;
 use tokio::task::LocalSet;
 use toucanturn_soak::{
-    Result,
+    Result, guard,
     judge::judge,
     plan::{
         Size,
@@ -50,6 +50,10 @@
 }
 
 fn main() -> ExitCode {
+    if std::env::args().nth(1).as_deref() == Some(guard::ARGUMENT) {
+        guard::run(std::io::stdin().lock());
+        return ExitCode::SUCCESS;
+    }
     let args = Args::parse_args_default_or_exit();
     match soak(&args) {
         Ok(0) => ExitCode::SUCCESS,
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -36,10 +36,13 @@
     time::timeout,
 };
 
-use crate::errors::{
-    PortsSnafu,
-    Result,
-    StartSnafu, //
+use crate::{
+    errors::{
+        PortsSnafu,
+        Result,
+        StartSnafu, //
+    },
+    guard,
 };
 
 /// `Child` is a process of the soak; dropping it kills it.
@@ -78,6 +81,9 @@
         let path = PathBuf::from(command.as_std().get_program());
         let started = command.stdin(Stdio::null()).kill_on_drop(true).spawn();
         let inner = started.context(StartSnafu { path })?;
+        if let Some(id) = inner.id() {
+            guard::tell(id)?;
+        }
         Ok(Self { inner })
     }
 
