Have a router that the registry turns away ask peers that it hasn't heard read

Where nobody is known to read, it asks any router that it knows, and where it knows nobody, one of the addresses to begin with: asks are sealed by the asker's configuration, which the others still know.

Tests: `verify_a_reader_that_is_turned_away_copies_from_others` (fails on and on: one of four routers lacks the second configuration for 20 s), `verify_a_router_that_hears_nobody_asks_where_it_began`, and the end of `verify_a_reader_elsewhere_is_found`, which asked for nobody where none says that it reads, and now for one that has not been put aside.

--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -288,12 +288,22 @@
         first.map(|r| r.address)
     }
 
-    /// Gets a router anywhere that says that it reads the registry, for one that should and can't.
+    /// Gets a router to ask that may know more than those that should read: one anywhere that says that it reads the
+    /// registry, else any.
+    ///
+    /// Who doesn't know the newest configuration can't open digests that are sealed by it, and hears no more of who
+    /// reads, or of anybody: then one of the addresses to begin with is asked.
     pub fn distant(&self, now: Time, draw: u64) -> Option<SocketAddrV4> {
-        let reads = self.live(now).filter(|r| r.reads && !self.avoids(now, r));
-        let reads: Vec<SocketAddrV4> = reads.map(|r| r.address).collect();
-        let pick = draw.checked_rem(reads.len() as u64)?;
-        reads.get(usize::try_from(pick).ok()?).copied()
+        let open = || self.live(now).filter(|r| !self.avoids(now, r));
+        let mut found: Vec<SocketAddrV4> = open().filter(|r| r.reads).map(|r| r.address).collect();
+        if found.is_empty() {
+            found.extend(open().map(|r| r.address));
+        }
+        if found.is_empty() {
+            found.extend(&self.seeds);
+        }
+        let pick = draw.checked_rem(found.len() as u64)?;
+        found.get(usize::try_from(pick).ok()?).copied()
     }
 
     /// Notes that a router did not answer, or with what is too old. Until then another one of the
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -36,7 +36,7 @@
 const AVOID_REFUSING: Millis = Millis(500);
 /// Pause between asks, so that a peer that answers at once is not asked without end.
 const ASK_PAUSE: Duration = Duration::from_millis(50);
-/// Pause where nobody is to be asked.
+/// Pause where nobody is to be asked, or who was gave no answer.
 const LOOK: Duration = Duration::from_millis(150);
 /// Halves of the time between reads after which a router that should read, and can't prove more, asks others.
 const LATE_HALVES: u64 = 3;
@@ -58,7 +58,8 @@
         match answer {
             // The own read brings it meanwhile.
             Answer::Large => sleep(duration(wait(&state))).await,
-            Answer::News | Answer::Nothing | Answer::None => sleep(ASK_PAUSE).await,
+            Answer::News | Answer::Nothing => sleep(ASK_PAUSE).await,
+            Answer::None => sleep(LOOK).await,
         }
     }
 }
@@ -77,7 +78,7 @@
 }
 
 /// Gets the peer to ask: one that reads for the data centre. Where that one has nothing newer, or this router is to
-/// read itself, and what can be proved grows old, any that says that it reads: the registry may have turned away those
+/// read itself, and what can be proved grows old, another: the registry may have turned away those
 /// that should read, and serve others.
 fn peer(state: &Shared, answer: Answer) -> Option<SocketAddrV4> {
     let now = now();
