Take the last figures out of the core's comments

No logic changed: the cost of one lost home in seven (4 %), the memory of 32,768 remembered chats (1.5 MB) and the bytes of a poll (500, at most 20 KB a second) were estimates beside their constants. What is left with digits are bounds, protocols, references and defaults.

--- a/crates/core/src/limits/homes.rs
+++ b/crates/core/src/limits/homes.rs
@@ -137,7 +137,7 @@
     /// The two sides of a partition each have a home. The smaller one fills at half of the part of
     /// the fleet that it reaches, and the greater one leaves that room, but for [`ALLOWANCE`]. So
     /// their sum stays near the limit, and routers that are dead, not cut off, cost the living
-    /// little: one of seven costs 4 %.
+    /// little.
     pub(super) fn fill(&self, now: Time) -> Permille {
         let all = self.fleet.len().max(1) as u64;
         let down = self.down.values().filter(|until| now < **until).count() as u64;
--- a/crates/core/src/membership/pollers.rs
+++ b/crates/core/src/membership/pollers.rs
@@ -1,6 +1,6 @@
 //! Who polls whom: each endpoint has one router that polls it, and others that take over.
 //!
-//! At 330 routers and 3,900 endpoints nobody can poll all. The routers of an endpoint's region
+//! In a large fleet nobody can poll all. The routers of an endpoint's region
 //! are ranked for it by rendezvous hash. The first polls it and passes the reports on in its
 //! summaries; the one of rank `r` starts when it has heard nothing for [`patience`] of `r`. No
 //! agreement is needed: where lists differ or a router falls silent, two poll for a while, and
@@ -32,8 +32,8 @@
 /// Latest start: a poll at this age of the news is answered before it is too old.
 const LATEST: Millis = Millis(2200);
 
-/// Most polls and probes that a router sends in a second, and at once. A poll is about 500 bytes
-/// on the wire, so they take at most 20 KB/s, and only while news is missing.
+/// Most polls and probes that a router sends in a second, and at once: what control may send bounds it, and
+/// they come only while news is missing.
 pub const BUDGET: u64 = 40;
 
 /// Gets the region of a data centre. Data centres that the policy doesn't name are one region.
--- a/crates/core/src/place/moves.rs
+++ b/crates/core/src/place/moves.rs
@@ -34,7 +34,7 @@
     },
 };
 
-/// Chats that a router remembers; the one sent longest ago is forgotten. About 1.5 MB.
+/// Chats that a router remembers; the one sent longest ago is forgotten.
 const MAX_RECENT: usize = 32_768;
 /// Moves with each tick, so that a leaving engine's network is left to its answers.
 const MOVES_PER_TICK: usize = 8;
