--- a/crates/core/src/gateway/reading.rs
+++ b/crates/core/src/gateway/reading.rs
@@ -4,7 +4,7 @@
 //! follow a peer. Each decides by itself, from the age of what it can prove:
 //!
 //! - Those that read in calm times begin a read whenever their proof is as old as the time between reads.
-//! - Others stand in when the proof is older than a peer that works would let it grow. They do so by rank, as
+//! - Standbys read when the proof is older than a peer that works would let it grow. They are few, by rank, as
 //!   most outages are those of the registry itself, where the calls of all would gain nothing.
 //! - A router that no peer answers reads for itself.
 //!
@@ -30,13 +30,17 @@
 /// Part of the time between reads from which on an answer's time is long: what follows from the first call of a
 /// read is then asked for at the same time.
 const SLOW_PART: u64 = 2;
-/// Times the time between reads at which others stand in.
-const STAND_IN: u64 = 2;
-/// Times the readers that stand in at first, and then at most.
-const STAND_INS: usize = 2;
-const MOST_STAND_INS: usize = 4;
-/// Part of the time between reads by which the last ones stand in later.
-const LAST_PART: u64 = 4;
+/// Times the time between reads at which what is proved is older than a peer that works lets it grow.
+const LATE_PACES: u64 = 2;
+/// Times the readers that read then, with the first standbys.
+const FIRST_STANDBYS: usize = 2;
+/// Times the readers that read at most, with all standbys.
+const ALL_STANDBYS: usize = 4;
+/// Part of the time between reads by which the last standbys are later than the first.
+const STANDBY_STEP_PART: u64 = 4;
+/// Part of the time between reads for which what is proved is young enough where a peer has something newer that
+/// it doesn't hand on.
+const OWED_PART: u64 = 2;
 /// Asks in a row without an answer of a peer after which a router reads for itself: it is cut off from its peers,
 /// and may not be from the registry.
 const ALONE: u32 = 2;
@@ -49,8 +53,8 @@
 /// The same of one that can't ask peers, as it knows no configuration yet. After a loss of all routers all
 /// of them are in this state, and an outage would meet the calls of each.
 const START_PAUSE: Millis = Millis(600);
-/// The same of one that stands in.
-const STAND_IN_PAUSE: Millis = Millis(2400);
+/// The same of a standby.
+const STANDBY_PAUSE: Millis = Millis(2400);
 /// Longest time until the decision is looked at again.
 const LOOK: Millis = Millis(500);
 
@@ -76,11 +80,32 @@
     pub age: Option<Millis>,
 }
 
+/// `Role` is the part that a router has in reading.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Role {
+    /// It knows no configuration yet.
+    Newcomer,
+    /// It reads for its data centre.
+    Reader,
+    /// It follows a peer, and reads only where that has nothing newer.
+    Standby,
+}
+
 impl Standing {
     /// Tells whether it reads in calm times.
     pub const fn reads(&self) -> bool {
         self.rank < self.readers
     }
+
+    /// Gets its role.
+    pub const fn role(&self) -> Role {
+        match (self.informed, self.reads()) {
+            (false, _) => Role::Newcomer,
+            (true, true) => Role::Reader,
+            (true, false) => Role::Standby,
+        }
+    }
 }
 
 /// `Number` is that of a read.
@@ -140,9 +165,9 @@
         };
         let proved = now - age;
         let every = pace.every;
-        let late = Millis(every.0 * STAND_IN);
+        let late = Millis(every.0 * LATE_PACES);
         if self.owed {
-            return Some(proved + Millis(every.0 / STAND_IN));
+            return Some(proved + Millis(every.0 / OWED_PART));
         }
         if !standing.informed {
             return Some(self.began + every);
@@ -151,10 +176,10 @@
         let rank = standing.rank;
         let wait = if standing.reads() {
             every
-        } else if alone || rank < standing.readers * STAND_INS {
+        } else if alone || rank < standing.readers * FIRST_STANDBYS {
             late
-        } else if rank < standing.readers * MOST_STAND_INS {
-            late + Millis(every.0 / LAST_PART)
+        } else if rank < standing.readers * ALL_STANDBYS {
+            late + Millis(every.0 / STANDBY_STEP_PART)
         } else {
             return None;
         };
@@ -238,10 +263,10 @@
     pub fn failed(&mut self, now: Time, number: Number, standing: &Standing, draw: u64) -> u32 {
         self.open.swap_remove(&number);
         self.failures = self.failures.saturating_add(1);
-        let most = match (standing.informed, standing.reads()) {
-            (false, _) => START_PAUSE,
-            (true, true) => READER_PAUSE,
-            (true, false) => STAND_IN_PAUSE,
+        let most = match standing.role() {
+            Role::Newcomer => START_PAUSE,
+            Role::Reader => READER_PAUSE,
+            Role::Standby => STANDBY_PAUSE,
         };
         let doubled = Millis(AGAIN.0 << self.failures.min(8));
         let pause = doubled.min(most).0;
--- a/crates/core/tests/gateway/reading.rs
+++ b/crates/core/tests/gateway/reading.rs
@@ -152,7 +152,7 @@
 /// Those that follow others read only when what they can prove is older than a peer that works lets it grow, and
 /// then a few of them.
 #[gtest]
-fn verify_others_stand_in_by_rank() {
+fn verify_standbys_read_by_rank() {
     let reading = Reading::default();
     let due = |rank, age: u64| {
         let now = Time(100_000);
@@ -227,7 +227,7 @@
     expect_that!(due, eq(Time(1200)));
 }
 
-/// Routers that failed together don't call together, and those that stand in call less often.
+/// Routers that failed together don't call together, and standbys call less often.
 #[gtest]
 fn verify_reads_that_fail_are_spread() {
     let now = Time(100_000);
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -182,7 +182,7 @@
         let took = now().since(ended.sent);
         let standing = standing(state);
         let calls = ended.calls;
-        let by = role(&standing);
+        let by = standing.role();
         self.anew = ended.anew;
         match ended.result {
             Ok(delta) => {
@@ -193,7 +193,7 @@
                 let revision = delta.revision.0;
                 tracing::info!(
                     event = 659,
-                    by,
+                    %by,
                     calls,
                     took = took.0,
                     revision,
@@ -223,22 +223,13 @@
                 let failures = reading.failed(now(), ended.number, &standing, draw);
                 if failures == LOST {
                     state.reads.set(false);
-                    tracing::warn!(event = 651, by, calls, took = took.0, %error, "registry lost");
+                    tracing::warn!(event = 651, %by, calls, took = took.0, %error, "registry lost");
                 }
             }
         }
     }
 }
 
-/// Names the part that a router has in reading, for the log.
-fn role(standing: &Standing) -> &'static str {
-    match (standing.informed, standing.reads()) {
-        (false, _) => "newcomer",
-        (true, true) => "reader",
-        (true, false) => "stand-in",
-    }
-}
-
 /// `Made` is the calls of one read.
 struct Made {
     state: Shared,
