Ask late peers what they have, without waiting there; let standbys read sooner

Cause: such an ask was held for news for the whole time between reads, by whomever it met; peers of its own data centre, that follow it, have none. Two in a row cost 2 s.

Late asks don't wait; who is late asks by turns routers that say they read and those of its own data centre that read when the first can't. Standbys read from 1.5 times the pace on, not 2.

`verify_a_reader_that_is_turned_away_doesnt_wait_at_peers_that_know_no_more`, ten routers at a pace of 1 s, bound 3 s as promised: before, nine changes in force everywhere after 1.8 to 4.3 s, two of three runs red; after, twelve after 0.8 to 1.9 s. `verify_standbys_read_by_rank` and `verify_a_router_without_peers_reads` have the new ages.

--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -54,6 +54,8 @@
 /// Routers of one data centre for each that reads the registry in calm times. It hands on what is new to all of
 /// them, over a link that may be narrow.
 const ROUTERS_PER_READER: usize = 64;
+/// Routers of one data centre, the readers among them, of which some read when these can't.
+const STANDBYS: usize = 4;
 /// Rounds after which a seed is tried again, as it may have come back with others behind it.
 const SEED_ROUNDS: u64 = 20;
 
@@ -288,21 +290,31 @@
         first.map(|r| r.address)
     }
 
-    /// Gets a router to ask that may know more than those that should read: one anywhere that says that it reads the
-    /// registry, else any.
+    /// Gets a router to ask that may know more than the one that should read: by turns one anywhere that says that
+    /// it reads the registry, and one of those of this data centre that read when that one can't; else any.
     ///
     /// Who doesn't know the newest configuration can't open digests that are sealed by it, and hears no more of who
     /// reads, or of anybody: then one of the addresses to begin with is asked.
     pub fn distant(&self, now: Time, draw: u64) -> Option<SocketAddrV4> {
         let open = || self.live(now).filter(|r| !self.avoids(now, r));
-        let mut found: Vec<SocketAddrV4> = open().filter(|r| r.reads).map(|r| r.address).collect();
+        let addresses = |routers: Vec<&Rumor>| routers.iter().map(|r| r.address).collect();
+        let near = self.near(now).into_iter().take(STANDBYS);
+        let near: Vec<&Rumor> = near.filter(|r| r.address != self.me.address).collect();
+        let mut found: Vec<SocketAddrV4> = addresses(open().filter(|r| r.reads).collect());
+        if found.is_empty() || !draw.is_multiple_of(2) {
+            found = if near.is_empty() {
+                found
+            } else {
+                addresses(near)
+            };
+        }
         if found.is_empty() {
-            found.extend(open().map(|r| r.address));
+            found = addresses(open().collect());
         }
         if found.is_empty() {
-            found.extend(&self.seeds);
+            found.clone_from(&self.seeds);
         }
-        let pick = draw.checked_rem(found.len() as u64)?;
+        let pick = (draw / 2).checked_rem(found.len() as u64)?;
         found.get(usize::try_from(pick).ok()?).copied()
     }
 
--- a/crates/core/src/gateway/reading.rs
+++ b/crates/core/src/gateway/reading.rs
@@ -30,8 +30,10 @@
 /// Part of the time between reads from which on an answer's time is long: what follows from the first call of a
 /// read is then asked for at the same time.
 const SLOW_PART: u64 = 2;
-/// Times the time between reads at which what is proved is older than a peer that works lets it grow.
-const LATE_PACES: u64 = 2;
+/// Halves of the time between reads at which what is proved is older than a peer that works lets it grow. Two reads
+/// and a half fit into the time in which a change is promised to be in force; what standbys read must get round in
+/// what is left of it.
+const LATE_HALVES: u64 = 3;
 /// Times the readers that read then, with the first standbys.
 const FIRST_STANDBYS: usize = 2;
 /// Times the readers that read at most, with all standbys.
@@ -92,6 +94,13 @@
     Standby,
 }
 
+impl Pace {
+    /// Gets the age from which on what is proved is older than a peer that works lets it grow.
+    pub const fn late(&self) -> Millis {
+        Millis(self.every.0 * LATE_HALVES / 2)
+    }
+}
+
 impl Standing {
     /// Tells whether it reads in calm times.
     pub const fn reads(&self) -> bool {
@@ -165,7 +174,7 @@
         };
         let proved = now - age;
         let every = pace.every;
-        let late = Millis(every.0 * LATE_PACES);
+        let late = pace.late();
         if self.owed {
             return Some(proved + Millis(every.0 / OWED_PART));
         }
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -22,7 +22,7 @@
         self,
         Reader, //
     },
-    peers, reads,
+    peers,
     state::{
         Shared,
         duration,
@@ -38,8 +38,8 @@
 const ASK_PAUSE: Duration = Duration::from_millis(50);
 /// Pause where nobody is to be asked, or who was gave no answer.
 const LOOK: Duration = Duration::from_millis(150);
-/// Halves of the time between reads after which a router that should read, and can't prove more, asks others.
-const LATE_HALVES: u64 = 3;
+/// Part of the time between reads for which news are waited for where what can be proved is late.
+const LATE_PART: u64 = 4;
 
 /// Follows peers for good.
 pub(crate) async fn run(state: Shared, reader: Rc<Reader>) {
@@ -47,23 +47,60 @@
     let mut answer = Answer::News;
     loop {
         let informed = state.gateway.borrow().catalog().is_some();
-        let Some(peer) = peer(&state, answer).filter(|_| informed) else {
+        let Some(source) = source(&state, answer).filter(|_| informed) else {
             sleep(LOOK).await;
             continue;
         };
         // The same peer for as long as it will do: its connection is kept.
-        let kept = upstream.take().filter(|link| link.address == peer);
-        let link = upstream.insert(kept.unwrap_or_else(|| Link::new(peer)));
-        answer = ask(&state, link, &reader).await;
+        let kept = upstream.take().filter(|link| link.address == source.peer);
+        let link = upstream.insert(kept.unwrap_or_else(|| Link::new(source.peer)));
+        answer = ask(&state, link, source.wait, &reader).await;
         match answer {
             // The own read brings it meanwhile.
-            Answer::Large => sleep(duration(wait(&state))).await,
-            Answer::News | Answer::Nothing => sleep(ASK_PAUSE).await,
-            Answer::None => sleep(LOOK).await,
+            Answer::Large => sleep(duration(source.wait)).await,
+            Answer::News => sleep(ASK_PAUSE).await,
+            Answer::Nothing | Answer::None => sleep(LOOK).await,
         }
     }
 }
 
+/// `Source` is a peer to ask.
+#[derive(Clone, Copy, Debug)]
+struct Source {
+    peer: SocketAddrV4,
+    /// How long it may wait for news.
+    wait: Millis,
+}
+
+/// Gets the peer to ask: one that reads for the data centre, which is waited at for news.
+///
+/// Where this router is to read itself, or that one has nothing newer, and what can be proved is late, it is another:
+/// the registry may have turned away those that should read, and serve others. Many of them are late, too. Waited at
+/// for news, each would cost the time between two reads, and three of them the time in which a change is
+/// promised to be in force; so they are only asked what they have.
+fn source(state: &Shared, answer: Answer) -> Option<Source> {
+    let now = now();
+    let mesh = state.mesh.borrow();
+    let upstream = mesh.upstream(now);
+    let mut gateway = state.gateway.borrow_mut();
+    let pace = gateway.bounds().pace();
+    let every = pace.every;
+    let late = !gateway.proof().holds(now, pace.late());
+    let wait = if late {
+        Millis(every.0 / LATE_PART)
+    } else {
+        every
+    };
+    let wait = wait.min(peers::MAX_WAIT);
+    let followed = upstream.map(|peer| Source { peer, wait });
+    if !late || (followed.is_some() && answer != Answer::Nothing) {
+        return followed;
+    }
+    let wait = Millis(0);
+    let other = mesh.distant(now, gateway.draw());
+    other.map(|peer| Source { peer, wait }).or(followed)
+}
+
 /// `Answer` is what came of an ask.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Answer {
@@ -77,33 +114,10 @@
     None,
 }
 
-/// Gets the peer to ask: one that reads for the data centre. Where that one has nothing newer, or this router is to
-/// read itself, and what can be proved grows old, another: the registry may have turned away those
-/// that should read, and serve others.
-fn peer(state: &Shared, answer: Answer) -> Option<SocketAddrV4> {
-    let now = now();
-    let mesh = state.mesh.borrow();
-    let upstream = mesh.upstream(now);
-    if upstream.is_some() && answer != Answer::Nothing {
-        return upstream;
-    }
-    let mut gateway = state.gateway.borrow_mut();
-    let late = Millis(gateway.bounds().pace().every.0 * LATE_HALVES / 2);
-    if gateway.proof().holds(now, late) {
-        return upstream;
-    }
-    mesh.distant(now, gateway.draw()).or(upstream)
-}
-
-/// Gets how long a peer may wait for news.
-fn wait(state: &Shared) -> Millis {
-    reads::pace(state).every.min(peers::MAX_WAIT)
-}
-
 /// Asks a peer, and takes in what it has.
-async fn ask(state: &Shared, link: &mut Link, reader: &Reader) -> Answer {
+async fn ask(state: &Shared, link: &mut Link, wait: Millis, reader: &Reader) -> Answer {
     let peer = link.address;
-    let error = match peers::ask(state, link, wait(state)).await {
+    let error = match peers::ask(state, link, wait).await {
         Ok((read, delta)) => {
             state.metrics.count("registry", "copied");
             state.reads.set(false);
