Pause after what is too large to be handed on; count no failure of a read that was given up

A late router that met a peer with something too large asked again at once, without a pause, until its own read had brought it (the pause was the time that the peer may wait, which is none there). A read that fails in the moment in which a later one is answered counted as a failure, by which the next read was up to 0.3 s later (`verify_a_read_that_was_given_up_fails_for_nothing`, red before). The pause has no test of its own.

--- a/crates/core/src/gateway/reading.rs
+++ b/crates/core/src/gateway/reading.rs
@@ -269,8 +269,12 @@
 
     /// Notes that a read failed; gets how many in a row did. The pause until the next is spread by `draw`, so
     /// that routers that failed together don't call together.
+    ///
+    /// One that a later read has made needless counts for nothing.
     pub fn failed(&mut self, now: Time, number: Number, standing: &Standing, draw: u64) -> u32 {
-        self.open.swap_remove(&number);
+        if self.open.swap_remove(&number).is_none() {
+            return self.failures;
+        }
         self.failures = self.failures.saturating_add(1);
         let most = match standing.role() {
             Role::Newcomer => START_PAUSE,
--- a/crates/core/tests/gateway/reading.rs
+++ b/crates/core/tests/gateway/reading.rs
@@ -248,3 +248,20 @@
     expect_that!(again(1, 0), some(eq(1200)));
     expect_that!(again(1, 1200), some(eq(2400)));
 }
+
+/// Symptom: a reader paused after a read that had succeeded. Sequence: a read is given up, as a later one is answered; it
+/// fails in the same moment. Cause: its end counted as that of any other.
+#[gtest]
+fn verify_a_read_that_was_given_up_fails_for_nothing() {
+    let mut reading = Reading::default();
+    let older = reading.begin(Time(0));
+    let newer = reading.begin(Time(300));
+    expect_that!(reading.whole(newer), elements_are![eq(&older)]);
+    let standing = first(Time(310), Time(300));
+    expect_that!(reading.failed(Time(310), older, &standing, 0), eq(0));
+    let due = reading.due(Time(310), &standing, &PACE);
+    // As far as it looks, and not later.
+    expect_that!(due, eq(Time(810)));
+    let now = Time(1500);
+    expect_that!(reading.due(now, &first(now, Time(300)), &PACE), le(now));
+}
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -57,7 +57,7 @@
         answer = ask(&state, link, source.wait, &reader).await;
         match answer {
             // The own read brings it meanwhile.
-            Answer::Large => sleep(duration(source.wait)).await,
+            Answer::Large => sleep(duration(source.wait).max(LOOK)).await,
             Answer::News => sleep(ASK_PAUSE).await,
             Answer::Nothing | Answer::None => sleep(LOOK).await,
         }
