--- a/crates/core/src/gateway/reading.rs
+++ b/crates/core/src/gateway/reading.rs
@@ -6,7 +6,8 @@
 //! - Those that read in calm times begin a read whenever their proof is as old as the time between reads.
 //! - Standbys read when the proof is older than a peer that works would let it grow. They are few, by rank, as
 //!   most outages are those of the registry itself, where the calls of all would gain nothing.
-//! - A router that no peer answers reads for itself.
+//! - A router that no peer answers reads for itself, and so does any that has had nothing for so long that it would
+//!   break a promise.
 //!
 //! A registry that is slow still proves what it answers, as of the sending. So a read has as long as its answer
 //! could prove something, and the next one begins before that on another connection: an answer that was lost
@@ -40,6 +41,10 @@
 const ALL_STANDBYS: usize = 4;
 /// Part of the time between reads by which the last standbys are later than the first.
 const STANDBY_STEP_PART: u64 = 4;
+/// Quarters of the time between reads after which a router reads by itself whatever its rank. Nobody has handed
+/// anything on to it, though it may reach the registry: without this, it would act on routes that have been replaced for
+/// longer than is promised. What is left of the promise is for its own read.
+const LAST_QUARTERS: u64 = 11;
 /// Part of the time between reads for which what is proved is young enough where a peer has something newer that
 /// it doesn't hand on.
 const OWED_PART: u64 = 2;
@@ -157,9 +162,7 @@
         if comes || self.open.len() >= MAX_OPEN {
             return later;
         }
-        let Some(wanted) = self.wanted(now, standing, pace) else {
-            return later;
-        };
+        let wanted = self.wanted(now, standing, pace);
         let hedge = match self.open.len() {
             0 => Time(0),
             open => self.began + self.gap(open, pace),
@@ -167,19 +170,19 @@
         wanted.max(hedge).max(self.again).min(later)
     }
 
-    /// Gets when what is proved will be old enough for an own read; `None` where it is for others to read.
-    fn wanted(&self, now: Time, standing: &Standing, pace: &Pace) -> Option<Time> {
+    /// Gets when what is proved will be old enough for an own read.
+    fn wanted(&self, now: Time, standing: &Standing, pace: &Pace) -> Time {
         let Some(age) = standing.age else {
-            return Some(now);
+            return now;
         };
         let proved = now - age;
         let every = pace.every;
         let late = pace.late();
         if self.owed {
-            return Some(proved + Millis(every.0 / OWED_PART));
+            return proved + Millis(every.0 / OWED_PART);
         }
         if !standing.informed {
-            return Some(self.began + every);
+            return self.began + every;
         }
         let alone = self.unanswered >= ALONE;
         let rank = standing.rank;
@@ -190,9 +193,9 @@
         } else if rank < standing.readers * ALL_STANDBYS {
             late + Millis(every.0 / STANDBY_STEP_PART)
         } else {
-            return None;
+            Millis(every.0 * LAST_QUARTERS / 4)
         };
-        Some(proved + wait)
+        proved + wait
     }
 
     /// Gets the time from the beginning of the newest of `open` reads without an answer to the next one.
