--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -11,6 +11,7 @@
 use indexmap::IndexMap;
 
 use crate::{
+    gateway::reading::ALL_STANDBYS,
     load::score,
     units::{
         Incarnation,
@@ -54,8 +55,6 @@
 /// Routers of one data centre for each that reads the registry in calm times. It hands on what is new to all of
 /// them, over a link that may be narrow.
 const ROUTERS_PER_READER: usize = 64;
-/// Routers of one data centre, the readers among them, of which some read when these can't.
-const STANDBYS: usize = 4;
 /// Rounds after which a seed is tried again, as it may have come back with others behind it.
 const SEED_ROUNDS: u64 = 20;
 
@@ -298,7 +297,7 @@
     pub fn distant(&self, now: Time, draw: u64) -> Option<SocketAddrV4> {
         let open = || self.live(now).filter(|r| !self.avoids(now, r));
         let addresses = |routers: Vec<&Rumor>| routers.iter().map(|r| r.address).collect();
-        let near = self.near(now).into_iter().take(STANDBYS);
+        let near = self.near(now).into_iter().take(ALL_STANDBYS);
         let near: Vec<&Rumor> = near.filter(|r| r.address != self.me.address).collect();
         let mut found: Vec<SocketAddrV4> = addresses(open().filter(|r| r.reads).collect());
         if found.is_empty() || !draw.is_multiple_of(2) {
--- a/crates/core/src/gateway/reading.rs
+++ b/crates/core/src/gateway/reading.rs
@@ -38,7 +38,7 @@
 /// Times the readers that read then, with the first standbys.
 const FIRST_STANDBYS: usize = 2;
 /// Times the readers that read at most, with all standbys.
-const ALL_STANDBYS: usize = 4;
+pub(super) const ALL_STANDBYS: usize = 4;
 /// Part of the time between reads by which the last standbys are later than the first.
 const STANDBY_STEP_PART: u64 = 4;
 /// Quarters of the time between reads after which a router reads by itself whatever its rank. Nobody has handed
