--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 pub mod catalog;
 pub mod endpoint;
 pub mod fate;
+pub mod fingerprint;
 pub mod heat;
 pub mod knowledge;
 pub mod mesh;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -29,6 +29,10 @@
             Fate,
             Next, //
         },
+        fingerprint::{
+            Content,
+            Fingerprint, //
+        },
         place::Placed,
         refusal::{
             Cause,
@@ -145,6 +149,20 @@
         }
     }
 
+    /// Gets the fingerprint of the content.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        let path = self.uri.path_and_query();
+        Fingerprint::of(&Content {
+            workspace: self.ticket.workspace.as_ref().map(|w| &w.name),
+            parts: [
+                self.method.as_str().as_bytes(),
+                &self.ask.host,
+                path.map_or(self.uri.path(), |p| p.as_str()).as_bytes(),
+                &self.body,
+            ],
+        })
+    }
+
     /// Gets the time until the final answer is due.
     pub(crate) fn left(&self) -> Duration {
         Duration::from_millis(self.ticket.until.since(now()).0)
@@ -372,6 +390,7 @@
                 status,
                 took = took.0,
                 %next,
+                content = (fate != Fate::Answered).then(|| self.fingerprint().to_string()),
                 "attempt ended"
             );
         }
