--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -138,6 +138,7 @@
         id: &id,
         key: &name,
         deadline_ms: DEADLINE_MS,
+        item: "x",
     };
     let sent = clock_ms();
     let answered = async {
