Hold back requests that crash the endpoints that run them, at all routers

What callers saw: engines of a pool ended one after the other, up to 18 under one request; with each, 2 to 30 answers of others broke off, and the rest of the pool read their prompts again (111 of 258 streams late in five seconds).

Cause: nothing remembered a request beyond one attempt of its caller. A repeat has a new id, may come to any router, and is a first attempt there: no limit of attempts or retries applies. Class: a decision that each router makes from one attempt alone, though the harm adds up over attempts and routers.

Why this works: a request's content (workspace, method, host, path with query, body) has a record: at which lives of endpoints it was in progress when they broke off. Routers tell each other these records in their digests. After three crashes at different endpoints and moments, without a whole answer in between, it is refused at once, with when it may come back. One crash says nothing, as all that was in progress is suspect; endpoints lost within 250 ms count once; an endpoint that answers a request sent later has not crashed; one that was leaving may end its connections. An endpoint of which nothing was heard for a second counts as ended, one that can't be reached at once. Contents are hashed only where their workspace has a record.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -19,7 +19,12 @@
             Fate,
             Next, //
         },
+        fingerprint::{
+            self,
+            Fingerprint, //
+        },
         heat, place,
+        quarantine::Verdict,
         refusal::{
             Cause,
             Refusal, //
@@ -71,6 +76,8 @@
     pub may_have_run: bool,
     /// Whether a repeat is counted that has not been sent yet.
     pub granted: bool,
+    /// Its content, where that was looked at.
+    pub content: Option<Fingerprint>,
 }
 
 impl Ticket {
@@ -133,6 +140,7 @@
             unreached: Vec::new(),
             may_have_run: false,
             granted: false,
+            content: None,
         })
     }
 
@@ -150,6 +158,9 @@
         if now >= ticket.until {
             return Err(Refusal::given_up(Cause::Deadline, ticket.may_have_run));
         }
+        if let Some(verdict) = self.verdict(now, ticket) {
+            return Err(Refusal::held(verdict.left, ticket.may_have_run));
+        }
         let draw = self.draw();
         let part = ask.prompt.as_ref().and_then(ask::Prompt::anchor);
         let first = ticket.tried.is_empty() && ticket.unreached.is_empty();
@@ -184,6 +195,21 @@
         })
     }
 
+    /// Tells whether contents of a ticket's workspace are to be looked at: some of them were in progress at endpoints
+    /// that broke off.
+    pub fn watches(&self, ticket: &Ticket) -> bool {
+        let workspace = ticket.workspace.as_ref().map(|w| &w.name);
+        self.quarantine.watches(fingerprint::workspace(workspace))
+    }
+
+    /// Tells whether and why a ticket is held back.
+    pub fn verdict(&self, now: Time, ticket: &Ticket) -> Option<Verdict> {
+        let fared = |life, since| self.registry.fared(life, since);
+        let content = ticket.content?;
+        self.quarantine
+            .verdict(now, content, self.bounds.hold, fared)
+    }
+
     /// Tells whether an endpoint may get a request now. Asked right before it is sent: a connection may
     /// have taken so long that what was proved when the endpoint was chosen isn't any more.
     pub fn may_send(&self, now: Time, endpoint: EndpointKey) -> bool {
@@ -240,11 +266,28 @@
         endpoint: EndpointKey,
         fate: Fate,
     ) -> Next {
+        self.record(now, ticket, endpoint, fate);
         self.registry
             .ended(now, endpoint, fate, now.since(ticket.sent));
         self.judge(now, ticket, endpoint, fate)
     }
 
+    /// Notes what an attempt's end says of its request. An endpoint that is leaving may end its connections; that
+    /// is no crash.
+    fn record(&mut self, now: Time, ticket: &Ticket, endpoint: EndpointKey, fate: Fate) {
+        let Some(content) = ticket.content else {
+            return;
+        };
+        let usable = self.registry.get(endpoint).filter(|e| e.usable());
+        match (fate, usable) {
+            (Fate::Broken, Some(endpoint)) => {
+                self.quarantine.crashed(now, content, endpoint.tag());
+            }
+            (Fate::Answered | Fate::Failed, _) => self.quarantine.answered(now, content),
+            _ => {}
+        }
+    }
+
     /// Notes that the caller of an attempt left.
     pub fn left(&mut self, now: Time, endpoint: EndpointKey) {
         self.registry.ended(now, endpoint, Fate::Left, Millis(0));
--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -121,6 +121,17 @@
     }
 }
 
+/// `Fared` is what became of an endpoint since a connection to it broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fared {
+    /// It has answered since.
+    Lives,
+    /// It could not be reached since, or is not listed any more.
+    Ended,
+    /// Nothing is known.
+    Unheard,
+}
+
 /// `Endpoint` is one life of an endpoint. Nothing of it holds for the next one of the same name: that
 /// has no load, holds no part of a prompt, and answers for no attempt that was sent before.
 #[derive(Clone, Debug)]
@@ -142,6 +153,8 @@
     confirmed_by_peer: Option<Time>,
     failures: u32,
     paused: Option<Time>,
+    /// When it last could not be reached.
+    unreached: Option<Time>,
     /// Share of failures at a time.
     failing: (Time, f32),
     /// Time that an answer took, in milliseconds, at a time.
@@ -174,6 +187,7 @@
             confirmed_by_peer: None,
             failures: 0,
             paused: None,
+            unreached: None,
             failing: (Time(0), 0.0),
             pace: None,
             sent: VecDeque::new(),
@@ -222,6 +236,20 @@
         newest.is_some_and(|at| now.since(at) < bound)
     }
 
+    /// Tells how it fared since a connection to it broke.
+    ///
+    /// A request that was sent later and answered shows that it lives, whoever sent it.
+    pub fn fared(&self, since: Time) -> Fared {
+        let answered = self.confirmed.max(self.confirmed_by_peer);
+        if answered.is_some_and(|at| at > since) {
+            Fared::Lives
+        } else if self.unreached.is_some_and(|at| at >= since) {
+            Fared::Ended
+        } else {
+            Fared::Unheard
+        }
+    }
+
     /// Tells whether it is left out for a while, as it could not be reached or broke off.
     pub fn paused(&self, now: Time) -> bool {
         self.paused.is_some_and(|until| now < until)
@@ -364,6 +392,7 @@
 
     /// Notes that it could not be reached.
     pub fn unreached(&mut self, now: Time) {
+        self.unreached = Some(now);
         self.pause(now, self.failures);
         self.failures += 1;
     }
--- a/crates/core/src/gateway/fingerprint.rs
+++ b/crates/core/src/gateway/fingerprint.rs
@@ -45,12 +45,17 @@
         }
         let [a, b, c, d, e, f, g, h, ..] = <[u8; 32]>::from(hash.finalize());
         Self {
-            workspace: content.workspace.map_or(0, |name| Tag::of(name).0),
+            workspace: workspace(content.workspace),
             content: u64::from_le_bytes([a, b, c, d, e, f, g, h]),
         }
     }
 }
 
+/// Gets the part of fingerprints that tells the workspace.
+pub fn workspace(name: Option<&Bytes>) -> u32 {
+    name.map_or(0, |name| Tag::of(name).0)
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:08x}{:016x}", self.workspace, self.content)
--- a/crates/core/src/gateway/knowledge.rs
+++ b/crates/core/src/gateway/knowledge.rs
@@ -17,6 +17,7 @@
             self,
             Sample, //
         },
+        quarantine::Record,
     },
     units::{
         Millis,
@@ -123,6 +124,8 @@
         self.ticked = now;
         let mut news = Vec::new();
         self.registry.expire(now, self.bounds.lapse, &mut news);
+        let fared = |life, since| self.registry.fared(life, since);
+        self.quarantine.expire(now, self.bounds.hold, fared);
         news
     }
 
@@ -146,7 +149,22 @@
 
     /// Lists the newest sights of endpoints, for peers.
     pub fn sights(&self, now: Time, draw: u64) -> Vec<mesh::Sight> {
-        self.registry.sights(now, draw)
+        let room = if self.quarantine.tells(now) {
+            mesh::MAX_SIGHTS - mesh::DISPLACED_SIGHTS
+        } else {
+            mesh::MAX_SIGHTS
+        };
+        self.registry.sights(now, draw, room)
+    }
+
+    /// Picks records of requests that were in progress at endpoints that broke off, for one digest.
+    pub fn crashes(&mut self, now: Time) -> Vec<Record> {
+        self.quarantine.records(now)
+    }
+
+    /// Notes such records of a peer.
+    pub fn crashed(&mut self, now: Time, records: &[Record]) {
+        self.quarantine.heard(now, records);
     }
 
     /// Notes what a peer knows of endpoints.
--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -11,7 +11,10 @@
 use indexmap::IndexMap;
 
 use crate::{
-    gateway::reading::ALL_STANDBYS,
+    gateway::{
+        quarantine::Record,
+        reading::ALL_STANDBYS, //
+    },
     load::score,
     units::{
         Incarnation,
@@ -28,6 +31,8 @@
 pub const MAX_RUMORS: usize = 7;
 /// Endpoints in a digest, which fills what control may send and hear.
 pub const MAX_SIGHTS: usize = 31;
+/// Endpoints that a digest has fewer of with what crashed, so that it isn't larger.
+pub const DISPLACED_SIGHTS: usize = 16;
 /// Those of them that state no load: few services do, and the loads of the others need the room.
 pub const MAX_LOADLESS: usize = 2;
 /// Requests in a digest: about as many as a router of a large fleet places in a round. Without them, a session that
@@ -119,6 +124,8 @@
     pub sights: Vec<Sight>,
     /// Requests that the sender placed since its last round.
     pub samples: Vec<Sample>,
+    /// Requests that were in progress at endpoints that broke off.
+    pub crashes: Vec<Record>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -178,7 +185,7 @@
         targets
     }
 
-    /// Makes this round's digest to `target`, without a sample of requests.
+    /// Makes this round's digest to `target`, without requests.
     pub fn digest(
         &mut self,
         now: Time,
@@ -208,6 +215,7 @@
             rumors,
             sights,
             samples: Vec::new(),
+            crashes: Vec::new(),
         }
     }
 
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 pub mod mirror;
 pub mod place;
 pub mod proof;
+pub mod quarantine;
 pub mod reading;
 pub mod refusal;
 pub mod registry;
@@ -57,6 +58,7 @@
 use heat::Heat;
 use mesh::Sample;
 use proof::Proof;
+use quarantine::Quarantine;
 use registry::Registry;
 use settings::Bounds;
 use stop::End;
@@ -79,6 +81,7 @@
     heats: IndexMap<Bytes, Heat>,
     /// Newest requests that peers have not been told of, oldest first.
     samples: VecDeque<Sample>,
+    quarantine: Quarantine,
     end: Option<End>,
     routers: u32,
     /// Most routers that were heard of lately, this one among them, and when.
@@ -91,6 +94,7 @@
 impl Gateway {
     /// Makes a gateway that knows nothing yet; `seed` is that of its random draws.
     pub fn new(bounds: Bounds, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
         Self {
             bounds,
             catalog: None,
@@ -101,11 +105,12 @@
             budgets: IndexMap::new(),
             heats: IndexMap::new(),
             samples: VecDeque::new(),
+            quarantine: Quarantine::new(rng.random()),
             end: None,
             routers: 1,
             most: (1, Time(0)),
             extra_from: Time(0),
-            rng: StdRng::seed_from_u64(seed),
+            rng,
         }
     }
 
--- a/crates/core/src/gateway/refusal.rs
+++ b/crates/core/src/gateway/refusal.rs
@@ -1,5 +1,7 @@
 //! Why a caller gets no answer of an endpoint, and what it is told.
 
+use crate::units::Millis;
+
 /// `Cause` is why a request is given up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumIter)]
 #[strum(serialize_all = "snake_case")]
@@ -30,6 +32,8 @@
     Stopping,
     /// The service has more work than it can do in time.
     Overloaded,
+    /// Endpoints that ran the same request before have ended with it.
+    Quarantined,
 }
 
 /// `Refusal` is the final answer to a request that is given up; it goes out at once.
@@ -42,6 +46,8 @@
     pub may_have_run: bool,
     /// Whether coming back could help.
     pub again: bool,
+    /// Time before which coming back can't help, where it is known.
+    pub after: Option<Millis>,
 }
 
 impl Refusal {
@@ -51,6 +57,7 @@
             cause,
             may_have_run: false,
             again: true,
+            after: None,
         }
     }
 
@@ -60,6 +67,7 @@
             cause,
             may_have_run: false,
             again: false,
+            after: None,
         }
     }
 
@@ -69,6 +77,15 @@
             cause,
             may_have_run,
             again: !may_have_run,
+            after: None,
+        }
+    }
+
+    /// Holds a request back for a time.
+    pub const fn held(left: Millis, may_have_run: bool) -> Self {
+        Self {
+            after: Some(left),
+            ..Self::given_up(Cause::Quarantined, may_have_run)
         }
     }
 }
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -13,13 +13,13 @@
         endpoint::{
             Endpoint,
             Entry,
+            Fared,
             Load,
             State, //
         },
         fate::Fate,
         mesh::{
             MAX_LOADLESS,
-            MAX_SIGHTS,
             Sight, //
         },
     },
@@ -240,14 +240,26 @@
         }
     }
 
-    /// Lists the newest sights of endpoints, with a few of those that state no load; `draw` picks them.
-    pub fn sights(&self, now: Time, draw: u64) -> Vec<Sight> {
+    /// Tells how a life of an endpoint fared since a connection to it broke.
+    pub fn fared(&self, life: Tag, since: Time) -> Fared {
+        self.life(life).map_or(Fared::Ended, |e| e.fared(since))
+    }
+
+    /// Gets the endpoint of a life that is listed.
+    pub fn life(&self, life: Tag) -> Option<&Endpoint> {
+        let key = self.tags.get(&life);
+        key.and_then(|k| self.slots.get(*k))
+    }
+
+    /// Lists at most `room` of the newest sights of endpoints, with a few of those that state no load; `draw`
+    /// picks them.
+    pub fn sights(&self, now: Time, draw: u64, room: usize) -> Vec<Sight> {
         let all = self.slots.values().filter_map(|e| e.sight(now));
         let (mut sights, mut loadless): (Vec<Sight>, Vec<Sight>) =
             all.partition(|s| s.load.is_some());
         loadless.sort_by_key(|s| score(draw, s.endpoint.into()));
         loadless.truncate(MAX_LOADLESS);
-        let most = MAX_SIGHTS - loadless.len();
+        let most = room.saturating_sub(loadless.len());
         if sights.len() > most {
             sights.sort_by_key(|s| s.age);
             sights.truncate(most);
--- a/crates/core/src/gateway/settings.rs
+++ b/crates/core/src/gateway/settings.rs
@@ -3,6 +3,7 @@
 use crate::{
     gateway::{
         budget::Policy,
+        quarantine,
         reading::Pace, //
     },
     units::{
@@ -32,6 +33,8 @@
     pub skew: Permille,
     /// Bounds of repeats.
     pub retry: Policy,
+    /// For how long requests that crash endpoints are held back.
+    pub hold: quarantine::Policy,
 }
 
 impl Bounds {
--- a/crates/core/tests/gateway/fixture.rs
+++ b/crates/core/tests/gateway/fixture.rs
@@ -24,6 +24,7 @@
             Workspace, //
         },
         endpoint::Entry,
+        quarantine::Policy as Hold,
         route::{
             Kind,
             Route,
@@ -56,6 +57,7 @@
             fleet: 54,
             extra: 3,
         },
+        hold: Hold::of(Millis(120_000)),
     }
 }
 
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod mirror;
 mod place;
 mod proof;
+mod quarantine;
 mod reading;
 mod registry;
 mod skew;
--- /dev/null
+++ b/crates/core/tests/gateway/quarantine.rs
@@ -0,0 +1,397 @@
+//! Requests that crash endpoints: which are held back, for how long, and how the fleet learns of them.
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
+use toucanturn_core::{
+    gateway::{
+        Change, Gateway, Ticket,
+        endpoint::Load,
+        fate::Fate,
+        fingerprint::{
+            Content,
+            Fingerprint, //
+        },
+        mesh::{
+            FANOUT,
+            ROUND, //
+        },
+        quarantine::{
+            MAX_OF_WORKSPACE,
+            MAX_SUSPECTS,
+            Policy,
+            Quarantine, //
+        },
+        refusal::Cause,
+    },
+    ids::Tag,
+    units::{
+        Millis,
+        Time, //
+    },
+};
+
+use crate::fixture::{
+    ask,
+    bounds,
+    entry,
+    gateway, //
+};
+
+/// Time in which all routers must know of the third crash.
+const KNOWN: Millis = Millis(3000);
+/// Requests that crash nothing are answered after this time.
+const ANSWER: Millis = Millis(40);
+
+fn content(body: &str) -> Fingerprint {
+    let workspace = Bytes::from_static(b"one");
+    Fingerprint::of(&Content {
+        workspace: Some(&workspace),
+        parts: [b"POST", b"shop.example", b"/once/x", body.as_bytes()],
+    })
+}
+
+fn admitted(gateway: &mut Gateway, now: Time, body: &str) -> Ticket {
+    gateway.proved(now, now);
+    let mut ticket = gateway.admit(now, &ask("/once/x")).expect("it may run");
+    ticket.content = Some(content(body));
+    ticket
+}
+
+/// Sends a request whose endpoint breaks off at once.
+fn crash(gateway: &mut Gateway, now: Time, body: &str) {
+    let mut ticket = admitted(gateway, now, body);
+    let placed = gateway.place(now, &ticket, &ask("/once/x"));
+    let placed = placed.expect("it is not held back");
+    gateway.sent(now, &mut ticket, placed.endpoint);
+    gateway.ended(now, &mut ticket, placed.endpoint, Fate::Broken);
+    // Its port is closed.
+    gateway.unreached(now, &mut ticket, placed.endpoint);
+}
+
+fn held(gateway: &mut Gateway, now: Time, body: &str) -> bool {
+    let ticket = admitted(gateway, now, body);
+    let placed = gateway.place(now, &ticket, &ask("/once/x"));
+    placed.is_err_and(|refusal| refusal.cause == Cause::Quarantined)
+}
+
+#[gtest]
+fn verify_a_request_is_held_back_after_its_third_crash() {
+    let mut gateway = gateway(8);
+    for n in 0..3 {
+        let now = Time(1000 + n * 700);
+        expect_false!(held(&mut gateway, now, "a"));
+        crash(&mut gateway, now, "a");
+    }
+    let ticket = admitted(&mut gateway, Time(3000), "a");
+    let refusal = gateway.place(Time(3000), &ticket, &ask("/once/x"));
+    let refusal = refusal.expect_err("it is held back");
+    expect_that!(refusal.cause, eq(Cause::Quarantined));
+    expect_false!(refusal.may_have_run);
+    expect_that!(
+        refusal.after,
+        some(ge(Millis(100_000))),
+        "coming back soon can't help"
+    );
+    expect_false!(held(&mut gateway, Time(3000), "b"), "others are served");
+}
+
+/// Guards against a caller that repairs its request and is held back still.
+#[gtest]
+fn verify_content_is_told_by_each_of_its_parts() {
+    let one = Bytes::from_static(b"one");
+    let two = Bytes::from_static(b"two");
+    let parts: [&[u8]; 4] = [b"POST", b"h", b"/p", b"body"];
+    let of = |workspace, parts| Fingerprint::of(&Content { workspace, parts });
+    let same = of(Some(&one), parts);
+    expect_that!(of(Some(&one), parts), eq(same));
+    for other in [
+        of(Some(&two), parts),
+        of(None, parts),
+        of(Some(&one), [b"GET", b"h", b"/p", b"body"]),
+        of(Some(&one), [b"POST", b"i", b"/p", b"body"]),
+        of(Some(&one), [b"POST", b"h", b"/p?q=1", b"body"]),
+        of(Some(&one), [b"POST", b"h", b"/p", b"bodY"]),
+        of(Some(&one), [b"POST", b"h/", b"p", b"body"]),
+    ] {
+        expect_that!(other, not(eq(same)));
+    }
+}
+
+/// Guards against a hot request that is held back as the endpoints that ran it were lost together.
+#[gtest]
+fn verify_endpoints_that_are_lost_together_count_once() {
+    let mut gateway = gateway(8);
+    for n in 0..6 {
+        crash(&mut gateway, Time(1000 + n * 40), "a");
+    }
+    expect_false!(held(&mut gateway, Time(1300), "a"));
+    expect_false!(held(&mut gateway, Time(5000), "a"));
+}
+
+/// Guards against a request that is held back though endpoints answer it.
+#[gtest]
+fn verify_a_whole_answer_ends_suspicion() {
+    for fate in [Fate::Answered, Fate::Failed] {
+        let mut gateway = gateway(8);
+        crash(&mut gateway, Time(1000), "a");
+        crash(&mut gateway, Time(2000), "a");
+        let mut ticket = admitted(&mut gateway, Time(2500), "a");
+        let placed = gateway.place(Time(2500), &ticket, &ask("/once/x"));
+        let placed = placed.expect("it is not held back");
+        gateway.sent(Time(2500), &mut ticket, placed.endpoint);
+        gateway.ended(Time(2500) + ANSWER, &mut ticket, placed.endpoint, fate);
+        crash(&mut gateway, Time(3000), "a");
+        crash(&mut gateway, Time(4000), "a");
+        expect_false!(held(&mut gateway, Time(6000), "a"));
+        crash(&mut gateway, Time(6000), "a");
+        expect_true!(held(&mut gateway, Time(8000), "a"));
+    }
+}
+
+/// Guards against answers that are lost on the way, or connections that are reset, being taken for crashes.
+#[gtest]
+fn verify_an_endpoint_that_goes_on_has_not_crashed() {
+    let mut gateway = gateway(8);
+    for n in 0..5 {
+        let now = Time(1000 + n * 1000);
+        let mut ticket = admitted(&mut gateway, now, "a");
+        let placed = gateway.place(now, &ticket, &ask("/once/x"));
+        let placed = placed.expect("it is not held back");
+        gateway.sent(now, &mut ticket, placed.endpoint);
+        gateway.ended(now, &mut ticket, placed.endpoint, Fate::Broken);
+        // Another request that was sent later is answered there.
+        let after = now + Millis(300);
+        let mut other = admitted(&mut gateway, after, "b");
+        gateway.sent(after, &mut other, placed.endpoint);
+        gateway.confirm(&other, placed.endpoint);
+        gateway.stated(after, placed.endpoint, Load::default());
+        gateway.ended(after, &mut other, placed.endpoint, Fate::Answered);
+        gateway.tick(after);
+        expect_false!(held(&mut gateway, now + Millis(900), "a"));
+    }
+    // They leave as planned later, and what was learnt of them holds.
+    let removed = (0..8).map(|n| Change::Removed(entry(n).id));
+    gateway.follow(Time(9000), removed.collect());
+    let again = (10..14).map(|n| Change::Entry(entry(n)));
+    gateway.follow(Time(9100), again.collect());
+    expect_false!(held(&mut gateway, Time(9200), "a"));
+}
+
+/// Guards against the connections that a leaving endpoint ends being taken for crashes.
+#[gtest]
+fn verify_an_endpoint_that_leaves_has_not_crashed() {
+    let mut gateway = gateway(8);
+    for n in 0..4 {
+        let now = Time(1000 + n * 1000);
+        let mut ticket = admitted(&mut gateway, now, "a");
+        let placed = gateway.place(now, &ticket, &ask("/once/x"));
+        let placed = placed.expect("it is not held back");
+        gateway.sent(now, &mut ticket, placed.endpoint);
+        let of = gateway
+            .registry()
+            .get(placed.endpoint)
+            .expect("it is there");
+        let mut leaving = of.entry.clone();
+        leaving.leaving = true;
+        gateway.follow(now, vec![Change::Entry(leaving)]);
+        gateway.ended(now, &mut ticket, placed.endpoint, Fate::Broken);
+    }
+    expect_false!(held(&mut gateway, Time(8000), "a"));
+}
+
+/// Guards against a request that is held back for good, and against one that is let through at all routers at once.
+#[gtest]
+fn verify_a_request_is_let_through_again_and_held_back_for_longer_after_one_more_crash() {
+    let first = bounds().hold.first.0;
+    let mut gateway = gateway(8);
+    for n in 0..3 {
+        crash(&mut gateway, Time(1000 + n * 1000), "a");
+    }
+    let last = 3000;
+    expect_true!(held(&mut gateway, Time(last + first - 1), "a"));
+    let again = Time(last + 2 * first);
+    gateway.tick(again);
+    let entries = (10..18).map(|n| Change::Entry(entry(n)));
+    gateway.follow(again, entries.collect());
+    expect_false!(held(&mut gateway, again, "a"));
+    crash(&mut gateway, again, "a");
+    let later = again + Millis(5 * first);
+    gateway.tick(later);
+    expect_true!(held(&mut gateway, later, "a"));
+}
+
+#[gtest]
+fn verify_nothing_is_held_back_where_the_settings_say_so() {
+    let mut gateway = gateway(8);
+    for n in 0..3 {
+        crash(&mut gateway, Time(1000 + n * 1000), "a");
+    }
+    expect_true!(held(&mut gateway, Time(4500), "a"));
+    let hold = Policy::of(Millis(0));
+    gateway.set_bounds(toucanturn_core::gateway::settings::Bounds { hold, ..bounds() });
+    expect_false!(held(&mut gateway, Time(4500), "a"));
+}
+
+/// Guards against a workspace that has others' crashes forgotten, or fills the memory.
+#[gtest]
+fn verify_records_are_bounded_by_workspace() {
+    let mut table = Quarantine::new(1);
+    let request = |workspace, content| Fingerprint { workspace, content };
+    let never = |_, _| toucanturn_core::gateway::endpoint::Fared::Ended;
+    let policy = bounds().hold;
+    let victim = request(1, 7);
+    for n in 0..3 {
+        table.crashed(Time(1000 + u64::from(n) * 1000), victim, Tag(n));
+    }
+    for n in 0..10_000 {
+        let content = u64::from(n);
+        table.crashed(Time(4000 + content), request(2, content), Tag(n));
+    }
+    expect_that!(table.len(), eq(MAX_OF_WORKSPACE + 1));
+    expect_that!(
+        table.verdict(Time(20_000), victim, policy, never),
+        some(anything())
+    );
+    for n in 0..10_000 {
+        let content = u64::from(n);
+        let of = request(3 + n % 50, content);
+        table.crashed(Time(20_000 + content), of, Tag(n));
+    }
+    expect_that!(table.len(), eq(MAX_SUSPECTS));
+    expect_that!(
+        table.verdict(Time(30_000), victim, policy, never),
+        some(anything()),
+        "those with the most crashes stay"
+    );
+    expect_false!(table.watches(999), "contents of others aren't looked at");
+}
+
+/// Routers that tell each other as their digests do.
+struct Fleet {
+    routers: Vec<Gateway>,
+    rng: StdRng,
+    now: Time,
+    /// Records that were told.
+    told: usize,
+    /// Endpoints that have crashed.
+    crashed: u8,
+}
+
+impl Fleet {
+    fn new(routers: usize) -> Self {
+        Self {
+            routers: (0..routers).map(|_| gateway(60)).collect(),
+            rng: StdRng::seed_from_u64(11),
+            now: Time(1000),
+            told: 0,
+            crashed: 0,
+        }
+    }
+
+    fn round(&mut self) {
+        self.now = self.now + ROUND;
+        let now = self.now;
+        for n in 0..self.routers.len() {
+            self.routers[n].tick(now);
+            let records = self.routers[n].crashes(now);
+            self.told += records.len();
+            for _ in 0..FANOUT {
+                let to = self.rng.random_range(0..self.routers.len());
+                self.routers[to].crashed(now, &records);
+            }
+        }
+    }
+
+    fn rounds(&mut self, time: Millis) {
+        for _ in 0..time.0 / ROUND.0 {
+            self.round();
+        }
+    }
+
+    fn anyone(&mut self) -> &mut Gateway {
+        let pick = self.rng.random_range(0..self.routers.len());
+        &mut self.routers[pick]
+    }
+
+    /// Counts the routers that let a request through.
+    fn open(&mut self, body: &str) -> usize {
+        let now = self.now;
+        let open = |g: &mut Gateway| !held(g, now, body);
+        self.routers
+            .iter_mut()
+            .map(open)
+            .filter(|open| *open)
+            .count()
+    }
+
+    /// Plays the crash of an endpoint that runs the request of one router, and others of others.
+    fn crash(&mut self, others: usize) {
+        let name = entry(self.crashed).id;
+        self.crashed += 1;
+        let now = self.now;
+        let bodies = (0..others).map(|n| format!("{}-{n}", now.0));
+        for body in bodies.chain(["fatal".to_owned()]) {
+            let router = self.anyone();
+            let mut ticket = admitted(router, now, &body);
+            let listed = router.registry().usable();
+            let found = listed.filter(|(_, e)| e.entry.id == name).map(|(k, _)| k);
+            let key = found.last().expect("all list it");
+            router.sent(now, &mut ticket, key);
+            router.ended(now, &mut ticket, key, Fate::Broken);
+        }
+    }
+}
+
+/// Guards against crashes that three routers saw, one each, and none of them knows to be three.
+#[gtest]
+fn verify_all_routers_know_of_three_crashes_in_time() {
+    for routers in [7, 89, 295] {
+        let mut fleet = Fleet::new(routers);
+        for _ in 0..3 {
+            fleet.crash(12);
+            fleet.rounds(Millis(700));
+        }
+        // The third was a pause ago.
+        fleet.rounds(Millis(KNOWN.0 - 700));
+        expect_that!(fleet.open("fatal"), eq(0), "of {routers} routers");
+    }
+}
+
+/// Guards against a router that starts later, or was cut off, and lets through what all others hold back.
+#[gtest]
+fn verify_a_router_that_starts_later_learns_what_is_held_back() {
+    let mut fleet = Fleet::new(20);
+    for _ in 0..3 {
+        fleet.crash(12);
+        fleet.rounds(Millis(700));
+    }
+    fleet.rounds(Millis(20_000));
+    fleet.routers[3] = gateway(60);
+    fleet.rounds(KNOWN);
+    expect_that!(fleet.open("fatal"), eq(0));
+}
+
+/// Guards against digests that go on about requests which nobody holds back.
+#[gtest]
+fn verify_routers_tell_of_other_requests_for_a_short_time() {
+    let mut fleet = Fleet::new(20);
+    fleet.crash(12);
+    fleet.rounds(Millis(10_000));
+    let before = fleet.told;
+    fleet.rounds(Millis(5000));
+    expect_that!(fleet.told, eq(before));
+}
+
+#[gtest]
+fn verify_requests_that_nothing_is_known_of_are_not_looked_at() {
+    let mut gateway = gateway(4);
+    let ticket = admitted(&mut gateway, Time(1000), "a");
+    expect_false!(gateway.watches(&ticket));
+    crash(&mut gateway, Time(1000), "a");
+    expect_true!(gateway.watches(&ticket));
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -34,6 +34,7 @@
             Fingerprint, //
         },
         place::Placed,
+        quarantine::Crash,
         refusal::{
             Cause,
             Refusal, //
@@ -149,8 +150,16 @@
         }
     }
 
-    /// Gets the fingerprint of the content.
-    pub(crate) fn fingerprint(&self) -> Fingerprint {
+    /// Looks at the content where it may be that of a request that crashed endpoints. It is hashed only then, as bodies
+    /// may be large.
+    fn identify(&mut self) {
+        let watched = self.state.gateway.borrow().watches(&self.ticket);
+        if watched && self.ticket.content.is_none() {
+            self.ticket.content = Some(self.fingerprint());
+        }
+    }
+
+    fn fingerprint(&self) -> Fingerprint {
         let path = self.uri.path_and_query();
         Fingerprint::of(&Content {
             workspace: self.ticket.workspace.as_ref().map(|w| &w.name),
@@ -180,6 +189,7 @@
     /// that the caller has.
     pub(crate) async fn start(&mut self, resume: Option<u64>) -> Result<Attempt, Refusal> {
         loop {
+            self.identify();
             let placed = {
                 let mut gateway = self.state.gateway.borrow_mut();
                 gateway.place(now(), &self.ticket, &self.ask)?
@@ -370,6 +380,10 @@
 
     /// Ends an attempt, with its line in the log.
     pub(crate) fn end(&mut self, flight: Flight, fate: Fate, status: Option<StatusCode>) -> Next {
+        if fate == Fate::Broken && self.ticket.content.is_none() {
+            self.ticket.content = Some(self.fingerprint());
+        }
+        self.identify();
         let endpoint = flight.endpoint;
         let next = flight.end(self, fate);
         let took = now().since(self.began);
@@ -390,7 +404,7 @@
                 status,
                 took = took.0,
                 %next,
-                content = (fate != Fate::Answered).then(|| self.fingerprint().to_string()),
+                content = self.ticket.content.map(|c| c.to_string()),
                 "attempt ended"
             );
         }
@@ -399,6 +413,9 @@
 
     /// Refuses the call.
     pub(crate) fn refuse(&self, refusal: Refusal) -> Response<Body> {
+        if refusal.cause == Cause::Quarantined {
+            self.log_held();
+        }
         let deadline = Some(self.ticket.deadline);
         refuse(&self.state, &self.ask.id, refusal, deadline)
     }
@@ -411,6 +428,33 @@
         response
     }
 
+    fn log_held(&self) {
+        let gateway = self.state.gateway.borrow();
+        let now = now();
+        let verdict = gateway.verdict(now, &self.ticket);
+        let (Some(content), Some(verdict), true) =
+            (self.ticket.content, verdict, self.state.log.admits())
+        else {
+            return;
+        };
+        let seen = |c: &Crash| {
+            let endpoint = gateway.registry().life(c.endpoint);
+            let name = endpoint.map(|e| text(&e.entry.id).into_owned());
+            let name = name.unwrap_or_else(|| format!("{:08x}", c.endpoint.0));
+            let by = if c.own { "here" } else { "elsewhere" };
+            format!("{name} {} ms ago {by}", now.since(c.at).0)
+        };
+        let crashes: Vec<String> = verdict.crashes.iter().map(seen).collect();
+        tracing::warn!(
+            event = 621,
+            id = %text(&self.ask.id),
+            %content,
+            crashes = crashes.join(", "),
+            left = verdict.left.0,
+            "request held back"
+        );
+    }
+
     fn log_placed(&self, placed: &Placed) {
         if !self.state.log.admits() {
             return;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -208,7 +208,8 @@
     let now = now();
     let draw = xxhash_rust::xxh3::xxh3_64(id);
     let until = deadline.unwrap_or(now + DEFAULT_WAIT);
-    let wait = refusal.again.then(|| come_back(now, until, draw));
+    let soon = || come_back(now, until, draw);
+    let wait = refusal.again.then(|| refusal.after.unwrap_or_else(soon));
     state.metrics.count("refusals", &refusal.cause.to_string());
     if state.log.admits() {
         let gateway = state.gateway.borrow();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -59,10 +59,12 @@
         let reads = state.reads.get();
         let sights = gateway.sights(at, draw);
         let samples = gateway.samples();
+        let crashes = gateway.crashes(at);
         gateway.fleet(at, mesh.size(at));
         let sealed = |target| {
             let digest = Digest {
                 samples: samples.clone(),
+                crashes: crashes.clone(),
                 ..mesh.digest(at, target, reads, sights.clone())
             };
             let payload = encode_digest(&digest);
@@ -86,6 +88,7 @@
             if fresh {
                 let mut gateway = state.gateway.borrow_mut();
                 gateway.seen(now(), &digest.sights);
+                gateway.crashed(now(), &digest.crashes);
                 // Services have other indices in another configuration.
                 if gateway.catalog().is_some_and(|c| c.version == epoch) {
                     gateway.sampled(now(), &digest.samples);
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -31,6 +31,7 @@
     // Above what a peer's copy may be old in calm times: two reads and a wait.
     expect_that!(bounds.away, gt(Millis(666 * 2 + 500)));
     expect_that!(bounds.retry.share.0, eq(160));
+    expect_that!(bounds.hold.first, eq(Millis(120_000)));
 }
 
 #[gtest]
@@ -55,5 +56,9 @@
         refused("\"retry_share\":0.2", "\"retry_share\":1e9"),
         contains_substring("retry_share")
     );
+    expect_that!(
+        refused("\"skew\":2", "\"skew\":2,\"hold_s\":4000"),
+        contains_substring("hold_s")
+    );
     expect_that!(refused("}}", "}"), contains_substring("JSON"));
 }
--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -40,6 +40,7 @@
             Sample,
             Sight, //
         },
+        quarantine::Policy as Hold,
         route::{
             Kind as Way,
             Route,
@@ -397,6 +398,7 @@
             fleet: 54,
             extra: 3,
         },
+        hold: Hold::of(Millis(120_000)),
     };
     let mut gateway = Gateway::new(bounds, seed);
     let mut changes = vec![Change::Catalog(Box::new(catalog()))];
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -36,6 +36,7 @@
 };
 use toucanturn_core::{
     gateway::{
+        fingerprint::Fingerprint,
         mesh::{
             Digest,
             MAX_RUMORS,
@@ -49,7 +50,13 @@
             Delta,
             Record, //
         },
+        quarantine::{
+            self,
+            MAX_CRASHES,
+            MAX_RECORDS, //
+        },
     },
+    ids::Tag,
     units::{
         Incarnation,
         Millis,
@@ -166,10 +173,11 @@
 
 /// Encodes a digest.
 pub fn encode_digest(digest: &Digest) -> Vec<u8> {
-    let age = |s: &Sight| {
-        let steps = s.age.0.min(MAX_AGE).div_ceil(AGE_STEP);
-        u32::try_from(steps).unwrap_or(u32::MAX)
-    };
+    let crashes = &digest.crashes;
+    let count = |c: &quarantine::Record| u32::try_from(c.crashes.len()).unwrap_or(u32::MAX);
+    let answered =
+        |c: &quarantine::Record| c.answered.map_or(0, |age| steps(age).saturating_add(1));
+    let endpoints = crashes.iter().flat_map(|c| &c.crashes);
     let loads = digest.sights.iter().map(|s| s.load.unwrap_or_default());
     let from = &digest.from;
     let rumors = &digest.rumors;
@@ -193,16 +201,36 @@
         reading: bits(rumors, |r| r.reads),
         endpoints: digest.sights.iter().map(|s| s.endpoint).collect(),
         loads: loads.collect(),
-        ages: digest.sights.iter().map(age).collect(),
+        ages: digest
+            .sights
+            .iter()
+            .map(|s| steps(Millis(s.age.0.min(MAX_AGE))))
+            .collect(),
         confirmed: bits(&digest.sights, |s| s.confirmed),
         loadless: bits(&digest.sights, |s| s.load.is_none()),
         sample_services: digest.samples.iter().map(|s| s.service).collect(),
         sample_parts: digest.samples.iter().map(|s| s.part).collect(),
         sample_works: digest.samples.iter().map(|s| s.work).collect(),
+        crash_workspaces: crashes.iter().map(|c| c.request.workspace).collect(),
+        crash_contents: crashes.iter().map(|c| c.request.content).collect(),
+        crash_counts: crashes.iter().map(count).collect(),
+        crash_endpoints: endpoints.clone().map(|(tag, _)| tag.0).collect(),
+        crash_ages: endpoints.map(|(_, age)| steps(*age)).collect(),
+        crash_answers: crashes.iter().map(answered).collect(),
     }
     .encode_to_vec()
 }
 
+/// Gets an age in steps, rounded up.
+fn steps(age: Millis) -> u32 {
+    u32::try_from(age.0.div_ceil(AGE_STEP)).unwrap_or(u32::MAX)
+}
+
+/// Gets the age of steps.
+fn age(steps: u32) -> Millis {
+    Millis(u64::from(steps) * AGE_STEP)
+}
+
 /// Gets a bit for each row, the first one lowest.
 fn bits<T>(rows: &[T], holds: impl Fn(&T) -> bool) -> u32 {
     let rows = rows.iter().take(32).enumerate();
@@ -240,7 +268,7 @@
         .map(|(row, ((endpoint, load), age))| Sight {
             endpoint: *endpoint,
             load: (raw.loadless >> row & 1 == 0).then_some(*load),
-            age: Millis(u64::from(*age) * AGE_STEP),
+            age: self::age(*age),
             confirmed: raw.confirmed >> row & 1 == 1,
         });
     Ok(Digest {
@@ -248,9 +276,42 @@
         rumors,
         sights: sights.collect(),
         samples: samples.collect(),
+        crashes: crashes(&raw)?,
     })
 }
 
+/// Puts the columns of a digest's crashes together.
+fn crashes(raw: &proto::Digest) -> Result<Vec<quarantine::Record>> {
+    let rows = raw.crash_contents.len();
+    let columns = [
+        raw.crash_workspaces.len(),
+        raw.crash_counts.len(),
+        raw.crash_answers.len(),
+    ];
+    let whole = columns.iter().all(|column| *column == rows) && rows <= MAX_RECORDS;
+    let counts = raw.crash_counts.iter().map(|count| *count as usize);
+    let bounded = counts.clone().all(|count| count <= MAX_CRASHES);
+    let what = "a bounded number of crashes";
+    ensure!(whole && bounded, PartSnafu { what });
+    let all: usize = counts.clone().sum();
+    let endpoints = raw.crash_endpoints.len() == all && raw.crash_ages.len() == all;
+    ensure!(endpoints, PartSnafu { what });
+    let mut ended = raw.crash_endpoints.iter().zip(&raw.crash_ages);
+    let rows = counts.enumerate().map(|(row, count)| quarantine::Record {
+        request: Fingerprint {
+            workspace: raw.crash_workspaces[row],
+            content: raw.crash_contents[row],
+        },
+        crashes: ended
+            .by_ref()
+            .take(count)
+            .map(|(tag, steps)| (Tag(*tag), age(*steps)))
+            .collect(),
+        answered: raw.crash_answers[row].checked_sub(1).map(age),
+    });
+    Ok(rows.collect())
+}
+
 /// Puts the columns of a digest's sample of routers together.
 fn rumors(raw: &proto::Digest, from: &Rumor) -> Result<Vec<Rumor>> {
     let rows = raw.ips.len();
--- a/crates/wire/tests/gossip.rs
+++ b/crates/wire/tests/gossip.rs
@@ -17,7 +17,9 @@
 };
 use toucanturn_core::{
     gateway::{
+        fingerprint::Fingerprint,
         mesh::{
+            DISPLACED_SIGHTS,
             Digest,
             MAX_RUMORS,
             MAX_SAMPLES,
@@ -30,7 +32,14 @@
             Delta,
             Record, //
         },
+        quarantine::{
+            self,
+            MAX_CRASHES,
+            MAX_RECORDS,
+            MAX_TOLD, //
+        },
     },
+    ids::Tag,
     units::{
         Incarnation,
         Millis,
@@ -83,6 +92,23 @@
             .collect(),
         sights: (0..sights).map(sight).collect(),
         samples: (0..sights.min(MAX_SAMPLES)).map(sample).collect(),
+        crashes: Vec::new(),
+    }
+}
+
+/// Makes the record of a request that crashed some endpoints.
+fn crashes(number: u64, endpoints: usize) -> quarantine::Record {
+    let ended = |n: usize| {
+        let tag = Tag(u32::MAX - u32::try_from(n).expect("it is small"));
+        (tag, Millis(1_600_000))
+    };
+    quarantine::Record {
+        request: Fingerprint {
+            workspace: u32::MAX,
+            content: u64::MAX - number,
+        },
+        crashes: (0..endpoints).map(ended).collect(),
+        answered: number.is_multiple_of(2).then_some(Millis(160)),
     }
 }
 
@@ -92,7 +118,10 @@
 
 #[gtest]
 fn verify_messages_come_back_as_they_were() {
-    let sent = digest(5, 7);
+    let sent = Digest {
+        crashes: vec![crashes(0, 0), crashes(1, 4), crashes(2, 1)],
+        ..digest(5, 7)
+    };
     let sealed = seal(&SECRET, 7, encode_digest(&sent));
     let (epoch, payload) = open(&sealed, known).expect("it is ours");
     expect_that!(epoch, eq(7));
@@ -152,12 +181,25 @@
     expect_that!(told, eq(&sent));
 }
 
+/// Makes the largest digests, with and without crashes.
+fn largest() -> [Digest; 2] {
+    let spread = |n: usize| usize::from(n == 0) + MAX_TOLD / MAX_RECORDS;
+    let records = (0..MAX_RECORDS).map(|n| crashes(2 * n as u64, spread(n)));
+    let crashed = Digest {
+        crashes: records.collect(),
+        ..digest(MAX_RUMORS, MAX_SIGHTS - DISPLACED_SIGHTS)
+    };
+    [digest(MAX_RUMORS, MAX_SIGHTS), crashed]
+}
+
 /// The largest digest fits into one packet.
 #[gtest]
 fn verify_the_largest_digest_is_one_datagram() {
-    let sealed = seal(&SECRET, 7, encode_digest(&digest(MAX_RUMORS, MAX_SIGHTS)));
-    println!("largest digest: {} bytes", sealed.len());
-    expect_that!(sealed.len(), le(MAX_DATAGRAM));
+    for digest in largest() {
+        let sealed = seal(&SECRET, 7, encode_digest(&digest));
+        println!("largest digest: {} bytes", sealed.len());
+        expect_that!(sealed.len(), le(MAX_DATAGRAM));
+    }
 }
 
 /// Headers of IP and UDP.
@@ -169,9 +211,11 @@
 /// Sent and heard, the largest digests take no more than control may.
 #[gtest]
 fn verify_digests_take_less_than_24_kilobytes_a_second() {
-    let sealed = seal(&SECRET, 7, encode_digest(&digest(MAX_RUMORS, MAX_SIGHTS)));
-    let length = f64::from(u32::try_from(sealed.len()).expect("it is small"));
-    expect_that!(2.0 * DATAGRAMS * (length + HEADERS), le(24_000.0));
+    for digest in largest() {
+        let sealed = seal(&SECRET, 7, encode_digest(&digest));
+        let length = f64::from(u32::try_from(sealed.len()).expect("it is small"));
+        expect_that!(2.0 * DATAGRAMS * (length + HEADERS), le(24_000.0));
+    }
 }
 
 #[gtest]
@@ -203,6 +247,18 @@
     many.samples.extend_from_within(..1);
     let many = encode_digest(&many);
     expect_that!(decode_digest(&many), err(pat!(Error::Part { .. })));
+    let odd = [
+        vec![crashes(1, MAX_CRASHES + 1)],
+        (0..=MAX_RECORDS as u64).map(|n| crashes(n, 1)).collect(),
+    ];
+    for crashes in odd {
+        let many = Digest {
+            crashes,
+            ..digest(1, 1)
+        };
+        let many = encode_digest(&many);
+        expect_that!(decode_digest(&many), err(pat!(Error::Part { .. })));
+    }
     expect_that!(decode_digest(b""), err(pat!(Error::Part { .. })));
 }
 
