Try what is held back after a while; need more crashes of what was answered before

Cause: while a request ended all five endpoints one after the other, nobody was left to answer the popular one, which was in progress at each crash: its record looked the same. Held back at all routers, nothing could show any more that it crashes nothing.

Now: each router remembers its newest 2,048 whole answers, by a quick hash of the content; what was answered in the last ten minutes takes six crashes. After 5 s (`bounds.hold_s`), then 12 times as long after each further crash, one in two repeats for each router of the fleet is let through as a trial; a whole answer ends the suspicion everywhere, and a router that still tells of crashes before it is told again. Of what is held back already a crash counts at once. Records of what is held back go out once a second only, so that they take room from loads seldom.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -21,10 +21,14 @@
         },
         fingerprint::{
             self,
+            Content,
             Fingerprint, //
         },
         heat, place,
-        quarantine::Verdict,
+        quarantine::{
+            self,
+            Verdict, //
+        },
         refusal::{
             Cause,
             Refusal, //
@@ -158,9 +162,7 @@
         if now >= ticket.until {
             return Err(Refusal::given_up(Cause::Deadline, ticket.may_have_run));
         }
-        if let Some(verdict) = self.verdict(now, ticket) {
-            return Err(Refusal::held(verdict.left, ticket.may_have_run));
-        }
+        self.release(now, ticket)?;
         let draw = self.draw();
         let part = ask.prompt.as_ref().and_then(ask::Prompt::anchor);
         let first = ticket.tried.is_empty() && ticket.unreached.is_empty();
@@ -195,6 +197,37 @@
         })
     }
 
+    /// Lets a request go on that isn't held back, or that is the one in many that is tried.
+    fn release(&mut self, now: Time, ticket: &Ticket) -> Result<(), Refusal> {
+        let (Some(verdict), Some(content)) = (self.verdict(now, ticket), ticket.content) else {
+            return Ok(());
+        };
+        let draw = self.draw();
+        let routers = self.routers;
+        if self
+            .quarantine
+            .try_one(now, content, &verdict, draw, routers)
+        {
+            return Ok(());
+        }
+        let left = verdict.left.max(quarantine::COME_BACK);
+        Err(Refusal::held(left, ticket.may_have_run))
+    }
+
+    /// Gets the fingerprint of a request's content, and looks whether it was answered here before.
+    pub fn identify(&mut self, now: Time, content: &Content<'_>) -> Fingerprint {
+        let request = Fingerprint::of(content);
+        let hash = fingerprint::quick(self.seed, content);
+        self.quarantine.recall(now, request, hash);
+        request
+    }
+
+    /// Remembers that a content was answered whole.
+    pub fn remember(&mut self, now: Time, content: &Content<'_>) {
+        let hash = fingerprint::quick(self.seed, content);
+        self.quarantine.remember(now, hash);
+    }
+
     /// Tells whether contents of a ticket's workspace are to be looked at: some of them were in progress at endpoints
     /// that broke off.
     pub fn watches(&self, ticket: &Ticket) -> bool {
--- a/crates/core/src/gateway/fingerprint.rs
+++ b/crates/core/src/gateway/fingerprint.rs
@@ -10,6 +10,7 @@
     Digest as _,
     Sha256, //
 };
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::ids::Tag;
 
@@ -56,6 +57,17 @@
     name.map_or(0, |name| Tag::of(name).0)
 }
 
+/// Gets a quick hash of a content for this process alone, which has a `seed` that nobody else knows.
+pub fn quick(seed: u64, content: &Content<'_>) -> u64 {
+    let mut hash = Xxh3::with_seed(seed);
+    hash.update(&workspace(content.workspace).to_le_bytes());
+    for part in content.parts {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.digest()
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:08x}{:016x}", self.workspace, self.content)
--- a/crates/core/src/gateway/knowledge.rs
+++ b/crates/core/src/gateway/knowledge.rs
@@ -149,17 +149,20 @@
 
     /// Lists the newest sights of endpoints, for peers.
     pub fn sights(&self, now: Time, draw: u64) -> Vec<mesh::Sight> {
-        let room = if self.quarantine.tells(now) {
-            mesh::MAX_SIGHTS - mesh::DISPLACED_SIGHTS
-        } else {
-            mesh::MAX_SIGHTS
-        };
-        self.registry.sights(now, draw, room)
+        self.registry.sights(now, draw, mesh::MAX_SIGHTS)
     }
 
-    /// Picks records of requests that were in progress at endpoints that broke off, for one digest.
-    pub fn crashes(&mut self, now: Time) -> Vec<Record> {
-        self.quarantine.records(now)
+    /// Picks records of requests that were in progress at endpoints that broke off, and the newest sights, which make
+    /// room for them.
+    pub fn crashes(&mut self, now: Time, draw: u64) -> (Vec<Record>, Vec<mesh::Sight>) {
+        let records = self.quarantine.records(now);
+        let displaced = if records.is_empty() {
+            0
+        } else {
+            mesh::DISPLACED_SIGHTS
+        };
+        let room = mesh::MAX_SIGHTS - displaced;
+        (records, self.registry.sights(now, draw, room))
     }
 
     /// Notes such records of a peer.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -82,6 +82,8 @@
     /// Newest requests that peers have not been told of, oldest first.
     samples: VecDeque<Sample>,
     quarantine: Quarantine,
+    /// Seed of the quick hashes of contents.
+    seed: u64,
     end: Option<End>,
     routers: u32,
     /// Most routers that were heard of lately, this one among them, and when.
@@ -105,7 +107,8 @@
             budgets: IndexMap::new(),
             heats: IndexMap::new(),
             samples: VecDeque::new(),
-            quarantine: Quarantine::new(rng.random()),
+            quarantine: Quarantine::default(),
+            seed: rng.random(),
             end: None,
             routers: 1,
             most: (1, Time(0)),
--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -5,8 +5,15 @@
 //! in progress when their connections broke, and whether they have ended since.
 //!
 //! Whatever is in progress at an endpoint that ends is a suspect, so one crash says little. A request is held back
-//! after [`CRASHES`] of them, at different endpoints and moments, with no whole answer in between. Routers tell each
-//! other of each crash, as a request may come to another one each time.
+//! after [`CRASHES`] of them, at different endpoints and moments, with no whole answer in between; one that was
+//! answered before after [`CRASHES_ANSWERED`]. Routers tell each other of each crash, as a request may come to another
+//! one each time.
+//!
+//! A request that was in progress at each crash by chance, while no endpoint was left to answer it, looks the same. So
+//! after a while one is let through, as a trial: a whole answer ends the suspicion at all routers, another crash
+//! holds it back for longer.
+
+use std::collections::VecDeque;
 
 use indexmap::IndexMap;
 
@@ -24,26 +31,38 @@
 
 /// Crashes after which a request is held back.
 pub const CRASHES: usize = 3;
+/// The same for one that was answered whole before: what endpoints have run once seldom ends them later.
+pub const CRASHES_ANSWERED: usize = 6;
 /// Newest crashes of a request that are kept.
-pub const MAX_CRASHES: usize = 4;
+pub const MAX_CRASHES: usize = 6;
 /// Crashes within this time of each other count as one: endpoints that are lost together take all that they run
 /// with them, and what is asked for often runs on several of them.
 const TOGETHER: Millis = Millis(250);
 /// Time after which an endpoint counts as ended from which nothing was heard since a connection broke. A connection
 /// may break for other reasons, and an endpoint that goes on answers others by then.
 const SETTLED: Millis = Millis(1000);
+/// Times as long as before that a request is held back after each further crash.
+const LONGER: u64 = 12;
+/// Requests for each router of the fleet of which one is let through once the time is over. Routers don't agree on which
+/// one; with fewer, several would let one through at the same time.
+const TRIAL_PART: u64 = 2;
+/// Time after which another one may be let through by the same router.
+const TRIAL: Millis = Millis(3000);
+/// Shortest time that the caller of what is held back is told to wait.
+pub const COME_BACK: Millis = Millis(1000);
 /// Requests of which crashes are kept, at most.
 pub const MAX_SUSPECTS: usize = 512;
 /// Those of one workspace: without a bound, one that crashes endpoints by many requests would have others' crashes
 /// forgotten.
 pub const MAX_OF_WORKSPACE: usize = 128;
+/// Newest whole answers that are remembered.
+const MAX_ANSWERS: usize = 2048;
 /// Time for which a request's record is kept after its last news, besides that for which it is held back.
 const KEPT: Millis = Millis(600_000);
-/// Times as long as the first time a request is held back that has crashed an endpoint after that.
-const AGAIN: u64 = 10;
-/// Time for which peers are told of news of a request that isn't held back: a few times what news take to reach
-/// all routers.
+/// Time for which peers are told of what is new: a few times what news take to reach all routers.
 const TOLD: Millis = Millis(3000);
+/// Time between two digests that tell of what is held back, for routers that start later or were cut off.
+const REMINDER: Millis = Millis(1000);
 /// Records in a digest, at most.
 pub const MAX_RECORDS: usize = 5;
 /// Crashes in a digest, at most.
@@ -52,19 +71,15 @@
 /// `Policy` says for how long requests are held back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Policy {
-    /// After the third crash; zero where nothing is held back.
+    /// Time before the first trial; zero where nothing is held back.
     pub first: Millis,
-    /// After a crash by a request that was let through again.
-    pub again: Millis,
 }
 
 impl Policy {
-    /// Makes one of the time after the third crash.
-    pub const fn of(first: Millis) -> Self {
-        Self {
-            first,
-            again: Millis(first.0.saturating_mul(AGAIN)),
-        }
+    /// Gets the time for which a request is held back that has crashed `beyond` endpoints more than it takes.
+    fn hold(self, beyond: usize) -> Millis {
+        let times = (0..beyond).fold(1, |times: u64, _| times.saturating_mul(LONGER));
+        Millis(self.first.0.saturating_mul(times))
     }
 }
 
@@ -93,7 +108,7 @@
 /// `Verdict` is why and for how long a request is held back.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Verdict {
-    /// Time until it may be sent again.
+    /// Time until one may be let through; zero if it is over.
     pub left: Millis,
     /// The crashes that count.
     pub crashes: Vec<Crash>,
@@ -103,32 +118,26 @@
 struct Suspect {
     /// Oldest first, one of each endpoint.
     crashes: Vec<Crash>,
-    /// When an endpoint last answered it whole: it doesn't crash what runs it, and crashes before say nothing.
+    /// When an endpoint last answered it whole. Crashes before say nothing.
     answered: Option<Time>,
     /// When something new was learnt.
     changed: Time,
+    /// When one was last let through.
+    tried: Option<Time>,
 }
 
 /// `Quarantine` is the requests that were in progress at endpoints that broke off.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     suspects: IndexMap<Fingerprint, Suspect>,
-    /// Part of the time by which this router holds requests back for longer than others, in thousandths. Let
-    /// through again by all at once, a request would crash one endpoint for each router.
-    longer: u64,
+    /// Newest whole answers, by this router's own hash of the content.
+    answers: VecDeque<(u64, Time)>,
+    /// When peers were last reminded of what is held back.
+    reminded: Time,
     next: usize,
 }
 
 impl Quarantine {
-    /// Makes one that knows of nothing; `draw` is random, another one at each router.
-    pub fn new(draw: u64) -> Self {
-        Self {
-            suspects: IndexMap::new(),
-            longer: draw % 1000,
-            next: 0,
-        }
-    }
-
     /// Tells whether some request of a workspace is known: contents of others needn't be looked at.
     pub fn watches(&self, workspace: u32) -> bool {
         self.suspects.keys().any(|f| f.workspace == workspace)
@@ -161,6 +170,26 @@
         }
     }
 
+    /// Remembers a whole answer by a hash of the request's content, which may be any that other routers don't know.
+    pub fn remember(&mut self, now: Time, hash: u64) {
+        if self.answers.len() == MAX_ANSWERS {
+            self.answers.pop_front();
+        }
+        self.answers.push_back((hash, now));
+    }
+
+    /// Looks whether a request that is suspect was answered here before it was known to be.
+    pub fn recall(&mut self, now: Time, request: Fingerprint, hash: u64) {
+        let Some(suspect) = self.suspects.get_mut(&request) else {
+            return;
+        };
+        let found = self.answers.iter().rev().find(|(of, _)| *of == hash);
+        let recent = found.filter(|(_, at)| now.since(*at) < KEPT);
+        if let Some((_, at)) = recent {
+            suspect.answer(now, *at);
+        }
+    }
+
     /// Tells whether a request is held back; `fared` tells how an endpoint fared since a time.
     pub fn verdict(
         &self,
@@ -170,62 +199,87 @@
         fared: impl Fn(Tag, Time) -> Fared,
     ) -> Option<Verdict> {
         let suspect = self.suspects.get(&request)?;
-        if suspect.crashes.len() < CRASHES {
+        let needed = suspect.needed(now);
+        let proved = suspect.counted(|crash| match fared(crash.endpoint, crash.at) {
+            Fared::Lives => false,
+            Fared::Ended => true,
+            Fared::Unheard => now.since(crash.at) >= SETTLED,
+        });
+        if proved.len() < needed || policy.first == Millis(0) {
             return None;
         }
-        let crashes = suspect.counted(now, fared);
-        let last = crashes.last()?;
-        let hold = match crashes.len() {
-            0..CRASHES => return None,
-            CRASHES => policy.first,
-            _ => policy.again,
-        };
-        let hold = Millis(hold.0 + hold.0 * self.longer / 1000);
-        let left = Millis(hold.0.saturating_sub(now.since(last.at).0));
-        (left > Millis(0)).then_some(Verdict { left, crashes })
+        // Of what is held back, one more crash counts at once.
+        let crashes = suspect.counted(|c| fared(c.endpoint, c.at) != Fared::Lives);
+        let hold = policy.hold(crashes.len() - needed);
+        let last = crashes.last()?.at;
+        let tried = suspect.tried.filter(|at| *at >= last);
+        let trial = tried.map_or(Millis(0), |at| left(now, at, TRIAL));
+        let left = left(now, last, hold).max(trial);
+        Some(Verdict { left, crashes })
+    }
+
+    /// Lets one request through of those that are held back, if the time is over; `draw` is random, and `routers` is
+    /// how many there are.
+    pub fn try_one(
+        &mut self,
+        now: Time,
+        request: Fingerprint,
+        verdict: &Verdict,
+        draw: u64,
+        routers: u32,
+    ) -> bool {
+        let chosen = draw.is_multiple_of(u64::from(routers.max(1)) * TRIAL_PART);
+        if verdict.left > Millis(0) || !chosen {
+            return false;
+        }
+        if let Some(suspect) = self.suspects.get_mut(&request) {
+            suspect.tried = Some(now);
+        }
+        true
     }
 
     /// Forgets what is old, and crashes of endpoints that have gone on since; `fared` tells how one fared since a time.
     ///
     /// They are forgotten at once, as nothing would tell any more that they lived when they have left.
     pub fn expire(&mut self, now: Time, policy: Policy, fared: impl Fn(Tag, Time) -> Fared) {
-        for suspect in self.suspects.values_mut() {
+        self.suspects.retain(|_, suspect| {
             let ended = |c: &Crash| fared(c.endpoint, c.at) != Fared::Lives;
             suspect.crashes.retain(ended);
-        }
-        // Kept for as long as any router may hold it back: one crash more then holds it back again.
-        let held = KEPT + Millis(2 * policy.first.max(policy.again).0);
-        self.suspects.retain(|_, suspect| {
-            let grave = suspect.crashes.len() >= CRASHES;
-            now.since(suspect.changed) < if grave { held } else { KEPT }
+            let beyond = suspect.crashes.len().checked_sub(CRASHES);
+            let held = beyond.map_or(Millis(0), |beyond| policy.hold(beyond));
+            now.since(suspect.changed) < KEPT + held
         });
     }
 
-    /// Tells whether there is anything to tell peers.
-    pub fn tells(&self, now: Time) -> bool {
-        self.suspects.values().any(|s| s.told(now))
-    }
-
     /// Picks records for a digest, by turns: first those with the most crashes, as they may be held back.
     pub fn records(&mut self, now: Time) -> Vec<Record> {
+        let reminds = now.since(self.reminded) >= REMINDER;
+        if reminds {
+            self.reminded = now;
+        }
+        let told = |s: &Suspect| {
+            let held = s.crashes.len() >= s.needed(now);
+            now.since(s.changed) < TOLD || (held && reminds)
+        };
         let (grave, light): (Vec<_>, Vec<_>) = self
             .suspects
             .iter()
-            .filter(|(_, s)| s.told(now))
+            .filter(|(_, s)| told(s))
             .partition(|(_, s)| s.crashes.len() > 1);
         let next = self.next;
         let turn = |of: &[(&Fingerprint, &Suspect)], n: usize| {
             let at = (next + n).checked_rem(of.len())?;
             of.get(at).map(|(f, s)| s.record(now, **f))
         };
-        let grave_room = grave.len().min(MAX_RECORDS / 2);
-        let mut records: Vec<Record> = (0..grave_room).filter_map(|n| turn(&grave, n)).collect();
-        let rest = light.len().min(MAX_RECORDS - grave_room);
+        let room = grave.len().min(MAX_RECORDS / 2);
+        let mut records: Vec<Record> = (0..room).filter_map(|n| turn(&grave, n)).collect();
+        let rest = light.len().min(MAX_RECORDS - room);
         records.extend((0..rest).filter_map(|n| turn(&light, n)));
-        let mut told = 0;
-        records.retain(|r| {
-            told += r.crashes.len().max(1);
-            told <= MAX_TOLD
+        let mut crashes = 0;
+        records.retain(|record| {
+            let fits = crashes + record.crashes.len() <= MAX_TOLD;
+            crashes += if fits { record.crashes.len() } else { 0 };
+            fits
         });
         self.next = self.next.wrapping_add(records.len().max(1));
         records
@@ -235,6 +289,9 @@
     pub fn heard(&mut self, now: Time, records: &[Record]) {
         for record in records {
             let suspect = self.suspect(now, record.request);
+            if let Some(age) = record.answered {
+                suspect.answer(now, now - age);
+            }
             for (endpoint, age) in &record.crashes {
                 let crash = Crash {
                     endpoint: *endpoint,
@@ -243,9 +300,6 @@
                 };
                 suspect.note(now, crash);
             }
-            if let Some(age) = record.answered {
-                suspect.answer(now, now - age);
-            }
         }
     }
 
@@ -266,6 +320,7 @@
             crashes: Vec::new(),
             answered: None,
             changed: now,
+            tried: None,
         })
     }
 
@@ -283,9 +338,12 @@
 impl Suspect {
     /// Takes a crash in; one of an endpoint that is known already says nothing new.
     fn note(&mut self, now: Time, crash: Crash) {
-        let known = self.crashes.iter().any(|c| c.endpoint == crash.endpoint);
-        let cleared = self.answered.is_some_and(|at| at >= crash.at);
-        if known || cleared {
+        if self.answered.is_some_and(|at| at >= crash.at) {
+            // Who tells of it doesn't know of the answer.
+            self.changed = now;
+            return;
+        }
+        if self.crashes.iter().any(|c| c.endpoint == crash.endpoint) {
             return;
         }
         let at = self.crashes.partition_point(|c| c.at <= crash.at);
@@ -308,6 +366,9 @@
     }
 
     fn answer(&mut self, now: Time, at: Time) {
+        if self.answered.is_none() {
+            self.changed = now;
+        }
         let before = self.crashes.len();
         self.crashes.retain(|c| c.at > at);
         if self.crashes.len() < before {
@@ -316,29 +377,24 @@
         self.answered = self.answered.max(Some(at));
     }
 
-    /// Lists the crashes that count.
-    fn counted(&self, now: Time, fared: impl Fn(Tag, Time) -> Fared) -> Vec<Crash> {
+    /// Gets how many crashes it takes to hold it back.
+    fn needed(&self, now: Time) -> usize {
+        let recent = self.answered.is_some_and(|at| now.since(at) < KEPT);
+        if recent { CRASHES_ANSWERED } else { CRASHES }
+    }
+
+    /// Lists the crashes that count, of those that `ended` an endpoint.
+    fn counted(&self, ended: impl Fn(&Crash) -> bool) -> Vec<Crash> {
         let mut counted: Vec<Crash> = Vec::with_capacity(self.crashes.len());
         for crash in &self.crashes {
-            let ended = match fared(crash.endpoint, crash.at) {
-                Fared::Lives => false,
-                Fared::Ended => true,
-                Fared::Unheard => now.since(crash.at) >= SETTLED,
-            };
             let same = |last: &Crash| together(last.at, crash.at);
-            if ended && !counted.last().is_some_and(same) {
+            if ended(crash) && !counted.last().is_some_and(same) {
                 counted.push(*crash);
             }
         }
         counted
     }
 
-    /// Tells whether peers are told of it: of what may be held back for as long as it is kept, for those that
-    /// start later or were cut off.
-    fn told(&self, now: Time) -> bool {
-        self.crashes.len() >= CRASHES || now.since(self.changed) < TOLD
-    }
-
     fn record(&self, now: Time, request: Fingerprint) -> Record {
         let age = |at: Time| now.since(at);
         Record {
@@ -353,6 +409,11 @@
     }
 }
 
+/// Gets what is left of a span that began at a time.
+fn left(now: Time, since: Time, span: Millis) -> Millis {
+    Millis(span.0.saturating_sub(now.since(since).0))
+}
+
 /// Tells whether two crashes, the earlier one first, count as one.
 fn together(one: Time, other: Time) -> bool {
     other.since(one) < TOGETHER
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -29,10 +29,7 @@
             Fate,
             Next, //
         },
-        fingerprint::{
-            Content,
-            Fingerprint, //
-        },
+        fingerprint::Content,
         place::Placed,
         quarantine::Crash,
         refusal::{
@@ -155,13 +152,20 @@
     fn identify(&mut self) {
         let watched = self.state.gateway.borrow().watches(&self.ticket);
         if watched && self.ticket.content.is_none() {
-            self.ticket.content = Some(self.fingerprint());
+            self.fingerprint();
         }
     }
 
-    fn fingerprint(&self) -> Fingerprint {
+    fn fingerprint(&mut self) {
+        let mut gateway = self.state.gateway.borrow_mut();
+        let content = gateway.identify(now(), &self.content());
+        drop(gateway);
+        self.ticket.content = Some(content);
+    }
+
+    fn content(&self) -> Content<'_> {
         let path = self.uri.path_and_query();
-        Fingerprint::of(&Content {
+        Content {
             workspace: self.ticket.workspace.as_ref().map(|w| &w.name),
             parts: [
                 self.method.as_str().as_bytes(),
@@ -169,7 +173,7 @@
                 path.map_or(self.uri.path(), |p| p.as_str()).as_bytes(),
                 &self.body,
             ],
-        })
+        }
     }
 
     /// Gets the time until the final answer is due.
@@ -380,8 +384,13 @@
 
     /// Ends an attempt, with its line in the log.
     pub(crate) fn end(&mut self, flight: Flight, fate: Fate, status: Option<StatusCode>) -> Next {
-        if fate == Fate::Broken && self.ticket.content.is_none() {
-            self.ticket.content = Some(self.fingerprint());
+        match fate {
+            Fate::Broken if self.ticket.content.is_none() => self.fingerprint(),
+            Fate::Answered | Fate::Failed => {
+                let mut gateway = self.state.gateway.borrow_mut();
+                gateway.remember(now(), &self.content());
+            }
+            _ => {}
         }
         self.identify();
         let endpoint = flight.endpoint;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -57,9 +57,8 @@
         let mut mesh = state.mesh.borrow_mut();
         let targets = mesh.round(at, draw);
         let reads = state.reads.get();
-        let sights = gateway.sights(at, draw);
         let samples = gateway.samples();
-        let crashes = gateway.crashes(at);
+        let (crashes, sights) = gateway.crashes(at, draw);
         gateway.fleet(at, mesh.size(at));
         let sealed = |target| {
             let digest = Digest {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,8 +34,8 @@
 const AWAY_LONGER: Millis = Millis(500);
 /// Routers among which the fleet's extra retries are divided while their number is not known.
 const UNKNOWN_FLEET: u32 = 16;
-/// Seconds for which a request that has crashed endpoints is held back, unless the settings say otherwise.
-const HOLD_S: f64 = 120.0;
+/// Seconds for which a request that has crashed endpoints is held back at first, unless the settings say otherwise.
+const HOLD_S: f64 = 5.0;
 /// Part of the published share of retries that is used: windows of routers are not aligned.
 const RETRY_MARGIN: f64 = 0.8;
 
@@ -101,7 +101,7 @@
     pub retry_extra: f64,
     /// Seconds over which both are counted.
     pub retry_window_s: f64,
-    /// Seconds for which a request is held back that has crashed endpoints; 0 holds nothing back.
+    /// Seconds for which a request is held back at first that has crashed endpoints; 0 holds nothing back.
     #[serde(default = "hold_s")]
     pub hold_s: f64,
 }
@@ -169,8 +169,8 @@
         for (name, factor, range, expected) in factors {
             ensure!(range.contains(&factor), BoundSnafu { name, expected });
         }
-        let (name, expected) = ("hold_s", "0 to 3600 seconds");
-        let held = 0.0..=3600.0;
+        let (name, expected) = ("hold_s", "0 to 600 seconds");
+        let held = 0.0..=600.0;
         ensure!(held.contains(&self.hold_s), BoundSnafu { name, expected });
         Ok(())
     }
@@ -202,7 +202,9 @@
                 fleet: self.retry_extra as u32,
                 extra: self.retry_extra as u32 / UNKNOWN_FLEET,
             },
-            hold: Hold::of(millis(self.hold_s)),
+            hold: Hold {
+                first: millis(self.hold_s),
+            },
         }
     }
 }
--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -398,7 +398,9 @@
             fleet: 54,
             extra: 3,
         },
-        hold: Hold::of(Millis(120_000)),
+        hold: Hold {
+            first: Millis(5000),
+        },
     };
     let mut gateway = Gateway::new(bounds, seed);
     let mut changes = vec![Change::Catalog(Box::new(catalog()))];
