--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -7,7 +7,10 @@
     },
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use rand::{
@@ -27,6 +30,7 @@
         ready, //
     },
     clock_ms,
+    replica::FATAL,
 };
 
 use crate::{
@@ -34,6 +38,7 @@
         Fleet,
         key_name, //
     },
+    plan::Step,
     record::{
         Call,
         Kind, //
@@ -49,6 +54,14 @@
 /// Most requests of one connection.
 const KEPT: u32 = 12;
 
+/// Part of the requests that have the content of others.
+const SHARED: f64 = 0.5;
+/// What these are for.
+pub const COMMON: &str = "x";
+/// Time for which a caller repeats a request that ends endpoints, and its pause.
+const FATAL_TIME: Duration = Duration::from_millis(6000);
+const FATAL_PAUSE: Duration = Duration::from_millis(150);
+
 /// `Shared` is what callers and balancer share.
 #[derive(Default)]
 pub struct Shared {
@@ -104,7 +117,9 @@
             let key = pick_key(&fleet, &mut rng);
             let id = format!("c{number}-{count}");
             let place = (router, life);
-            let call = one(&mut caller, place, kind, key, id).await;
+            // Others ask for the same, too.
+            let item = if rng.random_bool(SHARED) { COMMON } else { &id };
+            let call = one(&mut caller, place, kind, key, (&id, item)).await;
             let goes_on = call.whole && !shared.over.get();
             fleet.record.borrow_mut().calls.push(call);
             sleep(Duration::from_millis(rng.random_range(0..60))).await;
@@ -115,6 +130,35 @@
     }
 }
 
+/// Repeats a request that ends each endpoint that runs it, under new ids at any router in rotation.
+pub async fn fatal(fleet: &Fleet, shared: &Shared, step: &Step) {
+    let mut rng = StdRng::seed_from_u64(step.at);
+    let kinds: Vec<Kind> = Kind::iter().collect();
+    let kind = kinds[step.variant % kinds.len()];
+    let item = format!("{}-{}", FATAL.trim_start_matches('/'), step.at);
+    let began = Instant::now();
+    let mut count = 0;
+    while began.elapsed() < FATAL_TIME && !shared.over.get() {
+        sleep(FATAL_PAUSE).await;
+        let place = {
+            let rotation = shared.rotation.borrow();
+            let pick = rng.random_range(0..rotation.len().max(1));
+            rotation.get(pick).copied()
+        };
+        let (Some((router, life, address)), Some(key)) = (place, fleet.good_keys().pop()) else {
+            continue;
+        };
+        let connected = timeout(Duration::from_secs(1), Caller::connect(address)).await;
+        let Ok(Ok(mut caller)) = connected else {
+            continue;
+        };
+        count += 1;
+        let id = format!("{item}-{count}");
+        let call = one(&mut caller, (router, life), kind, key, (&id, &item)).await;
+        fleet.record.borrow_mut().calls.push(call);
+    }
+}
+
 /// Picks a good key mostly, and now and then any that ever was.
 fn pick_key(fleet: &Fleet, rng: &mut StdRng) -> usize {
     let good = fleet.good_keys();
@@ -130,15 +174,15 @@
     (router, life): (usize, u32),
     kind: Kind,
     key: usize,
-    id: String,
+    (id, item): (&str, &str),
 ) -> Call {
     let name = key_name(key);
     let ask = Ask {
         kind: kind.into(),
-        id: &id,
+        id,
         key: &name,
         deadline_ms: DEADLINE_MS,
-        item: "x",
+        item,
     };
     let sent = clock_ms();
     let answered = async {
@@ -159,6 +203,7 @@
         whole: told.whole,
         body: told.body,
         gave_up,
-        id,
+        id: id.to_owned(),
+        item: item.to_owned(),
     }
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -31,7 +31,9 @@
     },
     replica::{
         Act,
-        Order as Told, //
+        Note,
+        Order as Told,
+        What, //
     },
     store,
 };
@@ -359,8 +361,14 @@
     spawn_local(async move {
         while let Ok(Some(line)) = lines.next_line().await {
             // A line that was cut by a kill is no word.
-            if let Ok(note) = serde_json::from_str(&line) {
-                record.borrow_mut().notes.push(note);
+            if let Ok(note) = serde_json::from_str::<Note>(&line) {
+                let mut record = record.borrow_mut();
+                if note.what == What::Crashed {
+                    let (from, to) = (note.at_ms, note.at_ms + ROUTE_MS);
+                    let target = Target::Replica(n);
+                    record.spans.push(Span { target, from, to });
+                }
+                record.notes.push(note);
             }
         }
     });
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -5,6 +5,7 @@
 use strum::IntoEnumIterator;
 use toucanturn_platform_standin::replica::{
     EVENTS,
+    FATAL,
     Note,
     What, //
 };
@@ -30,6 +31,14 @@
 /// Time for which a fault may still be felt in what a router knows, in milliseconds.
 const FELT: u64 = 3000;
 
+/// Endpoints that a request may end before it is to be held back.
+const ENDED: usize = 3;
+/// Time after which all routers are to do so, in milliseconds, and how often it may reach endpoints then.
+const KNOWN: u64 = 3000;
+const LATE: usize = 3;
+/// Body of the answer to what is held back.
+const HELD: &str = "quarantined";
+
 /// `Promise` is what the system owes its users.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumIter)]
 #[strum(serialize_all = "snake_case")]
@@ -56,6 +65,10 @@
     Alive,
     /// When all faults are over, everything is served again.
     Recovered,
+    /// A request that ends endpoints is held back once it has ended three.
+    Contained,
+    /// No other request is.
+    Innocent,
 }
 
 /// `Finding` is a promise that was not kept.
@@ -90,6 +103,8 @@
             Promise::Budget => budget(record, &runs),
             Promise::Alive => record.processes.clone(),
             Promise::Recovered => record.unrecovered.clone(),
+            Promise::Contained => contained(record, &runs),
+            Promise::Innocent => each(record, innocent),
         };
         let found = found.into_iter().map(|what| Finding { promise, what });
         findings.extend(found);
@@ -278,3 +293,47 @@
     });
     told.into_iter().collect()
 }
+
+/// Looks for requests that reached endpoints too often after they had ended the third.
+fn contained(record: &Record, runs: &Runs<'_>) -> Vec<String> {
+    let mut items: HashMap<&str, Vec<&Call>> = HashMap::new();
+    for call in record.calls.iter().filter(|c| fatal(c)) {
+        items.entry(&call.item).or_default().push(call);
+    }
+    let mut found = Vec::new();
+    for (item, calls) in items {
+        let notes = |call: &&Call| runs.get(call.id.as_str()).into_iter().flatten();
+        let ended = calls.iter().flat_map(notes);
+        let ended = ended.filter(|note| note.what == What::Crashed);
+        let mut ended: Vec<u64> = ended.map(|note| note.at_ms).collect();
+        ended.sort_unstable();
+        let Some(third) = ended.get(ENDED - 1) else {
+            continue;
+        };
+        let known = third + KNOWN;
+        // A router that was away for a while may know less.
+        let away = |call: &Call| {
+            let own = [Target::Router(call.router), Target::Paused(call.router)];
+            let from = call.sent.saturating_sub(FELT);
+            record.faulty(from, call.ended, |t| own.contains(&t))
+        };
+        let late = calls.iter().filter(|c| c.sent > known && !away(c));
+        let late = late.flat_map(|c| began(runs, &c.id)).count();
+        if late > LATE {
+            found.push(format!(
+                "{item} reached endpoints {late} times later than {KNOWN} ms after the third crash"
+            ));
+        }
+    }
+    found
+}
+
+/// Tells whether a call ends endpoints.
+fn fatal(call: &Call) -> bool {
+    format!("/{}", call.item).starts_with(FATAL)
+}
+
+fn innocent(call: &Call) -> Option<String> {
+    let held = call.status == 503 && call.body.trim_end() == HELD;
+    (held && !fatal(call)).then(|| format!("{} ({}) was held back", call.id, call.item))
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -17,6 +17,12 @@
 /// Longest time of a fault, in milliseconds: over the bounds on keys and on leaving.
 const LONGEST: u64 = 3500;
 
+/// Faults that are drawn by chance: all but the last.
+const DRAWN: usize = Fault::COUNT - 1;
+/// Most requests of a plan that end endpoints, and what their draws are told apart by.
+const MOST_FATAL: usize = 2;
+const FATAL_SEED: u64 = 0xfa7a1;
+
 /// `Size` is how much runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Size {
@@ -94,6 +100,8 @@
     RevokedUnseen,
     /// All endpoints fail all that they run.
     AllFail,
+    /// A caller repeats a request that ends each endpoint that runs it, at any router.
+    FatalRequest,
 }
 
 /// `Step` is one fault at its time.
@@ -138,7 +146,7 @@
     let mut steps = Vec::new();
     let mut at = CALM;
     while at < CALM + size.millis {
-        let fault = Fault::from_repr(rng.random_range(0..Fault::COUNT));
+        let fault = Fault::from_repr(rng.random_range(0..DRAWN));
         let fault = fault.unwrap_or(Fault::Published);
         if fault.blinds() && seed.is_multiple_of(2) {
             continue;
@@ -153,5 +161,23 @@
         });
         at += rng.random_range(20..GAP);
     }
+    steps.extend(fatal(seed, size));
+    steps.sort_by_key(|step| step.at);
     steps
 }
+
+/// Adds requests that end endpoints to some plans: one, or two that overlap. They are drawn apart, so that seeds that once
+/// failed keep their other faults.
+fn fatal(seed: u64, size: &Size) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed ^ FATAL_SEED);
+    let count = rng.random_range(0..=MOST_FATAL);
+    let step = |_| Step {
+        at: CALM + rng.random_range(0..size.millis.max(1)),
+        lasts: LONGEST,
+        fault: Fault::FatalRequest,
+        router: 0,
+        replica: 0,
+        variant: rng.random_range(0..1000),
+    };
+    (0..count).map(step).collect()
+}
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -42,6 +42,8 @@
     pub id: String,
     /// Its route.
     pub kind: Kind,
+    /// What it is for; repeats of the same content have the same.
+    pub item: String,
     /// Number of its key.
     pub key: usize,
     /// Router that it was sent to.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -44,6 +44,7 @@
         Shared,
         balance,
         call,
+        fatal,
         one, //
     },
     errors::{
@@ -76,6 +77,8 @@
 const AFTER: u64 = ROUTE_MS;
 /// Time after which the entry of an endpoint that was killed is taken out.
 const LAPSE: Duration = Duration::from_millis(700);
+/// Time between two looks whether an endpoint has ended.
+const SUPERVISED: Duration = Duration::from_millis(20);
 /// Time over the published one that a router may take to end, for what the system needs.
 const STOP_MARGIN: Duration = Duration::from_millis(1500);
 /// Requests by which each router shows that it serves again.
@@ -101,6 +104,7 @@
     }
     let shared = Rc::new(Shared::default());
     let balancer = spawn_local(balance(Rc::clone(&fleet), Rc::clone(&shared)));
+    let supervisor = spawn_local(supervise(Rc::clone(&fleet)));
     let callers: Vec<_> = (0..size.callers)
         .map(|n| spawn_local(call(Rc::clone(&fleet), Rc::clone(&shared), n, seed)))
         .collect();
@@ -108,8 +112,10 @@
     let mut faults = Vec::new();
     for step in steps.iter().copied() {
         sleep_until(origin + Duration::from_millis(step.at)).await;
-        let fleet = Rc::clone(&fleet);
-        faults.push(spawn_local(async move { play(&fleet, step).await }));
+        let (fleet, shared) = (Rc::clone(&fleet), Rc::clone(&shared));
+        faults.push(spawn_local(
+            async move { play(&fleet, &shared, step).await },
+        ));
     }
     for fault in faults {
         fault.await.context(TaskSnafu)??;
@@ -120,6 +126,7 @@
         caller.await.context(TaskSnafu)?;
     }
     balancer.abort();
+    supervisor.abort();
     let stops: Vec<_> = (0..size.routers)
         .map(|n| {
             let fleet = Rc::clone(&fleet);
@@ -159,7 +166,7 @@
     }
 }
 
-async fn play(fleet: &Rc<Fleet>, step: Step) -> Result<()> {
+async fn play(fleet: &Rc<Fleet>, shared: &Shared, step: Step) -> Result<()> {
     let lasts = Duration::from_millis(step.lasts);
     let (n, router) = (step.replica, step.router);
     match step.fault {
@@ -240,12 +247,41 @@
                 fleet.note_span(Target::Replica(n), from, AFTER);
             }
         }
+        Fault::FatalRequest => fatal(fleet, shared, &step).await,
         // Another fault has the process.
         _ => {}
     }
     Ok(())
 }
 
+/// Replaces endpoints that end by themselves: a request has ended them.
+async fn supervise(fleet: Rc<Fleet>) {
+    loop {
+        sleep(SUPERVISED).await;
+        for n in 0..fleet.size.replicas {
+            let ended = {
+                let mut replica = fleet.replicas[n].borrow_mut();
+                let ended = !replica.busy && replica.child.ended().is_some();
+                replica.busy |= ended;
+                ended
+            };
+            if ended {
+                let fleet = Rc::clone(&fleet);
+                spawn_local(async move {
+                    let from = clock_ms();
+                    sleep(LAPSE).await;
+                    let replaced = fleet.replace(n).await;
+                    fleet.note_span(Target::Replica(n), from, AFTER);
+                    if let Err(error) = replaced {
+                        let told = format!("endpoint {n} was not replaced: {error}");
+                        fleet.record.borrow_mut().processes.push(told);
+                    }
+                });
+            }
+        }
+    }
+}
+
 /// Stops a router by its signal, and judges its end. Its process is taken by the caller.
 async fn stop(fleet: &Rc<Fleet>, n: usize) {
     let child = fleet.routers[n].borrow_mut().child.take();
@@ -420,7 +456,7 @@
                 Kind::Chat
             };
             let id = format!("p{seed}-{round}-{n}-{proof}");
-            let call = one(&mut caller, (n, life), kind, key, id).await;
+            let call = one(&mut caller, (n, life), kind, key, (&id, &id)).await;
             let served = call.status == 200 && call.whole;
             if !served {
                 left.push(format!("{} at router {n}: status {}", call.id, call.status));
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -30,6 +30,7 @@
     };
     Call {
         id: id.to_owned(),
+        item: id.to_owned(),
         kind,
         key: 0,
         router: 0,
@@ -264,3 +265,51 @@
         eq(&vec![Promise::Alive, Promise::Recovered])
     );
 }
+
+/// Makes the record of a request that ends an endpoint each second, as often as told.
+fn fatal(times: u64) -> Record {
+    let ids: Vec<String> = (0..times).map(|n| format!("fatal-1-{n}")).collect();
+    let call_of = |(n, id): (u64, &String)| Call {
+        item: "fatal-1".to_owned(),
+        sent: 10_000 + n * 1000,
+        ended: 10_040 + n * 1000,
+        status: 502,
+        body: String::new(),
+        ..call(id, Kind::Talk)
+    };
+    let note_of = |(n, id): (u64, &String)| {
+        let begun = note(id, 10_010 + n * 1000);
+        let ended = Note {
+            at_ms: 10_040 + n * 1000,
+            what: What::Crashed,
+            ..begun.clone()
+        };
+        [begun, ended]
+    };
+    let calls = (0..).zip(&ids).map(call_of).collect();
+    let notes = (0..).zip(&ids).flat_map(note_of).collect();
+    record(calls, notes)
+}
+
+#[gtest]
+fn verify_a_request_that_goes_on_ending_endpoints_is_found() {
+    // Of ten, four are sent later than three seconds after the third crash.
+    expect_that!(found(&fatal(10)), elements_are![eq(&Promise::Contained)]);
+    expect_that!(found(&fatal(9)), is_empty());
+}
+
+#[gtest]
+fn verify_another_request_that_is_held_back_is_found() {
+    let held = |item: &str| Call {
+        item: item.to_owned(),
+        status: 503,
+        body: "quarantined\n".to_owned(),
+        ..call("a1", Kind::Read)
+    };
+    let record_of = |item| record(vec![held(item)], Vec::new());
+    expect_that!(
+        found(&record_of("x")),
+        elements_are![eq(&Promise::Innocent)]
+    );
+    expect_that!(found(&record_of("fatal-1")), is_empty());
+}
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -73,6 +73,32 @@
     expect_that!(findings(&steps, 137, SHORT), is_empty());
 }
 
+/// Guards against requests that end endpoints among other faults: two of them, while endpoints and routers are killed.
+#[gtest]
+fn verify_requests_that_end_endpoints_are_contained_among_other_faults() {
+    let step = |at, fault, variant| Step {
+        at,
+        lasts: 500,
+        fault,
+        router: 1,
+        replica: 0,
+        variant,
+    };
+    let steps = [
+        step(500, Fault::FatalRequest, 3),
+        step(2500, Fault::ReplicaReset, 0),
+        step(3000, Fault::ReplicaKilled, 0),
+        step(4000, Fault::FatalRequest, 0),
+        step(4500, Fault::RouterKilled, 0),
+    ];
+    let size = Size {
+        routers: 3,
+        replicas: 6,
+        ..SHORT
+    };
+    expect_that!(findings(&steps, 30, size), is_empty());
+}
+
 /// Symptom: routers ended with the code for cut requests. Sequences: those of the plans. Causes: a
 /// stop took what it could not finish (314); a connection without a request counted (323, 347).
 #[gtest]
