Count endpoints that one attempt ends in quick succession each; settle crashes in half the time

A request that was sent to an endpoint after another one had broken off can't have been lost with that one, so each crash now carries for how long the endpoint had had the request: what was sent after an earlier crash counts by itself. An endpoint of which nothing is heard counts as ended after 500 ms, not a second; a sign of life that comes later still ends the suspicion.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -314,7 +314,8 @@
         let usable = self.registry.get(endpoint).filter(|e| e.usable());
         match (fate, usable) {
             (Fate::Broken, Some(endpoint)) => {
-                self.quarantine.crashed(now, content, endpoint.tag());
+                self.quarantine
+                    .crashed(now, content, endpoint.tag(), ticket.sent);
             }
             (Fate::Answered | Fate::Failed, _) => self.quarantine.answered(now, content),
             _ => {}
--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -35,12 +35,12 @@
 pub const CRASHES_ANSWERED: usize = 6;
 /// Newest crashes of a request that are kept.
 pub const MAX_CRASHES: usize = 6;
-/// Crashes within this time of each other count as one: endpoints that are lost together take all that they run
-/// with them, and what is asked for often runs on several of them.
+/// Crashes within this time of each other count as one, unless the request was sent after the earlier one: endpoints that
+/// are lost together take all that they run with them, and what is asked for often runs on several of them.
 const TOGETHER: Millis = Millis(250);
 /// Time after which an endpoint counts as ended from which nothing was heard since a connection broke. A connection
 /// may break for other reasons, and an endpoint that goes on answers others by then.
-const SETTLED: Millis = Millis(1000);
+const SETTLED: Millis = Millis(500);
 /// Times as long as before that a request is held back after each further crash.
 const LONGER: u64 = 12;
 /// Requests for each router of the fleet of which one is let through once the time is over. Routers don't agree on which
@@ -88,19 +88,32 @@
 pub struct Crash {
     /// This life of the endpoint.
     pub endpoint: Tag,
+    /// When the request was sent there.
+    pub sent: Time,
     /// When its connection broke.
     pub at: Time,
     /// Whether this router saw it.
     pub own: bool,
 }
 
+/// `Told` is a crash as routers tell each other of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// This life of the endpoint.
+    pub endpoint: Tag,
+    /// How long ago its connection broke.
+    pub age: Millis,
+    /// For how long it had the request then.
+    pub ran: Millis,
+}
+
 /// `Record` is what routers tell each other of a request; ages count from the sending.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
     /// Its content.
     pub request: Fingerprint,
-    /// Endpoints that broke off with it, and how long ago.
-    pub crashes: Vec<(Tag, Millis)>,
+    /// Endpoints that broke off with it.
+    pub crashes: Vec<Told>,
     /// Age of its newest whole answer.
     pub answered: Option<Millis>,
 }
@@ -154,9 +167,10 @@
     }
 
     /// Notes that an endpoint broke off while it had a request.
-    pub fn crashed(&mut self, now: Time, request: Fingerprint, endpoint: Tag) {
+    pub fn crashed(&mut self, now: Time, request: Fingerprint, endpoint: Tag, sent: Time) {
         let crash = Crash {
             endpoint,
+            sent,
             at: now,
             own: true,
         };
@@ -292,10 +306,12 @@
             if let Some(age) = record.answered {
                 suspect.answer(now, now - age);
             }
-            for (endpoint, age) in &record.crashes {
+            for told in &record.crashes {
+                let at = now - told.age;
                 let crash = Crash {
-                    endpoint: *endpoint,
-                    at: now - *age,
+                    endpoint: told.endpoint,
+                    sent: at - told.ran,
+                    at,
                     own: false,
                 };
                 suspect.note(now, crash);
@@ -361,7 +377,7 @@
     /// Finds the crash that says least: one that counts as one with the crash before it, else the oldest.
     fn redundant(&self) -> usize {
         let pairs = self.crashes.windows(2);
-        let close = |pair: &[Crash]| together(pair[0].at, pair[1].at);
+        let close = |pair: &[Crash]| together(&pair[0], &pair[1]);
         pairs.map(close).position(|is| is).map_or(0, |n| n + 1)
     }
 
@@ -387,7 +403,7 @@
     fn counted(&self, ended: impl Fn(&Crash) -> bool) -> Vec<Crash> {
         let mut counted: Vec<Crash> = Vec::with_capacity(self.crashes.len());
         for crash in &self.crashes {
-            let same = |last: &Crash| together(last.at, crash.at);
+            let same = |last: &Crash| together(last, crash);
             if ended(crash) && !counted.last().is_some_and(same) {
                 counted.push(*crash);
             }
@@ -396,15 +412,15 @@
     }
 
     fn record(&self, now: Time, request: Fingerprint) -> Record {
-        let age = |at: Time| now.since(at);
+        let told = |crash: &Crash| Told {
+            endpoint: crash.endpoint,
+            age: now.since(crash.at),
+            ran: crash.at.since(crash.sent),
+        };
         Record {
             request,
-            crashes: self
-                .crashes
-                .iter()
-                .map(|c| (c.endpoint, age(c.at)))
-                .collect(),
-            answered: self.answered.map(age),
+            crashes: self.crashes.iter().map(told).collect(),
+            answered: self.answered.map(|at| now.since(at)),
         }
     }
 }
@@ -415,6 +431,6 @@
 }
 
 /// Tells whether two crashes, the earlier one first, count as one.
-fn together(one: Time, other: Time) -> bool {
-    other.since(one) < TOGETHER
+fn together(one: &Crash, other: &Crash) -> bool {
+    other.sent < one.at && other.at.since(one.at) < TOGETHER
 }
--- a/crates/core/tests/gateway/quarantine.rs
+++ b/crates/core/tests/gateway/quarantine.rs
@@ -127,13 +127,30 @@
 #[gtest]
 fn verify_endpoints_that_are_lost_together_count_once() {
     let mut gateway = gateway(8);
-    for n in 0..6 {
-        crash(&mut gateway, Time(1000 + n * 40), "a");
+    let keys: Vec<_> = gateway.registry().usable().map(|(key, _)| key).collect();
+    let sent = keys.iter().map(|key| {
+        let mut ticket = admitted(&mut gateway, Time(900), "a");
+        gateway.sent(Time(900), &mut ticket, *key);
+        (ticket, *key)
+    });
+    let sent: Vec<_> = sent.collect();
+    for (n, (mut ticket, key)) in (0..).zip(sent) {
+        gateway.ended(Time(1000 + n * 40), &mut ticket, key, Fate::Broken);
     }
     expect_false!(held(&mut gateway, Time(1300), "a"));
     expect_false!(held(&mut gateway, Time(5000), "a"));
 }
 
+/// Guards against the endpoints that one attempt of a caller ends in quick succession being taken for a loss of all.
+#[gtest]
+fn verify_endpoints_that_are_lost_one_after_the_other_count_each() {
+    let mut gateway = gateway(8);
+    for n in 0..3 {
+        crash(&mut gateway, Time(1000 + n * 40), "a");
+    }
+    expect_true!(held(&mut gateway, Time(1100), "a"));
+}
+
 /// Guards against a request that is held back though endpoints answer it.
 #[gtest]
 fn verify_a_whole_answer_ends_suspicion() {
@@ -232,7 +249,11 @@
     let again = Time(3000 + first + 3100);
     let records = vec![quarantine::Record {
         request: content("a"),
-        crashes: vec![(Tag(9), Millis(0))],
+        crashes: vec![quarantine::Told {
+            endpoint: Tag(9),
+            age: Millis(0),
+            ran: Millis(100),
+        }],
         answered: None,
     }];
     gateway.crashed(again, &records);
@@ -307,11 +328,11 @@
     let policy = bounds().hold;
     let victim = request(1, 7);
     for n in 0..3 {
-        table.crashed(Time(1000 + u64::from(n) * 1000), victim, Tag(n));
+        table.crashed(Time(1000 + u64::from(n) * 1000), victim, Tag(n), Time(0));
     }
     for n in 0..10_000 {
         let content = u64::from(n);
-        table.crashed(Time(4000 + content), request(2, content), Tag(n));
+        table.crashed(Time(4000 + content), request(2, content), Tag(n), Time(0));
     }
     expect_that!(table.len(), eq(MAX_OF_WORKSPACE + 1));
     expect_that!(
@@ -321,7 +342,7 @@
     for n in 0..10_000 {
         let content = u64::from(n);
         let of = request(3 + n % 50, content);
-        table.crashed(Time(20_000 + content), of, Tag(n));
+        table.crashed(Time(20_000 + content), of, Tag(n), Time(0));
     }
     expect_that!(table.len(), eq(MAX_SUSPECTS));
     expect_that!(
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -214,8 +214,9 @@
         crash_workspaces: crashes.iter().map(|c| c.request.workspace).collect(),
         crash_contents: crashes.iter().map(|c| c.request.content).collect(),
         crash_counts: crashes.iter().map(count).collect(),
-        crash_endpoints: endpoints.clone().map(|(tag, _)| tag.0).collect(),
-        crash_ages: endpoints.map(|(_, age)| steps(*age)).collect(),
+        crash_endpoints: endpoints.clone().map(|c| c.endpoint.0).collect(),
+        crash_ages: endpoints.clone().map(|c| steps(c.age)).collect(),
+        crash_runs: endpoints.map(|c| steps(c.ran)).collect(),
         crash_answers: crashes.iter().map(answered).collect(),
     }
     .encode_to_vec()
@@ -294,19 +295,24 @@
     let what = "a bounded number of crashes";
     ensure!(whole && bounded, PartSnafu { what });
     let all: usize = counts.clone().sum();
-    let endpoints = raw.crash_endpoints.len() == all && raw.crash_ages.len() == all;
-    ensure!(endpoints, PartSnafu { what });
-    let mut ended = raw.crash_endpoints.iter().zip(&raw.crash_ages);
+    let columns = [
+        raw.crash_endpoints.len(),
+        raw.crash_ages.len(),
+        raw.crash_runs.len(),
+    ];
+    let whole = columns.iter().all(|column| *column == all);
+    ensure!(whole, PartSnafu { what });
+    let mut ended = (0..all).map(|row| quarantine::Told {
+        endpoint: Tag(raw.crash_endpoints[row]),
+        age: age(raw.crash_ages[row]),
+        ran: age(raw.crash_runs[row]),
+    });
     let rows = counts.enumerate().map(|(row, count)| quarantine::Record {
         request: Fingerprint {
             workspace: raw.crash_workspaces[row],
             content: raw.crash_contents[row],
         },
-        crashes: ended
-            .by_ref()
-            .take(count)
-            .map(|(tag, steps)| (Tag(*tag), age(*steps)))
-            .collect(),
+        crashes: ended.by_ref().take(count).collect(),
         answered: raw.crash_answers[row].checked_sub(1).map(age),
     });
     Ok(rows.collect())
--- a/crates/wire/tests/gossip.rs
+++ b/crates/wire/tests/gossip.rs
@@ -99,8 +99,12 @@
 /// Makes the record of a request that crashed some endpoints.
 fn crashes(number: u64, endpoints: usize) -> quarantine::Record {
     let ended = |n: usize| {
-        let tag = Tag(u32::MAX - u32::try_from(n).expect("it is small"));
-        (tag, Millis(1_600_000))
+        let number = u32::try_from(n).expect("it is small");
+        quarantine::Told {
+            endpoint: Tag(u32::MAX - number),
+            age: Millis(1_600_000),
+            ran: Millis(4000),
+        }
     };
     quarantine::Record {
         request: Fingerprint {
