Tell peers of records in tiers, each with its own turn

Records were picked by one counter that went on by as many as a digest held: with ten records and steps of five, the same few were told each time. Now what is held back, what has several crashes and the rest have their own places and come first by turns; what is held back is told again each 500 ms, not each second.

verify_each_record_is_told fails on the code before (some of 7, 10 and 16 records never told in 28 rounds).

--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -62,7 +62,11 @@
 /// Time for which peers are told of what is new: a few times what news take to reach all routers.
 const TOLD: Millis = Millis(3000);
 /// Time between two digests that tell of what is held back, for routers that start later or were cut off.
-const REMINDER: Millis = Millis(1000);
+const REMINDER: Millis = Millis(500);
+/// Tiers of records: what is held back, what has several crashes, what has one or none.
+const TIERS: usize = 3;
+/// Their order in digests, by turns: what is likely to be held back soon must not wait for the rest, which must come, too.
+const ORDERS: [[usize; TIERS]; 4] = [[0, 1, 2], [1, 0, 2], [0, 1, 2], [2, 1, 0]];
 /// Records in a digest, at most.
 pub const MAX_RECORDS: usize = 5;
 /// Crashes in a digest, at most.
@@ -147,7 +151,9 @@
     answers: VecDeque<(u64, Time)>,
     /// When peers were last reminded of what is held back.
     reminded: Time,
-    next: usize,
+    /// Which tier of records comes first in the next digest, and which record of each tier.
+    turn: usize,
+    next: [usize; TIERS],
 }
 
 impl Quarantine {
@@ -265,37 +271,34 @@
         });
     }
 
-    /// Picks records for a digest, by turns: first those with the most crashes, as they may be held back.
+    /// Picks records for a digest: by turns of those that are held back, those with several crashes, and those with
+    /// one. Many that were in progress at some endpoint by chance must not keep the others from being told.
     pub fn records(&mut self, now: Time) -> Vec<Record> {
         let reminds = now.since(self.reminded) >= REMINDER;
         if reminds {
             self.reminded = now;
         }
-        let told = |s: &Suspect| {
-            let held = s.crashes.len() >= s.needed(now);
-            now.since(s.changed) < TOLD || (held && reminds)
-        };
-        let (grave, light): (Vec<_>, Vec<_>) = self
-            .suspects
-            .iter()
-            .filter(|(_, s)| told(s))
-            .partition(|(_, s)| s.crashes.len() > 1);
-        let next = self.next;
-        let turn = |of: &[(&Fingerprint, &Suspect)], n: usize| {
-            let at = (next + n).checked_rem(of.len())?;
-            of.get(at).map(|(f, s)| s.record(now, **f))
-        };
-        let room = grave.len().min(MAX_RECORDS / 2);
-        let mut records: Vec<Record> = (0..room).filter_map(|n| turn(&grave, n)).collect();
-        let rest = light.len().min(MAX_RECORDS - room);
-        records.extend((0..rest).filter_map(|n| turn(&light, n)));
-        let mut crashes = 0;
-        records.retain(|record| {
-            let fits = crashes + record.crashes.len() <= MAX_TOLD;
-            crashes += if fits { record.crashes.len() } else { 0 };
-            fits
-        });
-        self.next = self.next.wrapping_add(records.len().max(1));
+        let mut tiers: [Vec<Record>; TIERS] = Default::default();
+        for (request, suspect) in &self.suspects {
+            let tier = suspect.tier(now);
+            if now.since(suspect.changed) < TOLD || (tier == 0 && reminds) {
+                tiers[tier].push(suspect.record(now, *request));
+            }
+        }
+        self.turn = (self.turn + 1) % ORDERS.len();
+        let mut records = Vec::with_capacity(MAX_RECORDS);
+        let mut room = MAX_TOLD;
+        for tier in ORDERS[self.turn] {
+            for _ in 0..tiers[tier].len() {
+                let next = &tiers[tier][self.next[tier] % tiers[tier].len()];
+                if records.len() == MAX_RECORDS || next.crashes.len() > room {
+                    break;
+                }
+                room -= next.crashes.len();
+                records.push(next.clone());
+                self.next[tier] = self.next[tier].wrapping_add(1);
+            }
+        }
         records
     }
 
@@ -399,6 +402,15 @@
         if recent { CRASHES_ANSWERED } else { CRASHES }
     }
 
+    /// Gets its place among what peers are told of.
+    fn tier(&self, now: Time) -> usize {
+        match self.crashes.len() {
+            crashes if crashes >= self.needed(now) => 0,
+            0 | 1 => 2,
+            _ => 1,
+        }
+    }
+
     /// Lists the crashes that count, of those that `ended` an endpoint.
     fn counted(&self, ended: impl Fn(&Crash) -> bool) -> Vec<Crash> {
         let mut counted: Vec<Crash> = Vec::with_capacity(self.crashes.len());
--- a/crates/core/tests/gateway/quarantine.rs
+++ b/crates/core/tests/gateway/quarantine.rs
@@ -460,6 +460,30 @@
     expect_that!(fleet.routers[3].verdict(now, &ticket), some(anything()));
 }
 
+/// Guards against records that are never told, as others always come first.
+#[gtest]
+fn verify_each_record_is_told() {
+    for requests in [7, 10, 16] {
+        let mut table = Quarantine::default();
+        for n in 0..requests {
+            let request = Fingerprint {
+                workspace: 1,
+                content: n,
+            };
+            for endpoint in 0..=n % 5 {
+                let tag = Tag(u32::try_from(10 * n + endpoint).expect("it is small"));
+                table.crashed(Time(1000 + endpoint), request, tag, Time(0));
+            }
+        }
+        let mut told = std::collections::HashSet::new();
+        for round in 0..28 {
+            let records = table.records(Time(1100) + Millis(round * ROUND.0));
+            told.extend(records.into_iter().map(|r| r.request));
+        }
+        expect_that!(told.len() as u64, eq(requests));
+    }
+}
+
 /// Guards against digests that go on about requests which nobody holds back.
 #[gtest]
 fn verify_routers_tell_of_other_requests_for_a_short_time() {
