--- a/crates/replay/src/lab/account.rs
+++ b/crates/replay/src/lab/account.rs
@@ -46,6 +46,14 @@
     pub read_again: u64,
     /// Tokens of shared parts that were fetched from another engine.
     pub moved: u64,
+    /// When engines were ended by a request, in order.
+    pub crashes: Vec<u64>,
+    /// When requests that end engines reached one, in order.
+    pub fatal: Vec<u64>,
+    /// Answers of other requests that broke off as their engine ended.
+    pub broken: usize,
+    /// Other requests that were held back.
+    pub held: usize,
 }
 
 impl Account {
@@ -67,6 +75,13 @@
         worst
     }
 
+    /// Counts the arrivals of requests that end engines later than `known` after the third engine ended.
+    pub fn late_fatal(&self, known: u64) -> usize {
+        let third = self.crashes.get(2);
+        let late = |third: &u64| self.fatal.iter().filter(|at| **at > third + known).count();
+        third.map_or(0, late)
+    }
+
     /// Gets the share of requests that were answered in time, of those asked in a span.
     #[expect(clippy::cast_precision_loss, reason = "counts are small")]
     pub fn on_time(&self, from: u64, to: u64) -> f64 {
--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -32,7 +32,11 @@
             Service, //
         },
         endpoint::Entry,
-        fate::Fate,
+        fate::{
+            Fate,
+            Next as After, //
+        },
+        fingerprint::Fingerprint,
         mesh::{
             FANOUT,
             MAX_SIGHTS,
@@ -40,7 +44,11 @@
             Sample,
             Sight, //
         },
-        quarantine::Policy as Hold,
+        quarantine::{
+            Policy as Hold,
+            Record, //
+        },
+        refusal::Cause,
         route::{
             Kind as Way,
             Route,
@@ -95,7 +103,10 @@
     ask: Ask,
     output: u32,
     router: usize,
+    engine: usize,
     ticket: Option<(Ticket, EndpointKey)>,
+    /// Whether it ends the engine that begins to run it.
+    fatal: bool,
 }
 
 /// What happens at a time.
@@ -103,7 +114,9 @@
 enum Next {
     Try(usize),
     Arrive(usize, usize),
-    Hear(usize, Vec<Sight>, Vec<Sample>),
+    Hear(usize, Vec<Sight>, Vec<Sample>, Vec<Record>),
+    Broke(usize),
+    Back(usize),
 }
 
 /// `Fleet` is an experiment under way.
@@ -111,6 +124,8 @@
     sheet: &'a Sheet,
     routers: Vec<Gateway>,
     engines: Vec<Engine>,
+    /// Which life each engine has, and whether it is down.
+    lives: Vec<(u32, bool)>,
     requests: Vec<Request>,
     next: BTreeMap<u64, Vec<Next>>,
     account: Account,
@@ -140,6 +155,7 @@
             sheet,
             routers: routers.collect(),
             engines: vec![Engine::new(sheet.shape); sheet.engines],
+            lives: vec![(0, false); sheet.engines],
             requests: Vec::new(),
             next: BTreeMap::new(),
             account: Account::default(),
@@ -164,17 +180,31 @@
             while rate > 0.0 && self.rng.random_bool(rate.clamp(0.0, 1.0)) {
                 rate -= 1.0;
                 let request = self.request(now, kind);
-                self.requests.push(request);
-                let number = self.requests.len() - 1;
-                self.account.outcomes.push(Outcome {
-                    asked: now,
-                    kind,
-                    first: None,
-                    on_time: false,
-                });
-                self.later(now, Next::Try(number));
+                self.push(now, request);
             }
         }
+        let fatal = self.sheet.at(now).find_map(|t| match t {
+            Trouble::Fatal { every, .. } => Some(every),
+            _ => None,
+        });
+        if fatal.is_some_and(|every| now.is_multiple_of(every)) {
+            let request = Request {
+                fatal: true,
+                ..self.request(now, 0)
+            };
+            self.push(now, request);
+        }
+    }
+
+    fn push(&mut self, now: u64, request: Request) {
+        self.account.outcomes.push(Outcome {
+            asked: now,
+            kind: request.kind,
+            first: None,
+            on_time: false,
+        });
+        self.requests.push(request);
+        self.later(now, Next::Try(self.requests.len() - 1));
     }
 
     fn request(&mut self, now: u64, kind: usize) -> Request {
@@ -206,7 +236,9 @@
             asked: now,
             output,
             router: 0,
+            engine: 0,
             ticket: None,
+            fatal: false,
             ask: Ask {
                 id: Bytes::from(self.requests.len().to_string()),
                 host: Bytes::from_static(HOST),
@@ -243,10 +275,13 @@
                     Next::Try(number) if lost => self.later(now + RETRY, Next::Try(number)),
                     Next::Try(number) => self.place(now, number),
                     Next::Arrive(number, engine) => self.arrive(now, number, engine),
-                    Next::Hear(who, sights, samples) => {
+                    Next::Hear(who, sights, samples, records) => {
                         self.routers[who].seen(Time(now), &sights);
                         self.routers[who].sampled(Time(now), &samples);
+                        self.routers[who].crashed(Time(now), &records);
                     }
+                    Next::Broke(number) => self.broke(now, number),
+                    Next::Back(engine) => self.back(now, engine),
                 }
             }
         }
@@ -268,18 +303,42 @@
         let Ok(mut ticket) = router.admit(at, &request.ask) else {
             return;
         };
-        let Ok(placed) = router.place(at, &ticket, &request.ask) else {
-            return;
-        };
-        router.sent(at, &mut ticket, placed.endpoint);
-        let index = |key| {
+        ticket.content = Some(content(number, request.fatal));
+        request.router = who;
+        self.send(now, number, ticket);
+    }
+
+    /// Sends a request to the endpoint that its router chooses, if there is one.
+    fn send(&mut self, now: u64, number: usize, mut ticket: Ticket) {
+        let request = &mut self.requests[number];
+        let router = &mut self.routers[request.router];
+        let at = Time(now);
+        let index = |router: &Gateway, key| {
             let endpoint = router.registry().get(key)?;
             let name = std::str::from_utf8(&endpoint.entry.id).ok()?;
-            name.parse::<usize>().ok()
+            name.split('.').next()?.parse::<usize>().ok()
         };
-        let engine = index(placed.endpoint).unwrap_or_default();
-        let holder = placed.holder.and_then(index);
-        request.router = who;
+        let placed = loop {
+            let placed = match router.place(at, &ticket, &request.ask) {
+                Ok(placed) => placed,
+                Err(refusal) => {
+                    let held = refusal.cause == Cause::Quarantined && !request.fatal;
+                    self.account.held += usize::from(held);
+                    return;
+                }
+            };
+            let engine = index(router, placed.endpoint).unwrap_or_default();
+            if !self.lives[engine].1 {
+                break placed;
+            }
+            if router.unreached(at, &mut ticket, placed.endpoint) != After::Again {
+                return;
+            }
+        };
+        router.sent(at, &mut ticket, placed.endpoint);
+        let engine = index(router, placed.endpoint).unwrap_or_default();
+        let holder = placed.holder.and_then(|key| index(router, key));
+        request.engine = engine;
         request.ticket = Some((ticket, placed.endpoint));
         let shared = request.ask.prompt.as_ref().map(|p| p.parts[0]);
         if let (Some(holder), Some(part)) = (holder, shared)
@@ -292,6 +351,48 @@
         self.later(now + WAY, Next::Arrive(number, engine));
     }
 
+    /// Ends an engine with all that it has.
+    fn crash(&mut self, now: u64, engine: usize) {
+        self.account.crashes.push(now);
+        self.engines[engine] = Engine::new(self.sheet.shape);
+        self.lives[engine].1 = true;
+        let there = |r: &Request| r.engine == engine && r.ticket.is_some();
+        let requests = self.requests.iter().enumerate();
+        let broken: Vec<usize> = requests.filter(|(_, r)| there(r)).map(|(n, _)| n).collect();
+        for number in broken {
+            self.account.broken += usize::from(!self.requests[number].fatal);
+            self.later(now + WAY, Next::Broke(number));
+        }
+        let down = self.sheet.troubles.iter().find_map(|s| match s.trouble {
+            Trouble::Fatal { down, .. } => Some(down),
+            _ => None,
+        });
+        self.later(now + down.unwrap_or(RETRY), Next::Back(engine));
+    }
+
+    fn broke(&mut self, now: u64, number: usize) {
+        let request = &mut self.requests[number];
+        let Some((mut ticket, endpoint)) = request.ticket.take() else {
+            return;
+        };
+        let router = &mut self.routers[request.router];
+        let next = router.ended(Time(now), &mut ticket, endpoint, Fate::Broken);
+        if next == After::Again {
+            self.send(now, number, ticket);
+        }
+    }
+
+    /// Lists an engine that is back, under a new name.
+    fn back(&mut self, now: u64, engine: usize) {
+        let old = entry(self.sheet, engine, self.lives[engine].0).id;
+        self.lives[engine] = (self.lives[engine].0 + 1, false);
+        let new = entry(self.sheet, engine, self.lives[engine].0);
+        for router in &mut self.routers {
+            let changes = vec![Change::Removed(old.clone()), Change::Entry(new.clone())];
+            router.follow(Time(now), changes);
+        }
+    }
+
     #[expect(clippy::cast_precision_loss, reason = "loads are small")]
     fn arrive(&mut self, now: u64, number: usize, engine: usize) {
         let loads = self.engines.iter().map(|e| e.load().requests());
@@ -309,6 +410,13 @@
         if !self.engines[engine].holds(shared.id) && !self.known.insert(shared.id) {
             self.account.read_again += u64::from(shared.tokens);
         }
+        if request.fatal {
+            self.account.fatal.push(now);
+        }
+        if self.lives[engine].1 {
+            self.later(now + WAY, Next::Broke(number));
+            return;
+        }
         self.engines[engine].take(Job {
             number,
             parts: vec![shared],
@@ -330,6 +438,9 @@
     }
 
     fn first(&mut self, now: u64, number: usize, engine: usize) {
+        if self.requests[number].fatal {
+            return self.crash(now, engine);
+        }
         let request = &self.requests[number];
         let Some((_, endpoint)) = &request.ticket else {
             return;
@@ -362,12 +473,14 @@
             }
             let router = &mut self.routers[who];
             router.fleet(Time(now), u32::try_from(routers).unwrap_or(u32::MAX));
-            let sights = router.sights(Time(now), now);
+            router.tick(Time(now));
+            let (records, sights) = router.crashes(Time(now), now);
             debug_assert!(sights.len() <= MAX_SIGHTS);
             let samples = router.samples();
             for _ in 0..FANOUT {
                 let whom = self.rng.random_range(0..self.routers.len());
-                self.later(now + WAY, Next::Hear(whom, sights.clone(), samples.clone()));
+                let told = (sights.clone(), samples.clone(), records.clone());
+                self.later(now + WAY, Next::Hear(whom, told.0, told.1, told.2));
             }
         }
     }
@@ -399,12 +512,12 @@
             extra: 3,
         },
         hold: Hold {
-            first: Millis(5000),
+            first: Millis(sheet.hold),
         },
     };
     let mut gateway = Gateway::new(bounds, seed);
     let mut changes = vec![Change::Catalog(Box::new(catalog()))];
-    changes.extend((0..sheet.engines).map(|n| Change::Entry(entry(sheet, n))));
+    changes.extend((0..sheet.engines).map(|n| Change::Entry(entry(sheet, n, 0))));
     gateway.proved(Time(now), Time(now));
     gateway.follow(Time(now), changes);
     gateway.fleet(Time(now), u32::try_from(sheet.routers).unwrap_or(u32::MAX));
@@ -452,11 +565,19 @@
     }
 }
 
-fn entry(sheet: &Sheet, number: usize) -> Entry {
+/// Gets the fingerprint of a request: all that end engines are repeats of one.
+fn content(number: usize, fatal: bool) -> Fingerprint {
+    Fingerprint {
+        workspace: 0,
+        content: if fatal { u64::MAX } else { number as u64 },
+    }
+}
+
+fn entry(sheet: &Sheet, number: usize, life: u32) -> Entry {
     let low = u8::try_from(number % 250).unwrap_or_default();
     let high = u8::try_from(number / 250).unwrap_or_default();
     Entry {
-        id: Bytes::from(number.to_string()),
+        id: Bytes::from(format!("{number}.{life}")),
         service: Bytes::from_static(SERVICE),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 0, high, low), 8000),
         born: None,
--- a/crates/replay/src/lab/sheet.rs
+++ b/crates/replay/src/lab/sheet.rs
@@ -36,6 +36,13 @@
         /// Which part.
         share: f64,
     },
+    /// A request that ends each engine that begins to run it comes again and again, at any router.
+    Fatal {
+        /// Milliseconds between two of its repeats.
+        every: u64,
+        /// Milliseconds until an ended engine is back, under a new name.
+        down: u64,
+    },
     /// All routers are lost at the beginning, and start again, knowing nothing, at the end.
     Lost,
 }
@@ -66,6 +73,8 @@
     pub troubles: Vec<Span>,
     /// Milliseconds that are played.
     pub length: u64,
+    /// Milliseconds for which requests that crash engines are held back at first; 0 holds nothing back.
+    pub hold: u64,
 }
 
 impl Sheet {
--- a/crates/replay/tests/lab_engine.rs
+++ b/crates/replay/tests/lab_engine.rs
@@ -124,6 +124,7 @@
         }],
         troubles: Vec::new(),
         length: 2000,
+        hold: 0,
     };
     let one = play(&sheet, 3);
     let other = play(&sheet, 3);
--- a/crates/replay/tests/lab_multiple.rs
+++ b/crates/replay/tests/lab_multiple.rs
@@ -42,6 +42,7 @@
         ],
         troubles: Vec::new(),
         length: 12_000,
+        hold: 5000,
     }
 }
 
