--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -56,6 +56,7 @@
         Key,
         Record,
         Span,
+        Start,
         Target, //
     },
 };
@@ -206,6 +207,11 @@
                 .stderr(errors),
         );
         router.child = Some(started?);
+        let start = Start {
+            router: n,
+            at: clock_ms(),
+        };
+        self.record.borrow_mut().starts.push(start);
         Ok(())
     }
 
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -108,6 +108,15 @@
     pub at: u64,
 }
 
+/// `Start` is a start of a router's process.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Start {
+    /// Which router.
+    pub router: usize,
+    /// When.
+    pub at: u64,
+}
+
 /// `Record` is all of a run.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Record {
@@ -119,6 +128,8 @@
     pub keys: Vec<Key>,
     /// Faults.
     pub spans: Vec<Span>,
+    /// Starts of routers.
+    pub starts: Vec<Start>,
     /// Endpoints that left.
     pub leaving: Vec<Leaving>,
     /// What went wrong with a process: an end of its own, a stop that cut or took too long.
