Count at most two crashes of one moment

Of the crashes within 250 ms of the first now one counts, or two where the second request was sent after the first crash: a caller's attempt that ends three endpoints at once counts as two, and its next one as the third.

--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -35,8 +35,8 @@
 pub const CRASHES_ANSWERED: usize = 6;
 /// Newest crashes of a request that are kept.
 pub const MAX_CRASHES: usize = 6;
-/// Crashes within this time of each other count as one, unless the request was sent after the earlier one: endpoints that
-/// are lost together take all that they run with them, and what is asked for often runs on several of them.
+/// Length of a moment, of whose crashes few count: endpoints that are lost together take all that they run with them,
+/// and what is asked for often runs on several of them.
 const TOGETHER: Millis = Millis(250);
 /// Time after which an endpoint counts as ended from which nothing was heard since a connection broke. A connection
 /// may break for other reasons, and an endpoint that goes on answers others by then.
@@ -377,11 +377,11 @@
         self.changed = now;
     }
 
-    /// Finds the crash that says least: one that counts as one with the crash before it, else the oldest.
+    /// Finds the crash that says least: one of the same moment as the two before it, else the oldest.
     fn redundant(&self) -> usize {
-        let pairs = self.crashes.windows(2);
-        let close = |pair: &[Crash]| together(&pair[0], &pair[1]);
-        pairs.map(close).position(|is| is).map_or(0, |n| n + 1)
+        let runs = self.crashes.windows(3);
+        let close = |run: &[Crash]| together(&run[0], &run[2]);
+        runs.map(close).position(|is| is).map_or(0, |n| n + 2)
     }
 
     fn answer(&mut self, now: Time, at: Time) {
@@ -411,12 +411,21 @@
         }
     }
 
-    /// Lists the crashes that count, of those that `ended` an endpoint.
+    /// Lists the crashes that count, of those that `ended` an endpoint: of those at one moment one, or two if the
+    /// second met a request that was sent after the first.
     fn counted(&self, ended: impl Fn(&Crash) -> bool) -> Vec<Crash> {
         let mut counted: Vec<Crash> = Vec::with_capacity(self.crashes.len());
-        for crash in &self.crashes {
-            let same = |last: &Crash| together(last, crash);
-            if ended(crash) && !counted.last().is_some_and(same) {
+        let mut moment: Option<Crash> = None;
+        let mut second = false;
+        for crash in self.crashes.iter().filter(|crash| ended(crash)) {
+            let Some(first) = moment.filter(|first| together(first, crash)) else {
+                moment = Some(*crash);
+                second = false;
+                counted.push(*crash);
+                continue;
+            };
+            if !second && crash.sent >= first.at {
+                second = true;
                 counted.push(*crash);
             }
         }
@@ -442,7 +451,7 @@
     Millis(span.0.saturating_sub(now.since(since).0))
 }
 
-/// Tells whether two crashes, the earlier one first, count as one.
+/// Tells whether two crashes, the earlier one first, are of one moment.
 fn together(one: &Crash, other: &Crash) -> bool {
-    other.sent < one.at && other.at.since(one.at) < TOGETHER
+    other.at.since(one.at) < TOGETHER
 }
