Excuse routers that can't hear of answers from the soak's judge of other requests; show repeats in trace

Only that router's own link, or its suspension, excuses; an outage of the registry for all does not.

trace: lines of repeats under other ids, marked +, from any of the logs.

--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -105,7 +105,7 @@
             Promise::Alive => record.processes.clone(),
             Promise::Recovered => record.unrecovered.clone(),
             Promise::Contained => contained(record, &runs),
-            Promise::Innocent => each(record, innocent),
+            Promise::Innocent => each(record, |call| innocent(record, call)),
         };
         let found = found.into_iter().map(|what| Finding { promise, what });
         findings.extend(found);
@@ -336,7 +336,11 @@
     format!("/{}", call.item).starts_with(FATAL)
 }
 
-fn innocent(call: &Call) -> Option<String> {
+fn innocent(record: &Record, call: &Call) -> Option<String> {
     let held = call.status == 503 && call.body.trim_end() == HELD;
-    (held && !fatal(call)).then(|| format!("{} ({}) was held back", call.id, call.item))
+    // A router that can't follow the configuration can't open what others tell it of answers.
+    let own = [Target::Link(call.router), Target::Paused(call.router)];
+    let from = call.sent.saturating_sub(FELT);
+    let cut = record.faulty(from, call.ended, |t| own.contains(&t));
+    (held && !cut && !fatal(call)).then(|| format!("{} ({}) was held back", call.id, call.item))
 }
--- a/crates/toucanturn/src/trace.rs
+++ b/crates/toucanturn/src/trace.rs
@@ -22,6 +22,8 @@
 const LIFE: std::ops::Range<u64> = 600..606;
 /// Event of a process that has started.
 const STARTED: u64 = 600;
+/// Event of an attempt that has ended.
+const ENDED: u64 = 611;
 /// Most belief lines that are shown before the request's first line.
 const MAX_BEFORE: usize = 5;
 
@@ -104,21 +106,32 @@
     line.fields.get("id").and_then(Value::as_str) == Some(id)
 }
 
+/// Tells whether a line is about the end of a repeat of a request, under another id.
+fn repeats(line: &Line, content: Option<&Value>) -> bool {
+    content.is_some() && line.event == ENDED && line.fields.get("content") == content
+}
+
 fn tell(id: &str, all: Vec<Line>) -> Story {
     let mut before: Vec<Line> = Vec::new();
     let mut lines: Vec<Line> = Vec::new();
     let last = all.iter().rposition(|l| names(l, id));
     let restart = last.and_then(|at| restart(&all[at..]));
+    let own = all.iter().filter(|l| names(l, id));
+    let content = own.filter_map(|l| l.fields.get("content")).next().cloned();
     let logs: Vec<usize> = all.iter().filter(|l| names(l, id)).map(|l| l.log).collect();
     for (at, line) in all.into_iter().enumerate() {
-        // What other routers believed had no part in it.
-        if !logs.contains(&line.log) {
-            continue;
-        }
         let own = names(&line, id);
         if last.is_none_or(|last| at > last) {
             break;
         }
+        if !own && repeats(&line, content.as_ref()) {
+            lines.push(line);
+            continue;
+        }
+        // What other routers believed had no part in it.
+        if !logs.contains(&line.log) {
+            continue;
+        }
         let belief = BELIEFS.contains(&line.event) || LIFE.contains(&line.event);
         if own {
             lines.append(&mut before);
@@ -204,6 +217,10 @@
         "no_endpoint" => "no endpoint was left that could take it".to_owned(),
         "endpoint_failed" => "each attempt failed; see the attempts above".to_owned(),
         "deadline" => "its time ran out".to_owned(),
+        "quarantined" => {
+            "endpoints have ended that ran the same content before; see event 621, and the lines with +"
+                .to_owned()
+        }
         "stopping" => "this router was about to stop".to_owned(),
         other => other.replace('_', " "),
     };
@@ -213,7 +230,12 @@
 fn text(story: &Story) -> String {
     let mut out = String::new();
     for line in &story.lines {
-        let own = if names(line, &story.id) { '*' } else { ' ' };
+        let repeat = line.event == ENDED;
+        let own = match names(line, &story.id) {
+            true => '*',
+            false if repeat => '+',
+            false => ' ',
+        };
         let fields = line.fields.iter().filter(|(name, _)| *name != "id");
         let fields: Vec<String> = fields.map(|(n, v)| format!("{n}={v}")).collect();
         let (time, event, message) = (&line.time, line.event, &line.message);
--- a/crates/toucanturn/tests/cli/trace.rs
+++ b/crates/toucanturn/tests/cli/trace.rs
@@ -41,6 +41,33 @@
     expect_that!(cause, eq("sent to e-2, then its caller left"));
 }
 
+const HELD: &str = r#"
+{"timestamp":"2026-01-01T00:00:05.0Z","message":"request held back","event":621,"id":"d4","content":"0102","crashes":"e-1 2000 ms ago elsewhere","left":4000}
+{"timestamp":"2026-01-01T00:00:05.0Z","message":"request refused","event":620,"id":"d4","cause":"quarantined","may_have_run":false,"age":100}
+"#;
+const CRASHED: &str = r#"
+{"timestamp":"2026-01-01T00:00:03.0Z","message":"attempt ended","event":611,"id":"c3","endpoint":"e-1","fate":"broken","content":"0102"}
+{"timestamp":"2026-01-01T00:00:03.1Z","message":"attempt ended","event":611,"id":"c4","endpoint":"e-1","fate":"broken","content":"0304"}
+{"timestamp":"2026-01-01T00:00:03.2Z","message":"endpoint changed","event":655,"endpoint":"e-1","state":"gone"}
+"#;
+
+#[gtest]
+fn verify_a_held_back_request_is_shown_with_the_crashes_of_its_repeats() {
+    let files = Files::new();
+    let (held, crashed) = (files.write("a.log", HELD), files.write("b.log", CRASHED));
+    let run = toucanturn(["trace", "--id", "d4", &held, &crashed]);
+    let lines: Vec<&str> = run.out.lines().collect();
+    expect_that!(
+        lines,
+        elements_are![
+            starts_with("+ 2026-01-01T00:00:03.0Z 611 attempt ended"),
+            starts_with("* 2026-01-01T00:00:05.0Z 621 request held back"),
+            starts_with("* 2026-01-01T00:00:05.0Z 620 request refused"),
+            starts_with("cause: refused, did not run: endpoints have ended"),
+        ]
+    );
+}
+
 #[gtest]
 fn verify_a_router_that_ended_is_named() {
     let files = Files::new();
