Tell peers of whole answers before other crashes

What was answered now goes out with what is held back, before the rest.

verify_answers_are_told_before_other_crashes fails without it (not told in four rounds).

--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -63,7 +63,7 @@
 const TOLD: Millis = Millis(3000);
 /// Time between two digests that tell of what is held back, for routers that start later or were cut off.
 const REMINDER: Millis = Millis(500);
-/// Tiers of records: what is held back, what has several crashes, what has one or none.
+/// Tiers of records: what is held back or was answered, what has several crashes, what has one.
 const TIERS: usize = 3;
 /// Their order in digests, by turns: what is likely to be held back soon must not wait for the rest, which must come, too.
 const ORDERS: [[usize; TIERS]; 4] = [[0, 1, 2], [1, 0, 2], [0, 1, 2], [2, 1, 0]];
@@ -280,8 +280,9 @@
         }
         let mut tiers: [Vec<Record>; TIERS] = Default::default();
         for (request, suspect) in &self.suspects {
-            let tier = suspect.tier(now);
-            if now.since(suspect.changed) < TOLD || (tier == 0 && reminds) {
+            let new = now.since(suspect.changed) < TOLD;
+            if new || (reminds && suspect.held(now)) {
+                let tier = suspect.tier(now);
                 tiers[tier].push(suspect.record(now, *request));
             }
         }
@@ -402,10 +403,15 @@
         if recent { CRASHES_ANSWERED } else { CRASHES }
     }
 
-    /// Gets its place among what peers are told of.
+    /// Tells whether it has crashes enough to be held back.
+    fn held(&self, now: Time) -> bool {
+        self.crashes.len() >= self.needed(now)
+    }
+
+    /// Gets its place among what peers are told of: first what they must hold back, and what they must not.
     fn tier(&self, now: Time) -> usize {
         match self.crashes.len() {
-            crashes if crashes >= self.needed(now) => 0,
+            _ if self.held(now) || self.answered.is_some() => 0,
             0 | 1 => 2,
             _ => 1,
         }
--- a/crates/core/tests/gateway/quarantine.rs
+++ b/crates/core/tests/gateway/quarantine.rs
@@ -488,6 +488,24 @@
     }
 }
 
+/// Guards against the word of a whole answer coming after that of a hundred other crashes.
+#[gtest]
+fn verify_answers_are_told_before_other_crashes() {
+    let mut table = Quarantine::default();
+    let request = |content| Fingerprint {
+        workspace: 1,
+        content,
+    };
+    for n in 0..60 {
+        let tag = Tag(u32::try_from(n).expect("it is small"));
+        table.crashed(Time(1000), request(n), tag, Time(0));
+    }
+    table.answered(Time(1100), request(59));
+    let mut rounds = (1..5).map(|n| table.records(Time(1100) + Millis(n * ROUND.0)));
+    let told = rounds.any(|records| records.iter().any(|r| r.request == request(59)));
+    expect_true!(told);
+}
+
 /// Guards against digests that go on about requests which nobody holds back.
 #[gtest]
 fn verify_routers_tell_of_other_requests_for_a_short_time() {
