Hold a request back for longer after failed trials alone; keep records simpler

Crashes that had begun, or came from routers that didn't know yet, counted like failed trials: a request that was in progress at six of them within two seconds was held back for hours before its first trial. What comes after the first time (5 s) is a trial; only those make it longer. Records of answers to what isn't known are passed over, and a digest's records are made only for those that it takes.

verify_crashes_of_the_first_seconds_hold_a_request_back_no_longer.

--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -41,7 +41,7 @@
 /// Time after which an endpoint counts as ended from which nothing was heard since a connection broke. A connection
 /// may break for other reasons, and an endpoint that goes on answers others by then.
 const SETTLED: Millis = Millis(500);
-/// Times as long as before that a request is held back after each further crash.
+/// Times as long as before that a request is held back after a trial that crashed an endpoint.
 const LONGER: u64 = 12;
 /// Requests for each router of the fleet of which one is let through once the time is over. Routers don't agree on which
 /// one; with fewer, several would let one through at the same time.
@@ -80,9 +80,15 @@
 }
 
 impl Policy {
-    /// Gets the time for which a request is held back that has crashed `beyond` endpoints more than it takes.
-    fn hold(self, beyond: usize) -> Millis {
-        let times = (0..beyond).fold(1, |times: u64, _| times.saturating_mul(LONGER));
+    /// Gets the time for which a request is held back after these crashes, of which it takes `needed`.
+    ///
+    /// Those that came soon after the ones before were in progress already, or come from routers that didn't know yet;
+    /// what comes after the first time was a trial.
+    fn hold(self, crashes: &[Crash], needed: usize) -> Millis {
+        let since = crashes.get(needed.saturating_sub(1)..).unwrap_or_default();
+        let pairs = since.windows(2);
+        let trials = pairs.filter(|pair| pair[1].at.since(pair[0].at) >= self.first);
+        let times = trials.fold(1, |times: u64, _| times.saturating_mul(LONGER));
         Millis(self.first.0.saturating_mul(times))
     }
 }
@@ -230,7 +236,7 @@
         }
         // Of what is held back, one more crash counts at once.
         let crashes = suspect.counted(|c| fared(c.endpoint, c.at) != Fared::Lives);
-        let hold = policy.hold(crashes.len() - needed);
+        let hold = policy.hold(&crashes, needed);
         let last = crashes.last()?.at;
         let tried = suspect.tried.filter(|at| *at >= last);
         let trial = tried.map_or(Millis(0), |at| left(now, at, TRIAL));
@@ -265,25 +271,22 @@
         self.suspects.retain(|_, suspect| {
             let ended = |c: &Crash| fared(c.endpoint, c.at) != Fared::Lives;
             suspect.crashes.retain(ended);
-            let beyond = suspect.crashes.len().checked_sub(CRASHES);
-            let held = beyond.map_or(Millis(0), |beyond| policy.hold(beyond));
+            let held = policy.hold(&suspect.crashes, suspect.needed(now));
             now.since(suspect.changed) < KEPT + held
         });
     }
 
-    /// Picks records for a digest: by turns of those that are held back, those with several crashes, and those with
-    /// one. Many that were in progress at some endpoint by chance must not keep the others from being told.
+    /// Picks records for a digest, by turns of each tier. Many that were in progress at some endpoint by chance must not keep the others from being told.
     pub fn records(&mut self, now: Time) -> Vec<Record> {
         let reminds = now.since(self.reminded) >= REMINDER;
         if reminds {
             self.reminded = now;
         }
-        let mut tiers: [Vec<Record>; TIERS] = Default::default();
+        let mut tiers: [Vec<(Fingerprint, &Suspect)>; TIERS] = Default::default();
         for (request, suspect) in &self.suspects {
             let new = now.since(suspect.changed) < TOLD;
             if new || (reminds && suspect.held(now)) {
-                let tier = suspect.tier(now);
-                tiers[tier].push(suspect.record(now, *request));
+                tiers[suspect.tier(now)].push((*request, suspect));
             }
         }
         self.turn = (self.turn + 1) % ORDERS.len();
@@ -291,12 +294,12 @@
         let mut room = MAX_TOLD;
         for tier in ORDERS[self.turn] {
             for _ in 0..tiers[tier].len() {
-                let next = &tiers[tier][self.next[tier] % tiers[tier].len()];
-                if records.len() == MAX_RECORDS || next.crashes.len() > room {
+                let (request, suspect) = tiers[tier][self.next[tier] % tiers[tier].len()];
+                if records.len() == MAX_RECORDS || suspect.crashes.len() > room {
                     break;
                 }
-                room -= next.crashes.len();
-                records.push(next.clone());
+                room -= suspect.crashes.len();
+                records.push(suspect.record(now, request));
                 self.next[tier] = self.next[tier].wrapping_add(1);
             }
         }
@@ -306,6 +309,10 @@
     /// Notes what a peer tells.
     pub fn heard(&mut self, now: Time, records: &[Record]) {
         for record in records {
+            let known = self.suspects.contains_key(&record.request);
+            if record.crashes.is_empty() && !known {
+                continue;
+            }
             let suspect = self.suspect(now, record.request);
             if let Some(age) = record.answered {
                 suspect.answer(now, now - age);
@@ -410,10 +417,12 @@
 
     /// Gets its place among what peers are told of: first what they must hold back, and what they must not.
     fn tier(&self, now: Time) -> usize {
-        match self.crashes.len() {
-            _ if self.held(now) || self.answered.is_some() => 0,
-            0 | 1 => 2,
-            _ => 1,
+        if self.held(now) || self.answered.is_some() {
+            0
+        } else if self.crashes.len() > 1 {
+            1
+        } else {
+            2
         }
     }
 
--- a/crates/core/tests/gateway/quarantine.rs
+++ b/crates/core/tests/gateway/quarantine.rs
@@ -266,6 +266,29 @@
     expect_that!(trials(&mut gateway, longer, 200), eq(1));
 }
 
+/// Guards against crashes that had begun before the fleet knew counting as failed trials.
+#[gtest]
+fn verify_crashes_of_the_first_seconds_hold_a_request_back_no_longer() {
+    let first = bounds().hold.first.0;
+    let mut gateway = gateway(8);
+    for n in 0..3 {
+        crash(&mut gateway, Time(1000 + n * 700), "a");
+    }
+    let crashes = |n: u32| quarantine::Told {
+        endpoint: Tag(n),
+        age: Millis(u64::from(n) * 300),
+        ran: Millis(100),
+    };
+    let records = vec![quarantine::Record {
+        request: content("a"),
+        crashes: (0..3).map(crashes).collect(),
+        answered: None,
+    }];
+    gateway.crashed(Time(3400), &records);
+    expect_that!(trials(&mut gateway, Time(3400 + first - 1), 200), eq(0));
+    expect_that!(trials(&mut gateway, Time(3400 + first), 200), eq(1));
+}
+
 /// Guards against a hot request that is held back as it was in progress wherever another one crashed endpoints.
 #[gtest]
 fn verify_a_request_that_was_answered_before_takes_more_crashes() {
