--- a/crates/core/src/gateway/knowledge.rs
+++ b/crates/core/src/gateway/knowledge.rs
@@ -156,12 +156,7 @@
     /// room for them.
     pub fn crashes(&mut self, now: Time, draw: u64) -> (Vec<Record>, Vec<mesh::Sight>) {
         let records = self.quarantine.records(now);
-        let displaced = if records.is_empty() {
-            0
-        } else {
-            mesh::DISPLACED_SIGHTS
-        };
-        let room = mesh::MAX_SIGHTS - displaced;
+        let room = mesh::MAX_SIGHTS.saturating_sub(mesh::displaced(&records));
         (records, self.registry.sights(now, draw, room))
     }
 
--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -31,8 +31,6 @@
 pub const MAX_RUMORS: usize = 7;
 /// Endpoints in a digest, which fills what control may send and hear.
 pub const MAX_SIGHTS: usize = 31;
-/// Endpoints that a digest has fewer of with what crashed, so that it isn't larger.
-pub const DISPLACED_SIGHTS: usize = 16;
 /// Those of them that state no load: few services do, and the loads of the others need the room.
 pub const MAX_LOADLESS: usize = 2;
 /// Requests in a digest: about as many as a router of a large fleet places in a round. Without them, a session that
@@ -92,6 +90,12 @@
     pub confirmed: bool,
 }
 
+/// Counts the sights that a digest has fewer of with these records, so that it takes about as many bytes.
+pub fn displaced(records: &[Record]) -> usize {
+    let crashes: usize = records.iter().map(|r| r.crashes.len()).sum();
+    2 * records.len() + crashes
+}
+
 impl Sight {
     /// Gets the greatest age that its confirmation may have on arrival; `None` without one. Clocks of
     /// routers aren't compared, so the longest time under way counts.
--- a/crates/wire/tests/gossip.rs
+++ b/crates/wire/tests/gossip.rs
@@ -19,7 +19,7 @@
     gateway::{
         fingerprint::Fingerprint,
         mesh::{
-            DISPLACED_SIGHTS,
+            self,
             Digest,
             MAX_RUMORS,
             MAX_SAMPLES,
@@ -189,9 +189,11 @@
 fn largest() -> [Digest; 2] {
     let spread = |n: usize| usize::from(n == 0) + MAX_TOLD / MAX_RECORDS;
     let records = (0..MAX_RECORDS).map(|n| crashes(2 * n as u64, spread(n)));
+    let crashes: Vec<quarantine::Record> = records.collect();
+    let sights = MAX_SIGHTS - mesh::displaced(&crashes);
     let crashed = Digest {
-        crashes: records.collect(),
-        ..digest(MAX_RUMORS, MAX_SIGHTS - DISPLACED_SIGHTS)
+        crashes,
+        ..digest(MAX_RUMORS, sights)
     };
     [digest(MAX_RUMORS, MAX_SIGHTS), crashed]
 }
