--- a/crates/core/tests/gateway/quarantine.rs
+++ b/crates/core/tests/gateway/quarantine.rs
@@ -380,6 +380,16 @@
     expect_false!(table.watches(999), "contents of others aren't looked at");
 }
 
+/// Has an endpoint break off while it has a request of a router.
+fn break_off(router: &mut Gateway, now: Time, body: &str, name: &Bytes) {
+    let mut ticket = admitted(router, now, body);
+    let listed = router.registry().usable();
+    let keys: Vec<_> = listed.filter(|(_, e)| e.entry.id == *name).collect();
+    let key = keys[0].0;
+    router.sent(now, &mut ticket, key);
+    router.ended(now, &mut ticket, key, Fate::Broken);
+}
+
 /// Routers that tell each other as their digests do.
 struct Fleet {
     routers: Vec<Gateway>,
@@ -389,6 +399,8 @@
     told: usize,
     /// Endpoints that have crashed.
     crashed: u8,
+    /// Number of the router from which on the others don't hear those before it.
+    cut: Option<usize>,
 }
 
 impl Fleet {
@@ -399,6 +411,7 @@
             now: Time(1000),
             told: 0,
             crashed: 0,
+            cut: None,
         }
     }
 
@@ -411,7 +424,10 @@
             self.told += records.len();
             for _ in 0..FANOUT {
                 let to = self.rng.random_range(0..self.routers.len());
-                self.routers[to].crashed(now, &records);
+                let passes = self.cut.is_none_or(|at| (n < at) == (to < at));
+                if passes {
+                    self.routers[to].crashed(now, &records);
+                }
             }
         }
     }
@@ -445,13 +461,7 @@
         let now = self.now;
         let bodies = (0..others).map(|n| format!("{}-{n}", now.0));
         for body in bodies.chain(["fatal".to_owned()]) {
-            let router = self.anyone();
-            let mut ticket = admitted(router, now, &body);
-            let listed = router.registry().usable();
-            let found = listed.filter(|(_, e)| e.entry.id == name).map(|(k, _)| k);
-            let key = found.last().expect("all list it");
-            router.sent(now, &mut ticket, key);
-            router.ended(now, &mut ticket, key, Fate::Broken);
+            break_off(self.anyone(), now, &body, &name);
         }
     }
 }
@@ -487,6 +497,29 @@
     expect_that!(fleet.routers[3].verdict(now, &ticket), some(anything()));
 }
 
+/// Guards against a part of the fleet that goes on sending what the other part learnt to hold back during a cut.
+#[gtest]
+fn verify_a_cut_that_heals_brings_what_is_held_back() {
+    let mut fleet = Fleet::new(30);
+    fleet.cut = Some(15);
+    for _ in 0..3 {
+        let now = fleet.now;
+        let name = entry(fleet.crashed).id;
+        fleet.crashed += 1;
+        break_off(&mut fleet.routers[0], now, "fatal", &name);
+        fleet.rounds(Millis(700));
+    }
+    fleet.rounds(Millis(4000));
+    expect_that!(fleet.open("fatal"), eq(15), "those behind the cut");
+    fleet.cut = None;
+    fleet.rounds(KNOWN);
+    let now = fleet.now;
+    for router in &mut fleet.routers {
+        let ticket = admitted(router, now, "fatal");
+        expect_that!(router.verdict(now, &ticket), some(anything()));
+    }
+}
+
 /// Guards against records that are never told, as others always come first.
 #[gtest]
 fn verify_each_record_is_told() {
