Name timeouts of silence, bodies and answers for what they bound

No logic changed: `patience` of an attempt is `silence_timeout`, that of a request's body `body_timeout`, that of a peer's answer `ANSWER_TIMEOUT`.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -46,8 +46,8 @@
 const GOALS: u64 = 2;
 /// Times the longest pause that is on time after which a stream without a further event is given up.
 const PAUSES: u64 = 4;
-/// Shortest patience: below it, a busy endpoint would be taken for one that hangs.
-const MIN_PATIENCE: Millis = Millis(600);
+/// Shortest time that an endpoint may say nothing: below it, a busy endpoint would be taken for one that hangs.
+const MIN_SILENCE: Millis = Millis(600);
 
 /// Endpoints that may prove unreachable in one request before it is given up: each costs a
 /// connection's timeout.
@@ -272,7 +272,7 @@
     /// Gets how long an endpoint may say nothing before another one is asked, `begun` once it has
     /// sent a part of the answer. `None` where no other attempt could follow: then waiting is all
     /// that is left.
-    pub fn patience(&mut self, now: Time, ticket: &Ticket, begun: bool) -> Option<Millis> {
+    pub fn silence_timeout(&mut self, now: Time, ticket: &Ticket, begun: bool) -> Option<Millis> {
         let route = &ticket.route;
         if !route.kind.repeatable() || ticket.attempts() >= route.attempts {
             return None;
@@ -285,9 +285,9 @@
             return None;
         }
         Some(if begun {
-            Millis(route.pause.0 * PAUSES).max(MIN_PATIENCE)
+            Millis(route.pause.0 * PAUSES).max(MIN_SILENCE)
         } else {
-            Millis(route.goal.0 * GOALS).max(MIN_PATIENCE)
+            Millis(route.goal.0 * GOALS).max(MIN_SILENCE)
         })
     }
 
--- a/crates/core/tests/gateway/flow.rs
+++ b/crates/core/tests/gateway/flow.rs
@@ -216,8 +216,8 @@
                 .expect("there is one");
             gateway.sent(Time(20), &mut ticket, placed.endpoint);
         }
-        let first = gateway.patience(Time(30), &ticket, false);
-        (first, gateway.patience(Time(30), &ticket, true))
+        let first = gateway.silence_timeout(Time(30), &ticket, false);
+        (first, gateway.silence_timeout(Time(30), &ticket, true))
     };
     // Twice the goal before the first event, four pauses after it.
     let chat = patience(&mut gateway, "/chat/x", 1);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -182,11 +182,11 @@
     }
 
     /// Gets the time that an endpoint may say nothing; `begun` once it has sent a part.
-    pub(crate) fn patience(&self, begun: bool) -> Duration {
+    pub(crate) fn silence_timeout(&self, begun: bool) -> Duration {
         let mut gateway = self.state.gateway.borrow_mut();
-        let patience = gateway.patience(now(), &self.ticket, begun);
-        let patience = patience.map_or(Duration::MAX, |p| Duration::from_millis(p.0));
-        patience.min(self.left())
+        let limit = gateway.silence_timeout(now(), &self.ticket, begun);
+        let limit = limit.map_or(Duration::MAX, |p| Duration::from_millis(p.0));
+        limit.min(self.left())
     }
 
     /// Makes attempts until one has an answer of the endpoint's own; `resume` is the last event
@@ -268,7 +268,7 @@
         let request = self.request(placed, resume);
         let flight = Flight::start(self, placed.endpoint);
         self.log_placed(placed);
-        let sent = timeout(self.patience(false), connection.send(request)).await;
+        let sent = timeout(self.silence_timeout(false), connection.send(request)).await;
         let response = match sent {
             Ok(Sent::Head(response)) => response,
             Ok(Sent::Unsent) => return Err((flight, Fate::NotSent, None)),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -126,9 +126,9 @@
     if body.size_hint().lower() > u64::try_from(limits.body).unwrap_or(u64::MAX) {
         return Err((ask.id, Refusal::never(Cause::TooLarge)));
     }
-    let patience = ask.deadline.unwrap_or(limits.idle).min(limits.idle);
+    let body_timeout = ask.deadline.unwrap_or(limits.idle).min(limits.idle);
     let whole = timeout(
-        Duration::from_millis(patience.0),
+        Duration::from_millis(body_timeout.0),
         Limited::new(body, limits.body).collect(),
     );
     match whole.await {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -63,7 +63,7 @@
 /// Longest wait of a copy for news.
 pub const MAX_WAIT: Millis = Millis(2000);
 /// Time after that in which the answer must be there.
-const PATIENCE: Duration = Duration::from_millis(300);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// By how much newer a read must be to be news, where nothing has changed: what the asker has of the same read
 /// looks a little older, by the time under way.
 const NEWS: Millis = Millis(100);
@@ -126,10 +126,10 @@
     *request.method_mut() = http::Method::POST;
     *request.uri_mut() = http::Uri::from_static(PATH);
     let times = Times {
-        open: PATIENCE,
+        open: ANSWER_TIMEOUT,
         first: Duration::MAX,
         piece: Duration::MAX,
-        whole: duration(wait) + PATIENCE,
+        whole: duration(wait) + ANSWER_TIMEOUT,
     };
     let body = link.call(request, times, &|| ()).await?;
     let (_, payload) = open(&body, |epoch| state.secret(epoch))?;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -149,7 +149,7 @@
                     return Piece::Bytes(event.bytes);
                 }
             }
-            let left = self.call.patience(self.begun);
+            let left = self.call.silence_timeout(self.begun);
             let Some(attempt) = &mut self.attempt else {
                 return Piece::End;
             };
