--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -24,7 +24,7 @@
             Content,
             Fingerprint, //
         },
-        heat, place,
+        hot_spots, place,
         quarantine::{
             self,
             Verdict, //
@@ -167,11 +167,11 @@
         let part = ask.prompt.as_ref().and_then(ask::Prompt::anchor);
         let first = ticket.tried.is_empty() && ticket.unreached.is_empty();
         if let Some(part) = part.filter(|_| first) {
-            self.note_request(now, &ticket.service, heat::tag(part.id), ask.work());
+            self.note_request(now, &ticket.service, hot_spots::tag(part.id), ask.work());
         }
         let scene = place::Scene {
             share: self.share(&ticket.service),
-            heat: self.heats.get(&ticket.service),
+            hot_spots: self.hot_spots.get(&ticket.service),
             registry: &self.registry,
             proof: &self.proof,
             bounds: &self.bounds,
--- a/crates/core/src/gateway/heat.rs
+++ b/crates/core/src/gateway/hot_spots.rs
@@ -36,9 +36,9 @@
     work: u32,
 }
 
-/// `Heat` is the parts that a service's newest requests at this router asked for, and their work.
+/// `HotSpots` is the parts that a service's newest requests at this router asked for, and their work.
 #[derive(Clone, Debug, Default)]
-pub struct Heat {
+pub struct HotSpots {
     seen: VecDeque<Seen>,
 }
 
@@ -48,7 +48,7 @@
     u32::from_le_bytes([a, b, c, d])
 }
 
-impl Heat {
+impl HotSpots {
     /// Notes a request for a part, and how much work it is: any unit will do, as long as an engine has
     /// a request for the longer the more it is.
     pub fn note(&mut self, now: Time, part: u32, work: u32) {
--- a/crates/core/src/gateway/knowledge.rs
+++ b/crates/core/src/gateway/knowledge.rs
@@ -138,7 +138,8 @@
             }),
             Some(held) if held.version == version => {}
             _ => {
-                self.heats.retain(|name, _| catalog.service(name).is_some());
+                self.hot_spots
+                    .retain(|name, _| catalog.service(name).is_some());
                 // They name services by their indices in the configuration before.
                 self.samples.clear();
                 self.catalog = Some(Arc::new(catalog));
@@ -180,8 +181,8 @@
 
     /// Notes a request for a shared part, and keeps it for the next digest.
     pub(super) fn note_request(&mut self, now: Time, service: &Bytes, part: u32, work: u32) {
-        let heat = self.heats.entry(service.clone()).or_default();
-        heat.note(now, part, work);
+        let spots = self.hot_spots.entry(service.clone()).or_default();
+        spots.note(now, part, work);
         let index = self.catalog.as_ref().and_then(|c| c.index_of(service));
         let Some(service) = index else {
             return;
@@ -209,8 +210,8 @@
                 .as_ref()
                 .and_then(|c| c.name_at(sample.service));
             if let Some(name) = name.cloned() {
-                let heat = self.heats.entry(name).or_default();
-                heat.note(now, sample.part, sample.work);
+                let spots = self.hot_spots.entry(name).or_default();
+                spots.note(now, sample.part, sample.work);
             }
         }
     }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -33,7 +33,7 @@
 pub mod endpoint;
 pub mod fate;
 pub mod fingerprint;
-pub mod heat;
+pub mod hot_spots;
 pub mod knowledge;
 pub mod mesh;
 pub mod mirror;
@@ -55,7 +55,7 @@
 
 use budget::Budget;
 use catalog::Catalog;
-use heat::Heat;
+use hot_spots::HotSpots;
 use mesh::Sample;
 use proof::Proof;
 use quarantine::Quarantine;
@@ -78,7 +78,7 @@
     /// When the first tick after a suspension was.
     woke: Time,
     budgets: IndexMap<Bytes, Budget>,
-    heats: IndexMap<Bytes, Heat>,
+    hot_spots: IndexMap<Bytes, HotSpots>,
     /// Newest requests that peers have not been told of, oldest first.
     samples: VecDeque<Sample>,
     quarantine: Quarantine,
@@ -105,7 +105,7 @@
             ticked: Time(0),
             woke: Time(0),
             budgets: IndexMap::new(),
-            heats: IndexMap::new(),
+            hot_spots: IndexMap::new(),
             samples: VecDeque::new(),
             quarantine: Quarantine::default(),
             seed: rng.random(),
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -12,9 +12,9 @@
         Ticket,
         ask::Prompt,
         endpoint::Endpoint,
-        heat::{
+        hot_spots::{
             self,
-            Heat, //
+            HotSpots, //
         },
         proof::Proof,
         registry::Registry,
@@ -71,7 +71,7 @@
     /// Own requests in progress that an endpoint may have.
     pub share: u32,
     /// Which parts the service's requests are for.
-    pub heat: Option<&'a Heat>,
+    pub hot_spots: Option<&'a HotSpots>,
     /// The time.
     pub now: Time,
     /// A random number.
@@ -222,7 +222,9 @@
     usual: Usual,
 ) -> Option<usize> {
     let multiple = f64::from(scene.bounds.skew.0) / 1000.0;
-    let over = scene.heat?.spread(heat::tag(item), open.len(), multiple);
+    let over = scene
+        .hot_spots?
+        .spread(hot_spots::tag(item), open.len(), multiple);
     if over < 2 {
         return None;
     }
