End a stream visibly where what was to go on with it is no stream

Callers could see a stream with a proper end after its first events: an endpoint broke off in the middle, the one that was asked to go on answered with 200 and another body ("done"), and that body was passed on as the rest. Cause: the tail of an answer that is no whole event is passed on as it is, which is right for a first answer (its bytes are the endpoint's) and wrong for one that goes on with a stream. Ruled out: crossed answers (the endpoint's notes name the request's own id).

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -48,6 +48,8 @@
     last: Option<u64>,
     /// Whether the caller has an event.
     begun: bool,
+    /// Whether another endpoint has gone on.
+    resumed: bool,
 }
 
 /// `Piece` is what comes next.
@@ -82,6 +84,7 @@
             cutter: Cutter::default(),
             last,
             begun: false,
+            resumed: false,
         };
         match relay.piece().await {
             Piece::Bytes(first) => return relay.respond(head, Some(first)),
@@ -162,6 +165,8 @@
                         self.cutter.push(&data);
                     }
                 }
+                // What goes on with a stream is events; half of one, or another body, would make it look complete.
+                Ok(None) if self.cutter.torn() && self.resumed => return Piece::Broken,
                 Ok(None) if self.cutter.torn() => return Piece::Bytes(self.cutter.rest()),
                 Ok(None) => return Piece::End,
                 Ok(Some(Err(error))) => {
@@ -212,6 +217,7 @@
             return false;
         }
         self.attempt = Some(attempt);
+        self.resumed = true;
         true
     }
 }
