--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -63,8 +63,10 @@
 const TOLD: Millis = Millis(3000);
 /// Time between two digests that tell of what is held back, for routers that start later or were cut off.
 const REMINDER: Millis = Millis(500);
-/// Tiers of records: what is held back or was answered, what has several crashes, what has one.
+/// Tiers of records: what is held back or was answered again and again, what has several crashes, the rest.
 const TIERS: usize = 3;
+/// Whole answers from which on a request counts as one that comes again.
+const POPULAR: u32 = 2;
 /// Their order in digests, by turns: what is likely to be held back soon must not wait for the rest, which must come, too.
 const ORDERS: [[usize; TIERS]; 4] = [[0, 1, 2], [1, 0, 2], [0, 1, 2], [2, 1, 0]];
 /// Records in a digest, at most.
@@ -143,6 +145,8 @@
     crashes: Vec<Crash>,
     /// When an endpoint last answered it whole. Crashes before say nothing.
     answered: Option<Time>,
+    /// Whole answers that this router saw.
+    answers: u32,
     /// When something new was learnt.
     changed: Time,
     /// When one was last let through.
@@ -192,6 +196,7 @@
     /// Notes that an endpoint answered a request whole.
     pub fn answered(&mut self, now: Time, request: Fingerprint) {
         if let Some(suspect) = self.suspects.get_mut(&request) {
+            suspect.answers = suspect.answers.saturating_add(1);
             suspect.answer(now, now);
         }
     }
@@ -212,6 +217,7 @@
         let found = self.answers.iter().rev().find(|(of, _)| *of == hash);
         let recent = found.filter(|(_, at)| now.since(*at) < KEPT);
         if let Some((_, at)) = recent {
+            suspect.answers = suspect.answers.saturating_add(1);
             suspect.answer(now, *at);
         }
     }
@@ -346,6 +352,7 @@
         self.suspects.entry(request).or_insert(Suspect {
             crashes: Vec::new(),
             answered: None,
+            answers: 0,
             changed: now,
             tried: None,
         })
@@ -415,9 +422,10 @@
         self.crashes.len() >= self.needed(now)
     }
 
-    /// Gets its place among what peers are told of: first what they must hold back, and what they must not.
+    /// Gets its place among what peers are told of: first what they must hold back, and what they must not. What was
+    /// answered once is seldom asked for again.
     fn tier(&self, now: Time) -> usize {
-        if self.held(now) || self.answered.is_some() {
+        if self.held(now) || self.answers >= POPULAR {
             0
         } else if self.crashes.len() > 1 {
             1
--- a/crates/core/tests/gateway/quarantine.rs
+++ b/crates/core/tests/gateway/quarantine.rs
@@ -556,6 +556,10 @@
         let tag = Tag(u32::try_from(n).expect("it is small"));
         table.crashed(Time(1000), request(n), tag, Time(0));
     }
+    // Many are answered by another endpoint, one of them again and again.
+    for n in 20..60 {
+        table.answered(Time(1100), request(n));
+    }
     table.answered(Time(1100), request(59));
     let mut rounds = (1..5).map(|n| table.records(Time(1100) + Millis(n * ROUND.0)));
     let told = rounds.any(|records| records.iter().any(|r| r.request == request(59)));
