--- a/crates/gatewayd/tests/gateway.rs
+++ b/crates/gatewayd/tests/gateway.rs
@@ -112,6 +112,13 @@
     expect_that!(daemon.end().code(), some(eq(0)));
 }
 
+/// Replaces a file as a whole: reloads that are pending must not find it empty.
+fn replace(path: &Path, text: &str) {
+    let new = path.with_extension("new");
+    std::fs::write(&new, text).expect("it can be written");
+    std::fs::rename(&new, path).expect("it can be replaced");
+}
+
 /// Settings that are bad leave the old ones in force, with one line for each fault, however often they are read.
 #[gtest]
 fn verify_bad_settings_are_told_of_once() {
@@ -121,17 +128,17 @@
     let mut daemon = Daemon::start(&path);
     daemon.until(600);
     for (number, bad) in ["{", "["].iter().enumerate() {
-        std::fs::write(&path, bad).expect("it can be written");
+        replace(&path, bad);
         daemon.signal("HUP");
         daemon.until(604);
         for _ in 0..3 {
             daemon.signal("HUP");
         }
         let sound = if number == 0 { 0.6 } else { 0.7 };
-        std::fs::write(&path, settings(sound)).expect("it can be written");
+        replace(&path, &settings(sound));
         daemon.signal("HUP");
         let next = daemon.until_one_of(&[604, 605]);
-        expect_that!(next["event"], eq(&Value::from(605)), "{bad}");
+        expect_that!(next["event"], eq(&Value::from(605)), "{bad} {next}");
     }
 }
 
