Connect the soak's callers by one function

The caller of requests that end endpoints picked a router and connected to it by a copy of what all callers do. The judge of other requests looks at faults and notes only for what was held back.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -91,22 +91,24 @@
     }
 }
 
+/// Connects to a random router in rotation; gives its number and process, too.
+async fn connect(shared: &Shared, rng: &mut StdRng) -> Option<((usize, u32), Caller)> {
+    let place = {
+        let rotation = shared.rotation.borrow();
+        let pick = rng.random_range(0..rotation.len().max(1));
+        rotation.get(pick).copied()
+    };
+    let (router, life, address) = place?;
+    let connected = timeout(Duration::from_secs(1), Caller::connect(address)).await;
+    Some(((router, life), connected.ok()?.ok()?))
+}
+
 /// Makes calls one after the other, on connections that are kept until they end.
 pub async fn call(fleet: Rc<Fleet>, shared: Rc<Shared>, number: usize, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed ^ number as u64);
     let mut count = 0;
     while !shared.over.get() {
-        let place = {
-            let rotation = shared.rotation.borrow();
-            let pick = rng.random_range(0..rotation.len().max(1));
-            rotation.get(pick).copied()
-        };
-        let Some((router, life, address)) = place else {
-            sleep(LOOK).await;
-            continue;
-        };
-        let connected = timeout(Duration::from_secs(1), Caller::connect(address)).await;
-        let Ok(Ok(mut caller)) = connected else {
+        let Some((place, mut caller)) = connect(&shared, &mut rng).await else {
             sleep(LOOK).await;
             continue;
         };
@@ -116,7 +118,6 @@
             let kind = kinds[rng.random_range(0..kinds.len())];
             let key = pick_key(&fleet, &mut rng);
             let id = format!("c{number}-{count}");
-            let place = (router, life);
             // Others ask for the same, too.
             let item = if rng.random_bool(SHARED) { COMMON } else { &id };
             let call = one(&mut caller, place, kind, key, (&id, item)).await;
@@ -140,21 +141,15 @@
     let mut count = 0;
     while began.elapsed() < FATAL_TIME && !shared.over.get() {
         sleep(FATAL_PAUSE).await;
-        let place = {
-            let rotation = shared.rotation.borrow();
-            let pick = rng.random_range(0..rotation.len().max(1));
-            rotation.get(pick).copied()
-        };
-        let (Some((router, life, address)), Some(key)) = (place, fleet.good_keys().pop()) else {
+        let Some(key) = fleet.good_keys().pop() else {
             continue;
         };
-        let connected = timeout(Duration::from_secs(1), Caller::connect(address)).await;
-        let Ok(Ok(mut caller)) = connected else {
+        let Some((place, mut caller)) = connect(shared, &mut rng).await else {
             continue;
         };
         count += 1;
         let id = format!("{item}-{count}");
-        let call = one(&mut caller, (router, life), kind, key, (&id, &item)).await;
+        let call = one(&mut caller, place, kind, key, (&id, &item)).await;
         fleet.record.borrow_mut().calls.push(call);
     }
 }
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -338,6 +338,9 @@
 
 fn innocent(record: &Record, call: &Call) -> Option<String> {
     let held = call.status == 503 && call.body.trim_end() == HELD;
+    if !held || fatal(call) {
+        return None;
+    }
     // A router that can't follow the configuration can't open what others tell it of answers.
     let own = [Target::Link(call.router), Target::Paused(call.router)];
     let from = call.sent.saturating_sub(FELT);
@@ -345,7 +348,6 @@
     // Where no endpoint answers anything, nobody would have served it.
     let near = call.sent.saturating_sub(SLACK)..call.ended + SLACK;
     let answers = |note: &Note| note.what == What::Ended && near.contains(&note.at_ms);
-    let served = || record.notes.iter().any(answers);
-    (held && !cut && !fatal(call) && served())
-        .then(|| format!("{} ({}) was held back", call.id, call.item))
+    let served = record.notes.iter().any(answers);
+    (!cut && served).then(|| format!("{} ({}) was held back", call.id, call.item))
 }
