Drop a listing of sights that only tests called; name lives of the laboratory's engines

What digests tell of endpoints comes from one function, `observed`: sights and records of crashes. `Gateway::sights` had stayed beside it for tests alone; they call the same one as the router now, with the same assertions. The laboratory's pairs for lives are a type, and an engine's index is looked up once. No behaviour changed.

--- a/crates/core/src/gateway/knowledge.rs
+++ b/crates/core/src/gateway/knowledge.rs
@@ -148,20 +148,15 @@
         }
     }
 
-    /// Lists the newest sights of endpoints, for peers.
-    pub fn sights(&self, now: Time, draw: u64) -> Vec<mesh::Sight> {
-        self.registry.sights(now, draw, mesh::MAX_SIGHTS)
-    }
-
-    /// Picks records of requests that were in progress at endpoints that broke off, and the newest sights, which make
-    /// room for them.
-    pub fn crashes(&mut self, now: Time, draw: u64) -> (Vec<Record>, Vec<mesh::Sight>) {
+    /// Picks what a digest tells of endpoints: their newest sights, which make room for records of requests that were in
+    /// progress at endpoints that broke off.
+    pub fn observed(&mut self, now: Time, draw: u64) -> (Vec<mesh::Sight>, Vec<Record>) {
         let records = self.quarantine.records(now);
         let room = mesh::MAX_SIGHTS.saturating_sub(mesh::displaced(&records));
-        (records, self.registry.sights(now, draw, room))
+        (self.registry.sights(now, draw, room), records)
     }
 
-    /// Notes such records of a peer.
+    /// Notes a peer's records of requests that were in progress at endpoints that broke off.
     pub fn crashed(&mut self, now: Time, records: &[Record]) {
         self.quarantine.heard(now, records);
     }
--- a/crates/core/tests/gateway/lives.rs
+++ b/crates/core/tests/gateway/lives.rs
@@ -103,7 +103,7 @@
         slots: 64,
     };
     gateway.stated(Time(6), key, load);
-    let sights = gateway.sights(Time(7), 1);
+    let (sights, _) = gateway.observed(Time(7), 1);
     put(&mut gateway, 8, born(number, 200));
     expect_that!(gateway.registry().get(key).is_none(), eq(true));
     // News of the life before, from a router that has not heard of the restart.
--- a/crates/core/tests/gateway/quarantine.rs
+++ b/crates/core/tests/gateway/quarantine.rs
@@ -317,7 +317,7 @@
     for n in 0..3 {
         crash(&mut other, Time(1000 + n * 300), "a");
     }
-    let (records, _) = other.crashes(Time(2000), 1);
+    let (_, records) = other.observed(Time(2000), 1);
     one.crashed(Time(2000), &records);
     let mut ticket = admitted(&mut one, Time(2500), "b");
     ticket.content = Some(content("a"));
@@ -326,10 +326,10 @@
     one.ended(Time(2600), &mut ticket, key, Fate::Answered);
     // The other one hears nothing for a long time.
     let later = Time(8000);
-    expect_that!(one.crashes(later, 1).0, is_empty());
-    let (records, _) = other.crashes(later, 1);
+    expect_that!(one.observed(later, 1).1, is_empty());
+    let (_, records) = other.observed(later, 1);
     one.crashed(later, &records);
-    let (records, _) = one.crashes(later + ROUND, 1);
+    let (_, records) = one.observed(later + ROUND, 1);
     other.crashed(later + ROUND, &records);
     expect_false!(held(&mut other, later + ROUND, "a"));
 }
@@ -420,7 +420,7 @@
         let now = self.now;
         for n in 0..self.routers.len() {
             self.routers[n].tick(now);
-            let (records, _) = self.routers[n].crashes(now, 1);
+            let (_, records) = self.routers[n].observed(now, 1);
             self.told += records.len();
             for _ in 0..FANOUT {
                 let to = self.rng.random_range(0..self.routers.len());
--- a/crates/core/tests/gateway/skew.rs
+++ b/crates/core/tests/gateway/skew.rs
@@ -130,7 +130,7 @@
 
     /// Sends a router's digest to two others.
     fn tell(&mut self, now: u64, who: usize) {
-        let sights = self.routers[who].sights(Time(now), now);
+        let (sights, _) = self.routers[who].observed(Time(now), now);
         let samples = self.routers[who].samples();
         for _ in 0..2 {
             let whom = self.rng.random_range(0..self.size.routers);
--- a/crates/core/tests/gateway/staying.rs
+++ b/crates/core/tests/gateway/staying.rs
@@ -131,14 +131,14 @@
     answered(&mut one, Time(2500));
     let mut other = gateway(1);
     tick(&mut other, 0, 2600);
-    let sights = one.sights(Time(2600), 1);
+    let (sights, _) = one.observed(Time(2600), 1);
     other.seen(Time(2600), &sights);
     // Sent at 2500, taken for 1700: 300 to be answered and 500 on its way.
     expect_that!(placed(&mut other, UNPROVED), ok(anything()));
     expect_that!(placed(&mut other, Time(4399)), ok(anything()));
     expect_that!(placed(&mut other, Time(4400)), err(eq(Cause::Unconfirmed)));
     // It is not handed on: how long it was on its way would add up unseen.
-    expect_that!(other.sights(Time(2600), 1), is_empty());
+    expect_that!(other.observed(Time(2600), 1).0, is_empty());
 }
 
 /// A digest that waited in a socket while its receiver was suspended looks new. What it says of an endpoint's
@@ -171,7 +171,7 @@
 fn verify_an_answer_without_a_load_is_handed_on() {
     let mut one = gateway(1);
     answered(&mut one, Time(2500));
-    let sights = one.sights(Time(2600), 1);
+    let (sights, _) = one.observed(Time(2600), 1);
     expect_that!(
         sights,
         elements_are![matches_pattern!(Sight {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -58,7 +58,7 @@
         let targets = mesh.round(at, draw);
         let reads = state.reads.get();
         let samples = gateway.samples();
-        let (crashes, sights) = gateway.crashes(at, draw);
+        let (sights, crashes) = gateway.observed(at, draw);
         gateway.fleet(at, mesh.size(at));
         let sealed = |target| {
             let digest = Digest {
--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -109,6 +109,14 @@
     fatal: bool,
 }
 
+/// `Life` is which life an engine has.
+#[derive(Clone, Copy, Debug, Default)]
+struct Life {
+    number: u32,
+    /// Whether it has ended, and the next one is not there yet.
+    down: bool,
+}
+
 /// What happens at a time.
 #[derive(Clone, Debug)]
 enum Next {
@@ -124,8 +132,7 @@
     sheet: &'a Sheet,
     routers: Vec<Gateway>,
     engines: Vec<Engine>,
-    /// Which life each engine has, and whether it is down.
-    lives: Vec<(u32, bool)>,
+    lives: Vec<Life>,
     requests: Vec<Request>,
     next: BTreeMap<u64, Vec<Next>>,
     account: Account,
@@ -155,7 +162,7 @@
             sheet,
             routers: routers.collect(),
             engines: vec![Engine::new(sheet.shape); sheet.engines],
-            lives: vec![(0, false); sheet.engines],
+            lives: vec![Life::default(); sheet.engines],
             requests: Vec::new(),
             next: BTreeMap::new(),
             account: Account::default(),
@@ -318,7 +325,7 @@
             let name = std::str::from_utf8(&endpoint.entry.id).ok()?;
             name.split('.').next()?.parse::<usize>().ok()
         };
-        let placed = loop {
+        let (placed, engine) = loop {
             let placed = match router.place(at, &ticket, &request.ask) {
                 Ok(placed) => placed,
                 Err(refusal) => {
@@ -328,15 +335,14 @@
                 }
             };
             let engine = index(router, placed.endpoint).unwrap_or_default();
-            if !self.lives[engine].1 {
-                break placed;
+            if !self.lives[engine].down {
+                break (placed, engine);
             }
             if router.unreached(at, &mut ticket, placed.endpoint) != After::Again {
                 return;
             }
         };
         router.sent(at, &mut ticket, placed.endpoint);
-        let engine = index(router, placed.endpoint).unwrap_or_default();
         let holder = placed.holder.and_then(|key| index(router, key));
         request.engine = engine;
         request.ticket = Some((ticket, placed.endpoint));
@@ -355,7 +361,7 @@
     fn crash(&mut self, now: u64, engine: usize) {
         self.account.crashes.push(now);
         self.engines[engine] = Engine::new(self.sheet.shape);
-        self.lives[engine].1 = true;
+        self.lives[engine].down = true;
         let there = |r: &Request| r.engine == engine && r.ticket.is_some();
         let requests = self.requests.iter().enumerate();
         let broken: Vec<usize> = requests.filter(|(_, r)| there(r)).map(|(n, _)| n).collect();
@@ -384,9 +390,13 @@
 
     /// Lists an engine that is back, under a new name.
     fn back(&mut self, now: u64, engine: usize) {
-        let old = entry(self.sheet, engine, self.lives[engine].0).id;
-        self.lives[engine] = (self.lives[engine].0 + 1, false);
-        let new = entry(self.sheet, engine, self.lives[engine].0);
+        let before = self.lives[engine].number;
+        self.lives[engine] = Life {
+            number: before + 1,
+            down: false,
+        };
+        let old = entry(self.sheet, engine, before).id;
+        let new = entry(self.sheet, engine, before + 1);
         for router in &mut self.routers {
             let changes = vec![Change::Removed(old.clone()), Change::Entry(new.clone())];
             router.follow(Time(now), changes);
@@ -413,7 +423,7 @@
         if request.fatal {
             self.account.fatal.push(now);
         }
-        if self.lives[engine].1 {
+        if self.lives[engine].down {
             self.later(now + WAY, Next::Broke(number));
             return;
         }
@@ -474,13 +484,13 @@
             let router = &mut self.routers[who];
             router.fleet(Time(now), u32::try_from(routers).unwrap_or(u32::MAX));
             router.tick(Time(now));
-            let (records, sights) = router.crashes(Time(now), now);
+            let (sights, records) = router.observed(Time(now), now);
             debug_assert!(sights.len() <= MAX_SIGHTS);
             let samples = router.samples();
             for _ in 0..FANOUT {
                 let whom = self.rng.random_range(0..self.routers.len());
-                let told = (sights.clone(), samples.clone(), records.clone());
-                self.later(now + WAY, Next::Hear(whom, told.0, told.1, told.2));
+                let hear = Next::Hear(whom, sights.clone(), samples.clone(), records.clone());
+                self.later(now + WAY, hear);
             }
         }
     }
