Go on waiting at the router that reads while others are asked

What callers saw: after an outage of the registry some routers refused requests for hundreds of milliseconds although the router that they follow read again.

Change: two tasks. One waits at the upstream for good, for the time between reads once others are asked, too; the other asks others each 150 ms while the upstream has nothing newer. News come when the upstream has them, within the pause of 150 ms at most. Asks of others are as many as before; the upstream gets one in the time between reads and 150 ms from each that follows it.

--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -1,6 +1,10 @@
 //! Follows a peer that reads the registry: one ask after the other, each answered when there is news.
+//!
+//! While that peer has none, others are asked what they have. The peer is waited at all the same: it reads again as
+//! soon as the registry serves it, and others, asked by lot, may have nothing for long.
 
 use std::{
+    cell::Cell,
     net::SocketAddrV4,
     rc::Rc,
     time::Duration, //
@@ -41,64 +45,89 @@
 /// Part of the time between reads for which news are waited for where what can be proved is late.
 const LATE_PART: u64 = 4;
 
-/// Follows peers for good.
+/// Follows peers for good: one is waited at for news, and where it has none, others are asked meanwhile.
 pub(crate) async fn run(state: Shared, reader: Rc<Reader>) {
+    let last = Cell::new(Answer::News);
+    tokio::join!(
+        follow(&state, &reader, &last),
+        search(&state, &reader, &last)
+    );
+}
+
+/// Waits for news at the router that reads for the data centre, one ask after the other; keeps the last answer.
+async fn follow(state: &Shared, reader: &Reader, last: &Cell<Answer>) {
     let mut upstream: Option<Link> = None;
-    let mut answer = Answer::News;
     loop {
-        let informed = state.gateway.borrow().catalog().is_some();
-        let Some(source) = source(&state, answer).filter(|_| informed) else {
+        let Some(peer) = followed(state) else {
             sleep(LOOK).await;
             continue;
         };
-        // The same peer for as long as it will do: its connection is kept.
-        let kept = upstream.take().filter(|link| link.address == source.peer);
-        let link = upstream.insert(kept.unwrap_or_else(|| Link::new(source.peer)));
-        answer = ask(&state, link, source.wait, &reader).await;
+        let every = state.gateway.borrow().bounds().pace().every;
+        // The first time only: once others are asked, too, nothing is gained by an early answer.
+        let wait = if late(state) && last.get() != Answer::Nothing {
+            Millis(every.0 / LATE_PART)
+        } else {
+            every
+        };
+        let wait = wait.min(peers::MAX_WAIT);
+        let link = kept(&mut upstream, peer);
+        let answer = ask(state, link, wait, reader).await;
+        last.set(answer);
         match answer {
             // The own read brings it meanwhile.
-            Answer::Large => sleep(duration(source.wait).max(LOOK)).await,
+            Answer::Large => sleep(duration(wait).max(LOOK)).await,
             Answer::News => sleep(ASK_PAUSE).await,
             Answer::Nothing | Answer::None => sleep(LOOK).await,
         }
     }
 }
 
-/// `Source` is a peer to ask.
-#[derive(Clone, Copy, Debug)]
-struct Source {
-    peer: SocketAddrV4,
-    /// How long it may wait for news.
-    wait: Millis,
-}
-
-/// Gets the peer to ask: one that reads for the data centre, which is waited at for news.
+/// Asks other routers what they have where this one is to read itself, or the one that it follows has nothing newer, and
+/// what can be proved is late: the registry may have turned away those that should read, and serve others.
 ///
-/// Where this router is to read itself, or that one has nothing newer, and what can be proved is late, it is another:
-/// the registry may have turned away those that should read, and serve others. Many of them are late, too. Waited at
-/// for news, each would cost the time between two reads, and three of them the time in which a change is
-/// promised to be in force; so they are only asked what they have.
-fn source(state: &Shared, answer: Answer) -> Option<Source> {
-    let now = now();
-    let mesh = state.mesh.borrow();
-    let upstream = mesh.upstream(now);
-    let mut gateway = state.gateway.borrow_mut();
-    let pace = gateway.bounds().pace();
-    let every = pace.every;
-    let late = !gateway.proof().holds(now, pace.late());
-    let wait = if late {
-        Millis(every.0 / LATE_PART)
-    } else {
-        every
-    };
-    let wait = wait.min(peers::MAX_WAIT);
-    let followed = upstream.map(|peer| Source { peer, wait });
-    if !late || (followed.is_some() && answer != Answer::Nothing) {
-        return followed;
+/// Many of them are late, too. Waited at for news, each would cost the time between two reads, and three of them
+/// the time in which a change is promised to be in force; so they are only asked what they have.
+async fn search(state: &Shared, reader: &Reader, last: &Cell<Answer>) {
+    let mut other: Option<Link> = None;
+    loop {
+        let alone = followed(state).is_none() || last.get() == Answer::Nothing;
+        let wanted = alone && late(state);
+        if let Some(peer) = wanted.then(|| distant(state)).flatten() {
+            let link = kept(&mut other, peer);
+            ask(state, link, Millis(0), reader).await;
+        }
+        sleep(LOOK).await;
     }
-    let wait = Millis(0);
-    let other = mesh.distant(now, gateway.draw());
-    other.map(|peer| Source { peer, wait }).or(followed)
+}
+
+/// Gets the connection to a peer: the same for as long as the same peer will do.
+fn kept(link: &mut Option<Link>, peer: SocketAddrV4) -> &mut Link {
+    let kept = link.take().filter(|link| link.address == peer);
+    link.insert(kept.unwrap_or_else(|| Link::new(peer)))
+}
+
+fn informed(state: &Shared) -> bool {
+    state.gateway.borrow().catalog().is_some()
+}
+
+/// Gets the router that reads for the data centre, unless it is this one.
+fn followed(state: &Shared) -> Option<SocketAddrV4> {
+    let upstream = state.mesh.borrow().upstream(now());
+    upstream.filter(|_| informed(state))
+}
+
+/// Gets another router to ask.
+fn distant(state: &Shared) -> Option<SocketAddrV4> {
+    let draw = state.gateway.borrow_mut().draw();
+    let other = state.mesh.borrow().distant(now(), draw);
+    other.filter(|_| informed(state))
+}
+
+/// Tells whether what can be proved is older than a peer that works lets it grow.
+fn late(state: &Shared) -> bool {
+    let gateway = state.gateway.borrow();
+    let late = gateway.bounds().pace().late();
+    !gateway.proof().holds(now(), late)
 }
 
 /// `Answer` is what came of an ask.
