Don't count an endpoint that has ended as crashed again

What callers saw: 2 to 8 refusals as `quarantined` of a request that many ask for and that ends nothing.

Change: an endpoint ends once. A crash of a request that was sent after the first crash there, of any request at any router, is forgotten; where others tell of it, 250 ms are allowed for the time that the word took. If the endpoint lives, the first one is forgotten already. A router that hasn't heard of the first crash still counts its own until it does.

`verify_an_endpoint_that_has_ended_does_not_crash_again` fails without the change.

--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -38,6 +38,8 @@
 /// Length of a moment, of whose crashes few count: endpoints that are lost together take all that they run with them,
 /// and what is asked for often runs on several of them.
 const TOGETHER: Millis = Millis(250);
+/// Most by which a crash that others tell of seems to be later than it was.
+const TOLD_LATE: Millis = Millis(250);
 /// Time after which an endpoint counts as ended from which nothing was heard since a connection broke. A connection
 /// may break for other reasons, and an endpoint that goes on answers others by then.
 const SETTLED: Millis = Millis(500);
@@ -108,6 +110,17 @@
     pub own: bool,
 }
 
+impl Crash {
+    /// Tells whether the request was sent by the endpoint's `end`. Something between, as a proxy, may take a
+    /// connection in the name of an endpoint that has ended, and break it off.
+    ///
+    /// What others tell seems to be later than it was by the time under way.
+    fn could_run(&self, end: Time) -> bool {
+        let under_way = if self.own { Millis(0) } else { TOLD_LATE };
+        self.sent <= end + under_way
+    }
+}
+
 /// `Told` is a crash as routers tell each other of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Told {
@@ -270,18 +283,34 @@
         true
     }
 
-    /// Forgets what is old, and crashes of endpoints that have gone on since; `fared` tells how one fared since a time.
+    /// Forgets what is old, and crashes that were none: of endpoints that have gone on since, and of those that had
+    /// ended before the request was sent; `fared` tells how one fared since a time.
     ///
     /// They are forgotten at once, as nothing would tell any more that they lived when they have left.
     pub fn expire(&mut self, now: Time, policy: Policy, fared: impl Fn(Tag, Time) -> Fared) {
-        self.suspects.retain(|_, suspect| {
-            let ended = |c: &Crash| fared(c.endpoint, c.at) != Fared::Lives;
+        let ended = |c: &Crash| fared(c.endpoint, c.at) != Fared::Lives;
+        for suspect in self.suspects.values_mut() {
             suspect.crashes.retain(ended);
+        }
+        let ends = self.ends();
+        self.suspects.retain(|_, suspect| {
+            let ran = |c: &Crash| ends.get(&c.endpoint).is_none_or(|end| c.could_run(*end));
+            suspect.crashes.retain(ran);
             let held = policy.hold(&suspect.crashes, suspect.needed(now));
             now.since(suspect.changed) < KEPT + held
         });
     }
 
+    /// Gets when each endpoint broke off first.
+    fn ends(&self) -> IndexMap<Tag, Time> {
+        let mut ends = IndexMap::new();
+        for crash in self.suspects.values().flat_map(|s| &s.crashes) {
+            let end = ends.entry(crash.endpoint).or_insert(crash.at);
+            *end = crash.at.min(*end);
+        }
+        ends
+    }
+
     /// Picks records for a digest, by turns of each tier. Many that were in progress at some endpoint by chance must not keep the others from being told.
     pub fn records(&mut self, now: Time) -> Vec<Record> {
         let reminds = now.since(self.reminded) >= REMINDER;
--- a/crates/core/tests/gateway/quarantine.rs
+++ b/crates/core/tests/gateway/quarantine.rs
@@ -206,6 +206,35 @@
     expect_false!(held(&mut gateway, Time(9200), "a"));
 }
 
+/// Guards against a router that has just started, sends to endpoints that others ended, whose connections something between
+/// takes and breaks off, and holds back what many ask for.
+#[gtest]
+fn verify_an_endpoint_that_has_ended_does_not_crash_again() {
+    for told in [false, true] {
+        let (mut one, mut other) = (gateway(8), gateway(8));
+        for n in 0..4 {
+            let now = Time(1000 + n * 100);
+            let name = entry(u8::try_from(n).expect("it is small")).id;
+            break_off(&mut one, now, &format!("fatal-{n}"), &name);
+        }
+        let (_, records) = one.observed(Time(1300), 1);
+        other.crashed(Time(1310), &records);
+        for n in 0..4 {
+            let now = Time(1700 + n * 300);
+            let name = entry(u8::try_from(n).expect("it is small")).id;
+            break_off(&mut other, now, "a", &name);
+            other.tick(now + Millis(50));
+            if told {
+                let (_, records) = other.observed(now + Millis(60), 1);
+                one.crashed(now + Millis(70), &records);
+                one.tick(now + Millis(100));
+            }
+        }
+        let judge = if told { &mut one } else { &mut other };
+        expect_false!(held(judge, Time(4000), "a"), "told {told}");
+    }
+}
+
 /// Guards against the connections that a leaving endpoint ends being taken for crashes.
 #[gtest]
 fn verify_an_endpoint_that_leaves_has_not_crashed() {
