Start the soak's processes in the group of its guard

Cause: the guard ended what it had been told of by id, and a soak that is killed between a start and the telling leaves that process untold.

Change: the guard leads a process group; each process is started in it, before its program runs. When the pipe from the soak ends, the guard ends its group. A child that has not begun its program yet still holds the pipe, so none is missed. Ids and starts, by which processes were told apart, are needed no more.

--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -79,11 +79,10 @@
     /// It can't be started.
     pub fn start(command: &mut Command) -> Result<Self> {
         let path = PathBuf::from(command.as_std().get_program());
-        let started = command.stdin(Stdio::null()).kill_on_drop(true).spawn();
+        let group = guard::group()?;
+        let command = command.stdin(Stdio::null()).kill_on_drop(true);
+        let started = command.process_group(group).spawn();
         let inner = started.context(StartSnafu { path })?;
-        if let Some(id) = inner.id() {
-            guard::tell(id)?;
-        }
         Ok(Self { inner })
     }
 
--- a/crates/soak/tests/guard.rs
+++ b/crates/soak/tests/guard.rs
@@ -1,5 +1,7 @@
 //! What a soak leaves behind that is killed.
 
+#![expect(clippy::expect_used, reason = "a test fails by its panic")]
+
 use std::{
     process::{
         Child,
@@ -14,9 +16,12 @@
 };
 
 use googletest::prelude::*;
-use toucanturn_soak::guard::started;
 
 const LIMIT: Duration = Duration::from_secs(20);
+/// Time between two looks at the processes; short, to find them just started.
+const LOOK: Duration = Duration::from_millis(2);
+/// Place of the start among the fields behind the name in `/proc/ID/stat` (proc(5)), in ticks since the boot.
+const START: usize = 19;
 
 /// Ends the soak and what it started, however the test ends.
 struct Soak {
@@ -37,6 +42,14 @@
     }
 }
 
+/// Gets when a process started; `None` where there is none with this id.
+fn started(id: i32) -> Option<u64> {
+    let text = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    // The name before it may hold anything, also brackets and spaces.
+    let (_, fields) = text.rsplit_once(')')?;
+    fields.split_whitespace().nth(START)?.parse().ok()
+}
+
 /// Lists the children of a process with their starts.
 fn children(parent: u32) -> Vec<(i32, u64)> {
     let path = format!("/proc/{parent}/task/{parent}/children");
@@ -50,6 +63,19 @@
 /// killed process ends none of its children.
 #[gtest]
 fn verify_a_killed_soak_leaves_nobody_behind() {
+    expect_that!(left_behind(5), is_empty());
+}
+
+/// Guards against a child that runs on as the soak was killed just after it had started it.
+#[gtest]
+fn verify_a_soak_that_is_killed_while_it_starts_leaves_nobody_behind() {
+    for children in 1..=5 {
+        expect_that!(left_behind(children), is_empty(), "of {children}");
+    }
+}
+
+/// Kills a soak as soon as it has so many children; lists those that run on.
+fn left_behind(children_at_least: usize) -> Vec<(i32, u64)> {
     let child = Command::new(env!("CARGO_BIN_EXE_toucanturn-soak"))
         .args(["--seconds", "60", "--routers", "2", "--replicas", "2"])
         .stdout(Stdio::null())
@@ -60,18 +86,17 @@
         children: Vec::new(),
     };
     let until = Instant::now() + LIMIT;
-    // A store, two routers, two endpoints.
-    while soak.children.len() < 5 && Instant::now() < until {
-        sleep(Duration::from_millis(20));
+    // The guard, a store, two routers, two endpoints.
+    while soak.children.len() < children_at_least && Instant::now() < until {
+        sleep(LOOK);
         soak.children = children(soak.child.id());
     }
-    expect_that!(soak.children.len(), ge(5));
+    expect_that!(soak.children.len(), ge(children_at_least));
     soak.child.kill().expect("it runs");
     soak.child.wait().expect("it has ended");
     let runs = |(id, start): &&(i32, u64)| started(*id) == Some(*start);
     while soak.children.iter().any(|c| runs(&c)) && Instant::now() < until {
-        sleep(Duration::from_millis(20));
+        sleep(LOOK);
     }
-    let left: Vec<_> = soak.children.iter().filter(runs).collect();
-    expect_that!(left, is_empty());
+    soak.children.iter().filter(runs).copied().collect()
 }
