Look for the router to follow only where what is known is late

Found on reading the change again: the task that asks others while the registry is away looked up the router that it follows each 150 ms, which sorts the routers of the data centre, before it asked whether anything was late. In calm times that is for nothing. It asks for the age first now. What it does is the same.

Checked: formatter, clippy of the workspace, tests of gateway, platform, gatewayd and soak. Not measured.

--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -90,8 +90,8 @@
 async fn search(state: &Shared, reader: &Reader, last: &Cell<Answer>) {
     let mut other: Option<Link> = None;
     loop {
-        let alone = followed(state).is_none() || last.get() == Answer::Nothing;
-        let wanted = alone && late(state);
+        let alone = || last.get() == Answer::Nothing || followed(state).is_none();
+        let wanted = late(state) && alone();
         if let Some(peer) = wanted.then(|| distant(state)).flatten() {
             let link = kept(&mut other, peer);
             ask(state, link, Millis(0), reader).await;
