Follow evacuations of data centres

Cause: the key of the order was read with all others, and its meaning was nothing: no code knew it. It isn't lost on the way, nor late: the copies that routers hand on hold every record.

Now the order takes the data centre's endpoints out at each router as soon as it is read, new ones that are listed there too, and what streams there goes on. What the endpoints hold is still fetched from them for half of the bound, so that their prompts move without being read anew; a restored data centre serves again with the next read.

Ruled out: refusing at admission alone (a body or a connection may take longer than the bound); one more watch of the key alone (a call more for each reader, for what the next read brings anyway).

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -247,7 +247,9 @@
     /// have taken so long that what was proved when the endpoint was chosen isn't any more.
     pub fn may_send(&self, now: Time, endpoint: EndpointKey) -> bool {
         let endpoint = self.registry.get(endpoint);
-        endpoint.is_some_and(|e| e.usable() && e.stays(now, self.proof.read(), self.bounds.staying))
+        self.proof.covers_evacuations(now, &self.bounds)
+            && endpoint
+                .is_some_and(|e| e.usable() && e.stays(now, self.proof.read(), self.bounds.staying))
     }
 
     /// Notes that an endpoint's answer doesn't say that it leaves. It counts from the request's sending, as
--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -140,6 +140,8 @@
     pub entry: Entry,
     /// Whether it may get work.
     pub state: State,
+    /// Since when its data centre is known to be evacuated.
+    pub evacuated: Option<Time>,
     /// Hash of its name, for rendezvous.
     pub seed: u64,
     /// When it came; `None` if it was there before this router.
@@ -179,6 +181,7 @@
         Self {
             entry,
             state,
+            evacuated: None,
             seed,
             since,
             own: 0,
@@ -213,6 +216,11 @@
 
     /// Tells whether it may get new requests.
     pub fn usable(&self) -> bool {
+        self.stays_listed() && self.evacuated.is_none()
+    }
+
+    /// Tells whether it neither leaves nor has left.
+    pub fn stays_listed(&self) -> bool {
         matches!(self.state, State::Ready | State::Lapsed { .. })
     }
 
--- a/crates/core/src/gateway/knowledge.rs
+++ b/crates/core/src/gateway/knowledge.rs
@@ -48,6 +48,10 @@
     Removed(Bytes),
     /// An endpoint's entry can't be understood: somebody else has written there, and it names nobody.
     Unreadable(Bytes),
+    /// The endpoints of a data centre are to get nothing more.
+    Evacuated(Bytes),
+    /// They may get requests again.
+    Restored(Bytes),
 }
 
 /// `News` is what became of a change, for the log.
@@ -72,6 +76,16 @@
         /// The new state.
         state: endpoint::State,
     },
+    /// The endpoints of a data centre get nothing more.
+    Evacuated {
+        /// Its name.
+        data_center: Bytes,
+    },
+    /// They may get requests again.
+    Restored {
+        /// Its name.
+        data_center: Bytes,
+    },
 }
 
 impl Gateway {
@@ -109,6 +123,8 @@
                 }
                 Change::Removed(id) => removed.push(id),
                 Change::Unreadable(id) => self.registry.drop(&id, &mut news),
+                Change::Evacuated(name) => self.registry.evacuate(now, name, &mut news),
+                Change::Restored(name) => self.registry.restore(&name, &mut news),
             }
         }
         let grace = self.bounds.lapse;
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -59,6 +59,10 @@
 /// Times the time until an answer that a share of failures of 1 adds.
 const FAILURE_TIMES: f32 = 8.0;
 
+/// Part of the bound on evacuations within which what is held there is still fetched: the evacuation was known here
+/// later than it was ordered.
+const EVACUATION_FETCH_PART: u64 = 2;
+
 /// `Scene` is all that a placement looks at.
 #[derive(Clone, Copy, Debug)]
 pub struct Scene<'a> {
@@ -80,7 +84,18 @@
 
 impl Scene<'_> {
     fn stays(&self, endpoint: &Endpoint) -> bool {
-        endpoint.stays(self.now, self.proof.read(), self.bounds.staying)
+        self.proof.covers_evacuations(self.now, self.bounds)
+            && endpoint.stays(self.now, self.proof.read(), self.bounds.staying)
+    }
+
+    /// Tells whether what an endpoint holds may be fetched from it.
+    ///
+    /// In an evacuated data centre only while requests that were placed there before may still be on their way.
+    fn lends(&self, endpoint: &Endpoint) -> bool {
+        let bound = self.bounds.evacuation.unwrap_or_default();
+        endpoint
+            .evacuated
+            .is_none_or(|since| self.now.since(since).0 < bound.0 / EVACUATION_FETCH_PART)
     }
 }
 
@@ -187,8 +202,9 @@
     chosen: EndpointKey,
 ) -> Option<EndpointKey> {
     let known = scene.registry.known(&ticket.service);
-    let settled =
-        known.filter(|(k, e)| *k != chosen && !e.young(scene.now) && !e.paused(scene.now));
+    let settled = known.filter(|(k, e)| {
+        *k != chosen && !e.young(scene.now) && !e.paused(scene.now) && scene.lends(e)
+    });
     let first = settled.max_by_key(|(_, e)| score(item, e.seed));
     first.map(|(key, _)| key)
 }
--- a/crates/core/src/gateway/proof.rs
+++ b/crates/core/src/gateway/proof.rs
@@ -61,6 +61,13 @@
         self.holds(now, bound)
     }
 
+    /// Tells whether it is known which data centres are evacuated.
+    ///
+    /// An endpoint's own answers are no evidence: it serves on in an evacuated data centre.
+    pub fn covers_evacuations(&self, now: Time, bounds: &Bounds) -> bool {
+        bounds.evacuation.is_none_or(|bound| self.holds(now, bound))
+    }
+
     /// Gets the age of what is known; `None` before the first read.
     pub fn age(&self, now: Time) -> Option<Millis> {
         self.read.map(|read| now.since(read))
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -41,6 +41,8 @@
     names: IndexMap<Bytes, EndpointKey>,
     tags: IndexMap<Tag, EndpointKey>,
     services: IndexMap<Bytes, Vec<EndpointKey>>,
+    /// Data centres whose endpoints get nothing, and since when that is known.
+    evacuated: IndexMap<Bytes, Time>,
     returned: Option<Time>,
 }
 
@@ -101,6 +103,7 @@
             && let Some(endpoint) = self.slots.get_mut(*key)
         {
             let moved = endpoint.entry.service != entry.service;
+            endpoint.evacuated = self.evacuated.get(&entry.data_center).copied();
             if endpoint.follow(entry) {
                 news.push(told(endpoint));
             }
@@ -109,7 +112,8 @@
             }
             return;
         }
-        let endpoint = Endpoint::new(since, entry);
+        let mut endpoint = Endpoint::new(since, entry);
+        endpoint.evacuated = self.evacuated.get(&endpoint.entry.data_center).copied();
         news.push(told(&endpoint));
         let id = endpoint.entry.id.clone();
         let service = endpoint.entry.service.clone();
@@ -148,13 +152,44 @@
             }
         }
         let large = |(service, count): &(&Bytes, usize)| {
-            let all = self.of(service.as_ref()).count();
+            let all = self.known(service.as_ref());
+            let all = all.filter(|(_, e)| e.stays_listed()).count();
             count * LAPSED_PART > all
         };
         let emptied = lost.into_iter().filter(large);
         emptied.map(|(service, _)| service.clone()).collect()
     }
 
+    /// Gives the endpoints of a data centre nothing more, until it is restored.
+    pub fn evacuate(&mut self, now: Time, data_center: Bytes, news: &mut Vec<News>) {
+        if self.evacuated.contains_key(&data_center) {
+            return;
+        }
+        self.evacuated.insert(data_center.clone(), now);
+        for endpoint in self.located(&data_center) {
+            endpoint.evacuated = Some(now);
+        }
+        news.push(News::Evacuated { data_center });
+    }
+
+    /// Ends the evacuation of a data centre.
+    pub fn restore(&mut self, data_center: &Bytes, news: &mut Vec<News>) {
+        if self.evacuated.shift_remove(data_center).is_none() {
+            return;
+        }
+        for endpoint in self.located(data_center) {
+            endpoint.evacuated = None;
+        }
+        news.push(News::Restored {
+            data_center: data_center.clone(),
+        });
+    }
+
+    fn located(&mut self, data_center: &Bytes) -> impl Iterator<Item = &mut Endpoint> {
+        let all = self.slots.values_mut();
+        all.filter(|e| e.entry.data_center == *data_center)
+    }
+
     /// Takes an endpoint out at once.
     pub fn drop(&mut self, id: &Bytes, news: &mut Vec<News>) {
         let Some(key) = self.names.swap_remove(id) else {
--- a/crates/core/src/gateway/settings.rs
+++ b/crates/core/src/gateway/settings.rs
@@ -21,6 +21,8 @@
     pub routes: Millis,
     /// Greatest age of the newest sign that an endpoint stays on which it gets a request.
     pub staying: Millis,
+    /// Greatest age of the newest proof on which endpoints get requests; `None` where data centres are not evacuated.
+    pub evacuation: Option<Millis>,
     /// Time between reads of the registry.
     pub read_every: Millis,
     /// Time without an answer of the registry from which on a new one means that it was away. Copies that
--- a/crates/core/tests/gateway/fixture.rs
+++ b/crates/core/tests/gateway/fixture.rs
@@ -47,6 +47,7 @@
         keys: Millis(4750),
         routes: Millis(2850),
         staying: Millis(2700),
+        evacuation: None,
         read_every: Millis(666),
         away: Millis(2500),
         lapse: Millis(2000),
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -131,6 +131,12 @@
                 "older configuration passed over"
             );
         }
+        News::Evacuated { data_center } => {
+            tracing::warn!(event = 660, data_center = %text(data_center), "data centre evacuated");
+        }
+        News::Restored { data_center } => {
+            tracing::info!(event = 661, data_center = %text(data_center), "data centre restored");
+        }
         News::Endpoint { id, state } => {
             tracing::info!(event = 655, endpoint = %text(id), %state, "endpoint changed");
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -89,6 +89,10 @@
     pub revoke_ms: u64,
     /// Milliseconds within which a leaving endpoint gets no more requests.
     pub leaving_ms: u64,
+    /// Milliseconds after which an evacuated data centre's endpoints get no more requests; none where data centres are
+    /// not evacuated.
+    #[serde(default)]
+    pub evacuation_ms: Option<u64>,
     /// Seconds from the signal to stop until the process is killed.
     pub stop_s: f64,
     /// Seconds after the registry's return within which lapsed entries come back.
@@ -142,7 +146,8 @@
             ("revoke_ms", self.revoke_ms),
             ("leaving_ms", self.leaving_ms),
         ];
-        for (name, millis) in times {
+        let evacuation = self.evacuation_ms.map(|ms| ("evacuation_ms", ms));
+        for (name, millis) in times.into_iter().chain(evacuation) {
             let expected = "100 to 600000 milliseconds";
             ensure!(
                 (100..=600_000).contains(&millis),
@@ -175,7 +180,8 @@
 
     /// Gets the time between reads of the registry.
     pub fn pace(&self) -> Millis {
-        Millis(self.config_ms.min(self.leaving_ms) / READS_PER_BOUND)
+        let evacuation = self.evacuation_ms.unwrap_or(u64::MAX);
+        Millis(self.config_ms.min(self.leaving_ms).min(evacuation) / READS_PER_BOUND)
     }
 
     /// Gets the bounds that the decisions keep.
@@ -186,9 +192,11 @@
     )]
     pub fn bounds(&self) -> Bounds {
         let millis = |seconds: f64| Millis((seconds * 1000.0) as u64);
+        let proven = |bound: u64| Millis(bound - bound / PROOF_MARGIN);
         Bounds {
-            keys: Millis(self.revoke_ms - self.revoke_ms / PROOF_MARGIN),
-            routes: Millis(self.config_ms - self.config_ms / PROOF_MARGIN),
+            keys: proven(self.revoke_ms),
+            routes: proven(self.config_ms),
+            evacuation: self.evacuation_ms.map(proven),
             staying: Millis(self.leaving_ms - self.leaving_ms / STAYING_MARGIN),
             read_every: self.pace(),
             away: Millis(self.pace().0 * AWAY_READS) + AWAY_LONGER,
--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -508,6 +508,7 @@
 /// Makes a router that has just read the registry and knows no loads.
 fn router(sheet: &Sheet, now: u64, seed: u64) -> Gateway {
     let bounds = Bounds {
+        evacuation: None,
         keys: Millis(4750),
         routes: Millis(2850),
         staying: Millis(2700),
