Keep what cold endpoints tolerate over the whole fleet

Cause: the time for which an endpoint is cold was decoded and read by nothing, and each of 86 routers sent it what rendezvous hashing gives it. No router sees what the others send.

Now a few routers own what a cold endpoint gets, each a fixed part that it can keep by itself.

Endpoints are cold by their entry, after their data centre was restored, and after they could not be reached where restarts keep their names. Where all are cold, what there is no room for is refused at once (cause warming_up), what is less urgent sooner, with a wait that ends when the first is warm.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -24,7 +24,9 @@
             Content,
             Fingerprint, //
         },
-        hot_spots, place,
+        hot_spots,
+        knowledge::cold_time,
+        place,
         quarantine::{
             self,
             Verdict, //
@@ -34,6 +36,7 @@
             Refusal, //
         },
         route::Route,
+        spread_until, //
     },
     units::{
         Millis,
@@ -175,11 +178,17 @@
             registry: &self.registry,
             proof: &self.proof,
             bounds: &self.bounds,
+            warmup: self.cold_bound(&ticket.service).map(|_| &self.warmup),
             now,
             draw,
         };
         let placed = place::choose(&scene, ticket, ask.prompt.as_ref());
         let Some(placed) = placed else {
+            if let Some(warm) = place::warm_after(&scene, ticket) {
+                let wait = spread_until(now, ticket.deadline, warm, draw);
+                let may_have_run = ticket.may_have_run;
+                return Err(Refusal::until(Cause::WarmingUp, wait, may_have_run));
+            }
             let cause = if place::unconfirmed(&scene, ticket) {
                 Cause::Unconfirmed
             } else {
@@ -187,6 +196,9 @@
             };
             return Err(Refusal::given_up(cause, ticket.may_have_run));
         };
+        if placed.cold {
+            self.warmup.chosen(now, placed.endpoint);
+        }
         let shares = self
             .catalog
             .as_ref()
@@ -252,6 +264,15 @@
                 .is_some_and(|e| e.usable() && e.stays(now, self.proof.read(), self.bounds.staying))
     }
 
+    /// Tells whether a request may go where it was placed: the endpoint may have become cold since, and then gets only
+    /// what is counted.
+    pub fn may_send_placed(&self, now: Time, ticket: &Ticket, placed: &place::Placed) -> bool {
+        let endpoint = self.registry.get(placed.endpoint);
+        let cold = endpoint.is_some_and(|e| e.cold(now) > Millis(0));
+        let counted = placed.cold || !cold || self.cold_bound(&ticket.service).is_none();
+        counted && self.may_send(now, placed.endpoint)
+    }
+
     /// Notes that an endpoint's answer doesn't say that it leaves. It counts from the request's sending, as
     /// the answer may have waited here.
     pub fn confirm(&mut self, ticket: &Ticket, endpoint: EndpointKey) {
@@ -263,6 +284,7 @@
         ticket.granted = false;
         ticket.tried.push(endpoint);
         ticket.sent = now;
+        self.warmup.sent(now, endpoint);
         self.registry.sent(now, endpoint);
     }
 
@@ -331,7 +353,8 @@
 
     /// Notes that no connection to an endpoint could be made, so that nothing was sent.
     pub fn unreached(&mut self, now: Time, ticket: &mut Ticket, endpoint: EndpointKey) -> Next {
-        self.registry.unreached(now, endpoint);
+        let cold = cold_time(self.catalog.as_ref());
+        self.registry.unreached(now, endpoint, cold);
         self.judge(now, ticket, endpoint, Fate::NotSent)
     }
 
--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -7,7 +7,10 @@
 use snafu::Snafu;
 
 use crate::{
-    gateway::route::Route,
+    gateway::{
+        route::Route,
+        warmup, //
+    },
     units::Millis, //
 };
 
@@ -43,6 +46,8 @@
     pub connections: u32,
     /// What its engines are, where it is served by engines.
     pub engine: Option<Engine>,
+    /// What its endpoints tolerate after their start, where that is bounded.
+    pub warmup: Option<warmup::Rate>,
 }
 
 /// `Engine` describes the engines of a service.
--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -142,6 +142,10 @@
     pub state: State,
     /// Since when its data centre is known to be evacuated.
     pub evacuated: Option<Time>,
+    /// Until when it is cold by its entry.
+    cold_by_entry: Time,
+    /// Until when it may be cold though its entry doesn't say so yet.
+    cold_by_doubt: Time,
     /// Hash of its name, for rendezvous.
     pub seed: u64,
     /// When it came; `None` if it was there before this router.
@@ -182,6 +186,8 @@
             entry,
             state,
             evacuated: None,
+            cold_by_entry: Time(0),
+            cold_by_doubt: Time(0),
             seed,
             since,
             own: 0,
@@ -214,6 +220,23 @@
         self.since.is_some_and(|since| now.since(since) < YOUNG)
     }
 
+    /// Notes that an entry of this life came, which says how much longer it is cold.
+    ///
+    /// That was counted from when the entry was written, so the endpoint is warm no later than this says.
+    pub fn listed(&mut self, now: Time) {
+        self.cold_by_entry = now + self.entry.cold;
+    }
+
+    /// Notes that it may have become cold, and be so for `time`.
+    pub fn doubt(&mut self, now: Time, time: Millis) {
+        self.cold_by_doubt = self.cold_by_doubt.max(now + time);
+    }
+
+    /// Gets how much longer it is taken to be cold.
+    pub fn cold(&self, now: Time) -> Millis {
+        self.cold_by_entry.max(self.cold_by_doubt).since(now)
+    }
+
     /// Tells whether it may get new requests.
     pub fn usable(&self) -> bool {
         self.stays_listed() && self.evacuated.is_none()
--- a/crates/core/src/gateway/knowledge.rs
+++ b/crates/core/src/gateway/knowledge.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 
 use crate::{
+    arena::EndpointKey,
     gateway::{
         Gateway,
         catalog::Catalog,
@@ -18,6 +19,7 @@
             Sample, //
         },
         quarantine::Record,
+        warmup, //
     },
     units::{
         Millis,
@@ -119,12 +121,15 @@
                 Change::Entry(entry) => {
                     // It was there again before this read ended.
                     removed.retain(|id| *id != entry.id);
-                    self.registry.put(since, entry, &mut news);
+                    self.registry.put(now, since, entry, &mut news);
                 }
                 Change::Removed(id) => removed.push(id),
                 Change::Unreadable(id) => self.registry.drop(&id, &mut news),
                 Change::Evacuated(name) => self.registry.evacuate(now, name, &mut news),
-                Change::Restored(name) => self.registry.restore(&name, &mut news),
+                Change::Restored(name) => {
+                    let cold = cold_time(self.catalog.as_ref());
+                    self.registry.restore(now, &name, cold, &mut news);
+                }
             }
         }
         let grace = self.bounds.lapse;
@@ -241,6 +246,27 @@
         self.divide();
     }
 
+    /// Follows which routers there are, among whom requests to cold endpoints are divided.
+    pub fn follow_fleet(&mut self, now: Time, fleet: &warmup::Fleet) {
+        let cold = |(key, endpoint): (EndpointKey, &endpoint::Endpoint)| {
+            let bound = self.cold_bound(&endpoint.entry.service)?;
+            (endpoint.cold(now) > Millis(0)).then_some(warmup::Cold {
+                key,
+                seed: endpoint.seed,
+                bound,
+            })
+        };
+        let cold: Vec<warmup::Cold> = self.registry.usable().filter_map(cold).collect();
+        self.warmup.follow(now, fleet, &cold);
+    }
+
+    /// Gets the requests that a cold endpoint of a service may get within a second; `None` where any number will do.
+    pub(super) fn cold_bound(&self, service: &[u8]) -> Option<u32> {
+        let catalog = self.catalog.as_ref()?;
+        let rate = catalog.service(service)?.warmup?;
+        Some(rate.bound(&self.bounds.warmup))
+    }
+
     /// Sets this router's part of the fleet's extra repeats. Until another router was heard of it stays
     /// the one that the settings give to a fleet of unknown size.
     pub(super) fn divide(&mut self) {
@@ -259,3 +285,12 @@
         (all / self.routers).max(MIN_SHARE)
     }
 }
+
+/// Gets for how long endpoints of a service are cold by a configuration.
+pub(super) fn cold_time(catalog: Option<&Arc<Catalog>>) -> impl Fn(&Bytes) -> Millis {
+    move |service| {
+        let service = catalog.and_then(|c| c.service(service));
+        let rate = service.and_then(|s| s.warmup);
+        rate.map_or(Millis(0), |r| r.time)
+    }
+}
--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -13,7 +13,8 @@
 use crate::{
     gateway::{
         quarantine::Record,
-        reading::ALL_STANDBYS, //
+        reading::ALL_STANDBYS,
+        warmup::Fleet, //
     },
     load::score,
     units::{
@@ -268,6 +269,15 @@
         u32::try_from(self.live(now).count() + 1).unwrap_or(u32::MAX)
     }
 
+    /// Gets the routers that are heard of, for what is divided among them.
+    pub fn fleet(&self, now: Time) -> Fleet {
+        Fleet {
+            me: tag(self.me.address),
+            others: self.live(now).map(|r| tag(r.address)).collect(),
+            expected: !self.seeds.is_empty(),
+        }
+    }
+
     /// Tells whether this router is one of those that read the registry for its data centre in calm times: the
     /// first ones by rendezvous hashing, which all agree on that know the same routers. If they don't, one reads
     /// too many, or a router follows one that follows another.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -46,6 +46,7 @@
 pub mod route;
 pub mod settings;
 pub mod stop;
+pub mod warmup;
 
 pub use attempt::Ticket;
 pub use knowledge::{
@@ -62,6 +63,7 @@
 use registry::Registry;
 use settings::Bounds;
 use stop::End;
+use warmup::Warmup;
 
 /// Shortest wait that a refused caller is told: the time in which news go round a small fleet.
 const COME_BACK: Millis = Millis(150);
@@ -82,6 +84,7 @@
     /// Newest requests that peers have not been told of, oldest first.
     samples: VecDeque<Sample>,
     quarantine: Quarantine,
+    warmup: Warmup,
     /// Seed of the quick hashes of contents.
     seed: u64,
     end: Option<End>,
@@ -108,6 +111,7 @@
             hot_spots: IndexMap::new(),
             samples: VecDeque::new(),
             quarantine: Quarantine::default(),
+            warmup: Warmup::default(),
             seed: rng.random(),
             end: None,
             routers: 1,
@@ -166,6 +170,13 @@
     }
 }
 
+/// Gets when a refused caller should come back where there is room after `room`: spread by `draw` over the time until
+/// then, as there is some before, and within a third of the time that it has left.
+fn spread_until(now: Time, deadline: Time, room: Millis, draw: u64) -> Millis {
+    let wait = COME_BACK.0 + draw % room.0.max(COME_BACK.0);
+    Millis(wait.min(deadline.since(now).0 / 3))
+}
+
 /// Gets when a refused caller should come back: soon, spread by `draw` so that those refused
 /// together don't return together, and within a third of the time that it has left.
 pub fn come_back(now: Time, deadline: Time, draw: u64) -> Millis {
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -18,7 +18,8 @@
         },
         proof::Proof,
         registry::Registry,
-        settings::Bounds, //
+        settings::Bounds,
+        warmup::Warmup, //
     },
     load::score,
     units::{
@@ -76,6 +77,8 @@
     pub share: u32,
     /// Which parts the service's requests are for.
     pub hot_spots: Option<&'a HotSpots>,
+    /// What this router may send to cold endpoints; `None` where the service's may get any number.
+    pub warmup: Option<&'a Warmup>,
     /// The time.
     pub now: Time,
     /// A random number.
@@ -88,6 +91,10 @@
             && endpoint.stays(self.now, self.proof.read(), self.bounds.staying)
     }
 
+    fn cold(&self, endpoint: &Endpoint) -> bool {
+        self.warmup.is_some() && endpoint.cold(self.now) > Millis(0)
+    }
+
     /// Tells whether what an endpoint holds may be fetched from it.
     ///
     /// In an evacuated data centre only while requests that were placed there before may still be on their way.
@@ -112,6 +119,8 @@
     pub rank: u32,
     /// Another endpoint that most likely holds the prompt's shared parts.
     pub holder: Option<EndpointKey>,
+    /// Whether it is cold, and the request counts in this router's part of what it may get.
+    pub cold: bool,
 }
 
 /// Chooses an endpoint that the ticket has not tried; `None` where there is none.
@@ -123,14 +132,13 @@
         all.iter()
             .filter(|(k, e)| fresh(k) && scene.stays(e) && e.own < scene.share),
     );
+    let open = warm_or_admitted(scene, ticket, open);
     let sound: Vec<_> = open
         .iter()
         .filter(|(_, e)| !e.paused(scene.now))
         .copied()
         .collect();
-    if !sound.is_empty() {
-        open = sound;
-    }
+    let open = if sound.is_empty() { open } else { sound };
     let usual = Usual::of(scene, &all);
     let anchor = prompt.and_then(Prompt::anchor);
     match anchor {
@@ -143,6 +151,33 @@
     }
 }
 
+/// Leaves out the cold endpoints that this router may not send to. Where all are cold, some of what is free is left to
+/// requests that are more urgent.
+fn warm_or_admitted<'a>(
+    scene: &Scene<'_>,
+    ticket: &Ticket,
+    mut open: Vec<(EndpointKey, &'a Endpoint)>,
+) -> Vec<(EndpointKey, &'a Endpoint)> {
+    let Some(warmup) = scene.warmup else {
+        return open;
+    };
+    let keys = open.iter().map(|(key, _)| *key);
+    let all_cold = open.iter().all(|(_, e)| scene.cold(e));
+    if all_cold && !warmup.admits_rank(scene.now, ticket.priority, keys) {
+        return Vec::new();
+    }
+    open.retain(|(key, e)| !scene.cold(e) || warmup.admits(scene.now, *key));
+    open
+}
+
+/// Gets after what time the first endpoint that a ticket was not sent to is warm; `None` where none is cold.
+pub fn warm_after(scene: &Scene<'_>, ticket: &Ticket) -> Option<Millis> {
+    scene.warmup?;
+    let all = scene.registry.of(&ticket.service);
+    let cold = all.filter(|(k, e)| !tried(ticket, *k) && scene.stays(e) && scene.cold(e));
+    cold.map(|(_, e)| e.cold(scene.now)).min()
+}
+
 /// Tells whether an endpoint that the ticket has not tried is left out as nothing confirms that it isn't
 /// leaving.
 pub fn unconfirmed(scene: &Scene<'_>, ticket: &Ticket) -> bool {
@@ -293,5 +328,6 @@
         limit: limit(scene, chosen, usual.load),
         rank: u32::try_from(rank).unwrap_or(u32::MAX),
         holder: None,
+        cold: scene.cold(chosen),
     })
 }
--- a/crates/core/src/gateway/refusal.rs
+++ b/crates/core/src/gateway/refusal.rs
@@ -34,6 +34,8 @@
     Overloaded,
     /// Endpoints that ran the same request before have ended with it.
     Quarantined,
+    /// All endpoints that could take it are cold, and have as many requests as they tolerate.
+    WarmingUp,
 }
 
 /// `Refusal` is the final answer to a request that is given up; it goes out at once.
@@ -83,9 +85,14 @@
 
     /// Holds a request back for a time.
     pub const fn held(left: Millis, may_have_run: bool) -> Self {
+        Self::until(Cause::Quarantined, left, may_have_run)
+    }
+
+    /// Gives up a request that may be served after a time.
+    pub const fn until(cause: Cause, left: Millis, may_have_run: bool) -> Self {
         Self {
             after: Some(left),
-            ..Self::given_up(Cause::Quarantined, may_have_run)
+            ..Self::given_up(cause, may_have_run)
         }
     }
 }
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -88,7 +88,7 @@
     /// The life that began last counts. An entry of an earlier one came late, and changes nothing; with
     /// one of a later life the earlier one is gone. Without this, a restarted endpoint would keep the load
     /// and the leaving state of its life before, and be counted on for prompts that it has forgotten.
-    pub fn put(&mut self, since: Option<Time>, entry: Entry, news: &mut Vec<News>) {
+    pub fn put(&mut self, now: Time, since: Option<Time>, entry: Entry, news: &mut Vec<News>) {
         let known = self.names.get(&entry.id);
         let held = known.and_then(|k| self.slots.get(*k));
         let held = held.map(|e| e.entry.born);
@@ -107,6 +107,7 @@
             if endpoint.follow(entry) {
                 news.push(told(endpoint));
             }
+            endpoint.listed(now);
             if moved {
                 self.index();
             }
@@ -114,6 +115,7 @@
         }
         let mut endpoint = Endpoint::new(since, entry);
         endpoint.evacuated = self.evacuated.get(&endpoint.entry.data_center).copied();
+        endpoint.listed(now);
         news.push(told(&endpoint));
         let id = endpoint.entry.id.clone();
         let service = endpoint.entry.service.clone();
@@ -172,13 +174,21 @@
         news.push(News::Evacuated { data_center });
     }
 
-    /// Ends the evacuation of a data centre.
-    pub fn restore(&mut self, data_center: &Bytes, news: &mut Vec<News>) {
+    /// Ends the evacuation of a data centre. Its endpoints may have become cold meanwhile, each for the time that `cold`
+    /// gives for its service.
+    pub fn restore(
+        &mut self,
+        now: Time,
+        data_center: &Bytes,
+        cold: impl Fn(&Bytes) -> Millis,
+        news: &mut Vec<News>,
+    ) {
         if self.evacuated.shift_remove(data_center).is_none() {
             return;
         }
         for endpoint in self.located(data_center) {
             endpoint.evacuated = None;
+            endpoint.doubt(now, cold(&endpoint.entry.service));
         }
         news.push(News::Restored {
             data_center: data_center.clone(),
@@ -261,10 +271,15 @@
         }
     }
 
-    /// Notes that an endpoint could not be reached.
-    pub fn unreached(&mut self, now: Time, key: EndpointKey) {
+    /// Notes that an endpoint could not be reached. Where a restart keeps its name, it may be another life that is next
+    /// reached there, cold for the time that `cold` gives for its service.
+    pub fn unreached(&mut self, now: Time, key: EndpointKey, cold: impl Fn(&Bytes) -> Millis) {
         if let Some(endpoint) = self.slots.get_mut(key) {
             endpoint.unreached(now);
+            if endpoint.entry.born.is_some() {
+                let time = cold(&endpoint.entry.service);
+                endpoint.doubt(now, time);
+            }
         }
     }
 
--- a/crates/core/src/gateway/settings.rs
+++ b/crates/core/src/gateway/settings.rs
@@ -4,7 +4,8 @@
     gateway::{
         budget::Policy,
         quarantine,
-        reading::Pace, //
+        reading::Pace,
+        warmup, //
     },
     units::{
         Millis,
@@ -35,6 +36,8 @@
     pub skew: Permille,
     /// Bounds of repeats.
     pub retry: Policy,
+    /// How many requests a cold endpoint may get.
+    pub warmup: warmup::Policy,
     /// For how long requests that crash endpoints are held back.
     pub hold: quarantine::Policy,
 }
--- a/crates/core/tests/gateway/fixture.rs
+++ b/crates/core/tests/gateway/fixture.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use toucanturn_core::{
     gateway::{
-        Change, Gateway,
+        Change,
+        Gateway,
         ask::{
             Ask,
             Part,
@@ -31,6 +32,7 @@
             Share, //
         },
         settings::Bounds,
+        warmup, //
     },
     units::{
         Millis,
@@ -58,6 +60,10 @@
             fleet: 54,
             extra: 3,
         },
+        warmup: warmup::Policy {
+            over: Permille(1500),
+            slack: 5,
+        },
         hold: Hold {
             first: Millis(5000),
         },
@@ -93,6 +99,7 @@
             memory: 400_000,
             shares: true,
         }),
+        warmup: None,
     }
 }
 
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -18,3 +18,4 @@
 mod registry;
 mod skew;
 mod staying;
+mod warmup;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -226,7 +226,7 @@
 
     fn may_send(&self, placed: &Placed) -> bool {
         let gateway = self.state.gateway.borrow();
-        gateway.may_send(now(), placed.endpoint)
+        gateway.may_send_placed(now(), &self.ticket, placed)
     }
 
     async fn connect(&mut self, placed: &Placed) -> Result<Connection, Next> {
@@ -265,6 +265,9 @@
         mut connection: Connection,
         resume: Option<u64>,
     ) -> Result<Attempt, (Flight, Fate, Option<StatusCode>)> {
+        if placed.cold {
+            self.state.metrics.count("attempts", "cold");
+        }
         let request = self.request(placed, resume);
         let flight = Flight::start(self, placed.endpoint);
         self.log_placed(placed);
@@ -481,6 +484,7 @@
             limit = f64::from(placed.limit),
             rank = placed.rank,
             holder = placed.holder.map(|h| name(&gateway, h)),
+            cold = placed.cold,
             attempt = self.ticket.tried.len(),
             left = self.ticket.until.since(now()).0,
             "placed"
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -60,6 +60,7 @@
         let samples = gateway.samples();
         let (sights, crashes) = gateway.observed(at, draw);
         gateway.fleet(at, mesh.size(at));
+        gateway.follow_fleet(at, &mesh.fleet(at));
         let sealed = |target| {
             let digest = Digest {
                 samples: samples.clone(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -12,7 +12,8 @@
     gateway::{
         budget::Policy,
         quarantine::Policy as Hold,
-        settings::Bounds, //
+        settings::Bounds,
+        warmup, //
     },
     units::{
         Millis,
@@ -67,6 +68,11 @@
     HOLD_S
 }
 
+/// Gets the multiple of a cold endpoint's rate where the settings don't say.
+fn warmup_over() -> f64 {
+    1.0
+}
+
 /// `Listen` is the addresses to listen on.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -93,6 +99,12 @@
     /// not evacuated.
     #[serde(default)]
     pub evacuation_ms: Option<u64>,
+    /// Multiple of the rate that a cold endpoint is published to tolerate, up to which all routers send it requests.
+    #[serde(default = "warmup_over")]
+    pub warmup_over: f64,
+    /// Requests within a second above that.
+    #[serde(default)]
+    pub warmup_slack: f64,
     /// Seconds from the signal to stop until the process is killed.
     pub stop_s: f64,
     /// Seconds after the registry's return within which lapsed entries come back.
@@ -171,6 +183,8 @@
             ("skew", self.skew, 1.0..=1000.0, "1 to 1000"),
             ("retry_share", self.retry_share, 0.0..=10.0, "0 to 10"),
             ("retry_extra", self.retry_extra, 0.0..=1e6, "0 to 1000000"),
+            ("warmup_over", self.warmup_over, 0.0..=1000.0, "0 to 1000"),
+            ("warmup_slack", self.warmup_slack, 0.0..=1e6, "0 to 1000000"),
         ];
         for (name, factor, range, expected) in factors {
             ensure!(range.contains(&factor), BoundSnafu { name, expected });
@@ -208,6 +222,10 @@
                 fleet: self.retry_extra as u32,
                 extra: self.retry_extra as u32 / UNKNOWN_FLEET,
             },
+            warmup: warmup::Policy {
+                over: Permille::from_ratio(self.warmup_over),
+                slack: self.warmup_slack as u32,
+            },
             hold: Hold {
                 first: millis(self.hold_s),
             },
--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -18,7 +18,9 @@
 use toucanturn_core::{
     arena::EndpointKey,
     gateway::{
-        Change, Gateway, Ticket,
+        Change,
+        Gateway,
+        Ticket,
         ask::{
             Ask,
             Part,
@@ -55,6 +57,7 @@
             Share, //
         },
         settings::Bounds,
+        warmup, //
     },
     units::{
         Millis,
@@ -522,6 +525,10 @@
             fleet: 54,
             extra: 3,
         },
+        warmup: warmup::Policy {
+            over: Permille(1000),
+            slack: 0,
+        },
         hold: Hold {
             first: Millis(sheet.hold),
         },
@@ -561,6 +568,7 @@
             memory: 0,
             shares: true,
         }),
+        warmup: None,
     };
     let raw = Raw {
         version: 1,
