Let the soak evacuate data centres and start endpoints cold

Its endpoints are in two data centres now; up to two evacuations a plan are drawn apart, so that older seeds keep theirs, and each endpoint that is replaced, or whose data centre is restored cold, tolerates 12 requests a second for 3 s. Two judges: nothing begins in an evacuated data centre after the bound, and no second of a cold endpoint has more than it tolerates.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -27,6 +27,7 @@
     clock_ms, control,
     document::{
         self,
+        Entry,
         Shape, //
     },
     replica::{
@@ -53,6 +54,8 @@
         beside, //
     },
     record::{
+        Cold,
+        Evacuation,
         Key,
         Record,
         Span,
@@ -68,6 +71,14 @@
 pub const REVOKE_MS: u64 = 2500;
 /// Milliseconds within which a leaving endpoint gets no more requests.
 pub const LEAVING_MS: u64 = 1000;
+/// Milliseconds within which an evacuated data centre gets no more requests.
+pub const EVACUATION_MS: u64 = 1500;
+/// Percent of the rate of a cold endpoint that it may get, and requests within a second besides.
+pub const WARMUP_PERCENT: u64 = 150;
+/// Requests within a second above that.
+pub const WARMUP_SLACK: u64 = 5;
+/// Data centres, in which endpoints are by turns.
+const DATA_CENTERS: [&str; 2] = ["a", "b"];
 /// Seconds from the signal to stop until a router is killed.
 pub const STOP_S: f64 = 4.0;
 /// Longest time of a request by its route, in milliseconds.
@@ -181,7 +192,7 @@
         });
         fleet.publish(|_| vec![0, 1]).await?;
         for n in 0..size.replicas {
-            fleet.enter(n, "ready").await?;
+            fleet.enter(n, "ready", 0).await?;
         }
         for n in 0..size.routers {
             fleet.start_router(n)?;
@@ -229,23 +240,87 @@
         self.tell_store(&store::Order::Remove { key }).await?;
         let next = start_replica(n, life, link, &self.record).await?;
         *self.replicas[n].borrow_mut() = next;
-        self.enter(n, "ready").await
+        self.enter_cold(n).await
     }
 
-    /// Publishes an endpoint's entry.
+    /// Publishes the entry of an endpoint that is cold for `cold_ms`.
     ///
     /// # Errors
     ///
     /// The store does not obey.
-    pub async fn enter(&self, n: usize, state: &str) -> Result<()> {
+    pub async fn enter(&self, n: usize, state: &str, cold_ms: u64) -> Result<()> {
         let (key, value) = {
             let replica = self.replicas[n].borrow();
-            let value = document::entry(v4(replica.link.address), state);
-            (document::entry_key(&replica.id), value)
+            let entry = Entry {
+                address: v4(replica.link.address),
+                state,
+                data_center: data_center(n),
+                cold_ms,
+            };
+            (document::entry_key(&replica.id), entry.text())
         };
         self.tell_store(&store::Order::Put { key, value }).await
     }
 
+    /// Publishes that an endpoint has become cold.
+    ///
+    /// # Errors
+    ///
+    /// The store does not obey.
+    pub async fn enter_cold(&self, n: usize) -> Result<()> {
+        let from = clock_ms();
+        let cold = Cold {
+            replica: self.replicas[n].borrow().id.clone(),
+            from,
+            to: from + document::COLD_MS,
+        };
+        self.record.borrow_mut().cold.push(cold);
+        self.enter(n, "ready", document::COLD_MS).await
+    }
+
+    /// Evacuates a data centre; false while it is evacuated already.
+    ///
+    /// # Errors
+    ///
+    /// The store does not obey.
+    pub async fn evacuate(&self, data_center: &str) -> Result<bool> {
+        let open = |e: &Evacuation| e.data_center == data_center && e.to.is_none();
+        if self.record.borrow().evacuations.iter().any(open) {
+            return Ok(false);
+        }
+        let begun = Evacuation {
+            data_center: data_center.to_owned(),
+            from: u64::MAX,
+            to: None,
+        };
+        let place = {
+            let mut record = self.record.borrow_mut();
+            record.evacuations.push(begun);
+            record.evacuations.len() - 1
+        };
+        let key = document::evacuation_key(data_center);
+        let value = "{}".to_owned();
+        self.tell_store(&store::Order::Put { key, value }).await?;
+        self.record.borrow_mut().evacuations[place].from = clock_ms();
+        Ok(true)
+    }
+
+    /// Restores an evacuated data centre.
+    ///
+    /// # Errors
+    ///
+    /// The store does not obey.
+    pub async fn restore(&self, data_center: &str) -> Result<()> {
+        let now = clock_ms();
+        for evacuation in &mut self.record.borrow_mut().evacuations {
+            if evacuation.data_center == data_center && evacuation.to.is_none() {
+                evacuation.to = Some(now);
+            }
+        }
+        let key = document::evacuation_key(data_center);
+        self.tell_store(&store::Order::Remove { key }).await
+    }
+
     /// Publishes a configuration, whose good keys `choose` picks by number from those that are good;
     /// new ones are made. One goes out after the other: a slow store would else take an older choice
     /// for the newer.
@@ -343,6 +418,11 @@
     }
 }
 
+/// Gets the data centre of an endpoint by its number.
+pub fn data_center(n: usize) -> &'static str {
+    DATA_CENTERS[n % DATA_CENTERS.len()]
+}
+
 /// Gets the text of a key by its number.
 pub fn key_name(number: usize) -> String {
     format!("key-{number}")
@@ -412,6 +492,8 @@
         "listen": {"callers": router.callers.to_string(), "ready": router.ready.to_string(),
             "peers": peers.to_string()},
         "bounds": {"config_ms": CONFIG_MS, "revoke_ms": REVOKE_MS, "leaving_ms": LEAVING_MS,
+            "evacuation_ms": EVACUATION_MS, "warmup_over": WARMUP_PERCENT as f64 / 100.0,
+            "warmup_slack": WARMUP_SLACK,
             "stop_s": STOP_S, "lapse_s": 1.5, "skew": 2, "retry_share": RETRY_PERCENT as f64 / 100.0,
             "retry_extra": RETRY_EXTRA, "retry_window_s": RETRY_WINDOW_S},
     })
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -3,24 +3,32 @@
 use std::collections::HashMap;
 
 use strum::IntoEnumIterator;
-use toucanturn_platform_standin::replica::{
-    EVENTS,
-    FATAL,
-    Note,
-    What, //
+use toucanturn_platform_standin::{
+    document::COLD_PER_S,
+    replica::{
+        EVENTS,
+        FATAL,
+        Note,
+        What, //
+    },
 };
 
 use crate::{
     fleet::{
         CONFIG_MS,
+        EVACUATION_MS,
         LEAVING_MS,
         RETRY_EXTRA,
         RETRY_PERCENT,
         RETRY_WINDOW_S,
-        REVOKE_MS, //
+        REVOKE_MS,
+        WARMUP_PERCENT,
+        WARMUP_SLACK,
+        data_center, //
     },
     record::{
         Call,
+        Cold,
         Record,
         Start,
         Target, //
@@ -70,6 +78,10 @@
     Contained,
     /// No other request is.
     Innocent,
+    /// An evacuated data centre gets nothing new after the bound.
+    Evacuated,
+    /// A cold endpoint gets no more than it tolerates.
+    Warmup,
 }
 
 /// `Finding` is a promise that was not kept.
@@ -106,6 +118,8 @@
             Promise::Recovered => record.unrecovered.clone(),
             Promise::Contained => contained(record, &runs),
             Promise::Innocent => each(record, |call| innocent(record, call)),
+            Promise::Evacuated => evacuated(record),
+            Promise::Warmup => warmup(record),
         };
         let found = found.into_iter().map(|what| Finding { promise, what });
         findings.extend(found);
@@ -351,3 +365,60 @@
     let served = record.notes.iter().any(answers);
     (!cut && served).then(|| format!("{} ({}) was held back", call.id, call.item))
 }
+
+/// Gets the number of an endpoint by its name, `i-NUMBER-LIFE`.
+fn number(replica: &str) -> Option<usize> {
+    replica.split('-').nth(1)?.parse().ok()
+}
+
+fn evacuated(record: &Record) -> Vec<String> {
+    let mut found = Vec::new();
+    for evacuation in &record.evacuations {
+        let end = evacuation.from.saturating_add(EVACUATION_MS + SLACK);
+        let during = end..evacuation.to.unwrap_or(u64::MAX);
+        let late = |note: &&Note| {
+            let place = number(&note.replica).map(data_center);
+            note.what == What::Began
+                && during.contains(&note.at_ms)
+                && place == Some(&evacuation.data_center)
+        };
+        let late = record.notes.iter().filter(late);
+        found.extend(late.map(|note| {
+            let after = note.at_ms - evacuation.from;
+            let (id, replica) = (&note.id, &note.replica);
+            format!("{id} began at {replica} {after} ms after its data centre was evacuated")
+        }));
+    }
+    found
+}
+
+fn warmup(record: &Record) -> Vec<String> {
+    let most = COLD_PER_S * WARMUP_PERCENT / 100 + WARMUP_SLACK;
+    let crowd = |cold: &Cold| {
+        let own = |note: &&Note| {
+            note.replica == cold.replica
+                && note.what == What::Began
+                && (cold.from..cold.to).contains(&note.at_ms)
+        };
+        let mut times: Vec<u64> = record.notes.iter().filter(own).map(|n| n.at_ms).collect();
+        times.sort_unstable();
+        // What was held up on its way was sent at other times.
+        let place = number(&cold.replica).map(Target::HeldUp);
+        let counts = times.iter().enumerate().map(|(n, from)| {
+            let inside = times[n..].iter().take_while(|at| **at < from + 1000);
+            let held_up = record.faulty(*from, from + 1000, |t| Some(t) == place);
+            (inside.count() as u64, held_up)
+        });
+        let worst = counts
+            .filter(|(_, excused)| !excused)
+            .map(|(count, _)| count)
+            .max()?;
+        (worst > most).then(|| {
+            format!(
+                "{} got {worst} requests within a second while it was cold, {most} allowed",
+                cold.replica
+            )
+        })
+    };
+    record.cold.iter().filter_map(crowd).collect()
+}
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -15,7 +15,7 @@
     judge::judge,
     plan::{
         Size,
-        plan_with_fatal, //
+        whole_plan, //
     },
     run::run,
 };
@@ -76,7 +76,7 @@
     let mut bad = 0;
     for seed in args.seed..args.seed + args.seeds {
         if args.plan {
-            plan_with_fatal(seed, &size)
+            whole_plan(seed, &size)
                 .iter()
                 .for_each(|step| println!("{step:?}"));
             continue;
@@ -93,7 +93,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let steps = plan_with_fatal(seed, &size);
+    let steps = whole_plan(seed, &size);
     let played = run(&steps, seed, size, folder.path());
     let record = LocalSet::new().block_on(&runtime, played)?;
     let findings = judge(&record);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -17,11 +17,16 @@
 /// Longest time of a fault, in milliseconds: over the bounds on keys and on leaving.
 const LONGEST: u64 = 3500;
 
-/// Faults that are drawn by chance: all but the last.
-const DRAWN: usize = Fault::COUNT - 1;
+/// Faults that are drawn by chance: all but the last two.
+const DRAWN: usize = Fault::COUNT - 2;
 /// Most requests of a plan that end endpoints, and what their draws are told apart by.
 const MOST_FATAL: usize = 2;
 const FATAL_SEED: u64 = 0xfa7a1;
+/// Most evacuations of a plan, and what their draws are told apart by.
+const MOST_EVACUATIONS: usize = 2;
+const EVACUATION_SEED: u64 = 0xe7ac;
+/// Shortest time of an evacuation, in milliseconds: over its bound.
+const EVACUATION_SHORTEST: u64 = 2500;
 
 /// `Size` is how much runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -102,6 +107,8 @@
     AllFail,
     /// A caller repeats a request that ends each endpoint that runs it, at any router.
     FatalRequest,
+    /// A data centre is evacuated and restored, its endpoints warm or cold.
+    Evacuated,
 }
 
 /// `Step` is one fault at its time.
@@ -186,3 +193,26 @@
     };
     (0..count).map(step).collect()
 }
+
+/// Makes the plan of a seed with all that is drawn apart: requests that end endpoints, and evacuations.
+pub fn whole_plan(seed: u64, size: &Size) -> Vec<Step> {
+    let mut steps = plan_with_fatal(seed, size);
+    steps.extend(evacuations(seed, size));
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+/// Draws evacuations, apart from the other faults.
+fn evacuations(seed: u64, size: &Size) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed ^ EVACUATION_SEED);
+    let count = rng.random_range(0..=MOST_EVACUATIONS);
+    let step = |_| Step {
+        at: CALM + rng.random_range(0..size.millis.max(1)),
+        lasts: rng.random_range(EVACUATION_SHORTEST..2 * EVACUATION_SHORTEST),
+        fault: Fault::Evacuated,
+        router: 0,
+        replica: 0,
+        variant: rng.random_range(0..1000),
+    };
+    (0..count).map(step).collect()
+}
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -86,6 +86,8 @@
     Store,
     /// A router's link to the store.
     Link(usize),
+    /// What comes to an endpoint is held up on its way, and arrives together.
+    HeldUp(usize),
 }
 
 /// `Span` is a fault from its beginning to when its effects are over.
@@ -108,6 +110,28 @@
     pub at: u64,
 }
 
+/// `Evacuation` is a data centre that was to get nothing.
+#[derive(Clone, Debug, Serialize)]
+pub struct Evacuation {
+    /// Its name.
+    pub data_center: String,
+    /// When that was published.
+    pub from: u64,
+    /// When it was restored; `None` while it is not.
+    pub to: Option<u64>,
+}
+
+/// `Cold` is the time for which an endpoint tolerates few requests.
+#[derive(Clone, Debug, Serialize)]
+pub struct Cold {
+    /// The endpoint's name.
+    pub replica: String,
+    /// When it began.
+    pub from: u64,
+    /// When it ended.
+    pub to: u64,
+}
+
 /// `Start` is a start of a router's process.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct Start {
@@ -132,6 +156,10 @@
     pub starts: Vec<Start>,
     /// Endpoints that left.
     pub leaving: Vec<Leaving>,
+    /// Evacuations.
+    pub evacuations: Vec<Evacuation>,
+    /// Endpoints that were cold.
+    pub cold: Vec<Cold>,
     /// What went wrong with a process: an end of its own, a stop that cut or took too long.
     pub processes: Vec<String>,
     /// What was not served when all faults were over.
@@ -144,7 +172,7 @@
         match self {
             Target::Store => true,
             Target::Paused(n) | Target::Link(n) => router.is_none_or(|router| router == n),
-            Target::Router(_) | Target::Replica(_) => false,
+            Target::Router(_) | Target::Replica(_) | Target::HeldUp(_) => false,
         }
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -56,7 +56,8 @@
         REVOKE_MS,
         ROUTE_MS,
         STOP_S,
-        USUAL, //
+        USUAL,
+        data_center, //
     },
     plan::{
         Fault,
@@ -212,6 +213,9 @@
             let from = clock_ms();
             link_fault(&link, step.fault, lasts).await;
             fleet.note_span(Target::Replica(n), from, AFTER);
+            if step.fault == Fault::ReplicaSlow {
+                fleet.note_span(Target::HeldUp(n), from, AFTER);
+            }
         }
         Fault::StoreCut | Fault::StoreAnswersLost | Fault::StoreSilent => {
             let link = fleet.routers[router].borrow().link.clone();
@@ -248,12 +252,30 @@
             }
         }
         Fault::FatalRequest => fatal(fleet, shared, &step).await,
+        Fault::Evacuated => evacuated(fleet, &step, lasts).await?,
         // Another fault has the process.
         _ => {}
     }
     Ok(())
 }
 
+/// Evacuates a data centre and restores it; each second time its endpoints are cold by then.
+async fn evacuated(fleet: &Rc<Fleet>, step: &Step, lasts: Duration) -> Result<()> {
+    let name = data_center(step.variant / 2);
+    if !fleet.evacuate(name).await? {
+        return Ok(());
+    }
+    sleep(lasts).await;
+    for n in 0..fleet.size.replicas {
+        // The entry of one that leaves or was killed is another fault's.
+        let cold = data_center(n) == name && step.variant.is_multiple_of(2);
+        if cold && !fleet.replicas[n].borrow().busy {
+            fleet.enter_cold(n).await?;
+        }
+    }
+    fleet.restore(name).await
+}
+
 /// Replaces endpoints that end by themselves: a request has ended them.
 async fn supervise(fleet: Rc<Fleet>) {
     loop {
@@ -339,11 +361,12 @@
             sleep(lasts).await;
             signal(Signal::CONT);
             fleet.note_span(Target::Replica(n), from, AFTER);
+            fleet.note_span(Target::HeldUp(n), from, AFTER);
             fleet.replicas[n].borrow_mut().busy = false;
             return Ok(());
         }
         Fault::ReplicaLeaves => {
-            fleet.enter(n, "draining").await?;
+            fleet.enter(n, "draining", 0).await?;
             let at = clock_ms();
             let replica = fleet.replicas[n].borrow().id.clone();
             fleet
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -13,6 +13,8 @@
     },
     record::{
         Call,
+        Cold,
+        Evacuation,
         Key,
         Kind,
         Leaving,
@@ -319,3 +321,63 @@
     // Nobody would have served it.
     expect_that!(found(&record_of("x", Vec::new())), is_empty());
 }
+
+#[gtest]
+fn verify_a_run_in_an_evacuated_data_center_is_noticed() {
+    let evacuation = Evacuation {
+        data_center: "a".to_owned(),
+        from: 7000,
+        to: Some(10_500),
+    };
+    let run = |replica: &str, at_ms| {
+        let begun = Note {
+            replica: replica.to_owned(),
+            ..note("a", at_ms)
+        };
+        Record {
+            evacuations: vec![evacuation.clone()],
+            ..record(vec![call("a", Kind::Read)], vec![begun])
+        }
+    };
+    expect_that!(
+        found(&run("i-0-0", 10_010)),
+        elements_are![eq(&Promise::Evacuated)]
+    );
+    // Within the bound, after it was restored, and in another data centre.
+    for sound in [
+        run("i-0-0", 8000),
+        run("i-0-0", 10_600),
+        run("i-1-0", 10_010),
+    ] {
+        expect_that!(found(&sound), is_empty());
+    }
+}
+
+#[gtest]
+fn verify_a_crowd_at_a_cold_endpoint_is_noticed() {
+    let crowd = |count: u64, from: u64| {
+        let calls = (0..count).map(|n| call(&format!("a{n}"), Kind::Read));
+        let notes = (0..count).map(|n| note(&format!("a{n}"), 10_000 + n * 10));
+        Record {
+            cold: vec![Cold {
+                replica: "i-0-0".to_owned(),
+                from,
+                to: from + 3000,
+            }],
+            ..record(calls.collect(), notes.collect())
+        }
+    };
+    expect_that!(found(&crowd(24, 9000)), elements_are![eq(&Promise::Warmup)]);
+    expect_that!(found(&crowd(23, 9000)), is_empty());
+    expect_that!(found(&crowd(24, 5000)), is_empty());
+    let span = Span {
+        target: Target::HeldUp(0),
+        from: 9000,
+        to: 10_500,
+    };
+    let held_up = Record {
+        spans: vec![span],
+        ..crowd(24, 9000)
+    };
+    expect_that!(found(&held_up), is_empty());
+}
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -74,6 +74,27 @@
     expect_that!(findings(&steps, 137, SHORT), is_empty());
 }
 
+/// Guards against routers that crowd cold endpoints, or go on in an evacuated data centre, among other faults.
+#[gtest]
+fn verify_evacuations_and_cold_endpoints_hold_among_other_faults() {
+    let step = |at, lasts, fault, variant| Step {
+        at,
+        lasts,
+        fault,
+        router: 1,
+        replica: 1,
+        variant,
+    };
+    let steps = [
+        step(3500, 2500, Fault::Evacuated, 2),
+        step(4000, 500, Fault::RouterKilled, 0),
+        step(5500, 400, Fault::ReplicaKilled, 0),
+        step(7500, 2500, Fault::Evacuated, 1),
+        step(8000, 300, Fault::RouterPaused, 0),
+    ];
+    expect_that!(findings(&steps, 5, SHORT), is_empty());
+}
+
 /// Guards against requests that end endpoints among other faults: two of them, while endpoints and routers are killed.
 #[gtest]
 fn verify_requests_that_end_endpoints_are_contained_among_other_faults() {
