--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod catalog;
 mod endpoint;
+mod evacuation;
 mod fate;
 mod fixture;
 mod flow;
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -111,5 +111,29 @@
 guard nothing_left crates/core/src/retry.rs \
     's/Work::Once \{ \.\. \} => false,/Work::Once { .. } => true,/' \
     toucanturn-core retry verify_what_may_not_be_repeated_is_sent_again_only_when_nothing_left
+guard evacuation crates/core/src/gateway/endpoint.rs \
+    's/self\.stays_listed\(\) && self\.evacuated\.is_none\(\)/self.stays_listed()/' \
+    toucanturn-platform path evacuations::verify_an_evacuated_data_center_gets_nothing_until_it_is_restored
+guard evacuation_proof crates/core/src/gateway/attempt.rs \
+    's/self\.proof\.covers_evacuations\(now, &self\.bounds\)/true/' \
+    toucanturn-core gateway evacuation::verify_nothing_goes_out_once_an_evacuation_could_be_unknown
+guard cold_quota crates/core/src/gateway/place.rs \
+    's/\|\| warmup\.admits\(scene\.now, \*key\)/|| true/' \
+    toucanturn-platform path evacuations::verify_a_cold_endpoint_gets_no_more_than_it_tolerates
+guard cold_owners crates/core/src/gateway/warmup.rs \
+    's/u32::from\(owns\)/1/' \
+    toucanturn-core gateway warmup::verify_all_routers_together_keep_the_bound_of_a_cold_endpoint
+guard cold_memory crates/core/src/gateway/warmup.rs \
+    's/if !heard\.is_empty\(\) \{/if true {/; s/now\.since\(\*at\) < MEMBER_TTL/heard.contains(tag)/; s/retain\(\|_, at\|/retain(|tag, _|/' \
+    toucanturn-core gateway warmup::verify_routers_that_are_cut_off_alone_keep_to_their_parts
+guard cold_settle crates/core/src/gateway/warmup.rs \
+    's/now\.since\(started\) >= SETTLE && !lonely/!lonely/' \
+    toucanturn-core gateway warmup::verify_a_router_that_has_just_started_sends_nothing_to_a_cold_endpoint
+guard cold_restored crates/core/src/gateway/registry.rs \
+    '/endpoint\.doubt\(now, cold\(&endpoint\.entry\.service\)\);/d' \
+    toucanturn-core gateway warmup::verify_endpoints_of_a_restored_data_center_are_taken_as_cold
+guard cold_late crates/core/src/gateway/attempt.rs \
+    's/counted && self\.may_send/self.may_send/' \
+    toucanturn-core gateway warmup::verify_an_endpoint_that_turns_cold_after_it_was_chosen_is_left_out
 
 exit "$worst"
