Let workspaces take turns at cold endpoints

Where all endpoints of a service are cold, a workspace with many requests took all that there was: the first to come got the fleet's part, and a workspace with one request was refused beside it.

A workspace that got more within the period than another one that asks counts as one rank lower there, so it leaves an eighth of what is free. Weighed: equal parts fixed beforehand (most workspaces don't ask, so most would idle). Nothing changes where some endpoint is warm, or where a service bounds nothing.

verify_workspaces_take_turns_where_all_endpoints_are_cold fails without it: the second workspace gets none of ten.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -92,6 +92,11 @@
     pub fn attempts(&self) -> u32 {
         u32::try_from(self.tried.len()).unwrap_or(u32::MAX)
     }
+
+    /// Gets the tag of the workspace that sent it.
+    pub(super) fn workspace_tag(&self) -> u64 {
+        fingerprint::workspace(self.workspace.as_ref().map(|w| &w.name)).into()
+    }
 }
 
 impl Gateway {
@@ -172,6 +177,9 @@
         if let Some(part) = part.filter(|_| first) {
             self.note_request(now, &ticket.service, hot_spots::tag(part.id), ask.work());
         }
+        if self.warmup.active() {
+            self.warmup.asked(now, ticket.workspace_tag());
+        }
         let scene = place::Scene {
             share: self.share(&ticket.service),
             hot_spots: self.hot_spots.get(&ticket.service),
@@ -197,7 +205,8 @@
             return Err(Refusal::given_up(cause, ticket.may_have_run));
         };
         if placed.cold {
-            self.warmup.chosen(now, placed.endpoint);
+            let workspace = ticket.workspace_tag();
+            self.warmup.chosen(now, workspace, placed.endpoint);
         }
         let shares = self
             .catalog
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -152,7 +152,7 @@
 }
 
 /// Leaves out the cold endpoints that this router may not send to. Where all are cold, some of what is free is left to
-/// requests that are more urgent.
+/// requests that are more urgent, and to other workspaces.
 fn warm_or_admitted<'a>(
     scene: &Scene<'_>,
     ticket: &Ticket,
@@ -163,7 +163,8 @@
     };
     let keys = open.iter().map(|(key, _)| *key);
     let all_cold = open.iter().all(|(_, e)| scene.cold(e));
-    if all_cold && !warmup.admits_rank(scene.now, ticket.priority, keys) {
+    let admitted = |workspace| warmup.admits_rank(scene.now, ticket.priority, workspace, keys);
+    if all_cold && !admitted(ticket.workspace_tag()) {
         return Vec::new();
     }
     open.retain(|(key, e)| !scene.cold(e) || warmup.admits(scene.now, *key));
--- a/crates/core/src/gateway/warmup.rs
+++ b/crates/core/src/gateway/warmup.rs
@@ -40,6 +40,8 @@
 const RANK_RESERVE: u32 = 8;
 /// Lowest rank that counts for it.
 const MAX_RANK: u32 = 4;
+/// Most workspaces whose turns are told apart; others go as one.
+const MAX_WORKSPACES: usize = 256;
 
 /// `Policy` is how the bound follows from the rate that a cold endpoint tolerates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -110,6 +112,38 @@
     }
 }
 
+/// `Turns` is what workspaces got of cold endpoints within [`PERIOD`], so that none takes all that there is.
+#[derive(Clone, Debug, Default)]
+struct Turns {
+    began: Time,
+    /// Requests that were let in, of each workspace that asked.
+    got: IndexMap<u64, u32>,
+}
+
+impl Turns {
+    fn ask(&mut self, now: Time, workspace: u64) {
+        if now.since(self.began) >= PERIOD {
+            self.began = now;
+            self.got.clear();
+        }
+        if self.got.len() < MAX_WORKSPACES {
+            self.got.entry(workspace).or_default();
+        }
+    }
+
+    fn take(&mut self, workspace: u64) {
+        if let Some(got) = self.got.get_mut(&workspace) {
+            *got += 1;
+        }
+    }
+
+    /// Tells whether a workspace got more than another one that asks.
+    fn ahead(&self, workspace: u64) -> bool {
+        let least = self.got.values().min().copied().unwrap_or_default();
+        self.got.get(&workspace).is_some_and(|got| *got > least)
+    }
+}
+
 /// `Warmup` is this router's part in what cold endpoints get.
 #[derive(Clone, Debug, Default)]
 pub struct Warmup {
@@ -121,6 +155,7 @@
     /// Other routers, and when they were last heard.
     members: IndexMap<u64, Time>,
     meters: IndexMap<EndpointKey, Meter>,
+    turns: Turns,
 }
 
 impl Warmup {
@@ -190,24 +225,38 @@
         meter.is_some_and(|m| m.free(now) > 0)
     }
 
-    /// Tells whether a request of this rank may use what is free at these endpoints, all that its service has.
+    /// Tells whether some endpoint is cold.
+    pub fn active(&self) -> bool {
+        !self.meters.is_empty()
+    }
+
+    /// Notes that a workspace has a request that may have to go to a cold endpoint.
+    pub fn asked(&mut self, now: Time, workspace: u64) {
+        self.turns.ask(now, workspace);
+    }
+
+    /// Tells whether a request of this rank and workspace may use what is free at these endpoints, all that its service
+    /// has. A workspace that got more than another one that asks counts as one rank lower.
     pub fn admits_rank(
         &self,
         now: Time,
         rank: u8,
+        workspace: u64,
         endpoints: impl Iterator<Item = EndpointKey>,
     ) -> bool {
+        let rank = u32::from(rank) + u32::from(self.turns.ahead(workspace));
         let (mut free, mut all) = (0_u32, 0_u32);
         for meter in endpoints.filter_map(|key| self.meters.get(&key)) {
             free = free.saturating_add(meter.free(now));
             all = all.saturating_add(meter.quota);
         }
-        let reserved = all.saturating_mul(u32::from(rank).min(MAX_RANK)) / RANK_RESERVE;
+        let reserved = all.saturating_mul(rank.min(MAX_RANK)) / RANK_RESERVE;
         free > reserved
     }
 
-    /// Notes that a cold endpoint was chosen for a request.
-    pub fn chosen(&mut self, now: Time, endpoint: EndpointKey) {
+    /// Notes that a cold endpoint was chosen for a request of a workspace.
+    pub fn chosen(&mut self, now: Time, workspace: u64, endpoint: EndpointKey) {
+        self.turns.take(workspace);
         let meter = self.meters.entry(endpoint).or_default();
         meter.used.retain(|at| now.since(*at) < PERIOD);
         meter.used.push_back(now);
--- a/crates/core/tests/gateway/warmup.rs
+++ b/crates/core/tests/gateway/warmup.rs
@@ -108,7 +108,7 @@
             };
             router.warmup.follow(now, &fleet, &[self.cold]);
             while router.warmup.admits(now, self.cold.key) {
-                router.warmup.chosen(now, self.cold.key);
+                router.warmup.chosen(now, 0, self.cold.key);
                 router.warmup.sent(now, self.cold.key);
                 self.arrivals.push_back(self.now);
                 self.all += 1;
@@ -342,6 +342,33 @@
     expect_true!(gateway.place(Time(4000), &ticket, &ask).is_ok());
 }
 
+/// Guards against one workspace that takes all that there is while all endpoints are cold.
+#[gtest]
+fn verify_workspaces_take_turns_where_all_endpoints_are_cold() {
+    let mut world = World::new(1, 200, 1);
+    let mut warmup = Warmup::default();
+    let alone = Fleet::default();
+    warmup.follow(Time(0), &alone, &[world.cold]);
+    warmup.follow(Time(5000), &alone, &[world.cold]);
+    let key = world.cold.key;
+    let mut ask = |workspace| {
+        warmup.asked(Time(5000), workspace);
+        let admitted = warmup.admits(Time(5000), key)
+            && warmup.admits_rank(Time(5000), 1, workspace, [key].into_iter());
+        if admitted {
+            warmup.chosen(Time(5000), workspace, key);
+            world.all += 1;
+        }
+        admitted
+    };
+    expect_true!(ask(2));
+    while ask(1) {}
+    // The first one's crowd has left room.
+    let others = (0..10).filter(|_| ask(2)).count();
+    expect_that!(others, gt(5));
+    expect_that!(world.all, lt(100));
+}
+
 #[gtest]
 fn verify_an_endpoint_that_turns_cold_after_it_was_chosen_is_left_out() {
     let mut gateway = gateway(&[entry(0)]);
