--- a/crates/core/src/gateway/knowledge.rs
+++ b/crates/core/src/gateway/knowledge.rs
@@ -248,15 +248,18 @@
 
     /// Follows which routers there are, among whom requests to cold endpoints are divided.
     pub fn follow_fleet(&mut self, now: Time, fleet: &warmup::Fleet) {
-        let cold = |(key, endpoint): (EndpointKey, &endpoint::Endpoint)| {
+        let bounded = |(key, endpoint): (EndpointKey, &endpoint::Endpoint)| {
             let bound = self.cold_bound(&endpoint.entry.service)?;
-            (endpoint.cold(now) > Millis(0)).then_some(warmup::Cold {
+            Some(warmup::Cold {
                 key,
                 seed: endpoint.seed,
                 bound,
             })
         };
-        let cold: Vec<warmup::Cold> = self.registry.usable().filter_map(cold).collect();
+        // Few of many endpoints are cold, and this is asked several times a second.
+        let cold = self.registry.usable();
+        let cold = cold.filter(|(_, e)| e.cold(now) > Millis(0));
+        let cold: Vec<warmup::Cold> = cold.filter_map(bounded).collect();
         self.warmup.follow(now, fleet, &cold);
     }
 
