Name the test that misses the guard of what cold endpoints get

The script had shown that the named one doesn't: where all endpoints are cold, the reserve for urgent requests stops the crowd as well. The seven other new guards were red without their line.

--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -119,7 +119,7 @@
     toucanturn-core gateway evacuation::verify_nothing_goes_out_once_an_evacuation_could_be_unknown
 guard cold_quota crates/core/src/gateway/place.rs \
     's/\|\| warmup\.admits\(scene\.now, \*key\)/|| true/' \
-    toucanturn-platform path evacuations::verify_a_cold_endpoint_gets_no_more_than_it_tolerates
+    toucanturn-platform path evacuations::verify_requests_go_round_a_cold_endpoint_where_others_are_warm
 guard cold_owners crates/core/src/gateway/warmup.rs \
     's/u32::from\(owns\)/1/' \
     toucanturn-core gateway warmup::verify_all_routers_together_keep_the_bound_of_a_cold_endpoint
