Take orders to misbehave back when the soak's fault ends

Traced by its record: the endpoint was told to break the protocol in its next answers at 11.1 s, while its data centre was evacuated (10.6 to 15.0 s); it got nothing, and did so at 15.4 s, 1.7 s after the fault's effects were over.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -206,6 +206,8 @@
             let order = replica::Order::Next(odd_acts(step.variant));
             fleet.tell_replica(n, &order).await;
             sleep(lasts).await;
+            // One that gets no requests meanwhile would do it after the fault.
+            fleet.tell_replica(n, &replica::Order::Clear).await;
             fleet.note_span(Target::Replica(n), from, AFTER);
         }
         Fault::ReplicaSlow | Fault::AnswersLost | Fault::ReplicaReset | Fault::ReplicaSilent => {
