--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -281,10 +281,12 @@
         let fleet = Rc::clone(self);
         spawn_local(async move {
             sleep(Duration::from_millis(document::COLD_MS)).await;
-            // The entry of one that was replaced, or is about to leave, is another's.
+            // The entry of one that was replaced, is about to leave, or became cold again is another's.
             let same = {
                 let replica = fleet.replicas[n].borrow();
-                replica.id == id && !replica.busy
+                let later = |c: &Cold| c.replica == id && c.from > from;
+                let again = fleet.record.borrow().cold.iter().any(later);
+                replica.id == id && !replica.busy && !again
             };
             if same && let Err(error) = fleet.enter(n, "ready", 0).await {
                 let told = format!("{id} was not entered as warm: {error}");
