--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -60,5 +60,31 @@
         refused("\"skew\":2", "\"skew\":2,\"hold_s\":4000"),
         contains_substring("hold_s")
     );
+    for (name, value) in [
+        ("evacuation_ms", "50"),
+        ("evacuation_ms", "900000"),
+        ("warmup_over", "-1"),
+        ("warmup_slack", "1e9"),
+    ] {
+        let with = format!("\"skew\":2,\"{name}\":{value}");
+        expect_that!(refused("\"skew\":2", &with), contains_substring(name));
+    }
     expect_that!(refused("}}", "}"), contains_substring("JSON"));
 }
+
+/// What a service publishes of its cold endpoints holds as it is where the settings say nothing.
+#[gtest]
+fn verify_bounds_of_evacuations_and_cold_endpoints_may_be_left_out() {
+    let plain = Settings::try_from(GOOD.as_bytes()).expect("they are valid");
+    let bounds = plain.bounds.bounds();
+    expect_that!(bounds.evacuation, none());
+    expect_that!((bounds.warmup.over.0, bounds.warmup.slack), eq((1000, 0)));
+    let more = "\"skew\":2,\"evacuation_ms\":1500,\"warmup_over\":1.5,\"warmup_slack\":5";
+    let text = GOOD.replace("\"skew\":2", more);
+    let settings = Settings::try_from(text.as_bytes()).expect("they are valid");
+    let bounds = settings.bounds.bounds();
+    expect_that!(bounds.evacuation, some(eq(Millis(1425))));
+    expect_that!((bounds.warmup.over.0, bounds.warmup.slack), eq((1500, 5)));
+    // An evacuation must be known in time, too.
+    expect_that!(settings.bounds.pace(), eq(Millis(500)));
+}
