--- a/crates/core/src/gateway/warmup.rs
+++ b/crates/core/src/gateway/warmup.rs
@@ -42,7 +42,7 @@
 const RANK_RESERVE: u32 = 8;
 /// Lowest rank that counts for it.
 const MAX_RANK: u32 = 4;
-/// Most workspaces whose turns are told apart; others go as one.
+/// Most workspaces whose turns are kept within a period; others take none.
 const MAX_WORKSPACES: usize = 256;
 
 /// `Policy` is how the bound follows from the rate that a cold endpoint tolerates.
