Log what endpoints say of themselves in their answers

Numbers from 650 are what `toucanturn trace` shows before a request's own lines. Nothing is decided by the fields yet.

--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -71,4 +71,8 @@
     pub idle: Option<Millis>,
     /// Whether the endpoint closes the connection after this answer.
     pub closes: bool,
+    /// Whether the endpoint says that it is leaving.
+    pub leaving: bool,
+    /// Time for which the endpoint asks for no requests, if stated.
+    pub retry_after: Option<Millis>,
 }
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -289,6 +289,7 @@
             let mut gateway = self.state.gateway.borrow_mut();
             gateway.record_load(now(), placed.endpoint, load);
         }
+        self.log_signals(placed.endpoint, &head, &reply);
         if reply.id.as_ref() != Some(&self.incoming_request.id) {
             return Err((guard, AttemptOutcome::Broken, status));
         }
@@ -501,6 +502,28 @@
         );
     }
 
+    /// Logs what an endpoint's answer says of the endpoint itself.
+    fn log_signals(&self, endpoint: EndpointKey, head: &http::response::Parts, reply: &ReplyHead) {
+        let id = text(&self.incoming_request.id);
+        let status = head.status.as_u16();
+        let gateway = self.state.gateway.borrow();
+        if reply.leaving {
+            self.state.metrics.count("signals", "leaving");
+            if self.state.log.try_admit() {
+                let endpoint = endpoint_name(&gateway, endpoint);
+                tracing::info!(event = 662, %id, %endpoint, status, "endpoint says that it leaves");
+            }
+        }
+        if let Some(asked) = reply.retry_after {
+            self.state.metrics.count("signals", "retry_after");
+            if self.state.log.try_admit() {
+                let endpoint = endpoint_name(&gateway, endpoint);
+                let asked = asked.0;
+                tracing::info!(event = 663, %id, %endpoint, status, asked, "endpoint asks for a pause");
+            }
+        }
+    }
+
     fn log_placed(&self, placed: &Placed) {
         if !self.state.log.try_admit() {
             return;
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -53,6 +53,8 @@
         id: id.to_owned(),
         after: None,
         what: RequestEventKind::Began,
+        says_leaving: false,
+        back_off_ms: 0,
     }
 }
 
