Send nothing to an endpoint that has said in an answer that it leaves

Cause: a router knew of an endpoint's leaving from its registry entry alone. An answer that ended its connection withheld a confirmation, which the first read of the registry after an outage replaced, although the entry was older than the answer. First-hand evidence was forgotten for older evidence at second hand.

Now an answer with the field makes the endpoint's incarnation leaving at the moment its head is read: any status, also a rejection, but a 421, which another endpoint gave, and an answer that isn't the endpoint's own. Nothing that the registry says of that incarnation ends it: not an entry that says ready, not a removal and return after an outage (signals of up to 1,024 incarnations without an entry are kept), not a lapse, a new configuration or a peer's confirmation. Another incarnation under the name, and another endpoint at the address, start without it. Every way to an endpoint (first attempt, retry, resumed stream, one that waited for its connection) passes the check before sending, so all are covered. An answer with the field confirms nothing and its connection isn't kept.

Seven tests and a property of the core's decisions (256 random histories).

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -38,6 +38,7 @@
         spread_retry_delay,
         updates::warmup_time, //
     },
+    ids::Tag,
     units::{
         Millis,
         Time, //
@@ -78,6 +79,8 @@
     pub tried: Vec<EndpointKey>,
     /// When it was last sent to an endpoint.
     pub sent: Time,
+    /// Incarnation of the endpoint that it was last sent to.
+    pub life: Option<Tag>,
     /// Endpoints that could not be connected to; they don't count as attempts.
     pub unreached: Vec<EndpointKey>,
     /// Whether an endpoint may have run it.
@@ -154,6 +157,7 @@
             route: Arc::clone(route),
             tried: Vec::new(),
             sent: now,
+            life: None,
             unreached: Vec::new(),
             may_have_run: false,
             retry_reserved: false,
@@ -316,11 +320,18 @@
         self.registry.confirm(endpoint, ticket.sent);
     }
 
+    /// Notes that an endpoint's answer says that it is leaving; returns whether that is news. It
+    /// holds for the incarnation that the request was sent to, until that has ended.
+    pub fn record_leaving(&mut self, ticket: &Ticket) -> bool {
+        ticket.life.is_some_and(|life| self.registry.leave(life))
+    }
+
     /// Notes that an attempt is sent.
     pub fn sent(&mut self, now: Time, ticket: &mut Ticket, endpoint: EndpointKey) {
         ticket.retry_reserved = false;
         ticket.tried.push(endpoint);
         ticket.sent = now;
+        ticket.life = self.registry.get(endpoint).map(endpoint::Endpoint::tag);
         self.warmup.sent(now, endpoint);
         self.registry.sent(now, endpoint);
     }
--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -128,6 +128,16 @@
     }
 }
 
+/// `Signals` is what an instance of an endpoint has said of itself in its answers to this router.
+///
+/// It is first-hand, so no registry entry ends it: the entry may be older than the answer, and may
+/// disappear and come back while the instance is the same.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Signals {
+    /// Whether it is shutting down.
+    pub leaving: bool,
+}
+
 /// `Liveness` says whether an endpoint is still alive after a connection to it broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Liveness {
@@ -150,6 +160,8 @@
     pub state: State,
     /// When this router learnt that its data centre is being evacuated; `None` if it is not.
     pub evacuated: Option<Time>,
+    /// What it has said of itself.
+    pub signals: Signals,
     /// Until when it is cold by its registry entry.
     cold_until: Time,
     /// Until when it may be cold although its registry entry doesn't say so yet.
@@ -195,6 +207,7 @@
             entry,
             state,
             evacuated: None,
+            signals: Signals::default(),
             cold_until: Time(0),
             maybe_cold_until: Time(0),
             seed,
@@ -225,6 +238,21 @@
         before != self.state
     }
 
+    /// Takes over what it has said of itself.
+    pub fn restore_signals(&mut self, signals: Signals) {
+        self.signals = signals;
+        if signals.leaving && self.stays_listed() {
+            self.state = State::Leaving;
+        }
+    }
+
+    /// Notes that it said in an answer that it is leaving; returns whether that is news.
+    pub fn leave(&mut self) -> bool {
+        let news = self.stays_listed();
+        self.restore_signals(Signals { leaving: true });
+        news
+    }
+
     /// Tells whether it joined so recently that it has cached few prompt parts.
     pub fn recently_joined(&self, now: Time) -> bool {
         self.joined_at
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -15,6 +15,7 @@
             Entry,
             Liveness,
             Load,
+            Signals,
             State, //
         },
         mesh::{
@@ -34,6 +35,9 @@
 /// If more than one in so many of a service's endpoints are missing from one read, the removal is
 /// not taken for planned.
 const MASS_REMOVAL_DIVISOR: usize = 3;
+/// Limit of the instances without an entry whose signals are kept; beyond it the one that lost its
+/// entry first is evicted.
+const MAX_UNLISTED_SIGNALS: usize = 1024;
 
 /// `Registry` holds the endpoints, with indexes by name, tag and service.
 #[derive(Debug, Default)]
@@ -42,6 +46,9 @@
     by_name: IndexMap<Bytes, EndpointKey>,
     by_tag: IndexMap<Tag, EndpointKey>,
     by_service: IndexMap<Bytes, Vec<EndpointKey>>,
+    /// Signals of instances that have no entry at the moment. An entry that lapsed in an outage may
+    /// come back, and may be older than the signal.
+    unlisted_signals: IndexMap<Tag, Signals>,
     /// Evacuated data centres, whose endpoints get no requests, and when the evacuation became
     /// known here.
     evacuated: IndexMap<Bytes, Time>,
@@ -75,6 +82,11 @@
         self.endpoints.len()
     }
 
+    /// Counts the instances without an entry whose signals are kept.
+    pub fn unlisted_signals(&self) -> usize {
+        self.unlisted_signals.len()
+    }
+
     /// Tells whether no endpoint is listed.
     pub fn is_empty(&self) -> bool {
         self.endpoints.is_empty()
@@ -127,6 +139,9 @@
         let mut endpoint = Endpoint::new(since, entry);
         endpoint.evacuated = self.evacuated.get(&endpoint.entry.data_center).copied();
         endpoint.update_cold_until(now);
+        if let Some(signals) = self.unlisted_signals.shift_remove(&endpoint.tag()) {
+            endpoint.restore_signals(signals);
+        }
         events.push(state_event(&endpoint));
         let id = endpoint.entry.id.clone();
         let service = endpoint.entry.service.clone();
@@ -227,6 +242,9 @@
             return;
         };
         if let Some(mut endpoint) = self.endpoints.remove(key) {
+            if endpoint.signals != Signals::default() {
+                self.keep_unlisted(endpoint.tag(), endpoint.signals);
+            }
             endpoint.state = State::Gone;
             events.push(state_event(&endpoint));
         }
@@ -312,6 +330,24 @@
         }
     }
 
+    /// Records that an instance said in an answer that it is leaving; returns whether that is news.
+    pub fn leave(&mut self, life: Tag) -> bool {
+        let key = self.by_tag.get(&life);
+        match key.and_then(|k| self.endpoints.get_mut(*k)) {
+            Some(endpoint) => endpoint.leave(),
+            None => self.keep_unlisted(life, Signals { leaving: true }),
+        }
+    }
+
+    /// Keeps the signals of an instance that has no entry; returns whether there were none before.
+    fn keep_unlisted(&mut self, life: Tag, signals: Signals) -> bool {
+        let news = self.unlisted_signals.insert(life, signals).is_none();
+        if self.unlisted_signals.len() > MAX_UNLISTED_SIGNALS {
+            self.unlisted_signals.shift_remove_index(0);
+        }
+        news
+    }
+
     /// Tells whether an incarnation of an endpoint has answered or ended since a connection to it
     /// broke.
     pub fn liveness_since(&self, life: Tag, since: Time) -> Liveness {
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod quarantine;
 mod reading;
 mod registry;
+mod signals;
 mod skew;
 mod staying;
 mod warmup;
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -289,11 +289,14 @@
             let mut gateway = self.state.gateway.borrow_mut();
             gateway.record_load(now(), placed.endpoint, load);
         }
-        self.log_signals(placed.endpoint, &head, &reply);
         if reply.id.as_ref() != Some(&self.incoming_request.id) {
             return Err((guard, AttemptOutcome::Broken, status));
         }
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        // A misdirected request was answered by another endpoint than the one that was meant.
+        if !misdirected {
+            self.record_signals(placed.endpoint, &head, &reply);
+        }
         if misdirected || reply.rejected {
             self.drain_rejection(&guard, connection, body, &reply).await;
             let outcome = if misdirected {
@@ -309,7 +312,7 @@
         }
         // A leaving endpoint closes its connection with each answer and few others do, so an answer that
         // keeps the connection open confirms that the endpoint is not leaving.
-        if !reply.closes {
+        if !reply.closes && !reply.leaving {
             let mut gateway = self.state.gateway.borrow_mut();
             gateway.confirm(&self.ticket, placed.endpoint);
         }
@@ -384,7 +387,7 @@
         connection: Connection,
         reply: &ReplyHead,
     ) {
-        if !reply.closes {
+        if !reply.closes && !reply.leaving {
             let pool = &self.state.pool;
             pool.keep(now(), guard.endpoint, connection, reply.idle);
         }
@@ -502,14 +505,20 @@
         );
     }
 
-    /// Logs what an endpoint's answer says of the endpoint itself.
-    fn log_signals(&self, endpoint: EndpointKey, head: &http::response::Parts, reply: &ReplyHead) {
+    /// Records what an endpoint's answer says of the endpoint itself.
+    fn record_signals(
+        &self,
+        endpoint: EndpointKey,
+        head: &http::response::Parts,
+        reply: &ReplyHead,
+    ) {
         let id = text(&self.incoming_request.id);
         let status = head.status.as_u16();
-        let gateway = self.state.gateway.borrow();
-        if reply.leaving {
+        let mut gateway = self.state.gateway.borrow_mut();
+        // Without the signature field, the answer is not the endpoint's own.
+        if reply.leaving && (reply.sealed || reply.rejected) {
             self.state.metrics.count("signals", "leaving");
-            if self.state.log.try_admit() {
+            if gateway.record_leaving(&self.ticket) && self.state.log.try_admit() {
                 let endpoint = endpoint_name(&gateway, endpoint);
                 tracing::info!(event = 662, %id, %endpoint, status, "endpoint says that it leaves");
             }
