Send nothing to an endpoint in the time for which it has asked for none

Callers of the lidar deployment were turned away by three engines for nine seconds while six others served: the engines had answered 503 with Retry-After and got four requests from one router within 1.4 s of it; two are allowed.

Cause: the field was not read. A rejection changed the endpoint's latency estimate alone, which placement by prompt does not use, so requests went on to the engine that holds their prompt, used up attempts and the retry budget.

Now 503 with Retry-After starts a back-off of the endpoint's incarnation at the answer's arrival, on the clock that counts suspension. The latest end counts; an hour is the most, so that one that asks for a year by mistake is tried again. Until then it is no candidate, is no alternative for one that hangs, and the check before sending catches what was placed before. The back-off outlasts the registry entry as leaving does. The two requests that the users allow in the time are not used. A router stays ready while all endpoints back off.

Where all endpoints of a service back off, a request is refused at once as backing_off: not run, to come back after the first end, spread over as long again, at most a third of the caller's time. On 429 the field is about the request, maybe one workspace's, and takes no endpoint out. Events 663 (begin, with the request that brought it), 664 (end), the counter signals.

No ramp after it: routers were told at different times and return at different times, a rejection's latency still counts for placement by speed, and loads are limited as for any endpoint.

Ten tests and a property (128 histories) of the core's decisions.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -34,6 +34,7 @@
             Cause,
             Refusal, //
         },
+        retry_delay_after,
         route::Route,
         spread_retry_delay,
         updates::warmup_time, //
@@ -223,7 +224,7 @@
             } else {
                 Cause::NoEndpoint
             };
-            return Err(Refusal::given_up(cause, ticket.may_have_run));
+            return Err(self.give_up(now, ticket, cause));
         };
         if placed.cold {
             let workspace = ticket.workspace_tag();
@@ -288,10 +289,36 @@
             .verdict(now, content, self.bounds.hold, liveness_since)
     }
 
+    /// Gives up a request for which there is no endpoint, or no further attempt. Where all endpoints
+    /// of its service have asked for a time without requests, the refusal says when the first of
+    /// these times ends.
+    pub fn give_up(&mut self, now: Time, ticket: &Ticket, cause: Cause) -> Refusal {
+        let back_offs = self.registry.of(&ticket.service);
+        let back_offs = back_offs.map(|(_, e)| e.back_off(now));
+        let first_end = back_offs.min().filter(|left| *left > Millis(0));
+        match first_end.filter(|_| cause == Cause::NoEndpoint) {
+            Some(left) => {
+                let draw = self.draw();
+                let wait = retry_delay_after(now, ticket.deadline, left, draw);
+                Refusal::with_retry_after(Cause::BackingOff, wait, ticket.may_have_run)
+            }
+            None => Refusal::given_up(cause, ticket.may_have_run),
+        }
+    }
+
     /// Tells whether an endpoint may get a request now. It is checked again right before sending,
     /// because the evidence that held when the endpoint was chosen may have expired while the
-    /// connection was made.
+    /// connection was made, and the endpoint may have asked for a pause.
     pub fn may_send(&self, now: Time, endpoint: EndpointKey) -> bool {
+        let backing_off = self
+            .registry
+            .get(endpoint)
+            .is_some_and(|e| e.backing_off(now));
+        !backing_off && self.is_confirmed(now, endpoint)
+    }
+
+    /// Tells whether an endpoint is usable and nothing has outdated the evidence for that.
+    pub(super) fn is_confirmed(&self, now: Time, endpoint: EndpointKey) -> bool {
         let endpoint = self.registry.get(endpoint);
         self.proof.covers_evacuations(now, &self.bounds)
             && endpoint.is_some_and(|e| {
@@ -320,10 +347,11 @@
         self.registry.confirm(endpoint, ticket.sent);
     }
 
-    /// Notes that an endpoint's answer says that it is leaving; returns whether that is news. It
-    /// holds for the incarnation that the request was sent to, until that has ended.
-    pub fn record_leaving(&mut self, ticket: &Ticket) -> bool {
-        ticket.life.is_some_and(|life| self.registry.leave(life))
+    /// Notes what an endpoint's answer says of the endpoint; returns whether that is news. It holds
+    /// for the incarnation that the request was sent to.
+    pub fn record_signal(&mut self, now: Time, ticket: &Ticket, signal: endpoint::Signal) -> bool {
+        let life = ticket.life;
+        life.is_some_and(|life| self.registry.record_signal(now, life, signal))
     }
 
     /// Notes that an attempt is sent.
@@ -350,7 +378,7 @@
             return None;
         }
         let other = |(key, e): &(EndpointKey, &endpoint::Endpoint)| {
-            !ticket.tried.contains(key) && !e.paused(now)
+            !ticket.tried.contains(key) && !e.paused(now) && !e.backing_off(now)
         };
         self.registry.of(&ticket.service).find(other)?;
         if !self.may_retry(now, &ticket.service) {
--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -59,6 +59,9 @@
 /// Time in which the latency halves without answers, so that an endpoint that was slow is tried
 /// again.
 const LATENCY_HALF_LIFE: Millis = Millis(2000);
+/// Longest time for which an endpoint gets no requests because it asked for that. One that asks for
+/// more by mistake is tried again after it.
+const MAX_BACK_OFF: Millis = Millis(3_600_000);
 /// Latency that a rejected request counts as: the caller waits before it retries, and the retry
 /// then takes as long as any other request.
 const REJECTED_LATENCY: Millis = Millis(600);
@@ -136,6 +139,33 @@
 pub struct Signals {
     /// Whether it is shutting down.
     pub leaving: bool,
+    /// Until when it wants no requests; `None` if it did not ask for that, or that time has ended.
+    pub back_off_until: Option<Time>,
+}
+
+/// `Signal` is one statement of an endpoint about itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// It is shutting down.
+    Leaving,
+    /// It wants no requests from this router for a time.
+    BackOff(Millis),
+}
+
+impl Signals {
+    /// Notes a statement that arrived at `now`; returns whether it is news. A shorter time than one
+    /// that it asked for before doesn't end that one.
+    pub fn record(&mut self, now: Time, signal: Signal) -> bool {
+        match signal {
+            Signal::Leaving => !std::mem::replace(&mut self.leaving, true),
+            Signal::BackOff(asked) => {
+                let until = now + Millis(asked.0.min(MAX_BACK_OFF.0));
+                let news = self.back_off_until.is_none_or(|held| held <= now) && until > now;
+                self.back_off_until = self.back_off_until.max(Some(until));
+                news
+            }
+        }
+    }
 }
 
 /// `Liveness` says whether an endpoint is still alive after a connection to it broke.
@@ -246,13 +276,31 @@
         }
     }
 
-    /// Notes that it said in an answer that it is leaving; returns whether that is news.
-    pub fn leave(&mut self) -> bool {
-        let news = self.stays_listed();
-        self.restore_signals(Signals { leaving: true });
+    /// Notes what it said of itself in an answer; returns whether that is news.
+    pub fn record_signal(&mut self, now: Time, signal: Signal) -> bool {
+        let mut signals = self.signals;
+        let news = signals.record(now, signal);
+        self.restore_signals(signals);
         news
     }
 
+    /// Gets how much longer it wants no requests.
+    pub fn back_off(&self, now: Time) -> Millis {
+        let until = self.signals.back_off_until;
+        until.map_or(Millis(0), |until| until.since(now))
+    }
+
+    /// Tells whether it wants no requests now.
+    pub fn backing_off(&self, now: Time) -> bool {
+        self.back_off(now) > Millis(0)
+    }
+
+    /// Forgets a back-off that has ended; returns whether there was one.
+    pub fn end_back_off(&mut self, now: Time) -> bool {
+        let ended = self.signals.back_off_until.take_if(|until| *until <= now);
+        ended.is_some()
+    }
+
     /// Tells whether it joined so recently that it has cached few prompt parts.
     pub fn recently_joined(&self, now: Time) -> bool {
         self.joined_at
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -163,7 +163,7 @@
         let reachable = self
             .registry
             .usable()
-            .any(|(key, _)| self.may_send(now, key));
+            .any(|(key, _)| self.is_confirmed(now, key));
         self.catalog.is_some() && reachable && self.proof.covers_routes(now, &self.bounds)
     }
 
@@ -181,6 +181,13 @@
     Millis(wait.min(deadline.since(now).0 / 3))
 }
 
+/// Gets the retry delay for a refused caller if nothing can serve it before `left` has passed. It is
+/// spread by `draw` over as long again, and is at most a third of the time left until the deadline.
+fn retry_delay_after(now: Time, deadline: Time, left: Millis, draw: u64) -> Millis {
+    let wait = left.0 + draw % left.0.max(MIN_RETRY_DELAY.0);
+    Millis(wait.min(deadline.since(now).0 / 3))
+}
+
 /// Gets the retry delay for a refused caller: short, spread by `draw` so that callers refused
 /// together don't return together, and at most a third of the time left until the deadline.
 pub fn retry_delay(now: Time, deadline: Time, draw: u64) -> Millis {
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -143,11 +143,12 @@
     let all: Vec<(EndpointKey, &Endpoint)> = context.registry.of(&ticket.service).collect();
     let untried = |k: &EndpointKey| !tried(ticket, *k);
     let mut candidates: Vec<(EndpointKey, &Endpoint)> = Vec::with_capacity(all.len());
-    candidates.extend(
-        all.iter().filter(|(k, e)| {
-            untried(k) && context.is_confirmed(e) && e.own_in_flight < context.share
-        }),
-    );
+    candidates.extend(all.iter().filter(|(k, e)| {
+        untried(k)
+            && context.is_confirmed(e)
+            && !e.backing_off(context.now)
+            && e.own_in_flight < context.share
+    }));
     let candidates = exclude_unadmitted_cold(context, ticket, candidates);
     let unpaused: Vec<_> = candidates
         .iter()
@@ -195,8 +196,12 @@
 pub fn time_until_warm(context: &PlacementContext<'_>, ticket: &Ticket) -> Option<Millis> {
     context.warmup?;
     let all = context.registry.of(&ticket.service);
-    let cold =
-        all.filter(|(k, e)| !tried(ticket, *k) && context.is_confirmed(e) && context.cold(e));
+    let cold = all.filter(|(k, e)| {
+        !tried(ticket, *k)
+            && context.is_confirmed(e)
+            && context.cold(e)
+            && !e.backing_off(context.now)
+    });
     cold.map(|(_, e)| e.cold(context.now)).min()
 }
 
--- a/crates/core/src/gateway/refusal.rs
+++ b/crates/core/src/gateway/refusal.rs
@@ -36,6 +36,8 @@
     Quarantined,
     /// All endpoints that could serve the request are cold and at their warm-up limit.
     WarmingUp,
+    /// All endpoints that could serve the request have asked for a time without requests.
+    BackingOff,
 }
 
 /// `Refusal` is the final answer to a request that is not served; it is sent immediately.
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -15,6 +15,7 @@
             Entry,
             Liveness,
             Load,
+            Signal,
             Signals,
             State, //
         },
@@ -330,22 +331,38 @@
         }
     }
 
-    /// Records that an instance said in an answer that it is leaving; returns whether that is news.
-    pub fn leave(&mut self, life: Tag) -> bool {
+    /// Records what an instance said of itself in an answer; returns whether that is news.
+    pub fn record_signal(&mut self, now: Time, life: Tag, signal: Signal) -> bool {
         let key = self.by_tag.get(&life);
-        match key.and_then(|k| self.endpoints.get_mut(*k)) {
-            Some(endpoint) => endpoint.leave(),
-            None => self.keep_unlisted(life, Signals { leaving: true }),
+        if let Some(endpoint) = key.and_then(|k| self.endpoints.get_mut(*k)) {
+            return endpoint.record_signal(now, signal);
         }
+        let mut signals = self
+            .unlisted_signals
+            .get(&life)
+            .copied()
+            .unwrap_or_default();
+        let news = signals.record(now, signal);
+        self.keep_unlisted(life, signals);
+        news
     }
 
-    /// Keeps the signals of an instance that has no entry; returns whether there were none before.
-    fn keep_unlisted(&mut self, life: Tag, signals: Signals) -> bool {
-        let news = self.unlisted_signals.insert(life, signals).is_none();
+    /// Keeps the signals of an instance that has no entry.
+    fn keep_unlisted(&mut self, life: Tag, signals: Signals) {
+        self.unlisted_signals.insert(life, signals);
         if self.unlisted_signals.len() > MAX_UNLISTED_SIGNALS {
             self.unlisted_signals.shift_remove_index(0);
         }
-        news
+    }
+
+    /// Ends the back-offs whose time has passed.
+    pub fn end_back_offs(&mut self, now: Time, events: &mut Vec<RegistryEvent>) {
+        for endpoint in self.endpoints.values_mut() {
+            if endpoint.end_back_off(now) {
+                let id = endpoint.entry.id.clone();
+                events.push(RegistryEvent::BackOffEnded { id });
+            }
+        }
     }
 
     /// Tells whether an incarnation of an endpoint has answered or ended since a connection to it
--- a/crates/core/src/gateway/updates.rs
+++ b/crates/core/src/gateway/updates.rs
@@ -80,6 +80,11 @@
         /// The new state.
         state: endpoint::State,
     },
+    /// The time for which an endpoint wanted no requests has ended.
+    BackOffEnded {
+        /// Its name.
+        id: Bytes,
+    },
     /// A data centre is evacuated: its endpoints get no more requests.
     Evacuated {
         /// Its name.
@@ -149,6 +154,7 @@
         let mut events = Vec::new();
         self.registry
             .expire(now, self.bounds.lapse_grace, &mut events);
+        self.registry.end_back_offs(now, &mut events);
         let liveness_since = |life, since| self.registry.liveness_since(life, since);
         self.quarantine
             .expire(now, self.bounds.hold, liveness_since);
--- a/crates/core/tests/gateway/signals.rs
+++ b/crates/core/tests/gateway/signals.rs
@@ -14,16 +14,21 @@
 use toucanturn_core::{
     arena::EndpointKey,
     gateway::{
-        Change,
-        Gateway,
-        Ticket,
+        Change, Gateway, RegistryEvent, Ticket,
         endpoint::{
             Entry,
+            Signal,
             State, //
         },
-        refusal::Cause, //
+        incoming_request::IncomingRequest,
+        outcome::AttemptOutcome,
+        refusal::{
+            Cause,
+            Refusal, //
+        },
     },
     units::{
+        Millis,
         Time,
         Wall, //
     },
@@ -67,7 +72,10 @@
 /// Sends a request to an endpoint, whose answer says that it leaves.
 fn leave(gateway: &mut Gateway, now: u64, number: u8) {
     let (ticket, _) = send(gateway, now, number);
-    assert!(gateway.record_leaving(&ticket), "it is news");
+    assert!(
+        gateway.record_signal(Time(now), &ticket, Signal::Leaving),
+        "it is news"
+    );
 }
 
 /// An entry that is older than the answer must not make the endpoint usable again.
@@ -95,7 +103,7 @@
     // The same if the answer comes while there is no entry.
     let (ticket, _) = send(&mut gateway, 400, 1);
     apply(&mut gateway, 500, Change::Unreadable(id(1)));
-    expect_true!(gateway.record_leaving(&ticket));
+    expect_true!(gateway.record_signal(Time(500), &ticket, Signal::Leaving));
     apply(&mut gateway, 600, Change::Entry(entry(1)));
     expect_false!(is_usable(&gateway, 1));
 }
@@ -123,11 +131,14 @@
     apply(&mut gateway, 1, Change::Entry(started(100)));
     let (first, _) = send(&mut gateway, 2, 0);
     let (late, _) = send(&mut gateway, 3, 0);
-    expect_true!(gateway.record_leaving(&first));
-    expect_false!(gateway.record_leaving(&first), "it is no news");
+    expect_true!(gateway.record_signal(Time(3), &first, Signal::Leaving));
+    expect_false!(
+        gateway.record_signal(Time(3), &first, Signal::Leaving),
+        "it is no news"
+    );
     apply(&mut gateway, 4, Change::Entry(started(200)));
     expect_true!(is_usable(&gateway, 0));
-    gateway.record_leaving(&late);
+    gateway.record_signal(Time(4), &late, Signal::Leaving);
     expect_true!(is_usable(&gateway, 0));
     // An entry of the first incarnation that comes late changes nothing.
     apply(&mut gateway, 5, Change::Entry(started(100)));
@@ -178,7 +189,7 @@
         let admitted = gateway.admit(Time(2), &request("/read/x"));
         let mut ticket = admitted.expect("the request is admitted");
         gateway.sent(Time(2), &mut ticket, key);
-        gateway.record_leaving(&ticket);
+        gateway.record_signal(Time(2), &ticket, Signal::Leaving);
         apply(&mut gateway, 2, Change::Removed(id));
     }
     apply(&mut gateway, 3, Change::Entry(entry(0)));
@@ -187,6 +198,177 @@
     expect_that!(kept, all!(ge(1000), le(1100)));
 }
 
+/// Sends a request to an endpoint, whose answer asks for a time without requests.
+fn back_off(gateway: &mut Gateway, now: u64, number: u8, asked: u64) -> bool {
+    let (ticket, _) = send(gateway, now, number);
+    gateway.record_signal(Time(now), &ticket, Signal::BackOff(Millis(asked)))
+}
+
+/// Keeps what is known confirmed, and tries to place a request.
+fn place(gateway: &mut Gateway, now: u64) -> std::result::Result<EndpointKey, Refusal> {
+    gateway.record_registry_read(Time(now), Time(now));
+    let ticket = gateway.admit(Time(now), &request("/read/x"))?;
+    let placed = gateway.place(Time(now), &ticket, &request("/read/x"));
+    placed.map(|p| p.endpoint)
+}
+
+#[gtest]
+fn verify_an_endpoint_gets_nothing_until_the_end_of_its_pause() {
+    let mut gateway = gateway(2);
+    expect_true!(back_off(&mut gateway, 1000, 0, 3000));
+    let resting = key_of(&gateway, &id(0)).expect("the endpoint is listed");
+    for now in (1000..4000).step_by(37) {
+        expect_that!(place(&mut gateway, now), ok(not(eq(resting))), "at {now}");
+        expect_false!(gateway.may_send(Time(now), resting));
+    }
+    expect_true!(gateway.may_send(Time(4000), resting));
+}
+
+/// A later answer that asks for less does not shorten the pause, one that asks for more extends it.
+#[gtest]
+fn verify_the_latest_end_counts() {
+    let mut gateway = gateway(1);
+    let key = key_of(&gateway, &id(0)).expect("the endpoint is listed");
+    expect_true!(back_off(&mut gateway, 0, 0, 2000));
+    expect_false!(back_off(&mut gateway, 100, 0, 500));
+    expect_false!(gateway.may_send(Time(1999), key));
+    expect_false!(back_off(&mut gateway, 200, 0, 2300));
+    expect_false!(gateway.may_send(Time(2499), key));
+    expect_true!(gateway.may_send(Time(2500), key));
+    expect_false!(back_off(&mut gateway, 2600, 0, 0), "no time is no pause");
+    expect_true!(gateway.may_send(Time(2600), key));
+}
+
+/// An endpoint that asks for a year by mistake is tried again after an hour.
+#[gtest]
+fn verify_a_pause_is_bounded() {
+    let mut gateway = gateway(1);
+    let key = key_of(&gateway, &id(0)).expect("the endpoint is listed");
+    back_off(&mut gateway, 0, 0, u64::MAX);
+    gateway.record_registry_read(Time(3_599_999), Time(3_599_999));
+    expect_false!(gateway.may_send(Time(3_599_999), key));
+    expect_true!(gateway.may_send(Time(3_600_000), key));
+}
+
+/// A pause outlasts the entry of its endpoint, and ends with its incarnation.
+#[gtest]
+fn verify_a_pause_belongs_to_one_incarnation() {
+    let started = |at| Entry {
+        born: Some(Wall(at)),
+        ..entry(0)
+    };
+    let mut gateway = gateway(0);
+    apply(&mut gateway, 1, Change::Entry(started(100)));
+    back_off(&mut gateway, 2, 0, 3000);
+    apply(&mut gateway, 3, Change::Removed(id(0)));
+    apply(&mut gateway, 4, Change::Entry(started(100)));
+    let may_send = |gateway: &Gateway, now| {
+        let key = key_of(gateway, &id(0)).expect("the endpoint is listed");
+        gateway.may_send(Time(now), key)
+    };
+    expect_false!(may_send(&gateway, 5));
+    apply(&mut gateway, 6, Change::Entry(started(200)));
+    expect_true!(may_send(&gateway, 7));
+}
+
+/// Where all endpoints pause, a request is refused at once and comes back after the first of these pauses.
+#[gtest]
+fn verify_a_request_that_no_endpoint_wants_is_refused_with_the_first_end() {
+    let mut gateway = gateway(2);
+    let patient = IncomingRequest {
+        deadline: Some(Millis(60_000)),
+        ..request("/read/x")
+    };
+    back_off(&mut gateway, 1000, 0, 900);
+    back_off(&mut gateway, 1000, 1, 500);
+    let mut waits = Vec::new();
+    for _ in 0..200 {
+        let ticket = gateway.admit(Time(1100), &patient);
+        let ticket = ticket.expect("the request is admitted");
+        let refusal = gateway.place(Time(1100), &ticket, &patient);
+        let refusal = refusal.expect_err("no endpoint takes it");
+        expect_that!(refusal.cause, eq(Cause::BackingOff));
+        expect_false!(refusal.may_have_run);
+        expect_true!(refusal.retryable);
+        waits.extend(refusal.retry_after);
+    }
+    waits.sort_unstable();
+    expect_that!(waits.len(), eq(200));
+    expect_that!(waits[0].0, all!(ge(400), le(420)));
+    expect_that!(waits[199].0, all!(ge(780), lt(800)));
+    // The same where the last attempt was rejected.
+    let (ticket, _) = send(&mut gateway, 1100, 0);
+    let given_up = gateway.give_up(Time(1100), &ticket, Cause::NoEndpoint);
+    expect_that!(given_up.cause, eq(Cause::BackingOff));
+    // A caller is not told to wait for longer than a third of its time.
+    let refusal = place(&mut gateway, 1100).expect_err("no endpoint takes it");
+    expect_that!(refusal.retry_after.expect("a time").0, le(1000));
+    // One endpoint that takes requests ends it.
+    expect_that!(place(&mut gateway, 1500), ok(anything()));
+}
+
+/// The load balancer must not take routers out of rotation because endpoints pause.
+#[gtest]
+fn verify_a_router_stays_ready_while_all_endpoints_pause() {
+    let mut gateway = gateway(1);
+    back_off(&mut gateway, 100, 0, 2000);
+    expect_true!(gateway.ready(Time(200)));
+}
+
+#[gtest]
+fn verify_a_placed_request_is_not_sent_to_an_endpoint_that_pauses_meanwhile() {
+    let mut gateway = gateway(2);
+    let waiting = gateway.admit(Time(100), &request("/read/x"));
+    let waiting = waiting.expect("the request is admitted");
+    let placed = gateway.place(Time(100), &waiting, &request("/read/x"));
+    let placed = placed.expect("both endpoints are ready");
+    let resting = if key_of(&gateway, &id(0)) == Some(placed.endpoint) {
+        0
+    } else {
+        1
+    };
+    back_off(&mut gateway, 110, resting, 1000);
+    expect_false!(gateway.may_send_placed(Time(120), &waiting, &placed));
+    expect_that!(place(&mut gateway, 120), ok(not(eq(placed.endpoint))));
+}
+
+/// An endpoint that hangs is not given up for another one that pauses.
+#[gtest]
+fn verify_an_endpoint_that_pauses_is_no_alternative() {
+    let mut gateway = gateway(2);
+    let (ticket, _) = send(&mut gateway, 100, 0);
+    expect_that!(
+        gateway.silence_timeout(Time(100), &ticket, false),
+        some(anything())
+    );
+    back_off(&mut gateway, 110, 1, 1000);
+    expect_that!(gateway.silence_timeout(Time(120), &ticket, false), none());
+}
+
+/// A pause is neither a failure of the endpoint nor a reason to pause it once more.
+#[gtest]
+fn verify_a_pause_is_not_a_failure() {
+    let mut gateway = gateway(1);
+    let (mut ticket, key) = send(&mut gateway, 100, 0);
+    gateway.record_signal(Time(110), &ticket, Signal::BackOff(Millis(300)));
+    gateway.ended(Time(110), &mut ticket, key, AttemptOutcome::Rejected);
+    let endpoint = gateway.registry().get(key).expect("the endpoint is listed");
+    expect_that!(endpoint.failure_rate(Time(110)), eq(0.0));
+    expect_false!(endpoint.paused(Time(110)));
+    expect_that!(endpoint.own_in_flight, eq(0));
+    expect_true!(gateway.may_send(Time(410), key));
+}
+
+#[gtest]
+fn verify_the_end_of_a_pause_is_reported_once() {
+    let mut gateway = gateway(1);
+    back_off(&mut gateway, 100, 0, 300);
+    expect_that!(gateway.tick(Time(300)), is_empty());
+    let ended = RegistryEvent::BackOffEnded { id: id(0) };
+    expect_that!(gateway.tick(Time(400)), container_eq([ended]));
+    expect_that!(gateway.tick(Time(500)), is_empty());
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Entry { leaving: bool },
@@ -246,7 +428,7 @@
                 Step::Again if key_of(&gateway, &id(0)).is_some() && key_of(&gateway, &id(1)).is_some() => {
                     gateway.record_registry_read(Time(now), Time(now));
                     let (ticket, _) = send(&mut gateway, now, 0);
-                    gateway.record_leaving(&ticket);
+                    gateway.record_signal(Time(now), &ticket, Signal::Leaving);
                 }
                 Step::Again => {}
             }
@@ -257,3 +439,53 @@
         }
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(128)
+    })]
+
+    /// Whatever endpoints ask for, and whatever becomes of their entries, none gets a request in a time
+    /// for which it has asked for none.
+    #[test]
+    fn verify_no_request_is_sent_in_a_pause(
+        requests in prop::collection::vec(
+            (1..400_u64, prop::option::of(0..4000_u64), 0..40_u8), 1..200,
+        ),
+    ) {
+        let mut gateway = gateway(4);
+        let mut now = 10;
+        let mut ends = [0; 4];
+        for (pause, asked, act) in requests {
+            now += pause;
+            gateway.tick(Time(now));
+            match act {
+                0 => apply(&mut gateway, now, Change::Removed(id(1))),
+                1 => apply(&mut gateway, now, Change::Entry(entry(1))),
+                2 => apply(&mut gateway, now, catalog_change(now)),
+                _ => {}
+            }
+            let Ok(key) = place(&mut gateway, now) else {
+                let listed = key_of(&gateway, &id(1)).is_some();
+                let all_pause = (0..4).all(|n| now < ends[n] || (n == 1 && !listed));
+                prop_assert!(all_pause, "refused at {now}, pauses end at {ends:?}");
+                continue;
+            };
+            let endpoint = gateway.registry().get(key).map(|e| e.entry.id.clone());
+            let number = (0..4).find(|n| Some(id(*n)) == endpoint).unwrap_or(0);
+            prop_assert!(now >= ends[usize::from(number)], "{number} pauses at {now}");
+            let (mut ticket, key) = send(&mut gateway, now, number);
+            let outcome = match asked {
+                Some(asked) => {
+                    gateway.record_signal(Time(now), &ticket, Signal::BackOff(Millis(asked)));
+                    let end = &mut ends[usize::from(number)];
+                    *end = (*end).max(now + asked);
+                    AttemptOutcome::Rejected
+                }
+                None => AttemptOutcome::Answered,
+            };
+            gateway.ended(Time(now), &mut ticket, key, outcome);
+        }
+    }
+}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -143,6 +143,9 @@
         RegistryEvent::Restored { data_center } => {
             tracing::info!(event = 661, data_center = %text(data_center), "data centre restored");
         }
+        RegistryEvent::BackOffEnded { id } => {
+            tracing::info!(event = 664, endpoint = %text(id), "endpoint's pause has ended");
+        }
         RegistryEvent::Endpoint { id, state } => {
             tracing::info!(event = 655, endpoint = %text(id), %state, "endpoint changed");
         }
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -24,6 +24,7 @@
     arena::EndpointKey,
     gateway::{
         Gateway, Ticket,
+        endpoint::Signal,
         fingerprint::Content,
         incoming_request::IncomingRequest,
         outcome::{
@@ -222,7 +223,8 @@
 
     /// Returns the refusal for a request that is given up after its attempts.
     pub(crate) fn given_up(&self, cause: Cause) -> Refusal {
-        Refusal::given_up(cause, self.ticket.may_have_run)
+        let mut gateway = self.state.gateway.borrow_mut();
+        gateway.give_up(now(), &self.ticket, cause)
     }
 
     fn may_send(&self, placed: &Placed) -> bool {
@@ -518,17 +520,21 @@
         // Without the signature field, the answer is not the endpoint's own.
         if reply.leaving && (reply.sealed || reply.rejected) {
             self.state.metrics.count("signals", "leaving");
-            if gateway.record_leaving(&self.ticket) && self.state.log.try_admit() {
+            let news = gateway.record_signal(now(), &self.ticket, Signal::Leaving);
+            if news && self.state.log.try_admit() {
                 let endpoint = endpoint_name(&gateway, endpoint);
                 tracing::info!(event = 662, %id, %endpoint, status, "endpoint says that it leaves");
             }
         }
-        if let Some(asked) = reply.retry_after {
-            self.state.metrics.count("signals", "retry_after");
-            if self.state.log.try_admit() {
+        // With another status the field is about the request, not about the endpoint.
+        let unavailable = head.status == StatusCode::SERVICE_UNAVAILABLE;
+        if let Some(asked) = reply.retry_after.filter(|_| unavailable) {
+            self.state.metrics.count("signals", "back_off");
+            let news = gateway.record_signal(now(), &self.ticket, Signal::BackOff(asked));
+            if news && self.state.log.try_admit() {
                 let endpoint = endpoint_name(&gateway, endpoint);
                 let asked = asked.0;
-                tracing::info!(event = 663, %id, %endpoint, status, asked, "endpoint asks for a pause");
+                tracing::info!(event = 663, %id, %endpoint, asked, "endpoint asks for a pause");
             }
         }
     }
