Play engines that ask for pauses or say that they leave in the laboratory

What the users saw had no counterpart in the laboratory: its engines turned nobody away and said nothing of themselves. Two troubles now, and a judge of each of the two rules: arrivals from a router beyond two in a pause, and arrivals later than 2 s after an answer that says leaving.

--- a/crates/replay/src/lab/account.rs
+++ b/crates/replay/src/lab/account.rs
@@ -11,6 +11,9 @@
 /// Length of the windows over which the worst moment is judged, in milliseconds.
 const WORST_SPAN: u64 = 2000;
 
+/// Length of the windows in which arrivals at an engine are counted, in milliseconds.
+const CROWD_SPAN: u64 = 100;
+
 /// `Arrival` is one request that reached an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Arrival {
@@ -54,6 +57,15 @@
     pub broken: usize,
     /// Other requests that were held back.
     pub held: usize,
+    /// When engines turned requests away, in order.
+    pub rejected: Vec<u64>,
+    /// Arrivals from a router at an engine in the time for which the engine had asked it for none, beyond those that
+    /// are allowed.
+    pub in_back_off: usize,
+    /// Arrivals from a router at an engine that had told it that it leaves, later than allowed.
+    pub after_leaving: usize,
+    /// Arrivals by engine and tenth of a second.
+    pub crowds: std::collections::BTreeMap<(u64, usize), u32>,
 }
 
 impl Account {
@@ -82,6 +94,19 @@
         third.map_or(0, late)
     }
 
+    /// Gets the most requests that reached an engine in a tenth of a second, in a span.
+    pub fn largest_crowd(&self, from: u64, to: u64) -> u32 {
+        let span = self
+            .crowds
+            .range((from / CROWD_SPAN, 0)..(to / CROWD_SPAN, 0));
+        span.map(|(_, count)| *count).max().unwrap_or_default()
+    }
+
+    /// Counts an arrival at an engine.
+    pub fn count_arrival(&mut self, now: u64, engine: usize) {
+        *self.crowds.entry((now / CROWD_SPAN, engine)).or_default() += 1;
+    }
+
     /// Gets the share of requests that were answered in time, of those asked in a span.
     #[expect(clippy::cast_precision_loss, reason = "counts are small")]
     pub fn on_time(&self, from: u64, to: u64) -> f64 {
--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -28,7 +28,10 @@
             RawCatalog,
             Service, //
         },
-        endpoint::Entry,
+        endpoint::{
+            Entry,
+            Signal, //
+        },
         fingerprint::Fingerprint,
         incoming_request::{
             IncomingRequest,
@@ -50,7 +53,11 @@
             Policy as Hold,
             Record, //
         },
-        refusal::Cause,
+        refusal::{
+            Cause,
+            Refusal, //
+        },
+        retry_delay,
         route::{
             Kind as Way,
             Route,
@@ -95,9 +102,26 @@
 const RETRY: u64 = 1000;
 /// Times a mean that a drawn size is at least and at most.
 const SPREAD: std::ops::Range<f64> = 0.3..1.7;
+/// Time that a caller waits.
+const LIMIT: Millis = Millis(12_000);
 /// Connections that an engine takes.
 const CONNECTIONS: u32 = 560;
 
+/// Time after an engine's answer from which requests of that router count against its back-off, and how many may
+/// come until its end, in milliseconds.
+const BACK_OFF_GRACE: u64 = 500;
+const BACK_OFF_ALLOWED: u32 = 2;
+/// Time after an answer that says that an engine leaves for which requests of that router may still reach it, in
+/// milliseconds.
+const LEAVING_GRACE: u64 = 2000;
+/// `Pause` is a time for which an engine has asked a router for no requests, and the requests that came.
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    from: u64,
+    to: u64,
+    arrivals: u32,
+}
+
 /// `Request` is one request under way.
 #[derive(Clone, Debug)]
 struct Request {
@@ -110,6 +134,8 @@
     ticket: Option<(Ticket, EndpointKey)>,
     /// Whether it ends the engine that begins to run it.
     fatal: bool,
+    /// Whether its caller has come back after a refusal.
+    returned: bool,
 }
 
 /// `Life` is which life an engine has.
@@ -127,6 +153,7 @@
     Arrive(usize, usize),
     Hear(usize, Vec<EndpointReport>, Vec<Sample>, Vec<Record>),
     Broke(usize),
+    Rejected(usize, u64),
     Back(usize),
 }
 
@@ -139,6 +166,10 @@
     requests: Vec<Request>,
     next: BTreeMap<u64, Vec<Next>>,
     account: Account,
+    /// Back-offs that engines have asked routers for.
+    pauses: BTreeMap<(usize, usize), Vec<Pause>>,
+    /// When engines have first told routers that they leave.
+    told_leaving: BTreeMap<(usize, usize), u64>,
     /// Shared parts that some engine has read.
     known: indexmap::IndexSet<u64>,
     rng: StdRng,
@@ -169,6 +200,8 @@
             requests: Vec::new(),
             next: BTreeMap::new(),
             account: Account::default(),
+            pauses: BTreeMap::new(),
+            told_leaving: BTreeMap::new(),
             known: indexmap::IndexSet::new(),
             rng,
         }
@@ -249,6 +282,7 @@
             engine: 0,
             ticket: None,
             fatal: false,
+            returned: false,
             incoming_request: IncomingRequest {
                 id: Bytes::from(self.requests.len().to_string()),
                 host: Bytes::from_static(HOST),
@@ -291,6 +325,7 @@
                         self.routers[who].record_peer_crashes(Time(now), &records);
                     }
                     Next::Broke(number) => self.broke(now, number),
+                    Next::Rejected(number, asked) => self.rejected(now, number, asked),
                     Next::Back(engine) => self.back(now, engine),
                 }
             }
@@ -334,6 +369,9 @@
                 Err(refusal) => {
                     let held = refusal.cause == Cause::Quarantined && !request.fatal;
                     self.account.held += usize::from(held);
+                    if refusal.cause == Cause::BackingOff {
+                        self.refused(now, number, refusal);
+                    }
                     return;
                 }
             };
@@ -391,6 +429,73 @@
         }
     }
 
+    /// Ends an attempt that an engine turned away.
+    fn rejected(&mut self, now: u64, number: usize, asked: u64) {
+        let request = &mut self.requests[number];
+        let Some((mut ticket, endpoint)) = request.ticket.take() else {
+            return;
+        };
+        let router = &mut self.routers[request.router];
+        let at = Time(now);
+        if asked > 0 {
+            router.record_signal(at, &ticket, Signal::BackOff(Millis(asked)));
+        }
+        let next = router.ended(at, &mut ticket, endpoint, AttemptOutcome::Rejected);
+        if next == After::Again {
+            return self.send(now, number, ticket);
+        }
+        let refusal = router.give_up(at, &ticket, Cause::NoEndpoint);
+        self.refused(now, number, refusal);
+    }
+
+    /// Lets the caller of a refused request come back once, when it is told to.
+    fn refused(&mut self, now: u64, number: usize, refusal: Refusal) {
+        let deadline = Time(self.requests[number].asked) + LIMIT;
+        let draw = self.rng.random();
+        let soon = retry_delay(Time(now), deadline, draw);
+        let wait = refusal.retry_after.unwrap_or(soon);
+        let request = &mut self.requests[number];
+        if refusal.retryable && !std::mem::replace(&mut request.returned, true) {
+            self.later(now + wait.0, Next::Try(number));
+        }
+    }
+
+    /// Counts a request that reaches an engine against what that engine has told its router.
+    fn judge_arrival(&mut self, now: u64, router: usize, engine: usize) {
+        self.account.count_arrival(now, engine);
+        let told = self.told_leaving.get(&(router, engine));
+        let late = told.is_some_and(|told| now > told + LEAVING_GRACE);
+        self.account.after_leaving += usize::from(late);
+        let Some(pauses) = self.pauses.get_mut(&(router, engine)) else {
+            return;
+        };
+        pauses.retain(|p| now <= p.to);
+        for pause in pauses.iter_mut().filter(|p| now > p.from) {
+            pause.arrivals += 1;
+            let over = pause.arrivals > BACK_OFF_ALLOWED;
+            self.account.in_back_off += usize::from(over);
+        }
+    }
+
+    /// Gets the part of the engines that a trouble of this kind takes.
+    #[expect(clippy::cast_precision_loss, reason = "there are few engines")]
+    fn takes(&self, engine: usize, share: f64) -> bool {
+        (engine as f64) < share * self.engines.len() as f64
+    }
+
+    /// Gets whether an engine turns requests away, and for how long it asks for none then.
+    fn sheds(&self, now: u64, engine: usize) -> Option<u64> {
+        self.sheet.at(now).find_map(|t| match t {
+            Trouble::Shed { share, back_off } if self.takes(engine, share) => Some(back_off),
+            _ => None,
+        })
+    }
+
+    fn says_leaving(&self, now: u64, engine: usize) -> bool {
+        let leaves = |t| matches!(t, Trouble::Leaves { share } if self.takes(engine, share));
+        self.sheet.at(now).any(leaves)
+    }
+
     /// Lists an engine that is back, under a new name.
     fn back(&mut self, now: u64, engine: usize) {
         let before = self.lives[engine].number;
@@ -415,6 +520,20 @@
             at: now,
             over: load > MULTIPLE.0 * mean + MULTIPLE.1,
         });
+        let router = self.requests[number].router;
+        self.judge_arrival(now, router, engine);
+        if let Some(asked) = self.sheds(now, engine) {
+            self.account.rejected.push(now);
+            if asked > 0 {
+                let pause = Pause {
+                    from: now + BACK_OFF_GRACE,
+                    to: now + asked,
+                    arrivals: 0,
+                };
+                self.pauses.entry((router, engine)).or_default().push(pause);
+            }
+            return self.later(now + WAY, Next::Rejected(number, asked));
+        }
         let request = &self.requests[number];
         let Some(prompt) = &request.incoming_request.prompt else {
             return;
@@ -454,12 +573,19 @@
         if self.requests[number].fatal {
             return self.crash(now, engine);
         }
+        let leaving = self.says_leaving(now, engine);
         let request = &self.requests[number];
-        let Some((_, endpoint)) = &request.ticket else {
+        let Some((ticket, endpoint)) = &request.ticket else {
             return;
         };
         let load = self.engines[engine].load();
-        self.routers[request.router].record_load(Time(now), *endpoint, load);
+        let router = &mut self.routers[request.router];
+        router.record_load(Time(now), *endpoint, load);
+        if leaving {
+            router.record_signal(Time(now), ticket, Signal::Leaving);
+            let told = (request.router, engine);
+            self.told_leaving.entry(told).or_insert(now);
+        }
         let outcome = &mut self.account.outcomes[number];
         let took = now + WAY - request.asked;
         outcome.first = Some(took);
@@ -552,7 +678,7 @@
             service: Bytes::from_static(SERVICE),
             weight: 1,
         }],
-        limit: Millis(12_000),
+        limit: LIMIT,
         goal: Millis(600),
         pause: Millis(300),
         attempts: 2,
--- a/crates/replay/src/lab/sheet.rs
+++ b/crates/replay/src/lab/sheet.rs
@@ -43,6 +43,18 @@
         /// Milliseconds until an ended engine is back, under a new name.
         down: u64,
     },
+    /// A part of the engines turns all requests away.
+    Shed {
+        /// Which part.
+        share: f64,
+        /// Milliseconds for which such an engine asks for no requests; 0 if it does not ask.
+        back_off: u64,
+    },
+    /// A part of the engines says in all answers that it leaves; the registry does not.
+    Leaves {
+        /// Which part.
+        share: f64,
+    },
     /// All routers are lost at the beginning, and start again, knowing nothing, at the end.
     Lost,
 }
--- /dev/null
+++ b/crates/replay/tests/lab_signals.rs
@@ -0,0 +1,104 @@
+//! Engines that ask for pauses, or say that they leave, before fleets of several sizes in the laboratory.
+
+use googletest::prelude::*;
+use toucanturn_replay::lab::{
+    account::Account,
+    engine::Shape,
+    play,
+    sheet::{
+        Kind,
+        Sheet,
+        Span,
+        Trouble, //
+    },
+};
+
+/// Routers and engines of the fleets.
+const SIZES: [(usize, usize); 3] = [(7, 12), (86, 140), (295, 204)];
+/// Milliseconds for which engines ask for no requests.
+const BACK_OFF: u64 = 3000;
+/// When the trouble begins and ends, in milliseconds.
+const TROUBLE: (u64, u64) = (4000, 10_000);
+/// Time after the trouble in which the last back-offs end, in milliseconds.
+const RETURN: u64 = 4000;
+const LENGTH: u64 = 16_000;
+
+fn account((routers, engines): (usize, usize), trouble: Trouble) -> Account {
+    let kind = |rate, sessions, shared, own, output, goal| Kind {
+        rate,
+        sessions,
+        shared,
+        own,
+        output,
+        goal,
+    };
+    // As many requests for each engine, whatever the size.
+    let share = engines as f64 / 204.0;
+    let sheet = Sheet {
+        routers,
+        engines,
+        shape: Shape {
+            slots: 12,
+            step: 3.09,
+            per_request: 0.08,
+            read: 56.9,
+            chunk: 1024.0,
+            first: 41.0,
+            memory: 304_000,
+        },
+        kinds: vec![
+            kind(330.0 * share, 800, 8620, 580, 56, 500),
+            kind(347.0 * share, 1600, 2041, 360, 28, 800),
+            kind(92.0 * share, 400, 603, 110, 280, 1000),
+        ],
+        troubles: vec![Span {
+            from: TROUBLE.0,
+            to: TROUBLE.1,
+            trouble,
+        }],
+        length: LENGTH,
+        hold: 5000,
+    };
+    play(&sheet, 1)
+}
+
+/// Guards against routers that send on to engines that have asked for a pause, and against a crowd when it ends.
+#[gtest]
+fn verify_pauses_are_kept_at_any_size() {
+    for size in SIZES {
+        for share in [0.34, 1.0] {
+            let shed = |back_off| Trouble::Shed { share, back_off };
+            let asked = account(size, shed(BACK_OFF));
+            let unasked = account(size, shed(0));
+            expect_that!(asked.in_back_off, eq(0), "{size:?}, {share} of the engines");
+            let after = TROUBLE.1 + RETURN;
+            println!(
+                "{size:?}, {share} of the engines shed: {} rejected, {:.3} on time meanwhile, {:.3} in the return, \
+                 {:.3} after it, at most {} in 0.1 s at one engine; if they don't ask {}, {:.3}, {:.3}, {:.3}, {}",
+                asked.rejected.len(),
+                asked.on_time(TROUBLE.0, TROUBLE.1),
+                asked.on_time(TROUBLE.1, after),
+                asked.on_time(after, LENGTH - 1000),
+                asked.largest_crowd(TROUBLE.1, after),
+                unasked.rejected.len(),
+                unasked.on_time(TROUBLE.0, TROUBLE.1),
+                unasked.on_time(TROUBLE.1, after),
+                unasked.on_time(after, LENGTH - 1000),
+                unasked.largest_crowd(TROUBLE.1, after),
+            );
+        }
+    }
+}
+
+/// Guards against routers that send on to engines that have told them that they leave, while the registry has not.
+#[gtest]
+fn verify_engines_that_say_they_leave_get_nothing_at_any_size() {
+    for size in SIZES {
+        let account = account(size, Trouble::Leaves { share: 0.2 });
+        expect_that!(account.after_leaving, eq(0), "{size:?}");
+        println!(
+            "{size:?}, a fifth of the engines leave: {:.3} on time",
+            account.on_time(TROUBLE.0, TROUBLE.1)
+        );
+    }
+}
