Let the soak's endpoints say that they leave, or ask for pauses

Neither the soak's endpoints nor the fixed faults said anything of themselves, so no seed could find what the users saw. Two faults more, drawn apart so that older seeds keep theirs: an endpoint turns all away and asks for pauses of 0.8 to 4 s; one says in its answers that it leaves while its entry stays ready. One that leaves as it should now says so in its answers as well.

Two judges: said_leaving (a run of a request that was sent later than the bound after an answer that says so was passed on, by the same process) and back_off (more than two arrivals from half a second after the answer to the end of the pause). Suspension of the router excuses both; a disturbed way to the endpoint the second.

--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -37,6 +37,10 @@
 
 /// Time that a judge allows for what passes between the clocks of two processes, in milliseconds.
 const SLACK: u64 = 500;
+/// Time after an answer from which requests count against the pause that it asks for, in milliseconds, and how many
+/// may come until its end.
+const BACK_OFF_GRACE: u64 = 500;
+const BACK_OFF_MOST: usize = 2;
 /// Time for which a fault may still be felt in what a router knows, in milliseconds.
 const FELT: u64 = 3000;
 
@@ -82,6 +86,10 @@
     Evacuated,
     /// A cold endpoint gets no more than it tolerates.
     Warmup,
+    /// An endpoint that has told a router that it leaves gets nothing new from that router after the bound.
+    SaidLeaving,
+    /// An endpoint gets next to nothing from a router in the time for which it has asked that router for none.
+    BackOff,
 }
 
 /// `Finding` is a promise that was not kept.
@@ -96,12 +104,18 @@
 /// Runs of each request, in the order of their beginnings.
 type Runs<'a> = HashMap<&'a str, Vec<&'a RequestEvent>>;
 
+/// Requests by id.
+type Calls<'a> = HashMap<&'a str, &'a Call>;
+/// A process of a router, and an endpoint.
+type Link<'a> = ((usize, u32), &'a str);
+
 /// Judges a run.
 pub fn judge(record: &Record) -> Vec<Finding> {
     let mut runs: Runs<'_> = HashMap::new();
     for note in &record.notes {
         runs.entry(&note.id).or_default().push(note);
     }
+    let calls: Calls<'_> = record.calls.iter().map(|c| (c.id.as_str(), c)).collect();
     let mut findings = Vec::new();
     for promise in Promise::iter() {
         let found = match promise {
@@ -120,6 +134,8 @@
             Promise::Innocent => each(record, |call| innocent(record, call)),
             Promise::Evacuated => evacuated(record),
             Promise::Warmup => warmup(record),
+            Promise::SaidLeaving => said_leaving(record, &calls),
+            Promise::BackOff => back_off(record, &calls),
         };
         let found = found.into_iter().map(|what| Finding { promise, what });
         findings.extend(found);
@@ -425,3 +441,73 @@
     };
     record.cold.iter().filter_map(crowd).collect()
 }
+
+/// Tells between which process of a router and which endpoint a note is.
+fn link<'a>(note: &'a RequestEvent, calls: &Calls<'_>) -> Option<Link<'a>> {
+    let call = calls.get(note.id.as_str())?;
+    Some(((call.router, call.life), &note.replica))
+}
+
+fn said_leaving(record: &Record, calls: &Calls<'_>) -> Vec<String> {
+    // When each process has first passed on an answer that says so. It was said from its beginning on.
+    let mut told: HashMap<Link<'_>, u64> = HashMap::new();
+    for note in &record.notes {
+        let call = calls.get(note.id.as_str());
+        let passed_on = call.filter(|c| note.says_leaving && c.status == 200 && c.whole);
+        if let (RequestEventKind::Began, Some(call)) = (note.what, passed_on)
+            && let Some(link) = link(note, calls)
+        {
+            let at = told.entry(link).or_insert(call.ended);
+            *at = call.ended.min(*at);
+        }
+    }
+    let late = |note: &RequestEvent| {
+        let link = link(note, calls)?;
+        let (at, call) = (*told.get(&link)?, calls.get(note.id.as_str())?);
+        let began = note.what == RequestEventKind::Began;
+        let paused = |t| t == Target::Paused(call.router);
+        let late = began && call.sent > at + LEAVING_MS + SLACK;
+        (late && !record.faulty(at, note.at_ms, paused)).then(|| {
+            let (id, replica, after) = (&note.id, &note.replica, call.sent - at);
+            format!(
+                "{id} began at {replica} {after} ms after that had told its router that it leaves"
+            )
+        })
+    };
+    record.notes.iter().filter_map(late).collect()
+}
+
+fn back_off(record: &Record, calls: &Calls<'_>) -> Vec<String> {
+    let mut arrivals: HashMap<Link<'_>, Vec<u64>> = HashMap::new();
+    let arrives =
+        |n: &RequestEvent| matches!(n.what, RequestEventKind::Began | RequestEventKind::Rejected);
+    for note in record.notes.iter().filter(|n| arrives(n)) {
+        if let Some(link) = link(note, calls) {
+            arrivals.entry(link).or_default().push(note.at_ms);
+        }
+    }
+    let asks = record.notes.iter().filter(|n| n.back_off_ms > 0);
+    let broken = |note: &RequestEvent| {
+        let link = link(note, calls)?;
+        let (from, to) = (note.at_ms + BACK_OFF_GRACE, note.at_ms + note.back_off_ms);
+        // A router that was suspended, or whose way to the endpoint was disturbed, may not have heard it.
+        let place = number(&note.replica);
+        let unheard = |t| match t {
+            Target::Paused(n) => n == link.0.0,
+            Target::Replica(n) | Target::HeldUp(n) => Some(n) == place,
+            _ => false,
+        };
+        if from >= to || record.faulty(note.at_ms, to, unheard) {
+            return None;
+        }
+        let inside = |at: &&u64| (from + 1..=to).contains(*at);
+        let count = arrivals.get(&link)?.iter().filter(inside).count();
+        let (replica, asked, router) = (&note.replica, note.back_off_ms, link.0.0);
+        (count > BACK_OFF_MOST).then(|| {
+            format!(
+                "{replica} asked router {router} for {asked} ms without requests and got {count}"
+            )
+        })
+    };
+    asks.filter_map(broken).collect()
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -17,14 +17,17 @@
 /// Longest time of a fault, in milliseconds: over the bounds on keys and on leaving.
 const LONGEST: u64 = 3500;
 
-/// Faults that are drawn by chance: all but the last two.
-const DRAWN: usize = Fault::COUNT - 2;
+/// Faults that are drawn by chance: all but the last four.
+const DRAWN: usize = Fault::COUNT - 4;
 /// Most requests of a plan that end endpoints, and what their draws are told apart by.
 const MOST_FATAL: usize = 2;
 const FATAL_SEED: u64 = 0xfa7a1;
 /// Most evacuations of a plan, and what their draws are told apart by.
 const MOST_EVACUATIONS: usize = 2;
 const EVACUATION_SEED: u64 = 0xe7ac;
+/// Most endpoints of a plan that ask for pauses or say that they leave, and what their draws are told apart by.
+const MOST_SIGNALS: usize = 4;
+const SIGNAL_SEED: u64 = 0x516a1;
 /// Shortest time of an evacuation, in milliseconds: over its bound.
 const EVACUATION_SHORTEST: u64 = 2500;
 
@@ -109,6 +112,10 @@
     FatalRequest,
     /// A data centre is evacuated and restored, its endpoints warm or cold.
     Evacuated,
+    /// An endpoint turns all away and asks for pauses.
+    ReplicaBacksOff,
+    /// An endpoint says in its answers that it leaves, and its entry says that it is ready.
+    ReplicaSaysLeaving,
 }
 
 /// `Step` is one fault at its time.
@@ -194,10 +201,12 @@
     (0..count).map(step).collect()
 }
 
-/// Makes the plan of a seed with all that is drawn apart: requests that end endpoints, and evacuations.
+/// Makes the plan of a seed with all that is drawn apart: requests that end endpoints, evacuations, and what endpoints
+/// say of themselves.
 pub fn whole_plan(seed: u64, size: &Size) -> Vec<Step> {
     let mut steps = plan_with_fatal(seed, size);
     steps.extend(evacuations(seed, size));
+    steps.extend(signals(seed, size));
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -216,3 +225,22 @@
     };
     (0..count).map(step).collect()
 }
+
+/// Draws endpoints that ask for pauses or say that they leave, apart from the other faults.
+fn signals(seed: u64, size: &Size) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed ^ SIGNAL_SEED);
+    let count = rng.random_range(0..=MOST_SIGNALS);
+    let step = |_| Step {
+        at: CALM + rng.random_range(0..size.millis.max(1)),
+        lasts: rng.random_range(LONGEST / 2..LONGEST),
+        fault: if rng.random_bool(0.5) {
+            Fault::ReplicaBacksOff
+        } else {
+            Fault::ReplicaSaysLeaving
+        },
+        router: 0,
+        replica: rng.random_range(0..size.replicas.max(1)),
+        variant: rng.random_range(0..1000),
+    };
+    (0..count).map(step).collect()
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -53,6 +53,7 @@
     },
     fleet::{
         Fleet,
+        LEAVING_MS,
         REVOKE_MS,
         ROUTE_MS,
         STOP_S,
@@ -89,6 +90,8 @@
 const FAILING: Duration = Duration::from_secs(5);
 /// Step from one odd act to the next; all follow each other in some plan.
 const STRIDE: usize = 5;
+/// Seconds for which an endpoint asks for no requests.
+const PAUSES: [&str; 4] = ["0.8", "1", "2.5", "4"];
 /// Delay of a slow link.
 const SLOW: Duration = Duration::from_millis(60);
 
@@ -195,7 +198,18 @@
             signal(fleet, router, Signal::HUP);
             fleet.routers[router].borrow_mut().busy = false;
         }
-        Fault::ReplicaKilled | Fault::ReplicaPaused | Fault::ReplicaLeaves => {
+        Fault::ReplicaBacksOff => {
+            let retry_after = PAUSES[step.variant % PAUSES.len()].to_owned();
+            let back_off = Behavior::BackOff { retry_after };
+            let usual = replica::ControlCommand::Usual;
+            fleet.tell_replica(n, &usual(back_off)).await;
+            sleep(lasts).await;
+            fleet.tell_replica(n, &usual(USUAL)).await;
+        }
+        Fault::ReplicaKilled
+        | Fault::ReplicaPaused
+        | Fault::ReplicaLeaves
+        | Fault::ReplicaSaysLeaving => {
             let free = !std::mem::replace(&mut fleet.replicas[n].borrow_mut().busy, true);
             if free {
                 replica_process(fleet, step, lasts).await?;
@@ -371,7 +385,14 @@
             fleet.replicas[n].borrow_mut().busy = false;
             return Ok(());
         }
+        Fault::ReplicaSaysLeaving => {
+            fleet.tell_replica(n, &replica::ControlCommand::Leave).await;
+            sleep(Duration::from_millis(LEAVING_MS) + lasts).await;
+            from = clock_ms();
+            signal(Signal::KILL);
+        }
         Fault::ReplicaLeaves => {
+            fleet.tell_replica(n, &replica::ControlCommand::Leave).await;
             fleet.enter(n, "draining", 0).await?;
             let at = clock_ms();
             let replica = fleet.replicas[n].borrow().id.clone();
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -383,3 +383,97 @@
     };
     expect_that!(found(&held_up), is_empty());
 }
+
+#[gtest]
+fn verify_work_at_an_endpoint_that_said_it_leaves_is_noticed() {
+    let told = Call {
+        sent: 7000,
+        ended: 7050,
+        ..call("a", Kind::Read)
+    };
+    let says = RequestEvent {
+        says_leaving: true,
+        ..note("a", 7010)
+    };
+    let run = |sent: u64, router, life| {
+        let later = Call {
+            sent,
+            ended: sent + 50,
+            router,
+            life,
+            ..call("b", Kind::Read)
+        };
+        record(
+            vec![told.clone(), later],
+            vec![says.clone(), note("b", sent + 10)],
+        )
+    };
+    expect_that!(
+        found(&run(8600, 0, 1)),
+        elements_are![eq(&Promise::SaidLeaving)]
+    );
+    // Within the bound, by another router, and by the router's next process.
+    for sound in [run(8500, 0, 1), run(8600, 1, 1), run(8600, 0, 2)] {
+        expect_that!(found(&sound), is_empty());
+    }
+    let span = Span {
+        target: Target::Paused(0),
+        from: 7500,
+        to: 8000,
+    };
+    let suspended = Record {
+        spans: vec![span],
+        ..run(8600, 0, 1)
+    };
+    expect_that!(found(&suspended), is_empty());
+    let mut unheard = run(8600, 0, 1);
+    unheard.calls[0].status = 502;
+    expect_that!(found(&unheard), is_empty(), "the answer was not passed on");
+}
+
+#[gtest]
+fn verify_requests_in_a_pause_that_was_asked_for_are_noticed() {
+    let run = |at: [u64; 3], life| {
+        let turned_away = Call {
+            status: 503,
+            body: String::new(),
+            ..call("a", Kind::Read)
+        };
+        let asks = RequestEvent {
+            what: RequestEventKind::Rejected,
+            back_off_ms: 2000,
+            ..note("a", 10_000)
+        };
+        let later = |n: usize| Call {
+            life,
+            ..call(&format!("b{n}"), Kind::Read)
+        };
+        let mut calls = vec![turned_away];
+        calls.extend((0..3).map(later));
+        let mut notes = vec![asks];
+        notes.extend((0..3).map(|n| note(&format!("b{n}"), at[n])));
+        record(calls, notes)
+    };
+    let broken = run([10_501, 11_000, 12_000], 1);
+    expect_that!(found(&broken), elements_are![eq(&Promise::BackOff)]);
+    // One within the grace, one after the end, and to another process of the router.
+    for sound in [
+        run([10_500, 11_000, 12_000], 1),
+        run([10_501, 11_000, 12_001], 1),
+        run([10_501, 11_000, 12_000], 2),
+    ] {
+        expect_that!(found(&sound), is_empty());
+    }
+    for target in [Target::Paused(0), Target::Replica(0), Target::HeldUp(0)] {
+        let span = Span {
+            target,
+            from: 9000,
+            to: 10_500,
+        };
+        let unheard = Record {
+            spans: vec![span],
+            ..broken.clone()
+        };
+        expect_that!(found(&unheard), is_empty(), "{target:?}");
+    }
+}
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -95,6 +95,30 @@
     expect_that!(findings(&steps, 5, SHORT), is_empty());
 }
 
+/// Guards against routers that go on sending to endpoints that say that they leave or ask for pauses, while the registry
+/// is away and after it is back.
+#[gtest]
+fn verify_what_endpoints_say_of_themselves_holds_among_other_faults() {
+    let step = |at, lasts, fault, replica, variant| Step {
+        at,
+        lasts,
+        fault,
+        router: 0,
+        replica,
+        variant,
+    };
+    let steps = [
+        step(500, 3000, Fault::ReplicaSaysLeaving, 0, 0),
+        step(700, 1500, Fault::StoreBusy, 0, 0),
+        step(1500, 3000, Fault::ReplicaBacksOff, 1, 2),
+        step(2500, 2500, Fault::ReplicaBacksOff, 2, 1),
+        step(4000, 300, Fault::RouterKilled, 0, 0),
+        step(5000, 3000, Fault::ReplicaSaysLeaving, 3, 0),
+        step(5200, 1000, Fault::StoreSlow, 0, 0),
+    ];
+    expect_that!(findings(&steps, 40, SHORT), is_empty());
+}
+
 /// Guards against requests that end endpoints among other faults: two of them, while endpoints and routers are killed.
 #[gtest]
 fn verify_requests_that_end_endpoints_are_contained_among_other_faults() {
