Judge a run in an evacuated data centre by when its request was sent

Trace: the endpoint's process was suspended from 1,702,239 to 1,705,385; the requests had been sent at 1,702,238 to 1,702,439, before the evacuation (1,702,791), waited in its sockets, and began as it went on. No router could have kept them back, and the promise is about what routers send.

A run counts no longer if its request was sent within the bound and its endpoint was held up between the bound and the run. One that was sent later, or met an endpoint that ran, counts as before; the judge's test shows all three.

--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -132,7 +132,7 @@
             Promise::Recovered => record.unrecovered.clone(),
             Promise::Contained => contained(record, &runs),
             Promise::Innocent => each(record, |call| innocent(record, call)),
-            Promise::Evacuated => evacuated(record),
+            Promise::Evacuated => evacuated(record, &calls),
             Promise::Warmup => warmup(record),
             Promise::SaidLeaving => said_leaving(record, &calls),
             Promise::BackOff => back_off(record, &calls),
@@ -390,16 +390,23 @@
     replica.split('-').nth(1)?.parse().ok()
 }
 
-fn evacuated(record: &Record) -> Vec<String> {
+fn evacuated(record: &Record, calls: &Calls<'_>) -> Vec<String> {
     let mut found = Vec::new();
     for evacuation in &record.evacuations {
         let end = evacuation.from.saturating_add(EVACUATION_MS + SLACK);
         let during = end..evacuation.to.unwrap_or(u64::MAX);
+        // A request that was sent in time may wait at an endpoint that is held up.
+        let waited = |note: &RequestEvent| {
+            let in_time = calls.get(note.id.as_str()).is_some_and(|c| c.sent < end);
+            let held_up = number(&note.replica).map(Target::HeldUp);
+            in_time && record.faulty(end, note.at_ms, |t| Some(t) == held_up)
+        };
         let late = |note: &&RequestEvent| {
             let place = number(&note.replica).map(data_center);
             note.what == RequestEventKind::Began
                 && during.contains(&note.at_ms)
                 && place == Some(&evacuation.data_center)
+                && !waited(note)
         };
         let late = record.notes.iter().filter(late);
         found.extend(late.map(|note| {
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -345,6 +345,22 @@
         found(&run("i-0-0", 10_010)),
         elements_are![eq(&Promise::Evacuated)]
     );
+    // A request that was sent in time and waited at an endpoint that was held up is allowed, one that was sent late isn't.
+    let held_up = |sent| {
+        let mut record = run("i-0-0", 10_010);
+        record.calls[0].sent = sent;
+        record.spans.push(Span {
+            target: Target::HeldUp(0),
+            from: 8000,
+            to: 12_000,
+        });
+        record
+    };
+    expect_that!(found(&held_up(8000)), is_empty());
+    expect_that!(
+        found(&held_up(9500)),
+        elements_are![eq(&Promise::Evacuated)]
+    );
     // Within the bound, after it was restored, and in another data centre.
     for sound in [
         run("i-0-0", 8000),
