Tell peers of endpoints that have asked for a back-off

In a large fleet an endpoint that sheds tells each router by itself: 295 routers wasted an attempt each before all knew.

The rule binds the router that was asked, and a report may be wrong, late, or true for its sender alone. So it is a preference: for 3 s at most the endpoint counts as loaded by 24 requests more, less the share of endpoints of which that is told; not if it has served this router within half a second. Where all are told of, none is avoided.

Tried before: leaving the endpoint out as long as others are left.

--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -62,6 +62,9 @@
 /// Longest time for which an endpoint gets no requests because it asked for that. One that asks for
 /// more by mistake is tried again after it.
 const MAX_BACK_OFF: Millis = Millis(3_600_000);
+/// Time after the sending of a request that was answered for which peers' reports of a back-off are
+/// not heeded.
+const RECENTLY_SERVED: Millis = Millis(500);
 /// Latency that a rejected request counts as: the caller waits before it retries, and the retry
 /// then takes as long as any other request.
 const REJECTED_LATENCY: Millis = Millis(600);
@@ -192,6 +195,8 @@
     pub evacuated: Option<Time>,
     /// What it has said of itself.
     pub signals: Signals,
+    /// Until when other endpoints are preferred because it has asked another router for a back-off.
+    avoided_until: Time,
     /// Until when it is cold by its registry entry.
     cold_until: Time,
     /// Until when it may be cold although its registry entry doesn't say so yet.
@@ -238,6 +243,7 @@
             state,
             evacuated: None,
             signals: Signals::default(),
+            avoided_until: Time(0),
             cold_until: Time(0),
             maybe_cold_until: Time(0),
             seed,
@@ -284,6 +290,23 @@
         news
     }
 
+    /// Notes that it has asked another router for a back-off that ends in `left`.
+    ///
+    /// It did not ask this router, and the report may be wrong or hold for that router alone. So other
+    /// endpoints are only preferred for a while, and not if it has just served this router.
+    pub fn record_peer_back_off(&mut self, now: Time, left: Millis) {
+        let serves = |at: Time| now.since(at) < RECENTLY_SERVED;
+        if !self.confirmed_at.is_some_and(serves) {
+            let until = now + Millis(left.0.min(mesh::MAX_PEER_BACK_OFF.0));
+            self.avoided_until = self.avoided_until.max(until);
+        }
+    }
+
+    /// Tells whether other endpoints are preferred because it has asked another router for a back-off.
+    pub fn avoided(&self, now: Time) -> bool {
+        now < self.avoided_until
+    }
+
     /// Gets how much longer it wants no requests.
     pub fn back_off(&self, now: Time) -> Millis {
         let until = self.signals.back_off_until;
--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -41,6 +41,10 @@
 /// round. Without samples, a session that suddenly gets much of the traffic stays on too few
 /// endpoints for seconds.
 pub const MAX_SAMPLES: usize = 2;
+/// Limit of the endpoints in a digest that have asked for no requests.
+pub const MAX_BACK_OFFS: usize = 4;
+/// Longest time for which one report of a back-off makes a router prefer other endpoints.
+pub const MAX_PEER_BACK_OFF: Millis = Millis(3000);
 /// Longest time from a request to the head of its answer for which the answer's load is also
 /// reported as a confirmation. Most heads come sooner.
 pub const MAX_CONFIRMED_LATENCY: Millis = Millis(300);
@@ -98,11 +102,20 @@
     pub confirmed: bool,
 }
 
-/// Returns by how many reports a digest must be shortened so that these crash records leave its
-/// size about the same.
-pub fn displaced_reports(records: &[Record]) -> usize {
+/// `BackOffReport` is an endpoint that has asked the sender of a digest for no requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BackOffReport {
+    /// Tag of the endpoint's incarnation.
+    pub endpoint: u32,
+    /// Time until the end of its back-off, at most [`MAX_PEER_BACK_OFF`].
+    pub left: Millis,
+}
+
+/// Returns by how many reports a digest must be shortened so that these crash records and back-offs
+/// leave its size about the same.
+pub fn displaced_reports(records: &[Record], back_offs: &[BackOffReport]) -> usize {
     let crashes: usize = records.iter().map(|r| r.crashes.len()).sum();
-    2 * records.len() + crashes
+    2 * records.len() + crashes + back_offs.len() + usize::from(!back_offs.is_empty())
 }
 
 impl EndpointReport {
@@ -139,6 +152,8 @@
     pub samples: Vec<Sample>,
     /// Requests that were in progress at endpoints that broke the connection.
     pub crashes: Vec<Record>,
+    /// Endpoints that have asked the sender for no requests.
+    pub back_offs: Vec<BackOffReport>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -232,6 +247,7 @@
             reports,
             samples: Vec::new(),
             crashes: Vec::new(),
+            back_offs: Vec::new(),
         }
     }
 
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -55,7 +55,7 @@
 /// Age from which a load is stale.
 const STALE_LOAD_AGE: Millis = Millis(500);
 /// Load equivalent of a failure rate of 1, for the part of the rate that is above the mean by more
-/// than [`FAILURE_TOLERANCE`].
+/// than [`FAILURE_TOLERANCE`], and of a back-off that peers report.
 const FAILURE_LOAD: f32 = 24.0;
 /// Failure rate above the mean that may be due to chance: two standard deviations of about eight
 /// answers of which half fail. Without it, where all engines fail alike and none is a better
@@ -220,6 +220,8 @@
 struct ServiceMean {
     load: f32,
     failure_rate: f32,
+    /// Share of the endpoints that peers report to back off.
+    avoided: f32,
 }
 
 impl ServiceMean {
@@ -228,9 +230,11 @@
         let count = all.len().max(1) as f32;
         let load: u32 = all.iter().map(|(_, e)| e.load(context.now)).sum();
         let failure_rate: f32 = all.iter().map(|(_, e)| e.failure_rate(context.now)).sum();
+        let avoided = all.iter().filter(|(_, e)| e.avoided(context.now)).count();
         Self {
             load: load as f32 / count,
             failure_rate: failure_rate / count,
+            avoided: avoided as f32 / count,
         }
     }
 }
@@ -251,7 +255,19 @@
 #[expect(clippy::cast_precision_loss, reason = "loads are small numbers")]
 fn cost(context: &PlacementContext<'_>, endpoint: &Endpoint, mean: ServiceMean) -> f32 {
     let above = endpoint.failure_rate(context.now) - mean.failure_rate - FAILURE_TOLERANCE;
-    endpoint.load(context.now) as f32 + above.max(0.0) * FAILURE_LOAD
+    let refusing = above.max(0.0) + avoidance(context, endpoint, mean);
+    endpoint.load(context.now) as f32 + refusing * FAILURE_LOAD
+}
+
+/// Returns by how much an endpoint is to be avoided because peers report that it backs off, from 0 to
+/// 1; 0 where all endpoints do, as none is a better choice then.
+fn avoidance(context: &PlacementContext<'_>, endpoint: &Endpoint, mean: ServiceMean) -> f32 {
+    let avoided = if endpoint.avoided(context.now) {
+        1.0
+    } else {
+        0.0
+    };
+    (avoided - mean.avoided).max(0.0)
 }
 
 /// Finds the endpoint other than `chosen` that most likely holds prompts with `part_id`: the first
@@ -331,15 +347,22 @@
     let rank = if stated {
         least(context, candidates, |e| cost(context, e, mean))?
     } else {
-        least(context, candidates, |e| expected_answer_time(context, e))?
+        least(context, candidates, |e| {
+            expected_answer_time(context, e, mean)
+        })?
     };
     placed(context, candidates, rank, mean)
 }
 
 /// Estimates the time until an endpoint answers.
 #[expect(clippy::cast_precision_loss, reason = "loads are small numbers")]
-fn expected_answer_time(context: &PlacementContext<'_>, endpoint: &Endpoint) -> f32 {
-    let failure_factor = 1.0 + endpoint.failure_rate(context.now) * FAILURE_TIME_FACTOR;
+fn expected_answer_time(
+    context: &PlacementContext<'_>,
+    endpoint: &Endpoint,
+    mean: ServiceMean,
+) -> f32 {
+    let refusing = endpoint.failure_rate(context.now) + avoidance(context, endpoint, mean);
+    let failure_factor = 1.0 + refusing * FAILURE_TIME_FACTOR;
     (endpoint.latency(context.now) + 1.0) * (endpoint.own_in_flight as f32 + 1.0) * failure_factor
 }
 
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -20,7 +20,10 @@
             State, //
         },
         mesh::{
+            BackOffReport,
             EndpointReport,
+            MAX_BACK_OFFS,
+            MAX_PEER_BACK_OFF,
             MAX_REPORTS_WITHOUT_LOAD, //
         },
         outcome::AttemptOutcome,
@@ -355,6 +358,29 @@
         }
     }
 
+    /// Lists endpoints that have asked this router for a back-off, for its peers; `draw` picks them.
+    pub fn back_offs(&self, now: Time, draw: u64) -> Vec<BackOffReport> {
+        let report = |e: &Endpoint| BackOffReport {
+            endpoint: e.tag().0,
+            left: Millis(e.back_off(now).0.min(MAX_PEER_BACK_OFF.0)),
+        };
+        let all = self.endpoints.values().filter(|e| e.backing_off(now));
+        let mut reports: Vec<BackOffReport> = all.map(report).collect();
+        if reports.len() > MAX_BACK_OFFS {
+            reports.sort_by_key(|r| score(draw, r.endpoint.into()));
+            reports.truncate(MAX_BACK_OFFS);
+        }
+        reports
+    }
+
+    /// Applies a peer's report of a back-off.
+    pub fn record_peer_back_off(&mut self, now: Time, report: BackOffReport) {
+        let key = self.by_tag.get(&Tag(report.endpoint));
+        if let Some(endpoint) = key.and_then(|k| self.endpoints.get_mut(*k)) {
+            endpoint.record_peer_back_off(now, report.left);
+        }
+    }
+
     /// Ends the back-offs whose time has passed.
     pub fn end_back_offs(&mut self, now: Time, events: &mut Vec<RegistryEvent>) {
         for endpoint in self.endpoints.values_mut() {
--- a/crates/core/src/gateway/updates.rs
+++ b/crates/core/src/gateway/updates.rs
@@ -97,6 +97,17 @@
     },
 }
 
+/// `DigestContents` is what a digest tells peers of endpoints.
+#[derive(Clone, Debug, Default)]
+pub struct DigestContents {
+    /// States of endpoints.
+    pub reports: Vec<mesh::EndpointReport>,
+    /// Requests that were in progress at endpoints whose connections broke.
+    pub crashes: Vec<Record>,
+    /// Endpoints that have asked this router for a back-off.
+    pub back_offs: Vec<mesh::BackOffReport>,
+}
+
 impl Gateway {
     /// Notes a registry read that was sent at `sent` and returned the newest state; the changes
     /// that it found follow. If the registry had not answered for long before `sent`, it counts as
@@ -180,17 +191,26 @@
         }
     }
 
-    /// Picks what a digest tells peers of endpoints: the newest reports, and the quarantine's
-    /// records of requests that were in progress at endpoints whose connections broke. The records
-    /// displace some of the reports.
-    pub fn digest_contents(
-        &mut self,
-        now: Time,
-        draw: u64,
-    ) -> (Vec<mesh::EndpointReport>, Vec<Record>) {
-        let records = self.quarantine.records(now);
-        let room = mesh::MAX_REPORTS.saturating_sub(mesh::displaced_reports(&records));
-        (self.registry.reports(now, draw, room), records)
+    /// Picks what a digest tells peers of endpoints: the newest reports, the quarantine's records of
+    /// requests that were in progress at endpoints whose connections broke, and endpoints that have
+    /// asked for a back-off. Records and back-offs displace some of the reports.
+    pub fn digest_contents(&mut self, now: Time, draw: u64) -> DigestContents {
+        let crashes = self.quarantine.records(now);
+        let back_offs = self.registry.back_offs(now, draw);
+        let displaced = mesh::displaced_reports(&crashes, &back_offs);
+        let room = mesh::MAX_REPORTS.saturating_sub(displaced);
+        DigestContents {
+            reports: self.registry.reports(now, draw, room),
+            crashes,
+            back_offs,
+        }
+    }
+
+    /// Takes in a peer's reports of endpoints that have asked it for a back-off.
+    pub fn record_peer_back_offs(&mut self, now: Time, reports: &[mesh::BackOffReport]) {
+        for report in reports {
+            self.registry.record_peer_back_off(now, *report);
+        }
     }
 
     /// Takes in a peer's quarantine records.
--- a/crates/core/tests/gateway/lives.rs
+++ b/crates/core/tests/gateway/lives.rs
@@ -105,7 +105,7 @@
         slots: 64,
     };
     gateway.record_load(Time(6), key, load);
-    let (reports, _) = gateway.digest_contents(Time(7), 1);
+    let reports = gateway.digest_contents(Time(7), 1).reports;
     apply_entry(&mut gateway, 8, entry_started_at(number, 200));
     expect_that!(gateway.registry().get(key).is_none(), eq(true));
     // A report about the old incarnation, from a router that has not heard of the restart.
--- a/crates/core/tests/gateway/quarantine.rs
+++ b/crates/core/tests/gateway/quarantine.rs
@@ -233,7 +233,7 @@
             let id = entry(u8::try_from(n).expect("the number fits")).id;
             break_connection(&mut one, now, &format!("fatal-{n}"), &id);
         }
-        let (_, records) = one.digest_contents(Time(1300), 1);
+        let records = one.digest_contents(Time(1300), 1).crashes;
         other.record_peer_crashes(Time(1310), &records);
         for n in 0..4 {
             let now = Time(1700 + n * 300);
@@ -241,7 +241,7 @@
             break_connection(&mut other, now, "a", &id);
             other.tick(now + Millis(50));
             if forwarded {
-                let (_, records) = other.digest_contents(now + Millis(60), 1);
+                let records = other.digest_contents(now + Millis(60), 1).crashes;
                 one.record_peer_crashes(now + Millis(70), &records);
                 one.tick(now + Millis(100));
             }
@@ -391,7 +391,7 @@
     for n in 0..3 {
         send_crashing_request(&mut other, Time(1000 + n * 300), "a");
     }
-    let (_, records) = other.digest_contents(Time(2000), 1);
+    let records = other.digest_contents(Time(2000), 1).crashes;
     one.record_peer_crashes(Time(2000), &records);
     let mut ticket = admit_request(&mut one, Time(2500), "b");
     ticket.content = Some(fingerprint("a"));
@@ -405,10 +405,10 @@
     one.ended(Time(2600), &mut ticket, key, AttemptOutcome::Answered);
     // `other` receives nothing for a long time.
     let later = Time(8000);
-    expect_that!(one.digest_contents(later, 1).1, is_empty());
-    let (_, records) = other.digest_contents(later, 1);
+    expect_that!(one.digest_contents(later, 1).crashes, is_empty());
+    let records = other.digest_contents(later, 1).crashes;
     one.record_peer_crashes(later, &records);
-    let (_, records) = one.digest_contents(later + GOSSIP_INTERVAL, 1);
+    let records = one.digest_contents(later + GOSSIP_INTERVAL, 1).crashes;
     other.record_peer_crashes(later + GOSSIP_INTERVAL, &records);
     expect_false!(is_quarantined(&mut other, later + GOSSIP_INTERVAL, "a"));
 }
@@ -507,7 +507,7 @@
         let now = self.now;
         for n in 0..self.routers.len() {
             self.routers[n].tick(now);
-            let (_, records) = self.routers[n].digest_contents(now, 1);
+            let records = self.routers[n].digest_contents(now, 1).crashes;
             self.sent_records += records.len();
             for _ in 0..FANOUT {
                 let to = self.rng.random_range(0..self.routers.len());
--- a/crates/core/tests/gateway/signals.rs
+++ b/crates/core/tests/gateway/signals.rs
@@ -17,10 +17,17 @@
         Change, Gateway, RegistryEvent, Ticket,
         endpoint::{
             Entry,
+            Load,
             Signal,
             State, //
         },
         incoming_request::IncomingRequest,
+        mesh::{
+            BackOffReport,
+            MAX_BACK_OFFS,
+            MAX_PEER_BACK_OFF,
+            MAX_REPORTS, //
+        },
         outcome::AttemptOutcome,
         refusal::{
             Cause,
@@ -369,6 +376,80 @@
     expect_that!(gateway.tick(Time(500)), is_empty());
 }
 
+fn report_of(gateway: &Gateway, number: u8, left: u64) -> BackOffReport {
+    let key = key_of(gateway, &id(number)).expect("the endpoint is listed");
+    let endpoint = gateway.registry().get(key).expect("the endpoint is listed");
+    BackOffReport {
+        endpoint: endpoint.tag().0,
+        left: Millis(left),
+    }
+}
+
+/// A peer's report makes a router prefer other endpoints for a while; it can't take an endpoint out.
+#[gtest]
+fn verify_a_back_off_that_a_peer_reports_is_a_preference() {
+    let mut gateway = gateway(2);
+    let avoided = key_of(&gateway, &id(0)).expect("the endpoint is listed");
+    let report = report_of(&gateway, 0, u64::MAX);
+    gateway.record_peer_back_offs(Time(1000), &[report]);
+    for now in (1000..4000).step_by(90) {
+        expect_that!(place(&mut gateway, now), ok(not(eq(avoided))), "at {now}");
+    }
+    expect_true!(gateway.may_send(Time(1000), avoided));
+    let after: Vec<_> = (0..40).map(|n| place(&mut gateway, 4000 + n)).collect();
+    expect_that!(after, contains(ok(eq(&avoided))));
+    // Where all others ask for a pause themselves, it is used.
+    gateway.record_peer_back_offs(Time(5000), &[report]);
+    back_off(&mut gateway, 5000, 1, 1000);
+    expect_that!(place(&mut gateway, 5001), ok(eq(avoided)));
+}
+
+/// What an endpoint does for this router says more than what it told another one.
+#[gtest]
+fn verify_an_endpoint_that_has_just_served_is_not_avoided() {
+    let mut gateway = gateway(2);
+    let (ticket, key) = send(&mut gateway, 1000, 0);
+    gateway.confirm(&ticket, key);
+    let report = report_of(&gateway, 0, 3000);
+    gateway.record_peer_back_offs(Time(1499), &[report]);
+    let endpoint = gateway.registry().get(key).expect("the endpoint is listed");
+    expect_false!(endpoint.avoided(Time(1499)));
+    gateway.record_peer_back_offs(Time(1500), &[report]);
+    let endpoint = gateway.registry().get(key).expect("the endpoint is listed");
+    expect_true!(endpoint.avoided(Time(1500)));
+}
+
+/// Peers are told of a few back-offs that this router was asked for itself, none at second hand, in digests that become
+/// no longer by it.
+#[gtest]
+fn verify_digests_report_own_back_offs_in_bounded_room() {
+    let mut gateway = gateway(60);
+    for number in 0..40 {
+        let (_, key) = send(&mut gateway, 1000, number);
+        gateway.record_load(Time(1000), key, Load::default());
+    }
+    let plain = gateway.digest_contents(Time(1001), 1);
+    expect_that!(plain.back_offs, is_empty());
+    expect_that!(plain.reports.len(), eq(MAX_REPORTS));
+    let reports = [report_of(&gateway, 50, 2000)];
+    gateway.record_peer_back_offs(Time(1001), &reports);
+    expect_that!(gateway.digest_contents(Time(1002), 1).back_offs, is_empty());
+    for number in 0..10 {
+        back_off(&mut gateway, 1002, number, 60_000);
+    }
+    let mut told = std::collections::BTreeSet::new();
+    for draw in 0..50 {
+        let contents = gateway.digest_contents(Time(1003), draw);
+        expect_that!(contents.back_offs.len(), eq(MAX_BACK_OFFS));
+        expect_that!(contents.reports.len(), lt(MAX_REPORTS - MAX_BACK_OFFS));
+        for report in contents.back_offs {
+            expect_that!(report.left, eq(MAX_PEER_BACK_OFF));
+            told.insert(report.endpoint);
+        }
+    }
+    expect_that!(told.len(), eq(10), "each of them is told in some digest");
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Entry { leaving: bool },
--- a/crates/core/tests/gateway/skew.rs
+++ b/crates/core/tests/gateway/skew.rs
@@ -140,7 +140,7 @@
 
     /// Sends a router's digest to two others.
     fn send_digest(&mut self, now: u64, index: usize) {
-        let (reports, _) = self.routers[index].digest_contents(Time(now), now);
+        let reports = self.routers[index].digest_contents(Time(now), now).reports;
         let samples = self.routers[index].samples();
         for _ in 0..2 {
             let receiver = self.rng.random_range(0..self.size.routers);
--- a/crates/core/tests/gateway/staying.rs
+++ b/crates/core/tests/gateway/staying.rs
@@ -139,7 +139,7 @@
     confirm_by_answer(&mut one, Time(2500));
     let mut other = gateway(1);
     run_ticks(&mut other, 0, 2600);
-    let (reports, _) = one.digest_contents(Time(2600), 1);
+    let reports = one.digest_contents(Time(2600), 1).reports;
     other.record_peer_report(Time(2600), &reports);
     // Sent at 2500, but counted as sent at 1700: 300 ms for the answer and 500 ms for the digest's transit.
     expect_that!(try_place(&mut other, FIRST_UNCONFIRMED), ok(anything()));
@@ -149,7 +149,7 @@
         err(eq(Cause::Unconfirmed))
     );
     // The confirmation isn't forwarded, as its transit times would add up unnoticed.
-    expect_that!(other.digest_contents(Time(2600), 1).0, is_empty());
+    expect_that!(other.digest_contents(Time(2600), 1).reports, is_empty());
 }
 
 /// A digest that waited in a socket while its receiver was suspended looks new, but its confirmations may be as old
@@ -192,7 +192,7 @@
 fn verify_an_answer_without_a_load_is_reported_to_peers() {
     let mut one = gateway(1);
     confirm_by_answer(&mut one, Time(2500));
-    let (reports, _) = one.digest_contents(Time(2600), 1);
+    let reports = one.digest_contents(Time(2600), 1).reports;
     expect_that!(
         reports,
         elements_are![matches_pattern!(EndpointReport {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -58,14 +58,15 @@
         let targets = mesh.round(at, draw);
         let reads = state.reads.get();
         let samples = gateway.samples();
-        let (reports, crashes) = gateway.digest_contents(at, draw);
+        let contents = gateway.digest_contents(at, draw);
         gateway.fleet(at, mesh.size(at));
         gateway.update_fleet(at, &mesh.fleet(at));
         let seal_for = |target| {
             let digest = Digest {
                 samples: samples.clone(),
-                crashes: crashes.clone(),
-                ..mesh.digest(at, target, reads, reports.clone())
+                crashes: contents.crashes.clone(),
+                back_offs: contents.back_offs.clone(),
+                ..mesh.digest(at, target, reads, contents.reports.clone())
             };
             let payload = encode_digest(&digest);
             (seal(&catalog.secret, catalog.version, payload), target)
@@ -89,6 +90,7 @@
                 let mut gateway = state.gateway.borrow_mut();
                 gateway.record_peer_report(now(), &digest.reports);
                 gateway.record_peer_crashes(now(), &digest.crashes);
+                gateway.record_peer_back_offs(now(), &digest.back_offs);
                 // Samples name services by index, which is valid for one configuration version only.
                 if gateway.catalog().is_some_and(|c| c.version == epoch) {
                     gateway.record_peer_samples(now(), &digest.samples);
--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -39,7 +39,6 @@
             Prompt, //
         },
         mesh::{
-            EndpointReport,
             FANOUT,
             GOSSIP_INTERVAL,
             MAX_REPORTS,
@@ -49,10 +48,7 @@
             AttemptOutcome,
             NextStep as After, //
         },
-        quarantine::{
-            Policy as Hold,
-            Record, //
-        },
+        quarantine::Policy as Hold,
         refusal::{
             Cause,
             Refusal, //
@@ -64,6 +60,7 @@
             Share, //
         },
         settings::Bounds,
+        updates::DigestContents,
         warmup, //
     },
     units::{
@@ -151,7 +148,7 @@
 enum Next {
     Try(usize),
     Arrive(usize, usize),
-    Hear(usize, Vec<EndpointReport>, Vec<Sample>, Vec<Record>),
+    Hear(usize, DigestContents, Vec<Sample>),
     Broke(usize),
     Rejected(usize, u64),
     Back(usize),
@@ -319,10 +316,12 @@
                     Next::Try(number) if lost => self.later(now + RETRY, Next::Try(number)),
                     Next::Try(number) => self.place(now, number),
                     Next::Arrive(number, engine) => self.arrive(now, number, engine),
-                    Next::Hear(who, reports, samples, records) => {
-                        self.routers[who].record_peer_report(Time(now), &reports);
-                        self.routers[who].record_peer_samples(Time(now), &samples);
-                        self.routers[who].record_peer_crashes(Time(now), &records);
+                    Next::Hear(who, contents, samples) => {
+                        let router = &mut self.routers[who];
+                        router.record_peer_report(Time(now), &contents.reports);
+                        router.record_peer_samples(Time(now), &samples);
+                        router.record_peer_crashes(Time(now), &contents.crashes);
+                        router.record_peer_back_offs(Time(now), &contents.back_offs);
                     }
                     Next::Broke(number) => self.broke(now, number),
                     Next::Rejected(number, asked) => self.rejected(now, number, asked),
@@ -613,12 +612,12 @@
             let router = &mut self.routers[who];
             router.fleet(Time(now), u32::try_from(routers).unwrap_or(u32::MAX));
             router.tick(Time(now));
-            let (reports, records) = router.digest_contents(Time(now), now);
-            debug_assert!(reports.len() <= MAX_REPORTS);
+            let contents = router.digest_contents(Time(now), now);
+            debug_assert!(contents.reports.len() <= MAX_REPORTS);
             let samples = router.samples();
             for _ in 0..FANOUT {
                 let whom = self.rng.random_range(0..self.routers.len());
-                let hear = Next::Hear(whom, reports.clone(), samples.clone(), records.clone());
+                let hear = Next::Hear(whom, contents.clone(), samples.clone());
                 self.later(now + WAY, hear);
             }
         }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -38,9 +38,11 @@
     gateway::{
         fingerprint::Fingerprint,
         mesh::{
+            BackOffReport,
             Digest,
             EndpointReport,
             Heartbeat,
+            MAX_BACK_OFFS,
             MAX_HEARTBEATS,
             MAX_REPORTS,
             MAX_SAMPLES,
@@ -221,6 +223,8 @@
         crash_ages: endpoints.clone().map(|c| steps(c.age)).collect(),
         crash_runs: endpoints.map(|c| steps(c.ran)).collect(),
         crash_answers: crashes.iter().map(answered).collect(),
+        back_off_endpoints: digest.back_offs.iter().map(|b| b.endpoint).collect(),
+        back_off_times: digest.back_offs.iter().map(|b| steps(b.left)).collect(),
     }
     .encode_to_vec()
 }
@@ -278,12 +282,22 @@
             age: self::age(*age),
             confirmed: raw.confirmed >> row & 1 == 1,
         });
+    let rows = raw.back_off_endpoints.len();
+    let columns = rows == raw.back_off_times.len();
+    let what = "a bounded number of back-offs";
+    ensure!(columns && rows <= MAX_BACK_OFFS, PartSnafu { what });
+    let back_offs = raw.back_off_endpoints.iter().zip(&raw.back_off_times);
+    let back_offs = back_offs.map(|(endpoint, left)| BackOffReport {
+        endpoint: *endpoint,
+        left: age(*left),
+    });
     Ok(Digest {
         from,
         heartbeats,
         reports: reports.collect(),
         samples: samples.collect(),
         crashes: crashes(&raw)?,
+        back_offs: back_offs.collect(),
     })
 }
 
--- a/crates/wire/tests/gossip.rs
+++ b/crates/wire/tests/gossip.rs
@@ -20,10 +20,13 @@
         fingerprint::Fingerprint,
         mesh::{
             self,
+            BackOffReport,
             Digest,
             EndpointReport,
             Heartbeat,
+            MAX_BACK_OFFS,
             MAX_HEARTBEATS,
+            MAX_PEER_BACK_OFF,
             MAX_REPORTS,
             MAX_SAMPLES,
             Sample, //
@@ -93,9 +96,18 @@
         reports: (0..reports).map(report).collect(),
         samples: (0..reports.min(MAX_SAMPLES)).map(sample).collect(),
         crashes: Vec::new(),
+        back_offs: Vec::new(),
     }
 }
 
+fn back_offs(count: u32) -> Vec<BackOffReport> {
+    let report = |n| BackOffReport {
+        endpoint: u32::MAX - n,
+        left: Millis(MAX_PEER_BACK_OFF.0.next_multiple_of(16)),
+    };
+    (0..count).map(report).collect()
+}
+
 /// Makes the record of a request that crashed some endpoints.
 fn crashes(number: u64, endpoints: usize) -> quarantine::Record {
     let ended = |n: usize| {
@@ -124,6 +136,7 @@
 fn verify_messages_come_back_as_they_were() {
     let sent = Digest {
         crashes: vec![crashes(0, 0), crashes(1, 4), crashes(2, 1)],
+        back_offs: back_offs(3),
         ..digest(5, 7)
     };
     let sealed = seal(&SECRET, 7, encode_digest(&sent));
@@ -185,17 +198,34 @@
     expect_that!(told, eq(&sent));
 }
 
-/// Makes the largest digests, with and without crashes.
-fn largest() -> [Digest; 2] {
+/// Makes the largest digests, with and without crashes and back-offs.
+fn largest() -> [Digest; 4] {
     let spread = |n: usize| usize::from(n == 0) + MAX_DIGEST_CRASHES / MAX_DIGEST_RECORDS;
     let records = (0..MAX_DIGEST_RECORDS).map(|n| crashes(2 * n as u64, spread(n)));
     let crashes: Vec<quarantine::Record> = records.collect();
-    let reports = MAX_REPORTS - mesh::displaced_reports(&crashes);
+    let reports = MAX_REPORTS - mesh::displaced_reports(&crashes, &[]);
     let crashed = Digest {
+        crashes: crashes.clone(),
+        ..digest(MAX_HEARTBEATS, reports)
+    };
+    let back_offs = back_offs(u32::try_from(MAX_BACK_OFFS).expect("it is small"));
+    let reports = MAX_REPORTS - mesh::displaced_reports(&[], &back_offs);
+    let backing_off = Digest {
+        back_offs: back_offs.clone(),
+        ..digest(MAX_HEARTBEATS, reports)
+    };
+    let reports = MAX_REPORTS.saturating_sub(mesh::displaced_reports(&crashes, &back_offs));
+    let both = Digest {
         crashes,
+        back_offs,
         ..digest(MAX_HEARTBEATS, reports)
     };
-    [digest(MAX_HEARTBEATS, MAX_REPORTS), crashed]
+    [
+        digest(MAX_HEARTBEATS, MAX_REPORTS),
+        crashed,
+        backing_off,
+        both,
+    ]
 }
 
 /// The largest digest fits into one packet.
@@ -253,6 +283,12 @@
     many.samples.extend_from_within(..1);
     let many = encode_digest(&many);
     expect_that!(decode_digest(&many), err(pat!(Error::Part { .. })));
+    let resting = Digest {
+        back_offs: back_offs(u32::try_from(MAX_BACK_OFFS).expect("it is small") + 1),
+        ..digest(1, 1)
+    };
+    let resting = encode_digest(&resting);
+    expect_that!(decode_digest(&resting), err(pat!(Error::Part { .. })));
     let odd = [
         vec![crashes(1, MAX_CRASHES_PER_REQUEST + 1)],
         (0..=MAX_DIGEST_RECORDS as u64)
