Tell the cause of a request that no endpoint wants in trace, and list the guards

`toucanturn trace` explains backing_off and points at the events that brought it. Four guards of what endpoints say of themselves in tools/guards.sh.

Run: tests of toucanturn.

--- a/crates/toucanturn/src/trace.rs
+++ b/crates/toucanturn/src/trace.rs
@@ -225,6 +225,10 @@
             "all endpoints that could take it were cold and had as many requests as they tolerate"
                 .to_owned()
         }
+        "backing_off" => {
+            "all endpoints that could take it had asked for a pause; see the events 663 of this router"
+                .to_owned()
+        }
         "stopping" => "this router was about to stop".to_owned(),
         other => other.replace('_', " "),
     };
--- a/crates/toucanturn/tests/cli/trace.rs
+++ b/crates/toucanturn/tests/cli/trace.rs
@@ -105,3 +105,31 @@
         some(eq(1))
     );
 }
+
+const BACKING_OFF: &str = r#"
+{"timestamp":"2026-01-01T00:00:02.0Z","message":"endpoint says that it leaves","event":662,"id":"e4","endpoint":"e-1","status":200}
+{"timestamp":"2026-01-01T00:00:03.0Z","message":"endpoint asks for a pause","event":663,"id":"e5","endpoint":"e-2","asked":3000}
+{"timestamp":"2026-01-01T00:00:04.0Z","message":"request refused","event":620,"id":"e6","cause":"backing_off","may_have_run":false,"age":100}
+{"timestamp":"2026-01-01T00:00:06.0Z","message":"endpoint's pause has ended","event":664,"endpoint":"e-2"}
+"#;
+
+#[gtest]
+fn verify_a_refused_request_is_shown_with_what_endpoints_said_before() {
+    let files = Files::new();
+    let log = files.write("a.log", BACKING_OFF);
+    let run = toucanturn(["trace", "--id", "e6", &log]);
+    let lines: Vec<&str> = run.out.lines().collect();
+    expect_that!(
+        lines,
+        elements_are![
+            contains_substring("662 endpoint says that it leaves"),
+            contains_substring("663 endpoint asks for a pause"),
+            starts_with("* 2026-01-01T00:00:04.0Z 620 request refused"),
+            eq(
+                &"cause: refused, did not run: all endpoints that could take it had asked for a pause; see the events 663 of this router"
+            ),
+        ]
+    );
+    let run = toucanturn(["trace", "--id", "e5", &log]);
+    expect_that!(run.out, contains_substring("* 2026-01-01T00:00:03.0Z 663"));
+}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -135,5 +135,17 @@
 guard cold_late crates/core/src/gateway/attempt.rs \
     's/counted && self\.may_send/self.may_send/' \
     toucanturn-core gateway warmup::verify_an_endpoint_that_turns_cold_after_it_was_chosen_is_left_out
+guard said_leaving crates/core/src/gateway/endpoint.rs \
+    's/if signals\.leaving && self\.stays_listed\(\)/if false \&\& signals.leaving/' \
+    toucanturn-platform path signals::verify_an_endpoint_that_said_it_leaves_gets_nothing_after_a_registry_outage
+guard said_unlisted crates/core/src/gateway/registry.rs \
+    's/if let Some\(signals\) = self\.unlisted_signals\.shift_remove\(&endpoint\.tag\(\)\)/if let Some(signals) = None/' \
+    toucanturn-core gateway signals::verify_an_entry_that_comes_back_does_not_end_what_the_endpoint_said
+guard back_off crates/core/src/gateway/place.rs \
+    's/&& !e\.backing_off\(context\.now\)/\&\& true/' \
+    toucanturn-core gateway signals::verify_an_endpoint_gets_nothing_until_the_end_of_its_pause
+guard back_off_late crates/core/src/gateway/attempt.rs \
+    's/!backing_off && self\.is_confirmed/self.is_confirmed/' \
+    toucanturn-core gateway signals::verify_a_placed_request_is_not_sent_to_an_endpoint_that_pauses_meanwhile
 
 exit "$worst"
