Guard the back-off with a test of a single endpoint

With the guard back_off taken out, the test that it named stayed green: the resting endpoint had a request more than the other and would not have been chosen. A single endpoint would be.

--- a/crates/core/tests/gateway/signals.rs
+++ b/crates/core/tests/gateway/signals.rs
@@ -231,6 +231,18 @@
     expect_true!(gateway.may_send(Time(4000), resting));
 }
 
+/// The same where it is the only endpoint, which would be chosen whatever its load.
+#[gtest]
+fn verify_the_only_endpoint_gets_nothing_until_the_end_of_its_pause() {
+    let mut gateway = gateway(1);
+    back_off(&mut gateway, 1000, 0, 3000);
+    for now in (1000..4000).step_by(37) {
+        let cause = place(&mut gateway, now).map_err(|refusal| refusal.cause);
+        expect_that!(cause, err(eq(Cause::BackingOff)), "at {now}");
+    }
+    expect_that!(place(&mut gateway, 4000), ok(anything()));
+}
+
 /// A later answer that asks for less does not shorten the pause, one that asks for more extends it.
 #[gtest]
 fn verify_the_latest_end_counts() {
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -143,7 +143,7 @@
     toucanturn-core gateway signals::verify_an_entry_that_comes_back_does_not_end_what_the_endpoint_said
 guard back_off crates/core/src/gateway/place.rs \
     's/&& !e\.backing_off\(context\.now\)/\&\& true/' \
-    toucanturn-core gateway signals::verify_an_endpoint_gets_nothing_until_the_end_of_its_pause
+    toucanturn-core gateway signals::verify_the_only_endpoint_gets_nothing_until_the_end_of_its_pause
 guard back_off_late crates/core/src/gateway/attempt.rs \
     's/!backing_off && self\.is_confirmed/self.is_confirmed/' \
     toucanturn-core gateway signals::verify_a_placed_request_is_not_sent_to_an_endpoint_that_pauses_meanwhile
