--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -36,7 +36,15 @@
     let played = LocalSet::new().block_on(&runtime, run(steps, seed, size, folder.path()));
     let record = played.expect("the programs were built");
     assert!(record.calls.len() > 100, "callers were served");
-    judge(&record)
+    let found = judge(&record);
+    if !found.is_empty() {
+        // What was seen and the routers' logs are kept: a plan's interleaving doesn't come again.
+        let kept = folder.keep();
+        let text = serde_json::to_vec_pretty(&record).expect("a record is JSON");
+        std::fs::write(kept.join("record.json"), text).expect("there is room");
+        println!("seed {seed}: kept in {}", kept.display());
+    }
+    found
 }
 
 #[gtest]
