Take a router's end by SIGTERM before it listens for no cut in the soak

Trace by the plan: all routers were killed at 3,788 ms and started again 1,576 ms later; router 1 was told to stop at 5,374 ms, some milliseconds after its start. A gateway installs its handler before it listens, so a process without one has no connection; callers' cut answers are judged by themselves.

The soak looks whether the router listens right before the signal, and lets an end by that signal pass where it doesn't. One that listens must end with code 0 as before.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,7 +1,9 @@
 //! Plays a plan against a fleet, and collects what callers and endpoints saw.
 
 use std::{
+    os::unix::process::ExitStatusExt as _,
     path::Path,
+    process::ExitStatus,
     rc::Rc,
     time::{
         Duration,
@@ -12,6 +14,7 @@
 use rustix::process::Signal;
 use snafu::ResultExt;
 use tokio::{
+    net::TcpStream,
     task::spawn_local,
     time::{
         sleep,
@@ -331,11 +334,15 @@
         return;
     };
     let early = child.ended();
+    // A process that does not listen yet may have no handler of the signal either, and has nothing to cut.
+    let ready = fleet.routers[n].borrow().ready;
+    let listens = TcpStream::connect(ready).await.is_ok();
     child.signal(Signal::TERM);
     let limit = Duration::from_secs_f64(STOP_S) + STOP_MARGIN;
     let told = match (early, child.wait(limit).await) {
         (Some(status), _) => Some(format!("router {n} ended by itself: {status}")),
         (None, None) => Some(format!("router {n} did not end in {limit:?}")),
+        (None, Some(status)) if !listens && ended_by(status, Signal::TERM) => None,
         (None, Some(status)) if !status.success() => {
             Some(format!("router {n} cut requests as it stopped: {status}"))
         }
@@ -344,6 +351,10 @@
     fleet.record.borrow_mut().processes.extend(told);
 }
 
+fn ended_by(status: ExitStatus, signal: Signal) -> bool {
+    status.signal() == Some(signal.as_raw())
+}
+
 async fn killed(fleet: &Rc<Fleet>, routers: &[usize], lasts: Duration) -> Result<()> {
     let from = clock_ms();
     for n in routers {
