--- a/crates/replay/tests/lab_crashes.rs
+++ b/crates/replay/tests/lab_crashes.rs
@@ -1,12 +1,12 @@
 //! Requests that end engines, before a large fleet in the laboratory: what they cost, with the digests as they are.
 
+mod fleet;
+
 use googletest::prelude::*;
 use toucanturn_replay::lab::{
     account::Account,
-    engine::Shape,
     play,
     sheet::{
-        Kind,
         Sheet,
         Span,
         Trouble, //
@@ -19,33 +19,7 @@
 
 /// A request that ends engines comes again each 0.65 s, before a fleet whose engines run a dozen requests each.
 fn account(routers: usize, engines: usize, hold: u64) -> Account {
-    let kind = |rate, sessions, shared, own, output, goal| Kind {
-        rate,
-        sessions,
-        shared,
-        own,
-        output,
-        goal,
-    };
-    // As many requests for each engine, whatever the size.
-    let share = engines as f64 / 204.0;
     let sheet = Sheet {
-        routers,
-        engines,
-        shape: Shape {
-            slots: 12,
-            step: 3.09,
-            per_request: 0.08,
-            read: 56.9,
-            chunk: 1024.0,
-            first: 41.0,
-            memory: 304_000,
-        },
-        kinds: vec![
-            kind(659.0 * share, 800, 8620, 580, 56, 500),
-            kind(694.0 * share, 1600, 2041, 360, 28, 800),
-            kind(183.0 * share, 400, 603, 110, 280, 1000),
-        ],
         troubles: vec![Span {
             from: 3000,
             to: 15_000,
@@ -56,6 +30,7 @@
         }],
         length: 15_000,
         hold,
+        ..fleet::sheet(routers, engines, [659.0, 694.0, 183.0])
     };
     play(&sheet, 1)
 }
--- a/crates/replay/tests/lab_signals.rs
+++ b/crates/replay/tests/lab_signals.rs
@@ -1,12 +1,12 @@
 //! Engines that ask for pauses, or say that they leave, before fleets of several sizes in the laboratory.
 
+mod fleet;
+
 use googletest::prelude::*;
 use toucanturn_replay::lab::{
     account::Account,
-    engine::Shape,
     play,
     sheet::{
-        Kind,
         Sheet,
         Span,
         Trouble, //
@@ -24,40 +24,14 @@
 const LENGTH: u64 = 16_000;
 
 fn account((routers, engines): (usize, usize), trouble: Trouble) -> Account {
-    let kind = |rate, sessions, shared, own, output, goal| Kind {
-        rate,
-        sessions,
-        shared,
-        own,
-        output,
-        goal,
-    };
-    // As many requests for each engine, whatever the size.
-    let share = engines as f64 / 204.0;
     let sheet = Sheet {
-        routers,
-        engines,
-        shape: Shape {
-            slots: 12,
-            step: 3.09,
-            per_request: 0.08,
-            read: 56.9,
-            chunk: 1024.0,
-            first: 41.0,
-            memory: 304_000,
-        },
-        kinds: vec![
-            kind(330.0 * share, 800, 8620, 580, 56, 500),
-            kind(347.0 * share, 1600, 2041, 360, 28, 800),
-            kind(92.0 * share, 400, 603, 110, 280, 1000),
-        ],
         troubles: vec![Span {
             from: TROUBLE.0,
             to: TROUBLE.1,
             trouble,
         }],
         length: LENGTH,
-        hold: 5000,
+        ..fleet::sheet(routers, engines, [330.0, 347.0, 92.0])
     };
     play(&sheet, 1)
 }
