Hold the port of an address at which nothing may listen, in tests

Cause: the test's own. It bound a port, closed it and took it for one that refuses connections. The other tests of the binary run at the same time and take free ports; one of them got this one.

Two tests of the peer link had the same pattern and use the holder of the stand-in's links. Assertions are as they were.

--- a/crates/router/tests/peers/deliver.rs
+++ b/crates/router/tests/peers/deliver.rs
@@ -6,7 +6,6 @@
 };
 
 use googletest::prelude::*;
-use tokio::net::TcpListener;
 use toucanturn_core::{
     ids::Tag,
     peer::{
@@ -23,6 +22,7 @@
     Options,
     counters::Kind, //
 };
+use toucanturn_standin::link::hold;
 use toucanturn_wire::envelope::EXCHANGE;
 
 use crate::{
@@ -125,11 +125,8 @@
 #[gtest]
 #[tokio::test]
 async fn verify_an_unreachable_peer_is_reported() {
-    let listener = TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("a port is free");
-    let address = listener.local_addr().expect("the listener is bound");
-    drop(listener);
+    // Bound and never listening, so that no other test gets the port.
+    let (address, _held) = hold().expect("a port is free");
     let mut entry = sender(identity(ENTRY, 100), options(), address);
     entry.client.send(router_key(HOME), pull(1));
     expect_that!(next(&mut entry.failures).await, eq(router_key(HOME)));
--- a/crates/router/tests/peers/forward.rs
+++ b/crates/router/tests/peers/forward.rs
@@ -17,10 +17,7 @@
 use bytes::Bytes;
 use futures_util::future::join_all;
 use googletest::prelude::*;
-use tokio::{
-    net::TcpListener,
-    sync::Notify, //
-};
+use tokio::sync::Notify;
 use toucanturn_core::{
     peer::Message,
     units::{
@@ -32,6 +29,7 @@
     Options,
     counters::Kind, //
 };
+use toucanturn_standin::link::hold;
 use toucanturn_wire::{
     forward::Request,
     limits::MAX_BODY, //
@@ -131,11 +129,8 @@
 #[gtest]
 #[tokio::test]
 async fn verify_a_call_to_an_unreachable_home_is_not_sent() {
-    let listener = TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("a port is free");
-    let address = listener.local_addr().expect("the listener is bound");
-    drop(listener);
+    // Bound and never listening, so that no other test gets the port.
+    let (address, _held) = hold().expect("a port is free");
     let entry = sender(identity(ENTRY, 100), options(), address);
     let error = entry.client.forward(router_key(HOME), &call(b"box")).await;
     expect_that!(error.expect_err("nothing listens").sent, eq(false));
