--- a/crates/core/tests/gateway/signals.rs
+++ b/crates/core/tests/gateway/signals.rs
@@ -169,6 +169,55 @@
     expect_true!(is_usable(&gateway, 0));
 }
 
+/// An answer does not tell which incarnation gave it. One that began under an old name before the registry told of it is
+/// used until it says itself, to a request that was sent to it, that it leaves.
+#[gtest]
+fn verify_a_new_incarnation_is_used_until_it_says_that_it_leaves() {
+    let started = |at| Entry {
+        born: Some(Wall(at)),
+        ..entry(0)
+    };
+    let mut gateway = gateway(0);
+    apply(&mut gateway, 1, Change::Entry(started(100)));
+    leave(&mut gateway, 2, 0);
+    apply(&mut gateway, 3, Change::Entry(started(200)));
+    expect_true!(is_usable(&gateway, 0));
+    leave(&mut gateway, 4, 0);
+    expect_false!(is_usable(&gateway, 0));
+    apply(&mut gateway, 5, Change::Entry(started(200)));
+    expect_false!(is_usable(&gateway, 0));
+}
+
+/// What a router knew is gone with its process, and the next answer tells it again.
+#[gtest]
+fn verify_a_restarted_router_is_told_by_the_next_answer() {
+    let mut before = gateway(2);
+    leave(&mut before, 100, 0);
+    back_off(&mut before, 100, 1, 3000);
+    let mut after = gateway(2);
+    expect_true!(is_usable(&after, 0));
+    leave(&mut after, 200, 0);
+    back_off(&mut after, 200, 1, 2000);
+    expect_that!(
+        place(&mut after, 201).map_err(|r| r.cause),
+        err(eq(Cause::BackingOff))
+    );
+}
+
+/// A router that was suspended must count the time in which it did not run.
+#[gtest]
+fn verify_a_pause_ends_while_the_router_is_suspended() {
+    let mut gateway = gateway(2);
+    leave(&mut gateway, 100, 0);
+    back_off(&mut gateway, 100, 1, 3000);
+    gateway.tick(Time(200));
+    let woken = 60_000;
+    expect_that!(place(&mut gateway, woken), ok(anything()));
+    let ended = RegistryEvent::BackOffEnded { id: id(1) };
+    expect_that!(gateway.tick(Time(woken)), container_eq([ended]));
+    expect_false!(is_usable(&gateway, 0));
+}
+
 /// Addresses are used again by other endpoints.
 #[gtest]
 fn verify_another_endpoint_at_the_address_is_used() {
--- a/crates/replay/src/lab/account.rs
+++ b/crates/replay/src/lab/account.rs
@@ -70,11 +70,16 @@
 
 impl Account {
     /// Gets the largest share of requests over the multiple in any window, with where it begins.
-    #[expect(clippy::cast_precision_loss, reason = "counts are small")]
     pub fn worst_multiple(&self) -> (f64, u64) {
+        self.worst_multiple_since(0)
+    }
+
+    /// Gets the same for windows that begin at a time or later.
+    #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+    pub fn worst_multiple_since(&self, first: u64) -> (f64, u64) {
         let last = self.arrivals.last().map_or(0, |a| a.at);
         let mut worst = (0.0, 0);
-        for from in (0..=last.saturating_sub(MULTIPLE_SPAN))
+        for from in (first..=last.saturating_sub(MULTIPLE_SPAN))
             .step_by(usize::try_from(MULTIPLE_STEP).unwrap_or(1))
         {
             let within = |a: &&Arrival| (from..from + MULTIPLE_SPAN).contains(&a.at);
--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -614,7 +614,10 @@
             let router = &mut self.routers[who];
             router.fleet(Time(now), u32::try_from(routers).unwrap_or(u32::MAX));
             router.tick(Time(now));
-            let contents = router.digest_contents(Time(now), now);
+            let mut contents = router.digest_contents(Time(now), now);
+            if !self.sheet.tells_back_offs {
+                contents.back_offs.clear();
+            }
             debug_assert!(contents.reports.len() <= MAX_REPORTS);
             let samples = router.samples();
             for _ in 0..FANOUT {
--- a/crates/replay/src/lab/sheet.rs
+++ b/crates/replay/src/lab/sheet.rs
@@ -87,6 +87,8 @@
     pub length: u64,
     /// Milliseconds for which requests that crash engines are held back at first; 0 holds nothing back.
     pub hold: u64,
+    /// Whether routers tell each other of engines that ask for pauses.
+    pub tells_back_offs: bool,
 }
 
 impl Sheet {
--- a/crates/replay/tests/fleet/mod.rs
+++ b/crates/replay/tests/fleet/mod.rs
@@ -43,5 +43,6 @@
         troubles: Vec::new(),
         length: 0,
         hold: 5000,
+        tells_back_offs: true,
     }
 }
--- a/crates/replay/tests/lab_engine.rs
+++ b/crates/replay/tests/lab_engine.rs
@@ -125,6 +125,7 @@
         troubles: Vec::new(),
         length: 2000,
         hold: 0,
+        tells_back_offs: true,
     };
     let one = play(&sheet, 3);
     let other = play(&sheet, 3);
--- a/crates/replay/tests/lab_multiple.rs
+++ b/crates/replay/tests/lab_multiple.rs
@@ -43,6 +43,7 @@
         troubles: Vec::new(),
         length: 12_000,
         hold: 5000,
+        tells_back_offs: true,
     }
 }
 
--- a/crates/replay/tests/lab_signals.rs
+++ b/crates/replay/tests/lab_signals.rs
@@ -22,6 +22,8 @@
 /// Time after the trouble in which the last back-offs end, in milliseconds.
 const RETURN: u64 = 4000;
 const LENGTH: u64 = 16_000;
+/// Largest share of requests that may reach engines over the published load multiple.
+const MULTIPLE: f64 = 0.03;
 
 fn account((routers, engines): (usize, usize), trouble: Trouble) -> Account {
     let sheet = Sheet {
@@ -36,7 +38,7 @@
     play(&sheet, 1)
 }
 
-/// Guards against routers that send on to engines that have asked for a pause, and against a crowd when it ends.
+/// Guards against routers that send on to engines that have asked for a pause, and against uneven load when it ends.
 #[gtest]
 fn verify_pauses_are_kept_at_any_size() {
     for size in SIZES {
@@ -45,6 +47,8 @@
             let asked = account(size, shed(BACK_OFF));
             let unasked = account(size, shed(0));
             expect_that!(asked.in_back_off, eq(0), "{size:?}, {share} of the engines");
+            let (worst, from) = asked.worst_multiple_since(TROUBLE.1);
+            expect_that!(worst, le(MULTIPLE), "{size:?}, {share}, from {from} ms");
             let after = TROUBLE.1 + RETURN;
             println!(
                 "{size:?}, {share} of the engines shed: {} rejected, {:.3} on time meanwhile, {:.3} in the return, \
