Send the held order of a fault cell again while its home can't run new keys

Cause: the cell's. It holds a stream, a chat and an order at a step before it brings its fault about, and sends each once. The tests' leases last 400 ms. Where the machine is short of processors the home's lease lapses for a moment, and the home refuses the order with "unknown", as it must: it can't tell whether another home has run the key. So the order never came to its gate. The engines that were suspect in each message are what 5 s of held chats leave behind, not the cause.

Ruled out: a gate that is used up by a connection that breaks (each reached gate had passed its part), and an endpoint that is suspect beforehand.

The cell sends its order again, under a new key, while its home could not run new keys during the last try and the order has not come to its gate; any other refusal is the last word, as before. The 5 s, the gates, the judges and all rows are as they were.

--- a/crates/router/tests/faults/cluster.rs
+++ b/crates/router/tests/faults/cluster.rs
@@ -352,18 +352,21 @@
 
     /// Makes a new idempotency key whose home is the given router.
     pub(crate) fn key_at(&self, router: usize) -> uuid::Uuid {
+        self.keys_at(router)()
+    }
+
+    /// Gets a source of new idempotency keys whose home is the given router, by the present configuration.
+    pub(crate) fn keys_at(&self, router: usize) -> impl Fn() -> uuid::Uuid + Send + Sync + 'static {
         let up = self.routers.iter().find(|r| r.is_up());
         let config = up.expect("a router is up").driver().config();
-        let home = &self.routers[router].name;
-        let (_, main) = config
-            .workspaces
-            .iter()
-            .find(|(_, w)| w.id.as_str() == "main")
-            .expect("the workspace is published");
-        loop {
+        let home = self.routers[router].name.clone();
+        let main = config.workspaces.iter();
+        let main = main.map(|(_, w)| w).find(|w| w.id.as_str() == "main");
+        let workspace = main.expect("the workspace is published").tag;
+        move || loop {
             let uuid = uuid::Uuid::now_v7();
             let key = Key {
-                workspace: main.tag,
+                workspace,
                 uuid: uuid.as_u128(),
             };
             let found = config.home(key.item()).and_then(|k| config.fleet.get(k));
--- a/crates/router/tests/faults/run.rs
+++ b/crates/router/tests/faults/run.rs
@@ -1,9 +1,18 @@
 //! Runs one cell: holds requests at the step, brings the fault about, lets go, and judges.
 
-use std::sync::Arc;
+use std::{
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+    time::Instant,
+};
 
 use futures_util::future::join_all;
 
+use toucanturn_core::node::Node;
+use toucanturn_router::driver::Driver;
 use toucanturn_standin::link::{
     Link, Mode,
     gate::{
@@ -14,6 +23,7 @@
 
 use crate::{
     caller::{
+        Callers,
         Kind,
         Told,
         Word, //
@@ -21,6 +31,7 @@
     cluster::{
         self,
         Cluster,
+        LEASE,
         LOOK,
         REST, //
     },
@@ -43,6 +54,8 @@
 const TOKENS: usize = 12;
 /// Longest wait for a grant of the workspace's home, and some.
 const ADMISSION: std::time::Duration = std::time::Duration::from_millis(200);
+/// Time between two looks at whether a home runs new keys.
+const SAMPLE: std::time::Duration = std::time::Duration::from_millis(2);
 /// Longest wait for a request to come to its gate.
 const AT_GATE: std::time::Duration = std::time::Duration::from_secs(5);
 
@@ -76,7 +89,55 @@
     }
 }
 
-type Sent = Vec<tokio::task::JoinHandle<Told>>;
+type Sent<T> = Vec<tokio::task::JoinHandle<T>>;
+
+/// `HeldOrder` is the order that a cell holds at a gate.
+struct HeldOrder {
+    home: Arc<Driver>,
+    new_key: Box<dyn Fn() -> uuid::Uuid + Send + Sync>,
+    /// Key under which it was last sent.
+    key: Mutex<uuid::Uuid>,
+    /// Where it is held; `None` if the step holds no order by itself.
+    gate: Option<Arc<Gate>>,
+}
+
+impl HeldOrder {
+    fn key(&self) -> uuid::Uuid {
+        *self.key.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends the order, and again under a new key as long as it is refused before it comes to its gate because its
+    /// home can't run new keys: on a busy machine, its lease lapses. Any other refusal is the last word.
+    async fn send(&self, callers: &Callers, id: &str) -> Vec<Told> {
+        let end = Instant::now() + AT_GATE;
+        let mut told = Vec::new();
+        loop {
+            let sending = callers.send(ENTRY, Kind::Order, id, self.key(), TOKENS);
+            let (one, lapsed) = self.watch_home(sending).await;
+            told.push(one);
+            let came = self.gate.as_ref().is_none_or(|gate| gate.is_reached());
+            if came || !lapsed || Instant::now() >= end {
+                return told;
+            }
+            tokio::time::sleep(LEASE).await;
+            *self.key.lock().unwrap_or_else(PoisonError::into_inner) = (self.new_key)();
+        }
+    }
+
+    /// Waits for an answer; tells also whether the home could not run new keys meanwhile.
+    async fn watch_home<T>(&self, answer: impl Future<Output = T>) -> (T, bool) {
+        let mut answer = std::pin::pin!(answer);
+        let mut lapsed = false;
+        loop {
+            let takes_keys = |node: &Node| node.takes_keys(toucanturn_router::clock::now());
+            lapsed |= !self.home.with_node(takes_keys);
+            tokio::select! {
+                answer = &mut answer => return (answer, lapsed),
+                () = tokio::time::sleep(SAMPLE) => {}
+            }
+        }
+    }
+}
 
 /// Runs a cell; gives what contradicts the promises.
 pub(crate) async fn cell(cluster: &mut Cluster, fault: Fault, step: Step) -> Vec<String> {
@@ -86,8 +147,15 @@
         _ => vec![Kind::Stream, Kind::Whole, Kind::Order],
     };
     let ids: Vec<String> = kinds.iter().map(|k| id(&label, *k)).collect();
-    let key = cluster.key_at(HOME);
     let held = hold(cluster, step, &ids);
+    let orders = Arc::new(HeldOrder {
+        home: Arc::clone(cluster.routers[HOME].driver()),
+        new_key: Box::new(cluster.keys_at(HOME)),
+        key: Mutex::new(cluster.key_at(HOME)),
+        gate: ids
+            .last()
+            .and_then(|id| held.iter().find(|gate| gate.is_for(id)).cloned()),
+    });
     let mut told = Vec::new();
     let mut faults = Vec::new();
 
@@ -102,7 +170,19 @@
     let callers = cluster.callers();
     let sent = kinds.iter().zip(&ids).map(|(kind, id)| {
         let (callers, kind, id) = (callers.clone(), *kind, id.clone());
-        tokio::spawn(async move { callers.send(ENTRY, kind, &id, key, TOKENS).await })
+        let orders = Arc::clone(&orders);
+        tokio::spawn(async move {
+            match kind {
+                Kind::Order => orders.send(&callers, &id).await,
+                Kind::Stream | Kind::Whole => {
+                    vec![
+                        callers
+                            .send(ENTRY, kind, &id, uuid::Uuid::nil(), TOKENS)
+                            .await,
+                    ]
+                }
+            }
+        })
     });
     let sent: Vec<_> = sent.collect();
     let mut missing = None;
@@ -115,6 +195,7 @@
     if step == Step::Draining {
         cluster.routers[ENTRY].drain();
     }
+    let key = orders.key();
     let before = revisions(cluster);
     cluster.inject(fault, &targets).await;
     held.iter().for_each(|gate| gate.open());
@@ -129,12 +210,13 @@
         told.extend(join(during).await);
         cluster.lift(fault, &targets).await;
     }
-    let sent = join(sent).await;
+    let sent = join(sent).await.concat();
     faults.extend(missing.map(|gate| format!("{gate}: {sent:?}")));
+    let before_sent = told.len();
     told.extend(sent);
     links(cluster, step).iter().for_each(|link| link.arm(&[]));
     if step == Step::Draining && fault != Fault::EntryKilled {
-        faults.extend(drained(cluster, &told[told.len() - kinds.len()..], fault).await);
+        faults.extend(drained(cluster, &told[before_sent..], fault).await);
     }
     if step == Step::Draining && fault != Fault::EntryKilled {
         cluster.start_router(ENTRY).await;
@@ -241,7 +323,7 @@
 
 /// Sends a chat of each shape and an order through every router that can be reached, and repeats
 /// the held order through the others.
-fn wave(cluster: &Cluster, label: &str, when: &str, key: uuid::Uuid) -> Sent {
+fn wave(cluster: &Cluster, label: &str, when: &str, key: uuid::Uuid) -> Sent<Told> {
     wave_of(cluster, label, when, key, |_| uuid::Uuid::now_v7())
 }
 
@@ -252,7 +334,7 @@
     when: &str,
     key: uuid::Uuid,
     fresh: impl Fn(usize) -> uuid::Uuid,
-) -> Sent {
+) -> Sent<Told> {
     let callers = cluster.callers();
     let mut sent = Vec::new();
     for router in 0..cluster.routers.len() {
@@ -278,7 +360,7 @@
     sent
 }
 
-async fn join(sent: Sent) -> Vec<Told> {
+async fn join<T>(sent: Sent<T>) -> Vec<T> {
     let told = join_all(sent).await;
     told.into_iter()
         .map(|one| one.expect("a caller does not panic"))
@@ -294,7 +376,7 @@
     key: uuid::Uuid,
 ) -> Vec<String> {
     cluster.wait_ready().await;
-    let end = std::time::Instant::now() + REST;
+    let end = Instant::now() + REST;
     let mut round = 0;
     loop {
         let when = format!("after-{round}");
@@ -308,7 +390,7 @@
         if undone.is_empty() {
             return Vec::new();
         }
-        if std::time::Instant::now() >= end {
+        if Instant::now() >= end {
             let views: Vec<_> = cluster.routers.iter().map(view).collect();
             let one = &undone[0];
             return vec![format!("the fleet did not recover: {views:?}, {one:?}")];
--- a/crates/standin/src/link/gate.rs
+++ b/crates/standin/src/link/gate.rs
@@ -58,6 +58,16 @@
         seen.ok().and_then(|link| *link).unwrap_or_default()
     }
 
+    /// Tells whether it holds the request with this marker.
+    pub fn is_for(&self, marker: &str) -> bool {
+        self.marker.as_deref() == Some(marker.as_bytes())
+    }
+
+    /// Tells whether something is or was held here.
+    pub fn is_reached(&self) -> bool {
+        self.reached.borrow().is_some()
+    }
+
     /// Lets everything pass from now on.
     pub fn open(&self) {
         self.open.send_replace(true);
