Refuse connections at a soak's link once its endpoint has ended

Cause: the soak's links. A link went on taking connections after its endpoint had ended, and broke them off. Two endpoints had crashed just before all routers were killed. The routers that started after that, and knew nothing, sent to both; a connection that breaks off with a request on it counts as a crash, so the next real one made three. On the users' platform a port with no listener resets the connection, so nothing is sent and nothing counts.

A link refuses connections from the end of its endpoint's output, which ends with the process, until the next one listens; so it does before it leads anywhere.

--- a/crates/standin/src/link/mod.rs
+++ b/crates/standin/src/link/mod.rs
@@ -115,7 +115,7 @@
 }
 
 impl Link {
-    /// Opens a link that leads nowhere yet; `number` tells it apart at a gate.
+    /// Opens a link that leads nowhere yet, and refuses connections until it does; `number` tells it apart at a gate.
     ///
     /// # Errors
     ///
@@ -144,6 +144,11 @@
         self.change(|state| state.upstream = Some(upstream));
     }
 
+    /// Refuses new connections from now on if it leads to this server, which has ended.
+    pub fn retire(&self, upstream: SocketAddr) {
+        self.change(|state| state.upstream = state.upstream.filter(|to| *to != upstream));
+    }
+
     /// Changes what happens to bytes, on open connections too.
     pub fn set(&self, mode: Mode) {
         self.change(|state| state.mode = mode);
@@ -189,7 +194,10 @@
     let mut state = shared.state.subscribe();
     let mut listener = Some(listener);
     loop {
-        let refuses = state.borrow_and_update().mode == Mode::Refuse;
+        let refuses = {
+            let state = state.borrow_and_update();
+            state.mode == Mode::Refuse || state.upstream.is_none()
+        };
         if refuses {
             listener = None;
         } else if listener.is_none() {
