Know when the soak's own process did not run, in its judge of cut answers

Cause: the soak's own. The links run in its process. Endpoints had written all events within 40 ms of the requests' arrival; all seven callers heard of the cut in the same millisecond, 1.5 s later; the routers gave the answers up after 0.62 to 0.64 s of silence (their bound is 0.6 s, and there were no retries to spend yet). So for 1.5 s nothing passed the links.

A task notes when the process did not run for 300 ms, which is half of the shortest silence after which a router gives up an answer. A cut answer of that time is explained by it, as by a fault of an endpoint or its link. No other judge uses it.

--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -211,7 +211,11 @@
         return None;
     }
     // Whoever was killed, suspended or hidden behind a fault can't be asked for an answer.
-    let own = [Target::Router(call.router), Target::Paused(call.router)];
+    let own = [
+        Target::Router(call.router),
+        Target::Paused(call.router),
+        Target::Links,
+    ];
     let place = |t| own.contains(&t) || matches!(t, Target::Replica(_));
     if record.faulty(call.sent, call.ended, place) {
         return None;
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -88,6 +88,8 @@
     Link(usize),
     /// What comes to an endpoint is held up on its way, and arrives together.
     HeldUp(usize),
+    /// All links: the soak's own process, which forwards for them, did not run.
+    Links,
 }
 
 /// `Span` is a fault from its beginning to when its effects are over.
@@ -172,7 +174,7 @@
         match self {
             Target::Store => true,
             Target::Paused(n) | Target::Link(n) => router.is_none_or(|router| router == n),
-            Target::Router(_) | Target::Replica(_) | Target::HeldUp(_) => false,
+            Target::Router(_) | Target::Replica(_) | Target::HeldUp(_) | Target::Links => false,
         }
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -82,6 +82,9 @@
 const AFTER: u64 = ROUTE_MS;
 /// Time after which the entry of an endpoint that was killed is taken out.
 const LAPSE: Duration = Duration::from_millis(700);
+/// Time from which the links count as stalled, in milliseconds: shorter than the shortest silence after which a router
+/// gives up an answer.
+const LINKS_STALLED: u64 = 300;
 /// Time between two looks whether an endpoint has ended.
 const SUPERVISED: Duration = Duration::from_millis(20);
 /// Time over the published one that a router may take to end, for what the system needs.
@@ -112,6 +115,7 @@
     let shared = Rc::new(Shared::default());
     let balancer = spawn_local(balance(Rc::clone(&fleet), Rc::clone(&shared)));
     let supervisor = spawn_local(supervise(Rc::clone(&fleet)));
+    let watcher = spawn_local(watch_links(Rc::clone(&fleet)));
     let callers: Vec<_> = (0..size.callers)
         .map(|n| spawn_local(call(Rc::clone(&fleet), Rc::clone(&shared), n, seed)))
         .collect();
@@ -134,6 +138,7 @@
     }
     balancer.abort();
     supervisor.abort();
+    watcher.abort();
     let stops: Vec<_> = (0..size.routers)
         .map(|n| {
             let fleet = Rc::clone(&fleet);
@@ -299,6 +304,17 @@
     fleet.restore(name).await
 }
 
+/// Notes when this process did not run, as then no link has forwarded anything.
+async fn watch_links(fleet: Rc<Fleet>) {
+    loop {
+        let from = clock_ms();
+        sleep(SUPERVISED).await;
+        if clock_ms().saturating_sub(from) > LINKS_STALLED {
+            fleet.note_span(Target::Links, from, 0);
+        }
+    }
+}
+
 /// Replaces endpoints that end by themselves: a request has ended them.
 async fn supervise(fleet: Rc<Fleet>) {
     loop {
