Compare what routers decide with an oracle in the laboratory

The laboratory has an oracle now that knows the state of all engines at the moment of a decision, and compares decisions with it or takes them.

--- a/crates/replay/src/lab/account.rs
+++ b/crates/replay/src/lab/account.rs
@@ -36,6 +36,28 @@
     pub on_time: bool,
 }
 
+/// `Decision` is one placement beside the best that could be had with the state of all engines at that moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Decision {
+    /// When, in milliseconds.
+    pub at: u64,
+    /// The kind of request.
+    pub kind: usize,
+    /// Milliseconds from then until the first event at the engine that was chosen, if nothing else came.
+    pub chosen: u64,
+    /// The same at the best engine.
+    pub best: u64,
+    /// Milliseconds that were left until the answer is late.
+    pub left: u64,
+}
+
+impl Decision {
+    /// Tells whether the request would be late where it was sent, and in time at the best engine.
+    pub fn is_missed(&self) -> bool {
+        self.chosen > self.left && self.best <= self.left
+    }
+}
+
 /// `Account` is the result of one experiment.
 #[derive(Clone, Debug, Default)]
 pub struct Account {
@@ -64,6 +86,8 @@
     pub in_back_off: usize,
     /// Arrivals from a router at an engine that had told it that it leaves, later than allowed.
     pub after_leaving: usize,
+    /// Decisions that were compared with the best one.
+    pub decisions: Vec<Decision>,
     /// Arrivals by engine and tenth of a second.
     pub crowds: std::collections::BTreeMap<(u64, usize), u32>,
 }
@@ -112,6 +136,27 @@
         *self.crowds.entry((now / CROWD_SPAN, engine)).or_default() += 1;
     }
 
+    /// Gets the milliseconds by which the chosen engine's first event would come later than the best one's, which a share
+    /// of the compared decisions stayed below.
+    pub fn regret(&self, share: f64) -> u64 {
+        let Ok(mut times) = Histogram::<u64>::new(3) else {
+            return 0;
+        };
+        for decision in &self.decisions {
+            times.saturating_record(decision.chosen - decision.best);
+        }
+        times.value_at_quantile(share)
+    }
+
+    /// Gets the share of compared decisions, in a span, that made a request late that could have been in time.
+    #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+    pub fn missed(&self, from: u64, to: u64) -> f64 {
+        let within = |d: &&Decision| (from..to).contains(&d.at);
+        let window: Vec<&Decision> = self.decisions.iter().filter(within).collect();
+        let missed = window.iter().filter(|d| d.is_missed()).count();
+        missed as f64 / window.len().max(1) as f64
+    }
+
     /// Gets the share of requests that were answered in time, of those asked in a span.
     #[expect(clippy::cast_precision_loss, reason = "counts are small")]
     pub fn on_time(&self, from: u64, to: u64) -> f64 {
--- a/crates/replay/src/lab/engine.rs
+++ b/crates/replay/src/lab/engine.rs
@@ -120,6 +120,22 @@
         }
     }
 
+    /// Gets the milliseconds until a request that comes at `now` has its first event, if nothing else came; `None` if
+    /// that takes longer than `limit`. `fetched` are the parts that are put into the cache before.
+    pub fn time_to_first(&self, now: f64, job: &Job, fetched: &[Part], limit: f64) -> Option<f64> {
+        let mut ahead = self.clone();
+        ahead.fetch(fetched);
+        ahead.take(job.clone());
+        let mut at = now;
+        while at <= now + limit {
+            if ahead.advance(at).contains(&Event::First(job.number)) {
+                return Some(at - now);
+            }
+            at = at.max(ahead.until);
+        }
+        None
+    }
+
     /// Goes on to `now`.
     pub fn advance(&mut self, now: f64) -> Vec<Event> {
         let mut events = Vec::new();
--- a/crates/replay/src/lab/sheet.rs
+++ b/crates/replay/src/lab/sheet.rs
@@ -70,6 +70,17 @@
     pub trouble: Trouble,
 }
 
+/// `Placement` is who chooses the engines of requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Placement {
+    /// The routers.
+    Routers,
+    /// The routers, and one decision in so many is compared with the best one.
+    Compared(usize),
+    /// An oracle that knows the state of all engines, and nothing of what will come.
+    Oracle,
+}
+
 /// `Sheet` is a whole experiment but for its seed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Sheet {
@@ -89,6 +100,8 @@
     pub hold: u64,
     /// Whether routers tell each other of engines that ask for pauses.
     pub tells_back_offs: bool,
+    /// Who chooses the engines of requests.
+    pub placement: Placement,
 }
 
 impl Sheet {
--- a/crates/replay/tests/fleet/mod.rs
+++ b/crates/replay/tests/fleet/mod.rs
@@ -4,6 +4,7 @@
     engine::Shape,
     sheet::{
         Kind,
+        Placement,
         Sheet, //
     },
 };
@@ -44,5 +45,6 @@
         length: 0,
         hold: 5000,
         tells_back_offs: true,
+        placement: Placement::Routers,
     }
 }
--- a/crates/replay/tests/lab_engine.rs
+++ b/crates/replay/tests/lab_engine.rs
@@ -12,6 +12,7 @@
     play,
     sheet::{
         Kind,
+        Placement,
         Sheet, //
     },
 };
@@ -126,6 +127,7 @@
         length: 2000,
         hold: 0,
         tells_back_offs: true,
+        placement: Placement::Routers,
     };
     let one = play(&sheet, 3);
     let other = play(&sheet, 3);
--- a/crates/replay/tests/lab_multiple.rs
+++ b/crates/replay/tests/lab_multiple.rs
@@ -6,6 +6,7 @@
     play,
     sheet::{
         Kind,
+        Placement,
         Sheet,
         Span,
         Trouble, //
@@ -44,6 +45,7 @@
         length: 12_000,
         hold: 5000,
         tells_back_offs: true,
+        placement: Placement::Routers,
     }
 }
 
