--- a/crates/router/tests/faults/run.rs
+++ b/crates/router/tests/faults/run.rs
@@ -107,7 +107,7 @@
     }
 
     /// Sends the order, and again under a new key as long as it is refused before it comes to its gate because its
-    /// home can't run new keys: on a busy machine, its lease lapses. Any other refusal is the last word.
+    /// home can't run new keys: on a busy machine, its lease lapses. Any other refusal is final.
     async fn send(&self, callers: &Callers, id: &str) -> Vec<Told> {
         let end = Instant::now() + AT_GATE;
         let mut told = Vec::new();
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -466,7 +466,7 @@
     )?;
     let (ports, mut lines) = child.ports(&id).await?;
     link.point(ports.listen);
-    let (record, ends_at) = (Rc::clone(record), link.clone());
+    let (record, own_link) = (Rc::clone(record), link.clone());
     spawn_local(async move {
         while let Ok(Some(line)) = lines.next_line().await {
             // A line that was cut by a kill is no word.
@@ -481,7 +481,7 @@
             }
         }
         // Its output ends with its process.
-        ends_at.retire(ports.listen);
+        own_link.retire(ports.listen);
     });
     Ok(Replica {
         id,
--- a/crates/standin/tests/link.rs
+++ b/crates/standin/tests/link.rs
@@ -82,7 +82,7 @@
     until_refused(link.address).await;
     link.point(next);
     until_served(link.address).await;
-    // The end of the first one is told late.
+    // A late report of the first server's end changes nothing.
     link.retire(first);
     for _ in 0..20 {
         let stream = TcpStream::connect(link.address).await;
