Tell services that a router does not reach from endpoints that are gone

Events 665 and 666 tell begin and end of a time in which several endpoints of a service in a row could not be connected to, broke the connection or kept silent, and none was heard from meanwhile. 612 says how a connection failed: refused or nothing came back.

Nothing is decided by it yet. Tests: core/tests/gateway/reach.rs.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -8,6 +8,7 @@
     arena::EndpointKey,
     gateway::{
         Gateway,
+        RegistryEvent,
         budget::RetryBudget,
         catalog::Workspace,
         endpoint,
@@ -400,11 +401,58 @@
         outcome: AttemptOutcome,
     ) -> NextStep {
         self.record_outcome(now, ticket, endpoint, outcome);
+        self.record_contact(now, &ticket.service, endpoint, outcome);
         self.registry
             .ended(now, endpoint, outcome, now.since(ticket.sent));
         self.decide_next(now, ticket, endpoint, outcome)
     }
 
+    /// Notes what the end of an attempt shows of the way to its endpoint.
+    fn record_contact(
+        &mut self,
+        now: Time,
+        service: &Bytes,
+        endpoint: EndpointKey,
+        outcome: AttemptOutcome,
+    ) {
+        match outcome {
+            AttemptOutcome::Answered
+            | AttemptOutcome::Failed
+            | AttemptOutcome::Rejected
+            | AttemptOutcome::Misdirected => self.reach.heard(now, service),
+            AttemptOutcome::Broken | AttemptOutcome::Stalled => {
+                self.record_lost_contact(now, service, endpoint)
+            }
+            AttemptOutcome::NotSent | AttemptOutcome::Left => {}
+        }
+    }
+
+    /// Notes that the head of an answer has arrived.
+    pub fn heard(&mut self, now: Time, ticket: &Ticket) {
+        self.reach.heard(now, &ticket.service);
+    }
+
+    fn record_lost_contact(&mut self, now: Time, service: &Bytes, endpoint: EndpointKey) {
+        let endpoints = self.registry.of(service).count();
+        if let Some(outage) = self.reach.failed(now, service, endpoint, endpoints) {
+            self.events.push(RegistryEvent::Unreached {
+                service: service.clone(),
+                silent: outage.last_contact.map(|at| now.since(at)),
+            });
+        }
+    }
+
+    /// Notes that a connection to an endpoint was opened.
+    pub fn connected(&mut self, now: Time, endpoint: EndpointKey) {
+        let Some(endpoint) = self.registry.get(endpoint) else {
+            return;
+        };
+        let service = endpoint.entry.service.clone();
+        if let Some(after) = self.reach.connected(now, &service) {
+            self.events.push(RegistryEvent::Reached { service, after });
+        }
+    }
+
     /// Tells the quarantine how an attempt ended. A broken connection to a leaving endpoint is no
     /// crash, because such an endpoint may close its connections.
     fn record_outcome(
@@ -440,6 +488,8 @@
     pub fn unreached(&mut self, now: Time, ticket: &mut Ticket, endpoint: EndpointKey) -> NextStep {
         let cold = warmup_time(self.catalog.as_ref());
         self.registry.unreached(now, endpoint, cold);
+        let service = ticket.service.clone();
+        self.record_lost_contact(now, &service, endpoint);
         self.decide_next(now, ticket, endpoint, AttemptOutcome::NotSent)
     }
 
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 pub mod place;
 pub mod proof;
 pub mod quarantine;
+pub mod reach;
 pub mod reading;
 pub mod refusal;
 pub mod registry;
@@ -62,6 +63,7 @@
 use mesh::Sample;
 use proof::FreshnessProof;
 use quarantine::Quarantine;
+use reach::Reach;
 use registry::Registry;
 use settings::Bounds;
 use stop::StopDeadline;
@@ -88,6 +90,9 @@
     samples: VecDeque<Sample>,
     quarantine: Quarantine,
     warmup: Warmup,
+    reach: Reach,
+    /// Events that the next tick returns.
+    events: Vec<RegistryEvent>,
     /// Seed of the keyed hashes of request contents.
     seed: u64,
     end: Option<StopDeadline>,
@@ -115,6 +120,8 @@
             samples: VecDeque::new(),
             quarantine: Quarantine::default(),
             warmup: Warmup::default(),
+            reach: Reach::default(),
+            events: Vec::new(),
             seed: rng.random(),
             end: None,
             routers: 1,
@@ -134,6 +141,11 @@
         &self.registry
     }
 
+    /// Gets which services this router reaches.
+    pub fn reach(&self) -> &Reach {
+        &self.reach
+    }
+
     /// Gets how recently the registry was read.
     pub fn proof(&self) -> &FreshnessProof {
         &self.proof
--- a/crates/core/src/gateway/updates.rs
+++ b/crates/core/src/gateway/updates.rs
@@ -95,6 +95,20 @@
         /// Its name.
         data_center: Bytes,
     },
+    /// This router reaches no endpoint of a service.
+    Unreached {
+        /// Name of the service.
+        service: Bytes,
+        /// Time since one of its endpoints was last heard from; `None` if none ever was.
+        silent: Option<Millis>,
+    },
+    /// This router reaches an endpoint of a service again.
+    Reached {
+        /// Name of the service.
+        service: Bytes,
+        /// Time for which it was not reached.
+        after: Millis,
+    },
 }
 
 /// `DigestContents` is what a digest tells peers of endpoints.
@@ -162,7 +176,7 @@
             self.resumed_at = now;
         }
         self.last_tick = now;
-        let mut events = Vec::new();
+        let mut events = std::mem::take(&mut self.events);
         self.registry
             .expire(now, self.bounds.lapse_grace, &mut events);
         self.registry.end_back_offs(now, &mut events);
@@ -183,6 +197,7 @@
             _ => {
                 self.hot_spots
                     .retain(|name, _| catalog.service(name).is_some());
+                self.reach.retain(|name| catalog.service(name).is_some());
                 // Samples name services by their indices in the previous configuration.
                 self.samples.clear();
                 self.catalog = Some(Arc::new(catalog));
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod place;
 mod proof;
 mod quarantine;
+mod reach;
 mod reading;
 mod registry;
 mod signals;
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -97,6 +97,43 @@
     },
 }
 
+/// `ConnectFailure` is how a connection failed to open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum ConnectFailure {
+    /// Nothing came back in time.
+    Timeout,
+    /// The remote host refused or reset the connection.
+    Refused,
+    /// The network said that there is no way to the remote host.
+    NoRoute,
+    /// The endpoint's entry is gone.
+    Unregistered,
+    /// Any other error.
+    Other,
+}
+
+impl Error {
+    /// Returns how a connection failed to open.
+    pub fn connect_failure(&self) -> ConnectFailure {
+        use std::io::ErrorKind;
+        match self {
+            Error::ConnectTimeout { .. } => ConnectFailure::Timeout,
+            Error::ConnectFailed { source, .. } => match source.kind() {
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => {
+                    ConnectFailure::Refused
+                }
+                ErrorKind::TimedOut => ConnectFailure::Timeout,
+                ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => {
+                    ConnectFailure::NoRoute
+                }
+                _ => ConnectFailure::Other,
+            },
+            _ => ConnectFailure::Other,
+        }
+    }
+}
+
 /// `Timeouts` is the time limits of a call.
 #[derive(Clone, Copy, Debug)]
 pub struct Timeouts {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -146,6 +146,14 @@
         RegistryEvent::BackOffEnded { id } => {
             tracing::info!(event = 664, endpoint = %text(id), "endpoint's pause has ended");
         }
+        RegistryEvent::Unreached { service, silent } => {
+            let silent = silent.map_or(-1, |s| i64::try_from(s.0).unwrap_or(i64::MAX));
+            tracing::warn!(event = 665, service = %text(service), silent, "service not reached");
+        }
+        RegistryEvent::Reached { service, after } => {
+            let after = after.0;
+            tracing::info!(event = 666, service = %text(service), after, "service reached again");
+        }
         RegistryEvent::Endpoint { id, state } => {
             tracing::info!(event = 655, endpoint = %text(id), %state, "endpoint changed");
         }
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -43,6 +43,7 @@
 
 use crate::{
     client::{
+        ConnectFailure,
         Connection,
         SendOutcome, //
     },
@@ -245,19 +246,25 @@
             Some(address) => match Pool::open(address).await {
                 Ok(connection) => {
                     self.state.metrics.count("connections", "opened");
+                    let mut gateway = self.state.gateway.borrow_mut();
+                    gateway.connected(now(), placed.endpoint);
                     return Ok(connection);
                 }
-                Err(error) => error.to_string(),
+                Err(error) => (error.to_string(), error.connect_failure()),
             },
-            None => "the endpoint is no longer registered".to_owned(),
+            None => (
+                "the endpoint is no longer registered".to_owned(),
+                ConnectFailure::Unregistered,
+            ),
         };
+        let (error, failure) = error;
         self.state.metrics.count("connections", "failed");
         let mut gateway = self.state.gateway.borrow_mut();
         let next = gateway.unreached(now(), &mut self.ticket, placed.endpoint);
         if self.state.log.try_admit() {
             let id = text(&self.incoming_request.id);
             let endpoint = endpoint_name(&gateway, placed.endpoint);
-            tracing::warn!(event = 612, %id, %endpoint, error, %next, "endpoint not reached");
+            tracing::warn!(event = 612, %id, %endpoint, error, %failure, %next, "endpoint not reached");
         }
         Err(next)
     }
@@ -284,6 +291,10 @@
             }
             Err(_) => return Err((guard, AttemptOutcome::Stalled, None)),
         };
+        {
+            let mut gateway = self.state.gateway.borrow_mut();
+            gateway.heard(now(), &self.ticket);
+        }
         let (head, body) = response.into_parts();
         let reply = (self.state.protocol.reply)(&head.headers);
         let status = Some(head.status);
