--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -1,6 +1,9 @@
 //! The path of one request: admission, placement, sending, and what follows the end of an attempt.
 
-use std::sync::Arc;
+use std::{
+    net::SocketAddrV4,
+    sync::Arc, //
+};
 
 use bytes::Bytes;
 
@@ -17,6 +20,7 @@
             Content,
             Fingerprint, //
         },
+        handoff,
         hot_spots,
         incoming_request::{
             self,
@@ -85,6 +89,20 @@
     pub life: Option<Tag>,
     /// Endpoints that could not be connected to; they don't count as attempts.
     pub unreached: Vec<EndpointKey>,
+    /// Attempts of peers at endpoints that are not listed here.
+    pub remote_attempts: u32,
+    /// Most endpoints that it may be sent to.
+    pub max_attempts: u32,
+    /// Endpoints that it must not be sent to because another router has tried them.
+    pub excluded: Vec<EndpointKey>,
+    /// Peers that it was handed to, or that could not be connected to.
+    pub peers: Vec<SocketAddrV4>,
+    /// Whether a peer has handed it to this router.
+    pub from_peer: bool,
+    /// Whether the retry budget counts it as a request.
+    pub counted: bool,
+    /// When the first connection that it waited for was begun.
+    pub connecting_since: Option<Time>,
     /// Whether an endpoint may have run it.
     pub may_have_run: bool,
     /// Whether the retry budget is already charged for a retry that has not been sent yet.
@@ -96,7 +114,8 @@
 impl Ticket {
     /// Counts its attempts: the endpoints that it was sent to.
     pub fn attempts(&self) -> u32 {
-        u32::try_from(self.tried.len()).unwrap_or(u32::MAX)
+        let tried = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        tried.saturating_add(self.remote_attempts)
     }
 
     /// Gets the tag of the workspace that sent it.
@@ -156,7 +175,14 @@
             deadline,
             until,
             version: catalog.version,
+            max_attempts: route.attempts,
             route: Arc::clone(route),
+            remote_attempts: 0,
+            excluded: Vec::new(),
+            peers: Vec::new(),
+            from_peer: false,
+            counted: true,
+            connecting_since: None,
             tried: Vec::new(),
             sent: now,
             life: None,
@@ -182,6 +208,9 @@
             return Err(Refusal::given_up(Cause::Deadline, ticket.may_have_run));
         }
         self.check_quarantine(now, ticket)?;
+        if self.cannot_help(now, ticket) {
+            return Err(Refusal::given_up(Cause::Unreached, ticket.may_have_run));
+        }
         let draw = self.draw();
         let part = incoming_request
             .prompt
@@ -357,6 +386,11 @@
 
     /// Notes that an attempt is sent.
     pub fn sent(&mut self, now: Time, ticket: &mut Ticket, endpoint: EndpointKey) {
+        if !ticket.counted && !ticket.from_peer {
+            ticket.counted = true;
+            let window = self.bounds.retry.window;
+            self.budget(&ticket.service).record_request(now, window);
+        }
         ticket.retry_reserved = false;
         ticket.tried.push(endpoint);
         ticket.sent = now;
@@ -375,13 +409,16 @@
     /// keeps waiting.
     pub fn silence_timeout(&mut self, now: Time, ticket: &Ticket, begun: bool) -> Option<Millis> {
         let route = &ticket.route;
-        if !route.kind.repeatable() || ticket.attempts() >= route.attempts {
+        if !route.kind.repeatable() || ticket.attempts() >= ticket.max_attempts {
             return None;
         }
         let other = |(key, e): &(EndpointKey, &endpoint::Endpoint)| {
             !ticket.tried.contains(key) && !e.paused(now) && !e.backing_off(now)
         };
-        self.registry.of(&ticket.service).find(other)?;
+        let other = self.registry.of(&ticket.service).any(|e| other(&e));
+        if !other && self.choose_peer(now, ticket).is_none() {
+            return None;
+        }
         if !self.may_retry(now, &ticket.service) {
             return None;
         }
@@ -419,17 +456,25 @@
             AttemptOutcome::Answered
             | AttemptOutcome::Failed
             | AttemptOutcome::Rejected
-            | AttemptOutcome::Misdirected => self.reach.heard(now, service),
+            | AttemptOutcome::Misdirected
+            | AttemptOutcome::NotSent
+            | AttemptOutcome::Left => {}
             AttemptOutcome::Broken | AttemptOutcome::Stalled => {
                 self.record_lost_contact(now, service, endpoint)
             }
-            AttemptOutcome::NotSent | AttemptOutcome::Left => {}
         }
     }
 
-    /// Notes that the head of an answer has arrived.
-    pub fn heard(&mut self, now: Time, ticket: &Ticket) {
-        self.reach.heard(now, &ticket.service);
+    /// Notes that an endpoint answered on a connection that was opened at `opened`.
+    pub fn heard(&mut self, now: Time, endpoint: EndpointKey, opened: Time) {
+        let Some(endpoint) = self.registry.get(endpoint) else {
+            return;
+        };
+        let service = endpoint.entry.service.clone();
+        if let Some(after) = self.reach.heard(now, &service, opened) {
+            self.registry.end_pauses_if_peers_reach(now, &service);
+            self.events.push(RegistryEvent::Reached { service, after });
+        }
     }
 
     fn record_lost_contact(&mut self, now: Time, service: &Bytes, endpoint: EndpointKey) {
@@ -442,15 +487,9 @@
         }
     }
 
-    /// Notes that a connection to an endpoint was opened.
-    pub fn connected(&mut self, now: Time, endpoint: EndpointKey) {
-        let Some(endpoint) = self.registry.get(endpoint) else {
-            return;
-        };
-        let service = endpoint.entry.service.clone();
-        if let Some(after) = self.reach.connected(now, &service) {
-            self.events.push(RegistryEvent::Reached { service, after });
-        }
+    /// Notes that a connection to an endpoint is begun for a request.
+    pub fn connecting(&self, now: Time, ticket: &mut Ticket) {
+        ticket.connecting_since.get_or_insert(now);
     }
 
     /// Tells the quarantine how an attempt ended. A broken connection to a leaving endpoint is no
@@ -510,11 +549,11 @@
         if matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Left) {
             return NextStep::Deliver;
         }
-        let may_continue = now < ticket.until && ticket.attempts() < ticket.route.attempts;
+        let may_continue = now < ticket.until && ticket.attempts() < ticket.max_attempts;
         let costs_no_retry = outcome == AttemptOutcome::NotSent && ticket.tried.is_empty();
         let allowed = outcome.repeatable(ticket.route.kind)
             && (!ticket.may_have_run || ticket.route.kind.repeatable());
-        let may_continue = may_continue && allowed && ticket.unreached.len() < MAX_UNREACHED;
+        let may_continue = may_continue && allowed && !self.has_waited_for_connections(now, ticket);
         if may_continue && (costs_no_retry || self.reserve_retry(now, ticket)) {
             NextStep::Again
         } else {
@@ -522,6 +561,34 @@
         }
     }
 
+    /// Decides whether a request that may have run at a peer is sent once more.
+    pub(super) fn decide_retry(
+        &mut self,
+        now: Time,
+        ticket: &mut Ticket,
+        outcome: AttemptOutcome,
+    ) -> NextStep {
+        let may_continue = now < ticket.until
+            && ticket.attempts() < ticket.max_attempts
+            && outcome.repeatable(ticket.route.kind);
+        if may_continue && self.reserve_retry(now, ticket) {
+            NextStep::Again
+        } else {
+            NextStep::GiveUp
+        }
+    }
+
+    /// Tells whether a request has tried as many connections as it may. Where no endpoint of its
+    /// service is reached, one that hangs is enough.
+    fn has_waited_for_connections(&mut self, now: Time, ticket: &Ticket) -> bool {
+        let hung = ticket
+            .connecting_since
+            .is_some_and(|at| now.since(at) >= handoff::HUNG_TIME);
+        let unreached = self.reach.outage(&ticket.service).is_some();
+        ticket.unreached.len() >= MAX_UNREACHED
+            || (hung && unreached && self.choose_peer(now, ticket).is_none())
+    }
+
     /// Charges a retry to the budget if one is allowed. The charge counts from now, since other
     /// requests may be allowed a retry before this one is sent. A retry that could not be sent
     /// keeps its charge for the next try.
@@ -534,7 +601,7 @@
         ticket.retry_reserved
     }
 
-    fn budget(&mut self, service: &Bytes) -> &mut RetryBudget {
+    pub(super) fn budget(&mut self, service: &Bytes) -> &mut RetryBudget {
         self.budgets.entry(service.clone()).or_default()
     }
 
--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -48,6 +48,14 @@
         self.counter(now, window).requests += 1;
     }
 
+    /// Takes back the newest counted request, which another router counts.
+    pub fn forget_request(&mut self) {
+        let newest = self.counters.iter_mut().rev().find(|c| c.requests > 0);
+        if let Some(counter) = newest {
+            counter.requests -= 1;
+        }
+    }
+
     /// Counts a retry: an attempt of a request beyond its first.
     pub fn record_retry(&mut self, now: Time, window: Millis) {
         self.counter(now, window).retries += 1;
--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -405,6 +405,24 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
+    /// Tells whether it currently gets no requests because no connection to it could be made.
+    pub fn unreached(&self, now: Time) -> bool {
+        self.paused(now) && self.unreached_at > self.confirmed_at
+    }
+
+    /// Tells whether it can't be reached from here, while peers get answers from it.
+    pub fn reached_by_peers_only(&self, now: Time) -> bool {
+        self.unreached(now) && self.confirmed_by_peer_at > self.unreached_at
+    }
+
+    /// Ends the pause of one that peers have reached since it could not be reached from here.
+    pub fn end_pause_if_peers_reach(&mut self, now: Time) {
+        if self.reached_by_peers_only(now) {
+            self.paused_until = None;
+            self.consecutive_failures = 0;
+        }
+    }
+
     /// Gets the recent failure rate of its answers, from 0 to 1.
     pub fn failure_rate(&self, now: Time) -> f32 {
         let (at, share) = self.failure_rate;
@@ -556,7 +574,7 @@
     }
 
     /// Notes that no connection to it could be made.
-    pub fn unreached(&mut self, now: Time) {
+    pub fn record_unreached(&mut self, now: Time) {
         self.unreached_at = Some(now);
         self.pause(now, self.consecutive_failures);
         self.consecutive_failures += 1;
--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -154,6 +154,8 @@
     pub crashes: Vec<Record>,
     /// Endpoints that have asked the sender for no requests.
     pub back_offs: Vec<BackOffReport>,
+    /// Services that the sender does not reach, by their indices in the configuration.
+    pub unreached_services: Vec<u32>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -248,6 +250,7 @@
             samples: Vec::new(),
             crashes: Vec::new(),
             back_offs: Vec::new(),
+            unreached_services: Vec::new(),
         }
     }
 
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -7,7 +7,8 @@
 //!
 //! A request passes [`Gateway::admit`], which checks its route, its key and the age of the
 //! configuration, and for each attempt [`Gateway::place`] and [`Gateway::ended`] (see [`attempt`]).
-//! [`updates`] takes in what the registry and other routers report; [`stop`] is about shutting
+//! [`handoff`] is
+//! about requests that a peer serves. [`updates`] takes in what the registry and other routers report; [`stop`] is about shutting
 //! down.
 
 use std::{
@@ -33,6 +34,7 @@
 pub mod catalog;
 pub mod endpoint;
 pub mod fingerprint;
+pub mod handoff;
 pub mod hot_spots;
 pub mod incoming_request;
 pub mod mesh;
@@ -59,6 +61,7 @@
 
 use budget::RetryBudget;
 use catalog::Catalog;
+use handoff::Peers;
 use hot_spots::HotSpots;
 use mesh::Sample;
 use proof::FreshnessProof;
@@ -91,6 +94,7 @@
     quarantine: Quarantine,
     warmup: Warmup,
     reach: Reach,
+    peers: Peers,
     /// Events that the next tick returns.
     events: Vec<RegistryEvent>,
     /// Seed of the keyed hashes of request contents.
@@ -121,6 +125,7 @@
             quarantine: Quarantine::default(),
             warmup: Warmup::default(),
             reach: Reach::default(),
+            peers: Peers::default(),
             events: Vec::new(),
             seed: rng.random(),
             end: None,
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -212,7 +212,9 @@
 }
 
 fn tried(ticket: &Ticket, endpoint: EndpointKey) -> bool {
-    ticket.tried.contains(&endpoint) || ticket.unreached.contains(&endpoint)
+    [&ticket.tried, &ticket.unreached, &ticket.excluded]
+        .iter()
+        .any(|keys| keys.contains(&endpoint))
 }
 
 /// `ServiceMean` is the mean of the loads and failure rates of a service's endpoints.
--- a/crates/core/src/gateway/reach.rs
+++ b/crates/core/src/gateway/reach.rs
@@ -1,9 +1,9 @@
 //! Which services this router reaches.
 //!
 //! One endpoint that can't be connected to may have ended. Several in a row, while no endpoint of the
-//! service is heard from, show that the router itself may have lost its way to the service. Only a
-//! new connection shows that the way is open again: connections of before may live on while new ones
-//! are refused.
+//! service is heard from, show that the router itself may have lost its way to the service. Only an
+//! answer on a new connection shows that the way is open again: connections of before may live on
+//! while new ones are refused, and a connection that opens may carry nothing.
 
 use bytes::Bytes;
 use indexmap::IndexMap;
@@ -18,6 +18,14 @@
 
 /// One in so many of a service's endpoints that fail in a row make the service unreached.
 const FAILED_DIVISOR: usize = 3;
+/// First interval between probes while a service is not reached; it doubles with
+/// each that fails.
+const MIN_PROBE_INTERVAL: Millis = Millis(100);
+/// Longest such interval.
+const MAX_PROBE_INTERVAL: Millis = Millis(800);
+/// Time after the end of an outage in which another one begins with the longest interval, so that a
+/// link that comes and goes is not used each time.
+const FLAP_WINDOW: Millis = Millis(5000);
 /// Limit of the endpoints that must fail in a row, however many the service has.
 const MAX_FAILED: usize = 3;
 
@@ -36,6 +44,10 @@
     /// Endpoints that have failed since, each once.
     failed: Vec<EndpointKey>,
     outage: Option<Outage>,
+    /// When the last outage ended.
+    ended: Option<Time>,
+    next_probe: Time,
+    probe_interval: Millis,
 }
 
 /// `Reach` is what this router's own connections tell of the services.
@@ -45,19 +57,15 @@
 }
 
 impl Reach {
-    /// Records that an endpoint of a service was heard from.
-    pub fn heard(&mut self, now: Time, service: &Bytes) {
+    /// Records that an endpoint of a service answered on a connection that was opened at `opened`;
+    /// returns the length of the outage that this ends.
+    pub fn heard(&mut self, now: Time, service: &Bytes, opened: Time) -> Option<Millis> {
         let reach = self.service(service);
         reach.last_contact = Some(now);
         reach.failed.clear();
-    }
-
-    /// Records that a connection to an endpoint of a service was opened; returns the length of the
-    /// outage that this ends.
-    pub fn connected(&mut self, now: Time, service: &Bytes) -> Option<Millis> {
-        self.heard(now, service);
-        let outage = self.service(service).outage.take();
-        outage.map(|o| now.since(o.since))
+        let outage = reach.outage.take_if(|o| opened >= o.since)?;
+        reach.ended = Some(now);
+        Some(now.since(outage.since))
     }
 
     /// Records that an endpoint could not be connected to, broke the connection or kept silent;
@@ -82,6 +90,13 @@
             return None;
         }
         reach.failed.clear();
+        let flaps = reach.ended.is_some_and(|at| now.since(at) < FLAP_WINDOW);
+        reach.probe_interval = if flaps {
+            MAX_PROBE_INTERVAL
+        } else {
+            MIN_PROBE_INTERVAL
+        };
+        reach.next_probe = now + reach.probe_interval;
         reach.outage = Some(Outage {
             since: now,
             last_contact: reach.last_contact,
@@ -89,6 +104,18 @@
         reach.outage
     }
 
+    /// Tells whether a service that is not reached should be probed now, and counts that as done.
+    pub fn begin_probe(&mut self, now: Time, service: &Bytes) -> bool {
+        let reach = self.service(service);
+        if reach.outage.is_none() || now < reach.next_probe {
+            return false;
+        }
+        let doubled = Millis(reach.probe_interval.0 * 2);
+        reach.probe_interval = doubled.min(MAX_PROBE_INTERVAL);
+        reach.next_probe = now + reach.probe_interval;
+        true
+    }
+
     /// Returns the current outage of a service.
     pub fn outage(&self, service: &[u8]) -> Option<Outage> {
         self.services.get(service).and_then(|s| s.outage)
--- a/crates/core/src/gateway/refusal.rs
+++ b/crates/core/src/gateway/refusal.rs
@@ -3,7 +3,9 @@
 use crate::units::Millis;
 
 /// `Cause` is the reason of a refusal.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumIter)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumIter, strum::EnumString,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum Cause {
     /// No configuration has been read yet.
@@ -38,6 +40,8 @@
     WarmingUp,
     /// All endpoints that could serve the request have asked for a time without requests.
     BackingOff,
+    /// This router reaches no endpoint of the service.
+    Unreached,
 }
 
 /// `Refusal` is the final answer to a request that is not served; it is sent immediately.
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -319,7 +319,7 @@
     /// returns for its service.
     pub fn unreached(&mut self, now: Time, key: EndpointKey, cold: impl Fn(&Bytes) -> Millis) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.unreached(now);
+            endpoint.record_unreached(now);
             if endpoint.entry.born.is_some() {
                 let time = cold(&endpoint.entry.service);
                 endpoint.doubt(now, time);
@@ -404,6 +404,20 @@
         key.and_then(|k| self.endpoints.get(*k))
     }
 
+    /// Returns the key of a listed incarnation.
+    pub fn key_of(&self, life: Tag) -> Option<EndpointKey> {
+        self.by_tag.get(&life).copied()
+    }
+
+    /// Ends the pauses of a service's endpoints that peers have reached since this router could not.
+    pub fn end_pauses_if_peers_reach(&mut self, now: Time, service: &[u8]) {
+        for key in self.by_service.get(service).into_iter().flatten() {
+            if let Some(endpoint) = self.endpoints.get_mut(*key) {
+                endpoint.end_pause_if_peers_reach(now);
+            }
+        }
+    }
+
     /// Lists at most `room` of the newest endpoint reports, including a few without a load; `draw`
     /// picks these.
     pub fn reports(&self, now: Time, draw: u64, room: usize) -> Vec<EndpointReport> {
--- a/crates/core/tests/gateway/endpoint.rs
+++ b/crates/core/tests/gateway/endpoint.rs
@@ -88,15 +88,15 @@
 #[gtest]
 fn verify_an_unreachable_endpoint_is_paused_for_longer_each_time() {
     let mut endpoint = Endpoint::new(None, entry(1));
-    endpoint.unreached(Time(0));
+    endpoint.record_unreached(Time(0));
     expect_true!(endpoint.paused(Time(399)));
     expect_false!(endpoint.paused(Time(400)));
-    endpoint.unreached(Time(400));
+    endpoint.record_unreached(Time(400));
     expect_true!(endpoint.paused(Time(1199)));
     expect_false!(endpoint.paused(Time(1200)));
     endpoint.sent(Time(1200));
     endpoint.ended(Time(1300), AttemptOutcome::Answered, Millis(20));
-    endpoint.unreached(Time(2000));
+    endpoint.record_unreached(Time(2000));
     expect_false!(endpoint.paused(Time(2400)));
 }
 
@@ -178,7 +178,7 @@
                     left |= outcome == AttemptOutcome::Misdirected;
                 }
                 Step::Ended(_) => {}
-                Step::Unreached => endpoint.unreached(now),
+                Step::Unreached => endpoint.record_unreached(now),
                 Step::Stated(n) => endpoint.record_load(now, load(n)),
             }
             prop_assert_eq!(endpoint.own_in_flight, own_in_flight);
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod evacuation;
 mod fixture;
 mod flow;
+mod handoff;
 mod lives;
 mod mesh;
 mod mirror;
--- a/crates/core/tests/gateway/reach.rs
+++ b/crates/core/tests/gateway/reach.rs
@@ -36,7 +36,7 @@
 fn verify_a_service_is_unreached_after_a_third_of_its_endpoints_failed_in_a_row() {
     for (endpoints, needed) in [(1, 1), (3, 1), (4, 2), (9, 3), (3000, 3)] {
         let mut reach = Reach::default();
-        reach.heard(Time(5), &service());
+        reach.heard(Time(5), &service(), Time(0));
         let keys = keys(4);
         for key in &keys[..needed - 1] {
             expect_that!(reach.failed(Time(10), &service(), *key, endpoints), none());
@@ -68,22 +68,38 @@
     for round in 0..10 {
         expect_that!(reach.failed(Time(round), &service(), keys[0], 9), none());
         expect_that!(reach.failed(Time(round), &service(), keys[1], 9), none());
-        reach.heard(Time(round), &service());
+        reach.heard(Time(round), &service(), Time(0));
     }
 }
 
+/// Guards against an outage that ends with each answer on a connection of before, while new ones are refused.
 #[gtest]
-fn verify_only_a_new_connection_ends_an_outage() {
+fn verify_only_an_answer_on_a_new_connection_ends_an_outage() {
     let mut reach = Reach::default();
     reach.failed(Time(100), &service(), keys(1)[0], 1);
-    reach.heard(Time(200), &service());
+    expect_that!(reach.heard(Time(200), &service(), Time(99)), none());
     expect_that!(reach.outage(&service()), some(anything()));
-    expect_that!(
-        reach.connected(Time(350), &service()),
-        some(eq(Millis(250)))
-    );
+    let ended = reach.heard(Time(350), &service(), Time(120));
+    expect_that!(ended, some(eq(Millis(250))));
     expect_that!(reach.outage(&service()), none());
-    expect_that!(reach.connected(Time(400), &service()), none());
+    expect_that!(reach.heard(Time(400), &service(), Time(380)), none());
+}
+
+#[gtest]
+fn verify_probes_become_rarer_while_an_outage_lasts_and_after_one_that_came_back() {
+    let probes = |reach: &mut Reach, from: u64| {
+        let due = (from..from + 4000).filter(|at| reach.begin_probe(Time(*at), &service()));
+        due.map(|at| at - from).collect::<Vec<_>>()
+    };
+    let mut reach = Reach::default();
+    expect_that!(probes(&mut reach, 0), is_empty(), "nothing to probe");
+    reach.failed(Time(4000), &service(), keys(1)[0], 1);
+    let first = probes(&mut reach, 4000);
+    expect_that!(first, eq(&vec![100, 300, 700, 1500, 2300, 3100, 3900]));
+    reach.heard(Time(8000), &service(), Time(8000));
+    reach.failed(Time(8500), &service(), keys(1)[0], 1);
+    let again = probes(&mut reach, 8500);
+    expect_that!(again, eq(&vec![800, 1600, 2400, 3200]));
 }
 
 /// Guards against an outage that nobody is told of: begin and end are events of the next tick.
@@ -107,7 +123,7 @@
         silent: None,
     };
     expect_that!(gateway.tick(Time(450)), contains(eq(&unreached)));
-    gateway.connected(Time(900), placed.endpoint);
+    gateway.heard(Time(900), placed.endpoint, Time(850));
     let reached = RegistryEvent::Reached {
         service: service(),
         after: Millis(500),
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -43,6 +43,9 @@
     task::AbortHandle,
     time::timeout, //
 };
+use toucanturn_core::units::Time;
+
+use crate::state::now;
 
 /// Longest body of the answer to a call.
 const MAX_CALL_BODY_BYTES: usize = 16 << 20;
@@ -231,6 +234,8 @@
 /// `Connection` is an open connection. Dropping it closes the socket, even with a request in progress.
 #[derive(Debug)]
 pub struct Connection {
+    /// When it was opened.
+    pub opened: Time,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
 }
@@ -280,6 +285,7 @@
             }
         });
         Ok(Self {
+            opened: now(),
             sender,
             task: task.abort_handle(),
         })
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use futures_util::stream::LocalBoxStream;
 use http::{
+    HeaderMap,
     HeaderName,
     HeaderValue,
     Request,
@@ -90,16 +91,20 @@
         }
         Err((id, refusal)) => refuse(&state, &id, refusal, None),
     };
-    let headers = response.headers_mut();
+    keep_alive(&state, response.headers_mut());
+    Ok(response)
+}
+
+/// Tells the sender of a request for how long it may reuse its connection.
+pub(crate) fn keep_alive(state: &State, headers: &mut HeaderMap) {
     if state.phase() >= Phase::Stopping {
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
-    } else if keep_alive_allowed(&state) {
+    } else if keep_alive_allowed(state) {
         headers.insert(
             KEEP_ALIVE_HEADER,
             HeaderValue::from_static(KEEP_ALIVE_VALUE),
         );
     }
-    Ok(response)
 }
 
 /// Returns whether callers may be offered [`KEEP_ALIVE_S`]: the published limit for idle connections may be
@@ -110,7 +115,7 @@
     limits.is_some_and(|limits| limits.idle.0 > KEEP_ALIVE_S * 1000)
 }
 
-async fn read(
+pub(crate) async fn read(
     state: &Shared,
     parts: &Parts,
     body: Incoming,
@@ -192,7 +197,7 @@
         began,
     );
     if proxied.ticket.route.kind.streams() {
-        relay::answer(proxied).await
+        relay::answer(proxied, None).await
     } else {
         answer_buffered(proxied).await
     }
@@ -200,7 +205,7 @@
 
 /// Answers a request whose answer is buffered until it is complete, so that an attempt whose answer ends
 /// early can be repeated.
-async fn answer_buffered(mut proxied: ProxiedRequest) -> Response<Body> {
+pub(crate) async fn answer_buffered(mut proxied: ProxiedRequest) -> Response<Body> {
     let mut failure = None;
     loop {
         let attempt = match proxied.start(None).await {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -61,11 +61,14 @@
         let contents = gateway.digest_contents(at, draw);
         gateway.fleet(at, mesh.size(at));
         gateway.update_fleet(at, &mesh.fleet(at));
+        gateway.update_peers(mesh.live(at).map(|r| r.address));
+        let unreached_services = gateway.unreached_services();
         let seal_for = |target| {
             let digest = Digest {
                 samples: samples.clone(),
                 crashes: contents.crashes.clone(),
                 back_offs: contents.back_offs.clone(),
+                unreached_services: unreached_services.clone(),
                 ..mesh.digest(at, target, reads, contents.reports.clone())
             };
             let payload = encode_digest(&digest);
@@ -91,9 +94,11 @@
                 gateway.record_peer_report(now(), &digest.reports);
                 gateway.record_peer_crashes(now(), &digest.crashes);
                 gateway.record_peer_back_offs(now(), &digest.back_offs);
-                // Samples name services by index, which is valid for one configuration version only.
+                // Services are named by index, which is valid for one configuration version only.
                 if gateway.catalog().is_some_and(|c| c.version == epoch) {
                     gateway.record_peer_samples(now(), &digest.samples);
+                    let from = digest.from.address;
+                    gateway.record_peer_unreached(now(), from, &digest.unreached_services);
                 }
             }
             state
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod exchange;
 pub mod feed;
 pub mod gossip;
+mod handoff;
 mod head_timeout;
 pub mod log;
 pub mod metrics;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,6 +15,7 @@
 };
 use http_body_util::{
     BodyExt as _,
+    Either,
     Full,
     Limited, //
 };
@@ -49,6 +50,11 @@
         HttpClient,
         Timeouts, //
     },
+    exchange::Body,
+    handoff::{
+        self,
+        Session, //
+    },
     server,
     state::{
         CachedPack,
@@ -145,12 +151,27 @@
     Ok((made_at - copy.age, copy.delta))
 }
 
-/// Answers polls of peers until the process ends.
+/// Answers polls of peers, and serves the requests that they hand to this router, until the process ends.
 pub async fn serve(state: Shared, listener: TcpListener) {
     server::serve(state, listener, answer).await;
 }
 
 async fn answer(
+    state: Shared,
+    session: Rc<Session>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    if handoff::is_handoff(&request) {
+        return Ok(Box::pin(handoff::serve(state, &session, request)).await);
+    }
+    if handoff::is_session_call(&request) {
+        return Ok(handoff::open_session(&state, &session));
+    }
+    let answered = answer_call(state, request).await?;
+    Ok(answered.map(Either::Left))
+}
+
+async fn answer_call(
     state: Shared,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use snafu::ResultExt;
 use tokio::{
     net::{
@@ -32,7 +33,7 @@
 };
 use toucanturn_core::{
     gateway::{
-        Gateway,
+        Gateway, RegistryEvent,
         mesh::{
             Heartbeat,
             Mesh, //
@@ -226,13 +227,29 @@
         let gateway = state.gateway.borrow();
         let listed = |key| gateway.registry().get(key).is_some();
         state.pool.tick(now(), listed);
+        state.peer_pool.tick(now());
         drop(gateway);
-        for event in state.gateway.borrow_mut().tick(now()) {
+        let events = state.gateway.borrow_mut().tick(now());
+        for event in events {
             crate::feed::log(&event);
+            if let RegistryEvent::Unreached { service, .. } = &event {
+                close_idle_connections(&state, service);
+            }
         }
     }
 }
 
+/// Closes the idle connections to a service that is not reached: they may have fallen silent, and a request that is sent
+/// on one of them after the outage would wait in vain.
+fn close_idle_connections(state: &State, service: &Bytes) {
+    let gateway = state.gateway.borrow();
+    let other = |key| {
+        let endpoint = gateway.registry().get(key);
+        endpoint.is_some_and(|e| e.entry.service != *service)
+    };
+    state.pool.tick(now(), other);
+}
+
 /// Stops the gateway: it reports not ready at once, answers the last request on each connection, and then closes the
 /// connections. Returns the number of requests that were cut off.
 pub async fn stop(state: &Shared, grace: Duration) -> usize {
@@ -249,10 +266,11 @@
     sleep_until(last.min(began + LAST_REQUEST_WAIT)).await;
     state.gateway.borrow_mut().close();
     state.phase.send_replace(Phase::Closing);
-    while state.connections.get() > 0 && Instant::now() < last {
+    let open = || state.connections.get() + state.accepted.get();
+    while open() > 0 && Instant::now() < last {
         sleep(STOP_POLL_INTERVAL).await;
     }
-    let cut = state.requests.get();
+    let cut = state.requests.get() + state.accepted.get();
     tracing::info!(event = 692, cut, "stopped");
     cut
 }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -24,6 +24,8 @@
     pub parse_request: fn(&Parts) -> Result<IncomingRequest, &'static str>,
     /// Builds the header fields of the request to an endpoint from those of the caller.
     pub forward: fn(&HeaderMap, &ForwardContext<'_>) -> HeaderMap,
+    /// Builds the header fields of the request to a peer from those of the caller.
+    pub hand_off: fn(&HeaderMap) -> HeaderMap,
     /// Parses the header fields of an endpoint's answer.
     pub reply: fn(&HeaderMap) -> ReplyHead,
     /// Builds the header fields of the caller's answer from those of the endpoint.
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -1,15 +1,20 @@
 //! An admitted request and its attempts at endpoints: placement, connection, sending and outcome.
 
-use std::time::Duration;
+use std::{
+    net::SocketAddrV4,
+    time::Duration, //
+};
 
 use bytes::Bytes;
 use http::{
     HeaderMap,
+    HeaderValue,
     Method,
     Request,
     Response,
     StatusCode,
     Uri,
+    header,
     request::Parts, //
 };
 use http_body_util::{
@@ -26,6 +31,10 @@
         Gateway, Ticket,
         endpoint::Signal,
         fingerprint::Content,
+        handoff::{
+            PeerReport,
+            Probe, //
+        },
         incoming_request::IncomingRequest,
         outcome::{
             AttemptOutcome,
@@ -41,6 +50,8 @@
     units::Time,
 };
 
+use toucanturn_wire::handoff::Position;
+
 use crate::{
     client::{
         ConnectFailure,
@@ -52,6 +63,10 @@
         MAX_BUFFERED_ANSWER_BYTES,
         refuse, //
     },
+    handoff::{
+        self,
+        PeerConnection, //
+    },
     log::text,
     pool::Pool,
     protocol::{
@@ -64,10 +79,21 @@
     },
 };
 
+/// How a hand-off ended without an endpoint's answer: its outcome, and the head of the peer's answer.
+type HandoffEnd = (
+    AttemptGuard,
+    AttemptOutcome,
+    Option<ReplyHead>,
+    Option<StatusCode>,
+);
+
 /// Longest wait for the body of an answer that states that nothing ran. The connection is kept for
 /// reuse if the body is complete by then.
 const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Time limit of a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1000);
+
 /// `ProxiedRequest` is an admitted request that is being forwarded to endpoints.
 #[derive(Debug)]
 pub(crate) struct ProxiedRequest {
@@ -81,32 +107,66 @@
     pub(crate) began: Time,
 }
 
+/// `Target` is where an attempt was sent.
+#[derive(Clone, Debug)]
+pub(crate) enum Target {
+    /// An endpoint.
+    Endpoint(EndpointKey),
+    /// A peer, over a connection at this place.
+    Peer {
+        /// Its address.
+        address: SocketAddrV4,
+        /// Place of the next request on the connection.
+        next: Position,
+        /// What the peer has reported of its attempts.
+        report: Option<PeerReport>,
+    },
+}
+
 /// `AttemptGuard` is an attempt in progress. Dropping it before [`AttemptGuard::end`] records that the
 /// caller disconnected.
 #[derive(Debug)]
 pub(crate) struct AttemptGuard {
     state: Shared,
-    pub(crate) endpoint: EndpointKey,
+    pub(crate) target: Target,
     active: bool,
 }
 
 impl AttemptGuard {
-    fn start(proxied: &mut ProxiedRequest, endpoint: EndpointKey) -> Self {
+    fn start(proxied: &mut ProxiedRequest, target: Target) -> Self {
         let mut gateway = proxied.state.gateway.borrow_mut();
-        gateway.sent(now(), &mut proxied.ticket, endpoint);
+        match &target {
+            Target::Endpoint(endpoint) => gateway.sent(now(), &mut proxied.ticket, *endpoint),
+            Target::Peer { address, .. } => {
+                gateway.handed_off(now(), &mut proxied.ticket, *address)
+            }
+        }
         drop(gateway);
         Self {
             state: proxied.state.clone(),
-            endpoint,
+            target,
             active: true,
         }
     }
 
+    /// Records the report in the head of a peer's answer.
+    fn record_report(&mut self, headers: &HeaderMap) {
+        if let Target::Peer { report, .. } = &mut self.target {
+            *report = handoff::report(headers);
+        }
+    }
+
     /// Records how the attempt ended; returns what follows.
     pub(crate) fn end(mut self, proxied: &mut ProxiedRequest, outcome: AttemptOutcome) -> NextStep {
         self.active = false;
         let mut gateway = proxied.state.gateway.borrow_mut();
-        gateway.ended(now(), &mut proxied.ticket, self.endpoint, outcome)
+        let ticket = &mut proxied.ticket;
+        match &self.target {
+            Target::Endpoint(endpoint) => gateway.ended(now(), ticket, *endpoint, outcome),
+            Target::Peer {
+                address, report, ..
+            } => gateway.hand_off_ended(now(), ticket, *address, outcome, report.as_ref()),
+        }
     }
 }
 
@@ -115,7 +175,10 @@
         if self.active {
             self.state.metrics.count("attempts", "left");
             let mut gateway = self.state.gateway.borrow_mut();
-            gateway.caller_left(now(), self.endpoint);
+            match &self.target {
+                Target::Endpoint(endpoint) => gateway.caller_left(now(), *endpoint),
+                Target::Peer { address, .. } => gateway.caller_left_peer(*address),
+            }
         }
     }
 }
@@ -185,7 +248,11 @@
     }
 
     /// Returns how long an endpoint may send nothing; `begun` says whether it has sent part of its answer.
-    pub(crate) fn silence_timeout(&self, begun: bool) -> Duration {
+    pub(crate) fn silence_timeout(&self, guard: &AttemptGuard, begun: bool) -> Duration {
+        // A peer notices itself that its endpoint keeps silent.
+        if let Target::Peer { .. } = guard.target {
+            return self.time_left();
+        }
         let mut gateway = self.state.gateway.borrow_mut();
         let limit = gateway.silence_timeout(now(), &self.ticket, begun);
         let limit = limit.map_or(Duration::MAX, |p| Duration::from_millis(p.0));
@@ -197,10 +264,24 @@
     pub(crate) async fn start(&mut self, resume: Option<u64>) -> Result<Attempt, Refusal> {
         loop {
             self.identify();
+            if let Some(peer) = self.peer() {
+                match self.hand_off(peer, resume).await {
+                    Ok(attempt) => return Ok(attempt),
+                    Err(None) => continue,
+                    Err(Some(refusal)) => return Err(refusal),
+                }
+            }
             let placed = {
                 let mut gateway = self.state.gateway.borrow_mut();
                 gateway.place(now(), &self.ticket, &self.incoming_request)?
             };
+            if let Some(peer) = self.peer_instead(&placed) {
+                match self.hand_off(peer, resume).await {
+                    Ok(attempt) => return Ok(attempt),
+                    Err(None) => continue,
+                    Err(Some(refusal)) => return Err(refusal),
+                }
+            }
             let connection = match self.connect(&placed).await {
                 Ok(connection) => connection,
                 Err(NextStep::Again) => continue,
@@ -228,6 +309,123 @@
         gateway.give_up(now(), &self.ticket, cause)
     }
 
+    fn peer(&self) -> Option<SocketAddrV4> {
+        let mut gateway = self.state.gateway.borrow_mut();
+        gateway.hand_off(now(), &self.ticket)
+    }
+
+    fn peer_instead(&self, placed: &Placed) -> Option<SocketAddrV4> {
+        let mut gateway = self.state.gateway.borrow_mut();
+        gateway.hand_off_instead(now(), &self.ticket, placed)
+    }
+
+    /// Hands the request to a peer; returns the peer's answer from an endpoint, a refusal, or nothing if another way
+    /// is tried.
+    async fn hand_off(
+        &mut self,
+        peer: SocketAddrV4,
+        resume: Option<u64>,
+    ) -> Result<Attempt, Option<Refusal>> {
+        probe(&self.state, &self.ticket.service);
+        let open = match self.state.peer_pool.connect(peer).await {
+            Ok(open) => open,
+            Err(error) => {
+                self.state.metrics.count("handoffs", "unreached");
+                tracing::debug!(%peer, %error, "peer not reached");
+                let mut gateway = self.state.gateway.borrow_mut();
+                gateway.peer_unreached(now(), &mut self.ticket, peer);
+                return Err(None);
+            }
+        };
+        let (guard, outcome, reply, status) = match self.send_to_peer(peer, open, resume).await {
+            Ok(attempt) => return Ok(attempt),
+            Err(ended) => ended,
+        };
+        let refused = match &guard.target {
+            Target::Peer { report, .. } => report.as_ref().and_then(|r| r.refused),
+            Target::Endpoint(_) => None,
+        };
+        if self.end(guard, outcome, status) == NextStep::Again {
+            return Err(None);
+        }
+        let cause = refused.unwrap_or(outcome.cause());
+        let retryable = status.is_none_or(|s| s.is_server_error() || s.as_u16() == 429);
+        Err(Some(Refusal {
+            retryable: retryable && !self.ticket.may_have_run,
+            retry_after: reply.and_then(|r| r.retry_after),
+            ..self.given_up(cause)
+        }))
+    }
+
+    async fn send_to_peer(
+        &mut self,
+        peer: SocketAddrV4,
+        open: PeerConnection,
+        resume: Option<u64>,
+    ) -> Result<Attempt, HandoffEnd> {
+        let PeerConnection {
+            mut connection,
+            next: position,
+        } = open;
+        let grant = {
+            let gateway = self.state.gateway.borrow();
+            gateway.grant(now(), &self.ticket, resume)
+        };
+        let headers = (self.state.protocol.hand_off)(&self.headers);
+        let head = (&self.method, origin_form(&self.uri), headers);
+        let request = handoff::request(&self.state, head, &self.body, position, grant);
+        let next = Position {
+            number: position.number.saturating_add(1),
+            ..position
+        };
+        let target = Target::Peer {
+            address: peer,
+            next,
+            report: None,
+        };
+        let mut guard = AttemptGuard::start(self, target);
+        let Some(request) = request else {
+            return Err((guard, AttemptOutcome::NotSent, None, None));
+        };
+        self.log_handed_off(peer);
+        let sent = timeout(self.time_left(), connection.send(request)).await;
+        let response = match sent {
+            Ok(SendOutcome::Head(response)) => response,
+            Ok(SendOutcome::Unsent) => return Err((guard, AttemptOutcome::NotSent, None, None)),
+            Ok(SendOutcome::ConnectionLost(_)) => {
+                return Err((guard, AttemptOutcome::Broken, None, None));
+            }
+            Err(_) => return Err((guard, AttemptOutcome::Stalled, None, None)),
+        };
+        let (head, body) = response.into_parts();
+        guard.record_report(&head.headers);
+        let reply = (self.state.protocol.reply)(&head.headers);
+        let status = Some(head.status);
+        let is_own = reply.id.as_ref() == Some(&self.incoming_request.id);
+        if is_own && reply.sealed && !reply.encoded {
+            return Ok(Attempt {
+                head,
+                reply,
+                body,
+                connection,
+                guard,
+            });
+        }
+        self.drain_rejection(&guard, connection, body, &reply).await;
+        // These statuses promise that nothing has run; a peer that doesn't open the message answers 403.
+        let not_run = match head.status {
+            StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => false,
+            StatusCode::FORBIDDEN | StatusCode::NOT_FOUND => true,
+            _ => is_own,
+        };
+        let outcome = if not_run {
+            AttemptOutcome::Rejected
+        } else {
+            AttemptOutcome::Broken
+        };
+        Err((guard, outcome, Some(reply), status))
+    }
+
     fn may_send(&self, placed: &Placed) -> bool {
         let gateway = self.state.gateway.borrow();
         gateway.may_send_placed(now(), &self.ticket, placed)
@@ -239,6 +437,7 @@
         }
         let address = {
             let gateway = self.state.gateway.borrow();
+            gateway.connecting(now(), &mut self.ticket);
             let endpoint = gateway.registry().get(placed.endpoint);
             endpoint.map(|e| e.entry.address)
         };
@@ -246,8 +445,6 @@
             Some(address) => match Pool::open(address).await {
                 Ok(connection) => {
                     self.state.metrics.count("connections", "opened");
-                    let mut gateway = self.state.gateway.borrow_mut();
-                    gateway.connected(now(), placed.endpoint);
                     return Ok(connection);
                 }
                 Err(error) => (error.to_string(), error.connect_failure()),
@@ -279,9 +476,13 @@
             self.state.metrics.count("attempts", "cold");
         }
         let request = self.request(placed, resume);
-        let guard = AttemptGuard::start(self, placed.endpoint);
+        let guard = AttemptGuard::start(self, Target::Endpoint(placed.endpoint));
         self.log_placed(placed);
-        let sent = timeout(self.silence_timeout(false), connection.send(request)).await;
+        let sent = timeout(
+            self.silence_timeout(&guard, false),
+            connection.send(request),
+        )
+        .await;
         let response = match sent {
             Ok(SendOutcome::Head(response)) => response,
             Ok(SendOutcome::Unsent) => return Err((guard, AttemptOutcome::NotSent, None)),
@@ -293,7 +494,7 @@
         };
         {
             let mut gateway = self.state.gateway.borrow_mut();
-            gateway.heard(now(), &self.ticket);
+            gateway.heard(now(), placed.endpoint, connection.opened);
         }
         let (head, body) = response.into_parts();
         let reply = (self.state.protocol.reply)(&head.headers);
@@ -401,8 +602,19 @@
         reply: &ReplyHead,
     ) {
         if !reply.closes && !reply.leaving {
-            let pool = &self.state.pool;
-            pool.keep(now(), guard.endpoint, connection, reply.idle);
+            match &guard.target {
+                Target::Endpoint(endpoint) => {
+                    let pool = &self.state.pool;
+                    pool.keep(now(), *endpoint, connection, reply.idle);
+                }
+                Target::Peer { address, next, .. } => {
+                    let open = PeerConnection {
+                        connection,
+                        next: *next,
+                    };
+                    self.state.peer_pool.keep(*address, open, reply.idle);
+                }
+            }
         }
     }
 
@@ -434,8 +646,11 @@
         outcome: AttemptOutcome,
         status: Option<StatusCode>,
     ) -> NextStep {
+        let of_endpoint = matches!(guard.target, Target::Endpoint(_));
         match outcome {
-            AttemptOutcome::Broken if self.ticket.content.is_none() => self.fingerprint(),
+            AttemptOutcome::Broken if of_endpoint && self.ticket.content.is_none() => {
+                self.fingerprint();
+            }
             AttemptOutcome::Answered | AttemptOutcome::Failed => {
                 let mut gateway = self.state.gateway.borrow_mut();
                 gateway.record_complete_answer(now(), &self.content());
@@ -443,10 +658,19 @@
             _ => {}
         }
         self.identify();
-        let endpoint = guard.endpoint;
+        let target = guard.target.clone();
         let next = guard.end(self, outcome);
         let took = now().since(self.began);
         let service = text(&self.ticket.service).into_owned();
+        let endpoint = match target {
+            Target::Endpoint(endpoint) => endpoint,
+            Target::Peer {
+                address, report, ..
+            } => {
+                self.log_handoff_ended(address, report, outcome, next);
+                return next;
+            }
+        };
         self.state.metrics.count("attempts", &outcome.to_string());
         if outcome == AttemptOutcome::Answered {
             self.state.metrics.time("answer", &service, took);
@@ -476,7 +700,14 @@
             self.log_held();
         }
         let deadline = Some(self.ticket.deadline);
-        refuse(&self.state, &self.incoming_request.id, refusal, deadline)
+        let mut response = refuse(&self.state, &self.incoming_request.id, refusal, deadline);
+        if self.ticket.from_peer {
+            let mut gateway = self.state.gateway.borrow_mut();
+            gateway.release_from_peer(&self.ticket);
+            let report = gateway.peer_report(&self.ticket, Some(refusal.cause));
+            handoff::add_report(response.headers_mut(), &report);
+        }
+        response
     }
 
     /// Builds the caller's answer from an endpoint's.
@@ -488,6 +719,12 @@
         let mut response = Response::new(body);
         *response.status_mut() = head.status;
         *response.headers_mut() = (self.state.protocol.deliver)(&head.headers);
+        response.headers_mut().remove(handoff::REPORT_FIELD);
+        if self.ticket.from_peer {
+            let gateway = self.state.gateway.borrow();
+            let report = gateway.peer_report(&self.ticket, None);
+            handoff::add_report(response.headers_mut(), &report);
+        }
         response
     }
 
@@ -550,6 +787,52 @@
         }
     }
 
+    fn log_handed_off(&self, peer: SocketAddrV4) {
+        if !self.state.log.try_admit() {
+            return;
+        }
+        let gateway = self.state.gateway.borrow();
+        let outage = gateway.reach().outage(&self.ticket.service);
+        let unreached = outage.map_or(-1, |o| {
+            i64::try_from(now().since(o.since).0).unwrap_or(i64::MAX)
+        });
+        tracing::info!(
+            event = 667,
+            id = %text(&self.incoming_request.id),
+            service = %text(&self.ticket.service),
+            %peer,
+            unreached,
+            left = self.ticket.until.since(now()).0,
+            "handed to a peer"
+        );
+    }
+
+    fn log_handoff_ended(
+        &self,
+        peer: SocketAddrV4,
+        report: Option<PeerReport>,
+        outcome: AttemptOutcome,
+        next: NextStep,
+    ) {
+        self.state.metrics.count("handoffs", &outcome.to_string());
+        if !self.state.log.try_admit() {
+            return;
+        }
+        let attempts = report.as_ref().map_or(0, |r| r.tried.len());
+        let refused = report.and_then(|r| r.refused).map(|c| c.to_string());
+        tracing::info!(
+            event = 669,
+            id = %text(&self.incoming_request.id),
+            %peer,
+            fate = %outcome,
+            attempts,
+            refused,
+            took = now().since(self.began).0,
+            %next,
+            "hand-off ended"
+        );
+    }
+
     fn log_placed(&self, placed: &Placed) {
         if !self.state.log.try_admit() {
             return;
@@ -575,6 +858,43 @@
     }
 }
 
+/// Probes an endpoint of a service that is not reached, if it is time for that. No request waits for it.
+fn probe(state: &Shared, service: &Bytes) {
+    let Some(probe) = state.gateway.borrow_mut().probe(now(), service) else {
+        return;
+    };
+    let state = state.clone();
+    tokio::task::spawn_local(async move {
+        state.metrics.count("connections", "probed");
+        let _ = timeout(PROBE_TIMEOUT, call_health_check(&state, probe)).await;
+    });
+}
+
+/// Calls an endpoint's health check on a new connection. Any answer shows that the way to it is open.
+async fn call_health_check(state: &Shared, probe: Probe) -> Option<()> {
+    let mut connection = Pool::open(probe.address).await.ok()?;
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = Uri::try_from(probe.health.as_ref()).ok()?;
+    let host = HeaderValue::try_from(probe.address.to_string()).ok()?;
+    request.headers_mut().insert(header::HOST, host);
+    let SendOutcome::Head(response) = connection.send(request).await else {
+        return None;
+    };
+    let opened = connection.opened;
+    state
+        .gateway
+        .borrow_mut()
+        .heard(now(), probe.endpoint, opened);
+    let reply = (state.protocol.reply)(response.headers());
+    let body = Limited::new(response.into_body(), MAX_BUFFERED_ANSWER_BYTES);
+    body.collect().await.ok()?;
+    if !reply.closes && !reply.leaving {
+        let pool = &state.pool;
+        pool.keep(now(), probe.endpoint, connection, reply.idle);
+    }
+    Some(())
+}
+
 fn endpoint_name(gateway: &Gateway, endpoint: EndpointKey) -> String {
     let found = gateway.registry().get(endpoint);
     found.map_or_else(|| "gone".to_owned(), |e| text(&e.entry.id).into_owned())
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -69,15 +69,17 @@
 ///
 /// The head is sent with the first event. Until then another endpoint can be tried, and the caller
 /// can still get a refusal that says whether its request may have run.
-pub(crate) async fn answer(mut proxied: ProxiedRequest) -> Response<Body> {
+///
+/// `resume` is the last event that the caller has received from another router.
+pub(crate) async fn answer(mut proxied: ProxiedRequest, resume: Option<u64>) -> Response<Body> {
     let mut last = proxied.incoming_request.resume;
     loop {
-        let attempt = match proxied.start(None).await {
+        let attempt = match proxied.start(resume).await {
             Ok(attempt) => attempt,
             Err(refusal) => return proxied.refuse(refusal),
         };
         if !attempt.head.status.is_success() {
-            return failure(proxied, attempt).await;
+            return failure(proxied, attempt, resume).await;
         }
         let head = attempt.head.clone();
         let mut relay = Relay {
@@ -118,9 +120,13 @@
 }
 
 /// Forwards an endpoint's error answer, which is not a stream.
-async fn failure(mut proxied: ProxiedRequest, attempt: Attempt) -> Response<Body> {
+async fn failure(
+    mut proxied: ProxiedRequest,
+    attempt: Attempt,
+    resume: Option<u64>,
+) -> Response<Body> {
     match proxied.buffer_answer(attempt).await {
-        (NextStep::Again, Ok(_)) => Box::pin(answer(proxied)).await,
+        (NextStep::Again, Ok(_)) => Box::pin(answer(proxied, resume)).await,
         (_, Ok(response)) => response,
         (_, Err(_)) => proxied.refuse(proxied.given_up(AttemptOutcome::Broken.cause())),
     }
@@ -156,10 +162,12 @@
                     return Piece::Bytes(event.bytes);
                 }
             }
-            let left = self.proxied.silence_timeout(self.event_delivered);
             let Some(attempt) = &mut self.attempt else {
                 return Piece::End;
             };
+            let left = self
+                .proxied
+                .silence_timeout(&attempt.guard, self.event_delivered);
             if left == Duration::ZERO || self.events.is_overlong() {
                 return Piece::Stalled;
             }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -7,13 +7,15 @@
     time::Duration, //
 };
 
-use bytes::Bytes;
 use http::{
     Request,
     Response,
     StatusCode, //
 };
-use http_body_util::Full;
+use http_body_util::{
+    Either,
+    Full, //
+};
 use hyper::{
     body::Incoming,
     server::conn::http1,
@@ -38,7 +40,11 @@
         ListenSnafu,
         Result, //
     },
-    exchange,
+    exchange::{
+        self,
+        Body, //
+    },
+    handoff::Session,
     head_timeout::{
         ConnectionProgress,
         HeadTimeoutStream,
@@ -149,8 +155,8 @@
 /// short.
 pub(crate) async fn serve<F, A>(state: Shared, listener: TcpListener, answer: F)
 where
-    F: Fn(Shared, Request<Incoming>) -> A + Copy + 'static,
-    A: Future<Output = Result<Response<Full<Bytes>>, Infallible>> + 'static,
+    F: Fn(Shared, Rc<Session>, Request<Incoming>) -> A + Copy + 'static,
+    A: Future<Output = Result<Response<Body>, Infallible>> + 'static,
 {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -158,9 +164,14 @@
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        if let Err(error) = stream.set_nodelay(true) {
+            tracing::debug!(%error, "can't set TCP_NODELAY");
+        }
         let shared = state.clone();
         spawn_local(async move {
-            let service = service_fn(move |request| answer(shared.clone(), request));
+            let session = Rc::new(Session::default());
+            let service =
+                service_fn(move |request| answer(shared.clone(), Rc::clone(&session), request));
             let mut builder = http1::Builder::new();
             builder
                 .timer(TokioTimer::new())
@@ -175,8 +186,9 @@
 
 async fn answer_check(
     state: Shared,
+    _: Rc<Session>,
     request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+) -> Result<Response<Body>, Infallible> {
     let path = request.uri().path();
     let (status, text) = if path == state.protocol.ready_path {
         match state.ready() {
@@ -188,7 +200,7 @@
     } else {
         (StatusCode::NOT_FOUND, String::new())
     };
-    let mut response = Response::new(Full::from(text));
+    let mut response = Response::new(Either::Left(Full::from(text)));
     *response.status_mut() = status;
     Ok(response)
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -37,6 +37,7 @@
 };
 
 use crate::{
+    handoff::PeerPool,
     log::LogLimiter,
     metrics::Metrics,
     pool::Pool,
@@ -90,6 +91,8 @@
     pub gateway: RefCell<Gateway>,
     /// Idle connections to endpoints.
     pub pool: Pool,
+    /// Idle connections to peers.
+    pub(crate) peer_pool: PeerPool,
     /// Wire format of requests and answers.
     pub protocol: ProtocolAdapter,
     /// Counters and latency histograms.
@@ -122,6 +125,8 @@
     pub connections: Cell<usize>,
     /// Number of requests whose answer has not ended.
     pub requests: Rc<Cell<usize>>,
+    /// Number of peers' requests whose answer has not ended.
+    pub accepted: Rc<Cell<usize>>,
 }
 
 /// `Shared` is a task's reference to the state.
@@ -138,6 +143,7 @@
         Rc::new(Self {
             gateway: RefCell::new(gateway),
             pool: Pool::default(),
+            peer_pool: PeerPool::default(),
             protocol,
             metrics: Metrics::default(),
             log: LogLimiter::default(),
@@ -154,6 +160,7 @@
             phase: watch::Sender::new(Phase::Serving),
             connections: Cell::new(0),
             requests: Rc::default(),
+            accepted: Rc::default(),
         })
     }
 
--- a/crates/toucanturn/src/trace.rs
+++ b/crates/toucanturn/src/trace.rs
@@ -180,6 +180,11 @@
         },
         611 => ended(&field("fate"), &field("endpoint"), &field("status")),
         612 => format!("{} was not reached: {}", field("endpoint"), field("error")),
+        667 => format!(
+            "handed to the router at {}, then its caller left",
+            field("peer")
+        ),
+        669 => handed_off(&field("fate"), &field("peer"), &field("refused")),
         620 => refused(&field("cause"), &field("may_have_run"), &field("age")),
         601..=603 => format!("the request itself: {}", last.message),
         _ => last.message.clone(),
@@ -198,6 +203,18 @@
     }
 }
 
+fn handed_off(fate: &str, peer: &str, refused: &str) -> String {
+    match fate {
+        "answered" => {
+            format!("this router did not reach its service; the one at {peer} had it answered")
+        }
+        "failed" => format!("an endpoint ran it for the router at {peer} and failed"),
+        "rejected" => format!("the router at {peer} refused it: {refused}"),
+        "not_sent" => format!("the router at {peer} was not reached"),
+        _ => format!("the router at {peer} gave no whole answer; it may have run"),
+    }
+}
+
 fn refused(cause: &str, may_have_run: &str, age: &str) -> String {
     let run = if may_have_run == "true" {
         "may have run"
@@ -229,6 +246,7 @@
             "all endpoints that could take it had asked for a pause; see the events 663 of this router"
                 .to_owned()
         }
+        "unreached" => "this router reached no endpoint of its service; see its event 665".to_owned(),
         "stopping" => "this router was about to stop".to_owned(),
         other => other.replace('_', " "),
     };
--- a/crates/toucanturn/tests/cli/trace.rs
+++ b/crates/toucanturn/tests/cli/trace.rs
@@ -133,3 +133,36 @@
     let run = toucanturn(["trace", "--id", "e5", &log]);
     expect_that!(run.out, contains_substring("* 2026-01-01T00:00:03.0Z 663"));
 }
+
+const CUT_OFF: &str = r#"
+{"timestamp":"2026-01-01T00:00:02.0Z","message":"service not reached","event":665,"service":"s","silent":500}
+{"timestamp":"2026-01-01T00:00:03.0Z","message":"handed to a peer","event":667,"id":"f1","service":"s","peer":"10.1.0.2:7000","unreached":1000,"left":900}
+{"timestamp":"2026-01-01T00:00:03.4Z","message":"hand-off ended","event":669,"id":"f1","peer":"10.1.0.2:7000","fate":"answered","attempts":1,"took":400,"next":"deliver"}
+"#;
+
+const HELPER: &str = r#"
+{"timestamp":"2026-01-01T00:00:03.1Z","message":"accepted from a peer","event":668,"id":"f1","service":"s","attempts":2,"left":890}
+{"timestamp":"2026-01-01T00:00:03.2Z","message":"placed","event":610,"id":"f1","endpoint":"e-1"}
+{"timestamp":"2026-01-01T00:00:03.3Z","message":"attempt ended","event":611,"id":"f1","endpoint":"e-1","fate":"answered","status":200}
+"#;
+
+/// Guards against a request whose story ends at the router that could not reach its service.
+#[gtest]
+fn verify_a_request_handed_to_a_peer_is_followed_there() {
+    let files = Files::new();
+    let one = files.write("one.log", CUT_OFF);
+    let other = files.write("other.log", HELPER);
+    let run = toucanturn(["trace", "--id", "f1", &one, &other]);
+    let events: Vec<&str> = run
+        .out
+        .lines()
+        .filter_map(|l| l.split("Z ").nth(1)?.split(' ').next())
+        .collect();
+    expect_that!(events, eq(&vec!["665", "667", "668", "610", "611", "669"]));
+    expect_that!(
+        run.out,
+        contains_substring(
+            "this router did not reach its service; the one at 10.1.0.2:7000 had it answered"
+        )
+    );
+}
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -37,6 +37,7 @@
 use toucanturn_core::{
     gateway::{
         fingerprint::Fingerprint,
+        handoff::MAX_UNREACHED_SERVICES,
         mesh::{
             BackOffReport,
             Digest,
@@ -91,6 +92,7 @@
 
 /// `Error` says why a message is passed over.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum Error {
     /// It is not of this protocol.
     #[snafu(display("expected a message: {source}"))]
@@ -225,6 +227,7 @@
         crash_answers: crashes.iter().map(answered).collect(),
         back_off_endpoints: digest.back_offs.iter().map(|b| b.endpoint).collect(),
         back_off_times: digest.back_offs.iter().map(|b| steps(b.left)).collect(),
+        unreached_services: digest.unreached_services.clone(),
     }
     .encode_to_vec()
 }
@@ -291,6 +294,9 @@
         endpoint: *endpoint,
         left: age(*left),
     });
+    let bounded = raw.unreached_services.len() <= MAX_UNREACHED_SERVICES;
+    let what = "a bounded number of unreached services";
+    ensure!(bounded, PartSnafu { what });
     Ok(Digest {
         from,
         heartbeats,
@@ -298,6 +304,7 @@
         samples: samples.collect(),
         crashes: crashes(&raw)?,
         back_offs: back_offs.collect(),
+        unreached_services: raw.unreached_services,
     })
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod errors;
 pub mod forward;
 pub mod gossip;
+pub mod handoff;
 pub mod limits;
 pub mod message;
 pub mod receipt;
--- a/crates/wire/tests/gossip.rs
+++ b/crates/wire/tests/gossip.rs
@@ -97,6 +97,7 @@
         samples: (0..reports.min(MAX_SAMPLES)).map(sample).collect(),
         crashes: Vec::new(),
         back_offs: Vec::new(),
+        unreached_services: Vec::new(),
     }
 }
 
