Take connections that break for no sign of a lost way

A connection that can't be opened and an endpoint that keeps silent count now, one that breaks doesn't: where the way is lost, new connections fail as well.

Test: reach::verify_connections_that_endpoints_reset_are_no_outage (failed before: an outage at the first reset with three endpoints).

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -438,33 +438,16 @@
         outcome: AttemptOutcome,
     ) -> NextStep {
         self.record_outcome(now, ticket, endpoint, outcome);
-        self.record_contact(now, &ticket.service, endpoint, outcome);
+        // A connection that breaks shows nothing: an endpoint may reset it after each request.
+        if outcome == AttemptOutcome::Stalled {
+            let service = ticket.service.clone();
+            self.record_lost_contact(now, &service, endpoint);
+        }
         self.registry
             .ended(now, endpoint, outcome, now.since(ticket.sent));
         self.decide_next(now, ticket, endpoint, outcome)
     }
 
-    /// Notes what the end of an attempt shows of the way to its endpoint.
-    fn record_contact(
-        &mut self,
-        now: Time,
-        service: &Bytes,
-        endpoint: EndpointKey,
-        outcome: AttemptOutcome,
-    ) {
-        match outcome {
-            AttemptOutcome::Answered
-            | AttemptOutcome::Failed
-            | AttemptOutcome::Rejected
-            | AttemptOutcome::Misdirected
-            | AttemptOutcome::NotSent
-            | AttemptOutcome::Left => {}
-            AttemptOutcome::Broken | AttemptOutcome::Stalled => {
-                self.record_lost_contact(now, service, endpoint)
-            }
-        }
-    }
-
     /// Notes that an endpoint answered on a connection that was opened at `opened`.
     pub fn heard(&mut self, now: Time, endpoint: EndpointKey, opened: Time) {
         let Some(endpoint) = self.registry.get(endpoint) else {
--- a/crates/core/src/gateway/reach.rs
+++ b/crates/core/src/gateway/reach.rs
@@ -68,8 +68,7 @@
         Some(now.since(outage.since))
     }
 
-    /// Records that an endpoint could not be connected to, broke the connection or kept silent;
-    /// `endpoints` is the number of endpoints of its service. Returns the outage that begins with
+    /// Records that an endpoint could not be connected to or kept silent; `endpoints` is the number of endpoints of its service. Returns the outage that begins with
     /// this.
     pub fn failed(
         &mut self,
--- a/crates/core/tests/gateway/reach.rs
+++ b/crates/core/tests/gateway/reach.rs
@@ -131,3 +131,20 @@
     expect_that!(gateway.tick(Time(950)), contains(eq(&reached)));
     expect_that!(gateway.tick(Time(1000)), is_empty());
 }
+
+/// Guards against an outage in which the service is reached: endpoints reset connections after they have run requests.
+#[gtest]
+fn verify_connections_that_endpoints_reset_are_no_outage() {
+    let mut gateway = gateway(3);
+    for at in 0..30 {
+        let at = Time(100 + at);
+        let request = request("/read/x");
+        let mut ticket = gateway.admit(at, &request).expect("admitted");
+        let Ok(placed) = gateway.place(at, &ticket, &request) else {
+            continue;
+        };
+        gateway.sent(at, &mut ticket, placed.endpoint);
+        gateway.ended(at, &mut ticket, placed.endpoint, AttemptOutcome::Broken);
+        expect_that!(gateway.reach().outage(&service()), none());
+    }
+}
