Spare brittle endpoints that are known to be full

Endpoints may state (Server-Brittle) that they crash when they have to turn more than a number of requests away within a second; nothing read that. Now a router sends such an endpoint a request only if it isn't known to be full, by the load that it states or for 3 s after it turned one away, or within this router's quota: half of the stated number over all routers, by the owners that cold endpoints have. Others are refused at once, not run, with a time to come back (overloaded). Checked again right before sending.

What routers send before they know that an endpoint is full is not bounded.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -61,6 +61,10 @@
 /// busy endpoints as hanging.
 const MIN_SILENCE_TIMEOUT: Millis = Millis(600);
 
+/// Time within which endpoints that are full have room again: callers who are refused come back spread
+/// over it.
+const FULL_RETRY_DELAY: Millis = Millis(1000);
+
 /// Unreachable endpoints after which a request is given up, because each costs a connect timeout.
 const MAX_UNREACHED: usize = 3;
 
@@ -235,6 +239,7 @@
             proof: &self.proof,
             bounds: &self.bounds,
             warmup: self.warmup_limit(&ticket.service).map(|_| &self.warmup),
+            brittle: self.brittle_context(now, &ticket.service),
             now,
             draw,
         };
@@ -249,6 +254,15 @@
                     may_have_run,
                 ));
             }
+            if place::has_spared(&context, ticket) {
+                let wait = spread_retry_delay(now, ticket.deadline, FULL_RETRY_DELAY, draw);
+                let may_have_run = ticket.may_have_run;
+                return Err(Refusal::with_retry_after(
+                    Cause::Overloaded,
+                    wait,
+                    may_have_run,
+                ));
+            }
             let cause = if place::has_unconfirmed(&context, ticket) {
                 Cause::Unconfirmed
             } else {
@@ -256,6 +270,9 @@
             };
             return Err(self.give_up(now, ticket, cause));
         };
+        if placed.at_risk {
+            self.brittleness.record_placed(now, placed.endpoint);
+        }
         if placed.cold {
             let workspace = ticket.workspace_tag();
             self.warmup.record_placed(now, workspace, placed.endpoint);
@@ -368,7 +385,28 @@
         let endpoint = self.registry.get(placed.endpoint);
         let cold = endpoint.is_some_and(|e| e.cold(now) > Millis(0));
         let counted = placed.cold || !cold || self.warmup_limit(&ticket.service).is_none();
-        counted && self.may_send(now, placed.endpoint)
+        let spared = self.brittle_context(now, &ticket.service);
+        let spared = spared
+            .zip(endpoint)
+            .is_some_and(|(brittle, e)| !placed.at_risk && brittle.at_risk(now, e));
+        counted && !spared && self.may_send(now, placed.endpoint)
+    }
+
+    fn brittle_context(&self, now: Time, service: &Bytes) -> Option<place::BrittleContext<'_>> {
+        self.brittleness.limit(now, service)?;
+        Some(place::BrittleContext {
+            brittleness: &self.brittleness,
+            routers: self.routers,
+        })
+    }
+
+    /// Notes how many requests an endpoint may turn away within a second, as it states in an answer, or
+    /// that it states nothing; returns whether that is news.
+    pub fn record_brittle(&mut self, now: Time, endpoint: EndpointKey, limit: Option<u32>) -> bool {
+        let service = self.registry.get(endpoint).map(|e| &e.entry.service);
+        service
+            .cloned()
+            .is_some_and(|s| self.brittleness.record(now, &s, limit))
     }
 
     /// Notes that an endpoint's answer does not say that it is leaving. The confirmation counts
@@ -396,6 +434,7 @@
         ticket.sent = now;
         ticket.life = self.registry.get(endpoint).map(endpoint::Endpoint::tag);
         self.warmup.sent(now, endpoint);
+        self.brittleness.sent(now, endpoint);
         self.registry.sent(now, endpoint);
     }
 
@@ -443,6 +482,10 @@
             let service = ticket.service.clone();
             self.record_lost_contact(now, &service, (endpoint, ticket.sent));
         }
+        let brittle = self.brittleness.limit(now, &ticket.service).is_some();
+        if brittle && outcome == AttemptOutcome::Rejected {
+            self.brittleness.rejected(now, endpoint);
+        }
         self.registry
             .ended(now, endpoint, outcome, now.since(ticket.sent));
         self.decide_next(now, ticket, endpoint, outcome)
@@ -460,12 +503,7 @@
         }
     }
 
-    fn record_lost_contact(
-        &mut self,
-        now: Time,
-        service: &Bytes,
-        failed: (EndpointKey, Time),
-    ) {
+    fn record_lost_contact(&mut self, now: Time, service: &Bytes, failed: (EndpointKey, Time)) {
         let endpoints = self.registry.of(service).count();
         if let Some(outage) = self.reach.failed(now, service, failed, endpoints) {
             self.events.push(RegistryEvent::Unreached {
--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -76,6 +76,9 @@
 /// lost.
 const BROKEN_LATENCY: Millis = Millis(1500);
 
+/// Time for which the load at which an endpoint turned a request away counts as its room.
+const ROOM_TTL: Millis = Millis(3000);
+
 /// `Entry` is an endpoint's entry in the registry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
@@ -224,6 +227,8 @@
     failure_rate: (Time, f32),
     /// Latency of answers in milliseconds, and when it was last updated.
     latency: Option<(Time, f32)>,
+    /// Load at which it last turned a request away, and when.
+    room: Option<(Time, u32)>,
     /// Send times of this router's newest requests.
     send_times: VecDeque<Time>,
 }
@@ -260,6 +265,7 @@
             unreached_at: None,
             failure_rate: (Time(0), 0.0),
             latency: None,
+            room: None,
             send_times: VecDeque::new(),
         }
     }
@@ -464,6 +470,36 @@
         self.own_in_flight.saturating_add(others.round() as u32)
     }
 
+    /// Tells whether it is known to have no room for one more request; `routers` is the number of
+    /// routers that send to it.
+    pub fn is_known_full(&self, now: Time, routers: u32) -> bool {
+        let fresh = self
+            .load_report
+            .filter(|s| now.since(s.at) < LOAD_REPORT_TTL);
+        let room = self.room.filter(|(at, _)| now.since(*at) < ROOM_TTL);
+        let load = match fresh {
+            // Unlike for placement, other routers' requests don't fade: a full endpoint answers late,
+            // and none of its reports are newer.
+            Some(s) => {
+                let others = s.load.requests().saturating_sub(s.own_in_flight);
+                others.saturating_add(self.own_in_flight)
+            }
+            None if room.is_some() => return true,
+            None => self.own_in_flight.saturating_mul(routers),
+        };
+        let slots = Some(self.entry.slots).filter(|slots| *slots > 0);
+        let room = room.map(|(_, room)| room).into_iter().chain(slots).min();
+        fresh.is_some_and(|s| s.load.waiting > 0) || room.is_some_and(|room| load >= room)
+    }
+
+    /// Notes that it turned a request away for want of room.
+    fn record_full(&mut self, now: Time) {
+        let load = self.load(now);
+        let recent = self.room.filter(|(at, _)| now.since(*at) < ROOM_TTL);
+        let room = recent.map_or(load, |(_, room)| room.min(load));
+        self.room = Some((now, room));
+    }
+
     /// Gets the age of its last load report; `None` if there is none or it is too old to use.
     pub fn age(&self, now: Time) -> Option<Millis> {
         let age = self.load_report.map(|s| now.since(s.at));
@@ -567,7 +603,10 @@
                     self.pause(now, self.consecutive_failures - PAUSE_AFTER_BROKEN);
                 }
             }
-            AttemptOutcome::Rejected => self.update_latency(now, REJECTED_LATENCY),
+            AttemptOutcome::Rejected => {
+                self.update_latency(now, REJECTED_LATENCY);
+                self.record_full(now);
+            }
             AttemptOutcome::Misdirected => self.state = State::Gone,
             AttemptOutcome::NotSent | AttemptOutcome::Left => {}
         }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 };
 
 pub mod attempt;
+pub mod brittle;
 pub mod budget;
 pub mod catalog;
 pub mod endpoint;
@@ -59,6 +60,7 @@
     RegistryEvent, //
 };
 
+use brittle::Brittleness;
 use budget::RetryBudget;
 use catalog::Catalog;
 use handoff::Peers;
@@ -93,6 +95,7 @@
     samples: VecDeque<Sample>,
     quarantine: Quarantine,
     warmup: Warmup,
+    brittleness: Brittleness,
     reach: Reach,
     peers: Peers,
     /// Events that the next tick returns.
@@ -124,6 +127,7 @@
             samples: VecDeque::new(),
             quarantine: Quarantine::default(),
             warmup: Warmup::default(),
+            brittleness: Brittleness::default(),
             reach: Reach::default(),
             peers: Peers::default(),
             events: Vec::new(),
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -11,6 +11,7 @@
     arena::EndpointKey,
     gateway::{
         Ticket,
+        brittle::Brittleness,
         endpoint::Endpoint,
         hot_spots::{
             self,
@@ -85,13 +86,45 @@
     pub hot_spots: Option<&'a HotSpots>,
     /// This router's quotas for cold endpoints; `None` where the service sets no limit for them.
     pub warmup: Option<&'a Warmup>,
+    /// What this router may make brittle endpoints turn away; `None` where they are sturdy.
+    pub brittle: Option<BrittleContext<'a>>,
     /// The time.
     pub now: Time,
     /// A random number.
     pub draw: u64,
 }
 
+/// `BrittleContext` is what limits the requests that brittle endpoints have to turn away.
+#[derive(Clone, Copy, Debug)]
+pub struct BrittleContext<'a> {
+    /// What this router has made them turn away.
+    pub brittleness: &'a Brittleness,
+    /// Number of routers.
+    pub routers: u32,
+}
+
+impl BrittleContext<'_> {
+    fn admits(&self, now: Time, key: EndpointKey, endpoint: &Endpoint) -> bool {
+        !self.at_risk(now, endpoint) || self.brittleness.admits(now, key)
+    }
+
+    /// Tells whether an endpoint would probably turn one more request away.
+    pub fn at_risk(&self, now: Time, endpoint: &Endpoint) -> bool {
+        endpoint.is_known_full(now, self.routers)
+    }
+}
+
 impl PlacementContext<'_> {
+    /// Tells whether an endpoint is brittle and may turn a request away.
+    fn at_risk(&self, endpoint: &Endpoint) -> bool {
+        self.brittle.is_some_and(|b| b.at_risk(self.now, endpoint))
+    }
+
+    fn spares_brittle(&self, key: EndpointKey, endpoint: &Endpoint) -> bool {
+        self.brittle
+            .is_none_or(|b| b.admits(self.now, key, endpoint))
+    }
+
     fn is_confirmed(&self, endpoint: &Endpoint) -> bool {
         self.proof.covers_evacuations(self.now, self.bounds)
             && endpoint.recently_confirmed(
@@ -132,6 +165,8 @@
     pub holder: Option<EndpointKey>,
     /// Whether the endpoint is cold, so that the request uses up this router's quota for it.
     pub cold: bool,
+    /// Whether the endpoint is brittle and may turn the request away.
+    pub at_risk: bool,
 }
 
 /// Chooses an endpoint that the ticket has not tried; `None` where there is none.
@@ -148,6 +183,7 @@
             && context.is_confirmed(e)
             && !e.backing_off(context.now)
             && e.own_in_flight < context.share
+            && context.spares_brittle(*k, e)
     }));
     let candidates = exclude_unadmitted_cold(context, ticket, candidates);
     let unpaused: Vec<_> = candidates
@@ -205,6 +241,17 @@
     cold.map(|(_, e)| e.cold(context.now)).min()
 }
 
+/// Tells whether an untried endpoint is excluded because it is brittle and may be full.
+pub fn has_spared(context: &PlacementContext<'_>, ticket: &Ticket) -> bool {
+    let mut all = context.registry.of(&ticket.service);
+    all.any(|(k, e)| {
+        !tried(ticket, k)
+            && context.is_confirmed(e)
+            && !e.backing_off(context.now)
+            && !context.spares_brittle(k, e)
+    })
+}
+
 /// Tells whether an untried endpoint is excluded because nothing confirms that it is not leaving.
 pub fn has_unconfirmed(context: &PlacementContext<'_>, ticket: &Ticket) -> bool {
     let mut all = context.registry.of(&ticket.service);
@@ -398,5 +445,6 @@
         rank: u32::try_from(rank).unwrap_or(u32::MAX),
         holder: None,
         cold: context.cold(chosen),
+        at_risk: context.at_risk(chosen),
     })
 }
--- a/crates/core/src/gateway/updates.rs
+++ b/crates/core/src/gateway/updates.rs
@@ -9,6 +9,7 @@
     arena::EndpointKey,
     gateway::{
         Gateway,
+        brittle::BrittleEndpoint,
         catalog::Catalog,
         endpoint::{
             self,
@@ -198,6 +199,8 @@
                 self.hot_spots
                     .retain(|name, _| catalog.service(name).is_some());
                 self.reach.retain(|name| catalog.service(name).is_some());
+                self.brittleness
+                    .retain(|name| catalog.service(name).is_some());
                 // Samples name services by their indices in the previous configuration.
                 self.samples.clear();
                 self.catalog = Some(Arc::new(catalog));
@@ -319,6 +322,18 @@
         let cold = cold.filter(|(_, e)| e.cold(now) > Millis(0));
         let cold: Vec<warmup::ColdEndpoint> = cold.filter_map(bounded).collect();
         self.warmup.follow(now, fleet, &cold);
+        if !self.brittleness.is_empty() {
+            let limited = |(key, e): (EndpointKey, &endpoint::Endpoint)| {
+                Some(BrittleEndpoint {
+                    key,
+                    seed: e.seed,
+                    limit: self.brittleness.limit(now, &e.entry.service)?,
+                })
+            };
+            let brittle: Vec<BrittleEndpoint> =
+                self.registry.usable().filter_map(limited).collect();
+            self.brittleness.follow(&self.warmup, &brittle);
+        }
     }
 
     /// Gets how many requests a cold endpoint of a service may get within a second; `None` if that
--- a/crates/core/src/gateway/warmup.rs
+++ b/crates/core/src/gateway/warmup.rs
@@ -172,6 +172,8 @@
     /// Whether this router owns its quotas: it has listened for long enough, and heard of others if
     /// any are expected.
     settled: bool,
+    /// Number of changes of what quotas follow from.
+    generation: u64,
     /// Other routers, and when they were last heard.
     members: IndexMap<u64, Time>,
     meters: IndexMap<EndpointKey, Meter>,
@@ -189,6 +191,7 @@
         let settled = (quiet || now.since(started) >= MAX_DISCOVERY_TIME) && !isolated;
         changed |= settled != self.settled;
         self.settled = settled;
+        self.generation += u64::from(changed);
         let mut before = std::mem::take(&mut self.meters);
         for endpoint in cold {
             let known = before.swap_remove(&endpoint.key);
@@ -228,17 +231,28 @@
 
     /// Returns this router's quota for an endpoint.
     fn quota(&self, endpoint: &ColdEndpoint) -> u32 {
-        if !self.settled || endpoint.bound == 0 {
+        self.share(endpoint.seed, endpoint.bound)
+    }
+
+    /// Returns the number of changes of what [`Warmup::share`] follows from.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Returns this router's part of what all routers together may do to an endpoint within a second,
+    /// `bound` times; `seed` is the hash of the endpoint's name.
+    pub fn share(&self, seed: u64, bound: u32) -> u32 {
+        if !self.settled || bound == 0 {
             return 0;
         }
         let routers = u32::try_from(self.members.len() + 1).unwrap_or(u32::MAX);
-        let owners = (endpoint.bound / MAX_OWNER_SETS).max(1);
+        let owners = (bound / MAX_OWNER_SETS).max(1);
         if routers <= owners {
             return owners / routers;
         }
-        let mine = score(endpoint.seed, self.me);
+        let mine = score(seed, self.me);
         let before = self.members.keys();
-        let before = before.filter(|tag| score(endpoint.seed, **tag) > mine);
+        let before = before.filter(|tag| score(seed, **tag) > mine);
         let owns = before.take(owners as usize).count() < owners as usize;
         u32::from(owns)
     }
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::expect_used, reason = "a test fails by its panic")]
 
+mod brittle;
 mod budget;
 mod catalog;
 mod endpoint;
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -75,6 +75,8 @@
     pub closes: bool,
     /// Whether the endpoint says that it is leaving.
     pub leaving: bool,
+    /// Requests that the endpoint may turn away within a second without harm, if it states that it is brittle.
+    pub brittle: Option<u32>,
     /// Time for which the endpoint asks for no requests, if stated.
     pub retry_after: Option<Millis>,
 }
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -774,6 +774,14 @@
                 tracing::info!(event = 662, %id, %endpoint, status, "endpoint says that it leaves");
             }
         }
+        if reply.sealed || reply.rejected {
+            let news = gateway.record_brittle(now(), endpoint, reply.brittle);
+            if news && self.state.log.try_admit() {
+                let service = text(&self.ticket.service);
+                let limit = reply.brittle.map_or(-1, i64::from);
+                tracing::info!(event = 670, %id, %service, limit, "endpoints may be brittle");
+            }
+        }
         // With another status the field is about the request, not about the endpoint.
         let unavailable = head.status == StatusCode::SERVICE_UNAVAILABLE;
         if let Some(asked) = reply.retry_after.filter(|_| unavailable) {
--- a/crates/replay/src/lab/account.rs
+++ b/crates/replay/src/lab/account.rs
@@ -81,6 +81,8 @@
     pub held: usize,
     /// When engines turned requests away, in order.
     pub rejected: Vec<u64>,
+    /// When engines crashed as they had to turn too many requests away, in order.
+    pub falls: Vec<u64>,
     /// Arrivals from a router at an engine in the time for which the engine had asked it for none, beyond those that
     /// are allowed.
     pub in_back_off: usize,
--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -85,6 +85,7 @@
     sheet::{
         Placement,
         Sheet,
+        Span,
         Trouble, //
     },
 };
@@ -171,6 +172,8 @@
     pauses: BTreeMap<(usize, usize), Vec<Pause>>,
     /// When engines have first told routers that they leave.
     told_leaving: BTreeMap<(usize, usize), u64>,
+    /// When each engine has turned requests away within the last second.
+    turned_away: Vec<Vec<u64>>,
     /// Shared parts that some engine has read.
     known: indexmap::IndexSet<u64>,
     rng: StdRng,
@@ -203,6 +206,7 @@
             account: Account::default(),
             pauses: BTreeMap::new(),
             told_leaving: BTreeMap::new(),
+            turned_away: vec![Vec::new(); sheet.engines],
             known: indexmap::IndexSet::new(),
             rng,
         }
@@ -372,7 +376,7 @@
                 Err(refusal) => {
                     let held = refusal.cause == Cause::Quarantined && !request.fatal;
                     self.account.held += usize::from(held);
-                    if refusal.cause == Cause::BackingOff {
+                    if matches!(refusal.cause, Cause::BackingOff | Cause::Overloaded) {
                         self.refused(now, number, refusal);
                     }
                     return;
@@ -497,7 +501,16 @@
 
     /// Ends an engine with all that it has.
     fn crash(&mut self, now: u64, engine: usize) {
+        let down = self.sheet.troubles.iter().find_map(|s| match s.trouble {
+            Trouble::Fatal { down, .. } => Some(down),
+            _ => None,
+        });
         self.account.crashes.push(now);
+        self.crash_for(now, engine, down.unwrap_or(RETRY));
+    }
+
+    /// Ends an engine with all that it has; it is back after `down`.
+    fn crash_for(&mut self, now: u64, engine: usize, down: u64) {
         self.engines[engine] = Engine::new(self.sheet.shape);
         self.lives[engine].down = true;
         let there = |r: &Request| r.engine == engine && r.ticket.is_some();
@@ -507,11 +520,7 @@
             self.account.broken += usize::from(!self.requests[number].fatal);
             self.later(now + WAY, Next::Broke(number));
         }
-        let down = self.sheet.troubles.iter().find_map(|s| match s.trouble {
-            Trouble::Fatal { down, .. } => Some(down),
-            _ => None,
-        });
-        self.later(now + down.unwrap_or(RETRY), Next::Back(engine));
+        self.later(now + down, Next::Back(engine));
     }
 
     fn broke(&mut self, now: u64, number: usize) {
@@ -532,8 +541,17 @@
         let Some((mut ticket, endpoint)) = request.ticket.take() else {
             return;
         };
+        let brittle = self.sheet.troubles.iter().find_map(|s| match s.trouble {
+            Trouble::Brittle { limit, stated, .. } => Some(limit).filter(|_| stated),
+            _ => None,
+        });
         let router = &mut self.routers[request.router];
         let at = Time(now);
+        if brittle.is_some() {
+            router.record_brittle(at, endpoint, brittle);
+            let load = self.engines[request.engine].load();
+            router.record_load(at, endpoint, load);
+        }
         if asked > 0 {
             router.record_signal(at, &ticket, Signal::BackOff(Millis(asked)));
         }
@@ -588,6 +606,45 @@
         })
     }
 
+    /// Gets how many requests an engine may turn away within a second, if it says that it is brittle.
+    fn brittle(&self, now: u64) -> Option<u32> {
+        self.sheet.at(now).find_map(|t| match t {
+            Trouble::Brittle { limit, stated, .. } if stated => Some(limit),
+            _ => None,
+        })
+    }
+
+    /// Turns a request away if the engine is brittle and full; the engine crashes if it does so too often.
+    fn is_turned_away(&mut self, now: u64, engine: usize) -> bool {
+        let full = |span: &Span| match span.trouble {
+            Trouble::Brittle {
+                room,
+                notice,
+                limit,
+                down,
+                ..
+            } => {
+                let during = (span.from + notice..span.to).contains(&now);
+                let load = self.engines[engine].load();
+                let full = load.running >= load.slots && load.waiting >= room;
+                (during && full).then_some((limit, down))
+            }
+            _ => None,
+        };
+        let Some((limit, down)) = self.sheet.troubles.iter().find_map(full) else {
+            return false;
+        };
+        let turned_away = &mut self.turned_away[engine];
+        turned_away.retain(|at| now < at + 1000);
+        turned_away.push(now);
+        if turned_away.len() > limit as usize && !self.lives[engine].down {
+            turned_away.clear();
+            self.account.falls.push(now);
+            self.crash_for(now, engine, down);
+        }
+        true
+    }
+
     fn says_leaving(&self, now: u64, engine: usize) -> bool {
         let leaves = |t| matches!(t, Trouble::Leaves { share } if self.takes(engine, share));
         self.sheet.at(now).any(leaves)
@@ -631,6 +688,10 @@
             }
             return self.later(now + WAY, Next::Rejected(number, asked));
         }
+        if !self.lives[engine].down && self.is_turned_away(now, engine) {
+            self.account.rejected.push(now);
+            return self.later(now + WAY, Next::Rejected(number, 0));
+        }
         let request = &self.requests[number];
         let Some(prompt) = &request.incoming_request.prompt else {
             return;
@@ -671,6 +732,7 @@
             return self.crash(now, engine);
         }
         let leaving = self.says_leaving(now, engine);
+        let brittle = self.brittle(now);
         let request = &self.requests[number];
         let Some((ticket, endpoint)) = &request.ticket else {
             return;
@@ -678,6 +740,7 @@
         let load = self.engines[engine].load();
         let router = &mut self.routers[request.router];
         router.record_load(Time(now), *endpoint, load);
+        router.record_brittle(Time(now), *endpoint, brittle);
         if leaving {
             router.record_signal(Time(now), ticket, Signal::Leaving);
             let told = (request.router, engine);
@@ -705,6 +768,10 @@
         if self.lost(now) {
             return;
         }
+        let brittle = |s: &Span| matches!(s.trouble, Trouble::Brittle { .. });
+        let has_brittle = self.sheet.troubles.iter().any(brittle);
+        let hash = |who: u64| xxhash_rust::xxh3::xxh3_64(&who.to_le_bytes());
+        let hashes: Vec<u64> = (0..routers).map(hash).collect();
         for who in 0..self.routers.len() {
             if !(now + who as u64 * GOSSIP_INTERVAL.0 / routers).is_multiple_of(GOSSIP_INTERVAL.0) {
                 continue;
@@ -712,6 +779,15 @@
             let router = &mut self.routers[who];
             router.fleet(Time(now), u32::try_from(routers).unwrap_or(u32::MAX));
             router.tick(Time(now));
+            if has_brittle {
+                let others = (0..hashes.len()).filter(|other| *other != who);
+                let fleet = warmup::Fleet {
+                    me: hashes[who],
+                    others: others.map(|other| hashes[other]).collect(),
+                    expected: true,
+                };
+                router.update_fleet(Time(now), &fleet);
+            }
             let mut contents = router.digest_contents(Time(now), now);
             if !self.sheet.tells_back_offs {
                 contents.back_offs.clear();
--- a/crates/replay/src/lab/sheet.rs
+++ b/crates/replay/src/lab/sheet.rs
@@ -55,6 +55,20 @@
         /// Which part.
         share: f64,
     },
+    /// Engines say in all answers that they are brittle, let fewer requests wait from some time on, and crash when
+    /// they have to turn too many away.
+    Brittle {
+        /// Requests that may wait at an engine.
+        room: u32,
+        /// Milliseconds after the beginning from which only so many may.
+        notice: u64,
+        /// Requests that an engine may turn away within a second.
+        limit: u32,
+        /// Whether they say so.
+        stated: bool,
+        /// Milliseconds until a crashed engine is back, under a new name.
+        down: u64,
+    },
     /// All routers are lost at the beginning, and start again, knowing nothing, at the end.
     Lost,
 }
