--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -148,4 +148,24 @@
     's/!backing_off && self\.is_confirmed/self.is_confirmed/' \
     toucanturn-core gateway signals::verify_a_placed_request_is_not_sent_to_an_endpoint_that_pauses_meanwhile
 
+guard handoff_replay crates/gateway/src/handoff.rs \
+    's/if !session\.advance\(position\)/if session.advance(position) \&\& false/' \
+    toucanturn-platform path cut_off::verify_forged_and_copied_hand_offs_are_refused
+
+guard handoff_loop crates/core/src/gateway/handoff.rs \
+    's/if ticket\.from_peer \|\| ticket\.peers/if ticket.peers/' \
+    toucanturn-core gateway handoff::verify_a_request_of_a_peer_is_never_handed_on
+
+guard handoff_once crates/core/src/gateway/handoff.rs \
+    's/ticket\.remote_attempts \+= left;/ticket.remote_attempts += left * 0;/' \
+    toucanturn-core gateway handoff::verify_a_call_whose_peer_broke_off_is_not_sent_again
+
+guard handoff_count crates/core/src/gateway/handoff.rs \
+    's/if ticket\.counted && ticket\.attempts\(\) == 0/if ticket.counted \&\& ticket.attempts() == 9/' \
+    toucanturn-core gateway handoff::verify_a_handed_request_counts_at_one_router_only
+
+guard brittle_full crates/core/src/gateway/place.rs \
+    's/&& context\.spares_brittle\(\*k, e\)/\&\& (true || context.spares_brittle(*k, e))/' \
+    toucanturn-core gateway brittle::verify_full_brittle_endpoints_get_no_more_requests_than_they_may_turn_away
+
 exit "$worst"
