Don't take a brittle endpoint without a stated load for full by one own request

A router estimated the load of an endpoint that states none as its own requests times the number of routers. One request was then enough to take it for full at 7 routers and 6 slots, and further ones were refused though there was room. The first own request counts once now, each further one for all routers.

Test: brittle::verify_one_own_request_does_not_make_an_endpoint_full, failed before. Not active where endpoints don't say that they are brittle.

--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -485,7 +485,11 @@
                 others.saturating_add(self.own_in_flight)
             }
             None if room.is_some() => return true,
-            None => self.own_in_flight.saturating_mul(routers),
+            // One request here says nothing of the other routers, a second one that they are busy, too.
+            None => {
+                let alike = self.own_in_flight.saturating_sub(1);
+                alike.saturating_mul(routers).saturating_add(1)
+            }
         };
         let slots = Some(self.entry.slots).filter(|slots| *slots > 0);
         let room = room.map(|(_, room)| room).into_iter().chain(slots).min();
--- a/crates/core/tests/gateway/brittle.rs
+++ b/crates/core/tests/gateway/brittle.rs
@@ -151,3 +151,21 @@
     expect_true!(gateway.record_brittle(Time(1000), keys[0], Some(4)));
     expect_false!(gateway.record_brittle(Time(1001), keys[1], Some(20)));
 }
+
+/// Guards against refusals at an endpoint that states no load and has room: this router has one request there.
+#[gtest]
+fn verify_one_own_request_does_not_make_an_endpoint_full() {
+    let mut gateway = brittle_gateway(1, 85, 1);
+    let mut ticket = gateway
+        .admit(Time(1000), &request("/once/x"))
+        .expect("admitted");
+    let placed = gateway.place(Time(1000), &ticket, &request("/once/x"));
+    let placed = placed.expect("an endpoint");
+    expect_false!(placed.at_risk);
+    gateway.sent(Time(1000), &mut ticket, placed.endpoint);
+    let next = gateway
+        .admit(Time(1001), &request("/once/y"))
+        .expect("admitted");
+    let placed = gateway.place(Time(1001), &next, &request("/once/y"));
+    expect_false!(placed.expect("an endpoint").at_risk);
+}
