Report all attempts of a peer with the answer that it gives in the end

From the routers' logs by its id: 667 at a router that reached no endpoint for a while (142 ms); at the peer 610, 611 failed (500), 610, 611 broken, give_up; then 669 attempts=1 at the first router, and a third attempt there.

Cause: a peer answers with the failure of an earlier attempt where the last one broke, and the report in that answer had been made when it came, before the last attempt. Now it is made anew when the answer is sent.

Test: cut_off::verify_attempts_over_a_peer_are_no_more_than_the_route_allows, which failed before (3 arrivals).

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -207,20 +207,23 @@
 /// early can be repeated.
 pub(crate) async fn answer_buffered(mut proxied: ProxiedRequest) -> Response<Body> {
     let mut failure = None;
-    loop {
+    let refusal = loop {
         let attempt = match proxied.start(None).await {
             Ok(attempt) => attempt,
-            Err(refusal) => return failure.unwrap_or_else(|| proxied.refuse(refusal)),
+            Err(refusal) => break refusal,
         };
         match proxied.buffer_answer(attempt).await {
             (NextStep::Again, answer) => failure = answer.ok().or(failure),
             (_, Ok(response)) => return response,
-            (_, Err(outcome)) => {
-                let refusal = proxied.given_up(outcome.cause());
-                return failure.unwrap_or_else(|| proxied.refuse(refusal));
-            }
+            (_, Err(outcome)) => break proxied.given_up(outcome.cause()),
         }
-    }
+    };
+    let Some(mut failed) = failure else {
+        return proxied.refuse(refusal);
+    };
+    // Attempts have been made since this answer came.
+    proxied.report_attempts(&mut failed);
+    failed
 }
 
 /// Builds the answer to a refused request and logs the refusal. The answer says when to retry, if the refusal
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -710,6 +710,15 @@
         response
     }
 
+    /// Reports all attempts made so far in an endpoint's answer to a peer.
+    pub(crate) fn report_attempts(&self, response: &mut Response<Body>) {
+        if self.ticket.from_peer {
+            let gateway = self.state.gateway.borrow();
+            let report = gateway.peer_report(&self.ticket, None);
+            handoff::add_report(response.headers_mut(), &report);
+        }
+    }
+
     /// Builds the caller's answer from an endpoint's.
     pub(crate) fn caller_response(
         &self,
@@ -720,11 +729,7 @@
         *response.status_mut() = head.status;
         *response.headers_mut() = (self.state.protocol.deliver)(&head.headers);
         response.headers_mut().remove(handoff::REPORT_FIELD);
-        if self.ticket.from_peer {
-            let gateway = self.state.gateway.borrow();
-            let report = gateway.peer_report(&self.ticket, None);
-            handoff::add_report(response.headers_mut(), &report);
-        }
+        self.report_attempts(&mut response);
         response
     }
 
