Choose endpoint or peer of an attempt at one place

ProxiedRequest::start had the same three arms for a hand-off twice: before an endpoint is placed, and where the placed one is full. choose_way makes both choices now, in the same order, and start has one hand-off. Behaviour is as it was.

--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -107,6 +107,14 @@
     pub(crate) began: Time,
 }
 
+/// `Way` is where the next attempt goes.
+enum Way {
+    /// To an endpoint.
+    Endpoint(Placed),
+    /// To a peer.
+    Peer(SocketAddrV4),
+}
+
 /// `Target` is where an attempt was sent.
 #[derive(Clone, Debug)]
 pub(crate) enum Target {
@@ -264,24 +272,14 @@
     pub(crate) async fn start(&mut self, resume: Option<u64>) -> Result<Attempt, Refusal> {
         loop {
             self.identify();
-            if let Some(peer) = self.peer() {
-                match self.hand_off(peer, resume).await {
+            let placed = match self.choose_way()? {
+                Way::Endpoint(placed) => placed,
+                Way::Peer(peer) => match self.hand_off(peer, resume).await {
                     Ok(attempt) => return Ok(attempt),
                     Err(None) => continue,
                     Err(Some(refusal)) => return Err(refusal),
-                }
-            }
-            let placed = {
-                let mut gateway = self.state.gateway.borrow_mut();
-                gateway.place(now(), &self.ticket, &self.incoming_request)?
+                },
             };
-            if let Some(peer) = self.peer_instead(&placed) {
-                match self.hand_off(peer, resume).await {
-                    Ok(attempt) => return Ok(attempt),
-                    Err(None) => continue,
-                    Err(Some(refusal)) => return Err(refusal),
-                }
-            }
             let connection = match self.connect(&placed).await {
                 Ok(connection) => connection,
                 Err(NextStep::Again) => continue,
@@ -309,14 +307,14 @@
         gateway.give_up(now(), &self.ticket, cause)
     }
 
-    fn peer(&self) -> Option<SocketAddrV4> {
+    fn choose_way(&self) -> Result<Way, Refusal> {
         let mut gateway = self.state.gateway.borrow_mut();
-        gateway.hand_off(now(), &self.ticket)
-    }
-
-    fn peer_instead(&self, placed: &Placed) -> Option<SocketAddrV4> {
-        let mut gateway = self.state.gateway.borrow_mut();
-        gateway.hand_off_instead(now(), &self.ticket, placed)
+        if let Some(peer) = gateway.hand_off(now(), &self.ticket) {
+            return Ok(Way::Peer(peer));
+        }
+        let placed = gateway.place(now(), &self.ticket, &self.incoming_request)?;
+        let peer = gateway.hand_off_instead(now(), &self.ticket, &placed);
+        Ok(peer.map_or(Way::Endpoint(placed), Way::Peer))
     }
 
     /// Hands the request to a peer; returns the peer's answer from an endpoint, a refusal, or nothing if another way
