Log the age of the load behind a placement, and the load that the answer states

Symptom: of the users' three cases of endpoints over the load multiple, nothing in our logs tells whether a router believed an endpoint idle because its load had faded, because it states none, or because the mean was of other endpoints.

Nothing is decided by them.

--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -157,6 +157,10 @@
     pub endpoint: EndpointKey,
     /// Its estimated load.
     pub load: u32,
+    /// Age of its last load report; `None` if it states no load, or the report is too old to use.
+    pub load_age: Option<Millis>,
+    /// Mean of the estimated loads of the service's endpoints.
+    pub mean: f32,
     /// The load from which it would have been passed over.
     pub limit: f32,
     /// Number of endpoints before it in the order of preference.
@@ -441,6 +445,8 @@
     Some(Placed {
         endpoint: *endpoint,
         load: chosen.load(context.now),
+        load_age: chosen.age(context.now),
+        mean: mean.load,
         limit: limit(context, chosen, mean.load),
         rank: u32::try_from(rank).unwrap_or(u32::MAX),
         holder: None,
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -105,6 +105,8 @@
     headers: HeaderMap,
     body: Bytes,
     pub(crate) began: Time,
+    /// Load that the endpoint of the newest attempt has stated, and the limit when it was chosen.
+    stated: Option<(u32, f32)>,
 }
 
 /// `Way` is where the next attempt goes.
@@ -218,6 +220,7 @@
             headers: parts.headers,
             body,
             began,
+            stated: None,
         }
     }
 
@@ -473,6 +476,11 @@
         if placed.cold {
             self.state.metrics.count("attempts", "cold");
         }
+        if let Some(age) = placed.load_age {
+            let service = text(&self.ticket.service).into_owned();
+            self.state.metrics.time("load_age", &service, age);
+        }
+        self.stated = None;
         let request = self.request(placed, resume);
         let guard = AttemptGuard::start(self, Target::Endpoint(placed.endpoint));
         self.log_placed(placed);
@@ -500,6 +508,7 @@
         if let Some(load) = reply.load {
             let mut gateway = self.state.gateway.borrow_mut();
             gateway.record_load(now(), placed.endpoint, load);
+            self.stated = Some((load.requests(), placed.limit));
         }
         if reply.id.as_ref() != Some(&self.incoming_request.id) {
             return Err((guard, AttemptOutcome::Broken, status));
@@ -670,6 +679,12 @@
             }
         };
         self.state.metrics.count("attempts", &outcome.to_string());
+        if self
+            .stated
+            .is_some_and(|(load, limit)| f64::from(load) > f64::from(limit))
+        {
+            self.state.metrics.count("overloads", &service);
+        }
         if outcome == AttemptOutcome::Answered {
             self.state.metrics.time("answer", &service, took);
         }
@@ -683,6 +698,7 @@
                 attempt = self.ticket.tried.len(),
                 fate = %outcome,
                 status,
+                load = self.stated.map(|(load, _)| load),
                 took = took.0,
                 %next,
                 content = self.ticket.content.map(|c| c.to_string()),
@@ -858,6 +874,8 @@
             age,
             endpoint = %endpoint_name(&gateway, placed.endpoint),
             load = placed.load,
+            load_age = placed.load_age.map(|age| age.0),
+            mean = f64::from(placed.mean),
             limit = f64::from(placed.limit),
             rank = placed.rank,
             holder = placed.holder.map(|h| endpoint_name(&gateway, h)),
