Play a deployment's load on the real programs, and judge the load multiple

No run of real processes had ever judged the multiple: the soak's endpoints worked any number of requests at once for a fixed time, its callers waited for answers, sent no prompts, and nobody counted what endpoints hold.

--- a/crates/replay/src/lab/account.rs
+++ b/crates/replay/src/lab/account.rs
@@ -1,11 +1,8 @@
 //! What an experiment shows: by the time to the first event, the load multiple, and what was read.
 
 use hdrhistogram::Histogram;
+use toucanturn_judge::multiple;
 
-/// Length of the windows over which the load multiple is judged, in milliseconds.
-const MULTIPLE_SPAN: u64 = 5000;
-/// Distance of two such windows.
-const MULTIPLE_STEP: u64 = 250;
 /// Fewest requests of a window that says something.
 const MULTIPLE_LEAST: usize = 20;
 /// Length of the windows over which the worst moment is judged, in milliseconds.
@@ -101,21 +98,12 @@
     }
 
     /// Gets the same for windows that begin at a time or later.
-    #[expect(clippy::cast_precision_loss, reason = "counts are small")]
     pub fn worst_multiple_since(&self, first: u64) -> (f64, u64) {
-        let last = self.arrivals.last().map_or(0, |a| a.at);
-        let mut worst = (0.0, 0);
-        for from in (first..=last.saturating_sub(MULTIPLE_SPAN))
-            .step_by(usize::try_from(MULTIPLE_STEP).unwrap_or(1))
-        {
-            let within = |a: &&Arrival| (from..from + MULTIPLE_SPAN).contains(&a.at);
-            let window: Vec<&Arrival> = self.arrivals.iter().filter(within).collect();
-            let over = window.iter().filter(|a| a.over).count();
-            if window.len() >= MULTIPLE_LEAST && over as f64 / window.len() as f64 > worst.0 {
-                worst = (over as f64 / window.len() as f64, from);
-            }
-        }
-        worst
+        let over: Vec<(u64, bool)> = self.arrivals.iter().map(|a| (a.at, a.over)).collect();
+        let mut windows = multiple::windows(&over, first);
+        windows.retain(|window| window.arrivals >= MULTIPLE_LEAST);
+        let worst = multiple::worst(&windows).unwrap_or_default();
+        (worst.share(), worst.from)
     }
 
     /// Counts the arrivals of requests that end engines later than `known` after the third engine ended.
--- a/crates/replay/src/lab/engine.rs
+++ b/crates/replay/src/lab/engine.rs
@@ -136,6 +136,18 @@
         None
     }
 
+    /// Takes a request back whose caller has left.
+    pub fn cancel(&mut self, number: usize) {
+        self.waiting.retain(|job| job.number != number);
+        self.running.retain(|run| run.number != number);
+    }
+
+    /// Gets when the next step ends; `None` if there is no work.
+    pub fn next_step(&self) -> Option<f64> {
+        let idle = self.running.is_empty() && self.waiting.is_empty();
+        (!idle).then_some(self.until)
+    }
+
     /// Goes on to `now`.
     pub fn advance(&mut self, now: f64) -> Vec<Event> {
         let mut events = Vec::new();
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -91,11 +91,6 @@
 pub const RETRY_EXTRA: usize = 40;
 /// Seconds over which both are counted.
 pub const RETRY_WINDOW_S: u64 = 10;
-/// Milliseconds that an endpoint works on a request.
-const WORK_MS: u64 = 30;
-/// What an endpoint does with a request.
-pub const USUAL: Behavior = Behavior::Serve { ms: WORK_MS };
-
 /// `Router` is a router behind its link to the store.
 pub struct Router {
     /// Where it takes callers.
@@ -165,7 +160,7 @@
         let mut replicas = Vec::new();
         for n in 0..size.replicas {
             let link = Link::open(n)?;
-            let one = start_replica(n, 0, link, &record).await?;
+            let one = start_replica((n, 0), link, &record, size.work_ms).await?;
             replicas.push(RefCell::new(one));
         }
         let mut routers = Vec::new();
@@ -202,6 +197,13 @@
         Ok(fleet)
     }
 
+    /// Gets what an endpoint does with a request while no fault says else.
+    pub fn usual(&self) -> Behavior {
+        Behavior::Serve {
+            ms: self.size.work_ms,
+        }
+    }
+
     /// Starts a router's next process.
     ///
     /// # Errors
@@ -241,7 +243,7 @@
         let key = document::entry_key(&old);
         self.tell_store(&store::ControlCommand::Remove { key })
             .await?;
-        let next = start_replica(n, life, link, &self.record).await?;
+        let next = start_replica((n, life), link, &self.record, self.size.work_ms).await?;
         *self.replicas[n].borrow_mut() = next;
         self.enter_cold(n).await
     }
@@ -255,6 +257,8 @@
         let (key, value) = {
             let replica = self.replicas[n].borrow();
             let entry = EntrySpec {
+                service: document::SERVICE,
+                slots: document::SLOTS,
                 address: v4(replica.link.address),
                 state,
                 data_center: data_center(n),
@@ -452,13 +456,13 @@
 }
 
 async fn start_replica(
-    n: usize,
-    life: u32,
+    (n, life): (usize, u32),
     link: Link,
     record: &Rc<RefCell<Record>>,
+    work_ms: u64,
 ) -> Result<Replica> {
     let id = format!("i-{n}-{life}");
-    let work = WORK_MS.to_string();
+    let work = work_ms.to_string();
     let mut child = Child::start(
         Command::new(beside("toucanturn-platform-standin")?)
             .args(["replica", "--id", &id, "--work-ms", &work])
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod guard;
 pub mod judge;
+pub mod load;
 pub mod plan;
 pub mod process;
 pub mod record;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,18 +3,28 @@
 #![forbid(unsafe_code)]
 
 use std::{
-    path::PathBuf,
+    path::{
+        Path,
+        PathBuf, //
+    },
     process::ExitCode,
     time::Instant, //
 };
 
 use gumdrop::Options;
+use serde::Serialize;
 use tokio::task::LocalSet;
+use toucanturn_judge::multiple::worst;
 use toucanturn_soak::{
     Result, guard,
     judge::judge,
+    load::{
+        self,
+        sheet::Sheet, //
+    },
     plan::{
         Size,
+        Step,
         whole_plan, //
     },
     run::run,
@@ -45,8 +55,24 @@
     callers: usize,
     /// Print the plan and play nothing.
     plan: bool,
+    /// Play nothing but the calls: no fault, no planned work.
+    #[options(no_short)]
+    calm: bool,
+    /// Play a deployment's load and planned work in place of faults, and judge the load multiple alone. Callers and
+    /// endpoints follow from the routers.
+    #[options(no_short)]
+    load: bool,
+    /// Hold routers up now and then, as busy machines do; with `--load`.
+    #[options(no_short)]
+    held: bool,
+    /// Milliseconds that an endpoint works on a request; without `--load`.
+    #[options(no_short, default = "30")]
+    work_ms: u64,
     /// Folder for logs and records of seeds with findings.
     keep: Option<PathBuf>,
+    /// Keep those of all seeds.
+    #[options(no_short)]
+    keep_all: bool,
 }
 
 fn main() -> ExitCode {
@@ -72,30 +98,73 @@
         replicas: args.replicas,
         callers: args.callers,
         millis: args.seconds * 1000,
+        work_ms: args.work_ms,
     };
     let mut bad = 0;
     for seed in args.seed..args.seed + args.seeds {
-        if args.plan {
+        let steps = if args.calm || args.load {
+            Vec::new()
+        } else {
             whole_plan(seed, &size)
-                .iter()
-                .for_each(|step| println!("{step:?}"));
+        };
+        let load = if args.load && !args.calm {
+            load::plan::plan(seed, args.seconds)
+        } else {
+            Vec::new()
+        };
+        if args.plan {
+            steps.iter().for_each(|step| println!("{step:?}"));
+            load.iter().for_each(|step| println!("{step:?}"));
             continue;
         }
-        bad += u64::from(!one(seed, size, args)?);
+        let good = if args.load {
+            one_load(seed, &load, args)?
+        } else {
+            one(seed, &steps, size, args)?
+        };
+        bad += u64::from(!good);
     }
     Ok(bad)
 }
 
+/// Plays the load of a seed; tells whether the load multiple was kept.
+fn one_load(seed: u64, steps: &[load::plan::Step], args: &Args) -> Result<bool> {
+    let folder = tempfile::tempdir()?;
+    let mut sheet = Sheet::shifted(args.routers);
+    sheet.held = args.held;
+    let played = load::run(&sheet, steps, (seed, args.seconds), folder.path());
+    let seen = LocalSet::new().block_on(&runtime()?, played)?;
+    let (served, calls) = seen.served();
+    println!(
+        "seed {seed}: {} steps, {calls} calls, {served} served",
+        steps.len()
+    );
+    let mut good = true;
+    for service in seen.services() {
+        let windows = seen.windows(service);
+        let broken = windows.iter().filter(|w| w.is_broken()).count();
+        let worst = worst(&windows).unwrap_or_default();
+        println!(
+            "  {service}: {broken} of {} windows over the multiple, worst {} of {} arrivals ({:.1} %)",
+            windows.len(),
+            worst.over,
+            worst.arrivals,
+            100.0 * worst.share()
+        );
+        good &= broken == 0;
+    }
+    if let (Some(keep), true) = (&args.keep, args.keep_all || !good) {
+        keep_run(folder.path(), keep, seed, &seen)?;
+    }
+    Ok(good)
+}
+
 /// Plays a seed; tells whether all promises were kept.
-fn one(seed: u64, size: Size, args: &Args) -> Result<bool> {
+fn one(seed: u64, steps: &[Step], size: Size, args: &Args) -> Result<bool> {
     let folder = tempfile::tempdir()?;
     let began = Instant::now();
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    let steps = whole_plan(seed, &size);
-    let played = run(&steps, seed, size, folder.path());
-    let record = LocalSet::new().block_on(&runtime, played)?;
+    let played = run(steps, seed, size, folder.path());
+    let record = LocalSet::new().block_on(&runtime()?, played)?;
     let findings = judge(&record);
     let served = record.calls.iter().filter(|c| c.status == 200 && c.whole);
     println!(
@@ -110,15 +179,26 @@
     for finding in &findings {
         println!("  {}: {}", finding.promise, finding.what);
     }
-    if let (Some(keep), false) = (&args.keep, findings.is_empty()) {
-        let text = serde_json::to_vec_pretty(&record).map_err(std::io::Error::from)?;
-        std::fs::write(folder.path().join("record.json"), text)?;
-        let place = keep.join(format!("seed-{seed}"));
-        std::fs::create_dir_all(&place)?;
-        for file in std::fs::read_dir(folder.path())? {
-            let file = file?;
-            std::fs::copy(file.path(), place.join(file.file_name()))?;
-        }
+    if let (Some(keep), true) = (&args.keep, args.keep_all || !findings.is_empty()) {
+        keep_run(folder.path(), keep, seed, &record)?;
     }
     Ok(findings.is_empty())
 }
+
+fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+}
+
+/// Copies the logs of a run, and all that was seen, to a folder of its seed.
+fn keep_run(logs: &Path, keep: &Path, seed: u64, seen: &impl Serialize) -> std::io::Result<()> {
+    let place = keep.join(format!("seed-{seed}"));
+    std::fs::create_dir_all(&place)?;
+    std::fs::write(place.join("record.json"), serde_json::to_vec(seen)?)?;
+    for file in std::fs::read_dir(logs)? {
+        let file = file?;
+        std::fs::copy(file.path(), place.join(file.file_name()))?;
+    }
+    Ok(())
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -42,6 +42,8 @@
     pub callers: usize,
     /// Milliseconds in which faults come.
     pub millis: u64,
+    /// Milliseconds that an endpoint works on a request.
+    pub work_ms: u64,
 }
 
 impl Default for Size {
@@ -51,6 +53,7 @@
             replicas: 5,
             callers: 24,
             millis: 10_000,
+            work_ms: 30,
         }
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -60,7 +60,6 @@
         REVOKE_MS,
         ROUTE_MS,
         STOP_S,
-        USUAL,
         data_center, //
     },
     plan::{
@@ -212,7 +211,7 @@
             let usual = replica::ControlCommand::Usual;
             fleet.tell_replica(n, &usual(back_off)).await;
             sleep(lasts).await;
-            fleet.tell_replica(n, &usual(USUAL)).await;
+            fleet.tell_replica(n, &usual(fleet.usual())).await;
         }
         Fault::ReplicaKilled
         | Fault::ReplicaPaused
@@ -275,7 +274,7 @@
             }
             sleep(FAILING + lasts).await;
             for n in 0..fleet.size.replicas {
-                fleet.tell_replica(n, &usual(USUAL)).await;
+                fleet.tell_replica(n, &usual(fleet.usual())).await;
                 fleet.note_span(Target::Replica(n), from, AFTER);
             }
         }
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -25,6 +25,7 @@
     replicas: 4,
     callers: 12,
     millis: 6000,
+    work_ms: 30,
 };
 
 fn findings(steps: &[Step], seed: u64, size: Size) -> Vec<Finding> {
