Test the load multiple on real processes, and in the laboratory where engines hold little (known to be red)

At the arrivals over the multiple, engines held 7 to 12 where routers took them to hold 1 to 5. In an evacuation the routers' mean was 5.1 where the mean over all engines was 3.3.

--- a/crates/replay/tests/lab_multiple.rs
+++ b/crates/replay/tests/lab_multiple.rs
@@ -125,3 +125,69 @@
 fn verify_a_session_with_a_quarter_of_a_kind_is_within_the_multiple() {
     surge_with_hot_session(0.23);
 }
+
+/// A fleet before 90 engines of 64 places: short answers to long prompts, shorter ones to short prompts, and few long
+/// ones. Engines hold two or three requests on average.
+fn sparse_sheet(routers: usize) -> Sheet {
+    let kind = |rate: u32, sessions: u64, shared, own, output, goal| Kind {
+        rate: f64::from(rate) * routers as f64 / 86.0,
+        sessions: (sessions * routers as u64 / 86).max(3),
+        shared,
+        own,
+        output,
+        goal,
+    };
+    Sheet {
+        routers,
+        engines: routers * 90 / 86,
+        shape: Shape {
+            slots: 64,
+            step: 3.09,
+            per_request: 0.102,
+            read: 56.9,
+            chunk: 1024.0,
+            first: 13.0,
+            memory: 302_458,
+        },
+        kinds: vec![
+            kind(209, 838, 8620, 580, 52, 500),
+            kind(388, 400, 2041, 360, 23, 800),
+            kind(111, 296, 603, 110, 280, 1000),
+        ],
+        ..sheet()
+    }
+}
+
+/// Guards against routers that fill sparsely loaded engines over the multiple by what they last heard of them.
+#[gtest]
+fn verify_sparsely_loaded_engines_are_within_the_multiple() {
+    for seed in 1..=4 {
+        let (worst, from) = play(&sparse_sheet(86), seed).worst_multiple();
+        expect_that!(worst, le(0.03), "seed {seed}, from {from} ms");
+    }
+}
+
+/// Guards against a hot session that meets engines whose own sessions already fill them.
+#[gtest]
+fn verify_a_hot_session_at_sparsely_loaded_engines_is_within_the_multiple() {
+    for (routers, seed) in [(86, 1), (86, 2), (86, 3), (86, 4), (295, 1)] {
+        let hot = Span {
+            from: 4000,
+            to: 8000,
+            trouble: Trouble::Hot {
+                kind: 0,
+                share: 0.28,
+            },
+        };
+        let sheet = Sheet {
+            troubles: vec![hot],
+            ..sparse_sheet(routers)
+        };
+        let (worst, from) = play(&sheet, seed).worst_multiple();
+        expect_that!(
+            worst,
+            le(0.03),
+            "{routers} routers, seed {seed}, from {from} ms"
+        );
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/load.rs
@@ -0,0 +1,64 @@
+//! A deployment's load on the real programs, scaled to a few routers.
+
+#![expect(clippy::expect_used, reason = "a test fails by its panic")]
+
+use googletest::prelude::*;
+use tokio::task::LocalSet;
+use toucanturn_judge::multiple::worst;
+use toucanturn_soak::load::{
+    plan::{
+        Act,
+        Step, //
+    },
+    run,
+    sheet::Sheet, //
+};
+
+const SECONDS: u64 = 12;
+
+/// Expects each service to keep the load multiple in all five seconds.
+fn expect_within_multiple(routers: usize, steps: &[Step], seed: u64) {
+    let folder = tempfile::tempdir().expect("there is room");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = runtime.expect("a runtime");
+    let sheet = Sheet::shifted(routers);
+    let played = run(&sheet, steps, (seed, SECONDS), folder.path());
+    let seen = LocalSet::new().block_on(&runtime, played);
+    let seen = seen.expect("the programs were built");
+    let (served, calls) = seen.served();
+    expect_that!(served * 100, ge(calls * 95), "{served} of {calls} served");
+    let mut broken = false;
+    for service in seen.services() {
+        let windows = seen.windows(service);
+        let worst = worst(&windows);
+        let bad = windows.iter().filter(|w| w.is_broken()).count();
+        broken |= bad > 0;
+        expect_that!(bad, eq(0), "{service}, seed {seed}: worst {worst:?}");
+    }
+    if broken {
+        // The routers' logs tell what each placement went by.
+        let kept = folder.keep();
+        let text = serde_json::to_vec(&seen).expect("what was seen is JSON");
+        std::fs::write(kept.join("record.json"), text).expect("there is room");
+        println!("seed {seed}: kept in {}", kept.display());
+    }
+}
+
+/// Guards against routers that place by loads that are older than what other routers have sent since.
+#[gtest]
+fn verify_a_calm_fleet_of_processes_is_within_the_multiple() {
+    expect_within_multiple(20, &[], 1);
+}
+
+/// Guards against a mean over the remaining engines alone while a data centre is evacuated.
+#[gtest]
+fn verify_a_fleet_of_processes_is_within_the_multiple_in_an_evacuation() {
+    let evacuated = Step {
+        at: 2000,
+        lasts: 8000,
+        act: Act::Evacuate { data_center: 0 },
+    };
+    expect_within_multiple(20, &[evacuated], 2);
+}
