Give an endpoint whose answers are not known its even share, not all requests

Callers of a service that states no load saw answers late or turned away after one of its endpoints had joined, or its data centre had been restored: routers took an endpoint of which nothing was known for the fastest (a latency of 0, or one that had halved each 2 s for as long as it got nothing), and all of them sent to it at once, until each had an answer of its own. 86 routers with 3 requests a second each send 17 within the 60 ms that the first answer takes, and the queue that they make delays it further. No router could see that, as no load is stated.

A latency older than 4 s counts as not known. An endpoint without one is taken where chance draws it among the candidates, if it neither fails more than usual nor has an own request in progress; else it counts as slow as the slowest known one. So the fleet sends it its even share, whatever the number of routers, and each router knows it after one answer.

--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -59,6 +59,9 @@
 /// Time in which the latency halves without answers, so that an endpoint that was slow is tried
 /// again.
 const LATENCY_HALF_LIFE: Millis = Millis(2000);
+/// Age from which the latency of answers is not known any more. A router of a large fleet gets an answer
+/// of each endpoint of a busy service every second or two.
+const LATENCY_TTL: Millis = Millis(4000);
 /// Longest time for which an endpoint gets no requests because it asked for that. One that asks for
 /// more by mistake is tried again after it.
 const MAX_BACK_OFF: Millis = Millis(3_600_000);
@@ -435,10 +438,12 @@
         share * remaining_fraction(now.since(at), FAILURE_RATE_HALF_LIFE)
     }
 
-    /// Gets the recent latency of its answers in milliseconds; 0 if there were none.
-    pub fn latency(&self, now: Time) -> f32 {
-        let (at, latency) = self.latency.unwrap_or((now, 0.0));
-        latency * remaining_fraction(now.since(at), LATENCY_HALF_LIFE)
+    /// Gets the recent latency of its answers in milliseconds; `None` if there were none within
+    /// [`LATENCY_TTL`].
+    pub fn latency(&self, now: Time) -> Option<f32> {
+        let (at, latency) = self.latency?;
+        let age = now.since(at);
+        (age < LATENCY_TTL).then(|| latency * remaining_fraction(age, LATENCY_HALF_LIFE))
     }
 
     /// Estimates the requests that it has in progress from all routers: this router's own, plus
@@ -635,7 +640,7 @@
     )]
     fn update_latency(&mut self, now: Time, took: Millis) {
         let took = took.0 as f32;
-        let before = self.latency.map_or(took, |_| self.latency(now));
+        let before = self.latency(now).unwrap_or(took);
         self.latency = Some((now, before + (took - before) * LATENCY_WEIGHT));
     }
 
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -5,7 +5,8 @@
 //! endpoints then hold the part, whichever router a request came through, without coordination
 //! between routers. Other requests go to the endpoint with the fewest requests in progress; where
 //! no endpoint states its load, to the one whose newest answers were fastest, because the own
-//! requests of one of many routers say little about the load then.
+//! requests of one of many routers say little about the load then. An endpoint whose answers are not
+//! known gets its even share of the requests until they are.
 
 use crate::{
     arena::EndpointKey,
@@ -400,23 +401,67 @@
     let rank = if stated {
         least(context, candidates, |e| cost(context, e, mean))?
     } else {
-        least(context, candidates, |e| {
-            expected_answer_time(context, e, mean)
-        })?
+        by_answer_time(context, candidates, mean)?
     };
     placed(context, candidates, rank, mean)
 }
 
-/// Estimates the time until an endpoint answers.
+/// Chooses the endpoint that is expected to answer soonest, or by chance one whose answers are not
+/// known.
+///
+/// All routers learn of an endpoint that joins or returns at about the same time. If each took it for
+/// the fastest, they would together send it several times what it can serve before the first of them
+/// gets an answer.
+fn by_answer_time(
+    context: &PlacementContext<'_>,
+    candidates: &[(EndpointKey, &Endpoint)],
+    mean: ServiceMean,
+) -> Option<usize> {
+    let latencies = candidates
+        .iter()
+        .filter_map(|(_, e)| e.latency(context.now));
+    let Some(slowest) = latencies.reduce(f32::max) else {
+        return least(context, candidates, |e| {
+            expected_answer_time(context, e, mean, 0.0)
+        });
+    };
+    if let Some(drawn) = draw(context, candidates.len())
+        && let Some((_, endpoint)) = candidates.get(drawn)
+        && endpoint.latency(context.now).is_none()
+        && endpoint.own_in_flight == 0
+        && refusal_rate(context, endpoint, mean) < FAILURE_TOLERANCE
+    {
+        return Some(drawn);
+    }
+    least(context, candidates, |e| {
+        expected_answer_time(context, e, mean, slowest)
+    })
+}
+
+/// Draws one of so many.
+fn draw(context: &PlacementContext<'_>, count: usize) -> Option<usize> {
+    let count = u64::try_from(count).ok()?;
+    let drawn = score(context.draw, count).checked_rem(count)?;
+    usize::try_from(drawn).ok()
+}
+
+/// Estimates the time until an endpoint answers; `unknown` is the latency of one whose answers are not
+/// known.
 #[expect(clippy::cast_precision_loss, reason = "loads are small numbers")]
 fn expected_answer_time(
     context: &PlacementContext<'_>,
     endpoint: &Endpoint,
     mean: ServiceMean,
+    unknown: f32,
 ) -> f32 {
-    let refusing = endpoint.failure_rate(context.now) + avoidance(context, endpoint, mean);
-    let failure_factor = 1.0 + refusing * FAILURE_TIME_FACTOR;
-    (endpoint.latency(context.now) + 1.0) * (endpoint.own_in_flight as f32 + 1.0) * failure_factor
+    let failure_factor = 1.0 + refusal_rate(context, endpoint, mean) * FAILURE_TIME_FACTOR;
+    let latency = endpoint.latency(context.now).unwrap_or(unknown);
+    (latency + 1.0) * (endpoint.own_in_flight as f32 + 1.0) * failure_factor
+}
+
+/// Gets the rate of failures, and by how much an endpoint is to be avoided.
+fn refusal_rate(context: &PlacementContext<'_>, endpoint: &Endpoint, mean: ServiceMean) -> f32 {
+    endpoint.failure_rate(context.now) + avoidance(context, endpoint, mean)
 }
 
 /// Finds the endpoint with the least cost, a random one among equals.
