Keep the load multiple of the mean over all endpoints while some are evacuated or leave

While a data centre was evacuated, requests met engines over the multiple, the more so those of a hot session. The limit, and the number of engines over which a hot session is spread, went by the mean over the engines that may get requests. The multiple is one of all engines of the service that are up: with a quarter evacuated, 1.84 times the first mean is 2.45 times the second. The mean counts all listed endpoints now, and never makes a limit below the mean of those that are left; a hot session is spread by what the remaining ones may carry of it.

--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -13,7 +13,10 @@
     gateway::{
         Ticket,
         brittle::Brittleness,
-        endpoint::Endpoint,
+        endpoint::{
+            Endpoint,
+            State, //
+        },
         hot_spots::{
             self,
             HotSpots, //
@@ -160,7 +163,7 @@
     pub load: u32,
     /// Age of its last load report; `None` if it states no load, or the report is too old to use.
     pub load_age: Option<Millis>,
-    /// Mean of the estimated loads of the service's endpoints.
+    /// Mean of the estimated loads of all endpoints of the service.
     pub mean: f32,
     /// The load from which it would have been passed over.
     pub limit: f32,
@@ -201,7 +204,7 @@
     } else {
         unpaused
     };
-    let mean = ServiceMean::of(context, &all);
+    let mean = ServiceMean::of(context, &ticket.service, &all);
     let placement_part = prompt.and_then(Prompt::placement_part);
     match placement_part {
         Some(part) => {
@@ -272,21 +275,44 @@
 /// `ServiceMean` is the mean of the loads and failure rates of a service's endpoints.
 #[derive(Clone, Copy, Debug)]
 struct ServiceMean {
+    /// Mean load of the endpoints that may get requests.
     load: f32,
+    /// Mean load of all endpoints, also of those that are leaving or evacuated. The multiple is one
+    /// of this mean: the fewer endpoints get requests, the less of it is left for each.
+    load_of_all: f32,
     failure_rate: f32,
     /// Share of the endpoints that peers report to back off.
     avoided: f32,
 }
 
 impl ServiceMean {
+    /// Returns the mean load of all endpoints as a share of that of those that may get requests.
+    fn carried_share(&self) -> f64 {
+        if self.load > self.load_of_all {
+            f64::from(self.load_of_all / self.load)
+        } else {
+            1.0
+        }
+    }
+
     #[expect(clippy::cast_precision_loss, reason = "loads are small numbers")]
-    fn of(context: &PlacementContext<'_>, all: &[(EndpointKey, &Endpoint)]) -> Self {
+    fn of(
+        context: &PlacementContext<'_>,
+        service: &[u8],
+        all: &[(EndpointKey, &Endpoint)],
+    ) -> Self {
         let count = all.len().max(1) as f32;
+        let known = context.registry.known(service);
+        let known = known.filter(|(_, e)| e.state != State::Gone);
+        let loads = known.map(|(_, e)| e.load(context.now));
+        let (known_count, known_load) =
+            loads.fold((0, 0), |(count, sum), load| (count + 1, sum + load));
         let load: u32 = all.iter().map(|(_, e)| e.load(context.now)).sum();
         let failure_rate: f32 = all.iter().map(|(_, e)| e.failure_rate(context.now)).sum();
         let avoided = all.iter().filter(|(_, e)| e.avoided(context.now)).count();
         Self {
             load: load as f32 / count,
+            load_of_all: known_load as f32 / (known_count.max(1) as f32),
             failure_rate: failure_rate / count,
             avoided: avoided as f32 / count,
         }
@@ -295,7 +321,7 @@
 
 /// Returns the load from which an endpoint is passed over.
 #[expect(clippy::cast_precision_loss, reason = "ages are small numbers")]
-fn limit(context: &PlacementContext<'_>, endpoint: &Endpoint, mean: f32) -> f32 {
+fn limit(context: &PlacementContext<'_>, endpoint: &Endpoint, mean: ServiceMean) -> f32 {
     let age = endpoint
         .age(context.now)
         .map_or(STALE_LOAD_AGE, |age| age.min(STALE_LOAD_AGE));
@@ -303,7 +329,7 @@
     let part = FRESH_MARGIN.part + (STALE_MARGIN.part - FRESH_MARGIN.part) * stale;
     let slack = FRESH_MARGIN.slack + (STALE_MARGIN.slack - FRESH_MARGIN.slack) * stale;
     let multiple = context.bounds.skew.0 as f32 / 1000.0;
-    mean * (multiple * part).max(1.0) + slack
+    (mean.load_of_all * multiple * part).max(mean.load) + slack
 }
 
 #[expect(clippy::cast_precision_loss, reason = "loads are small numbers")]
@@ -352,8 +378,7 @@
     mean: ServiceMean,
 ) -> Option<Placed> {
     candidates.sort_by_key(|(_, e)| std::cmp::Reverse(score(part_id, e.seed)));
-    let fits =
-        |(_, e): &(EndpointKey, &Endpoint)| cost(context, e, mean) < limit(context, e, mean.load);
+    let fits = |(_, e): &(EndpointKey, &Endpoint)| cost(context, e, mean) < limit(context, e, mean);
     let hot_pick = pick_for_hot_part(context, &candidates, part_id, mean);
     let below = hot_pick
         .filter(|rank| fits(&candidates[*rank]))
@@ -373,7 +398,7 @@
     part_id: u64,
     mean: ServiceMean,
 ) -> Option<usize> {
-    let multiple = f64::from(context.bounds.skew.0) / 1000.0;
+    let multiple = f64::from(context.bounds.skew.0) / 1000.0 * mean.carried_share();
     let spread_width =
         context
             .hot_spots?
@@ -491,8 +516,8 @@
         endpoint: *endpoint,
         load: chosen.load(context.now),
         load_age: chosen.age(context.now),
-        mean: mean.load,
-        limit: limit(context, chosen, mean.load),
+        mean: mean.load_of_all,
+        limit: limit(context, chosen, mean),
         rank: u32::try_from(rank).unwrap_or(u32::MAX),
         holder: None,
         cold: context.cold(chosen),
--- a/crates/core/tests/gateway/evacuation.rs
+++ b/crates/core/tests/gateway/evacuation.rs
@@ -7,7 +7,10 @@
         Change,
         Gateway,
         RegistryEvent,
-        endpoint::Entry,
+        endpoint::{
+            Entry,
+            Load, //
+        },
         refusal::Cause, //
     },
     units::{
@@ -169,3 +172,34 @@
     expect_that!(holder(&mut gateway, Time(1000)), some(anything()));
     expect_that!(holder(&mut gateway, Time(1600)), none());
 }
+
+/// Guards against a limit by the mean over the remaining endpoints, which rises with each one that is evacuated.
+#[gtest]
+fn verify_evacuated_endpoints_count_in_the_mean_load() {
+    let mut gateway = gateway();
+    let changes = vec![
+        Change::Entry(entry_in_b(2)),
+        Change::Entry(entry_in_b(3)),
+        evacuation_of("a"),
+    ];
+    gateway.apply_changes(Time(0), changes);
+    let remaining: Vec<_> = gateway.registry().usable().map(|(key, _)| key).collect();
+    for key in &remaining {
+        let load = Load {
+            running: 12,
+            waiting: 0,
+            slots: 64,
+        };
+        gateway.record_load(Time(10), *key, load);
+    }
+    let request = request("/read/x");
+    let ticket = gateway
+        .admit(Time(10), &request)
+        .expect("the request is admitted");
+    let placed = gateway.place(Time(10), &ticket, &request);
+    let limit = placed.expect("an endpoint is available").limit;
+
+    // Twice the mean of 9 over all four endpoints, and three.
+    expect_that!(remaining.len(), eq(3));
+    expect_that!(limit, all!(gt(12.0), le(2.0 * 9.0 + 3.0)));
+}
