Choose the cheaper of two random endpoints where other routers send as well

Requests without a prompt met engines far over the multiple in fleets of tens of routers. Each router took the engine with the least load of all as it had last heard of it, 0.3 s before on average; until that engine's next answer all routers took the same one. With two random endpoints an engine gets at most twice its even share, whatever is known of it. A router without others still takes the least loaded, as it knows all loads.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -240,6 +240,7 @@
             bounds: &self.bounds,
             warmup: self.warmup_limit(&ticket.service).map(|_| &self.warmup),
             brittle: self.brittle_context(now, &ticket.service),
+            routers: self.routers,
             now,
             draw,
         };
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -92,6 +92,8 @@
     pub warmup: Option<&'a Warmup>,
     /// What this router may make brittle endpoints turn away; `None` where they are sturdy.
     pub brittle: Option<BrittleContext<'a>>,
+    /// Number of routers.
+    pub routers: u32,
     /// The time.
     pub now: Time,
     /// A random number.
@@ -406,9 +408,17 @@
     if spread_width < 2 {
         return None;
     }
-    let pick =
-        |turn| usize::try_from(score(context.draw, turn) % spread_width as u64).unwrap_or_default();
-    let pair = [pick(1), pick(2)];
+    cheaper_of_two(context, &candidates[..spread_width], mean)
+}
+
+/// Chooses the endpoint with the lower cost of two random ones.
+fn cheaper_of_two(
+    context: &PlacementContext<'_>,
+    candidates: &[(EndpointKey, &Endpoint)],
+    mean: ServiceMean,
+) -> Option<usize> {
+    let count = candidates.len();
+    let pair = [draw(context, count, 1)?, draw(context, count, 2)?];
     let costs = pair.map(|rank| cost(context, candidates[rank].1, mean));
     Some(if costs[1] < costs[0] {
         pair[1]
@@ -424,13 +434,28 @@
 ) -> Option<Placed> {
     let stated = candidates.iter().any(|(_, e)| e.age(context.now).is_some());
     let rank = if stated {
-        least(context, candidates, |e| cost(context, e, mean))?
+        by_stated_load(context, candidates, mean)?
     } else {
         by_answer_time(context, candidates, mean)?
     };
     placed(context, candidates, rank, mean)
 }
 
+/// Chooses the endpoint with the least cost, of two random ones where other routers send as well.
+///
+/// Loads that were heard some time ago are the same at all routers. The least of all would be the same
+/// endpoint for all of them, until its next answer.
+fn by_stated_load(
+    context: &PlacementContext<'_>,
+    candidates: &[(EndpointKey, &Endpoint)],
+    mean: ServiceMean,
+) -> Option<usize> {
+    if context.routers < 2 {
+        return least(context, candidates, |e| cost(context, e, mean));
+    }
+    cheaper_of_two(context, candidates, mean)
+}
+
 /// Chooses the endpoint that is expected to answer soonest, or by chance one whose answers are not
 /// known.
 ///
@@ -442,31 +467,39 @@
     candidates: &[(EndpointKey, &Endpoint)],
     mean: ServiceMean,
 ) -> Option<usize> {
-    let latencies = candidates
+    let known = candidates
         .iter()
         .filter_map(|(_, e)| e.latency(context.now));
-    let Some(slowest) = latencies.reduce(f32::max) else {
+    let Some(fastest) = known.reduce(f32::min) else {
         return least(context, candidates, |e| {
             expected_answer_time(context, e, mean, 0.0)
         });
     };
-    if let Some(drawn) = draw(context, candidates.len())
-        && let Some((_, endpoint)) = candidates.get(drawn)
-        && endpoint.latency(context.now).is_none()
-        && endpoint.own_in_flight == 0
-        && refusal_rate(context, endpoint, mean) < FAILURE_TOLERANCE
-    {
-        return Some(drawn);
+    // An endpoint that has just failed is no better choice than one of which nothing is known.
+    let unknown = fastest + 1.0;
+    let is_untested = |e: &Endpoint| {
+        e.latency(context.now).is_none()
+            && e.own_in_flight == 0
+            && refusal_rate(context, e, mean) < FAILURE_TOLERANCE
+    };
+    let drawn = draw(context, candidates.len(), 1)?;
+    if is_untested(candidates.get(drawn)?.1) {
+        return least(context, candidates, |e| {
+            if is_untested(e) {
+                refusal_rate(context, e, mean)
+            } else {
+                f32::INFINITY
+            }
+        });
     }
     least(context, candidates, |e| {
-        expected_answer_time(context, e, mean, slowest)
+        expected_answer_time(context, e, mean, unknown)
     })
 }
 
-/// Draws one of so many.
-fn draw(context: &PlacementContext<'_>, count: usize) -> Option<usize> {
-    let count = u64::try_from(count).ok()?;
-    let drawn = score(context.draw, count).checked_rem(count)?;
+/// Draws one of so many; `turn` tells the draws of one placement apart.
+fn draw(context: &PlacementContext<'_>, count: usize, turn: u64) -> Option<usize> {
+    let drawn = score(context.draw, turn).checked_rem(u64::try_from(count).ok()?)?;
     usize::try_from(drawn).ok()
 }
 
--- a/crates/core/tests/gateway/fixture.rs
+++ b/crates/core/tests/gateway/fixture.rs
@@ -142,7 +142,12 @@
 
 /// Makes a gateway with a configuration and `endpoints` endpoints, both read at time 0.
 pub(crate) fn gateway(endpoints: u8) -> Gateway {
-    let mut gateway = Gateway::new(bounds(), 1);
+    gateway_with_seed(endpoints, 1)
+}
+
+/// Makes the same gateway with other random numbers.
+pub(crate) fn gateway_with_seed(endpoints: u8, seed: u64) -> Gateway {
+    let mut gateway = Gateway::new(bounds(), seed);
     let mut changes = vec![catalog_change(1)];
     changes.extend((0..endpoints).map(|n| Change::Entry(entry(n))));
     gateway.record_registry_read(Time(0), Time(0));
--- a/crates/core/tests/gateway/skew.rs
+++ b/crates/core/tests/gateway/skew.rs
@@ -25,7 +25,7 @@
 };
 
 use crate::fixture::{
-    gateway,
+    gateway_with_seed,
     prompt,
     request, //
 };
@@ -54,6 +54,8 @@
     requests_per_ms: f64,
     /// Share of them that belongs to one session.
     hot_share: f64,
+    /// Whether requests have prompts.
+    prompts: bool,
 }
 
 /// `Fleet` is the routers, and the real number of requests in progress at each engine.
@@ -69,7 +71,13 @@
     fn new(size: Size, seed: u64) -> Self {
         Self {
             size,
-            routers: (0..size.routers).map(|_| gateway(size.engines)).collect(),
+            routers: (0..size.routers)
+                .map(|n| {
+                    let mut router = gateway_with_seed(size.engines, n as u64 + 1);
+                    router.fleet(Time(0), u32::try_from(size.routers).unwrap_or(u32::MAX));
+                    router
+                })
+                .collect(),
             in_progress: HashMap::new(),
             scheduled: BTreeMap::new(),
             rng: StdRng::seed_from_u64(seed),
@@ -166,7 +174,7 @@
                     self.rng.random_range(100..100 + parts)
                 };
                 let request = IncomingRequest {
-                    prompt: Some(prompt(shared, now)),
+                    prompt: self.size.prompts.then(|| prompt(shared, now)),
                     ..request("/chat/x")
                 };
                 let overloaded = self.send(now, &request);
@@ -191,6 +199,7 @@
         engines: 9,
         requests_per_ms: 0.19,
         hot_share: 0.5,
+        prompts: true,
     };
     for seed in 1..=5 {
         let (all, over) = Fleet::new(size, seed).run();
@@ -208,6 +217,7 @@
             engines: 60,
             requests_per_ms: 1.25,
             hot_share,
+            prompts: true,
         };
         let (all, over) = Fleet::new(size, seed).run();
 
@@ -218,3 +228,20 @@
         );
     }
 }
+
+/// Guards against routers that all choose the engine that was the least loaded when they last heard of it.
+#[gtest]
+fn verify_requests_without_a_prompt_are_within_the_multiple() {
+    for (routers, engines, requests_per_ms) in [(7, 9, 0.05), (66, 60, 0.5), (66, 60, 1.25)] {
+        let size = Size {
+            routers,
+            engines,
+            requests_per_ms,
+            hot_share: 0.0,
+            prompts: false,
+        };
+        let (all, over) = Fleet::new(size, 1).run();
+
+        expect_that!(over * 100, le(all * 3), "{size:?}: {over} of {all}");
+    }
+}
