--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -59,6 +59,7 @@
         Cold,
         Evacuation,
         Key,
+        Member,
         Record,
         Span,
         Start,
@@ -471,6 +472,13 @@
     let (ports, mut lines) = child.ports(&id).await?;
     link.point(ports.listen);
     let (record, own_link) = (Rc::clone(record), link.clone());
+    let member = Member {
+        replica: id.clone(),
+        from: clock_ms(),
+        to: None,
+    };
+    let place = record.borrow().members.len();
+    record.borrow_mut().members.push(member);
     spawn_local(async move {
         while let Ok(Some(line)) = lines.next_line().await {
             // A line that was cut by a kill is no word.
@@ -486,6 +494,7 @@
         }
         // Its output ends with its process.
         own_link.retire(ports.listen);
+        record.borrow_mut().members[place].to = Some(clock_ms());
     });
     Ok(Replica {
         id,
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -1,8 +1,18 @@
 //! The promises, judged from what callers and endpoints saw. No judge looks at the routers' logs.
 
-use std::collections::HashMap;
+use std::{
+    collections::HashMap,
+    ops::Range, //
+};
 
 use strum::IntoEnumIterator;
+use toucanturn_judge::multiple::{
+    Note,
+    Window,
+    arrivals,
+    calm_windows,
+    worst, //
+};
 use toucanturn_platform_standin::{
     document::COLD_PER_S,
     replica::{
@@ -26,6 +36,7 @@
         WARMUP_SLACK,
         data_center, //
     },
+    load::fleet::change,
     record::{
         Call,
         Cold,
@@ -90,6 +101,8 @@
     SaidLeaving,
     /// An endpoint gets next to nothing from a router in the time for which it has asked that router for none.
     BackOff,
+    /// In calm times endpoints get little while they hold more than the load multiple allows.
+    Multiple,
 }
 
 /// `Finding` is a promise that was not kept.
@@ -136,6 +149,7 @@
             Promise::Warmup => warmup(record),
             Promise::SaidLeaving => said_leaving(record, &calls),
             Promise::BackOff => back_off(record, &calls),
+            Promise::Multiple => multiple(record, &calls),
         };
         let found = found.into_iter().map(|what| Finding { promise, what });
         findings.extend(found);
@@ -525,3 +539,43 @@
     };
     asks.filter_map(broken).collect()
 }
+
+fn multiple(record: &Record, calls: &Calls<'_>) -> Vec<String> {
+    let number = |replica: &str| record.members.iter().position(|m| m.replica == replica);
+    // A router that a fault has come to is out of touch for a while.
+    let in_touch = |note: &RequestEvent| {
+        calls.get(note.id.as_str()).is_some_and(|call| {
+            let own = [Target::Router(call.router), Target::Paused(call.router)];
+            let from = note.at_ms.saturating_sub(FELT);
+            !record.faulty(from, note.at_ms, |t| {
+                own.contains(&t) || t.blinds(Some(call.router))
+            })
+        })
+    };
+    let notes = record.notes.iter().filter_map(|note| {
+        Some(Note {
+            at: note.at_ms,
+            endpoint: number(&note.replica)?,
+            change: change(note.what),
+            counts: in_touch(note),
+        })
+    });
+    let notes: Vec<Note> = notes.collect();
+    let up = record.members.iter().enumerate();
+    let up = up.map(|(n, m)| (n, m.from..m.to.unwrap_or(u64::MAX)));
+    let disturbs = |t: Target| matches!(t, Target::Replica(_) | Target::HeldUp(_) | Target::Links);
+    let faults = record.spans.iter().filter(|span| disturbs(span.target));
+    let faults = faults.map(|span| span.from..span.to);
+    // An endpoint that turns all away is disturbed as well.
+    let asks = record.notes.iter().filter(|note| note.back_off_ms > 0);
+    let asks = asks.map(|note| note.at_ms..note.at_ms + note.back_off_ms);
+    let disturbed: Vec<Range<u64>> = faults.chain(asks).collect();
+    let windows = calm_windows(&arrivals(&notes, &up.collect()), &disturbed);
+    let broken: Vec<Window> = windows.into_iter().filter(Window::is_broken).collect();
+    let told = worst(&broken).map(|window| {
+        let (over, all) = (window.over, window.arrivals);
+        let count = broken.len();
+        format!("{over} of {all} requests in five seconds, and {count} such windows")
+    });
+    told.into_iter().collect()
+}
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -143,6 +143,17 @@
     pub at: u64,
 }
 
+/// `Member` is an endpoint's process.
+#[derive(Clone, Debug, Serialize)]
+pub struct Member {
+    /// The endpoint's name.
+    pub replica: String,
+    /// When it began to listen.
+    pub from: u64,
+    /// When it ended; `None` while it has not.
+    pub to: Option<u64>,
+}
+
 /// `Record` is all of a run.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Record {
@@ -156,6 +167,8 @@
     pub spans: Vec<Span>,
     /// Starts of routers.
     pub starts: Vec<Start>,
+    /// Endpoints' processes.
+    pub members: Vec<Member>,
     /// Endpoints that left.
     pub leaving: Vec<Leaving>,
     /// Evacuations.
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -18,6 +18,7 @@
         Key,
         Kind,
         Leaving,
+        Member,
         Record,
         Span,
         Start,
@@ -508,3 +509,42 @@
         expect_that!(found(&unheard), is_empty(), "{target:?}");
     }
 }
+
+/// Makes a record in which one of six endpoints gets a request each 50 ms and ends none.
+fn crowded() -> Record {
+    let ids: Vec<String> = (0..120).map(|n| format!("c{n}")).collect();
+    let calls = ids.iter().map(|id| call(id, Kind::Once)).collect();
+    let notes = (0..).zip(&ids).map(|(n, id)| note(id, 10_000 + n * 50));
+    let mut record = record(calls, notes.collect());
+    record.members = (0..6)
+        .map(|n| Member {
+            replica: format!("i-{n}-0"),
+            from: 0,
+            to: None,
+        })
+        .collect();
+    record
+}
+
+#[gtest]
+fn verify_an_endpoint_over_the_load_multiple_is_noticed_in_calm_times() {
+    let mut record = crowded();
+    expect_that!(found(&record), contains(eq(&Promise::Multiple)));
+    record.spans.push(Span {
+        target: Target::Replica(3),
+        from: 9000,
+        to: 20_000,
+    });
+    expect_that!(found(&record), not(contains(eq(&Promise::Multiple))));
+}
+
+#[gtest]
+fn verify_requests_of_a_router_out_of_touch_are_not_counted_in_the_load_multiple() {
+    let mut record = crowded();
+    record.spans.push(Span {
+        target: Target::Paused(0),
+        from: 9000,
+        to: 20_000,
+    });
+    expect_that!(found(&record), not(contains(eq(&Promise::Multiple))));
+}
--- a/crates/soak/tests/load.rs
+++ b/crates/soak/tests/load.rs
@@ -8,22 +8,24 @@
 use toucanturn_soak::load::{
     plan::{
         Act,
-        Step, //
+        Step,
+        plan, //
     },
     run,
     sheet::Sheet, //
 };
 
 const SECONDS: u64 = 12;
+const LONG_SECONDS: u64 = 20;
 
 /// Plays a load and expects each service to keep the load multiple in all five seconds.
-fn expect_within_multiple(sheet: &Sheet, steps: &[Step], seed: u64) {
+fn expect_within_multiple(sheet: &Sheet, steps: &[Step], (seed, seconds): (u64, u64)) {
     let folder = tempfile::tempdir().expect("there is room");
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
     let runtime = runtime.expect("a runtime");
-    let played = run(sheet, steps, (seed, SECONDS), folder.path());
+    let played = run(sheet, steps, (seed, seconds), folder.path());
     let seen = LocalSet::new().block_on(&runtime, played);
     let seen = seen.expect("the programs were built");
     let (served, calls) = seen.served();
@@ -48,7 +50,7 @@
 /// Guards against routers that place by loads that are older than what other routers have sent since.
 #[gtest]
 fn verify_a_calm_fleet_of_processes_is_within_the_multiple() {
-    expect_within_multiple(&Sheet::shifted(20), &[], 1);
+    expect_within_multiple(&Sheet::shifted(20), &[], (1, SECONDS));
 }
 
 /// Guards against a mean over the remaining engines alone while a data centre is evacuated.
@@ -69,7 +71,7 @@
             },
         },
     ];
-    expect_within_multiple(&Sheet::shifted(30), &steps, 2);
+    expect_within_multiple(&Sheet::shifted(30), &steps, (2, SECONDS));
 }
 
 /// Guards against routers that all send to an endpoint without a stated load as soon as its data centre is restored.
@@ -85,5 +87,14 @@
         lasts: 6000,
         act: Act::Evacuate { data_center: 1 },
     };
-    expect_within_multiple(&sheet, &[evacuated], 3);
+    expect_within_multiple(&sheet, &[evacuated], (3, SECONDS));
+}
+
+/// Guards against hot sessions at engines that hold little, where what routers have heard of the engines is old.
+#[gtest]
+fn verify_hot_sessions_in_planned_work_are_within_the_multiple() {
+    for seed in [11, 12, 14, 17] {
+        let steps = plan(seed, LONG_SECONDS);
+        expect_within_multiple(&Sheet::shifted(40), &steps, (seed, LONG_SECONDS));
+    }
 }
