Keep the platform's names out of the load run

platform/tests/names.rs found x-prompt-prefix and x-token-count in the soak: callers' prompts and kinds of routes are made by the platform's stand-in now, as RequestSpec does.

--- a/crates/soak/src/load/callers.rs
+++ b/crates/soak/src/load/callers.rs
@@ -29,6 +29,7 @@
 use toucanturn_platform_standin::{
     caller::{
         Caller,
+        PromptSpec,
         ReceivedResponse,
         RequestSpec, //
     },
@@ -55,6 +56,9 @@
 /// Part by which the rate rises and falls, and how fast.
 const SWING: f64 = 0.27;
 const PERIOD_S: f64 = 11.0;
+/// Numbers from which on the shared parts of a kind are counted.
+const COMMON_PARTS: u64 = 0x1000_0000;
+const SESSION_PARTS: u64 = 0x2000_0000;
 /// Requests that come at once.
 const CLUMP: u32 = 3;
 
@@ -166,15 +170,16 @@
         let varied = |tokens: u32, rng: &mut StdRng| tokens * rng.random_range(30..170) / 100;
         let own = u64::from(varied(prompt.own, rng));
         let output = varied(prompt.output, rng).max(1);
-        let fields = format!(
-            "X-Model: m\r\nX-Token-Count: {},{output}\r\n\
-             X-Prompt-Prefix: {:x}:{common_tokens},{:x}:{session_tokens},{:x}:{own}\r\n",
-            common_tokens + session_tokens + own,
-            place + common + 0x1000_0000,
-            place + session + 0x2000_0000,
-            rng.random::<u64>(),
-        );
-        (fields, item)
+        let parts = [
+            (place + common + COMMON_PARTS, common_tokens),
+            (place + session + SESSION_PARTS, session_tokens),
+            (rng.random(), own),
+        ];
+        let prompt = PromptSpec {
+            parts: &parts,
+            output,
+        };
+        (prompt.fields(), item)
     }
 
     /// Sends one request over a client's connection, or a new one.
--- a/crates/soak/src/load/sheet.rs
+++ b/crates/soak/src/load/sheet.rs
@@ -3,7 +3,8 @@
 use toucanturn_platform_standin::document::{
     ENGINES,
     LoadRoute,
-    POOLS, //
+    POOLS,
+    RouteKind, //
 };
 
 /// Size to which the rates below belong.
@@ -75,8 +76,8 @@
                 (2, true, 2),
                 DIGEST,
             ),
-            plain("pay", 236.0, "non_idempotent", 1),
-            plain("renew", 54.3, "idempotent", 2),
+            plain("pay", 236.0, RouteKind::Once, 1),
+            plain("renew", 54.3, RouteKind::Repeatable, 2),
         ];
         for kind in &mut kinds {
             kind.per_second *= scale;
@@ -126,7 +127,7 @@
     Kind {
         route: LoadRoute {
             name,
-            kind: "streaming",
+            kind: RouteKind::Stream,
             service: ENGINES,
             times_ms: (timeout_ms, goal_ms),
             attempts,
@@ -139,7 +140,7 @@
     }
 }
 
-fn plain(name: &'static str, per_second: f64, kind: &'static str, attempts: u32) -> Kind {
+fn plain(name: &'static str, per_second: f64, kind: RouteKind, attempts: u32) -> Kind {
     Kind {
         route: LoadRoute {
             name,
