Draw sizes, holds and routers of the load run by the libraries in use

The load run had a generator of its own for holds, a hash of its own for callers' routers, and a wrapper around its routers without a purpose.

--- a/crates/soak/src/load/callers.rs
+++ b/crates/soak/src/load/callers.rs
@@ -59,6 +59,8 @@
 /// Numbers from which on the shared parts of a kind are counted.
 const COMMON_PARTS: u64 = 0x1000_0000;
 const SESSION_PARTS: u64 = 0x2000_0000;
+/// Sizes of prompts and answers, in percent of the usual ones.
+const SIZE_PERCENT: std::ops::Range<u32> = 30..170;
 /// Requests that come at once.
 const CLUMP: u32 = 3;
 
@@ -158,16 +160,16 @@
         } else {
             rng.random_range(0..sessions)
         };
-        let spread = |tokens: u32, by: u64| {
-            // A part has the same size each time.
-            let percent = 30 + (by.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) % 140;
-            u64::from(tokens) * percent / 100
+        // A part has the same size each time.
+        let spread = |tokens: u32, part: u64| {
+            let percent = StdRng::seed_from_u64(part).random_range(SIZE_PERCENT);
+            u64::from(tokens * percent / 100)
         };
         let place = (number as u64) << 32;
         let common = session % commons;
         let common_tokens = spread(common_tokens, place + common);
         let session_tokens = spread(session_tokens, place + session + 1);
-        let varied = |tokens: u32, rng: &mut StdRng| tokens * rng.random_range(30..170) / 100;
+        let varied = |tokens: u32, rng: &mut StdRng| tokens * rng.random_range(SIZE_PERCENT) / 100;
         let own = u64::from(varied(prompt.own, rng));
         let output = varied(prompt.output, rng).max(1);
         let parts = [
--- a/crates/soak/src/load/fleet.rs
+++ b/crates/soak/src/load/fleet.rs
@@ -7,6 +7,11 @@
     },
     collections::BTreeMap,
     fs::File,
+    hash::{
+        DefaultHasher,
+        Hash as _,
+        Hasher as _, //
+    },
     net::{
         SocketAddr,
         SocketAddrV4, //
@@ -92,7 +97,7 @@
 const LOOK: Duration = Duration::from_millis(100);
 
 /// `Router` is a router's process and its addresses.
-struct Router {
+pub struct Router {
     callers: SocketAddr,
     ready: SocketAddr,
     child: RefCell<Option<Child>>,
@@ -201,7 +206,7 @@
 /// `Fleet` is everything that runs.
 pub struct Fleet {
     /// Routers.
-    pub routers: Vec<RouterHandle>,
+    pub routers: Vec<Router>,
     endpoints: RefCell<Vec<Endpoint>>,
     seen: Rc<RefCell<Seen>>,
     sheet: Sheet,
@@ -210,9 +215,6 @@
     _store: Child,
 }
 
-/// `RouterHandle` is a router of the fleet.
-pub struct RouterHandle(Router);
-
 fn v4(address: SocketAddr) -> SocketAddrV4 {
     SocketAddrV4::new([127, 0, 0, 1].into(), address.port())
 }
@@ -240,7 +242,7 @@
             std::fs::write(&router.settings, text)?;
         }
         let fleet = Rc::new(Self {
-            routers: routers.into_iter().map(|(r, _)| RouterHandle(r)).collect(),
+            routers: routers.into_iter().map(|(router, _)| router).collect(),
             endpoints: RefCell::default(),
             seen: Rc::default(),
             sheet: sheet.clone(),
@@ -269,7 +271,7 @@
 
     /// Waits until all routers take callers.
     pub async fn wait_until_ready(&self) {
-        while !self.routers.iter().all(|r| r.0.in_rotation.get()) {
+        while !self.routers.iter().all(|router| router.in_rotation.get()) {
             sleep(LOOK).await;
         }
     }
@@ -293,19 +295,20 @@
     /// Chooses the router of a client, by a hash of both.
     pub fn router_for(&self, client: u64) -> Option<(usize, SocketAddr)> {
         let weight = |n: usize| {
-            let mixed = (client << 20 ^ n as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-            (mixed ^ mixed >> 29).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+            let mut hasher = DefaultHasher::new();
+            (client, n).hash(&mut hasher);
+            hasher.finish()
         };
         let ready = self.routers.iter().enumerate();
-        let ready = ready.filter(|(_, router)| router.0.in_rotation.get());
+        let ready = ready.filter(|(_, router)| router.in_rotation.get());
         let first = ready.max_by_key(|(n, _)| weight(*n))?;
-        Some((first.0, first.1.0.callers))
+        Some((first.0, first.1.callers))
     }
 
     /// Suspends a router for a time.
     pub async fn hold_router(&self, n: usize, time: Duration) {
         let signal = |signal| {
-            if let Some(child) = &*self.routers[n].0.child.borrow() {
+            if let Some(child) = &*self.routers[n].child.borrow() {
                 child.signal(signal);
             }
         };
@@ -322,7 +325,7 @@
     pub async fn restart_routers(self: &Rc<Self>, share: f64, time: Duration) -> Result<()> {
         let count = part(self.routers.len(), share);
         for n in 0..count {
-            let router = &self.routers[n].0;
+            let router = &self.routers[n];
             router.in_rotation.set(false);
             let child = router.child.borrow_mut().take();
             if let Some(mut child) = child {
@@ -485,7 +488,7 @@
     }
 
     fn start_router(&self, n: usize) -> Result<()> {
-        let router = &self.routers[n].0;
+        let router = &self.routers[n];
         router.life.set(router.life.get() + 1);
         let log = File::create(
             self.folder
@@ -517,7 +520,6 @@
     loop {
         sleep(LOOK).await;
         for router in &fleet.routers {
-            let router = &router.0;
             let asked = timeout(LOOK, ready(router.ready));
             // A router that is held up stays in rotation, as it does with a balancer that allows a miss.
             match asked.await {
--- a/crates/soak/src/load/mod.rs
+++ b/crates/soak/src/load/mod.rs
@@ -15,6 +15,11 @@
     time::Duration, //
 };
 
+use rand::{
+    RngExt,
+    SeedableRng,
+    rngs::StdRng, //
+};
 use tokio::{
     task::spawn_local,
     time::{
@@ -118,13 +123,10 @@
     for n in 0..fleet.routers.len() {
         let fleet = Rc::clone(&fleet);
         held.push(spawn_local(async move {
-            let mut draw = seed ^ (n as u64) << 32;
+            let mut rng = StdRng::seed_from_u64(seed ^ (n as u64) << 32);
             loop {
-                draw = draw
-                    .wrapping_mul(6_364_136_223_846_793_005)
-                    .wrapping_add(1_442_695_040_888_963_407);
-                let pause = (draw >> 33) % (2 * HELD_EVERY);
-                let lasts = HELD.start + (draw >> 17) % (HELD.end - HELD.start);
+                let pause = rng.random_range(0..2 * HELD_EVERY);
+                let lasts = rng.random_range(HELD);
                 sleep(Duration::from_millis(pause)).await;
                 fleet.hold_router(n, Duration::from_millis(lasts)).await;
             }
