Take the load multiple of the laboratory from its judge

The laboratory had the multiple and the slack as numbers of its own beside those of toucanturn-judge, so only its windows were judged in common, not whether an engine is over.

--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -69,6 +69,7 @@
         Time, //
     },
 };
+use toucanturn_judge::multiple;
 
 use crate::lab::{
     account::{
@@ -94,8 +95,6 @@
 const SERVICE: &[u8] = b"engines";
 /// Host of the one route.
 const HOST: &[u8] = b"lab.example";
-/// Greatest multiple of the mean load that an engine may carry, and the requests beyond it.
-const MULTIPLE: (f64, f64) = (2.0, 3.0);
 /// Milliseconds on the way between a router and an engine.
 const WAY: u64 = 1;
 /// Milliseconds between a caller's try that met no router and the next.
@@ -465,7 +464,7 @@
         let live = |n: &usize| !self.lives[*n].down;
         let loads: Vec<u32> = self.engines.iter().map(|e| e.load().requests()).collect();
         let mean = f64::from(loads.iter().sum::<u32>()) / loads.len().max(1) as f64;
-        let within = |n: &usize| f64::from(loads[*n]) < MULTIPLE.0 * mean + MULTIPLE.1;
+        let within = |n: &usize| f64::from(loads[*n]) < multiple::MULTIPLE * mean + multiple::SLACK;
         let source = (0..self.engines.len()).find(|n| live(n) && self.engines[*n].holds(shared.id));
         let candidates = (0..self.engines.len()).filter(|n| live(n) && within(n));
         let options = candidates.map(|n| {
@@ -672,7 +671,7 @@
         let load = f64::from(self.engines[engine].load().requests());
         self.account.arrivals.push(Arrival {
             at: now,
-            over: load > MULTIPLE.0 * mean + MULTIPLE.1,
+            over: multiple::is_over(load, mean),
         });
         let router = self.requests[number].router;
         self.judge_arrival(now, router, engine);
