Log how an answer's end is marked, and how its body ended

611 has framing, end, events and partial now, 669 end, and the counter body_ends counts answers by how they ended; "closed" are those that can't be proved to be whole. Nothing is decided by them.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod errors;
 pub mod exchange;
 pub mod feed;
+mod framing;
 pub mod gossip;
 mod handoff;
 mod head_timeout;
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -21,6 +21,7 @@
     BodyExt,
     Either,
     Full,
+    LengthLimitError,
     Limited, //
 };
 use hyper::body::Incoming;
@@ -63,6 +64,11 @@
         MAX_BUFFERED_ANSWER_BYTES,
         refuse, //
     },
+    framing::{
+        BodyEnd,
+        Framing,
+        Received, //
+    },
     handoff::{
         self,
         PeerConnection, //
@@ -107,6 +113,8 @@
     pub(crate) began: Time,
     /// Load that the endpoint of the newest attempt has stated, and the limit when it was chosen.
     stated: Option<(u32, f32)>,
+    /// What the endpoint of the newest attempt has answered.
+    pub(crate) received: Option<Received>,
 }
 
 /// `Way` is where the next attempt goes.
@@ -221,6 +229,7 @@
             body,
             began,
             stated: None,
+            received: None,
         }
     }
 
@@ -384,6 +393,7 @@
             next,
             report: None,
         };
+        self.received = None;
         let mut guard = AttemptGuard::start(self, target);
         let Some(request) = request else {
             return Err((guard, AttemptOutcome::NotSent, None, None));
@@ -399,6 +409,7 @@
             Err(_) => return Err((guard, AttemptOutcome::Stalled, None, None)),
         };
         let (head, body) = response.into_parts();
+        self.received = Some(Received::new(Framing::of(&head, &body)));
         guard.record_report(&head.headers);
         let reply = (self.state.protocol.reply)(&head.headers);
         let status = Some(head.status);
@@ -481,6 +492,7 @@
             self.state.metrics.time("load_age", &service, age);
         }
         self.stated = None;
+        self.received = None;
         let request = self.request(placed, resume);
         let guard = AttemptGuard::start(self, Target::Endpoint(placed.endpoint));
         self.log_placed(placed);
@@ -503,6 +515,7 @@
             gateway.heard(now(), placed.endpoint, connection.opened);
         }
         let (head, body) = response.into_parts();
+        self.received = Some(Received::new(Framing::of(&head, &body)));
         let reply = (self.state.protocol.reply)(&head.headers);
         let status = Some(head.status);
         if let Some(load) = reply.load {
@@ -564,6 +577,14 @@
             Limited::new(body, MAX_BUFFERED_ANSWER_BYTES).collect(),
         )
         .await;
+        match &collected {
+            Ok(Ok(_)) => self.record_end(None),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                self.record_end(Some(BodyEnd::Overlong));
+            }
+            Ok(Err(_)) => self.record_end(Some(BodyEnd::Lost)),
+            Err(_) => self.record_end(Some(BodyEnd::Silent)),
+        }
         let answer = match collected {
             Ok(Ok(body)) => {
                 self.keep_connection(&guard, connection, &reply);
@@ -583,6 +604,17 @@
         (self.end(guard, outcome, Some(head.status)), answer)
     }
 
+    /// Records how the body of the newest attempt's answer ended; `None` if the connection reports its end.
+    pub(crate) fn record_end(&mut self, end: Option<BodyEnd>) {
+        if let Some(received) = &mut self.received
+            && received.end.is_none()
+        {
+            let end = end.unwrap_or_else(|| received.framing.end());
+            received.end = Some(end);
+            self.state.metrics.count("body_ends", &end.to_string());
+        }
+    }
+
     /// Reads the short body of a rejection; keeps the connection if it is complete in time.
     async fn drain_rejection(
         &self,
@@ -690,6 +722,7 @@
         }
         if self.state.log.try_admit() {
             let status = status.map_or(0, |s| s.as_u16());
+            let received = self.received.as_ref();
             let gateway = self.state.gateway.borrow();
             tracing::info!(
                 event = 611,
@@ -699,6 +732,10 @@
                 fate = %outcome,
                 status,
                 load = self.stated.map(|(load, _)| load),
+                framing = received.map(|r| r.framing.to_string()),
+                end = received.and_then(|r| r.end).map(|e| e.to_string()),
+                events = received.map(|r| r.events),
+                partial = received.map(|r| r.partial),
                 took = took.0,
                 %next,
                 content = self.ticket.content.map(|c| c.to_string()),
@@ -854,6 +891,7 @@
             fate = %outcome,
             attempts,
             refused,
+            end = self.received.and_then(|r| r.end).map(|e| e.to_string()),
             took = now().since(self.began).0,
             %next,
             "hand-off ended"
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -33,6 +33,7 @@
         Body,
         BodyAborted, //
     },
+    framing::BodyEnd,
     proxied::{
         Attempt,
         ProxiedRequest, //
@@ -156,6 +157,9 @@
         loop {
             while let Some(event) = self.events.next_event() {
                 let seen = event.id.is_some() && event.id <= self.last;
+                if let Some(received) = &mut self.proxied.received {
+                    received.events += 1;
+                }
                 if !seen {
                     self.last = event.id.or(self.last);
                     self.event_delivered = true;
@@ -168,10 +172,22 @@
             let left = self
                 .proxied
                 .silence_timeout(&attempt.guard, self.event_delivered);
-            if left == Duration::ZERO || self.events.is_overlong() {
+            if self.events.is_overlong() {
+                self.record_end(Some(BodyEnd::Overlong));
+                return Piece::Stalled;
+            }
+            if left == Duration::ZERO {
+                self.record_end(Some(BodyEnd::Silent));
                 return Piece::Stalled;
             }
-            match timeout(left, attempt.body.frame()).await {
+            let frame = timeout(left, attempt.body.frame()).await;
+            match &frame {
+                Ok(None) => self.record_end(None),
+                Ok(Some(Err(_))) => self.record_end(Some(BodyEnd::Lost)),
+                Err(_) => self.record_end(Some(BodyEnd::Silent)),
+                Ok(Some(Ok(_))) => {}
+            }
+            match frame {
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
                         self.events.push(&data);
@@ -191,6 +207,16 @@
         }
     }
 
+    /// Records how the body of the endpoint's answer ended; `None` if the connection reports its end.
+    fn record_end(&mut self, end: Option<BodyEnd>) {
+        if let Some(received) = &mut self.proxied.received
+            && received.end.is_none()
+        {
+            received.partial = self.events.partial_len();
+        }
+        self.proxied.record_end(end);
+    }
+
     /// Ends the attempt as answered, and keeps its connection.
     fn finish(&mut self) {
         if let Some(attempt) = self.attempt.take() {
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -47,6 +47,11 @@
         !self.rest.is_empty()
     }
 
+    /// Returns the number of bytes that are not a complete event.
+    pub fn partial_len(&self) -> usize {
+        self.rest.len()
+    }
+
     /// Returns whether the incomplete event already exceeds [`MAX_EVENT_BYTES`].
     pub fn is_overlong(&self) -> bool {
         self.rest.len() > MAX_EVENT_BYTES
