End a stream as complete only after a whole event

Callers got 200, framed as complete, with a short body: an endpoint had answered without length and chunks, and its connection was closed within an event (its process had ended). The same before the first event, and before any byte.

Cause: where the endpoint's connection reported an end, the relay passed on what was left and ended the answer, unless another endpoint had resumed the stream. The end of a message was taken for its completeness; without length and chunks both look the same, and the bytes of an event that came too late, or not at all, are the only sign.

Now a stream that ends within an event was broken off, in whatever framing, and so was one without any byte that ends with its connection: the attempt counts as broken, another endpoint resumes the stream where the route allows it, and otherwise the caller's answer breaks off, or is 502 before the first event. A body is a stream by its media type; without one, if its first line has the form of a field. Other bodies stay whole by their framing, as before.

What remains unknowable: a clean close between two events.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -33,7 +33,10 @@
         Body,
         BodyAborted, //
     },
-    framing::BodyEnd,
+    framing::{
+        BodyEnd,
+        Framing, //
+    },
     proxied::{
         Attempt,
         ProxiedRequest, //
@@ -41,6 +44,9 @@
     sse::EventSplitter,
 };
 
+/// Media type of streams of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// `Relay` is a stream that is being forwarded to a caller.
 struct Relay {
     proxied: ProxiedRequest,
@@ -52,15 +58,17 @@
     event_delivered: bool,
     /// Whether another endpoint has resumed the stream.
     resumed: bool,
+    /// Whether the endpoint's answer is complete and its last piece has been returned.
+    complete: bool,
 }
 
 /// `Piece` is what [`Relay::next_piece`] returns.
 enum Piece {
-    /// A complete event, or the remaining bytes of an answer that no other endpoint has resumed.
+    /// A complete event, or the remaining bytes of an answer that is no stream of events.
     Bytes(Bytes),
     /// The endpoint's answer is complete.
     End,
-    /// The connection broke, or a resumed answer ended within an event.
+    /// The connection broke, or the answer ended although its last event is incomplete.
     Broken,
     /// The endpoint sent nothing for too long, or an event that exceeds the length limit.
     Stalled,
@@ -90,6 +98,7 @@
             last,
             event_delivered: false,
             resumed: false,
+            complete: false,
         };
         match relay.next_piece().await {
             Piece::Bytes(first) => return relay.respond(head, Some(first)),
@@ -166,7 +175,7 @@
                     return Piece::Bytes(event.bytes);
                 }
             }
-            let Some(attempt) = &mut self.attempt else {
+            let Some(attempt) = self.attempt.as_mut().filter(|_| !self.complete) else {
                 return Piece::End;
             };
             let left = self
@@ -193,11 +202,7 @@
                         self.events.push(&data);
                     }
                 }
-                // A resumed stream must consist of complete events: a partial event or another kind of body
-                // would make a truncated stream look complete.
-                Ok(None) if self.events.has_partial() && self.resumed => return Piece::Broken,
-                Ok(None) if self.events.has_partial() => return Piece::Bytes(self.events.rest()),
-                Ok(None) => return Piece::End,
+                Ok(None) => return self.judge_end(),
                 Ok(Some(Err(error))) => {
                     tracing::debug!(%error, "stream ended early");
                     return Piece::Broken;
@@ -207,6 +212,44 @@
         }
     }
 
+    /// Judges the end of the endpoint's answer, where the connection reports one.
+    ///
+    /// A stream of events that ends within an event was broken off, however its end is marked. One without events
+    /// that ends with its connection was, too.
+    fn judge_end(&mut self) -> Piece {
+        let is_stream = self.is_event_stream();
+        let received = self.proxied.received.as_ref();
+        let unmarked = received.is_some_and(|r| r.framing == Framing::Close);
+        let empty = unmarked && !self.events.has_begun();
+        if is_stream && (self.events.has_partial() || empty) {
+            return Piece::Broken;
+        }
+        // Bytes that are no events can't complete a stream.
+        if self.resumed && self.events.has_partial() {
+            return Piece::Broken;
+        }
+        self.complete = true;
+        match self.events.has_partial() {
+            true => Piece::Bytes(self.events.rest()),
+            false => Piece::End,
+        }
+    }
+
+    /// Returns whether the endpoint's answer is a stream of events: by its media type, or by its beginning if it states
+    /// none.
+    fn is_event_stream(&self) -> bool {
+        let head = self.attempt.as_ref().map(|a| &a.head);
+        let media_type = head.and_then(|h| h.headers.get(header::CONTENT_TYPE));
+        let essence = media_type.map(|v| v.as_bytes().split(|b| *b == b';').next());
+        match essence {
+            Some(essence) => essence
+                .unwrap_or_default()
+                .trim_ascii()
+                .eq_ignore_ascii_case(EVENT_STREAM),
+            None => self.events.begins_with_field(),
+        }
+    }
+
     /// Records how the body of the endpoint's answer ended; `None` if the connection reports its end.
     fn record_end(&mut self, end: Option<BodyEnd>) {
         if let Some(received) = &mut self.proxied.received
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -13,10 +13,17 @@
     event_end, //
 };
 
+/// Names of the fields of events.
+const FIELD_NAMES: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
+/// U+FEFF in UTF-8, which a stream may begin with.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
 /// `EventSplitter` splits a stream of bytes into complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     rest: BytesMut,
+    /// Whether the first line of the first event has the form of a field; `None` until the event is complete.
+    first_is_field: Option<bool>,
 }
 
 /// `Event` is a complete event with its terminating blank line.
@@ -38,10 +45,23 @@
     pub fn next_event(&mut self) -> Option<Event> {
         let end = event_end(&self.rest, 0)?;
         let bytes = self.rest.split_to(end).freeze();
+        self.first_is_field
+            .get_or_insert_with(|| begins_with_field(&bytes));
         let id = id_of(&bytes);
         Some(Event { id, bytes })
     }
 
+    /// Returns whether any bytes have been received.
+    pub fn has_begun(&self) -> bool {
+        self.first_is_field.is_some() || self.has_partial()
+    }
+
+    /// Returns whether the received bytes begin as a stream of events does. A stream without any bytes does.
+    pub fn begins_with_field(&self) -> bool {
+        self.first_is_field
+            .unwrap_or_else(|| begins_with_field(&self.rest))
+    }
+
     /// Returns whether bytes are left that are not a complete event.
     pub fn has_partial(&self) -> bool {
         !self.rest.is_empty()
@@ -63,6 +83,21 @@
     }
 }
 
+/// Returns whether the first line that is not blank has the form of a field or comment, or is the beginning of one.
+fn begins_with_field(bytes: &[u8]) -> bool {
+    let bytes = bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(bytes);
+    let mut lines = bytes.split(|b| matches!(b, b'\n' | b'\r'));
+    let Some(line) = lines.find(|l| !l.is_empty()) else {
+        return true;
+    };
+    match line.iter().position(|b| *b == b':') {
+        Some(end) => line[..end]
+            .iter()
+            .all(|b| b.is_ascii_lowercase() || *b == b'-'),
+        None => FIELD_NAMES.iter().any(|name| name.starts_with(line)),
+    }
+}
+
 fn id_of(event: &[u8]) -> Option<u64> {
     let lines = event.split(|b| *b == b'\n');
     let value = lines.filter_map(|l| l.strip_prefix(b"id:")).next_back()?;
