Write the events before a stream's break, and then break it off

A caller whose stream broke off right behind its events got nothing at all, not even the head: the connection closed without an answer.

Cause: the HTTP library polls the body again before it writes, and drops its buffer when the body fails. Where endpoint's events and end arrive together, all events were in that buffer.

The body is pending once before it fails, so the library writes what it has. A caller that does not read still loses what does not fit into its socket, and sees the break.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,7 +19,10 @@
     StreamBody, //
 };
 use hyper::body::Frame;
-use tokio::time::timeout;
+use tokio::{
+    task::yield_now,
+    time::timeout, //
+};
 use toucanturn_core::gateway::{
     outcome::{
         AttemptOutcome,
@@ -319,6 +322,8 @@
             }
             ended @ (Piece::Broken | Piece::Stalled) => {
                 if relay.end(ended.outcome()) != NextStep::Again || !relay.resume().await {
+                    // The HTTP library drops its output buffer when a body fails, so it gets to flush the buffer first.
+                    yield_now().await;
                     return Some((Err(BodyAborted), None));
                 }
             }
