Recognise events whose lines end in CR

Streams whose lines end in CR alone, which the format allows (WHATWG HTML, section 9.2.6), had no events for the routers: on the users' platform all their bytes were held back to the end, and then forwarded as one piece, or as a broken-off stream as a complete one; on the own interface the end mark was never seen, so each such stream broke off. No endpoint of the users is known to send them.

Cause: an event's end was looked for as LF LF or LF CR LF. Boundaries keeps what it has to know of the bytes before, so that nothing is searched twice and an event ends the same wherever the network cuts it; ids and the end mark are looked for line by line with the same line ends.

--- a/crates/core/src/event_stream.rs
+++ b/crates/core/src/event_stream.rs
@@ -1,25 +1,51 @@
 //! Finds the boundaries of server-sent events (WHATWG HTML, section 9.2), so that streams are
 //! forwarded in whole events.
 
-use bytes::Buf as _;
-
 /// Greatest size of an event in bytes; a larger one makes the answer count as broken.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// Finds the end of the first event after `from`, which is a blank line (WHATWG HTML, section
-/// 9.2.6).
-pub fn event_end(buffer: &[u8], from: usize) -> Option<usize> {
-    let mut at = from;
-    while let Some(found) = buffer.get(at..)?.iter().position(|b| *b == b'\n') {
-        let next = at + found + 1;
-        let mut rest = buffer.get(next..)?;
-        if rest.first() == Some(&b'\r') {
-            rest.advance(1);
-        }
-        if rest.first() == Some(&b'\n') {
-            return Some(buffer.len() - rest.len() + 1);
+/// `Boundaries` finds the ends of events in a stream of bytes, however the stream is cut.
+///
+/// A line ends with CR LF, LF or CR, and an event with a blank line (section 9.2.6).
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Boundaries {
+    /// Whether the current line has any bytes.
+    in_line: bool,
+    /// Whether the current event has any bytes.
+    in_event: bool,
+    /// Whether the last byte was a CR. An LF that follows belongs to the same line end.
+    after_cr: bool,
+}
+
+impl Boundaries {
+    /// Takes the next bytes of the stream up to the first end of an event, and returns how many bytes those are;
+    /// `None` if no event ends there and all bytes were taken.
+    ///
+    /// An event whose blank line is a CR ends there. If its LF comes only with the next bytes, that is returned as an
+    /// event of its own, which has no fields.
+    pub fn next_end(&mut self, bytes: &[u8]) -> Option<usize> {
+        for (at, byte) in bytes.iter().enumerate() {
+            let after_cr = std::mem::replace(&mut self.after_cr, *byte == b'\r');
+            let ends_event = match byte {
+                b'\n' if after_cr => !self.in_event,
+                b'\n' | b'\r' => !std::mem::take(&mut self.in_line),
+                _ => {
+                    self.in_line = true;
+                    false
+                }
+            };
+            self.in_event = !ends_event;
+            if ends_event {
+                let lf_follows = self.after_cr && bytes.get(at + 1) == Some(&b'\n');
+                self.after_cr &= !lf_follows;
+                return Some(at + 1 + usize::from(lf_follows));
+            }
         }
-        at = next;
+        None
+    }
+
+    /// Returns whether the last byte was a CR, whose LF may follow.
+    pub const fn is_after_cr(&self) -> bool {
+        self.after_cr
     }
-    None
 }
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -9,8 +9,8 @@
     BytesMut, //
 };
 use toucanturn_core::event_stream::{
-    MAX_EVENT_BYTES,
-    event_end, //
+    Boundaries,
+    MAX_EVENT_BYTES, //
 };
 
 /// Names of the fields of events.
@@ -22,6 +22,9 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     rest: BytesMut,
+    /// Bytes of `rest` in which no event ends.
+    searched: usize,
+    boundaries: Boundaries,
     /// Whether the first line of the first event has the form of a field; `None` until the event is complete.
     first_is_field: Option<bool>,
 }
@@ -43,8 +46,12 @@
 
     /// Returns the next complete event.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = event_end(&self.rest, 0)?;
-        let bytes = self.rest.split_to(end).freeze();
+        let Some(taken) = self.boundaries.next_end(&self.rest[self.searched..]) else {
+            self.searched = self.rest.len();
+            return None;
+        };
+        let bytes = self.rest.split_to(self.searched + taken).freeze();
+        self.searched = 0;
         self.first_is_field
             .get_or_insert_with(|| begins_with_field(&bytes));
         let id = id_of(&bytes);
@@ -79,6 +86,7 @@
 
     /// Takes the remaining bytes.
     pub fn rest(&mut self) -> Bytes {
+        self.searched = 0;
         self.rest.split().freeze()
     }
 }
@@ -99,7 +107,7 @@
 }
 
 fn id_of(event: &[u8]) -> Option<u64> {
-    let lines = event.split(|b| *b == b'\n');
+    let lines = event.split(|b| matches!(b, b'\n' | b'\r'));
     let value = lines.filter_map(|l| l.strip_prefix(b"id:")).next_back()?;
     let text = std::str::from_utf8(value).ok()?;
     text.trim().parse().ok()
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -7,14 +7,16 @@
     Bytes,
     BytesMut, //
 };
+use toucanturn_core::event_stream::Boundaries;
 pub use toucanturn_core::event_stream::MAX_EVENT_BYTES;
-use toucanturn_core::event_stream::event_end;
 
 /// `Scanner` cuts a byte stream into events.
 #[derive(Debug, Default)]
 pub struct Scanner {
     buffer: BytesMut,
+    /// Bytes of `buffer` in which no event ends.
     searched: usize,
+    boundaries: Boundaries,
     done: bool,
     last: Option<u64>,
 }
@@ -25,26 +27,32 @@
 
 impl Scanner {
     /// Takes bytes in and gives the whole events that they complete, as one piece. What follows the
-    /// end mark is no part of the answer and is dropped.
+    /// end mark is no part of the answer and is dropped, except the LF of its last line end.
     ///
     /// # Errors
     ///
     /// Fails when an event is longer than [`MAX_EVENT_BYTES`], however many chunks it came in.
     pub fn push(&mut self, chunk: &[u8]) -> Result<Bytes, Oversize> {
         if self.done {
-            return Ok(Bytes::new());
+            let lf = self.boundaries.is_after_cr() && chunk.first() == Some(&b'\n');
+            if !chunk.is_empty() {
+                self.boundaries = Boundaries::default();
+            }
+            return Ok(Bytes::from_static(if lf { b"\n" } else { b"" }));
         }
         self.buffer.extend_from_slice(chunk);
         let mut whole = 0;
-        while let Some(end) = event_end(&self.buffer, whole.max(self.searched.saturating_sub(3))) {
+        while let Some(taken) = self.boundaries.next_end(&self.buffer[self.searched..]) {
+            let end = self.searched + taken;
             if end - whole > MAX_EVENT_BYTES {
                 return Err(Oversize);
             }
             self.note(whole, end);
             whole = end;
             self.searched = end;
-            if self.done {
+            if self.done && self.buffer.len() > end {
                 self.buffer.truncate(end);
+                self.boundaries = Boundaries::default();
             }
         }
         self.searched = self.buffer.len() - whole;
@@ -65,8 +73,7 @@
     }
 
     fn note(&mut self, from: usize, to: usize) {
-        for line in self.buffer[from..to].split(|b| *b == b'\n') {
-            let line = line.strip_suffix(b"\r").unwrap_or(line);
+        for line in self.buffer[from..to].split(|b| matches!(b, b'\n' | b'\r')) {
             if line
                 .strip_prefix(b"data:")
                 .is_some_and(|v| v.trim_ascii() == b"[DONE]")
--- a/crates/router/tests/edge/scanner.rs
+++ b/crates/router/tests/edge/scanner.rs
@@ -90,6 +90,9 @@
         Just(&b"\n\n"[..]),
         Just(&b"\r\n\r\n"[..]),
         Just(&b"\n\r\n"[..]),
+        Just(&b"\r"[..]),
+        Just(&b"\r\r"[..]),
+        Just(&b"\n\r"[..]),
     ];
     let lines = vec((line(), ends), 0..24);
     lines.prop_map(|lines| {
@@ -115,6 +118,17 @@
     expect_that!(result, ok(anything()));
 }
 
+/// Guards against a stream whose end mark is not seen: lines may end in CR.
+#[gtest]
+fn verify_the_end_mark_is_seen_with_any_line_end() {
+    for end in ["\n", "\r\n", "\r"] {
+        let stream = format!("id: 7{end}data: [DONE]{end}{end}");
+        let seen = scan(stream.as_bytes(), &[]);
+        expect_that!((seen.done, seen.last), eq((true, Some(7))), "{end:?}");
+        expect_that!(seen.events, eq(stream.as_bytes()), "{end:?}");
+    }
+}
+
 /// Symptom: a caller gets bytes that the engine sent after the end of its answer, which may be
 /// another's. Cause: events after the end mark in the same chunk.
 #[gtest]
