Reset the connection of a caller without chunks when its stream breaks off

A caller that speaks HTTP/1.0 got the events up to a break and then a clean close, which is to it the end of a whole answer.

While such an answer is incomplete, closing its socket resets it (SO_LINGER of 0). It is set before the first byte and taken back when all is written, so that a router that is killed resets it as well. Buffered answers have a length and are as before; connections of HTTP/1.1 are not touched.

--- a/crates/gateway/src/head_timeout.rs
+++ b/crates/gateway/src/head_timeout.rs
@@ -1,4 +1,5 @@
-//! A time limit for receiving a request's head, separate from the idle timeout of the connection.
+//! Connections of callers: a time limit for receiving a request's head, separate from the idle timeout of the
+//! connection, and a reset instead of a close while an answer without an end mark is incomplete.
 //!
 //! A caller that sends a head byte by byte holds a connection and its buffers without a request. Such connections
 //! show as neither idle nor in the counts of requests. The HTTP library has one timeout for the idle time and the
@@ -18,11 +19,13 @@
     time::Duration,
 };
 
+use http::Version;
 use hyper::body::{
     Body,
     Frame,
     SizeHint, //
 };
+use rustix::net::sockopt::set_socket_linger;
 use tokio::{
     io::{
         AsyncRead,
@@ -48,6 +51,8 @@
     all_open_requests: Rc<Cell<usize>>,
     /// When the last answer ended; `None` before the first request and while a request is open.
     idle_since: Cell<Option<Instant>>,
+    /// Whether an answer is incomplete whose end the caller takes from the end of the connection.
+    unmarked_answer: Cell<bool>,
 }
 
 impl ConnectionProgress {
@@ -58,6 +63,7 @@
             open_requests: Cell::new(0),
             all_open_requests: Rc::clone(all_open_requests),
             idle_since: Cell::new(None),
+            unmarked_answer: Cell::new(false),
         }
     }
 
@@ -108,8 +114,17 @@
 /// `TrackedBody` is the body of an answer; its request counts as open until it is dropped.
 #[derive(Debug)]
 pub(crate) struct TrackedBody<B> {
-    pub(crate) body: B,
-    pub(crate) _open: OpenRequest,
+    body: B,
+    open: OpenRequest,
+}
+
+impl<B: Body> TrackedBody<B> {
+    /// Creates the body of an answer to a caller that speaks this version of HTTP.
+    pub(crate) fn new(body: B, open: OpenRequest, version: Version) -> Self {
+        let unmarked = version < Version::HTTP_11 && body.size_hint().exact().is_none();
+        open.0.unmarked_answer.set(unmarked);
+        Self { body, open }
+    }
 }
 
 impl<B: Body + Unpin> Body for TrackedBody<B> {
@@ -120,7 +135,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if let Poll::Ready(None) = polled {
+            self.open.0.unmarked_answer.set(false);
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
@@ -142,6 +161,8 @@
     head: Option<(u64, Instant)>,
     /// Created only for a head that doesn't arrive in one read; nearly all do.
     timer: Option<Pin<Box<Sleep>>>,
+    /// Whether closing the connection resets it.
+    resets: bool,
 }
 
 impl HeadTimeoutStream {
@@ -157,6 +178,24 @@
             limit,
             head: None,
             timer: None,
+            resets: false,
+        }
+    }
+
+    /// Sets whether closing the connection resets it. The operating system closes it if this process is killed, so a
+    /// reset is set before an answer without an end mark begins, until all of it has been written.
+    fn set_resets(&mut self, resets: bool) -> io::Result<()> {
+        if resets != self.resets {
+            set_socket_linger(&self.stream, resets.then_some(Duration::ZERO))?;
+            self.resets = resets;
+        }
+        Ok(())
+    }
+
+    fn prepare_write(&mut self) -> io::Result<()> {
+        match self.progress.unmarked_answer.get() {
+            true => self.set_resets(true),
+            false => Ok(()),
         }
     }
 
@@ -215,6 +254,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_write()?;
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -223,6 +263,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.prepare_write()?;
         Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
 
@@ -235,6 +276,8 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let incomplete = self.progress.unmarked_answer.get();
+        self.set_resets(incomplete)?;
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -112,13 +112,14 @@
     let head_time = Duration::from_millis(limits.head_time.0);
     let stream = HeadTimeoutStream::new(stream, &progress, head_time);
     let requests = Rc::clone(&progress);
-    let service = service_fn(move |request| {
+    let service = service_fn(move |request: Request<Incoming>| {
+        let version = request.version();
         let open = OpenRequest::new(&requests);
         // Boxed, as the HTTP library reserves space for this future in each connection, even an idle one.
         let answer = Box::pin(exchange::serve(shared.clone(), request));
         async move {
             let answer: Result<_, Infallible> = answer.await;
-            answer.map(|answer| answer.map(|body| TrackedBody { body, _open: open }))
+            answer.map(|answer| answer.map(|body| TrackedBody::new(body, open, version)))
         }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
