Take no answer that ends with its connection for a sign that its endpoint stays

A leaving endpoint ends its connection with each answer, and an answer that does not confirms that it stays. Only the Connection field was looked at: an answer without length and chunks ends its connection as well, with or without the field, and confirmed its endpoint. So an endpoint that had left could get requests later than the bound, for as long as the registry could not be read. Not seen at the users'; found while looking where else the end of a message is taken for something else.

Now such an answer counts as one that closes. Services whose answers all end so are served on the registry's word alone: in an outage longer than the bound they are refused as unconfirmed, as those that state Connection: close.

Failed before: proofs::verify_an_answer_that_ends_with_its_connection_does_not_confirm_its_endpoint (200 where 503 is due, 1.2 s after the last read with a bound of 0.6 s).

--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -515,8 +515,10 @@
             gateway.heard(now(), placed.endpoint, connection.opened);
         }
         let (head, body) = response.into_parts();
-        self.received = Some(Received::new(Framing::of(&head, &body)));
-        let reply = (self.state.protocol.reply)(&head.headers);
+        let framing = Framing::of(&head, &body);
+        self.received = Some(Received::new(framing));
+        let mut reply = (self.state.protocol.reply)(&head.headers);
+        reply.closes |= framing == Framing::Close;
         let status = Some(head.status);
         if let Some(load) = reply.load {
             let mut gateway = self.state.gateway.borrow_mut();
