Count an answer that ended with its connection and its endpoint as a crash

A request that crashes endpoints was not held back where these answer without length and chunks: the end of the endpoint closed the connection between two events, which is a complete answer to the router, and a complete answer clears the request's crashes at all routers. Within an event it counts as broken since the relay judges the end.

What the connection's end can't show, the endpoint's does: such an answer waits, for half a second at most, for a sign of its endpoint. If that is not reached, or no longer listed, the request is a suspect as after a broken connection; otherwise the answer counts as complete, half a second later than before.

With the guard out, verify_an_answer_that_ended_with_its_connection_and_endpoint_is_a_crash fails (three such answers, not quarantined). verify_an_answer_that_ended_with_its_connection_alone_is_complete holds for answers whose endpoints go on.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -33,6 +33,8 @@
         place,
         quarantine::{
             self,
+            Crash,
+            UnprovedAnswer,
             Verdict, //
         },
         refusal::{
@@ -113,6 +115,8 @@
     pub retry_reserved: bool,
     /// Fingerprint of its content, if that was computed.
     pub content: Option<Fingerprint>,
+    /// Whether nothing but the end of its connection shows that the newest answer is complete.
+    pub unproved: bool,
 }
 
 impl Ticket {
@@ -194,6 +198,7 @@
             may_have_run: false,
             retry_reserved: false,
             content: None,
+            unproved: false,
         })
     }
 
@@ -321,6 +326,29 @@
         self.quarantine.record_complete_answer(now, hash);
     }
 
+    /// Notes an answer to a request with this content that ended with its connection; its ticket says so.
+    pub fn record_unproved_answer(
+        &mut self,
+        now: Time,
+        ticket: &Ticket,
+        endpoint: EndpointKey,
+        content: &Content<'_>,
+    ) {
+        let Some(endpoint) = self.registry.get(endpoint).filter(|e| e.usable()) else {
+            return;
+        };
+        self.quarantine.answered_unproved(UnprovedAnswer {
+            request: Fingerprint::of(content),
+            hash: fingerprint::keyed_hash(self.seed, content),
+            crash: Crash {
+                endpoint: endpoint.tag(),
+                sent: ticket.sent,
+                at: now,
+                observed_here: true,
+            },
+        });
+    }
+
     /// Tells whether the contents of this workspace's requests must be fingerprinted, because some
     /// of them were in progress at endpoints whose connections broke.
     pub fn has_suspects(&self, ticket: &Ticket) -> bool {
@@ -431,6 +459,7 @@
             self.budget(&ticket.service).record_request(now, window);
         }
         ticket.retry_reserved = false;
+        ticket.unproved = false;
         ticket.tried.push(endpoint);
         ticket.sent = now;
         ticket.life = self.registry.get(endpoint).map(endpoint::Endpoint::tag);
@@ -537,7 +566,7 @@
                 self.quarantine
                     .crashed(now, content, endpoint.tag(), ticket.sent);
             }
-            (AttemptOutcome::Answered | AttemptOutcome::Failed, _) => {
+            (AttemptOutcome::Answered | AttemptOutcome::Failed, _) if !ticket.unproved => {
                 self.quarantine.answered(now, content)
             }
             _ => {}
--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -72,6 +72,8 @@
 /// Interval between digests that announce quarantined requests again, for routers that started
 /// later or were cut off.
 const REANNOUNCEMENT_INTERVAL: Millis = Millis(500);
+/// Limit of the answers that wait for a sign of their endpoint; the newest are kept.
+const MAX_UNPROVED_ANSWERS: usize = 256;
 /// Number of priority tiers of records: 0 for requests that are quarantined or were answered
 /// repeatedly, 1 for those with several crashes, 2 for the rest.
 const TIERS: usize = 3;
@@ -183,10 +185,24 @@
     last_trial: Option<Time>,
 }
 
+/// `UnprovedAnswer` is an answer that ended with its connection. It is complete if its endpoint goes on; if the
+/// endpoint has ended, it was broken off, and its request is a suspect.
+#[derive(Clone, Copy, Debug)]
+pub struct UnprovedAnswer {
+    /// Fingerprint of the request's content.
+    pub request: Fingerprint,
+    /// This router's own hash of the content.
+    pub hash: u64,
+    /// The crash that it may have been.
+    pub crash: Crash,
+}
+
 /// `Quarantine` holds the crash records of requests.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     suspects: IndexMap<Fingerprint, Suspect>,
+    /// Oldest first; answers that are neither complete nor crashes yet.
+    unproved: VecDeque<UnprovedAnswer>,
     /// Newest complete answers, by this router's own hash of the content.
     answers: VecDeque<(u64, Time)>,
     /// When quarantined requests were last announced again.
@@ -232,6 +248,37 @@
         }
     }
 
+    /// Records an answer that ended with its connection. It counts as a crash if its endpoint ends before
+    /// [`PRESUMED_ENDED_AFTER`], and as a complete answer otherwise.
+    pub fn answered_unproved(&mut self, answer: UnprovedAnswer) {
+        if self.unproved.len() == MAX_UNPROVED_ANSWERS {
+            self.unproved.pop_front();
+        }
+        self.unproved.push_back(answer);
+    }
+
+    fn judge_unproved(&mut self, now: Time, liveness_since: impl Fn(Tag, Time) -> Liveness) {
+        for answer in std::mem::take(&mut self.unproved) {
+            let UnprovedAnswer {
+                request,
+                hash,
+                crash,
+            } = answer;
+            let waited = now.since(crash.at) >= PRESUMED_ENDED_AFTER;
+            match liveness_since(crash.endpoint, crash.at) {
+                Liveness::Dead => self.suspect_mut(now, request).add_crash(now, crash),
+                Liveness::Unknown if !waited => self.unproved.push_back(answer),
+                Liveness::Alive | Liveness::Unknown => {
+                    self.record_complete_answer(crash.at, hash);
+                    if let Some(suspect) = self.suspects.get_mut(&request) {
+                        suspect.answers = suspect.answers.saturating_add(1);
+                        suspect.apply_answer(now, crash.at);
+                    }
+                }
+            }
+        }
+    }
+
     /// Remembers a complete answer by a hash of the request's content, for requests that become
     /// suspects later. The hash is private to this process.
     pub fn record_complete_answer(&mut self, now: Time, hash: u64) {
@@ -319,6 +366,7 @@
         policy: Policy,
         liveness_since: impl Fn(Tag, Time) -> Liveness,
     ) {
+        self.judge_unproved(now, &liveness_since);
         let ended = |c: &Crash| liveness_since(c.endpoint, c.at) != Liveness::Alive;
         for suspect in self.suspects.values_mut() {
             suspect.crashes.retain(ended);
--- a/crates/core/tests/gateway/quarantine.rs
+++ b/crates/core/tests/gateway/quarantine.rs
@@ -9,6 +9,7 @@
     rngs::StdRng, //
 };
 use toucanturn_core::{
+    arena::EndpointKey,
     gateway::{
         Change, Gateway, Ticket,
         endpoint::Load,
@@ -49,12 +50,17 @@
 /// Time until a request that crashes nothing is answered.
 const ANSWER_TIME: Millis = Millis(40);
 
-fn fingerprint(body: &str) -> Fingerprint {
-    let workspace = Bytes::from_static(b"one");
-    Fingerprint::of(&Content {
-        workspace: Some(&workspace),
+static WORKSPACE: Bytes = Bytes::from_static(b"one");
+
+fn content(body: &str) -> Content<'_> {
+    Content {
+        workspace: Some(&WORKSPACE),
         parts: [b"POST", b"shop.example", b"/once/x", body.as_bytes()],
-    })
+    }
+}
+
+fn fingerprint(body: &str) -> Fingerprint {
+    Fingerprint::of(&content(body))
 }
 
 fn admit_request(gateway: &mut Gateway, now: Time, body: &str) -> Ticket {
@@ -166,6 +172,52 @@
     expect_true!(is_quarantined(&mut gateway, Time(5100), "a"));
 }
 
+/// Sends a request whose endpoint answers without a proof that the answer is complete.
+fn send_unproved_request(gateway: &mut Gateway, now: Time, body: &str) -> (Ticket, EndpointKey) {
+    let mut ticket = admit_request(gateway, now, body);
+    let placed = gateway.place(now, &ticket, &request("/once/x"));
+    let endpoint = placed.expect("the request is not quarantined").endpoint;
+    gateway.sent(now, &mut ticket, endpoint);
+    ticket.unproved = true;
+    gateway.record_unproved_answer(now, &ticket, endpoint, &content(body));
+    gateway.ended(now, &mut ticket, endpoint, AttemptOutcome::Answered);
+    (ticket, endpoint)
+}
+
+/// Guards against a request that crashes endpoints and is not quarantined: each answers without length and chunks, and its
+/// end closes the connection between two events, which looks like a complete answer.
+#[gtest]
+fn verify_an_answer_that_ended_with_its_connection_and_endpoint_is_a_crash() {
+    let mut gateway = gateway(8);
+    for n in 0..3 {
+        let now = Time(1000 + n * 700);
+        expect_false!(is_quarantined(&mut gateway, now, "a"));
+        let (mut ticket, endpoint) = send_unproved_request(&mut gateway, now, "a");
+        gateway.unreached(now + Millis(20), &mut ticket, endpoint);
+        gateway.tick(now + Millis(100));
+    }
+    expect_true!(is_quarantined(&mut gateway, Time(3000), "a"));
+}
+
+/// Guards against quarantining a request that endpoints answer without length and chunks.
+#[gtest]
+fn verify_an_answer_that_ended_with_its_connection_alone_is_complete() {
+    let mut gateway = gateway(12);
+    for n in 0..2 {
+        send_crashing_request(&mut gateway, Time(1000 + n * 1000), "a");
+    }
+    send_unproved_request(&mut gateway, Time(2500), "a");
+    gateway.tick(Time(2600));
+    gateway.tick(Time(3100));
+    for n in 0..5 {
+        send_crashing_request(&mut gateway, Time(3200 + n * 300), "a");
+    }
+    // Earlier crashes no longer count, and a request that was answered needs more of them.
+    expect_false!(is_quarantined(&mut gateway, Time(5500), "a"));
+    send_crashing_request(&mut gateway, Time(5500), "a");
+    expect_true!(is_quarantined(&mut gateway, Time(7000), "a"));
+}
+
 /// Guards against quarantining a request that endpoints answer.
 #[gtest]
 fn verify_a_complete_answer_clears_earlier_crashes() {
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -692,10 +692,7 @@
             AttemptOutcome::Broken if of_endpoint && self.ticket.content.is_none() => {
                 self.fingerprint();
             }
-            AttemptOutcome::Answered | AttemptOutcome::Failed => {
-                let mut gateway = self.state.gateway.borrow_mut();
-                gateway.record_complete_answer(now(), &self.content());
-            }
+            AttemptOutcome::Answered | AttemptOutcome::Failed => self.record_answer(&guard.target),
             _ => {}
         }
         self.identify();
@@ -747,6 +744,22 @@
         next
     }
 
+    /// Records that the newest answer is complete, or that only the end of its connection says so.
+    fn record_answer(&mut self, target: &Target) {
+        let unproved = self
+            .received
+            .is_some_and(|r| r.end == Some(BodyEnd::Closed));
+        self.ticket.unproved = unproved;
+        let mut gateway = self.state.gateway.borrow_mut();
+        match target {
+            Target::Endpoint(endpoint) if unproved => {
+                let content = self.content();
+                gateway.record_unproved_answer(now(), &self.ticket, *endpoint, &content);
+            }
+            _ => gateway.record_complete_answer(now(), &self.content()),
+        }
+    }
+
     /// Builds the answer that refuses the request.
     pub(crate) fn refuse(&self, refusal: Refusal) -> Response<Body> {
         if refusal.cause == Cause::Quarantined {
