--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -88,3 +88,12 @@
     // The read interval also follows from the bound on evacuations.
     expect_that!(settings.bounds.read_interval(), eq(Millis(500)));
 }
+
+/// Guards against settings with fewer seeds or bounds than the published ones, read while the file is written.
+#[gtest]
+fn verify_no_beginning_of_the_settings_is_valid() {
+    for to in 0..GOOD.len() {
+        let settings = Settings::try_from(&GOOD.as_bytes()[..to]);
+        expect_that!(settings, err(anything()), "first {to} bytes");
+    }
+}
--- a/crates/wire/tests/gossip.rs
+++ b/crates/wire/tests/gossip.rs
@@ -319,6 +319,7 @@
         let _ = decode_copy(Bytes::from(bytes));
         let mut sealed = seal(&SECRET, 7, encode_digest(&digest(2, 2))).to_vec();
         let at = at % sealed.len();
+        prop_assert!(open(&sealed[..at], known).is_err(), "the first {at} bytes are taken");
         sealed[at] ^= flip;
         let taken = open(&sealed, known).and_then(|(_, p)| decode_digest(&p));
         let same = taken.is_ok_and(|d| d != digest(2, 2));
