Keep handing requests to a peer whose answer broke off after its head

A router that is cut off from its endpoints refused callers (503, no_endpoint) after two streams that endpoints had broken off: it took both peers for lost. A peer passes an endpoint's break on by ending its own answer, as it must, and the asking router avoided it for that.

A peer is now avoided after a broken answer only if no head came. One that has ended refuses the next connection, and is avoided then.

--- a/crates/core/src/gateway/handoff.rs
+++ b/crates/core/src/gateway/handoff.rs
@@ -341,7 +341,10 @@
             let left = ticket.max_attempts.saturating_sub(ticket.attempts());
             ticket.remote_attempts += left;
         }
-        if outcome == AttemptOutcome::NotSent || (lost && refused.is_none()) {
+        // After the head of an answer, an endpoint's break ends the peer's answer in the same way as the peer's own end
+        // does. A peer that has ended refuses the next connection.
+        let answered = outcome == AttemptOutcome::Broken && report.is_some();
+        if outcome == AttemptOutcome::NotSent || (lost && refused.is_none() && !answered) {
             self.peers.avoid(now, peer);
         }
         ticket.may_have_run |= outcome.may_have_run();
