Break answers off in the fault soak, in each framing

Up to four endpoints a plan (drawn apart, so that older seeds keep their faults) now answer with a length, in chunks or with neither, whole or broken off by a close or a reset within an event, between two, before the first; each second one is killed in the middle of its streams. Pauses are within events, so that a kill shows in each framing. A judge of its own is not needed: 'own' compares a complete answer with the whole stream.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -17,8 +17,8 @@
 /// Longest time of a fault, in milliseconds: over the bounds on keys and on leaving.
 const LONGEST: u64 = 3500;
 
-/// Faults that are drawn by chance: all but the last four.
-const DRAWN: usize = Fault::COUNT - 4;
+/// Faults that are drawn by chance: all but the last five.
+const DRAWN: usize = Fault::COUNT - 5;
 /// Most requests of a plan that end endpoints, and what their draws are told apart by.
 const MOST_FATAL: usize = 2;
 const FATAL_SEED: u64 = 0xfa7a1;
@@ -28,6 +28,9 @@
 /// Most endpoints of a plan that ask for pauses or say that they leave, and what their draws are told apart by.
 const MOST_SIGNALS: usize = 4;
 const SIGNAL_SEED: u64 = 0x516a1;
+/// Most endpoints of a plan that break their answers off, and what their draws are told apart by.
+const MOST_BREAKS: usize = 4;
+const BREAK_SEED: u64 = 0xb4ea;
 /// Shortest time of an evacuation, in milliseconds: over its bound.
 const EVACUATION_SHORTEST: u64 = 2500;
 
@@ -119,6 +122,8 @@
     ReplicaBacksOff,
     /// An endpoint says in its answers that it leaves, and its entry says that it is ready.
     ReplicaSaysLeaving,
+    /// An endpoint answers in another framing, and breaks its answers off; it may be killed in the middle of some.
+    ReplicaBreaksOff,
 }
 
 /// `Step` is one fault at its time.
@@ -204,12 +209,13 @@
     (0..count).map(step).collect()
 }
 
-/// Makes the plan of a seed with all that is drawn apart: requests that end endpoints, evacuations, and what endpoints
-/// say of themselves.
+/// Makes the plan of a seed with all that is drawn apart: requests that end endpoints, evacuations, what endpoints say of
+/// themselves, and answers that they break off.
 pub fn whole_plan(seed: u64, size: &Size) -> Vec<Step> {
     let mut steps = plan_with_fatal(seed, size);
     steps.extend(evacuations(seed, size));
     steps.extend(signals(seed, size));
+    steps.extend(breaks(seed, size));
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -247,3 +253,18 @@
     };
     (0..count).map(step).collect()
 }
+
+/// Draws endpoints that break their answers off, apart from the other faults.
+fn breaks(seed: u64, size: &Size) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed ^ BREAK_SEED);
+    let count = rng.random_range(0..=MOST_BREAKS);
+    let step = |_| Step {
+        at: CALM + rng.random_range(0..size.millis.max(1)),
+        lasts: rng.random_range(100..LONGEST),
+        fault: Fault::ReplicaBreaksOff,
+        router: 0,
+        replica: rng.random_range(0..size.replicas.max(1)),
+        variant: rng.random_range(0..1000),
+    };
+    (0..count).map(step).collect()
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,6 +13,7 @@
 
 use rustix::process::Signal;
 use snafu::ResultExt;
+use strum::IntoEnumIterator as _;
 use tokio::{
     net::TcpStream,
     task::spawn_local,
@@ -30,7 +31,15 @@
     clock_ms,
     replica::{
         self,
-        Behavior, //
+        Behavior,
+        STREAM_EVENTS, //
+    },
+    reply::{
+        Break,
+        Content,
+        Framing,
+        Place,
+        Reply, //
     },
     store::{
         ControlCommand,
@@ -213,6 +222,22 @@
             sleep(lasts).await;
             fleet.tell_replica(n, &usual(fleet.usual())).await;
         }
+        Fault::ReplicaBreaksOff => {
+            let from = clock_ms();
+            let usual = replica::ControlCommand::Usual;
+            let reply = Behavior::Reply(broken_reply(step.variant));
+            fleet.tell_replica(n, &usual(reply)).await;
+            sleep(lasts).await;
+            let killed = step.variant.is_multiple_of(2)
+                && !std::mem::replace(&mut fleet.replicas[n].borrow_mut().busy, true);
+            if killed {
+                let fault = Fault::ReplicaKilled;
+                replica_process(fleet, Step { fault, ..step }, lasts).await?;
+            } else {
+                fleet.tell_replica(n, &usual(fleet.usual())).await;
+            }
+            fleet.note_span(Target::Replica(n), from, AFTER);
+        }
         Fault::ReplicaKilled
         | Fault::ReplicaPaused
         | Fault::ReplicaLeaves
@@ -500,6 +525,35 @@
     (0..count).map(other).collect()
 }
 
+/// Gets the answer of an endpoint in another framing, whole or broken off where its end shows that.
+fn broken_reply(variant: usize) -> Reply {
+    let framings: Vec<Framing> = Framing::iter().collect();
+    let framing = framings[variant % framings.len()];
+    let variant = variant / framings.len();
+    let how = [Break::Close, Break::Reset][variant % 2];
+    let places = [
+        Some(Place::Within { event: 1 }),
+        Some(Place::Within { event: 4 }),
+        Some(Place::Within {
+            event: STREAM_EVENTS,
+        }),
+        Some(Place::After { event: 3 }),
+        Some(Place::Body),
+        None,
+    ];
+    // Nothing distinguishes a stream that its connection ends between two events from a whole one.
+    let shows = |place: &Place| {
+        (framing, how) != (Framing::Close, Break::Close) || !matches!(place, Place::After { .. })
+    };
+    let place = places[variant / 2 % places.len()].filter(shows);
+    Reply {
+        content: Content::Own,
+        every_ms: 5,
+        broken: place.map(|place| (place, how)),
+        ..Reply::events(framing, STREAM_EVENTS)
+    }
+}
+
 /// Waits until all routers serve, and makes each of them show it.
 async fn recover(fleet: &Rc<Fleet>, seed: u64) {
     let began = Instant::now();
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -128,6 +128,39 @@
     expect_that!(findings(&steps, 40, SHORT), is_empty());
 }
 
+/// Guards against answers that were broken off and look complete, among other faults: endpoints answer without length and
+/// chunks, with a length or in chunks, break off within an event, and are killed in the middle of streams.
+#[gtest]
+fn verify_answers_that_break_off_are_never_complete_among_other_faults() {
+    let step = |at, lasts, replica, variant| Step {
+        at,
+        lasts,
+        fault: Fault::ReplicaBreaksOff,
+        router: 0,
+        replica,
+        variant,
+    };
+    // Framing by the remainder of 3 (length, chunks, neither), kills by even numbers.
+    let steps = [
+        step(300, 1500, 0, 2),
+        step(500, 2500, 1, 8),
+        step(900, 2000, 2, 32),
+        step(1500, 1500, 3, 13),
+        Step {
+            fault: Fault::RouterKilled,
+            ..step(2000, 300, 0, 0)
+        },
+        step(3000, 1500, 0, 14),
+        step(3300, 2000, 2, 30),
+        step(4500, 1500, 3, 5),
+        Step {
+            fault: Fault::RouterStops,
+            ..step(5000, 300, 0, 0)
+        },
+    ];
+    expect_that!(findings(&steps, 60, SHORT), is_empty());
+}
+
 /// Guards against requests that end endpoints among other faults: two of them, while endpoints and routers are killed.
 #[gtest]
 fn verify_requests_that_end_endpoints_are_contained_among_other_faults() {
