--- a/crates/core/src/event_stream.rs
+++ b/crates/core/src/event_stream.rs
@@ -1,6 +1,8 @@
 //! Finds the boundaries of server-sent events (WHATWG HTML, section 9.2), so that streams are
 //! forwarded in whole events.
 
+use memchr::memchr2;
+
 /// Greatest size of an event in bytes; a larger one makes the answer count as broken.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -24,21 +26,28 @@
     /// An event whose blank line is a CR ends there. If its LF comes only with the next bytes, that is returned as an
     /// event of its own, which has no fields.
     pub fn next_end(&mut self, bytes: &[u8]) -> Option<usize> {
-        for (at, byte) in bytes.iter().enumerate() {
-            let after_cr = std::mem::replace(&mut self.after_cr, *byte == b'\r');
-            let ends_event = match byte {
-                b'\n' if after_cr => !self.in_event,
-                b'\n' | b'\r' => !std::mem::take(&mut self.in_line),
-                _ => {
-                    self.in_line = true;
-                    false
-                }
+        let mut at = 0;
+        while let Some(rest) = bytes.get(at..).filter(|rest| !rest.is_empty()) {
+            let text = memchr2(b'\n', b'\r', rest).unwrap_or(rest.len());
+            if text > 0 {
+                self.in_line = true;
+                self.in_event = true;
+                self.after_cr = false;
+                at += text;
+                continue;
+            }
+            let cr = rest[0] == b'\r';
+            let lf_of_cr = std::mem::replace(&mut self.after_cr, cr) && !cr;
+            let ends_event = match lf_of_cr {
+                true => !self.in_event,
+                false => !std::mem::take(&mut self.in_line),
             };
             self.in_event = !ends_event;
+            at += 1;
             if ends_event {
-                let lf_follows = self.after_cr && bytes.get(at + 1) == Some(&b'\n');
+                let lf_follows = cr && bytes.get(at) == Some(&b'\n');
                 self.after_cr &= !lf_follows;
-                return Some(at + 1 + usize::from(lf_follows));
+                return Some(at + usize::from(lf_follows));
             }
         }
         None
