--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -104,6 +104,9 @@
 const FAILING: Duration = Duration::from_secs(5);
 /// Step from one odd act to the next; all follow each other in some plan.
 const STRIDE: usize = 5;
+/// Time for which an endpoint breaks answers off in the same way, and most of them.
+const BREAKS_ALIKE: Duration = Duration::from_millis(200);
+const MOST_BREAKING_ACTS: usize = 40;
 /// Seconds for which an endpoint asks for no requests.
 const PAUSES: [&str; 4] = ["0.8", "1", "2.5", "4"];
 /// Delay of a slow link.
@@ -224,17 +227,20 @@
         }
         Fault::ReplicaBreaksOff => {
             let from = clock_ms();
-            let usual = replica::ControlCommand::Usual;
-            let reply = Behavior::Reply(broken_reply(step.variant));
-            fleet.tell_replica(n, &usual(reply)).await;
-            sleep(lasts).await;
+            let began = Instant::now();
+            let mut variant = step.variant;
+            while began.elapsed() < lasts {
+                let order = replica::ControlCommand::Next(breaking_acts(variant));
+                fleet.tell_replica(n, &order).await;
+                sleep(BREAKS_ALIKE.min(lasts)).await;
+                fleet.tell_replica(n, &replica::ControlCommand::Clear).await;
+                variant += STRIDE;
+            }
             let killed = step.variant.is_multiple_of(2)
                 && !std::mem::replace(&mut fleet.replicas[n].borrow_mut().busy, true);
             if killed {
                 let fault = Fault::ReplicaKilled;
                 replica_process(fleet, Step { fault, ..step }, lasts).await?;
-            } else {
-                fleet.tell_replica(n, &usual(fleet.usual())).await;
             }
             fleet.note_span(Target::Replica(n), from, AFTER);
         }
@@ -525,6 +531,17 @@
     (0..count).map(other).collect()
 }
 
+/// Gets answers that are broken off and whole by turns, as an endpoint that breaks off two in a row is paused.
+fn breaking_acts(variant: usize) -> Vec<Behavior> {
+    let reply = broken_reply(variant);
+    let whole = Reply {
+        broken: None,
+        ..reply
+    };
+    let acts = [reply, whole].into_iter().cycle().map(Behavior::Reply);
+    acts.take(MOST_BREAKING_ACTS).collect()
+}
+
 /// Gets the answer of an endpoint in another framing, whole or broken off where its end shows that.
 fn broken_reply(variant: usize) -> Reply {
     let framings: Vec<Framing> = Framing::iter().collect();
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -140,7 +140,7 @@
         replica,
         variant,
     };
-    // Framing by the remainder of 3 (length, chunks, neither), kills by even numbers.
+    // Kills by even numbers.
     let steps = [
         step(300, 1500, 0, 2),
         step(500, 2500, 1, 8),
