--- a/crates/toucanturn/src/trace.rs
+++ b/crates/toucanturn/src/trace.rs
@@ -178,7 +178,13 @@
             ),
             None => format!("sent to {}, then its caller left", field("endpoint")),
         },
-        611 => ended(&field("fate"), &field("endpoint"), &field("status")),
+        611 => {
+            let cause = ended(&field("fate"), &field("endpoint"), &field("status"));
+            format!(
+                "{cause}{}",
+                body_end(&field("end"), &field("events"), &field("partial"))
+            )
+        }
         612 => format!("{} was not reached: {}", field("endpoint"), field("error")),
         667 => format!(
             "handed to the router at {}, then its caller left",
@@ -203,6 +209,20 @@
     }
 }
 
+/// Says how the body of an answer ended, if that explains more than its fate.
+fn body_end(end: &str, events: &str, partial: &str) -> String {
+    match end {
+        "closed" if partial == "0" => {
+            ", without a length or last chunk; whether it is whole can't be known".to_owned()
+        }
+        "closed" | "lost" => format!(
+            "; its connection ended after {events} events and {partial} bytes of the next one"
+        ),
+        "overlong" => "; its body was too long".to_owned(),
+        _ => String::new(),
+    }
+}
+
 fn handed_off(fate: &str, peer: &str, refused: &str) -> String {
     match fate {
         "answered" => {
--- a/crates/toucanturn/tests/cli/trace.rs
+++ b/crates/toucanturn/tests/cli/trace.rs
@@ -41,6 +41,28 @@
     expect_that!(cause, eq("sent to e-2, then its caller left"));
 }
 
+const ENDED: &str = r#"
+{"timestamp":"2026-01-01T00:00:03.1Z","message":"attempt ended","event":611,"id":"s1","endpoint":"e-1","fate":"broken","status":200,"framing":"close","end":"closed","events":4,"partial":8}
+{"timestamp":"2026-01-01T00:00:03.2Z","message":"attempt ended","event":611,"id":"s2","endpoint":"e-1","fate":"answered","status":200,"framing":"close","end":"closed","events":4,"partial":0}
+{"timestamp":"2026-01-01T00:00:03.3Z","message":"attempt ended","event":611,"id":"s3","endpoint":"e-1","fate":"answered","status":200,"framing":"chunked","end":"marked","events":4,"partial":0}
+"#;
+
+#[gtest]
+fn verify_the_end_of_a_short_answer_is_named() {
+    let files = Files::new();
+    let log = files.write("one.log", ENDED);
+    let cause = |id: &str| {
+        let run = toucanturn(["trace", "--json", "--id", id, &log]);
+        run.json()["cause"].as_str().unwrap_or_default().to_owned()
+    };
+    expect_that!(
+        cause("s1"),
+        ends_with("its connection ended after 4 events and 8 bytes of the next one")
+    );
+    expect_that!(cause("s2"), ends_with("whether it is whole can't be known"));
+    expect_that!(cause("s3"), eq("answered by e-1 with status 200"));
+}
+
 const HELD: &str = r#"
 {"timestamp":"2026-01-01T00:00:05.0Z","message":"request held back","event":621,"id":"d4","content":"0102","crashes":"e-1 2000 ms ago elsewhere","left":4000}
 {"timestamp":"2026-01-01T00:00:05.0Z","message":"request refused","event":620,"id":"d4","cause":"quarantined","may_have_run":false,"age":100}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -168,4 +168,20 @@
     's/&& context\.spares_brittle\(\*k, e\)/\&\& (true || context.spares_brittle(*k, e))/' \
     toucanturn-core gateway brittle::verify_full_brittle_endpoints_get_no_more_requests_than_they_may_turn_away
 
+guard stream_end crates/gateway/src/relay.rs \
+    's/if is_stream && \(self/if false \&\& is_stream \&\& (self/' \
+    toucanturn-platform path ends::verify_a_stream_that_ends_with_its_connection_within_an_event_is_not_complete
+
+guard unmarked_reset crates/gateway/src/head_timeout.rs \
+    's/true => self\.set_resets\(true\)/true => self.set_resets(false)/' \
+    toucanturn-platform path ends::verify_a_stream_is_reset_if_it_breaks_off_at_a_caller_without_chunks
+
+guard unmarked_confirm crates/gateway/src/proxied.rs \
+    's/reply\.closes \|= framing == Framing::Close;/reply.closes |= false;/' \
+    toucanturn-platform path proofs::verify_an_answer_that_ends_with_its_connection_does_not_confirm_its_endpoint
+
+guard unproved_crash crates/core/src/gateway/quarantine.rs \
+    's/Liveness::Dead => self\.suspect_mut\(now, request\)\.add_crash\(now, crash\),/Liveness::Dead => {}/' \
+    toucanturn-core gateway quarantine::verify_an_answer_that_ended_with_its_connection_and_endpoint_is_a_crash
+
 exit "$worst"
