--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -107,6 +107,8 @@
 /// Time for which an endpoint breaks answers off in the same way, and most of them.
 const BREAKS_ALIKE: Duration = Duration::from_millis(200);
 const MOST_BREAKING_ACTS: usize = 40;
+/// Pause within each event of such an answer, in milliseconds, so that its endpoint can be killed there.
+const BREAKING_PAUSE_MS: u64 = 5;
 /// Seconds for which an endpoint asks for no requests.
 const PAUSES: [&str; 4] = ["0.8", "1", "2.5", "4"];
 /// Delay of a slow link.
@@ -565,7 +567,7 @@
     let place = places[variant / 2 % places.len()].filter(shows);
     Reply {
         content: Content::Own,
-        every_ms: 5,
+        every_ms: BREAKING_PAUSE_MS,
         broken: place.map(|place| (place, how)),
         ..Reply::events(framing, STREAM_EVENTS)
     }
