Let 1,024 connections wait at a router's sockets

What callers saw: beside other work on the machine, requests that arrive seconds late at their router, and a second or more for connections that wait for nothing but its answer to the opening packet.

Cause: the sockets of both daemons (callers, peers, checks, operators) were bound with the library's default, 128 waiting connections. A router that is slow to accept lets a burst of more than that overflow; the kernel drops the opening packets that are over, and the other side sends them again after a second, then two.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -29,6 +29,7 @@
 use tokio::{
     net::{
         TcpListener,
+        TcpSocket,
         TcpStream, //
     },
     task::spawn_local,
@@ -57,6 +58,9 @@
     },
 };
 
+/// Connections that may wait to be accepted. Beyond it the kernel drops the opening packet, which the
+/// other side sends again after a second.
+const LISTEN_BACKLOG: u32 = 1024;
 /// Pause after accepting a connection failed, for example because file descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Idle timeout of connections from the load balancer and peers, which send several requests within it.
@@ -73,7 +77,11 @@
 ///
 /// Fails if the address can't be bound.
 pub async fn listen(address: SocketAddrV4) -> Result<TcpListener> {
-    let bound = TcpListener::bind(address).await;
+    let bound = TcpSocket::new_v4().and_then(|socket| {
+        socket.set_reuseaddr(true)?;
+        socket.bind(address.into())?;
+        socket.listen(LISTEN_BACKLOG)
+    });
     bound.context(ListenSnafu { address })
 }
 
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -7,7 +7,10 @@
 };
 
 use snafu::ResultExt;
-use tokio::net::TcpListener;
+use tokio::net::{
+    TcpListener,
+    TcpSocket, //
+};
 use tokio_util::sync::CancellationToken;
 use toucanturn_core::{
     settings::Settings,
@@ -27,6 +30,10 @@
     },
 };
 
+/// Connections that may wait to be accepted. Beyond it the kernel drops the opening packet, which the
+/// other side sends again after a second.
+const LISTEN_BACKLOG: u32 = 1024;
+
 /// Time that the last answers get to leave the sockets once every call is done.
 const LAST_ANSWERS: Duration = Duration::from_secs(10);
 
@@ -56,10 +63,22 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .context(ListenSnafu { address })
+/// Listens on an address.
+///
+/// # Errors
+///
+/// Fails when the address can't be had.
+pub async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    };
+    let bound = socket.and_then(|socket| {
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(LISTEN_BACKLOG)
+    });
+    bound.context(ListenSnafu { address })
 }
 
 /// `Process` is a router that serves.
