Send no second poll to an endpoint while the report of the first is late

What callers could see: a leaving endpoint that gets work for longer than the promised 3 s, from a router that is short of processor time. Not seen at callers; found while the thousand callers were traced.

Cause: a router asks an endpoint again 1 s after a poll whatever became of it, trusting that the driver has reported it by then. The driver's timer is a task like others. The answer to the first poll then counts for the second one, and confirms that the endpoint stays as of a time after it said so.

Why the fix works: another poll waits for the report of the first, up to 5 s. An endpoint without a confirmation counts as down 2.5 s after its last one in any case, so nothing is sent to it longer for that.

Test: verify_a_poll_whose_report_is_late_is_not_followed_by_another; with the time of before it confirms 1 s too late.

--- a/crates/core/src/membership/member.rs
+++ b/crates/core/src/membership/member.rs
@@ -57,9 +57,13 @@
 /// endpoint is found again when it recovers.
 pub const MAX_PROBE_INTERVAL: Millis = Millis::from_secs(8);
 
-/// Time after which the driver gives up a poll or probe and reports it as failed.
+/// Time after which the driver gives up a poll or probe and reports it as failed. A driver that is
+/// short of processor time reports it later.
 pub const POLL_TIMEOUT: Millis = Millis(1000);
 
+/// Time after which a poll or probe without any report counts as lost, and another one is sent.
+const LOST_POLL_TIMEOUT: Millis = Millis(5000);
+
 /// `Listing` is what the VM list last said of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Listing {
@@ -407,10 +411,11 @@
     }
 
     /// Tells whether the endpoint may be polled. Only one poll or probe is unanswered at a time;
-    /// otherwise its answer could be taken for that to a later one.
+    /// otherwise its answer could be taken for that to a later one, and a leaving endpoint would get
+    /// work for as long as the report was late.
     pub(super) fn may_poll(&self, now: Time) -> bool {
         self.poll_sent_at
-            .is_none_or(|t| now.since(t) >= POLL_TIMEOUT)
+            .is_none_or(|t| now.since(t) >= LOST_POLL_TIMEOUT)
     }
 
     fn interval_passed(&self, now: Time, interval: Millis) -> bool {
--- a/crates/core/tests/membership_wake.rs
+++ b/crates/core/tests/membership_wake.rs
@@ -49,6 +49,28 @@
     keys.iter().map(|key| view.state(now, *key)).collect()
 }
 
+/// Guards against a leaving endpoint that gets work because a late report of an old poll counts for a new one.
+#[googletest::test]
+fn verify_a_poll_whose_report_is_late_is_not_followed_by_another() {
+    let (mut view, keys) = view(START, 3);
+    let policy = Policy::default();
+    let asked = START + Millis(500);
+    view.asked(asked, keys[0]);
+    let others = &keys[1..];
+    let late = asked + POLL_TIMEOUT + Millis(400);
+    let mut now = asked;
+    while now < late {
+        now = tick_with_answers(&mut view, others, now, TICK);
+        for due in view.to_poll(now, &policy) {
+            expect_that!(due, not(eq(keys[0])));
+            view.asked(now, due);
+        }
+    }
+    view.self_report(now, keys[0], poll_answer(1));
+    expect_that!(view.last_confirmed(keys[0]), some(eq(asked)));
+    expect_that!(view.to_poll(now + TICK, &policy), contains(eq(&keys[0])));
+}
+
 #[googletest::test]
 fn verify_router_sends_no_work_after_a_pause_until_it_has_polled_again() {
     // Guards against chats at an engine that left a minute ago: the process is paused for a minute
