Take no JSON answer without a length for whole that its connection cut off

What callers saw: on the own interface, half of a chat's answer with status 200, outcome done and a correct length, if the engine's answer had neither length nor chunks and its connection was closed in the middle.

Cause: the end of the connection counted as the end of the answer (RFC 9112, section 6.3).

Why the fix works: an answer of the media type JSON shows by its syntax whether it is whole. One that isn't counts as broken: tried again where that is allowed, else 502 that says that it may have run. Whole ones without a length are delivered as before.

Test: closing::verify_a_document_that_was_cut_off_without_a_length_is_not_taken_for_a_whole_one; before, "not the answer to closing".

--- a/crates/router/src/exchange/attempt.rs
+++ b/crates/router/src/exchange/attempt.rs
@@ -13,6 +13,7 @@
     HeaderValue, //
 };
 use reqwest::Response;
+use serde::de::IgnoredAny;
 use tokio::{
     sync::mpsc,
     time::timeout, //
@@ -274,10 +275,27 @@
     }
 }
 
+/// Tells whether nothing but the end of its connection marks the end of an answer (RFC 9112, section
+/// 6.3). An answer that was broken off may end in the same way.
+fn ends_with_connection(response: &Response) -> bool {
+    let codings = response.headers().get_all(http::header::TRANSFER_ENCODING);
+    let last = codings.iter().next_back().and_then(|v| v.to_str().ok());
+    let last = last.and_then(|v| v.rsplit(',').next());
+    let chunked = last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"));
+    !chunked && response.content_length().is_none()
+}
+
+/// Tells whether an answer's media type is JSON (RFC 8259), so that its text shows whether it is whole.
+fn is_json(content_type: &[u8]) -> bool {
+    let media_type = content_type.split(|b| *b == b';').next();
+    media_type.is_some_and(|t| t.trim_ascii().eq_ignore_ascii_case(b"application/json"))
+}
+
 /// Reads a whole answer; `None` when it broke off or is too large. The library compares what came
 /// with the declared length.
 async fn whole(response: Response) -> Option<Answer> {
     let status = response.status().as_u16();
+    let unmarked = ends_with_connection(&response);
     let headers = response.headers();
     let content_type = headers.get(http::header::CONTENT_TYPE);
     let content_type = content_type.map(|v| Bytes::copy_from_slice(v.as_bytes()));
@@ -291,6 +309,10 @@
         }
     }
     let content_type = content_type.unwrap_or_default();
+    let has_whole_document = || serde_json::from_slice::<IgnoredAny>(&body).is_ok();
+    if unmarked && is_json(&content_type) && !has_whole_document() {
+        return None;
+    }
     Some(Answer {
         status,
         content_type,
--- a/crates/router/tests/faults/main.rs
+++ b/crates/router/tests/faults/main.rs
@@ -4,6 +4,7 @@
 #![expect(clippy::expect_used, reason = "a test that can't set itself up fails")]
 
 mod caller;
+mod closing;
 mod cluster;
 mod found;
 mod host;
