--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -168,6 +168,18 @@
     's/&& context\.spares_brittle\(\*k, e\)/\&\& (true || context.spares_brittle(*k, e))/' \
     toucanturn-core gateway brittle::verify_full_brittle_endpoints_get_no_more_requests_than_they_may_turn_away
 
+guard slot_division crates/core/src/gateway/place.rs \
+    's/\(self\.confined && /(false \&\& self.confined \&\& /' \
+    toucanturn-core gateway brittle::verify_routers_that_hear_nothing_of_each_other_do_not_overfill_brittle_endpoints
+
+guard listen_backlog crates/gateway/src/server.rs \
+    's/LISTEN_BACKLOG: u32 = 1024/LISTEN_BACKLOG: u32 = 128/' \
+    toucanturn-gateway listen verify_a_burst_of_connections_waits_until_it_is_accepted
+
+guard lost_poll crates/core/src/membership/member.rs \
+    's/LOST_POLL_TIMEOUT: Millis = Millis\(5000\)/LOST_POLL_TIMEOUT: Millis = Millis(1000)/' \
+    toucanturn-core membership_wake verify_a_poll_whose_report_is_late_is_not_followed_by_another
+
 guard stream_end crates/gateway/src/relay.rs \
     's/if is_stream && \(self/if false \&\& is_stream \&\& (self/' \
     toucanturn-platform path ends::verify_a_stream_that_ends_with_its_connection_within_an_event_is_not_complete
