--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -162,7 +162,11 @@
 }
 
 async fn listen_on(address: SocketAddr) -> Result<(SocketAddr, TcpListener)> {
-    let listener = TcpSocket::new_v4().and_then(|socket| {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    };
+    let listener = socket.and_then(|socket| {
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
         socket.listen(BACKLOG)
