Log the software version of endpoints, and which stream a request takes up

The output could not tell joins within an answer from joins over a caller's tries: events 610 and 611 named no software version, and not that a request goes on with a stream. They now name the version of the endpoint's entry, which was required and dropped, the last event that the caller has, and the request that began the stream (`Resumes`).

--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -96,6 +96,8 @@
     pub address: SocketAddrV4,
     /// Data centre where it runs.
     pub data_center: Bytes,
+    /// Version of its software, as its entry states it.
+    pub build: Bytes,
     /// Requests that it runs concurrently; zero if none is published.
     pub slots: u32,
     /// Whether it is shutting down and takes no new requests.
--- a/crates/core/src/gateway/incoming_request.rs
+++ b/crates/core/src/gateway/incoming_request.rs
@@ -29,6 +29,8 @@
     pub hint: Option<u32>,
     /// Id of the last event of the stream that the caller already has.
     pub resume: Option<u64>,
+    /// Id of the request that brought the first event of the stream, if this one takes it up.
+    pub resumes: Option<Bytes>,
 }
 
 /// `Prompt` is the prompt of a generation request, with the limit of its output.
--- a/crates/core/tests/gateway/fixture.rs
+++ b/crates/core/tests/gateway/fixture.rs
@@ -134,6 +134,7 @@
         address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 8000),
         born: None,
         data_center: Bytes::from_static(b"a"),
+        build: Bytes::from_static(b"v1"),
         slots: 64,
         leaving: false,
         cold: Millis(0),
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -495,7 +495,7 @@
         self.received = None;
         let request = self.request(placed, resume);
         let guard = AttemptGuard::start(self, Target::Endpoint(placed.endpoint));
-        self.log_placed(placed);
+        self.log_placed(placed, resume.or(self.incoming_request.resume));
         let sent = timeout(
             self.silence_timeout(&guard, false),
             connection.send(request),
@@ -727,6 +727,7 @@
                 event = 611,
                 id = %text(&self.incoming_request.id),
                 endpoint = %endpoint_name(&gateway, endpoint),
+                build = endpoint_build(&gateway, endpoint),
                 attempt = self.ticket.tried.len(),
                 fate = %outcome,
                 status,
@@ -913,7 +914,7 @@
         );
     }
 
-    fn log_placed(&self, placed: &Placed) {
+    fn log_placed(&self, placed: &Placed, resume: Option<u64>) {
         if !self.state.log.try_admit() {
             return;
         }
@@ -926,6 +927,9 @@
             version = self.ticket.version,
             age,
             endpoint = %endpoint_name(&gateway, placed.endpoint),
+            build = endpoint_build(&gateway, placed.endpoint),
+            after = resume,
+            resumes = self.incoming_request.resumes.as_deref().map(|id| text(id).into_owned()),
             load = placed.load,
             load_age = placed.load_age.map(|age| age.0),
             mean = f64::from(placed.mean),
@@ -982,6 +986,12 @@
     found.map_or_else(|| "gone".to_owned(), |e| text(&e.entry.id).into_owned())
 }
 
+/// Returns the software version of an endpoint; `None` if it is not listed any more.
+fn endpoint_build(gateway: &Gateway, endpoint: EndpointKey) -> Option<String> {
+    let found = gateway.registry().get(endpoint);
+    found.map(|e| text(&e.entry.build).into_owned())
+}
+
 /// Returns the URI in origin form, that is, path and query (RFC 9112, section 3.2.1).
 fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned();
--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -904,6 +904,7 @@
         address: SocketAddrV4::new(Ipv4Addr::new(10, 0, high, low), 8000),
         born: None,
         data_center: Bytes::from_static(b"a"),
+        build: Bytes::from_static(b"v1"),
         slots: sheet.shape.slots,
         leaving: false,
         cold: Millis(0),
