--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -264,6 +264,7 @@
                 state,
                 data_center: data_center(n),
                 cold_ms,
+                build: document::BUILD,
             };
             (document::entry_key(&replica.id), entry.text())
         };
--- a/crates/soak/src/load/fleet.rs
+++ b/crates/soak/src/load/fleet.rs
@@ -51,6 +51,7 @@
     clock_ms, control,
     document::{
         self,
+        BUILD,
         ENGINES,
         EntrySpec,
         LoadRoute,
@@ -557,6 +558,7 @@
         },
         data_center: endpoint.data_center,
         cold_ms,
+        build: BUILD,
     };
     entry.text()
 }
