Let streams go on only at the software version that began them

Cause: what is continued was not tied to what began it. The version of an endpoint's entry was required and dropped, so placement chose any endpoint for the rest of a stream, within an answer and over a caller's tries; `Resumes` was read by nobody, and no router kept which endpoint had begun a stream. Ruled out: another endpoint behind an entry's address; all nine such requests were answered 421 and did not run.

The version that brought the first event to the caller now binds the request (`Ticket::origin`): placement, retries, silence time-outs and hand-offs consider only endpoints of it, and it is checked again before the bytes go out. Each router keeps the versions of the streams that it began. While more than one version of a service is listed, or was within the longest life of a stream, by its own registry or by the statements of peers, it tells two routers that rendezvous hashing chooses by the ID (all others in a fleet of up to nine) as the first event goes out; when a second version appears, it tells them of the streams from before. A router that gets a take-up and has no record asks these routers. Who finds no record while versions are mixed refuses at once, as not run (503, `version_unknown`); a version that has left is `version_gone`. Nothing is sent while each service has one version. A peer of an earlier build is handed no stream that is bound to a version.

An entry whose service or version changes in place now counts as another instance.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -26,6 +26,10 @@
             self,
             IncomingRequest, //
         },
+        origin::{
+            Build,
+            Origin, //
+        },
         outcome::{
             AttemptOutcome,
             NextStep, //
@@ -115,6 +119,10 @@
     pub retry_reserved: bool,
     /// Fingerprint of its content, if that was computed.
     pub content: Option<Fingerprint>,
+    /// Software version at which it may run, if its caller has events of its stream.
+    pub origin: Origin,
+    /// Software version of the endpoint that it was last sent to.
+    pub build: Option<Build>,
     /// Whether nothing but the end of its connection shows that the newest answer is complete.
     pub unproved: bool,
 }
@@ -198,6 +206,8 @@
             may_have_run: false,
             retry_reserved: false,
             content: None,
+            origin: Origin::New,
+            build: None,
             unproved: false,
         })
     }
@@ -216,6 +226,7 @@
         if now >= ticket.until {
             return Err(Refusal::given_up(Cause::Deadline, ticket.may_have_run));
         }
+        self.check_origin(now, ticket)?;
         self.check_quarantine(now, ticket)?;
         if self.cannot_help(now, ticket) {
             return Err(Refusal::given_up(Cause::Unreached, ticket.may_have_run));
@@ -418,7 +429,8 @@
         let spared = spared.zip(endpoint).is_some_and(|(brittle, e)| {
             !placed.at_risk && brittle.at_risk(now, placed.endpoint, e)
         });
-        counted && !spared && self.may_send(now, placed.endpoint)
+        let goes_on = self.check_origin(now, ticket).is_ok();
+        counted && !spared && goes_on && self.may_send(now, placed.endpoint)
     }
 
     fn brittle_context(&self, now: Time, service: &Bytes) -> Option<place::BrittleContext<'_>> {
@@ -469,7 +481,9 @@
         ticket.unproved = false;
         ticket.tried.push(endpoint);
         ticket.sent = now;
-        ticket.life = self.registry.get(endpoint).map(endpoint::Endpoint::tag);
+        let listed = self.registry.get(endpoint);
+        ticket.life = listed.map(endpoint::Endpoint::tag);
+        ticket.build = listed.map(|e| e.build);
         self.warmup.sent(now, endpoint);
         self.brittleness.sent(now, endpoint);
         self.registry.sent(now, endpoint);
@@ -489,7 +503,10 @@
             return None;
         }
         let other = |(key, e): &(EndpointKey, &endpoint::Endpoint)| {
-            !ticket.tried.contains(key) && !e.paused(now) && !e.backing_off(now)
+            !ticket.tried.contains(key)
+                && ticket.origin.allows(e.build)
+                && !e.paused(now)
+                && !e.backing_off(now)
         };
         let other = self.registry.of(&ticket.service).any(|e| other(&e));
         if !other && self.choose_peer(now, ticket).is_none() {
@@ -617,6 +634,7 @@
         let costs_no_retry = outcome == AttemptOutcome::NotSent && ticket.tried.is_empty();
         let allowed = outcome.repeatable(ticket.route.kind)
             && (!ticket.may_have_run || ticket.route.kind.repeatable());
+        let allowed = allowed && self.has_endpoint_of_origin(ticket);
         let may_continue = may_continue && allowed && !self.has_waited_for_connections(now, ticket);
         if may_continue && (costs_no_retry || self.reserve_retry(now, ticket)) {
             NextStep::Again
@@ -634,7 +652,8 @@
     ) -> NextStep {
         let may_continue = now < ticket.until
             && ticket.attempts() < ticket.max_attempts
-            && outcome.repeatable(ticket.route.kind);
+            && outcome.repeatable(ticket.route.kind)
+            && self.has_endpoint_of_origin(ticket);
         if may_continue && self.reserve_retry(now, ticket) {
             NextStep::Again
         } else {
--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -165,6 +165,11 @@
             .find_map(|prefix| prefixes.get(prefix))
     }
 
+    /// Lists the routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flat_map(IndexMap::values)
+    }
+
     /// Finds the workspace that an API key belongs to.
     pub fn holder(&self, key: &[u8]) -> Option<Arc<Workspace>> {
         self.keys.get(key).cloned()
--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -14,6 +14,7 @@
             self,
             EndpointReport, //
         },
+        origin::Build,
         outcome::AttemptOutcome,
     },
     ids::Tag,
@@ -200,6 +201,8 @@
 pub struct Endpoint {
     /// Its registry entry.
     pub entry: Entry,
+    /// Version of its software.
+    pub build: Build,
     /// Whether it may get new requests.
     pub state: State,
     /// When this router learnt that its data centre is being evacuated; `None` if it is not.
@@ -251,8 +254,10 @@
     pub fn new(joined_at: Option<Time>, entry: Entry) -> Self {
         let state = initial_state(&entry);
         let seed = xxhash_rust::xxh3::xxh3_64(&entry.id);
+        let build = Build::of(&entry.service, &entry.build);
         Self {
             entry,
+            build,
             state,
             evacuated: None,
             signals: Signals::default(),
--- a/crates/core/src/gateway/handoff.rs
+++ b/crates/core/src/gateway/handoff.rs
@@ -14,6 +14,10 @@
     gateway::{
         Gateway, Ticket,
         incoming_request::IncomingRequest,
+        origin::{
+            Build,
+            Origin, //
+        },
         outcome::{
             AttemptOutcome,
             NextStep, //
@@ -64,6 +68,8 @@
     pub retry: bool,
     /// Last event of the stream that the caller has received.
     pub resume: Option<u64>,
+    /// Software version at which the request may run, if its caller has events of its stream.
+    pub origin: Origin,
     /// Tags of endpoints that the peer must not use.
     pub tried: Vec<Tag>,
 }
@@ -167,6 +173,8 @@
     pub tried: Vec<Tag>,
     /// Why it has refused the request; `None` if it has passed on an endpoint's answer.
     pub refused: Option<Cause>,
+    /// Software version of the endpoint that it has last sent the request to.
+    pub build: Option<Build>,
 }
 
 /// `Probe` is a call that shows whether a service is reached again.
@@ -288,6 +296,7 @@
             attempts: ticket.max_attempts.saturating_sub(ticket.attempts()),
             retry: ticket.attempts() > 0,
             resume,
+            origin: ticket.origin,
             tried: tags.map(|e| e.tag()).collect(),
         }
     }
@@ -297,6 +306,7 @@
         ticket.retry_reserved = false;
         ticket.sent = now;
         ticket.life = None;
+        ticket.build = None;
         ticket.peers.push(peer);
         // The peer counts the request, and may retry it accordingly.
         if ticket.counted && ticket.attempts() == 0 {
@@ -312,6 +322,12 @@
         self.peers.avoid(now, peer);
     }
 
+    /// Notes that a peer can't be handed a request: it is of an earlier version, which would run a
+    /// stream at any software version of its endpoints.
+    pub fn peer_unsuited(&mut self, ticket: &mut Ticket, peer: SocketAddrV4) {
+        ticket.peers.push(peer);
+    }
+
     /// Notes that the caller left while a peer had its request.
     pub fn caller_left_peer(&mut self, peer: SocketAddrV4) {
         self.peers.end(peer);
@@ -381,6 +397,7 @@
         }
         let mut ticket = self.admit(now, incoming_request)?;
         ticket.from_peer = true;
+        self.set_origin(&mut ticket, grant.origin);
         ticket.until = ticket.until.min(now + grant.time_left);
         ticket.max_attempts = ticket.max_attempts.min(grant.attempts);
         let tried = grant.tried.iter().filter_map(|t| self.registry.key_of(*t));
@@ -408,6 +425,7 @@
         PeerReport {
             tried: tags.collect(),
             refused,
+            build: ticket.build,
         }
     }
 
--- a/crates/core/src/gateway/incoming_request.rs
+++ b/crates/core/src/gateway/incoming_request.rs
@@ -56,6 +56,11 @@
 }
 
 impl IncomingRequest {
+    /// Tells whether its caller already has events of the stream that it asks for.
+    pub fn takes_up_stream(&self) -> bool {
+        self.resume.is_some() || self.resumes.is_some()
+    }
+
     /// Estimates how long the request occupies an engine, measured in generated tokens: the
     /// caller's estimate of the output length, or without one its limit, plus the cost of the first
     /// token.
--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     gateway::{
+        origin::StreamReport,
         quarantine::Record,
         reading::ALL_STANDBYS,
         warmup::Fleet, //
@@ -66,6 +67,17 @@
 const PEER_RETENTION: Millis = Millis(30_000);
 /// Limit of the routers that are kept; beyond it the one that was heard least recently is evicted.
 const MAX_PEERS: usize = 2048;
+/// Limit of the stream reports in a digest.
+pub const MAX_STREAM_REPORTS: usize = 32;
+/// Routers of a large fleet that are told of a stream.
+const STREAM_KEEPERS: usize = 2;
+/// Further routers that are asked for a stream: the fleet may have changed since it began.
+const FURTHER_KEEPERS: usize = 2;
+/// Limit of the other routers that are all told of each stream, so that any one of them is enough.
+const SMALL_FLEET: usize = 8;
+/// Rounds of a sender within which its stream reports are accepted in any order. Older ones may be
+/// replays.
+const STREAM_REPORT_ROUNDS: u64 = 20;
 /// One in so many routers of a data centre reads the registry in normal operation. It forwards
 /// changes to all of them, over a link that may be narrow.
 const ROUTERS_PER_READER: usize = 64;
@@ -156,6 +168,10 @@
     pub back_offs: Vec<BackOffReport>,
     /// Services that the sender does not reach, by their indices in the configuration.
     pub unreached_services: Vec<u32>,
+    /// Services that more than one software version serves, by their indices in the configuration.
+    pub mixed_services: Vec<u32>,
+    /// Software versions of streams that the sender has begun.
+    pub streams: Vec<StreamReport>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -251,9 +267,57 @@
             crashes: Vec::new(),
             back_offs: Vec::new(),
             unreached_services: Vec::new(),
+            mixed_services: Vec::new(),
+            streams: Vec::new(),
         }
     }
 
+    /// Makes a digest that holds nothing but stream reports. It is sent between rounds.
+    pub fn stream_digest(&self, streams: Vec<StreamReport>) -> Digest {
+        Digest {
+            from: self.me,
+            heartbeats: Vec::new(),
+            reports: Vec::new(),
+            samples: Vec::new(),
+            crashes: Vec::new(),
+            back_offs: Vec::new(),
+            unreached_services: Vec::new(),
+            mixed_services: Vec::new(),
+            streams,
+        }
+    }
+
+    /// Tells whether a digest is recent enough for its stream reports to count.
+    pub fn is_recent(&self, digest: &Digest) -> bool {
+        let from = digest.from;
+        self.peers.get(&from.address).is_none_or(|peer| {
+            let held = peer.heartbeat;
+            from.incarnation == held.incarnation && from.beat + STREAM_REPORT_ROUNDS >= held.beat
+                || from.incarnation > held.incarnation
+        })
+    }
+
+    /// Lists the routers that are told of a stream.
+    pub fn stream_keepers(&self, now: Time, stream: u64) -> Vec<SocketAddrV4> {
+        self.ranked_for_stream(now, stream, STREAM_KEEPERS)
+    }
+
+    /// Lists the routers that may know of a stream.
+    pub fn possible_stream_keepers(&self, now: Time, stream: u64) -> Vec<SocketAddrV4> {
+        self.ranked_for_stream(now, stream, STREAM_KEEPERS + FURTHER_KEEPERS)
+    }
+
+    fn ranked_for_stream(&self, now: Time, stream: u64, count: usize) -> Vec<SocketAddrV4> {
+        let mut live: Vec<SocketAddrV4> = self.live(now).map(|r| r.address).collect();
+        if live.len() > SMALL_FLEET {
+            live.sort_by_cached_key(|address| {
+                std::cmp::Reverse(score(stream, address_hash(*address)))
+            });
+            live.truncate(count);
+        }
+        live
+    }
+
     /// Returns the heartbeat of the first-ranked reader in the data centre of `target`.
     ///
     /// It reaches all routers of that data centre within a few rounds, because each forwards the
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -40,6 +40,7 @@
 pub mod incoming_request;
 pub mod mesh;
 pub mod mirror;
+pub mod origin;
 pub mod outcome;
 pub mod place;
 pub mod proof;
@@ -66,6 +67,7 @@
 use handoff::Peers;
 use hot_spots::HotSpots;
 use mesh::Sample;
+use origin::Streams;
 use proof::FreshnessProof;
 use quarantine::Quarantine;
 use reach::Reach;
@@ -98,6 +100,16 @@
     brittleness: Brittleness,
     reach: Reach,
     peers: Peers,
+    /// Software versions of recent streams.
+    streams: Streams,
+    /// Longest time that a stream lasts with its caller's tries.
+    stream_life: Millis,
+    /// Services of which peers state that more than one version serves, and when they last did.
+    peers_mixed: IndexMap<Bytes, Time>,
+    /// Services whose streams peers are told of.
+    reported: Vec<Bytes>,
+    /// Time until which a stream that no router knows may be one of before a restart.
+    doubtful_until: Time,
     /// Events that the next tick returns.
     events: Vec<RegistryEvent>,
     /// Seed of the keyed hashes of request contents.
@@ -130,6 +142,11 @@
             brittleness: Brittleness::default(),
             reach: Reach::default(),
             peers: Peers::default(),
+            streams: Streams::default(),
+            stream_life: Millis(0),
+            peers_mixed: IndexMap::new(),
+            reported: Vec::new(),
+            doubtful_until: Time(0),
             events: Vec::new(),
             seed: rng.random(),
             end: None,
@@ -177,6 +194,7 @@
     /// more often than allowed.
     pub fn restarted(&mut self, now: Time) {
         self.extra_retries_from = now + self.bounds.retry.window;
+        self.doubt_origins(now);
     }
 
     /// Tells whether this router can serve requests.
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -191,10 +191,9 @@
     prompt: Option<&Prompt>,
 ) -> Option<Placed> {
     let all: Vec<(EndpointKey, &Endpoint)> = context.registry.of(&ticket.service).collect();
-    let untried = |k: &EndpointKey| !tried(ticket, *k);
     let mut candidates: Vec<(EndpointKey, &Endpoint)> = Vec::with_capacity(all.len());
     candidates.extend(all.iter().filter(|(k, e)| {
-        untried(k)
+        is_option(ticket, *k, e)
             && context.is_confirmed(e)
             && !e.backing_off(context.now)
             && e.own_in_flight < context.share
@@ -248,7 +247,7 @@
     context.warmup?;
     let all = context.registry.of(&ticket.service);
     let cold = all.filter(|(k, e)| {
-        !tried(ticket, *k)
+        is_option(ticket, *k, e)
             && context.is_confirmed(e)
             && context.cold(e)
             && !e.backing_off(context.now)
@@ -260,7 +259,7 @@
 pub fn has_spared(context: &PlacementContext<'_>, ticket: &Ticket) -> bool {
     let mut all = context.registry.of(&ticket.service);
     all.any(|(k, e)| {
-        !tried(ticket, k)
+        is_option(ticket, k, e)
             && context.is_confirmed(e)
             && !e.backing_off(context.now)
             && !context.spares_brittle(k, e)
@@ -270,13 +269,13 @@
 /// Tells whether an untried endpoint is excluded because nothing confirms that it is not leaving.
 pub fn has_unconfirmed(context: &PlacementContext<'_>, ticket: &Ticket) -> bool {
     let mut all = context.registry.of(&ticket.service);
-    all.any(|(k, e)| !tried(ticket, k) && !context.is_confirmed(e))
+    all.any(|(k, e)| is_option(ticket, k, e) && !context.is_confirmed(e))
 }
 
-fn tried(ticket: &Ticket, endpoint: EndpointKey) -> bool {
-    [&ticket.tried, &ticket.unreached, &ticket.excluded]
-        .iter()
-        .any(|keys| keys.contains(&endpoint))
+/// Tells whether an endpoint is untried and of a version at which the request may run.
+fn is_option(ticket: &Ticket, key: EndpointKey, endpoint: &Endpoint) -> bool {
+    let tried = [&ticket.tried, &ticket.unreached, &ticket.excluded];
+    ticket.origin.allows(endpoint.build) && !tried.iter().any(|keys| keys.contains(&key))
 }
 
 /// `ServiceMean` is the mean of the loads and failure rates of a service's endpoints.
--- a/crates/core/src/gateway/refusal.rs
+++ b/crates/core/src/gateway/refusal.rs
@@ -42,6 +42,10 @@
     BackingOff,
     /// This router reaches no endpoint of the service.
     Unreached,
+    /// No endpoint of the software version that began the stream is left.
+    VersionGone,
+    /// Several software versions serve, and which one began the stream is not known.
+    VersionUnknown,
 }
 
 /// `Refusal` is the final answer to a request that is not served; it is sent immediately.
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -26,6 +26,10 @@
             MAX_PEER_BACK_OFF,
             MAX_REPORTS_WITHOUT_LOAD, //
         },
+        origin::{
+            Build,
+            BuildHistory, //
+        },
         outcome::AttemptOutcome,
     },
     ids::Tag,
@@ -50,6 +54,7 @@
     by_name: IndexMap<Bytes, EndpointKey>,
     by_tag: IndexMap<Tag, EndpointKey>,
     by_service: IndexMap<Bytes, Vec<EndpointKey>>,
+    builds: BuildHistory,
     /// Signals of instances that have no entry at the moment. An entry that lapsed in an outage may
     /// come back, and may be older than the signal.
     unlisted_signals: IndexMap<Tag, Signals>,
@@ -76,6 +81,16 @@
         keys.filter_map(|k| self.endpoints.get(*k).map(|e| (*k, e)))
     }
 
+    /// Gets the software versions of each service.
+    pub fn builds(&self) -> &BuildHistory {
+        &self.builds
+    }
+
+    /// Forgets software versions that have left longer than `retention` ago.
+    pub fn expire_builds(&mut self, now: Time, retention: Millis) {
+        self.builds.expire(now, retention);
+    }
+
     /// Lists all endpoints that may get requests.
     pub fn usable(&self) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
         self.endpoints.iter().filter(|(_, e)| e.usable())
@@ -126,18 +141,20 @@
             Some(Ordering::Greater) => self.discard(&entry.id, events),
             Some(Ordering::Equal) | None => {}
         }
+        // Another service or software version is that of another process.
+        let known = self.by_name.get(&entry.id);
+        let known = known.and_then(|k| self.endpoints.get(*k));
+        if known.is_some_and(|e| e.build != Build::of(&entry.service, &entry.build)) {
+            self.discard(&entry.id, events);
+        }
         if let Some(key) = self.by_name.get(&entry.id)
             && let Some(endpoint) = self.endpoints.get_mut(*key)
         {
-            let moved = endpoint.entry.service != entry.service;
             endpoint.evacuated = self.evacuated.get(&entry.data_center).copied();
             if endpoint.update_entry(entry) {
                 events.push(state_event(endpoint));
             }
             endpoint.update_cold_until(now);
-            if moved {
-                self.rebuild_indexes();
-            }
             return;
         }
         let mut endpoint = Endpoint::new(since, entry);
@@ -149,6 +166,8 @@
         events.push(state_event(&endpoint));
         let id = endpoint.entry.id.clone();
         let service = endpoint.entry.service.clone();
+        self.builds
+            .add(&service, endpoint.build, &endpoint.entry.build);
         let key = self.endpoints.insert(endpoint);
         self.by_name.insert(id, key);
         if let Some(endpoint) = self.endpoints.get(key) {
@@ -246,6 +265,7 @@
             return;
         };
         if let Some(mut endpoint) = self.endpoints.remove(key) {
+            self.builds.remove(&endpoint.entry.service, endpoint.build);
             if endpoint.signals != Signals::default() {
                 self.keep_unlisted(endpoint.tag(), endpoint.signals);
             }
--- a/crates/core/src/gateway/updates.rs
+++ b/crates/core/src/gateway/updates.rs
@@ -185,6 +185,7 @@
         let liveness_since = |life, since| self.registry.liveness_since(life, since);
         self.quarantine
             .expire(now, self.bounds.hold, liveness_since);
+        self.tick_streams(now);
         events
     }
 
@@ -205,6 +206,7 @@
                 // Samples name services by their indices in the previous configuration.
                 self.samples.clear();
                 self.catalog = Some(Arc::new(catalog));
+                self.update_stream_life();
                 events.push(RegistryEvent::Applied { version });
             }
         }
--- a/crates/core/tests/gateway/handoff.rs
+++ b/crates/core/tests/gateway/handoff.rs
@@ -17,6 +17,7 @@
             MAX_PEERS,
             PeerReport, //
         },
+        origin::Origin,
         outcome::{
             AttemptOutcome,
             NextStep, //
@@ -179,6 +180,7 @@
         let report = PeerReport {
             tried: Vec::new(),
             refused: Some(Cause::Unreached),
+            build: None,
         };
         let ended = gateway.hand_off_ended(
             Time(201),
@@ -238,6 +240,7 @@
     let report = PeerReport {
         tried: vec![known[0]],
         refused: Some(Cause::EndpointFailed),
+        build: None,
     };
     let next = gateway.hand_off_ended(
         Time(300),
@@ -340,6 +343,7 @@
         time_left: Millis(700),
         attempts: 1,
         retry: true,
+        origin: Origin::New,
         resume: None,
         tried: tags[..3].to_vec(),
     };
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -57,6 +57,7 @@
         State,
         now, //
     },
+    streams,
 };
 
 /// Longest answer that is buffered until it is complete; a longer one counts as broken.
@@ -179,7 +180,7 @@
     let now = now();
     incoming_request.waited = now.since(began);
     let admitted = state.gateway.borrow_mut().admit(now, &incoming_request);
-    let ticket = match admitted {
+    let mut ticket = match admitted {
         Ok(ticket) => ticket,
         Err(refusal) => {
             return refuse(
@@ -190,6 +191,7 @@
             );
         }
     };
+    streams::find_origin(state, &mut ticket, &incoming_request).await;
     let proxied = ProxiedRequest::new(
         state.clone(),
         (incoming_request, ticket),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -3,7 +3,10 @@
 //! Lost, late or replayed datagrams do no harm: the next round repeats the same information, and a digest that is
 //! not newer than the last one of its sender is ignored.
 
-use std::time::Duration;
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
 
 use tokio::{
     net::UdpSocket,
@@ -30,7 +33,7 @@
 };
 
 /// Sends and receives digests until the process ends.
-pub async fn run(state: Shared, socket: UdpSocket) {
+pub async fn run(state: Shared, socket: Rc<UdpSocket>) {
     let mut buffer = [0; MAX_DATAGRAM];
     let mut rounds = interval(Duration::from_millis(GOSSIP_INTERVAL.0));
     rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -63,12 +66,14 @@
         gateway.update_fleet(at, &mesh.fleet(at));
         gateway.update_peers(mesh.live(at).map(|r| r.address));
         let unreached_services = gateway.unreached_services();
+        let mixed_services = gateway.mixed_services(draw);
         let seal_for = |target| {
             let digest = Digest {
                 samples: samples.clone(),
                 crashes: contents.crashes.clone(),
                 back_offs: contents.back_offs.clone(),
                 unreached_services: unreached_services.clone(),
+                mixed_services: mixed_services.clone(),
                 ..mesh.digest(at, target, reads, contents.reports.clone())
             };
             let payload = encode_digest(&digest);
@@ -88,7 +93,14 @@
     let digest = opened.and_then(|(epoch, payload)| Ok((epoch, decode_digest(&payload)?)));
     match digest {
         Ok((epoch, digest)) => {
+            let recent = state.mesh.borrow().is_recent(&digest);
             let fresh = state.mesh.borrow_mut().receive(now(), &digest);
+            if recent && !digest.streams.is_empty() {
+                state.metrics.count("stream_reports", "heard");
+                let mut gateway = state.gateway.borrow_mut();
+                gateway.record_peer_streams(now(), &digest.streams);
+                return;
+            }
             if fresh {
                 let mut gateway = state.gateway.borrow_mut();
                 gateway.record_peer_report(now(), &digest.reports);
@@ -99,6 +111,7 @@
                     gateway.record_peer_samples(now(), &digest.samples);
                     let from = digest.from.address;
                     gateway.record_peer_unreached(now(), from, &digest.unreached_services);
+                    gateway.record_peer_mixed(now(), &digest.mixed_services);
                 }
             }
             state
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -43,6 +43,7 @@
             Grant,
             PeerReport, //
         },
+        origin::Origin,
         refusal::{
             Cause,
             Refusal, //
@@ -82,6 +83,7 @@
         State,
         now, //
     },
+    streams,
 };
 
 /// Path that numbers a connection.
@@ -90,6 +92,8 @@
 pub(crate) const HANDOFF_FIELD: HeaderName = HeaderName::from_static("toucanturn-handoff");
 /// Header field of an answer with the report of its attempts.
 pub(crate) const REPORT_FIELD: HeaderName = HeaderName::from_static("toucanturn-report");
+/// Header field of the answer to the call that numbers a connection: the peer heeds the origin in a grant.
+const ORIGINS_FIELD: HeaderName = HeaderName::from_static("toucanturn-origins");
 /// Longest answer to the call that numbers a connection, in bytes.
 const MAX_SESSION_BYTES: usize = 64;
 /// Limit of the peers' requests in progress; further ones are refused, so that a router's own callers
@@ -120,6 +124,8 @@
     pub(crate) connection: Connection,
     /// Place of the next request.
     pub(crate) next: Position,
+    /// Whether the peer heeds the origin in a grant; an earlier version of routers does not.
+    pub(crate) heeds_origins: bool,
 }
 
 impl PeerConnection {
@@ -136,18 +142,20 @@
                 return None;
             };
             let success = response.status().is_success();
+            let heeds_origins = response.headers().contains_key(ORIGINS_FIELD);
             let body = Limited::new(response.into_body(), MAX_SESSION_BYTES);
             let body = body.collect().await.ok()?.to_bytes();
-            std::str::from_utf8(&body)
-                .ok()
-                .filter(|_| success)?
-                .parse()
-                .ok()
+            let number = std::str::from_utf8(&body).ok().filter(|_| success)?;
+            Some((number.parse().ok()?, heeds_origins))
         };
         let called = timeout(pool::CONNECT_TIMEOUT, called).await;
-        let session = called.ok().flatten().ok_or(Error::NoSession)?;
+        let (session, heeds_origins) = called.ok().flatten().ok_or(Error::NoSession)?;
         let next = Position { session, number: 0 };
-        Ok(Self { connection, next })
+        Ok(Self {
+            connection,
+            next,
+            heeds_origins,
+        })
     }
 }
 
@@ -275,7 +283,10 @@
         session: number,
         number: 0,
     }));
-    Response::new(Either::Left(Full::from(number.to_string())))
+    let mut response = Response::new(Either::Left(Full::from(number.to_string())));
+    let heeded = HeaderValue::from_static("1");
+    response.headers_mut().insert(ORIGINS_FIELD, heeded);
+    response
 }
 
 /// `Accepted` counts a peer's request until its answer has ended.
@@ -363,7 +374,11 @@
         let mut gateway = state.gateway.borrow_mut();
         gateway.admit_from_peer(now(), &incoming_request, &grant)
     };
-    let ticket = admitted.map_err(|refusal| refuse(state, &id, refusal, Some(began + left)))?;
+    let mut ticket = admitted.map_err(|refusal| refuse(state, &id, refusal, Some(began + left)))?;
+    // A router of an earlier version grants no origin.
+    if ticket.origin == Origin::New {
+        streams::find_origin(state, &mut ticket, &incoming_request).await;
+    }
     state.metrics.count("handoffs_accepted", "admitted");
     if state.log.try_admit() {
         tracing::info!(
@@ -400,6 +415,7 @@
     let report = PeerReport {
         tried: Vec::new(),
         refused: Some(refusal.cause),
+        build: None,
     };
     add_report(response.headers_mut(), &report);
     response
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,3 +31,4 @@
 pub mod settings;
 pub mod sse;
 pub mod state;
+mod streams;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -63,6 +63,7 @@
         duration,
         now, //
     },
+    streams,
 };
 
 /// Path of polls for registry updates.
@@ -175,7 +176,8 @@
     state: Shared,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
-    if request.uri().path() != PATH {
+    let is_stream_ask = request.uri().path() == streams::PATH;
+    if !is_stream_ask && request.uri().path() != PATH {
         return Ok(status(StatusCode::NOT_FOUND));
     }
     let body = Limited::new(request.into_body(), MAX_DATAGRAM)
@@ -184,7 +186,11 @@
     let Ok(body) = body else {
         return Ok(status(StatusCode::BAD_REQUEST));
     };
-    let opened = open(&body.to_bytes(), |epoch| state.secret(epoch));
+    let body = body.to_bytes();
+    if is_stream_ask {
+        return Ok(streams::answer(&state, &body));
+    }
+    let opened = open(&body, |epoch| state.secret(epoch));
     let asked = opened.and_then(|(epoch, payload)| Ok((epoch, decode_ask(&payload)?)));
     Ok(match asked {
         Ok((epoch, ask)) => answer_poll(&state, epoch, ask).await,
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -61,6 +61,7 @@
         millis,
         now, //
     },
+    streams,
 };
 
 /// Interval at which the settings are read again without a signal.
@@ -209,7 +210,9 @@
     spawn_local(server::serve_checks(state.clone(), checks));
     spawn_local(server::serve_callers(state.clone(), callers));
     spawn_local(peers::serve(state.clone(), peers));
-    spawn_local(gossip::run(state.clone(), socket));
+    let socket = Rc::new(socket);
+    spawn_local(gossip::run(state.clone(), Rc::clone(&socket)));
+    spawn_local(streams::report(state.clone(), socket));
     spawn_local(reads::run(state.clone(), Rc::clone(&reader)));
     spawn_local(peer_follower::run(state.clone(), reader));
     spawn_local(tick(state.clone()));
@@ -230,6 +233,9 @@
         state.peer_pool.tick(now());
         drop(gateway);
         let events = state.gateway.borrow_mut().tick(now());
+        if state.gateway.borrow().has_unsent_streams() {
+            state.unsent_streams.notify_one();
+        }
         for event in events {
             crate::feed::log(&event);
             if let RegistryEvent::Unreached { service, .. } = &event {
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -37,6 +37,7 @@
             Probe, //
         },
         incoming_request::IncomingRequest,
+        origin::Origin,
         outcome::{
             AttemptOutcome,
             NextStep, //
@@ -136,6 +137,8 @@
         address: SocketAddrV4,
         /// Place of the next request on the connection.
         next: Position,
+        /// Whether it heeds the origin in a grant.
+        heeds_origins: bool,
         /// What the peer has reported of its attempts.
         report: Option<PeerReport>,
     },
@@ -313,6 +316,19 @@
         }
     }
 
+    /// Notes that the first event of a stream is about to be delivered.
+    pub(crate) fn begin_stream(&mut self, target: &Target) {
+        let build = match target {
+            Target::Endpoint(_) => self.ticket.build,
+            Target::Peer { report, .. } => report.as_ref().and_then(|r| r.build),
+        };
+        let id = &self.incoming_request.id;
+        let mut gateway = self.state.gateway.borrow_mut();
+        if gateway.begin_stream(now(), &mut self.ticket, id, build) {
+            self.state.unsent_streams.notify_one();
+        }
+    }
+
     /// Returns the refusal for a request that is given up after its attempts.
     pub(crate) fn given_up(&self, cause: Cause) -> Refusal {
         let mut gateway = self.state.gateway.borrow_mut();
@@ -321,6 +337,7 @@
 
     fn choose_way(&self) -> Result<Way, Refusal> {
         let mut gateway = self.state.gateway.borrow_mut();
+        gateway.check_origin(now(), &self.ticket)?;
         if let Some(peer) = gateway.hand_off(now(), &self.ticket) {
             return Ok(Way::Peer(peer));
         }
@@ -347,6 +364,11 @@
                 return Err(None);
             }
         };
+        if !open.heeds_origins && matches!(self.ticket.origin, Origin::Build(_)) {
+            let mut gateway = self.state.gateway.borrow_mut();
+            gateway.peer_unsuited(&mut self.ticket, peer);
+            return Err(None);
+        }
         let (guard, outcome, reply, status) = match self.send_to_peer(peer, open, resume).await {
             Ok(attempt) => return Ok(attempt),
             Err(ended) => ended,
@@ -376,6 +398,7 @@
         let PeerConnection {
             mut connection,
             next: position,
+            heeds_origins,
         } = open;
         let grant = {
             let gateway = self.state.gateway.borrow();
@@ -391,6 +414,7 @@
         let target = Target::Peer {
             address: peer,
             next,
+            heeds_origins,
             report: None,
         };
         self.received = None;
@@ -648,10 +672,16 @@
                     let pool = &self.state.pool;
                     pool.keep(now(), *endpoint, connection, reply.idle);
                 }
-                Target::Peer { address, next, .. } => {
+                Target::Peer {
+                    address,
+                    next,
+                    heeds_origins,
+                    ..
+                } => {
                     let open = PeerConnection {
                         connection,
                         next: *next,
+                        heeds_origins: *heeds_origins,
                     };
                     self.state.peer_pool.keep(*address, open, reply.idle);
                 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -174,6 +174,9 @@
                 }
                 if !seen {
                     self.last = event.id.or(self.last);
+                    if let (false, Some(attempt)) = (self.event_delivered, &self.attempt) {
+                        self.proxied.begin_stream(&attempt.guard.target);
+                    }
                     self.event_delivered = true;
                     return Piece::Bytes(event.bytes);
                 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -111,6 +111,10 @@
     pub reading: RefCell<ReadScheduler>,
     /// Wakes the reads when a peer has something newer that is too large to send.
     pub wake_reads: Notify,
+    /// Wakes the reports of streams to peers.
+    pub unsent_streams: Notify,
+    /// Number of streams that peers are being asked for.
+    pub(crate) stream_asks: Cell<usize>,
     /// The changes last packed for a peer.
     pub cached_pack: RefCell<Option<CachedPack>>,
     /// Whether the local copy was last updated by an own read rather than by a peer.
@@ -153,6 +157,8 @@
             registry,
             reading: RefCell::default(),
             wake_reads: Notify::new(),
+            unsent_streams: Notify::new(),
+            stream_asks: Cell::new(0),
             cached_pack: RefCell::default(),
             reads: Cell::new(false),
             first_read_until: Cell::new(now() + FIRST_READ_TIMEOUT),
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -47,12 +47,20 @@
             MAX_HEARTBEATS,
             MAX_REPORTS,
             MAX_SAMPLES,
+            MAX_STREAM_REPORTS,
             Sample, //
         },
         mirror::{
             Delta,
             Record, //
         },
+        origin::{
+            Build,
+            MAX_MIXED_SERVICES,
+            PeerKnowledge,
+            StreamKey,
+            StreamReport, //
+        },
         quarantine::{
             self,
             MAX_CRASHES_PER_REQUEST,
@@ -228,6 +236,12 @@
         back_off_endpoints: digest.back_offs.iter().map(|b| b.endpoint).collect(),
         back_off_times: digest.back_offs.iter().map(|b| steps(b.left)).collect(),
         unreached_services: digest.unreached_services.clone(),
+        mixed_services: digest.mixed_services.clone(),
+        stream_workspaces: digest.streams.iter().map(|s| s.key.workspace).collect(),
+        streams: digest.streams.iter().map(|s| s.key.stream).collect(),
+        stream_builds: digest.streams.iter().map(|s| s.build.0).collect(),
+        stream_ages: digest.streams.iter().map(|s| steps(s.age)).collect(),
+        stream_times: digest.streams.iter().map(|s| steps(s.left)).collect(),
     }
     .encode_to_vec()
 }
@@ -297,17 +311,46 @@
     let bounded = raw.unreached_services.len() <= MAX_UNREACHED_SERVICES;
     let what = "a bounded number of unreached services";
     ensure!(bounded, PartSnafu { what });
+    let bounded = raw.mixed_services.len() <= MAX_MIXED_SERVICES;
+    let what = "a bounded number of services with several versions";
+    ensure!(bounded, PartSnafu { what });
     Ok(Digest {
         from,
         heartbeats,
         reports: reports.collect(),
         samples: samples.collect(),
         crashes: crashes(&raw)?,
+        streams: streams(&raw)?,
         back_offs: back_offs.collect(),
         unreached_services: raw.unreached_services,
+        mixed_services: raw.mixed_services,
     })
 }
 
+/// Puts the columns of a digest's streams together.
+fn streams(raw: &proto::Digest) -> Result<Vec<StreamReport>> {
+    let rows = raw.streams.len();
+    let columns = [
+        raw.stream_workspaces.len(),
+        raw.stream_builds.len(),
+        raw.stream_ages.len(),
+        raw.stream_times.len(),
+    ];
+    let whole = columns.iter().all(|column| *column == rows);
+    let what = "a bounded number of streams";
+    ensure!(whole && rows <= MAX_STREAM_REPORTS, PartSnafu { what });
+    let report = |row: usize| StreamReport {
+        key: StreamKey {
+            workspace: raw.stream_workspaces[row],
+            stream: raw.streams[row],
+        },
+        build: Build(raw.stream_builds[row]),
+        age: age(raw.stream_ages[row]),
+        left: age(raw.stream_times[row]),
+    };
+    Ok((0..rows).map(report).collect())
+}
+
 /// Puts the columns of a digest's crashes together.
 fn crashes(raw: &proto::Digest) -> Result<Vec<quarantine::Record>> {
     let rows = raw.crash_contents.len();
@@ -421,6 +464,69 @@
     })
 }
 
+/// `StreamAsk` asks which software version began a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamAsk {
+    /// Number that the answer brings back.
+    pub nonce: u64,
+    /// The stream.
+    pub key: StreamKey,
+    /// Name of its service.
+    pub service: Bytes,
+}
+
+/// Encodes an ask for a stream.
+pub fn encode_stream_ask(ask: &StreamAsk) -> Vec<u8> {
+    proto::StreamAsk {
+        nonce: ask.nonce,
+        workspace: ask.key.workspace,
+        stream: ask.key.stream,
+        service: ask.service.clone(),
+    }
+    .encode_to_vec()
+}
+
+/// Decodes an ask for a stream.
+///
+/// # Errors
+///
+/// Not such an ask.
+pub fn decode_stream_ask(payload: &[u8]) -> Result<StreamAsk> {
+    let raw = proto::StreamAsk::decode(payload).context(CodecSnafu)?;
+    Ok(StreamAsk {
+        nonce: raw.nonce,
+        key: StreamKey {
+            workspace: raw.workspace,
+            stream: raw.stream,
+        },
+        service: raw.service,
+    })
+}
+
+/// Encodes what a router knows of a stream, for the ask with `nonce`.
+pub fn encode_stream_answer(nonce: u64, knowledge: PeerKnowledge) -> Vec<u8> {
+    proto::StreamAnswer {
+        nonce,
+        build: knowledge.build.map(|b| b.0),
+        only_build: knowledge.only_build,
+    }
+    .encode_to_vec()
+}
+
+/// Decodes what a router knows of a stream, and the number of the ask.
+///
+/// # Errors
+///
+/// Not such an answer.
+pub fn decode_stream_answer(payload: &[u8]) -> Result<(u64, PeerKnowledge)> {
+    let raw = proto::StreamAnswer::decode(payload).context(CodecSnafu)?;
+    let knowledge = PeerKnowledge {
+        build: raw.build.map(Build),
+        only_build: raw.only_build,
+    };
+    Ok((raw.nonce, knowledge))
+}
+
 /// `Copy` is what has changed in the registry, and how old that is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Copy {
--- a/crates/wire/src/handoff.rs
+++ b/crates/wire/src/handoff.rs
@@ -26,6 +26,10 @@
             Grant,
             PeerReport, //
         },
+        origin::{
+            Build,
+            Origin, //
+        },
         refusal::Cause,
     },
     ids::Tag,
@@ -82,6 +86,12 @@
 /// Encodes and seals what accompanies a request.
 pub fn encode(handoff: &Handoff, secret: &Secret, epoch: u64) -> String {
     let grant = &handoff.grant;
+    let (origin, build) = match grant.origin {
+        Origin::New => (proto::Origin::New, 0),
+        Origin::Build(Build(build)) => (proto::Origin::Build, build),
+        Origin::OnlyBuild => (proto::Origin::OnlyBuild, 0),
+        Origin::Unknown => (proto::Origin::Unknown, 0),
+    };
     let message = proto::Handoff {
         session: handoff.position.session,
         number: handoff.position.number,
@@ -92,6 +102,8 @@
         retry: grant.retry,
         resume: grant.resume,
         tried: grant.tried.iter().take(MAX_TRIED).map(|t| t.0).collect(),
+        origin: origin.into(),
+        build,
     };
     TEXT.encode(gossip::seal(secret, epoch, message.encode_to_vec()))
 }
@@ -107,6 +119,13 @@
     let raw = proto::Handoff::decode(payload).context(CodecSnafu)?;
     let content = raw.content.as_ref().try_into().ok();
     let content = content.context(PartSnafu { what: "a hash" })?;
+    // A kind of origin that this version does not know restricts more than those that it knows.
+    let origin = match proto::Origin::try_from(raw.origin) {
+        Ok(proto::Origin::New) => Origin::New,
+        Ok(proto::Origin::Build) => Origin::Build(Build(raw.build)),
+        Ok(proto::Origin::OnlyBuild) => Origin::OnlyBuild,
+        Ok(proto::Origin::Unknown) | Err(_) => Origin::Unknown,
+    };
     Ok(Handoff {
         position: Position {
             session: raw.session,
@@ -119,6 +138,7 @@
             attempts: raw.attempts,
             retry: raw.retry,
             resume: raw.resume,
+            origin,
             tried: tags(&raw.tried)?,
         },
     })
@@ -129,6 +149,7 @@
     let message = proto::Report {
         tried: report.tried.iter().take(MAX_TRIED).map(|t| t.0).collect(),
         refused: report.refused.map(|c| c.to_string()).unwrap_or_default(),
+        build: report.build.map(|b| b.0),
     };
     TEXT.encode(message.encode_to_vec())
 }
@@ -153,6 +174,7 @@
     Ok(PeerReport {
         tried: tags(&raw.tried)?,
         refused,
+        build: raw.build.map(Build),
     })
 }
 
--- a/crates/wire/tests/gossip.rs
+++ b/crates/wire/tests/gossip.rs
@@ -98,6 +98,8 @@
         crashes: Vec::new(),
         back_offs: Vec::new(),
         unreached_services: Vec::new(),
+        mixed_services: Vec::new(),
+        streams: Vec::new(),
     }
 }
 
--- a/crates/wire/tests/handoff.rs
+++ b/crates/wire/tests/handoff.rs
@@ -8,6 +8,10 @@
             Grant,
             PeerReport, //
         },
+        origin::{
+            Build,
+            Origin, //
+        },
         refusal::Cause,
     },
     ids::Tag,
@@ -27,6 +31,15 @@
 
 const SECRET: [u8; 32] = [7; 32];
 
+fn origin() -> impl Strategy<Value = Origin> {
+    prop_oneof![
+        Just(Origin::New),
+        any::<u64>().prop_map(|build| Origin::Build(Build(build))),
+        Just(Origin::OnlyBuild),
+        Just(Origin::Unknown),
+    ]
+}
+
 fn handoff() -> impl Strategy<Value = Handoff> {
     let grant = (
         any::<u64>(),
@@ -34,16 +47,20 @@
         any::<u32>(),
         any::<bool>(),
         any::<Option<u64>>(),
+        origin(),
         proptest::collection::vec(any::<u32>().prop_map(Tag), 0..MAX_TRIED),
     );
-    let grant = grant.prop_map(|(version, left, attempts, retry, resume, tried)| Grant {
-        version,
-        time_left: Millis(left),
-        attempts,
-        retry,
-        resume,
-        tried,
-    });
+    let grant = grant.prop_map(
+        |(version, left, attempts, retry, resume, origin, tried)| Grant {
+            version,
+            time_left: Millis(left),
+            attempts,
+            retry,
+            resume,
+            origin,
+            tried,
+        },
+    );
     let position = (any::<u64>(), any::<u64>());
     let position = position.prop_map(|(session, number)| Position { session, number });
     (position, any::<[u8; 32]>(), grant).prop_map(|(position, content, grant)| Handoff {
@@ -81,10 +98,14 @@
     }
 
     #[gtest]
-    fn verify_a_report_comes_back_as_it_was(tried in proptest::collection::vec(any::<u32>(), 0..MAX_TRIED)) {
+    fn verify_a_report_comes_back_as_it_was(
+        tried in proptest::collection::vec(any::<u32>(), 0..MAX_TRIED),
+        build in any::<Option<u64>>(),
+    ) {
+        let build = build.map(Build);
         use strum::IntoEnumIterator as _;
         for refused in Cause::iter().map(Some).chain([None]) {
-            let report = PeerReport { tried: tried.iter().map(|t| Tag(*t)).collect(), refused };
+            let report = PeerReport { tried: tried.iter().map(|t| Tag(*t)).collect(), refused, build };
             let text = encode_report(&report);
             prop_assert!(text.len() <= MAX_FIELD_BYTES);
             prop_assert_eq!(decode_report(text.as_bytes()).expect("valid"), report);
