Ask peers for a stream where a router may have missed a second version

A router that is cut off from the registry and from its peers still reaches endpoints for about 3 s, and took its only listed version for that of any stream. It now trusts it only if it has read the registry within 1.5 s or heard a peer within 1 s, and asks otherwise. A version that is not listed here yet, as another router has read the registry sooner, is refused with a time to come back: it may be served a moment later. Tests of the decisions in crates/core/tests/gateway/origin.rs; those for the two cases failed before.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -108,6 +108,9 @@
     peers_mixed: IndexMap<Bytes, Time>,
     /// Services whose streams peers are told of.
     reported: Vec<Bytes>,
+    /// Whether this router is to have peers, and when it last heard one.
+    expects_peers: bool,
+    heard_peer_at: Time,
     /// Time until which a stream that no router knows may be one of before a restart.
     doubtful_until: Time,
     /// Events that the next tick returns.
@@ -146,6 +149,8 @@
             stream_life: Millis(0),
             peers_mixed: IndexMap::new(),
             reported: Vec::new(),
+            expects_peers: false,
+            heard_peer_at: Time(0),
             doubtful_until: Time(0),
             events: Vec::new(),
             seed: rng.random(),
--- a/crates/core/src/gateway/origin.rs
+++ b/crates/core/src/gateway/origin.rs
@@ -43,6 +43,11 @@
 /// Time after a restart in which callers come back whose streams the earlier process had begun, at a
 /// version that may have left meanwhile.
 const RESTART_DOUBT: Millis = Millis(3000);
+/// Age of the last registry read up to which this router knows what versions serve without its peers.
+const MAX_LONE_PROOF_AGE: Millis = Millis(1500);
+/// Time since the last digest of a peer within which peers would have stated a second version. Each
+/// router is sent about two in a round.
+const MAX_PEER_SILENCE: Millis = Millis(1000);
 /// Interval at which outdated records are removed.
 const EXPIRY_INTERVAL: Millis = Millis(1000);
 
@@ -353,6 +358,22 @@
             || stated.is_some_and(|at| now.since(*at) < STATEMENT_TTL)
     }
 
+    /// Tells whether this router would know of a second version.
+    ///
+    /// One that is cut off from the registry and from its peers still reaches endpoints for a while,
+    /// as does one whose earlier process may have seen another version leave.
+    fn knows_builds(&self, now: Time) -> bool {
+        let alone = !self.expects_peers;
+        let told = now.since(self.heard_peer_at) < MAX_PEER_SILENCE;
+        let read = self.proof.holds(now, MAX_LONE_PROOF_AGE);
+        now >= self.doubtful_until && (alone || told || read)
+    }
+
+    /// Notes that a digest of a peer with the same configuration in force has arrived.
+    pub fn heard_peer(&mut self, now: Time) {
+        self.heard_peer_at = now;
+    }
+
     /// Looks for the origin of the stream that a request takes up.
     pub fn look_up_origin(
         &self,
@@ -370,7 +391,7 @@
         }
         let mixed = self.is_mixed(now, &ticket.service);
         match key {
-            _ if !mixed && now >= self.doubtful_until => Lookup::Found(Origin::OnlyBuild),
+            _ if !mixed && self.knows_builds(now) => Lookup::Found(Origin::OnlyBuild),
             Some(key) => Lookup::Ask(key),
             None if mixed => Lookup::Found(Origin::Unknown),
             // Peers may know that one version alone has served.
@@ -382,7 +403,7 @@
     pub fn knowledge_of(&self, now: Time, key: StreamKey, service: &[u8]) -> PeerKnowledge {
         PeerKnowledge {
             build: self.streams.get(now, key).map(|r| r.build),
-            only_build: now >= self.doubtful_until && !self.is_mixed(now, service),
+            only_build: self.knows_builds(now) && !self.is_mixed(now, service),
         }
     }
 
@@ -549,8 +570,11 @@
                 if known.any(|(_, e)| e.build == build && e.stays_listed()) {
                     return Ok(());
                 }
+                // A version that is not listed yet has just been seen by another router.
+                let mut listed = self.registry.builds().builds(&ticket.service);
+                let is_new = !listed.any(|(listed, _, _)| listed == build);
                 Err(Refusal {
-                    retryable: false,
+                    retryable: is_new && !may_have_run,
                     ..Refusal::given_up(Cause::VersionGone, may_have_run)
                 })
             }
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod lives;
 mod mesh;
 mod mirror;
+mod origin;
 mod outcome;
 mod place;
 mod proof;
--- /dev/null
+++ b/crates/core/tests/gateway/origin.rs
@@ -0,0 +1,542 @@
+//! Tests of how routers know which software version began a stream.
+
+use std::net::{
+    Ipv4Addr,
+    SocketAddrV4, //
+};
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use toucanturn_core::{
+    gateway::{
+        Change,
+        Gateway,
+        catalog::Catalog,
+        endpoint::Entry,
+        handoff::PeerReport,
+        incoming_request::IncomingRequest,
+        mesh::{
+            Digest,
+            Heartbeat,
+            Mesh, //
+        },
+        origin::{
+            Build,
+            BuildHistory,
+            Lookup,
+            MAX_STREAMS,
+            Origin,
+            PeerKnowledge,
+            StreamKey,
+            StreamRecord,
+            StreamReport,
+            Streams,
+            without_record, //
+        },
+        outcome::{
+            AttemptOutcome,
+            NextStep, //
+        },
+        refusal::Cause,
+        route::Share,
+        warmup::Fleet, //
+    },
+    units::{
+        Incarnation,
+        Millis,
+        Time, //
+    },
+};
+
+use crate::fixture::{
+    entry,
+    gateway,
+    raw_catalog,
+    request, //
+};
+
+const SERVICE: &[u8] = b"engines";
+const OLD: &[u8] = b"v1";
+const NEW: &[u8] = b"v2";
+
+fn build(version: &'static [u8]) -> Build {
+    Build::of(SERVICE, version)
+}
+
+fn entry_of(number: u8, version: &'static [u8]) -> Entry {
+    Entry {
+        build: Bytes::from_static(version),
+        ..entry(number)
+    }
+}
+
+fn list(gateway: &mut Gateway, now: Time, number: u8, version: &'static [u8]) {
+    gateway.record_registry_read(now, now);
+    gateway.apply_changes(now, vec![Change::Entry(entry_of(number, version))]);
+}
+
+fn remove(gateway: &mut Gateway, now: Time, numbers: std::ops::Range<u8>) {
+    gateway.record_registry_read(now, now);
+    let removed = numbers.map(|n| Change::Removed(entry(n).id));
+    gateway.apply_changes(now, removed.collect());
+}
+
+/// Makes a gateway with two endpoints of each version.
+fn mixed_gateway() -> Gateway {
+    let mut gateway = gateway(2);
+    list(&mut gateway, Time(0), 2, NEW);
+    list(&mut gateway, Time(0), 3, NEW);
+    gateway
+}
+
+/// Makes a request that takes up the stream that the request `began` has begun.
+fn take_up(began: &'static str) -> IncomingRequest {
+    IncomingRequest {
+        id: Bytes::from_static(b"a2"),
+        resume: Some(4),
+        resumes: Some(Bytes::from_static(began.as_bytes())),
+        ..request("/chat/x")
+    }
+}
+
+fn look_up(gateway: &mut Gateway, now: Time, request: &IncomingRequest) -> Lookup {
+    let ticket = gateway.admit(now, request).expect("admitted");
+    gateway.look_up_origin(now, &ticket, request)
+}
+
+/// Begins a stream at a version, as request `a1`; returns whether peers are to be told.
+fn begin(gateway: &mut Gateway, now: Time, version: &'static [u8]) -> bool {
+    let request = request("/chat/x");
+    let mut ticket = gateway.admit(now, &request).expect("admitted");
+    gateway.begin_stream(now, &mut ticket, &request.id, Some(build(version)))
+}
+
+fn report(workspace: u32, stream: u64, version: &'static [u8], age: u64) -> StreamReport {
+    StreamReport {
+        key: StreamKey { workspace, stream },
+        build: build(version),
+        age: Millis(age),
+        left: Millis(5000),
+    }
+}
+
+fn record(version: &'static [u8], began: u64) -> StreamRecord {
+    StreamRecord {
+        build: build(version),
+        began: Time(began),
+        until: Time(100_000),
+        service: None,
+    }
+}
+
+#[gtest]
+fn verify_a_stream_is_placed_at_its_version_only() {
+    let mut gateway = mixed_gateway();
+    for (version, other) in [(OLD, NEW), (NEW, OLD)] {
+        for _ in 0..50 {
+            let request = take_up("a1");
+            let mut ticket = gateway.admit(Time(10), &request).expect("admitted");
+            gateway.set_origin(&mut ticket, Origin::Build(build(version)));
+            let placed = gateway.place(Time(10), &ticket, &request).expect("placed");
+            let chosen = gateway.registry().get(placed.endpoint).expect("listed");
+            expect_that!(chosen.build, eq(build(version)));
+            expect_that!(chosen.build, not(eq(build(other))));
+        }
+    }
+}
+
+/// Guards against a retry, a strike or a hand-off that is spent although no endpoint of the version is left.
+#[gtest]
+fn verify_no_retry_is_spent_where_no_endpoint_of_the_version_is_left() {
+    let mut gateway = mixed_gateway();
+    remove(&mut gateway, Time(10), 1..2);
+    let request = request("/chat/x");
+    let mut ticket = gateway.admit(Time(20), &request).expect("admitted");
+    gateway.set_origin(&mut ticket, Origin::Build(build(OLD)));
+    let placed = gateway.place(Time(20), &ticket, &request).expect("placed");
+    gateway.sent(Time(20), &mut ticket, placed.endpoint);
+    let next = gateway.ended(
+        Time(30),
+        &mut ticket,
+        placed.endpoint,
+        AttemptOutcome::Broken,
+    );
+    expect_that!(next, eq(NextStep::GiveUp));
+    expect_false!(ticket.retry_reserved);
+}
+
+#[gtest]
+fn verify_the_refusal_tells_a_version_that_has_left_from_one_not_seen_yet() {
+    let mut gateway = mixed_gateway();
+    remove(&mut gateway, Time(10), 0..2);
+    let request = take_up("a1");
+    for (version, retryable) in [(OLD, false), (b"v3".as_slice(), true)] {
+        let mut ticket = gateway.admit(Time(20), &request).expect("admitted");
+        gateway.set_origin(&mut ticket, Origin::Build(build(version)));
+        let refusal = gateway.place(Time(20), &ticket, &request);
+        let refusal = refusal.expect_err("refused");
+        expect_that!(refusal.cause, eq(Cause::VersionGone));
+        expect_false!(refusal.may_have_run);
+        expect_that!(refusal.retryable, eq(retryable));
+    }
+}
+
+/// Guards against a join by an answer that began before a second version was known, and goes on after it.
+#[gtest]
+fn verify_a_stream_of_the_only_version_is_not_placed_once_there_are_two() {
+    let mut gateway = gateway(2);
+    let request = take_up("nobody");
+    let mut ticket = gateway.admit(Time(10), &request).expect("admitted");
+    let found = gateway.look_up_origin(Time(10), &ticket, &request);
+    expect_that!(found, eq(Lookup::Found(Origin::OnlyBuild)));
+    gateway.set_origin(&mut ticket, Origin::OnlyBuild);
+    let placed = gateway.place(Time(10), &ticket, &request).expect("placed");
+    expect_true!(gateway.may_send_placed(Time(10), &ticket, &placed));
+    list(&mut gateway, Time(20), 2, NEW);
+    expect_false!(gateway.may_send_placed(Time(20), &ticket, &placed));
+    let refusal = gateway
+        .place(Time(20), &ticket, &request)
+        .expect_err("refused");
+    expect_that!(refusal.cause, eq(Cause::VersionUnknown));
+}
+
+#[gtest]
+fn verify_a_version_that_has_left_counts_for_the_life_of_a_stream() {
+    let mut gateway = mixed_gateway();
+    remove(&mut gateway, Time(1000), 0..2);
+    gateway.tick(Time(1000));
+    gateway.record_registry_read(Time(60_900), Time(60_900));
+    gateway.tick(Time(60_900));
+    let request = take_up("nobody");
+    let found = look_up(&mut gateway, Time(60_900), &request);
+    expect_that!(found, matches_pattern!(Lookup::Ask(anything())));
+    gateway.tick(Time(61_100));
+    let found = look_up(&mut gateway, Time(61_100), &request);
+    expect_that!(found, eq(Lookup::Found(Origin::OnlyBuild)));
+}
+
+#[gtest]
+fn verify_no_report_is_made_where_one_version_serves() {
+    let mut gateway = gateway(4);
+    expect_false!(begin(&mut gateway, Time(10), OLD));
+    gateway.tick(Time(100));
+    expect_that!(gateway.take_unsent_streams(Time(100)), is_empty());
+    expect_that!(gateway.mixed_services(0), is_empty());
+    expect_that!(gateway.streams().len(), eq(1));
+}
+
+/// Guards against streams that no peer knows because they began before a second version was known.
+#[gtest]
+fn verify_streams_from_before_are_reported_when_a_second_version_appears() {
+    let by_peers: fn(&mut Gateway) = |g| g.record_peer_mixed(Time(200), &[0]);
+    let by_registry: fn(&mut Gateway) = |g| list(g, Time(200), 2, NEW);
+    for learn in [by_peers, by_registry] {
+        let mut gateway = gateway(2);
+        begin(&mut gateway, Time(10), OLD);
+        learn(&mut gateway);
+        gateway.tick(Time(200));
+        let reports = gateway.take_unsent_streams(Time(210));
+        expect_that!(reports.len(), eq(1));
+        expect_that!(reports[0].build, eq(build(OLD)));
+        expect_that!(reports[0].age, eq(Millis(200)));
+        gateway.tick(Time(300));
+        expect_that!(gateway.take_unsent_streams(Time(300)), is_empty());
+    }
+}
+
+/// Guards against a join by a router that has not read of the second version.
+#[gtest]
+fn verify_a_peer_s_statement_makes_a_stream_unknown() {
+    let mut gateway = gateway(2);
+    gateway.record_peer_mixed(Time(100), &[0]);
+    let found = look_up(&mut gateway, Time(200), &take_up("nobody"));
+    expect_that!(found, matches_pattern!(Lookup::Ask(anything())));
+    gateway.record_registry_read(Time(5200), Time(5200));
+    let found = look_up(&mut gateway, Time(5200), &take_up("nobody"));
+    expect_that!(found, eq(Lookup::Found(Origin::OnlyBuild)));
+}
+
+/// Guards against a join by a router that neither the registry nor a peer tells of a second version.
+#[gtest]
+fn verify_a_router_that_is_cut_off_does_not_trust_its_only_version() {
+    let mut gateway = gateway(2);
+    let fleet = Fleet {
+        expected: true,
+        ..Fleet::default()
+    };
+    gateway.update_fleet(Time(0), &fleet);
+    let only = eq(Lookup::Found(Origin::OnlyBuild));
+    expect_that!(look_up(&mut gateway, Time(1400), &take_up("x")), only);
+    let found = look_up(&mut gateway, Time(1600), &take_up("x"));
+    expect_that!(found, matches_pattern!(Lookup::Ask(anything())));
+    gateway.heard_peer(Time(1600));
+    let only = eq(Lookup::Found(Origin::OnlyBuild));
+    expect_that!(look_up(&mut gateway, Time(1700), &take_up("x")), only);
+}
+
+#[gtest]
+fn verify_a_restarted_router_asks_before_it_trusts_its_only_version() {
+    let mut gateway = gateway(2);
+    gateway.restarted(Time(0));
+    let found = look_up(&mut gateway, Time(1000), &take_up("x"));
+    expect_that!(found, matches_pattern!(Lookup::Ask(anything())));
+    let doubtful = gateway.knowledge_of(Time(1000), report(0, 1, OLD, 0).key, SERVICE);
+    expect_false!(doubtful.only_build);
+    gateway.record_registry_read(Time(2000), Time(2000));
+    let found = look_up(&mut gateway, Time(3000), &take_up("x"));
+    expect_that!(found, eq(Lookup::Found(Origin::OnlyBuild)));
+}
+
+#[gtest]
+fn verify_peers_without_a_record_must_agree_on_the_only_version() {
+    let answer = |only_build| PeerKnowledge {
+        build: None,
+        only_build,
+    };
+    expect_that!(without_record(&[]), eq(Origin::Unknown));
+    expect_that!(without_record(&[answer(true)]), eq(Origin::OnlyBuild));
+    expect_that!(
+        without_record(&[answer(true), answer(false)]),
+        eq(Origin::Unknown)
+    );
+}
+
+#[gtest]
+fn verify_a_stream_belongs_to_its_workspace_and_route() {
+    let mut gateway = mixed_gateway();
+    begin(&mut gateway, Time(10), NEW);
+    let known = eq(Lookup::Found(Origin::Build(build(NEW))));
+    expect_that!(look_up(&mut gateway, Time(20), &take_up("a1")), known);
+    let mut ticket = gateway.admit(Time(20), &take_up("a1")).expect("admitted");
+    ticket.workspace = None;
+    let found = gateway.look_up_origin(Time(20), &ticket, &take_up("a1"));
+    expect_that!(found, matches_pattern!(Lookup::Ask(anything())));
+}
+
+#[gtest]
+fn verify_the_stream_that_began_later_counts() {
+    let mut gateway = mixed_gateway();
+    let key = report(1, 7, OLD, 0).key;
+    let known = |gateway: &Gateway| gateway.knowledge_of(Time(1000), key, SERVICE).build;
+    gateway.record_peer_streams(Time(1000), &[report(1, 7, OLD, 100)]);
+    gateway.record_peer_streams(Time(1000), &[report(1, 7, NEW, 500)]);
+    expect_that!(known(&gateway), some(eq(build(OLD))));
+    gateway.record_peer_streams(Time(1000), &[report(1, 7, NEW, 20)]);
+    expect_that!(known(&gateway), some(eq(build(NEW))));
+}
+
+/// Guards against a caller that pushes the streams of other workspaces out.
+#[gtest]
+fn verify_a_workspace_pushes_out_only_its_own_streams() {
+    let mut streams = Streams::default();
+    for stream in 0..10 {
+        streams.insert(
+            StreamKey {
+                workspace: 1,
+                stream,
+            },
+            record(OLD, 0),
+        );
+    }
+    for stream in 0..MAX_STREAMS as u64 + 500 {
+        streams.insert(
+            StreamKey {
+                workspace: 2,
+                stream,
+            },
+            record(NEW, stream),
+        );
+    }
+    expect_that!(streams.len(), eq(MAX_STREAMS));
+    for stream in 0..10 {
+        let key = StreamKey {
+            workspace: 1,
+            stream,
+        };
+        expect_that!(streams.get(Time(1), key), some(anything()));
+    }
+    let newest = StreamKey {
+        workspace: 2,
+        stream: MAX_STREAMS as u64 + 499,
+    };
+    expect_that!(streams.get(Time(1), newest), some(anything()));
+    let oldest = StreamKey {
+        workspace: 2,
+        stream: 0,
+    };
+    expect_that!(streams.get(Time(1), oldest), none());
+}
+
+#[gtest]
+fn verify_a_stream_is_forgotten_after_its_deadline() {
+    let mut gateway = mixed_gateway();
+    begin(&mut gateway, Time(10), NEW);
+    gateway.tick(Time(3900));
+    expect_that!(gateway.streams().len(), eq(1));
+    gateway.tick(Time(5000));
+    expect_that!(gateway.streams().len(), eq(0));
+}
+
+#[gtest]
+fn verify_a_stream_of_a_split_route_returns_to_its_service() {
+    let mut raw = raw_catalog(2);
+    raw.routes[0].shares.push(Share {
+        service: Bytes::from_static(b"others"),
+        weight: 1,
+    });
+    let mut gateway = gateway(2);
+    let catalog = Catalog::try_from(raw).expect("valid");
+    let other = Entry {
+        service: Bytes::from_static(b"others"),
+        ..entry(9)
+    };
+    let changes = vec![Change::Catalog(Box::new(catalog)), Change::Entry(other)];
+    gateway.apply_changes(Time(0), changes);
+    let origin = Build::of(b"others", OLD);
+    for _ in 0..20 {
+        let mut ticket = gateway.admit(Time(10), &take_up("a1")).expect("admitted");
+        gateway.set_origin(&mut ticket, Origin::Build(origin));
+        expect_that!(ticket.service, eq(&Bytes::from_static(b"others")));
+        expect_that!(
+            gateway.place(Time(10), &ticket, &take_up("a1")),
+            ok(anything())
+        );
+    }
+}
+
+/// Guards against an endpoint that keeps its place after its entry has changed its version.
+#[gtest]
+fn verify_an_entry_with_another_version_is_another_instance() {
+    let mut gateway = gateway(1);
+    let (before, _) = gateway.registry().of(SERVICE).next().expect("listed");
+    list(&mut gateway, Time(10), 0, NEW);
+    expect_true!(gateway.registry().get(before).is_none());
+    let (_, now) = gateway.registry().of(SERVICE).next().expect("listed");
+    expect_that!(now.build, eq(build(NEW)));
+    expect_true!(gateway.is_mixed(Time(10), SERVICE));
+}
+
+#[gtest]
+fn verify_the_version_of_a_handed_off_stream_is_that_of_the_peer_s_endpoint() {
+    let mut gateway = mixed_gateway();
+    let request = request("/chat/x");
+    let mut ticket = gateway.admit(Time(10), &request).expect("admitted");
+    let (endpoint, _) = gateway.registry().of(SERVICE).last().expect("listed");
+    gateway.sent(Time(10), &mut ticket, endpoint);
+    let reported = gateway.peer_report(&ticket, None);
+    let expected = PeerReport {
+        build: Some(build(NEW)),
+        ..reported.clone()
+    };
+    expect_that!(reported, eq(&expected));
+    gateway.begin_stream(Time(20), &mut ticket, &request.id, reported.build);
+    let grant = gateway.grant(Time(30), &ticket, Some(3));
+    expect_that!(grant.origin, eq(Origin::Build(build(NEW))));
+    let accepted = gateway.admit_from_peer(Time(40), &take_up("a1"), &grant);
+    expect_that!(
+        accepted.expect("admitted").origin,
+        eq(Origin::Build(build(NEW)))
+    );
+}
+
+/// Guards against a join after a hand-off to a peer of an earlier build, which reports no version.
+#[gtest]
+fn verify_a_stream_without_a_reported_version_does_not_go_on_among_two() {
+    for (mut gateway, origin) in [
+        (mixed_gateway(), Origin::Unknown),
+        (gateway(2), Origin::OnlyBuild),
+    ] {
+        let request = request("/chat/x");
+        let mut ticket = gateway.admit(Time(10), &request).expect("admitted");
+        gateway.begin_stream(Time(20), &mut ticket, &request.id, None);
+        expect_that!(ticket.origin, eq(origin));
+    }
+}
+
+#[gtest]
+fn verify_a_history_forgets_versions_after_the_retention() {
+    let mut history = BuildHistory::default();
+    let service = Bytes::from_static(SERVICE);
+    let name = |version| Bytes::from_static(version);
+    history.add(&service, build(OLD), &name(OLD));
+    history.add(&service, build(OLD), &name(OLD));
+    history.add(&service, build(NEW), &name(NEW));
+    expect_true!(history.is_mixed(SERVICE));
+    history.remove(&service, build(OLD));
+    history.expire(Time(0), Millis(100));
+    history.expire(Time(500), Millis(100));
+    expect_true!(history.is_mixed(SERVICE), "one endpoint is left");
+    history.remove(&service, build(OLD));
+    history.expire(Time(600), Millis(100));
+    history.expire(Time(690), Millis(100));
+    expect_true!(history.is_mixed(SERVICE));
+    history.expire(Time(700), Millis(100));
+    expect_false!(history.is_mixed(SERVICE));
+}
+
+fn heartbeat(number: u32) -> Heartbeat {
+    Heartbeat {
+        address: SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + number), 7000),
+        data_center: number % 19,
+        incarnation: Incarnation(1),
+        beat: 100,
+        reads: false,
+    }
+}
+
+/// Makes a router that has heard all others but those that `unheard` tells.
+fn router(me: u32, fleet: u32, unheard: impl Fn(u32) -> bool) -> Mesh {
+    let mut mesh = Mesh::new(heartbeat(me), Vec::new());
+    for other in (0..fleet).filter(|n| *n != me && !unheard(*n)) {
+        let digest = Mesh::new(heartbeat(other), Vec::new()).stream_digest(Vec::new());
+        mesh.receive(Time(0), &digest);
+    }
+    mesh
+}
+
+/// Guards against take-ups that ask none of the routers that were told, after routers have ended or have not been
+/// heard.
+#[gtest]
+fn verify_a_router_that_is_asked_for_a_stream_was_told_of_it() {
+    for fleet in [2, 7, 9, 10, 86, 330] {
+        let mut missed = 0;
+        let streams = 400;
+        for stream in 0..streams {
+            let began = router(0, fleet, |_| false);
+            let told = began.stream_keepers(Time(0), stream * 7919);
+            // One in ten routers has ended since, the one that began the stream among them.
+            let ended = |n: u32| n.is_multiple_of(10);
+            let asks = router(1, fleet, ended).possible_stream_keepers(Time(0), stream * 7919);
+            let asker = heartbeat(1).address;
+            let knows = told.iter().any(|t| asks.contains(t) || *t == asker);
+            missed += usize::from(!knows);
+        }
+        // Both of the routers that were told have ended.
+        expect_that!(missed, lt(streams as usize / 20), "{fleet} routers");
+    }
+}
+
+/// Guards against reports that are accepted again when an old datagram is replayed.
+#[gtest]
+fn verify_reports_of_long_ago_are_refused() {
+    let mut mesh = router(0, 3, |_| false);
+    let sent = |beat| Digest {
+        from: Heartbeat {
+            beat,
+            ..heartbeat(1)
+        },
+        ..Mesh::new(heartbeat(1), Vec::new()).stream_digest(Vec::new())
+    };
+    mesh.receive(Time(100), &sent(150));
+    expect_true!(mesh.is_recent(&sent(150)));
+    expect_true!(mesh.is_recent(&sent(149)), "a later round has overtaken it");
+    expect_false!(mesh.is_recent(&sent(129)));
+    let earlier_life = Digest {
+        from: Heartbeat {
+            incarnation: Incarnation(0),
+            ..sent(150).from
+        },
+        ..sent(150)
+    };
+    expect_false!(mesh.is_recent(&earlier_life));
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -112,6 +112,7 @@
                     let from = digest.from.address;
                     gateway.record_peer_unreached(now(), from, &digest.unreached_services);
                     gateway.record_peer_mixed(now(), &digest.mixed_services);
+                    gateway.heard_peer(now());
                 }
             }
             state
