Play software versions in the soak, and judge joins from what callers got

The soak's endpoints write their version into each event. Seeds play three versions side by side, one that changes when endpoints are replaced, or one alone; a new fault replaces all endpoints in turn. Callers break some streams off and take broken ones up, at any router. Two promises: all events of a stream, over its tries, are of one version; streams that are taken up at routers in touch go on at least half as often as new ones begin while two endpoints of their version serve. A judge reads both from the callers' bytes.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -26,11 +26,15 @@
 use toucanturn_platform_standin::{
     caller::{
         Caller,
+        ReceivedResponse,
         RequestSpec,
         ready, //
     },
     clock_ms,
-    replica::FATAL_REQUEST_MARKER,
+    replica::{
+        FATAL_REQUEST_MARKER,
+        STREAM_EVENTS, //
+    },
 };
 
 use crate::{
@@ -54,6 +58,11 @@
 /// Most requests of one connection.
 const KEPT: u32 = 12;
 
+/// Part of the streams that their callers break off in the middle.
+const BROKEN_OFF: f64 = 0.15;
+/// Tries by which a caller takes a stream up, and the longest pause before each.
+const TAKE_UPS: usize = 2;
+const TAKE_UP_PAUSE_MS: u64 = 150;
 /// Part of the requests that have the content of others.
 const SHARED: f64 = 0.5;
 /// What these are for.
@@ -120,8 +129,16 @@
             let id = format!("c{number}-{count}");
             // Others ask for the same, too.
             let item = if rng.random_bool(SHARED) { COMMON } else { &id };
-            let call = one(&mut caller, place, kind, key, (&id, item)).await;
+            let broken_off = kind == Kind::Chat && rng.random_bool(BROKEN_OFF);
+            let ask = Ask {
+                break_after: broken_off.then(|| rng.random_range(1..STREAM_EVENTS)),
+                ..Ask::new(&id, item)
+            };
+            let call = one(&mut caller, place, kind, key, ask).await;
             let goes_on = call.whole && !shared.over.get();
+            if kind == Kind::Chat {
+                take_up(&fleet, &shared, &call, &mut rng).await;
+            }
             fleet.record.borrow_mut().calls.push(call);
             sleep(Duration::from_millis(rng.random_range(0..60))).await;
             if !goes_on {
@@ -153,7 +170,7 @@
         };
         count += 1;
         let id = format!("{item}-{count}");
-        let call = one(&mut caller, place, kind, key, (&id, &item)).await;
+        let call = one(&mut caller, place, kind, key, Ask::new(&id, &item)).await;
         fleet.record.borrow_mut().calls.push(call);
     }
 }
@@ -167,16 +184,71 @@
     good[rng.random_range(0..good.len())]
 }
 
+/// Takes a stream up that has broken off, at any routers in rotation, until it is whole.
+async fn take_up(fleet: &Fleet, shared: &Shared, began: &Call, rng: &mut StdRng) {
+    let mut last = last_event(&began.body);
+    for number in 0..TAKE_UPS {
+        let Some(after) = last.filter(|n| began.status == 200 && *n < STREAM_EVENTS) else {
+            return;
+        };
+        sleep(Duration::from_millis(rng.random_range(0..TAKE_UP_PAUSE_MS))).await;
+        let Some((place, mut caller)) = connect(shared, rng).await else {
+            return;
+        };
+        let id = format!("{}-t{number}", began.id);
+        let ask = Ask {
+            resumes: Some((&began.id, after)),
+            ..Ask::new(&id, &began.item)
+        };
+        let call = one(&mut caller, place, began.kind, began.key, ask).await;
+        last = last_event(&call.body).or(last).filter(|_| !call.whole);
+        fleet.record.borrow_mut().calls.push(call);
+    }
+}
+
+/// Gets the number of the last whole event of a body.
+pub fn last_event(body: &str) -> Option<u64> {
+    let (whole, _) = body.rsplit_once("\n\n")?;
+    let ids = whole.lines().filter_map(|l| l.strip_prefix("id: "));
+    ids.filter_map(|n| n.parse().ok()).next_back()
+}
+
+/// `Ask` is what a caller asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Id of the request.
+    pub id: &'a str,
+    /// What it is for.
+    pub item: &'a str,
+    /// Request that began the stream which this one takes up, and the last event that had come.
+    pub resumes: Option<(&'a str, u64)>,
+    /// Event after which the caller breaks the connection, if it does.
+    pub break_after: Option<u64>,
+}
+
+impl<'a> Ask<'a> {
+    /// Makes the ask for a whole answer.
+    pub const fn new(id: &'a str, item: &'a str) -> Self {
+        Self {
+            id,
+            item,
+            resumes: None,
+            break_after: None,
+        }
+    }
+}
+
 /// Makes one call on an open connection.
 pub async fn one(
     caller: &mut Caller,
     (router, life): (usize, u32),
     kind: Kind,
     key: usize,
-    (id, item): (&str, &str),
+    ask: Ask<'_>,
 ) -> Call {
+    let Ask { id, item, .. } = ask;
     let name = key_name(key);
-    let ask = RequestSpec {
+    let spec = RequestSpec {
         kind: kind.into(),
         id,
         key: &name,
@@ -185,11 +257,20 @@
     };
     let sent = clock_ms();
     let answered = async {
-        caller.write(&ask.text("")).await.ok()?;
-        Some(caller.response().await)
+        let fields = ask
+            .resumes
+            .map(|(began, after)| format!("Last-Event-Id: {after}\r\nResumes: {began}\r\n"));
+        let text = spec.text(&fields.unwrap_or_default());
+        caller.write(&text).await.ok()?;
+        let Some(event) = ask.break_after else {
+            return Some(caller.response().await);
+        };
+        let end = format!("piece {event} of {id}\n\n");
+        let received = caller.read_until(&end).await;
+        Some(partial(received.unwrap_or_else(|received| received)))
     };
     let response = timeout(PATIENCE, answered).await;
-    let gave_up = response.is_err();
+    let gave_up = response.is_err() || ask.break_after.is_some();
     let response = response.ok().flatten().unwrap_or_default();
     Call {
         kind,
@@ -204,5 +285,18 @@
         gave_up,
         id: id.to_owned(),
         item: item.to_owned(),
+        resumes: ask.resumes.map(|(began, after)| (began.to_owned(), after)),
+    }
+}
+
+/// Makes the response of what has come when a caller breaks its connection.
+fn partial(received: String) -> ReceivedResponse {
+    let (head, body) = received.split_once("\r\n\r\n").unwrap_or_default();
+    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
+    ReceivedResponse {
+        status: status.unwrap_or(0),
+        head: head.to_owned(),
+        body: body.to_owned(),
+        whole: false,
     }
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -50,7 +50,10 @@
         OrderSnafu,
         Result, //
     },
-    plan::Size,
+    plan::{
+        Size,
+        Versions, //
+    },
     process::{
         Child,
         beside, //
@@ -123,6 +126,8 @@
     pub control: SocketAddr,
     /// Whether a fault of the process is on its way.
     pub busy: bool,
+    /// Version of its software.
+    pub build: &'static str,
     life: u32,
 }
 
@@ -138,6 +143,7 @@
     pub store: RefCell<Child>,
     /// What was seen.
     pub record: Rc<RefCell<Record>>,
+    versions: Versions,
     folder: PathBuf,
     store_control: SocketAddr,
     version: Mutex<u64>,
@@ -153,7 +159,7 @@
     /// # Errors
     ///
     /// A program can't be started or a file not written.
-    pub async fn start(size: Size, folder: &Path) -> Result<Rc<Self>> {
+    pub async fn start(size: Size, versions: Versions, folder: &Path) -> Result<Rc<Self>> {
         let program = beside("toucanturn-platform-standin")?;
         let mut child = Child::start(Command::new(&program).arg("store").stdout(Stdio::piped()))?;
         let (ports, _lines) = child.ports("the store").await?;
@@ -161,7 +167,8 @@
         let mut replicas = Vec::new();
         for n in 0..size.replicas {
             let link = Link::open(n)?;
-            let one = start_replica((n, 0), link, &record, size.work_ms).await?;
+            let build = versions.version(n, 0);
+            let one = start_replica((n, 0), build, link, &record, size.work_ms).await?;
             replicas.push(RefCell::new(one));
         }
         let mut routers = Vec::new();
@@ -184,6 +191,7 @@
             replicas,
             store: RefCell::new(child),
             record,
+            versions,
             folder: folder.to_owned(),
             store_control: ports.control,
             version: Mutex::new(0),
@@ -244,7 +252,9 @@
         let key = document::entry_key(&old);
         self.tell_store(&store::ControlCommand::Remove { key })
             .await?;
-        let next = start_replica((n, life), link, &self.record, self.size.work_ms).await?;
+        let build = self.versions.version(n, life);
+        let work_ms = self.size.work_ms;
+        let next = start_replica((n, life), build, link, &self.record, work_ms).await?;
         *self.replicas[n].borrow_mut() = next;
         self.enter_cold(n).await
     }
@@ -264,7 +274,7 @@
                 state,
                 data_center: data_center(n),
                 cold_ms,
-                build: document::BUILD,
+                build: replica.build,
             };
             (document::entry_key(&replica.id), entry.text())
         };
@@ -459,6 +469,7 @@
 
 async fn start_replica(
     (n, life): (usize, u32),
+    build: &'static str,
     link: Link,
     record: &Rc<RefCell<Record>>,
     work_ms: u64,
@@ -468,6 +479,7 @@
     let mut child = Child::start(
         Command::new(beside("toucanturn-platform-standin")?)
             .args(["replica", "--id", &id, "--work-ms", &work])
+            .args(["--build", build])
             .stdout(Stdio::piped()),
     )?;
     let (ports, mut lines) = child.ports(&id).await?;
@@ -477,6 +489,7 @@
         replica: id.clone(),
         from: clock_ms(),
         to: None,
+        build: build.to_owned(),
     };
     let place = record.borrow().members.len();
     record.borrow_mut().members.push(member);
@@ -503,6 +516,7 @@
         child,
         control: ports.control,
         busy: false,
+        build,
         life,
     })
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -17,8 +17,8 @@
 /// Longest time of a fault, in milliseconds: over the bounds on keys and on leaving.
 const LONGEST: u64 = 3500;
 
-/// Faults that are drawn by chance: all but the last five.
-const DRAWN: usize = Fault::COUNT - 5;
+/// Faults that are drawn by chance: all but the last six.
+const DRAWN: usize = Fault::COUNT - 6;
 /// Most requests of a plan that end endpoints, and what their draws are told apart by.
 const MOST_FATAL: usize = 2;
 const FATAL_SEED: u64 = 0xfa7a1;
@@ -31,6 +31,9 @@
 /// Most endpoints of a plan that break their answers off, and what their draws are told apart by.
 const MOST_BREAKS: usize = 4;
 const BREAK_SEED: u64 = 0xb4ea;
+/// Most releases of a plan, and what their draws are told apart by.
+const MOST_RELEASES: usize = 1;
+const RELEASE_SEED: u64 = 0x4e1e;
 /// Shortest time of an evacuation, in milliseconds: over its bound.
 const EVACUATION_SHORTEST: u64 = 2500;
 
@@ -124,6 +127,8 @@
     ReplicaSaysLeaving,
     /// An endpoint answers in another framing, and breaks its answers off; it may be killed in the middle of some.
     ReplicaBreaksOff,
+    /// All endpoints leave one after the other, and are replaced by ones of another software version.
+    Released,
 }
 
 /// `Step` is one fault at its time.
@@ -210,12 +215,13 @@
 }
 
 /// Makes the plan of a seed with all that is drawn apart: requests that end endpoints, evacuations, what endpoints say of
-/// themselves, and answers that they break off.
+/// themselves, answers that they break off, and releases.
 pub fn whole_plan(seed: u64, size: &Size) -> Vec<Step> {
     let mut steps = plan_with_fatal(seed, size);
     steps.extend(evacuations(seed, size));
     steps.extend(signals(seed, size));
     steps.extend(breaks(seed, size));
+    steps.extend(releases(seed, size));
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -268,3 +274,50 @@
     };
     (0..count).map(step).collect()
 }
+
+/// Draws releases, apart from the other faults.
+fn releases(seed: u64, size: &Size) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed ^ RELEASE_SEED);
+    let count = rng.random_range(0..=MOST_RELEASES);
+    let step = |_| Step {
+        at: CALM + rng.random_range(0..size.millis.max(1) / 2),
+        lasts: rng.random_range(100..LONGEST),
+        fault: Fault::Released,
+        router: 0,
+        replica: 0,
+        variant: rng.random_range(0..1000),
+    };
+    (0..count).map(step).collect()
+}
+
+/// `Versions` is which software versions the endpoints of a run have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Versions {
+    /// One for all.
+    One,
+    /// One until endpoints are replaced, and another one for these.
+    Replaced,
+    /// Three side by side.
+    Several,
+}
+
+impl Versions {
+    /// Chooses those of a seed.
+    pub const fn of(seed: u64) -> Self {
+        match seed % 3 {
+            0 => Versions::Several,
+            1 => Versions::Replaced,
+            _ => Versions::One,
+        }
+    }
+
+    /// Gets the version of an endpoint's process.
+    pub const fn version(self, replica: usize, life: u32) -> &'static str {
+        let texts = ["v1", "v1.1", "v2"];
+        match self {
+            Versions::One => texts[0],
+            Versions::Replaced => texts[life as usize % 2],
+            Versions::Several => texts[(replica + life as usize) % 3],
+        }
+    }
+}
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -60,8 +60,17 @@
     pub whole: bool,
     /// Its body, as far as it came.
     pub body: String,
-    /// Whether the caller gave up waiting.
+    /// Whether the caller gave up waiting, or broke the connection itself.
     pub gave_up: bool,
+    /// Request that began the stream which this one takes up, and the last event that had come.
+    pub resumes: Option<(String, u64)>,
+}
+
+impl Call {
+    /// Gets the last event that its caller had before it.
+    pub fn after(&self) -> u64 {
+        self.resumes.as_ref().map_or(0, |(_, after)| *after)
+    }
 }
 
 /// `Key` is a key that a configuration lists or listed.
@@ -152,6 +161,8 @@
     pub from: u64,
     /// When it ended; `None` while it has not.
     pub to: Option<u64>,
+    /// Version of its software.
+    pub build: String,
 }
 
 /// `Record` is all of a run.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -53,6 +53,7 @@
 
 use crate::{
     caller::{
+        Ask,
         Shared,
         balance,
         call,
@@ -74,7 +75,8 @@
     plan::{
         Fault,
         Size,
-        Step, //
+        Step,
+        Versions, //
     },
     record::{
         Kind,
@@ -120,7 +122,7 @@
 ///
 /// A program could not be started or did not obey.
 pub async fn run(steps: &[Step], seed: u64, size: Size, folder: &Path) -> Result<Record> {
-    let fleet = Fleet::start(size, folder).await?;
+    let fleet = Fleet::start(size, Versions::of(seed), folder).await?;
     let began = Instant::now();
     while !all_ready(&fleet).await && began.elapsed() < RECOVERY {
         sleep(Duration::from_millis(50)).await;
@@ -313,12 +315,39 @@
         }
         Fault::FatalRequest => fatal(fleet, shared, &step).await,
         Fault::Evacuated => evacuated(fleet, &step, lasts).await?,
+        Fault::Released => released(fleet, step, lasts).await?,
         // Another fault has the process.
         _ => {}
     }
     Ok(())
 }
 
+/// Replaces all endpoints, one after the other in a time; several may be leaving at once.
+async fn released(fleet: &Rc<Fleet>, step: Step, lasts: Duration) -> Result<()> {
+    let all = fleet.size.replicas;
+    let mut leaving = Vec::new();
+    for replica in 0..all {
+        let free = !std::mem::replace(&mut fleet.replicas[replica].borrow_mut().busy, true);
+        if free {
+            let fleet = Rc::clone(fleet);
+            let fault = Fault::ReplicaLeaves;
+            let step = Step {
+                fault,
+                replica,
+                ..step
+            };
+            leaving.push(spawn_local(async move {
+                replica_process(&fleet, step, Duration::ZERO).await
+            }));
+        }
+        sleep(lasts / u32::try_from(all).unwrap_or(1)).await;
+    }
+    for one in leaving {
+        one.await.context(TaskSnafu)??;
+    }
+    Ok(())
+}
+
 /// Evacuates a data centre and restores it; each second time its endpoints are cold by then.
 async fn evacuated(fleet: &Rc<Fleet>, step: &Step, lasts: Duration) -> Result<()> {
     let name = data_center(step.variant / 2);
@@ -607,7 +636,7 @@
                 Kind::Chat
             };
             let id = format!("p{seed}-{round}-{n}-{proof}");
-            let call = one(&mut caller, (n, life), kind, key, (&id, &id)).await;
+            let call = one(&mut caller, (n, life), kind, key, Ask::new(&id, &id)).await;
             let served = call.status == 200 && call.whole;
             if !served {
                 left.push(format!("{} at router {n}: status {}", call.id, call.status));
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -45,6 +45,7 @@
         whole: true,
         body,
         gave_up: false,
+        resumes: None,
     }
 }
 
@@ -521,6 +522,7 @@
             replica: format!("i-{n}-0"),
             from: 0,
             to: None,
+            build: "v1".to_owned(),
         })
         .collect();
     record
@@ -548,3 +550,86 @@
     });
     expect_that!(found(&record), not(contains(eq(&Promise::Multiple))));
 }
+
+/// Makes a stream of which the caller has received some events, each of a version.
+fn stream(id: &str, events: std::ops::RangeInclusive<u64>, version: &str) -> Call {
+    let event = |n| format!("id: {n}\n: build {version}\ndata: piece {n} of {id}\n\n");
+    Call {
+        whole: *events.end() == STREAM_EVENTS,
+        gave_up: true,
+        body: events.map(event).collect(),
+        ..call(id, Kind::Chat)
+    }
+}
+
+fn taken_up(began: &str, id: &str, events: std::ops::RangeInclusive<u64>, version: &str) -> Call {
+    Call {
+        resumes: Some((began.to_owned(), events.start() - 1)),
+        ..stream(id, events, version)
+    }
+}
+
+#[gtest]
+fn verify_a_join_of_two_versions_is_noticed() {
+    let begun = || stream("a", 1..=3, "v1");
+    let fine = record(vec![begun(), taken_up("a", "b", 4..=8, "v1")], Vec::new());
+    expect_that!(found(&fine), is_empty());
+    let over_tries = vec![begun(), taken_up("a", "b", 4..=8, "v2")];
+    let third_try = vec![
+        begun(),
+        taken_up("a", "b", 4..=5, "v1"),
+        taken_up("a", "c", 6..=8, "v2"),
+    ];
+    let mut within = stream("a", 1..=8, "v1");
+    within.body = within.body.replacen("v1", "v2", 1);
+    for calls in [over_tries, third_try, vec![within]] {
+        let record = record(calls, Vec::new());
+        expect_that!(found(&record), contains(eq(&Promise::OneVersion)));
+    }
+}
+
+#[gtest]
+fn verify_a_gap_before_a_stream_that_is_taken_up_is_noticed() {
+    let mut gap = taken_up("a", "b", 5..=8, "v1");
+    gap.resumes = Some(("a".to_owned(), 3));
+    let record = record(vec![stream("a", 1..=3, "v1"), gap], Vec::new());
+    expect_that!(found(&record), contains(eq(&Promise::Own)));
+}
+
+#[gtest]
+fn verify_streams_that_are_not_taken_up_are_noticed() {
+    let members = |versions: &[&str]| {
+        let member = |(n, version): (usize, &&str)| Member {
+            replica: format!("i-{n}-0"),
+            from: 0,
+            to: None,
+            build: (*version).to_owned(),
+        };
+        versions.iter().enumerate().map(member).collect()
+    };
+    let run = |streams: usize, refused: usize, versions: &[&str]| {
+        let calls = (0..streams).flat_map(|n| {
+            let (began, id) = (format!("a{n}"), format!("b{n}"));
+            let mut second = taken_up(&began, &id, 4..=8, "v1");
+            if n < refused {
+                second.status = 503;
+                second.body = "version_unknown\n".to_owned();
+                second.whole = false;
+            }
+            [stream(&began, 1..=3, "v1"), second]
+        });
+        Record {
+            members: members(versions),
+            ..record(calls.collect(), Vec::new())
+        }
+    };
+    let serving = ["v1", "v1", "v2"];
+    expect_that!(
+        found(&run(12, 7, &serving)),
+        contains(eq(&Promise::TakenUp))
+    );
+    expect_that!(found(&run(12, 6, &serving)), is_empty());
+    expect_that!(found(&run(11, 11, &serving)), is_empty());
+    // One endpoint of the version is left.
+    expect_that!(found(&run(12, 12, &["v1", "v2", "v2"])), is_empty());
+}
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -161,6 +161,41 @@
     expect_that!(findings(&steps, 60, SHORT), is_empty());
 }
 
+/// Guards against streams with events of two software versions, among other faults: versions side by side, and releases of
+/// all endpoints, while routers are killed, suspended, cut off from the store and started.
+#[gtest]
+fn verify_streams_keep_their_version_among_other_faults() {
+    let step = |at, lasts, fault, router, replica| Step {
+        at,
+        lasts,
+        fault,
+        router,
+        replica,
+        variant: 2,
+    };
+    let steps = [
+        step(300, 2000, Fault::ReplicaBreaksOff, 0, 0),
+        step(500, 1500, Fault::Released, 0, 0),
+        step(700, 300, Fault::RouterKilled, 0, 0),
+        step(1200, 800, Fault::StoreCut, 1, 0),
+        step(1500, 0, Fault::ReplicaReset, 0, 3),
+        step(2500, 2000, Fault::ReplicaBreaksOff, 0, 4),
+        step(3000, 500, Fault::RouterPaused, 2, 0),
+        step(3500, 400, Fault::AllKilled, 0, 0),
+        step(5000, 1000, Fault::StoreBusy, 0, 0),
+        step(5500, 300, Fault::RouterKilled, 1, 0),
+    ];
+    let size = Size {
+        routers: 3,
+        replicas: 6,
+        ..SHORT
+    };
+    // Their versions: several side by side, and one until endpoints are replaced.
+    for seed in [600, 601] {
+        expect_that!(findings(&steps, seed, size), is_empty(), "seed {seed}");
+    }
+}
+
 /// Guards against requests that end endpoints among other faults: two of them, while endpoints and routers are killed.
 #[gtest]
 fn verify_requests_that_end_endpoints_are_contained_among_other_faults() {
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -196,4 +196,16 @@
     's/Liveness::Dead => self\.suspect_mut\(now, request\)\.add_crash\(now, crash\),/Liveness::Dead => {}/' \
     toucanturn-core gateway quarantine::verify_an_answer_that_ended_with_its_connection_and_endpoint_is_a_crash
 
+guard stream_version crates/core/src/gateway/origin.rs \
+    's/Origin::Build\(origin\) => origin == build,/Origin::Build(_) => true,/' \
+    toucanturn-platform path builds::verify_a_stream_that_is_taken_up_keeps_its_version
+
+guard mixed_statement crates/core/src/gateway/origin.rs \
+    's/\|\| stated\.is_some_and\(\|at\| now\.since\(\*at\) < STATEMENT_TTL\)/|| stated.is_some_and(|_| false)/' \
+    toucanturn-core gateway origin::verify_a_peer_s_statement_makes_a_stream_unknown
+
+guard stream_backlog crates/core/src/gateway/origin.rs \
+    '/self\.streams\.queue_all\(service\);/d' \
+    toucanturn-platform path builds::verify_a_stream_from_before_the_second_version_keeps_its_version
+
 exit "$worst"
