--- a/crates/core/src/gateway/handoff.rs
+++ b/crates/core/src/gateway/handoff.rs
@@ -322,12 +322,6 @@
         self.peers.avoid(now, peer);
     }
 
-    /// Notes that a peer can't be handed a request: it is of an earlier version, which would run a
-    /// stream at any software version of its endpoints.
-    pub fn peer_unsuited(&mut self, ticket: &mut Ticket, peer: SocketAddrV4) {
-        ticket.peers.push(peer);
-    }
-
     /// Notes that the caller left while a peer had its request.
     pub fn caller_left_peer(&mut self, peer: SocketAddrV4) {
         self.peers.end(peer);
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -365,8 +365,7 @@
             }
         };
         if !open.heeds_origins && matches!(self.ticket.origin, Origin::Build(_)) {
-            let mut gateway = self.state.gateway.borrow_mut();
-            gateway.peer_unsuited(&mut self.ticket, peer);
+            self.ticket.peers.push(peer);
             return Err(None);
         }
         let (guard, outcome, reply, status) = match self.send_to_peer(peer, open, resume).await {
