Take streams up after a restart of all routers where no endpoint was replaced

What the doubt guards against is a version that has left just before. Its endpoints are replaced as they leave, so others are cold then. Only where the service has a cold endpoint does a restarted router ask now.

--- a/crates/core/src/gateway/origin.rs
+++ b/crates/core/src/gateway/origin.rs
@@ -361,13 +361,19 @@
 
     /// Tells whether this router would know of a second version.
     ///
-    /// One that is cut off from the registry and from its peers still reaches endpoints for a while,
-    /// as does one whose earlier process may have seen another version leave.
-    fn knows_builds(&self, now: Time) -> bool {
+    /// One that is cut off from the registry and from its peers still reaches endpoints for a while.
+    /// After a restart, another version may have left just before. Its endpoints are replaced as they
+    /// leave, so those that are listed then are cold.
+    fn knows_builds(&self, now: Time, service: &[u8]) -> bool {
         let alone = !self.expects_peers;
         let told = now.since(self.heard_peer_at) < MAX_PEER_SILENCE;
         let read = self.proof.holds(now, MAX_LONE_PROOF_AGE);
-        now >= self.doubtful_until && (alone || told || read)
+        let replaced = || {
+            let mut known = self.registry.known(service);
+            known.any(|(_, e)| e.cold(now) > Millis(0))
+        };
+        let settled = now >= self.doubtful_until || !replaced();
+        settled && (alone || told || read)
     }
 
     /// Notes that a digest of a peer with the same configuration in force has arrived.
@@ -392,7 +398,9 @@
         }
         let mixed = self.is_mixed(now, &ticket.service);
         match key {
-            _ if !mixed && self.knows_builds(now) => Lookup::Found(Origin::OnlyBuild),
+            _ if !mixed && self.knows_builds(now, &ticket.service) => {
+                Lookup::Found(Origin::OnlyBuild)
+            }
             Some(key) => Lookup::Ask(key),
             None if mixed => Lookup::Found(Origin::Unknown),
             // Peers may know that one version alone has served.
@@ -404,7 +412,7 @@
     pub fn knowledge_of(&self, now: Time, key: StreamKey, service: &[u8]) -> PeerKnowledge {
         PeerKnowledge {
             build: self.streams.get(now, key).map(|r| r.build),
-            only_build: self.knows_builds(now) && !self.is_mixed(now, service),
+            only_build: self.knows_builds(now, service) && !self.is_mixed(now, service),
         }
     }
 
