Log the shared prompt parts of requests whose attempts broke off

No event named the parts of a prompt, so that crashes under requests with a part in common could not be told from crashes under requests that share something else. Event 611 names their hashes where it names the content.

--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -768,12 +768,20 @@
                 took = took.0,
                 %next,
                 content = self.ticket.content.map(|c| c.to_string()),
+                parts = self.ticket.content.and_then(|_| self.shared_parts()),
                 "attempt ended"
             );
         }
         next
     }
 
+    /// Lists the hashes of the prompt's shared parts for a log line, in their order.
+    fn shared_parts(&self) -> Option<String> {
+        let prompt = self.incoming_request.prompt.as_ref()?;
+        let hashes = prompt.shared().iter().map(|p| format!("{:016x}", p.id));
+        Some(hashes.collect::<Vec<_>>().join(","))
+    }
+
     /// Records that the newest answer is complete, or that only the end of its connection says so.
     fn record_answer(&mut self, target: &Target) {
         let unproved = self
