--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -6,6 +6,7 @@
 };
 
 use bytes::Bytes;
+use indexmap::IndexSet;
 
 use crate::{
     arena::EndpointKey,
@@ -23,8 +24,8 @@
         handoff,
         hot_spots,
         incoming_request::{
-            self,
-            IncomingRequest, //
+            IncomingRequest,
+            Prompt, //
         },
         origin::{
             Build,
@@ -34,6 +35,10 @@
             AttemptOutcome,
             NextStep, //
         },
+        part_quarantine::{
+            PartVerdict,
+            PromptParts, //
+        },
         place,
         quarantine::{
             self,
@@ -119,6 +124,10 @@
     pub retry_reserved: bool,
     /// Fingerprint of its content, if that was computed.
     pub content: Option<Fingerprint>,
+    /// Hashes of the shared parts of its prompt, each once.
+    pub parts: Arc<[u64]>,
+    /// Whether the newest answer has a status of success.
+    pub succeeded: bool,
     /// Software version at which it may run, if its caller has events of its stream.
     pub origin: Origin,
     /// Software version of the endpoint that it was last sent to.
@@ -138,6 +147,20 @@
     pub(super) fn workspace_tag(&self) -> u64 {
         fingerprint::workspace(self.workspace.as_ref().map(|w| &w.name)).into()
     }
+
+    fn prompt_parts(&self) -> PromptParts<'_> {
+        PromptParts {
+            workspace: fingerprint::workspace(self.workspace.as_ref().map(|w| &w.name)),
+            parts: &self.parts,
+        }
+    }
+}
+
+/// Lists the hashes of the shared parts of a request's prompt, each once.
+fn shared_parts(incoming_request: &IncomingRequest) -> Arc<[u64]> {
+    let shared = incoming_request.prompt.iter().flat_map(Prompt::shared);
+    let parts: IndexSet<u64> = shared.map(|part| part.id).collect();
+    parts.into_iter().collect()
 }
 
 impl Gateway {
@@ -206,6 +229,8 @@
             may_have_run: false,
             retry_reserved: false,
             content: None,
+            parts: shared_parts(incoming_request),
+            succeeded: true,
             origin: Origin::New,
             build: None,
             unproved: false,
@@ -227,7 +252,7 @@
             return Err(Refusal::given_up(Cause::Deadline, ticket.may_have_run));
         }
         self.check_origin(now, ticket)?;
-        self.check_quarantine(now, ticket)?;
+        let trial = self.check_quarantine(now, ticket)?;
         if self.cannot_help(now, ticket) {
             return Err(Refusal::given_up(Cause::Unreached, ticket.may_have_run));
         }
@@ -235,7 +260,7 @@
         let part = incoming_request
             .prompt
             .as_ref()
-            .and_then(incoming_request::Prompt::placement_part);
+            .and_then(Prompt::placement_part);
         let is_first = ticket.tried.is_empty() && ticket.unreached.is_empty();
         if let Some(part) = part.filter(|_| is_first) {
             self.record_request_sample(
@@ -300,15 +325,23 @@
             .is_some_and(|c| c.engines_share_cache(&ticket.service));
         Ok(place::Placed {
             holder: placed.holder.filter(|_| engines_share),
+            trial,
             ..placed
         })
     }
 
-    /// Checks that a request is not held back by the quarantine, or that it is let through as a
-    /// trial.
-    fn check_quarantine(&mut self, now: Time, ticket: &Ticket) -> Result<(), Refusal> {
+    /// Checks that a request is not held back by the quarantine; returns whether it is let through as
+    /// a trial.
+    fn check_quarantine(&mut self, now: Time, ticket: &Ticket) -> Result<bool, Refusal> {
+        let held = self.part_verdict(now, ticket);
+        if let Some(held) = &held
+            && !self.part_quarantine.admit_trial(now, held)
+        {
+            let left = held.verdict.left.max(quarantine::MIN_RETRY_AFTER);
+            return Err(Refusal::part_quarantined(left, ticket.may_have_run));
+        }
         let (Some(verdict), Some(content)) = (self.verdict(now, ticket), ticket.content) else {
-            return Ok(());
+            return Ok(held.is_some());
         };
         let draw = self.draw();
         let routers = self.routers;
@@ -316,7 +349,7 @@
             .quarantine
             .admit_trial(now, content, &verdict, draw, routers)
         {
-            return Ok(());
+            return Ok(true);
         }
         let left = verdict.left.max(quarantine::MIN_RETRY_AFTER);
         Err(Refusal::quarantined(left, ticket.may_have_run))
@@ -357,6 +390,8 @@
                 at: now,
                 observed_here: true,
             },
+            workspace: ticket.prompt_parts().workspace,
+            parts: Arc::clone(&ticket.parts),
         });
     }
 
@@ -376,6 +411,14 @@
             .verdict(now, content, self.bounds.hold, liveness_since)
     }
 
+    /// Tells whether, why and for how long a request is held back for a part of its prompt.
+    pub fn part_verdict(&self, now: Time, ticket: &Ticket) -> Option<PartVerdict> {
+        let liveness_since = |life, since| self.registry.liveness_since(life, since);
+        let prompt = ticket.prompt_parts();
+        self.part_quarantine
+            .verdict(now, prompt, self.bounds.hold, liveness_since)
+    }
+
     /// Gives up a request for which there is no endpoint, or no further attempt. Where all endpoints
     /// of its service have asked for a time without requests, the refusal says when the first of
     /// these times ends.
@@ -429,7 +472,8 @@
         let spared = spared.zip(endpoint).is_some_and(|(brittle, e)| {
             !placed.at_risk && brittle.at_risk(now, placed.endpoint, e)
         });
-        let goes_on = self.check_origin(now, ticket).is_ok();
+        let held = !placed.trial && self.part_verdict(now, ticket).is_some();
+        let goes_on = self.check_origin(now, ticket).is_ok() && !held;
         counted && !spared && goes_on && self.may_send(now, placed.endpoint)
     }
 
@@ -581,10 +625,26 @@
         endpoint: EndpointKey,
         outcome: AttemptOutcome,
     ) {
+        let usable = self.registry.get(endpoint).filter(|e| e.usable());
+        match (outcome, usable) {
+            (AttemptOutcome::Broken, Some(endpoint)) => {
+                let crash = Crash {
+                    endpoint: endpoint.tag(),
+                    sent: ticket.sent,
+                    at: now,
+                    observed_here: true,
+                };
+                self.part_quarantine
+                    .crashed(now, ticket.prompt_parts(), crash);
+            }
+            (AttemptOutcome::Answered, _) if ticket.succeeded && !ticket.unproved => {
+                self.part_quarantine.answered(now, now, &ticket.parts);
+            }
+            _ => {}
+        }
         let Some(content) = ticket.content else {
             return;
         };
-        let usable = self.registry.get(endpoint).filter(|e| e.usable());
         match (outcome, usable) {
             (AttemptOutcome::Broken, Some(endpoint)) => {
                 self.quarantine
@@ -635,6 +695,11 @@
         let allowed = outcome.repeatable(ticket.route.kind)
             && (!ticket.may_have_run || ticket.route.kind.repeatable());
         let allowed = allowed && self.has_endpoint_of_origin(ticket);
+        let crashes = outcome == AttemptOutcome::Broken
+            && self
+                .part_quarantine
+                .forbids_retry(now, ticket.prompt_parts());
+        let allowed = allowed && !crashes;
         let may_continue = may_continue && allowed && !self.has_waited_for_connections(now, ticket);
         if may_continue && (costs_no_retry || self.reserve_retry(now, ticket)) {
             NextStep::Again
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 pub mod mirror;
 pub mod origin;
 pub mod outcome;
+pub mod part_quarantine;
 pub mod place;
 pub mod proof;
 pub mod quarantine;
@@ -68,6 +69,7 @@
 use hot_spots::HotSpots;
 use mesh::Sample;
 use origin::Streams;
+use part_quarantine::PartQuarantine;
 use proof::FreshnessProof;
 use quarantine::Quarantine;
 use reach::Reach;
@@ -96,6 +98,7 @@
     /// Newest requests that this router's peers have not been told of, oldest first.
     samples: VecDeque<Sample>,
     quarantine: Quarantine,
+    part_quarantine: PartQuarantine,
     warmup: Warmup,
     brittleness: Brittleness,
     reach: Reach,
@@ -141,6 +144,7 @@
             hot_spots: IndexMap::new(),
             samples: VecDeque::new(),
             quarantine: Quarantine::default(),
+            part_quarantine: PartQuarantine::default(),
             warmup: Warmup::default(),
             brittleness: Brittleness::default(),
             reach: Reach::default(),
--- /dev/null
+++ b/crates/core/src/gateway/part_quarantine.rs
@@ -0,0 +1,402 @@
+//! Quarantine of prompt parts that crash the endpoints that run requests with them.
+//!
+//! Requests that share such a part may differ in everything else, so each has a fingerprint of its
+//! own and the [quarantine](super::quarantine) of contents never sees one of them twice. This one
+//! keeps a crash record for each shared part of the prompts that were in progress at endpoints
+//! whose connections broke.
+//!
+//! All parts of all these prompts are suspects. Three things tell the one that crashes endpoints
+//! from the others:
+//!
+//! - A complete answer clears the parts of its prompt: the part that crashes endpoints has none.
+//! - Crashes that another part explains as well do not count against a part: if each crash of one
+//!   part was also one of another part, requests with the first part alone are served, and their
+//!   answers clear it.
+//! - A part that was answered recently needs more crashes, over a longer time.
+//!
+//! The record of a part is about the requests of one workspace until another workspace's request
+//! with it is in progress at a crash. A workspace that names another one's part in requests that
+//! crash endpoints therefore doesn't get that one's requests quarantined.
+//!
+//! Each trial may cost an endpoint, so one router of the fleet decides on them, and the hold time
+//! grows fast: a day has at most three.
+
+use indexmap::IndexMap;
+
+use crate::{
+    gateway::{
+        endpoint::Liveness,
+        fingerprint::Fingerprint,
+        quarantine::{
+            Crash,
+            Policy,
+            Record,
+            RecordSelection,
+            Suspect,
+            Verdict,
+            first_crashes,
+            presumed_ended,
+            time_left, //
+        },
+        warmup::Fleet,
+    },
+    ids::Tag,
+    load::score,
+    units::{
+        Millis,
+        Time, //
+    },
+};
+
+/// Crashes after which a part is quarantined.
+pub const PART_THRESHOLD: usize = 3;
+/// Crashes after which a part that was answered recently is quarantined.
+pub const PART_THRESHOLD_ANSWERED: usize = 5;
+/// Time since the first of its crashes for which a part that was answered recently must have had no
+/// answer at any router. Popular parts are in progress at most crashes, and have answers within
+/// this time.
+const ANSWERLESS_TIME: Millis = Millis(1500);
+/// Crashes of a part without any answer after which a request with it gets no further attempt: most
+/// likely, that would crash the next endpoint.
+const RETRY_THRESHOLD: usize = 2;
+/// Factor by which the hold time grows after each trial that crashed an endpoint.
+const HOLD_FACTOR: u64 = 60;
+/// Time after a trial in which no other one of the same part is admitted.
+const TRIAL_INTERVAL: Millis = Millis(30_000);
+/// Limit of the parts for which crashes are kept.
+pub const MAX_PART_SUSPECTS: usize = 1024;
+/// Limit of these parts for one workspace.
+pub const MAX_PART_SUSPECTS_PER_WORKSPACE: usize = 512;
+/// Limit of the remembered answered parts; the ones answered least recently are evicted.
+const MAX_ANSWERED_PARTS: usize = 2048;
+/// Time for which answers and records of crashes are kept, records in addition to their hold time.
+const RETENTION: Millis = Millis(600_000);
+/// Time for which a record without crashes is kept, for peers that have crashes of its part.
+const CLEARED_RETENTION: Millis = Millis(3000);
+/// Scope of a part that was in progress at crashes with requests of several workspaces.
+pub const ANY_WORKSPACE: u32 = u32::MAX;
+
+/// `PromptParts` is the shared parts of a request's prompt, and the workspace that sent it.
+#[derive(Clone, Copy, Debug)]
+pub struct PromptParts<'a> {
+    /// Tag of the workspace; 0 if there is none.
+    pub workspace: u32,
+    /// Hashes of the shared parts, each once.
+    pub parts: &'a [u64],
+}
+
+/// `PartVerdict` is why and for how long a request with a quarantined part is refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PartVerdict {
+    /// Hash of the part.
+    pub part: u64,
+    /// Its crashes, and the time until a trial may be admitted.
+    pub verdict: Verdict,
+}
+
+#[derive(Clone, Debug)]
+struct PartSuspect {
+    suspect: Suspect,
+    /// Tag of the workspace whose requests crashed, or [`ANY_WORKSPACE`].
+    workspace: u32,
+}
+
+impl PartSuspect {
+    fn threshold(&self, now: Time) -> usize {
+        if self.suspect.answered_within(now, RETENTION) {
+            PART_THRESHOLD_ANSWERED
+        } else {
+            PART_THRESHOLD
+        }
+    }
+
+    /// Tells whether its record applies to requests of a workspace.
+    fn applies_to(&self, workspace: u32) -> bool {
+        self.workspace == ANY_WORKSPACE || self.workspace == workspace
+    }
+
+    /// Counts its crashes that were not crashes of another part.
+    fn crashes_without(&self, other: &Self) -> usize {
+        let crashes = self.suspect.crashes.iter();
+        crashes
+            .filter(|c| !other.suspect.has_crash_of(c.endpoint))
+            .count()
+    }
+
+    fn extend_scope(&mut self, workspace: u32) {
+        if self.suspect.crashes.is_empty() {
+            self.workspace = workspace;
+        } else if self.workspace != workspace {
+            self.workspace = ANY_WORKSPACE;
+        }
+    }
+}
+
+/// `PartQuarantine` holds the crash records of prompt parts.
+#[derive(Clone, Debug, Default)]
+pub struct PartQuarantine {
+    suspects: IndexMap<u64, PartSuspect>,
+    /// When requests with a part were last answered completely, as far as this router knows.
+    answers: IndexMap<u64, Time>,
+    fleet: Fleet,
+    selection: RecordSelection,
+}
+
+impl PartQuarantine {
+    /// Counts the parts that have a record.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Tells whether no part has a record.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Updates the list of routers, of which one admits the trials of a part.
+    pub fn update_fleet(&mut self, fleet: &Fleet) {
+        self.fleet.clone_from(fleet);
+    }
+
+    /// Records that an endpoint broke a connection on which a request was in progress.
+    pub fn crashed(&mut self, now: Time, prompt: PromptParts<'_>, crash: Crash) {
+        for part in prompt.parts {
+            let answered = self.answers.get(part).copied();
+            let suspect = self.suspect_mut(now, *part, prompt.workspace);
+            if let Some(at) = answered {
+                suspect.suspect.apply_answer(now, at);
+            }
+            suspect.extend_scope(prompt.workspace);
+            suspect.suspect.add_crash(now, crash);
+        }
+    }
+
+    /// Records that a request was answered completely, at `at`.
+    pub fn answered(&mut self, now: Time, at: Time, parts: &[u64]) {
+        for part in parts {
+            self.remember_answer(at, *part);
+            if let Some(suspect) = self.suspects.get_mut(part) {
+                suspect.suspect.apply_answer(now, at);
+            }
+        }
+    }
+
+    fn remember_answer(&mut self, at: Time, part: u64) {
+        if self.answers.len() >= MAX_ANSWERED_PARTS && !self.answers.contains_key(&part) {
+            let oldest = self.answers.values().enumerate().min_by_key(|(_, at)| **at);
+            if let Some(oldest) = oldest.map(|(index, _)| index) {
+                self.answers.swap_remove_index(oldest);
+            }
+        }
+        let newest = self.answers.entry(part).or_insert(at);
+        *newest = at.max(*newest);
+    }
+
+    /// Tells whether another attempt of a request would probably crash another endpoint.
+    pub fn forbids_retry(&self, now: Time, prompt: PromptParts<'_>) -> bool {
+        let crashes = |part: &u64| {
+            let suspect = self.suspects.get(part)?;
+            let known_good = suspect.suspect.answered_within(now, RETENTION);
+            (!known_good && suspect.applies_to(prompt.workspace))
+                .then_some(suspect.suspect.crashes.len())
+        };
+        let most = prompt.parts.iter().filter_map(crashes).max();
+        most.is_some_and(|crashes| crashes >= RETRY_THRESHOLD)
+    }
+
+    /// Tells whether a request has a quarantined part; `liveness_since` tells whether an endpoint
+    /// has answered or ended since a time.
+    pub fn verdict(
+        &self,
+        now: Time,
+        prompt: PromptParts<'_>,
+        policy: Policy,
+        liveness_since: impl Fn(Tag, Time) -> Liveness,
+    ) -> Option<PartVerdict> {
+        if self.suspects.is_empty() || policy.first == Millis(0) {
+            return None;
+        }
+        let held = prompt.parts.iter().filter_map(|part| {
+            let suspect = self.suspects.get(part)?;
+            let verdict = self.part_verdict(now, suspect, prompt, policy, &liveness_since)?;
+            Some(PartVerdict {
+                part: *part,
+                verdict,
+            })
+        });
+        held.max_by_key(|v| v.verdict.left)
+    }
+
+    fn part_verdict(
+        &self,
+        now: Time,
+        suspect: &PartSuspect,
+        prompt: PromptParts<'_>,
+        policy: Policy,
+        liveness_since: impl Fn(Tag, Time) -> Liveness,
+    ) -> Option<Verdict> {
+        let threshold = suspect.threshold(now);
+        if suspect.suspect.crashes.len() < threshold || !suspect.applies_to(prompt.workspace) {
+            return None;
+        }
+        let proven = suspect
+            .suspect
+            .counting_crashes(|c| presumed_ended(now, c, liveness_since(c.endpoint, c.at)));
+        let first = proven.first()?.at;
+        let known_good = threshold == PART_THRESHOLD_ANSWERED;
+        let too_early = known_good && now.since(first) < ANSWERLESS_TIME;
+        if proven.len() < threshold || too_early || self.is_explained(suspect, prompt, threshold) {
+            return None;
+        }
+        let crashes = suspect
+            .suspect
+            .counting_crashes(|c| liveness_since(c.endpoint, c.at) != Liveness::Alive);
+        let last = crashes.last()?.at;
+        let hold = policy.hold(&crashes, threshold, HOLD_FACTOR);
+        let trial = suspect.suspect.last_trial;
+        let trial = trial.map_or(Millis(0), |at| time_left(now, at, TRIAL_INTERVAL));
+        let left = time_left(now, last, hold).max(trial);
+        Some(Verdict { left, crashes })
+    }
+
+    /// Tells whether a part that the prompt does not have explains the crashes of one that it has: a
+    /// part with at least as many crashes, without which too few of them are left.
+    fn is_explained(
+        &self,
+        suspect: &PartSuspect,
+        prompt: PromptParts<'_>,
+        threshold: usize,
+    ) -> bool {
+        let crashes = suspect.suspect.crashes.len();
+        let absent = self.suspects.iter();
+        let mut absent = absent.filter(|(part, _)| !prompt.parts.contains(part));
+        absent.any(|(_, other)| {
+            other.suspect.crashes.len() >= crashes && suspect.crashes_without(other) < threshold
+        })
+    }
+
+    /// Admits a request as a trial of all its quarantined parts if their hold time is over and this
+    /// router is the one that decides on it.
+    pub fn admit_trial(&mut self, now: Time, verdict: &PartVerdict) -> bool {
+        if verdict.verdict.left > Millis(0) || !self.owns(verdict.part) {
+            return false;
+        }
+        if let Some(suspect) = self.suspects.get_mut(&verdict.part) {
+            suspect.suspect.last_trial = Some(now);
+        }
+        true
+    }
+
+    /// Tells whether this router is the first of the fleet for a part, by rendezvous hashing.
+    fn owns(&self, part: u64) -> bool {
+        let own = score(part, self.fleet.me);
+        self.fleet.others.iter().all(|o| score(part, *o) < own)
+    }
+
+    /// Drops old records and false crashes, as [`super::quarantine::Quarantine::expire`] does.
+    pub fn expire(
+        &mut self,
+        now: Time,
+        policy: Policy,
+        liveness_since: impl Fn(Tag, Time) -> Liveness,
+    ) {
+        if self.suspects.is_empty() {
+            return;
+        }
+        for suspect in self.suspects.values_mut() {
+            let crashes = &mut suspect.suspect.crashes;
+            crashes.retain(|c| liveness_since(c.endpoint, c.at) != Liveness::Alive);
+        }
+        let ends = first_crashes(self.suspects.values().map(|s| &s.suspect));
+        self.suspects.retain(|_, suspect| {
+            let threshold = suspect.threshold(now);
+            let suspect = &mut suspect.suspect;
+            suspect.retain_runs(&ends);
+            let retention = if suspect.crashes.is_empty() {
+                CLEARED_RETENTION
+            } else {
+                RETENTION + policy.hold(&suspect.crashes, threshold, HOLD_FACTOR)
+            };
+            now.since(suspect.last_changed) < retention
+        });
+    }
+
+    /// Picks the records for a digest that has room for so many records and crashes.
+    pub fn records(&mut self, now: Time, room: (usize, usize)) -> Vec<Record> {
+        let suspects = self.suspects.iter().map(|(part, suspect)| {
+            let request = Fingerprint {
+                workspace: suspect.workspace,
+                content: *part,
+            };
+            let crashes = suspect.suspect.crashes.len();
+            let is_held = crashes >= suspect.threshold(now);
+            let known_good = suspect.suspect.answered_within(now, RETENTION);
+            // Parts without any answer are the likely ones. Peers need the answers of the others
+            // only if they hold crashes of them.
+            let tier = match (is_held, known_good, crashes) {
+                (true, _, _) | (false, false, 2..) => 0,
+                (false, true, 1) => 2,
+                _ => 1,
+            };
+            (request, &suspect.suspect, is_held, tier)
+        });
+        let picked = self.selection.pick(now, suspects, room);
+        let records = picked.into_iter().map(|record| Record {
+            is_part: true,
+            ..record
+        });
+        records.collect()
+    }
+
+    /// Merges a record that a peer sent.
+    pub fn heard(&mut self, now: Time, record: &Record) {
+        let part = record.request.content;
+        let known = self.suspects.contains_key(&part);
+        if record.crashes.is_empty() && !known {
+            return;
+        }
+        if let Some(age) = record.answered {
+            self.remember_answer(now - age, part);
+        }
+        let answered = self.answers.get(&part).copied();
+        let suspect = self.suspect_mut(now, part, record.request.workspace);
+        if !record.crashes.is_empty() {
+            suspect.extend_scope(record.request.workspace);
+        }
+        if let Some(at) = answered {
+            suspect.suspect.apply_answer(now, at);
+        }
+        suspect.suspect.merge(now, record);
+    }
+
+    /// Returns a part's record; inserts a new one, and evicts another where the table or the
+    /// workspace's share of it is full.
+    fn suspect_mut(&mut self, now: Time, part: u64, workspace: u32) -> &mut PartSuspect {
+        if !self.suspects.contains_key(&part) {
+            let of = self.suspects.values().filter(|s| s.workspace == workspace);
+            if of.count() >= MAX_PART_SUSPECTS_PER_WORKSPACE {
+                self.evict(|s| s.workspace == workspace);
+            } else if self.suspects.len() >= MAX_PART_SUSPECTS {
+                self.evict(|_| true);
+            }
+        }
+        self.suspects.entry(part).or_insert(PartSuspect {
+            suspect: Suspect::new(now),
+            workspace,
+        })
+    }
+
+    /// Drops the record with the fewest crashes; among equals one that was answered, and the one that
+    /// changed least recently.
+    fn evict(&mut self, of: impl Fn(&PartSuspect) -> bool) {
+        let found = self.suspects.values().enumerate().filter(|(_, s)| of(s));
+        let least = found.min_by_key(|(_, s)| {
+            let suspect = &s.suspect;
+            let unanswered = suspect.last_answered().is_none();
+            (suspect.crashes.len(), unanswered, suspect.last_changed)
+        });
+        if let Some(at) = least.map(|(at, _)| at) {
+            self.suspects.swap_remove_index(at);
+        }
+    }
+}
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -182,6 +182,8 @@
     pub cold: bool,
     /// Whether the endpoint is brittle and may turn the request away.
     pub at_risk: bool,
+    /// Whether the quarantine has admitted the request as a trial.
+    pub trial: bool,
 }
 
 /// Chooses an endpoint that the ticket has not tried; `None` where there is none.
@@ -559,5 +561,6 @@
         holder: None,
         cold: context.cold(chosen),
         at_risk: context.at_risk(*endpoint, chosen),
+        trial: false,
     })
 }
--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -15,14 +15,21 @@
 //! could answer, looks the same. Once the hold time is over, one request is therefore admitted as a
 //! trial: a complete answer clears the request at all routers, another crash extends the hold.
 
-use std::collections::VecDeque;
+use std::{
+    collections::VecDeque,
+    sync::Arc, //
+};
 
 use indexmap::IndexMap;
 
 use crate::{
     gateway::{
         endpoint::Liveness,
-        fingerprint::Fingerprint, //
+        fingerprint::Fingerprint,
+        part_quarantine::{
+            PartQuarantine,
+            PromptParts, //
+        },
     },
     ids::Tag,
     units::{
@@ -95,18 +102,19 @@
 }
 
 impl Policy {
-    /// Returns the hold time of a request with these crashes, of which `threshold` quarantine it.
+    /// Returns the hold time of a request with these crashes, of which `threshold` quarantine it; it
+    /// grows by `factor` after each trial that crashed an endpoint.
     ///
     /// Crashes that follow the one before within the first hold time do not extend it: their
     /// requests were in progress already, or come from routers that did not know yet. A later crash
     /// was caused by a trial.
-    fn hold(self, crashes: &[Crash], threshold: usize) -> Millis {
+    pub(super) fn hold(self, crashes: &[Crash], threshold: usize, factor: u64) -> Millis {
         let since = crashes
             .get(threshold.saturating_sub(1)..)
             .unwrap_or_default();
         let pairs = since.windows(2);
         let trials = pairs.filter(|pair| pair[1].at.since(pair[0].at) >= self.first);
-        let times = trials.fold(1, |times: u64, _| times.saturating_mul(HOLD_FACTOR));
+        let times = trials.fold(1, |times: u64, _| times.saturating_mul(factor));
         Millis(self.first.0.saturating_mul(times))
     }
 }
@@ -151,11 +159,15 @@
     pub ran: Millis,
 }
 
-/// `Record` is what routers report to each other about a request; ages count from the sending.
+/// `Record` is what routers report to each other about a request, or about a prompt part; ages count
+/// from the sending.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
-    /// Fingerprint of the request's content.
+    /// Fingerprint of the request's content; for a prompt part the tag of the workspace that its
+    /// record applies to, and the part's hash.
     pub request: Fingerprint,
+    /// Whether it is about a prompt part.
+    pub is_part: bool,
     /// Crashes while the request was in progress.
     pub crashes: Vec<CrashReport>,
     /// Age of its newest complete answer.
@@ -171,23 +183,34 @@
     pub crashes: Vec<Crash>,
 }
 
+/// `Suspect` is the crash record of a request's content or of a prompt part.
 #[derive(Clone, Debug)]
-struct Suspect {
+pub(super) struct Suspect {
     /// Oldest first, at most one for each endpoint.
-    crashes: Vec<Crash>,
+    pub(super) crashes: Vec<Crash>,
     /// When an endpoint last answered it completely. Earlier crashes are dropped.
     answered: Option<Time>,
     /// Complete answers that this router saw.
     answers: u32,
     /// When the record last changed.
-    last_changed: Time,
+    pub(super) last_changed: Time,
     /// When the last trial was admitted.
-    last_trial: Option<Time>,
+    pub(super) last_trial: Option<Time>,
+}
+
+/// `RecordSelection` picks the records for digests.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RecordSelection {
+    /// When quarantined requests were last announced again.
+    last_reannounced: Time,
+    /// Index into [`TIER_ORDERS`] for the next digest, and the next record of each tier.
+    tier_order: usize,
+    next_in_tier: [usize; TIERS],
 }
 
 /// `UnprovedAnswer` is an answer that ended with its connection. It is complete if its endpoint goes on; if the
 /// endpoint has ended, it was broken off, and its request is a suspect.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct UnprovedAnswer {
     /// Fingerprint of the request's content.
     pub request: Fingerprint,
@@ -195,6 +218,10 @@
     pub hash: u64,
     /// The crash that it may have been.
     pub crash: Crash,
+    /// Tag of the workspace, and hashes of the prompt's shared parts.
+    pub workspace: u32,
+    /// See [`UnprovedAnswer::workspace`].
+    pub parts: Arc<[u64]>,
 }
 
 /// `Quarantine` holds the crash records of requests.
@@ -205,11 +232,7 @@
     unproved: VecDeque<UnprovedAnswer>,
     /// Newest complete answers, by this router's own hash of the content.
     answers: VecDeque<(u64, Time)>,
-    /// When quarantined requests were last announced again.
-    last_reannounced: Time,
-    /// Index into [`TIER_ORDERS`] for the next digest, and the next record of each tier.
-    tier_order: usize,
-    next_in_tier: [usize; TIERS],
+    selection: RecordSelection,
 }
 
 impl Quarantine {
@@ -257,23 +280,33 @@
         self.unproved.push_back(answer);
     }
 
-    fn judge_unproved(&mut self, now: Time, liveness_since: impl Fn(Tag, Time) -> Liveness) {
+    /// Judges the answers that ended with their connections, and tells the quarantine of parts.
+    pub(super) fn judge_unproved(
+        &mut self,
+        now: Time,
+        parts: &mut PartQuarantine,
+        liveness_since: impl Fn(Tag, Time) -> Liveness,
+    ) {
         for answer in std::mem::take(&mut self.unproved) {
-            let UnprovedAnswer {
-                request,
-                hash,
-                crash,
-            } = answer;
+            let crash = answer.crash;
             let waited = now.since(crash.at) >= PRESUMED_ENDED_AFTER;
             match liveness_since(crash.endpoint, crash.at) {
-                Liveness::Dead => self.suspect_mut(now, request).add_crash(now, crash),
+                Liveness::Dead => {
+                    self.suspect_mut(now, answer.request).add_crash(now, crash);
+                    let prompt = PromptParts {
+                        workspace: answer.workspace,
+                        parts: &answer.parts,
+                    };
+                    parts.crashed(now, prompt, crash);
+                }
                 Liveness::Unknown if !waited => self.unproved.push_back(answer),
                 Liveness::Alive | Liveness::Unknown => {
-                    self.record_complete_answer(crash.at, hash);
-                    if let Some(suspect) = self.suspects.get_mut(&request) {
+                    self.record_complete_answer(crash.at, answer.hash);
+                    if let Some(suspect) = self.suspects.get_mut(&answer.request) {
                         suspect.answers = suspect.answers.saturating_add(1);
                         suspect.apply_answer(now, crash.at);
                     }
+                    parts.answered(now, crash.at, &answer.parts);
                 }
             }
         }
@@ -314,11 +347,7 @@
         let suspect = self.suspects.get(&request)?;
         let threshold = suspect.threshold(now);
         let proven =
-            suspect.counting_crashes(|crash| match liveness_since(crash.endpoint, crash.at) {
-                Liveness::Alive => false,
-                Liveness::Dead => true,
-                Liveness::Unknown => now.since(crash.at) >= PRESUMED_ENDED_AFTER,
-            });
+            suspect.counting_crashes(|c| presumed_ended(now, c, liveness_since(c.endpoint, c.at)));
         if proven.len() < threshold || policy.first == Millis(0) {
             return None;
         }
@@ -326,7 +355,7 @@
         // endpoint ended.
         let crashes =
             suspect.counting_crashes(|c| liveness_since(c.endpoint, c.at) != Liveness::Alive);
-        let hold = policy.hold(&crashes, threshold);
+        let hold = policy.hold(&crashes, threshold, HOLD_FACTOR);
         let last = crashes.last()?.at;
         let last_trial = suspect.last_trial.filter(|at| *at >= last);
         let trial = last_trial.map_or(Millis(0), |at| time_left(now, at, TRIAL_INTERVAL));
@@ -366,55 +395,94 @@
         policy: Policy,
         liveness_since: impl Fn(Tag, Time) -> Liveness,
     ) {
-        self.judge_unproved(now, &liveness_since);
         let ended = |c: &Crash| liveness_since(c.endpoint, c.at) != Liveness::Alive;
         for suspect in self.suspects.values_mut() {
             suspect.crashes.retain(ended);
         }
-        let first_crashes = self.first_crashes();
+        let ends = first_crashes(self.suspects.values());
         self.suspects.retain(|_, suspect| {
-            let ran = |c: &Crash| {
-                first_crashes
-                    .get(&c.endpoint)
-                    .is_none_or(|end| c.was_sent_before(*end))
-            };
-            suspect.crashes.retain(ran);
-            let hold = policy.hold(&suspect.crashes, suspect.threshold(now));
+            suspect.retain_runs(&ends);
+            let threshold = suspect.threshold(now);
+            let hold = policy.hold(&suspect.crashes, threshold, HOLD_FACTOR);
             now.since(suspect.last_changed) < RECORD_RETENTION + hold
         });
     }
 
-    /// Returns the time of the first crash of each endpoint.
-    fn first_crashes(&self) -> IndexMap<Tag, Time> {
-        let mut first_crashes = IndexMap::new();
-        for crash in self.suspects.values().flat_map(|s| &s.crashes) {
-            let end = first_crashes.entry(crash.endpoint).or_insert(crash.at);
-            *end = crash.at.min(*end);
+    /// Picks the records for a digest that has room for so many records and crashes.
+    pub fn records(&mut self, now: Time, room: (usize, usize)) -> Vec<Record> {
+        let suspects = self.suspects.iter().map(|(request, suspect)| {
+            let is_held = suspect.meets_threshold(now);
+            (*request, suspect, is_held, suspect.tier(now))
+        });
+        self.selection.pick(now, suspects, room)
+    }
+
+    /// Merges a record that a peer sent.
+    pub fn heard(&mut self, now: Time, record: &Record) {
+        let known = self.suspects.contains_key(&record.request);
+        if !record.crashes.is_empty() || known {
+            self.suspect_mut(now, record.request).merge(now, record);
         }
-        first_crashes
     }
 
-    /// Picks the records for a digest, from each tier in turn. Many requests that were in progress
-    /// at a crash by chance must not keep the others from being sent.
-    pub fn records(&mut self, now: Time) -> Vec<Record> {
+    /// Returns a request's record; inserts a new one, and evicts another where the table or the
+    /// workspace's part of it is full.
+    fn suspect_mut(&mut self, now: Time, request: Fingerprint) -> &mut Suspect {
+        if !self.suspects.contains_key(&request) {
+            let of = |workspace| {
+                let keys = self.suspects.keys();
+                keys.filter(|f| f.workspace == workspace).count()
+            };
+            if of(request.workspace) >= MAX_SUSPECTS_PER_WORKSPACE {
+                self.evict(|f| f.workspace == request.workspace);
+            } else if self.suspects.len() >= MAX_SUSPECTS {
+                self.evict(|_| true);
+            }
+        }
+        self.suspects.entry(request).or_insert(Suspect::new(now))
+    }
+
+    /// Drops the record with the fewest crashes; among equals the one that changed least recently.
+    fn evict(&mut self, of: impl Fn(&Fingerprint) -> bool) {
+        let found = self.suspects.iter().enumerate();
+        let found = found.filter(|(_, (f, _))| of(f));
+        let least = found.min_by_key(|(_, (_, s))| (s.crashes.len(), s.last_changed));
+        if let Some(at) = least.map(|(at, _)| at) {
+            self.suspects.swap_remove_index(at);
+        }
+    }
+}
+
+impl RecordSelection {
+    /// Picks the records for a digest that has room for so many records and crashes, from each tier
+    /// in turn. Many requests that were in progress at a crash by chance must not keep the others
+    /// from being sent.
+    ///
+    /// Each suspect comes with whether it is quarantined, and with its tier.
+    pub(super) fn pick<'a>(
+        &mut self,
+        now: Time,
+        suspects: impl Iterator<Item = (Fingerprint, &'a Suspect, bool, usize)>,
+        (most_records, most_crashes): (usize, usize),
+    ) -> Vec<Record> {
         let reannounces = now.since(self.last_reannounced) >= REANNOUNCEMENT_INTERVAL;
         if reannounces {
             self.last_reannounced = now;
         }
         let mut tiers: [Vec<(Fingerprint, &Suspect)>; TIERS] = Default::default();
-        for (request, suspect) in &self.suspects {
+        for (request, suspect, is_held, tier) in suspects {
             let new = now.since(suspect.last_changed) < ANNOUNCEMENT_PERIOD;
-            if new || (reannounces && suspect.meets_threshold(now)) {
-                tiers[suspect.tier(now)].push((*request, suspect));
+            if new || (reannounces && is_held) {
+                tiers[tier].push((request, suspect));
             }
         }
         self.tier_order = (self.tier_order + 1) % TIER_ORDERS.len();
-        let mut records = Vec::with_capacity(MAX_DIGEST_RECORDS);
-        let mut room = MAX_DIGEST_CRASHES;
+        let mut records = Vec::with_capacity(most_records);
+        let mut room = most_crashes;
         for tier in TIER_ORDERS[self.tier_order] {
             for _ in 0..tiers[tier].len() {
                 let (request, suspect) = tiers[tier][self.next_in_tier[tier] % tiers[tier].len()];
-                if records.len() == MAX_DIGEST_RECORDS || suspect.crashes.len() > room {
+                if records.len() == most_records || suspect.crashes.len() > room {
                     break;
                 }
                 room -= suspect.crashes.len();
@@ -424,74 +492,67 @@
         }
         records
     }
+}
 
-    /// Merges the records that a peer sent.
-    pub fn heard(&mut self, now: Time, records: &[Record]) {
-        for record in records {
-            let known = self.suspects.contains_key(&record.request);
-            if record.crashes.is_empty() && !known {
-                continue;
-            }
-            let suspect = self.suspect_mut(now, record.request);
-            if let Some(age) = record.answered {
-                suspect.apply_answer(now, now - age);
-            }
-            for report in &record.crashes {
-                let at = now - report.age;
-                let crash = Crash {
-                    endpoint: report.endpoint,
-                    sent: at - report.ran,
-                    at,
-                    observed_here: false,
-                };
-                suspect.add_crash(now, crash);
-            }
-        }
-    }
-
-    /// Returns a request's record; inserts a new one, and evicts another where the table or the
-    /// workspace's part of it is full.
-    fn suspect_mut(&mut self, now: Time, request: Fingerprint) -> &mut Suspect {
-        if !self.suspects.contains_key(&request) {
-            let of = |workspace| {
-                let keys = self.suspects.keys();
-                keys.filter(|f| f.workspace == workspace).count()
-            };
-            if of(request.workspace) >= MAX_SUSPECTS_PER_WORKSPACE {
-                self.evict(|f| f.workspace == request.workspace);
-            } else if self.suspects.len() >= MAX_SUSPECTS {
-                self.evict(|_| true);
-            }
-        }
-        self.suspects.entry(request).or_insert(Suspect {
+impl Suspect {
+    pub(super) const fn new(now: Time) -> Self {
+        Self {
             crashes: Vec::new(),
             answered: None,
             answers: 0,
             last_changed: now,
             last_trial: None,
-        })
+        }
     }
 
-    /// Drops the record with the fewest crashes; among equals the one that changed least recently.
-    fn evict(&mut self, of: impl Fn(&Fingerprint) -> bool) {
-        let found = self.suspects.iter().enumerate();
-        let found = found.filter(|(_, (f, _))| of(f));
-        let least = found.min_by_key(|(_, (_, s))| (s.crashes.len(), s.last_changed));
-        if let Some(at) = least.map(|(at, _)| at) {
-            self.suspects.swap_remove_index(at);
+    /// Tells whether it was answered completely within a time.
+    pub(super) fn answered_within(&self, now: Time, span: Millis) -> bool {
+        self.answered.is_some_and(|at| now.since(at) < span)
+    }
+
+    pub(super) const fn last_answered(&self) -> Option<Time> {
+        self.answered
+    }
+
+    pub(super) fn has_crash_of(&self, endpoint: Tag) -> bool {
+        self.crashes.iter().any(|c| c.endpoint == endpoint)
+    }
+
+    /// Drops crashes of endpoints that had ended before the request was sent; `ends` is when each
+    /// endpoint ended.
+    pub(super) fn retain_runs(&mut self, ends: &IndexMap<Tag, Time>) {
+        let ran = |c: &Crash| {
+            let end = ends.get(&c.endpoint);
+            end.is_none_or(|end| c.was_sent_before(*end))
+        };
+        self.crashes.retain(ran);
+    }
+
+    /// Merges what a peer has reported.
+    pub(super) fn merge(&mut self, now: Time, record: &Record) {
+        if let Some(age) = record.answered {
+            self.apply_answer(now, now - age);
+        }
+        for report in &record.crashes {
+            let at = now - report.age;
+            let crash = Crash {
+                endpoint: report.endpoint,
+                sent: at - report.ran,
+                at,
+                observed_here: false,
+            };
+            self.add_crash(now, crash);
         }
     }
-}
 
-impl Suspect {
     /// Adds a crash, unless there is one of the same endpoint already.
-    fn add_crash(&mut self, now: Time, crash: Crash) {
+    pub(super) fn add_crash(&mut self, now: Time, crash: Crash) {
         if self.answered.is_some_and(|at| at >= crash.at) {
             // The reporting peer does not know of the answer yet, so the answer is announced again.
             self.last_changed = now;
             return;
         }
-        if self.crashes.iter().any(|c| c.endpoint == crash.endpoint) {
+        if self.has_crash_of(crash.endpoint) {
             return;
         }
         let at = self.crashes.partition_point(|c| c.at <= crash.at);
@@ -514,7 +575,7 @@
         runs.map(close).position(|is| is).map_or(0, |n| n + 2)
     }
 
-    fn apply_answer(&mut self, now: Time, at: Time) {
+    pub(super) fn apply_answer(&mut self, now: Time, at: Time) {
         if self.answered.is_none() {
             self.last_changed = now;
         }
@@ -528,10 +589,7 @@
 
     /// Returns the number of crashes that quarantine the request.
     fn threshold(&self, now: Time) -> usize {
-        let recent = self
-            .answered
-            .is_some_and(|at| now.since(at) < RECORD_RETENTION);
-        if recent {
+        if self.answered_within(now, RECORD_RETENTION) {
             QUARANTINE_THRESHOLD_ANSWERED
         } else {
             QUARANTINE_THRESHOLD
@@ -558,7 +616,7 @@
 
     /// Lists the crashes that count, among those for which `ended` holds: the first of each group,
     /// and one more if its request was sent after that first crash.
-    fn counting_crashes(&self, ended: impl Fn(&Crash) -> bool) -> Vec<Crash> {
+    pub(super) fn counting_crashes(&self, ended: impl Fn(&Crash) -> bool) -> Vec<Crash> {
         let mut counting_crashes: Vec<Crash> = Vec::with_capacity(self.crashes.len());
         let mut group_start: Option<Crash> = None;
         let mut second = false;
@@ -585,14 +643,36 @@
         };
         Record {
             request,
+            is_part: false,
             crashes: self.crashes.iter().map(report).collect(),
             answered: self.answered.map(|at| now.since(at)),
         }
     }
 }
 
+/// Returns the time of the first crash of each endpoint.
+pub(super) fn first_crashes<'a>(
+    suspects: impl Iterator<Item = &'a Suspect>,
+) -> IndexMap<Tag, Time> {
+    let mut first_crashes = IndexMap::new();
+    for crash in suspects.flat_map(|s| &s.crashes) {
+        let end = first_crashes.entry(crash.endpoint).or_insert(crash.at);
+        *end = crash.at.min(*end);
+    }
+    first_crashes
+}
+
+/// Tells whether the endpoint of a crash has ended, or is presumed to have.
+pub(super) fn presumed_ended(now: Time, crash: &Crash, liveness: Liveness) -> bool {
+    match liveness {
+        Liveness::Alive => false,
+        Liveness::Dead => true,
+        Liveness::Unknown => now.since(crash.at) >= PRESUMED_ENDED_AFTER,
+    }
+}
+
 /// Returns what is left of a time span that began at `since`.
-fn time_left(now: Time, since: Time, span: Millis) -> Millis {
+pub(super) fn time_left(now: Time, since: Time, span: Millis) -> Millis {
     Millis(span.0.saturating_sub(now.since(since).0))
 }
 
--- a/crates/core/src/gateway/refusal.rs
+++ b/crates/core/src/gateway/refusal.rs
@@ -36,6 +36,8 @@
     Overloaded,
     /// Earlier runs of the same request crashed endpoints.
     Quarantined,
+    /// A part of the prompt crashed the endpoints that ran requests with it.
+    PartQuarantined,
     /// All endpoints that could serve the request are cold and at their warm-up limit.
     WarmingUp,
     /// All endpoints that could serve the request have asked for a time without requests.
@@ -98,6 +100,11 @@
         Self::with_retry_after(Cause::Quarantined, left, may_have_run)
     }
 
+    /// Refuses a request with a prompt part that the quarantine holds back for the time `left`.
+    pub const fn part_quarantined(left: Millis, may_have_run: bool) -> Self {
+        Self::with_retry_after(Cause::PartQuarantined, left, may_have_run)
+    }
+
     /// Gives up a request that may be served after the time `left`.
     pub const fn with_retry_after(cause: Cause, left: Millis, may_have_run: bool) -> Self {
         Self {
--- a/crates/core/src/gateway/updates.rs
+++ b/crates/core/src/gateway/updates.rs
@@ -20,7 +20,11 @@
             self,
             Sample, //
         },
-        quarantine::Record,
+        quarantine::{
+            MAX_DIGEST_CRASHES,
+            MAX_DIGEST_RECORDS,
+            Record, //
+        },
         warmup, //
     },
     units::{
@@ -184,6 +188,10 @@
         self.registry.end_back_offs(now, &mut events);
         let liveness_since = |life, since| self.registry.liveness_since(life, since);
         self.quarantine
+            .judge_unproved(now, &mut self.part_quarantine, liveness_since);
+        self.quarantine
+            .expire(now, self.bounds.hold, liveness_since);
+        self.part_quarantine
             .expire(now, self.bounds.hold, liveness_since);
         self.tick_streams(now);
         events
@@ -216,7 +224,7 @@
     /// requests that were in progress at endpoints whose connections broke, and endpoints that have
     /// asked for a back-off. Records and back-offs displace some of the reports.
     pub fn digest_contents(&mut self, now: Time, draw: u64) -> DigestContents {
-        let crashes = self.quarantine.records(now);
+        let crashes = self.crash_records(now, draw);
         let back_offs = self.registry.back_offs(now, draw);
         let reports_streams =
             !self.reported.is_empty() && self.routers as usize > mesh::SMALL_FLEET + 1;
@@ -234,6 +242,29 @@
         }
     }
 
+    /// Picks the records of requests and of prompt parts, either first by chance.
+    fn crash_records(&mut self, now: Time, draw: u64) -> Vec<Record> {
+        let room = (MAX_DIGEST_RECORDS, MAX_DIGEST_CRASHES);
+        let rest = |records: &[Record]| {
+            let crashes: usize = records.iter().map(|r| r.crashes.len()).sum();
+            (
+                MAX_DIGEST_RECORDS - records.len(),
+                MAX_DIGEST_CRASHES - crashes,
+            )
+        };
+        let (mut records, others) = if draw.is_multiple_of(2) {
+            let records = self.quarantine.records(now, room);
+            let others = self.part_quarantine.records(now, rest(&records));
+            (records, others)
+        } else {
+            let records = self.part_quarantine.records(now, room);
+            let others = self.quarantine.records(now, rest(&records));
+            (records, others)
+        };
+        records.extend(others);
+        records
+    }
+
     /// Takes in a peer's reports of endpoints that have asked it for a back-off.
     pub fn record_peer_back_offs(&mut self, now: Time, reports: &[mesh::BackOffReport]) {
         for report in reports {
@@ -243,7 +274,13 @@
 
     /// Takes in a peer's quarantine records.
     pub fn record_peer_crashes(&mut self, now: Time, records: &[Record]) {
-        self.quarantine.heard(now, records);
+        for record in records {
+            if record.is_part {
+                self.part_quarantine.heard(now, record);
+            } else {
+                self.quarantine.heard(now, record);
+            }
+        }
     }
 
     /// Takes in a peer's reports of endpoints.
@@ -320,6 +357,7 @@
     /// Updates the list of routers that share the requests that cold endpoints may get.
     pub fn update_fleet(&mut self, now: Time, fleet: &warmup::Fleet) {
         self.expects_peers = fleet.expected;
+        self.part_quarantine.update_fleet(fleet);
         let bounded = |(key, endpoint): (EndpointKey, &endpoint::Endpoint)| {
             let bound = self.warmup_limit(&endpoint.entry.service)?;
             Some(warmup::ColdEndpoint {
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod mirror;
 mod origin;
 mod outcome;
+mod part_quarantine;
 mod place;
 mod proof;
 mod quarantine;
--- a/crates/core/tests/gateway/quarantine.rs
+++ b/crates/core/tests/gateway/quarantine.rs
@@ -24,6 +24,8 @@
         outcome::AttemptOutcome,
         quarantine::{
             self,
+            MAX_DIGEST_CRASHES,
+            MAX_DIGEST_RECORDS,
             MAX_SUSPECTS,
             MAX_SUSPECTS_PER_WORKSPACE,
             Policy,
@@ -47,6 +49,8 @@
 
 /// Longest time until all routers know of the third crash.
 const PROPAGATION_LIMIT: Millis = Millis(3000);
+/// Records and crashes that a digest has room for.
+const ROOM: (usize, usize) = (MAX_DIGEST_RECORDS, MAX_DIGEST_CRASHES);
 /// Time until a request that crashes nothing is answered.
 const ANSWER_TIME: Millis = Millis(40);
 
@@ -365,6 +369,7 @@
     let crashed_at = Time(3000 + hold_ms + 3100);
     let records = vec![quarantine::Record {
         request: fingerprint("a"),
+        is_part: false,
         crashes: vec![quarantine::CrashReport {
             endpoint: Tag(9),
             age: Millis(0),
@@ -397,6 +402,7 @@
     };
     let records = vec![quarantine::Record {
         request: fingerprint("a"),
+        is_part: false,
         crashes: (0..3).map(crashes).collect(),
         answered: None,
     }];
@@ -684,7 +690,7 @@
         }
         let mut sent = std::collections::HashSet::new();
         for round in 0..28 {
-            let records = table.records(Time(1100) + Millis(round * GOSSIP_INTERVAL.0));
+            let records = table.records(Time(1100) + Millis(round * GOSSIP_INTERVAL.0), ROOM);
             sent.extend(records.into_iter().map(|r| r.request));
         }
         expect_that!(sent.len() as u64, eq(requests));
@@ -708,7 +714,8 @@
         table.answered(Time(1100), record_key(n));
     }
     table.answered(Time(1100), record_key(59));
-    let mut rounds = (1..5).map(|n| table.records(Time(1100) + Millis(n * GOSSIP_INTERVAL.0)));
+    let mut rounds =
+        (1..5).map(|n| table.records(Time(1100) + Millis(n * GOSSIP_INTERVAL.0), ROOM));
     let sent = rounds.any(|records| records.iter().any(|r| r.request == record_key(59)));
     expect_true!(sent);
 }
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -43,7 +43,10 @@
             NextStep, //
         },
         place::Placed,
-        quarantine::Crash,
+        quarantine::{
+            Crash,
+            Verdict, //
+        },
         refusal::{
             Cause,
             Refusal, //
@@ -725,6 +728,7 @@
             _ => {}
         }
         self.identify();
+        self.ticket.succeeded = status.is_some_and(|s| s.is_success());
         let target = guard.target.clone();
         let next = guard.end(self, outcome);
         let took = now().since(self.began);
@@ -800,8 +804,10 @@
 
     /// Builds the answer that refuses the request.
     pub(crate) fn refuse(&self, refusal: Refusal) -> Response<Body> {
-        if refusal.cause == Cause::Quarantined {
-            self.log_held();
+        match refusal.cause {
+            Cause::Quarantined => self.log_held(),
+            Cause::PartQuarantined => self.log_part_held(),
+            _ => {}
         }
         let deadline = Some(self.ticket.deadline);
         let mut response = refuse(&self.state, &self.incoming_request.id, refusal, deadline);
@@ -846,24 +852,39 @@
         else {
             return;
         };
-        let seen = |c: &Crash| {
-            let endpoint = gateway.registry().life(c.endpoint);
-            let name = endpoint.map(|e| text(&e.entry.id).into_owned());
-            let name = name.unwrap_or_else(|| format!("{:08x}", c.endpoint.0));
-            let by = if c.observed_here { "here" } else { "elsewhere" };
-            format!("{name} {} ms ago {by}", now.since(c.at).0)
-        };
-        let crashes: Vec<String> = verdict.crashes.iter().map(seen).collect();
         tracing::warn!(
             event = 621,
             id = %text(&self.incoming_request.id),
             %content,
-            crashes = crashes.join(", "),
+            crashes = describe(&gateway, now, &verdict),
             left = verdict.left.0,
             "request held back"
         );
     }
 
+    fn log_part_held(&self) {
+        let gateway = self.state.gateway.borrow();
+        let now = now();
+        let verdict = gateway.part_verdict(now, &self.ticket);
+        let (Some(held), Some(prompt), true) = (
+            verdict,
+            &self.incoming_request.prompt,
+            self.state.log.try_admit(),
+        ) else {
+            return;
+        };
+        let place = prompt.parts.iter().position(|p| p.id == held.part);
+        tracing::warn!(
+            event = 622,
+            id = %text(&self.incoming_request.id),
+            part = format!("{:016x}", held.part),
+            place = place.map(|index| index + 1),
+            crashes = describe(&gateway, now, &held.verdict),
+            left = held.verdict.left.0,
+            "request with a crashing prompt part held back"
+        );
+    }
+
     /// Records what an endpoint's answer says of the endpoint itself.
     fn record_signals(
         &self,
@@ -1018,6 +1039,19 @@
     Some(())
 }
 
+/// Describes the crashes of a verdict: which endpoints, when, and who saw it.
+fn describe(gateway: &Gateway, now: Time, verdict: &Verdict) -> String {
+    let seen = |c: &Crash| {
+        let endpoint = gateway.registry().life(c.endpoint);
+        let name = endpoint.map(|e| text(&e.entry.id).into_owned());
+        let name = name.unwrap_or_else(|| format!("{:08x}", c.endpoint.0));
+        let by = if c.observed_here { "here" } else { "elsewhere" };
+        format!("{name} {} ms ago {by}", now.since(c.at).0)
+    };
+    let crashes: Vec<String> = verdict.crashes.iter().map(seen).collect();
+    crashes.join(", ")
+}
+
 fn endpoint_name(gateway: &Gateway, endpoint: EndpointKey) -> String {
     let found = gateway.registry().get(endpoint);
     found.map_or_else(|| "gone".to_owned(), |e| text(&e.entry.id).into_owned())
--- a/crates/toucanturn/src/trace.rs
+++ b/crates/toucanturn/src/trace.rs
@@ -258,6 +258,10 @@
             "endpoints have ended that ran the same content before; see event 621, and the lines with +"
                 .to_owned()
         }
+        "part_quarantined" => {
+            "endpoints have ended that ran prompts with one of its parts; see event 622, and the lines with +"
+                .to_owned()
+        }
         "warming_up" => {
             "all endpoints that could take it were cold and had as many requests as they tolerate"
                 .to_owned()
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -103,6 +103,8 @@
 /// Bytes of stream reports before the first one, and of each.
 const STREAM_REPORTS_HEAD: usize = 11;
 const STREAM_REPORT_BYTES: usize = 20;
+// Digests have 32 bits for which records are of prompt parts.
+const _: () = assert!(MAX_DIGEST_RECORDS <= 32);
 // Digests have 32 bits for which routers read.
 const _: () = assert!(MAX_HEARTBEATS <= 32);
 
@@ -241,6 +243,7 @@
         crash_ages: endpoints.clone().map(|c| steps(c.age)).collect(),
         crash_runs: endpoints.map(|c| steps(c.ran)).collect(),
         crash_answers: crashes.iter().map(answered).collect(),
+        crash_parts: bits(crashes, |c| c.is_part),
         back_off_endpoints: digest.back_offs.iter().map(|b| b.endpoint).collect(),
         back_off_times: digest.back_offs.iter().map(|b| steps(b.left)).collect(),
         unreached_services: digest.unreached_services.clone(),
@@ -360,6 +363,7 @@
             workspace: raw.crash_workspaces[row],
             content: raw.crash_contents[row],
         },
+        is_part: raw.crash_parts >> row & 1 == 1,
         crashes: ended.by_ref().take(count).collect(),
         answered: raw.crash_answers[row].checked_sub(1).map(age),
     });
--- a/crates/wire/tests/gossip.rs
+++ b/crates/wire/tests/gossip.rs
@@ -142,6 +142,7 @@
             workspace: u32::MAX,
             content: u64::MAX - number,
         },
+        is_part: number.is_multiple_of(3),
         crashes: (0..endpoints).map(ended).collect(),
         answered: number.is_multiple_of(2).then_some(Millis(160)),
     }
