Hand requests to peers where a router's own share of connections is used up

Cause: each router has 1/N of the connections that an endpoint accepts. A router that gets all traffic has its own part alone, and refused the rest as no_endpoint while the parts of the others were free.

Fix: what is refused for that reason only is handed to a peer, which places it within its own part, so the bound on connections holds as before. The refusal that is left is `overloaded`, not run, with a time to come back.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -296,6 +296,13 @@
                     may_have_run,
                 ));
             }
+            if place::has_full_share(&context, ticket) {
+                let wait = spread_retry_delay(now, ticket.deadline, FULL_RETRY_DELAY, draw);
+                return Err(Refusal {
+                    peers_have_room: true,
+                    ..Refusal::with_retry_after(Cause::Overloaded, wait, ticket.may_have_run)
+                });
+            }
             if place::has_spared(&context, ticket) {
                 let wait = spread_retry_delay(now, ticket.deadline, FULL_RETRY_DELAY, draw);
                 let may_have_run = ticket.may_have_run;
--- a/crates/core/src/gateway/handoff.rs
+++ b/crates/core/src/gateway/handoff.rs
@@ -251,6 +251,19 @@
         wanted.then(|| self.choose_peer(now, ticket)).flatten()
     }
 
+    /// Chooses the peer for a request that this router refuses only because its own share of the
+    /// endpoints' connections is used up: callers' connections may be spread unevenly, and then
+    /// the shares of the others are free.
+    pub fn hand_off_refused(
+        &mut self,
+        now: Time,
+        ticket: &Ticket,
+        refusal: &Refusal,
+    ) -> Option<SocketAddrV4> {
+        let wanted = refusal.peers_have_room && now < ticket.until;
+        wanted.then(|| self.choose_peer(now, ticket)).flatten()
+    }
+
     /// Tells whether this router probably has no way to an endpoint for a request.
     fn lacks_way(&self, now: Time, ticket: &Ticket) -> bool {
         let service = &ticket.service;
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -268,6 +268,18 @@
     })
 }
 
+/// Tells whether an untried endpoint is excluded because this router has as many requests in progress
+/// there as its share of the endpoint's connections allows.
+pub fn has_full_share(context: &PlacementContext<'_>, ticket: &Ticket) -> bool {
+    let mut all = context.registry.of(&ticket.service);
+    all.any(|(k, e)| {
+        is_option(ticket, k, e)
+            && context.is_confirmed(e)
+            && !e.backing_off(context.now)
+            && e.own_in_flight >= context.share
+    })
+}
+
 /// Tells whether an untried endpoint is excluded because nothing confirms that it is not leaving.
 pub fn has_unconfirmed(context: &PlacementContext<'_>, ticket: &Ticket) -> bool {
     let mut all = context.registry.of(&ticket.service);
--- a/crates/core/src/gateway/refusal.rs
+++ b/crates/core/src/gateway/refusal.rs
@@ -62,6 +62,8 @@
     pub retryable: bool,
     /// Time before which a retry can't succeed, if known.
     pub retry_after: Option<Millis>,
+    /// Whether only this router's share is used up, so that a peer may serve the request.
+    pub peers_have_room: bool,
 }
 
 impl Refusal {
@@ -72,6 +74,7 @@
             may_have_run: false,
             retryable: true,
             retry_after: None,
+            peers_have_room: false,
         }
     }
 
@@ -82,6 +85,7 @@
             may_have_run: false,
             retryable: false,
             retry_after: None,
+            peers_have_room: false,
         }
     }
 
@@ -92,6 +96,7 @@
             may_have_run,
             retryable: !may_have_run,
             retry_after: None,
+            peers_have_room: false,
         }
     }
 
--- a/crates/core/tests/gateway/handoff.rs
+++ b/crates/core/tests/gateway/handoff.rs
@@ -372,3 +372,77 @@
     let ticket = admitted(&mut gateway, Time(240), "/read/x");
     expect_that!(gateway.hand_off(Time(240), &ticket), none());
 }
+
+/// Uses up the share of the endpoints' connections of one router of 50: two at each endpoint.
+fn use_up_share(gateway: &mut Gateway, at: Time) {
+    gateway.fleet(at, 50);
+    for _ in 0..8 {
+        let mut ticket = admitted(gateway, at, "/once/x");
+        let endpoint = place(gateway, at, &ticket);
+        gateway.sent(at, &mut ticket, endpoint);
+    }
+}
+
+/// Guards against refusals of a router that gets most of the callers' connections, while the others' shares are free.
+#[gtest]
+fn verify_a_router_that_has_used_up_its_share_hands_requests_off() {
+    let at = Time(100);
+    let mut gateway = gateway(4);
+    gateway.update_peers((0..6).map(peer));
+    use_up_share(&mut gateway, at);
+    let mut ticket = admitted(&mut gateway, at, "/once/x");
+    let mut asked = Vec::new();
+    for _ in 0..MAX_PEERS {
+        let refusal = gateway.place(at, &ticket, &request("/once/x"));
+        let refusal = refusal.expect_err("its share is used up");
+        let chosen = gateway.hand_off_refused(at, &ticket, &refusal);
+        let chosen = chosen.expect("a peer");
+        expect_that!(asked, not(contains(eq(&chosen))));
+        asked.push(chosen);
+        gateway.handed_off(at, &mut ticket, chosen);
+        let report = PeerReport {
+            refused: Some(Cause::Overloaded),
+            ..PeerReport::default()
+        };
+        let outcome = AttemptOutcome::Rejected;
+        let next = gateway.hand_off_ended(at, &mut ticket, chosen, outcome, Some(&report));
+        expect_that!(next, eq(NextStep::Again), "another one may have room");
+    }
+    let refusal = gateway.place(at, &ticket, &request("/once/x"));
+    let refusal = refusal.expect_err("its share is used up");
+    expect_that!(gateway.hand_off_refused(at, &ticket, &refusal), none());
+    expect_that!(refusal.cause, eq(Cause::Overloaded));
+    expect_false!(refusal.may_have_run);
+    expect_that!(refusal.retry_after, some(gt(Millis(0))));
+}
+
+/// Guards against a request that goes from router to router.
+#[gtest]
+fn verify_a_peer_that_has_used_up_its_share_refuses_what_it_is_handed() {
+    let at = Time(100);
+    let mut gateway = gateway(4);
+    gateway.update_peers((0..6).map(peer));
+    use_up_share(&mut gateway, at);
+    let grant = Grant {
+        version: 1,
+        time_left: Millis(1000),
+        attempts: 1,
+        ..Grant::default()
+    };
+    let ticket = gateway.admit_from_peer(at, &request("/once/x"), &grant);
+    let ticket = ticket.expect("it is admitted");
+    let refusal = gateway.place(at, &ticket, &request("/once/x"));
+    let refusal = refusal.expect_err("its share is used up");
+    expect_that!(gateway.hand_off_refused(at, &ticket, &refusal), none());
+}
+
+#[gtest]
+fn verify_other_refusals_are_not_handed_off() {
+    let at = Time(100);
+    let mut gateway = gateway(0);
+    gateway.update_peers((0..6).map(peer));
+    let ticket = admitted(&mut gateway, at, "/once/x");
+    let refusal = gateway.place(at, &ticket, &request("/once/x"));
+    let refusal = refusal.expect_err("there is no endpoint");
+    expect_that!(gateway.hand_off_refused(at, &ticket, &refusal), none());
+}
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -344,7 +344,13 @@
         if let Some(peer) = gateway.hand_off(now(), &self.ticket) {
             return Ok(Way::Peer(peer));
         }
-        let placed = gateway.place(now(), &self.ticket, &self.incoming_request)?;
+        let placed = match gateway.place(now(), &self.ticket, &self.incoming_request) {
+            Ok(placed) => placed,
+            Err(refusal) => {
+                let peer = gateway.hand_off_refused(now(), &self.ticket, &refusal);
+                return peer.map(Way::Peer).ok_or(refusal);
+            }
+        };
         let peer = gateway.hand_off_instead(now(), &self.ticket, &placed);
         Ok(peer.map_or(Way::Endpoint(placed), Way::Peer))
     }
