Show in trace which crashes a request was held back for, for a prompt part

trace marked repeats of the same content only; a request held back for a part of its prompt has none. Broken attempts with that part are marked now. The test failed before (one line too few).

--- a/crates/toucanturn/src/trace.rs
+++ b/crates/toucanturn/src/trace.rs
@@ -106,9 +106,26 @@
     line.fields.get("id").and_then(Value::as_str) == Some(id)
 }
 
-/// Tells whether a line is about the end of a repeat of a request, under another id.
-fn repeats(line: &Line, content: Option<&Value>) -> bool {
-    content.is_some() && line.event == ENDED && line.fields.get("content") == content
+/// `Suspicion` is what a request was held back for, if it was.
+struct Suspicion {
+    content: Option<Value>,
+    part: Option<String>,
+}
+
+impl Suspicion {
+    /// Tells whether a line is about the end of a request with another id and the same content, or of
+    /// one that broke off with the same part in its prompt.
+    fn covers(&self, line: &Line) -> bool {
+        if line.event != ENDED {
+            return false;
+        }
+        let content = self.content.as_ref();
+        let repeats = content.is_some() && line.fields.get("content") == content;
+        let text = |name: &str| line.fields.get(name).and_then(Value::as_str);
+        let mut parts = text("parts").unwrap_or_default().split(',');
+        let shares = self.part.as_ref().is_some_and(|p| parts.any(|o| o == p));
+        repeats || (shares && text("fate") == Some("broken"))
+    }
 }
 
 fn tell(id: &str, all: Vec<Line>) -> Story {
@@ -117,14 +134,19 @@
     let last = all.iter().rposition(|l| names(l, id));
     let restart = last.and_then(|at| restart(&all[at..]));
     let own = all.iter().filter(|l| names(l, id));
-    let content = own.filter_map(|l| l.fields.get("content")).next().cloned();
+    let field = |name: &str| own.clone().filter_map(|l| l.fields.get(name)).next();
+    let part = field("part").and_then(Value::as_str);
+    let suspicion = Suspicion {
+        content: field("content").cloned(),
+        part: part.map(str::to_owned),
+    };
     let logs: Vec<usize> = all.iter().filter(|l| names(l, id)).map(|l| l.log).collect();
     for (at, line) in all.into_iter().enumerate() {
         let own = names(&line, id);
         if last.is_none_or(|last| at > last) {
             break;
         }
-        if !own && repeats(&line, content.as_ref()) {
+        if !own && suspicion.covers(&line) {
             lines.push(line);
             continue;
         }
--- a/crates/toucanturn/tests/cli/trace.rs
+++ b/crates/toucanturn/tests/cli/trace.rs
@@ -90,6 +90,36 @@
     );
 }
 
+const PART_HELD: &str = r#"
+{"timestamp":"2026-01-01T00:00:05.0Z","message":"request with a crashing prompt part held back","event":622,"id":"d5","part":"00aa","place":2,"crashes":"e-1 2000 ms ago elsewhere","left":4000}
+{"timestamp":"2026-01-01T00:00:05.0Z","message":"request refused","event":620,"id":"d5","cause":"part_quarantined","may_have_run":false,"age":100}
+"#;
+const PART_CRASHED: &str = r#"
+{"timestamp":"2026-01-01T00:00:03.0Z","message":"attempt ended","event":611,"id":"c3","endpoint":"e-1","fate":"broken","content":"0102","parts":"0011,00aa"}
+{"timestamp":"2026-01-01T00:00:03.1Z","message":"attempt ended","event":611,"id":"c4","endpoint":"e-1","fate":"broken","content":"0304","parts":"0011,00bb"}
+{"timestamp":"2026-01-01T00:00:03.2Z","message":"attempt ended","event":611,"id":"c5","endpoint":"e-2","fate":"answered","content":"0506","parts":"00aa"}
+"#;
+
+#[gtest]
+fn verify_a_request_held_back_for_a_part_is_shown_with_the_crashes_of_that_part() {
+    let files = Files::new();
+    let (held, crashed) = (
+        files.write("a.log", PART_HELD),
+        files.write("b.log", PART_CRASHED),
+    );
+    let run = toucanturn(["trace", "--id", "d5", &held, &crashed]);
+    let lines: Vec<&str> = run.out.lines().collect();
+    expect_that!(
+        lines,
+        elements_are![
+            starts_with("+ 2026-01-01T00:00:03.0Z 611 attempt ended"),
+            starts_with("* 2026-01-01T00:00:05.0Z 622 request with"),
+            starts_with("* 2026-01-01T00:00:05.0Z 620 request refused"),
+            starts_with("cause: refused, did not run: endpoints have ended that ran prompts"),
+        ]
+    );
+}
+
 #[gtest]
 fn verify_a_router_that_ended_is_named() {
     let files = Files::new();
