Play prompt parts that crash endpoints in the laboratory and in the soak

The soak's callers send prompts now, of which the fatal ones have the first part, and both refusals count as held back.

--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -102,6 +102,11 @@
 /// Times a mean that a drawn size is at least and at most.
 const SPREAD: std::ops::Range<f64> = 0.3..1.7;
 /// Time that a caller waits.
+/// Part that ends engines under [`Trouble::FatalPart`].
+const FATAL_PART: Part = Part {
+    id: u64::MAX,
+    tokens: 90,
+};
 const LIMIT: Millis = Millis(12_000);
 /// Times until a first event that differ by less are about equal, in milliseconds.
 const ABOUT_EQUAL: u64 = 10;
@@ -135,6 +140,8 @@
     ticket: Option<(Ticket, EndpointKey)>,
     /// Whether it ends the engine that begins to run it.
     fatal: bool,
+    /// Whether its content is that of all others that end engines.
+    repeated: bool,
     /// Whether its caller has come back after a refusal.
     returned: bool,
 }
@@ -237,10 +244,25 @@
         if fatal.is_some_and(|every| now.is_multiple_of(every)) {
             let request = Request {
                 fatal: true,
+                repeated: true,
                 ..self.request(now, 0)
             };
             self.push(now, request);
         }
+        let fatal_part = self.sheet.at(now).find_map(|t| match t {
+            Trouble::FatalPart { every, .. } => Some(every),
+            _ => None,
+        });
+        if fatal_part.is_some_and(|every| now.is_multiple_of(every)) {
+            let mut request = self.request(now, 0);
+            request.fatal = true;
+            if let Some(prompt) = &mut request.incoming_request.prompt {
+                let mut parts = prompt.parts.to_vec();
+                parts.insert(1, FATAL_PART);
+                prompt.parts = parts.into();
+            }
+            self.push(now, request);
+        }
     }
 
     fn push(&mut self, now: u64, request: Request) {
@@ -286,6 +308,7 @@
             engine: 0,
             ticket: None,
             fatal: false,
+            repeated: false,
             returned: false,
             incoming_request: IncomingRequest {
                 id: Bytes::from(self.requests.len().to_string()),
@@ -354,7 +377,7 @@
         let Ok(mut ticket) = router.admit(at, &request.incoming_request) else {
             return;
         };
-        ticket.content = Some(content(number, request.fatal));
+        ticket.content = Some(content(number, request.repeated));
         request.router = who;
         self.send(now, number, ticket);
     }
@@ -373,7 +396,8 @@
             let placed = match router.place(at, &ticket, &request.incoming_request) {
                 Ok(placed) => placed,
                 Err(refusal) => {
-                    let held = refusal.cause == Cause::Quarantined && !request.fatal;
+                    let held = matches!(refusal.cause, Cause::Quarantined | Cause::PartQuarantined)
+                        && !request.fatal;
                     self.account.held += usize::from(held);
                     if matches!(refusal.cause, Cause::BackingOff | Cause::Overloaded) {
                         self.refused(now, number, refusal);
@@ -501,7 +525,7 @@
     /// Ends an engine with all that it has.
     fn crash(&mut self, now: u64, engine: usize) {
         let down = self.sheet.troubles.iter().find_map(|s| match s.trouble {
-            Trouble::Fatal { down, .. } => Some(down),
+            Trouble::Fatal { down, .. } | Trouble::FatalPart { down, .. } => Some(down),
             _ => None,
         });
         self.account.crashes.push(now);
@@ -695,7 +719,10 @@
         let Some(prompt) = &request.incoming_request.prompt else {
             return;
         };
-        let (shared, own) = (prompt.parts[0], prompt.parts[1]);
+        let Some(own) = prompt.parts.last().copied() else {
+            return;
+        };
+        let shared = prompt.parts[0];
         if !self.engines[engine].holds(shared.id) && !self.known.insert(shared.id) {
             self.account.read_again += u64::from(shared.tokens);
         }
@@ -767,8 +794,13 @@
         if self.lost(now) {
             return;
         }
-        let brittle = |s: &Span| matches!(s.trouble, Trouble::Brittle { .. });
-        let has_brittle = self.sheet.troubles.iter().any(brittle);
+        let divides = |s: &Span| {
+            matches!(
+                s.trouble,
+                Trouble::Brittle { .. } | Trouble::FatalPart { .. }
+            )
+        };
+        let follows_fleet = self.sheet.troubles.iter().any(divides);
         let hash = |who: u64| xxhash_rust::xxh3::xxh3_64(&who.to_le_bytes());
         let hashes: Vec<u64> = (0..routers).map(hash).collect();
         for who in 0..self.routers.len() {
@@ -778,7 +810,7 @@
             let router = &mut self.routers[who];
             router.fleet(Time(now), u32::try_from(routers).unwrap_or(u32::MAX));
             router.tick(Time(now));
-            if has_brittle {
+            if follows_fleet {
                 let others = (0..hashes.len()).filter(|other| *other != who);
                 let fleet = warmup::Fleet {
                     me: hashes[who],
@@ -887,11 +919,11 @@
     }
 }
 
-/// Gets the fingerprint of a request: all that end engines are repeats of one.
-fn content(number: usize, fatal: bool) -> Fingerprint {
+/// Gets the fingerprint of a request; those that are repeats have the same.
+fn content(number: usize, repeated: bool) -> Fingerprint {
     Fingerprint {
         workspace: 0,
-        content: if fatal { u64::MAX } else { number as u64 },
+        content: if repeated { u64::MAX } else { number as u64 },
     }
 }
 
--- a/crates/replay/src/lab/sheet.rs
+++ b/crates/replay/src/lab/sheet.rs
@@ -43,6 +43,13 @@
         /// Milliseconds until an ended engine is back, under a new name.
         down: u64,
     },
+    /// Requests with one part in their prompts, and nothing else in common, end each engine that begins to run one.
+    FatalPart {
+        /// Milliseconds between two of them, at any router.
+        every: u64,
+        /// Milliseconds until an ended engine is back, under a new name.
+        down: u64,
+    },
     /// A part of the engines turns all requests away.
     Shed {
         /// Which part.
--- a/crates/replay/tests/lab_crashes.rs
+++ b/crates/replay/tests/lab_crashes.rs
@@ -17,16 +17,13 @@
 const KNOWN: u64 = 3000;
 const MOST: usize = 3;
 
-/// A request that ends engines comes again each 0.65 s, before a fleet whose engines run a dozen requests each.
-fn account(routers: usize, engines: usize, hold: u64) -> Account {
+/// Requests that end engines come each 0.65 s, before a fleet whose engines run a dozen requests each.
+fn account(routers: usize, engines: usize, hold: u64, trouble: Trouble) -> Account {
     let sheet = Sheet {
         troubles: vec![Span {
             from: 3000,
             to: 15_000,
-            trouble: Trouble::Fatal {
-                every: 650,
-                down: 2500,
-            },
+            trouble,
         }],
         length: 15_000,
         hold,
@@ -35,12 +32,10 @@
     play(&sheet, 1)
 }
 
-/// Guards against a request that ends engines of a large fleet, whose routers see one of its repeats each.
-#[gtest]
-fn verify_a_request_that_ends_engines_is_contained_at_any_size() {
+fn check(trouble: Trouble) {
     for (routers, engines) in [(7, 12), (89, 140), (295, 204)] {
-        let held = account(routers, engines, 5000);
-        let before = account(routers, engines, 0);
+        let held = account(routers, engines, 5000, trouble);
+        let before = account(routers, engines, 0, trouble);
 
         expect_that!(held.late_fatal(KNOWN), le(MOST), "{routers} routers");
         expect_that!(held.held, eq(0), "{routers} routers: other requests");
@@ -61,3 +56,30 @@
         );
     }
 }
+
+/// Guards against a request that ends engines of a large fleet, whose routers see one of its repeats each.
+#[gtest]
+fn verify_a_request_that_ends_engines_is_contained_at_any_size() {
+    check(Trouble::Fatal {
+        every: 650,
+        down: 2500,
+    });
+}
+
+/// Guards against a prompt part that ends engines of a large fleet, in requests that have nothing else in common.
+#[gtest]
+fn verify_a_part_that_ends_engines_is_contained_at_any_size() {
+    check(Trouble::FatalPart {
+        every: 650,
+        down: 2500,
+    });
+}
+
+/// Guards against the same where such requests come 20 times as often.
+#[gtest]
+fn verify_a_popular_part_that_ends_engines_is_contained_at_any_size() {
+    check(Trouble::FatalPart {
+        every: 33,
+        down: 2500,
+    });
+}
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -32,6 +32,7 @@
     },
     clock_ms,
     replica::{
+        FATAL_PART_MARKER,
         FATAL_REQUEST_MARKER,
         STREAM_EVENTS, //
     },
@@ -70,6 +71,8 @@
 /// Time for which a caller repeats a request that ends endpoints, and its pause.
 const FATAL_TIME: Duration = Duration::from_millis(6000);
 const FATAL_PAUSE: Duration = Duration::from_millis(150);
+/// Second parts that sound prompts have.
+const SOUND_PARTS: usize = 12;
 
 /// `Shared` is what callers and balancer share.
 #[derive(Default)]
@@ -148,7 +151,11 @@
     }
 }
 
-/// Repeats a request that ends each endpoint that runs it, under new ids at any router in rotation.
+/// Name of the requests whose prompts have a part that ends each endpoint that runs one.
+pub const FATAL_PART: &str = "part";
+
+/// Repeats a request that ends each endpoint that runs it, under new ids at any router in rotation; or sends requests
+/// with one part in their prompts that does so, and nothing else in common.
 pub async fn fatal(fleet: &Fleet, shared: &Shared, step: &Step) {
     let mut rng = StdRng::seed_from_u64(step.at);
     let kinds: Vec<Kind> = Kind::iter().collect();
@@ -158,6 +165,7 @@
         FATAL_REQUEST_MARKER.trim_start_matches('/'),
         step.at
     );
+    let part = step.variant / kinds.len() % 2 == 1;
     let began = Instant::now();
     let mut count = 0;
     while began.elapsed() < FATAL_TIME && !shared.over.get() {
@@ -169,8 +177,22 @@
             continue;
         };
         count += 1;
-        let id = format!("{item}-{count}");
-        let call = one(&mut caller, place, kind, key, Ask::new(&id, &item)).await;
+        let call = if part {
+            let id = format!("{FATAL_PART}-{}-{count}", step.at);
+            let parts = format!("a0:600,{FATAL_PART_MARKER}{:x}:90,c{count:x}:30", step.at);
+            let ask = Ask {
+                parts: Some(&parts),
+                ..Ask::new(&id, &id)
+            };
+            let call = one(&mut caller, place, kind, key, ask).await;
+            Call {
+                item: format!("{FATAL_PART}-{}", step.at),
+                ..call
+            }
+        } else {
+            let id = format!("{item}-{count}");
+            one(&mut caller, place, kind, key, Ask::new(&id, &item)).await
+        };
         fleet.record.borrow_mut().calls.push(call);
     }
 }
@@ -224,6 +246,8 @@
     pub resumes: Option<(&'a str, u64)>,
     /// Event after which the caller breaks the connection, if it does.
     pub break_after: Option<u64>,
+    /// Shared parts of its prompt; `None` for those that many requests have.
+    pub parts: Option<&'a str>,
 }
 
 impl<'a> Ask<'a> {
@@ -234,6 +258,7 @@
             item,
             resumes: None,
             break_after: None,
+            parts: None,
         }
     }
 }
@@ -260,7 +285,8 @@
         let fields = ask
             .resumes
             .map(|(began, after)| format!("Last-Event-Id: {after}\r\nResumes: {began}\r\n"));
-        let text = spec.text(&fields.unwrap_or_default());
+        let fields = fields.unwrap_or_default() + &prompt(&ask);
+        let text = spec.text(&fields);
         caller.write(&text).await.ok()?;
         let Some(event) = ask.break_after else {
             return Some(caller.response().await);
@@ -289,6 +315,14 @@
     }
 }
 
+/// Makes the header lines of a request's prompt. Sound ones share the first part with those that end endpoints.
+fn prompt(ask: &Ask<'_>) -> String {
+    let number = ask.id.bytes().fold(0, |sum: usize, b| sum + usize::from(b));
+    let shared = format!("a0:600,b{:x}:120", number % SOUND_PARTS);
+    let shared = ask.parts.unwrap_or(&shared);
+    format!("X-Model: m\r\nX-Token-Count: 900,40\r\nX-Prompt-Prefix: {shared},e{number:x}:90\r\n")
+}
+
 /// Makes the response of what has come when a caller breaks its connection.
 fn partial(received: String) -> ReceivedResponse {
     let (head, body) = received.split_once("\r\n\r\n").unwrap_or_default();
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -28,6 +28,7 @@
 };
 
 use crate::{
+    caller::FATAL_PART,
     fleet::{
         CONFIG_MS,
         EVACUATION_MS,
@@ -70,8 +71,8 @@
 /// Time after which all routers are to do so, in milliseconds, and how often it may reach endpoints then.
 const KNOWN: u64 = 3000;
 const LATE: usize = 3;
-/// Body of the answer to what is held back.
-const HELD: &str = "quarantined";
+/// Bodies of the answers to what is held back, for its content or for a part of its prompt.
+const HELD: [&str; 2] = ["quarantined", "part_quarantined"];
 
 /// `Promise` is what the system owes its users.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumIter)]
@@ -413,11 +414,12 @@
 
 /// Tells whether a call ends endpoints.
 fn fatal(call: &Call) -> bool {
-    format!("/{}", call.item).starts_with(FATAL_REQUEST_MARKER)
+    let name = call.item.split('-').next();
+    format!("/{}", call.item).starts_with(FATAL_REQUEST_MARKER) || name == Some(FATAL_PART)
 }
 
 fn innocent(record: &Record, call: &Call) -> Option<String> {
-    let held = call.status == 503 && call.body.trim_end() == HELD;
+    let held = call.status == 503 && HELD.contains(&call.body.trim_end());
     if !held || fatal(call) {
         return None;
     }
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -273,11 +273,11 @@
     );
 }
 
-/// Makes the record of a request that ends an endpoint each second, as often as told.
-fn fatal(times: u64) -> Record {
-    let ids: Vec<String> = (0..times).map(|n| format!("fatal-1-{n}")).collect();
+/// Makes the record of requests for an item that end an endpoint each second, as often as told.
+fn fatal(item: &str, times: u64) -> Record {
+    let ids: Vec<String> = (0..times).map(|n| format!("{item}-{n}")).collect();
     let call_of = |(n, id): (u64, &String)| Call {
-        item: "fatal-1".to_owned(),
+        item: item.to_owned(),
         sent: 10_000 + n * 1000,
         ended: 10_040 + n * 1000,
         status: 502,
@@ -301,30 +301,37 @@
 #[gtest]
 fn verify_a_request_that_goes_on_ending_endpoints_is_found() {
     // Of ten, four are sent later than three seconds after the third crash.
-    expect_that!(found(&fatal(10)), elements_are![eq(&Promise::Contained)]);
-    expect_that!(found(&fatal(9)), is_empty());
+    for item in ["fatal-1", "part-1"] {
+        let ten = found(&fatal(item, 10));
+        expect_that!(ten, elements_are![eq(&Promise::Contained)]);
+        expect_that!(found(&fatal(item, 9)), is_empty());
+    }
 }
 
 #[gtest]
 fn verify_another_request_that_is_held_back_is_found() {
-    let held = |item: &str| Call {
-        item: item.to_owned(),
-        status: 503,
-        body: "quarantined\n".to_owned(),
-        ..call("a1", Kind::Read)
-    };
-    let answered = RequestEvent {
-        what: RequestEventKind::Ended,
-        ..note("b2", 10_020)
-    };
-    let record_of = |item, notes| record(vec![held(item)], notes);
-    expect_that!(
-        found(&record_of("x", vec![answered.clone()])),
-        elements_are![eq(&Promise::Innocent)]
-    );
-    expect_that!(found(&record_of("fatal-1", vec![answered])), is_empty());
-    // Nobody would have served it.
-    expect_that!(found(&record_of("x", Vec::new())), is_empty());
+    for body in ["quarantined\n", "part_quarantined\n"] {
+        let held = |item: &str| Call {
+            item: item.to_owned(),
+            status: 503,
+            body: body.to_owned(),
+            ..call("a1", Kind::Read)
+        };
+        let answered = RequestEvent {
+            what: RequestEventKind::Ended,
+            ..note("b2", 10_020)
+        };
+        let record_of = |item, notes| record(vec![held(item)], notes);
+        expect_that!(
+            found(&record_of("x", vec![answered.clone()])),
+            elements_are![eq(&Promise::Innocent)]
+        );
+        for item in ["fatal-1", "part-1"] {
+            expect_that!(found(&record_of(item, vec![answered.clone()])), is_empty());
+        }
+        // Nobody would have served it.
+        expect_that!(found(&record_of("x", Vec::new())), is_empty());
+    }
 }
 
 #[gtest]
