--- a/crates/core/tests/gateway/part_quarantine.rs
+++ b/crates/core/tests/gateway/part_quarantine.rs
@@ -14,6 +14,7 @@
     gateway::{
         Change, Gateway, Ticket,
         endpoint::Liveness,
+        fingerprint::Content,
         incoming_request::{
             IncomingRequest,
             Part,
@@ -532,3 +533,31 @@
         expect_that!(fleet.refused, eq(0), "{routers} routers, {parts} parts");
     }
 }
+
+/// Guards against a part that crashes endpoints in the middle of answers without length and chunks, whose ends look as
+/// those of complete ones.
+#[gtest]
+fn verify_an_answer_that_ended_with_its_connection_and_endpoint_is_a_crash_of_its_parts() {
+    let mut gateway = gateway(8);
+    let content = Content {
+        workspace: None,
+        parts: [b"POST", b"h", b"/p", b"body"],
+    };
+    for n in 0..3 {
+        let now = Time(1000 + n * 700);
+        let shared = [ROOT, FATAL, 100 + n];
+        let mut ticket = place(&mut gateway, now, &shared).expect("it is not held back");
+        let endpoint = ticket.tried[0];
+        ticket.unproved = true;
+        gateway.record_unproved_answer(now, &ticket, endpoint, &content);
+        gateway.ended(now, &mut ticket, endpoint, AttemptOutcome::Answered);
+        gateway.unreached(now, &mut ticket, endpoint);
+        gateway.tick(now + Millis(50));
+        let id = gateway.registry().get(endpoint).expect("it is listed");
+        let id = id.entry.id.clone();
+        gateway.apply_changes(now, vec![Change::Removed(id)]);
+        answer(&mut gateway, now + Millis(100), &[ROOT, 50], true);
+    }
+    expect_true!(is_held(&mut gateway, Time(3000), &[ROOT, FATAL]));
+    expect_false!(is_held(&mut gateway, Time(3000), &[ROOT, 50]));
+}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -193,9 +193,29 @@
     toucanturn-platform path proofs::verify_an_answer_that_ends_with_its_connection_does_not_confirm_its_endpoint
 
 guard unproved_crash crates/core/src/gateway/quarantine.rs \
-    's/Liveness::Dead => self\.suspect_mut\(now, request\)\.add_crash\(now, crash\),/Liveness::Dead => {}/' \
+    's/self\.suspect_mut\(now, answer\.request\)\.add_crash\(now, crash\);//' \
     toucanturn-core gateway quarantine::verify_an_answer_that_ended_with_its_connection_and_endpoint_is_a_crash
 
+guard unproved_part_crash crates/core/src/gateway/quarantine.rs \
+    's/parts\.crashed\(now, prompt, crash\);/let _ = prompt;/' \
+    toucanturn-core gateway part_quarantine::verify_an_answer_that_ended_with_its_connection_and_endpoint_is_a_crash_of_its_parts
+
+guard part_explained crates/core/src/gateway/part_quarantine.rs \
+    's/ \|\| self\.is_explained\(suspect, prompt, threshold\)//' \
+    toucanturn-core gateway part_quarantine::verify_a_part_whose_crashes_another_one_explains_is_served_alone
+
+guard part_trial_owner crates/core/src/gateway/part_quarantine.rs \
+    's/ \|\| !self\.owns\(verdict\.part\)//' \
+    toucanturn-core gateway part_quarantine::verify_a_day_has_at_most_three_trials
+
+guard part_retry crates/core/src/gateway/attempt.rs \
+    's/let allowed = allowed \&\& !crashes;/let _ = crashes;/' \
+    toucanturn-core gateway part_quarantine::verify_a_request_with_a_suspected_part_gets_no_second_attempt
+
+guard share_handoff crates/core/src/gateway/attempt.rs \
+    's/peers_have_room: true,/peers_have_room: false,/' \
+    toucanturn-core gateway handoff::verify_a_router_that_has_used_up_its_share_hands_requests_off
+
 guard stream_version crates/core/src/gateway/origin.rs \
     's/Origin::Build\(origin\) => origin == build,/Origin::Build(_) => true,/' \
     toucanturn-platform path builds::verify_a_stream_that_is_taken_up_keeps_its_version
