Judge streams that end unmarked as their endpoint crashes by what can be known

The stand-in notes whether an answer's end is unmarked, and only such an answer, of an endpoint that crashed within it, in whole events of its own, is explained; the test shows that all others are findings as before.

--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -149,7 +149,7 @@
         let found = match promise {
             Promise::Once => each(record, |call| once(call, &runs)),
             Promise::NotRun => each(record, |call| not_run(call, &runs)),
-            Promise::Own => each(record, |call| own(record, call)),
+            Promise::Own => each(record, |call| own(record, call, &runs)),
             Promise::Uncut => each(record, |call| uncut(record, call, &runs)),
             Promise::Revoked => each(record, |call| revoked(record, call, &runs)),
             Promise::InForce => each(record, |call| in_force(record, call)),
@@ -201,7 +201,7 @@
     ran.then(|| format!("{} was answered {} and has run", call.id, call.status))
 }
 
-fn own(record: &Record, call: &Call) -> Option<String> {
+fn own(record: &Record, call: &Call, runs: &Runs<'_>) -> Option<String> {
     if call.status != 200 {
         return None;
     }
@@ -210,7 +210,11 @@
     let odd = record.faulty(call.sent, call.ended, |t| matches!(t, Target::Replica(_)));
     let short = odd && body == "done";
     let right = match (call.whole, call.kind.streams()) {
-        (true, true) => without_versions(body) == events(id, call.after()) || short,
+        (true, true) => {
+            without_versions(body) == events(id, call.after())
+                || short
+                || (ended_unmarked(record, call, runs) && is_whole_events(body, id, call.after()))
+        }
         (true, false) => *body == format!("done {id}") || short,
         (false, true) => in_order(body, id, call.after()),
         (false, false) => true,
@@ -218,6 +222,27 @@
     (!right).then(|| format!("{id} got another's or a wrong answer: {body:.200}"))
 }
 
+/// Tells whether the endpoint of a call crashed during an answer that was to end with its connection. Nothing
+/// tells such a stream that ends between two events from a complete one.
+fn ended_unmarked(record: &Record, call: &Call, runs: &Runs<'_>) -> bool {
+    let notes = runs.get(call.id.as_str()).into_iter().flatten();
+    let mut unmarked = notes.filter(|n| n.what == RequestEventKind::Began && n.unmarked);
+    unmarked.any(|begun| {
+        let during = begun.at_ms..=call.ended;
+        record.notes.iter().any(|n| {
+            n.what == RequestEventKind::Crashed
+                && n.replica == begun.replica
+                && during.contains(&n.at_ms)
+        })
+    })
+}
+
+/// Tells whether a body is the first events of a request's stream, each whole.
+fn is_whole_events(body: &str, id: &str, after: u64) -> bool {
+    let body = without_versions(body);
+    body.ends_with("\n\n") && events(id, after).starts_with(&body)
+}
+
 /// Leaves out the comments that name software versions.
 fn without_versions(body: &str) -> String {
     let lines = body.split_inclusive('\n');
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -57,6 +57,7 @@
         after: None,
         what: RequestEventKind::Began,
         says_leaving: false,
+        unmarked: false,
         back_off_ms: 0,
     }
 }
@@ -595,6 +596,54 @@
     }
 }
 
+/// Only the crash of an endpoint whose answer was to end with its connection explains a stream that ends early, between two
+/// events.
+#[gtest]
+fn verify_a_stream_that_ends_early_is_noticed_unless_its_end_was_unmarked_and_its_endpoint_crashed()
+{
+    let run = |unmarked, what, replica: &str, body: &str| {
+        let begun = RequestEvent {
+            unmarked,
+            ..note("a", 10_010)
+        };
+        let end = RequestEvent {
+            what,
+            replica: replica.to_owned(),
+            ..note("b", 10_040)
+        };
+        let short = Call {
+            whole: true,
+            body: body.to_owned(),
+            ..call("a", Kind::Talk)
+        };
+        found(&record(vec![short], vec![begun, end]))
+    };
+    let first = "id: 1\ndata: piece 1 of a\n\n";
+    let crashed = RequestEventKind::Crashed;
+    expect_that!(run(true, crashed, "i-0-0", first), is_empty());
+    expect_that!(
+        run(false, crashed, "i-0-0", first),
+        elements_are![eq(&Promise::Own)]
+    );
+    expect_that!(
+        run(true, crashed, "i-1-0", first),
+        elements_are![eq(&Promise::Own)]
+    );
+    expect_that!(
+        run(true, RequestEventKind::Broke, "i-0-0", first),
+        elements_are![eq(&Promise::Own)]
+    );
+    expect_that!(
+        run(true, crashed, "i-0-0", &first[..20]),
+        elements_are![eq(&Promise::Own)]
+    );
+    let of_another = "id: 1\ndata: piece 1 of b\n\n";
+    expect_that!(
+        run(true, crashed, "i-0-0", of_another),
+        elements_are![eq(&Promise::Own)]
+    );
+}
+
 #[gtest]
 fn verify_a_gap_before_a_stream_that_is_taken_up_is_noticed() {
     let mut gap = taken_up("a", "b", 5..=8, "v1");
