Ask seeds for a stream while no peer is known

Cause: peers that may know a stream are chosen among those heard of. A router that has just started has heard nobody, asked nobody, and knew nothing.

Fix: it asks the seeds that it was given then. In a fleet of nine or less each router is told of each stream, so any seed knows; in a larger one a seed may not, and the caller is refused as before.

--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -289,9 +289,14 @@
         self.ranked_for_stream(now, stream, STREAM_KEEPERS)
     }
 
-    /// Lists the routers that may know of a stream.
+    /// Lists the routers that may know of a stream: the seeds where no other is known, as this router
+    /// has just started.
     pub fn possible_stream_keepers(&self, now: Time, stream: u64) -> Vec<SocketAddrV4> {
-        self.ranked_for_stream(now, stream, STREAM_KEEPERS + FURTHER_KEEPERS)
+        let keepers = self.ranked_for_stream(now, stream, STREAM_KEEPERS + FURTHER_KEEPERS);
+        if keepers.is_empty() {
+            return self.seeds.clone();
+        }
+        keepers
     }
 
     fn ranked_for_stream(&self, now: Time, stream: u64, count: usize) -> Vec<SocketAddrV4> {
