Let parts that were answered recently explain no fatal part

Found by reading the fix, shown by a test: a popular part of other requests that was in progress at each of a fatal part's crashes, and not yet answered again, explained them all, so the fatal part was not held back until the next answer to the popular one was known. The test failed before.

--- a/crates/core/src/gateway/part_quarantine.rs
+++ b/crates/core/src/gateway/part_quarantine.rs
@@ -245,7 +245,7 @@
         let first = proven.first()?.at;
         let known_good = threshold == PART_THRESHOLD_ANSWERED;
         let too_early = known_good && now.since(first) < ANSWERLESS_TIME;
-        if proven.len() < threshold || too_early || self.is_explained(suspect, prompt, threshold) {
+        if proven.len() < threshold || too_early || self.is_explained(now, suspect, prompt) {
             return None;
         }
         let crashes = suspect
@@ -260,18 +260,17 @@
     }
 
     /// Tells whether a part that the prompt does not have explains the crashes of one that it has: a
-    /// part with at least as many crashes, without which too few of them are left.
-    fn is_explained(
-        &self,
-        suspect: &PartSuspect,
-        prompt: PromptParts<'_>,
-        threshold: usize,
-    ) -> bool {
+    /// part with at least as many crashes, without which too few of them are left. A part that was
+    /// answered recently explains no crashes of one that was not.
+    fn is_explained(&self, now: Time, suspect: &PartSuspect, prompt: PromptParts<'_>) -> bool {
+        let threshold = suspect.threshold(now);
         let crashes = suspect.suspect.crashes.len();
         let absent = self.suspects.iter();
         let mut absent = absent.filter(|(part, _)| !prompt.parts.contains(part));
         absent.any(|(_, other)| {
-            other.suspect.crashes.len() >= crashes && suspect.crashes_without(other) < threshold
+            other.threshold(now) <= threshold
+                && other.suspect.crashes.len() >= crashes
+                && suspect.crashes_without(other) < threshold
         })
     }
 
--- a/crates/core/tests/gateway/part_quarantine.rs
+++ b/crates/core/tests/gateway/part_quarantine.rs
@@ -209,6 +209,27 @@
     );
 }
 
+/// Guards against a fatal part that goes on crashing endpoints, as a popular part of other requests was in progress at each
+/// crash.
+#[gtest]
+fn verify_a_part_that_was_answered_recently_explains_no_other() {
+    let popular = [2, 50];
+    let mut gateway = gateway(8);
+    answer(&mut gateway, Time(900), &popular, true);
+    for n in 0..3 {
+        let now = Time(1000 + n * 700);
+        let mut fatal = place(&mut gateway, now, &[ROOT, FATAL]).expect("it is served");
+        let mut other = admit(&mut gateway, now, &popular);
+        gateway.sent(now, &mut other, fatal.tried[0]);
+        let endpoint = fatal.tried[0];
+        gateway.ended(now, &mut other, endpoint, AttemptOutcome::Broken);
+        crash(&mut gateway, now, &mut fatal);
+    }
+    let now = Time(3000);
+    expect_true!(is_held(&mut gateway, now, &[ROOT, FATAL]));
+    expect_false!(is_held(&mut gateway, now, &popular));
+}
+
 /// Guards against a popular part that is held back since it was in progress at a few crashes in a row.
 #[gtest]
 fn verify_a_part_that_was_answered_recently_needs_more_crashes_and_time() {
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -201,7 +201,7 @@
     toucanturn-core gateway part_quarantine::verify_an_answer_that_ended_with_its_connection_and_endpoint_is_a_crash_of_its_parts
 
 guard part_explained crates/core/src/gateway/part_quarantine.rs \
-    's/ \|\| self\.is_explained\(suspect, prompt, threshold\)//' \
+    's/ \|\| self\.is_explained\(now, suspect, prompt\)//' \
     toucanturn-core gateway part_quarantine::verify_a_part_whose_crashes_another_one_explains_is_served_alone
 
 guard part_trial_owner crates/core/src/gateway/part_quarantine.rs \
