--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -26,13 +26,13 @@
 use toucanturn_platform_standin::{
     caller::{
         Caller,
+        PromptSpec,
         ReceivedResponse,
         RequestSpec,
         ready, //
     },
     clock_ms,
     replica::{
-        FATAL_PART_MARKER,
         FATAL_REQUEST_MARKER,
         STREAM_EVENTS, //
     },
@@ -71,8 +71,15 @@
 /// Time for which a caller repeats a request that ends endpoints, and its pause.
 const FATAL_TIME: Duration = Duration::from_millis(6000);
 const FATAL_PAUSE: Duration = Duration::from_millis(150);
+/// Part that all prompts begin with, and its tokens.
+const FIRST_PART: (u64, u64) = (0xa0, 600);
 /// Second parts that sound prompts have.
-const SOUND_PARTS: usize = 12;
+const SOUND_PARTS: u64 = 12;
+/// IDs of parts that end endpoints begin with these hexadecimal digits.
+const FATAL_PARTS: u64 = 0xdead;
+/// First IDs of parts that one request alone has, in the middle and at the end.
+const NEW_PARTS: u64 = 0x10_0000;
+const OWN_PARTS: u64 = 0x20_0000;
 
 /// `Shared` is what callers and balancer share.
 #[derive(Default)]
@@ -179,7 +186,8 @@
         count += 1;
         let call = if part {
             let id = format!("{FATAL_PART}-{}-{count}", step.at);
-            let parts = format!("a0:600,{FATAL_PART_MARKER}{:x}:90,c{count:x}:30", step.at);
+            let fatal = FATAL_PARTS << u32::BITS | step.at;
+            let parts = [FIRST_PART, (fatal, 90), (NEW_PARTS + count, 30)];
             let ask = Ask {
                 parts: Some(&parts),
                 ..Ask::new(&id, &id)
@@ -247,7 +255,7 @@
     /// Event after which the caller breaks the connection, if it does.
     pub break_after: Option<u64>,
     /// Shared parts of its prompt; `None` for those that many requests have.
-    pub parts: Option<&'a str>,
+    pub parts: Option<&'a [(u64, u64)]>,
 }
 
 impl<'a> Ask<'a> {
@@ -317,10 +325,15 @@
 
 /// Makes the header lines of a request's prompt. Sound ones share the first part with those that end endpoints.
 fn prompt(ask: &Ask<'_>) -> String {
-    let number = ask.id.bytes().fold(0, |sum: usize, b| sum + usize::from(b));
-    let shared = format!("a0:600,b{:x}:120", number % SOUND_PARTS);
-    let shared = ask.parts.unwrap_or(&shared);
-    format!("X-Model: m\r\nX-Token-Count: 900,40\r\nX-Prompt-Prefix: {shared},e{number:x}:90\r\n")
+    let number = ask.id.bytes().fold(0, |sum: u64, b| sum + u64::from(b));
+    let sound = [FIRST_PART, (number % SOUND_PARTS, 120)];
+    let mut parts = ask.parts.unwrap_or(&sound).to_vec();
+    parts.push((OWN_PARTS + number, 90));
+    let prompt = PromptSpec {
+        parts: &parts,
+        output: 40,
+    };
+    prompt.fields()
 }
 
 /// Makes the response of what has come when a caller breaks its connection.
