Spare requests the lookup of fatal parts where none is suspected

Read again, behaviour unchanged. Each request hashed its workspace's name twice for the quarantine of prompt parts, also while no part has a record: the lookup ends before that now. An answer that waits for proof no longer carries the workspace's tag beside the fingerprint that holds it, and one predicate says whether a part was answered recently, in place of four. The test of unproved answers names the ticket's own workspace in its content, as requests do; its assertions are the same.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -145,12 +145,17 @@
 
     /// Gets the tag of the workspace that sent it.
     pub(super) fn workspace_tag(&self) -> u64 {
-        fingerprint::workspace(self.workspace.as_ref().map(|w| &w.name)).into()
+        self.fingerprint_workspace().into()
+    }
+
+    /// Gets the workspace tag of its fingerprints.
+    fn fingerprint_workspace(&self) -> u32 {
+        fingerprint::workspace(self.workspace.as_ref().map(|w| &w.name))
     }
 
     fn prompt_parts(&self) -> PromptParts<'_> {
         PromptParts {
-            workspace: fingerprint::workspace(self.workspace.as_ref().map(|w| &w.name)),
+            workspace: self.fingerprint_workspace(),
             parts: &self.parts,
         }
     }
@@ -397,7 +402,6 @@
                 at: now,
                 observed_here: true,
             },
-            workspace: ticket.prompt_parts().workspace,
             parts: Arc::clone(&ticket.parts),
         });
     }
@@ -405,9 +409,7 @@
     /// Tells whether the contents of this workspace's requests must be fingerprinted, because some
     /// of them were in progress at endpoints whose connections broke.
     pub fn has_suspects(&self, ticket: &Ticket) -> bool {
-        let workspace = ticket.workspace.as_ref().map(|w| &w.name);
-        self.quarantine
-            .has_suspects(fingerprint::workspace(workspace))
+        self.quarantine.has_suspects(ticket.fingerprint_workspace())
     }
 
     /// Tells whether, why and for how long a request is held back.
@@ -420,6 +422,9 @@
 
     /// Tells whether, why and for how long a request is held back for a part of its prompt.
     pub fn part_verdict(&self, now: Time, ticket: &Ticket) -> Option<PartVerdict> {
+        if self.part_quarantine.is_empty() {
+            return None;
+        }
         let liveness_since = |life, since| self.registry.liveness_since(life, since);
         let prompt = ticket.prompt_parts();
         self.part_quarantine
--- a/crates/core/src/gateway/part_quarantine.rs
+++ b/crates/core/src/gateway/part_quarantine.rs
@@ -102,8 +102,13 @@
 }
 
 impl PartSuspect {
+    /// Tells whether requests with it were answered recently.
+    fn is_known_good(&self, now: Time) -> bool {
+        self.suspect.answered_within(now, RETENTION)
+    }
+
     fn threshold(&self, now: Time) -> usize {
-        if self.suspect.answered_within(now, RETENTION) {
+        if self.is_known_good(now) {
             PART_THRESHOLD_ANSWERED
         } else {
             PART_THRESHOLD
@@ -196,8 +201,7 @@
     pub fn forbids_retry(&self, now: Time, prompt: PromptParts<'_>) -> bool {
         let crashes = |part: &u64| {
             let suspect = self.suspects.get(part)?;
-            let known_good = suspect.suspect.answered_within(now, RETENTION);
-            (!known_good && suspect.applies_to(prompt.workspace))
+            (!suspect.is_known_good(now) && suspect.applies_to(prompt.workspace))
                 .then_some(suspect.suspect.crashes.len())
         };
         let most = prompt.parts.iter().filter_map(crashes).max();
@@ -243,8 +247,7 @@
             .suspect
             .counting_crashes(|c| presumed_ended(now, c, liveness_since(c.endpoint, c.at)));
         let first = proven.first()?.at;
-        let known_good = threshold == PART_THRESHOLD_ANSWERED;
-        let too_early = known_good && now.since(first) < ANSWERLESS_TIME;
+        let too_early = suspect.is_known_good(now) && now.since(first) < ANSWERLESS_TIME;
         if proven.len() < threshold || too_early || self.is_explained(now, suspect, prompt) {
             return None;
         }
@@ -329,7 +332,7 @@
             };
             let crashes = suspect.suspect.crashes.len();
             let is_held = crashes >= suspect.threshold(now);
-            let known_good = suspect.suspect.answered_within(now, RETENTION);
+            let known_good = suspect.is_known_good(now);
             // Parts without any answer are the likely ones. Peers need the answers of the others
             // only if they hold crashes of them.
             let tier = match (is_held, known_good, crashes) {
--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -218,9 +218,7 @@
     pub hash: u64,
     /// The crash that it may have been.
     pub crash: Crash,
-    /// Tag of the workspace, and hashes of the prompt's shared parts.
-    pub workspace: u32,
-    /// See [`UnprovedAnswer::workspace`].
+    /// Hashes of the prompt's shared parts.
     pub parts: Arc<[u64]>,
 }
 
@@ -294,7 +292,7 @@
                 Liveness::Dead => {
                     self.suspect_mut(now, answer.request).add_crash(now, crash);
                     let prompt = PromptParts {
-                        workspace: answer.workspace,
+                        workspace: answer.request.workspace,
                         parts: &answer.parts,
                     };
                     parts.crashed(now, prompt, crash);
--- a/crates/core/tests/gateway/part_quarantine.rs
+++ b/crates/core/tests/gateway/part_quarantine.rs
@@ -560,8 +560,9 @@
 #[gtest]
 fn verify_an_answer_that_ended_with_its_connection_and_endpoint_is_a_crash_of_its_parts() {
     let mut gateway = gateway(8);
+    let workspace = Bytes::from_static(b"one");
     let content = Content {
-        workspace: None,
+        workspace: Some(&workspace),
         parts: [b"POST", b"h", b"/p", b"body"],
     };
     for n in 0..3 {
