State what a request was, how slow its endpoint is and when its answer began

Cause: an operator could not tell from the logs which workspaces a service short of room turns away, how long a prompt was, nor how long it waited for its first event: events 610, 611 and 620 named none of it, and the fourth figure of the endpoints' load, how long work takes there now, was not read.

Change: `Load::slowdown` (malformed ones pass for none, the other figures hold), `workspace`, `prompt`, `slowdown`, `first` in the events, histogram `first_event` by three classes of length. Digests tell how long a request waited at an endpoint, only where some endpoint states a slowdown (`gateway::variability`); place.rs is a folder, its code as before.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -547,9 +547,18 @@
 
     /// Notes the load that an endpoint reports in its answer.
     pub fn record_load(&mut self, now: Time, endpoint: EndpointKey, load: endpoint::Load) {
+        if load.slowdown.is_some() {
+            self.variability.record(now);
+        }
         self.registry.record_load(now, endpoint, load);
     }
 
+    /// Notes that an endpoint's answer has begun, with its first event or with its head.
+    pub fn record_begun(&mut self, now: Time, ticket: &Ticket, endpoint: EndpointKey) {
+        let waited = now.since(ticket.sent);
+        self.registry.record_delay(now, endpoint, waited);
+    }
+
     /// Gets how long an endpoint may send nothing before another one is tried; `begun` tells whether
     /// a part of the answer has arrived. `None` if no other attempt could follow, so that the router
     /// keeps waiting.
--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -20,6 +20,7 @@
     ids::Tag,
     units::{
         Millis,
+        Permille,
         Time,
         Wall, //
     },
@@ -134,6 +135,8 @@
     pub waiting: u32,
     /// Requests that it can run concurrently.
     pub slots: u32,
+    /// How long work takes there now, as a multiple of the usual time; `None` if it does not say.
+    pub slowdown: Option<Permille>,
 }
 
 impl Load {
@@ -237,6 +240,8 @@
     latency: Option<(Time, f32)>,
     /// Load at which it last turned a request away, and when.
     room: Option<(Time, u32)>,
+    /// How long the request waited whose answer began last, by any router's report, and when it began.
+    delay: Option<(Time, Millis)>,
     /// Send times of this router's newest requests.
     send_times: VecDeque<Time>,
 }
@@ -276,6 +281,7 @@
             failure_rate: (Time(0), 0.0),
             latency: None,
             room: None,
+            delay: None,
             send_times: VecDeque::new(),
         }
     }
@@ -543,6 +549,7 @@
                 age,
                 load: Some(load_report.load.requests()),
                 confirmed,
+                delay: self.delay(now).map(|(delay, _)| delay),
             });
         }
         let age = now.since(self.confirmed_at?);
@@ -551,6 +558,7 @@
             age,
             load: None,
             confirmed: true,
+            delay: self.delay(now).map(|(delay, _)| delay),
         })
     }
 
@@ -558,6 +566,9 @@
     /// that were sent after that report are not part of it.
     pub fn record_peer_report(&mut self, now: Time, report: EndpointReport) {
         let at = now - report.age;
+        if let Some(delay) = report.delay {
+            self.record_delay(at, delay);
+        }
         let Some(load) = report.load else {
             return;
         };
@@ -570,6 +581,7 @@
             running: load,
             waiting: 0,
             slots: self.entry.slots,
+            slowdown: None,
         };
         let own_in_flight = self.own_in_flight.saturating_sub(recent);
         self.load_report = Some(LoadReport {
@@ -579,6 +591,21 @@
         });
     }
 
+    /// Notes how long a request waited whose answer began at `at`; a newer one is kept.
+    pub fn record_delay(&mut self, at: Time, delay: Millis) {
+        if self.delay.is_none_or(|(held, _)| held < at) {
+            self.delay = Some((at, delay));
+        }
+    }
+
+    /// Gets how long the request waited whose answer began last, and how long ago that was; `None`
+    /// if that is too long.
+    pub fn delay(&self, now: Time) -> Option<(Millis, Millis)> {
+        let (at, delay) = self.delay?;
+        let age = now.since(at);
+        (age < LOAD_REPORT_TTL).then_some((delay, age))
+    }
+
     /// Notes that a request is sent to it.
     pub fn sent(&mut self, now: Time) {
         self.send_times.push_back(now);
--- a/crates/core/src/gateway/incoming_request.rs
+++ b/crates/core/src/gateway/incoming_request.rs
@@ -55,6 +55,23 @@
     pub tokens: u32,
 }
 
+/// Prompts of so many tokens and more are not short.
+const SHORT_PROMPT_TOKENS: u32 = 500;
+/// Prompts of more tokens than this are long.
+const LONG_PROMPT_TOKENS: u32 = 3000;
+
+/// `Length` is a class of prompts by their tokens, for metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Length {
+    /// Fewer than [`SHORT_PROMPT_TOKENS`].
+    Short,
+    /// Up to [`LONG_PROMPT_TOKENS`].
+    Medium,
+    /// More.
+    Long,
+}
+
 impl IncomingRequest {
     /// Tells whether its caller already has events of the stream that it asks for.
     pub fn takes_up_stream(&self) -> bool {
@@ -72,6 +89,15 @@
 }
 
 impl Prompt {
+    /// Gets its class by length.
+    pub const fn length(&self) -> Length {
+        match self.input {
+            0..SHORT_PROMPT_TOKENS => Length::Short,
+            SHORT_PROMPT_TOKENS..=LONG_PROMPT_TOKENS => Length::Medium,
+            _ => Length::Long,
+        }
+    }
+
     /// Gets the parts that other prompts may share: all but the last.
     pub fn shared(&self) -> &[Part] {
         let rest = self.parts.len().saturating_sub(1);
--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -37,6 +37,8 @@
 /// Limit of the reports without a load in a digest: few services state none, and the loads of the
 /// others need the room.
 pub const MAX_REPORTS_WITHOUT_LOAD: usize = 2;
+/// Reports by which digests are shortened while they tell delays, which need their room.
+pub const DELAYS_DISPLACE: usize = 5;
 /// Limit of the request samples in a digest: about as many as a router of a large fleet places in a
 /// round. Without samples, a session that suddenly gets much of the traffic stays on too few
 /// endpoints for seconds.
@@ -114,6 +116,8 @@
     /// Whether the endpoint was not leaving, according to its answer to a request that the sender
     /// sent no more than [`MAX_CONFIRMED_LATENCY`] before.
     pub confirmed: bool,
+    /// How long a request waited there before that answer began; `None` if that is not told.
+    pub delay: Option<Millis>,
 }
 
 /// `BackOffReport` is an endpoint that has asked the sender of a digest for no requests.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -54,6 +54,7 @@
 pub mod settings;
 pub mod stop;
 pub mod updates;
+pub mod variability;
 pub mod warmup;
 
 pub use attempt::Ticket;
@@ -76,6 +77,7 @@
 use registry::Registry;
 use settings::Bounds;
 use stop::StopDeadline;
+use variability::Variability;
 use warmup::Warmup;
 
 /// Shortest retry delay that a refused caller is told: the time in which changes reach all routers
@@ -101,6 +103,7 @@
     part_quarantine: PartQuarantine,
     warmup: Warmup,
     brittleness: Brittleness,
+    variability: Variability,
     reach: Reach,
     peers: Peers,
     /// Software versions of recent streams.
@@ -147,6 +150,7 @@
             part_quarantine: PartQuarantine::default(),
             warmup: Warmup::default(),
             brittleness: Brittleness::default(),
+            variability: Variability::default(),
             reach: Reach::default(),
             peers: Peers::default(),
             streams: Streams::default(),
--- /dev/null
+++ b/crates/core/src/gateway/place/affinity.rs
@@ -0,0 +1,98 @@
+//! Prompts go where their shared parts are held.
+
+use crate::{
+    arena::EndpointKey,
+    gateway::{
+        Ticket,
+        endpoint::Endpoint,
+        hot_spots,
+        place::{
+            Placed,
+            PlacementContext,
+            cost::{
+                ServiceMean,
+                cost,
+                draw,
+                least,
+                limit, //
+            },
+            placed, //
+        },
+    },
+    load::score,
+};
+
+/// Finds the endpoint other than `chosen` that most likely holds prompts with `part_id`: the first
+/// in their order that has been listed for long enough, even if it is leaving. An endpoint that has
+/// just joined has read nothing yet. Where `chosen` itself is the first, the next one may have
+/// replaced it for a while; fetching what is already held costs nothing.
+pub(super) fn holder(
+    context: &PlacementContext<'_>,
+    ticket: &Ticket,
+    part_id: u64,
+    chosen: EndpointKey,
+) -> Option<EndpointKey> {
+    let known = context.registry.known(&ticket.service);
+    let settled = known.filter(|(k, e)| {
+        *k != chosen
+            && !e.recently_joined(context.now)
+            && !e.paused(context.now)
+            && context.allows_fetch(e)
+    });
+    let first = settled.max_by_key(|(_, e)| score(part_id, e.seed));
+    first.map(|(key, _)| key)
+}
+
+pub(super) fn by_affinity(
+    context: &PlacementContext<'_>,
+    mut candidates: Vec<(EndpointKey, &Endpoint)>,
+    part_id: u64,
+    mean: ServiceMean,
+) -> Option<Placed> {
+    candidates.sort_by_key(|(_, e)| std::cmp::Reverse(score(part_id, e.seed)));
+    let fits = |(_, e): &(EndpointKey, &Endpoint)| cost(context, e, mean) < limit(context, e, mean);
+    let hot_pick = pick_for_hot_part(context, &candidates, part_id, mean);
+    let below = hot_pick
+        .filter(|rank| fits(&candidates[*rank]))
+        .or_else(|| candidates.iter().position(fits));
+    let rank = match below {
+        Some(rank) => rank,
+        None => least(context, &candidates, |e| cost(context, e, mean))?,
+    };
+    placed(context, &candidates, rank, mean)
+}
+
+/// Chooses one of the endpoints that share a hot part, the less loaded of two random ones; `None`
+/// for a part that a single endpoint carries.
+fn pick_for_hot_part(
+    context: &PlacementContext<'_>,
+    candidates: &[(EndpointKey, &Endpoint)],
+    part_id: u64,
+    mean: ServiceMean,
+) -> Option<usize> {
+    let multiple = f64::from(context.bounds.skew.0) / 1000.0 * mean.carried_share();
+    let spread_width =
+        context
+            .hot_spots?
+            .spread(hot_spots::tag(part_id), candidates.len(), multiple);
+    if spread_width < 2 {
+        return None;
+    }
+    cheaper_of_two(context, &candidates[..spread_width], mean)
+}
+
+/// Chooses the endpoint with the lower cost of two random ones.
+pub(super) fn cheaper_of_two(
+    context: &PlacementContext<'_>,
+    candidates: &[(EndpointKey, &Endpoint)],
+    mean: ServiceMean,
+) -> Option<usize> {
+    let count = candidates.len();
+    let pair = [draw(context, count, 1)?, draw(context, count, 2)?];
+    let costs = pair.map(|rank| cost(context, candidates[rank].1, mean));
+    Some(if costs[1] < costs[0] {
+        pair[1]
+    } else {
+        pair[0]
+    })
+}
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -327,6 +327,13 @@
         }
     }
 
+    /// Records how long a request waited at an endpoint before its answer began.
+    pub fn record_delay(&mut self, now: Time, key: EndpointKey, delay: Millis) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.record_delay(now, delay);
+        }
+    }
+
     /// Records how an attempt ended and how long it took.
     pub fn ended(&mut self, now: Time, key: EndpointKey, outcome: AttemptOutcome, took: Millis) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
--- a/crates/core/src/gateway/updates.rs
+++ b/crates/core/src/gateway/updates.rs
@@ -233,10 +233,20 @@
         } else {
             0
         };
-        let displaced = mesh::displaced_reports(&crashes, &back_offs) + streams;
+        let tells_delays = self.variability.is_stated(now);
+        let delays = if tells_delays {
+            mesh::DELAYS_DISPLACE
+        } else {
+            0
+        };
+        let displaced = mesh::displaced_reports(&crashes, &back_offs) + streams + delays;
         let room = mesh::MAX_REPORTS.saturating_sub(displaced);
+        let mut reports = self.registry.reports(now, draw, room);
+        for report in &mut reports {
+            report.delay = report.delay.filter(|_| tells_delays);
+        }
         DigestContents {
-            reports: self.registry.reports(now, draw, room),
+            reports,
             crashes,
             back_offs,
         }
@@ -293,6 +303,9 @@
         let running = now.since(self.last_tick) < SUSPENSION_GAP;
         let timely = running && now.since(self.resumed_at) >= RESUME_DRAIN_TIME;
         for report in reports {
+            if report.delay.is_some() {
+                self.variability.record(now);
+            }
             self.registry.record_peer_report(now, *report, timely);
         }
     }
--- a/crates/core/tests/gateway/brittle.rs
+++ b/crates/core/tests/gateway/brittle.rs
@@ -28,11 +28,13 @@
     running: 64,
     waiting: 3,
     slots: 64,
+    slowdown: None,
 };
 const FREE: Load = Load {
     running: 5,
     waiting: 0,
     slots: 64,
+    slowdown: None,
 };
 
 fn keys(gateway: &Gateway) -> Vec<EndpointKey> {
@@ -230,4 +232,5 @@
     running: 0,
     waiting: 0,
     slots: 64,
+    slowdown: None,
 };
--- a/crates/core/tests/gateway/endpoint.rs
+++ b/crates/core/tests/gateway/endpoint.rs
@@ -34,6 +34,7 @@
         running,
         waiting: 0,
         slots: 64,
+        slowdown: None,
     }
 }
 
@@ -73,6 +74,7 @@
     let mut endpoint = Endpoint::new(None, entry(1));
     endpoint.record_load(Time(1000), load(5));
     let report = |load, age| EndpointReport {
+        delay: None,
         endpoint: 0,
         load: Some(load),
         age: Millis(age),
--- a/crates/core/tests/gateway/evacuation.rs
+++ b/crates/core/tests/gateway/evacuation.rs
@@ -189,6 +189,7 @@
             running: 12,
             waiting: 0,
             slots: 64,
+            slowdown: None,
         };
         gateway.record_load(Time(10), *key, load);
     }
--- a/crates/core/tests/gateway/lives.rs
+++ b/crates/core/tests/gateway/lives.rs
@@ -103,6 +103,7 @@
         running: 40,
         waiting: 9,
         slots: 64,
+        slowdown: None,
     };
     gateway.record_load(Time(6), key, load);
     let reports = gateway.digest_contents(Time(7), 1).reports;
--- a/crates/core/tests/gateway/place.rs
+++ b/crates/core/tests/gateway/place.rs
@@ -106,6 +106,7 @@
         running: 40,
         waiting: 3,
         slots: 64,
+        slowdown: None,
     };
     gateway.record_load(Time(10), first, load);
     expect_that!(
@@ -242,6 +243,7 @@
             running,
             waiting: 0,
             slots: 64,
+            slowdown: None,
         };
         gateway.record_load(Time(10), preferred, load(60));
         let other = place_request(&mut gateway, &request);
@@ -292,6 +294,7 @@
             running,
             waiting: 0,
             slots: 64,
+            slowdown: None,
         };
         let keys: Vec<EndpointKey> = gateway.registry().usable().map(|(k, _)| k).collect();
         for key in keys {
--- a/crates/core/tests/gateway/skew.rs
+++ b/crates/core/tests/gateway/skew.rs
@@ -123,6 +123,7 @@
                         running: self.in_progress[&name],
                         waiting: 0,
                         slots: 64,
+                        slowdown: None,
                     };
                     self.routers[index].record_load(Time(now), endpoint, load);
                 }
--- a/crates/core/tests/gateway/staying.rs
+++ b/crates/core/tests/gateway/staying.rs
@@ -157,6 +157,7 @@
 #[gtest]
 fn verify_a_digest_that_waited_for_a_suspended_router_confirms_nothing() {
     let confirmation = |gateway: &Gateway, load| EndpointReport {
+        delay: None,
         endpoint: gateway
             .registry()
             .usable()
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -33,6 +33,7 @@
 use tokio::time::timeout;
 use toucanturn_core::{
     gateway::{
+        Ticket,
         incoming_request::IncomingRequest,
         outcome::NextStep,
         refusal::{
@@ -90,7 +91,7 @@
         Ok((incoming_request, body)) => {
             admit_and_answer(&state, incoming_request, parts, body, began).await
         }
-        Err((id, refusal)) => refuse(&state, &id, refusal, None),
+        Err((id, refusal)) => refuse(&state, (&id, None), refusal, None),
     };
     keep_alive(&state, response.headers_mut());
     Ok(response)
@@ -185,7 +186,7 @@
         Err(refusal) => {
             return refuse(
                 state,
-                &incoming_request.id,
+                (&incoming_request.id, None),
                 refusal,
                 incoming_request.deadline.map(|d| began + d),
             );
@@ -229,10 +230,10 @@
 }
 
 /// Builds the answer to a refused request and logs the refusal. The answer says when to retry, if the refusal
-/// allows that.
+/// allows that. The ticket is that of an admitted request.
 pub(crate) fn refuse(
     state: &Shared,
-    id: &Bytes,
+    (id, ticket): (&Bytes, Option<&Ticket>),
     refusal: Refusal,
     deadline: Option<Time>,
 ) -> Response<Body> {
@@ -250,6 +251,10 @@
             event = 620,
             id = %text(id),
             cause = %refusal.cause,
+            route = ticket.map(|t| text(&t.route.name).into_owned()),
+            workspace = ticket
+                .and_then(|t| t.workspace.as_ref())
+                .map(|w| text(&w.name).into_owned()),
             may_have_run = refusal.may_have_run,
             version = gateway.catalog().map_or(0, |c| c.version),
             age = gateway.proof().age(now).map_or(-1, |a| i64::try_from(a.0).unwrap_or(i64::MAX)),
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -411,7 +411,7 @@
 /// Refuses a peer's request that was not admitted, and reports why.
 fn refuse(state: &Shared, id: &Bytes, refusal: Refusal, deadline: Option<Time>) -> Response<Body> {
     state.metrics.count("handoffs_accepted", "refused");
-    let mut response = exchange::refuse(state, id, refusal, deadline);
+    let mut response = exchange::refuse(state, (id, None), refusal, deadline);
     let report = PeerReport {
         tried: Vec::new(),
         refused: Some(refusal.cause),
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -52,7 +52,11 @@
             Refusal, //
         },
     },
-    units::Time,
+    units::{
+        Millis,
+        Permille,
+        Time, //
+    },
 };
 
 use toucanturn_wire::handoff::Position;
@@ -117,6 +121,10 @@
     pub(crate) began: Time,
     /// Load that the endpoint of the newest attempt has stated, and the limit when it was chosen.
     stated: Option<(u32, f32)>,
+    /// Slowdown that the endpoint of the newest attempt has stated.
+    slowdown: Option<Permille>,
+    /// Time from the sending of the newest attempt until its answer began.
+    first: Option<Millis>,
     /// What the endpoint of the newest attempt has answered.
     pub(crate) received: Option<Received>,
 }
@@ -235,6 +243,8 @@
             body,
             began,
             stated: None,
+            slowdown: None,
+            first: None,
             received: None,
         }
     }
@@ -321,6 +331,7 @@
 
     /// Notes that the first event of a stream is about to be delivered.
     pub(crate) fn begin_stream(&mut self, target: &Target) {
+        self.record_first(target);
         let build = match target {
             Target::Endpoint(_) => self.ticket.build,
             Target::Peer { report, .. } => report.as_ref().and_then(|r| r.build),
@@ -524,6 +535,8 @@
             self.state.metrics.time("load_age", &service, age);
         }
         self.stated = None;
+        self.slowdown = None;
+        self.first = None;
         self.received = None;
         let request = self.request(placed, resume);
         let guard = AttemptGuard::start(self, Target::Endpoint(placed.endpoint));
@@ -556,6 +569,7 @@
             let mut gateway = self.state.gateway.borrow_mut();
             gateway.record_load(now(), placed.endpoint, load);
             self.stated = Some((load.requests(), placed.limit));
+            self.slowdown = load.slowdown;
         }
         if reply.id.as_ref() != Some(&self.incoming_request.id) {
             return Err((guard, AttemptOutcome::Broken, status));
@@ -606,6 +620,7 @@
             connection,
             guard,
         } = attempt;
+        self.record_first(&guard.target);
         let collected = timeout(
             self.time_left(),
             Limited::new(body, MAX_BUFFERED_ANSWER_BYTES).collect(),
@@ -638,6 +653,23 @@
         (self.end(guard, outcome, Some(head.status)), answer)
     }
 
+    /// Records that the newest attempt's answer has begun: its first event, or its body.
+    fn record_first(&mut self, target: &Target) {
+        if self.first.is_some() {
+            return;
+        }
+        if let Target::Endpoint(endpoint) = target {
+            let mut gateway = self.state.gateway.borrow_mut();
+            gateway.record_begun(now(), &self.ticket, *endpoint);
+        }
+        let took = now().since(self.ticket.sent);
+        self.first = Some(took);
+        if let Some(prompt) = &self.incoming_request.prompt {
+            let (metrics, length) = (&self.state.metrics, prompt.length().to_string());
+            metrics.time("first_event", &length, took);
+        }
+    }
+
     /// Records how the body of the newest attempt's answer ended; `None` if the connection reports its end.
     pub(crate) fn record_end(&mut self, end: Option<BodyEnd>) {
         if let Some(received) = &mut self.received
@@ -771,6 +803,8 @@
                 fate = %outcome,
                 status,
                 load = self.stated.map(|(load, _)| load),
+                slowdown = self.slowdown.map(|s| s.0),
+                first = self.first.map(|first| first.0),
                 framing = received.map(|r| r.framing.to_string()),
                 end = received.and_then(|r| r.end).map(|e| e.to_string()),
                 events = received.map(|r| r.events),
@@ -816,7 +850,9 @@
             _ => {}
         }
         let deadline = Some(self.ticket.deadline);
-        let mut response = refuse(&self.state, &self.incoming_request.id, refusal, deadline);
+        let sender = Some(&self.ticket);
+        let id = &self.incoming_request.id;
+        let mut response = refuse(&self.state, (id, sender), refusal, deadline);
         if self.ticket.from_peer {
             let mut gateway = self.state.gateway.borrow_mut();
             gateway.release_from_peer(&self.ticket);
@@ -988,6 +1024,8 @@
             event = 610,
             id = %text(&self.incoming_request.id),
             route = %text(&self.ticket.route.name),
+            workspace = self.ticket.workspace.as_ref().map(|w| text(&w.name).into_owned()),
+            prompt = self.incoming_request.prompt.as_ref().map(|p| p.input),
             version = self.ticket.version,
             age,
             endpoint = %endpoint_name(&gateway, placed.endpoint),
--- a/crates/replay/src/lab/engine.rs
+++ b/crates/replay/src/lab/engine.rs
@@ -100,6 +100,7 @@
             running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
             waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
             slots: self.shape.slots,
+            slowdown: None,
         }
     }
 
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -248,10 +248,21 @@
         back_off_times: digest.back_offs.iter().map(|b| steps(b.left)).collect(),
         unreached_services: digest.unreached_services.clone(),
         mixed_services: digest.mixed_services.clone(),
+        delays: if digest.reports.iter().any(|s| s.delay.is_some()) {
+            digest.reports.iter().map(delay).collect()
+        } else {
+            Vec::new()
+        },
     }
     .encode_to_vec()
 }
 
+/// Gets a report's delay in steps, rounded up, and one more; 0 where there is none.
+fn delay(report: &EndpointReport) -> u32 {
+    let told = report.delay;
+    told.map_or(0, |delay| steps(Millis(delay.0.min(MAX_AGE))) + 1)
+}
+
 /// Gets an age in steps, rounded up.
 fn steps(age: Millis) -> u32 {
     u32::try_from(age.0.div_ceil(AGE_STEP)).unwrap_or(u32::MAX)
@@ -278,6 +289,7 @@
     let raw = proto::Digest::decode(payload).context(CodecSnafu)?;
     let from = raw.from.context(PartSnafu { what: "a sender" })?;
     let columns = raw.endpoints.len() == raw.loads.len() && raw.loads.len() == raw.ages.len();
+    let columns = columns && (raw.delays.is_empty() || raw.delays.len() == raw.loads.len());
     let what = "columns of one bounded length";
     ensure!(
         columns && raw.loads.len() <= MAX_REPORTS,
@@ -304,6 +316,11 @@
             load: (raw.loadless >> row & 1 == 0).then_some(*load),
             age: self::age(*age),
             confirmed: raw.confirmed >> row & 1 == 1,
+            delay: raw
+                .delays
+                .get(row)
+                .and_then(|steps| steps.checked_sub(1))
+                .map(self::age),
         });
     let rows = raw.back_off_endpoints.len();
     let columns = rows == raw.back_off_times.len();
--- a/crates/wire/tests/gossip.rs
+++ b/crates/wire/tests/gossip.rs
@@ -95,6 +95,7 @@
 
 fn digest(heartbeats: usize, reports: usize) -> Digest {
     let report = |n: usize| EndpointReport {
+        delay: n.is_multiple_of(3).then_some(Millis(16 * n as u64)),
         endpoint: u32::MAX - u32::try_from(n).expect("it is small"),
         load: (!n.is_multiple_of(3)).then_some(300),
         age: Millis(2000),
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -117,7 +117,7 @@
 guard evacuation_proof crates/core/src/gateway/attempt.rs \
     's/self\.proof\.covers_evacuations\(now, &self\.bounds\)/true/' \
     toucanturn-core gateway evacuation::verify_nothing_goes_out_once_an_evacuation_could_be_unknown
-guard cold_quota crates/core/src/gateway/place.rs \
+guard cold_quota crates/core/src/gateway/place/mod.rs \
     's/\|\| warmup\.admits\(context\.now, \*key\)/|| true/' \
     toucanturn-platform path evacuations::verify_requests_go_round_a_cold_endpoint_where_others_are_warm
 guard cold_owners crates/core/src/gateway/warmup.rs \
@@ -141,7 +141,7 @@
 guard said_unlisted crates/core/src/gateway/registry.rs \
     's/if let Some\(signals\) = self\.unlisted_signals\.shift_remove\(&endpoint\.tag\(\)\)/if let Some(signals) = None/' \
     toucanturn-core gateway signals::verify_an_entry_that_comes_back_does_not_end_what_the_endpoint_said
-guard back_off crates/core/src/gateway/place.rs \
+guard back_off crates/core/src/gateway/place/mod.rs \
     's/&& !e\.backing_off\(context\.now\)/\&\& true/' \
     toucanturn-core gateway signals::verify_the_only_endpoint_gets_nothing_until_the_end_of_its_pause
 guard back_off_late crates/core/src/gateway/attempt.rs \
@@ -164,11 +164,11 @@
     's/if ticket\.counted && ticket\.attempts\(\) == 0/if ticket.counted \&\& ticket.attempts() == 9/' \
     toucanturn-core gateway handoff::verify_a_handed_request_counts_at_one_router_only
 
-guard brittle_full crates/core/src/gateway/place.rs \
+guard brittle_full crates/core/src/gateway/place/mod.rs \
     's/&& context\.spares_brittle\(\*k, e\)/\&\& (true || context.spares_brittle(*k, e))/' \
     toucanturn-core gateway brittle::verify_full_brittle_endpoints_get_no_more_requests_than_they_may_turn_away
 
-guard slot_division crates/core/src/gateway/place.rs \
+guard slot_division crates/core/src/gateway/place/mod.rs \
     's/\(self\.confined && /(false \&\& self.confined \&\& /' \
     toucanturn-core gateway brittle::verify_routers_that_hear_nothing_of_each_other_do_not_overfill_brittle_endpoints
 
