Part the exchange with an endpoint, the hand-off and the retry loop of a request

It is a folder now: mod.rs (the loop over attempts and how one ends), endpoint.rs, peer.rs, probe.rs, report.rs. Code is moved, not changed; paths in GUARDS and the guards' script follow. The test of the catalogue reads folders within src, too, or it would miss the moved events.

--- /dev/null
+++ b/crates/gateway/src/proxied/endpoint.rs
@@ -0,0 +1,384 @@
+//! The exchange with an endpoint: connection, request, and the head and body of its answer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{
+    Request,
+    Response,
+    StatusCode,
+    Uri, //
+};
+use http_body_util::{
+    BodyExt,
+    Either,
+    Full,
+    LengthLimitError,
+    Limited, //
+};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+use toucanturn_core::{
+    arena::EndpointKey,
+    gateway::{
+        endpoint::Signal,
+        outcome::{
+            AttemptOutcome,
+            NextStep, //
+        },
+        place::Placed, //
+    },
+};
+
+use crate::{
+    client::{
+        ConnectFailure,
+        Connection,
+        SendOutcome, //
+    },
+    exchange::{
+        Body,
+        MAX_BUFFERED_ANSWER_BYTES, //
+    },
+    framing::{
+        BodyEnd,
+        Framing,
+        Received, //
+    },
+    handoff::PeerConnection,
+    log::text,
+    pool::Pool,
+    protocol::{
+        ForwardContext,
+        ReplyHead, //
+    },
+    proxied::{
+        Attempt,
+        AttemptGuard,
+        ProxiedRequest,
+        Target,
+        report::endpoint_name, //
+    },
+    state::now,
+};
+
+/// Longest wait for the body of an answer that states that nothing ran. The connection is kept for
+/// reuse if the body is complete by then.
+const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(50);
+
+impl ProxiedRequest {
+    pub(super) fn may_send(&self, placed: &Placed) -> bool {
+        let gateway = self.state.gateway.borrow();
+        gateway.may_send_placed(now(), &self.ticket, placed)
+    }
+
+    pub(super) async fn connect(&mut self, placed: &Placed) -> Result<Connection, NextStep> {
+        if let Some(kept) = self.state.pool.take(now(), placed.endpoint) {
+            return Ok(kept);
+        }
+        let address = {
+            let gateway = self.state.gateway.borrow();
+            gateway.connecting(now(), &mut self.ticket);
+            let endpoint = gateway.registry().get(placed.endpoint);
+            endpoint.map(|e| e.entry.address)
+        };
+        let error = match address {
+            Some(address) => match Pool::open(address).await {
+                Ok(connection) => {
+                    self.state.metrics.count("connections", "opened");
+                    return Ok(connection);
+                }
+                Err(error) => (error.to_string(), error.connect_failure()),
+            },
+            None => (
+                "the endpoint is no longer registered".to_owned(),
+                ConnectFailure::Unregistered,
+            ),
+        };
+        let (error, failure) = error;
+        self.state.metrics.count("connections", "failed");
+        let mut gateway = self.state.gateway.borrow_mut();
+        let next = gateway.unreached(now(), &mut self.ticket, placed.endpoint);
+        if self.state.log.try_admit() {
+            let id = text(&self.incoming_request.id);
+            let endpoint = endpoint_name(&gateway, placed.endpoint);
+            tracing::warn!(event = 612, %id, %endpoint, error, %failure, %next, "endpoint not reached");
+        }
+        Err(next)
+    }
+
+    pub(super) async fn send(
+        &mut self,
+        placed: &Placed,
+        mut connection: Connection,
+        resume: Option<u64>,
+    ) -> Result<Attempt, (AttemptGuard, AttemptOutcome, Option<StatusCode>)> {
+        if placed.cold {
+            self.state.metrics.count("attempts", "cold");
+        }
+        if let Some(age) = placed.load_age {
+            let service = text(&self.ticket.service).into_owned();
+            self.state.metrics.time("load_age", &service, age);
+        }
+        self.stated = None;
+        self.slowdown = None;
+        self.first = None;
+        self.received = None;
+        let request = self.request(placed, resume);
+        let guard = AttemptGuard::start(self, Target::Endpoint(placed.endpoint));
+        self.log_placed(placed, resume.or(self.incoming_request.resume));
+        let sent = timeout(
+            self.silence_timeout(&guard, false),
+            connection.send(request),
+        )
+        .await;
+        let response = match sent {
+            Ok(SendOutcome::Head(response)) => response,
+            Ok(SendOutcome::Unsent) => return Err((guard, AttemptOutcome::NotSent, None)),
+            Ok(SendOutcome::ConnectionLost(error)) => {
+                tracing::debug!(id = %text(&self.incoming_request.id), %error, "connection broke before the answer's head");
+                return Err((guard, AttemptOutcome::Broken, None));
+            }
+            Err(_) => return Err((guard, AttemptOutcome::Stalled, None)),
+        };
+        {
+            let mut gateway = self.state.gateway.borrow_mut();
+            gateway.heard(now(), placed.endpoint, connection.opened);
+        }
+        let (head, body) = response.into_parts();
+        let framing = Framing::of(&head, &body);
+        self.received = Some(Received::new(framing));
+        let mut reply = (self.state.protocol.reply)(&head.headers);
+        reply.closes |= framing == Framing::Close;
+        let status = Some(head.status);
+        if let Some(load) = reply.load {
+            let mut gateway = self.state.gateway.borrow_mut();
+            gateway.record_load(now(), placed.endpoint, load);
+            self.stated = Some((load.requests(), placed.limit));
+            self.slowdown = load.slowdown;
+        }
+        if reply.id.as_ref() != Some(&self.incoming_request.id) {
+            return Err((guard, AttemptOutcome::Broken, status));
+        }
+        let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        // A misdirected request was answered by another endpoint than the one that was meant.
+        if !misdirected {
+            self.record_signals(placed.endpoint, &head, &reply);
+        }
+        if misdirected || reply.rejected {
+            self.drain_rejection(&guard, connection, body, &reply).await;
+            let outcome = if misdirected {
+                AttemptOutcome::Misdirected
+            } else {
+                AttemptOutcome::Rejected
+            };
+            return Err((guard, outcome, status));
+        }
+        // An answer without the signature field did not come from the endpoint, or is incomplete.
+        if !reply.sealed || reply.encoded {
+            return Err((guard, AttemptOutcome::Broken, status));
+        }
+        // A leaving endpoint closes its connection with each answer and few others do, so an answer that
+        // keeps the connection open confirms that the endpoint is not leaving.
+        if !reply.closes && !reply.leaving {
+            let mut gateway = self.state.gateway.borrow_mut();
+            gateway.confirm(&self.ticket, placed.endpoint);
+        }
+        Ok(Attempt {
+            head,
+            reply,
+            body,
+            connection,
+            guard,
+        })
+    }
+
+    /// Buffers an attempt's answer until it is complete, and ends the attempt. Returns what follows, and
+    /// the caller's answer or how the attempt failed.
+    pub(crate) async fn buffer_answer(
+        &mut self,
+        attempt: Attempt,
+    ) -> (NextStep, Result<Response<Body>, AttemptOutcome>) {
+        let Attempt {
+            head,
+            reply,
+            body,
+            connection,
+            guard,
+        } = attempt;
+        self.record_first(&guard.target);
+        let collected = timeout(
+            self.time_left(),
+            Limited::new(body, MAX_BUFFERED_ANSWER_BYTES).collect(),
+        )
+        .await;
+        match &collected {
+            Ok(Ok(_)) => self.record_end(None),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                self.record_end(Some(BodyEnd::Overlong));
+            }
+            Ok(Err(_)) => self.record_end(Some(BodyEnd::Lost)),
+            Err(_) => self.record_end(Some(BodyEnd::Silent)),
+        }
+        let answer = match collected {
+            Ok(Ok(body)) => {
+                self.keep_connection(&guard, connection, &reply);
+                Ok(self.caller_response(&head, Either::Left(Full::new(body.to_bytes()))))
+            }
+            Ok(Err(error)) => {
+                tracing::debug!(id = %text(&self.incoming_request.id), %error, "body of the answer ended early");
+                Err(AttemptOutcome::Broken)
+            }
+            Err(_) => Err(AttemptOutcome::Stalled),
+        };
+        let outcome = match &answer {
+            Ok(_) if head.status.is_server_error() => AttemptOutcome::Failed,
+            Ok(_) => AttemptOutcome::Answered,
+            Err(outcome) => *outcome,
+        };
+        (self.end(guard, outcome, Some(head.status)), answer)
+    }
+
+    /// Records that the newest attempt's answer has begun: its first event, or its body.
+    pub(super) fn record_first(&mut self, target: &Target) {
+        if self.first.is_some() {
+            return;
+        }
+        if let Target::Endpoint(endpoint) = target {
+            let mut gateway = self.state.gateway.borrow_mut();
+            gateway.record_begun(now(), &self.ticket, *endpoint);
+        }
+        let took = now().since(self.ticket.sent);
+        self.first = Some(took);
+        if let Some(prompt) = &self.incoming_request.prompt {
+            let (metrics, length) = (&self.state.metrics, prompt.length().to_string());
+            metrics.time("first_event", &length, took);
+        }
+    }
+
+    /// Records how the body of the newest attempt's answer ended; `None` if the connection reports its end.
+    pub(crate) fn record_end(&mut self, end: Option<BodyEnd>) {
+        if let Some(received) = &mut self.received
+            && received.end.is_none()
+        {
+            let end = end.unwrap_or_else(|| received.framing.end());
+            received.end = Some(end);
+            self.state.metrics.count("body_ends", &end.to_string());
+        }
+    }
+
+    /// Reads the short body of a rejection; keeps the connection if it is complete in time.
+    pub(super) async fn drain_rejection(
+        &self,
+        guard: &AttemptGuard,
+        connection: Connection,
+        body: Incoming,
+        reply: &ReplyHead,
+    ) {
+        if let Ok(Ok(_)) = timeout(
+            REJECTION_BODY_TIMEOUT,
+            Limited::new(body, MAX_BUFFERED_ANSWER_BYTES).collect(),
+        )
+        .await
+        {
+            self.keep_connection(guard, connection, reply);
+        }
+    }
+
+    /// Returns a connection to the pool after a complete answer.
+    pub(crate) fn keep_connection(
+        &self,
+        guard: &AttemptGuard,
+        connection: Connection,
+        reply: &ReplyHead,
+    ) {
+        if !reply.closes && !reply.leaving {
+            match &guard.target {
+                Target::Endpoint(endpoint) => {
+                    let pool = &self.state.pool;
+                    pool.keep(now(), *endpoint, connection, reply.idle);
+                }
+                Target::Peer {
+                    address,
+                    next,
+                    heeds_origins,
+                    ..
+                } => {
+                    let open = PeerConnection {
+                        connection,
+                        next: *next,
+                        heeds_origins: *heeds_origins,
+                    };
+                    self.state.peer_pool.keep(*address, open, reply.idle);
+                }
+            }
+        }
+    }
+
+    fn request(&self, placed: &Placed, resume: Option<u64>) -> Request<Full<Bytes>> {
+        let gateway = self.state.gateway.borrow();
+        let named = gateway.registry().get(placed.endpoint);
+        let holder = placed.holder.and_then(|h| gateway.registry().get(h));
+        let nobody = Bytes::new();
+        let forward = ForwardContext {
+            endpoint: named.map_or(&nobody, |e| &e.entry.id),
+            workspace: self.ticket.workspace.as_ref().map(|w| &w.name),
+            time_left: self.ticket.until.since(now()),
+            priority: self.ticket.priority,
+            resume,
+            generates: self.incoming_request.prompt.is_some(),
+            holder: holder.map(|h| h.entry.address),
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = origin_form(&self.uri);
+        *request.headers_mut() = (self.state.protocol.forward)(&self.headers, &forward);
+        request
+    }
+
+    /// Records what an endpoint's answer says of the endpoint itself.
+    fn record_signals(
+        &self,
+        endpoint: EndpointKey,
+        head: &http::response::Parts,
+        reply: &ReplyHead,
+    ) {
+        let id = text(&self.incoming_request.id);
+        let status = head.status.as_u16();
+        let mut gateway = self.state.gateway.borrow_mut();
+        // Without the signature field, the answer is not the endpoint's own.
+        if reply.leaving && (reply.sealed || reply.rejected) {
+            self.state.metrics.count("signals", "leaving");
+            let news = gateway.record_signal(now(), &self.ticket, Signal::Leaving);
+            if news && self.state.log.try_admit() {
+                let endpoint = endpoint_name(&gateway, endpoint);
+                tracing::info!(event = 662, %id, %endpoint, status, "endpoint says that it leaves");
+            }
+        }
+        if reply.sealed || reply.rejected {
+            let news = gateway.record_brittle(now(), endpoint, reply.brittle);
+            if news && self.state.log.try_admit() {
+                let service = text(&self.ticket.service);
+                let limit = reply.brittle.map_or(-1, i64::from);
+                tracing::info!(event = 670, %id, %service, limit, "endpoints may be brittle");
+            }
+        }
+        // With another status the field is about the request, not about the endpoint.
+        let unavailable = head.status == StatusCode::SERVICE_UNAVAILABLE;
+        if let Some(asked) = reply.retry_after.filter(|_| unavailable) {
+            self.state.metrics.count("signals", "back_off");
+            let news = gateway.record_signal(now(), &self.ticket, Signal::BackOff(asked));
+            if news && self.state.log.try_admit() {
+                let endpoint = endpoint_name(&gateway, endpoint);
+                let asked = asked.0;
+                tracing::info!(event = 663, %id, %endpoint, asked, "endpoint asks for a pause");
+            }
+        }
+    }
+}
+
+/// Returns the URI in origin form, that is, path and query (RFC 9112, section 3.2.1).
+pub(super) fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| Uri::from_static("/"), Uri::from)
+}
--- a/crates/gateway/tests/catalogue.rs
+++ b/crates/gateway/tests/catalogue.rs
@@ -15,9 +15,21 @@
 }
 
 fn source() -> String {
-    let folder = fs::read_dir(root().join("src")).expect("src is a readable folder");
-    let files = folder.map(|e| fs::read_to_string(e.expect("a folder entry is readable").path()));
-    files.map(|f| f.expect("a source file is UTF-8")).collect()
+    text_of(&root().join("src"))
+}
+
+/// Returns the text of all files in a folder and the folders within it.
+fn text_of(folder: &Path) -> String {
+    let entries = fs::read_dir(folder).expect("src is a readable folder");
+    let paths = entries.map(|e| e.expect("a folder entry is readable").path());
+    let texts = paths.map(|path| {
+        if path.is_dir() {
+            text_of(&path)
+        } else {
+            fs::read_to_string(path).expect("a source file is UTF-8")
+        }
+    });
+    texts.collect()
 }
 
 /// Returns the section about the gateway of a page in docs.
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -188,7 +188,7 @@
     's/true => self\.set_resets\(true\)/true => self.set_resets(false)/' \
     toucanturn-platform path ends::verify_a_stream_is_reset_if_it_breaks_off_at_a_caller_without_chunks
 
-guard unmarked_confirm crates/gateway/src/proxied.rs \
+guard unmarked_confirm crates/gateway/src/proxied/endpoint.rs \
     's/reply\.closes \|= framing == Framing::Close;/reply.closes |= false;/' \
     toucanturn-platform path proofs::verify_an_answer_that_ends_with_its_connection_does_not_confirm_its_endpoint
 
