Allow second attempts where the quarantine is off

bounds.hold_s 0 turns the quarantine of contents and of prompt parts off, and the verdicts heed that. forbids_retry, which denies a second attempt to a request with a part of two crashes, did not, so such a request failed at its first broken attempt though nothing is ever held back. It asks the policy now, as the verdicts do.

Ruled out: dropping the records while the quarantine is off; they are needed as soon as the setting is taken back.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -719,7 +719,7 @@
         let crashes = outcome == AttemptOutcome::Broken
             && self
                 .part_quarantine
-                .forbids_retry(now, ticket.prompt_parts());
+                .forbids_retry(now, ticket.prompt_parts(), self.bounds.hold);
         let allowed = allowed && !crashes;
         let may_continue = may_continue && allowed && !self.has_waited_for_connections(now, ticket);
         if may_continue && (costs_no_retry || self.reserve_retry(now, ticket)) {
--- a/crates/core/src/gateway/part_quarantine.rs
+++ b/crates/core/src/gateway/part_quarantine.rs
@@ -198,7 +198,10 @@
     }
 
     /// Tells whether another attempt of a request would probably crash another endpoint.
-    pub fn forbids_retry(&self, now: Time, prompt: PromptParts<'_>) -> bool {
+    pub fn forbids_retry(&self, now: Time, prompt: PromptParts<'_>, policy: Policy) -> bool {
+        if policy.is_off() {
+            return false;
+        }
         let crashes = |part: &u64| {
             let suspect = self.suspects.get(part)?;
             (!suspect.is_known_good(now) && suspect.applies_to(prompt.workspace))
@@ -217,7 +220,7 @@
         policy: Policy,
         liveness_since: impl Fn(Tag, Time) -> Liveness,
     ) -> Option<PartVerdict> {
-        if self.suspects.is_empty() || policy.first == Millis(0) {
+        if self.suspects.is_empty() || policy.is_off() {
             return None;
         }
         let held = prompt.parts.iter().filter_map(|part| {
--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -102,6 +102,11 @@
 }
 
 impl Policy {
+    /// Tells whether nothing is quarantined.
+    pub(super) fn is_off(self) -> bool {
+        self.first == Millis(0)
+    }
+
     /// Returns the hold time of a request with these crashes, of which `threshold` quarantine it; it
     /// grows by `factor` after each trial that crashed an endpoint.
     ///
@@ -346,7 +351,7 @@
         let threshold = suspect.threshold(now);
         let proven =
             suspect.counting_crashes(|c| presumed_ended(now, c, liveness_since(c.endpoint, c.at)));
-        if proven.len() < threshold || policy.first == Millis(0) {
+        if proven.len() < threshold || policy.is_off() {
             return None;
         }
         // Once a request is quarantined, a further crash counts without waiting for proof that the
--- a/crates/core/tests/gateway/part_quarantine.rs
+++ b/crates/core/tests/gateway/part_quarantine.rs
@@ -39,9 +39,11 @@
         quarantine::{
             Crash,
             MAX_DIGEST_CRASHES,
-            MAX_DIGEST_RECORDS, //
+            MAX_DIGEST_RECORDS,
+            Policy as QuarantinePolicy, //
         },
         refusal::Cause,
+        settings::Bounds,
         warmup::Fleet as Members,
     },
     ids::Tag,
@@ -245,6 +247,26 @@
     expect_true!(is_held(&mut gateway, Time(2600), &[ROOT, FATAL]));
 }
 
+/// Guards against callers who lose their second attempt by a quarantine that is turned off.
+#[gtest]
+fn verify_a_hold_time_of_zero_forbids_no_second_attempt() {
+    let mut gateway = gateway(8);
+    gateway.set_bounds(Bounds {
+        hold: QuarantinePolicy { first: Millis(0) },
+        ..bounds()
+    });
+    for n in 0..4 {
+        let now = Time(1000 + n * 700);
+        let ticket = place(&mut gateway, now, &[ROOT, FATAL]);
+        let mut ticket = ticket.expect("the request is not held back");
+        expect_that!(
+            crash(&mut gateway, now, &mut ticket),
+            eq(NextStep::Again),
+            "after {n}"
+        );
+    }
+}
+
 /// Guards against a request that crashes as many endpoints as its route has attempts, each time that it comes.
 #[gtest]
 fn verify_a_request_with_a_suspected_part_gets_no_second_attempt() {
