Leave out entries without the start time that others state

Another writer's entry under a name of its own, sound but for its missing start time, named an endpoint: only names that had stated a start before were guarded. Such an entry names none now where at most a quarter of its service's entries lack a start; with more, endpoints there don't state it and all are used, as before.

Where no entry states a start nothing changes.

--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -122,7 +122,8 @@
         /// When the registry became available again.
         returned: Time,
     },
-    /// It has left the registry, or another instance answers at its address.
+    /// It has left the registry, another instance answers at its address, or its entry is another
+    /// writer's.
     Gone,
 }
 
@@ -208,6 +209,9 @@
     pub build: Build,
     /// Whether it may get new requests.
     pub state: State,
+    /// Whether its entry is taken for that of another writer, because it lacks the start time that others
+    /// state.
+    pub unidentified: bool,
     /// When this router learnt that its data centre is being evacuated; `None` if it is not.
     pub evacuated: Option<Time>,
     /// What it has said of itself.
@@ -264,6 +268,7 @@
             entry,
             build,
             state,
+            unidentified: false,
             evacuated: None,
             signals: Signals::default(),
             avoided_until: Time(0),
@@ -381,7 +386,8 @@
 
     /// Tells whether it is neither leaving nor gone.
     pub fn stays_listed(&self) -> bool {
-        matches!(self.state, State::Ready | State::Lapsed { .. }) && !self.signals.leaving
+        let is_listed = matches!(self.state, State::Ready | State::Lapsed { .. });
+        is_listed && !self.signals.leaving && !self.unidentified
     }
 
     /// Notes that its answer to a request of this router, sent at `at`, did not say that it is
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -43,6 +43,9 @@
 /// If more than one in so many of a service's endpoints are missing from one read, the removal is
 /// not taken for planned.
 const MASS_REMOVAL_DIVISOR: usize = 3;
+/// Entries without a start time are taken for those of another writer where at most one in so many of
+/// a service's entries lacks it.
+const UNIDENTIFIED_DIVISOR: usize = 4;
 /// Limit of the instances without an entry whose signals are kept; beyond it the one that lost its
 /// entry first is evicted.
 const MAX_UNLISTED_SIGNALS: usize = 1024;
@@ -78,7 +81,8 @@
     /// Lists a service's endpoints, including those that are leaving.
     pub fn known(&self, service: &[u8]) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
         let keys = self.by_service.get(service).into_iter().flatten();
-        keys.filter_map(|k| self.endpoints.get(*k).map(|e| (*k, e)))
+        let listed = keys.filter_map(|k| self.endpoints.get(*k).map(|e| (*k, e)));
+        listed.filter(|(_, e)| !e.unidentified)
     }
 
     /// Gets the software versions of each service.
@@ -201,6 +205,28 @@
         }
     }
 
+    /// Takes the endpoints out of use whose entries don't state the start time that nearly all others of
+    /// their service state.
+    ///
+    /// Endpoints that state it always do, so such an entry was made by another writer. Where a service
+    /// changes to software that states it, most of its endpoints do so before the others are left out.
+    pub fn check_start_times(&mut self, events: &mut Vec<RegistryEvent>) {
+        for keys in self.by_service.values() {
+            let endpoints = keys.iter().filter_map(|key| self.endpoints.get(*key));
+            let unstated = endpoints.filter(|e| e.entry.born.is_none()).count();
+            let few = unstated * UNIDENTIFIED_DIVISOR <= keys.len();
+            for key in keys {
+                if let Some(endpoint) = self.endpoints.get_mut(*key) {
+                    let unidentified = few && endpoint.entry.born.is_none();
+                    let before = std::mem::replace(&mut endpoint.unidentified, unidentified);
+                    if before != unidentified {
+                        events.push(state_event(endpoint));
+                    }
+                }
+            }
+        }
+    }
+
     /// Lists the services that would lose a large part of their endpoints.
     fn depleted_services(&self, ids: &[Bytes]) -> Vec<Bytes> {
         let mut lost: IndexMap<&Bytes, usize> = IndexMap::new();
@@ -487,6 +513,10 @@
 fn state_event(endpoint: &Endpoint) -> RegistryEvent {
     RegistryEvent::Endpoint {
         id: endpoint.entry.id.clone(),
-        state: endpoint.state,
+        state: if endpoint.unidentified {
+            State::Gone
+        } else {
+            endpoint.state
+        },
     }
 }
--- a/crates/core/tests/gateway/lives.rs
+++ b/crates/core/tests/gateway/lives.rs
@@ -14,7 +14,8 @@
         Change, Gateway,
         endpoint::{
             Entry,
-            Load, //
+            Load,
+            Signal, //
         },
         mirror::{
             Delta,
@@ -27,6 +28,8 @@
         },
     },
     units::{
+        Millis,
+        Permille,
         Revision,
         Time,
         Wall, //
@@ -120,6 +123,107 @@
     expect_true!(endpoint.recently_joined(Time(9)));
 }
 
+/// Guards against a restarted endpoint that is taken for busy, slow, leaving or unreachable, where nothing but the start time
+/// in its entry has changed: by what was known here, by what peers still report, and by answers to requests of before.
+#[gtest]
+fn verify_a_later_start_alone_ends_all_that_was_known() {
+    let mut gateway = gateway(0);
+    apply_entry(&mut gateway, 0, entry_started_at(0, 100));
+    apply_entry(&mut gateway, 0, entry_started_at(1, 100));
+    let request = request("/chat/x");
+    let mut ticket = gateway
+        .admit(Time(5), &request)
+        .expect("the request is admitted");
+    let find = |gateway: &Gateway, id: &str| {
+        let mut all = gateway.registry().known(b"engines");
+        let found = all.find(|(_, e)| e.entry.id == id).map(|(key, _)| key);
+        found.expect("the endpoint is listed")
+    };
+    let old = find(&gateway, "e-0");
+    let load = Load {
+        running: 40,
+        waiting: 9,
+        slots: 64,
+        slowdown: Some(Permille(4000)),
+    };
+    gateway.sent(Time(5), &mut ticket, old);
+    gateway.record_load(Time(905), old, load);
+    gateway.record_begun(Time(905), &ticket, old);
+    gateway.confirm(&ticket, old);
+    gateway.record_signal(Time(906), &ticket, Signal::BackOff(Millis(60_000)));
+    gateway.unreached(Time(907), &mut ticket.clone(), old);
+    let told = gateway.digest_contents(Time(908), 1);
+    expect_that!(
+        told.reports.iter().filter(|r| r.delay.is_some()).count(),
+        eq(1)
+    );
+    expect_that!(told.back_offs.len(), eq(1));
+
+    apply_entry(&mut gateway, 910, entry_started_at(0, 200));
+    let new = find(&gateway, "e-0");
+    // Connections in the pool are kept by this key.
+    expect_that!(new, not(eq(old)));
+    expect_that!(gateway.registry().get(old).is_none(), eq(true));
+    gateway.record_peer_report(Time(911), &told.reports);
+    gateway.record_peer_back_offs(Time(911), &told.back_offs);
+    gateway.record_load(Time(912), old, load);
+    gateway.record_begun(Time(912), &ticket, old);
+    gateway.record_signal(Time(912), &ticket, Signal::Leaving);
+    gateway.confirm(&ticket, old);
+    gateway.ended(Time(913), &mut ticket, old, AttemptOutcome::Stalled);
+    // A late entry of before, after the new one.
+    apply_entry(&mut gateway, 914, entry_started_at(0, 100));
+
+    let now = Time(915);
+    let fresh = gateway.registry().get(find(&gateway, "e-0"));
+    let fresh = fresh.expect("the endpoint is listed");
+    expect_that!(fresh.entry.born, some(eq(Wall(200))));
+    expect_that!(fresh.load(now), eq(0));
+    expect_that!(fresh.delay(now), none());
+    expect_that!(fresh.latency(now), none());
+    expect_that!(fresh.failure_rate(now), eq(0.0));
+    expect_that!(fresh.report(now), none());
+    expect_false!(fresh.backing_off(now) || fresh.avoided(now));
+    expect_false!(fresh.paused(now) || fresh.unreached(now));
+    expect_false!(fresh.signals.leaving);
+    expect_true!(fresh.usable() && fresh.recently_joined(now));
+}
+
+/// Guards against requests to what another writer has entered under a name of its own, without the start time that all endpoints
+/// of the service state. Where many lack it, endpoints do not state it, and none is left out.
+#[gtest]
+fn verify_an_entry_without_the_start_time_that_others_state_names_no_endpoint() {
+    let mut gateway = gateway(0);
+    // The first of the read, before any that states its start.
+    let mut changes = vec![Change::Entry(entry(0))];
+    changes.extend((1..4).map(|n| Change::Entry(entry_started_at(n, 100))));
+    gateway.apply_changes(Time(1), changes);
+    expect_that!(usable_count(&gateway), eq(3));
+    apply_entry(&mut gateway, 2, entry(4));
+    expect_that!(usable_count(&gateway), eq(5), "two of five lack it");
+    apply_entry(&mut gateway, 3, entry_started_at(4, 100));
+    expect_that!(usable_count(&gateway), eq(4));
+    apply_entry(&mut gateway, 4, entry_started_at(0, 100));
+    expect_that!(usable_count(&gateway), eq(5));
+}
+
+/// Guards against requests of a service to an endpoint whose entry another writer has overwritten with a service that nobody
+/// names, and against an endpoint that stays away once its own entry is back.
+#[gtest]
+fn verify_an_entry_of_an_unknown_service_names_no_endpoint() {
+    let mut gateway = gateway(0);
+    apply_entry(&mut gateway, 0, entry_started_at(0, 100));
+    apply_entry(&mut gateway, 0, entry_started_at(1, 100));
+    let unknown = Entry {
+        service: Bytes::from_static(b"nobody"),
+        ..entry_started_at(0, 100)
+    };
+    apply_entry(&mut gateway, 1, unknown);
+    expect_that!(usable_count(&gateway), eq(1));
+    apply_entry(&mut gateway, 2, entry_started_at(0, 100));
+    expect_that!(usable_count(&gateway), eq(2));
+}
+
 /// A request that was sent to the old incarnation may have run, and a rejection by the new one does
 /// not disprove it.
 #[gtest]
