Keep statuses of endpoints from promising what they do not state

An endpoint's signed 408, 429 or 503 without the field that states that nothing ran was passed on, and its caller may take it for a promise and repeat a request that has run. A signed 421 without the field counted as misdirected, and the request went to a second endpoint. For requests that must not run twice such answers count as failed now: 502, no signature, no retry. Others are passed on unchanged. A peer's signed answer never counts as not run.

Ruled out as sources of the same: refusals of the router (may_have_run decides, tested), bodies that come too slowly (never admitted), attempts that broke or stalled before a rejection (may_have_run is kept), hand-offs that broke (502), stops (refused before sending).

--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -6,6 +6,7 @@
 use http::{
     HeaderMap,
     Response,
+    StatusCode,
     request::Parts, //
 };
 use toucanturn_core::{
@@ -33,6 +34,8 @@
     /// Builds the answer to a refused request from the refusal, the request's id and the time after
     /// which the caller may retry.
     pub refuse: fn(&Refusal, &Bytes, Option<Millis>) -> Response<Bytes>,
+    /// Tells whether a status promises a caller that its request has not run and never will.
+    pub promises_not_run: fn(StatusCode) -> bool,
     /// Path of the readiness check.
     pub ready_path: &'static str,
 }
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -470,6 +470,7 @@
         // These statuses promise that nothing has run; a peer that doesn't open the message answers 403.
         let not_run = match head.status {
             StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => false,
+            _ if reply.sealed => false,
             StatusCode::FORBIDDEN | StatusCode::NOT_FOUND => true,
             _ => is_own,
         };
@@ -574,7 +575,9 @@
         if reply.id.as_ref() != Some(&self.incoming_request.id) {
             return Err((guard, AttemptOutcome::Broken, status));
         }
-        let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        // With the signature field alone it is an answer of an endpoint that ran the request.
+        let misdirected =
+            head.status == StatusCode::MISDIRECTED_REQUEST && (reply.rejected || !reply.sealed);
         // A misdirected request was answered by another endpoint than the one that was meant.
         if !misdirected {
             self.record_signals(placed.endpoint, &head, &reply);
@@ -635,6 +638,10 @@
             Err(_) => self.record_end(Some(BodyEnd::Silent)),
         }
         let answer = match collected {
+            Ok(Ok(_)) if self.would_mislead(head.status) => {
+                self.keep_connection(&guard, connection, &reply);
+                Err(AttemptOutcome::Failed)
+            }
             Ok(Ok(body)) => {
                 self.keep_connection(&guard, connection, &reply);
                 Ok(self.caller_response(&head, Either::Left(Full::new(body.to_bytes()))))
@@ -653,6 +660,12 @@
         (self.end(guard, outcome, Some(head.status)), answer)
     }
 
+    /// Tells whether an answer with this status would promise that a request that must not run twice has not run. An endpoint
+    /// states that otherwise; with its status alone, it may have run the request.
+    fn would_mislead(&self, status: StatusCode) -> bool {
+        !self.ticket.route.kind.repeatable() && (self.state.protocol.promises_not_run)(status)
+    }
+
     /// Records that the newest attempt's answer has begun: its first event, or its body.
     fn record_first(&mut self, target: &Target) {
         if self.first.is_some() {
