Share one table between the two quarantines

The quarantines of contents and of prompt parts had near twins of expiry, verdict, eviction and insertion, which had to be changed together.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -35,16 +35,13 @@
             AttemptOutcome,
             NextStep, //
         },
-        part_quarantine::{
-            PartVerdict,
-            PromptParts, //
-        },
         place,
         quarantine::{
-            self,
-            Crash,
-            UnprovedAnswer,
-            Verdict, //
+            self, Crash, UnprovedAnswer, Verdict,
+            parts::{
+                PartVerdict,
+                PromptParts, //
+            },
         },
         refusal::{
             Cause,
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -42,7 +42,6 @@
 pub mod mirror;
 pub mod origin;
 pub mod outcome;
-pub mod part_quarantine;
 pub mod place;
 pub mod proof;
 pub mod quarantine;
@@ -70,9 +69,11 @@
 use hot_spots::HotSpots;
 use mesh::Sample;
 use origin::Streams;
-use part_quarantine::PartQuarantine;
 use proof::FreshnessProof;
-use quarantine::Quarantine;
+use quarantine::{
+    Quarantine,
+    parts::PartQuarantine, //
+};
 use reach::Reach;
 use registry::Registry;
 use settings::Bounds;
--- a/crates/core/src/gateway/part_quarantine.rs
+++ b/crates/core/src/gateway/quarantine/parts.rs
@@ -1,7 +1,7 @@
 //! Quarantine of prompt parts that crash the endpoints that run requests with them.
 //!
 //! Requests that share such a part may differ in everything else, so each has a fingerprint of its
-//! own and the [quarantine](super::quarantine) of contents never sees one of them twice. This one
+//! own and the [quarantine](super::contents) of contents never sees one of them twice. This one
 //! keeps a crash record for each shared part of the prompts that were in progress at endpoints
 //! whose connections broke.
 //!
@@ -28,15 +28,19 @@
         endpoint::Liveness,
         fingerprint::Fingerprint,
         quarantine::{
-            Crash,
-            Policy,
-            Record,
-            RecordSelection,
-            Suspect,
-            Verdict,
-            first_crashes,
-            presumed_ended,
-            time_left, //
+            crash::{
+                Crash,
+                Policy,
+                Record,
+                Verdict,
+                time_left, //
+            },
+            suspect::Suspect,
+            table::{
+                RECORD_RETENTION,
+                Rules,
+                Table, //
+            },
         },
         warmup::Fleet,
     },
@@ -69,8 +73,6 @@
 pub const MAX_PART_SUSPECTS_PER_WORKSPACE: usize = 512;
 /// Limit of the remembered answered parts; the ones answered least recently are evicted.
 const MAX_ANSWERED_PARTS: usize = 2048;
-/// Time for which answers and records of crashes are kept, records in addition to their hold time.
-const RETENTION: Millis = Millis(600_000);
 /// Time for which a record without crashes is kept, for peers that have crashes of its part.
 const CLEARED_RETENTION: Millis = Millis(3000);
 /// Scope of a part that was in progress at crashes with requests of several workspaces.
@@ -94,25 +96,25 @@
     pub verdict: Verdict,
 }
 
-#[derive(Clone, Debug)]
-struct PartSuspect {
-    suspect: Suspect,
-    /// Tag of the workspace whose requests crashed, or [`ANY_WORKSPACE`].
-    workspace: u32,
-}
+const RULES: Rules = Rules {
+    threshold: PART_THRESHOLD,
+    threshold_answered: PART_THRESHOLD_ANSWERED,
+    hold_factor: HOLD_FACTOR,
+    cleared_retention: |_| CLEARED_RETENTION,
+    max_records: MAX_PART_SUSPECTS,
+    max_per_workspace: MAX_PART_SUSPECTS_PER_WORKSPACE,
+    // The one with the fewest crashes; among equals one that was answered, and the one that changed
+    // least recently.
+    rank: |suspect| {
+        let unanswered = suspect.last_answered().is_none();
+        (suspect.crashes.len(), unanswered, suspect.last_changed)
+    },
+};
 
-impl PartSuspect {
-    /// Tells whether requests with it were answered recently.
+impl Suspect {
+    /// Tells whether requests with the part were answered recently.
     fn is_known_good(&self, now: Time) -> bool {
-        self.suspect.answered_within(now, RETENTION)
-    }
-
-    fn threshold(&self, now: Time) -> usize {
-        if self.is_known_good(now) {
-            PART_THRESHOLD_ANSWERED
-        } else {
-            PART_THRESHOLD
-        }
+        self.answered_within(now, RECORD_RETENTION)
     }
 
     /// Tells whether its record applies to requests of a workspace.
@@ -122,14 +124,12 @@
 
     /// Counts its crashes that were not crashes of another part.
     fn crashes_without(&self, other: &Self) -> usize {
-        let crashes = self.suspect.crashes.iter();
-        crashes
-            .filter(|c| !other.suspect.has_crash_of(c.endpoint))
-            .count()
+        let crashes = self.crashes.iter();
+        crashes.filter(|c| !other.has_crash_of(c.endpoint)).count()
     }
 
     fn extend_scope(&mut self, workspace: u32) {
-        if self.suspect.crashes.is_empty() {
+        if self.crashes.is_empty() {
             self.workspace = workspace;
         } else if self.workspace != workspace {
             self.workspace = ANY_WORKSPACE;
@@ -138,24 +138,33 @@
 }
 
 /// `PartQuarantine` holds the crash records of prompt parts.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct PartQuarantine {
-    suspects: IndexMap<u64, PartSuspect>,
+    table: Table<u64>,
     /// When requests with a part were last answered completely, as far as this router knows.
     answers: IndexMap<u64, Time>,
     fleet: Fleet,
-    selection: RecordSelection,
+}
+
+impl Default for PartQuarantine {
+    fn default() -> Self {
+        Self {
+            table: Table::new(&RULES),
+            answers: IndexMap::new(),
+            fleet: Fleet::default(),
+        }
+    }
 }
 
 impl PartQuarantine {
     /// Counts the parts that have a record.
     pub fn len(&self) -> usize {
-        self.suspects.len()
+        self.table.len()
     }
 
     /// Tells whether no part has a record.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
+        self.table.is_empty()
     }
 
     /// Updates the list of routers, of which one admits the trials of a part.
@@ -167,12 +176,12 @@
     pub fn crashed(&mut self, now: Time, prompt: PromptParts<'_>, crash: Crash) {
         for part in prompt.parts {
             let answered = self.answers.get(part).copied();
-            let suspect = self.suspect_mut(now, *part, prompt.workspace);
+            let suspect = self.table.get_or_insert(now, *part, prompt.workspace);
             if let Some(at) = answered {
-                suspect.suspect.apply_answer(now, at);
+                suspect.apply_answer(now, at);
             }
             suspect.extend_scope(prompt.workspace);
-            suspect.suspect.add_crash(now, crash);
+            suspect.add_crash(now, crash);
         }
     }
 
@@ -180,8 +189,8 @@
     pub fn answered(&mut self, now: Time, at: Time, parts: &[u64]) {
         for part in parts {
             self.remember_answer(at, *part);
-            if let Some(suspect) = self.suspects.get_mut(part) {
-                suspect.suspect.apply_answer(now, at);
+            if let Some(suspect) = self.table.get_mut(*part) {
+                suspect.apply_answer(now, at);
             }
         }
     }
@@ -203,9 +212,9 @@
             return false;
         }
         let crashes = |part: &u64| {
-            let suspect = self.suspects.get(part)?;
+            let suspect = self.table.get(*part)?;
             (!suspect.is_known_good(now) && suspect.applies_to(prompt.workspace))
-                .then_some(suspect.suspect.crashes.len())
+                .then_some(suspect.crashes.len())
         };
         let most = prompt.parts.iter().filter_map(crashes).max();
         most.is_some_and(|crashes| crashes >= RETRY_THRESHOLD)
@@ -220,11 +229,11 @@
         policy: Policy,
         liveness_since: impl Fn(Tag, Time) -> Liveness,
     ) -> Option<PartVerdict> {
-        if self.suspects.is_empty() || policy.is_off() {
+        if self.table.is_empty() || policy.is_off() {
             return None;
         }
         let held = prompt.parts.iter().filter_map(|part| {
-            let suspect = self.suspects.get(part)?;
+            let suspect = self.table.get(*part)?;
             let verdict = self.part_verdict(now, suspect, prompt, policy, &liveness_since)?;
             Some(PartVerdict {
                 part: *part,
@@ -237,45 +246,38 @@
     fn part_verdict(
         &self,
         now: Time,
-        suspect: &PartSuspect,
+        suspect: &Suspect,
         prompt: PromptParts<'_>,
         policy: Policy,
         liveness_since: impl Fn(Tag, Time) -> Liveness,
     ) -> Option<Verdict> {
-        let threshold = suspect.threshold(now);
-        if suspect.suspect.crashes.len() < threshold || !suspect.applies_to(prompt.workspace) {
+        if !suspect.applies_to(prompt.workspace) {
             return None;
         }
-        let proven = suspect
-            .suspect
-            .counting_crashes(|c| presumed_ended(now, c, liveness_since(c.endpoint, c.at)));
+        let proven = self.table.proven_crashes(now, suspect, &liveness_since)?;
         let first = proven.first()?.at;
         let too_early = suspect.is_known_good(now) && now.since(first) < ANSWERLESS_TIME;
-        if proven.len() < threshold || too_early || self.is_explained(now, suspect, prompt) {
+        if too_early || self.is_explained(now, suspect, prompt) {
             return None;
         }
-        let crashes = suspect
-            .suspect
-            .counting_crashes(|c| liveness_since(c.endpoint, c.at) != Liveness::Alive);
-        let last = crashes.last()?.at;
-        let hold = policy.hold(&crashes, threshold, HOLD_FACTOR);
-        let trial = suspect.suspect.last_trial;
+        let verdict = self.table.verdict(now, suspect, policy, &liveness_since)?;
+        let trial = suspect.last_trial;
         let trial = trial.map_or(Millis(0), |at| time_left(now, at, TRIAL_INTERVAL));
-        let left = time_left(now, last, hold).max(trial);
-        Some(Verdict { left, crashes })
+        let left = verdict.left.max(trial);
+        Some(Verdict { left, ..verdict })
     }
 
     /// Tells whether a part that the prompt does not have explains the crashes of one that it has: a
     /// part with at least as many crashes, without which too few of them are left. A part that was
     /// answered recently explains no crashes of one that was not.
-    fn is_explained(&self, now: Time, suspect: &PartSuspect, prompt: PromptParts<'_>) -> bool {
-        let threshold = suspect.threshold(now);
-        let crashes = suspect.suspect.crashes.len();
-        let absent = self.suspects.iter();
+    fn is_explained(&self, now: Time, suspect: &Suspect, prompt: PromptParts<'_>) -> bool {
+        let threshold = self.table.threshold(now, suspect);
+        let crashes = suspect.crashes.len();
+        let absent = self.table.iter();
         let mut absent = absent.filter(|(part, _)| !prompt.parts.contains(part));
         absent.any(|(_, other)| {
-            other.threshold(now) <= threshold
-                && other.suspect.crashes.len() >= crashes
+            self.table.threshold(now, other) <= threshold
+                && other.crashes.len() >= crashes
                 && suspect.crashes_without(other) < threshold
         })
     }
@@ -286,8 +288,8 @@
         if verdict.verdict.left > Millis(0) || !self.owns(verdict.part) {
             return false;
         }
-        if let Some(suspect) = self.suspects.get_mut(&verdict.part) {
-            suspect.suspect.last_trial = Some(now);
+        if let Some(suspect) = self.table.get_mut(verdict.part) {
+            suspect.last_trial = Some(now);
         }
         true
     }
@@ -298,54 +300,35 @@
         self.fleet.others.iter().all(|o| score(part, *o) < own)
     }
 
-    /// Drops old records and false crashes, as [`super::quarantine::Quarantine::expire`] does.
+    /// Drops old records and false crashes; `liveness_since` tells whether an endpoint has answered or
+    /// ended since a time.
     pub fn expire(
         &mut self,
         now: Time,
         policy: Policy,
         liveness_since: impl Fn(Tag, Time) -> Liveness,
     ) {
-        if self.suspects.is_empty() {
-            return;
-        }
-        for suspect in self.suspects.values_mut() {
-            let crashes = &mut suspect.suspect.crashes;
-            crashes.retain(|c| liveness_since(c.endpoint, c.at) != Liveness::Alive);
-        }
-        let ends = first_crashes(self.suspects.values().map(|s| &s.suspect));
-        self.suspects.retain(|_, suspect| {
-            let threshold = suspect.threshold(now);
-            let suspect = &mut suspect.suspect;
-            suspect.retain_runs(&ends);
-            let retention = if suspect.crashes.is_empty() {
-                CLEARED_RETENTION
-            } else {
-                RETENTION + policy.hold(&suspect.crashes, threshold, HOLD_FACTOR)
-            };
-            now.since(suspect.last_changed) < retention
-        });
+        self.table.expire(now, policy, liveness_since);
     }
 
     /// Picks the records for a digest that has room for so many records and crashes.
     pub fn records(&mut self, now: Time, room: (usize, usize)) -> Vec<Record> {
-        let suspects = self.suspects.iter().map(|(part, suspect)| {
+        let describe = |part, suspect: &Suspect, is_held| {
             let request = Fingerprint {
                 workspace: suspect.workspace,
-                content: *part,
+                content: part,
             };
-            let crashes = suspect.suspect.crashes.len();
-            let is_held = crashes >= suspect.threshold(now);
             let known_good = suspect.is_known_good(now);
             // Parts without any answer are the likely ones. Peers need the answers of the others
             // only if they hold crashes of them.
-            let tier = match (is_held, known_good, crashes) {
+            let tier = match (is_held, known_good, suspect.crashes.len()) {
                 (true, _, _) | (false, false, 2..) => 0,
                 (false, true, 1) => 2,
                 _ => 1,
             };
-            (request, &suspect.suspect, is_held, tier)
-        });
-        let picked = self.selection.pick(now, suspects, room);
+            (request, tier)
+        };
+        let picked = self.table.records(now, room, describe);
         let records = picked.into_iter().map(|record| Record {
             is_part: true,
             ..record
@@ -356,7 +339,7 @@
     /// Merges a record that a peer sent.
     pub fn heard(&mut self, now: Time, record: &Record) {
         let part = record.request.content;
-        let known = self.suspects.contains_key(&part);
+        let known = self.table.contains(part);
         if record.crashes.is_empty() && !known {
             return;
         }
@@ -364,44 +347,15 @@
             self.remember_answer(now - age, part);
         }
         let answered = self.answers.get(&part).copied();
-        let suspect = self.suspect_mut(now, part, record.request.workspace);
+        let suspect = self
+            .table
+            .get_or_insert(now, part, record.request.workspace);
         if !record.crashes.is_empty() {
             suspect.extend_scope(record.request.workspace);
         }
         if let Some(at) = answered {
-            suspect.suspect.apply_answer(now, at);
-        }
-        suspect.suspect.merge(now, record);
-    }
-
-    /// Returns a part's record; inserts a new one, and evicts another where the table or the
-    /// workspace's share of it is full.
-    fn suspect_mut(&mut self, now: Time, part: u64, workspace: u32) -> &mut PartSuspect {
-        if !self.suspects.contains_key(&part) {
-            let of = self.suspects.values().filter(|s| s.workspace == workspace);
-            if of.count() >= MAX_PART_SUSPECTS_PER_WORKSPACE {
-                self.evict(|s| s.workspace == workspace);
-            } else if self.suspects.len() >= MAX_PART_SUSPECTS {
-                self.evict(|_| true);
-            }
-        }
-        self.suspects.entry(part).or_insert(PartSuspect {
-            suspect: Suspect::new(now),
-            workspace,
-        })
-    }
-
-    /// Drops the record with the fewest crashes; among equals one that was answered, and the one that
-    /// changed least recently.
-    fn evict(&mut self, of: impl Fn(&PartSuspect) -> bool) {
-        let found = self.suspects.values().enumerate().filter(|(_, s)| of(s));
-        let least = found.min_by_key(|(_, s)| {
-            let suspect = &s.suspect;
-            let unanswered = suspect.last_answered().is_none();
-            (suspect.crashes.len(), unanswered, suspect.last_changed)
-        });
-        if let Some(at) = least.map(|(at, _)| at) {
-            self.suspects.swap_remove_index(at);
+            suspect.apply_answer(now, at);
         }
+        suspect.merge(now, record);
     }
 }
--- a/crates/core/tests/gateway/part_quarantine.rs
+++ b/crates/core/tests/gateway/part_quarantine.rs
@@ -28,19 +28,19 @@
             AttemptOutcome,
             NextStep, //
         },
-        part_quarantine::{
-            ANY_WORKSPACE,
-            MAX_PART_SUSPECTS,
-            MAX_PART_SUSPECTS_PER_WORKSPACE,
-            PART_THRESHOLD_ANSWERED,
-            PartQuarantine,
-            PromptParts, //
-        },
         quarantine::{
             Crash,
             MAX_DIGEST_CRASHES,
             MAX_DIGEST_RECORDS,
-            Policy as QuarantinePolicy, //
+            Policy as QuarantinePolicy,
+            parts::{
+                ANY_WORKSPACE,
+                MAX_PART_SUSPECTS,
+                MAX_PART_SUSPECTS_PER_WORKSPACE,
+                PART_THRESHOLD_ANSWERED,
+                PartQuarantine,
+                PromptParts, //
+            }, //
         },
         refusal::Cause,
         settings::Bounds,
