--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -35,16 +35,13 @@
             AttemptOutcome,
             NextStep, //
         },
-        part_quarantine::{
-            PartVerdict,
-            PromptParts, //
-        },
         place,
         quarantine::{
-            self,
-            Crash,
-            UnprovedAnswer,
-            Verdict, //
+            self, Crash, UnprovedAnswer, Verdict,
+            parts::{
+                PartVerdict,
+                PromptParts, //
+            },
         },
         refusal::{
             Cause,
@@ -719,7 +716,7 @@
         let crashes = outcome == AttemptOutcome::Broken
             && self
                 .part_quarantine
-                .forbids_retry(now, ticket.prompt_parts());
+                .forbids_retry(now, ticket.prompt_parts(), self.bounds.hold);
         let allowed = allowed && !crashes;
         let may_continue = may_continue && allowed && !self.has_waited_for_connections(now, ticket);
         if may_continue && (costs_no_retry || self.reserve_retry(now, ticket)) {
--- a/crates/gateway/src/proxied/peer.rs
+++ b/crates/gateway/src/proxied/peer.rs
@@ -151,6 +151,7 @@
         // These statuses promise that nothing has run; a peer that doesn't open the message answers 403.
         let not_run = match head.status {
             StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => false,
+            _ if reply.sealed => false,
             StatusCode::FORBIDDEN | StatusCode::NOT_FOUND => true,
             _ => is_own,
         };
