--- a/crates/soak/src/load/callers.rs
+++ b/crates/soak/src/load/callers.rs
@@ -38,8 +38,9 @@
 
 use crate::load::{
     fleet::{
+        Call,
         Fleet,
-        KEY, //
+        key, //
     },
     sheet::{
         Kind,
@@ -80,6 +81,9 @@
     pub hot: Cell<Option<(usize, f64)>>,
     /// How many times the usual rate is sent.
     pub factor: Cell<f64>,
+    /// How many times its usual rate the first workspace sends to pools.
+    pub crowding: Cell<f64>,
+    workspaces: usize,
     over: Cell<bool>,
     clients: u64,
     open: RefCell<HashMap<u64, Vec<Open>>>,
@@ -95,6 +99,8 @@
             kinds: sheet.kinds.clone(),
             hot: Cell::new(None),
             factor: Cell::new(1.0),
+            crowding: Cell::new(1.0),
+            workspaces: sheet.workspaces.max(1),
             over: Cell::new(false),
             clients,
             open: RefCell::default(),
@@ -112,8 +118,10 @@
     }
 
     /// Makes one request, and repeats it once if the answer allows that.
-    async fn call(self: Rc<Self>, number: usize, mut rng: StdRng) {
+    async fn call(self: Rc<Self>, (number, workspace): (usize, usize), mut rng: StdRng) {
         let kind = self.kinds[number];
+        let key = key(workspace);
+        let request = self.count.get() + 1;
         let client = rng.random_range(0..self.clients);
         let (fields, item) = self.draw(number, &mut rng);
         let until = Instant::now() + Duration::from_millis(kind.deadline_ms);
@@ -128,15 +136,22 @@
             let spec = RequestSpec {
                 kind: kind.route.name,
                 id: &id,
-                key: KEY,
+                key: &key,
                 deadline_ms,
                 item: &item,
             };
             let sent = clock_ms();
             let (router, response) = self.one(client + attempt, &spec.text(&fields), left).await;
             let status = response.as_ref().map_or(0, |r| r.status);
-            self.fleet
-                .note_call(kind.route.name, &id, router, status, sent);
+            self.fleet.note_call(Call {
+                route: kind.route.name,
+                id,
+                request,
+                workspace,
+                router,
+                status,
+                times: (sent, clock_ms()),
+            });
             let wait = response.and_then(|r| r.field("retry-after")?.parse::<f64>().ok());
             let Some(wait) = wait.filter(|_| matches!(status, 429 | 503)) else {
                 return;
@@ -145,6 +160,30 @@
         }
     }
 
+    /// Gets the part of a kind's usual rate that the first workspace sends beyond its own.
+    fn extra(&self, number: usize) -> f64 {
+        let crowded = self.kinds[number].prompt.is_none();
+        let beyond = (self.crowding.get() - 1.0).max(0.0);
+        if crowded {
+            beyond / self.workspaces as f64
+        } else {
+            0.0
+        }
+    }
+
+    /// Draws a request's workspace.
+    fn workspace(&self, extra: f64, rng: &mut StdRng) -> usize {
+        if self.workspaces == 1 {
+            return 0;
+        }
+        let is_extra = extra > 0.0 && rng.random_bool(extra / (1.0 + extra));
+        if is_extra {
+            0
+        } else {
+            rng.random_range(0..self.workspaces)
+        }
+    }
+
     /// Draws a request's prompt as header fields, and the end of its path.
     fn draw(&self, number: usize, rng: &mut StdRng) -> (String, String) {
         let item = rng.random::<u32>().to_string();
@@ -245,14 +284,16 @@
     let mut at = 0.0;
     while !callers.over.get() {
         let phase = at / PERIOD_S * std::f64::consts::TAU;
-        let rate = callers.kinds[number].per_second * callers.factor.get();
+        let extra = callers.extra(number);
+        let rate = callers.kinds[number].per_second * callers.factor.get() * (1.0 + extra);
         let rate = rate * (1.0 + SWING * phase.sin()) / f64::from(CLUMP);
         let drawn: f64 = rng.random_range(f64::EPSILON..1.0);
         at += -drawn.ln() / rate;
         sleep_until(began + Duration::from_secs_f64(at)).await;
         for _ in 0..CLUMP {
-            let own = StdRng::seed_from_u64(rng.random());
-            spawn_local(Rc::clone(&callers).call(number, own));
+            let mut own = StdRng::seed_from_u64(rng.random());
+            let workspace = callers.workspace(extra, &mut own);
+            spawn_local(Rc::clone(&callers).call((number, workspace), own));
         }
     }
 }
--- a/crates/soak/src/load/fleet.rs
+++ b/crates/soak/src/load/fleet.rs
@@ -79,8 +79,11 @@
     },
 };
 
-/// Key of all callers.
-pub const KEY: &str = "key-0";
+/// Gets the key of a workspace.
+pub fn key(workspace: usize) -> String {
+    format!("key-{workspace}")
+}
+
 /// Data centres, in which routers and endpoints are by turns.
 const DATA_CENTERS: [&str; 4] = ["a", "b", "c", "d"];
 /// Requests that an engine runs at once.
@@ -126,6 +129,10 @@
     pub route: &'static str,
     /// Its id.
     pub id: String,
+    /// Number of the request that it was an attempt of.
+    pub request: u64,
+    /// Workspace that sent it.
+    pub workspace: usize,
     /// Router that it was sent to.
     pub router: usize,
     /// Its status; 0 where none came.
@@ -252,7 +259,9 @@
             _store: store,
         });
         let routes: Vec<LoadRoute<'_>> = sheet.kinds.iter().map(|kind| kind.route).collect();
-        let value = document::load_config(&[KEY], &routes, sheet.cold);
+        let keys: Vec<String> = (0..sheet.workspaces.max(1)).map(key).collect();
+        let keys: Vec<&str> = keys.iter().map(String::as_str).collect();
+        let value = document::load_config(&keys, &routes, sheet.cold);
         let key = document::CONFIG_KEY.to_owned();
         fleet
             .tell_store(&store::ControlCommand::Put { key, value })
@@ -283,14 +292,8 @@
     }
 
     /// Notes a request that has ended.
-    pub fn note_call(&self, route: &'static str, id: &str, router: usize, status: u16, sent: u64) {
-        self.seen.borrow_mut().calls.push(Call {
-            route,
-            id: id.to_owned(),
-            router,
-            status,
-            times: (sent, clock_ms()),
-        });
+    pub fn note_call(&self, call: Call) {
+        self.seen.borrow_mut().calls.push(call);
     }
 
     /// Chooses the router of a client, by a hash of both.
@@ -387,6 +390,14 @@
         Ok(())
     }
 
+    /// Lists the control ports of a share of the engines.
+    pub fn engines(&self, share: f64) -> Vec<SocketAddr> {
+        let some = self.some_engines(share);
+        let endpoints = self.endpoints.borrow();
+        let some = endpoints.iter().filter(|e| some.contains(&e.id));
+        some.map(|e| e.control).collect()
+    }
+
     /// Evacuates a data centre, or restores it.
     ///
     /// # Errors
@@ -454,9 +465,11 @@
         let kind = if service == ENGINES { "engine" } else { "pool" };
         let id = format!("{kind}-{n}");
         let work = self.sheet.pool_ms.to_string();
+        let (slots, queue) = self.sheet.room;
         let mut child = Child::start(
             Command::new(beside("toucanturn-platform-standin")?)
                 .args(["replica", "--id", &id, "--work-ms", &work, "--kind", kind])
+                .args(["--slots", &slots.to_string(), "--queue", &queue.to_string()])
                 .stdout(Stdio::piped()),
         )?;
         let (ports, mut lines) = child.ports(&id).await?;
--- a/crates/soak/src/load/mod.rs
+++ b/crates/soak/src/load/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod callers;
 pub mod fleet;
+pub mod judge;
 pub mod plan;
 pub mod sheet;
 
@@ -29,6 +30,11 @@
     },
 };
 
+use toucanturn_platform_standin::{
+    control,
+    replica, //
+};
+
 use crate::{
     errors::Result,
     load::{
@@ -52,6 +58,8 @@
 /// Time for which a router is held up at a time, in milliseconds, and the usual time between two.
 const HELD: std::ops::Range<u64> = 50..500;
 const HELD_EVERY: u64 = 1500;
+/// Time for which engines are slow, and not slow, by turns.
+const SPELL: Duration = Duration::from_millis(400);
 
 /// Plays a sheet's load; logs go to `folder`.
 ///
@@ -104,6 +112,12 @@
             sleep(lasts).await;
             callers.factor.set(1.0);
         }
+        Act::Uneven { share, percent } => uneven(fleet, (share, percent), lasts).await,
+        Act::Crowded { factor } => {
+            callers.crowding.set(factor);
+            sleep(lasts).await;
+            callers.crowding.set(1.0);
+        }
         Act::ScaleIn { share } => fleet.scale_in(share).await?,
         Act::ScaleOut { share } => fleet.scale_out(share, lasts).await?,
         Act::Release { share } => fleet.release(share, lasts).await?,
@@ -117,6 +131,24 @@
     Ok(())
 }
 
+/// Lets a share of the engines be slow in spells. All engines state how slow they are.
+async fn uneven(fleet: &Rc<Fleet>, (share, percent): (f64, u32), lasts: Duration) {
+    let until = Instant::now() + lasts;
+    let slow = |percent| replica::ControlCommand::Slow { percent };
+    for engine in fleet.engines(1.0) {
+        control::order(engine, &slow(100)).await;
+    }
+    let engines = fleet.engines(share);
+    while Instant::now() < until {
+        for percent in [percent, 100] {
+            for engine in &engines {
+                control::order(*engine, &slow(percent)).await;
+            }
+            sleep(SPELL).await;
+        }
+    }
+}
+
 /// Holds routers up, one after the other and several at once, as machines do whose processors are busy.
 async fn hold_routers(fleet: Rc<Fleet>, seed: u64) {
     let mut held = Vec::new();
--- a/crates/soak/src/load/plan.rs
+++ b/crates/soak/src/load/plan.rs
@@ -48,6 +48,18 @@
         /// Which.
         data_center: usize,
     },
+    /// The machines of a share of the engines are slow, in spells.
+    Uneven {
+        /// Of the engines.
+        share: f64,
+        /// Time that work takes in a spell, in percent of the usual.
+        percent: u32,
+    },
+    /// One workspace sends more to the pools than they have room for.
+    Crowded {
+        /// How many times as much as usual.
+        factor: f64,
+    },
     /// Routers are stopped and started again, one after the other.
     RestartRouters {
         /// Of the routers.
@@ -66,6 +78,34 @@
     pub act: Act,
 }
 
+/// Shares, slowdowns and factors of hard load, and what its draws are told apart by.
+const UNEVEN_SHARE: std::ops::Range<f64> = 0.2..0.5;
+const UNEVEN_PERCENT: std::ops::Range<u32> = 150..400;
+const CROWDED_FACTOR: std::ops::Range<f64> = 3.0..8.0;
+const HARD_SEED: u64 = 0x4a2d;
+
+/// Makes the plan of a seed for [`Sheet::hard`](super::sheet::Sheet::hard): uneven engines, and pools that are short of room,
+/// for most of the time and at once for a part of it.
+pub fn hard_plan(seed: u64, seconds: u64) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed ^ HARD_SEED);
+    let end = (seconds * 1000).saturating_sub(CALM);
+    let uneven = Act::Uneven {
+        share: rng.random_range(UNEVEN_SHARE),
+        percent: rng.random_range(UNEVEN_PERCENT),
+    };
+    let crowded = Act::Crowded {
+        factor: rng.random_range(CROWDED_FACTOR),
+    };
+    let step = |act| {
+        let at = rng.random_range(CALM..2 * CALM);
+        let lasts = end.saturating_sub(at);
+        Step { at, lasts, act }
+    };
+    let mut steps: Vec<Step> = [uneven, crowded].map(step).into();
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
 /// Makes the plan of a seed.
 pub fn plan(seed: u64, seconds: u64) -> Vec<Step> {
     let mut rng = StdRng::seed_from_u64(seed);
--- a/crates/soak/src/load/sheet.rs
+++ b/crates/soak/src/load/sheet.rs
@@ -1,10 +1,16 @@
 //! What a deployment's sheet says of its size and its requests, scaled to a number of routers.
 
-use toucanturn_platform_standin::document::{
-    ENGINES,
-    LoadRoute,
-    POOLS,
-    RouteKind, //
+use toucanturn_platform_standin::{
+    document::{
+        ENGINES,
+        LoadRoute,
+        POOLS,
+        RouteKind, //
+    },
+    replica::{
+        POOL_QUEUE,
+        POOL_SLOTS, //
+    },
 };
 
 /// Size to which the rates below belong.
@@ -49,6 +55,10 @@
     pub pools: usize,
     /// Kinds of requests.
     pub kinds: Vec<Kind>,
+    /// Workspaces that send alike, unless one is crowded by another.
+    pub workspaces: usize,
+    /// Requests that a pool runs at once, and those that wait there.
+    pub room: (usize, usize),
     /// Milliseconds of a request at a pool.
     pub pool_ms: u64,
     /// Seconds for which a new engine is cold, and requests a second that it tolerates meanwhile.
@@ -91,6 +101,8 @@
             engines: ((SHEET_ENGINES * scale).round() as usize).max(3),
             pools: ((SHEET_POOLS * scale).round() as usize).max(2),
             kinds,
+            workspaces: 1,
+            room: (POOL_SLOTS, POOL_QUEUE),
             pool_ms: 60,
             cold: (3, 14),
             held: false,
@@ -98,6 +110,29 @@
     }
 }
 
+impl Sheet {
+    /// Makes the sheet of hard load: the shifted deployment with several workspaces and pools whose queues are short.
+    pub fn hard(routers: usize) -> Self {
+        let mut sheet = Self::shifted(routers);
+        sheet.workspaces = HARD_WORKSPACES;
+        sheet.room = HARD_ROOM;
+        let kinds = sheet.kinds.iter_mut();
+        let plain = kinds.filter(|kind| kind.prompt.is_none());
+        let rate: f64 = plain.map(|kind| kind.per_second).sum();
+        let room = sheet.pools * HARD_ROOM.0;
+        let capacity = room as f64 * 1000.0 / sheet.pool_ms as f64;
+        for kind in sheet.kinds.iter_mut().filter(|k| k.prompt.is_none()) {
+            kind.per_second *= HARD_LOAD * capacity / rate;
+        }
+        sheet
+    }
+}
+
+/// Workspaces under hard load, the room of a pool, and the usual part of the pools' capacity that is used.
+const HARD_WORKSPACES: usize = 4;
+const HARD_ROOM: (usize, usize) = (6, 4);
+const HARD_LOAD: f64 = 0.6;
+
 const DOSE: Prompt = Prompt {
     common: (2520, 4),
     session: (6100, 838),
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -62,6 +62,9 @@
     /// endpoints follow from the routers.
     #[options(no_short)]
     load: bool,
+    /// Play uneven engines and pools that are short of room, and judge what callers are owed; with `--load`.
+    #[options(no_short)]
+    hard: bool,
     /// Hold routers up now and then, as busy machines do; with `--load`.
     #[options(no_short)]
     held: bool,
@@ -107,7 +110,9 @@
         } else {
             whole_plan(seed, &size)
         };
-        let load = if args.load && !args.calm {
+        let load = if args.load && args.hard {
+            load::plan::hard_plan(seed, args.seconds)
+        } else if args.load && !args.calm {
             load::plan::plan(seed, args.seconds)
         } else {
             Vec::new()
@@ -130,7 +135,11 @@
 /// Plays the load of a seed; tells whether the load multiple was kept.
 fn one_load(seed: u64, steps: &[load::plan::Step], args: &Args) -> Result<bool> {
     let folder = tempfile::tempdir()?;
-    let mut sheet = Sheet::shifted(args.routers);
+    let mut sheet = if args.hard {
+        Sheet::hard(args.routers)
+    } else {
+        Sheet::shifted(args.routers)
+    };
     sheet.held = args.held;
     let played = load::run(&sheet, steps, (seed, args.seconds), folder.path());
     let seen = LocalSet::new().block_on(&runtime()?, played)?;
@@ -151,7 +160,12 @@
             worst.arrivals,
             100.0 * worst.share()
         );
-        good &= broken == 0;
+        good &= broken == 0 || args.hard;
+    }
+    if args.hard {
+        let findings = load::judge::judge(&sheet, &seen, Some(0));
+        good &= findings.is_empty();
+        findings.iter().for_each(|finding| println!("  {finding}"));
     }
     if let (Some(keep), true) = (&args.keep, args.keep_all || !good) {
         keep_run(folder.path(), keep, seed, &seen)?;
--- a/crates/soak/tests/load.rs
+++ b/crates/soak/tests/load.rs
@@ -5,10 +5,23 @@
 use googletest::prelude::*;
 use tokio::task::LocalSet;
 use toucanturn_judge::multiple::worst;
+use toucanturn_platform_standin::replica::{
+    RequestEvent,
+    RequestEventKind, //
+};
 use toucanturn_soak::load::{
+    fleet::{
+        Call,
+        Seen, //
+    },
+    judge::{
+        Finding,
+        judge, //
+    },
     plan::{
         Act,
         Step,
+        hard_plan,
         plan, //
     },
     run,
@@ -98,3 +111,83 @@
         expect_within_multiple(&Sheet::shifted(40), &steps, (seed, LONG_SECONDS));
     }
 }
+
+/// Guards against callers who wait past their bound, are told that a request which runs has not run, or get less than others who
+/// send as much, while one workspace crowds the pools and machines of engines are slow.
+#[gtest]
+fn verify_hard_load_leaves_callers_what_they_are_owed() {
+    let sheet = Sheet::hard(12);
+    let steps = hard_plan(1, SECONDS);
+    let folder = tempfile::tempdir().expect("there is room");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let played = run(&sheet, &steps, (1, SECONDS), folder.path());
+    let seen = LocalSet::new().block_on(&runtime.expect("a runtime"), played);
+    let seen = seen.expect("the programs were built");
+    let refused = seen.calls.iter().filter(|c| matches!(c.status, 429 | 503));
+    // Otherwise the pools were not short of room, and the rest shows nothing.
+    expect_that!(refused.count(), gt(0));
+    expect_that!(judge(&sheet, &seen, Some(0)), eq(&vec![]));
+}
+
+fn call(n: u64, workspace: usize, status: u16, waited: u64) -> Call {
+    Call {
+        route: "pay",
+        id: format!("pay-{n}"),
+        request: n,
+        workspace,
+        router: 0,
+        status,
+        times: (1000, 1000 + waited),
+    }
+}
+
+/// A judge that finds nothing in bad runs would show nothing in others.
+#[gtest]
+fn verify_the_judge_of_hard_load_notices_each_fault() {
+    let sheet = Sheet::hard(12);
+    let began = RequestEvent {
+        at_ms: 1,
+        replica: "pool-1".to_owned(),
+        id: "pay-3".to_owned(),
+        after: None,
+        what: RequestEventKind::Began,
+        says_leaving: false,
+        back_off_ms: 0,
+        unmarked: false,
+    };
+    let mut seen = Seen {
+        calls: vec![
+            call(1, 0, 200, 20),
+            call(2, 0, 502, 1200),
+            call(4, 0, 503, 5),
+        ],
+        notes: vec![began],
+        ..Seen::default()
+    };
+    expect_that!(judge(&sheet, &seen, None), eq(&vec![]));
+    seen.calls.push(call(3, 0, 503, 10));
+    seen.calls.push(call(5, 0, 0, 1400));
+    let ids = vec!["pay-3".to_owned()];
+    let waits = vec![("pay-5".to_owned(), 1400)];
+    let expected = vec![Finding::RanThoughRefused { ids }, Finding::Late { waits }];
+    expect_that!(judge(&sheet, &seen, None), eq(&expected));
+    // Each of three workspaces sends 500 requests; the last one is served half of them, and so is the one that crowds.
+    let status = |n, workspace| {
+        if workspace % 2 == 0 && n % 2 == 0 {
+            503
+        } else {
+            200
+        }
+    };
+    let calls = (0..1500_u64).map(|n| (n, usize::try_from(n % 3).unwrap_or_default()));
+    seen.calls = calls
+        .map(|(n, workspace)| call(10 + n, workspace, status(n / 3, workspace), 20))
+        .collect();
+    let served = vec![(1, 1.0), (2, 0.5)];
+    expect_that!(
+        judge(&sheet, &seen, Some(0)),
+        eq(&vec![Finding::Unequal { served }])
+    );
+}
