Explain in the decisions where a request would go, without sending it

`Gateway::explain` takes `&self`: it makes the ticket as admission does, and asks `place::choose` with a draw that is a hash of the query. `place::candidates` (split off `choose`) is the one list of endpoints that may be chosen; `place/standing.rs` names why the others are not in it, and why one in it is passed over. What `place` tells a request without an endpoint is a function of the same context now, so that the explanation has the same refusal and Retry-After. No decision changes: no condition, order or draw was touched.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -161,6 +161,60 @@
     }
 }
 
+/// Refuses a request that no endpoint could be chosen for, if it is known what would make room; else
+/// returns why there is no endpoint.
+pub(super) fn refuse_unplaced(
+    context: &place::PlacementContext<'_>,
+    ticket: &Ticket,
+) -> Result<Refusal, Cause> {
+    let retry_delay = |room| spread_retry_delay(context.now, ticket.deadline, room, context.draw);
+    let may_have_run = ticket.may_have_run;
+    if let Some(warm) = place::time_until_warm(context, ticket) {
+        let wait = retry_delay(warm);
+        return Ok(Refusal::with_retry_after(
+            Cause::WarmingUp,
+            wait,
+            may_have_run,
+        ));
+    }
+    let has_full_share = place::has_full_share(context, ticket);
+    if has_full_share || place::has_spared(context, ticket) {
+        let wait = retry_delay(FULL_RETRY_DELAY);
+        return Ok(Refusal {
+            peers_have_room: has_full_share,
+            ..Refusal::with_retry_after(Cause::Overloaded, wait, may_have_run)
+        });
+    }
+    Err(if place::has_unconfirmed(context, ticket) {
+        Cause::Unconfirmed
+    } else {
+        Cause::NoEndpoint
+    })
+}
+
+/// Refuses a request whose endpoints want no requests until the time `left` has passed.
+pub(super) fn refuse_backing_off(now: Time, ticket: &Ticket, left: Millis, draw: u64) -> Refusal {
+    let wait = retry_delay_after(now, ticket.deadline, left, draw);
+    Refusal::with_retry_after(Cause::BackingOff, wait, ticket.may_have_run)
+}
+
+/// Gets how long an endpoint may send nothing before another one is tried if that is possible.
+pub(super) fn silence_limit(route: &Route, begun: bool) -> Millis {
+    if begun {
+        Millis(route.pause.0 * STALL_PAUSE_MULTIPLE).max(MIN_SILENCE_TIMEOUT)
+    } else {
+        Millis(route.goal.0 * STALL_GOAL_MULTIPLE).max(MIN_SILENCE_TIMEOUT)
+    }
+}
+
+/// Gets when the caller stops waiting, and when the final answer is due.
+fn due(now: Time, route: &Route, incoming_request: &IncomingRequest) -> (Time, Time) {
+    let began = now - incoming_request.waited;
+    let limit = began + route.limit;
+    let deadline = incoming_request.deadline.map_or(limit, |left| began + left);
+    (deadline, deadline.min(limit))
+}
+
 /// Lists the hashes of the shared parts of a request's prompt, each once.
 fn shared_parts(incoming_request: &IncomingRequest) -> Arc<[u64]> {
     let shared = incoming_request.prompt.iter().flat_map(Prompt::shared);
@@ -195,10 +249,7 @@
         if workspace.is_none() && !route.anonymous && catalog.has_workspaces() {
             return Err(Refusal::permanent(Cause::UnknownKey));
         }
-        let began = now - incoming_request.waited;
-        let limit = began + route.limit;
-        let deadline = incoming_request.deadline.map_or(limit, |left| began + left);
-        let until = deadline.min(limit);
+        let (_, until) = due(now, route, incoming_request);
         if self.outlasts_stop(route, until) {
             return Err(Refusal::temporary(Cause::Stopping));
         }
@@ -206,19 +257,36 @@
         let Some(service) = route.service(draw) else {
             return Err(Refusal::temporary(Cause::NoEndpoint));
         };
+        let window = self.bounds.retry.window;
+        self.budget(&service).record_request(now, window);
+        let version = catalog.version;
+        let ticket = Ticket::new(now, version, route, service, workspace, incoming_request);
+        Ok(ticket)
+    }
+}
+
+impl Ticket {
+    /// Makes the ticket of a request that is admitted now.
+    pub(super) fn new(
+        now: Time,
+        version: u64,
+        route: &Arc<Route>,
+        service: Bytes,
+        workspace: Option<Arc<Workspace>>,
+        incoming_request: &IncomingRequest,
+    ) -> Self {
         let priority = workspace
             .as_ref()
             .and_then(|w| w.priority)
             .unwrap_or(route.priority);
-        let window = self.bounds.retry.window;
-        self.budget(&service).record_request(now, window);
-        Ok(Ticket {
+        let (deadline, until) = due(now, route, incoming_request);
+        Self {
             service,
             workspace,
             priority,
             deadline,
             until,
-            version: catalog.version,
+            version,
             max_attempts: route.attempts,
             route: Arc::clone(route),
             remote_attempts: 0,
@@ -239,9 +307,11 @@
             origin: Origin::New,
             build: None,
             unproved: false,
-        })
+        }
     }
+}
 
+impl Gateway {
     /// Chooses the endpoint of the next attempt.
     ///
     /// # Errors
@@ -278,49 +348,12 @@
         if self.warmup.has_cold_endpoints() {
             self.warmup.record_waiting(now, ticket.workspace_tag());
         }
-        let context = place::PlacementContext {
-            share: self.connection_share(&ticket.service),
-            hot_spots: self.hot_spots.get(&ticket.service),
-            registry: &self.registry,
-            proof: &self.proof,
-            bounds: &self.bounds,
-            warmup: self.warmup_limit(&ticket.service).map(|_| &self.warmup),
-            brittle: self.brittle_context(now, &ticket.service),
-            routers: self.routers,
-            now,
-            draw,
-        };
+        let context = self.placement_context(now, &ticket.service, draw);
         let placed = place::choose(&context, ticket, incoming_request.prompt.as_ref());
         let Some(placed) = placed else {
-            if let Some(warm) = place::time_until_warm(&context, ticket) {
-                let wait = spread_retry_delay(now, ticket.deadline, warm, draw);
-                let may_have_run = ticket.may_have_run;
-                return Err(Refusal::with_retry_after(
-                    Cause::WarmingUp,
-                    wait,
-                    may_have_run,
-                ));
-            }
-            if place::has_full_share(&context, ticket) {
-                let wait = spread_retry_delay(now, ticket.deadline, FULL_RETRY_DELAY, draw);
-                return Err(Refusal {
-                    peers_have_room: true,
-                    ..Refusal::with_retry_after(Cause::Overloaded, wait, ticket.may_have_run)
-                });
-            }
-            if place::has_spared(&context, ticket) {
-                let wait = spread_retry_delay(now, ticket.deadline, FULL_RETRY_DELAY, draw);
-                let may_have_run = ticket.may_have_run;
-                return Err(Refusal::with_retry_after(
-                    Cause::Overloaded,
-                    wait,
-                    may_have_run,
-                ));
-            }
-            let cause = if place::has_unconfirmed(&context, ticket) {
-                Cause::Unconfirmed
-            } else {
-                Cause::NoEndpoint
+            let cause = match refuse_unplaced(&context, ticket) {
+                Ok(refusal) => return Err(refusal),
+                Err(cause) => cause,
             };
             return Err(self.give_up(now, ticket, cause));
         };
@@ -342,6 +375,27 @@
         })
     }
 
+    /// Gets what a placement depends on; `draw` is a random number.
+    pub(super) fn placement_context(
+        &self,
+        now: Time,
+        service: &Bytes,
+        draw: u64,
+    ) -> place::PlacementContext<'_> {
+        place::PlacementContext {
+            share: self.connection_share(service),
+            hot_spots: self.hot_spots.get(service),
+            registry: &self.registry,
+            proof: &self.proof,
+            bounds: &self.bounds,
+            warmup: self.warmup_limit(service).map(|_| &self.warmup),
+            brittle: self.brittle_context(now, service),
+            routers: self.routers,
+            now,
+            draw,
+        }
+    }
+
     /// Checks that a request is not held back by the quarantine; returns whether it is let through as
     /// a trial.
     fn check_quarantine(&mut self, now: Time, ticket: &Ticket) -> Result<bool, Refusal> {
@@ -435,19 +489,28 @@
     /// of its service have asked for a time without requests, the refusal says when the first of
     /// these times ends.
     pub fn give_up(&mut self, now: Time, ticket: &Ticket, cause: Cause) -> Refusal {
-        let back_offs = self.registry.of(&ticket.service);
-        let back_offs = back_offs.map(|(_, e)| e.back_off(now));
-        let first_end = back_offs.min().filter(|left| *left > Millis(0));
-        match first_end.filter(|_| cause == Cause::NoEndpoint) {
+        match self.first_back_off_end(now, ticket, cause) {
             Some(left) => {
                 let draw = self.draw();
-                let wait = retry_delay_after(now, ticket.deadline, left, draw);
-                Refusal::with_retry_after(Cause::BackingOff, wait, ticket.may_have_run)
+                refuse_backing_off(now, ticket, left, draw)
             }
             None => Refusal::given_up(cause, ticket.may_have_run),
         }
     }
 
+    /// Gets the time until the first back-off ends if that is why there is no endpoint.
+    pub(super) fn first_back_off_end(
+        &self,
+        now: Time,
+        ticket: &Ticket,
+        cause: Cause,
+    ) -> Option<Millis> {
+        let back_offs = self.registry.of(&ticket.service);
+        let back_offs = back_offs.map(|(_, e)| e.back_off(now));
+        let first_end = back_offs.min().filter(|left| *left > Millis(0));
+        first_end.filter(|_| cause == Cause::NoEndpoint)
+    }
+
     /// Tells whether an endpoint may get a request now. It is checked again right before sending,
     /// because the evidence that held when the endpoint was chosen may have expired while the
     /// connection was made, and the endpoint may have asked for a pause.
@@ -580,11 +643,7 @@
         if !self.may_retry(now, &ticket.service) {
             return None;
         }
-        Some(if begun {
-            Millis(route.pause.0 * STALL_PAUSE_MULTIPLE).max(MIN_SILENCE_TIMEOUT)
-        } else {
-            Millis(route.goal.0 * STALL_GOAL_MULTIPLE).max(MIN_SILENCE_TIMEOUT)
-        })
+        Some(silence_limit(route, begun))
     }
 
     /// Notes how an attempt ended, and decides what follows.
--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -152,6 +152,7 @@
     hosts: IndexMap<Bytes, IndexMap<Bytes, Arc<Route>>>,
     services: IndexMap<Bytes, Service>,
     keys: IndexMap<Bytes, Arc<Workspace>>,
+    workspaces: IndexMap<Bytes, Arc<Workspace>>,
     has_workspaces: bool,
 }
 
@@ -175,6 +176,11 @@
         self.keys.get(key).cloned()
     }
 
+    /// Finds a workspace by its name; where several have it, the first one.
+    pub fn workspace(&self, name: &[u8]) -> Option<&Arc<Workspace>> {
+        self.workspaces.get(name)
+    }
+
     /// Tells whether any workspaces are published, so that requests need keys.
     pub fn has_workspaces(&self) -> bool {
         self.has_workspaces
@@ -231,6 +237,9 @@
         }
         for (workspace, keys) in raw.workspaces {
             let workspace = Arc::new(workspace);
+            let name = workspace.name.clone();
+            let named = catalog.workspaces.entry(name);
+            named.or_insert_with(|| Arc::clone(&workspace));
             for key in keys {
                 let before = catalog.keys.insert(key, Arc::clone(&workspace));
                 if before.is_some_and(|b| b.name != workspace.name) {
--- /dev/null
+++ b/crates/core/src/gateway/explain/answer.rs
@@ -0,0 +1,124 @@
+//! What an explanation says.
+
+use serde::Serialize;
+
+use crate::{
+    gateway::place::{
+        Decision,
+        Reason, //
+    },
+    units::Millis,
+};
+
+/// `Choice` is the endpoint that the request would go to.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Choice {
+    /// Its name.
+    pub endpoint: String,
+    /// What it follows from.
+    pub decision: Decision,
+    /// Number of endpoints among which a random draw chooses at most; 1 where chance has no part.
+    pub among: usize,
+    /// Number of endpoints before it in the order of preference.
+    pub rank: u32,
+    /// Its estimated load, and the age of the report that this follows from.
+    pub load: u32,
+    /// See `load`; `None` if only this router's own requests are known.
+    pub load_age_ms: Option<Millis>,
+    /// Load from which it would have been passed over.
+    pub limit: f32,
+    /// Mean of the estimated loads of all endpoints of the service.
+    pub mean: f32,
+    /// Whether it is cold, so that the request would use up this router's quota for it.
+    pub cold: bool,
+    /// Whether it may turn the request away.
+    pub at_risk: bool,
+    /// Whether the request would be a trial of the quarantine.
+    pub trial: bool,
+    /// Where the cached parts of the prompt could be copied from.
+    pub holder: Option<String>,
+    /// Where it would go if the chosen endpoint could not be reached.
+    pub runner_up: Option<String>,
+}
+
+/// `Wait` is what a sent request would wait for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Wait {
+    /// The endpoint whose answer it would wait for.
+    pub endpoint: String,
+    /// How long the request waited whose answer began last there, and how long ago that was.
+    pub last_ms: Option<Millis>,
+    /// See `last_ms`.
+    pub last_age_ms: Option<Millis>,
+    /// Time without any answer after which the next endpoint may be tried; `None` if none may.
+    pub silence_ms: Option<Millis>,
+    /// Longest time until the final answer.
+    pub at_most_ms: Millis,
+}
+
+/// `Denial` is what the caller would be told instead.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Denial {
+    /// Reason.
+    pub cause: String,
+    /// When the caller may come back, as this router would spread it by chance; `None` if a retry can't
+    /// succeed.
+    pub retry_after_ms: Option<Millis>,
+}
+
+/// `Other` is an endpoint that the request would not go to.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Other {
+    /// Its name.
+    pub endpoint: String,
+    /// Why not.
+    pub reason: Option<Reason>,
+    /// Time until that ends at the latest, where that is known.
+    pub left_ms: Option<Millis>,
+    /// Number of endpoints before it in the order for the prompt's part.
+    pub rank: Option<u32>,
+    /// Its estimated load.
+    pub load: u32,
+    /// Age of the report that this follows from; `None` if only own requests are known.
+    pub load_age_ms: Option<Millis>,
+    /// Its load, with what its failures count as.
+    pub cost: f32,
+    /// Load from which it is passed over.
+    pub limit: f32,
+    /// Latency of its newest answers in milliseconds.
+    pub latency_ms: Option<f32>,
+}
+
+/// `Explanation` is what a request would meet.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Explanation {
+    /// Route, service and workspace.
+    pub route: String,
+    /// The service that the route goes to.
+    pub service: String,
+    /// Number of the route's services among which a draw by their weights chose; 1 if it was named or is the
+    /// only one.
+    pub services: usize,
+    /// The workspace.
+    pub workspace: Option<String>,
+    /// Priority under overload.
+    pub priority: u8,
+    /// Version of the configuration.
+    pub version: u64,
+    /// Age of the registry's state that this router acts on; `None` before the first read.
+    pub registry_age_ms: Option<Millis>,
+    /// Number of routers that this one counts.
+    pub routers: u32,
+    /// How long this router has not reached the service; `None` if it does.
+    pub unreached_ms: Option<Millis>,
+    /// Where it would go; `None` if it would be refused.
+    pub choice: Option<Choice>,
+    /// What it would wait for there.
+    pub wait: Option<Wait>,
+    /// The refusal; `None` if it would be sent.
+    pub refusal: Option<Denial>,
+    /// The other endpoints of the service.
+    pub others: Vec<Other>,
+    /// Number of further endpoints, beyond [`super::MAX_LISTED`].
+    pub not_listed: usize,
+}
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 pub mod budget;
 pub mod catalog;
 pub mod endpoint;
+pub mod explain;
 pub mod fingerprint;
 pub mod handoff;
 pub mod hot_spots;
--- a/crates/core/src/gateway/part_quarantine.rs
+++ b/crates/core/src/gateway/part_quarantine.rs
@@ -280,7 +280,7 @@
     /// Admits a request as a trial of all its quarantined parts if their hold time is over and this
     /// router is the one that decides on it.
     pub fn admit_trial(&mut self, now: Time, verdict: &PartVerdict) -> bool {
-        if verdict.verdict.left > Millis(0) || !self.owns(verdict.part) {
+        if !self.may_try(verdict) {
             return false;
         }
         if let Some(suspect) = self.suspects.get_mut(&verdict.part) {
@@ -289,6 +289,11 @@
         true
     }
 
+    /// Tells whether a request would be admitted as a trial.
+    pub fn may_try(&self, verdict: &PartVerdict) -> bool {
+        verdict.verdict.left == Millis(0) && self.owns(verdict.part)
+    }
+
     /// Tells whether this router is the first of the fleet for a part, by rendezvous hashing.
     fn owns(&self, part: u64) -> bool {
         let own = score(part, self.fleet.me);
--- a/crates/core/src/gateway/place/affinity.rs
+++ b/crates/core/src/gateway/place/affinity.rs
@@ -49,7 +49,7 @@
     part_id: u64,
     mean: ServiceMean,
 ) -> Option<Placed> {
-    candidates.sort_by_key(|(_, e)| std::cmp::Reverse(score(part_id, e.seed)));
+    sort(&mut candidates, part_id);
     let fits = |(_, e): &(EndpointKey, &Endpoint)| cost(context, e, mean) < limit(context, e, mean);
     let hot_pick = pick_for_hot_part(context, &candidates, part_id, mean);
     let below = hot_pick
@@ -62,6 +62,11 @@
     placed(context, &candidates, rank, mean)
 }
 
+/// Puts endpoints in the order in which prompts with a part prefer them.
+pub(super) fn sort(candidates: &mut [(EndpointKey, &Endpoint)], part_id: u64) {
+    candidates.sort_by_key(|(_, e)| std::cmp::Reverse(score(part_id, e.seed)));
+}
+
 /// Chooses one of the endpoints that share a hot part, the less loaded of two random ones; `None`
 /// for a part that a single endpoint carries.
 fn pick_for_hot_part(
@@ -70,17 +75,24 @@
     part_id: u64,
     mean: ServiceMean,
 ) -> Option<usize> {
-    let multiple = f64::from(context.bounds.skew.0) / 1000.0 * mean.carried_share();
-    let spread_width =
-        context
-            .hot_spots?
-            .spread(hot_spots::tag(part_id), candidates.len(), multiple);
-    if spread_width < 2 {
-        return None;
-    }
+    let spread_width = spread_width(context, candidates.len(), part_id, mean)?;
     cheaper_of_two(context, &candidates[..spread_width], mean)
 }
 
+/// Gets how many of so many endpoints share a hot part; `None` for a part that a single endpoint carries.
+pub(super) fn spread_width(
+    context: &PlacementContext<'_>,
+    endpoints: usize,
+    part_id: u64,
+    mean: ServiceMean,
+) -> Option<usize> {
+    let multiple = f64::from(context.bounds.skew.0) / 1000.0 * mean.carried_share();
+    let width = context
+        .hot_spots?
+        .spread(hot_spots::tag(part_id), endpoints, multiple);
+    (width >= 2).then_some(width)
+}
+
 /// Chooses the endpoint with the lower cost of two random ones.
 pub(super) fn cheaper_of_two(
     context: &PlacementContext<'_>,
--- a/crates/core/src/gateway/place/mod.rs
+++ b/crates/core/src/gateway/place/mod.rs
@@ -29,8 +29,17 @@
 
 mod affinity;
 mod cost;
+mod standing;
 mod stateless;
 
+pub use standing::{
+    Decision,
+    Reason,
+    Standing,
+    Standings,
+    standings, //
+};
+
 use affinity::{
     by_affinity,
     holder, //
@@ -163,7 +172,26 @@
     prompt: Option<&Prompt>,
 ) -> Option<Placed> {
     let all: Vec<(EndpointKey, &Endpoint)> = context.registry.of(&ticket.service).collect();
-    let mut candidates: Vec<(EndpointKey, &Endpoint)> = Vec::with_capacity(all.len());
+    let candidates = candidates(context, ticket, &all);
+    let mean = ServiceMean::of(context, &ticket.service, &all);
+    let placement_part = prompt.and_then(Prompt::placement_part);
+    match placement_part {
+        Some(part) => {
+            let placed = by_affinity(context, candidates, part.id, mean)?;
+            let holder = holder(context, ticket, part.id, placed.endpoint);
+            Some(Placed { holder, ..placed })
+        }
+        None => by_load(context, &candidates, mean),
+    }
+}
+
+/// Lists the endpoints that a request may go to; `all` are those of its service that may get requests.
+fn candidates<'a>(
+    context: &PlacementContext<'_>,
+    ticket: &Ticket,
+    all: &[(EndpointKey, &'a Endpoint)],
+) -> Vec<(EndpointKey, &'a Endpoint)> {
+    let mut candidates: Vec<(EndpointKey, &'a Endpoint)> = Vec::with_capacity(all.len());
     candidates.extend(all.iter().filter(|(k, e)| {
         is_option(ticket, *k, e)
             && context.is_confirmed(e)
@@ -177,20 +205,10 @@
         .filter(|(_, e)| !e.paused(context.now))
         .copied()
         .collect();
-    let candidates = if unpaused.is_empty() {
+    if unpaused.is_empty() {
         candidates
     } else {
         unpaused
-    };
-    let mean = ServiceMean::of(context, &ticket.service, &all);
-    let placement_part = prompt.and_then(Prompt::placement_part);
-    match placement_part {
-        Some(part) => {
-            let placed = by_affinity(context, candidates, part.id, mean)?;
-            let holder = holder(context, ticket, part.id, placed.endpoint);
-            Some(Placed { holder, ..placed })
-        }
-        None => by_load(context, &candidates, mean),
     }
 }
 
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod catalog;
 mod endpoint;
 mod evacuation;
+mod explain;
 mod fixture;
 mod flow;
 mod handoff;
