Answer where a request would go on a gateway's metrics address

`GET /explain` on the address of the readiness check and the metrics parses its parameters strictly (each once, no others, 8 KB, plain decimal digits) and answers `Gateway::explain` as JSON. It counts and logs nothing, repeats no value that it was given, and has no parameter for a key. The parts of a prompt are read by the platform's own function, so that their hashes are those of requests.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod client;
 pub mod errors;
 pub mod exchange;
+mod explain;
 pub mod feed;
 mod framing;
 pub mod gossip;
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -11,7 +11,10 @@
 use toucanturn_core::{
     gateway::{
         endpoint::Load,
-        incoming_request::IncomingRequest,
+        incoming_request::{
+            IncomingRequest,
+            Part, //
+        },
         refusal::Refusal, //
     },
     units::Millis,
@@ -22,6 +25,8 @@
 pub struct ProtocolAdapter {
     /// Parses a request's head; the error says why it is invalid.
     pub parse_request: fn(&Parts) -> Result<IncomingRequest, &'static str>,
+    /// Parses the parts of a prompt as a request lists them; the error says why they are invalid.
+    pub parse_parts: fn(&str) -> Result<Vec<Part>, &'static str>,
     /// Builds the header fields of the request to an endpoint from those of the caller.
     pub forward: fn(&HeaderMap, &ForwardContext<'_>) -> HeaderMap,
     /// Builds the header fields of the request to a peer from those of the caller.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -8,6 +8,7 @@
 };
 
 use http::{
+    Method,
     Request,
     Response,
     StatusCode, //
@@ -45,6 +46,7 @@
         self,
         Body, //
     },
+    explain,
     handoff::Session,
     head_timeout::{
         ConnectionProgress,
@@ -155,7 +157,7 @@
     }
 }
 
-/// Serves readiness checks and metrics until the process ends.
+/// Serves readiness checks, metrics and explanations until the process ends.
 pub async fn serve_checks(state: Shared, listener: TcpListener) {
     serve(state, listener, answer_check).await;
 }
@@ -206,6 +208,8 @@
         }
     } else if path == "/metrics" {
         (StatusCode::OK, state.metrics.text())
+    } else if path == explain::PATH && request.method() == Method::GET {
+        explain::answer(&state, request.uri().query().unwrap_or_default())
     } else {
         (StatusCode::NOT_FOUND, String::new())
     };
