--- a/crates/toucanturn/src/args.rs
+++ b/crates/toucanturn/src/args.rs
@@ -76,7 +76,7 @@
 /// `Explain` says whose request is explained, and under what.
 #[derive(Debug, Options)]
 #[options(
-    help = "Explains where a request would go: --model with --prefix or --chat, or --service-path."
+    help = "Explains where a request would go: --model with --prefix or --chat, or --service-path; or asks a running gateway of the users' platform: --gateway with --route, --host and --path, or --id and --log."
 )]
 pub(crate) struct Explain {
     /// Show this help.
@@ -123,6 +123,36 @@
     /// Seed of the random draws.
     #[options(no_short, meta = "N", default = "0")]
     pub(crate) seed: u64,
+    /// A running gateway: IP:PORT of its readiness check and metrics.
+    #[options(no_short, meta = "ADDRESS")]
+    pub(crate) gateway: Option<SocketAddr>,
+    /// At a gateway: the route.
+    #[options(no_short, meta = "NAME")]
+    pub(crate) route: Option<String>,
+    /// At a gateway: the host that finds the route, with --path.
+    #[options(no_short, meta = "HOST")]
+    pub(crate) host: Option<String>,
+    /// At a gateway: the path that finds the route, with --host.
+    #[options(no_short, meta = "PATH")]
+    pub(crate) path: Option<String>,
+    /// At a gateway: one of the route's services, if it has several.
+    #[options(no_short, meta = "NAME")]
+    pub(crate) service: Option<String>,
+    /// At a gateway: the parts of the prompt, HEX:TOKENS separated by commas.
+    #[options(no_short, meta = "LIST")]
+    pub(crate) parts: Option<String>,
+    /// At a gateway: the tokens of the prompt, and after a comma the most of the output.
+    #[options(no_short, meta = "N")]
+    pub(crate) tokens: Option<String>,
+    /// At a gateway: how long the caller waits, in milliseconds.
+    #[options(no_short, meta = "MS")]
+    pub(crate) deadline: Option<String>,
+    /// At a gateway: a recorded request, with --log.
+    #[options(no_short, meta = "ID")]
+    pub(crate) id: Option<String>,
+    /// At a gateway: a log file with the recorded request; may be given several times.
+    #[options(no_short, meta = "FILE")]
+    pub(crate) log: Vec<PathBuf>,
 }
 
 /// `Status` names the router to show.
--- a/crates/toucanturn/src/client.rs
+++ b/crates/toucanturn/src/client.rs
@@ -59,14 +59,20 @@
 
     /// Gets the body of an answer with status 200.
     pub(crate) async fn call(&self, method: Method, path: &str) -> Result<Bytes> {
+        let address = self.address;
+        match self.fetch(method, path).await? {
+            (200, body) => Ok(body),
+            (status, _) => StatusSnafu { address, status }.fail(),
+        }
+    }
+
+    /// Gets the status and the body of an answer.
+    pub(crate) async fn fetch(&self, method: Method, path: &str) -> Result<(u16, Bytes)> {
         let address = self.address;
         let url = format!("http://{address}{path}");
         let call = self.client.request(method, url).send().await;
         let mut response = call.context(CallSnafu { address })?;
         let status = response.status().as_u16();
-        if status != 200 {
-            return StatusSnafu { address, status }.fail();
-        }
         let mut body = BytesMut::new();
         while let Some(chunk) = response.chunk().await.context(CallSnafu { address })? {
             body.extend_from_slice(&chunk);
@@ -78,7 +84,7 @@
                 .fail();
             }
         }
-        Ok(body.freeze())
+        Ok((status, body.freeze()))
     }
 }
 
--- a/crates/toucanturn/src/errors.rs
+++ b/crates/toucanturn/src/errors.rs
@@ -70,6 +70,15 @@
         "{address} answered with status {status}, expected 200; is this the operators' port?"
     ))]
     Status { address: SocketAddr, status: u16 },
+    /// The gateway doesn't answer the question.
+    #[snafu(display("{address} does not explain: {message}"))]
+    Unexplained {
+        address: SocketAddr,
+        message: String,
+    },
+    /// No log names a request.
+    #[snafu(display("no line of event 610 in these logs names the request {id:?}"))]
+    Unrecorded { id: String },
     /// The router's answer is too long.
     #[snafu(display("the answer of {address} is longer than {most} bytes"))]
     Oversize { address: SocketAddr, most: usize },
--- a/crates/toucanturn/src/explain/mod.rs
+++ b/crates/toucanturn/src/explain/mod.rs
@@ -1,4 +1,5 @@
-//! `toucanturn explain`: where a request would go and why, by the core's own code.
+//! `toucanturn explain`: where a request would go and why, by the core's own code, or as a
+//! running gateway says.
 
 use rand::{
     SeedableRng,
@@ -34,6 +35,7 @@
 };
 
 mod chat;
+mod gateway;
 mod report;
 mod subject;
 
@@ -42,8 +44,17 @@
 
 /// Explains a request.
 pub(crate) fn run(args: &args::Explain) -> Result<Verdict> {
+    if args.gateway.is_some() {
+        return gateway::run(args);
+    }
+    if gateway::has_options(args) {
+        let message = "explain: --route, --host, --path, --service, --parts, --tokens, --deadline, \
+                       --id and --log go with --gateway";
+        return Err(Error::usage(message));
+    }
     let path = args.config.as_deref();
-    let path = path.ok_or_else(|| Error::usage("explain: expected --config FILE"))?;
+    let path =
+        path.ok_or_else(|| Error::usage("explain: expected --config FILE or --gateway ADDRESS"))?;
     let config = Config::try_from(files::read(path)?.as_slice());
     let config = config.map_err(|faults| {
         let count = faults.len();
--- a/crates/toucanturn/src/trace.rs
+++ b/crates/toucanturn/src/trace.rs
@@ -4,6 +4,8 @@
 //! shortly before its end, and puts them in the order of their times. The last line of the story
 //! names the cause as far as the lines tell.
 
+use std::path::PathBuf;
+
 use serde::Serialize;
 use serde_json::Value;
 
@@ -29,11 +31,13 @@
 
 /// `Line` is one log line.
 #[derive(Debug, Serialize)]
-struct Line {
+pub(crate) struct Line {
     time: String,
-    event: u64,
+    /// Number of the event.
+    pub(crate) event: u64,
     message: String,
-    fields: serde_json::Map<String, Value>,
+    /// Its other fields.
+    pub(crate) fields: serde_json::Map<String, Value>,
     /// Number of the log that it stands in.
     #[serde(skip)]
     log: usize,
@@ -61,13 +65,7 @@
         let message = "a log file is missing".to_owned();
         return Err(Error::Usage { message });
     }
-    let mut lines = Vec::new();
-    for (log, path) in args.logs.iter().enumerate() {
-        let text = files::read(path)?;
-        let raw = text.split(|b| *b == b'\n');
-        lines.extend(raw.filter_map(|raw| line(raw, log)));
-    }
-    lines.sort_by(|a, b| a.time.cmp(&b.time));
+    let lines = read(&args.logs)?;
     let story = tell(id, lines);
     if args.json {
         output::print_json(&story)?;
@@ -78,6 +76,18 @@
     Ok(if found { Verdict::Yes } else { Verdict::No })
 }
 
+/// Reads the lines of logs in the order of their times.
+pub(crate) fn read(logs: &[PathBuf]) -> Result<Vec<Line>> {
+    let mut lines = Vec::new();
+    for (log, path) in logs.iter().enumerate() {
+        let text = files::read(path)?;
+        let raw = text.split(|b| *b == b'\n');
+        lines.extend(raw.filter_map(|raw| line(raw, log)));
+    }
+    lines.sort_by(|a, b| a.time.cmp(&b.time));
+    Ok(lines)
+}
+
 /// Reads a line; what stands before its JSON (a host's name, a time) is left out.
 fn line(raw: &[u8], log: usize) -> Option<Line> {
     let start = raw.iter().position(|b| *b == b'{')?;
@@ -102,7 +112,8 @@
     })
 }
 
-fn names(line: &Line, id: &str) -> bool {
+/// Tells whether a line is about the request with this id.
+pub(crate) fn names(line: &Line, id: &str) -> bool {
     line.fields.get("id").and_then(Value::as_str) == Some(id)
 }
 
--- a/crates/toucanturn/tests/cli/main.rs
+++ b/crates/toucanturn/tests/cli/main.rs
@@ -4,6 +4,7 @@
 mod check;
 mod drain;
 mod explain;
+mod explain_gateway;
 mod manual;
 mod replay;
 mod router;
