Place prompts by expected waits where endpoints' speed varies

Cause: prompts wait behind others that an engine reads, while others idle; placement counted requests, and the stated load comes with answers, which late engines don't give.

Change: core::gateway::waits keeps the send times of streams without a first event for each endpoint, and the newest wait that a peer told. Digests pass on up to 8 waits of unanswered requests, as reports without load and confirmation, in place of others. place::expected passes over the first endpoint where the wait takes a quarter of the route's goal, for the next three in its order where it is shorter by a tenth of the goal and the reading. Off unless endpoints state a slowdown.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -287,6 +287,7 @@
             warmup: self.warmup_limit(&ticket.service).map(|_| &self.warmup),
             brittle: self.brittle_context(now, &ticket.service),
             routers: self.routers,
+            speeds_vary: self.variability.is_stated(now),
             now,
             draw,
         };
@@ -543,6 +544,9 @@
         self.warmup.sent(now, endpoint);
         self.brittleness.sent(now, endpoint);
         self.registry.sent(now, endpoint);
+        if ticket.route.kind.streams() {
+            self.registry.sent_stream(now, endpoint);
+        }
     }
 
     /// Notes the load that an endpoint reports in its answer.
--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -16,6 +16,7 @@
         },
         origin::Build,
         outcome::AttemptOutcome,
+        waits::Waits, //
     },
     ids::Tag,
     units::{
@@ -244,6 +245,8 @@
     delay: Option<(Time, Millis)>,
     /// Send times of this router's newest requests.
     send_times: VecDeque<Time>,
+    /// How long streams wait there for their first event.
+    pub waits: Waits,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -283,6 +286,7 @@
             room: None,
             delay: None,
             send_times: VecDeque::new(),
+            waits: Waits::default(),
         }
     }
 
@@ -562,11 +566,28 @@
         })
     }
 
+    /// Gets what this router tells its peers of requests there that are still unanswered.
+    pub fn wait_report(&self, now: Time) -> Option<EndpointReport> {
+        let (wait, age) = self.waits.report(now)?;
+        Some(EndpointReport {
+            endpoint: self.tag().0,
+            load: None,
+            age,
+            confirmed: false,
+            delay: Some(wait),
+        })
+    }
+
     /// Takes over a load that a peer knows of if it is newer than the one known here. Own requests
     /// that were sent after that report are not part of it.
     pub fn record_peer_report(&mut self, now: Time, report: EndpointReport) {
         let at = now - report.age;
         if let Some(delay) = report.delay {
+            let unanswered = report.tells_wait();
+            self.waits.record_peer(at, delay, unanswered);
+            if unanswered {
+                return;
+            }
             self.record_delay(at, delay);
         }
         let Some(load) = report.load else {
@@ -627,6 +648,8 @@
     /// Notes how an attempt ended, and how long it took.
     pub fn ended(&mut self, now: Time, outcome: AttemptOutcome, took: Millis) {
         self.own_in_flight = self.own_in_flight.saturating_sub(1);
+        let sent = (outcome != AttemptOutcome::Left).then(|| now - took);
+        self.waits.ended(sent, self.own_in_flight);
         match outcome {
             AttemptOutcome::Answered => {
                 self.consecutive_failures = 0;
--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -39,6 +39,8 @@
 pub const MAX_REPORTS_WITHOUT_LOAD: usize = 2;
 /// Reports by which digests are shortened while they tell delays, which need their room.
 pub const DELAYS_DISPLACE: usize = 5;
+/// Limit of the reports of unanswered requests in a digest; the longest waits come first.
+pub const MAX_WAIT_REPORTS: usize = 8;
 /// Limit of the request samples in a digest: about as many as a router of a large fleet places in a
 /// round. Without samples, a session that suddenly gets much of the traffic stays on too few
 /// endpoints for seconds.
@@ -137,6 +139,11 @@
 }
 
 impl EndpointReport {
+    /// Tells whether it is about a request that was still unanswered, and says nothing else.
+    pub fn tells_wait(&self) -> bool {
+        self.load.is_none() && !self.confirmed
+    }
+
     /// Returns the greatest age that the confirmation may have on arrival; `None` without a
     /// confirmation. Clocks of routers are not compared, so the longest transit time is assumed.
     pub fn confirmation_age(&self) -> Option<Millis> {
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -55,6 +55,7 @@
 pub mod stop;
 pub mod updates;
 pub mod variability;
+pub mod waits;
 pub mod warmup;
 
 pub use attempt::Ticket;
--- a/crates/core/src/gateway/place/affinity.rs
+++ b/crates/core/src/gateway/place/affinity.rs
@@ -16,6 +16,10 @@
                 least,
                 limit, //
             },
+            expected::{
+                Reader,
+                first_in_time, //
+            },
             placed, //
         },
     },
@@ -46,15 +50,20 @@
 pub(super) fn by_affinity(
     context: &PlacementContext<'_>,
     mut candidates: Vec<(EndpointKey, &Endpoint)>,
-    part_id: u64,
+    (part_id, reader): (u64, Reader),
     mean: ServiceMean,
 ) -> Option<Placed> {
     candidates.sort_by_key(|(_, e)| std::cmp::Reverse(score(part_id, e.seed)));
     let fits = |(_, e): &(EndpointKey, &Endpoint)| cost(context, e, mean) < limit(context, e, mean);
     let hot_pick = pick_for_hot_part(context, &candidates, part_id, mean);
-    let below = hot_pick
-        .filter(|rank| fits(&candidates[*rank]))
-        .or_else(|| candidates.iter().position(fits));
+    let below = hot_pick.filter(|rank| fits(&candidates[*rank]));
+    let below = if context.speeds_vary {
+        below
+            .filter(|rank| reader.bears(candidates[*rank].1.waits.expected(context.now)))
+            .or_else(|| first_in_time(context, &candidates, fits, reader))
+    } else {
+        below.or_else(|| candidates.iter().position(fits))
+    };
     let rank = match below {
         Some(rank) => rank,
         None => least(context, &candidates, |e| cost(context, e, mean))?,
--- a/crates/core/src/gateway/place/mod.rs
+++ b/crates/core/src/gateway/place/mod.rs
@@ -29,6 +29,7 @@
 
 mod affinity;
 mod cost;
+mod expected;
 mod stateless;
 
 use affinity::{
@@ -39,6 +40,7 @@
     ServiceMean,
     limit, //
 };
+use expected::Reader;
 use stateless::by_load;
 
 /// Divisor of the bound on evacuations. For that part of the bound, what an evacuated endpoint
@@ -64,6 +66,8 @@
     pub brittle: Option<BrittleContext<'a>>,
     /// Number of routers.
     pub routers: u32,
+    /// Whether the endpoints' speed varies, so that waits decide.
+    pub speeds_vary: bool,
     /// The time.
     pub now: Time,
     /// A random number.
@@ -183,10 +187,11 @@
         unpaused
     };
     let mean = ServiceMean::of(context, &ticket.service, &all);
-    let placement_part = prompt.and_then(Prompt::placement_part);
+    let placement_part = prompt.and_then(|p| p.placement_part().map(|part| (p, part)));
     match placement_part {
-        Some(part) => {
-            let placed = by_affinity(context, candidates, part.id, mean)?;
+        Some((prompt, part)) => {
+            let reader = Reader::new(ticket.route.goal, prompt);
+            let placed = by_affinity(context, candidates, (part.id, reader), mean)?;
             let holder = holder(context, ticket, part.id, placed.endpoint);
             Some(Placed { holder, ..placed })
         }
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -327,9 +327,17 @@
         }
     }
 
+    /// Records that a stream is sent to an endpoint, whose answer begins with its first event.
+    pub fn sent_stream(&mut self, now: Time, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.waits.sent(now);
+        }
+    }
+
     /// Records how long a request waited at an endpoint before its answer began.
     pub fn record_delay(&mut self, now: Time, key: EndpointKey, delay: Millis) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.waits.begun(now, now - delay);
             endpoint.record_delay(now, delay);
         }
     }
@@ -462,6 +470,15 @@
         reports
     }
 
+    /// Lists the longest waits of unanswered requests.
+    pub fn wait_reports(&self, now: Time, room: usize) -> Vec<EndpointReport> {
+        let all = self.endpoints.values().filter_map(|e| e.wait_report(now));
+        let mut reports: Vec<EndpointReport> = all.collect();
+        reports.sort_by_key(|r| std::cmp::Reverse(r.delay));
+        reports.truncate(room);
+        reports
+    }
+
     /// Applies a peer's report of an endpoint. Its confirmation counts only if `timely`: not where
     /// the message may have waited here for long.
     pub fn record_peer_report(&mut self, now: Time, report: EndpointReport, timely: bool) {
--- a/crates/core/src/gateway/updates.rs
+++ b/crates/core/src/gateway/updates.rs
@@ -241,10 +241,18 @@
         };
         let displaced = mesh::displaced_reports(&crashes, &back_offs) + streams + delays;
         let room = mesh::MAX_REPORTS.saturating_sub(displaced);
+        let waits = if tells_delays {
+            self.registry
+                .wait_reports(now, room.min(mesh::MAX_WAIT_REPORTS))
+        } else {
+            Vec::new()
+        };
+        let room = room - waits.len();
         let mut reports = self.registry.reports(now, draw, room);
         for report in &mut reports {
             report.delay = report.delay.filter(|_| tells_delays);
         }
+        reports.extend(waits);
         DigestContents {
             reports,
             crashes,
--- a/crates/replay/src/lab/account.rs
+++ b/crates/replay/src/lab/account.rs
@@ -165,10 +165,16 @@
 
     /// Gets the time to the first event that a share of a kind's requests stayed below.
     pub fn first(&self, kind: usize, share: f64) -> u64 {
+        self.first_in(kind, share, 0, u64::MAX)
+    }
+
+    /// Gets the same for the requests that were asked in a span.
+    pub fn first_in(&self, kind: usize, share: f64, from: u64, to: u64) -> u64 {
         let Ok(mut times) = Histogram::<u64>::new(3) else {
             return 0;
         };
-        let of = self.outcomes.iter().filter(|o| o.kind == kind);
+        let asked = |o: &&Outcome| o.kind == kind && (from..to).contains(&o.asked);
+        let of = self.outcomes.iter().filter(asked);
         for first in of.filter_map(|o| o.first) {
             times.saturating_record(first);
         }
--- a/crates/replay/src/lab/engine.rs
+++ b/crates/replay/src/lab/engine.rs
@@ -76,6 +76,8 @@
     cached: u64,
     /// When the step under way ends.
     until: f64,
+    /// Thousandths of the usual time that a step takes.
+    slowdown: u32,
     /// Tokens of shared parts that it has read.
     pub read: u64,
 }
@@ -90,6 +92,7 @@
             cache: IndexMap::new(),
             cached: 0,
             until: 0.0,
+            slowdown: 1000,
             read: 0,
         }
     }
@@ -104,6 +107,16 @@
         }
     }
 
+    /// Sets the thousandths of the usual time that its work takes from the next step on.
+    pub fn set_slowdown(&mut self, slowdown: u32) {
+        self.slowdown = slowdown;
+    }
+
+    /// Gets the thousandths of the usual time that its work takes.
+    pub fn slowdown(&self) -> u32 {
+        self.slowdown
+    }
+
     /// Tells whether it holds a part.
     pub fn holds(&self, part: u64) -> bool {
         self.cache.contains_key(&part)
@@ -198,6 +211,7 @@
             run.unread -= read;
             end += read / self.shape.read;
         }
+        end = self.until + (end - self.until) * f64::from(self.slowdown) / 1000.0;
         for run in &mut self.running {
             if run.unread > 0.0 {
                 continue;
--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -30,6 +30,7 @@
         },
         endpoint::{
             Entry,
+            Load,
             Signal, //
         },
         fingerprint::Fingerprint,
@@ -668,6 +669,24 @@
         true
     }
 
+    /// Gets the thousandths of the usual time that work takes at an engine.
+    fn slowdown(&self, now: u64, engine: usize) -> u32 {
+        let slow = self.sheet.at(now).filter_map(|t| match t {
+            Trouble::Slow { share, slowdown } if self.takes(engine, share) => Some(slowdown),
+            _ => None,
+        });
+        slow.max().unwrap_or(1000)
+    }
+
+    /// Tells whether no digest passes between two routers.
+    fn is_cut(&self, now: u64, from: usize, to: usize) -> bool {
+        let mut cut = self.sheet.at(now).filter_map(|t| match t {
+            Trouble::CutOff { router } => Some(router),
+            _ => None,
+        });
+        cut.any(|router| router == from || router == to)
+    }
+
     fn says_leaving(&self, now: u64, engine: usize) -> bool {
         let leaves = |t| matches!(t, Trouble::Leaves { share } if self.takes(engine, share));
         self.sheet.at(now).any(leaves)
@@ -744,6 +763,8 @@
     #[expect(clippy::cast_precision_loss, reason = "experiments are short")]
     fn work(&mut self, now: u64) {
         for engine in 0..self.engines.len() {
+            let slowdown = self.slowdown(now, engine);
+            self.engines[engine].set_slowdown(slowdown);
             for event in self.engines[engine].advance(now as f64) {
                 match event {
                     Event::First(number) => self.first(now, number, engine),
@@ -759,13 +780,18 @@
         }
         let leaving = self.says_leaving(now, engine);
         let brittle = self.brittle(now);
+        let stated = self.sheet.at(now).any(|t| t == Trouble::Stated);
         let request = &self.requests[number];
         let Some((ticket, endpoint)) = &request.ticket else {
             return;
         };
-        let load = self.engines[engine].load();
+        let load = Load {
+            slowdown: stated.then(|| Permille(self.engines[engine].slowdown())),
+            ..self.engines[engine].load()
+        };
         let router = &mut self.routers[request.router];
         router.record_load(Time(now), *endpoint, load);
+        router.record_begun(Time(now), ticket, *endpoint);
         router.record_brittle(Time(now), *endpoint, brittle);
         if leaving {
             router.record_signal(Time(now), ticket, Signal::Leaving);
@@ -803,6 +829,11 @@
         let follows_fleet = self.sheet.troubles.iter().any(divides);
         let hash = |who: u64| xxhash_rust::xxh3::xxh3_64(&who.to_le_bytes());
         let hashes: Vec<u64> = (0..routers).map(hash).collect();
+        let late = self.sheet.at(now).find_map(|t| match t {
+            Trouble::LateDigests { by } => Some(by),
+            _ => None,
+        });
+        let late = late.unwrap_or_default();
         for who in 0..self.routers.len() {
             if !(now + who as u64 * GOSSIP_INTERVAL.0 / routers).is_multiple_of(GOSSIP_INTERVAL.0) {
                 continue;
@@ -828,7 +859,9 @@
             for _ in 0..FANOUT {
                 let whom = self.rng.random_range(0..self.routers.len());
                 let hear = Next::Hear(whom, contents.clone(), samples.clone());
-                self.later(now + WAY, hear);
+                if !self.is_cut(now, who, whom) {
+                    self.later(now + WAY + late, hear);
+                }
             }
         }
     }
--- a/crates/replay/src/lab/sheet.rs
+++ b/crates/replay/src/lab/sheet.rs
@@ -76,6 +76,25 @@
         /// Milliseconds until a crashed engine is back, under a new name.
         down: u64,
     },
+    /// All engines state their slowdown with their load, so that routers take speeds to vary.
+    Stated,
+    /// Work takes another time at a part of the engines.
+    Slow {
+        /// Which part.
+        share: f64,
+        /// Thousandths of the usual time that work takes there.
+        slowdown: u32,
+    },
+    /// One router hears no digests, and nobody hears its own.
+    CutOff {
+        /// Which router.
+        router: usize,
+    },
+    /// Digests arrive so many milliseconds late.
+    LateDigests {
+        /// Milliseconds.
+        by: u64,
+    },
     /// All routers are lost at the beginning, and start again, knowing nothing, at the end.
     Lost,
 }
