Log and count prompts that pass an endpoint over for its wait

Cause: an operator couldn't see for a request id that it went elsewhere because others waited at its first endpoint.

Decisions are the same.

--- a/crates/core/src/gateway/place/affinity.rs
+++ b/crates/core/src/gateway/place/affinity.rs
@@ -68,7 +68,16 @@
         Some(rank) => rank,
         None => least(context, &candidates, |e| cost(context, e, mean))?,
     };
-    placed(context, &candidates, rank, mean)
+    let first = context
+        .speeds_vary
+        .then(|| candidates.iter().position(fits));
+    let passed = first.flatten().filter(|first| *first < rank);
+    let wait = passed.map(|first| candidates[first].1.waits.expected(context.now));
+    let placed = placed(context, &candidates, rank, mean)?;
+    Some(Placed {
+        passed_wait: wait.filter(|wait| !reader.bears(*wait)),
+        ..placed
+    })
 }
 
 /// Chooses one of the endpoints that share a hot part, the less loaded of two random ones; `None`
--- a/crates/core/src/gateway/place/mod.rs
+++ b/crates/core/src/gateway/place/mod.rs
@@ -150,6 +150,8 @@
     pub limit: f32,
     /// Number of endpoints before it in the order of preference.
     pub rank: u32,
+    /// Expected wait at the first endpoint in the order that has room, if the prompt passes it over for that.
+    pub passed_wait: Option<Millis>,
     /// Another endpoint that most likely holds the prompt's shared parts.
     pub holder: Option<EndpointKey>,
     /// Whether the endpoint is cold, so that the request uses up this router's quota for it.
@@ -281,6 +283,7 @@
         mean: mean.load_of_all,
         limit: limit(context, chosen, mean),
         rank: u32::try_from(rank).unwrap_or(u32::MAX),
+        passed_wait: None,
         holder: None,
         cold: context.cold(chosen),
         at_risk: context.at_risk(*endpoint, chosen),
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -541,6 +541,10 @@
         let request = self.request(placed, resume);
         let guard = AttemptGuard::start(self, Target::Endpoint(placed.endpoint));
         self.log_placed(placed, resume.or(self.incoming_request.resume));
+        if let (Some(_), Some(prompt)) = (placed.passed_wait, &self.incoming_request.prompt) {
+            let length = prompt.length().to_string();
+            self.state.metrics.count("passed_waits", &length);
+        }
         let sent = timeout(
             self.silence_timeout(&guard, false),
             connection.send(request),
@@ -1037,6 +1041,7 @@
             mean = f64::from(placed.mean),
             limit = f64::from(placed.limit),
             rank = placed.rank,
+            passed_wait = placed.passed_wait.map(|wait| wait.0),
             holder = placed.holder.map(|h| endpoint_name(&gateway, h)),
             cold = placed.cold,
             attempt = self.ticket.tried.len(),
