--- a/crates/core/src/gateway/place/mod.rs
+++ b/crates/core/src/gateway/place/mod.rs
@@ -29,6 +29,7 @@
 
 mod affinity;
 mod cost;
+mod expected;
 mod standing;
 mod stateless;
 
@@ -48,6 +49,7 @@
     ServiceMean,
     limit, //
 };
+use expected::Reader;
 use stateless::by_load;
 
 /// Divisor of the bound on evacuations. For that part of the bound, what an evacuated endpoint
@@ -73,6 +75,8 @@
     pub brittle: Option<BrittleContext<'a>>,
     /// Number of routers.
     pub routers: u32,
+    /// Whether the endpoints' speed varies, so that waits decide.
+    pub speeds_vary: bool,
     /// The time.
     pub now: Time,
     /// A random number.
@@ -155,6 +159,8 @@
     pub limit: f32,
     /// Number of endpoints before it in the order of preference.
     pub rank: u32,
+    /// Expected wait at the first endpoint in the order that has room, if the prompt passes it over for that.
+    pub passed_wait: Option<Millis>,
     /// Another endpoint that most likely holds the prompt's shared parts.
     pub holder: Option<EndpointKey>,
     /// Whether the endpoint is cold, so that the request uses up this router's quota for it.
@@ -174,10 +180,11 @@
     let all: Vec<(EndpointKey, &Endpoint)> = context.registry.of(&ticket.service).collect();
     let candidates = candidates(context, ticket, &all);
     let mean = ServiceMean::of(context, &ticket.service, &all);
-    let placement_part = prompt.and_then(Prompt::placement_part);
+    let placement_part = prompt.and_then(|p| p.placement_part().map(|part| (p, part)));
     match placement_part {
-        Some(part) => {
-            let placed = by_affinity(context, candidates, part.id, mean)?;
+        Some((prompt, part)) => {
+            let reader = Reader::new(ticket.route.goal, prompt);
+            let placed = by_affinity(context, candidates, (part.id, reader), mean)?;
             let holder = holder(context, ticket, part.id, placed.endpoint);
             Some(Placed { holder, ..placed })
         }
@@ -294,6 +301,7 @@
         mean: mean.load_of_all,
         limit: limit(context, chosen, mean),
         rank: u32::try_from(rank).unwrap_or(u32::MAX),
+        passed_wait: None,
         holder: None,
         cold: context.cold(chosen),
         at_risk: context.at_risk(*endpoint, chosen),
--- a/crates/core/src/gateway/place/standing.rs
+++ b/crates/core/src/gateway/place/standing.rs
@@ -71,6 +71,8 @@
     OverLimit,
     /// The chosen one comes earlier in the order for the prompt's part.
     LaterInOrder,
+    /// Others wait there for longer than at the chosen one.
+    LongWait,
     /// It has more load and failures than the chosen one.
     MoreLoaded,
     /// Its newest answers were slower than those of the chosen one.
@@ -217,6 +219,12 @@
     match decision {
         Decision::PromptPart if costs >= limit(context, endpoint, mean) => Reason::OverLimit,
         Decision::PromptPart if rank > chosen_rank => Reason::LaterInOrder,
+        Decision::PromptPart
+            if context.speeds_vary
+                && endpoint.waits.expected(context.now) > chosen.waits.expected(context.now) =>
+        {
+            Reason::LongWait
+        }
         Decision::StatedLoad if costs > cost(context, chosen, mean) => Reason::MoreLoaded,
         Decision::AnswerTime => match latencies {
             (Some(own), Some(other)) if own > other => Reason::Slower,
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -27,4 +27,5 @@
 mod skew;
 mod stateless;
 mod staying;
+mod waits;
 mod warmup;
--- a/crates/gateway/src/proxied/endpoint.rs
+++ b/crates/gateway/src/proxied/endpoint.rs
@@ -127,6 +127,10 @@
         let request = self.request(placed, resume);
         let guard = AttemptGuard::start(self, Target::Endpoint(placed.endpoint));
         self.log_placed(placed, resume.or(self.incoming_request.resume));
+        if let (Some(_), Some(prompt)) = (placed.passed_wait, &self.incoming_request.prompt) {
+            let (metrics, length) = (&self.state.metrics, prompt.length().to_string());
+            metrics.count("passed_waits", &length);
+        }
         let sent = timeout(
             self.silence_timeout(&guard, false),
             connection.send(request),
--- a/crates/gateway/src/proxied/report.rs
+++ b/crates/gateway/src/proxied/report.rs
@@ -92,6 +92,7 @@
             mean = f64::from(placed.mean),
             limit = f64::from(placed.limit),
             rank = placed.rank,
+            passed_wait = placed.passed_wait.map(|wait| wait.0),
             holder = placed.holder.map(|h| endpoint_name(&gateway, h)),
             cold = placed.cold,
             attempt = self.ticket.tried.len(),
