Turn requests away before a plain service that is short of room queues them

Cause: each of many routers offers a plain service one to three requests a second, at once. When an endpoint is lost or demand doubles, endpoints reject what their queue has no place for and answer the rest late.

Change: a fraction of the requests is admitted that falls from half of the goal to the goal with the endpoints' delay, by rank, then in equal parts of workspaces; others wait while they can be on time, or are refused at once. Rejections count as delays. Placement draws by delay meanwhile. Only where speeds vary and for services without an engine.

The test fails without the part: it compares the two.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -74,7 +74,7 @@
 
 /// Time within which endpoints that are full have room again: callers who are refused come back spread
 /// over it.
-const FULL_RETRY_DELAY: Millis = Millis(1000);
+pub(super) const FULL_RETRY_DELAY: Millis = Millis(1000);
 
 /// Unreachable endpoints after which a request is given up, because each costs a connect timeout.
 const MAX_UNREACHED: usize = 3;
@@ -286,6 +286,7 @@
             bounds: &self.bounds,
             warmup: self.warmup_limit(&ticket.service).map(|_| &self.warmup),
             brittle: self.brittle_context(now, &ticket.service),
+            is_short: self.pressure(now, ticket).is_some(),
             routers: self.routers,
             now,
             draw,
@@ -605,6 +606,9 @@
         if brittle && outcome == AttemptOutcome::Rejected {
             self.brittleness.rejected(now, endpoint);
         }
+        if outcome == AttemptOutcome::Rejected {
+            self.record_full(now, ticket, endpoint);
+        }
         self.registry
             .ended(now, endpoint, outcome, now.since(ticket.sent));
         self.decide_next(now, ticket, endpoint, outcome)
--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -58,6 +58,9 @@
 /// Weight of the newest answer in the latency; about the last three answers count. A queue fills
 /// and empties within a few answers of its endpoint, and one router sees only a few of them.
 const LATENCY_WEIGHT: f32 = 0.3;
+/// Weight of the newest delay in the mean; about the last two count, as a queue of a few slots fills and
+/// empties within some hundred milliseconds.
+const DELAY_WEIGHT: f32 = 0.4;
 /// Time in which the latency halves without answers, so that an endpoint that was slow is tried
 /// again.
 const LATENCY_HALF_LIFE: Millis = Millis(2000);
@@ -242,6 +245,8 @@
     room: Option<(Time, u32)>,
     /// How long the request waited whose answer began last, by any router's report, and when it began.
     delay: Option<(Time, Millis)>,
+    /// Mean of the newest delays in milliseconds.
+    mean_delay: f32,
     /// Send times of this router's newest requests.
     send_times: VecDeque<Time>,
 }
@@ -282,6 +287,7 @@
             latency: None,
             room: None,
             delay: None,
+            mean_delay: 0.0,
             send_times: VecDeque::new(),
         }
     }
@@ -593,9 +599,22 @@
 
     /// Notes how long a request waited whose answer began at `at`; a newer one is kept.
     pub fn record_delay(&mut self, at: Time, delay: Millis) {
-        if self.delay.is_none_or(|(held, _)| held < at) {
-            self.delay = Some((at, delay));
+        if self.delay.is_some_and(|(held, _)| held >= at) {
+            return;
         }
+        let recent = self.mean_delay(at);
+        self.delay = Some((at, delay));
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "milliseconds of an answer are few"
+        )]
+        let newest = delay.0 as f32;
+        self.mean_delay = recent.map_or(newest, |mean| mean + (newest - mean) * DELAY_WEIGHT);
+    }
+
+    /// Gets the mean of the newest delays in milliseconds; `None` if the last is too long ago.
+    pub fn mean_delay(&self, now: Time) -> Option<f32> {
+        self.delay(now).map(|_| self.mean_delay)
     }
 
     /// Gets how long the request waited whose answer began last, and how long ago that was; `None`
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -55,6 +55,7 @@
 pub mod stop;
 pub mod updates;
 pub mod variability;
+pub mod waiting;
 pub mod warmup;
 
 pub use attempt::Ticket;
@@ -78,6 +79,7 @@
 use settings::Bounds;
 use stop::StopDeadline;
 use variability::Variability;
+use waiting::Waiting;
 use warmup::Warmup;
 
 /// Shortest retry delay that a refused caller is told: the time in which changes reach all routers
@@ -104,6 +106,7 @@
     warmup: Warmup,
     brittleness: Brittleness,
     variability: Variability,
+    waiting: Waiting,
     reach: Reach,
     peers: Peers,
     /// Software versions of recent streams.
@@ -151,6 +154,7 @@
             warmup: Warmup::default(),
             brittleness: Brittleness::default(),
             variability: Variability::default(),
+            waiting: Waiting::default(),
             reach: Reach::default(),
             peers: Peers::default(),
             streams: Streams::default(),
--- a/crates/core/src/gateway/place/mod.rs
+++ b/crates/core/src/gateway/place/mod.rs
@@ -62,6 +62,8 @@
     pub warmup: Option<&'a Warmup>,
     /// What this router may make brittle endpoints turn away; `None` where they are sturdy.
     pub brittle: Option<BrittleContext<'a>>,
+    /// Whether the service is short of room, by its endpoints' delays.
+    pub is_short: bool,
     /// Number of routers.
     pub routers: u32,
     /// The time.
--- a/crates/core/src/gateway/place/stateless.rs
+++ b/crates/core/src/gateway/place/stateless.rs
@@ -19,11 +19,15 @@
             placed, //
         },
     },
+    load::score,
 };
 
 /// Weight of the failure rate in the expected time until an answer: a rate of 1 adds so many times
 /// that time.
 const FAILURE_TIME_FACTOR: f32 = 8.0;
+/// Multiple of the least delay that a longer one counts as at most, so that no endpoint gets more than about
+/// twice what another gets: the load multiple holds.
+const MAX_DELAY_RATIO: f32 = 2.0;
 
 pub(super) fn by_load(
     context: &PlacementContext<'_>,
@@ -33,6 +37,8 @@
     let stated = candidates.iter().any(|(_, e)| e.age(context.now).is_some());
     let rank = if stated {
         by_stated_load(context, candidates, mean)?
+    } else if context.is_short {
+        by_delay(context, candidates).or_else(|| by_answer_time(context, candidates, mean))?
     } else {
         by_answer_time(context, candidates, mean)?
     };
@@ -95,6 +101,31 @@
     })
 }
 
+/// Draws an endpoint by the inverse of its delay, where requests wait at all of them.
+///
+/// All routers hear about the same delays; with the least delay they would all choose the same endpoint.
+fn by_delay(
+    context: &PlacementContext<'_>,
+    candidates: &[(EndpointKey, &Endpoint)],
+) -> Option<usize> {
+    let delays = candidates
+        .iter()
+        .map(|(_, e)| e.mean_delay(context.now).map(|delay| delay + 1.0));
+    let least = delays.clone().flatten().reduce(f32::min)?;
+    let most = least * MAX_DELAY_RATIO;
+    let weights: Vec<f32> = delays
+        .map(|delay| delay.unwrap_or(most).min(most).recip())
+        .collect();
+    #[expect(clippy::cast_precision_loss, reason = "24 bits are exact")]
+    let drawn = (score(context.draw, 1) >> 40) as f32 / (1_u64 << 24) as f32;
+    let mut left = drawn * weights.iter().sum::<f32>();
+    let chosen = weights.iter().position(|weight| {
+        left -= weight;
+        left < 0.0
+    });
+    Some(chosen.unwrap_or(weights.len() - 1))
+}
+
 /// Estimates the time until an endpoint answers; `unknown` is the latency of one whose answers are not
 /// known.
 #[expect(clippy::cast_precision_loss, reason = "loads are small numbers")]
--- a/crates/core/src/gateway/updates.rs
+++ b/crates/core/src/gateway/updates.rs
@@ -213,6 +213,8 @@
                     .retain(|name| catalog.service(name).is_some());
                 // Samples name services by their indices in the previous configuration.
                 self.samples.clear();
+                self.waiting
+                    .retain(|service| catalog.service(service).is_some());
                 self.catalog = Some(Arc::new(catalog));
                 self.update_stream_life();
                 events.push(RegistryEvent::Applied { version });
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -26,4 +26,5 @@
 mod skew;
 mod stateless;
 mod staying;
+mod waiting;
 mod warmup;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,3 +32,4 @@
 pub mod sse;
 pub mod state;
 mod streams;
+mod waiting;
--- a/crates/gateway/src/proxied.rs
+++ b/crates/gateway/src/proxied.rs
@@ -91,6 +91,7 @@
         Shared,
         now, //
     },
+    waiting::wait_for_turn,
 };
 
 /// How a hand-off ended without an endpoint's answer: its outcome, and the head of the peer's answer.
@@ -278,6 +279,11 @@
         }
     }
 
+    /// Returns the length of its body.
+    pub(crate) fn body_len(&self) -> usize {
+        self.body.len()
+    }
+
     /// Returns the time until the final answer is due.
     pub(crate) fn time_left(&self) -> Duration {
         Duration::from_millis(self.ticket.until.since(now()).0)
@@ -298,6 +304,7 @@
     /// Makes attempts until an endpoint's answer has begun. `resume` is the last event that the caller
     /// has received.
     pub(crate) async fn start(&mut self, resume: Option<u64>) -> Result<Attempt, Refusal> {
+        wait_for_turn(self).await?;
         loop {
             self.identify();
             let placed = match self.choose_way()? {
