--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -71,7 +71,7 @@
 
 /// Time within which endpoints that are full have room again: callers who are refused come back spread
 /// over it.
-const FULL_RETRY_DELAY: Millis = Millis(1000);
+pub(super) const FULL_RETRY_DELAY: Millis = Millis(1000);
 
 /// Unreachable endpoints after which a request is given up, because each costs a connect timeout.
 const MAX_UNREACHED: usize = 3;
@@ -345,7 +345,7 @@
         if self.warmup.has_cold_endpoints() {
             self.warmup.record_waiting(now, ticket.workspace_tag());
         }
-        let context = self.placement_context(now, &ticket.service, draw);
+        let context = self.placement_context(now, ticket, draw);
         let placed = place::choose(&context, ticket, incoming_request.prompt.as_ref());
         let Some(placed) = placed else {
             let cause = match refuse_unplaced(&context, ticket) {
@@ -376,9 +376,10 @@
     pub(super) fn placement_context(
         &self,
         now: Time,
-        service: &Bytes,
+        ticket: &Ticket,
         draw: u64,
     ) -> place::PlacementContext<'_> {
+        let service = &ticket.service;
         place::PlacementContext {
             share: self.connection_share(service),
             hot_spots: self.hot_spots.get(service),
@@ -388,6 +389,7 @@
             warmup: self.warmup_limit(service).map(|_| &self.warmup),
             brittle: self.brittle_context(now, service),
             routers: self.routers,
+            is_short: self.pressure(now, ticket).is_some(),
             speeds_vary: self.variability.is_stated(now),
             now,
             draw,
@@ -665,6 +667,9 @@
         if brittle && outcome == AttemptOutcome::Rejected {
             self.brittleness.rejected(now, endpoint);
         }
+        if outcome == AttemptOutcome::Rejected {
+            self.record_full(now, ticket, endpoint);
+        }
         self.registry
             .ended(now, endpoint, outcome, now.since(ticket.sent));
         self.decide_next(now, ticket, endpoint, outcome)
--- a/crates/core/src/gateway/explain/mod.rs
+++ b/crates/core/src/gateway/explain/mod.rs
@@ -151,7 +151,7 @@
         let workspace = workspace.cloned();
         let version = catalog.version;
         let ticket = Ticket::new(now, version, route, service, workspace, &incoming_request);
-        let context = self.placement_context(now, &ticket.service, draw);
+        let context = self.placement_context(now, &ticket, draw);
         let prompt = query.prompt.as_ref();
         let placed = self.foresee(&context, catalog, &ticket, prompt);
         let chosen = placed.as_ref().ok().map(|p| p.endpoint);
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -55,6 +55,7 @@
 pub mod stop;
 pub mod updates;
 pub mod variability;
+pub mod waiting;
 pub mod waits;
 pub mod warmup;
 
@@ -81,6 +82,7 @@
 use settings::Bounds;
 use stop::StopDeadline;
 use variability::Variability;
+use waiting::Waiting;
 use warmup::Warmup;
 
 /// Shortest retry delay that a refused caller is told: the time in which changes reach all routers
@@ -107,6 +109,7 @@
     warmup: Warmup,
     brittleness: Brittleness,
     variability: Variability,
+    waiting: Waiting,
     reach: Reach,
     peers: Peers,
     /// Software versions of recent streams.
@@ -154,6 +157,7 @@
             warmup: Warmup::default(),
             brittleness: Brittleness::default(),
             variability: Variability::default(),
+            waiting: Waiting::default(),
             reach: Reach::default(),
             peers: Peers::default(),
             streams: Streams::default(),
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -27,5 +27,6 @@
 mod skew;
 mod stateless;
 mod staying;
+mod waiting;
 mod waits;
 mod warmup;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,3 +33,4 @@
 pub mod sse;
 pub mod state;
 mod streams;
+mod waiting;
