Describe sixteen endpoints in an explanation and name the others by reason

Three fourths of the answer were endpoints that are later in the order. Now 16 are described, the others are named in groups of one reason, and the runner-up is chosen from the list that the comparison has.

`choose_among` is the end of `choose`, split off unchanged.

--- a/crates/core/src/gateway/explain/answer.rs
+++ b/crates/core/src/gateway/explain/answer.rs
@@ -72,23 +72,36 @@
     /// Its name.
     pub endpoint: String,
     /// Why not.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub reason: Option<Reason>,
     /// Time until that ends at the latest, where that is known.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub left_ms: Option<Millis>,
     /// Number of endpoints before it in the order for the prompt's part.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub rank: Option<u32>,
     /// Its estimated load.
     pub load: u32,
     /// Age of the report that this follows from; `None` if only own requests are known.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub load_age_ms: Option<Millis>,
-    /// Its load, with what its failures count as.
-    pub cost: f32,
-    /// Load from which it is passed over.
-    pub limit: f32,
+    /// Load from which it is passed over; `None` if it can't be chosen at all.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub limit: Option<f32>,
     /// Latency of its newest answers in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub latency_ms: Option<f32>,
 }
 
+/// `Group` is further endpoints that the request would not go to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Group {
+    /// Why not.
+    pub reason: Option<Reason>,
+    /// Their names.
+    pub endpoints: Vec<String>,
+}
+
 /// `Explanation` is what a request would meet.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Explanation {
@@ -117,8 +130,8 @@
     pub wait: Option<Wait>,
     /// The refusal; `None` if it would be sent.
     pub refusal: Option<Denial>,
-    /// The other endpoints of the service.
+    /// The other endpoints of the service, those that may be chosen first.
     pub others: Vec<Other>,
-    /// Number of further endpoints, beyond [`super::MAX_LISTED`].
-    pub not_listed: usize,
+    /// Those beyond [`super::MAX_DESCRIBED`].
+    pub more: Vec<Group>,
 }
--- a/crates/core/src/gateway/explain/mod.rs
+++ b/crates/core/src/gateway/explain/mod.rs
@@ -58,12 +58,14 @@
     Choice,
     Denial,
     Explanation,
+    Group,
     Other,
     Wait, //
 };
 
-/// Most endpoints that an explanation lists beside the chosen one; it counts the others.
-pub const MAX_LISTED: usize = 256;
+/// Most endpoints beside the chosen one that an explanation describes; of the others it gives the names and
+/// reasons. With more, an answer would cost a router more than a request does.
+pub const MAX_DESCRIBED: usize = 16;
 
 /// `Target` names a route.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -169,16 +171,16 @@
             priority: ticket.priority,
             version,
             unreached_ms: outage.map(|o| now.since(o.since)),
-            not_listed: unchosen.clone().count().saturating_sub(MAX_LISTED),
+            more: self.more(unchosen.clone().skip(MAX_DESCRIBED)),
             others: unchosen
-                .take(MAX_LISTED)
+                .take(MAX_DESCRIBED)
                 .map(|standing| self.other(now, standing))
                 .collect(),
             ..base
         };
         Ok(match placed {
             Ok(placed) => {
-                let runner_up = runner_up(&context, &ticket, prompt, placed.endpoint);
+                let runner_up = standings.runner_up;
                 let may_repeat = route.kind.repeatable() && ticket.max_attempts > 1;
                 let silence = runner_up.filter(|_| may_repeat);
                 let delay = self
@@ -269,6 +271,22 @@
         })
     }
 
+    /// Groups endpoints by why they are not chosen.
+    fn more<'a>(&self, standings: impl Iterator<Item = &'a Standing>) -> Vec<Group> {
+        let mut groups: Vec<Group> = Vec::new();
+        for standing in standings {
+            let name = self.name(standing.endpoint);
+            match groups.iter_mut().find(|g| g.reason == standing.reason) {
+                Some(group) => group.endpoints.push(name),
+                None => groups.push(Group {
+                    reason: standing.reason,
+                    endpoints: vec![name],
+                }),
+            }
+        }
+        groups
+    }
+
     fn other(&self, now: Time, standing: &Standing) -> Other {
         let endpoint = self.registry.get(standing.endpoint);
         Other {
@@ -278,7 +296,6 @@
             rank: standing.rank,
             load: endpoint.map_or(0, |e| e.load(now)),
             load_age_ms: endpoint.and_then(|e| e.age(now)),
-            cost: standing.cost,
             limit: standing.limit,
             latency_ms: endpoint.and_then(|e| e.latency(now)),
         }
@@ -305,20 +322,6 @@
     score(xxh3_64(&route.name), xxh3_64(workspace) ^ part)
 }
 
-/// Finds where a request would go if it could not be sent to `chosen`.
-fn runner_up(
-    context: &PlacementContext<'_>,
-    ticket: &Ticket,
-    prompt: Option<&Prompt>,
-    chosen: EndpointKey,
-) -> Option<EndpointKey> {
-    let ticket = Ticket {
-        unreached: vec![chosen],
-        ..ticket.clone()
-    };
-    place::choose(context, &ticket, prompt).map(|placed| placed.endpoint)
-}
-
 fn denial(now: Time, deadline: Time, draw: u64, refusal: Refusal) -> Denial {
     let soon = || retry_delay(now, deadline, draw);
     let wait = refusal
--- a/crates/core/src/gateway/place/mod.rs
+++ b/crates/core/src/gateway/place/mod.rs
@@ -174,6 +174,17 @@
     let all: Vec<(EndpointKey, &Endpoint)> = context.registry.of(&ticket.service).collect();
     let candidates = candidates(context, ticket, &all);
     let mean = ServiceMean::of(context, &ticket.service, &all);
+    choose_among(context, ticket, prompt, candidates, mean)
+}
+
+/// Chooses one of these endpoints; `mean` is that of their service.
+fn choose_among(
+    context: &PlacementContext<'_>,
+    ticket: &Ticket,
+    prompt: Option<&Prompt>,
+    candidates: Vec<(EndpointKey, &Endpoint)>,
+    mean: ServiceMean,
+) -> Option<Placed> {
     let placement_part = prompt.and_then(Prompt::placement_part);
     match placement_part {
         Some(part) => {
--- a/crates/core/src/gateway/place/standing.rs
+++ b/crates/core/src/gateway/place/standing.rs
@@ -1,5 +1,6 @@
 //! Why an endpoint gets a request or not, in words; for explanations alone.
 
+use indexmap::IndexSet;
 use serde::Serialize;
 
 use crate::{
@@ -18,6 +19,8 @@
                 spread_width, //
             },
             candidates,
+            choose,
+            choose_among,
             cost::{
                 ServiceMean,
                 cost,
@@ -92,10 +95,8 @@
     pub left: Option<Millis>,
     /// Number of endpoints before it in the order for the prompt's part.
     pub rank: Option<u32>,
-    /// Its load, with what its failures count as.
-    pub cost: f32,
-    /// Load from which it is passed over.
-    pub limit: f32,
+    /// Load from which it is passed over; `None` if it can't be chosen at all.
+    pub limit: Option<f32>,
 }
 
 /// `Standings` is how the endpoints of a service compare for a request.
@@ -105,6 +106,8 @@
     pub decision: Decision,
     /// Number of endpoints among which a random draw chooses at most; 1 where chance has no part.
     pub among: usize,
+    /// Where the request would go if it could not be sent to the chosen one.
+    pub runner_up: Option<EndpointKey>,
     /// The endpoints that may be chosen, in their order, then the others.
     pub endpoints: Vec<Standing>,
 }
@@ -128,36 +131,41 @@
         None if able.iter().any(|(_, e)| e.age(context.now).is_some()) => Decision::StatedLoad,
         None => Decision::AnswerTime,
     };
+    let runner_up =
+        chosen.and_then(|chosen| runner_up(context, ticket, prompt, (&able, chosen), mean));
     let chosen = able.iter().position(|(key, _)| Some(*key) == chosen);
-    let about = |key, e, rank: Option<usize>, reason| Standing {
-        endpoint: key,
-        reason,
-        left: reason.and_then(|reason| time_left(context, e, reason)),
-        rank: rank.and_then(|rank| u32::try_from(rank).ok()),
-        cost: cost(context, e, mean),
-        limit: limit(context, e, mean),
-    };
+    let ahead = chosen.and_then(|rank| Some((rank, able.get(rank)?.1)));
     let mut endpoints: Vec<Standing> = Vec::with_capacity(all.len());
     for (rank, (key, e)) in able.iter().enumerate() {
-        let ahead = chosen.and_then(|chosen| able.get(chosen).map(|(_, other)| (chosen, *other)));
         let reason = (Some(rank) != chosen).then(|| match ahead {
-            Some((at, other)) => passed_over(context, mean, decision, (rank, e), (at, other)),
+            Some(ahead) => passed_over(context, mean, decision, (rank, e), ahead),
             None => Reason::Able,
         });
-        let rank = part.map(|_| rank);
-        endpoints.push(about(*key, e, rank, reason));
+        endpoints.push(Standing {
+            endpoint: *key,
+            reason,
+            left: None,
+            rank: part.and_then(|_| u32::try_from(rank).ok()),
+            limit: Some(limit(context, e, mean)),
+        });
     }
     let known = context.registry.known(&ticket.service);
-    let others = known.filter(|(key, _)| able.iter().all(|(other, _)| other != key));
+    let listed: IndexSet<EndpointKey> = able.iter().map(|(key, _)| *key).collect();
+    let others = known.filter(|(key, _)| !listed.contains(key));
     endpoints.extend(others.map(|(key, e)| {
         let reason = left_out(context, ticket, key, e);
-        about(key, e, None, Some(reason))
+        Standing {
+            endpoint: key,
+            reason: Some(reason),
+            left: time_left(context, e, reason),
+            rank: None,
+            limit: None,
+        }
     }));
     let among = match part {
         Some(part) => {
-            let fits = |e: &Endpoint| cost(context, e, mean) < limit(context, e, mean);
             let width = spread_width(context, able.len(), part.id, mean);
-            let any_fits = able.iter().any(|(_, e)| fits(e));
+            let any_fits = able.iter().any(|(_, e)| fits(context, e, mean));
             width.unwrap_or(if any_fits { 1 } else { able.len() })
         }
         None if decision == Decision::StatedLoad => able.len(),
@@ -169,6 +177,7 @@
     Standings {
         decision,
         among: among.max(1),
+        runner_up,
         endpoints,
     }
 }
@@ -212,20 +221,52 @@
     (rank, endpoint): (usize, &Endpoint),
     (chosen_rank, chosen): (usize, &Endpoint),
 ) -> Reason {
-    let costs = cost(context, endpoint, mean);
-    let latencies = (endpoint.latency(context.now), chosen.latency(context.now));
     match decision {
-        Decision::PromptPart if costs >= limit(context, endpoint, mean) => Reason::OverLimit,
-        Decision::PromptPart if rank > chosen_rank => Reason::LaterInOrder,
-        Decision::StatedLoad if costs > cost(context, chosen, mean) => Reason::MoreLoaded,
-        Decision::AnswerTime => match latencies {
-            (Some(own), Some(other)) if own > other => Reason::Slower,
-            _ => Reason::NotDrawn,
-        },
+        Decision::PromptPart if rank > chosen_rank && fits(context, chosen, mean) => {
+            Reason::LaterInOrder
+        }
+        Decision::PromptPart if !fits(context, endpoint, mean) => Reason::OverLimit,
+        Decision::StatedLoad if cost(context, endpoint, mean) > cost(context, chosen, mean) => {
+            Reason::MoreLoaded
+        }
+        Decision::AnswerTime => {
+            match (endpoint.latency(context.now), chosen.latency(context.now)) {
+                (Some(own), Some(other)) if own > other => Reason::Slower,
+                _ => Reason::NotDrawn,
+            }
+        }
         Decision::PromptPart | Decision::StatedLoad => Reason::NotDrawn,
     }
 }
 
+fn fits(context: &PlacementContext<'_>, endpoint: &Endpoint, mean: ServiceMean) -> bool {
+    cost(context, endpoint, mean) < limit(context, endpoint, mean)
+}
+
+/// Finds where a request would go if it could not be sent to `chosen`, which is one of `able`. Without
+/// it, cold or paused endpoints may count that don't with it; then all are compared anew.
+fn runner_up(
+    context: &PlacementContext<'_>,
+    ticket: &Ticket,
+    prompt: Option<&Prompt>,
+    (able, chosen): (&[(EndpointKey, &Endpoint)], EndpointKey),
+    mean: ServiceMean,
+) -> Option<EndpointKey> {
+    let mut rest = able.to_vec();
+    rest.retain(|(key, _)| *key != chosen);
+    let is_same = !rest.is_empty() && !able.iter().any(|(_, e)| context.cold(e));
+    let placed = if is_same {
+        choose_among(context, ticket, prompt, rest, mean)
+    } else {
+        let ticket = Ticket {
+            unreached: vec![chosen],
+            ..ticket.clone()
+        };
+        choose(context, &ticket, prompt)
+    };
+    placed.map(|placed| placed.endpoint)
+}
+
 fn time_left(
     context: &PlacementContext<'_>,
     endpoint: &Endpoint,
--- a/crates/core/tests/gateway/explain.rs
+++ b/crates/core/tests/gateway/explain.rs
@@ -15,6 +15,7 @@
         explain::{
             Error,
             Explanation,
+            MAX_DESCRIBED,
             Query,
             Target, //
         },
@@ -132,6 +133,17 @@
     expect_that!(certain, ge(100));
 }
 
+/// Guards against an answer for a large service that costs more than a request.
+#[gtest]
+fn verify_each_endpoint_of_a_large_service_has_a_reason_and_a_few_are_described() {
+    let gateway = gateway(60);
+    let explained = explain(&gateway, NOW, Some(7));
+    expect_that!(explained.others.len(), eq(MAX_DESCRIBED));
+    expect_that!(explained.more.len(), eq(1));
+    expect_that!(explained.more[0].reason, some(eq(Reason::LaterInOrder)));
+    expect_that!(explained.more[0].endpoints.len(), eq(59 - MAX_DESCRIBED));
+}
+
 /// Guards against an explanation that takes a random number, a quota or a counter from the requests.
 #[gtest]
 fn verify_a_thousand_explanations_change_no_decision_and_no_state() {
--- a/crates/toucanturn/src/explain/gateway.rs
+++ b/crates/toucanturn/src/explain/gateway.rs
@@ -75,10 +75,17 @@
     left_ms: Option<u64>,
     load: u64,
     load_age_ms: Option<u64>,
-    limit: f64,
+    limit: Option<f64>,
     latency_ms: Option<f64>,
 }
 
+/// `Group` is the part of the answer on further endpoints.
+#[derive(Debug, Deserialize)]
+struct Group {
+    reason: Option<String>,
+    endpoints: Vec<String>,
+}
+
 /// `Explanation` is a gateway's answer to `GET /explain`.
 #[derive(Debug, Deserialize)]
 struct Explanation {
@@ -95,7 +102,7 @@
     wait: Option<Wait>,
     refusal: Option<Denial>,
     others: Vec<Other>,
-    not_listed: u64,
+    more: Vec<Group>,
 }
 
 /// Asks the gateway that the command line names.
@@ -339,8 +346,9 @@
         ];
         out.push_str(&output::table(head, &rows));
     }
-    if e.not_listed > 0 {
-        let _ = writeln!(out, "and {} more", e.not_listed);
+    for group in &e.more {
+        let reason = group.reason.as_deref().unwrap_or("-").replace('_', " ");
+        let _ = writeln!(out, "{reason}, too: {}", group.endpoints.join(" "));
     }
     out
 }
@@ -416,7 +424,9 @@
         ms(other.left_ms),
         other.load.to_string(),
         ms(other.load_age_ms),
-        format!("{:.1}", other.limit),
+        other
+            .limit
+            .map_or("-".to_owned(), |limit| format!("{limit:.1}")),
         other
             .latency_ms
             .map_or("-".to_owned(), |ms| format!("{ms:.0} ms")),
--- a/crates/toucanturn/tests/cli/explain_gateway.rs
+++ b/crates/toucanturn/tests/cli/explain_gateway.rs
@@ -25,9 +25,9 @@
         "wait": {"endpoint": "e-3", "last_ms": 120, "last_age_ms": 80, "silence_ms": 1000,
             "at_most_ms": 4000},
         "refusal": null,
-        "others": [{"endpoint": "e-2", "reason": "backing_off", "left_ms": 1500, "rank": null,
-            "load": 0, "load_age_ms": null, "cost": 0.0, "limit": 7.6, "latency_ms": 88.4}],
-        "not_listed": 0, "of_a_later_version": 1
+        "others": [{"endpoint": "e-2", "reason": "backing_off", "left_ms": 1500,
+            "load": 0, "limit": 7.6, "latency_ms": 88.4}],
+        "more": [{"reason": "over_limit", "endpoints": ["e-8", "e-9"]}], "of_a_later_version": 1
     })
 }
 
@@ -70,6 +70,7 @@
         "the last one began after 120 ms, 80 ms ago",
         "configuration 4, registry read 245 ms ago, 6 routers",
         "e-2       backing off  1500 ms",
+        "over limit, too: e-8 e-9\n",
     ] {
         expect_that!(run.out, contains_substring(part));
     }
