--- a/crates/core/src/gateway/place/expected.rs
+++ b/crates/core/src/gateway/place/expected.rs
@@ -28,7 +28,7 @@
 const MIN_GAIN: Permille = Permille(100);
 /// Prompt tokens in a millisecond by which the reading at another endpoint is counted. Engines read faster;
 /// but the prompts after it wait for it, too.
-const TOKENS_PER_MILLI: u64 = 20;
+const TOKENS_PER_MILLI: u64 = 10;
 
 /// `Reader` is a prompt's claims on the time at endpoints.
 #[derive(Clone, Copy, Debug)]
