--- a/crates/toucanturn/tests/cli/explain_gateway.rs
+++ b/crates/toucanturn/tests/cli/explain_gateway.rs
@@ -40,6 +40,7 @@
 }
 
 /// Asks a stand-in; gives the run and the request line that the stand-in got.
+#[expect(clippy::expect_used, reason = "a test whose stand-in failed fails")]
 fn ask(answer: Answer, args: &[&str]) -> (Run, String) {
     let (address, seen) = serve(vec![answer]);
     let address = address.to_string();
