Let settings say that endpoints' speed varies

Change: setting `speeds`, `stated` as before or `varying`; a reload applies it. The platform's template leaves it out: nothing that is published tells such a deployment from those that are to be served as before.

Tests: verify_settings_say_that_speeds_vary_where_no_endpoint_states_it and verify_what_settings_say_of_speeds_is_read (neither compiled before).

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -81,7 +81,10 @@
 use registry::Registry;
 use settings::Bounds;
 use stop::StopDeadline;
-use variability::Variability;
+use variability::{
+    Speeds,
+    Variability, //
+};
 use waiting::Waiting;
 use warmup::Warmup;
 
@@ -208,6 +211,11 @@
         self.update_extra_retries();
     }
 
+    /// Sets what the settings say of the endpoints' speed.
+    pub fn set_speeds(&mut self, speeds: Speeds) {
+        self.variability.set(speeds);
+    }
+
     /// Notes that an earlier run of this router may have ended just now. That run may have used the
     /// router's part of the fleet's extra retries, so this one does without them for the length of
     /// the window. Otherwise routers that are restarted repeatedly while requests fail would retry
--- a/crates/core/src/gateway/variability.rs
+++ b/crates/core/src/gateway/variability.rs
@@ -1,9 +1,11 @@
 //! Whether the endpoints' speed varies: their machines are shared with others, so that the same work
 //! takes longer at some moments than at others.
 //!
-//! Endpoints whose speed varies state their slowdown with their load. Only where they do, routers tell
-//! each other how long requests wait at endpoints, and place by expected times. A fleet whose
-//! endpoints state none decides without them.
+//! Endpoints whose speed varies state their slowdown with their load, or the operators say so in the
+//! settings. Only then do routers tell each other how long requests wait at endpoints, and decide by
+//! it. Other fleets decide without.
+
+use serde::Deserialize;
 
 use crate::units::{
     Millis,
@@ -13,13 +15,32 @@
 /// Time without any statement after which speeds count as constant again.
 const STATEMENT_TTL: Millis = Millis(30_000);
 
-/// `Variability` is when the endpoints' speed was last stated to vary.
+/// `Speeds` is what the settings say of the endpoints' speed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, strum::Display)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Speeds {
+    /// It varies where endpoints state a slowdown.
+    #[default]
+    Stated,
+    /// It varies, also where endpoints state no slowdown.
+    Varying,
+}
+
+/// `Variability` is whether the endpoints' speed varies.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Variability {
+    speeds: Speeds,
+    /// When an endpoint or a peer last stated it.
     stated: Option<Time>,
 }
 
 impl Variability {
+    /// Takes over what the settings say.
+    pub fn set(&mut self, speeds: Speeds) {
+        self.speeds = speeds;
+    }
+
     /// Records that an endpoint states a slowdown, or that a peer tells of delays.
     pub fn record(&mut self, now: Time) {
         self.stated = Some(now);
@@ -27,6 +48,7 @@
 
     /// Tells whether the endpoints' speed varies.
     pub fn is_stated(&self, now: Time) -> bool {
-        self.stated.is_some_and(|at| now.since(at) < STATEMENT_TTL)
+        let recent = |at| now.since(at) < STATEMENT_TTL;
+        self.speeds == Speeds::Varying || self.stated.is_some_and(recent)
     }
 }
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -27,6 +27,7 @@
 mod skew;
 mod stateless;
 mod staying;
+mod variability;
 mod waiting;
 mod waits;
 mod warmup;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -143,7 +143,10 @@
         needs_restart = restart_needed,
         "settings changed"
     );
-    state.gateway.borrow_mut().set_bounds(new.bounds.bounds());
+    let mut gateway = state.gateway.borrow_mut();
+    gateway.set_bounds(new.bounds.bounds());
+    gateway.set_speeds(new.speeds);
+    drop(gateway);
     state.mesh.borrow_mut().set_seeds(new.seeds.clone());
 }
 
@@ -195,6 +198,7 @@
     };
     let mesh = Mesh::new(own_rumor, settings.seeds.clone());
     let mut gateway = Gateway::new(settings.bounds.bounds(), seed);
+    gateway.set_speeds(settings.speeds);
     if !settings.first_start {
         gateway.restarted(now());
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -13,6 +13,7 @@
         budget::Policy,
         quarantine::Policy as Hold,
         settings::Bounds,
+        variability::Speeds,
         warmup, //
     },
     units::{
@@ -59,6 +60,9 @@
     /// used the router's part of the fleet's extra retries.
     #[serde(default)]
     pub first_start: bool,
+    /// Whether the endpoints' speed varies.
+    #[serde(default)]
+    pub speeds: Speeds,
     /// Bounds that the router keeps.
     pub bounds: PublishedBounds,
 }
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -3,7 +3,10 @@
 #![expect(clippy::expect_used, reason = "a test fails by its panic")]
 
 use googletest::prelude::*;
-use toucanturn_core::units::Millis;
+use toucanturn_core::{
+    gateway::variability::Speeds,
+    units::Millis, //
+};
 use toucanturn_gateway::settings::Settings;
 
 const GOOD: &str = r#"{"id":"r1","data_center":"a",
@@ -97,3 +100,14 @@
         expect_that!(settings, err(anything()), "first {to} bytes");
     }
 }
+
+#[gtest]
+fn verify_what_settings_say_of_speeds_is_read() {
+    let settings = Settings::try_from(GOOD.as_bytes()).expect("the settings are valid");
+    expect_that!(settings.speeds, eq(Speeds::Stated));
+    let varying = GOOD.replace("\"id\"", "\"speeds\":\"varying\",\"id\"");
+    let settings = Settings::try_from(varying.as_bytes()).expect("the settings are valid");
+    expect_that!(settings.speeds, eq(Speeds::Varying));
+    let error = error_of("\"id\"", "\"speeds\":\"fast\",\"id\"");
+    expect_that!(error, contains_substring("varying"));
+}
