Say in an explanation that a service is short of room

Cause: an explanation named the endpoint of a request although most such requests were turned away or waited, as it knew nothing of waiting.

Change: `admitted`, the part of the workspace's requests that is sent now; a choice by delays counts as one by chance. Where no demand is known the part is the admitted fraction (decisions record demand first, so none changes).

The test failed before: 1.0 where less is expected.

--- a/crates/core/src/gateway/explain/answer.rs
+++ b/crates/core/src/gateway/explain/answer.rs
@@ -124,6 +124,9 @@
     pub routers: u32,
     /// How long this router has not reached the service; `None` if it does.
     pub unreached_ms: Option<Millis>,
+    /// Part of its workspace's requests that is sent now, from 0 to 1; below 1 the service is short of room,
+    /// and chance decides which of them wait or are turned away.
+    pub admitted: f32,
     /// Where it would go; `None` if it would be refused.
     pub choice: Option<Choice>,
     /// What it would wait for there.
--- a/crates/core/src/gateway/explain/mod.rs
+++ b/crates/core/src/gateway/explain/mod.rs
@@ -171,6 +171,7 @@
             priority: ticket.priority,
             version,
             unreached_ms: outage.map(|o| now.since(o.since)),
+            admitted: self.admitted_part(now, &ticket),
             more: self.more(unchosen.clone().skip(MAX_DESCRIBED)),
             others: unchosen
                 .take(MAX_DESCRIBED)
--- a/crates/core/src/gateway/place/standing.rs
+++ b/crates/core/src/gateway/place/standing.rs
@@ -173,7 +173,8 @@
         None if decision == Decision::StatedLoad => able.len(),
         None => {
             let unknown = able.iter().any(|(_, e)| e.latency(context.now).is_none());
-            if unknown { able.len() } else { 1 }
+            let by_chance = unknown || context.is_short;
+            if by_chance { able.len() } else { 1 }
         }
     };
     Standings {
--- a/crates/core/src/gateway/waiting.rs
+++ b/crates/core/src/gateway/waiting.rs
@@ -248,7 +248,7 @@
     fn part(&self, ticket: &Ticket, fraction: f32) -> f32 {
         let sender = (ticket.priority, ticket.workspace_tag());
         let demand = self.waiting.demand.get(&ticket.service);
-        demand.map_or(1.0, |d| d.part(sender, fraction))
+        demand.map_or(fraction, |d| d.part(sender, fraction))
     }
 
     /// Ends a claim: the request goes, is turned away, or its caller left.
--- a/crates/core/tests/gateway/explain.rs
+++ b/crates/core/tests/gateway/explain.rs
@@ -26,6 +26,7 @@
             Reason, //
         },
         route::Share,
+        variability::Speeds,
         warmup::{
             ColdStart,
             Fleet, //
@@ -403,3 +404,30 @@
     expect_that!(explained.services, eq(1));
     expect_that!(explained.refusal.map(|r| r.cause), some(eq("no_endpoint")));
 }
+
+/// Guards against an explanation that names an endpoint while such requests are mostly turned away.
+#[gtest]
+fn verify_an_explanation_says_that_a_service_is_short_of_room() {
+    let mut gateway = gateway(2);
+    let mut raw = raw_catalog(2);
+    raw.services[0].engine = None;
+    let catalog = Catalog::try_from(raw).expect("the configuration is valid");
+    gateway.apply_changes(NOW, vec![Change::Catalog(Box::new(catalog))]);
+    gateway.set_speeds(Speeds::Varying);
+    let asked = Query {
+        target: Target::Name(Bytes::from_static(b"read")),
+        ..query(None)
+    };
+    let admitted = |gateway: &Gateway, now| {
+        let explained = gateway.explain(now, &asked);
+        explained.expect("the names are published").admitted
+    };
+    expect_that!(admitted(&gateway, NOW), eq(1.0));
+    let request = request("/read/x");
+    let mut ticket = gateway.admit(NOW, &request).expect("it is admitted");
+    let placed = gateway.place(NOW, &ticket, &request).expect("a choice");
+    gateway.sent(NOW, &mut ticket, placed.endpoint);
+    let late = NOW + Millis(900);
+    gateway.record_begun(late, &ticket, placed.endpoint);
+    expect_that!(admitted(&gateway, late), lt(1.0));
+}
--- a/crates/toucanturn/src/explain/gateway.rs
+++ b/crates/toucanturn/src/explain/gateway.rs
@@ -98,6 +98,8 @@
     registry_age_ms: Option<u64>,
     routers: u64,
     unreached_ms: Option<u64>,
+    #[serde(default = "all")]
+    admitted: f64,
     choice: Option<Choice>,
     wait: Option<Wait>,
     refusal: Option<Denial>,
@@ -105,6 +107,11 @@
     more: Vec<Group>,
 }
 
+/// Part that a gateway admits if it does not say.
+fn all() -> f64 {
+    1.0
+}
+
 /// Asks the gateway that the command line names.
 pub(super) fn run(args: &Explain) -> Result<Verdict> {
     let address = args.gateway;
@@ -324,6 +331,13 @@
     let unreached = e
         .unreached_ms
         .map(|ms| format!(", service not reached for {ms} ms"));
+    if e.admitted < 1.0 {
+        let sent = format!(
+            "short of room, {:.2} of such requests are sent now",
+            e.admitted
+        );
+        about.push(("room", sent));
+    }
     about.push((
         "inputs",
         format!(
