Tell delays only where an endpoint states a slowdown to the router itself

Cause: a router that heard delays from a peer told delays itself, and so kept its peers telling: once begun, the fleet would have gone on for ever, also after the last endpoint that states a slowdown had gone, or by one router whose settings say that speeds vary. Found by reading.

Change: what peers tell lets delays decide, and is no reason to tell.

Test: verify_what_peers_tell_decides_and_is_no_reason_to_tell.

--- a/crates/core/src/gateway/updates.rs
+++ b/crates/core/src/gateway/updates.rs
@@ -236,7 +236,7 @@
         } else {
             0
         };
-        let tells_delays = self.variability.is_stated(now);
+        let tells_delays = self.variability.tells_delays(now);
         let delays = if tells_delays {
             mesh::DELAYS_DISPLACE
         } else {
@@ -315,7 +315,7 @@
         let timely = running && now.since(self.resumed_at) >= RESUME_DRAIN_TIME;
         for report in reports {
             if report.delay.is_some() {
-                self.variability.record(now);
+                self.variability.record_peer(now);
             }
             self.registry.record_peer_report(now, *report, timely);
         }
--- a/crates/core/src/gateway/variability.rs
+++ b/crates/core/src/gateway/variability.rs
@@ -31,8 +31,10 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Variability {
     speeds: Speeds,
-    /// When an endpoint or a peer last stated it.
+    /// When an endpoint last stated a slowdown to this router.
     stated: Option<Time>,
+    /// When a peer last told of delays.
+    heard: Option<Time>,
 }
 
 impl Variability {
@@ -41,14 +43,28 @@
         self.speeds = speeds;
     }
 
-    /// Records that an endpoint states a slowdown, or that a peer tells of delays.
+    /// Records that an endpoint states a slowdown to this router.
     pub fn record(&mut self, now: Time) {
         self.stated = Some(now);
     }
 
-    /// Tells whether the endpoints' speed varies.
+    /// Records that a peer tells of delays.
+    pub fn record_peer(&mut self, now: Time) {
+        self.heard = Some(now);
+    }
+
+    /// Tells whether this router tells peers of delays. What peers tell is no reason to: routers would
+    /// keep each other telling for ever.
+    pub fn tells_delays(&self, now: Time) -> bool {
+        self.speeds == Speeds::Varying || is_recent(now, self.stated)
+    }
+
+    /// Tells whether the endpoints' speed varies, so that delays decide.
     pub fn is_stated(&self, now: Time) -> bool {
-        let recent = |at| now.since(at) < STATEMENT_TTL;
-        self.speeds == Speeds::Varying || self.stated.is_some_and(recent)
+        self.tells_delays(now) || is_recent(now, self.heard)
     }
 }
+
+fn is_recent(now: Time, at: Option<Time>) -> bool {
+    at.is_some_and(|at| now.since(at) < STATEMENT_TTL)
+}
--- a/crates/core/tests/gateway/variability.rs
+++ b/crates/core/tests/gateway/variability.rs
@@ -48,6 +48,19 @@
     expect_false!(tells_delays(&mut gateway, 31_000, None));
 }
 
+/// Guards against routers that keep each other telling delays after the last endpoint that states a slowdown has gone.
+#[gtest]
+fn verify_what_peers_tell_decides_and_is_no_reason_to_tell() {
+    let (mut first, mut second) = (gateway(3), gateway(3));
+    expect_true!(tells_delays(&mut first, 100, Some(1000)));
+    let told = first.digest_contents(Time(130), 0).reports;
+    second.record_peer_report(Time(131), &told);
+    expect_false!(tells_delays(&mut second, 200, None));
+    first.record_peer_report(Time(30_000), &told);
+    first.record_registry_read(Time(31_000), Time(31_000));
+    expect_false!(tells_delays(&mut first, 31_000, None));
+}
+
 /// Guards against a setting that operators change in vain, or that lasts when they take it back.
 #[gtest]
 fn verify_settings_say_that_speeds_vary_where_no_endpoint_states_it() {
