Hold back no prompt part after an outage in which nobody was answered

Cause: a part that was answered recently was held back after five crashes, 1.5 s after the first, when no request with it had been answered meanwhile. Where a service answers nobody, no part has answers, so the one that all prompts begin with was taken for the part that crashes endpoints.

Change: such a part is held back only if the same service answered others at this router since the first crash.

The new test failed before ('the request is not held back', after the sixth crash) and passes; 17 tests of the part quarantine pass.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -154,6 +154,7 @@
         PromptParts {
             workspace: self.fingerprint_workspace(),
             parts: &self.parts,
+            service: &self.service,
         }
     }
 }
@@ -457,6 +458,7 @@
                 observed_here: true,
             },
             parts: Arc::clone(&ticket.parts),
+            service: ticket.service.clone(),
         });
     }
 
@@ -724,7 +726,8 @@
                     .crashed(now, ticket.prompt_parts(), crash);
             }
             (AttemptOutcome::Answered, _) if ticket.succeeded && !ticket.unproved => {
-                self.part_quarantine.answered(now, now, &ticket.parts);
+                self.part_quarantine
+                    .answered(now, now, ticket.prompt_parts());
             }
             _ => {}
         }
--- a/crates/core/src/gateway/quarantine/contents.rs
+++ b/crates/core/src/gateway/quarantine/contents.rs
@@ -20,6 +20,8 @@
     sync::Arc, //
 };
 
+use bytes::Bytes;
+
 use crate::{
     gateway::{
         endpoint::Liveness,
@@ -102,6 +104,8 @@
     pub crash: Crash,
     /// Hashes of the prompt's shared parts.
     pub parts: Arc<[u64]>,
+    /// Service that ran it.
+    pub service: Bytes,
 }
 
 /// `Quarantine` holds the crash records of requests.
@@ -179,13 +183,14 @@
         for answer in std::mem::take(&mut self.unproved) {
             let crash = answer.crash;
             let waited = now.since(crash.at) >= PRESUMED_ENDED_AFTER;
+            let prompt = PromptParts {
+                workspace: answer.request.workspace,
+                parts: &answer.parts,
+                service: &answer.service,
+            };
             match liveness_since(crash.endpoint, crash.at) {
                 Liveness::Dead => {
                     self.suspect_mut(now, answer.request).add_crash(now, crash);
-                    let prompt = PromptParts {
-                        workspace: answer.request.workspace,
-                        parts: &answer.parts,
-                    };
                     parts.crashed(now, prompt, crash);
                 }
                 Liveness::Unknown if !waited => self.unproved.push_back(answer),
@@ -195,7 +200,7 @@
                         suspect.answers = suspect.answers.saturating_add(1);
                         suspect.apply_answer(now, crash.at);
                     }
-                    parts.answered(now, crash.at, &answer.parts);
+                    parts.answered(now, crash.at, prompt);
                 }
             }
         }
--- a/crates/core/src/gateway/quarantine/parts.rs
+++ b/crates/core/src/gateway/quarantine/parts.rs
@@ -12,7 +12,8 @@
 //! - Crashes that another part explains as well do not count against a part: if each crash of one
 //!   part was also one of another part, requests with the first part alone are served, and their
 //!   answers clear it.
-//! - A part that was answered recently needs more crashes, over a longer time.
+//! - A part that was answered recently needs more crashes, over a longer time in which its service answered
+//!   requests without it. A service that answers nobody says nothing about a part that most prompts have.
 //!
 //! The record of a part is about the requests of one workspace until another workspace's request
 //! with it is in progress at a crash. A workspace that names another one's part in requests that
@@ -21,6 +22,7 @@
 //! Each trial may cost an endpoint, so one router of the fleet decides on them, and the hold time
 //! grows fast: a day has at most three.
 
+use bytes::Bytes;
 use indexmap::IndexMap;
 
 use crate::{
@@ -85,6 +87,8 @@
     pub workspace: u32,
     /// Hashes of the shared parts, each once.
     pub parts: &'a [u64],
+    /// Service that runs it.
+    pub service: &'a Bytes,
 }
 
 /// `PartVerdict` is why and for how long a request with a quarantined part is refused.
@@ -143,6 +147,8 @@
     table: Table<u64>,
     /// When requests with a part were last answered completely, as far as this router knows.
     answers: IndexMap<u64, Time>,
+    /// When this router last passed on a complete answer of a service.
+    service_answers: IndexMap<Bytes, Time>,
     fleet: Fleet,
 }
 
@@ -151,6 +157,7 @@
         Self {
             table: Table::new(&RULES),
             answers: IndexMap::new(),
+            service_answers: IndexMap::new(),
             fleet: Fleet::default(),
         }
     }
@@ -186,8 +193,14 @@
     }
 
     /// Records that a request was answered completely, at `at`.
-    pub fn answered(&mut self, now: Time, at: Time, parts: &[u64]) {
-        for part in parts {
+    pub fn answered(&mut self, now: Time, at: Time, prompt: PromptParts<'_>) {
+        match self.service_answers.get_mut(prompt.service) {
+            Some(newest) => *newest = at.max(*newest),
+            None => {
+                self.service_answers.insert(prompt.service.clone(), at);
+            }
+        }
+        for part in prompt.parts {
             self.remember_answer(at, *part);
             if let Some(suspect) = self.table.get_mut(*part) {
                 suspect.apply_answer(now, at);
@@ -256,8 +269,12 @@
         }
         let proven = self.table.proven_crashes(now, suspect, &liveness_since)?;
         let first = proven.first()?.at;
-        let too_early = suspect.is_known_good(now) && now.since(first) < ANSWERLESS_TIME;
-        if too_early || self.is_explained(now, suspect, prompt) {
+        // An answer to a request with the part would have cleared its crashes: these are to others.
+        let others_answered = self.service_answers.get(prompt.service);
+        let others_answered = others_answered.is_some_and(|at| *at > first);
+        let is_proof = others_answered && now.since(first) >= ANSWERLESS_TIME;
+        let is_unproved = suspect.is_known_good(now) && !is_proof;
+        if is_unproved || self.is_explained(now, suspect, prompt) {
             return None;
         }
         let verdict = self.table.verdict(now, suspect, policy, &liveness_since)?;
@@ -314,6 +331,8 @@
         liveness_since: impl Fn(Tag, Time) -> Liveness,
     ) {
         self.table.expire(now, policy, liveness_since);
+        self.service_answers
+            .retain(|_, at| now.since(*at) < RECORD_RETENTION);
     }
 
     /// Picks the records for a digest that has room for so many records and crashes.
--- a/crates/core/tests/gateway/part_quarantine.rs
+++ b/crates/core/tests/gateway/part_quarantine.rs
@@ -69,6 +69,8 @@
 const MAX_LATE: usize = 3;
 /// Sound requests that a router answers in a round of gossip: 20 a second.
 const ANSWERS_PER_ROUND: usize = 2;
+/// Service of prompts whose records are made directly.
+static SERVICE: Bytes = Bytes::from_static(b"llm");
 /// A day.
 const DAY: Millis = Millis(24 * 3600 * 1000);
 /// Records and crashes that a digest has room for.
@@ -247,6 +249,23 @@
     expect_true!(is_held(&mut gateway, Time(2600), &[ROOT, FATAL]));
 }
 
+/// Guards against an outage that goes on as a part that all prompts have is held back, although no endpoint answered anyone.
+#[gtest]
+fn verify_a_part_that_all_prompts_have_is_served_after_an_outage() {
+    let mut gateway = gateway(12);
+    answer(&mut gateway, Time(900), &[ROOT, 50], true);
+    for n in 0..2 * PART_THRESHOLD_ANSWERED as u64 {
+        send_crashing(&mut gateway, Time(1000 + n * 300), &[ROOT, 100 + n]);
+    }
+    let now = Time(6000);
+    expect_false!(is_held(&mut gateway, now, &[ROOT, 50]));
+    answer(&mut gateway, now, &[60], true);
+    expect_true!(
+        is_held(&mut gateway, now, &[ROOT, 50]),
+        "others are answered"
+    );
+}
+
 /// Guards against callers who lose their second attempt by a quarantine that is turned off.
 #[gtest]
 fn verify_a_hold_time_of_zero_forbids_no_second_attempt() {
@@ -297,8 +316,16 @@
     }
 }
 
+fn parts_of(workspace: u32, parts: &[u64]) -> PromptParts<'_> {
+    PromptParts {
+        workspace,
+        parts,
+        service: &SERVICE,
+    }
+}
+
 fn verdict_exists(table: &PartQuarantine, now: Time, workspace: u32, parts: &[u64]) -> bool {
-    let prompt = PromptParts { workspace, parts };
+    let prompt = parts_of(workspace, parts);
     let verdict = table.verdict(now, prompt, bounds().hold, always_ended);
     verdict.is_some()
 }
@@ -311,19 +338,13 @@
     for n in 0..4 {
         let at = Time(1000 + 700 * u64::from(n));
         let parts = [FATAL, 1000 + u64::from(n)];
-        let prompt = PromptParts {
-            workspace: 1,
-            parts: &parts,
-        };
+        let prompt = parts_of(1, &parts);
         table.crashed(at, prompt, crash_at(n, at));
     }
     let now = Time(4000);
     expect_true!(verdict_exists(&table, now, 1, &[FATAL]));
     expect_false!(verdict_exists(&table, now, 2, &[FATAL]));
-    let prompt = PromptParts {
-        workspace: 2,
-        parts: &[FATAL],
-    };
+    let prompt = parts_of(2, &[FATAL]);
     table.crashed(now, prompt, crash_at(9, now));
     expect_true!(verdict_exists(&table, now, 2, &[FATAL]));
     expect_true!(verdict_exists(&table, now, 3, &[FATAL]), "it crashes any");
@@ -338,22 +359,16 @@
     let mut table = PartQuarantine::default();
     for n in 0..3 {
         let at = Time(1000 + 1000 * u64::from(n));
-        let prompt = PromptParts {
-            workspace: 1,
-            parts: &[FATAL],
-        };
+        let prompt = parts_of(1, &[FATAL]);
         table.crashed(at, prompt, crash_at(n, at));
     }
     let mut flood = |workspaces: u32| {
         for n in 0..10_000_u32 {
             let at = Time(4000 + u64::from(n));
             let parts = [10_000 + u64::from(n)];
-            let prompt = PromptParts {
-                workspace: 2 + n % workspaces,
-                parts: &parts,
-            };
+            let prompt = parts_of(2 + n % workspaces, &parts);
             table.crashed(at, prompt, crash_at(100 + n, at));
-            table.answered(at, at, &[1_000_000 + u64::from(n)]);
+            table.answered(at, at, parts_of(2, &[1_000_000 + u64::from(n)]));
         }
         let held = verdict_exists(&table, Time(20_000), 1, &[FATAL]);
         (table.len(), held)
