Hold a part in use back only while its service answers as usual

Cause: a missing answer for 1.5 s counts against a part once others are answered. In an outage that leaves 1 to 7 answers in 250 ms instead of 40 to 90, a sound part has none for so long by chance.

Change: answers since the first crash must be at least half as many as usual, by the counts of the minute before.

--- a/crates/core/src/gateway/quarantine/mod.rs
+++ b/crates/core/src/gateway/quarantine/mod.rs
@@ -3,6 +3,7 @@
 //! The load that it answers: a request that ends each endpoint that runs it, repeated by its caller at
 //! any router, or a prompt part that does so in requests that differ in all else.
 //!
+//! - `answers`: whether a service answers as usual, so that a missing answer says something.
 //! - [`crash`]: a crash of an endpoint, and what routers report of it; how long requests are held.
 //! - `suspect`: the crash record of one content or one part.
 //! - `selection`: which records a digest tells.
@@ -10,6 +11,7 @@
 //! - [`contents`]: the quarantine of requests by their content.
 //! - [`parts`]: the quarantine of requests by the parts of their prompts.
 
+mod answers;
 pub mod contents;
 pub mod crash;
 pub mod parts;
--- a/crates/core/src/gateway/quarantine/parts.rs
+++ b/crates/core/src/gateway/quarantine/parts.rs
@@ -13,7 +13,7 @@
 //!   part was also one of another part, requests with the first part alone are served, and their
 //!   answers clear it.
 //! - A part that was answered recently needs more crashes, over a longer time in which its service answered
-//!   requests without it. A service that answers nobody says nothing about a part that most prompts have.
+//!   requests without it about as often as usual. In an outage a missing answer says nothing about a part.
 //!
 //! The record of a part is about the requests of one workspace until another workspace's request
 //! with it is in progress at a crash. A workspace that names another one's part in requests that
@@ -30,6 +30,7 @@
         endpoint::Liveness,
         fingerprint::Fingerprint,
         quarantine::{
+            answers::AnswerRate,
             crash::{
                 Crash,
                 Policy,
@@ -147,8 +148,8 @@
     table: Table<u64>,
     /// When requests with a part were last answered completely, as far as this router knows.
     answers: IndexMap<u64, Time>,
-    /// When this router last passed on a complete answer of a service.
-    service_answers: IndexMap<Bytes, Time>,
+    /// Complete answers of each service that this router has passed on.
+    service_answers: IndexMap<Bytes, AnswerRate>,
     fleet: Fleet,
 }
 
@@ -195,9 +196,10 @@
     /// Records that a request was answered completely, at `at`.
     pub fn answered(&mut self, now: Time, at: Time, prompt: PromptParts<'_>) {
         match self.service_answers.get_mut(prompt.service) {
-            Some(newest) => *newest = at.max(*newest),
+            Some(rate) => rate.record(at),
             None => {
-                self.service_answers.insert(prompt.service.clone(), at);
+                let rate = self.service_answers.entry(prompt.service.clone());
+                rate.or_default().record(at);
             }
         }
         for part in prompt.parts {
@@ -270,8 +272,8 @@
         let proven = self.table.proven_crashes(now, suspect, &liveness_since)?;
         let first = proven.first()?.at;
         // An answer to a request with the part would have cleared its crashes: these are to others.
-        let others_answered = self.service_answers.get(prompt.service);
-        let others_answered = others_answered.is_some_and(|at| *at > first);
+        let answers = self.service_answers.get(prompt.service);
+        let others_answered = answers.is_some_and(|rate| rate.has_served_since(first, now));
         let is_proof = others_answered && now.since(first) >= ANSWERLESS_TIME;
         let is_unproved = suspect.is_known_good(now) && !is_proof;
         if is_unproved || self.is_explained(now, suspect, prompt) {
@@ -331,8 +333,10 @@
         liveness_since: impl Fn(Tag, Time) -> Liveness,
     ) {
         self.table.expire(now, policy, liveness_since);
-        self.service_answers
-            .retain(|_, at| now.since(*at) < RECORD_RETENTION);
+        self.service_answers.retain(|_, rate| {
+            rate.newest()
+                .is_some_and(|at| now.since(at) < RECORD_RETENTION)
+        });
     }
 
     /// Picks the records for a digest that has room for so many records and crashes.
--- a/crates/core/tests/gateway/part_quarantine.rs
+++ b/crates/core/tests/gateway/part_quarantine.rs
@@ -266,6 +266,34 @@
     );
 }
 
+/// Guards against a part in use that is held back in an outage, as the few answers that there are happen to be to others.
+#[gtest]
+fn verify_a_part_without_answers_is_held_back_only_while_others_are_answered_as_usual() {
+    for (pause, held) in [(50, true), (400, false)] {
+        let mut gateway = gateway(12);
+        answer(&mut gateway, Time(1000), &[ROOT, 60], true);
+        let usual = (1000..4000).step_by(50);
+        for at in usual {
+            answer(&mut gateway, Time(at), &[ROOT, 50], true);
+        }
+        for at in (4000..6000).step_by(10) {
+            if at < 5500 && at % 300 == 0 {
+                send_crashing(&mut gateway, Time(at), &[ROOT, 60]);
+            }
+            if at % pause == 0 {
+                answer(&mut gateway, Time(at), &[ROOT, 50], true);
+            }
+        }
+        let now = Time(6000);
+        expect_that!(
+            is_held(&mut gateway, now, &[ROOT, 60]),
+            eq(held),
+            "{pause} ms"
+        );
+        expect_false!(is_held(&mut gateway, now, &[ROOT, 50]));
+    }
+}
+
 /// Guards against callers who lose their second attempt by a quarantine that is turned off.
 #[gtest]
 fn verify_a_hold_time_of_zero_forbids_no_second_attempt() {
