Split the path of one request into a folder

Change: a folder `attempt/` with a file for each of these, in the order in which a request passes them; `outcome.rs` moves in. The paths `gateway::attempt` and `gateway::outcome` stay. Nothing else changes: the words of the old file and of the new ones are the same but for six heads of `impl`, imports and visibility.

--- /dev/null
+++ b/crates/core/src/gateway/attempt/admission.rs
@@ -0,0 +1,57 @@
+//! Admission: the route, the key and the service of a request.
+
+use crate::{
+    gateway::{
+        Gateway, Ticket,
+        attempt::ticket::due,
+        incoming_request::IncomingRequest,
+        refusal::{
+            Cause,
+            Refusal, //
+        },
+    },
+    units::Time, //
+};
+
+impl Gateway {
+    /// Admits a request, or refuses it.
+    ///
+    /// # Errors
+    ///
+    /// The refusal that the caller gets immediately.
+    pub fn admit(
+        &mut self,
+        now: Time,
+        incoming_request: &IncomingRequest,
+    ) -> Result<Ticket, Refusal> {
+        let Some(catalog) = self.catalog.clone() else {
+            return Err(Refusal::temporary(Cause::NotReady));
+        };
+        if !self.proof.covers_routes(now, &self.bounds) {
+            return Err(Refusal::temporary(Cause::Stale));
+        }
+        let Some(route) = catalog.route(&incoming_request.host, &incoming_request.path) else {
+            return Err(Refusal::permanent(Cause::UnknownRoute));
+        };
+        let workspace = match &incoming_request.key {
+            Some(key) => catalog.holder(key),
+            None => None,
+        };
+        if workspace.is_none() && !route.anonymous && catalog.has_workspaces() {
+            return Err(Refusal::permanent(Cause::UnknownKey));
+        }
+        let (_, until) = due(now, route, incoming_request);
+        if self.outlasts_stop(route, until) {
+            return Err(Refusal::temporary(Cause::Stopping));
+        }
+        let draw = self.draw();
+        let Some(service) = route.service(draw) else {
+            return Err(Refusal::temporary(Cause::NoEndpoint));
+        };
+        let window = self.bounds.retry.window;
+        self.budget(&service).record_request(now, window);
+        let version = catalog.version;
+        let ticket = Ticket::new(now, version, route, service, workspace, incoming_request);
+        Ok(ticket)
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/attempt/end.rs
@@ -0,0 +1,117 @@
+//! The end of an attempt: what it shows of the endpoint, of the way to it and of the request.
+
+use bytes::Bytes;
+
+use crate::{
+    arena::EndpointKey,
+    gateway::{
+        Gateway,
+        RegistryEvent,
+        Ticket,
+        outcome::{
+            AttemptOutcome,
+            NextStep, //
+        },
+        quarantine::Crash,
+        updates::warmup_time, //
+    },
+    units::{
+        Millis,
+        Time, //
+    },
+};
+
+impl Gateway {
+    /// Notes how an attempt ended, and decides what follows.
+    pub fn ended(
+        &mut self,
+        now: Time,
+        ticket: &mut Ticket,
+        endpoint: EndpointKey,
+        outcome: AttemptOutcome,
+    ) -> NextStep {
+        self.record_outcome(now, ticket, endpoint, outcome);
+        // A connection that breaks shows nothing: an endpoint may reset it after each request.
+        if outcome == AttemptOutcome::Stalled {
+            let service = ticket.service.clone();
+            self.record_lost_contact(now, &service, (endpoint, ticket.sent));
+        }
+        let brittle = self.brittleness.limit(now, &ticket.service).is_some();
+        if brittle && outcome == AttemptOutcome::Rejected {
+            self.brittleness.rejected(now, endpoint);
+        }
+        if outcome == AttemptOutcome::Rejected {
+            self.record_full(now, ticket, endpoint);
+        }
+        self.registry
+            .ended(now, endpoint, outcome, now.since(ticket.sent));
+        self.decide_next(now, ticket, endpoint, outcome)
+    }
+
+    fn record_lost_contact(&mut self, now: Time, service: &Bytes, failed: (EndpointKey, Time)) {
+        let endpoints = self.registry.of(service).count();
+        if let Some(outage) = self.reach.failed(now, service, failed, endpoints) {
+            self.events.push(RegistryEvent::Unreached {
+                service: service.clone(),
+                silent: outage.last_contact.map(|at| now.since(at)),
+            });
+        }
+    }
+
+    /// Tells the quarantine how an attempt ended. A broken connection to a leaving endpoint is no
+    /// crash, because such an endpoint may close its connections.
+    fn record_outcome(
+        &mut self,
+        now: Time,
+        ticket: &Ticket,
+        endpoint: EndpointKey,
+        outcome: AttemptOutcome,
+    ) {
+        let usable = self.registry.get(endpoint).filter(|e| e.usable());
+        match (outcome, usable) {
+            (AttemptOutcome::Broken, Some(endpoint)) => {
+                let crash = Crash {
+                    endpoint: endpoint.tag(),
+                    sent: ticket.sent,
+                    at: now,
+                    observed_here: true,
+                };
+                self.part_quarantine
+                    .crashed(now, ticket.prompt_parts(), crash);
+            }
+            (AttemptOutcome::Answered, _) if ticket.succeeded && !ticket.unproved => {
+                self.part_quarantine.answered(now, now, &ticket.parts);
+            }
+            _ => {}
+        }
+        let Some(content) = ticket.content else {
+            return;
+        };
+        match (outcome, usable) {
+            (AttemptOutcome::Broken, Some(endpoint)) => {
+                self.quarantine
+                    .crashed(now, content, endpoint.tag(), ticket.sent);
+            }
+            (AttemptOutcome::Answered | AttemptOutcome::Failed, _) if !ticket.unproved => {
+                self.quarantine.answered(now, content)
+            }
+            _ => {}
+        }
+    }
+
+    /// Notes that the caller left during an attempt.
+    pub fn caller_left(&mut self, now: Time, endpoint: EndpointKey) {
+        self.registry
+            .ended(now, endpoint, AttemptOutcome::Left, Millis(0));
+    }
+
+    /// Notes that no connection to an endpoint could be made, so that nothing was sent.
+    pub fn unreached(&mut self, now: Time, ticket: &mut Ticket, endpoint: EndpointKey) -> NextStep {
+        let cold = warmup_time(self.catalog.as_ref());
+        self.registry.unreached(now, endpoint, cold);
+        let service = ticket.service.clone();
+        let since = ticket.connecting_since.unwrap_or(now);
+        self.record_lost_contact(now, &service, (endpoint, since));
+        self.decide_next(now, ticket, endpoint, AttemptOutcome::NotSent)
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/attempt/mod.rs
@@ -0,0 +1,31 @@
+//! The path of one request: admission, placement, sending, and what follows the end of an attempt.
+//!
+//! The load that it answers: requests whose endpoint is full, hangs, leaves or breaks off, each of which
+//! is to be answered in time by another one, with few extra attempts.
+//!
+//! - `ticket`: an admitted request and the state of its attempts.
+//! - `admission`: its route, its key and its service.
+//! - `placement`: the endpoint of an attempt, or why there is none.
+//! - `screening`: whether the quarantine holds it back.
+//! - `sending`: whether an endpoint may still get it, and what the answer says of the endpoint.
+//! - [`outcome`]: how an attempt ended.
+//! - `end`: what that shows.
+//! - `retry`: whether another attempt follows.
+
+mod admission;
+mod end;
+pub mod outcome;
+mod placement;
+mod retry;
+mod screening;
+mod sending;
+mod ticket;
+
+pub use ticket::Ticket;
+
+pub(super) use placement::{
+    FULL_RETRY_DELAY,
+    refuse_backing_off,
+    refuse_unplaced, //
+};
+pub(super) use sending::silence_limit;
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -42,7 +42,6 @@
 pub mod mesh;
 pub mod mirror;
 pub mod origin;
-pub mod outcome;
 pub mod place;
 pub mod proof;
 pub mod quarantine;
@@ -59,7 +58,10 @@
 pub mod waits;
 pub mod warmup;
 
-pub use attempt::Ticket;
+pub use attempt::{
+    Ticket,
+    outcome, //
+};
 pub use updates::{
     Change,
     RegistryEvent, //
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -114,7 +114,7 @@
 guard evacuation crates/core/src/gateway/endpoint.rs \
     's/self\.stays_listed\(\) && self\.evacuated\.is_none\(\)/self.stays_listed()/' \
     toucanturn-platform path evacuations::verify_an_evacuated_data_center_gets_nothing_until_it_is_restored
-guard evacuation_proof crates/core/src/gateway/attempt.rs \
+guard evacuation_proof crates/core/src/gateway/attempt/sending.rs \
     's/self\.proof\.covers_evacuations\(now, &self\.bounds\)/true/' \
     toucanturn-core gateway evacuation::verify_nothing_goes_out_once_an_evacuation_could_be_unknown
 guard cold_quota crates/core/src/gateway/place/mod.rs \
@@ -132,7 +132,7 @@
 guard cold_restored crates/core/src/gateway/registry.rs \
     '/endpoint\.doubt\(now, cold\(&endpoint\.entry\.service\)\);/d' \
     toucanturn-core gateway warmup::verify_endpoints_of_a_restored_data_center_are_taken_as_cold
-guard cold_late crates/core/src/gateway/attempt.rs \
+guard cold_late crates/core/src/gateway/attempt/sending.rs \
     's/counted && self\.may_send/self.may_send/' \
     toucanturn-core gateway warmup::verify_an_endpoint_that_turns_cold_after_it_was_chosen_is_left_out
 guard said_leaving crates/core/src/gateway/endpoint.rs \
@@ -144,7 +144,7 @@
 guard back_off crates/core/src/gateway/place/mod.rs \
     's/&& !e\.backing_off\(context\.now\)/\&\& true/' \
     toucanturn-core gateway signals::verify_the_only_endpoint_gets_nothing_until_the_end_of_its_pause
-guard back_off_late crates/core/src/gateway/attempt.rs \
+guard back_off_late crates/core/src/gateway/attempt/sending.rs \
     's/!backing_off && self\.is_confirmed/self.is_confirmed/' \
     toucanturn-core gateway signals::verify_a_placed_request_is_not_sent_to_an_endpoint_that_pauses_meanwhile
 
@@ -208,11 +208,11 @@
     's/ \&\& self\.owns\(verdict\.part\)//' \
     toucanturn-core gateway part_quarantine::verify_a_day_has_at_most_three_trials
 
-guard part_retry crates/core/src/gateway/attempt.rs \
+guard part_retry crates/core/src/gateway/attempt/retry.rs \
     's/let allowed = allowed \&\& !crashes;/let _ = crashes;/' \
     toucanturn-core gateway part_quarantine::verify_a_request_with_a_suspected_part_gets_no_second_attempt
 
-guard share_handoff crates/core/src/gateway/attempt.rs \
+guard share_handoff crates/core/src/gateway/attempt/placement.rs \
     's/peers_have_room: has_full_share,/peers_have_room: false,/' \
     toucanturn-core gateway handoff::verify_a_router_that_has_used_up_its_share_hands_requests_off
 
