Split the state of an endpoint into a folder

Change: a folder `endpoint/` with a file for each of these; `waits.rs` moves in, as an endpoint holds it. The paths `gateway::endpoint` and `gateway::waits` stay. Nothing else changes: the words of the old file and of the new ones are the same but for heads of `impl`, imports and visibility.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -55,13 +55,13 @@
 pub mod updates;
 pub mod variability;
 pub mod waiting;
-pub mod waits;
 pub mod warmup;
 
 pub use attempt::{
     Ticket,
     outcome, //
 };
+pub use endpoint::waits;
 pub use updates::{
     Change,
     RegistryEvent, //
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -111,7 +111,7 @@
 guard nothing_left crates/core/src/retry.rs \
     's/Work::Once \{ \.\. \} => false,/Work::Once { .. } => true,/' \
     toucanturn-core retry verify_what_may_not_be_repeated_is_sent_again_only_when_nothing_left
-guard evacuation crates/core/src/gateway/endpoint.rs \
+guard evacuation crates/core/src/gateway/endpoint/mod.rs \
     's/self\.stays_listed\(\) && self\.evacuated\.is_none\(\)/self.stays_listed()/' \
     toucanturn-platform path evacuations::verify_an_evacuated_data_center_gets_nothing_until_it_is_restored
 guard evacuation_proof crates/core/src/gateway/attempt/sending.rs \
@@ -135,7 +135,7 @@
 guard cold_late crates/core/src/gateway/attempt/sending.rs \
     's/counted && self\.may_send/self.may_send/' \
     toucanturn-core gateway warmup::verify_an_endpoint_that_turns_cold_after_it_was_chosen_is_left_out
-guard said_leaving crates/core/src/gateway/endpoint.rs \
+guard said_leaving crates/core/src/gateway/endpoint/mod.rs \
     's/if signals\.leaving && self\.state/if false \&\& self.state/; s/ && !self\.signals\.leaving//' \
     toucanturn-platform path signals::verify_an_endpoint_that_said_it_leaves_gets_nothing_after_a_registry_outage
 guard said_unlisted crates/core/src/gateway/registry.rs \
