Split the versions of streams into a folder

Change: a folder `origin/` with a file for each. The path `gateway::origin` stays. Nothing else changes: the words of the old file and of the new ones are the same but for heads of `impl`, imports and visibility.

--- /dev/null
+++ b/crates/core/src/gateway/origin/mod.rs
@@ -0,0 +1,185 @@
+//! Which software version began a stream.
+//!
+//! What endpoints of two software versions write does not fit together, and endpoints do not check
+//! it, so a stream goes on only at the version that began it. A caller whose connection breaks may
+//! take its stream up at any router, and names the request that brought the first event. While more
+//! than one version serves, the router that delivers a first event therefore reports the version to
+//! a few peers, which rendezvous hashing chooses by the request's ID, so that any router can find
+//! them. While one version serves, nothing is sent: a stream of unknown origin may go on then.
+//!
+//! The load that it answers: callers that take their streams up at any router while the software of a
+//! service is being replaced.
+//!
+//! - `builds`: the versions that each service's endpoints have.
+//! - `streams`: the bounded table of the versions of recent streams.
+//! - `lookup`: what a router knows of the origin of a stream that is taken up.
+//! - `reports`: what routers tell each other of streams and versions.
+
+use bytes::Bytes;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::{
+    gateway::{
+        Gateway, Ticket, fingerprint,
+        refusal::{
+            Cause,
+            Refusal, //
+        },
+    },
+    units::{
+        Millis,
+        Time, //
+    },
+};
+
+mod builds;
+mod lookup;
+mod reports;
+mod streams;
+
+pub use builds::{
+    Build,
+    BuildHistory, //
+};
+pub use lookup::{
+    Lookup,
+    PeerKnowledge,
+    without_record, //
+};
+pub use reports::MAX_MIXED_SERVICES;
+pub use streams::{
+    MAX_STREAMS,
+    StreamKey,
+    StreamRecord,
+    StreamReport,
+    Streams, //
+};
+
+/// Time for which a peer's statement that several versions serve counts. Peers of a large fleet are
+/// heard directly each few seconds.
+const STATEMENT_TTL: Millis = Millis(5000);
+
+/// `Origin` says at which software version a stream may run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Origin {
+    /// At any: its caller has received no event.
+    #[default]
+    New,
+    /// At the version that began it.
+    Build(Build),
+    /// At any as long as one version serves, as that one must have begun it.
+    OnlyBuild,
+    /// At none: several versions may have begun it.
+    Unknown,
+}
+
+impl Origin {
+    /// Tells whether an endpoint of a version may run the stream.
+    pub fn allows(self, build: Build) -> bool {
+        match self {
+            Origin::New | Origin::OnlyBuild => true,
+            Origin::Build(origin) => origin == build,
+            Origin::Unknown => false,
+        }
+    }
+}
+
+fn hash(parts: &[&[u8]]) -> u64 {
+    let mut hash = Xxh3::new();
+    for part in parts {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.digest()
+}
+
+impl Gateway {
+    /// Gets the key of the stream that a request has begun.
+    pub fn stream_key(ticket: &Ticket, request_id: &[u8]) -> StreamKey {
+        let workspace = ticket.workspace.as_ref().map(|w| &w.name);
+        StreamKey {
+            workspace: fingerprint::workspace(workspace),
+            stream: hash(&[&ticket.route.name, request_id]),
+        }
+    }
+
+    /// Gets the versions of recent streams.
+    pub fn streams(&self) -> &Streams {
+        &self.streams
+    }
+
+    /// Tells whether streams of more than one version of a service may exist, by this router's own
+    /// registry or by the statements of peers.
+    pub fn is_mixed(&self, now: Time, service: &[u8]) -> bool {
+        let stated = self.peers_mixed.get(service);
+        self.registry.builds().is_mixed(service)
+            || stated.is_some_and(|at| now.since(*at) < STATEMENT_TTL)
+    }
+
+    /// Sets the origin of a request's stream. Where the route has several services, the request then
+    /// goes to the one whose version has begun the stream.
+    pub fn set_origin(&mut self, ticket: &mut Ticket, origin: Origin) {
+        ticket.origin = origin;
+        let Origin::Build(build) = origin else {
+            return;
+        };
+        let lists = |service: &Bytes| {
+            let builds = &mut self.registry.builds().builds(service);
+            builds.any(|(listed, _, _)| listed == build)
+        };
+        if lists(&ticket.service) {
+            return;
+        }
+        let shares = &ticket.route.shares;
+        let other = shares.iter().map(|s| &s.service).find(|s| lists(s));
+        if let Some(service) = other.cloned() {
+            if ticket.counted {
+                self.budget(&ticket.service).forget_request();
+                ticket.counted = false;
+            }
+            ticket.service = service;
+        }
+    }
+
+    /// Checks that a stream can go on.
+    ///
+    /// # Errors
+    ///
+    /// Its version is not known, or no endpoint of it is left.
+    pub fn check_origin(&self, now: Time, ticket: &Ticket) -> Result<(), Refusal> {
+        let may_have_run = ticket.may_have_run;
+        match ticket.origin {
+            Origin::New => Ok(()),
+            Origin::OnlyBuild if !self.is_mixed(now, &ticket.service) => Ok(()),
+            Origin::OnlyBuild | Origin::Unknown => {
+                Err(Refusal::given_up(Cause::VersionUnknown, may_have_run))
+            }
+            Origin::Build(build) => {
+                let mut known = self.registry.known(&ticket.service);
+                if known.any(|(_, e)| e.build == build && e.stays_listed()) {
+                    return Ok(());
+                }
+                // A version that is not listed yet has just been seen by another router.
+                let mut listed = self.registry.builds().builds(&ticket.service);
+                let is_new = !listed.any(|(listed, _, _)| listed == build);
+                Err(Refusal {
+                    retryable: is_new && !may_have_run,
+                    ..Refusal::given_up(Cause::VersionGone, may_have_run)
+                })
+            }
+        }
+    }
+
+    /// Tells whether an endpoint is left that a request has not been sent to and where its stream may
+    /// go on.
+    pub(in crate::gateway) fn has_endpoint_of_origin(&self, ticket: &Ticket) -> bool {
+        let Origin::Build(_) = ticket.origin else {
+            return ticket.origin != Origin::Unknown;
+        };
+        self.registry.of(&ticket.service).any(|(key, e)| {
+            ticket.origin.allows(e.build)
+                && !ticket.tried.contains(&key)
+                && !ticket.excluded.contains(&key)
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/origin/reports.rs
@@ -0,0 +1,147 @@
+//! What routers tell each other of streams and of versions, and for how long it counts.
+
+use bytes::Bytes;
+
+use crate::{
+    gateway::{
+        Gateway, Ticket,
+        origin::{
+            Build,
+            Origin,
+            STATEMENT_TTL,
+            StreamRecord,
+            StreamReport, //
+        },
+    },
+    units::{
+        Millis,
+        Time, //
+    },
+};
+
+/// Limit of the services in a digest that more than one version serves.
+pub const MAX_MIXED_SERVICES: usize = 8;
+/// Shortest time for which the version of a stream is remembered, and for which a version that has
+/// left still counts, however short the time limits of routes are.
+const MIN_STREAM_LIFE: Millis = Millis(60_000);
+/// Multiple of the longest time limit of a route that a stream may last, with its caller's tries.
+const STREAM_LIFE_FACTOR: u64 = 2;
+/// Time after a stream's deadline for which its version is remembered.
+const DEADLINE_MARGIN: Millis = Millis(1000);
+
+impl Gateway {
+    /// Notes that the first event of a request's answer is delivered, which an endpoint of version
+    /// `build` has sent, if that is known. Returns whether peers are to be told.
+    pub fn begin_stream(
+        &mut self,
+        now: Time,
+        ticket: &mut Ticket,
+        request_id: &[u8],
+        build: Option<Build>,
+    ) -> bool {
+        // A stream that can't be resumed is not taken up either.
+        if !ticket.route.kind.repeatable() {
+            return false;
+        }
+        let mixed = self.is_mixed(now, &ticket.service);
+        if !matches!(ticket.origin, Origin::Build(_)) {
+            ticket.origin = match build {
+                Some(build) => Origin::Build(build),
+                None if mixed => Origin::Unknown,
+                None => Origin::OnlyBuild,
+            };
+        }
+        let Origin::Build(build) = ticket.origin else {
+            return false;
+        };
+        let key = Self::stream_key(ticket, request_id);
+        let longest = now + self.stream_life;
+        let record = StreamRecord {
+            build,
+            began: now,
+            until: ticket.deadline.min(longest) + DEADLINE_MARGIN,
+            // The router that has handed the request over tells the peers.
+            service: Some(ticket.service.clone()).filter(|_| !ticket.from_peer),
+        };
+        self.streams.insert(key, record);
+        let report = mixed && !ticket.from_peer;
+        if report {
+            self.streams.unsent.push(key);
+        }
+        report
+    }
+
+    /// Takes the reports of streams that peers are still to be told of.
+    pub fn take_unsent_streams(&mut self, now: Time) -> Vec<StreamReport> {
+        self.streams.take_unsent(now)
+    }
+
+    /// Tells whether peers are still to be told of streams.
+    pub fn has_unsent_streams(&self) -> bool {
+        !self.streams.unsent.is_empty()
+    }
+
+    /// Takes in a peer's reports of streams.
+    pub fn record_peer_streams(&mut self, now: Time, reports: &[StreamReport]) {
+        for report in reports {
+            let record = StreamRecord {
+                build: report.build,
+                began: now - report.age,
+                until: now + Millis(report.left.0.min(self.stream_life.0)),
+                service: None,
+            };
+            self.streams.insert(report.key, record);
+        }
+    }
+
+    /// Lists services of which this router's registry lists more than one version, or did recently,
+    /// by their indices in the configuration; `draw` picks some if there are many.
+    pub fn mixed_services(&self, draw: u64) -> Vec<u32> {
+        let Some(catalog) = &self.catalog else {
+            return Vec::new();
+        };
+        let mixed = self.registry.builds().mixed();
+        let mut indices: Vec<u32> = mixed.filter_map(|s| catalog.index_of(s)).collect();
+        if indices.len() > MAX_MIXED_SERVICES {
+            let shift = draw % indices.len() as u64;
+            indices.rotate_left(usize::try_from(shift).unwrap_or_default());
+            indices.truncate(MAX_MIXED_SERVICES);
+        }
+        indices
+    }
+
+    /// Takes in of which services a peer's registry lists more than one version; peer and router have
+    /// the same configuration in force.
+    pub fn record_peer_mixed(&mut self, now: Time, services: &[u32]) {
+        for service in services {
+            let name = self.catalog.as_ref().and_then(|c| c.name_at(*service));
+            if let Some(name) = name.cloned() {
+                self.peers_mixed.insert(name, now);
+            }
+        }
+    }
+
+    /// Expires what has timed out, and queues the streams of services that now have more than one
+    /// version.
+    pub(in crate::gateway) fn tick_streams(&mut self, now: Time) {
+        self.registry.expire_builds(now, self.stream_life);
+        self.streams.expire(now);
+        self.peers_mixed
+            .retain(|_, at| now.since(*at) < STATEMENT_TTL);
+        let own = self.registry.builds().mixed();
+        let stated = self.peers_mixed.keys();
+        let mixed: Vec<Bytes> = own.chain(stated).cloned().collect();
+        for service in mixed.iter().filter(|s| !self.reported.contains(*s)) {
+            self.streams.queue_all(service);
+        }
+        self.reported = mixed;
+    }
+
+    /// Sets for how long streams last, by the time limits of the routes.
+    pub(in crate::gateway) fn update_stream_life(&mut self) {
+        let routes = self.catalog.iter().flat_map(|c| c.routes());
+        let longest = routes.filter(|r| r.kind.streams()).map(|r| r.limit.0).max();
+        let life = longest.unwrap_or(0).saturating_mul(STREAM_LIFE_FACTOR);
+        self.stream_life = Millis(life).max(MIN_STREAM_LIFE);
+    }
+}
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -216,15 +216,15 @@
     's/peers_have_room: has_full_share,/peers_have_room: false,/' \
     toucanturn-core gateway handoff::verify_a_router_that_has_used_up_its_share_hands_requests_off
 
-guard stream_version crates/core/src/gateway/origin.rs \
+guard stream_version crates/core/src/gateway/origin/mod.rs \
     's/Origin::Build\(origin\) => origin == build,/Origin::Build(_) => true,/' \
     toucanturn-platform path builds::verify_a_stream_that_is_taken_up_keeps_its_version
 
-guard mixed_statement crates/core/src/gateway/origin.rs \
+guard mixed_statement crates/core/src/gateway/origin/mod.rs \
     's/\|\| stated\.is_some_and\(\|at\| now\.since\(\*at\) < STATEMENT_TTL\)/|| stated.is_some_and(|_| false)/' \
     toucanturn-core gateway origin::verify_a_peer_s_statement_makes_a_stream_unknown
 
-guard stream_backlog crates/core/src/gateway/origin.rs \
+guard stream_backlog crates/core/src/gateway/origin/reports.rs \
     '/self\.streams\.queue_all\(service\);/d' \
     toucanturn-platform path builds::verify_a_stream_from_before_the_second_version_keeps_its_version
 
