Split the table of endpoints into a folder

Change: a folder `registry/` with a file for each. The path `gateway::registry` stays. Nothing else changes: the words of the old file and of the new ones are the same but for heads of `impl`, imports and visibility.

--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -129,7 +129,7 @@
 guard cold_settle crates/core/src/gateway/warmup.rs \
     's/\(quiet \|\| now\.since\(started\) >= MAX_DISCOVERY_TIME\) && !isolated/!isolated/' \
     toucanturn-core gateway warmup::verify_a_router_that_has_just_started_sends_nothing_to_a_cold_endpoint
-guard cold_restored crates/core/src/gateway/registry.rs \
+guard cold_restored crates/core/src/gateway/registry/removal.rs \
     '/endpoint\.doubt\(now, cold\(&endpoint\.entry\.service\)\);/d' \
     toucanturn-core gateway warmup::verify_endpoints_of_a_restored_data_center_are_taken_as_cold
 guard cold_late crates/core/src/gateway/attempt/sending.rs \
@@ -138,7 +138,7 @@
 guard said_leaving crates/core/src/gateway/endpoint/mod.rs \
     's/if signals\.leaving && self\.state/if false \&\& self.state/; s/ && !self\.signals\.leaving//' \
     toucanturn-platform path signals::verify_an_endpoint_that_said_it_leaves_gets_nothing_after_a_registry_outage
-guard said_unlisted crates/core/src/gateway/registry.rs \
+guard said_unlisted crates/core/src/gateway/registry/mod.rs \
     's/if let Some\(signals\) = self\.unlisted_signals\.shift_remove\(&endpoint\.tag\(\)\)/if let Some(signals) = None/' \
     toucanturn-core gateway signals::verify_an_entry_that_comes_back_does_not_end_what_the_endpoint_said
 guard back_off crates/core/src/gateway/place/mod.rs \
