Split the gossip between routers into a folder

Change: a folder `mesh/` with a file for each. The path `gateway::mesh` stays. Nothing else changes: the words of the old file and of the new ones are the same but for heads of `impl`, imports and visibility.

--- /dev/null
+++ b/crates/core/src/gateway/mesh/streams.rs
@@ -0,0 +1,60 @@
+//! Which routers are told of a stream, and asked for one.
+
+use std::net::SocketAddrV4;
+
+use crate::{
+    gateway::mesh::{
+        Mesh,
+        address_hash, //
+    },
+    load::score,
+    units::Time, //
+};
+
+/// Limit of the stream reports in a message.
+pub const MAX_STREAM_REPORTS: usize = 32;
+/// Routers of a large fleet that are told of a stream.
+const STREAM_KEEPERS: usize = 2;
+/// Further routers that are asked for a stream: the fleet may have changed since it began.
+const FURTHER_KEEPERS: usize = 2;
+/// Limit of the other routers that are all told of each stream, so that any one of them is enough.
+pub(in crate::gateway) const SMALL_FLEET: usize = 8;
+/// Rounds of a sender around the newest one that is known within which its stream reports count. Others
+/// may be replays, of an earlier process among them.
+const STREAM_REPORT_ROUNDS: u64 = 20;
+
+impl Mesh {
+    /// Tells whether stream reports that a router made in a round count.
+    pub fn accepts_stream_reports(&self, from: SocketAddrV4, beat: u64) -> bool {
+        let held = self.peers.get(&from).map(|p| p.heartbeat.beat);
+        held.is_some_and(|held| {
+            beat + STREAM_REPORT_ROUNDS >= held && beat <= held + STREAM_REPORT_ROUNDS
+        })
+    }
+
+    /// Lists the routers that are told of a stream.
+    pub fn stream_keepers(&self, now: Time, stream: u64) -> Vec<SocketAddrV4> {
+        self.ranked_for_stream(now, stream, STREAM_KEEPERS)
+    }
+
+    /// Lists the routers that may know of a stream: the seeds where no other is known, as this router
+    /// has just started.
+    pub fn possible_stream_keepers(&self, now: Time, stream: u64) -> Vec<SocketAddrV4> {
+        let keepers = self.ranked_for_stream(now, stream, STREAM_KEEPERS + FURTHER_KEEPERS);
+        if keepers.is_empty() {
+            return self.seeds.clone();
+        }
+        keepers
+    }
+
+    fn ranked_for_stream(&self, now: Time, stream: u64, count: usize) -> Vec<SocketAddrV4> {
+        let mut live: Vec<SocketAddrV4> = self.live(now).map(|r| r.address).collect();
+        if live.len() > SMALL_FLEET {
+            live.sort_by_cached_key(|address| {
+                std::cmp::Reverse(score(stream, address_hash(*address)))
+            });
+            live.truncate(count);
+        }
+        live
+    }
+}
