--- a/crates/core/src/gateway/origin/mod.rs
+++ b/crates/core/src/gateway/origin/mod.rs
@@ -172,7 +172,7 @@
 
     /// Tells whether an endpoint is left that a request has not been sent to and where its stream may
     /// go on.
-    pub(in crate::gateway) fn has_endpoint_of_origin(&self, ticket: &Ticket) -> bool {
+    pub(super) fn has_endpoint_of_origin(&self, ticket: &Ticket) -> bool {
         let Origin::Build(_) = ticket.origin else {
             return ticket.origin != Origin::Unknown;
         };
