Move admission and waiting into a folder

Cause: the folder `gateway` was flat, so its files did not show which of them a request passes first.

Files move whole; `gateway::catalog` and the other paths stay by re-export. Only visibility and imports change.

--- a/crates/core/src/gateway/attempt/admission.rs
+++ b/crates/core/src/gateway/admission/admit.rs
@@ -3,7 +3,7 @@
 use crate::{
     gateway::{
         Gateway, Ticket,
-        attempt::ticket::due,
+        attempt::due,
         incoming_request::IncomingRequest,
         refusal::{
             Cause,
--- a/crates/core/src/gateway/stop.rs
+++ b/crates/core/src/gateway/admission/stop.rs
@@ -13,7 +13,7 @@
 
 /// `StopDeadline` is when a stopping router ends.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct StopDeadline {
+pub(in crate::gateway) struct StopDeadline {
     at: Time,
     /// Only routes whose time limit is at most this are held to the deadline: first the length of
     /// the whole stop, after `Gateway::close` any limit.
@@ -43,7 +43,7 @@
     }
 
     /// Tells whether a request of a route that may last until `until` would be cut off by the stop.
-    pub(super) fn outlasts_stop(&self, route: &Route, until: Time) -> bool {
+    pub(in crate::gateway) fn outlasts_stop(&self, route: &Route, until: Time) -> bool {
         self.end
             .is_some_and(|end| until > end.at && route.limit <= end.max_route_limit)
     }
--- a/crates/core/src/gateway/waiting.rs
+++ b/crates/core/src/gateway/admission/waiting.rs
@@ -148,7 +148,7 @@
     }
 
     /// Forgets the demand for services that are no longer published.
-    pub(super) fn retain(&mut self, is_published: impl Fn(&Bytes) -> bool) {
+    pub(in crate::gateway) fn retain(&mut self, is_published: impl Fn(&Bytes) -> bool) {
         self.demand.retain(|service, _| is_published(service));
     }
 }
@@ -287,7 +287,12 @@
     }
 
     /// Notes that an endpoint rejected a request for want of room: it has more waiting than callers can use.
-    pub(super) fn record_full(&mut self, now: Time, ticket: &Ticket, endpoint: EndpointKey) {
+    pub(in crate::gateway) fn record_full(
+        &mut self,
+        now: Time,
+        ticket: &Ticket,
+        endpoint: EndpointKey,
+    ) {
         if self.is_plain(now, ticket) {
             let delay = Millis(ticket.route.goal.0 * REJECTED_GOAL_MULTIPLE);
             self.registry.record_delay(now, endpoint, delay);
--- a/crates/core/src/gateway/attempt/mod.rs
+++ b/crates/core/src/gateway/attempt/mod.rs
@@ -1,10 +1,9 @@
-//! The path of one request: admission, placement, sending, and what follows the end of an attempt.
+//! The attempts of one request: placement, sending, and what follows their end.
 //!
 //! The load that it answers: requests whose endpoint is full, hangs, leaves or breaks off, each of which
 //! is to be answered in time by another one, with few extra attempts.
 //!
 //! - `ticket`: an admitted request and the state of its attempts.
-//! - `admission`: its route, its key and its service.
 //! - `placement`: the endpoint of an attempt, or why there is none.
 //! - `screening`: whether the quarantine holds it back.
 //! - `sending`: whether an endpoint may still get it, and what the answer says of the endpoint.
@@ -12,7 +11,6 @@
 //! - `end`: what that shows.
 //! - `retry`: whether another attempt follows.
 
-mod admission;
 mod end;
 pub mod outcome;
 mod placement;
@@ -29,3 +27,4 @@
     refuse_unplaced, //
 };
 pub(super) use sending::silence_limit;
+pub(super) use ticket::due;
--- a/crates/core/src/gateway/attempt/ticket.rs
+++ b/crates/core/src/gateway/attempt/ticket.rs
@@ -114,7 +114,11 @@
 }
 
 /// Gets when the caller stops waiting, and when the final answer is due.
-pub(super) fn due(now: Time, route: &Route, incoming_request: &IncomingRequest) -> (Time, Time) {
+pub(in crate::gateway) fn due(
+    now: Time,
+    route: &Route,
+    incoming_request: &IncomingRequest,
+) -> (Time, Time) {
     let began = now - incoming_request.waited;
     let limit = began + route.limit;
     let deadline = incoming_request.deadline.map_or(limit, |left| began + left);
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -29,16 +29,14 @@
     Time, //
 };
 
+pub mod admission;
 pub mod attempt;
 pub mod brittle;
 pub mod budget;
-pub mod catalog;
 pub mod endpoint;
 pub mod explain;
-pub mod fingerprint;
 pub mod handoff;
 pub mod hot_spots;
-pub mod incoming_request;
 pub mod mesh;
 pub mod mirror;
 pub mod origin;
@@ -47,16 +45,21 @@
 pub mod quarantine;
 pub mod reach;
 pub mod reading;
-pub mod refusal;
 pub mod registry;
-pub mod route;
 pub mod settings;
-pub mod stop;
 pub mod updates;
 pub mod variability;
-pub mod waiting;
 pub mod warmup;
 
+pub use admission::{
+    catalog,
+    fingerprint,
+    incoming_request,
+    refusal,
+    route,
+    stop,
+    waiting, //
+};
 pub use attempt::{
     Ticket,
     outcome, //
