Move the limits that a fleet keeps together into a folder

Change: `limits/` with the retry budget, the limit of cold endpoints and that of brittle ones; its head names the load that it answers. Files move whole; the paths `gateway::budget`, `brittle` and `warmup` stay by re-export.

--- /dev/null
+++ b/crates/core/src/gateway/limits/mod.rs
@@ -0,0 +1,12 @@
+//! Limits that the routers of a fleet keep together without asking each other.
+//!
+//! The load that it answers: retries while many requests fail, and crowds at endpoints that have just
+//! started or that crash when they must turn away too many requests.
+//!
+//! - [`budget`]: retries, as a share of a service's requests.
+//! - [`warmup`]: requests to an endpoint that is cold.
+//! - [`brittle`]: requests that an endpoint has to turn away.
+
+pub mod brittle;
+pub mod budget;
+pub mod warmup;
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -31,12 +31,11 @@
 
 pub mod admission;
 pub mod attempt;
-pub mod brittle;
-pub mod budget;
 pub mod endpoint;
 pub mod explain;
 pub mod handoff;
 pub mod hot_spots;
+pub mod limits;
 pub mod mesh;
 pub mod mirror;
 pub mod origin;
@@ -49,7 +48,6 @@
 pub mod settings;
 pub mod updates;
 pub mod variability;
-pub mod warmup;
 
 pub use admission::{
     catalog,
@@ -65,6 +63,11 @@
     outcome, //
 };
 pub use endpoint::waits;
+pub use limits::{
+    brittle,
+    budget,
+    warmup, //
+};
 pub use updates::{
     Change,
     RegistryEvent, //
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -120,13 +120,13 @@
 guard cold_quota crates/core/src/gateway/place/mod.rs \
     's/\|\| warmup\.admits\(context\.now, \*key\)/|| true/' \
     toucanturn-platform path evacuations::verify_requests_go_round_a_cold_endpoint_where_others_are_warm
-guard cold_owners crates/core/src/gateway/warmup.rs \
+guard cold_owners crates/core/src/gateway/limits/warmup.rs \
     's/u32::from\(owns\)/1/' \
     toucanturn-core gateway warmup::verify_all_routers_together_keep_the_bound_of_a_cold_endpoint
-guard cold_memory crates/core/src/gateway/warmup.rs \
+guard cold_memory crates/core/src/gateway/limits/warmup.rs \
     's/if !heard\.is_empty\(\) \{/if true {/; s/now\.since\(\*at\) < MEMBER_TTL/heard.contains(tag)/; s/retain\(\|_, at\|/retain(|tag, _|/' \
     toucanturn-core gateway warmup::verify_routers_that_are_cut_off_alone_keep_to_their_parts
-guard cold_settle crates/core/src/gateway/warmup.rs \
+guard cold_settle crates/core/src/gateway/limits/warmup.rs \
     's/\(quiet \|\| now\.since\(started\) >= MAX_DISCOVERY_TIME\) && !isolated/!isolated/' \
     toucanturn-core gateway warmup::verify_a_router_that_has_just_started_sends_nothing_to_a_cold_endpoint
 guard cold_restored crates/core/src/gateway/registry/removal.rs \
