Move what a router learns of its fleet into a folder

Change: `fleet/` with the gossip, hand-offs, updates, the schedule of reads, the copy of the registry's records, the proof of freshness, what is reached, samples of hot parts and whether speeds vary; its head names the load that it answers. Files move whole; `gateway::mesh` and the other paths stay by re-export. The head of `gateway` lists the folders in the order in which a request passes them. Guards and pages name the new paths.

--- a/crates/core/src/gateway/handoff/mod.rs
+++ b/crates/core/src/gateway/fleet/handoff/mod.rs
@@ -49,7 +49,7 @@
 /// Limit of the unreached services that a digest names.
 pub const MAX_UNREACHED_SERVICES: usize = 8;
 /// Time in which nothing came back that shows that the way is lost rather than an endpoint.
-pub(super) const HUNG_TIME: Millis = Millis(300);
+pub(in crate::gateway) const HUNG_TIME: Millis = Millis(300);
 
 /// `Grant` is what a router allows the peer that it hands a request to.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/core/src/gateway/mesh/mod.rs
+++ b/crates/core/src/gateway/fleet/mesh/mod.rs
@@ -51,7 +51,7 @@
 };
 pub use streams::MAX_STREAM_REPORTS;
 
-pub(super) use streams::SMALL_FLEET;
+pub(in crate::gateway) use streams::SMALL_FLEET;
 
 /// Interval between gossip rounds. A load must reach all routers before many requests are placed by
 /// the one before it.
--- a/crates/core/src/gateway/reading.rs
+++ b/crates/core/src/gateway/fleet/reading.rs
@@ -44,7 +44,7 @@
 /// readers.
 const FIRST_STANDBYS: usize = 2;
 /// Routers that read at most, including all standbys, as a multiple of the readers.
-pub(super) const ALL_STANDBYS: usize = 4;
+pub(in crate::gateway) const ALL_STANDBYS: usize = 4;
 /// Divisor of the read interval that gives the delay of the last standbys after the first.
 const STANDBY_DELAY_DIVISOR: u64 = 4;
 /// Number of quarter read intervals after which a router reads itself whatever its rank. No peer
--- a/crates/core/src/gateway/updates/mod.rs
+++ b/crates/core/src/gateway/fleet/updates/mod.rs
@@ -27,7 +27,7 @@
     RegistryEvent, //
 };
 
-pub(super) use registry::warmup_time;
+pub(in crate::gateway) use registry::warmup_time;
 
 /// Time between two ticks that shows that the process was suspended. Ticks are 100 ms apart, and a
 /// busy machine delays one by two or three of them.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -5,11 +5,24 @@
 //! with its time. It decides which endpoint gets a request, whether a failed attempt is retried,
 //! and what the caller is told. It does no I/O and reads no clock.
 //!
-//! A request passes [`Gateway::admit`], which checks its route, its key and the age of the
-//! configuration, and for each attempt [`Gateway::place`] and [`Gateway::ended`] (see [`attempt`]).
-//! [`handoff`] is
-//! about requests that a peer serves. [`updates`] takes in what the registry and other routers report; [`stop`] is about shutting
-//! down.
+//! A request passes the folders in this order; the head of each says which load it answers:
+//!
+//! - [`admission`]: [`Gateway::admit`] checks its route, its key and the age of the configuration; it
+//!   may have to wait.
+//! - [`place`]: for each attempt, [`Gateway::place`] chooses an endpoint.
+//! - [`limits`]: what all routers together may send.
+//! - [`attempt`]: the attempts, up to [`Gateway::ended`], which decides what follows.
+//! - [`quarantine`]: requests that are held back because they crash endpoints.
+//!
+//! What these decide by:
+//!
+//! - [`endpoint`] and [`registry`]: the endpoints, and the table of them.
+//! - [`origin`]: the software versions of streams.
+//! - [`fleet`]: what is learnt from the registry and from the other routers, and requests that a peer
+//!   serves.
+//! - [`settings`]: bounds and policies.
+//!
+//! [`explain`] tells where a request would go, and why.
 
 use std::{
     collections::VecDeque,
@@ -33,21 +46,13 @@
 pub mod attempt;
 pub mod endpoint;
 pub mod explain;
-pub mod handoff;
-pub mod hot_spots;
+pub mod fleet;
 pub mod limits;
-pub mod mesh;
-pub mod mirror;
 pub mod origin;
 pub mod place;
-pub mod proof;
 pub mod quarantine;
-pub mod reach;
-pub mod reading;
 pub mod registry;
 pub mod settings;
-pub mod updates;
-pub mod variability;
 
 pub use admission::{
     catalog,
@@ -63,6 +68,17 @@
     outcome, //
 };
 pub use endpoint::waits;
+pub use fleet::{
+    handoff,
+    hot_spots,
+    mesh,
+    mirror,
+    proof,
+    reach,
+    reading,
+    updates,
+    variability, //
+};
 pub use limits::{
     brittle,
     budget,
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -152,15 +152,15 @@
     's/if !session\.advance\(position\)/if session.advance(position) \&\& false/' \
     toucanturn-platform path cut_off::verify_forged_and_copied_hand_offs_are_refused
 
-guard handoff_loop crates/core/src/gateway/handoff/choice.rs \
+guard handoff_loop crates/core/src/gateway/fleet/handoff/choice.rs \
     's/if ticket\.from_peer \|\| ticket\.peers/if ticket.peers/' \
     toucanturn-core gateway handoff::verify_a_request_of_a_peer_is_never_handed_on
 
-guard handoff_once crates/core/src/gateway/handoff/mod.rs \
+guard handoff_once crates/core/src/gateway/fleet/handoff/mod.rs \
     's/ticket\.remote_attempts \+= left;/ticket.remote_attempts += left * 0;/' \
     toucanturn-core gateway handoff::verify_a_call_whose_peer_broke_off_is_not_sent_again
 
-guard handoff_count crates/core/src/gateway/handoff/mod.rs \
+guard handoff_count crates/core/src/gateway/fleet/handoff/mod.rs \
     's/if ticket\.counted && ticket\.attempts\(\) == 0/if ticket.counted \&\& ticket.attempts() == 9/' \
     toucanturn-core gateway handoff::verify_a_handed_request_counts_at_one_router_only
 
