--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -111,40 +111,40 @@
 guard nothing_left crates/core/src/retry.rs \
     's/Work::Once \{ \.\. \} => false,/Work::Once { .. } => true,/' \
     toucanturn-core retry verify_what_may_not_be_repeated_is_sent_again_only_when_nothing_left
-guard evacuation crates/core/src/gateway/endpoint.rs \
+guard evacuation crates/core/src/gateway/endpoint/mod.rs \
     's/self\.stays_listed\(\) && self\.evacuated\.is_none\(\)/self.stays_listed()/' \
     toucanturn-platform path evacuations::verify_an_evacuated_data_center_gets_nothing_until_it_is_restored
-guard evacuation_proof crates/core/src/gateway/attempt.rs \
+guard evacuation_proof crates/core/src/gateway/attempt/sending.rs \
     's/self\.proof\.covers_evacuations\(now, &self\.bounds\)/true/' \
     toucanturn-core gateway evacuation::verify_nothing_goes_out_once_an_evacuation_could_be_unknown
 guard cold_quota crates/core/src/gateway/place/mod.rs \
     's/\|\| warmup\.admits\(context\.now, \*key\)/|| true/' \
     toucanturn-platform path evacuations::verify_requests_go_round_a_cold_endpoint_where_others_are_warm
-guard cold_owners crates/core/src/gateway/warmup.rs \
+guard cold_owners crates/core/src/gateway/limits/warmup.rs \
     's/u32::from\(owns\)/1/' \
     toucanturn-core gateway warmup::verify_all_routers_together_keep_the_bound_of_a_cold_endpoint
-guard cold_memory crates/core/src/gateway/warmup.rs \
+guard cold_memory crates/core/src/gateway/limits/warmup.rs \
     's/if !heard\.is_empty\(\) \{/if true {/; s/now\.since\(\*at\) < MEMBER_TTL/heard.contains(tag)/; s/retain\(\|_, at\|/retain(|tag, _|/' \
     toucanturn-core gateway warmup::verify_routers_that_are_cut_off_alone_keep_to_their_parts
-guard cold_settle crates/core/src/gateway/warmup.rs \
+guard cold_settle crates/core/src/gateway/limits/warmup.rs \
     's/\(quiet \|\| now\.since\(started\) >= MAX_DISCOVERY_TIME\) && !isolated/!isolated/' \
     toucanturn-core gateway warmup::verify_a_router_that_has_just_started_sends_nothing_to_a_cold_endpoint
-guard cold_restored crates/core/src/gateway/registry.rs \
+guard cold_restored crates/core/src/gateway/registry/removal.rs \
     '/endpoint\.doubt\(now, cold\(&endpoint\.entry\.service\)\);/d' \
     toucanturn-core gateway warmup::verify_endpoints_of_a_restored_data_center_are_taken_as_cold
-guard cold_late crates/core/src/gateway/attempt.rs \
+guard cold_late crates/core/src/gateway/attempt/sending.rs \
     's/counted && self\.may_send/self.may_send/' \
     toucanturn-core gateway warmup::verify_an_endpoint_that_turns_cold_after_it_was_chosen_is_left_out
-guard said_leaving crates/core/src/gateway/endpoint.rs \
+guard said_leaving crates/core/src/gateway/endpoint/mod.rs \
     's/if signals\.leaving && self\.state/if false \&\& self.state/; s/ && !self\.signals\.leaving//' \
     toucanturn-platform path signals::verify_an_endpoint_that_said_it_leaves_gets_nothing_after_a_registry_outage
-guard said_unlisted crates/core/src/gateway/registry.rs \
+guard said_unlisted crates/core/src/gateway/registry/mod.rs \
     's/if let Some\(signals\) = self\.unlisted_signals\.shift_remove\(&endpoint\.tag\(\)\)/if let Some(signals) = None/' \
     toucanturn-core gateway signals::verify_an_entry_that_comes_back_does_not_end_what_the_endpoint_said
 guard back_off crates/core/src/gateway/place/mod.rs \
     's/&& !e\.backing_off\(context\.now\)/\&\& true/' \
     toucanturn-core gateway signals::verify_the_only_endpoint_gets_nothing_until_the_end_of_its_pause
-guard back_off_late crates/core/src/gateway/attempt.rs \
+guard back_off_late crates/core/src/gateway/attempt/sending.rs \
     's/!backing_off && self\.is_confirmed/self.is_confirmed/' \
     toucanturn-core gateway signals::verify_a_placed_request_is_not_sent_to_an_endpoint_that_pauses_meanwhile
 
@@ -152,15 +152,15 @@
     's/if !session\.advance\(position\)/if session.advance(position) \&\& false/' \
     toucanturn-platform path cut_off::verify_forged_and_copied_hand_offs_are_refused
 
-guard handoff_loop crates/core/src/gateway/handoff.rs \
+guard handoff_loop crates/core/src/gateway/fleet/handoff/choice.rs \
     's/if ticket\.from_peer \|\| ticket\.peers/if ticket.peers/' \
     toucanturn-core gateway handoff::verify_a_request_of_a_peer_is_never_handed_on
 
-guard handoff_once crates/core/src/gateway/handoff.rs \
+guard handoff_once crates/core/src/gateway/fleet/handoff/mod.rs \
     's/ticket\.remote_attempts \+= left;/ticket.remote_attempts += left * 0;/' \
     toucanturn-core gateway handoff::verify_a_call_whose_peer_broke_off_is_not_sent_again
 
-guard handoff_count crates/core/src/gateway/handoff.rs \
+guard handoff_count crates/core/src/gateway/fleet/handoff/mod.rs \
     's/if ticket\.counted && ticket\.attempts\(\) == 0/if ticket.counted \&\& ticket.attempts() == 9/' \
     toucanturn-core gateway handoff::verify_a_handed_request_counts_at_one_router_only
 
@@ -208,23 +208,23 @@
     's/ \&\& self\.owns\(verdict\.part\)//' \
     toucanturn-core gateway part_quarantine::verify_a_day_has_at_most_three_trials
 
-guard part_retry crates/core/src/gateway/attempt.rs \
+guard part_retry crates/core/src/gateway/attempt/retry.rs \
     's/let allowed = allowed \&\& !crashes;/let _ = crashes;/' \
     toucanturn-core gateway part_quarantine::verify_a_request_with_a_suspected_part_gets_no_second_attempt
 
-guard share_handoff crates/core/src/gateway/attempt.rs \
+guard share_handoff crates/core/src/gateway/attempt/placement.rs \
     's/peers_have_room: has_full_share,/peers_have_room: false,/' \
     toucanturn-core gateway handoff::verify_a_router_that_has_used_up_its_share_hands_requests_off
 
-guard stream_version crates/core/src/gateway/origin.rs \
+guard stream_version crates/core/src/gateway/origin/mod.rs \
     's/Origin::Build\(origin\) => origin == build,/Origin::Build(_) => true,/' \
     toucanturn-platform path builds::verify_a_stream_that_is_taken_up_keeps_its_version
 
-guard mixed_statement crates/core/src/gateway/origin.rs \
+guard mixed_statement crates/core/src/gateway/origin/mod.rs \
     's/\|\| stated\.is_some_and\(\|at\| now\.since\(\*at\) < STATEMENT_TTL\)/|| stated.is_some_and(|_| false)/' \
     toucanturn-core gateway origin::verify_a_peer_s_statement_makes_a_stream_unknown
 
-guard stream_backlog crates/core/src/gateway/origin.rs \
+guard stream_backlog crates/core/src/gateway/origin/reports.rs \
     '/self\.streams\.queue_all\(service\);/d' \
     toucanturn-platform path builds::verify_a_stream_from_before_the_second_version_keeps_its_version
 
