Turn a draw into a number from 0 to 1 in one place

Cause: `admission/waiting.rs` and `place/stateless.rs` each took 24 bits of a draw and divided them, with the same lint exception.

Change: `gateway::fraction`, used by both. The numbers are the same.

--- a/crates/core/src/gateway/admission/waiting.rs
+++ b/crates/core/src/gateway/admission/waiting.rs
@@ -13,6 +13,7 @@
     gateway::{
         Gateway, MIN_RETRY_DELAY, Ticket,
         attempt::FULL_RETRY_DELAY,
+        fraction,
         refusal::{
             Cause,
             Refusal, //
@@ -202,8 +203,7 @@
         let demand = self.waiting.demand.entry(ticket.service.clone());
         demand.or_default().record(now, sender);
         self.pressure(now, ticket)?;
-        #[expect(clippy::cast_precision_loss, reason = "24 bits are exact")]
-        let draw = (self.draw() >> 40) as f32 / (1_u64 << 24) as f32;
+        let draw = fraction(self.draw());
         Some(Claim {
             draw,
             last: began + Millis(ticket.route.goal.0 / 2),
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -264,6 +264,12 @@
     }
 }
 
+/// Gets the number from 0 to 1 that a random number stands for.
+#[expect(clippy::cast_precision_loss, reason = "24 bits are exact")]
+fn fraction(draw: u64) -> f32 {
+    (draw >> 40) as f32 / (1_u64 << 24) as f32
+}
+
 /// Gets the retry delay for a refused caller if there will be room after `room`. It is spread by
 /// `draw` over that time, as some room becomes free earlier, and is at most a third of the time
 /// left until the deadline.
--- a/crates/core/src/gateway/place/stateless.rs
+++ b/crates/core/src/gateway/place/stateless.rs
@@ -4,6 +4,7 @@
     arena::EndpointKey,
     gateway::{
         endpoint::Endpoint,
+        fraction,
         place::{
             Placed,
             PlacementContext,
@@ -116,8 +117,7 @@
     let weights: Vec<f32> = delays
         .map(|delay| delay.unwrap_or(most).min(most).recip())
         .collect();
-    #[expect(clippy::cast_precision_loss, reason = "24 bits are exact")]
-    let drawn = (score(context.draw, 1) >> 40) as f32 / (1_u64 << 24) as f32;
+    let drawn = fraction(score(context.draw, 1));
     let mut left = drawn * weights.iter().sum::<f32>();
     let chosen = weights.iter().position(|weight| {
         left -= weight;
