Look for the first fitting endpoint once

Cause: `by_affinity` looked for the first endpoint that fits a second time to name what was passed over; `first_in_time` had just found it.

Change: `by_affinity` finds it once and gives it to `first_in_time`. The same endpoint is chosen and the same wait is named. Where speeds don't vary and a hot part has its pick, the first one is now looked for without being used.

--- a/crates/core/src/gateway/place/affinity.rs
+++ b/crates/core/src/gateway/place/affinity.rs
@@ -57,21 +57,19 @@
     let fits = |(_, e): &(EndpointKey, &Endpoint)| cost(context, e, mean) < limit(context, e, mean);
     let hot_pick = pick_for_hot_part(context, &candidates, part_id, mean);
     let below = hot_pick.filter(|rank| fits(&candidates[*rank]));
+    let first = candidates.iter().position(fits);
     let below = if context.speeds_vary {
         below
             .filter(|rank| reader.bears(candidates[*rank].1.waits.expected(context.now)))
-            .or_else(|| first_in_time(context, &candidates, fits, reader))
+            .or_else(|| Some(first_in_time(context, &candidates, first?, fits, reader)))
     } else {
-        below.or_else(|| candidates.iter().position(fits))
+        below.or(first)
     };
     let rank = match below {
         Some(rank) => rank,
         None => least(context, &candidates, |e| cost(context, e, mean))?,
     };
-    let first = context
-        .speeds_vary
-        .then(|| candidates.iter().position(fits));
-    let passed = first.flatten().filter(|first| *first < rank);
+    let passed = first.filter(|first| context.speeds_vary && *first < rank);
     let wait = passed.map(|first| candidates[first].1.waits.expected(context.now));
     let placed = placed(context, &candidates, rank, mean)?;
     Some(Placed {
--- a/crates/core/src/gateway/place/expected.rs
+++ b/crates/core/src/gateway/place/expected.rs
@@ -54,24 +54,24 @@
     }
 }
 
-/// Finds the first endpoint that fits, or where the wait there is too long, the next one in the order where it
-/// is shorter by enough.
+/// Chooses `first`, the first endpoint that fits, or where the wait there is too long, the next one in the
+/// order where it is shorter by enough.
 pub(super) fn first_in_time(
     context: &PlacementContext<'_>,
     candidates: &[(EndpointKey, &Endpoint)],
+    first: usize,
     fits: impl Fn(&(EndpointKey, &Endpoint)) -> bool,
     reader: Reader,
-) -> Option<usize> {
-    let ranked = candidates.iter().enumerate();
-    let fitting = ranked.filter(|(_, candidate)| fits(candidate));
-    let mut waits = fitting.map(|(rank, (_, e))| (rank, e.waits.expected(context.now)));
-    let (first, wait) = waits.next()?;
+) -> usize {
+    let expected = |rank: usize| candidates[rank].1.waits.expected(context.now);
+    let wait = expected(first);
     if reader.bears(wait) {
-        return Some(first);
+        return first;
     }
-    let mut others = waits.take(MAX_ENDPOINTS - 1);
-    let sooner = others.find(|(_, other)| *other + reader.gain <= wait);
-    Some(sooner.map_or(first, |(rank, _)| rank))
+    let others = (first + 1..candidates.len()).filter(|rank| fits(&candidates[*rank]));
+    let mut others = others.take(MAX_ENDPOINTS - 1);
+    let sooner = others.find(|rank| expected(*rank) + reader.gain <= wait);
+    sooner.unwrap_or(first)
 }
 
 /// Gets a part of a time.
