Let long prompts leave endpoints where they would be late

Cause: the gain that a prompt asks of another endpoint was a tenth of the goal and its tokens at 10 a ms, without a bound. A prompt of 12,500 tokens asked for 1.3 s, so it stayed where requests had waited for 600 ms, longer than the whole goal of the route, beside idle endpoints.

Change: the gain is the goal at most.

verify_a_long_prompt_leaves_an_endpoint_where_it_would_be_late failed before.

--- a/crates/core/src/gateway/place/expected.rs
+++ b/crates/core/src/gateway/place/expected.rs
@@ -24,7 +24,8 @@
 /// Part of a route's goal that may be spent on waiting; the rest is for reading the prompt, and for what the
 /// wait is longer than was heard.
 const WAIT_SHARE: Permille = Permille(250);
-/// Part of a route's goal by which another endpoint must be sooner, besides the reading there.
+/// Part of a route's goal by which another endpoint must be sooner, besides the reading there. Never more than
+/// the goal in all: a prompt that waits for so much longer is late, however many tokens it has.
 const MIN_GAIN: Permille = Permille(100);
 /// Prompt tokens in a millisecond by which the reading at another endpoint is counted. Engines read faster;
 /// but the prompts after it wait for it, too.
@@ -44,7 +45,7 @@
         let reading = Millis(u64::from(prompt.input) / TOKENS_PER_MILLI);
         Self {
             goal,
-            gain: part(goal, MIN_GAIN) + reading,
+            gain: goal.min(part(goal, MIN_GAIN) + reading),
         }
     }
 
--- a/crates/core/tests/gateway/waits.rs
+++ b/crates/core/tests/gateway/waits.rs
@@ -97,6 +97,14 @@
     expect_true!(stays(2000, 600, Some(410)), "the wait is over");
 }
 
+/// Guards against long prompts that stay where they are certainly late, as reading elsewhere takes long, too.
+#[gtest]
+fn verify_a_long_prompt_leaves_an_endpoint_where_it_would_be_late() {
+    expect_true!(stays(400, 14_000, None), "it may still be on time");
+    expect_false!(stays(700, 14_000, None));
+    expect_false!(stays(700, 9000, None));
+}
+
 /// Guards against any effect where endpoints state no slowdown.
 #[gtest]
 fn verify_waits_decide_nothing_where_speeds_do_not_vary() {
