--- a/crates/replay/src/lab/account.rs
+++ b/crates/replay/src/lab/account.rs
@@ -27,6 +27,8 @@
     pub asked: u64,
     /// Its kind.
     pub kind: usize,
+    /// Tokens of its prompt.
+    pub tokens: u32,
     /// Time until its first event, if one came.
     pub first: Option<u64>,
     /// Whether that was in time.
@@ -170,12 +172,16 @@
 
     /// Gets the same for the requests that were asked in a span.
     pub fn first_in(&self, kind: usize, share: f64, from: u64, to: u64) -> u64 {
+        self.first_where(share, |o| o.kind == kind && (from..to).contains(&o.asked))
+    }
+
+    /// Gets the time to the first event that a share of some requests stayed below.
+    pub fn first_where(&self, share: f64, counts: impl Fn(&Outcome) -> bool) -> u64 {
         let Ok(mut times) = Histogram::<u64>::new(3) else {
             return 0;
         };
-        let asked = |o: &&Outcome| o.kind == kind && (from..to).contains(&o.asked);
-        let of = self.outcomes.iter().filter(asked);
-        for first in of.filter_map(|o| o.first) {
+        let counted = self.outcomes.iter().filter(|o| counts(o));
+        for first in counted.filter_map(|o| o.first) {
             times.saturating_record(first);
         }
         times.value_at_quantile(share)
--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -267,9 +267,11 @@
     }
 
     fn push(&mut self, now: u64, request: Request) {
+        let prompt = request.incoming_request.prompt.as_ref();
         self.account.outcomes.push(Outcome {
             asked: now,
             kind: request.kind,
+            tokens: prompt.map_or(0, |p| p.input),
             first: None,
             on_time: false,
         });
--- a/crates/replay/tests/uneven/mod.rs
+++ b/crates/replay/tests/uneven/mod.rs
@@ -20,7 +20,7 @@
 pub(crate) struct Load {
     pub(crate) name: &'static str,
     pub(crate) span: (u64, u64),
-    pub(crate) troubles: &'static [Trouble],
+    pub(crate) troubles: &'static [Span],
 }
 
 const HOT: Trouble = Trouble::Hot {
@@ -35,35 +35,70 @@
     share: 0.5,
     slowdown: 5000,
 };
-const BURST: Trouble = Trouble::Burst {
-    kind: 0,
-    times: 2.0,
-};
+/// Span that is judged in an experiment whose engines are warm.
+const WARM: (u64, u64) = (4000, 7000);
+
+const fn during((from, to): (u64, u64), trouble: Trouble) -> Span {
+    Span { from, to, trouble }
+}
+
+/// Makes a kind come so many times as often.
+const fn burst(span: (u64, u64), kind: usize, times: f64) -> Span {
+    during(span, Trouble::Burst { kind, times })
+}
 
 /// The loads.
-pub(crate) const LOADS: [Load; 4] = [
+pub(crate) const LOADS: [Load; 7] = [
     Load {
         name: "cold start",
         span: (0, 4000),
-        troubles: &[THIRD],
+        troubles: &[during((0, 4000), THIRD)],
     },
     Load {
         name: "half of the engines slow, hot subject",
-        span: (4000, 7000),
-        troubles: &[HALF, HOT],
+        span: WARM,
+        troubles: &[during(WARM, HALF), during(WARM, HOT)],
     },
     Load {
         name: "twice as many long prompts",
-        span: (4000, 7000),
-        troubles: &[THIRD, BURST],
+        span: WARM,
+        troubles: &[during(WARM, THIRD), burst(WARM, 0, 2.0)],
     },
     Load {
         name: "one workspace sends long prompts that nobody repeats",
-        span: (4000, 7000),
-        troubles: &[Trouble::Burst {
-            kind: 3,
-            times: 50.0,
-        }],
+        span: WARM,
+        troubles: &[burst(WARM, 3, 50.0)],
+    },
+    Load {
+        name: "mix that changes each second",
+        span: WARM,
+        troubles: &[
+            during(WARM, THIRD),
+            burst((4000, 5000), 0, 3.0),
+            burst((4000, 5000), 2, 0.2),
+            burst((5000, 6000), 0, 0.2),
+            burst((5000, 6000), 2, 4.0),
+            burst((6000, 7000), 0, 3.0),
+            burst((6000, 7000), 2, 0.2),
+        ],
+    },
+    Load {
+        name: "all prompts long",
+        span: WARM,
+        troubles: &[
+            during(WARM, THIRD),
+            burst(WARM, 0, 3.0),
+            burst(WARM, 1, 0.0),
+            burst(WARM, 2, 0.0),
+        ],
+    },
+    Load {
+        name: "half of the engines slow, digests a second late",
+        span: WARM,
+        troubles: &[
+            during(WARM, HALF),
+            during((0, LENGTH), Trouble::LateDigests { by: 1000 }),
+        ],
     },
 ];
 
@@ -84,7 +119,6 @@
         output,
         goal,
     };
-    let (from, to) = span(name);
     let troubles = LOADS.iter().filter(|l| l.name == name);
     let troubles = troubles.flat_map(|l| l.troubles);
     Sheet {
@@ -105,13 +139,7 @@
             kind(216.0, 900, 603, 110, 280, 500),
             kind(1.0, 1_000_000, 12_000, 500, 20, 2000),
         ],
-        troubles: troubles
-            .map(|trouble| Span {
-                from,
-                to,
-                trouble: *trouble,
-            })
-            .collect(),
+        troubles: troubles.copied().collect(),
         length: LENGTH,
         hold: 5000,
         tells_back_offs: true,
