Count connections to an endpoint from when they are begun

Callers saw: nothing here, but an endpoint resets connections beyond those that it accepts, and a request on such a one may or may not have run.

Cause: a request counted against a router's part of an endpoint's connections once it was sent. Requests that were placed while connections opened were not counted, so each opened one more. A process that gets processor time late places many in one turn.

Evidence: lines at each opening, beside 3 to 8 busy loops on the core of the test's binary. Routers knew all 7 routers at all openings, no idle connection was passed over, and one router held up to 67 connections to one endpoint where its part is two.

Change: an endpoint counts connections that are being opened, placement and the hand-off compare the sum with the part. A probe counts as well.

--- a/crates/core/src/gateway/endpoint.rs
+++ b/crates/core/src/gateway/endpoint.rs
@@ -232,6 +232,8 @@
     joined_at: Option<Time>,
     /// Requests of this router in progress there.
     pub own_in_flight: u32,
+    /// Connections of this router that are being opened there.
+    pub own_opening: u32,
     load_report: Option<LoadReport>,
     /// Send time of the newest request whose answer confirmed to this router that the endpoint is
     /// not leaving.
@@ -285,6 +287,7 @@
             seed,
             joined_at,
             own_in_flight: 0,
+            own_opening: 0,
             load_report: None,
             confirmed_at: None,
             confirmed_by_peer_at: None,
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 pub mod brittle;
 pub mod budget;
 pub mod catalog;
+pub mod connections;
 pub mod endpoint;
 pub mod explain;
 pub mod fingerprint;
--- a/crates/core/src/gateway/place/mod.rs
+++ b/crates/core/src/gateway/place/mod.rs
@@ -216,7 +216,7 @@
         is_option(ticket, *k, e)
             && context.is_confirmed(e)
             && !e.backing_off(context.now)
-            && e.own_in_flight < context.share
+            && e.own_connections() < context.share
             && context.spares_brittle(*k, e)
     }));
     let candidates = exclude_unadmitted_cold(context, ticket, candidates);
@@ -276,15 +276,15 @@
     })
 }
 
-/// Tells whether an untried endpoint is excluded because this router has as many requests in progress
-/// there as its share of the endpoint's connections allows.
+/// Tells whether an untried endpoint is excluded because this router has as many connections there
+/// as its share of the endpoint's connections allows.
 pub fn has_full_share(context: &PlacementContext<'_>, ticket: &Ticket) -> bool {
     let mut all = context.registry.of(&ticket.service);
     all.any(|(k, e)| {
         is_option(ticket, k, e)
             && context.is_confirmed(e)
             && !e.backing_off(context.now)
-            && e.own_in_flight >= context.share
+            && e.own_connections() >= context.share
     })
 }
 
--- a/crates/core/src/gateway/place/standing.rs
+++ b/crates/core/src/gateway/place/standing.rs
@@ -205,7 +205,7 @@
         Reason::Unconfirmed
     } else if endpoint.backing_off(context.now) {
         Reason::BackingOff
-    } else if endpoint.own_in_flight >= context.share {
+    } else if endpoint.own_connections() >= context.share {
         Reason::FullShare
     } else if !context.spares_brittle(key, endpoint) {
         Reason::Full
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -346,6 +346,13 @@
         }
     }
 
+    /// Records that a connection to an endpoint is begun, or that it is no longer being opened.
+    pub(super) fn count_opening(&mut self, key: EndpointKey, change: i32) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.own_opening = endpoint.own_opening.saturating_add_signed(change);
+        }
+    }
+
     /// Records the load that an endpoint states.
     pub fn record_load(&mut self, now: Time, key: EndpointKey, load: Load) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
--- a/crates/core/src/gateway/updates.rs
+++ b/crates/core/src/gateway/updates.rs
@@ -42,9 +42,6 @@
 const SUSPENSION_GAP: Millis = Millis(400);
 /// Time after a suspension within which the messages that arrived during it are read.
 const RESUME_DRAIN_TIME: Millis = Millis(100);
-/// Least number of requests that a router may have in progress at one endpoint, however many
-/// routers there are.
-const MIN_CONNECTION_SHARE: u32 = 2;
 
 /// `Change` is one change of the registry.
 #[derive(Clone, Debug)]
@@ -436,16 +433,6 @@
             self.bounds.retry.extra = self.bounds.retry.fleet / self.max_routers.0;
         }
     }
-
-    /// Gets the requests that this router may have in progress at one endpoint of a service: its
-    /// part of the connections that the endpoint accepts. Beyond that limit the endpoint resets new
-    /// connections, and requests sent on them may or may not have run.
-    pub(super) fn connection_share(&self, service: &[u8]) -> u32 {
-        let catalog = self.catalog.as_ref();
-        let service = catalog.and_then(|c| c.service(service));
-        let all = service.map_or(u32::MAX, |s| s.connections);
-        (all / self.routers).max(MIN_CONNECTION_SHARE)
-    }
 }
 
 /// Gets for how long an endpoint of a service stays cold after its start, by the configuration.
--- a/crates/core/tests/gateway/handoff.rs
+++ b/crates/core/tests/gateway/handoff.rs
@@ -416,6 +416,31 @@
     expect_that!(refusal.retry_after, some(gt(Millis(0))));
 }
 
+/// Guards against a new connection for each request of a burst, all placed before the first connection is open.
+#[gtest]
+fn verify_connections_that_are_being_opened_use_up_a_share() {
+    let at = Time(100);
+    let mut gateway = gateway(4);
+    gateway.fleet(at, 50);
+    let mut opening = Vec::new();
+    for _ in 0..8 {
+        let ticket = admitted(&mut gateway, at, "/once/x");
+        let endpoint = place(&mut gateway, at, &ticket);
+        gateway.connection_begun(endpoint);
+        opening.push((ticket, endpoint));
+    }
+    let ticket = admitted(&mut gateway, at, "/once/x");
+    let refusal = gateway.place(at, &ticket, &request("/once/x"));
+    let refusal = refusal.expect_err("its share is used up");
+    expect_that!(refusal.cause, eq(Cause::Overloaded));
+    // One that fails to open is free again, one that is open carries its request.
+    let (mut first, endpoint) = opening.remove(0);
+    gateway.connection_opened(endpoint);
+    expect_that!(place(&mut gateway, at, &ticket), eq(endpoint));
+    gateway.sent(at, &mut first, endpoint);
+    expect_true!(gateway.place(at, &ticket, &request("/once/x")).is_err());
+}
+
 /// Guards against a request that goes from router to router.
 #[gtest]
 fn verify_a_peer_that_has_used_up_its_share_refuses_what_it_is_handed() {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -6,6 +6,7 @@
 
 use std::{
     cell::RefCell,
+    net::SocketAddrV4,
     time::Duration, //
 };
 
@@ -18,9 +19,12 @@
     },
 };
 
-use crate::client::{
-    Connection,
-    Error, //
+use crate::{
+    client::{
+        Connection,
+        Error, //
+    },
+    state::Shared,
 };
 
 /// Longest wait for a new connection. If the endpoint's accept queue is full, TCP sends the SYN again only after a
@@ -78,13 +82,27 @@
             !kept.is_empty() && listed(*endpoint)
         });
     }
+}
+
+/// `Opening` is a connection that is being opened. Dropping it records that it no longer is.
+struct Opening<'a>(&'a Shared, EndpointKey);
 
-    /// Opens a new connection to an endpoint.
-    ///
-    /// # Errors
-    ///
-    /// As [`Connection::open`].
-    pub async fn open(address: std::net::SocketAddrV4) -> Result<Connection, Error> {
-        Connection::open(address, CONNECT_TIMEOUT).await
+impl Drop for Opening<'_> {
+    fn drop(&mut self) {
+        self.0.gateway.borrow_mut().connection_opened(self.1);
     }
 }
+
+/// Opens a new connection to an endpoint at its address.
+///
+/// # Errors
+///
+/// As [`Connection::open`].
+pub async fn open(
+    state: &Shared,
+    (endpoint, address): (EndpointKey, SocketAddrV4),
+) -> Result<Connection, Error> {
+    state.gateway.borrow_mut().connection_begun(endpoint);
+    let _opening = Opening(state, endpoint);
+    Connection::open(address, CONNECT_TIMEOUT).await
+}
--- a/crates/gateway/src/proxied/endpoint.rs
+++ b/crates/gateway/src/proxied/endpoint.rs
@@ -47,7 +47,7 @@
     },
     handoff::PeerConnection,
     log::text,
-    pool::Pool,
+    pool::open,
     protocol::{
         ForwardContext,
         ReplyHead, //
@@ -83,7 +83,7 @@
             endpoint.map(|e| e.entry.address)
         };
         let error = match address {
-            Some(address) => match Pool::open(address).await {
+            Some(address) => match open(&self.state, (placed.endpoint, address)).await {
                 Ok(connection) => {
                     self.state.metrics.count("connections", "opened");
                     return Ok(connection);
--- a/crates/gateway/src/proxied/probe.rs
+++ b/crates/gateway/src/proxied/probe.rs
@@ -20,7 +20,7 @@
 use crate::{
     client::SendOutcome,
     exchange::MAX_BUFFERED_ANSWER_BYTES,
-    pool::Pool,
+    pool::open,
     state::{
         Shared,
         now, //
@@ -44,7 +44,7 @@
 
 /// Calls an endpoint's health check on a new connection. Any answer shows that the way to it is open.
 async fn call_health_check(state: &Shared, probe: Probe) -> Option<()> {
-    let mut connection = Pool::open(probe.address).await.ok()?;
+    let mut connection = open(state, (probe.endpoint, probe.address)).await.ok()?;
     let mut request = Request::new(Full::default());
     *request.uri_mut() = Uri::try_from(probe.health.as_ref()).ok()?;
     let host = HeaderValue::try_from(probe.address.to_string()).ok()?;
