--- a/crates/core/src/gateway/fleet/updates/shares.rs
+++ b/crates/core/src/gateway/fleet/updates/shares.rs
@@ -21,9 +21,6 @@
 /// partitions between data centres last seconds; routers that have left for good reduce the others'
 /// parts for this long.
 const MAX_ROUTERS_TTL: Millis = Millis(30_000);
-/// Least number of requests that a router may have in progress at one endpoint, however many
-/// routers there are.
-const MIN_CONNECTION_SHARE: u32 = 2;
 
 impl Gateway {
     /// Sets the number of routers that share the fleet's extra retries and the connections of
@@ -98,14 +95,4 @@
             self.bounds.retry.extra = self.bounds.retry.fleet / self.max_routers.0;
         }
     }
-
-    /// Gets the requests that this router may have in progress at one endpoint of a service: its
-    /// part of the connections that the endpoint accepts. Beyond that limit the endpoint resets new
-    /// connections, and requests sent on them may or may not have run.
-    pub(in crate::gateway) fn connection_share(&self, service: &[u8]) -> u32 {
-        let catalog = self.catalog.as_ref();
-        let service = catalog.and_then(|c| c.service(service));
-        let all = service.map_or(u32::MAX, |s| s.connections);
-        (all / self.routers).max(MIN_CONNECTION_SHARE)
-    }
 }
--- a/crates/core/src/gateway/limits/mod.rs
+++ b/crates/core/src/gateway/limits/mod.rs
@@ -6,7 +6,9 @@
 //! - [`budget`]: retries, as a share of a service's requests.
 //! - [`warmup`]: requests to an endpoint that is cold.
 //! - [`brittle`]: requests that an endpoint has to turn away.
+//! - `connections`: this router's part of the connections that an endpoint accepts.
 
 pub mod brittle;
 pub mod budget;
+mod connections;
 pub mod warmup;
