Play expected waits beside lost, crowded and cut-off routers

The laboratory's tests of expected waits had a cut router and a restart at 7 routers, and late or absent digests in a cold start at 122 with nothing to gain. New: digests absent and a second late, a third of the routers cut off (7, 122, 300), a router lost in the middle, all started at once (122), seven of ten requests at one router; each asks for a gain that is there only with the part (it fails where it is off), and for no growth over the load multiple.

The sheet has three more troubles (a router lost alone, one that most requests come to, several cut off); the plays of other sheets draw the same random numbers as before.

--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -343,12 +343,22 @@
                 self.routers[number] = router(self.sheet, now, self.rng.random());
             }
         }
+        let (before, lost_router) = (self.lost_router(now - 1), self.lost_router(now));
+        if lost_router != before {
+            if let Some(number) = lost_router {
+                self.lose_router(number);
+            }
+            if let Some(number) = before {
+                self.routers[number] = router(self.sheet, now, self.rng.random());
+            }
+        }
         while let Some(mut due) = self.next.remove(&now) {
             for next in due.drain(..) {
                 match next {
                     Next::Try(number) if lost => self.later(now + RETRY, Next::Try(number)),
                     Next::Try(number) => self.place(now, number),
                     Next::Arrive(number, engine) => self.arrive(now, number, engine),
+                    Next::Hear(who, ..) if lost_router == Some(who) => {}
                     Next::Hear(who, contents, samples) => {
                         let router = &mut self.routers[who];
                         router.record_peer_report(Time(now), &contents.reports);
@@ -371,8 +381,44 @@
         }
     }
 
+    /// Forgets what one router had under way.
+    fn lose_router(&mut self, number: usize) {
+        let there = |r: &&mut Request| r.router == number;
+        for request in self.requests.iter_mut().filter(there) {
+            request.ticket = None;
+        }
+    }
+
+    /// Gets the router that is lost at a time.
+    fn lost_router(&self, now: u64) -> Option<usize> {
+        self.sheet.at(now).find_map(|t| match t {
+            Trouble::RouterLost { router } => Some(router),
+            _ => None,
+        })
+    }
+
+    /// Draws the router that a request comes to.
+    fn draw_router(&mut self, now: u64) -> usize {
+        let crowded = self.sheet.at(now).find_map(|t| match t {
+            Trouble::Crowded { router, share } => Some((router, share)),
+            _ => None,
+        });
+        if let Some((router, share)) = crowded
+            && self.rng.random_bool(share)
+        {
+            return router;
+        }
+        let lost = self.lost_router(now);
+        loop {
+            let drawn = self.rng.random_range(0..self.routers.len());
+            if lost != Some(drawn) {
+                return drawn;
+            }
+        }
+    }
+
     fn place(&mut self, now: u64, number: usize) {
-        let who = self.rng.random_range(0..self.routers.len());
+        let who = self.draw_router(now);
         let router = &mut self.routers[who];
         let at = Time(now);
         router.record_registry_read(at, at);
@@ -682,11 +728,11 @@
 
     /// Tells whether no digest passes between two routers.
     fn is_cut(&self, now: u64, from: usize, to: usize) -> bool {
-        let mut cut = self.sheet.at(now).filter_map(|t| match t {
-            Trouble::CutOff { router } => Some(router),
-            _ => None,
-        });
-        cut.any(|router| router == from || router == to)
+        self.sheet.at(now).any(|t| match t {
+            Trouble::CutOff { router } => router == from || router == to,
+            Trouble::CutOffMany { routers } => from.min(to) < routers,
+            _ => false,
+        })
     }
 
     fn says_leaving(&self, now: u64, engine: usize) -> bool {
@@ -836,8 +882,10 @@
             _ => None,
         });
         let late = late.unwrap_or_default();
+        let lost = self.lost_router(now);
         for who in 0..self.routers.len() {
-            if !(now + who as u64 * GOSSIP_INTERVAL.0 / routers).is_multiple_of(GOSSIP_INTERVAL.0) {
+            let turn = now + who as u64 * GOSSIP_INTERVAL.0 / routers;
+            if !turn.is_multiple_of(GOSSIP_INTERVAL.0) || lost == Some(who) {
                 continue;
             }
             let router = &mut self.routers[who];
--- a/crates/replay/src/lab/sheet.rs
+++ b/crates/replay/src/lab/sheet.rs
@@ -90,6 +90,24 @@
         /// Which router.
         router: usize,
     },
+    /// Each of so many routers hears no digests, and nobody hears theirs.
+    CutOffMany {
+        /// How many.
+        routers: usize,
+    },
+    /// One router is lost with all that it has under way, and starts again, knowing nothing, at the end; its callers go
+    /// to others.
+    RouterLost {
+        /// Which router.
+        router: usize,
+    },
+    /// A part of the requests comes to one router, beside its share of the others.
+    Crowded {
+        /// Which router.
+        router: usize,
+        /// Which part.
+        share: f64,
+    },
     /// Digests arrive so many milliseconds late.
     LateDigests {
         /// Milliseconds.
--- a/crates/replay/tests/lab_waits.rs
+++ b/crates/replay/tests/lab_waits.rs
@@ -14,6 +14,10 @@
 
 const COLD: &str = "cold start";
 const SLOW: &str = "half of the engines slow, hot subject";
+/// Seeds that are put together where a single one says little.
+const SEEDS: u64 = 6;
+/// Share of the requests of these seeds by which two ways differ by chance.
+const CHANCE: f64 = 0.002;
 /// Largest share of requests that may reach engines over the published load multiple.
 const MULTIPLE: f64 = 0.03;
 
@@ -98,3 +102,107 @@
     println!("restart {without:.3}, {with:.3}");
     expect_that!(with, ge(without + 0.04));
 }
+
+/// Most by which the share of requests over the multiple may grow where it is over already.
+const MULTIPLE_GROWTH: f64 = 0.005;
+
+/// Plays slow engines beside a failure, without and with expected waits; expects as much more on time.
+fn expect_gain((size, gain): ((usize, usize), f64), failure: &[Span]) {
+    let played = |stated: bool| {
+        let mut sheet = uneven::sheet(size.0, size.1, SLOW);
+        let (from, to) = uneven::span(SLOW);
+        sheet.troubles.extend_from_slice(failure);
+        sheet
+            .troubles
+            .extend(stated.then_some(always(Trouble::Stated)));
+        let account = play(&sheet, 1);
+        let (multiple, _) = account.worst_multiple_since(2000);
+        (account.on_time(from, to), multiple)
+    };
+    let (without, with) = (played(false), played(true));
+    println!("{size:?}, {:?}: {without:.3?}, {with:.3?}", failure.first());
+    expect_that!(with.0, ge(without.0 + gain), "{size:?}, {failure:?}");
+    let most = MULTIPLE.max(without.1 + MULTIPLE_GROWTH);
+    expect_that!(with.1, le(most), "{size:?}, {failure:?}");
+}
+
+fn always(trouble: Trouble) -> Span {
+    Span {
+        from: 0,
+        to: uneven::LENGTH,
+        trouble,
+    }
+}
+
+/// Guards against placement that needs digests: a router knows its own unanswered requests.
+#[gtest]
+fn verify_slow_engines_are_avoided_without_digests_and_with_old_reports() {
+    for by in [60_000, 1000] {
+        let late = [always(Trouble::LateDigests { by })];
+        expect_gain(((7, 12), 0.04), &late);
+        expect_gain(((122, 90), 0.005), &late);
+    }
+}
+
+/// Guards against a third of the routers that is cut off from all others and loses the gain, or takes it from them.
+#[gtest]
+fn verify_slow_engines_are_avoided_while_a_third_of_the_routers_is_cut_off() {
+    let sizes = [((7_usize, 12), 0.03), ((122, 90), 0.03), ((300, 220), 0.01)];
+    for (size, gain) in sizes {
+        let routers = size.0.div_ceil(3);
+        expect_gain((size, gain), &[always(Trouble::CutOffMany { routers })]);
+    }
+}
+
+/// Guards against a router that is lost amid slow engines: its unanswered requests must not be waited for by others.
+#[gtest]
+fn verify_slow_engines_are_avoided_as_a_router_is_lost() {
+    let lost = [Span {
+        from: 4500,
+        to: 5500,
+        trouble: Trouble::RouterLost { router: 0 },
+    }];
+    expect_gain(((7, 12), 0.05), &lost);
+    expect_gain(((122, 90), 0.05), &lost);
+}
+
+/// Guards against a fleet that starts at once amid slow engines and knows no waits.
+#[gtest]
+fn verify_slow_engines_are_avoided_as_all_routers_start_at_once() {
+    let restart = [Span {
+        from: 3900,
+        to: 4000,
+        trouble: Trouble::Lost,
+    }];
+    expect_gain(((122, 90), 0.04), &restart);
+}
+
+/// Guards against one router that most connections go to, and that all others know little of.
+#[gtest]
+fn verify_slow_engines_are_avoided_while_most_requests_come_to_one_router() {
+    let crowded = [always(Trouble::Crowded {
+        router: 0,
+        share: 0.7,
+    })];
+    expect_gain(((7, 12), 0.1), &crowded);
+    expect_gain(((122, 90), 0.02), &crowded);
+}
+
+/// Guards against a load that expected waits make worse: seeds are put together, as one is chance.
+#[gtest]
+fn verify_no_mix_of_lengths_is_worse_with_expected_waits() {
+    for load in uneven::LOADS {
+        let (from, to) = load.span;
+        let mean = |stated: bool| {
+            let mut sheet = uneven::sheet(7, 12, load.name);
+            sheet
+                .troubles
+                .extend(stated.then_some(always(Trouble::Stated)));
+            let on_time = (1..=SEEDS).map(|seed| play(&sheet, seed).on_time(from, to));
+            on_time.sum::<f64>() / SEEDS as f64
+        };
+        let (without, with) = (mean(false), mean(true));
+        println!("{}: {without:.4}, {with:.4}", load.name);
+        expect_that!(with, ge(without - CHANCE), "{}", load.name);
+    }
+}
