Explain what the quarantine holds a request back for

A recorded request that was held back before it was placed (620 to 622 without a 610) could not be asked for at all, and of one that was placed the logged parts and content were ignored.

GET /explain takes content (the fingerprint, as events 611 and 621 have it) and hashes (of the shared parts, as 611 and 622 have them); the answer has held: content or part, its place, the endpoints that ended, how long ago and who saw it, and the time until a trial. The quarantine's own functions decide; no trial is counted. A content of another workspace is 404. No key is taken, and the question is not logged, as before.

Tests: the explained refusal is the one that place gives for the same content, and nothing is recorded (core); over HTTP, with malformed values; hashes choose as parts do; the command's questions and lines. toucanturn-core gateway explain, toucanturn-platform path explain and toucanturn cli explain_gateway passed.

--- a/crates/core/src/gateway/explain/answer.rs
+++ b/crates/core/src/gateway/explain/answer.rs
@@ -3,9 +3,12 @@
 use serde::Serialize;
 
 use crate::{
-    gateway::place::{
-        Decision,
-        Reason, //
+    gateway::{
+        explain::held::Held,
+        place::{
+            Decision,
+            Reason, //
+        },
     },
     units::Millis,
 };
@@ -133,6 +136,8 @@
     pub wait: Option<Wait>,
     /// The refusal; `None` if it would be sent.
     pub refusal: Option<Denial>,
+    /// What the quarantine holds it back for, or lets it through for as a trial.
+    pub held: Vec<Held>,
     /// The other endpoints of the service, those that may be chosen first.
     pub others: Vec<Other>,
     /// Those beyond [`super::MAX_DESCRIBED`].
--- a/crates/core/src/gateway/explain/mod.rs
+++ b/crates/core/src/gateway/explain/mod.rs
@@ -2,14 +2,15 @@
 //!
 //! [`Gateway::explain`] decides as [`Gateway::admit`] and [`Gateway::place`] do, by the same functions,
 //! and changes nothing: it records no request and draws no random number. A hash of the query stands
-//! in for the draw. What it can't know is the request's content, which the quarantine may hold back.
+//! in for the draw. A request's content is not sent to it, only the fingerprint that a log line names.
 
 use std::sync::Arc;
 
 use bytes::Bytes;
 use snafu::{
     OptionExt,
-    Snafu, //
+    Snafu,
+    ensure, //
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -27,6 +28,7 @@
             Catalog,
             Workspace, //
         },
+        fingerprint::Fingerprint,
         incoming_request::{
             IncomingRequest,
             Prompt, //
@@ -37,7 +39,10 @@
             PlacementContext,
             Standing, //
         },
-        quarantine,
+        quarantine::{
+            self,
+            contents, //
+        },
         refusal::{
             Cause,
             Refusal, //
@@ -53,6 +58,7 @@
 };
 
 mod answer;
+mod held;
 
 pub use answer::{
     Choice,
@@ -62,6 +68,11 @@
     Other,
     Wait, //
 };
+pub use held::{
+    Ended,
+    Ground,
+    Held, //
+};
 
 /// Most endpoints beside the chosen one that an explanation describes; of the others it gives the names and
 /// reasons. With more, an answer would cost a router more than a request does.
@@ -94,6 +105,8 @@
     pub prompt: Option<Prompt>,
     /// How long the caller waits.
     pub deadline: Option<Millis>,
+    /// Fingerprint of its content, as log lines name it; `None` if it is not known.
+    pub content: Option<Fingerprint>,
 }
 
 /// `Error` says which name of a query is not in the configuration in force.
@@ -108,6 +121,9 @@
     /// No workspace.
     #[snafu(display("no published workspace has this name"))]
     Workspace,
+    /// A content of another workspace's request.
+    #[snafu(display("the content is that of another workspace's request"))]
+    Content,
 }
 
 impl Gateway {
@@ -152,7 +168,11 @@
         };
         let workspace = workspace.cloned();
         let version = catalog.version;
-        let ticket = Ticket::new(now, version, route, service, workspace, &incoming_request);
+        let mut ticket = Ticket::new(now, version, route, service, workspace, &incoming_request);
+        let content = query.content;
+        let is_own = content.is_none_or(|c| u64::from(c.workspace) == ticket.workspace_tag());
+        ensure!(is_own, ContentSnafu);
+        ticket.content = content;
         let context = self.placement_context(now, &ticket, draw);
         let prompt = query.prompt.as_ref();
         let placed = self.foresee(&context, catalog, &ticket, prompt);
@@ -172,6 +192,7 @@
             version,
             unreached_ms: outage.map(|o| now.since(o.since)),
             admitted: self.admitted_part(now, &ticket),
+            held: self.held(now, &ticket, prompt),
             more: self.more(unchosen.clone().skip(MAX_DESCRIBED)),
             others: unchosen
                 .take(MAX_DESCRIBED)
@@ -252,6 +273,13 @@
             let left = held.verdict.left.max(quarantine::MIN_RETRY_AFTER);
             return Err(Refusal::part_quarantined(left, false));
         }
+        let held_content = self.verdict(now, ticket);
+        if let Some(held) = &held_content
+            && !contents::may_try(held, context.draw, self.routers)
+        {
+            let left = held.left.max(quarantine::MIN_RETRY_AFTER);
+            return Err(Refusal::quarantined(left, false));
+        }
         let Some(placed) = place::choose(context, ticket, prompt) else {
             let cause = match refuse_unplaced(context, ticket) {
                 Ok(refusal) => return Err(refusal),
@@ -267,7 +295,7 @@
         let engines_share = catalog.engines_share_cache(&ticket.service);
         Ok(Placed {
             holder: placed.holder.filter(|_| engines_share),
-            trial: held.is_some(),
+            trial: held.is_some() || held_content.is_some(),
             ..placed
         })
     }
--- a/crates/core/src/gateway/quarantine/contents.rs
+++ b/crates/core/src/gateway/quarantine/contents.rs
@@ -253,8 +253,7 @@
         draw: u64,
         routers: u32,
     ) -> bool {
-        let chosen = draw.is_multiple_of(u64::from(routers.max(1)) * TRIAL_ODDS_PER_ROUTER);
-        if verdict.left > Millis(0) || !chosen {
+        if !may_try(verdict, draw, routers) {
             return false;
         }
         if let Some(suspect) = self.table.get_mut(request) {
@@ -293,6 +292,12 @@
     }
 }
 
+/// Tells whether a request would be admitted as a trial; see [`Quarantine::admit_trial`].
+pub(in crate::gateway) fn may_try(verdict: &Verdict, draw: u64, routers: u32) -> bool {
+    let chosen = draw.is_multiple_of(u64::from(routers.max(1)) * TRIAL_ODDS_PER_ROUTER);
+    verdict.left == Millis(0) && chosen
+}
+
 /// Returns the priority tier for digests. Tier 0 has requests that peers must quarantine, and those
 /// that they must not because they were answered repeatedly. A single answer does not count, as
 /// most requests are never repeated.
--- a/crates/core/tests/gateway/explain.rs
+++ b/crates/core/tests/gateway/explain.rs
@@ -15,10 +15,15 @@
         explain::{
             Error,
             Explanation,
+            Ground,
             MAX_DESCRIBED,
             Query,
             Target, //
         },
+        fingerprint::{
+            self,
+            Fingerprint, //
+        },
         incoming_request::IncomingRequest,
         outcome::AttemptOutcome,
         place::{
@@ -58,6 +63,7 @@
         workspace: Some(Bytes::from_static(b"one")),
         prompt: shared.map(|shared| prompt(shared, 900_000)),
         deadline: Some(Millis(3000)),
+        content: None,
     }
 }
 
@@ -323,26 +329,90 @@
     expect_that!(unready.map(|r| r.cause), some(eq("not_ready")));
 }
 
-#[gtest]
-fn verify_a_part_that_crashed_endpoints_is_refused_without_a_trial() {
-    let mut gateway = gateway(8);
+/// Makes three endpoints end while a request with the part 77 and this content is in progress there; others are
+/// answered in between.
+fn end_endpoints(gateway: &mut Gateway, content: Option<Fingerprint>) {
     for n in 0..3 {
         let now = Time(1000 + n * 700);
         gateway.record_registry_read(now, now);
-        let (mut sound, _) = send(&mut gateway, now, Some(50)).expect("it is placed");
+        let (mut sound, _) = send(gateway, now, Some(50)).expect("it is placed");
         let endpoint = sound.tried[0];
         gateway.ended(now, &mut sound, endpoint, AttemptOutcome::Answered);
-        let (mut fatal, name) = send(&mut gateway, now, Some(77)).expect("it is placed");
+        let (mut fatal, name) = send(gateway, now, Some(77)).expect("it is placed");
+        fatal.content = content;
         let endpoint = fatal.tried[0];
         gateway.ended(now, &mut fatal, endpoint, AttemptOutcome::Broken);
         gateway.apply_changes(now, vec![Change::Removed(Bytes::from(name))]);
     }
     gateway.record_registry_read(Time(3000), Time(3000));
-    expect_true!(explain(&gateway, Time(3000), Some(50)).choice.is_some());
-    let refusal = explain(&gateway, Time(3000), Some(77)).refusal;
-    let refusal = refusal.expect("the part is held back");
+}
+
+fn content_of(workspace: &'static str, content: u64) -> Fingerprint {
+    let name = Bytes::from_static(workspace.as_bytes());
+    Fingerprint {
+        workspace: fingerprint::workspace(Some(&name)),
+        content,
+    }
+}
+
+/// Guards against a refusal for a part that names neither the part nor the endpoints that ended.
+#[gtest]
+fn verify_a_part_that_crashed_endpoints_is_refused_without_a_trial() {
+    let mut gateway = gateway(8);
+    end_endpoints(&mut gateway, None);
+    let sound = explain(&gateway, Time(3000), Some(50));
+    expect_true!(sound.choice.is_some());
+    expect_that!(sound.held, is_empty());
+    let explained = explain(&gateway, Time(3000), Some(77));
+    let refusal = explained.refusal.expect("the part is held back");
     expect_that!(refusal.cause, eq("part_quarantined"));
     expect_that!(refusal.retry_after_ms, some(gt(Millis(0))));
+    expect_that!(explained.held, len(eq(1)));
+    let held = &explained.held[0];
+    expect_that!(held.by, eq(Ground::PromptPart));
+    expect_that!(held.part.as_deref(), some(eq("000000000000004d")));
+    expect_that!(held.place, some(eq(2)));
+    expect_that!(held.left_ms, gt(Millis(0)));
+    let ages: Vec<Millis> = held.crashes.iter().map(|c| c.age_ms).collect();
+    expect_that!(ages, eq(&[Millis(2000), Millis(1300), Millis(600)]));
+    expect_true!(held.crashes.iter().all(|c| c.observed_here));
+}
+
+/// Guards against an explanation that names an endpoint for a request whose content is held back, and against
+/// one workspace's content that is told to another one's request.
+#[gtest]
+fn verify_a_content_that_crashed_endpoints_is_refused_as_it_is_when_it_comes() {
+    let mut gateway = gateway(8);
+    let fatal = content_of("one", 9);
+    end_endpoints(&mut gateway, Some(fatal));
+    let asked = |content| Query {
+        content: Some(content),
+        ..query(Some(50))
+    };
+    let before = format!("{gateway:?}");
+    let explained = gateway.explain(Time(3000), &asked(fatal)).expect("known");
+    expect_true!(before == format!("{gateway:?}"), "nothing is recorded");
+    let denial = explained.refusal.expect("the content is held back");
+    expect_that!(denial.cause, eq("quarantined"));
+    expect_that!(explained.choice, none());
+    let held = &explained.held[0];
+    expect_that!(held.by, eq(Ground::Content));
+    expect_that!(held.part, none());
+    expect_that!(held.crashes, len(eq(3)));
+    let other = gateway.explain(Time(3000), &asked(content_of("one", 10)));
+    let other = other.expect("known");
+    expect_true!(other.choice.is_some());
+    expect_that!(other.held, is_empty());
+    let foreign = gateway.explain(Time(3000), &asked(content_of("two", 9)));
+    expect_that!(foreign, err(eq(&Error::Content)));
+
+    let incoming = named(Some(50));
+    let mut ticket = gateway.admit(Time(3000), &incoming).expect("admitted");
+    ticket.content = Some(fatal);
+    let refused = gateway.place(Time(3000), &ticket, &incoming);
+    let refused = refused.expect_err("held back");
+    expect_that!(refused.cause.to_string(), eq(&denial.cause));
+    expect_that!(refused.retry_after, eq(denial.retry_after_ms));
 }
 
 #[gtest]
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -8,7 +8,11 @@
             Query,
             Target, //
         },
-        incoming_request::Prompt, //
+        fingerprint::Fingerprint,
+        incoming_request::{
+            Part,
+            Prompt, //
+        },
     },
     units::Millis, //
 };
@@ -25,6 +29,8 @@
 pub(crate) const PATH: &str = "/explain";
 /// Most bytes of a question; a longer one is refused. 64 parts of a prompt take some 3 KB.
 const MAX_QUERY_BYTES: usize = 8192;
+/// Most hashes of shared parts: prompts have 64 parts at most, and the last one is not shared.
+const MAX_HASHES: usize = 63;
 
 /// `Fields` is the parameters of a question as text.
 #[derive(Debug, Default)]
@@ -37,6 +43,8 @@
     parts: Option<String>,
     tokens: Option<String>,
     deadline: Option<String>,
+    hashes: Option<String>,
+    content: Option<String>,
 }
 
 /// Answers a question in JSON.
@@ -76,24 +84,69 @@
         target,
         service: bytes(fields.service),
         workspace: bytes(fields.workspace),
-        prompt: prompt(protocol, fields.parts.as_deref(), fields.tokens.as_deref())?,
+        prompt: prompt(
+            parts(protocol, fields.parts.as_deref(), fields.hashes.as_deref())?,
+            fields.tokens.as_deref(),
+        )?,
         deadline: fields
             .deadline
             .map(|text| number(&text).map(|ms| Millis(ms.into())))
             .transpose()
             .map_err(|()| "expected deadline to be milliseconds")?,
+        content: match fields.content {
+            Some(text) => {
+                Some(fingerprint(&text).ok_or("expected content to be 24 hexadecimal digits")?)
+            }
+            None => None,
+        },
     })
 }
 
-fn prompt(
+/// Gets the parts of a prompt, as a caller names them, or the shared ones by their hashes, as log lines do.
+fn parts(
     protocol: &ProtocolAdapter,
-    parts: Option<&str>,
-    tokens: Option<&str>,
-) -> Result<Option<Prompt>, &'static str> {
+    named: Option<&str>,
+    hashes: Option<&str>,
+) -> Result<Option<Vec<Part>>, &'static str> {
+    match (named, hashes) {
+        (Some(_), Some(_)) => Err("expected either parts or hashes"),
+        (Some(list), None) => (protocol.parse_parts)(list).map(Some),
+        (None, Some(list)) => {
+            let malformed = "expected at most 63 hashes of 16 hexadecimal digits, with commas";
+            let part = |id| Part { id, tokens: 0 };
+            let hashes = list.split(',').map(|text| hexadecimal(text, 16).map(part));
+            let mut parts: Vec<Part> = hashes.collect::<Option<_>>().ok_or(malformed)?;
+            if parts.len() > MAX_HASHES {
+                return Err(malformed);
+            }
+            // The last part is the request's own, which no log line names.
+            parts.push(part(0));
+            Ok(Some(parts))
+        }
+        (None, None) => Ok(None),
+    }
+}
+
+/// Parses the fingerprint of a content as log lines write it.
+fn fingerprint(text: &str) -> Option<Fingerprint> {
+    let (workspace, content) = text.split_at_checked(8)?;
+    Some(Fingerprint {
+        workspace: u32::try_from(hexadecimal(workspace, 8)?).ok()?,
+        content: hexadecimal(content, 16)?,
+    })
+}
+
+/// Parses so many hexadecimal digits.
+fn hexadecimal(text: &str, digits: usize) -> Option<u64> {
+    let is_plain = text.len() == digits && text.bytes().all(|b| b.is_ascii_hexdigit());
+    let number = u64::from_str_radix(text, 16).ok();
+    number.filter(|_| is_plain)
+}
+
+fn prompt(parts: Option<Vec<Part>>, tokens: Option<&str>) -> Result<Option<Prompt>, &'static str> {
     if parts.is_none() && tokens.is_none() {
         return Ok(None);
     }
-    let parts = parts.map(protocol.parse_parts).transpose()?;
     let parts = parts.unwrap_or_default();
     let sum = parts
         .iter()
@@ -136,6 +189,8 @@
             "parts" => &mut fields.parts,
             "tokens" => &mut fields.tokens,
             "deadline" => &mut fields.deadline,
+            "hashes" => &mut fields.hashes,
+            "content" => &mut fields.content,
             _ => return Err("a parameter is not one of those that explain takes"),
         };
         let value = decode(value).ok_or("a value is not percent-encoded UTF-8")?;
--- a/crates/toucanturn/src/args.rs
+++ b/crates/toucanturn/src/args.rs
@@ -141,6 +141,12 @@
     /// At a gateway: the parts of the prompt, HEX:TOKENS separated by commas.
     #[options(no_short, meta = "LIST")]
     pub(crate) parts: Option<String>,
+    /// At a gateway: hashes of the prompt's shared parts as logs have them, separated by commas, instead of --parts.
+    #[options(no_short, meta = "LIST")]
+    pub(crate) hashes: Option<String>,
+    /// At a gateway: the fingerprint of the request's content, as logs have it.
+    #[options(no_short, meta = "HEX")]
+    pub(crate) content: Option<String>,
     /// At a gateway: the tokens of the prompt, and after a comma the most of the output.
     #[options(no_short, meta = "N")]
     pub(crate) tokens: Option<String>,
--- a/crates/toucanturn/src/explain/gateway.rs
+++ b/crates/toucanturn/src/explain/gateway.rs
@@ -6,7 +6,6 @@
 use serde::Deserialize;
 use serde_json::Value;
 use snafu::{
-    OptionExt,
     ResultExt,
     ensure, //
 };
@@ -23,15 +22,15 @@
         Error,
         Result,
         UnexplainedSnafu,
-        UnrecordedSnafu,
         ValueSnafu, //
     },
-    output, trace,
+    explain::recorded::{
+        Recorded,
+        recorded, //
+    },
+    output,
 };
 
-/// Event of a request that was placed.
-const PLACED: u64 = 610;
-
 /// `Choice` is the part of the answer on the chosen endpoint.
 #[derive(Debug, Deserialize)]
 struct Choice {
@@ -67,6 +66,24 @@
     retry_after_ms: Option<u64>,
 }
 
+/// `Held` is the part of the answer on one thing that the quarantine holds the request back for.
+#[derive(Debug, Deserialize)]
+struct Held {
+    by: String,
+    part: Option<String>,
+    place: Option<u64>,
+    left_ms: u64,
+    crashes: Vec<Ended>,
+}
+
+/// `Ended` is an endpoint that ended while such a request was in progress there.
+#[derive(Debug, Deserialize)]
+struct Ended {
+    endpoint: String,
+    age_ms: u64,
+    observed_here: bool,
+}
+
 /// `Other` is the part of the answer on another endpoint.
 #[derive(Debug, Deserialize)]
 struct Other {
@@ -103,6 +120,8 @@
     choice: Option<Choice>,
     wait: Option<Wait>,
     refusal: Option<Denial>,
+    #[serde(default)]
+    held: Vec<Held>,
     others: Vec<Other>,
     more: Vec<Group>,
 }
@@ -133,7 +152,7 @@
         output::print_json(&raw)?;
     } else {
         output::print(&text(&explanation))?;
-        if args.id.is_some() && args.parts.is_none() {
+        if args.id.is_some() && !path.contains("&parts=") && !path.contains("&hashes=") {
             output::print("\nThe log names no parts; a prompt goes by its parts. See --parts.\n")?;
         }
     }
@@ -151,6 +170,8 @@
         &args.path,
         &args.service,
         &args.parts,
+        &args.hashes,
+        &args.content,
         &args.tokens,
         &args.deadline,
         &args.id,
@@ -191,7 +212,14 @@
         let message = "explain: expected either --route NAME, or --host HOST and --path PATH, or --id ID and --log FILE";
         return Err(Error::usage(message));
     }
+    if args.parts.is_some() && args.hashes.is_some() {
+        let message = "explain: expected either --parts or --hashes";
+        return Err(Error::usage(message));
+    }
     let tokens = args.tokens.clone().or(recorded.prompt);
+    let recorded_hashes = recorded.hashes.filter(|_| args.parts.is_none());
+    let hashes = args.hashes.clone().or(recorded_hashes);
+    let content = args.content.clone().or(recorded.content);
     let fields = [
         ("route", route),
         ("host", args.host.clone()),
@@ -207,6 +235,19 @@
                 is_parts,
             )?,
         ),
+        (
+            "hashes",
+            checked(
+                "--hashes",
+                "16 hexadecimal digits each, separated by commas",
+                &hashes,
+                is_hashes,
+            )?,
+        ),
+        (
+            "content",
+            checked("--content", "24 hexadecimal digits", &content, is_content)?,
+        ),
         (
             "tokens",
             checked(
@@ -228,34 +269,6 @@
     Ok(format!("/explain?{}", given.collect::<Vec<_>>().join("&")))
 }
 
-/// `Recorded` is what a log says of a request.
-#[derive(Debug, Default)]
-struct Recorded {
-    route: Option<String>,
-    workspace: Option<String>,
-    prompt: Option<String>,
-}
-
-/// Reads what the logs say of a request when it was last placed.
-fn recorded(args: &Explain, id: &str) -> Result<Recorded> {
-    let lines = trace::read(&args.log)?;
-    let placed = |l: &&trace::Line| l.event == PLACED && trace::names(l, id);
-    let line = lines.iter().rev().find(placed);
-    let line = line.context(UnrecordedSnafu { id })?;
-    let text = |name: &str| {
-        line.fields
-            .get(name)
-            .and_then(Value::as_str)
-            .map(str::to_owned)
-    };
-    let prompt = line.fields.get("prompt").and_then(Value::as_u64);
-    Ok(Recorded {
-        route: text("route"),
-        workspace: text("workspace"),
-        prompt: prompt.map(|tokens| tokens.to_string()),
-    })
-}
-
 fn checked(
     what: &'static str,
     expected: &'static str,
@@ -292,6 +305,18 @@
         .all(|part| part.split_once(':').is_some_and(is_part))
 }
 
+fn is_hashes(text: &str) -> bool {
+    text.split(',').all(|hash| is_hexadecimal(hash, 16))
+}
+
+fn is_content(text: &str) -> bool {
+    is_hexadecimal(text, 24)
+}
+
+fn is_hexadecimal(text: &str, digits: usize) -> bool {
+    text.len() == digits && text.bytes().all(|b| b.is_ascii_hexdigit())
+}
+
 /// Encodes a value for a query (RFC 3986, section 2.1).
 fn encode(value: &str) -> String {
     let mut encoded = String::with_capacity(value.len());
@@ -322,6 +347,7 @@
         };
         about.push(("refused", format!("not run: {cause}; {retry}")));
     }
+    about.extend(e.held.iter().map(|held| ("held for", held_line(held))));
     if let Some(choice) = &e.choice {
         about.extend(choice_lines(choice));
     }
@@ -414,6 +440,31 @@
     lines
 }
 
+fn held_line(held: &Held) -> String {
+    let what = match (held.by.as_str(), &held.part) {
+        (_, Some(part)) => {
+            let place = held.place.map(|place| format!(", number {place}"));
+            format!("part {part}{}", place.unwrap_or_default())
+        }
+        ("content", None) => "its content".to_owned(),
+        (other, None) => other.replace('_', " "),
+    };
+    let ended = held.crashes.iter().map(|crash| {
+        let by = if crash.observed_here {
+            "here"
+        } else {
+            "elsewhere"
+        };
+        format!("{} {} ms ago, seen {by}", crash.endpoint, crash.age_ms)
+    });
+    let ended: Vec<String> = ended.collect();
+    format!(
+        "{what}: endpoints ended: {}; a trial after {} ms at the earliest",
+        ended.join("; "),
+        held.left_ms
+    )
+}
+
 fn wait_line(wait: &Wait) -> String {
     let last = match (wait.last_ms, wait.last_age_ms) {
         (Some(ms), Some(age)) => format!("; the last one began after {ms} ms, {age} ms ago"),
--- a/crates/toucanturn/src/explain/mod.rs
+++ b/crates/toucanturn/src/explain/mod.rs
@@ -36,6 +36,7 @@
 
 mod chat;
 mod gateway;
+mod recorded;
 mod report;
 mod subject;
 
--- a/crates/toucanturn/tests/cli/explain_gateway.rs
+++ b/crates/toucanturn/tests/cli/explain_gateway.rs
@@ -119,9 +119,72 @@
     expect_that!(asked, eq(""));
 }
 
+/// Guards against a held-back request whose cause is in the log but not in the question, or not told.
+#[gtest]
+fn verify_a_held_back_request_is_asked_for_with_its_content_and_parts() {
+    let files = Files::new();
+    let line = |event: u64, id: &str, fields: Value| {
+        let mut line = json!({"timestamp": "2026-01-01T00:00:00Z", "level": "WARN",
+            "message": "m", "event": event, "id": id});
+        for (name, value) in fields.as_object().into_iter().flatten() {
+            line[name] = value.clone();
+        }
+        line.to_string()
+    };
+    let content = "0102030405060708090a0b0c";
+    let part = "00000000000000aa";
+    let both = "00000000000000aa,00000000000000bb";
+    let by = json!({"route": "chat", "workspace": "one", "cause": "quarantined"});
+    let lines = [
+        line(
+            610,
+            "a1",
+            json!({"route": "chat", "workspace": "one", "prompt": 850}),
+        ),
+        line(611, "a1", json!({"content": content, "parts": both})),
+        line(621, "a2", json!({"content": content})),
+        line(620, "a2", by.clone()),
+        line(622, "a3", json!({"part": part})),
+        line(620, "a3", by),
+        line(620, "a4", json!({"cause": "not_ready"})),
+    ];
+    let log = files.write("r1.log", lines.join("\n"));
+    let mut held = refusal();
+    held["held"] = json!([
+        {"by": "content", "part": null, "place": null, "left_ms": 3200, "crashes": [
+            {"endpoint": "e-1", "age_ms": 1800, "observed_here": true},
+            {"endpoint": "e-2", "age_ms": 900, "observed_here": false}]},
+        {"by": "prompt_part", "part": part, "place": 2, "left_ms": 0, "crashes": []}]);
+    let asked = |id| ask(whole(&held), &["--id", id, "--log", &log]);
+    let (run, question) = asked("a1");
+    let of = format!("&hashes=00000000000000aa%2C00000000000000bb&content={content}&tokens=850 ");
+    expect_that!(question, contains_substring(of));
+    expect_that!(run.out, not(contains_substring("The log names no parts")));
+    let told = "held for   its content: endpoints ended: e-1 1800 ms ago, seen here; e-2 900 ms ago, \
+        seen elsewhere; a trial after 3200 ms at the earliest\n";
+    expect_that!(run.out, contains_substring(told));
+    let told = "held for   part 00000000000000aa, number 2: ";
+    expect_that!(run.out, contains_substring(told));
+    let (_, question) = asked("a2");
+    let of = format!("route=chat&workspace=one&content={content} ");
+    expect_that!(question, contains_substring(of));
+    let (_, question) = asked("a3");
+    let of = format!("route=chat&workspace=one&hashes={part} ");
+    expect_that!(question, contains_substring(of));
+    let (run, question) = asked("a4");
+    expect_that!(run.code, some(eq(1)));
+    expect_that!(question, eq(""));
+    let args = ["--id", "a1", "--log", &log, "--parts", "a1:9"];
+    let (_, question) = ask(whole(&held), &args);
+    expect_that!(question, not(contains_substring("hashes")));
+}
+
 #[gtest]
 fn verify_malformed_numbers_and_parts_are_named_and_nothing_is_asked() {
-    let wrong: [&[&str]; 5] = [
+    let wrong: [&[&str]; 8] = [
+        &["--content", "0102"],
+        &["--content", "0102030405060708090a0bzz"],
+        &["--hashes", "aa"],
         &["--tokens", "many"],
         &["--tokens=-1"],
         &["--tokens", "1,2,3"],
@@ -140,8 +203,16 @@
 /// Guards against a key that reaches a gateway, its log or a terminal.
 #[gtest]
 fn verify_options_that_do_not_go_with_a_gateway_are_wrong_usage() {
-    let wrong: [&[&str]; 7] = [
+    let wrong: [&[&str]; 8] = [
         &[],
+        &[
+            "--route",
+            "chat",
+            "--parts",
+            "a1:1",
+            "--hashes",
+            "00000000000000aa",
+        ],
         &["--route", "chat", "--key", "secret-of-one"],
         &["--route", "chat", "--config", "config.json"],
         &["--route", "chat", "--host", "h", "--path", "/"],
