--- a/crates/core/src/once/mod.rs
+++ b/crates/core/src/once/mod.rs
@@ -194,7 +194,9 @@
     /// others.
     pub fn accepts_new_keys(&self, now: Now, config: &Config) -> bool {
         let skew = config.policy.clock_skew;
-        let term_passed = |since| now.wall >= tenure::latest_wall_time(now, since) + skew + skew;
+        // A later reading may date the same start later by the error of its clocks.
+        let settled = skew + skew + tenure::DATING_ERROR;
+        let term_passed = |since| now.wall >= tenure::latest_wall_time(now, since) + settled;
         self.tenure.newest_term_start().is_some_and(term_passed)
     }
 
--- a/crates/core/src/once/tenure.rs
+++ b/crates/core/src/once/tenure.rs
@@ -21,7 +21,7 @@
 
 /// Error of the wall-clock start of a tenure, which rests on three clock readings in whole
 /// milliseconds.
-const DATING_ERROR: Millis = Millis(3);
+pub(super) const DATING_ERROR: Millis = Millis(3);
 
 /// `Term` is one epoch under which the lease was held, and the start of that hold.
 #[derive(Debug)]
--- a/crates/core/tests/once/keys.rs
+++ b/crates/core/tests/once/keys.rs
@@ -174,6 +174,33 @@
     expect_that!(refusal_of(rig.begin("r1", key, 9)), eq(refused));
 }
 
+/// Guards against a key that is refused as expired although the router has said that it takes new ones: the clocks are
+/// read in whole milliseconds, and a later reading dates the start of the tenure a little later.
+#[gtest]
+fn verify_a_key_made_after_a_router_takes_new_ones_is_no_older_than_its_tenure() {
+    for error in 0..=3 {
+        let mut rig = Rig::new(&["r1"]);
+        rig.publish(1, &["r1"], &["r1"]);
+        rig.advance(STEP, all_links_up);
+        expect_that!(rig.holders(), elements_are![eq(&"r1")]);
+        for _ in 0..3 * SKEW.0 {
+            let (now, router) = (rig.now, rig.router_mut("r1"));
+            let config = router.config();
+            if router.home.accepts_new_keys(now, &config) {
+                break;
+            }
+            rig.now = rig.now + Millis(1);
+            if rig.now.mono.0.is_multiple_of(STEP.0) {
+                let (now, router) = (rig.now, rig.router_mut("r1"));
+                router.home.tick(now, &router.config(), &mut Vec::new());
+            }
+        }
+        let key = rig.key_with_home("r1", rig.now.wall, &[&["r1"]]);
+        rig.now.wall = rig.now.wall + Millis(error);
+        expect_that!(rig.begin("r1", key, 9), eq(&KeyDecision::Run), "{error} ms");
+    }
+}
+
 #[gtest]
 fn verify_a_stepped_clock_does_not_date_a_tenure_back() {
     // Guards against a payment that is taken twice because a tenure is dated by one reading of the
