Fetch the first parts of new subjects from where they were read

Cause: the fetch names the next endpoint in the order of the prompt's last shared part, which holds nothing of a subject that is asked for the first time. Each engine then reads the first parts anew that all subjects share. Change: routers keep and tell where prompts with a first part of 512 tokens or more were placed. Where speeds vary and the chosen endpoint is the first in the order, the fetch names that one. Elsewhere digests and placements are the same. Tests: five of shared_reads fail with the choice switched off, four with its bounds taken out.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -354,6 +354,7 @@
             };
             return Err(self.give_up(now, ticket, cause));
         };
+        self.record_shared_reads(now, incoming_request, placed.endpoint);
         if placed.at_risk {
             self.brittleness.record_placed(now, placed.endpoint);
         }
@@ -383,6 +384,7 @@
         place::PlacementContext {
             share: self.connection_share(service),
             hot_spots: self.hot_spots.get(service),
+            shared_reads: &self.shared_reads,
             registry: &self.registry,
             proof: &self.proof,
             bounds: &self.bounds,
--- a/crates/core/src/gateway/mesh.rs
+++ b/crates/core/src/gateway/mesh.rs
@@ -14,6 +14,7 @@
     gateway::{
         quarantine::Record,
         reading::ALL_STANDBYS,
+        shared_reads::ReadReport,
         warmup::Fleet, //
     },
     load::score,
@@ -183,6 +184,8 @@
     pub unreached_services: Vec<u32>,
     /// Services that more than one software version serves, by their indices in the configuration.
     pub mixed_services: Vec<u32>,
+    /// Where the first parts of prompts are read.
+    pub reads: Vec<ReadReport>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -279,6 +282,7 @@
             back_offs: Vec::new(),
             unreached_services: Vec::new(),
             mixed_services: Vec::new(),
+            reads: Vec::new(),
         }
     }
 
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -52,6 +52,7 @@
 pub mod registry;
 pub mod route;
 pub mod settings;
+pub mod shared_reads;
 pub mod stop;
 pub mod updates;
 pub mod variability;
@@ -80,6 +81,7 @@
 use reach::Reach;
 use registry::Registry;
 use settings::Bounds;
+use shared_reads::SharedReads;
 use stop::StopDeadline;
 use variability::{
     Speeds,
@@ -107,6 +109,7 @@
     hot_spots: IndexMap<Bytes, HotSpots>,
     /// Newest requests that this router's peers have not been told of, oldest first.
     samples: VecDeque<Sample>,
+    shared_reads: SharedReads,
     quarantine: Quarantine,
     part_quarantine: PartQuarantine,
     warmup: Warmup,
@@ -155,6 +158,7 @@
             budgets: IndexMap::new(),
             hot_spots: IndexMap::new(),
             samples: VecDeque::new(),
+            shared_reads: SharedReads::default(),
             quarantine: Quarantine::default(),
             part_quarantine: PartQuarantine::default(),
             warmup: Warmup::default(),
--- a/crates/core/src/gateway/place/affinity.rs
+++ b/crates/core/src/gateway/place/affinity.rs
@@ -4,8 +4,12 @@
     arena::EndpointKey,
     gateway::{
         Ticket,
-        endpoint::Endpoint,
+        endpoint::{
+            Endpoint,
+            State, //
+        },
         hot_spots,
+        incoming_request::Prompt,
         place::{
             Placed,
             PlacementContext,
@@ -26,25 +30,44 @@
     load::score,
 };
 
-/// Finds the endpoint other than `chosen` that most likely holds prompts with `part_id`: the first
-/// in their order that has been listed for long enough, even if it is leaving. An endpoint that has
-/// just joined has read nothing yet. Where `chosen` itself is the first, the next one may have
-/// replaced it for a while; fetching what is already held costs nothing.
+/// Finds the endpoint other than `chosen` that most likely holds the parts of a prompt that is placed by
+/// `part_id`: the first in that part's order that has been listed for long enough, even if it is leaving. An
+/// endpoint that has just joined has read nothing yet. Where `chosen` itself is the first, the next one may
+/// have replaced it for a while; fetching what is already held costs nothing.
+///
+/// Where speeds vary, one that holds at least the first parts of the prompt goes before that next one.
 pub(super) fn holder(
     context: &PlacementContext<'_>,
     ticket: &Ticket,
-    part_id: u64,
+    (prompt, part_id): (&Prompt, u64),
     chosen: EndpointKey,
 ) -> Option<EndpointKey> {
+    let allows = |key: EndpointKey, e: &Endpoint| {
+        key != chosen && !e.paused(context.now) && context.allows_fetch(e)
+    };
     let known = context.registry.known(&ticket.service);
-    let settled = known.filter(|(k, e)| {
-        *k != chosen
-            && !e.recently_joined(context.now)
-            && !e.paused(context.now)
-            && context.allows_fetch(e)
-    });
-    let first = settled.max_by_key(|(_, e)| score(part_id, e.seed));
-    first.map(|(key, _)| key)
+    let settled = known.filter(|(k, e)| !e.recently_joined(context.now) && allows(*k, e));
+    let next = settled.max_by_key(|(_, e)| score(part_id, e.seed));
+    let is_first = |chosen: &Endpoint| {
+        let rank = score(part_id, chosen.seed);
+        next.is_none_or(|(_, e)| {
+            !chosen.recently_joined(context.now) && score(part_id, e.seed) < rank
+        })
+    };
+    let reader = || {
+        let life = context.shared_reads.holder(context.now, prompt)?;
+        let key = context.registry.key_of(life)?;
+        let endpoint = context.registry.get(key)?;
+        let is_known = endpoint.state != State::Gone && endpoint.entry.service == ticket.service;
+        (is_known && allows(key, endpoint)).then_some(key)
+    };
+    let chosen_first = context.registry.get(chosen).is_some_and(is_first);
+    let reader = if context.speeds_vary && chosen_first {
+        reader()
+    } else {
+        None
+    };
+    reader.or(next.map(|(key, _)| key))
 }
 
 pub(super) fn by_affinity(
--- a/crates/core/src/gateway/place/mod.rs
+++ b/crates/core/src/gateway/place/mod.rs
@@ -19,6 +19,7 @@
         proof::FreshnessProof,
         registry::Registry,
         settings::Bounds,
+        shared_reads::SharedReads,
         warmup::Warmup, //
     },
     units::{
@@ -69,6 +70,8 @@
     pub share: u32,
     /// Shares of prompt parts in the service's requests.
     pub hot_spots: Option<&'a HotSpots>,
+    /// Where the first parts of prompts were read.
+    pub shared_reads: &'a SharedReads,
     /// This router's quotas for cold endpoints; `None` where the service sets no limit for them.
     pub warmup: Option<&'a Warmup>,
     /// What this router may make brittle endpoints turn away; `None` where they are sturdy.
@@ -198,7 +201,7 @@
         Some((prompt, part)) => {
             let reader = Reader::new(ticket.route.goal, prompt);
             let placed = by_affinity(context, candidates, (part.id, reader), mean)?;
-            let holder = holder(context, ticket, part.id, placed.endpoint);
+            let holder = holder(context, ticket, (prompt, part.id), placed.endpoint);
             Some(Placed { holder, ..placed })
         }
         None => by_load(context, &candidates, mean),
--- a/crates/core/src/gateway/updates.rs
+++ b/crates/core/src/gateway/updates.rs
@@ -25,6 +25,7 @@
             MAX_DIGEST_RECORDS,
             Record, //
         },
+        shared_reads::ReadReport,
         warmup, //
     },
     units::{
@@ -126,6 +127,8 @@
     pub crashes: Vec<Record>,
     /// Endpoints that have asked this router for a back-off.
     pub back_offs: Vec<mesh::BackOffReport>,
+    /// Where the first parts of prompts are read.
+    pub reads: Vec<ReadReport>,
 }
 
 impl Gateway {
@@ -242,7 +245,13 @@
         } else {
             0
         };
-        let displaced = mesh::displaced_reports(&crashes, &back_offs) + streams + delays;
+        let reads = if self.variability.is_stated(now) {
+            self.shared_reads.reports(now, draw)
+        } else {
+            Vec::new()
+        };
+        let displaced = mesh::displaced_reports(&crashes, &back_offs);
+        let displaced = displaced + streams + delays + reads.len();
         let room = mesh::MAX_REPORTS.saturating_sub(displaced);
         let waits = if tells_delays {
             self.registry
@@ -260,6 +269,7 @@
             reports,
             crashes,
             back_offs,
+            reads,
         }
     }
 
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -23,6 +23,7 @@
 mod reach;
 mod reading;
 mod registry;
+mod shared_reads;
 mod signals;
 mod skew;
 mod stateless;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -78,6 +78,7 @@
                 back_offs: contents.back_offs.clone(),
                 unreached_services: unreached_services.clone(),
                 mixed_services: mixed_services.clone(),
+                reads: contents.reads.clone(),
                 ..mesh.digest(at, target, reads, contents.reports.clone())
             };
             let payload = encode_digest(&digest);
@@ -108,6 +109,7 @@
                 gateway.record_peer_report(now(), &digest.reports);
                 gateway.record_peer_crashes(now(), &digest.crashes);
                 gateway.record_peer_back_offs(now(), &digest.back_offs);
+                gateway.record_peer_reads(now(), &digest.reads);
                 // Services are named by index, which is valid for one configuration version only.
                 if gateway.catalog().is_some_and(|c| c.version == epoch) {
                     gateway.record_peer_samples(now(), &digest.samples);
--- a/crates/replay/src/lab/fleet.rs
+++ b/crates/replay/src/lab/fleet.rs
@@ -353,6 +353,7 @@
                         router.record_peer_samples(Time(now), &samples);
                         router.record_peer_crashes(Time(now), &contents.crashes);
                         router.record_peer_back_offs(Time(now), &contents.back_offs);
+                        router.record_peer_reads(Time(now), &contents.reads);
                     }
                     Next::Broke(number) => self.broke(now, number),
                     Next::Rejected(number, asked) => self.rejected(now, number, asked),
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -71,6 +71,10 @@
             MAX_CRASHES_PER_REQUEST,
             MAX_DIGEST_RECORDS, //
         },
+        shared_reads::{
+            MAX_READS,
+            ReadReport, //
+        },
     },
     ids::Tag,
     units::{
@@ -253,6 +257,9 @@
         } else {
             Vec::new()
         },
+        read_parts: digest.reads.iter().map(|r| r.part).collect(),
+        read_endpoints: digest.reads.iter().map(|r| r.endpoint).collect(),
+        read_ages: digest.reads.iter().map(|r| steps(r.age)).collect(),
     }
     .encode_to_vec()
 }
@@ -337,6 +344,17 @@
     let bounded = raw.mixed_services.len() <= MAX_MIXED_SERVICES;
     let what = "a bounded number of services with several versions";
     ensure!(bounded, PartSnafu { what });
+    let rows = raw.read_parts.len();
+    let columns = rows == raw.read_endpoints.len() && rows == raw.read_ages.len();
+    let what = "a bounded number of parts that are read";
+    ensure!(columns && rows <= MAX_READS, PartSnafu { what });
+    let rows = raw.read_parts.iter().zip(&raw.read_endpoints);
+    let reads = rows.zip(&raw.read_ages);
+    let reads = reads.map(|((part, endpoint), steps)| ReadReport {
+        part: *part,
+        endpoint: *endpoint,
+        age: age(*steps),
+    });
     Ok(Digest {
         from,
         heartbeats,
@@ -346,6 +364,7 @@
         back_offs: back_offs.collect(),
         unreached_services: raw.unreached_services,
         mixed_services: raw.mixed_services,
+        reads: reads.collect(),
     })
 }
 
--- a/crates/wire/tests/gossip.rs
+++ b/crates/wire/tests/gossip.rs
@@ -49,6 +49,10 @@
             MAX_DIGEST_CRASHES,
             MAX_DIGEST_RECORDS, //
         },
+        shared_reads::{
+            MAX_READS,
+            ReadReport, //
+        },
     },
     ids::Tag,
     units::{
@@ -117,9 +121,20 @@
         back_offs: Vec::new(),
         unreached_services: Vec::new(),
         mixed_services: Vec::new(),
+        reads: Vec::new(),
     }
 }
 
+fn reads(count: usize) -> Vec<ReadReport> {
+    let report = |n| ReadReport {
+        part: u32::MAX - n,
+        endpoint: u32::MAX - 2 * n,
+        age: Millis(9_600),
+    };
+    let count = u32::try_from(count).expect("it is small");
+    (0..count).map(report).collect()
+}
+
 fn back_offs(count: u32) -> Vec<BackOffReport> {
     let report = |n| BackOffReport {
         endpoint: u32::MAX - n,
@@ -158,6 +173,7 @@
     let sent = Digest {
         crashes: vec![crashes(0, 0), crashes(1, 4), crashes(2, 1)],
         back_offs: back_offs(3),
+        reads: reads(2),
         ..digest(5, 7)
     };
     let sealed = seal(&SECRET, 7, encode_digest(&sent));
@@ -220,7 +236,7 @@
 }
 
 /// Makes the largest digests, with and without crashes and back-offs.
-fn largest() -> [Digest; 4] {
+fn largest() -> [Digest; 5] {
     let spread = |n: usize| usize::from(n == 0) + MAX_DIGEST_CRASHES / MAX_DIGEST_RECORDS;
     let records = (0..MAX_DIGEST_RECORDS).map(|n| crashes(2 * n as u64, spread(n)));
     let crashes: Vec<quarantine::Record> = records.collect();
@@ -241,8 +257,13 @@
         back_offs,
         ..digest(MAX_HEARTBEATS, reports)
     };
+    let reading = Digest {
+        reads: reads(MAX_READS),
+        ..digest(MAX_HEARTBEATS, MAX_REPORTS - MAX_READS)
+    };
     [
         digest(MAX_HEARTBEATS, MAX_REPORTS),
+        reading,
         crashed,
         backing_off,
         both,
@@ -310,6 +331,12 @@
     };
     let resting = encode_digest(&resting);
     expect_that!(decode_digest(&resting), err(pat!(Error::Part { .. })));
+    let reading = Digest {
+        reads: reads(MAX_READS + 1),
+        ..digest(1, 1)
+    };
+    let reading = encode_digest(&reading);
+    expect_that!(decode_digest(&reading), err(pat!(Error::Part { .. })));
     let odd = [
         vec![crashes(1, MAX_CRASHES_PER_REQUEST + 1)],
         (0..=MAX_DIGEST_RECORDS as u64)
