--- a/crates/core/src/gateway/fleet/mesh/digest.rs
+++ b/crates/core/src/gateway/fleet/mesh/digest.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddrV4;
 
 use crate::{
-    gateway::quarantine::Record,
+    gateway::{
+        quarantine::Record,
+        shared_reads::ReadReport, //
+    },
     units::{
         Incarnation,
         Millis, //
@@ -132,4 +135,6 @@
     pub unreached_services: Vec<u32>,
     /// Services that more than one software version serves, by their indices in the configuration.
     pub mixed_services: Vec<u32>,
+    /// Where the first parts of prompts are read.
+    pub reads: Vec<ReadReport>,
 }
--- a/crates/core/src/gateway/fleet/mesh/mod.rs
+++ b/crates/core/src/gateway/fleet/mesh/mod.rs
@@ -171,6 +171,7 @@
             back_offs: Vec::new(),
             unreached_services: Vec::new(),
             mixed_services: Vec::new(),
+            reads: Vec::new(),
         }
     }
 
--- a/crates/core/src/gateway/fleet/mod.rs
+++ b/crates/core/src/gateway/fleet/mod.rs
@@ -9,6 +9,7 @@
 //! - [`proof`]: how old the state may be that a router acts on.
 //! - [`mesh`]: which other routers there are.
 //! - [`hot_spots`]: prompt parts that take much of a service's traffic, by the samples of all routers.
+//! - [`shared_reads`]: where the first parts of prompts were read.
 //! - [`variability`]: whether routers tell each other how long requests wait.
 //! - [`reach`]: which services this router reaches.
 //! - [`handoff`]: requests that go to a peer.
@@ -20,5 +21,6 @@
 pub mod proof;
 pub mod reach;
 pub mod reading;
+pub mod shared_reads;
 pub mod updates;
 pub mod variability;
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -76,6 +76,7 @@
     proof,
     reach,
     reading,
+    shared_reads,
     updates,
     variability, //
 };
@@ -104,6 +105,7 @@
 use reach::Reach;
 use registry::Registry;
 use settings::Bounds;
+use shared_reads::SharedReads;
 use stop::StopDeadline;
 use variability::{
     Speeds,
@@ -131,6 +133,7 @@
     hot_spots: IndexMap<Bytes, HotSpots>,
     /// Newest requests that this router's peers have not been told of, oldest first.
     samples: VecDeque<Sample>,
+    shared_reads: SharedReads,
     quarantine: Quarantine,
     part_quarantine: PartQuarantine,
     warmup: Warmup,
@@ -179,6 +182,7 @@
             budgets: IndexMap::new(),
             hot_spots: IndexMap::new(),
             samples: VecDeque::new(),
+            shared_reads: SharedReads::default(),
             quarantine: Quarantine::default(),
             part_quarantine: PartQuarantine::default(),
             warmup: Warmup::default(),
