Halve over time in one place

The fraction that remains of something that halves was computed in three places: for failure rates, latencies and loads (endpoint/answers.rs), for waits and for the counts of demand. gateway::remaining_fraction serves all; the arithmetic is the same.

--- a/crates/core/src/gateway/admission/waiting.rs
+++ b/crates/core/src/gateway/admission/waiting.rs
@@ -11,13 +11,16 @@
 use crate::{
     arena::EndpointKey,
     gateway::{
-        Gateway, MIN_RETRY_DELAY, Ticket,
+        Gateway,
+        MIN_RETRY_DELAY,
+        Ticket,
         attempt::FULL_RETRY_DELAY,
         fraction,
         refusal::{
             Cause,
             Refusal, //
         },
+        remaining_fraction, //
     },
     units::{
         Millis,
@@ -74,10 +77,8 @@
         }
     }
 
-    #[expect(clippy::cast_precision_loss, reason = "halves of a second are enough")]
     fn decay(&mut self, now: Time) {
-        let after = now.since(self.decayed);
-        let left = (-(after.0 as f32) / COUNT_HALF_LIFE.0 as f32).exp2();
+        let left = remaining_fraction(now.since(self.decayed), COUNT_HALF_LIFE);
         self.decayed = now;
         self.counts.retain(|_, count| {
             *count *= left;
--- a/crates/core/src/gateway/endpoint/answers.rs
+++ b/crates/core/src/gateway/endpoint/answers.rs
@@ -6,7 +6,8 @@
             Endpoint,
             State, //
         },
-        outcome::AttemptOutcome, //
+        outcome::AttemptOutcome,
+        remaining_fraction, //
     },
     units::{
         Millis,
@@ -105,9 +106,3 @@
         self.latency = Some((now, before + (took - before) * LATENCY_WEIGHT));
     }
 }
-
-/// Gets the fraction that remains after a time of something that halves each `half_life`.
-#[expect(clippy::cast_precision_loss, reason = "halves of a second are enough")]
-pub(super) fn remaining_fraction(after: Millis, half_life: Millis) -> f32 {
-    (-(after.0 as f32) / half_life.0 as f32).exp2()
-}
--- a/crates/core/src/gateway/endpoint/load.rs
+++ b/crates/core/src/gateway/endpoint/load.rs
@@ -2,11 +2,13 @@
 //! whether it has room for one more.
 
 use crate::{
-    gateway::endpoint::{
-        Endpoint,
-        LOAD_REPORT_TTL,
-        LoadReport,
-        answers::remaining_fraction, //
+    gateway::{
+        endpoint::{
+            Endpoint,
+            LOAD_REPORT_TTL,
+            LoadReport, //
+        },
+        remaining_fraction, //
     },
     units::{
         Millis,
--- a/crates/core/src/gateway/endpoint/waits.rs
+++ b/crates/core/src/gateway/endpoint/waits.rs
@@ -5,9 +5,12 @@
 
 use std::collections::VecDeque;
 
-use crate::units::{
-    Millis,
-    Time, //
+use crate::{
+    gateway::remaining_fraction,
+    units::{
+        Millis,
+        Time, //
+    },
 };
 
 /// Limit of the unanswered requests that are kept for an endpoint; beyond it the oldest is dropped, so
@@ -129,7 +132,6 @@
         if age >= TTL {
             return Millis(0);
         }
-        let left = (-(age.0 as f32) / HALF_LIFE.0 as f32).exp2();
-        Millis((self.wait.0 as f32 * left) as u64)
+        Millis((self.wait.0 as f32 * remaining_fraction(age, HALF_LIFE)) as u64)
     }
 }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -268,6 +268,12 @@
     }
 }
 
+/// Gets the fraction that remains after a time of something that halves each `half_life`.
+#[expect(clippy::cast_precision_loss, reason = "halves of a second are enough")]
+fn remaining_fraction(after: Millis, half_life: Millis) -> f32 {
+    (-(after.0 as f32) / half_life.0 as f32).exp2()
+}
+
 /// Gets the number from 0 to 1 that a random number stands for.
 #[expect(clippy::cast_precision_loss, reason = "24 bits are exact")]
 fn fraction(draw: u64) -> f32 {
