Make the refusals of what is held back or given up in one place

The least wait that a held caller is told was applied at four places, in placement and in explanations; the constructors of the refusals apply it now.

--- a/crates/core/src/gateway/admission/refusal.rs
+++ b/crates/core/src/gateway/admission/refusal.rs
@@ -1,6 +1,9 @@
 //! Why a request is refused, and what its caller is told.
 
-use crate::units::Millis;
+use crate::{
+    gateway::quarantine::MIN_RETRY_AFTER,
+    units::Millis, //
+};
 
 /// `Cause` is the reason of a refusal.
 #[derive(
@@ -100,14 +103,19 @@
         }
     }
 
-    /// Refuses a request that the quarantine holds back for the time `left`.
-    pub const fn quarantined(left: Millis, may_have_run: bool) -> Self {
-        Self::with_retry_after(Cause::Quarantined, left, may_have_run)
+    /// Refuses a request that the quarantine holds back for the time `left`; its caller is told
+    /// [`MIN_RETRY_AFTER`] at least.
+    pub fn quarantined(left: Millis, may_have_run: bool) -> Self {
+        Self::with_retry_after(Cause::Quarantined, left.max(MIN_RETRY_AFTER), may_have_run)
     }
 
-    /// Refuses a request with a prompt part that the quarantine holds back for the time `left`.
-    pub const fn part_quarantined(left: Millis, may_have_run: bool) -> Self {
-        Self::with_retry_after(Cause::PartQuarantined, left, may_have_run)
+    /// Refuses a request with a prompt part that the quarantine holds back, alike.
+    pub fn part_quarantined(left: Millis, may_have_run: bool) -> Self {
+        Self::with_retry_after(
+            Cause::PartQuarantined,
+            left.max(MIN_RETRY_AFTER),
+            may_have_run,
+        )
     }
 
     /// Gives up a request that may be served after the time `left`.
--- a/crates/core/src/gateway/attempt/mod.rs
+++ b/crates/core/src/gateway/attempt/mod.rs
@@ -23,7 +23,7 @@
 
 pub(super) use placement::{
     FULL_RETRY_DELAY,
-    refuse_backing_off,
+    refuse_given_up,
     refuse_unplaced, //
 };
 pub(super) use sending::silence_limit;
--- a/crates/core/src/gateway/attempt/placement.rs
+++ b/crates/core/src/gateway/attempt/placement.rs
@@ -60,14 +60,19 @@
     })
 }
 
-/// Refuses a request whose endpoints want no requests until the time `left` has passed.
-pub(in crate::gateway) fn refuse_backing_off(
+/// Refuses a request that is given up; `back_off_end` is the time until its endpoints want requests again, if
+/// that is why.
+pub(in crate::gateway) fn refuse_given_up(
     now: Time,
     ticket: &Ticket,
-    left: Millis,
-    draw: u64,
+    cause: Cause,
+    back_off_end: Option<Millis>,
+    draw: impl FnOnce() -> u64,
 ) -> Refusal {
-    let wait = retry_delay_after(now, ticket.deadline, left, draw);
+    let Some(left) = back_off_end else {
+        return Refusal::given_up(cause, ticket.may_have_run);
+    };
+    let wait = retry_delay_after(now, ticket.deadline, left, draw());
     Refusal::with_retry_after(Cause::BackingOff, wait, ticket.may_have_run)
 }
 
@@ -165,13 +170,8 @@
     /// of its service have asked for a time without requests, the refusal says when the first of
     /// these times ends.
     pub fn give_up(&mut self, now: Time, ticket: &Ticket, cause: Cause) -> Refusal {
-        match self.first_back_off_end(now, ticket, cause) {
-            Some(left) => {
-                let draw = self.draw();
-                refuse_backing_off(now, ticket, left, draw)
-            }
-            None => Refusal::given_up(cause, ticket.may_have_run),
-        }
+        let back_off_end = self.first_back_off_end(now, ticket, cause);
+        refuse_given_up(now, ticket, cause, back_off_end, || self.draw())
     }
 
     /// Gets the time until the first back-off ends if that is why there is no endpoint.
--- a/crates/core/src/gateway/attempt/screening.rs
+++ b/crates/core/src/gateway/attempt/screening.rs
@@ -13,7 +13,6 @@
             Fingerprint, //
         },
         quarantine::{
-            self,
             Crash,
             UnprovedAnswer,
             Verdict,
@@ -32,7 +31,7 @@
         if let Some(held) = &held
             && !self.part_quarantine.admit_trial(now, held)
         {
-            let left = held.verdict.left.max(quarantine::MIN_RETRY_AFTER);
+            let left = held.verdict.left;
             return Err(Refusal::part_quarantined(left, ticket.may_have_run));
         }
         let (Some(verdict), Some(content)) = (self.verdict(now, ticket), ticket.content) else {
@@ -46,8 +45,7 @@
         {
             return Ok(true);
         }
-        let left = verdict.left.max(quarantine::MIN_RETRY_AFTER);
-        Err(Refusal::quarantined(left, ticket.may_have_run))
+        Err(Refusal::quarantined(verdict.left, ticket.may_have_run))
     }
 
     /// Gets the fingerprint of a request's content, and tells the quarantine if the same content
--- a/crates/core/src/gateway/explain/mod.rs
+++ b/crates/core/src/gateway/explain/mod.rs
@@ -20,7 +20,7 @@
         Gateway,
         Ticket,
         attempt::{
-            refuse_backing_off,
+            refuse_given_up,
             refuse_unplaced,
             silence_limit, //
         },
@@ -39,10 +39,7 @@
             PlacementContext,
             Standing, //
         },
-        quarantine::{
-            self,
-            contents, //
-        },
+        quarantine::contents,
         refusal::{
             Cause,
             Refusal, //
@@ -270,15 +267,13 @@
         if let Some(held) = &held
             && !self.part_quarantine.may_try(held)
         {
-            let left = held.verdict.left.max(quarantine::MIN_RETRY_AFTER);
-            return Err(Refusal::part_quarantined(left, false));
+            return Err(Refusal::part_quarantined(held.verdict.left, false));
         }
         let held_content = self.verdict(now, ticket);
         if let Some(held) = &held_content
             && !contents::may_try(held, context.draw, self.routers)
         {
-            let left = held.left.max(quarantine::MIN_RETRY_AFTER);
-            return Err(Refusal::quarantined(left, false));
+            return Err(Refusal::quarantined(held.left, false));
         }
         let Some(placed) = place::choose(context, ticket, prompt) else {
             let cause = match refuse_unplaced(context, ticket) {
@@ -286,11 +281,8 @@
                 Err(cause) => cause,
             };
             let back_off_end = self.first_back_off_end(now, ticket, cause);
-            return Err(
-                back_off_end.map_or(Refusal::given_up(cause, false), |left| {
-                    refuse_backing_off(now, ticket, left, context.draw)
-                }),
-            );
+            let draw = || context.draw;
+            return Err(refuse_given_up(now, ticket, cause, back_off_end, draw));
         };
         let engines_share = catalog.engines_share_cache(&ticket.service);
         Ok(Placed {
