Skip what placement needs only where speeds vary

The first endpoint that fits was looked up for a hot part that has its pick although nothing used it, and whether the chosen endpoint is the first of its part was worked out where no holder of first parts is looked for. Both are skipped; choices are the same.

--- a/crates/core/src/gateway/place/affinity.rs
+++ b/crates/core/src/gateway/place/affinity.rs
@@ -55,18 +55,14 @@
         })
     };
     let reader = || {
+        context.registry.get(chosen).filter(|e| is_first(e))?;
         let life = context.shared_reads.holder(context.now, prompt)?;
         let key = context.registry.key_of(life)?;
         let endpoint = context.registry.get(key)?;
         let is_known = endpoint.state != State::Gone && endpoint.entry.service == ticket.service;
         (is_known && allows(key, endpoint)).then_some(key)
     };
-    let chosen_first = context.registry.get(chosen).is_some_and(is_first);
-    let reader = if context.speeds_vary && chosen_first {
-        reader()
-    } else {
-        None
-    };
+    let reader = if context.speeds_vary { reader() } else { None };
     reader.or(next.map(|(key, _)| key))
 }
 
@@ -80,7 +76,12 @@
     let fits = |(_, e): &(EndpointKey, &Endpoint)| cost(context, e, mean) < limit(context, e, mean);
     let hot_pick = pick_for_hot_part(context, &candidates, part_id, mean);
     let below = hot_pick.filter(|rank| fits(&candidates[*rank]));
-    let first = candidates.iter().position(fits);
+    // Nothing else needs it where speeds don't vary and a hot part has its pick.
+    let first = if context.speeds_vary || below.is_none() {
+        candidates.iter().position(fits)
+    } else {
+        None
+    };
     let below = if context.speeds_vary {
         below
             .filter(|rank| reader.bears(candidates[*rank].1.waits.expected(context.now)))
