--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -65,7 +65,10 @@
 
 #[cfg(test)]
 mod tests {
-    use std::cell::Cell;
+    use std::cell::{
+        Cell,
+        RefCell, //
+    };
 
     use googletest::prelude::*;
 
@@ -77,8 +80,7 @@
     /// Reads clocks in a process that is paused for as many milliseconds after each of its readings.
     fn paused(pauses: &[u64]) -> Now {
         let at = Cell::new(500);
-        let mut pauses = pauses.iter();
-        let pauses = std::cell::RefCell::new(&mut pauses);
+        let pauses = RefCell::new(pauses.iter());
         let read = || {
             let now = at.get();
             at.set(now + pauses.borrow_mut().next().copied().unwrap_or_default());
--- a/crates/core/tests/gateway/fixture.rs
+++ b/crates/core/tests/gateway/fixture.rs
@@ -19,7 +19,10 @@
             Service,
             Workspace, //
         },
-        endpoint::Entry,
+        endpoint::{
+            Entry,
+            Load, //
+        },
         incoming_request::{
             IncomingRequest,
             Part,
@@ -177,3 +180,14 @@
         output: 50,
     }
 }
+
+/// Lets an endpoint state a slowdown, so that speeds vary.
+pub(crate) fn state_slowdown(gateway: &mut Gateway, now: Time) {
+    let (key, _) = gateway.registry().usable().next().expect("one is listed");
+    let load = Load {
+        slots: 64,
+        slowdown: Some(Permille(1000)),
+        ..Load::default()
+    };
+    gateway.record_load(now, key, load);
+}
--- a/crates/core/tests/gateway/shared_reads.rs
+++ b/crates/core/tests/gateway/shared_reads.rs
@@ -7,10 +7,7 @@
     gateway::{
         Change,
         Gateway,
-        endpoint::{
-            Entry,
-            Load, //
-        },
+        endpoint::Entry,
         incoming_request::{
             IncomingRequest,
             Part,
@@ -26,7 +23,6 @@
     },
     units::{
         Millis,
-        Permille,
         Time, //
     },
 };
@@ -36,7 +32,8 @@
     entry,
     gateway,
     gateway_with_seed,
-    request, //
+    request,
+    state_slowdown, //
 };
 
 /// Gets a request of a subject whose prompt begins with `first` of so many tokens.
@@ -64,17 +61,6 @@
     placed.expect("there is an endpoint")
 }
 
-/// Lets an endpoint state a slowdown, so that speeds vary.
-fn state_slowdown(gateway: &mut Gateway, now: Time) {
-    let (key, _) = gateway.registry().usable().next().expect("one is listed");
-    let load = Load {
-        slots: 64,
-        slowdown: Some(Permille(1000)),
-        ..Load::default()
-    };
-    gateway.record_load(now, key, load);
-}
-
 /// Places a prompt of the long part 1 at 10 ms.
 fn reader_of(gateway: &mut Gateway) -> EndpointKey {
     state_slowdown(gateway, Time(10));
--- a/crates/core/tests/gateway/waits.rs
+++ b/crates/core/tests/gateway/waits.rs
@@ -29,7 +29,8 @@
 
 use crate::fixture::{
     gateway,
-    request, //
+    request,
+    state_slowdown, //
 };
 
 /// Gets a request with a shared part of so many tokens.
@@ -52,17 +53,6 @@
     (ticket, placed.expect("there is an endpoint").endpoint)
 }
 
-/// Lets an endpoint state a slowdown, so that speeds vary.
-fn state_slowdown(gateway: &mut Gateway, now: Time) {
-    let (key, _) = gateway.registry().usable().next().expect("one is listed");
-    let load = Load {
-        slots: 64,
-        slowdown: Some(Permille(1000)),
-        ..Load::default()
-    };
-    gateway.record_load(now, key, load);
-}
-
 fn wait_report(gateway: &Gateway, key: EndpointKey, wait: u64) -> EndpointReport {
     let endpoint = gateway.registry().get(key).expect("it is listed");
     EndpointReport {
