--- a/crates/core/src/gateway/fleet/mesh/mod.rs
+++ b/crates/core/src/gateway/fleet/mesh/mod.rs
@@ -13,6 +13,7 @@
 //! - `digest`: what a digest carries, with the limits of each part.
 //! - `readers`: which routers read the registry, and whom the others ask.
 //! - `streams`: which routers are told of a stream.
+//! - `keepers`: which router keeps the prefill backlog of an endpoint.
 
 use std::net::SocketAddrV4;
 
@@ -28,6 +29,7 @@
 };
 
 mod digest;
+mod keepers;
 mod readers;
 mod streams;
 
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 //! - [`place`]: for each attempt, [`Gateway::place`] chooses an endpoint.
 //! - [`limits`]: what all routers together may send.
 //! - [`attempt`]: the attempts, up to [`Gateway::ended`], which decides what follows.
+//! - [`prefill`]: what engines have still to read, asked for before a prompt is placed.
 //! - [`quarantine`]: requests that are held back because they crash endpoints.
 //!
 //! What these decide by:
@@ -50,6 +51,7 @@
 pub mod limits;
 pub mod origin;
 pub mod place;
+pub mod prefill;
 pub mod quarantine;
 pub mod registry;
 pub mod settings;
