Keep and ask for the prefill backlog: first decisions

Cause: what a prompt waits for was sent within the last few hundred milliseconds, and digests tell of it later.

Placement takes an estimate for the truth for 50 ms (`Waits::record_estimate`).

Its own tests are not written yet.

--- a/crates/core/src/gateway/admission/admit.rs
+++ b/crates/core/src/gateway/admission/admit.rs
@@ -52,6 +52,9 @@
         self.budget(&service).record_request(now, window);
         let version = catalog.version;
         let ticket = Ticket::new(now, version, route, service, workspace, incoming_request);
-        Ok(ticket)
+        Ok(Ticket {
+            owner: self.prefill.next_owner(),
+            ..ticket
+        })
     }
 }
--- a/crates/core/src/gateway/attempt/end.rs
+++ b/crates/core/src/gateway/attempt/end.rs
@@ -12,6 +12,7 @@
             AttemptOutcome,
             NextStep, //
         },
+        prefill::Owner,
         quarantine::Crash,
         updates::warmup_time, //
     },
@@ -30,6 +31,7 @@
         endpoint: EndpointKey,
         outcome: AttemptOutcome,
     ) -> NextStep {
+        self.release_prefill(ticket.owner);
         self.record_outcome(now, ticket, endpoint, outcome);
         // A connection that breaks shows nothing: an endpoint may reset it after each request.
         if outcome == AttemptOutcome::Stalled {
@@ -100,14 +102,16 @@
         }
     }
 
-    /// Notes that the caller left during an attempt.
-    pub fn caller_left(&mut self, now: Time, endpoint: EndpointKey) {
+    /// Notes that the caller left during an attempt of its request, which `owner` names.
+    pub fn caller_left(&mut self, now: Time, owner: Owner, endpoint: EndpointKey) {
+        self.release_prefill(owner);
         self.registry
             .ended(now, endpoint, AttemptOutcome::Left, Millis(0));
     }
 
     /// Notes that no connection to an endpoint could be made, so that nothing was sent.
     pub fn unreached(&mut self, now: Time, ticket: &mut Ticket, endpoint: EndpointKey) -> NextStep {
+        self.release_prefill(ticket.owner);
         let cold = warmup_time(self.catalog.as_ref());
         self.registry.unreached(now, endpoint, cold);
         let service = ticket.service.clone();
--- a/crates/core/src/gateway/attempt/placement.rs
+++ b/crates/core/src/gateway/attempt/placement.rs
@@ -87,6 +87,20 @@
         now: Time,
         ticket: &Ticket,
         incoming_request: &IncomingRequest,
+    ) -> Result<place::Placed, Refusal> {
+        let placed = self.choose_endpoint(now, ticket, incoming_request);
+        match &placed {
+            Ok(placed) => self.note_prefill(now, ticket, incoming_request, placed.endpoint),
+            Err(_) => self.release_prefill(ticket.owner),
+        }
+        placed
+    }
+
+    fn choose_endpoint(
+        &mut self,
+        now: Time,
+        ticket: &Ticket,
+        incoming_request: &IncomingRequest,
     ) -> Result<place::Placed, Refusal> {
         if now >= ticket.until {
             return Err(Refusal::given_up(Cause::Deadline, ticket.may_have_run));
@@ -161,6 +175,7 @@
             routers: self.routers,
             is_short: self.pressure(now, ticket).is_some(),
             speeds_vary: self.variability.is_stated(now),
+            agreed: self.prefill.agreed(ticket.owner),
             now,
             draw,
         }
@@ -170,6 +185,7 @@
     /// of its service have asked for a time without requests, the refusal says when the first of
     /// these times ends.
     pub fn give_up(&mut self, now: Time, ticket: &Ticket, cause: Cause) -> Refusal {
+        self.release_prefill(ticket.owner);
         let back_off_end = self.first_back_off_end(now, ticket, cause);
         refuse_given_up(now, ticket, cause, back_off_end, || self.draw())
     }
--- a/crates/core/src/gateway/attempt/sending.rs
+++ b/crates/core/src/gateway/attempt/sending.rs
@@ -135,6 +135,7 @@
 
     /// Notes that an endpoint's answer has begun, with its first event or with its head.
     pub fn record_begun(&mut self, now: Time, ticket: &Ticket, endpoint: EndpointKey) {
+        self.release_prefill(ticket.owner);
         let waited = now.since(ticket.sent);
         self.registry.record_delay(now, endpoint, waited);
     }
--- a/crates/core/src/gateway/attempt/ticket.rs
+++ b/crates/core/src/gateway/attempt/ticket.rs
@@ -24,6 +24,7 @@
             Build,
             Origin, //
         },
+        prefill::Owner,
         quarantine::parts::PromptParts,
         route::Route, //
     },
@@ -34,6 +35,8 @@
 /// `Ticket` is an admitted request and the state of its attempts.
 #[derive(Clone, Debug)]
 pub struct Ticket {
+    /// Names the request in this router.
+    pub owner: Owner,
     /// Route that the request matched.
     pub route: Arc<Route>,
     /// Service drawn from the route's weighted services.
@@ -149,6 +152,7 @@
             .unwrap_or(route.priority);
         let (deadline, until) = due(now, route, incoming_request);
         Self {
+            owner: Owner::default(),
             service,
             workspace,
             priority,
--- a/crates/core/src/gateway/endpoint/waits.rs
+++ b/crates/core/src/gateway/endpoint/waits.rs
@@ -20,6 +20,9 @@
 const HALF_LIFE: Millis = Millis(400);
 /// Age from which an observation is ignored.
 const TTL: Millis = Millis(2000);
+/// Time for which the estimate of a backlog's keeper counts instead of what was observed. It knows what other
+/// routers have sent, and more is sent meanwhile.
+const ESTIMATE_TTL: Millis = Millis(50);
 /// Shortest wait that peers are told of: a shorter one has ended before most of them hear of it.
 const MIN_REPORTED: Millis = Millis(50);
 /// Age from which an observation is not passed on.
@@ -40,6 +43,8 @@
     /// Send times of this router's requests whose answers have not begun, oldest first.
     unanswered: VecDeque<Time>,
     newest: Option<Observation>,
+    /// What the keeper of the backlog has estimated, and when.
+    estimate: Option<(Time, Millis)>,
 }
 
 impl Waits {
@@ -81,10 +86,22 @@
         });
     }
 
+    /// Notes how long a new request waits, by the keeper of the endpoint's backlog.
+    pub fn record_estimate(&mut self, now: Time, wait: Millis) {
+        self.estimate = Some((now, wait));
+    }
+
     /// Gets how long a new request probably waits before those ahead of it are read.
     pub fn expected(&self, now: Time) -> Millis {
-        let observed = self.newest.map_or(Millis(0), |o| o.remaining(now));
-        self.own(now).max(observed)
+        let estimate = self
+            .estimate
+            .filter(|(at, _)| now.since(*at) < ESTIMATE_TTL);
+        let others = match (estimate, self.newest) {
+            (Some((_, wait)), _) => wait,
+            (None, Some(observed)) => observed.remaining(now),
+            (None, None) => Millis(0),
+        };
+        self.own(now).max(others)
     }
 
     /// Gets what peers are told of unanswered requests: how long one has waited, and the age of that.
--- a/crates/core/src/gateway/fleet/handoff/mod.rs
+++ b/crates/core/src/gateway/fleet/handoff/mod.rs
@@ -150,6 +150,7 @@
 
     /// Notes that a request is handed to a peer.
     pub fn handed_off(&mut self, now: Time, ticket: &mut Ticket, peer: SocketAddrV4) {
+        self.release_prefill(ticket.owner);
         ticket.retry_reserved = false;
         ticket.sent = now;
         ticket.life = None;
--- a/crates/core/src/gateway/fleet/mesh/mod.rs
+++ b/crates/core/src/gateway/fleet/mesh/mod.rs
@@ -87,6 +87,8 @@
     /// End of the time in which it is not asked for the registry's state, because it failed to
     /// answer.
     avoided_until: Time,
+    /// End of the time in which it is not asked for backlogs, because it failed to answer.
+    silent_until: Time,
 }
 
 /// `Mesh` is what a router knows of the other routers.
@@ -227,6 +229,7 @@
             heartbeat,
             last_heard: now,
             avoided_until: Time(0),
+            silent_until: Time(0),
         };
         match self.peers.get_mut(&heartbeat.address) {
             Some(peer) => {
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -99,6 +99,7 @@
 use hot_spots::HotSpots;
 use mesh::Sample;
 use origin::Streams;
+use prefill::Prefill;
 use proof::FreshnessProof;
 use quarantine::{
     Quarantine,
@@ -136,6 +137,7 @@
     /// Newest requests that this router's peers have not been told of, oldest first.
     samples: VecDeque<Sample>,
     shared_reads: SharedReads,
+    prefill: Prefill,
     quarantine: Quarantine,
     part_quarantine: PartQuarantine,
     warmup: Warmup,
@@ -185,6 +187,7 @@
             hot_spots: IndexMap::new(),
             samples: VecDeque::new(),
             shared_reads: SharedReads::default(),
+            prefill: Prefill::default(),
             quarantine: Quarantine::default(),
             part_quarantine: PartQuarantine::default(),
             warmup: Warmup::default(),
--- a/crates/core/src/gateway/place/affinity.rs
+++ b/crates/core/src/gateway/place/affinity.rs
@@ -13,6 +13,7 @@
         place::{
             Placed,
             PlacementContext,
+            candidates,
             cost::{
                 ServiceMean,
                 cost,
@@ -21,6 +22,7 @@
                 limit, //
             },
             expected::{
+                MAX_ENDPOINTS,
                 Reader,
                 first_in_time, //
             },
@@ -102,6 +104,34 @@
     })
 }
 
+/// Lists the endpoints at which a prompt may be read, in the order in which it prefers them: those with room
+/// among which the wait decides. None where there is nothing to choose from.
+pub(in crate::gateway) fn readers(
+    context: &PlacementContext<'_>,
+    ticket: &Ticket,
+    prompt: &Prompt,
+) -> Vec<EndpointKey> {
+    let Some(part) = prompt.placement_part() else {
+        return Vec::new();
+    };
+    let all: Vec<(EndpointKey, &Endpoint)> = context.registry.of(&ticket.service).collect();
+    let mean = ServiceMean::of(context, &ticket.service, &all);
+    let mut candidates = candidates(context, ticket, &all);
+    sort(&mut candidates, part.id);
+    let fits = |rank: &usize| {
+        let endpoint = candidates[*rank].1;
+        cost(context, endpoint, mean) < limit(context, endpoint, mean)
+    };
+    let hot_pick = pick_for_hot_part(context, &candidates, part.id, mean).filter(fits);
+    let others = (0..candidates.len()).filter(|rank| Some(*rank) != hot_pick && fits(rank));
+    let readers = hot_pick.into_iter().chain(others).take(MAX_ENDPOINTS);
+    let readers: Vec<EndpointKey> = readers.map(|rank| candidates[rank].0).collect();
+    if readers.len() < 2 {
+        return Vec::new();
+    }
+    readers
+}
+
 /// Puts endpoints in the order in which prompts with a part prefer them.
 pub(super) fn sort(candidates: &mut [(EndpointKey, &Endpoint)], part_id: u64) {
     candidates.sort_by_key(|(_, e)| std::cmp::Reverse(score(part_id, e.seed)));
@@ -116,7 +146,11 @@
     mean: ServiceMean,
 ) -> Option<usize> {
     let spread_width = spread_width(context, candidates.len(), part_id, mean)?;
-    cheaper_of_two(context, &candidates[..spread_width], mean)
+    let shared = &candidates[..spread_width];
+    let agreed = context
+        .agreed
+        .and_then(|agreed| shared.iter().position(|(key, _)| *key == agreed));
+    agreed.or_else(|| cheaper_of_two(context, shared, mean))
 }
 
 /// Gets how many of so many endpoints share a hot part; `None` for a part that a single endpoint carries.
--- a/crates/core/src/gateway/place/expected.rs
+++ b/crates/core/src/gateway/place/expected.rs
@@ -20,7 +20,7 @@
 };
 
 /// Endpoints in a prompt's order among which the wait decides.
-const MAX_ENDPOINTS: usize = 4;
+pub(super) const MAX_ENDPOINTS: usize = 4;
 /// Part of a route's goal that may be spent on waiting; the rest is for reading the prompt, and for what the
 /// wait is longer than was heard.
 const WAIT_SHARE: Permille = Permille(250);
@@ -55,6 +55,12 @@
     }
 }
 
+/// Gets the longest wait at which a prompt stays at the first endpoint in its order, whatever it is at others.
+pub(in crate::gateway) fn longest_wait(goal: Millis, prompt: &Prompt) -> Millis {
+    let gain = Reader::new(goal, prompt).gain;
+    part(goal, WAIT_SHARE).max(Millis(gain.0.saturating_sub(1)))
+}
+
 /// Chooses `first`, the first endpoint that fits, or where the wait there is too long, the next one in the
 /// order where it is shorter by enough.
 pub(super) fn first_in_time(
--- a/crates/core/src/gateway/place/mod.rs
+++ b/crates/core/src/gateway/place/mod.rs
@@ -42,6 +42,9 @@
     standings, //
 };
 
+pub(in crate::gateway) use affinity::readers;
+pub(in crate::gateway) use expected::longest_wait;
+
 use affinity::{
     by_affinity,
     holder, //
@@ -82,6 +85,8 @@
     pub routers: u32,
     /// Whether the endpoints' speed varies, so that waits decide.
     pub speeds_vary: bool,
+    /// Endpoint whose keeper expects that the prompt needn't wait too long there.
+    pub agreed: Option<EndpointKey>,
     /// The time.
     pub now: Time,
     /// A random number.
--- a/crates/core/src/gateway/registry/attempts.rs
+++ b/crates/core/src/gateway/registry/attempts.rs
@@ -63,6 +63,18 @@
         }
     }
 
+    /// Records how long a prompt would wait at an endpoint, by the keeper of its backlog.
+    pub(in crate::gateway) fn record_wait_estimate(
+        &mut self,
+        now: Time,
+        key: EndpointKey,
+        wait: Millis,
+    ) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.waits.record_estimate(now, wait);
+        }
+    }
+
     /// Records how an attempt ended and how long it took.
     pub fn ended(&mut self, now: Time, key: EndpointKey, outcome: AttemptOutcome, took: Millis) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
--- a/crates/core/tests/gateway/waits.rs
+++ b/crates/core/tests/gateway/waits.rs
@@ -176,7 +176,7 @@
     state_slowdown(&mut gateway, Time(10));
     let (mut ticket, first) = place(&mut gateway, Time(10), &chat(7, 600));
     gateway.sent(Time(10), &mut ticket, first);
-    gateway.caller_left(Time(400), first);
+    gateway.caller_left(Time(400), ticket.owner, first);
     let endpoint = gateway.registry().get(first).expect("it is listed");
     expect_that!(endpoint.waits.expected(Time(500)), eq(Millis(0)));
     let (mut ticket, first) = place(&mut gateway, Time(500), &chat(7, 600));
--- a/crates/gateway/src/proxied/mod.rs
+++ b/crates/gateway/src/proxied/mod.rs
@@ -27,6 +27,7 @@
             NextStep, //
         },
         place::Placed,
+        prefill::Owner,
         refusal::{
             Cause,
             Refusal, //
@@ -123,6 +124,7 @@
 pub(crate) struct AttemptGuard {
     state: Shared,
     pub(crate) target: Target,
+    owner: Owner,
     active: bool,
 }
 
@@ -139,6 +141,7 @@
         Self {
             state: proxied.state.clone(),
             target,
+            owner: proxied.ticket.owner,
             active: true,
         }
     }
@@ -170,7 +173,7 @@
             self.state.metrics.count("attempts", "left");
             let mut gateway = self.state.gateway.borrow_mut();
             match &self.target {
-                Target::Endpoint(endpoint) => gateway.caller_left(now(), *endpoint),
+                Target::Endpoint(endpoint) => gateway.caller_left(now(), self.owner, *endpoint),
                 Target::Peer { address, .. } => gateway.caller_left_peer(*address),
             }
         }
