Test the prefill backlog, and leave endpoints that keepers call busy

Cause: the first decisions had no tests, and these showed four faults. A prompt with a hot part was drawn anew after it had asked, so that it went to an endpoint of which nothing was known. Long prompts with four queries each left none to short ones. When the queries were used up long prompts were not noted either, which misled all others. Of the endpoints that the keepers told, a prompt took the first one that was sooner, though a later one was idle.

Change: `Advice` tells placement whether the keeper that was asked first lets the prompt go there; short and long prompts have half of the messages each, and notes go on where queries end; after keepers have answered, a prompt takes the next endpoint at which it is on time, else the soonest.

--- a/crates/core/src/gateway/attempt/placement.rs
+++ b/crates/core/src/gateway/attempt/placement.rs
@@ -175,7 +175,7 @@
             routers: self.routers,
             is_short: self.pressure(now, ticket).is_some(),
             speeds_vary: self.variability.is_stated(now),
-            agreed: self.prefill.agreed(ticket.owner),
+            advice: self.prefill.advice(ticket.owner),
             now,
             draw,
         }
--- a/crates/core/src/gateway/place/affinity.rs
+++ b/crates/core/src/gateway/place/affinity.rs
@@ -11,6 +11,7 @@
         hot_spots,
         incoming_request::Prompt,
         place::{
+            Advice,
             Placed,
             PlacementContext,
             candidates,
@@ -139,6 +140,9 @@
 
 /// Chooses one of the endpoints that share a hot part, the less loaded of two random ones; `None`
 /// for a part that a single endpoint carries.
+///
+/// A prompt goes to the one that it has asked for. Where it would wait there, one that is drawn anew, of which
+/// nothing is known, would be no better.
 fn pick_for_hot_part(
     context: &PlacementContext<'_>,
     candidates: &[(EndpointKey, &Endpoint)],
@@ -147,10 +151,12 @@
 ) -> Option<usize> {
     let spread_width = spread_width(context, candidates.len(), part_id, mean)?;
     let shared = &candidates[..spread_width];
-    let agreed = context
-        .agreed
-        .and_then(|agreed| shared.iter().position(|(key, _)| *key == agreed));
-    agreed.or_else(|| cheaper_of_two(context, shared, mean))
+    let asked = match context.advice {
+        Advice::None => None,
+        Advice::Go(asked) => shared.iter().position(|(key, _)| *key == asked),
+        Advice::Leave => return None,
+    };
+    asked.or_else(|| cheaper_of_two(context, shared, mean))
 }
 
 /// Gets how many of so many endpoints share a hot part; `None` for a part that a single endpoint carries.
--- a/crates/core/src/gateway/place/expected.rs
+++ b/crates/core/src/gateway/place/expected.rs
@@ -11,7 +11,10 @@
     gateway::{
         endpoint::Endpoint,
         incoming_request::Prompt,
-        place::PlacementContext, //
+        place::{
+            Advice,
+            PlacementContext, //
+        },
     },
     units::{
         Millis,
@@ -62,7 +65,8 @@
 }
 
 /// Chooses `first`, the first endpoint that fits, or where the wait there is too long, the next one in the
-/// order where it is shorter by enough.
+/// order where it is shorter by enough. If keepers of backlogs have told the waits, it is the next one of these
+/// at which the prompt is on time, or else the one where it is soonest: they know them well enough.
 pub(super) fn first_in_time(
     context: &PlacementContext<'_>,
     candidates: &[(EndpointKey, &Endpoint)],
@@ -76,9 +80,15 @@
         return first;
     }
     let others = (first + 1..candidates.len()).filter(|rank| fits(&candidates[*rank]));
-    let mut others = others.take(MAX_ENDPOINTS - 1);
-    let sooner = others.find(|rank| expected(*rank) + reader.gain <= wait);
-    sooner.unwrap_or(first)
+    let others = others.take(MAX_ENDPOINTS - 1);
+    let mut sooner = others.filter(|rank| expected(*rank) + reader.gain <= wait);
+    let chosen = if context.advice == Advice::Leave {
+        let on_time = sooner.clone().find(|rank| reader.bears(expected(*rank)));
+        on_time.or_else(|| sooner.min_by_key(|rank| expected(*rank)))
+    } else {
+        sooner.next()
+    };
+    chosen.unwrap_or(first)
 }
 
 /// Gets a part of a time.
--- a/crates/core/src/gateway/place/mod.rs
+++ b/crates/core/src/gateway/place/mod.rs
@@ -85,14 +85,25 @@
     pub routers: u32,
     /// Whether the endpoints' speed varies, so that waits decide.
     pub speeds_vary: bool,
-    /// Endpoint whose keeper expects that the prompt needn't wait too long there.
-    pub agreed: Option<EndpointKey>,
+    /// What the keeper of a backlog advises.
+    pub advice: Advice,
     /// The time.
     pub now: Time,
     /// A random number.
     pub draw: u64,
 }
 
+/// `Advice` is what the keeper of the backlog expects that a prompt has asked first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Advice {
+    /// It was not asked, or has not answered.
+    None,
+    /// The prompt needn't wait for long at the endpoint.
+    Go(EndpointKey),
+    /// It would wait for long there.
+    Leave,
+}
+
 /// `BrittleContext` is what limits the requests that brittle endpoints have to turn away.
 #[derive(Clone, Copy, Debug)]
 pub struct BrittleContext<'a> {
--- a/crates/core/src/gateway/prefill/claims.rs
+++ b/crates/core/src/gateway/prefill/claims.rs
@@ -45,8 +45,8 @@
     pub(super) reader: Reader,
     /// Longest wait there at which the prompt stays.
     pub(super) bears: Millis,
-    /// Whether the wait there is known to be no longer.
-    pub(super) agreed: bool,
+    /// Whether the keeper expects no longer one; `None` if it has not answered.
+    pub(super) fits: Option<bool>,
     pub(super) noted: Noted,
 }
 
--- a/crates/core/src/gateway/prefill/mod.rs
+++ b/crates/core/src/gateway/prefill/mod.rs
@@ -137,10 +137,14 @@
         Owner(self.admitted)
     }
 
-    /// Gets the endpoint whose keeper expects that a request needn't wait too long there.
-    pub(in crate::gateway) fn agreed(&self, owner: Owner) -> Option<EndpointKey> {
-        let claim = self.claims.get(owner).filter(|c| c.agreed);
-        claim.map(|c| c.reader.endpoint)
+    /// Gets what the keeper that was asked first advises for a request.
+    pub(in crate::gateway) fn advice(&self, owner: Owner) -> place::Advice {
+        let claim = self.claims.get(owner);
+        match claim.and_then(|c| Some((c.reader.endpoint, c.fits?))) {
+            Some((endpoint, true)) => place::Advice::Go(endpoint),
+            Some((_, false)) => place::Advice::Leave,
+            None => place::Advice::None,
+        }
     }
 }
 
@@ -169,7 +173,7 @@
             return Vec::new();
         };
         let is_long = is_noted(ticket.route.goal, prompt);
-        if !self.variability.is_stated(now) || !self.prefill.budget.allows(now, is_long) {
+        if !self.variability.is_stated(now) || !self.prefill.budget.allows_query(now, is_long) {
             return Vec::new();
         }
         self.prefill.listed = now;
@@ -194,20 +198,23 @@
             tokens: incoming_request.prompt.as_ref().map_or(0, |p| p.input),
             bears: None,
         };
-        self.prefill.budget.charge(QUERY, self.routers);
         let goal = ticket.route.goal;
-        if let Some(prompt) = incoming_request.prompt.as_ref().filter(|_| is_first) {
+        let Some(prompt) = &incoming_request.prompt else {
+            return query;
+        };
+        let is_long = is_noted(goal, prompt);
+        let release = if is_first && is_long { RELEASE } else { 0 };
+        let budget = &mut self.prefill.budget;
+        budget.charge(QUERY + release, is_long, self.routers);
+        if is_first {
             let bears = place::longest_wait(goal, prompt);
-            query.bears = is_noted(goal, prompt).then_some(bears);
-            if query.bears.is_some() {
-                self.prefill.budget.charge(RELEASE, self.routers);
-            }
+            query.bears = is_long.then_some(bears);
             let claim = Claim {
                 at: self.prefill.listed,
                 nonce,
                 reader,
                 bears,
-                agreed: false,
+                fits: None,
                 noted: query.bears.map_or(Noted::No, |_| Noted::Maybe),
             };
             self.prefill.claims.put(ticket.owner, claim);
@@ -258,7 +265,7 @@
         };
         let goes = estimate.wait <= claim.bears;
         if estimate.nonce == claim.nonce {
-            claim.agreed = goes;
+            claim.fits = Some(goes);
             claim.noted = if estimate.reserved {
                 Noted::Yes
             } else {
@@ -306,24 +313,24 @@
                     endpoint: reader.tag,
                     tokens,
                 };
-                prefill.budget.charge(NOTE, self.routers);
+                prefill.budget.charge(NOTE, true, self.routers);
                 prefill.claims.queue(note);
             }
             return;
         }
         prefill.claims.release(ticket.owner);
         let goal = ticket.route.goal;
-        if !speeds_vary || !is_noted(goal, prompt) || !prefill.budget.allows(now, true) {
+        if !speeds_vary || !is_noted(goal, prompt) || !prefill.budget.allows_note(now) {
             return;
         }
-        prefill.budget.charge(NOTE + RELEASE, self.routers);
+        prefill.budget.charge(NOTE + RELEASE, true, self.routers);
         let nonce = self.draw();
         let claim = Claim {
             at: now,
             nonce,
             reader,
             bears: Millis(0),
-            agreed: false,
+            fits: None,
             noted: Noted::Yes,
         };
         let claims = &mut self.prefill.claims;
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod outcome;
 mod part_quarantine;
 mod place;
+mod prefill;
 mod proof;
 mod quarantine;
 mod reach;
