--- a/crates/core/src/gateway/place/expected.rs
+++ b/crates/core/src/gateway/place/expected.rs
@@ -11,7 +11,10 @@
     gateway::{
         endpoint::Endpoint,
         incoming_request::Prompt,
-        place::PlacementContext, //
+        place::{
+            Advice,
+            PlacementContext, //
+        },
     },
     units::{
         Millis,
@@ -20,7 +23,7 @@
 };
 
 /// Endpoints in a prompt's order among which the wait decides.
-const MAX_ENDPOINTS: usize = 4;
+pub(super) const MAX_ENDPOINTS: usize = 4;
 /// Part of a route's goal that may be spent on waiting; the rest is for reading the prompt, and for what the
 /// wait is longer than was heard.
 const WAIT_SHARE: Permille = Permille(250);
@@ -55,8 +58,15 @@
     }
 }
 
+/// Gets the longest wait at which a prompt stays at the first endpoint in its order, whatever it is at others.
+pub(in crate::gateway) fn longest_wait(goal: Millis, prompt: &Prompt) -> Millis {
+    let gain = Reader::new(goal, prompt).gain;
+    part(goal, WAIT_SHARE).max(Millis(gain.0.saturating_sub(1)))
+}
+
 /// Chooses `first`, the first endpoint that fits, or where the wait there is too long, the next one in the
-/// order where it is shorter by enough.
+/// order where it is shorter by enough. If keepers of backlogs have told the waits, it is the next one of these
+/// at which the prompt is on time, or else the one where it is soonest: they know them well enough.
 pub(super) fn first_in_time(
     context: &PlacementContext<'_>,
     candidates: &[(EndpointKey, &Endpoint)],
@@ -70,9 +80,15 @@
         return first;
     }
     let others = (first + 1..candidates.len()).filter(|rank| fits(&candidates[*rank]));
-    let mut others = others.take(MAX_ENDPOINTS - 1);
-    let sooner = others.find(|rank| expected(*rank) + reader.gain <= wait);
-    sooner.unwrap_or(first)
+    let others = others.take(MAX_ENDPOINTS - 1);
+    let mut sooner = others.filter(|rank| expected(*rank) + reader.gain <= wait);
+    let chosen = if context.advice == Advice::Leave {
+        let on_time = sooner.clone().find(|rank| reader.bears(expected(*rank)));
+        on_time.or_else(|| sooner.min_by_key(|rank| expected(*rank)))
+    } else {
+        sooner.next()
+    };
+    chosen.unwrap_or(first)
 }
 
 /// Gets a part of a time.
