Encode the messages of the prefill backlog

Cause: routers need to ask the keeper of an endpoint's backlog while a prompt waits, and to tell it of prompts, in datagrams beside the digests.

Change: `wire::prefill` has queries, estimates and notes in a fixed layout, with the sender and its round under the seal, so that an estimate can be tied to the router that was asked, and old datagrams told from new ones. They begin with a byte that begins neither a protocol buffer nor a stream report: routers of other builds refuse them as malformed digests.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,7 +4,8 @@
 //! them into an [`envelope`] with a keyed MAC and checks one that arrives, replays included
 //! ([`window`]). It opens no socket and keeps no connection; `toucanturn-router` does.
 //!
-//! [`gossip`] is what gateway routers tell each other.
+//! [`gossip`] is what gateway routers tell each other, [`prefill`] what they tell and ask the routers that keep
+//! what engines have still to read.
 //!
 //! Start at [`envelope::seal`] and [`envelope::open`]; [`message`] has the control messages,
 //! [`forward`] the call on its way to its home, and [`receipt`] the replies to both. Nothing that
@@ -20,6 +21,7 @@
 pub mod handoff;
 pub mod limits;
 pub mod message;
+pub mod prefill;
 pub mod receipt;
 pub mod window;
 
