Draw other numbers at each router that starts

Symptom: over sockets, a keeper took the prompt of one router for that of another: its estimate was 0 ms beside a long unread prompt, and the first prompt's note stood for both.

Sequence: two routers start in the same millisecond; each asks for a prompt; both queries have the same nonce, so the second one's own note seems to be there already.

Cause: the generator was seeded by the wall clock's milliseconds alone, so routers that start together draw the same numbers, those of placements and nonces among them. A cold start of a fleet is just that.

Change: the seed depends on the router's address for its peers, too. Its incarnation stays the time.

--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -42,6 +42,7 @@
     ids::Tag,
     units::Incarnation,
 };
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     errors::{
@@ -188,11 +189,13 @@
     let socket = UdpSocket::bind(peer_address)
         .await
         .context(context(peer_address))?;
-    let seed = toucanturn_clock::now().wall.0;
+    let wall = toucanturn_clock::now().wall.0;
+    // Routers that start in the same millisecond would draw the same numbers, and take each other's nonces for theirs.
+    let seed = xxh3_64_with_seed(peer_address.to_string().as_bytes(), wall);
     let own_rumor = Heartbeat {
         address: peer_address,
         data_center: Tag::of(settings.data_center.as_bytes()).0,
-        incarnation: Incarnation(seed),
+        incarnation: Incarnation(wall),
         beat: 0,
         reads: false,
     };
