Ask keepers of prefill backlogs before a prompt is placed

Cause: placement knows what other routers have sent to an endpoint only after gossip has told, 300 to 500 ms later; a prompt of which a keeper knows at once needs a message while it waits.

Change: `gateway::prefill` asks the keeper of the first endpoint that fits, and if its estimate doesn't suit those of the others side by side, in datagrams on the socket of the gossip. A query has 10 ms, all queries of a request 20 ms over its attempts; at most 256 are open. An estimate counts with the query's nonce from the router that was asked; late ones are dropped, and what a late keeper may have noted is taken back. Queries and notes of old rounds are refused, and nothing is noted for routers that are not known yet. Notes go out at once after a placement, a first event, the end of an attempt and the end of a request, also where its caller has left (the drop of `ProxiedRequest`, which covers the time before an attempt, too). With no endpoints to ask, nothing is sent, awaited or allocated.

Event 681, counters `prefill_queries` and `prefill_notes`, histogram `prefill_inquiry`. `Mesh::accepts_stream_reports` is `accepts_round` now, as notes use it, too.

--- a/crates/core/src/gateway/fleet/mesh/streams.rs
+++ b/crates/core/src/gateway/fleet/mesh/streams.rs
@@ -19,17 +19,20 @@
 const FURTHER_KEEPERS: usize = 2;
 /// Limit of the other routers that are all told of each stream, so that any one of them is enough.
 pub(in crate::gateway) const SMALL_FLEET: usize = 8;
-/// Rounds of a sender around the newest one that is known within which its stream reports count. Others
+/// Rounds of a sender around the newest one that is known within which its reports count. Others
 /// may be replays, of an earlier process among them.
-const STREAM_REPORT_ROUNDS: u64 = 20;
+const REPORT_ROUNDS: u64 = 20;
 
 impl Mesh {
-    /// Tells whether stream reports that a router made in a round count.
-    pub fn accepts_stream_reports(&self, from: SocketAddrV4, beat: u64) -> bool {
+    /// Tells whether this router has heard of another one.
+    pub fn knows(&self, router: SocketAddrV4) -> bool {
+        self.peers.contains_key(&router)
+    }
+
+    /// Tells whether stream reports or notes that a router made in a round count.
+    pub fn accepts_round(&self, from: SocketAddrV4, beat: u64) -> bool {
         let held = self.peers.get(&from).map(|p| p.heartbeat.beat);
-        held.is_some_and(|held| {
-            beat + STREAM_REPORT_ROUNDS >= held && beat <= held + STREAM_REPORT_ROUNDS
-        })
+        held.is_some_and(|held| beat + REPORT_ROUNDS >= held && beat <= held + REPORT_ROUNDS)
     }
 
     /// Lists the routers that are told of a stream.
--- a/crates/core/tests/gateway/origin.rs
+++ b/crates/core/tests/gateway/origin.rs
@@ -541,7 +541,7 @@
         (119, true),
         (121, false),
     ] {
-        expect_that!(mesh.accepts_stream_reports(from, beat), eq(accepted));
+        expect_that!(mesh.accepts_round(from, beat), eq(accepted));
     }
-    expect_false!(mesh.accepts_stream_reports(heartbeat(7).address, 100));
+    expect_false!(mesh.accepts_round(heartbeat(7).address, 100));
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,4 +1,4 @@
-//! Gossip between routers: digests in UDP datagrams.
+//! Gossip between routers: digests in UDP datagrams, and other messages that come on the same socket.
 //!
 //! Lost, late or replayed datagrams do no harm: the next round repeats the same information, and a digest that is
 //! not newer than the last one of its sender is ignored.
@@ -19,16 +19,20 @@
     Digest,
     GOSSIP_INTERVAL, //
 };
-use toucanturn_wire::gossip::{
-    MAX_DATAGRAM,
-    decode_digest,
-    encode_digest,
-    is_stream_reports,
-    open,
-    seal, //
+use toucanturn_wire::{
+    gossip::{
+        MAX_DATAGRAM,
+        decode_digest,
+        encode_digest,
+        is_stream_reports,
+        open,
+        seal, //
+    },
+    prefill::is_prefill,
 };
 
 use crate::{
+    prefill,
     state::{
         Shared,
         now, //
@@ -100,6 +104,11 @@
     {
         return streams::receive(state, payload);
     }
+    if let Ok((_, payload)) = &opened
+        && is_prefill(payload)
+    {
+        return prefill::receive(state, payload);
+    }
     let digest = opened.and_then(|(epoch, payload)| Ok((epoch, decode_digest(&payload)?)));
     match digest {
         Ok((epoch, digest)) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod peer_follower;
 pub mod peers;
 pub mod pool;
+mod prefill;
 pub mod process;
 pub mod protocol;
 mod proxied;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -218,6 +218,7 @@
     spawn_local(server::serve_callers(state.clone(), callers));
     spawn_local(peers::serve(state.clone(), peers));
     let socket = Rc::new(socket);
+    state.prefill.set_socket(Rc::clone(&socket));
     spawn_local(gossip::run(state.clone(), Rc::clone(&socket)));
     spawn_local(streams::report(state.clone(), socket));
     spawn_local(reads::run(state.clone(), Rc::clone(&reader)));
--- a/crates/gateway/src/proxied/endpoint.rs
+++ b/crates/gateway/src/proxied/endpoint.rs
@@ -48,6 +48,7 @@
     handoff::PeerConnection,
     log::text,
     pool::open,
+    prefill,
     protocol::{
         ForwardContext,
         ReplyHead, //
@@ -264,6 +265,8 @@
         if let Target::Endpoint(endpoint) = target {
             let mut gateway = self.state.gateway.borrow_mut();
             gateway.record_begun(now(), &self.ticket, *endpoint);
+            drop(gateway);
+            prefill::send_notes(&self.state);
         }
         let took = now().since(self.ticket.sent);
         self.first = Some(took);
--- a/crates/gateway/src/proxied/mod.rs
+++ b/crates/gateway/src/proxied/mod.rs
@@ -53,6 +53,7 @@
     },
     handoff,
     log::text,
+    prefill,
     protocol::ReplyHead,
     state::{
         Shared,
@@ -64,7 +65,7 @@
 mod endpoint;
 mod peer;
 mod probe;
-mod report;
+pub(crate) mod report;
 
 use report::{
     endpoint_build,
@@ -90,6 +91,14 @@
     first: Option<Millis>,
     /// What the endpoint of the newest attempt has answered.
     pub(crate) received: Option<Received>,
+    /// Time that is left for asking keepers of prefill backlogs.
+    pub(crate) inquiry_left: Duration,
+}
+
+impl Drop for ProxiedRequest {
+    fn drop(&mut self) {
+        prefill::release(self);
+    }
 }
 
 /// `Way` is where the next attempt goes.
@@ -138,6 +147,7 @@
             }
         }
         drop(gateway);
+        prefill::send_notes(&proxied.state);
         Self {
             state: proxied.state.clone(),
             target,
@@ -158,12 +168,15 @@
         self.active = false;
         let mut gateway = proxied.state.gateway.borrow_mut();
         let ticket = &mut proxied.ticket;
-        match &self.target {
+        let next = match &self.target {
             Target::Endpoint(endpoint) => gateway.ended(now(), ticket, *endpoint, outcome),
             Target::Peer {
                 address, report, ..
             } => gateway.hand_off_ended(now(), ticket, *address, outcome, report.as_ref()),
-        }
+        };
+        drop(gateway);
+        prefill::send_notes(&proxied.state);
+        next
     }
 }
 
@@ -211,6 +224,7 @@
             slowdown: None,
             first: None,
             received: None,
+            inquiry_left: prefill::MAX_INQUIRY_TIME,
         }
     }
 
@@ -271,6 +285,7 @@
         wait_for_turn(self).await?;
         loop {
             self.identify();
+            let inquiry = prefill::inquire(self).await;
             let placed = match self.choose_way()? {
                 Way::Endpoint(placed) => placed,
                 Way::Peer(peer) => match self.hand_off(peer, resume).await {
@@ -279,6 +294,7 @@
                     Err(Some(refusal)) => return Err(refusal),
                 },
             };
+            prefill::record_placed(self, inquiry.as_ref(), &placed);
             let connection = match self.connect(&placed).await {
                 Ok(connection) => connection,
                 Err(NextStep::Again) => continue,
--- a/crates/gateway/src/proxied/report.rs
+++ b/crates/gateway/src/proxied/report.rs
@@ -115,7 +115,7 @@
     crashes.join(", ")
 }
 
-pub(super) fn endpoint_name(gateway: &Gateway, endpoint: EndpointKey) -> String {
+pub(crate) fn endpoint_name(gateway: &Gateway, endpoint: EndpointKey) -> String {
     let found = gateway.registry().get(endpoint);
     found.map_or_else(|| "gone".to_owned(), |e| text(&e.entry.id).into_owned())
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -41,6 +41,7 @@
     log::LogLimiter,
     metrics::Metrics,
     pool::Pool,
+    prefill::Queries,
     protocol::ProtocolAdapter, //
 };
 
@@ -115,6 +116,8 @@
     pub unsent_streams: Notify,
     /// Number of streams that peers are being asked for.
     pub(crate) stream_asks: Cell<usize>,
+    /// Queries to the keepers of prefill backlogs.
+    pub(crate) prefill: Queries,
     /// The changes last packed for a peer.
     pub cached_pack: RefCell<Option<CachedPack>>,
     /// Whether the local copy was last updated by an own read rather than by a peer.
@@ -159,6 +162,7 @@
             wake_reads: Notify::new(),
             unsent_streams: Notify::new(),
             stream_asks: Cell::new(0),
+            prefill: Queries::default(),
             cached_pack: RefCell::default(),
             reads: Cell::new(false),
             first_read_until: Cell::new(now() + FIRST_READ_TIMEOUT),
