Play the exchange with keepers of prefill backlogs in the laboratory

The laboratory knew digests only, so what a router may learn before it places a prompt could not be played.

Each router has a mesh that hears heartbeats with the digests, and names the keeper of an endpoint by it. Before a prompt is placed, the keepers that the core names are asked: 2 ms to the keeper, 1 ms back, 10 ms at most; the others together where the first does not suit; notes go one way. Routers that are lost, cut off or have just started do not answer. A sheet says whether keepers are asked; the sheets of expected waits don't, and are what they were.

--- a/crates/replay/examples/measure_multiple.rs
+++ b/crates/replay/examples/measure_multiple.rs
@@ -54,6 +54,7 @@
         length: 12_000,
         hold: 5000,
         tells_back_offs: true,
+        asks_keepers: true,
         placement: Placement::Routers,
     }
 }
--- a/crates/replay/src/lab/account.rs
+++ b/crates/replay/src/lab/account.rs
@@ -87,6 +87,12 @@
     pub in_back_off: usize,
     /// Arrivals from a router at an engine that had told it that it leaves, later than allowed.
     pub after_leaving: usize,
+    /// Queries that routers sent to keepers of prefill backlogs.
+    pub queries: usize,
+    /// Queries that had no estimate in time.
+    pub silent: usize,
+    /// Notes that routers sent to keepers.
+    pub notes: usize,
     /// Decisions that were compared with the best one.
     pub decisions: Vec<Decision>,
     /// Arrivals by engine and tenth of a second.
--- a/crates/replay/src/lab/fleet/answer.rs
+++ b/crates/replay/src/lab/fleet/answer.rs
@@ -91,7 +91,7 @@
         let router = &mut self.routers[request.router];
         let next = router.ended(Time(now), &mut ticket, endpoint, AttemptOutcome::Broken);
         if next == After::Again {
-            self.send(now, number, ticket);
+            self.inquire(now, number, ticket);
         }
     }
 
@@ -117,7 +117,7 @@
         }
         let next = router.ended(at, &mut ticket, endpoint, AttemptOutcome::Rejected);
         if next == After::Again {
-            return self.send(now, number, ticket);
+            return self.inquire(now, number, ticket);
         }
         let refusal = router.give_up(at, &ticket, Cause::NoEndpoint);
         self.refused(now, number, refusal);
--- a/crates/replay/src/lab/fleet/gossip.rs
+++ b/crates/replay/src/lab/fleet/gossip.rs
@@ -54,6 +54,7 @@
             if !turn.is_multiple_of(GOSSIP_INTERVAL.0) || lost == Some(who) {
                 continue;
             }
+            self.beat(now, who);
             let router = &mut self.routers[who];
             router.fleet(Time(now), u32::try_from(routers).unwrap_or(u32::MAX));
             router.tick(Time(now));
@@ -77,6 +78,9 @@
                 let hear = Next::Hear(whom, contents.clone(), samples.clone());
                 if !self.is_cut(now, who, whom) {
                     self.later(now + WAY + late, hear);
+                    if let Some(digest) = self.heartbeats(now, who, whom) {
+                        self.later(now + WAY + late, Next::HearOfRouters(whom, digest));
+                    }
                 }
             }
         }
--- a/crates/replay/src/lab/fleet/loss.rs
+++ b/crates/replay/src/lab/fleet/loss.rs
@@ -37,6 +37,7 @@
         for request in &mut self.requests {
             request.ticket = None;
         }
+        self.exchange.lose(|_| true);
     }
 
     /// Forgets what one router had under way.
@@ -45,6 +46,8 @@
         for request in self.requests.iter_mut().filter(there) {
             request.ticket = None;
         }
+        let requests = &self.requests;
+        self.exchange.lose(|n| requests[n].router == number);
     }
 
     /// Ends an engine with all that it has.
--- a/crates/replay/src/lab/fleet/mod.rs
+++ b/crates/replay/src/lab/fleet/mod.rs
@@ -14,7 +14,10 @@
         Gateway,
         Ticket,
         incoming_request::IncomingRequest,
-        mesh::Sample,
+        mesh::{
+            Digest,
+            Sample, //
+        },
         updates::DigestContents, //
     },
     units::Millis,
@@ -34,9 +37,14 @@
 mod loss;
 mod oracle;
 mod place;
+mod prefill;
 
 use arrival::Pause;
 use deployment::router;
+use prefill::{
+    Exchange,
+    Message, //
+};
 
 /// Milliseconds on the way between a router and an engine.
 const WAY: u64 = 1;
@@ -77,6 +85,9 @@
     Try(usize),
     Arrive(usize, usize),
     Hear(usize, DigestContents, Vec<Sample>),
+    HearOfRouters(usize, Digest),
+    Deliver(usize, usize, Message),
+    Expire(usize),
     Broke(usize),
     Rejected(usize, u64),
     Back(usize),
@@ -91,6 +102,7 @@
     requests: Vec<Request>,
     next: BTreeMap<u64, Vec<Next>>,
     account: Account,
+    exchange: Exchange,
     /// Back-offs that engines have asked routers for.
     pauses: BTreeMap<(usize, usize), Vec<Pause>>,
     /// When engines have first told routers that they leave.
@@ -109,6 +121,7 @@
         fleet.ask(now);
         fleet.happen(now);
         fleet.work(now);
+        fleet.pass_notes(now);
         fleet.tell(now);
     }
     fleet.account.read = fleet.engines.iter().map(|e| e.read).sum();
@@ -127,6 +140,7 @@
             requests: Vec::new(),
             next: BTreeMap::new(),
             account: Account::default(),
+            exchange: Exchange::new(if sheet.asks_keepers { sheet.routers } else { 0 }),
             pauses: BTreeMap::new(),
             told_leaving: BTreeMap::new(),
             turned_away: vec![Vec::new(); sheet.engines],
@@ -147,6 +161,7 @@
         if !lost && self.lost(now - 1) {
             for number in 0..self.routers.len() {
                 self.routers[number] = router(self.sheet, now, self.rng.random());
+                self.exchange.restart(now, number);
             }
         }
         let (before, lost_router) = (self.lost_router(now - 1), self.lost_router(now));
@@ -156,6 +171,7 @@
             }
             if let Some(number) = before {
                 self.routers[number] = router(self.sheet, now, self.rng.random());
+                self.exchange.restart(now, number);
             }
         }
         while let Some(mut due) = self.next.remove(&now) {
@@ -166,6 +182,10 @@
                     Next::Arrive(number, engine) => self.arrive(now, number, engine),
                     Next::Hear(who, ..) if lost_router == Some(who) => {}
                     Next::Hear(who, contents, samples) => self.hear(now, who, &contents, &samples),
+                    Next::HearOfRouters(who, _) if lost_router == Some(who) => {}
+                    Next::HearOfRouters(who, digest) => self.hear_of_routers(now, who, &digest),
+                    Next::Deliver(from, to, message) => self.deliver(now, from, to, message),
+                    Next::Expire(number) => self.expire(now, number),
                     Next::Broke(number) => self.broke(now, number),
                     Next::Rejected(number, asked) => self.rejected(now, number, asked),
                     Next::Back(engine) => self.back(now, engine),
--- a/crates/replay/src/lab/fleet/place.rs
+++ b/crates/replay/src/lab/fleet/place.rs
@@ -56,7 +56,7 @@
         };
         ticket.content = Some(content(number, request.repeated));
         request.router = who;
-        self.send(now, number, ticket);
+        self.inquire(now, number, ticket);
     }
 
     /// Sends a request to the endpoint that its router chooses, if there is one.
--- a/crates/replay/src/lab/sheet.rs
+++ b/crates/replay/src/lab/sheet.rs
@@ -113,6 +113,13 @@
         /// Milliseconds.
         by: u64,
     },
+    /// No query, estimate or note arrives between routers.
+    SilentKeepers,
+    /// Queries, estimates and notes arrive so many milliseconds late.
+    LateQueries {
+        /// Milliseconds.
+        by: u64,
+    },
     /// All routers are lost at the beginning, and start again, knowing nothing, at the end.
     Lost,
 }
@@ -158,6 +165,8 @@
     pub hold: u64,
     /// Whether routers tell each other of engines that ask for pauses.
     pub tells_back_offs: bool,
+    /// Whether routers ask each other for prefill backlogs.
+    pub asks_keepers: bool,
     /// Who chooses the engines of requests.
     pub placement: Placement,
 }
--- a/crates/replay/tests/fleet/mod.rs
+++ b/crates/replay/tests/fleet/mod.rs
@@ -45,6 +45,7 @@
         length: 0,
         hold: 5000,
         tells_back_offs: true,
+        asks_keepers: true,
         placement: Placement::Routers,
     }
 }
--- a/crates/replay/tests/lab_engine.rs
+++ b/crates/replay/tests/lab_engine.rs
@@ -127,6 +127,7 @@
         length: 2000,
         hold: 0,
         tells_back_offs: true,
+        asks_keepers: true,
         placement: Placement::Routers,
     };
     let one = play(&sheet, 3);
--- a/crates/replay/tests/lab_multiple.rs
+++ b/crates/replay/tests/lab_multiple.rs
@@ -45,6 +45,7 @@
         length: 12_000,
         hold: 5000,
         tells_back_offs: true,
+        asks_keepers: true,
         placement: Placement::Routers,
     }
 }
--- a/crates/replay/tests/uneven/mod.rs
+++ b/crates/replay/tests/uneven/mod.rs
@@ -143,6 +143,7 @@
         length: LENGTH,
         hold: 5000,
         tells_back_offs: true,
+        asks_keepers: false,
         placement: Placement::Routers,
     }
 }
