--- a/crates/replay/src/lab/fleet/prefill.rs
+++ b/crates/replay/src/lab/fleet/prefill.rs
@@ -170,6 +170,10 @@
         let who = self.requests[number].router;
         let mut heard = false;
         for reader in readers.iter().copied() {
+            let mesh = &self.exchange.meshes[who];
+            if mesh.keeps_own_prompts_only(Time(now), reader.tag) {
+                continue;
+            }
             let keeper = self.keeper(now, who, reader.tag);
             let request = &self.requests[number];
             let router = &mut self.routers[who];
