Count messages of routers whose heartbeat was heard of seconds ago

Cause: notes, queries and stream reports count if their round is within 20 of the newest one that is known of their sender. In a large fleet a digest carries a sample of the heartbeats, so that one is often more than two seconds old, and the message is refused.

Change: the sender's rounds go on while it is not heard of, so a round is also accepted if it could have reached it by now.

Evidence: verify_reports_of_a_router_that_was_heard_of_long_ago_are_accepted fails without the change (rounds 150 and 169 after five seconds); replays stay refused, the older test unchanged but for the time.

--- a/crates/core/src/gateway/fleet/mesh/streams.rs
+++ b/crates/core/src/gateway/fleet/mesh/streams.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     gateway::mesh::{
+        GOSSIP_INTERVAL,
         Mesh,
         address_hash, //
     },
@@ -19,7 +20,7 @@
 const FURTHER_KEEPERS: usize = 2;
 /// Limit of the other routers that are all told of each stream, so that any one of them is enough.
 pub(in crate::gateway) const SMALL_FLEET: usize = 8;
-/// Rounds of a sender around the newest one that is known within which its reports count. Others
+/// Rounds of a sender around the one that it is expected to be in within which its reports count. Others
 /// may be replays, of an earlier process among them.
 const REPORT_ROUNDS: u64 = 20;
 
@@ -30,9 +31,14 @@
     }
 
     /// Tells whether stream reports or notes that a router made in a round count.
-    pub fn accepts_round(&self, from: SocketAddrV4, beat: u64) -> bool {
-        let held = self.peers.get(&from).map(|p| p.heartbeat.beat);
-        held.is_some_and(|held| beat + REPORT_ROUNDS >= held && beat <= held + REPORT_ROUNDS)
+    ///
+    /// In a large fleet a router's heartbeat is heard of every few seconds only; its rounds have gone on since.
+    pub fn accepts_round(&self, now: Time, from: SocketAddrV4, beat: u64) -> bool {
+        self.peers.get(&from).is_some_and(|peer| {
+            let held = peer.heartbeat.beat;
+            let passed = now.since(peer.last_heard).0 / GOSSIP_INTERVAL.0;
+            beat + REPORT_ROUNDS >= held && beat <= held + passed + REPORT_ROUNDS
+        })
     }
 
     /// Lists the routers that are told of a stream.
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -327,7 +327,7 @@
         Message::Query(query) => answer(state, from, beat, query),
         Message::Estimate(estimate) => receive_estimate(state, from, estimate),
         Message::Notes(notes) => {
-            if !state.mesh.borrow().accepts_round(from, beat) {
+            if !state.mesh.borrow().accepts_round(now(), from, beat) {
                 state.metrics.count("prefill_notes", "refused");
                 return;
             }
@@ -345,7 +345,7 @@
 fn answer(state: &State, from: SocketAddrV4, beat: u64, mut query: Query) {
     let (known, accepted) = {
         let mesh = state.mesh.borrow();
-        (mesh.knows(from), mesh.accepts_round(from, beat))
+        (mesh.knows(from), mesh.accepts_round(now(), from, beat))
     };
     if known && !accepted {
         state.metrics.count("prefill_queries", "refused");
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -140,7 +140,7 @@
 pub(crate) fn receive(state: &State, payload: &[u8]) {
     let told = decode_stream_reports(payload).ok();
     let mesh = state.mesh.borrow();
-    let told = told.filter(|told| mesh.accepts_round(told.from, told.beat));
+    let told = told.filter(|told| mesh.accepts_round(now(), told.from, told.beat));
     let what = if told.is_some() { "heard" } else { "refused" };
     state.metrics.count("stream_reports", what);
     if let Some(told) = told {
