Name prompts to keepers apart without other draws

Routers that start in the same millisecond draw the same numbers, and a keeper took the prompts of two for one. The salt of the nonces now does what the other seed did; the generator has its old seed, so that fleets without varying speeds decide exactly as before. That such routers draw alike elsewhere stays open (docs/UNPROVED.md).

--- a/crates/core/src/gateway/prefill/mod.rs
+++ b/crates/core/src/gateway/prefill/mod.rs
@@ -20,6 +20,7 @@
         place, //
     },
     ids::Tag,
+    load::score,
     units::{
         Millis,
         Permille,
@@ -128,6 +129,8 @@
     listed: Time,
     /// Requests that were admitted.
     admitted: u64,
+    /// Differs between routers, also between those that draw the same numbers.
+    salt: u64,
 }
 
 impl Prefill {
@@ -191,7 +194,7 @@
         reader: Reader,
         is_first: bool,
     ) -> Query {
-        let nonce = self.draw();
+        let nonce = self.prefill_nonce();
         let mut query = Query {
             nonce,
             endpoint: reader.tag,
@@ -324,7 +327,7 @@
             return;
         }
         prefill.budget.charge(NOTE + RELEASE, true, self.routers);
-        let nonce = self.draw();
+        let nonce = self.prefill_nonce();
         let claim = Claim {
             at: now,
             nonce,
@@ -342,6 +345,17 @@
         });
     }
 
+    /// Sets what makes this router's nonces differ from those of routers that started in the same millisecond and draw
+    /// the same numbers; a keeper would take their prompts for one.
+    pub fn set_prefill_salt(&mut self, salt: u64) {
+        self.prefill.salt = salt;
+    }
+
+    /// Draws the number that names a prompt to keepers.
+    pub fn prefill_nonce(&mut self) -> u64 {
+        score(self.draw(), self.prefill.salt)
+    }
+
     fn reader(&self, endpoint: EndpointKey) -> Option<Reader> {
         let tag = self.registry.get(endpoint)?.tag();
         Some(Reader { endpoint, tag })
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -42,7 +42,7 @@
     ids::Tag,
     units::Incarnation,
 };
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     errors::{
@@ -189,19 +189,18 @@
     let socket = UdpSocket::bind(peer_address)
         .await
         .context(context(peer_address))?;
-    let wall = toucanturn_clock::now().wall.0;
-    // Routers that start in the same millisecond would draw the same numbers, and take each other's nonces for theirs.
-    let seed = xxh3_64_with_seed(peer_address.to_string().as_bytes(), wall);
+    let seed = toucanturn_clock::now().wall.0;
     let own_rumor = Heartbeat {
         address: peer_address,
         data_center: Tag::of(settings.data_center.as_bytes()).0,
-        incarnation: Incarnation(wall),
+        incarnation: Incarnation(seed),
         beat: 0,
         reads: false,
     };
     let mesh = Mesh::new(own_rumor, settings.seeds.clone());
     let mut gateway = Gateway::new(settings.bounds.bounds(), seed);
     gateway.set_speeds(settings.speeds);
+    gateway.set_prefill_salt(xxh3_64(peer_address.to_string().as_bytes()));
     if !settings.first_start {
         gateway.restarted(now());
     }
