--- a/crates/core/src/gateway/fleet/mesh/mod.rs
+++ b/crates/core/src/gateway/fleet/mesh/mod.rs
@@ -206,8 +206,13 @@
     }
 
     fn peer_timeout(&self) -> Millis {
+        PEER_TIMEOUT + self.heartbeat_delay()
+    }
+
+    /// Gets how long a heartbeat may be on its way from peer to peer.
+    fn heartbeat_delay(&self) -> Millis {
         let routers = u64::try_from(self.peers.len()).unwrap_or(u64::MAX);
-        PEER_TIMEOUT + Millis(PEER_TIMEOUT_PER_ROUTER.0.saturating_mul(routers))
+        Millis(PEER_TIMEOUT_PER_ROUTER.0.saturating_mul(routers))
     }
 
     /// Counts the routers that are alive, including this one.
--- a/crates/core/src/gateway/fleet/mesh/streams.rs
+++ b/crates/core/src/gateway/fleet/mesh/streams.rs
@@ -32,11 +32,13 @@
 
     /// Tells whether stream reports or notes that a router made in a round count.
     ///
-    /// In a large fleet a router's heartbeat is heard of every few seconds only; its rounds have gone on since.
+    /// In a large fleet a router's heartbeat is heard of every few seconds only, and is on its way for as long; its
+    /// rounds have gone on since.
     pub fn accepts_round(&self, now: Time, from: SocketAddrV4, beat: u64) -> bool {
         self.peers.get(&from).is_some_and(|peer| {
             let held = peer.heartbeat.beat;
-            let passed = now.since(peer.last_heard).0 / GOSSIP_INTERVAL.0;
+            let passed = now.since(peer.last_heard) + self.heartbeat_delay();
+            let passed = passed.0 / GOSSIP_INTERVAL.0;
             beat + REPORT_ROUNDS >= held && beat <= held + passed + REPORT_ROUNDS
         })
     }
