Let the load plays of a test binary take turns on the machine

Cause: since the test of hard load came, three fleets (30, 20 and 6 routers, 68 stand-ins) play at once in the test threads of one binary, and starve each other. Each test judges times, so it judged processes that were waiting to run. Not the routers: of the late calls of hard load (six runs), 65 to 91 % of the wait lay before the router's first line or after its last one, where callers, and answers on their way to them, wait for a processor.

Alone they need 62 s of processor time in 17 s, 4.8 cores while they play; at once they got 33 to 54. Each alone passed, at 80 to 99 % busy. At once 6 of 7 runs failed: hard load 5 times, evacuation 5 times; the one that passed had the least waiting (215 s).

Change: the tests hold a lock for the whole play.

--- a/crates/soak/tests/load.rs
+++ b/crates/soak/tests/load.rs
@@ -2,6 +2,14 @@
 
 #![expect(clippy::expect_used, reason = "a test fails by its panic")]
 
+use std::{
+    path::Path,
+    sync::{
+        Mutex,
+        PoisonError, //
+    },
+};
+
 use googletest::prelude::*;
 use tempfile::TempDir;
 use tokio::task::LocalSet;
@@ -33,16 +41,27 @@
 const SECONDS: u64 = 12;
 const LONG_SECONDS: u64 = 20;
 
-/// Plays a load and expects each service to keep the load multiple in all five seconds.
-fn expect_within_multiple(sheet: &Sheet, steps: &[Step], (seed, seconds): (u64, u64)) {
-    let folder = tempfile::tempdir().expect("there is room");
+/// Held while a fleet plays. Fleets that play at once starve each other of processor time, and the times that are judged
+/// are then those of processes that wait to run.
+static MACHINE: Mutex<()> = Mutex::new(());
+
+/// Plays a load while no other test of this binary plays one.
+fn play(sheet: &Sheet, steps: &[Step], (seed, seconds): (u64, u64), folder: &Path) -> Seen {
+    // Dropped after the fleet's processes. A failed play says nothing of the next, thus poison is ignored.
+    let _turn = MACHINE.lock().unwrap_or_else(PoisonError::into_inner);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
     let runtime = runtime.expect("a runtime");
-    let played = run(sheet, steps, (seed, seconds), folder.path());
+    let played = run(sheet, steps, (seed, seconds), folder);
     let seen = LocalSet::new().block_on(&runtime, played);
-    let seen = seen.expect("the programs were built");
+    seen.expect("the programs were built")
+}
+
+/// Plays a load and expects each service to keep the load multiple in all five seconds.
+fn expect_within_multiple(sheet: &Sheet, steps: &[Step], (seed, seconds): (u64, u64)) {
+    let folder = tempfile::tempdir().expect("there is room");
+    let seen = play(sheet, steps, (seed, seconds), folder.path());
     let (served, calls) = seen.served();
     expect_that!(served * 100, ge(calls * 95), "{served} of {calls} served");
     let mut broken = false;
@@ -125,12 +144,7 @@
     let sheet = Sheet::hard(6);
     let steps = hard_plan(1, SECONDS);
     let folder = tempfile::tempdir().expect("there is room");
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    let played = run(&sheet, &steps, (1, SECONDS), folder.path());
-    let seen = LocalSet::new().block_on(&runtime.expect("a runtime"), played);
-    let seen = seen.expect("the programs were built");
+    let seen = play(&sheet, &steps, (1, SECONDS), folder.path());
     let refused = seen.calls.iter().filter(|c| matches!(c.status, 429 | 503));
     // Otherwise the pools were not short of room, and the rest shows nothing.
     expect_that!(refused.count(), gt(0));
