Hold the ports of tests' servers outside those of outgoing connections

Which socket had the port was not traced. 22,882 of the system's 28,232 ports for outgoing connections were in TIME_WAIT a few minutes later.

Change: `hold` picks ports below the range of outgoing connections, which nothing gets unless it asks for the port by number, and binds them first without address reuse, as two holders with it may get one port. And a play whose router ends before it was ready fails, with the router's log, where it hung.

--- a/crates/soak/src/errors.rs
+++ b/crates/soak/src/errors.rs
@@ -41,6 +41,14 @@
         /// Why.
         source: tokio::task::JoinError,
     },
+    /// A program ended before it was used.
+    #[snafu(display("expected {name} to run, it has ended: {log}"))]
+    Ended {
+        /// The program.
+        name: String,
+        /// What it wrote.
+        log: String,
+    },
     /// A stand-in did not do as told.
     #[snafu(display("expected {name} to obey"))]
     Order {
--- a/crates/soak/src/load/fleet.rs
+++ b/crates/soak/src/load/fleet.rs
@@ -69,6 +69,7 @@
 
 use crate::{
     errors::{
+        EndedSnafu,
         OrderSnafu,
         Result, //
     },
@@ -280,10 +281,23 @@
     }
 
     /// Waits until all routers take callers.
-    pub async fn wait_until_ready(&self) {
+    ///
+    /// # Errors
+    ///
+    /// A router has ended.
+    pub async fn wait_until_ready(&self) -> Result<()> {
         while !self.routers.iter().all(|router| router.in_rotation.get()) {
+            for (n, router) in self.routers.iter().enumerate() {
+                let mut child = router.child.borrow_mut();
+                if child.as_mut().and_then(Child::ended).is_some() {
+                    let name = format!("router {n}");
+                    let log = std::fs::read_to_string(self.log_path(n))?;
+                    return EndedSnafu { name, log }.fail();
+                }
+            }
             sleep(LOOK).await;
         }
+        Ok(())
     }
 
     /// Gets all that was noted so far.
@@ -501,13 +515,16 @@
             .await
     }
 
+    /// Gets the path of the log of a router's present life.
+    fn log_path(&self, n: usize) -> PathBuf {
+        let life = self.routers[n].life.get();
+        self.folder.join(format!("router-{n}-{life}.log"))
+    }
+
     fn start_router(&self, n: usize) -> Result<()> {
         let router = &self.routers[n];
         router.life.set(router.life.get() + 1);
-        let log = File::create(
-            self.folder
-                .join(format!("router-{n}-{}.log", router.life.get())),
-        )?;
+        let log = File::create(self.log_path(n))?;
         let errors = log.try_clone()?;
         let started = Child::start(
             Command::new(beside("toucanturn-gatewayd")?)
--- a/crates/soak/src/load/mod.rs
+++ b/crates/soak/src/load/mod.rs
@@ -73,7 +73,7 @@
     folder: &Path,
 ) -> Result<Seen> {
     let fleet = Fleet::start(sheet, folder).await?;
-    fleet.wait_until_ready().await;
+    fleet.wait_until_ready().await?;
     sleep(LEAD).await;
     let callers = Callers::start(Rc::clone(&fleet), sheet, seed);
     let holds = sheet
--- a/crates/standin/src/link/mod.rs
+++ b/crates/standin/src/link/mod.rs
@@ -2,8 +2,13 @@
 //! request's bytes at a chosen point.
 
 use std::{
+    hash::{
+        BuildHasher as _,
+        RandomState, //
+    },
     io,
     net::SocketAddr,
+    ops::Range,
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{
@@ -37,6 +42,8 @@
     Progress, //
 };
 
+/// Ports that are held for servers, below those of outgoing connections.
+const HELD_PORTS: Range<u16> = 12_000..32_000;
 /// Pause after the port could not be listened on.
 const AGAIN: Duration = Duration::from_millis(10);
 /// Connections that may wait to be accepted.
@@ -106,12 +113,31 @@
 /// Picks a free port of the loopback, and holds it by a socket that never listens: whoever listens
 /// there may end and come back.
 ///
+/// It is none of those that the system gives to outgoing connections. A port that an earlier connection had is given to
+/// others in spite of the holder, and then nobody can listen there.
+///
 /// # Errors
 ///
 /// No port is free.
 pub fn hold() -> io::Result<(SocketAddr, TcpSocket)> {
-    let holder = socket(SocketAddr::from(([127, 0, 0, 1], 0)))?;
-    Ok((holder.local_addr()?, holder))
+    let first = RandomState::new().hash_one(HELD_PORTS);
+    let count = u64::from(HELD_PORTS.end - HELD_PORTS.start);
+    for n in 0..count {
+        let offset = first.wrapping_add(n) % count;
+        let port = HELD_PORTS.start + u16::try_from(offset).unwrap_or_default();
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let holder = TcpSocket::new_v4()?;
+        match holder.bind(address) {
+            Ok(()) => {
+                // Only now, as two sockets that allow it may be bound to one port.
+                holder.set_reuseaddr(true)?;
+                return Ok((address, holder));
+            }
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
 }
 
 impl Link {
