Close a dropped connection's socket at once

An endpoint that accepts 14 connections had 15 or 16 (skewed_connections, beside busy loops).

Cause: a connection that a router gives up stops counting at once, but its socket was owned by a spawned task, and an aborted task drops what it owns at a later turn of the process. A request that is placed before that turn opens one more. The stand-in is not it: it asks the kernel which connections are closed when it counts.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -1,7 +1,12 @@
 //! HTTP/1 connections to endpoints, the registry and peers.
 
 use std::{
+    cell::RefCell,
+    future::poll_fn,
     net::SocketAddrV4,
+    pin::Pin,
+    rc::Rc,
+    task::Poll,
     time::Duration, //
 };
 
@@ -231,18 +236,27 @@
     }
 }
 
-/// `Connection` is an open connection. Dropping it closes the socket, even with a request in progress.
+type Exchanges = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+
+/// `Connection` is an open connection. Dropping it closes the socket at once, even with a request in progress.
 #[derive(Debug)]
 pub struct Connection {
     /// When it was opened.
     pub opened: Time,
     sender: SendRequest<Full<Bytes>>,
+    /// What owns the socket; `None` once the connection has ended.
+    exchanges: Rc<RefCell<Option<Exchanges>>>,
     task: AbortHandle,
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
+        // An aborted task drops what it owns at a later turn of the process, and another connection may be opened before:
+        // the remote host would have one more than it accepts.
+        let exchanges = self.exchanges.try_borrow_mut();
+        let exchanges = exchanges.ok().and_then(|mut exchanges| exchanges.take());
+        drop(exchanges);
     }
 }
 
@@ -279,14 +293,23 @@
             .handshake(TokioIo::new(stream))
             .await
             .context(HandshakeSnafu { address })?;
+        let exchanges = Rc::new(RefCell::new(Some(connection)));
+        let shared = Rc::clone(&exchanges);
         let task = tokio::task::spawn_local(async move {
-            if let Err(error) = connection.await {
+            let ended = poll_fn(|context| match &mut *shared.borrow_mut() {
+                Some(connection) => Pin::new(connection).poll(context),
+                None => Poll::Ready(Ok(())),
+            });
+            let ended = ended.await;
+            shared.take();
+            if let Err(error) = ended {
                 tracing::debug!(%address, %error, "connection ended");
             }
         });
         Ok(Self {
             opened: now(),
             sender,
+            exchanges,
             task: task.abort_handle(),
         })
     }
