--- a/crates/core/tests/gateway/prefill/claims.rs
+++ b/crates/core/tests/gateway/prefill/claims.rs
@@ -469,13 +469,7 @@
         nonce: query.nonce + 1,
         ..query
     };
-    answer(
-        &mut gateway,
-        11,
-        &mut ticket,
-        (reader, other),
-        (u64::MAX, true),
-    );
+    answer(&mut gateway, 11, &mut ticket, (reader, other), (0, false));
     gateway.release_prefill(ticket.owner);
     expect_that!(
         gateway.take_prefill_notes(),
--- a/crates/core/tests/gateway/prefill/failures.rs
+++ b/crates/core/tests/gateway/prefill/failures.rs
@@ -40,8 +40,11 @@
 #[gtest]
 fn verify_of_two_routers_that_ask_together_the_second_hears_of_the_first() {
     let mut fleet = Fleet::acquainted(5);
-    let first = fleet.send(0, 100, &chat(7, VERY_LONG));
-    let second = fleet.send(1, 100, &chat(7, VERY_LONG));
+    let long = chat(7, VERY_LONG);
+    let asked = [fleet.admit(0, 100, &long), fleet.admit(1, 100, &long)];
+    let [first, second] = asked;
+    let first = fleet.place(0, 100, first, &long);
+    let second = fleet.place(1, 100, second, &long);
     let third = fleet.send(2, 100, &chat(7, SHORT));
     expect_that!(second.tag, not(eq(first.tag)));
     expect_that!(third.tag, not(eq(first.tag)));
--- a/crates/core/tests/gateway/prefill/mod.rs
+++ b/crates/core/tests/gateway/prefill/mod.rs
@@ -237,12 +237,29 @@
     }
 
     fn send(&mut self, router: usize, now: u64, request: &IncomingRequest) -> Sent {
-        let at = Time(now);
+        let ticket = self.admit(router, now, request);
+        self.place(router, now, ticket, request)
+    }
+
+    /// Admits a request, and asks for it.
+    fn admit(&mut self, router: usize, now: u64, request: &IncomingRequest) -> Ticket {
         let gateway = &mut self.routers[router].gateway;
-        let mut ticket = gateway.admit(at, request).expect("it is admitted");
+        let ticket = gateway.admit(Time(now), request);
+        let mut ticket = ticket.expect("it is admitted");
         if !self.silent {
             self.ask(router, now, &mut ticket, request);
         }
+        ticket
+    }
+
+    fn place(
+        &mut self,
+        router: usize,
+        now: u64,
+        mut ticket: Ticket,
+        request: &IncomingRequest,
+    ) -> Sent {
+        let at = Time(now);
         let gateway = &mut self.routers[router].gateway;
         let placed = gateway.place(at, &ticket, request);
         let endpoint = placed.expect("there is an endpoint").endpoint;
