--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -42,6 +42,7 @@
     ids::Tag,
     units::Incarnation,
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     errors::{
@@ -199,6 +200,7 @@
     let mesh = Mesh::new(own_rumor, settings.seeds.clone());
     let mut gateway = Gateway::new(settings.bounds.bounds(), seed);
     gateway.set_speeds(settings.speeds);
+    gateway.set_prefill_salt(xxh3_64(peer_address.to_string().as_bytes()));
     if !settings.first_start {
         gateway.restarted(now());
     }
@@ -215,6 +217,7 @@
     spawn_local(server::serve_callers(state.clone(), callers));
     spawn_local(peers::serve(state.clone(), peers));
     let socket = Rc::new(socket);
+    state.prefill.set_socket(Rc::clone(&socket));
     spawn_local(gossip::run(state.clone(), Rc::clone(&socket)));
     spawn_local(streams::report(state.clone(), socket));
     spawn_local(reads::run(state.clone(), Rc::clone(&reader)));
