Look for the keeper of a backlog once for each query

The check whether this router stands in for silent keepers looked for the keeper again before the query did; it is only of use where the keeper is this router. Behaviour as before: the ten tests of prefill over sockets and clippy of the crate pass.

--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -167,18 +167,17 @@
 async fn ask(proxied: &ProxiedRequest, reader: Reader, is_first: bool) -> Option<Answer> {
     let state = &*proxied.state;
     let (query, keeper) = {
-        if state
-            .mesh
-            .borrow()
-            .keeps_own_prompts_only(now(), reader.tag)
-        {
+        let mesh = state.mesh.borrow();
+        let keeper = mesh.backlog_keeper(now(), reader.tag);
+        if keeper.is_none() && mesh.keeps_own_prompts_only(now(), reader.tag) {
             state.metrics.count("prefill_queries", "alone");
             return None;
         }
+        drop(mesh);
         let mut gateway = state.gateway.borrow_mut();
         let (ticket, request) = (&proxied.ticket, &proxied.incoming_request);
         let query = gateway.prefill_query(ticket, request, reader, is_first);
-        let Some(keeper) = state.mesh.borrow().backlog_keeper(now(), reader.tag) else {
+        let Some(keeper) = keeper else {
             state.metrics.count("prefill_queries", "here");
             return Some(Answer {
                 keeper: None,
