State of how many endpoints the mean load of a placement is

Event 610 could not tell a mean that has not followed endpoints that left from a load that is old: it gives the mean, not of how many endpoints it is. It has a field counted now. Nothing is decided by it.

--- a/crates/core/src/gateway/place/cost.rs
+++ b/crates/core/src/gateway/place/cost.rs
@@ -59,6 +59,8 @@
     /// Mean load of all endpoints, also of those that are leaving or evacuated. The multiple is one
     /// of this mean: the fewer endpoints get requests, the less of it is left for each.
     pub(super) load_of_all: f32,
+    /// Number of these endpoints.
+    pub(super) counted: u32,
     pub(super) failure_rate: f32,
     /// Share of the endpoints that peers report to back off.
     pub(super) avoided: f32,
@@ -92,6 +94,7 @@
         Self {
             load: load as f32 / count,
             load_of_all: known_load as f32 / (known_count.max(1) as f32),
+            counted: known_count,
             failure_rate: failure_rate / count,
             avoided: avoided as f32 / count,
         }
--- a/crates/core/src/gateway/place/mod.rs
+++ b/crates/core/src/gateway/place/mod.rs
@@ -176,6 +176,8 @@
     pub load_age: Option<Millis>,
     /// Mean of the estimated loads of all endpoints of the service.
     pub mean: f32,
+    /// Endpoints of which that is the mean.
+    pub counted: u32,
     /// The load from which it would have been passed over.
     pub limit: f32,
     /// Number of endpoints before it in the order of preference.
@@ -331,6 +333,7 @@
         load: chosen.load(context.now),
         load_age: chosen.age(context.now),
         mean: mean.load_of_all,
+        counted: mean.counted,
         limit: limit(context, chosen, mean),
         rank: u32::try_from(rank).unwrap_or(u32::MAX),
         passed_wait: None,
--- a/crates/gateway/src/proxied/report.rs
+++ b/crates/gateway/src/proxied/report.rs
@@ -90,6 +90,7 @@
             load = placed.load,
             load_age = placed.load_age.map(|age| age.0),
             mean = f64::from(placed.mean),
+            counted = placed.counted,
             limit = f64::from(placed.limit),
             rank = placed.rank,
             passed_wait = placed.passed_wait.map(|wait| wait.0),
