--- a/crates/replay/examples/measure_multiple.rs
+++ b/crates/replay/examples/measure_multiple.rs
@@ -70,17 +70,29 @@
         share: 0.28,
     });
     let burst = |kind| span(Trouble::Burst { kind, times: 1.7 });
+    let leave = |share| Span {
+        from: 4000,
+        to: 6000,
+        trouble: Trouble::ScaleIn { share },
+    };
     let cases = [
         ("calm", vec![]),
         ("hot session", vec![hot]),
         ("burst", vec![burst(0), burst(1), burst(2)]),
         ("both", vec![hot, burst(0), burst(1), burst(2)]),
+        ("a tenth leaves", vec![leave(0.1)]),
+        ("a quarter leaves", vec![leave(0.25)]),
+        ("a tenth leaves, hot session", vec![leave(0.1), hot]),
+        (
+            "a tenth leaves, burst",
+            vec![leave(0.1), burst(0), burst(1), burst(2)],
+        ),
     ];
     println!(
         "| routers | load | over the multiple: most, mean | in time | read again, moved (thousand tokens) |"
     );
     println!("|---|---|---|---|---|");
-    for routers in [7, 86, 295] {
+    for routers in [7, 20, 40, 86, 295] {
         for (name, troubles) in &cases {
             let accounts: Vec<Account> = SEEDS
                 .map(|seed| play(&sheet(routers, troubles.clone()), seed))
--- a/crates/replay/src/lab/fleet/loss.rs
+++ b/crates/replay/src/lab/fleet/loss.rs
@@ -1,8 +1,12 @@
 //! Routers that are lost, and engines that end and come back.
 
+use rand::RngExt;
 use toucanturn_core::{
-    gateway::Change,
-    units::Time, //
+    gateway::{
+        Change,
+        endpoint::Entry, //
+    },
+    units::Time,
 };
 
 use crate::lab::{
@@ -16,9 +20,15 @@
         WAY,
         deployment::entry, //
     },
-    sheet::Trouble,
+    sheet::{
+        Span,
+        Trouble, //
+    },
 };
 
+/// Milliseconds within which all routers have read a change of the registry.
+const REGISTRY_DELAY: u64 = 500;
+
 impl Fleet<'_> {
     pub(super) fn lost(&self, now: u64) -> bool {
         self.sheet.at(now).any(|t| t == Trouble::Lost)
@@ -88,4 +98,50 @@
             router.apply_changes(Time(now), changes);
         }
     }
+
+    /// Has the routers read of engines that begin to drain now, or are gone now.
+    pub(super) fn scale_in(&mut self, now: u64) {
+        let sheet = self.sheet;
+        for span in &sheet.troubles {
+            let Trouble::ScaleIn { share } = span.trouble else {
+                continue;
+            };
+            if now != span.from && now != span.to {
+                continue;
+            }
+            let drained = now == span.to;
+            for engine in 0..self.engines.len() {
+                if !self.takes(engine, share) {
+                    continue;
+                }
+                for who in 0..self.routers.len() {
+                    let delay = self.rng.random_range(0..REGISTRY_DELAY);
+                    self.later(now + 1 + delay, Next::Drain(who, engine, drained));
+                }
+            }
+        }
+    }
+
+    /// Gives a router an engine's entry that says that it drains, or takes the entry away.
+    pub(super) fn drain(&mut self, now: u64, who: usize, engine: usize, drained: bool) {
+        let listed = entry(self.sheet, engine, self.lives[engine].number);
+        let change = if drained {
+            Change::Removed(listed.id)
+        } else {
+            Change::Entry(Entry {
+                leaving: true,
+                ..listed
+            })
+        };
+        self.routers[who].apply_changes(Time(now), vec![change]);
+    }
+
+    /// Tells whether an engine is up.
+    pub(super) fn is_up(&self, now: u64, engine: usize) -> bool {
+        let gone = |s: &Span| match s.trouble {
+            Trouble::ScaleIn { share } => now >= s.to && self.takes(engine, share),
+            _ => false,
+        };
+        !self.sheet.troubles.iter().any(gone)
+    }
 }
--- a/crates/replay/src/lab/fleet/mod.rs
+++ b/crates/replay/src/lab/fleet/mod.rs
@@ -91,6 +91,7 @@
     Broke(usize),
     Rejected(usize, u64),
     Back(usize),
+    Drain(usize, usize, bool),
 }
 
 /// `Fleet` is an experiment under way.
@@ -154,6 +155,7 @@
     }
 
     fn happen(&mut self, now: u64) {
+        self.scale_in(now);
         let lost = self.lost(now);
         if lost && !self.lost(now - 1) {
             self.lose();
@@ -189,6 +191,7 @@
                     Next::Broke(number) => self.broke(now, number),
                     Next::Rejected(number, asked) => self.rejected(now, number, asked),
                     Next::Back(engine) => self.back(now, engine),
+                    Next::Drain(who, engine, drained) => self.drain(now, who, engine, drained),
                 }
             }
         }
--- a/crates/replay/src/lab/sheet.rs
+++ b/crates/replay/src/lab/sheet.rs
@@ -62,6 +62,12 @@
         /// Which part.
         share: f64,
     },
+    /// A part of the engines drains from the beginning and is gone at the end; each router reads of either within half a
+    /// second.
+    ScaleIn {
+        /// Which part.
+        share: f64,
+    },
     /// Engines say in all answers that they are brittle, let fewer requests wait from some time on, and crash when
     /// they have to turn too many away.
     Brittle {
--- a/crates/replay/tests/lab_multiple.rs
+++ b/crates/replay/tests/lab_multiple.rs
@@ -168,6 +168,31 @@
     }
 }
 
+/// Guards against sessions of leaving engines that meet engines whose own sessions already fill them.
+#[gtest]
+fn verify_sparsely_loaded_engines_are_within_the_multiple_as_others_leave() {
+    for (routers, seed) in [40, 86]
+        .into_iter()
+        .flat_map(|r| (1..=4).map(move |s| (r, s)))
+    {
+        let leave = Span {
+            from: 4000,
+            to: 6000,
+            trouble: Trouble::ScaleIn { share: 0.25 },
+        };
+        let sheet = Sheet {
+            troubles: vec![leave],
+            ..sparse_sheet(routers)
+        };
+        let (worst, from) = play(&sheet, seed).worst_multiple();
+        expect_that!(
+            worst,
+            le(0.03),
+            "{routers} routers, seed {seed}, from {from} ms"
+        );
+    }
+}
+
 /// Guards against a hot session that meets engines whose own sessions already fill them.
 #[gtest]
 fn verify_a_hot_session_at_sparsely_loaded_engines_is_within_the_multiple() {
