Refuse streams of which no router can know the version after a kill of all

Callers saw: all routers are killed while two versions serve, or the old one has just left; streams that are taken up afterwards end with 200, and their text is joined from two versions.

Cause: a restarted router trusted the only version that it read from the registry, after 3 s always, and before that if no endpoint was cold, which most endpoints are not. The registry says what serves now, not what has served since a stream began. With one router restarted its peers state what they knew; with all of them restarted nobody does.

Over sockets: verify_no_stream_is_joined_after_all_routers_were_killed_in_a_release and ..._after_routers_were_killed_in_turn failed, both with text of v1.1 after v1.

Change: a router that is restarted trusts its only version when the life of a stream has passed, or when a peer says that it knows all versions (a new field of digests), whose statements then count for the life of a stream, as that peer may be next. Until then it asks, and it reports the streams that it begins, so that those go on. On the first start of the system nothing is doubted.

verify_a_restarted_router_asks_where_endpoints_have_been_replaced is replaced: it held that a router whose endpoints are not cold may trust them at once, which is the fault. Four tests stand in its place, stricter on joins; refusals are bounded by the peer's word and by the life of a stream.

--- a/crates/core/src/gateway/fleet/mesh/digest.rs
+++ b/crates/core/src/gateway/fleet/mesh/digest.rs
@@ -135,6 +135,9 @@
     pub unreached_services: Vec<u32>,
     /// Services that more than one software version serves, by their indices in the configuration.
     pub mixed_services: Vec<u32>,
+    /// Whether the sender would know of each version that served within the life of a stream, and states all services
+    /// that have several.
+    pub knows_versions: bool,
     /// Where the first parts of prompts are read.
     pub reads: Vec<ReadReport>,
 }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -157,8 +157,10 @@
     /// Whether this router is to have peers, and when it last heard one.
     expects_peers: bool,
     heard_peer_at: Time,
-    /// Time until which a stream that no router knows may be one of before a restart.
-    doubtful_until: Time,
+    /// When this router was restarted, as long as it may not know of versions that have begun streams.
+    restarted_at: Option<Time>,
+    /// Services that a peer, which knew of all versions, has stated to have several, and until when that counts.
+    inherited_mixed: IndexMap<Bytes, Time>,
     /// Events that the next tick returns.
     events: Vec<RegistryEvent>,
     /// Seed of the keyed hashes of request contents.
@@ -202,7 +204,8 @@
             reported: Vec::new(),
             expects_peers: false,
             heard_peer_at: Time(0),
-            doubtful_until: Time(0),
+            restarted_at: None,
+            inherited_mixed: IndexMap::new(),
             events: Vec::new(),
             seed: rng.random(),
             end: None,
--- a/crates/core/src/gateway/origin/lookup.rs
+++ b/crates/core/src/gateway/origin/lookup.rs
@@ -6,6 +6,7 @@
         incoming_request::IncomingRequest,
         origin::{
             Build,
+            MAX_MIXED_SERVICES,
             Origin,
             StreamKey, //
         },
@@ -16,11 +17,11 @@
     },
 };
 
-/// Time after a restart in which callers come back whose streams the earlier process had begun, at a
-/// version that may have left meanwhile.
-const RESTART_DOUBT: Millis = Millis(3000);
 /// Age of the last registry read up to which this router knows what versions serve without its peers.
 const MAX_LONE_PROOF_AGE: Millis = Millis(1500);
+/// Time after a restart until each peer that vouches for its versions has read a registry that is as new as the one
+/// that this router began with, and has stated it.
+const VOUCH_DELAY: Millis = Millis(2000);
 /// Time since the last digest of a peer within which peers would have stated a second version. Each
 /// router is sent about two in a round.
 const MAX_PEER_SILENCE: Millis = Millis(1000);
@@ -57,23 +58,47 @@
     /// Tells whether this router would know of a second version.
     ///
     /// One that is cut off from the registry and from its peers still reaches endpoints for a while.
-    /// After a restart, another version may have left just before. Its endpoints are replaced as they
-    /// leave, so those that are listed then are cold.
-    fn knows_builds(&self, now: Time, service: &[u8]) -> bool {
+    fn knows_builds(&self, now: Time) -> bool {
         let alone = !self.expects_peers;
         let told = now.since(self.heard_peer_at) < MAX_PEER_SILENCE;
         let read = self.proof.holds(now, MAX_LONE_PROOF_AGE);
-        let replaced = || {
-            let mut known = self.registry.known(service);
-            known.any(|(_, e)| e.cold(now) > Millis(0))
-        };
-        let settled = now >= self.doubtful_until || !replaced();
-        settled && (alone || told || read)
+        !self.doubts_versions(now) && (alone || told || read)
     }
 
-    /// Notes that a digest of a peer with the same configuration in force has arrived.
-    pub fn heard_peer(&mut self, now: Time) {
+    /// Tells whether streams may go on that a version has begun of which this router never knew: one that left before
+    /// its restart. The registry does not tell when it last listed a version.
+    pub fn doubts_versions(&self, now: Time) -> bool {
+        self.restarted_at
+            .is_some_and(|at| now.since(at) < self.stream_life)
+    }
+
+    /// Tells whether this router knows of each version that streams may be of, and its digests state all services that
+    /// have several.
+    pub fn vouches_for_versions(&self, now: Time) -> bool {
+        !self.doubts_versions(now)
+            && self.proof.holds(now, MAX_LONE_PROOF_AGE)
+            && self.all_mixed().count() <= MAX_MIXED_SERVICES
+    }
+
+    /// Notes that a digest of a peer with the same configuration in force has arrived, whether the peer vouches for its
+    /// versions, and which services have several of them.
+    ///
+    /// A restarted router relies on a peer that vouches. It cannot tell when what the peer states ends, so it keeps that
+    /// for the life of a stream.
+    pub fn heard_peer(&mut self, now: Time, vouches: bool, mixed: &[u32]) {
         self.heard_peer_at = now;
+        let settles = |at: Time| vouches && now.since(at) >= VOUCH_DELAY;
+        if !self.restarted_at.is_some_and(settles) {
+            return;
+        }
+        self.restarted_at = None;
+        let until = now + self.stream_life;
+        for service in mixed {
+            let name = self.catalog.as_ref().and_then(|c| c.name_at(*service));
+            if let Some(name) = name.cloned() {
+                self.inherited_mixed.insert(name, until);
+            }
+        }
     }
 
     /// Looks for the origin of the stream that a request takes up.
@@ -93,9 +118,7 @@
         }
         let mixed = self.is_mixed(now, &ticket.service);
         match key {
-            _ if !mixed && self.knows_builds(now, &ticket.service) => {
-                Lookup::Found(Origin::OnlyBuild)
-            }
+            _ if !mixed && self.knows_builds(now) => Lookup::Found(Origin::OnlyBuild),
             Some(key) => Lookup::Ask(key),
             None if mixed => Lookup::Found(Origin::Unknown),
             // Peers may know that one version alone has served.
@@ -107,12 +130,12 @@
     pub fn knowledge_of(&self, now: Time, key: StreamKey, service: &[u8]) -> PeerKnowledge {
         PeerKnowledge {
             build: self.streams.get(now, key).map(|r| r.build),
-            only_build: self.knows_builds(now, service) && !self.is_mixed(now, service),
+            only_build: self.knows_builds(now) && !self.is_mixed(now, service),
         }
     }
 
     /// Notes that this router may have begun streams before a restart.
     pub(in crate::gateway) fn doubt_origins(&mut self, now: Time) {
-        self.doubtful_until = now + RESTART_DOUBT;
+        self.restarted_at = Some(now);
     }
 }
--- a/crates/core/src/gateway/origin/mod.rs
+++ b/crates/core/src/gateway/origin/mod.rs
@@ -112,7 +112,9 @@
     /// registry or by the statements of peers.
     pub fn is_mixed(&self, now: Time, service: &[u8]) -> bool {
         let stated = self.peers_mixed.get(service);
+        let inherited = self.inherited_mixed.get(service);
         self.registry.builds().is_mixed(service)
+            || inherited.is_some_and(|until| now < *until)
             || stated.is_some_and(|at| now.since(*at) < STATEMENT_TTL)
     }
 
--- a/crates/core/src/gateway/origin/reports.rs
+++ b/crates/core/src/gateway/origin/reports.rs
@@ -43,7 +43,7 @@
         if !ticket.route.kind.repeatable() {
             return false;
         }
-        let mixed = self.is_mixed(now, &ticket.service);
+        let mixed = self.is_mixed(now, &ticket.service) || self.doubts_versions(now);
         if !matches!(ticket.origin, Origin::Build(_)) {
             ticket.origin = match build {
                 Some(build) => Origin::Build(build),
@@ -100,7 +100,7 @@
         let Some(catalog) = &self.catalog else {
             return Vec::new();
         };
-        let mixed = self.registry.builds().mixed();
+        let mixed = self.all_mixed();
         let mut indices: Vec<u32> = mixed.filter_map(|s| catalog.index_of(s)).collect();
         if indices.len() > MAX_MIXED_SERVICES {
             let shift = draw % indices.len() as u64;
@@ -110,6 +110,14 @@
         indices
     }
 
+    /// Lists the services that have several versions by this router's own registry, or by a peer's on which it relies.
+    pub(super) fn all_mixed(&self) -> impl Iterator<Item = &Bytes> {
+        let builds = self.registry.builds();
+        let inherited = self.inherited_mixed.keys();
+        let inherited = inherited.filter(|service| !builds.is_mixed(service));
+        builds.mixed().chain(inherited)
+    }
+
     /// Takes in of which services a peer's registry lists more than one version; peer and router have
     /// the same configuration in force.
     pub fn record_peer_mixed(&mut self, now: Time, services: &[u32]) {
@@ -128,7 +136,8 @@
         self.streams.expire(now);
         self.peers_mixed
             .retain(|_, at| now.since(*at) < STATEMENT_TTL);
-        let own = self.registry.builds().mixed();
+        self.inherited_mixed.retain(|_, until| now < *until);
+        let own = self.all_mixed();
         let stated = self.peers_mixed.keys();
         let mixed: Vec<Bytes> = own.chain(stated).cloned().collect();
         for service in mixed.iter().filter(|s| !self.reported.contains(*s)) {
--- a/crates/core/tests/gateway/origin.rs
+++ b/crates/core/tests/gateway/origin.rs
@@ -268,35 +268,84 @@
     expect_that!(look_up(&mut gateway, Time(1400), &take_up("x")), only);
     let found = look_up(&mut gateway, Time(1600), &take_up("x"));
     expect_that!(found, matches_pattern!(Lookup::Ask(anything())));
-    gateway.heard_peer(Time(1600));
+    gateway.heard_peer(Time(1600), true, &[]);
     let only = eq(Lookup::Found(Origin::OnlyBuild));
     expect_that!(look_up(&mut gateway, Time(1700), &take_up("x")), only);
 }
 
-/// Guards against a join after a restart, as the version before has just left, and against refusals of all streams after
-/// a restart of all routers, where no endpoint has been replaced.
+/// Makes a gateway that is restarted with one endpoint listed, and has peers.
+fn restarted_gateway() -> Gateway {
+    let mut gateway = gateway(1);
+    gateway.update_fleet(
+        Time(0),
+        &Fleet {
+            expected: true,
+            ..Fleet::default()
+        },
+    );
+    gateway.restarted(Time(0));
+    gateway
+}
+
+/// Reads the registry and looks an unknown stream up.
+fn look_up_after_read(gateway: &mut Gateway, now: Time) -> Lookup {
+    gateway.record_registry_read(now, now);
+    gateway.tick(now);
+    look_up(gateway, now, &take_up("x"))
+}
+
+/// Guards against joins after all routers were killed: the version that began a stream may have left before.
 #[gtest]
-fn verify_a_restarted_router_asks_where_endpoints_have_been_replaced() {
-    let restarted = |cold| {
-        let mut gateway = gateway(1);
-        let started = Entry {
-            cold: Millis(cold),
-            ..entry(1)
-        };
-        gateway.apply_changes(Time(0), vec![Change::Entry(started)]);
-        gateway.restarted(Time(0));
-        gateway
-    };
-    let mut gateway = restarted(2500);
-    let found = look_up(&mut gateway, Time(1000), &take_up("x"));
-    expect_that!(found, matches_pattern!(Lookup::Ask(anything())));
+fn verify_a_restarted_router_does_not_trust_its_only_version_for_the_life_of_a_stream() {
+    let mut gateway = restarted_gateway();
     let key = report(0, 1, OLD, 0).key;
-    expect_false!(gateway.knowledge_of(Time(1000), key, SERVICE).only_build);
-    let only = eq(Lookup::Found(Origin::OnlyBuild));
-    expect_that!(look_up(&mut gateway, Time(2600), &take_up("x")), only);
-    let mut gateway = restarted(0);
-    let only = eq(Lookup::Found(Origin::OnlyBuild));
-    expect_that!(look_up(&mut gateway, Time(100), &take_up("x")), only);
+    for now in [0, 1000, 3100, 59_000] {
+        let now = Time(now);
+        let found = look_up_after_read(&mut gateway, now);
+        expect_that!(found, matches_pattern!(Lookup::Ask(anything())));
+        expect_false!(gateway.knowledge_of(now, key, SERVICE).only_build);
+        expect_false!(gateway.vouches_for_versions(now));
+        gateway.heard_peer(now, false, &[]);
+    }
+    let found = look_up_after_read(&mut gateway, Time(60_100));
+    expect_that!(found, eq(Lookup::Found(Origin::OnlyBuild)));
+    expect_true!(gateway.vouches_for_versions(Time(60_100)));
+}
+
+/// Guards against refusals of all streams where a peer has lived through the restart.
+#[gtest]
+fn verify_a_restarted_router_relies_on_a_peer_that_knows_the_versions() {
+    let mut gateway = restarted_gateway();
+    gateway.heard_peer(Time(1900), true, &[]);
+    let found = look_up_after_read(&mut gateway, Time(1900));
+    expect_that!(found, matches_pattern!(Lookup::Ask(anything())));
+    gateway.heard_peer(Time(2100), true, &[]);
+    let found = look_up_after_read(&mut gateway, Time(2100));
+    expect_that!(found, eq(Lookup::Found(Origin::OnlyBuild)));
+}
+
+/// Guards against a join by a router whose only peer that knew the version that left is killed next.
+#[gtest]
+fn verify_versions_that_a_peer_has_stated_count_after_its_end() {
+    let mut gateway = restarted_gateway();
+    gateway.heard_peer(Time(2100), true, &[0]);
+    for now in [2100, 10_000, 62_000] {
+        let found = look_up_after_read(&mut gateway, Time(now));
+        expect_that!(found, matches_pattern!(Lookup::Ask(anything())));
+        expect_that!(gateway.mixed_services(0), elements_are![eq(&0)]);
+        expect_true!(gateway.vouches_for_versions(Time(now)));
+    }
+    let found = look_up_after_read(&mut gateway, Time(62_200));
+    expect_that!(found, eq(Lookup::Found(Origin::OnlyBuild)));
+}
+
+/// Guards against refusals of streams that began after a kill of all routers.
+#[gtest]
+fn verify_a_restarted_router_reports_the_streams_that_it_begins() {
+    let mut gateway = restarted_gateway();
+    expect_true!(begin(&mut gateway, Time(10), OLD));
+    let reports = gateway.take_unsent_streams(Time(20));
+    expect_that!(reports.len(), eq(1));
 }
 
 #[gtest]
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -75,6 +75,7 @@
         gateway.update_peers(mesh.live(at).map(|r| r.address));
         let unreached_services = gateway.unreached_services();
         let mixed_services = gateway.mixed_services(draw);
+        let knows_versions = gateway.vouches_for_versions(at);
         let seal_for = |target| {
             let digest = Digest {
                 samples: samples.clone(),
@@ -82,6 +83,7 @@
                 back_offs: contents.back_offs.clone(),
                 unreached_services: unreached_services.clone(),
                 mixed_services: mixed_services.clone(),
+                knows_versions,
                 reads: contents.reads.clone(),
                 ..mesh.digest(at, target, reads, contents.reports.clone())
             };
@@ -125,7 +127,8 @@
                     let from = digest.from.address;
                     gateway.record_peer_unreached(now(), from, &digest.unreached_services);
                     gateway.record_peer_mixed(now(), &digest.mixed_services);
-                    gateway.heard_peer(now());
+                    let mixed = &digest.mixed_services;
+                    gateway.heard_peer(now(), digest.knows_versions, mixed);
                 }
             }
             state
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -252,6 +252,7 @@
         back_off_times: digest.back_offs.iter().map(|b| steps(b.left)).collect(),
         unreached_services: digest.unreached_services.clone(),
         mixed_services: digest.mixed_services.clone(),
+        knows_versions: digest.knows_versions,
         delays: if digest.reports.iter().any(|s| s.delay.is_some()) {
             digest.reports.iter().map(delay).collect()
         } else {
@@ -364,6 +365,7 @@
         back_offs: back_offs.collect(),
         unreached_services: raw.unreached_services,
         mixed_services: raw.mixed_services,
+        knows_versions: raw.knows_versions,
         reads: reads.collect(),
     })
 }
--- a/crates/wire/tests/gossip.rs
+++ b/crates/wire/tests/gossip.rs
@@ -121,6 +121,7 @@
         back_offs: Vec::new(),
         unreached_services: Vec::new(),
         mixed_services: Vec::new(),
+        knows_versions: true,
         reads: Vec::new(),
     }
 }
