--- a/crates/core/src/gateway/fleet/mesh/digest.rs
+++ b/crates/core/src/gateway/fleet/mesh/digest.rs
@@ -41,7 +41,7 @@
 const MAX_TRANSIT_TIME: Millis = Millis(500);
 /// Reports by which digests are shortened in a large fleet while more than one software version serves:
 /// stream reports need their room.
-pub const MIXED_DISPLACES: usize = 8;
+pub const MIXED_DISPLACES: usize = 9;
 
 /// `Heartbeat` is a sign of life of a router, which its peers forward.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
