Look names of services up in one place

Three places turned a digest's indices of services into names with the same lookup, one of them new with the statements that restarted routers rely on: unreached services, services with several versions, and those that are inherited. They call Catalog::names_at now. doubt_origins was one assignment with one caller, and is that assignment.

--- a/crates/core/src/gateway/admission/catalog.rs
+++ b/crates/core/src/gateway/admission/catalog.rs
@@ -198,6 +198,11 @@
         self.services.get_index(index).map(|(name, _)| name)
     }
 
+    /// Gets the names of the services with these indices; indices of no service are left out.
+    pub fn names_at(&self, indices: &[u32]) -> impl Iterator<Item = Bytes> {
+        indices.iter().filter_map(|i| self.name_at(*i).cloned())
+    }
+
     /// Finds a service by its name.
     pub fn service(&self, name: &[u8]) -> Option<&Service> {
         self.services.get(name)
--- a/crates/core/src/gateway/fleet/handoff/mod.rs
+++ b/crates/core/src/gateway/fleet/handoff/mod.rs
@@ -125,10 +125,7 @@
     /// Takes in which services a peer does not reach; peer and router have the same configuration
     /// in force.
     pub fn record_peer_unreached(&mut self, now: Time, peer: SocketAddrV4, services: &[u32]) {
-        let catalog = self.catalog.as_ref();
-        let names = services
-            .iter()
-            .filter_map(|s| catalog?.name_at(*s).cloned());
+        let names = self.catalog.iter().flat_map(|c| c.names_at(services));
         let names = names.collect();
         self.peers.record_unreached(now, peer, names);
     }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -258,7 +258,7 @@
     /// more often than allowed.
     pub fn restarted(&mut self, now: Time) {
         self.extra_retries_from = now + self.bounds.retry.window;
-        self.doubt_origins(now);
+        self.restarted_at = Some(now);
     }
 
     /// Tells whether this router can serve requests.
--- a/crates/core/src/gateway/origin/lookup.rs
+++ b/crates/core/src/gateway/origin/lookup.rs
@@ -93,12 +93,8 @@
         }
         self.restarted_at = None;
         let until = now + self.stream_life;
-        for service in mixed {
-            let name = self.catalog.as_ref().and_then(|c| c.name_at(*service));
-            if let Some(name) = name.cloned() {
-                self.inherited_mixed.insert(name, until);
-            }
-        }
+        let names = self.catalog.iter().flat_map(|c| c.names_at(mixed));
+        self.inherited_mixed.extend(names.map(|name| (name, until)));
     }
 
     /// Looks for the origin of the stream that a request takes up.
@@ -133,9 +129,4 @@
             only_build: self.knows_builds(now) && !self.is_mixed(now, service),
         }
     }
-
-    /// Notes that this router may have begun streams before a restart.
-    pub(in crate::gateway) fn doubt_origins(&mut self, now: Time) {
-        self.restarted_at = Some(now);
-    }
 }
--- a/crates/core/src/gateway/origin/reports.rs
+++ b/crates/core/src/gateway/origin/reports.rs
@@ -121,12 +121,8 @@
     /// Takes in of which services a peer's registry lists more than one version; peer and router have
     /// the same configuration in force.
     pub fn record_peer_mixed(&mut self, now: Time, services: &[u32]) {
-        for service in services {
-            let name = self.catalog.as_ref().and_then(|c| c.name_at(*service));
-            if let Some(name) = name.cloned() {
-                self.peers_mixed.insert(name, now);
-            }
-        }
+        let names = self.catalog.iter().flat_map(|c| c.names_at(services));
+        self.peers_mixed.extend(names.map(|name| (name, now)));
     }
 
     /// Expires what has timed out, and queues the streams of services that now have more than one
