--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -202,6 +202,8 @@
         %source,
         age = record.map(|r| now().since(r.began).0),
         listed = listed.join(", "),
+        registry_age = gateway.proof().age(now()).map(|age| age.0),
+        in_doubt = gateway.doubts_versions(now()),
         "stream taken up"
     );
 }
