Count a route with several services, or lately another one, as served by several versions

Callers could see: a route is given another service, or shares of two; a stream that began at the one is taken up, without a record, at the other, whose single version was taken for proof.

Cause: the versions of one service were looked at, that of the request; whether the stream can have begun at another one was not. The same class: knowledge of now for knowledge of then.

Change: such routes count as mixed for the life of a stream. Their streams are reported, also those from before the move, and a take-up needs a record. A peer's proof counts by the route as it is when the answer comes.

Tests: two of the decisions, which fail without the check and pass with it.

--- a/crates/core/src/gateway/fleet/updates/registry.rs
+++ b/crates/core/src/gateway/fleet/updates/registry.rs
@@ -118,7 +118,7 @@
         let since = (!self.registry.is_empty()).then_some(now);
         for change in changes {
             match change {
-                Change::Catalog(catalog) => self.publish(*catalog, &mut events),
+                Change::Catalog(catalog) => self.publish(now, *catalog, &mut events),
                 Change::Entry(entry) => {
                     // The entry was added again before this read ended.
                     removed.retain(|id| *id != entry.id);
@@ -139,7 +139,7 @@
         events
     }
 
-    fn publish(&mut self, catalog: Catalog, events: &mut Vec<RegistryEvent>) {
+    fn publish(&mut self, now: Time, catalog: Catalog, events: &mut Vec<RegistryEvent>) {
         let version = catalog.version;
         match &self.catalog {
             Some(held) if held.version > version => events.push(RegistryEvent::Older {
@@ -157,6 +157,7 @@
                 self.samples.clear();
                 self.waiting
                     .retain(|service| catalog.service(service).is_some());
+                self.record_moved_routes(now, &catalog);
                 self.catalog = Some(Arc::new(catalog));
                 self.update_stream_life();
                 events.push(RegistryEvent::Applied { version });
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -163,6 +163,8 @@
     revision: Revision,
     /// Services that a peer, which knew of all versions, has stated to have several, and until when that counts.
     inherited_mixed: IndexMap<Bytes, Time>,
+    /// Routes that endpoints of another service have served, and until when that counts.
+    moved_routes: IndexMap<Bytes, Time>,
     /// Events that the next tick returns.
     events: Vec<RegistryEvent>,
     /// Seed of the keyed hashes of request contents.
@@ -208,6 +210,7 @@
             known_from: None,
             revision: Revision(0),
             inherited_mixed: IndexMap::new(),
+            moved_routes: IndexMap::new(),
             events: Vec::new(),
             seed: rng.random(),
             end: None,
--- a/crates/core/src/gateway/origin/lookup.rs
+++ b/crates/core/src/gateway/origin/lookup.rs
@@ -63,11 +63,16 @@
         only.map_or(Versions::Unproven, Versions::Only)
     }
 
-    /// Tells whether this router lists no other version of a service than the one that a peer has proved to be the
-    /// only one.
-    pub fn lists_only(&self, now: Time, service: &[u8], build: Build) -> bool {
-        let mut builds = self.registry.builds().builds(service);
-        !self.is_mixed(now, service) && builds.all(|(listed, _, _)| listed == build)
+    /// Tells whether a version that is proved to have served alone must have begun the stream of a request: this router
+    /// lists no other one, and the route has had no other service.
+    pub fn must_have_begun(&self, now: Time, ticket: &Ticket, build: Build) -> bool {
+        let mut builds = self.registry.builds().builds(&ticket.service);
+        !self.may_be_of_several(now, ticket) && builds.all(|(listed, _, _)| listed == build)
+    }
+
+    /// Tells whether several versions may have begun the stream of a request.
+    pub(super) fn may_be_of_several(&self, now: Time, ticket: &Ticket) -> bool {
+        self.is_mixed(now, &ticket.service) || self.has_several_services(now, &ticket.route)
     }
 
     /// Looks for the origin of the stream that a request takes up.
@@ -85,7 +90,7 @@
         if let Some(record) = key.and_then(|key| self.streams.get(now, key)) {
             return Lookup::Found(Origin::Build(record.build));
         }
-        let mixed = self.is_mixed(now, &ticket.service);
+        let mixed = self.may_be_of_several(now, ticket);
         match key {
             Some(key) if mixed => Lookup::Ask(key),
             None if mixed => Lookup::Found(Origin::Unknown),
--- a/crates/core/src/gateway/origin/mod.rs
+++ b/crates/core/src/gateway/origin/mod.rs
@@ -17,6 +17,7 @@
 //! - `streams`: the bounded table of the versions of recent streams.
 //! - `lookup`: what a router knows of the origin of a stream that is taken up.
 //! - `reports`: what routers tell each other of streams and versions.
+//! - `routes`: routes whose streams several services may have begun.
 
 use bytes::Bytes;
 use xxhash_rust::xxh3::Xxh3;
@@ -39,6 +40,7 @@
 mod history;
 mod lookup;
 mod reports;
+mod routes;
 mod streams;
 
 pub use builds::{
--- a/crates/core/src/gateway/origin/reports.rs
+++ b/crates/core/src/gateway/origin/reports.rs
@@ -50,7 +50,7 @@
             return false;
         };
         let key = Self::stream_key(ticket, request_id);
-        let told = self.is_mixed(now, &ticket.service) || self.lacks_proof(now);
+        let told = self.may_be_of_several(now, ticket) || self.lacks_proof(now);
         let report = told && !ticket.from_peer;
         let longest = now + self.stream_life;
         let record = StreamRecord {
@@ -134,6 +134,7 @@
         self.peers_mixed
             .retain(|_, at| now.since(*at) < STATEMENT_TTL);
         self.inherited_mixed.retain(|_, until| now < *until);
+        self.moved_routes.retain(|_, until| now < *until);
         let own = self.all_mixed();
         let stated = self.peers_mixed.keys();
         let mixed: Vec<Bytes> = own.chain(stated).cloned().collect();
--- a/crates/core/tests/gateway/origin.rs
+++ b/crates/core/tests/gateway/origin.rs
@@ -56,6 +56,7 @@
 };
 
 const SERVICE: &[u8] = b"engines";
+const OTHER: &[u8] = b"others";
 const OLD: &[u8] = b"v1";
 const NEW: &[u8] = b"v2";
 
@@ -302,15 +303,75 @@
 #[gtest]
 fn verify_a_peer_s_proof_counts_only_where_no_other_version_is_listed() {
     let mut gateway = gateway(2);
-    expect_true!(gateway.lists_only(Time(0), SERVICE, build(OLD)));
-    expect_false!(gateway.lists_only(Time(0), SERVICE, build(NEW)));
-    expect_true!(gateway.lists_only(Time(0), b"unlisted", build(NEW)));
+    let mut ticket = gateway.admit(Time(0), &take_up("x")).expect("admitted");
+    expect_true!(gateway.must_have_begun(Time(0), &ticket, build(OLD)));
+    expect_false!(gateway.must_have_begun(Time(0), &ticket, build(NEW)));
+    ticket.service = Bytes::from_static(b"unlisted");
+    expect_true!(gateway.must_have_begun(Time(0), &ticket, build(NEW)));
+    ticket.service = Bytes::from_static(SERVICE);
     list(&mut gateway, Time(10), 2, NEW);
     for version in [OLD, NEW] {
-        expect_false!(gateway.lists_only(Time(10), SERVICE, build(version)));
+        expect_false!(gateway.must_have_begun(Time(10), &ticket, build(version)));
     }
 }
 
+/// Makes a gateway with two services of one version each, and a configuration with these shares of the route of chats.
+fn two_services() -> (Gateway, impl Fn(u64, &[&'static [u8]]) -> Change) {
+    let mut gateway = gateway(2);
+    let other = Entry {
+        service: Bytes::from_static(OTHER),
+        ..entry(9)
+    };
+    gateway.apply_changes(Time(0), vec![Change::Entry(other)]);
+    let catalog = |version, services: &[&'static [u8]]| {
+        let mut raw = raw_catalog(version);
+        let shares = services.iter().map(|service| Share {
+            service: Bytes::from_static(service),
+            weight: 1,
+        });
+        raw.routes[0].shares = shares.collect();
+        Change::Catalog(Box::new(Catalog::try_from(raw).expect("valid")))
+    };
+    (gateway, catalog)
+}
+
+/// Guards against a join by a route that has been given another service since the stream began.
+#[gtest]
+fn verify_an_unknown_stream_of_a_moved_route_does_not_go_on_by_a_proof() {
+    let (mut gateway, catalog) = two_services();
+    begin(&mut gateway, Time(10), OLD);
+    gateway.apply_changes(Time(1000), vec![catalog(3, &[SERVICE])]);
+    let unmoved = look_up(&mut gateway, Time(1010), &take_up("x"));
+    expect_that!(unmoved, matches_pattern!(Lookup::Prove(anything())));
+    let before = gateway.admit(Time(1010), &take_up("x")).expect("admitted");
+    gateway.apply_changes(Time(1100), vec![catalog(4, &[OTHER])]);
+    expect_that!(gateway.take_unsent_streams(Time(1100)).len(), eq(1));
+    for now in [1100, 30_000, 61_000] {
+        let now = Time(now);
+        gateway.record_registry_read(now, now);
+        let found = look_up(&mut gateway, now, &take_up("x"));
+        expect_that!(found, matches_pattern!(Lookup::Ask(anything())));
+        expect_false!(gateway.must_have_begun(now, &before, build(OLD)));
+        expect_true!(begin(&mut gateway, now, OLD));
+    }
+    gateway.record_registry_read(Time(61_200), Time(61_200));
+    gateway.tick(Time(61_200));
+    let found = look_up(&mut gateway, Time(61_200), &take_up("x"));
+    expect_that!(found, matches_pattern!(Lookup::Prove(anything())));
+}
+
+/// Guards against a join of the services of a split route.
+#[gtest]
+fn verify_an_unknown_stream_of_a_split_route_does_not_go_on_by_a_proof() {
+    let (mut gateway, catalog) = two_services();
+    gateway.apply_changes(Time(10), vec![catalog(3, &[SERVICE, OTHER])]);
+    gateway.tick(Time(100_000));
+    gateway.record_registry_read(Time(100_000), Time(100_000));
+    let found = look_up(&mut gateway, Time(100_100), &take_up("x"));
+    expect_that!(found, matches_pattern!(Lookup::Ask(anything())));
+    expect_true!(begin(&mut gateway, Time(100_100), OLD));
+}
+
 /// Guards against a router that vouches for versions that joined and left between two of its reads.
 #[gtest]
 fn verify_a_router_doubts_what_it_has_not_read() {
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -232,9 +232,9 @@
 }
 
 /// `Query` is a search for the version that began a stream.
-struct Query {
+struct Query<'a> {
+    ticket: &'a Ticket,
     key: StreamKey,
-    service: Bytes,
     /// When the request that takes the stream up arrived.
     arrived: Time,
 }
@@ -246,11 +246,11 @@
     Unneeded,
 }
 
-impl Query {
-    fn new(ticket: &Ticket, key: StreamKey, arrived: Time) -> Self {
+impl<'a> Query<'a> {
+    fn new(ticket: &'a Ticket, key: StreamKey, arrived: Time) -> Self {
         Self {
+            ticket,
             key,
-            service: ticket.service.clone(),
             arrived,
         }
     }
@@ -321,7 +321,7 @@
         };
         let gateway = state.gateway.borrow();
         gateway
-            .lists_only(now(), &self.service, only)
+            .must_have_begun(now(), self.ticket, only)
             .then_some((Origin::Build(only), Source::OnlyVersion))
     }
 
@@ -338,13 +338,13 @@
         };
         // One ask at a time: those that wait share the next answer.
         let mut proof = state.versions_proof.lock().await;
-        if proof.asked <= self.arrived || proof.service != self.service {
+        if proof.asked <= self.arrived || proof.service != self.ticket.service {
             let asked = now();
             let answer = self.ask(state, peer, Proof::Wanted, READER_PROOF_TIMEOUT);
             let answer = answer.await;
             *proof = VersionsProof {
                 asked,
-                service: self.service.clone(),
+                service: self.ticket.service.clone(),
                 versions: answer.versions,
             };
             return answer;
@@ -359,7 +359,7 @@
     async fn read(&self, state: &Shared, limit: Duration) -> PeerKnowledge {
         reads::read_after(state, self.arrived, limit).await;
         let gateway = state.gateway.borrow();
-        gateway.knowledge_of(now(), self.arrived, self.key, &self.service)
+        gateway.knowledge_of(now(), self.arrived, self.key, &self.ticket.service)
     }
 
     /// Asks a peer; an answer that fails to come says nothing.
@@ -388,7 +388,7 @@
             let ask = StreamAsk {
                 nonce,
                 key: self.key,
-                service: self.service.clone(),
+                service: self.ticket.service.clone(),
                 prove: proof == Proof::Wanted,
             };
             let payload = encode_stream_ask(&ask);
