Guard answers of the own interface against a second run

Read: they are not resumed at all. `Task::outgoing` makes the headers of a request to an engine from nothing, so the caller's `x-resume-from` does not reach it, and nothing else sets the header; only the stand-in engine and its own tests know it. An answer of which a chunk has been passed on is not sent again (`retry::allowed`, `relayed`), and ends with `event: error`. The router keeps no state of a stream that a restart or a kill could lose.

The test runs two engines of which one breaks off: five answers that break off while the other engine could take them are of one run, and with `x-resume-from` and the same request ID at the engine that has kept the answer, its chunks begin at 0 and the engine counts no resumed answer. A version that engines themselves mix within one answer can't be seen from here.

--- a/crates/router/tests/edge/main.rs
+++ b/crates/router/tests/edge/main.rs
@@ -14,4 +14,5 @@
 mod paths;
 mod rig;
 mod scanner;
+mod streams;
 mod tenants;
