Doubt the versions of the past after two missed reads

Callers saw, in two tests over sockets: a router is suspended, a second version joins, begins streams at the others and leaves, and all others are killed.

Cause: the router took a fresh read for a complete one.

Change: two and a half read intervals, so that a gap is told by the reads that are missing.

--- a/crates/core/src/gateway/origin/history.rs
+++ b/crates/core/src/gateway/origin/history.rs
@@ -15,9 +15,9 @@
     },
 };
 
-/// Time between two reads within which no endpoint joins and leaves unseen: it stays listed for longer while it
-/// drains, or until its heartbeats are missed.
-const MAX_UNREAD_TIME: Millis = Millis(2000);
+/// Number of half read intervals between two reads up to which no endpoint is taken to have joined and left unseen: it
+/// stays listed for longer while it drains, or until its heartbeats are missed.
+const MAX_UNREAD_HALF_INTERVALS: u64 = 5;
 
 /// `Changes` is how a read of the registry got what has changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,7 +34,9 @@
     pub fn record_history(&mut self, now: Time, sent: Time, revision: Revision, changes: Changes) {
         self.revision = revision;
         let last = self.proof.read();
-        let unread = last.is_some_and(|last| sent.since(last) > MAX_UNREAD_TIME);
+        let interval = self.bounds.pace().interval;
+        let limit = Millis(interval.0 * MAX_UNREAD_HALF_INTERVALS / 2);
+        let unread = last.is_some_and(|last| sent.since(last) > limit);
         if unread && changes == Changes::Difference {
             self.unread_since = Some(now);
             self.known_from = None;
--- a/crates/core/tests/gateway/origin.rs
+++ b/crates/core/tests/gateway/origin.rs
@@ -383,8 +383,8 @@
     };
     for (changes, gap, until) in [
         (Changes::Each, 30_000, Some(Revision(9))),
-        (Changes::Difference, 1900, Some(Revision(9))),
-        (Changes::Difference, 2100, None),
+        (Changes::Difference, 1600, Some(Revision(9))),
+        (Changes::Difference, 1700, None),
     ] {
         let gateway = unread(changes, gap);
         expect_that!(gateway.versions_until(Time(1000 + gap)), eq(until));
