--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -95,7 +95,10 @@
     for record in &records {
         let meaning = (reader.change)(record);
         changes.extend(meaning.change);
-        if let Some(why) = meaning.fault.filter(|_| state.log.try_admit()) {
+        let fault = meaning
+            .fault
+            .inspect(|_| state.metrics.count("registry", "record refused"));
+        if let Some(why) = fault.filter(|_| state.log.try_admit()) {
             let key = text(&record.key);
             tracing::warn!(event = 657, %key, why, "record refused");
         }
