Answer 421 to a request that was sent to an entry with the router's address

What callers saw: where another writer's entry names a router's own address for callers, requests that may run once end in 502 although nothing ran (4 of 60 beside one good endpoint). Where no key is needed, the router sends the request to itself again and again: with this entry alone, three requests opened 150 connections, 50 each, which is the published limit of connections to an endpoint, and ended in 502.

Cause: the router takes what it sent for a caller's request: it refuses it for the missing key, or serves it. The refusal promises nothing to a router, which awaits an endpoint's answer.

Change: the name of the endpoint that a request is meant for is read. If this router's list has an endpoint of that name at its own address for callers, it refuses with 421 (cause `misdirected`), which promises that nothing has run: the sender tries another endpoint and doesn't use the entry any more. Both conditions are needed, so that a caller who sends the field is served as before.

Not covered: the router's addresses for peers and readiness checks. A router that listens on the unspecified address doesn't know its own.

--- a/crates/core/src/gateway/admission/incoming_request.rs
+++ b/crates/core/src/gateway/admission/incoming_request.rs
@@ -13,6 +13,8 @@
 pub struct IncomingRequest {
     /// Id of this request, unique for each time that the caller sends it.
     pub id: Bytes,
+    /// Name of the endpoint that it is meant for, if the sender took this router for one.
+    pub addressee: Option<Bytes>,
     /// Host that it names, in lower case and without a port.
     pub host: Bytes,
     /// Path as received, without the query.
--- a/crates/core/src/gateway/admission/refusal.rs
+++ b/crates/core/src/gateway/admission/refusal.rs
@@ -51,6 +51,8 @@
     VersionGone,
     /// Several software versions serve, and which one began the stream is not known.
     VersionUnknown,
+    /// The request was sent to an endpoint whose entry has this router's address.
+    Misdirected,
 }
 
 /// `Refusal` is the final answer to a request that is not served; it is sent immediately.
--- a/crates/core/src/gateway/registry/mod.rs
+++ b/crates/core/src/gateway/registry/mod.rs
@@ -9,7 +9,10 @@
 //! - `attempts`: what this router's own requests show of an endpoint.
 //! - `reports`: what peers are told of endpoints, and report of them.
 
-use std::cmp::Ordering;
+use std::{
+    cmp::Ordering,
+    net::SocketAddrV4, //
+};
 
 use bytes::Bytes;
 use indexmap::IndexMap;
@@ -64,6 +67,13 @@
         self.endpoints.get(key)
     }
 
+    /// Tells whether an entry names an endpoint at an address.
+    pub fn lists_at(&self, id: &Bytes, address: SocketAddrV4) -> bool {
+        let key = self.by_name.get(id);
+        let endpoint = key.and_then(|k| self.endpoints.get(*k));
+        endpoint.is_some_and(|e| e.entry.address == address)
+    }
+
     /// Lists a service's endpoints that may get requests.
     pub fn of(&self, service: &[u8]) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
         self.known(service).filter(|(_, e)| e.usable())
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -169,6 +169,16 @@
     }
 }
 
+/// Tells whether a router sent a request here because an entry of another writer names an endpoint at this address. It
+/// would be sent on, possibly to this address again.
+fn is_own_request(state: &State, incoming_request: &IncomingRequest) -> bool {
+    let addressee = incoming_request.addressee.as_ref();
+    addressee.is_some_and(|id| {
+        let gateway = state.gateway.borrow();
+        gateway.registry().lists_at(id, state.callers)
+    })
+}
+
 async fn admit_and_answer(
     state: &Shared,
     mut incoming_request: IncomingRequest,
@@ -176,6 +186,10 @@
     body: Bytes,
     began: Time,
 ) -> Response<Body> {
+    if is_own_request(state, &incoming_request) {
+        let refusal = Refusal::permanent(Cause::Misdirected);
+        return refuse(state, (&incoming_request.id, None), refusal, None);
+    }
     state.wait_for_first_read().await;
     // Takes the time again: the configuration may have become stale while the body arrived.
     let now = now();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -204,7 +204,8 @@
     if !settings.first_start {
         gateway.restarted(now());
     }
-    let state = State::new(gateway, mesh, protocol, settings.registry);
+    let caller_address = SocketAddrV4::new(*listen.callers.ip(), addresses.0.port());
+    let state = State::new(gateway, mesh, protocol, caller_address, settings.registry);
     tracing::info!(
         event = 600,
         id = settings.id,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -106,6 +106,8 @@
     pub mirror: RefCell<Mirror>,
     /// Publishes the newest known state of the registry.
     pub changes: watch::Sender<RegistryState>,
+    /// Address of the listener for callers.
+    pub callers: SocketAddrV4,
     /// Address of the registry.
     pub registry: SocketAddrV4,
     /// Schedule of reads of the registry.
@@ -145,6 +147,7 @@
         gateway: Gateway,
         mesh: Mesh,
         protocol: ProtocolAdapter,
+        callers: SocketAddrV4,
         registry: SocketAddrV4,
     ) -> Shared {
         Rc::new(Self {
@@ -157,6 +160,7 @@
             mesh: RefCell::new(mesh),
             mirror: RefCell::default(),
             changes: watch::Sender::new(RegistryState::default()),
+            callers,
             registry,
             reading: RefCell::default(),
             wake_reads: Notify::new(),
