--- a/crates/core/tests/gateway/origin.rs
+++ b/crates/core/tests/gateway/origin.rs
@@ -737,3 +737,107 @@
         expect_that!(mesh.accepts_round(Time(5000), from, beat), eq(accepted));
     }
 }
+
+/// Has a router that was restarted hear what another one states of its versions.
+fn hear(gateway: &mut Gateway, now: u64, peer: &Gateway) {
+    let until = peer.versions_until(Time(now));
+    gateway.heard_peer(Time(now), until, &peer.mixed_services(0));
+}
+
+/// Guards against a join after a restart while a service has no endpoint: the peer that has lived through it knows of a
+/// version that has left, and the router that relies on it does not.
+#[gtest]
+fn verify_a_peer_states_a_version_of_which_no_endpoint_is_left() {
+    let mut peer = gateway(2);
+    read(&mut peer, 900, 5, Changes::Each);
+    remove(&mut peer, Time(1000), 0..2);
+    read(&mut peer, 1000, 6, Changes::Each);
+    let mut restarted = gateway(0);
+    restarted.restarted(Time(1900));
+    read(&mut restarted, 2000, 6, Changes::Difference);
+    hear(&mut restarted, 2100, &peer);
+    restarted.record_history(Time(2500), Time(2500), Revision(7), Changes::Each);
+    list(&mut restarted, Time(2500), 2, NEW);
+    expect_that!(
+        proved(&restarted, 2500, 2400),
+        not(eq(Versions::Only(build(NEW))))
+    );
+}
+
+/// Guards against a join by a router that relies on a peer's list of services, as the list holds none that the
+/// configuration in force at that moment does not name.
+#[gtest]
+fn verify_a_peer_does_not_vouch_where_a_mixed_service_has_no_index() {
+    let change = |version, service: &str| {
+        let mut raw = raw_catalog(version);
+        raw.services
+            .retain(|s| s.name != SERVICE || service == "engines");
+        if service != "engines" {
+            for route in &mut raw.routes {
+                for share in &mut route.shares {
+                    share.service = Bytes::copy_from_slice(service.as_bytes());
+                }
+            }
+        }
+        Change::Catalog(Box::new(Catalog::try_from(raw).expect("valid")))
+    };
+    let mut peer = mixed_gateway();
+    read(&mut peer, 900, 5, Changes::Each);
+    remove(&mut peer, Time(1000), 0..2);
+    peer.apply_changes(Time(1000), vec![change(2, "others")]);
+    read(&mut peer, 1000, 6, Changes::Each);
+    expect_true!(peer.is_mixed(Time(1000), SERVICE));
+    let mut restarted = gateway(0);
+    restarted.restarted(Time(1900));
+    restarted.apply_changes(Time(1900), vec![change(2, "others")]);
+    list(&mut restarted, Time(1900), 2, NEW);
+    read(&mut restarted, 2000, 6, Changes::Difference);
+    hear(&mut restarted, 2100, &peer);
+    restarted.apply_changes(Time(2500), vec![change(3, "engines")]);
+    read(&mut restarted, 2500, 7, Changes::Each);
+    expect_that!(
+        proved(&restarted, 2500, 2400),
+        not(eq(Versions::Only(build(NEW))))
+    );
+}
+
+/// Guards against versions that join and leave while a read is under way: its pages come long after it was sent, where
+/// the registry is slow or has not answered the read's first calls.
+#[gtest]
+fn verify_the_time_until_the_answer_counts_as_unread() {
+    let mut gateway = gateway(2);
+    read(&mut gateway, 1000, 5, Changes::Each);
+    let (sent, answered) = (Time(2900), Time(6000));
+    gateway.record_history(answered, sent, Revision(9), Changes::Difference);
+    gateway.record_registry_read(answered, sent);
+    expect_that!(gateway.versions_until(answered), none());
+}
+
+/// Guards against doubt in calm where the registry is read less often than each two seconds.
+#[gtest]
+fn verify_a_router_does_not_doubt_where_nothing_has_changed() {
+    let mut gateway = gateway(2);
+    read(&mut gateway, 1000, 5, Changes::Each);
+    read(&mut gateway, 4000, 5, Changes::Difference);
+    expect_that!(gateway.versions_until(Time(4000)), some(eq(Revision(5))));
+}
+
+/// Guards against a version that is forgotten early, as a new configuration shortens the time limits: streams that began
+/// under the one before last for as long as it said.
+#[gtest]
+fn verify_a_shorter_limit_does_not_shorten_the_streams_of_before() {
+    let with_limit = |version, limit| {
+        let mut raw = raw_catalog(version);
+        for route in &mut raw.routes {
+            route.limit = Millis(limit);
+        }
+        Change::Catalog(Box::new(Catalog::try_from(raw).expect("valid")))
+    };
+    let mut gateway = mixed_gateway();
+    gateway.apply_changes(Time(0), vec![with_limit(2, 120_000)]);
+    remove(&mut gateway, Time(1000), 0..2);
+    read(&mut gateway, 1000, 5, Changes::Each);
+    gateway.apply_changes(Time(62_000), vec![with_limit(3, 20_000)]);
+    read(&mut gateway, 62_000, 6, Changes::Each);
+    expect_that!(proved(&gateway, 62_000, 61_000), eq(Versions::Several));
+}
--- a/crates/core/tests/gateway/reading.rs
+++ b/crates/core/tests/gateway/reading.rs
@@ -290,3 +290,24 @@
         le(now)
     );
 }
+
+/// Guards against a request that waits in vain for a state as of its arrival, as the one read that it asked for fails.
+#[gtest]
+fn verify_a_demand_holds_until_a_read_that_began_after_it_is_answered() {
+    let mut reading = ReadScheduler::default();
+    let first = reading.begin(Time(1000));
+    reading.whole(first);
+    reading.demand(Time(1060));
+    let read = Time(1000);
+    expect_that!(
+        reading.due(Time(1060), &reader_standing(Time(1060), read), &PACE),
+        eq(Time(1061))
+    );
+    let second = reading.begin(Time(1061));
+    let now = Time(1070);
+    reading.failed(now, second, &reader_standing(now, read), 0);
+    // The request asks again: its arrival is the same.
+    reading.demand(Time(1060));
+    let due = reading.due(now, &reader_standing(now, read), &PACE);
+    expect_that!(due, le(now + Millis(300)));
+}
