Mend what the review of the version proofs has found

Joins that were still possible: - a version of which no endpoint is listed any more was not stated to routers that rely on a peer: a service whose only version has left counts as mixed; - a peer that had read of several versions was passed over where another read said one: after that, only a record decides; - a router of the first start was trusted however late its first read came: it doubts, by the rule for missed reads; - the gap between two reads was counted up to the sending: it is counted to the answer; - a configuration with shorter limits made versions forgotten early: the life of a stream falls only after the old one has passed; - a mixed service that the configuration in force does not name was left out of the statement: the peer does not vouch then.

Callers held or refused: - callers of several services waited in turn for a reader that does not answer, up to 2.5 s: proofs are shared by service, the reader is chosen when it is asked, and the wait is bounded by 400 ms; - a follower that had missed two answers in an outage never read on demand again: only the pause after a failure counts; - an unchanged revision after a pause made a router doubt: nothing can have come and gone; - a read on demand that failed was not repeated: a demand stands for a second, until a read that began after it is complete.

--- a/crates/core/src/gateway/fleet/reading.rs
+++ b/crates/core/src/gateway/fleet/reading.rs
@@ -72,6 +72,10 @@
 const MAX_STANDBY_PAUSE: Millis = Millis(2400);
 /// Minimum time between the beginnings of two reads on demand. Requests that need one meanwhile share the next one.
 const MIN_DEMAND_INTERVAL: Millis = Millis(50);
+/// Time for which a read on demand is repeated where reads fail; what has asked for it has given up by then.
+const DEMAND_TTL: Millis = Millis(1000);
+/// Consecutive failed reads after which the registry counts as lost: a single one may have been lost by the network.
+pub const FAILURES_UNTIL_LOST: u32 = 2;
 /// Maximum time until the decision is made again.
 const MAX_DECISION_INTERVAL: Millis = Millis(500);
 
@@ -155,6 +159,8 @@
     peer_withheld_update: bool,
     /// When the state was last asked for as of that time.
     demanded: Option<Time>,
+    /// When the newest read that is complete began.
+    completed: Time,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -179,7 +185,8 @@
             0 => Time(0),
             open => self.began + self.hedge_delay(open, timing),
         };
-        let demanded = self.demanded.filter(|at| self.began <= *at);
+        let demanded = self.demanded.filter(|at| self.completed <= *at);
+        let demanded = demanded.filter(|at| now.since(*at) < DEMAND_TTL);
         let demanded = demanded.map(|at| (at + Millis(1)).max(self.began + MIN_DEMAND_INTERVAL));
         let needed_at = self.needed_at(now, context, timing);
         let needed_at = demanded.map_or(needed_at, |at| at.min(needed_at));
@@ -240,6 +247,11 @@
         self.demanded = self.demanded.max(Some(now));
     }
 
+    /// Tells whether no read begins for a while, as several have failed.
+    pub fn rests(&self, now: Time) -> bool {
+        self.failures >= FAILURES_UNTIL_LOST && now < self.not_before
+    }
+
     /// Begins a read.
     pub fn begin(&mut self, now: Time) -> ReadId {
         self.last_id += 1;
@@ -294,6 +306,7 @@
         let Some(ended) = self.open.swap_remove(&id) else {
             return Vec::new();
         };
+        self.completed = self.completed.max(ended.began);
         let older = self.open.iter().filter(|(_, o)| o.began <= ended.began);
         let older: Vec<ReadId> = older.map(|(id, _)| *id).collect();
         for id in &older {
--- a/crates/core/src/gateway/fleet/updates/registry.rs
+++ b/crates/core/src/gateway/fleet/updates/registry.rs
@@ -159,7 +159,7 @@
                     .retain(|service| catalog.service(service).is_some());
                 self.record_moved_routes(now, &catalog);
                 self.catalog = Some(Arc::new(catalog));
-                self.update_stream_life();
+                self.update_stream_life(now);
                 events.push(RegistryEvent::Applied { version });
             }
         }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -151,11 +151,17 @@
     streams: Streams,
     /// Longest time that a stream lasts with its caller's tries.
     stream_life: Millis,
+    /// The same by the configuration in force; streams from before it may last for longer.
+    published_stream_life: Millis,
+    /// Until when the streams from before it may last.
+    stream_life_until: Time,
     /// Services of which peers state that more than one version serves, and when they last did.
     peers_mixed: IndexMap<Bytes, Time>,
     /// Services whose streams peers are told of.
     reported: Vec<Bytes>,
-    /// Until when versions may have begun streams of which this router never knew, if no peer has told of them.
+    /// When the process began, as far as that is known.
+    started_at: Time,
+    /// When this router missed changes of the registry, if no peer has told it of the versions of before.
     unread_since: Option<Time>,
     /// Revision of the registry from which on this router knows of each version; `None` before its first read.
     known_from: Option<Revision>,
@@ -204,8 +210,11 @@
             peers: Peers::default(),
             streams: Streams::default(),
             stream_life: Millis(0),
+            published_stream_life: Millis(0),
+            stream_life_until: Time(0),
             peers_mixed: IndexMap::new(),
             reported: Vec::new(),
+            started_at: Time(0),
             unread_since: None,
             known_from: None,
             revision: Revision(0),
@@ -257,6 +266,11 @@
         self.variability.set(speeds);
     }
 
+    /// Notes that this router starts with the system, so that no stream is older.
+    pub fn started_first(&mut self, now: Time) {
+        self.started_at = now;
+    }
+
     /// Notes that an earlier run of this router may have ended just now. That run may have used the
     /// router's part of the fleet's extra retries, so this one does without them for the length of
     /// the window. Otherwise routers that are restarted repeatedly while requests fail would retry
--- a/crates/core/src/gateway/origin/builds.rs
+++ b/crates/core/src/gateway/origin/builds.rs
@@ -74,14 +74,14 @@
         self.services.retain(|_, builds| !builds.is_empty());
     }
 
-    /// Tells whether streams of more than one version of a service may exist.
+    /// Tells whether streams of other versions of a service may exist than of the one that is listed.
     pub fn is_mixed(&self, service: &[u8]) -> bool {
-        self.services.get(service).is_some_and(|b| b.len() > 1)
+        self.services.get(service).is_some_and(are_mixed)
     }
 
-    /// Lists the services of which streams of more than one version may exist.
+    /// Lists the services of which streams of other versions may exist than of the one that is listed.
     pub fn mixed(&self) -> impl Iterator<Item = &Bytes> {
-        let mixed = self.services.iter().filter(|(_, builds)| builds.len() > 1);
+        let mixed = self.services.iter().filter(|(_, builds)| are_mixed(builds));
         mixed.map(|(service, _)| service)
     }
 
@@ -91,3 +91,8 @@
         builds.map(|(build, listing)| (*build, &listing.name, listing.endpoints))
     }
 }
+
+/// Tells whether there is more than one version, or one that has left and that the next one is not to be taken for.
+fn are_mixed(builds: &IndexMap<Build, Listing>) -> bool {
+    builds.len() > 1 || builds.values().any(|listing| listing.endpoints == 0)
+}
--- a/crates/core/src/gateway/origin/history.rs
+++ b/crates/core/src/gateway/origin/history.rs
@@ -3,6 +3,8 @@
 //! The registry says what serves now, not what has served. A router knows the versions of the past by having read each
 //! change, or from a peer that has.
 
+use bytes::Bytes;
+
 use crate::{
     gateway::{
         Gateway,
@@ -29,19 +31,25 @@
 }
 
 impl Gateway {
-    /// Notes up to which revision the registry's state is known, by a read that was sent at `sent`; to be called before
+    /// Notes up to which revision the registry's state is known by a read; to be called before
     /// [`Gateway::record_registry_read`].
-    pub fn record_history(&mut self, now: Time, sent: Time, revision: Revision, changes: Changes) {
-        self.revision = revision;
-        let last = self.proof.read();
+    ///
+    /// The time until the answer counts as unread: what has joined and left meanwhile may be in none of its pages.
+    pub fn record_history(&mut self, now: Time, revision: Revision, changes: Changes) {
+        let missed = match (changes, self.known_from) {
+            (Changes::Difference, Some(_)) => revision != self.revision,
+            (Changes::Difference, None) => self.unread_since.is_none(),
+            (Changes::Each, _) => false,
+        };
+        let last = self.proof.read().unwrap_or(self.started_at);
         let interval = self.bounds.pace().interval;
         let limit = Millis(interval.0 * MAX_UNREAD_HALF_INTERVALS / 2);
-        let unread = last.is_some_and(|last| sent.since(last) > limit);
-        if unread && changes == Changes::Difference {
+        if missed && now.since(last) > limit {
             self.unread_since = Some(now);
             self.known_from = None;
         }
         self.known_from.get_or_insert(revision);
+        self.revision = revision;
     }
 
     /// Tells whether streams may go on that a version has begun of which this router never knew: one that left before
@@ -54,7 +62,9 @@
     /// Returns the revision up to which this router knows of each version that streams may be of, if its digests state
     /// all services that have several.
     pub fn versions_until(&self, now: Time) -> Option<Revision> {
-        let states_all = self.all_mixed().count() <= MAX_MIXED_SERVICES;
+        let index_of = |service: &Bytes| self.catalog.as_ref().and_then(|c| c.index_of(service));
+        let indexed = self.all_mixed().all(|service| index_of(service).is_some());
+        let states_all = indexed && self.all_mixed().count() <= MAX_MIXED_SERVICES;
         let knows = states_all && self.known_from.is_some() && !self.doubts_versions(now);
         knows.then_some(self.revision)
     }
--- a/crates/core/src/gateway/origin/reports.rs
+++ b/crates/core/src/gateway/origin/reports.rs
@@ -129,6 +129,9 @@
     /// Expires what has timed out, and queues the streams that peers are to be told of from now on: of services that
     /// now have more than one version, and all while the versions can't be proved.
     pub(in crate::gateway) fn tick_streams(&mut self, now: Time) {
+        if now >= self.stream_life_until {
+            self.stream_life = self.published_stream_life;
+        }
         self.registry.expire_builds(now, self.stream_life);
         self.streams.expire(now);
         self.peers_mixed
@@ -146,10 +149,15 @@
     }
 
     /// Sets for how long streams last, by the time limits of the routes.
-    pub(in crate::gateway) fn update_stream_life(&mut self) {
+    pub(in crate::gateway) fn update_stream_life(&mut self, now: Time) {
         let routes = self.catalog.iter().flat_map(|c| c.routes());
         let longest = routes.filter(|r| r.kind.streams()).map(|r| r.limit.0).max();
         let life = longest.unwrap_or(0).saturating_mul(STREAM_LIFE_FACTOR);
-        self.stream_life = Millis(life).max(MIN_STREAM_LIFE);
+        self.published_stream_life = Millis(life).max(MIN_STREAM_LIFE);
+        if self.published_stream_life < self.stream_life {
+            self.stream_life_until = now + self.stream_life;
+        } else {
+            self.stream_life = self.published_stream_life;
+        }
     }
 }
--- a/crates/core/tests/gateway/origin.rs
+++ b/crates/core/tests/gateway/origin.rs
@@ -208,7 +208,7 @@
 /// Notes a read of the registry at a revision, and the changes of the rest of the time.
 fn read(gateway: &mut Gateway, now: u64, revision: u64, changes: Changes) {
     let now = Time(now);
-    gateway.record_history(now, now, Revision(revision), changes);
+    gateway.record_history(now, Revision(revision), changes);
     gateway.record_registry_read(now, now);
     gateway.tick(now);
 }
@@ -285,7 +285,6 @@
         read(&mut gateway, 1000, 5, Changes::Each);
         for arrived in [1000, 1010, 1400, 4000] {
             let now = arrived + 100;
-            gateway.heard_peer(Time(now), Some(Revision(9)), &[]);
             let found = look_up(&mut gateway, Time(arrived), &take_up("x"));
             expect_that!(found, matches_pattern!(Lookup::Prove(anything())));
             expect_that!(proved(&gateway, now, arrived), eq(Versions::Unproven));
@@ -756,7 +755,7 @@
     restarted.restarted(Time(1900));
     read(&mut restarted, 2000, 6, Changes::Difference);
     hear(&mut restarted, 2100, &peer);
-    restarted.record_history(Time(2500), Time(2500), Revision(7), Changes::Each);
+    restarted.record_history(Time(2500), Revision(7), Changes::Each);
     list(&mut restarted, Time(2500), 2, NEW);
     expect_that!(
         proved(&restarted, 2500, 2400),
@@ -808,7 +807,7 @@
     let mut gateway = gateway(2);
     read(&mut gateway, 1000, 5, Changes::Each);
     let (sent, answered) = (Time(2900), Time(6000));
-    gateway.record_history(answered, sent, Revision(9), Changes::Difference);
+    gateway.record_history(answered, Revision(9), Changes::Difference);
     gateway.record_registry_read(answered, sent);
     expect_that!(gateway.versions_until(answered), none());
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -102,7 +102,7 @@
     };
     {
         let mut gateway = state.gateway.borrow_mut();
-        gateway.record_history(now(), read, revision, changes);
+        gateway.record_history(now(), revision, changes);
         gateway.record_registry_read(now(), read);
     }
     let mut mirror = state.mirror.borrow_mut();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -201,8 +201,9 @@
     let mut gateway = Gateway::new(settings.bounds.bounds(), seed);
     gateway.set_speeds(settings.speeds);
     gateway.set_prefill_salt(xxh3_64(peer_address.to_string().as_bytes()));
-    if !settings.first_start {
-        gateway.restarted(now());
+    match settings.first_start {
+        true => gateway.started_first(now()),
+        false => gateway.restarted(now()),
     }
     let caller_address = SocketAddrV4::new(*listen.callers.ip(), addresses.0.port());
     let state = State::new(gateway, mesh, protocol, caller_address, settings.registry);
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -29,6 +29,7 @@
     gateway::{
         mirror::Delta,
         reading::{
+            FAILURES_UNTIL_LOST,
             ReadContext,
             ReadId,
             ReadScheduler,
@@ -71,8 +72,6 @@
 /// Time that a call may take in addition to its limit for the head of the answer. A configuration of over a megabyte
 /// takes seconds on a slow link, and a read that is cut off starts again from the beginning.
 const BODY_TIMEOUT: Duration = Duration::from_secs(4);
-/// Consecutive failed reads after which the registry counts as lost: a single one may have been lost by the network.
-const FAILURES_UNTIL_LOST: u32 = 2;
 /// Most connections to the registry that are kept open between reads.
 const MAX_KEPT_CONNECTIONS: usize = 2;
 
@@ -111,9 +110,9 @@
 
 /// Reads the registry, and waits until the state is known as of a time after `since`; returns whether it is.
 ///
-/// Fails at once while the registry does not answer this router.
+/// Fails at once while the next read is put off, as the registry does not answer this router.
 pub(crate) async fn read_after(state: &Shared, since: Time, limit: Duration) -> bool {
-    if state.reading.borrow().failures() >= FAILURES_UNTIL_LOST {
+    if state.reading.borrow().rests(now()) {
         return false;
     }
     let mut changes = state.changes.subscribe();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,8 @@
     time::Duration,
 };
 
+use bytes::Bytes;
+use indexmap::IndexMap;
 use tokio::{
     sync::{
         Mutex,
@@ -120,8 +122,8 @@
     pub unsent_streams: Notify,
     /// Number of streams that peers are being asked for.
     pub(crate) stream_asks: Cell<usize>,
-    /// What the router that reads for this data centre has last proved of versions.
-    pub(crate) versions_proof: Mutex<VersionsProof>,
+    /// What the router that reads for this data centre has last proved of the versions of services.
+    pub(crate) version_proofs: Mutex<IndexMap<Bytes, VersionsProof>>,
     /// Queries to the keepers of prefill backlogs.
     pub(crate) prefill: Queries,
     /// The changes last packed for a peer.
@@ -170,7 +172,7 @@
             wake_reads: Notify::new(),
             unsent_streams: Notify::new(),
             stream_asks: Cell::new(0),
-            versions_proof: Mutex::default(),
+            version_proofs: Mutex::default(),
             prefill: Queries::default(),
             cached_pack: RefCell::default(),
             reads: Cell::new(false),
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -29,7 +29,13 @@
 };
 use http_body_util::Full;
 use indexmap::IndexMap;
-use tokio::{net::UdpSocket, time::sleep};
+use tokio::{
+    net::UdpSocket,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
 use toucanturn_core::{
     gateway::{
         Gateway, Ticket,
@@ -45,7 +51,10 @@
             Versions, //
         },
     },
-    units::Time,
+    units::{
+        Millis,
+        Time, //
+    },
 };
 use toucanturn_wire::gossip::{
     StreamAsk,
@@ -82,6 +91,10 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time limit of the first read of the registry for a stream, by the router that reads for the data centre.
 const READER_PROOF_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time limit of an ask of the reader with the wait for those before it.
+const SHARED_PROOF_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for which the reader's answers are kept for those that wait for them.
+const PROOF_RETENTION: Millis = Millis(5000);
 /// Time limit of further reads for it, here and at peers.
 const PROOF_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time limit of an ask for a record and a read.
@@ -223,11 +236,10 @@
 }
 
 /// `VersionsProof` is what a peer has proved of a service's versions.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct VersionsProof {
     /// When it was asked.
     asked: Time,
-    service: Bytes,
     versions: Versions,
 }
 
@@ -267,6 +279,9 @@
             if let Some(found) = self.conclude(state, known) {
                 return found;
             }
+            if known.versions == Versions::Several {
+                return self.find_record(state).await;
+            }
         }
         let Some(_asking) = Asking::begin(state) else {
             return (Origin::Unknown, Source::Nobody);
@@ -304,8 +319,12 @@
         state: &Shared,
         mut answers: FuturesUnordered<LocalBoxFuture<'_, PeerKnowledge>>,
     ) -> (Origin, Source) {
+        let mut several = false;
         while let Some(known) = answers.next().await {
-            if let Some(found) = self.conclude(state, known) {
+            several |= known.versions == Versions::Several;
+            let found = self.conclude(state, known);
+            let found = found.filter(|(_, source)| !several || *source == Source::Peer);
+            if let Some(found) = found {
                 return found;
             }
         }
@@ -332,27 +351,36 @@
 
     /// Has the router that reads the registry for this data centre read it.
     async fn read_at_reader(&self, state: &Shared) -> PeerKnowledge {
-        let upstream = state.mesh.borrow().upstream(now());
-        let Some(peer) = upstream else {
+        if state.mesh.borrow().upstream(now()).is_none() {
             return self.read(state, READER_PROOF_TIMEOUT).await;
-        };
-        // One ask at a time: those that wait share the next answer.
-        let mut proof = state.versions_proof.lock().await;
-        if proof.asked <= self.arrived || proof.service != self.ticket.service {
-            let asked = now();
-            let answer = self.ask(state, peer, Proof::Wanted, READER_PROOF_TIMEOUT);
-            let answer = answer.await;
-            *proof = VersionsProof {
-                asked,
-                service: self.ticket.service.clone(),
-                versions: answer.versions,
-            };
-            return answer;
         }
-        PeerKnowledge {
-            build: None,
-            versions: proof.versions,
+        let asked = timeout(SHARED_PROOF_TIMEOUT, self.ask_reader(state)).await;
+        asked.unwrap_or_default()
+    }
+
+    /// Asks the reader, one ask at a time: those that wait share the next answer.
+    async fn ask_reader(&self, state: &Shared) -> PeerKnowledge {
+        let mut proofs = state.version_proofs.lock().await;
+        let service = &self.ticket.service;
+        if let Some(proof) = proofs.get(service)
+            && proof.asked > self.arrived
+        {
+            return PeerKnowledge {
+                build: None,
+                versions: proof.versions,
+            };
         }
+        let upstream = state.mesh.borrow().upstream(now());
+        let Some(peer) = upstream else {
+            return PeerKnowledge::default();
+        };
+        let asked = now();
+        let answer = self.ask(state, peer, Proof::Wanted, READER_PROOF_TIMEOUT);
+        let answer = answer.await;
+        let versions = answer.versions;
+        proofs.retain(|_, proof| asked.since(proof.asked) < PROOF_RETENTION);
+        proofs.insert(service.clone(), VersionsProof { asked, versions });
+        answer
     }
 
     /// Reads the registry.
