Let a router advertise another address than the one it listens on

Peers learn of each other by the address in digests, which was always `listen.peers`. So nothing could be placed between two routers: a proxy as a seed is passed by as soon as the first digest has come, and no test with real processes could cut routers off from each other.

`listen.advertised` is the address that digests state, for a router behind a proxy or a translation of addresses; left out, it is `listen.peers` as before. Nothing else uses it.

--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -191,7 +191,7 @@
         .context(context(peer_address))?;
     let seed = toucanturn_clock::now().wall.0;
     let own_rumor = Heartbeat {
-        address: peer_address,
+        address: listen.advertised.unwrap_or(peer_address),
         data_center: Tag::of(settings.data_center.as_bytes()).0,
         incarnation: Incarnation(seed),
         beat: 0,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -87,6 +87,9 @@
     pub ready: SocketAddrV4,
     /// For peers, on TCP and UDP.
     pub peers: SocketAddrV4,
+    /// Address at which peers reach `peers`, if it is another one: they are behind a proxy or a translation of addresses.
+    #[serde(default)]
+    pub advertised: Option<SocketAddrV4>,
 }
 
 /// `PublishedBounds` is the bounds that the operators of the platform publish and the router must keep.
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -10,9 +10,15 @@
 };
 
 use bytes::Bytes;
-use futures_util::stream::{
-    FuturesUnordered,
-    StreamExt as _, //
+use futures_util::{
+    future::{
+        FutureExt as _,
+        LocalBoxFuture, //
+    },
+    stream::{
+        FuturesUnordered,
+        StreamExt as _, //
+    },
 };
 use http::{
     Method,
@@ -30,18 +36,24 @@
         timeout, //
     },
 };
-use toucanturn_core::gateway::{
-    Gateway, Ticket,
-    incoming_request::IncomingRequest,
-    mesh::MAX_STREAM_REPORTS,
-    origin::{
-        self,
-        Build,
-        Lookup,
-        Origin,
-        PeerKnowledge,
-        StreamKey,
-        StreamReport, //
+use toucanturn_core::{
+    gateway::{
+        Gateway, Ticket,
+        incoming_request::IncomingRequest,
+        mesh::MAX_STREAM_REPORTS,
+        origin::{
+            Build,
+            Lookup,
+            Origin,
+            PeerKnowledge,
+            StreamKey,
+            StreamReport,
+            Versions, //
+        },
+    },
+    units::{
+        Millis,
+        Time, //
     },
 };
 use toucanturn_wire::gossip::{
@@ -63,6 +75,7 @@
         Timeouts, //
     },
     log::text,
+    reads,
     state::{
         Shared,
         State,
@@ -74,8 +87,18 @@
 pub(crate) const PATH: &str = "/stream";
 /// Time for which reports are collected before they are sent.
 const BATCH_TIME: Duration = Duration::from_millis(5);
-/// Time limit of the asks for one stream.
+/// Time limit of an ask for a record.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time limit of the first read of the registry for a stream, by the router that reads for the data centre.
+const READER_PROOF_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time limit of an ask of the reader with the wait for those before it.
+const SHARED_PROOF_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for which the reader's answers are kept for those that wait for them.
+const PROOF_RETENTION: Millis = Millis(5000);
+/// Time limit of further reads for it, here and at peers.
+const PROOF_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time limit of an ask for a record and a read.
+const PEER_PROOF_TIMEOUT: Duration = Duration::from_millis(800);
 /// Limit of the streams that peers are asked for at once; the origin of further ones counts as unknown.
 const MAX_ASKS: usize = 64;
 
@@ -151,19 +174,23 @@
 
 /// Finds out at which software version the stream of a request may go on, if its caller takes one up.
 pub(crate) async fn find_origin(state: &Shared, ticket: &mut Ticket, request: &IncomingRequest) {
+    let arrived = now();
     let found = state
         .gateway
         .borrow()
-        .look_up_origin(now(), ticket, request);
+        .look_up_origin(arrived, ticket, request);
     let (origin, source) = match found {
         Lookup::Found(Origin::New) => return,
+        Lookup::Found(Origin::Unknown) => (Origin::Unknown, Source::Nobody),
         Lookup::Found(origin) => (origin, Source::Here),
-        Lookup::Ask(key) => (ask_peers(state, ticket, key).await, Source::Peer),
-    };
-    let source = match origin {
-        Origin::OnlyBuild => Source::OnlyVersion,
-        Origin::Unknown => Source::Nobody,
-        _ => source,
+        Lookup::Ask(key) => {
+            let query = Query::new(ticket, key, arrived);
+            query.find_record(state).await
+        }
+        Lookup::Prove(key) => {
+            let query = Query::new(ticket, key, arrived);
+            query.prove(state).await
+        }
     };
     let mut gateway = state.gateway.borrow_mut();
     gateway.set_origin(ticket, origin);
@@ -208,110 +235,272 @@
     );
 }
 
-/// Asks peers that may know a stream. The first one that does decides.
-async fn ask_peers(state: &Shared, ticket: &Ticket, key: StreamKey) -> Origin {
-    if state.stream_asks.get() >= MAX_ASKS {
-        return Origin::Unknown;
-    }
-    state.stream_asks.set(state.stream_asks.get() + 1);
-    let mut answers = Vec::new();
-    let asked = timeout(
-        ASK_TIMEOUT,
-        collect_answers(state, ticket, key, &mut answers),
-    );
-    let found = asked.await.ok().flatten();
-    state.stream_asks.set(state.stream_asks.get() - 1);
-    found.map_or_else(
-        || {
-            let now = now();
-            let mixed = state.gateway.borrow().is_mixed(now, &ticket.service);
-            if mixed {
-                Origin::Unknown
-            } else {
-                origin::without_record(&answers)
-            }
-        },
-        Origin::Build,
-    )
+/// `VersionsProof` is what a peer has proved of a service's versions.
+#[derive(Debug)]
+pub(crate) struct VersionsProof {
+    /// When it was asked.
+    asked: Time,
+    versions: Versions,
 }
 
-async fn collect_answers(
-    state: &Shared,
-    ticket: &Ticket,
+/// `Query` is a search for the version that began a stream.
+struct Query<'a> {
+    ticket: &'a Ticket,
     key: StreamKey,
-    answers: &mut Vec<PeerKnowledge>,
-) -> Option<Build> {
-    let peers = state
-        .mesh
-        .borrow()
-        .possible_stream_keepers(now(), key.stream);
-    let asks = peers
-        .into_iter()
-        .map(|peer| ask(state, peer, key, &ticket.service));
-    let mut asks: FuturesUnordered<_> = asks.collect();
-    while let Some(answer) = asks.next().await {
-        let Some(answer) = answer else {
-            continue;
+    /// When the request that takes the stream up arrived.
+    arrived: Time,
+}
+
+/// `Proof` is whether a peer is to read the registry for its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Proof {
+    Wanted,
+    Unneeded,
+}
+
+impl<'a> Query<'a> {
+    fn new(ticket: &'a Ticket, key: StreamKey, arrived: Time) -> Self {
+        Self {
+            ticket,
+            key,
+            arrived,
+        }
+    }
+
+    /// Finds out which version began the stream, where this router knows of one alone.
+    ///
+    /// A version may have joined since this router's last read, and have begun the stream. So the registry is read
+    /// again, by the router that reads for this data centre: many callers may come back at once, and calls to the
+    /// registry are limited. Where that fails, peers are asked for a record, and for a read of theirs.
+    async fn prove(&self, state: &Shared) -> (Origin, Source) {
+        let doubts = state.gateway.borrow().doubts_versions(now());
+        if !doubts {
+            let known = self.read_at_reader(state).await;
+            if let Some(found) = self.conclude(state, known) {
+                return found;
+            }
+            if known.versions == Versions::Several {
+                return self.find_record(state).await;
+            }
+        }
+        let Some(_asking) = Asking::begin(state) else {
+            return (Origin::Unknown, Source::Nobody);
+        };
+        let own = async {
+            match doubts {
+                true => PeerKnowledge::default(),
+                false => self.read(state, PROOF_TIMEOUT).await,
+            }
         };
-        if answer.build.is_some() {
-            return answer.build;
+        let asks = self.keepers(state).into_iter();
+        let asks = asks.map(|peer| {
+            self.ask(state, peer, Proof::Wanted, PEER_PROOF_TIMEOUT)
+                .boxed_local()
+        });
+        let answers: FuturesUnordered<_> = asks.chain([own.boxed_local()]).collect();
+        self.first_conclusion(state, answers).await
+    }
+
+    /// Finds a peer's record of the stream.
+    async fn find_record(&self, state: &Shared) -> (Origin, Source) {
+        let Some(_asking) = Asking::begin(state) else {
+            return (Origin::Unknown, Source::Nobody);
+        };
+        let asks = self.keepers(state).into_iter();
+        let asks = asks.map(|peer| {
+            self.ask(state, peer, Proof::Unneeded, ASK_TIMEOUT)
+                .boxed_local()
+        });
+        self.first_conclusion(state, asks.collect()).await
+    }
+
+    async fn first_conclusion(
+        &self,
+        state: &Shared,
+        mut answers: FuturesUnordered<LocalBoxFuture<'_, PeerKnowledge>>,
+    ) -> (Origin, Source) {
+        let mut several = false;
+        while let Some(known) = answers.next().await {
+            several |= known.versions == Versions::Several;
+            let found = self.conclude(state, known);
+            let found = found.filter(|(_, source)| !several || *source == Source::Peer);
+            if let Some(found) = found {
+                return found;
+            }
         }
-        answers.push(answer);
+        (Origin::Unknown, Source::Nobody)
     }
-    None
-}
 
-async fn ask(
-    state: &Shared,
-    peer: SocketAddrV4,
-    key: StreamKey,
-    service: &Bytes,
-) -> Option<PeerKnowledge> {
-    let (nonce, body) = {
-        let mut gateway = state.gateway.borrow_mut();
-        let nonce = gateway.draw();
-        let catalog = gateway.catalog()?;
-        let ask = StreamAsk {
-            nonce,
-            key,
-            service: service.clone(),
+    fn conclude(&self, state: &Shared, known: PeerKnowledge) -> Option<(Origin, Source)> {
+        if let Some(build) = known.build {
+            return Some((Origin::Build(build), Source::Peer));
+        }
+        let Versions::Only(only) = known.versions else {
+            return None;
         };
-        let payload = encode_stream_ask(&ask);
-        (nonce, seal(&catalog.secret, catalog.version, payload))
-    };
-    let mut request = Request::new(Full::new(body));
-    *request.method_mut() = Method::POST;
-    *request.uri_mut() = Uri::from_static(PATH);
-    let timeouts = Timeouts {
-        connect: ASK_TIMEOUT,
-        head: ASK_TIMEOUT,
-        body_frame: ASK_TIMEOUT,
-        total: ASK_TIMEOUT,
-    };
-    let answer = HttpClient::new(peer).call(request, timeouts, &|| ()).await;
-    let body = answer
-        .inspect_err(|error| tracing::debug!(%error, %peer, "peer does not tell of a stream"))
-        .ok()?;
-    let (_, payload) = open(&body, |epoch| state.secret(epoch)).ok()?;
-    let (answered, knowledge) = decode_stream_answer(&payload).ok()?;
-    (answered == nonce).then_some(knowledge)
+        let gateway = state.gateway.borrow();
+        gateway
+            .must_have_begun(now(), self.ticket, only)
+            .then_some((Origin::Build(only), Source::OnlyVersion))
+    }
+
+    fn keepers(&self, state: &Shared) -> Vec<SocketAddrV4> {
+        let mesh = state.mesh.borrow();
+        mesh.possible_stream_keepers(now(), self.key.stream)
+    }
+
+    /// Has the router that reads the registry for this data centre read it.
+    async fn read_at_reader(&self, state: &Shared) -> PeerKnowledge {
+        if state.mesh.borrow().upstream(now()).is_none() {
+            return self.read(state, READER_PROOF_TIMEOUT).await;
+        }
+        let asked = timeout(SHARED_PROOF_TIMEOUT, self.ask_reader(state)).await;
+        asked.unwrap_or_default()
+    }
+
+    /// Asks the reader, one ask at a time: those that wait share the next answer.
+    async fn ask_reader(&self, state: &Shared) -> PeerKnowledge {
+        let mut proofs = state.version_proofs.lock().await;
+        let service = &self.ticket.service;
+        if let Some(proof) = proofs.get(service)
+            && proof.asked > self.arrived
+        {
+            return PeerKnowledge {
+                build: None,
+                versions: proof.versions,
+            };
+        }
+        let upstream = state.mesh.borrow().upstream(now());
+        let Some(peer) = upstream else {
+            return PeerKnowledge::default();
+        };
+        let asked = now();
+        let answer = self.ask(state, peer, Proof::Wanted, READER_PROOF_TIMEOUT);
+        let answer = answer.await;
+        let versions = answer.versions;
+        proofs.retain(|_, proof| asked.since(proof.asked) < PROOF_RETENTION);
+        proofs.insert(service.clone(), VersionsProof { asked, versions });
+        answer
+    }
+
+    /// Reads the registry.
+    async fn read(&self, state: &Shared, limit: Duration) -> PeerKnowledge {
+        reads::read_after(state, self.arrived, limit).await;
+        let gateway = state.gateway.borrow();
+        gateway.knowledge_of(now(), self.arrived, self.key, &self.ticket.service)
+    }
+
+    /// Asks a peer; an answer that fails to come says nothing.
+    async fn ask(
+        &self,
+        state: &Shared,
+        peer: SocketAddrV4,
+        proof: Proof,
+        limit: Duration,
+    ) -> PeerKnowledge {
+        let answer = self.call(state, peer, proof, limit).await;
+        answer.unwrap_or_default()
+    }
+
+    async fn call(
+        &self,
+        state: &Shared,
+        peer: SocketAddrV4,
+        proof: Proof,
+        limit: Duration,
+    ) -> Option<PeerKnowledge> {
+        let (nonce, body) = {
+            let mut gateway = state.gateway.borrow_mut();
+            let nonce = gateway.draw();
+            let catalog = gateway.catalog()?;
+            let ask = StreamAsk {
+                nonce,
+                key: self.key,
+                service: self.ticket.service.clone(),
+                prove: proof == Proof::Wanted,
+            };
+            let payload = encode_stream_ask(&ask);
+            (nonce, seal(&catalog.secret, catalog.version, payload))
+        };
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = Uri::from_static(PATH);
+        let timeouts = Timeouts {
+            connect: ASK_TIMEOUT.min(limit),
+            head: limit,
+            body_frame: ASK_TIMEOUT,
+            total: limit,
+        };
+        let answer = HttpClient::new(peer).call(request, timeouts, &|| ()).await;
+        let body = answer
+            .inspect_err(|error| tracing::debug!(%error, %peer, "peer does not tell of a stream"))
+            .ok()?;
+        let (_, payload) = open(&body, |epoch| state.secret(epoch)).ok()?;
+        let (answered, knowledge) = decode_stream_answer(&payload).ok()?;
+        (answered == nonce).then_some(knowledge)
+    }
+}
+
+/// `Asking` counts a stream that peers are asked for until it is dropped.
+struct Asking<'a>(&'a State);
+
+impl<'a> Asking<'a> {
+    /// Counts a stream; `None` if as many are asked for as may be.
+    fn begin(state: &'a State) -> Option<Self> {
+        let asks = state.stream_asks.get();
+        (asks < MAX_ASKS).then(|| {
+            state.stream_asks.set(asks + 1);
+            Self(state)
+        })
+    }
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        let asks = &self.0.stream_asks;
+        asks.set(asks.get().saturating_sub(1));
+    }
 }
 
 /// Answers a peer that asks for a stream.
-pub(crate) fn answer(state: &State, body: &[u8]) -> Response<Full<Bytes>> {
+pub(crate) async fn answer(state: &Shared, body: &[u8]) -> Response<Full<Bytes>> {
+    let asked_at = now();
     let opened = open(body, |epoch| state.secret(epoch));
     let asked = opened.and_then(|(epoch, payload)| Ok((epoch, decode_stream_ask(&payload)?)));
-    let answer = asked.ok().and_then(|(epoch, ask)| {
-        let secret = state.secret(epoch)?;
-        let gateway = state.gateway.borrow();
-        let knowledge = gateway.knowledge_of(now(), ask.key, &ask.service);
-        let payload = encode_stream_answer(ask.nonce, knowledge);
-        Some(seal(&secret, epoch, payload))
-    });
     let mut response = Response::new(Full::default());
-    match answer {
-        Some(sealed) => *response.body_mut() = Full::new(sealed),
+    let Ok((epoch, ask)) = asked else {
+        *response.status_mut() = StatusCode::FORBIDDEN;
+        return response;
+    };
+    let knowledge = knowledge(state, epoch, &ask, asked_at).await;
+    match state.secret(epoch) {
+        Some(secret) => {
+            let payload = encode_stream_answer(ask.nonce, knowledge);
+            *response.body_mut() = Full::new(seal(&secret, epoch, payload));
+        }
         None => *response.status_mut() = StatusCode::FORBIDDEN,
     }
     response
 }
+
+/// Finds what this router knows of a stream, and reads the registry if the peer needs a proof.
+async fn knowledge(state: &Shared, epoch: u64, ask: &StreamAsk, asked_at: Time) -> PeerKnowledge {
+    let known = || {
+        let gateway = state.gateway.borrow();
+        gateway.knowledge_of(now(), asked_at, ask.key, &ask.service)
+    };
+    let before = known();
+    let decided = before.build.is_some() || before.versions != Versions::Unproven;
+    let doubts = state.gateway.borrow().doubts_versions(now());
+    if ask.prove && !decided && !doubts {
+        reads::read_after(state, asked_at, PROOF_TIMEOUT).await;
+    }
+    let after = known();
+    // The peer's routes are those of its configuration.
+    let catalog = state.gateway.borrow().catalog().map(|c| c.version);
+    let versions = match catalog == Some(epoch) {
+        true => after.versions,
+        false => Versions::Unproven,
+    };
+    PeerKnowledge { versions, ..after }
+}
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -111,3 +111,22 @@
     let error = error_of("\"id\"", "\"speeds\":\"fast\",\"id\"");
     expect_that!(error, contains_substring("varying"));
 }
+
+/// Peers are told the address that the router listens on, unless they reach it at another one.
+#[gtest]
+fn verify_an_advertised_address_may_be_left_out() {
+    let settings = Settings::try_from(GOOD.as_bytes()).expect("the settings are valid");
+    expect_that!(settings.listen.advertised, none());
+    let text = GOOD.replace(
+        "10.0.0.1:82\"",
+        "10.0.0.1:82\",\"advertised\":\"10.1.0.1:82\"",
+    );
+    let settings = Settings::try_from(text.as_bytes()).expect("the settings are valid");
+    let advertised = settings
+        .listen
+        .advertised
+        .map(|address| address.to_string());
+    expect_that!(advertised, some(eq("10.1.0.1:82")));
+    let error = error_of("10.0.0.1:82\"", "10.0.0.1:82\",\"advertised\":\"peer\"");
+    expect_that!(error, contains_substring("JSON"));
+}
