Cut routers off from each other in the soak

No fault of the soak came between routers: they learn of each other's addresses from digests, so a proxy could only stand before a router's first contact.

`PeerLinks` opens a proxy on TCP and UDP before each router, which it advertises (`listen.advertised`). A fault names a group; nothing passes between it and the others, both ways, until it is over, and connections that it met are reset then. Routers of the group go on hearing each other. The sender of a datagram is known by its address, since routers send from the socket that they listen on; the maker of a connection by the process that holds the socket (`pidfd_getfd`).

Ruled out: the kernel's table of connections. Connections are looked up while something is cut alone now.

Nothing uses the links yet.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod guard;
 pub mod judge;
 pub mod load;
+pub mod peer_link;
 pub mod plan;
 pub mod process;
 pub mod record;
