Count the streams that callers take up by what goes on meanwhile

The soak judged that streams keep their version, and that at least half as many are taken up as new ones begin. Neither tells what a change costs: how many go on in calm, in a release, at a router that is out of step, after a kill of one router or of all.

The record has kills of routers and releases now. `take_ups` counts requests that take a stream up by phase: sent, going on, refused with a promise that nothing ran, and joined from two versions. The counts are a line of the output and a map in `record.json`.

A router that is cut off from its peers counts as out of step there, in `taken_up`, in `multiple` and in `uncut` (a peer may have passed the answer on), as one that is suspended does. No plan has that fault yet, so no check of an existing plan is another one.

--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{
+        BTreeMap,
         BTreeSet,
         HashMap, //
     },
@@ -49,8 +50,10 @@
         Kind,
         Leaving,
         Member,
+        Phase,
         Record,
         Start,
+        TakeUps,
         Target, //
     },
 };
@@ -281,9 +284,11 @@
         return None;
     }
     // Whoever was killed, suspended or hidden behind a fault can't be asked for an answer.
+    // A peer may have passed the answer on.
     let own = [
         Target::Router(call.router),
         Target::Paused(call.router),
+        Target::Peers(call.router),
         Target::Links,
     ];
     let place = |t| own.contains(&t) || matches!(t, Target::Replica(_));
@@ -616,10 +621,64 @@
         .collect()
 }
 
+/// Counts the streams that callers took up by what went on meanwhile.
+pub fn take_ups(record: &Record) -> BTreeMap<Phase, TakeUps> {
+    let calls: Calls<'_> = record.calls.iter().map(|c| (c.id.as_str(), c)).collect();
+    let mut streams: HashMap<&str, Vec<&Call>> = HashMap::new();
+    for call in record.calls.iter().filter(|c| c.kind.streams()) {
+        streams.entry(stream_of(call)).or_default().push(call);
+    }
+    let mut counts: BTreeMap<Phase, TakeUps> = Phase::iter()
+        .map(|phase| (phase, TakeUps::default()))
+        .collect();
+    for call in record.calls.iter().filter(|c| c.resumes.is_some()) {
+        let began = calls.get(stream_of(call)).map_or(call.sent, |c| c.sent);
+        let count = counts.entry(phase(record, call, began)).or_default();
+        count.sent += 1;
+        count.going += usize::from(call.status == 200);
+        count.refused += usize::from(promises(call.status));
+        // Tries of one caller follow each other.
+        let before = streams.get(stream_of(call)).into_iter().flatten();
+        let before = before.filter(|c| c.sent < call.sent);
+        let before: BTreeSet<&str> = before.flat_map(|c| versions(&c.body)).collect();
+        let joined = versions(&call.body).any(|v| !before.is_empty() && !before.contains(v));
+        count.joined += usize::from(joined);
+    }
+    counts
+}
+
+/// Gets what goes on as a stream is taken up that began at `began`.
+fn phase(record: &Record, call: &Call, began: u64) -> Phase {
+    let felt = call.sent.saturating_sub(FELT);
+    let since = felt.min(began)..=call.ended;
+    let killed = |all: bool| {
+        let mut kills = record.kills.iter().filter(|k| k.all == all);
+        kills.any(|kill| since.contains(&kill.at))
+    };
+    let own = [Target::Paused(call.router), Target::Peers(call.router)];
+    let unheard = |t: Target| own.contains(&t) || t.blinds(Some(call.router));
+    let mut releases = record.releases.iter();
+    if killed(true) {
+        Phase::AllKilled
+    } else if killed(false) {
+        Phase::SomeKilled
+    } else if record.faulty(felt, call.ended, unheard) {
+        Phase::OutOfStep
+    } else if releases.any(|r| r.from <= call.ended && r.to.is_none_or(|to| to >= *since.start())) {
+        Phase::Release
+    } else {
+        Phase::Calm
+    }
+}
+
 fn taken_up(record: &Record) -> Vec<String> {
     // A router that a fault has come to is out of touch for a while.
     let in_touch = |call: &&Call| {
-        let own = [Target::Router(call.router), Target::Paused(call.router)];
+        let own = [
+            Target::Router(call.router),
+            Target::Paused(call.router),
+            Target::Peers(call.router),
+        ];
         let from = call.sent.saturating_sub(FELT);
         let started = |s: &Start| s.router == call.router && (from..call.ended).contains(&s.at);
         !record.starts.iter().any(started)
@@ -691,7 +750,11 @@
     // A router that a fault has come to is out of touch for a while.
     let in_touch = |note: &RequestEvent| {
         calls.get(note.id.as_str()).is_some_and(|call| {
-            let own = [Target::Router(call.router), Target::Paused(call.router)];
+            let own = [
+                Target::Router(call.router),
+                Target::Paused(call.router),
+                Target::Peers(call.router),
+            ];
             let from = note.at_ms.saturating_sub(FELT);
             !record.faulty(from, note.at_ms, |t| {
                 own.contains(&t) || t.blinds(Some(call.router))
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 use std::{
+    collections::BTreeMap,
     path::{
         Path,
         PathBuf, //
@@ -27,6 +28,10 @@
         Step,
         whole_plan, //
     },
+    record::{
+        Phase,
+        TakeUps, //
+    },
     run::run,
 };
 
@@ -190,6 +195,7 @@
         findings.len(),
         began.elapsed().as_secs_f64()
     );
+    println!("  taken up: {}", told(&record.take_ups));
     for finding in &findings {
         println!("  {}: {}", finding.promise, finding.what);
     }
@@ -199,6 +205,21 @@
     Ok(findings.is_empty())
 }
 
+/// Writes the counts of streams that were taken up.
+fn told(take_ups: &BTreeMap<Phase, TakeUps>) -> String {
+    let seen = take_ups.iter().filter(|(_, count)| count.sent > 0);
+    let told = seen.map(|(phase, count)| {
+        let TakeUps {
+            sent,
+            going,
+            refused,
+            joined,
+        } = count;
+        format!("{phase} {going} of {sent} go on, {refused} refused, {joined} joined")
+    });
+    told.collect::<Vec<_>>().join("; ")
+}
+
 fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
     tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -1,6 +1,8 @@
 //! What is noted during a run, for the judges. Times are milliseconds of the clock that all processes
 //! share.
 
+use std::collections::BTreeMap;
+
 use serde::Serialize;
 use toucanturn_platform_standin::replica::RequestEvent;
 
@@ -95,6 +97,8 @@
     Store,
     /// A router's link to the store.
     Link(usize),
+    /// A router's way to its peers.
+    Peers(usize),
     /// What comes to an endpoint is held up on its way, and arrives together.
     HeldUp(usize),
     /// All links: the soak's own process, which forwards for them, did not run.
@@ -152,6 +156,66 @@
     pub at: u64,
 }
 
+/// `Kill` is a kill of one router or several at once.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Kill {
+    /// When.
+    pub at: u64,
+    /// Whether all routers were killed.
+    pub all: bool,
+}
+
+/// `Release` is a release of a software version.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Release {
+    /// When the first endpoint of the version was started.
+    pub from: u64,
+    /// When the last endpoint was replaced; `None` while some are not.
+    pub to: Option<u64>,
+}
+
+/// `Phase` is what goes on as a stream is taken up; of several, the last one counts.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    strum::EnumIter,
+    strum::Display,
+)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// Nothing of the following.
+    Calm,
+    /// Software versions change.
+    Release,
+    /// The router was suspended, or cut off from its peers or the store.
+    OutOfStep,
+    /// A router was killed since the stream began, or shortly before.
+    SomeKilled,
+    /// All routers were.
+    AllKilled,
+}
+
+/// `TakeUps` counts streams that callers take up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct TakeUps {
+    /// Requests that take a stream up.
+    pub sent: usize,
+    /// Those that went on.
+    pub going: usize,
+    /// Those that were refused and have not run.
+    pub refused: usize,
+    /// Those that went on at another software version.
+    pub joined: usize,
+}
+
 /// `Member` is an endpoint's process.
 #[derive(Clone, Debug, Serialize)]
 pub struct Member {
@@ -180,6 +244,10 @@
     pub starts: Vec<Start>,
     /// Endpoints' processes.
     pub members: Vec<Member>,
+    /// Kills of routers.
+    pub kills: Vec<Kill>,
+    /// Releases.
+    pub releases: Vec<Release>,
     /// Endpoints that left.
     pub leaving: Vec<Leaving>,
     /// Evacuations.
@@ -190,6 +258,8 @@
     pub processes: Vec<String>,
     /// What was not served when all faults were over.
     pub unrecovered: Vec<String>,
+    /// Streams that were taken up, counted when the run is over.
+    pub take_ups: BTreeMap<Phase, TakeUps>,
 }
 
 impl Target {
@@ -198,7 +268,11 @@
         match self {
             Target::Store => true,
             Target::Paused(n) | Target::Link(n) => router.is_none_or(|router| router == n),
-            Target::Router(_) | Target::Replica(_) | Target::HeldUp(_) | Target::Links => false,
+            Target::Router(_)
+            | Target::Replica(_)
+            | Target::Peers(_)
+            | Target::HeldUp(_)
+            | Target::Links => false,
         }
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -72,6 +72,7 @@
         STOP_S,
         data_center, //
     },
+    judge::take_ups,
     plan::{
         Fault,
         Size,
@@ -79,9 +80,11 @@
         Versions, //
     },
     record::{
+        Kill,
         Kind,
         Leaving,
         Record,
+        Release,
         Target, //
     },
 };
@@ -165,7 +168,8 @@
     }
     // What endpoints wrote last is still on its way.
     sleep(Duration::from_millis(200)).await;
-    let record = fleet.record.borrow().clone();
+    let mut record = fleet.record.borrow().clone();
+    record.take_ups = take_ups(&record);
     Ok(record)
 }
 
@@ -315,7 +319,11 @@
         }
         Fault::FatalRequest => fatal(fleet, shared, &step).await,
         Fault::Evacuated => evacuated(fleet, &step, lasts).await?,
-        Fault::Released => released(fleet, step, lasts).await?,
+        Fault::Released => {
+            let place = note_release(fleet);
+            released(fleet, step, lasts).await?;
+            fleet.record.borrow_mut().releases[place].to = Some(clock_ms());
+        }
         // Another fault has the process.
         _ => {}
     }
@@ -348,6 +356,16 @@
     Ok(())
 }
 
+/// Notes the beginning of a release; gives its place in the record.
+fn note_release(fleet: &Fleet) -> usize {
+    let mut record = fleet.record.borrow_mut();
+    record.releases.push(Release {
+        from: clock_ms(),
+        to: None,
+    });
+    record.releases.len() - 1
+}
+
 /// Evacuates a data centre and restores it; each second time its endpoints are cold by then.
 async fn evacuated(fleet: &Rc<Fleet>, step: &Step, lasts: Duration) -> Result<()> {
     let name = data_center(step.variant / 2);
@@ -434,6 +452,11 @@
 
 async fn killed(fleet: &Rc<Fleet>, routers: &[usize], lasts: Duration) -> Result<()> {
     let from = clock_ms();
+    if !routers.is_empty() {
+        let all = routers.len() == fleet.size.routers;
+        let kill = Kill { at: from, all };
+        fleet.record.borrow_mut().kills.push(kill);
+    }
     for n in routers {
         let child = fleet.routers[*n].borrow_mut().child.take();
         if let Some(mut child) = child {
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -1,5 +1,7 @@
 //! Each judge notices a broken promise, and lets pass what is none.
 
+use std::collections::BTreeMap;
+
 use googletest::prelude::*;
 use toucanturn_platform_standin::replica::{
     RequestEvent,
@@ -9,19 +11,24 @@
 use toucanturn_soak::{
     judge::{
         Promise,
-        judge, //
+        judge,
+        take_ups, //
     },
     record::{
         Call,
         Cold,
         Evacuation,
         Key,
+        Kill,
         Kind,
         Leaving,
         Member,
+        Phase,
         Record,
+        Release,
         Span,
         Start,
+        TakeUps,
         Target, //
     },
 };
@@ -689,3 +696,117 @@
     // One endpoint of the version is left.
     expect_that!(found(&run(12, 12, &["v1", "v2", "v2"])), is_empty());
 }
+
+/// Makes a record of four streams that router 0 is asked to take up at 10 s: two go on, one of them at another version, one
+/// is refused, one is not answered.
+fn four_taken_up() -> Record {
+    let ends = [(200, "v1"), (200, "v2"), (503, "v1"), (0, "v1")];
+    let calls = ends
+        .into_iter()
+        .enumerate()
+        .flat_map(|(n, (status, version))| {
+            let (began, id) = (format!("a{n}"), format!("b{n}"));
+            let first = Call {
+                sent: 9900,
+                ended: 9950,
+                ..stream(&began, 1..=3, "v1")
+            };
+            let mut second = taken_up(&began, &id, 4..=8, version);
+            second.status = status;
+            if status != 200 {
+                second.body.clear();
+                second.whole = false;
+            }
+            [first, second]
+        });
+    record(calls.collect(), Vec::new())
+}
+
+#[gtest]
+fn verify_streams_that_are_taken_up_are_counted_by_what_went_on() {
+    let all = TakeUps {
+        sent: 4,
+        going: 2,
+        refused: 1,
+        joined: 1,
+    };
+    let counted = |record: &Record| -> BTreeMap<Phase, TakeUps> {
+        let counts = take_ups(record).into_iter();
+        counts.filter(|(_, count)| count.sent > 0).collect()
+    };
+    let in_phase = |phase| BTreeMap::from([(phase, all)]);
+    let mut record = four_taken_up();
+    expect_that!(counted(&record), eq(&in_phase(Phase::Calm)));
+    record.releases.push(Release {
+        from: 9000,
+        to: Some(9950),
+    });
+    expect_that!(counted(&record), eq(&in_phase(Phase::Release)));
+    for target in [
+        Target::Paused(0),
+        Target::Peers(0),
+        Target::Link(0),
+        Target::Store,
+    ] {
+        let span = Span {
+            target,
+            from: 8000,
+            to: 9000,
+        };
+        let faulty = Record {
+            spans: vec![span],
+            ..record.clone()
+        };
+        expect_that!(
+            counted(&faulty),
+            eq(&in_phase(Phase::OutOfStep)),
+            "{target:?}"
+        );
+    }
+    let elsewhere = Span {
+        target: Target::Peers(1),
+        from: 8000,
+        to: 9000,
+    };
+    record.spans.push(elsewhere);
+    expect_that!(counted(&record), eq(&in_phase(Phase::Release)));
+    for (all, phase) in [(false, Phase::SomeKilled), (true, Phase::AllKilled)] {
+        record.kills.push(Kill { at: 9960, all });
+        expect_that!(counted(&record), eq(&in_phase(phase)));
+    }
+}
+
+/// A kill counts for streams that began before it, however long ago, and for others for a time.
+#[gtest]
+fn verify_streams_from_before_a_kill_count_as_taken_up_after_it() {
+    let mut record = four_taken_up();
+    record.kills.push(Kill {
+        at: 5000,
+        all: true,
+    });
+    let calm = |record: &Record| {
+        take_ups(record)
+            .get(&Phase::Calm)
+            .map_or(0, |count| count.sent)
+    };
+    expect_that!(calm(&record), eq(4));
+    record.calls[0].sent = 4900;
+    expect_that!(calm(&record), eq(3));
+}
+
+/// Calls are recorded as they end, so a later try may come before an earlier one.
+#[gtest]
+fn verify_a_try_is_compared_with_those_that_were_sent_before_it() {
+    let third = Call {
+        sent: 10_100,
+        ..taken_up("a", "c", 6..=8, "v2")
+    };
+    let first = Call {
+        sent: 9900,
+        ..stream("a", 1..=3, "v1")
+    };
+    let calls = vec![third, first, taken_up("a", "b", 4..=5, "v1")];
+    let counts = take_ups(&record(calls, Vec::new()));
+    let joined: usize = counts.values().map(|count| count.joined).sum();
+    expect_that!(joined, eq(1));
+}
