Play releases crossed with faults of routers in the soak

No plan of the soak could show a stream that is joined by a router out of step. Its routers never started for the first time, so all of them doubted their versions for the whole run, asked at each take-up and refused what nobody knew; a new version joined only 4 s into a release and stayed; callers took up few streams, at routers in rotation alone; and no router was cut off from its peers.

A release starts with one endpoint of the new version, which serves alone for 0.3 to 3.5 s; it is rolled back, or the others follow. Around its start one of twelve faults comes, in turn by seed: a router suspended and woken, cut off from its peers, the store or both, two that hear each other alone, half of the fleet cut off, one or all routers killed, with the store away, twice, or but for one that is suspended; the thirteenth is none. Callers break eight streams in ten off and take them up at any router, at once and later. Plans are drawn apart, and no existing plan has the new faults.

Routers have a deployment's bounds there. With the soak's short ones a router that is cut off serves nobody after 0.9 s.

Not played: cuts in one direction, stale reads of the store, peers with another configuration version, clocks that jump.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -64,6 +64,11 @@
 /// Tries by which a caller takes a stream up, and the longest pause before each.
 const TAKE_UPS: usize = 2;
 const TAKE_UP_PAUSE_MS: u64 = 150;
+/// The same in plans of releases, where half of the tries come at once and the others later.
+const RELEASE_BROKEN_OFF: f64 = 0.8;
+const RELEASE_TAKE_UPS: usize = 4;
+const AT_ONCE_MS: u64 = 40;
+const LATER_MS: u64 = 600;
 /// Part of the requests that have the content of others.
 const SHARED: f64 = 0.5;
 /// What these are for.
@@ -81,11 +86,65 @@
 const NEW_PARTS: u64 = 0x10_0000;
 const OWN_PARTS: u64 = 0x20_0000;
 
+/// `Habits` is what callers do with streams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Habits {
+    /// They break few off, and take them up soon at routers in rotation.
+    #[default]
+    Usual,
+    /// They ask for streams that can be resumed alone, break most off, and take them up at any router, at once and later.
+    Releases,
+}
+
+impl Habits {
+    fn broken_off(self) -> f64 {
+        match self {
+            Habits::Usual => BROKEN_OFF,
+            Habits::Releases => RELEASE_BROKEN_OFF,
+        }
+    }
+
+    /// Gets the part of the requests that have the content of others. A release ends several endpoints, and what all of them
+    /// were running would be held back.
+    fn shared(self) -> f64 {
+        match self {
+            Habits::Usual => SHARED,
+            Habits::Releases => 0.0,
+        }
+    }
+
+    fn take_ups(self) -> usize {
+        match self {
+            Habits::Usual => TAKE_UPS,
+            Habits::Releases => RELEASE_TAKE_UPS,
+        }
+    }
+
+    fn pick_kind(self, rng: &mut StdRng) -> Kind {
+        let kinds: Vec<Kind> = Kind::iter().collect();
+        match self {
+            Habits::Usual => kinds[rng.random_range(0..kinds.len())],
+            Habits::Releases => Kind::Chat,
+        }
+    }
+
+    /// Gets the milliseconds before a stream is taken up.
+    fn pause(self, rng: &mut StdRng) -> u64 {
+        match self {
+            Habits::Usual => rng.random_range(0..TAKE_UP_PAUSE_MS),
+            Habits::Releases if rng.random_bool(0.5) => rng.random_range(0..AT_ONCE_MS),
+            Habits::Releases => rng.random_range(AT_ONCE_MS..LATER_MS),
+        }
+    }
+}
+
 /// `Shared` is what callers and balancer share.
 #[derive(Default)]
 pub struct Shared {
     /// Routers in rotation: number, process and address.
     pub rotation: RefCell<Vec<(usize, u32, SocketAddr)>>,
+    /// What callers do with streams.
+    pub habits: Habits,
     /// Whether the callers end.
     pub over: Cell<bool>,
 }
@@ -117,7 +176,22 @@
         let pick = rng.random_range(0..rotation.len().max(1));
         rotation.get(pick).copied()
     };
-    let (router, life, address) = place?;
+    reach(place?).await
+}
+
+/// Connects to a random router, whether it is in rotation or not.
+async fn connect_anywhere(fleet: &Fleet, rng: &mut StdRng) -> Option<((usize, u32), Caller)> {
+    let n = rng.random_range(0..fleet.routers.len());
+    let (life, address) = {
+        let router = fleet.routers[n].borrow();
+        (router.life, router.callers)
+    };
+    reach((n, life, address)).await
+}
+
+async fn reach(
+    (router, life, address): (usize, u32, SocketAddr),
+) -> Option<((usize, u32), Caller)> {
     let connected = timeout(Duration::from_secs(1), Caller::connect(address)).await;
     Some(((router, life), connected.ok()?.ok()?))
 }
@@ -133,13 +207,16 @@
         };
         for _ in 0..rng.random_range(1..KEPT) {
             count += 1;
-            let kinds: Vec<Kind> = Kind::iter().collect();
-            let kind = kinds[rng.random_range(0..kinds.len())];
+            let kind = shared.habits.pick_kind(&mut rng);
             let key = pick_key(&fleet, &mut rng);
             let id = format!("c{number}-{count}");
             // Others ask for the same, too.
-            let item = if rng.random_bool(SHARED) { COMMON } else { &id };
-            let broken_off = kind == Kind::Chat && rng.random_bool(BROKEN_OFF);
+            let item = if rng.random_bool(shared.habits.shared()) {
+                COMMON
+            } else {
+                &id
+            };
+            let broken_off = kind == Kind::Chat && rng.random_bool(shared.habits.broken_off());
             let ask = Ask {
                 break_after: broken_off.then(|| rng.random_range(1..STREAM_EVENTS)),
                 ..Ask::new(&id, item)
@@ -214,16 +291,24 @@
     good[rng.random_range(0..good.len())]
 }
 
-/// Takes a stream up that has broken off, at any routers in rotation, until it is whole.
+/// Takes a stream up that has broken off, at several routers, until it is whole.
 async fn take_up(fleet: &Fleet, shared: &Shared, began: &Call, rng: &mut StdRng) {
     let mut last = last_event(&began.body);
-    for number in 0..TAKE_UPS {
+    for number in 0..shared.habits.take_ups() {
         let Some(after) = last.filter(|n| began.status == 200 && *n < STREAM_EVENTS) else {
             return;
         };
-        sleep(Duration::from_millis(rng.random_range(0..TAKE_UP_PAUSE_MS))).await;
-        let Some((place, mut caller)) = connect(shared, rng).await else {
-            return;
+        sleep(Duration::from_millis(shared.habits.pause(rng))).await;
+        let connected = match shared.habits {
+            Habits::Usual => connect(shared, rng).await,
+            Habits::Releases => connect_anywhere(fleet, rng).await,
+        };
+        let Some((place, mut caller)) = connected else {
+            match shared.habits {
+                Habits::Usual => return,
+                // The next try is at another router.
+                Habits::Releases => continue,
+            }
         };
         let id = format!("{}-t{number}", began.id);
         let ask = Ask {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -1,7 +1,10 @@
 //! The processes of a run, the links between them, and what is published.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     fs::File,
     net::{
         SocketAddr,
@@ -50,9 +53,11 @@
         OrderSnafu,
         Result, //
     },
+    peer_link::PeerLinks,
     plan::{
         Size,
-        Versions, //
+        Versions,
+        release, //
     },
     process::{
         Child,
@@ -85,6 +90,8 @@
 pub const WARMUP_SLACK: u64 = 5;
 /// Data centres, in which endpoints are by turns.
 const DATA_CENTERS: [&str; 2] = ["a", "b"];
+/// Routers that all others are told of at their start.
+const SEEDS: usize = 3;
 /// Seconds from the signal to stop until a router is killed.
 pub const STOP_S: f64 = 4.0;
 /// Longest time of a request by its route, in milliseconds.
@@ -95,6 +102,31 @@
 pub const RETRY_EXTRA: usize = 40;
 /// Seconds over which both are counted.
 pub const RETRY_WINDOW_S: u64 = 10;
+
+/// `Bounds` is the bounds on what routers know, in milliseconds.
+#[derive(Clone, Copy)]
+struct Bounds {
+    config_ms: u64,
+    revoke_ms: u64,
+    leaving_ms: u64,
+    evacuation_ms: u64,
+}
+
+const SHORT: Bounds = Bounds {
+    config_ms: CONFIG_MS,
+    revoke_ms: REVOKE_MS,
+    leaving_ms: LEAVING_MS,
+    evacuation_ms: EVACUATION_MS,
+};
+/// Those of a deployment, so that a router that is cut off serves for as long. In plans of releases, where nothing that they
+/// bound is published but endpoints that leave and end soon.
+const DEPLOYED: Bounds = Bounds {
+    config_ms: 2000,
+    revoke_ms: 5000,
+    leaving_ms: 2000,
+    evacuation_ms: 2000,
+};
+
 /// `Router` is a router behind its link to the store.
 pub struct Router {
     /// Where it takes callers.
@@ -109,6 +141,9 @@
     pub life: u32,
     /// Whether a fault of the process is on its way.
     pub busy: bool,
+    peers: SocketAddr,
+    /// Where its peers reach it, behind a link.
+    advertised: Option<SocketAddr>,
     settings: PathBuf,
     /// Sockets that keep its ports and never listen.
     _holders: Vec<TcpSocket>,
@@ -143,6 +178,11 @@
     pub store: RefCell<Child>,
     /// What was seen.
     pub record: Rc<RefCell<Record>>,
+    /// Links between the routers, in plans of releases.
+    pub peer_links: Rc<PeerLinks>,
+    /// Number of the release that all endpoints but those of a later one are of, and of the last one.
+    pub release: Cell<usize>,
+    last_release: Cell<usize>,
     versions: Versions,
     folder: PathBuf,
     store_control: SocketAddr,
@@ -171,31 +211,33 @@
             let one = start_replica((n, 0), build, link, &record, size.work_ms).await?;
             replicas.push(RefCell::new(one));
         }
+        let peer_links = PeerLinks::new();
         let mut routers = Vec::new();
-        let mut seeds = Vec::new();
         for n in 0..size.routers {
             let link = Link::open(size.replicas + n)?;
             link.point(ports.listen);
-            let (router, peers) = lay_out(n, link, folder)?;
-            seeds.push(peers.to_string());
-            routers.push((router, peers));
-        }
-        seeds.truncate(3);
-        for (n, (router, peers)) in routers.iter().enumerate() {
-            let text = settings(n, router, *peers, &seeds);
-            std::fs::write(&router.settings, text)?;
+            let mut router = lay_out(n, link, folder)?;
+            if versions == Versions::Releases {
+                router.advertised = Some(peer_links.open(n, router.peers).await?);
+            }
+            routers.push(RefCell::new(router));
         }
         let fleet = Rc::new(Self {
             size,
-            routers: routers.into_iter().map(|(r, _)| RefCell::new(r)).collect(),
+            routers,
             replicas,
             store: RefCell::new(child),
             record,
+            peer_links,
+            release: Cell::new(0),
+            last_release: Cell::new(0),
             versions,
             folder: folder.to_owned(),
             store_control: ports.control,
             version: Mutex::new(0),
         });
+        // Endpoints without another version before them have a fleet that starts for the first time.
+        fleet.write_settings(versions == Versions::Releases)?;
         fleet.publish(|_| vec![0, 1]).await?;
         for n in 0..size.replicas {
             fleet.enter(n, "ready", 0).await?;
@@ -206,6 +248,35 @@
         Ok(fleet)
     }
 
+    /// Writes the routers' settings; they may be of the fleet's first start.
+    ///
+    /// # Errors
+    ///
+    /// A file can't be written.
+    pub fn write_settings(&self, first_start: bool) -> Result<()> {
+        let address = |router: &RefCell<Router>| {
+            let router = router.borrow();
+            router.advertised.unwrap_or(router.peers).to_string()
+        };
+        let seeds: Vec<String> = self.routers.iter().take(SEEDS).map(address).collect();
+        let bounds = match self.versions {
+            Versions::Releases => DEPLOYED,
+            _ => SHORT,
+        };
+        for (n, router) in self.routers.iter().enumerate() {
+            let router = router.borrow();
+            let text = settings(n, &router, &seeds, bounds, first_start);
+            std::fs::write(&router.settings, text)?;
+        }
+        Ok(())
+    }
+
+    /// Gets the next release's number.
+    pub fn next_release(&self) -> usize {
+        self.last_release.set(self.last_release.get() + 1);
+        self.last_release.get()
+    }
+
     /// Gets what an endpoint does with a request while no fault says else.
     pub fn usual(&self) -> Behavior {
         Behavior::Serve {
@@ -230,7 +301,11 @@
                 .stdout(log)
                 .stderr(errors),
         );
-        router.child = Some(started?);
+        let child = started?;
+        if let Some(process) = child.id() {
+            self.peer_links.started(n, process);
+        }
+        router.child = Some(child);
         let start = Start {
             router: n,
             at: clock_ms(),
@@ -245,6 +320,27 @@
     ///
     /// It can't be started.
     pub async fn replace(self: &Rc<Self>, n: usize) -> Result<()> {
+        let life = self.replicas[n].borrow().life + 1;
+        let build = match self.versions {
+            Versions::Releases => release(self.release.get()),
+            versions => versions.version(n, life),
+        };
+        self.start_next(n, build).await?;
+        self.enter_cold(n).await
+    }
+
+    /// Replaces an endpoint by one of a release, and enters it as warm.
+    ///
+    /// # Errors
+    ///
+    /// It can't be started.
+    pub async fn replace_by(&self, n: usize, number: usize) -> Result<()> {
+        self.start_next(n, release(number)).await?;
+        self.enter(n, "ready", 0).await
+    }
+
+    /// Takes an endpoint's entry out, and starts its next process.
+    async fn start_next(&self, n: usize, build: &'static str) -> Result<()> {
         let (old, link, life) = {
             let replica = self.replicas[n].borrow();
             (replica.id.clone(), replica.link.clone(), replica.life + 1)
@@ -252,11 +348,10 @@
         let key = document::entry_key(&old);
         self.tell_store(&store::ControlCommand::Remove { key })
             .await?;
-        let build = self.versions.version(n, life);
         let work_ms = self.size.work_ms;
         let next = start_replica((n, life), build, link, &self.record, work_ms).await?;
         *self.replicas[n].borrow_mut() = next;
-        self.enter_cold(n).await
+        Ok(())
     }
 
     /// Publishes the entry of an endpoint that is cold for `cold_ms`.
@@ -521,31 +616,39 @@
     })
 }
 
-fn lay_out(n: usize, link: Link, folder: &Path) -> Result<(Router, SocketAddr)> {
+fn lay_out(n: usize, link: Link, folder: &Path) -> Result<Router> {
     let (callers, one) = hold()?;
     let (ready, two) = hold()?;
     let (peers, three) = hold()?;
-    let router = Router {
+    Ok(Router {
         callers,
         ready,
+        peers,
+        advertised: None,
         link,
         child: None,
         life: 0,
         busy: false,
         settings: folder.join(format!("router-{n}.json")),
         _holders: vec![one, two, three],
-    };
-    Ok((router, peers))
+    })
 }
 
-fn settings(n: usize, router: &Router, peers: SocketAddr, seeds: &[String]) -> String {
+fn settings(
+    n: usize,
+    router: &Router,
+    seeds: &[String],
+    bounds: Bounds,
+    first_start: bool,
+) -> String {
     serde_json::json!({
         "id": format!("router-{n}"), "data_center": "a",
-        "registry": router.link.address.to_string(), "seeds": seeds,
+        "registry": router.link.address.to_string(), "seeds": seeds, "first_start": first_start,
         "listen": {"callers": router.callers.to_string(), "ready": router.ready.to_string(),
-            "peers": peers.to_string()},
-        "bounds": {"config_ms": CONFIG_MS, "revoke_ms": REVOKE_MS, "leaving_ms": LEAVING_MS,
-            "evacuation_ms": EVACUATION_MS, "warmup_over": WARMUP_PERCENT as f64 / 100.0,
+            "peers": router.peers.to_string(), "advertised": router.advertised},
+        "bounds": {"config_ms": bounds.config_ms, "revoke_ms": bounds.revoke_ms,
+            "leaving_ms": bounds.leaving_ms, "evacuation_ms": bounds.evacuation_ms,
+            "warmup_over": WARMUP_PERCENT as f64 / 100.0,
             "warmup_slack": WARMUP_SLACK,
             "stop_s": STOP_S, "lapse_s": 1.5, "skew": 2, "retry_share": RETRY_PERCENT as f64 / 100.0,
             "retry_extra": RETRY_EXTRA, "retry_window_s": RETRY_WINDOW_S},
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -26,13 +26,17 @@
     plan::{
         Size,
         Step,
+        release_plan,
         whole_plan, //
     },
     record::{
         Phase,
         TakeUps, //
     },
-    run::run,
+    run::{
+        run,
+        run_releases, //
+    },
 };
 
 /// Runs the real programs under random faults and judges what callers and endpoints see.
@@ -73,6 +77,9 @@
     /// Hold routers up now and then, as busy machines do; with `--load`.
     #[options(no_short)]
     held: bool,
+    /// Play releases crossed with faults of routers alone. Callers break most streams off and take them up at any router.
+    #[options(no_short)]
+    releases: bool,
     /// Milliseconds that an endpoint works on a request; without `--load`.
     #[options(no_short, default = "30")]
     work_ms: u64,
@@ -112,6 +119,8 @@
     for seed in args.seed..args.seed + args.seeds {
         let steps = if args.calm || args.load {
             Vec::new()
+        } else if args.releases {
+            release_plan(seed, &size)
         } else {
             whole_plan(seed, &size)
         };
@@ -182,7 +191,14 @@
 fn one(seed: u64, steps: &[Step], size: Size, args: &Args) -> Result<bool> {
     let folder = tempfile::tempdir()?;
     let began = Instant::now();
-    let played = run(steps, seed, size, folder.path());
+    let logs = folder.path();
+    let played = async {
+        if args.releases {
+            run_releases(steps, seed, size, logs).await
+        } else {
+            run(steps, seed, size, logs).await
+        }
+    };
     let record = LocalSet::new().block_on(&runtime()?, played)?;
     let findings = judge(&record);
     let served = record.calls.iter().filter(|c| c.status == 200 && c.whole);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,5 +1,7 @@
 //! When which fault comes: the same seed, the same plan.
 
+use std::ops::Range;
+
 use rand::{
     RngExt,
     SeedableRng,
@@ -17,8 +19,8 @@
 /// Longest time of a fault, in milliseconds: over the bounds on keys and on leaving.
 const LONGEST: u64 = 3500;
 
-/// Faults that are drawn by chance: all but the last six.
-const DRAWN: usize = Fault::COUNT - 6;
+/// Faults that are drawn by chance: all but the last eight.
+const DRAWN: usize = Fault::COUNT - 8;
 /// Most requests of a plan that end endpoints, and what their draws are told apart by.
 const MOST_FATAL: usize = 2;
 const FATAL_SEED: u64 = 0xfa7a1;
@@ -36,6 +38,22 @@
 const RELEASE_SEED: u64 = 0x4e1e;
 /// Shortest time of an evacuation, in milliseconds: over its bound.
 const EVACUATION_SHORTEST: u64 = 2500;
+/// What the draws of plans of releases are told apart by.
+const RELEASES_SEED: u64 = 0x4e1ea5e;
+/// Times for which the first endpoint of a version serves alone, in milliseconds: mostly well under a second.
+const QUICK: Range<u64> = 300..1000;
+const SLOW: Range<u64> = 1000..3500;
+/// Part of the releases that are quick.
+const QUICK_SHARE: f64 = 0.7;
+/// Longest time by which a fault begins before a release, in milliseconds: later than the last read of the registry mostly.
+const BEFORE: u64 = 150;
+/// Longest time by which a fault comes after the first endpoint of a release, in milliseconds.
+const AROUND: u64 = 300;
+/// Times for which a router is suspended in a release, in milliseconds; the last one only in plans that are long enough.
+const SUSPENDED: [u64; 5] = [300, 1000, 1400, 3000, 10_000];
+const LONG_PLAN: u64 = 20_000;
+/// Time from a kill of all routers to the next, in milliseconds: some have become ready by then.
+const KILLED_AGAIN: Range<u64> = 800..2000;
 
 /// `Size` is how much runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -129,6 +147,11 @@
     ReplicaBreaksOff,
     /// All endpoints leave one after the other, and are replaced by ones of another software version.
     Released,
+    /// An endpoint is replaced by one of a new software version, which serves alone for the time of the fault. It is
+    /// replaced by one of the version before then, or the others follow.
+    QuickRelease,
+    /// Nothing passes between some routers and the others.
+    PeersCut,
 }
 
 /// `Step` is one fault at its time.
@@ -290,6 +313,111 @@
     (0..count).map(step).collect()
 }
 
+/// `Crossing` is what happens to routers around the beginning of a release.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumCount, FromRepr)]
+#[repr(usize)]
+enum Crossing {
+    Suspended,
+    CutFromPeers,
+    CutFromStore,
+    CutFromBoth,
+    PairCutFromPeers,
+    PairCutFromBoth,
+    HalfCutFromPeers,
+    Killed,
+    AllKilled,
+    AllKilledWithoutStore,
+    AllKilledTwice,
+    OthersKilled,
+    Nothing,
+}
+
+/// Makes the plan of a seed with releases alone, each crossed with faults of routers. Seeds one after the other have all
+/// of these in turn.
+pub fn release_plan(seed: u64, size: &Size) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(seed ^ RELEASES_SEED);
+    let mut steps = Vec::new();
+    let mut at = CALM;
+    let mut kind = usize::try_from(seed % Crossing::COUNT as u64).unwrap_or_default();
+    while at < CALM + size.millis {
+        let quick = rng.random_bool(QUICK_SHARE);
+        let release = Step {
+            at,
+            lasts: rng.random_range(if quick { QUICK } else { SLOW }),
+            fault: Fault::QuickRelease,
+            router: 0,
+            replica: rng.random_range(0..size.replicas.max(1)),
+            variant: rng.random_range(0..1000),
+        };
+        steps.push(release);
+        let crossing = Crossing::from_repr(kind).unwrap_or(Crossing::Nothing);
+        steps.extend(crossing_steps(crossing, &release, &mut rng, size));
+        at += release.lasts + rng.random_range(AROUND..LONGEST);
+        kind = (kind + 1) % Crossing::COUNT;
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+/// Makes the faults that cross a release.
+fn crossing_steps(crossing: Crossing, release: &Step, rng: &mut StdRng, size: &Size) -> Vec<Step> {
+    let all = size.routers.max(1);
+    let before = release.at.saturating_sub(rng.random_range(0..BEFORE));
+    // A kill comes while streams of the new version are in progress, or are being taken up.
+    let within = release.at + rng.random_range(AROUND / 2..release.lasts + AROUND);
+    let router = rng.random_range(0..all);
+    let step = |at, lasts, fault| Step {
+        at,
+        lasts,
+        fault,
+        router,
+        replica: 0,
+        variant: 1,
+    };
+    // Routers are cut off for as long as the version is new.
+    let cut = release.lasts + rng.random_range(AROUND..2 * AROUND);
+    let group = |count: usize| Step {
+        variant: count,
+        ..step(before, cut, Fault::PeersCut)
+    };
+    let store_cut = |n: usize| Step {
+        router: (router + n) % all,
+        ..step(before, cut, Fault::StoreCut)
+    };
+    let away = rng.random_range(100..LONGEST / 2);
+    let kill = step(within, away, Fault::AllKilled);
+    match crossing {
+        Crossing::Suspended => {
+            let longest = SUSPENDED.len() - usize::from(size.millis < LONG_PLAN);
+            let lasts = SUSPENDED[rng.random_range(0..longest)];
+            vec![step(before, lasts, Fault::RouterPaused)]
+        }
+        Crossing::CutFromPeers => vec![group(1)],
+        Crossing::CutFromStore => vec![store_cut(0)],
+        Crossing::CutFromBoth => vec![group(1), store_cut(0)],
+        Crossing::PairCutFromPeers => vec![group(2)],
+        Crossing::PairCutFromBoth => vec![group(2), store_cut(0), store_cut(1)],
+        Crossing::HalfCutFromPeers => vec![group(all / 2)],
+        Crossing::Killed => vec![step(within, away, Fault::RouterKilled)],
+        Crossing::AllKilled => vec![kill],
+        Crossing::AllKilledWithoutStore => {
+            let faults = [Fault::StoreBusy, Fault::StoreSlow, Fault::StorePaused];
+            let fault = faults[rng.random_range(0..faults.len())];
+            vec![kill, step(within, away + LONGEST / 2, fault)]
+        }
+        Crossing::AllKilledTwice => {
+            let again = within + away / 2 + rng.random_range(KILLED_AGAIN);
+            vec![kill, step(again, away, Fault::AllKilled)]
+        }
+        Crossing::OthersKilled => {
+            let lasts = within - before + away;
+            // The one that is suspended is not killed.
+            vec![step(before, lasts, Fault::RouterPaused), kill]
+        }
+        Crossing::Nothing => Vec::new(),
+    }
+}
+
 /// `Versions` is which software versions the endpoints of a run have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Versions {
@@ -299,6 +427,18 @@
     Replaced,
     /// Three side by side.
     Several,
+    /// One for all until a release brings the next.
+    Releases,
+}
+
+/// Texts of the versions that releases bring one after the other.
+const RELEASES: [&str; 10] = [
+    "v1", "v1.1", "v1.2", "v1.3", "v1.4", "v2", "v2.1", "v2.2", "v2.3", "v2.4",
+];
+
+/// Gets the version that a release brings by its number; 0 is the one before the first.
+pub const fn release(number: usize) -> &'static str {
+    RELEASES[number % RELEASES.len()]
 }
 
 impl Versions {
@@ -315,7 +455,7 @@
     pub const fn version(self, replica: usize, life: u32) -> &'static str {
         let texts = ["v1", "v1.1", "v2"];
         match self {
-            Versions::One => texts[0],
+            Versions::One | Versions::Releases => texts[0],
             Versions::Replaced => texts[life as usize % 2],
             Versions::Several => texts[(replica + life as usize) % 3],
         }
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -86,6 +86,11 @@
         Ok(Self { inner })
     }
 
+    /// Gets its id, if it has not ended.
+    pub fn id(&self) -> Option<u32> {
+        self.inner.id()
+    }
+
     /// Sends a signal, if the process has not ended.
     pub fn signal(&self, signal: Signal) {
         let id = self.inner.id().and_then(|id| i32::try_from(id).ok());
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -54,6 +54,7 @@
 use crate::{
     caller::{
         Ask,
+        Habits,
         Shared,
         balance,
         call,
@@ -107,6 +108,8 @@
 /// Time for which all endpoints fail, at least: as many retries as there are requests then would go
 /// past the budget of a whole window.
 const FAILING: Duration = Duration::from_secs(5);
+/// Time from an endpoint's word that it leaves to its end, in a quick release.
+const QUICK_LEAVING: Duration = Duration::from_millis(300);
 /// Step from one odd act to the next; all follow each other in some plan.
 const STRIDE: usize = 5;
 /// Time for which an endpoint breaks answers off in the same way, and most of them.
@@ -125,12 +128,39 @@
 ///
 /// A program could not be started or did not obey.
 pub async fn run(steps: &[Step], seed: u64, size: Size, folder: &Path) -> Result<Record> {
-    let fleet = Fleet::start(size, Versions::of(seed), folder).await?;
+    run_with(steps, seed, size, Versions::of(seed), folder).await
+}
+
+/// Plays a plan of releases, with routers that start for the first time and callers that take streams up often.
+///
+/// # Errors
+///
+/// A program could not be started or did not obey.
+pub async fn run_releases(steps: &[Step], seed: u64, size: Size, folder: &Path) -> Result<Record> {
+    run_with(steps, seed, size, Versions::Releases, folder).await
+}
+
+async fn run_with(
+    steps: &[Step],
+    seed: u64,
+    size: Size,
+    versions: Versions,
+    folder: &Path,
+) -> Result<Record> {
+    let fleet = Fleet::start(size, versions, folder).await?;
     let began = Instant::now();
     while !all_ready(&fleet).await && began.elapsed() < RECOVERY {
         sleep(Duration::from_millis(50)).await;
     }
-    let shared = Rc::new(Shared::default());
+    fleet.write_settings(false)?;
+    let habits = match versions {
+        Versions::Releases => Habits::Releases,
+        _ => Habits::Usual,
+    };
+    let shared = Rc::new(Shared {
+        habits,
+        ..Shared::default()
+    });
     let balancer = spawn_local(balance(Rc::clone(&fleet), Rc::clone(&shared)));
     let supervisor = spawn_local(supervise(Rc::clone(&fleet)));
     let watcher = spawn_local(watch_links(Rc::clone(&fleet)));
@@ -324,6 +354,22 @@
             released(fleet, step, lasts).await?;
             fleet.record.borrow_mut().releases[place].to = Some(clock_ms());
         }
+        Fault::QuickRelease => {
+            let place = note_release(fleet);
+            quick_release(fleet, step, lasts).await?;
+            fleet.record.borrow_mut().releases[place].to = Some(clock_ms());
+        }
+        Fault::PeersCut => {
+            let all = fleet.size.routers;
+            let group: Vec<usize> = (0..step.variant).map(|n| (router + n) % all).collect();
+            let from = clock_ms();
+            fleet.peer_links.cut(&group, all);
+            sleep(lasts).await;
+            fleet.peer_links.heal(&group, all);
+            for n in 0..all {
+                fleet.note_span(Target::Peers(n), from, AFTER);
+            }
+        }
         // Another fault has the process.
         _ => {}
     }
@@ -366,6 +412,51 @@
     record.releases.len() - 1
 }
 
+/// Replaces an endpoint by one of a new version, which serves alone for a time. It is replaced by one of the version
+/// before then, or all others follow: killed, or leaving as they should.
+async fn quick_release(fleet: &Rc<Fleet>, step: Step, lasts: Duration) -> Result<()> {
+    let (before, next) = (fleet.release.get(), fleet.next_release());
+    let first = step.replica;
+    replace_now(fleet, first, next).await?;
+    sleep(lasts).await;
+    if step.variant.is_multiple_of(3) {
+        return replace_now(fleet, first, before).await;
+    }
+    fleet.release.set(next);
+    for n in (0..fleet.size.replicas).filter(|n| *n != first) {
+        if step.variant % 3 == 1 {
+            leave(fleet, n).await?;
+            sleep(QUICK_LEAVING).await;
+        }
+        replace_now(fleet, n, next).await?;
+    }
+    Ok(())
+}
+
+/// Kills an endpoint and replaces it by one of a release at once.
+async fn replace_now(fleet: &Rc<Fleet>, n: usize, release: usize) -> Result<()> {
+    let from = clock_ms();
+    {
+        let mut replica = fleet.replicas[n].borrow_mut();
+        replica.busy = true;
+        replica.child.signal(Signal::KILL);
+    }
+    fleet.replace_by(n, release).await?;
+    fleet.note_span(Target::Replica(n), from, AFTER);
+    Ok(())
+}
+
+/// Tells an endpoint to leave, and publishes that it does.
+async fn leave(fleet: &Fleet, n: usize) -> Result<()> {
+    fleet.tell_replica(n, &replica::ControlCommand::Leave).await;
+    fleet.enter(n, "draining", 0).await?;
+    let at = clock_ms();
+    let replica = fleet.replicas[n].borrow().id.clone();
+    let leaving = Leaving { replica, at };
+    fleet.record.borrow_mut().leaving.push(leaving);
+    Ok(())
+}
+
 /// Evacuates a data centre and restores it; each second time its endpoints are cold by then.
 async fn evacuated(fleet: &Rc<Fleet>, step: &Step, lasts: Duration) -> Result<()> {
     let name = data_center(step.variant / 2);
@@ -503,15 +594,7 @@
             signal(Signal::KILL);
         }
         Fault::ReplicaLeaves => {
-            fleet.tell_replica(n, &replica::ControlCommand::Leave).await;
-            fleet.enter(n, "draining", 0).await?;
-            let at = clock_ms();
-            let replica = fleet.replicas[n].borrow().id.clone();
-            fleet
-                .record
-                .borrow_mut()
-                .leaving
-                .push(Leaving { replica, at });
+            leave(fleet, n).await?;
             // Whoever heard of it in time has his answer by then.
             sleep(Duration::from_millis(2 * ROUTE_MS)).await;
             from = clock_ms();
