Show in the soak that routers out of step join streams

`verify_streams_keep_their_version_at_routers_that_are_cut_off_in_a_release`: two of three routers hear each other alone, and no store, from the moment on at which an endpoint of a new version starts; it serves alone for 1.5 s. They take up its streams at the version that they know: 3 to 18 streams joined in five runs of five.

`verify_streams_keep_their_version_as_a_router_wakes_in_a_release`: a router is suspended for 1 s meanwhile. In one run of five it took two streams up at the old version as it woke. They had lain in its sockets since 0.55 s before, and its registry was 1,245 and 1,246 ms old (event 671, `only_version`); later ones of the same moment were refused, as it had read by then. A pass shows little for this one, a failure much.

Ruled out as the soak's own: the versions are those that endpoints write into events, and event 610 names the endpoint of the old version that the stream went on at.

--- a/crates/soak/tests/releases.rs
+++ b/crates/soak/tests/releases.rs
@@ -62,6 +62,33 @@
     }
 }
 
+/// Guards against a router that takes a stream up at the only version that it knew of before it was suspended.
+#[gtest]
+fn verify_streams_keep_their_version_as_a_router_wakes_in_a_release() {
+    let steps = [
+        step(1500, 1000, Fault::RouterPaused, 0),
+        step(1550, 900, Fault::QuickRelease, 0),
+    ];
+    expect_that!(findings(&steps, 1), is_empty());
+}
+
+/// Guards against a router that takes its last read of the registry, or a peer that has read no later, for a proof that no
+/// other version has begun to serve.
+#[gtest]
+fn verify_streams_keep_their_version_at_routers_that_are_cut_off_in_a_release() {
+    let store_cut = |router| Step {
+        router,
+        ..step(1500, 2500, Fault::StoreCut, 0)
+    };
+    let steps = [
+        step(1500, 2500, Fault::PeersCut, 2),
+        store_cut(1),
+        store_cut(2),
+        step(1550, 1500, Fault::QuickRelease, 0),
+    ];
+    expect_that!(findings(&steps, 2), is_empty());
+}
+
 /// Guards against routers that start after a kill of all and take the version that they find for the only one.
 #[gtest]
 fn verify_streams_keep_their_version_after_kills_of_all_routers_in_a_release() {
