Test what a cut between routers explains to the judges

The judges of cut answers, of the load multiple and of streams that are taken up pass over a router that is cut off from its peers, and no test held that, nor that a cut of another router explains nothing.

The test that a try is compared with earlier ones alone could not fail: with all other tries of the stream taken for earlier ones it passed. Its second and third try are of the same other version now, of which the second alone counts.

Seen to fail: `verify_a_try_is_compared_...` with all other tries compared; `verify_streams_from_before_a_kill_...` with kills of the last 3 s alone; `verify_a_cut_answer_...`, `verify_requests_of_a_router_out_ of_touch_...` and `verify_streams_that_are_not_taken_up_...` without the cut in their judges.

--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -181,7 +181,12 @@
     };
     let mut record = record(vec![cut], vec![note("a", 10_010)]);
     expect_that!(found(&record), contains(eq(&Promise::Uncut)));
-    for target in [Target::Router(0), Target::Replica(3), Target::Links] {
+    for target in [
+        Target::Router(0),
+        Target::Peers(0),
+        Target::Replica(3),
+        Target::Links,
+    ] {
         record.spans = vec![Span {
             target,
             from: 9000,
@@ -189,12 +194,14 @@
         }];
         expect_that!(found(&record), not(contains(eq(&Promise::Uncut))));
     }
-    record.spans = vec![Span {
-        target: Target::Router(1),
-        from: 9000,
-        to: 10_020,
-    }];
-    expect_that!(found(&record), contains(eq(&Promise::Uncut)));
+    for target in [Target::Router(1), Target::Peers(1)] {
+        record.spans = vec![Span {
+            target,
+            from: 9000,
+            to: 10_020,
+        }];
+        expect_that!(found(&record), contains(eq(&Promise::Uncut)));
+    }
 }
 
 #[gtest]
@@ -557,13 +564,15 @@
 
 #[gtest]
 fn verify_requests_of_a_router_out_of_touch_are_not_counted_in_the_load_multiple() {
-    let mut record = crowded();
-    record.spans.push(Span {
-        target: Target::Paused(0),
-        from: 9000,
-        to: 20_000,
-    });
-    expect_that!(found(&record), not(contains(eq(&Promise::Multiple))));
+    for target in [Target::Paused(0), Target::Peers(0)] {
+        let mut record = crowded();
+        record.spans.push(Span {
+            target,
+            from: 9000,
+            to: 20_000,
+        });
+        expect_that!(found(&record), not(contains(eq(&Promise::Multiple))));
+    }
 }
 
 /// Makes a stream of which the caller has received some events, each of a version.
@@ -691,6 +700,18 @@
         found(&run(12, 7, &serving)),
         contains(eq(&Promise::TakenUp))
     );
+    // Those at a router that is cut off from its peers don't count.
+    let cut_off = |router| {
+        let mut record = run(12, 7, &serving);
+        record.spans.push(Span {
+            target: Target::Peers(router),
+            from: 9000,
+            to: 20_000,
+        });
+        found(&record)
+    };
+    expect_that!(cut_off(0), is_empty());
+    expect_that!(cut_off(1), contains(eq(&Promise::TakenUp)));
     expect_that!(found(&run(12, 6, &serving)), is_empty());
     expect_that!(found(&run(11, 11, &serving)), is_empty());
     // One endpoint of the version is left.
@@ -805,7 +826,7 @@
         sent: 9900,
         ..stream("a", 1..=3, "v1")
     };
-    let calls = vec![third, first, taken_up("a", "b", 4..=5, "v1")];
+    let calls = vec![third, first, taken_up("a", "b", 4..=5, "v2")];
     let counts = take_ups(&record(calls, Vec::new()));
     let joined: usize = counts.values().map(|count| count.joined).sum();
     expect_that!(joined, eq(1));
