Ignore loads that waited in the socket of a suspended router

Symptom: for some 100 ms after a router wakes, its peers place requests by loads from before its pause.

Cause: ages of reports count from the arrival of a digest. Those that waited in the socket look new when they are read. Their confirmations were ignored for 100 ms, their loads and delays taken; a digest made in that time passed them on with an age of a few milliseconds, so that they replaced what peers knew of the last seconds.

Change: until the waiting messages are read, reports are ignored as a whole.

Before, `old_knowledge::verify_loads_that_waited_for_a_suspended_router_are_not_passed_on` failed for pauses of 1, 1.4, 3 and 10 s (one load passed on, none expected). A pause of 0.3 s is not noticed, and its loads are as late as the way of a digest may be.

--- a/crates/core/src/gateway/fleet/updates/mod.rs
+++ b/crates/core/src/gateway/fleet/updates/mod.rs
@@ -65,7 +65,11 @@
 
     /// Tells whether messages that are read now may have waited here while the process was suspended.
     fn reads_backlog(&self, now: Time) -> bool {
-        self.is_late(now) || now.since(self.resumed_at) < RESUME_DRAIN_TIME
+        self.is_late(now) || self.resumed_within(now, RESUME_DRAIN_TIME)
+    }
+
+    fn resumed_within(&self, now: Time, time: Millis) -> bool {
+        self.resumed_at > Time(0) && now.since(self.resumed_at) < time
     }
 
     /// Gets the part of a time in which the process was last suspended.
--- a/crates/core/src/gateway/fleet/updates/peers.rs
+++ b/crates/core/src/gateway/fleet/updates/peers.rs
@@ -124,16 +124,18 @@
     /// Takes in a peer's reports of endpoints.
     ///
     /// The ages of reports count from when the peer sent them, so messages that waited in a socket
-    /// while this process was suspended look new. An outdated load does little harm. Confirmations
-    /// that an endpoint is not leaving are ignored until the waiting messages are read, as the
-    /// endpoint may have left at any time during the suspension.
+    /// while this process was suspended look new. They are ignored until the waiting ones are read:
+    /// endpoints may have left meanwhile, and outdated loads would be passed on to all peers as the
+    /// newest.
     pub fn record_peer_report(&mut self, now: Time, reports: &[mesh::EndpointReport]) {
-        let timely = !self.reads_backlog(now);
+        if self.reads_backlog(now) {
+            return;
+        }
         for report in reports {
             if report.delay.is_some() {
                 self.variability.record_peer(now);
             }
-            self.registry.record_peer_report(now, *report, timely);
+            self.registry.record_peer_report(now, *report);
         }
     }
 
--- a/crates/core/src/gateway/registry/reports.rs
+++ b/crates/core/src/gateway/registry/reports.rs
@@ -70,13 +70,12 @@
         reports
     }
 
-    /// Applies a peer's report of an endpoint. Its confirmation counts only if `timely`: not where
-    /// the message may have waited here for long.
-    pub fn record_peer_report(&mut self, now: Time, report: EndpointReport, timely: bool) {
+    /// Applies a peer's report of an endpoint.
+    pub fn record_peer_report(&mut self, now: Time, report: EndpointReport) {
         let key = self.by_tag.get(&Tag(report.endpoint));
         if let Some(endpoint) = key.and_then(|k| self.endpoints.get_mut(*k)) {
             endpoint.record_peer_report(now, report);
-            if let Some(age) = report.confirmation_age().filter(|_| timely) {
+            if let Some(age) = report.confirmation_age() {
                 endpoint.confirm_by_peer(now - age);
             }
         }
--- a/crates/core/tests/gateway/old_knowledge.rs
+++ b/crates/core/tests/gateway/old_knowledge.rs
@@ -11,6 +11,9 @@
             Fingerprint, //
         },
         incoming_request::IncomingRequest,
+        mesh::{
+            EndpointReport, //
+        },
         refusal::Cause,
     },
     units::{
@@ -28,6 +31,8 @@
 
 /// Pauses of a process, in milliseconds.
 const PAUSES_MS: [u64; 5] = [300, 1000, 1400, 3000, 10_000];
+/// Shortest pause that a router notices, in milliseconds; messages may be as late in a running one.
+const NOTICED_MS: u64 = 500;
 /// When the pause of a router begins, in milliseconds.
 const PAUSED_AT: u64 = 2000;
 /// Time between two reads of the registry, in milliseconds.
@@ -128,6 +133,34 @@
     }
 }
 
+/// Guards against loads from before a pause that a router takes for new ones and passes on to its peers.
+#[gtest]
+fn verify_loads_that_waited_for_a_suspended_router_are_not_passed_on() {
+    for pause in PAUSES_MS {
+        let mut gateway = paused_gateway(1);
+        let woken = PAUSED_AT + pause;
+        let (_, endpoint) = gateway.registry().usable().next().expect("one is listed");
+        let report = EndpointReport {
+            endpoint: endpoint.tag().0,
+            load: Some(40),
+            age: Millis(10),
+            confirmed: false,
+            delay: None,
+        };
+        // Some are read before the first tick.
+        gateway.record_peer_report(Time(woken), &[report]);
+        gateway.tick(Time(woken + 1));
+        gateway.record_peer_report(Time(woken + 2), &[report]);
+        let told = gateway.digest_contents(Time(woken + 3), 1).reports;
+        let expected = usize::from(pause < NOTICED_MS);
+        expect_that!(told.len(), eq(expected), "paused for {pause} ms");
+        gateway.tick(Time(woken + 101));
+        gateway.record_peer_report(Time(woken + 101), &[report]);
+        let told = gateway.digest_contents(Time(woken + 102), 1).reports;
+        expect_that!(told.len(), eq(1), "paused for {pause} ms");
+    }
+}
+
 /// Guards against a removed endpoint that comes back with an entry from before the pause, read from a copy that lags.
 #[gtest]
 fn verify_a_leaving_endpoint_stays_out_whatever_is_read_after_a_pause() {
