Clear no crashes by an answer that waited in the socket of a suspended router

Symptom: a request that crashes endpoints and is held back is let through by all routers once one of them wakes from a pause.

Sequence: a request has a crash on record and is answered once. A router is suspended with that news in its socket. Six endpoints end on the request meanwhile. The router wakes, reads the old digest, and dates the answer by its arrival, after the crashes: it drops them, and tells its peers of the answer, which drop them, too. Six more crashes are needed then.

Change: in digests that waited, answers are passed over. Crashes are taken; they look newer than they are and hold a request back for longer by at most the length of the pause. A router that misses an answer that way is told again by those that know it, as before.

--- a/crates/core/src/gateway/fleet/updates/peers.rs
+++ b/crates/core/src/gateway/fleet/updates/peers.rs
@@ -111,12 +111,18 @@
     }
 
     /// Takes in a peer's quarantine records.
+    ///
+    /// In messages that waited here during a suspension all looks newer than it is. An answer would then
+    /// clear crashes that came after it, at all routers; crashes only count for a little longer.
     pub fn record_peer_crashes(&mut self, now: Time, records: &[Record]) {
+        let is_backlog = self.reads_backlog(now);
         for record in records {
+            let mut record = record.clone();
+            record.answered = record.answered.filter(|_| !is_backlog);
             if record.is_part {
-                self.part_quarantine.heard(now, record);
+                self.part_quarantine.heard(now, &record);
             } else {
-                self.quarantine.heard(now, record);
+                self.quarantine.heard(now, &record);
             }
         }
     }
--- a/crates/core/tests/gateway/old_knowledge.rs
+++ b/crates/core/tests/gateway/old_knowledge.rs
@@ -14,8 +14,13 @@
         mesh::{
             EndpointReport, //
         },
+        quarantine::{
+            CrashReport,
+            Record, //
+        },
         refusal::Cause,
     },
+    ids::Tag,
     units::{
         Millis,
         Time, //
@@ -81,6 +86,29 @@
     Ok(ticket)
 }
 
+fn crash_report(endpoint: u32, age: u64) -> CrashReport {
+    CrashReport {
+        endpoint: Tag(endpoint),
+        age: Millis(age),
+        ran: Millis(10),
+    }
+}
+
+fn record(crashes: Vec<CrashReport>, answered: Option<u64>) -> Record {
+    Record {
+        request: fingerprint(),
+        is_part: false,
+        crashes,
+        answered: answered.map(Millis),
+    }
+}
+
+fn is_held(gateway: &mut Gateway, now: Time) -> bool {
+    gateway.record_registry_read(now, now);
+    let placed = place(gateway, now, &request("/once/x"));
+    placed.is_err_and(|cause| cause == Cause::Quarantined)
+}
+
 /// Guards against keys and entries that a router uses after a pause beyond the age up to which they count.
 #[gtest]
 fn verify_a_router_that_wakes_uses_keys_and_entries_by_the_age_of_its_last_read() {
@@ -161,6 +189,52 @@
     }
 }
 
+/// Guards against a request that crashes endpoints and that the whole fleet lets through, because a router that wakes
+/// takes an answer from before its crashes for a later one, and passes that on.
+#[gtest]
+fn verify_an_answer_that_waited_for_a_suspended_router_clears_no_later_crash() {
+    for pause in PAUSES_MS {
+        let woken = PAUSED_AT + pause;
+        let early = record(vec![crash_report(20, 1000)], None);
+        let mut paused = paused_gateway(8);
+        let mut running = paused_gateway(8);
+        for router in [&mut paused, &mut running] {
+            router.record_peer_crashes(Time(PAUSED_AT - 100), std::slice::from_ref(&early));
+        }
+        // The first message is sent 40 ms after the pause begins, the second one before it ends.
+        let answered = record(Vec::new(), Some(10));
+        let crashes: Vec<u32> = (0..6).collect();
+        let interval = pause / 7;
+        let age_at = |end: u64, n: u32| end - (PAUSED_AT + 40 + interval * u64::from(n + 1));
+        let told_at = |end: u64| {
+            let reports = crashes.iter().map(|n| crash_report(*n, age_at(end, *n)));
+            record(reports.collect(), Some(end - (PAUSED_AT + 30)))
+        };
+        running.record_peer_crashes(Time(PAUSED_AT + 40), std::slice::from_ref(&answered));
+        run(&mut running, PAUSED_AT + 100, woken);
+        running.record_peer_crashes(Time(woken), &[told_at(woken)]);
+        if !is_held(&mut running, Time(woken + 1)) {
+            // The crashes are too close together to count.
+            expect_that!(pause, lt(NOTICED_MS + 1000));
+            continue;
+        }
+        paused.record_peer_crashes(Time(woken), &[answered]);
+        paused.tick(Time(woken + 1));
+        paused.record_peer_crashes(Time(woken + 2), &[told_at(woken - 50)]);
+        for now in [woken + 101, woken + 201] {
+            paused.tick(Time(now));
+            running.tick(Time(now));
+            let told = running.digest_contents(Time(now), 1).crashes;
+            paused.record_peer_crashes(Time(now), &told);
+            let told = paused.digest_contents(Time(now), 1).crashes;
+            running.record_peer_crashes(Time(now), &told);
+        }
+        let now = Time(woken + 300);
+        expect_true!(is_held(&mut paused, now), "paused for {pause} ms");
+        expect_true!(is_held(&mut running, now), "paused for {pause} ms");
+    }
+}
+
 /// Guards against a removed endpoint that comes back with an entry from before the pause, read from a copy that lags.
 #[gtest]
 fn verify_a_leaving_endpoint_stays_out_whatever_is_read_after_a_pause() {
