Admit no trial of a held request right after a pause

Symptom: a router that wakes ends one more endpoint on a request that has just ended one as a trial elsewhere.

Cause: a hold time has passed where no crash was heard of for that long. A router that was suspended has heard of none; the crash of a trial at another router, which makes the time 12 times as long (60 for parts), waits in its socket or was told while it slept. The owner of a part's trials is the router itself where it hears nobody, as on waking.

Change: no trial within 1 s of a suspension. Records of what is held back reach all routers within 0.5 to 1 s (docs/design/quarantine.md). A request that would have been tried is refused as before its time, and comes back after a second at least. `explain` says the same.

After a pause of 0.3 s, which is not noticed, one is admitted as ever.

--- a/crates/core/src/gateway/attempt/screening.rs
+++ b/crates/core/src/gateway/attempt/screening.rs
@@ -20,16 +20,29 @@
         },
         refusal::Refusal, //
     },
-    units::Time, //
+    units::{
+        Millis,
+        Time, //
+    },
 };
 
+/// Time after a suspension within which peers report the crashes that trials have caused meanwhile.
+const TRIAL_REPORT_TIME: Millis = Millis(1000);
+
 impl Gateway {
+    /// Tells whether this router knows of the trials that others have made. One that was suspended does
+    /// only after a while: by what it knows, hold times have passed.
+    pub(in crate::gateway) fn knows_of_trials(&self, now: Time) -> bool {
+        !self.is_late(now) && !self.resumed_within(now, TRIAL_REPORT_TIME)
+    }
+
     /// Checks that a request is not held back by the quarantine; returns whether it is let through as
     /// a trial.
     pub(super) fn check_quarantine(&mut self, now: Time, ticket: &Ticket) -> Result<bool, Refusal> {
+        let may_try = self.knows_of_trials(now);
         let held = self.part_verdict(now, ticket);
         if let Some(held) = &held
-            && !self.part_quarantine.admit_trial(now, held)
+            && !(may_try && self.part_quarantine.admit_trial(now, held))
         {
             let left = held.verdict.left;
             return Err(Refusal::part_quarantined(left, ticket.may_have_run));
@@ -39,10 +52,11 @@
         };
         let draw = self.draw();
         let routers = self.routers;
-        if self
-            .quarantine
-            .admit_trial(now, content, &verdict, draw, routers)
-        {
+        let is_trial = may_try
+            && self
+                .quarantine
+                .admit_trial(now, content, &verdict, draw, routers);
+        if is_trial {
             return Ok(true);
         }
         Err(Refusal::quarantined(verdict.left, ticket.may_have_run))
--- a/crates/core/src/gateway/explain/mod.rs
+++ b/crates/core/src/gateway/explain/mod.rs
@@ -263,15 +263,16 @@
         if now >= ticket.until {
             return Err(Refusal::given_up(Cause::Deadline, false));
         }
+        let may_try = self.knows_of_trials(now);
         let held = self.part_verdict(now, ticket);
         if let Some(held) = &held
-            && !self.part_quarantine.may_try(held)
+            && !(may_try && self.part_quarantine.may_try(held))
         {
             return Err(Refusal::part_quarantined(held.verdict.left, false));
         }
         let held_content = self.verdict(now, ticket);
         if let Some(held) = &held_content
-            && !contents::may_try(held, context.draw, self.routers)
+            && !(may_try && contents::may_try(held, context.draw, self.routers))
         {
             return Err(Refusal::quarantined(held.left, false));
         }
--- a/crates/core/src/gateway/fleet/updates/mod.rs
+++ b/crates/core/src/gateway/fleet/updates/mod.rs
@@ -59,7 +59,7 @@
     }
 
     /// Tells whether the next tick is so late that the process was suspended.
-    fn is_late(&self, now: Time) -> bool {
+    pub(in crate::gateway) fn is_late(&self, now: Time) -> bool {
         self.last_tick > Time(0) && now.since(self.last_tick) >= SUSPENSION_GAP
     }
 
@@ -68,7 +68,8 @@
         self.is_late(now) || self.resumed_within(now, RESUME_DRAIN_TIME)
     }
 
-    fn resumed_within(&self, now: Time, time: Millis) -> bool {
+    /// Tells whether the process resumed after a suspension less than a time ago.
+    pub(in crate::gateway) fn resumed_within(&self, now: Time, time: Millis) -> bool {
         self.resumed_at > Time(0) && now.since(self.resumed_at) < time
     }
 
--- a/crates/core/tests/gateway/old_knowledge.rs
+++ b/crates/core/tests/gateway/old_knowledge.rs
@@ -14,11 +14,15 @@
         mesh::{
             EndpointReport, //
         },
+        outcome::AttemptOutcome,
         quarantine::{
             CrashReport,
             Record, //
         },
         refusal::Cause,
+        warmup::{
+            Fleet, //
+        },
     },
     ids::Tag,
     units::{
@@ -31,6 +35,7 @@
     bounds,
     entry,
     gateway,
+    prompt,
     request, //
 };
 
@@ -86,6 +91,16 @@
     Ok(ticket)
 }
 
+/// Sends a request whose endpoint ends on it.
+fn crash(gateway: &mut Gateway, now: Time, request: &IncomingRequest) {
+    let mut ticket = place(gateway, now, request).expect("the request is placed");
+    let endpoint = ticket.tried[0];
+    gateway.ended(now, &mut ticket, endpoint, AttemptOutcome::Broken);
+    let listed = gateway.registry().get(endpoint).map(|e| e.entry.id.clone());
+    let removed = Change::Removed(listed.expect("it is listed"));
+    gateway.apply_changes(now, vec![removed]);
+}
+
 fn crash_report(endpoint: u32, age: u64) -> CrashReport {
     CrashReport {
         endpoint: Tag(endpoint),
@@ -235,6 +250,89 @@
     }
 }
 
+/// Guards against a router that wakes and tries a request that crashes endpoints, as it has not read yet that a trial
+/// at another router has just crashed one.
+#[gtest]
+fn verify_a_router_that_wakes_admits_no_trial_before_it_knows_of_others() {
+    let trial_interval = 3000;
+    for pause in PAUSES_MS {
+        let mut gateway = gateway(8);
+        gateway.fleet(Time(0), 7);
+        for n in 0..3 {
+            crash(&mut gateway, Time(500 + 300 * n), &request("/once/x"));
+        }
+        let over = 1100 + bounds().hold.first.0;
+        let paused_at = over - over % 100;
+        run(&mut gateway, 100, paused_at);
+        let woken = paused_at + pause.max(100);
+        // Some requests are read before the first tick.
+        let admitted = |gateway: &mut Gateway, now: u64| {
+            (0..200).filter(|_| !is_held(gateway, Time(now))).count()
+        };
+        let expected = usize::from(pause < NOTICED_MS);
+        expect_that!(
+            admitted(&mut gateway, woken),
+            eq(expected),
+            "paused for {pause} ms"
+        );
+        run(&mut gateway, woken, woken + 500);
+        expect_that!(admitted(&mut gateway, woken + 500), eq(0));
+        if pause >= NOTICED_MS {
+            let mut crashed = gateway;
+            run(&mut crashed, woken + 600, woken + 600);
+            crashed.record_peer_crashes(
+                Time(woken + 600),
+                &[record(vec![crash_report(77, pause / 2)], None)],
+            );
+            run(&mut crashed, woken + 700, woken + trial_interval);
+            expect_that!(admitted(&mut crashed, woken + trial_interval), eq(0));
+        }
+    }
+}
+
+/// Guards against the same for a part of a prompt.
+#[gtest]
+fn verify_a_router_that_wakes_admits_no_trial_of_a_part_before_it_knows_of_others() {
+    for pause in PAUSES_MS {
+        let mut gateway = gateway(8);
+        let fleet = Fleet {
+            me: 1,
+            others: Vec::new(),
+            expected: false,
+        };
+        gateway.update_fleet(Time(0), &fleet);
+        for n in 0..3 {
+            let prompt = Some(prompt(1 << 40, n));
+            let request = IncomingRequest {
+                prompt,
+                ..request("/chat/x")
+            };
+            let mut ticket = gateway
+                .admit(Time(500 + 300 * n), &request)
+                .expect("it is admitted");
+            let at = Time(500 + 300 * n);
+            let placed = gateway.place(at, &ticket, &request).expect("it is placed");
+            gateway.sent(at, &mut ticket, placed.endpoint);
+            gateway.ended(at, &mut ticket, placed.endpoint, AttemptOutcome::Broken);
+            gateway.unreached(at, &mut ticket, placed.endpoint);
+        }
+        let over = 1100 + bounds().hold.first.0;
+        let paused_at = over - over % 100;
+        run(&mut gateway, 100, paused_at);
+        let woken = paused_at + pause.max(100);
+        gateway.record_registry_read(Time(woken), Time(woken));
+        let request = IncomingRequest {
+            prompt: Some(prompt(1 << 40, 100)),
+            ..request("/chat/x")
+        };
+        let ticket = gateway.admit(Time(woken), &request).expect("admitted");
+        let placed = gateway.place(Time(woken), &ticket, &request);
+        let cause = placed.err().map(|r| r.cause);
+        let expected = (pause >= NOTICED_MS).then_some(Cause::PartQuarantined);
+        expect_that!(cause, eq(expected), "paused for {pause} ms");
+    }
+}
+
 /// Guards against a removed endpoint that comes back with an entry from before the pause, read from a copy that lags.
 #[gtest]
 fn verify_a_leaving_endpoint_stays_out_whatever_is_read_after_a_pause() {
