Keep the fleet's size while a router that was suspended reads what waited

Symptom: a router that wakes after 3 s or more opens connections to an endpoint beyond its part; the endpoint resets what is over its limit, and those requests may or may not have run.

Cause: its first round after the pause counts the routers that were heard within 3 s, none, so that it counts as the only one until the next round. The callers that waited in its listen queue are placed in just that time.

Change: the number of routers does not fall while messages from before the pause are read (100 ms). The odds of trials use the same number.

Before, `old_knowledge::verify_a_router_that_wakes_keeps_its_part_of_the_connections` failed for pauses of 3 and 10 s: a request was placed beyond the part of one in seven.

--- a/crates/core/src/gateway/fleet/updates/shares.rs
+++ b/crates/core/src/gateway/fleet/updates/shares.rs
@@ -27,9 +27,15 @@
     /// endpoints.
     ///
     /// Retries are divided by the greatest recent number of routers, since routers that can't be
-    /// heard may be partitioned and still use their parts.
+    /// heard may be partitioned and still use their parts. A router that was suspended hears nobody
+    /// until it has read what waited here; meanwhile the number before counts.
     pub fn fleet(&mut self, now: Time, routers: u32) {
-        self.routers = routers.max(1);
+        let least = if self.reads_backlog(now) {
+            self.routers
+        } else {
+            1
+        };
+        self.routers = routers.max(least);
         let (max_routers, heard) = self.max_routers;
         if self.routers >= max_routers || now.since(heard) >= MAX_ROUTERS_TTL {
             self.max_routers = (self.routers, now);
--- a/crates/core/tests/gateway/old_knowledge.rs
+++ b/crates/core/tests/gateway/old_knowledge.rs
@@ -333,6 +333,34 @@
     }
 }
 
+/// Guards against a router that wakes and uses the connections of all routers, as it counts itself alone until it has
+/// read what its peers have sent.
+#[gtest]
+fn verify_a_router_that_wakes_keeps_its_part_of_the_connections() {
+    for pause in [3000, 10_000] {
+        let mut gateway = paused_gateway(1);
+        gateway.fleet(Time(PAUSED_AT), 7);
+        let woken = Time(PAUSED_AT + pause);
+        // The first round after the pause may come before the first tick, and hears nobody.
+        gateway.fleet(woken, 1);
+        gateway.tick(woken + Millis(1));
+        gateway.fleet(woken + Millis(2), 1);
+        gateway.record_registry_read(woken, woken);
+        let (key, _) = gateway.registry().usable().next().expect("one is listed");
+        for _ in 0..100 / 7 {
+            gateway.connection_begun(key);
+        }
+        let placed = place(&mut gateway, woken + Millis(3), &request("/read/x"));
+        expect_that!(placed.is_err(), eq(true), "paused for {pause} ms");
+        // A fleet that is smaller by then has larger parts.
+        let later = woken + Millis(102);
+        gateway.tick(later);
+        gateway.fleet(later, 2);
+        let placed = place(&mut gateway, later, &request("/read/x"));
+        expect_that!(placed.is_ok(), eq(true), "paused for {pause} ms");
+    }
+}
+
 /// Guards against a removed endpoint that comes back with an entry from before the pause, read from a copy that lags.
 #[gtest]
 fn verify_a_leaving_endpoint_stays_out_whatever_is_read_after_a_pause() {
