Keep the parts of extra retries through a long partition

Symptom: while regions can't hear each other for more than 30 s, all routers together may send twice the extra retries of a service.

Cause: the fleet's extra retries are divided by the greatest number of routers heard of within 30 s; what is not heard for longer was taken for gone. Both sides of a cut serve their callers and retry.

Change: the number holds for two hours, as regions lose each other for an hour now and then (CONTRIBUTING). Price: after routers have left for good the others' parts stay as small for that long; the share of their own requests is not touched.

Not covered: a cut of more than two hours, and routers that are replaced under other addresses on both sides while it lasts.

--- a/crates/core/src/gateway/fleet/updates/shares.rs
+++ b/crates/core/src/gateway/fleet/updates/shares.rs
@@ -17,10 +17,10 @@
     },
 };
 
-/// Time for which the greatest recent number of routers divides the fleet's extra retries. Network
-/// partitions between data centres last seconds; routers that have left for good reduce the others'
+/// Time for which the greatest recent number of routers divides the fleet's extra retries. Regions may
+/// lose each other for an hour, and both sides go on; routers that have left for good reduce the others'
 /// parts for this long.
-const MAX_ROUTERS_TTL: Millis = Millis(30_000);
+const MAX_ROUTERS_TTL: Millis = Millis(2 * 3_600_000);
 
 impl Gateway {
     /// Sets the number of routers that share the fleet's extra retries and the connections of
--- a/crates/core/tests/gateway/old_knowledge.rs
+++ b/crates/core/tests/gateway/old_knowledge.rs
@@ -361,6 +361,27 @@
     }
 }
 
+/// Guards against two sides of a fleet that together send twice the extra retries, because each side takes the other
+/// for gone: regions lose each other for an hour.
+#[gtest]
+fn verify_both_sides_of_a_long_partition_keep_their_parts_of_the_extra_retries() {
+    let sides = [3, 4];
+    let mut routers: Vec<(u32, Gateway)> = sides
+        .iter()
+        .flat_map(|side| (0..*side).map(move |_| (*side, gateway(1))))
+        .collect();
+    for (_, router) in &mut routers {
+        router.fleet(Time(0), 7);
+    }
+    for now in (1000..=3_600_000).step_by(1000) {
+        for (side, router) in &mut routers {
+            router.fleet(Time(now), *side);
+        }
+        let extra: u32 = routers.iter().map(|(_, r)| r.bounds().retry.extra).sum();
+        assert_that!(extra, le(bounds().retry.fleet), "after {now} ms");
+    }
+}
+
 /// Guards against a removed endpoint that comes back with an entry from before the pause, read from a copy that lags.
 #[gtest]
 fn verify_a_leaving_endpoint_stays_out_whatever_is_read_after_a_pause() {
