Expect peers once one has been heard of

Symptom: a router whose seed list is empty or names only itself counts as the only one whenever it hears nobody, though others have it as their seed; alone, it needs no proof of what peers would know.

Cause: whether peers are expected was read from the seed list alone. A reload can empty it, too.

Change: a router that has ever heard of another one expects peers until it ends. One that never has and has no seeds is alone, as before; its settings say so, and nothing else can tell.

Before, `old_knowledge::verify_a_router_without_seeds_that_has_heard_of_others_expects_them` failed while the peer was heard, and 4 and 99 s after.

--- a/crates/core/src/gateway/fleet/mesh/mod.rs
+++ b/crates/core/src/gateway/fleet/mesh/mod.rs
@@ -97,6 +97,8 @@
     me: Heartbeat,
     seeds: Vec<SocketAddrV4>,
     peers: IndexMap<SocketAddrV4, Peer>,
+    /// Whether another router was ever heard of.
+    has_had_peers: bool,
     next_forwarded: usize,
 }
 
@@ -108,6 +110,7 @@
             me,
             seeds,
             peers: IndexMap::new(),
+            has_had_peers: false,
             next_forwarded: 0,
         }
     }
@@ -226,11 +229,13 @@
         Fleet {
             me: address_hash(self.me.address),
             others: self.live(now).map(|r| address_hash(r.address)).collect(),
-            expected: !self.seeds.is_empty(),
+            // Others may be there though the settings name none: they have this one as their seed.
+            expected: self.has_had_peers || !self.seeds.is_empty(),
         }
     }
 
     fn record_heartbeat(&mut self, now: Time, heartbeat: Heartbeat) -> bool {
+        self.has_had_peers = true;
         let fresh = Peer {
             heartbeat,
             last_heard: now,
--- a/crates/core/tests/gateway/old_knowledge.rs
+++ b/crates/core/tests/gateway/old_knowledge.rs
@@ -1,6 +1,11 @@
 //! Tests that nothing is taken for allowed because a router has heard nothing: it was suspended, cut off, or knows no
 //! other router.
 
+use std::net::{
+    Ipv4Addr,
+    SocketAddrV4, //
+};
+
 use bytes::Bytes;
 use googletest::prelude::*;
 use toucanturn_core::{
@@ -12,7 +17,9 @@
         },
         incoming_request::IncomingRequest,
         mesh::{
-            EndpointReport, //
+            EndpointReport,
+            Heartbeat,
+            Mesh, //
         },
         outcome::AttemptOutcome,
         quarantine::{
@@ -26,6 +33,7 @@
     },
     ids::Tag,
     units::{
+        Incarnation,
         Millis,
         Time, //
     },
@@ -382,6 +390,37 @@
     }
 }
 
+fn heartbeat(number: u8) -> Heartbeat {
+    Heartbeat {
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 7000),
+        data_center: 1,
+        incarnation: Incarnation(1),
+        beat: 0,
+        reads: false,
+    }
+}
+
+/// Guards against a router that takes itself for the only one because its seed list is empty, though others that have
+/// it as their seed have been heard.
+#[gtest]
+fn verify_a_router_without_seeds_that_has_heard_of_others_expects_them() {
+    let mut router = Mesh::new(heartbeat(1), Vec::new());
+    expect_false!(router.fleet(Time(1000)).expected);
+    let mut other = Mesh::new(heartbeat(2), vec![heartbeat(1).address]);
+    other.round(Time(1000), 1);
+    let digest = other.digest(Time(1000), heartbeat(1).address, false, Vec::new());
+    expect_true!(router.receive(Time(1000), &digest));
+    for now in [1000, 5000, 100_000] {
+        router.round(Time(now), 1);
+        expect_true!(router.fleet(Time(now)).expected, "at {now} ms");
+    }
+    // A seed list that names other routers than there are is no reason to count as alone.
+    let mut lost = Mesh::new(heartbeat(3), vec![heartbeat(9).address]);
+    expect_true!(lost.fleet(Time(1000)).expected);
+    lost.set_seeds(vec![heartbeat(3).address]);
+    expect_false!(lost.fleet(Time(1000)).expected);
+}
+
 /// Guards against a removed endpoint that comes back with an entry from before the pause, read from a copy that lags.
 #[gtest]
 fn verify_a_leaving_endpoint_stays_out_whatever_is_read_after_a_pause() {
