Discover the fleet anew after ten minutes without a word

Symptom: routers that were all suspended for over ten minutes send a cold endpoint many times what it tolerates as they wake.

Cause: a router that hears nobody keeps to its part of the fleet that it remembers. At the first word of one router, all that were last heard ten minutes ago were forgotten, and it took the parts of a fleet of two, then three: it counted as settled, as it had started long ago.

Change: such a router counts as one that has just started, and owns nothing until it has heard no new router for 0.7 s, or for 3 s.

Before, `old_knowledge::verify_routers_that_wake_after_a_long_pause_keep_the_bound_of_a_cold_endpoint` failed after a pause of 700 s: 40 routers had quotas of 240, 160, 80, 40 and 36 requests as they knew 1 to 16 others, where 26 are allowed. Pauses of 0.3 to 10 s kept the bound, and do.

--- a/crates/core/src/gateway/limits/warmup.rs
+++ b/crates/core/src/gateway/limits/warmup.rs
@@ -164,7 +164,7 @@
 /// `Warmup` holds this router's quotas for cold endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct Warmup {
-    /// When this router began to listen to others.
+    /// When this router began to listen to others, since it last knew none.
     started: Option<Time>,
     /// When it last discovered a router.
     last_discovery: Time,
@@ -183,6 +183,12 @@
 impl Warmup {
     /// Updates the fleet and the set of cold endpoints, and computes the quotas for them.
     pub fn follow(&mut self, now: Time, fleet: &Fleet, cold: &[ColdEndpoint]) {
+        let last_heard = self.members.values().max();
+        let is_lost = last_heard.is_some_and(|at| now.since(*at) >= MEMBER_TTL);
+        if is_lost && !fleet.others.is_empty() {
+            // All members are about to be forgotten at the first that is heard again.
+            self.started = Some(now);
+        }
         let started = *self.started.get_or_insert(now);
         self.me = fleet.me;
         let mut changed = self.remember(now, &fleet.others);
--- a/crates/core/tests/gateway/old_knowledge.rs
+++ b/crates/core/tests/gateway/old_knowledge.rs
@@ -8,7 +8,9 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
+use slotmap::SlotMap;
 use toucanturn_core::{
+    arena::EndpointKey,
     gateway::{
         Change, Gateway, Ticket,
         fingerprint::{
@@ -28,10 +30,13 @@
         },
         refusal::Cause,
         warmup::{
-            Fleet, //
+            ColdEndpoint,
+            Fleet,
+            Warmup, //
         },
     },
     ids::Tag,
+    load::score,
     units::{
         Incarnation,
         Millis,
@@ -421,6 +426,61 @@
     expect_false!(lost.fleet(Time(1000)).expected);
 }
 
+/// Guards against cold endpoints that crash because routers that were suspended for long each take the parts of those
+/// that they have not heard again yet.
+#[gtest]
+fn verify_routers_that_wake_after_a_long_pause_keep_the_bound_of_a_cold_endpoint() {
+    let bound = 26;
+    let mut keys: SlotMap<EndpointKey, ()> = SlotMap::with_key();
+    let cold = ColdEndpoint {
+        key: keys.insert(()),
+        seed: 5,
+        bound,
+    };
+    let all: Vec<u64> = (0..40).map(|n| score(7, n)).collect();
+    let fleet = |me: u64, known: usize| Fleet {
+        me,
+        others: all
+            .iter()
+            .copied()
+            .filter(|o| *o != me)
+            .take(known)
+            .collect(),
+        expected: true,
+    };
+    let mut routers: Vec<(u64, Warmup)> = all.iter().map(|m| (*m, Warmup::default())).collect();
+    for now in (0..=5000).step_by(100) {
+        for (me, router) in &mut routers {
+            router.follow(Time(now), &fleet(*me, 39), &[cold]);
+        }
+    }
+    let quotas = |routers: &[(u64, Warmup)]| -> u32 {
+        let quotas = routers.iter().map(|(_, r)| r.share(cold.seed, bound));
+        quotas.sum()
+    };
+    expect_that!(quotas(&routers), all![ge(1), le(bound)]);
+    for pause in PAUSES_MS.into_iter().chain([700_000]) {
+        let woken = 10_000_000 + pause;
+        let mut paused = routers.clone();
+        for now in (5100..=10_000_000).step_by(100_000) {
+            for (me, router) in &mut paused {
+                router.follow(Time(now), &fleet(*me, 39), &[cold]);
+            }
+        }
+        for (round, known) in [0, 1, 2, 4, 8, 16, 32, 39, 39].into_iter().enumerate() {
+            for (me, router) in &mut paused {
+                let now = Time(woken + 100 * round as u64);
+                router.follow(now, &fleet(*me, known), &[cold]);
+            }
+            expect_that!(
+                quotas(&paused),
+                le(bound),
+                "paused for {pause} ms, {known} known"
+            );
+        }
+    }
+}
+
 /// Guards against a removed endpoint that comes back with an entry from before the pause, read from a copy that lags.
 #[gtest]
 fn verify_a_leaving_endpoint_stays_out_whatever_is_read_after_a_pause() {
