Pass no loads on from answers that waited in the sockets of a suspended router

Symptom: as with loads in digests that waited: for some 100 ms after a router wakes, its peers place requests by loads from before its pause.

Cause: a load in an answer counts from when its head is read, also where the head lay in the socket through a pause. Digests passed it on as the newest.

Change: the load is passed over until the sockets are read. That the endpoint states a slowdown still counts.

Before, `old_knowledge::verify_loads_in_answers_that_waited_for_a_suspended_router_are_not_passed_on` failed for pauses of 1, 1.4, 3 and 10 s (one load passed on, none expected); a pause of 0.3 s is not noticed.

--- a/crates/core/src/gateway/attempt/sending.rs
+++ b/crates/core/src/gateway/attempt/sending.rs
@@ -125,11 +125,15 @@
         }
     }
 
-    /// Notes the load that an endpoint reports in its answer.
+    /// Notes the load that an endpoint reports in its answer. An answer that waited here during a
+    /// suspension says nothing of the load now.
     pub fn record_load(&mut self, now: Time, endpoint: EndpointKey, load: endpoint::Load) {
         if load.slowdown.is_some() {
             self.variability.record(now);
         }
+        if self.reads_backlog(now) {
+            return;
+        }
         self.registry.record_load(now, endpoint, load);
     }
 
--- a/crates/core/src/gateway/fleet/updates/mod.rs
+++ b/crates/core/src/gateway/fleet/updates/mod.rs
@@ -64,7 +64,7 @@
     }
 
     /// Tells whether messages that are read now may have waited here while the process was suspended.
-    fn reads_backlog(&self, now: Time) -> bool {
+    pub(in crate::gateway) fn reads_backlog(&self, now: Time) -> bool {
         self.is_late(now) || self.resumed_within(now, RESUME_DRAIN_TIME)
     }
 
--- a/crates/core/tests/gateway/old_knowledge.rs
+++ b/crates/core/tests/gateway/old_knowledge.rs
@@ -13,6 +13,7 @@
     arena::EndpointKey,
     gateway::{
         Change, Gateway, Ticket,
+        endpoint::Load,
         fingerprint::{
             Content,
             Fingerprint, //
@@ -217,6 +218,38 @@
     }
 }
 
+/// Guards against the same with loads in answers to own requests, which waited as well.
+#[gtest]
+fn verify_loads_in_answers_that_waited_for_a_suspended_router_are_not_passed_on() {
+    for pause in PAUSES_MS {
+        let mut gateway = paused_gateway(1);
+        let ticket = place(&mut gateway, Time(PAUSED_AT), &request("/read/x"));
+        let endpoint = ticket.expect("it is placed").tried[0];
+        let load = Load {
+            running: 40,
+            slots: 64,
+            ..Load::default()
+        };
+        let woken = PAUSED_AT + pause;
+        gateway.record_load(Time(woken), endpoint, load);
+        gateway.tick(Time(woken + 1));
+        gateway.record_load(Time(woken + 2), endpoint, load);
+        let loads = |gateway: &mut Gateway, now| {
+            let told = gateway.digest_contents(Time(now), 1).reports;
+            told.iter().filter(|r| r.load.is_some()).count()
+        };
+        let expected = usize::from(pause < NOTICED_MS);
+        expect_that!(
+            loads(&mut gateway, woken + 3),
+            eq(expected),
+            "paused for {pause} ms"
+        );
+        gateway.tick(Time(woken + 101));
+        gateway.record_load(Time(woken + 102), endpoint, load);
+        expect_that!(loads(&mut gateway, woken + 103), eq(1));
+    }
+}
+
 /// Guards against a request that crashes endpoints and that the whole fleet lets through, because a router that wakes
 /// takes an answer from before its crashes for a later one, and passes that on.
 #[gtest]
@@ -243,7 +276,7 @@
         running.record_peer_crashes(Time(woken), &[told_at(woken)]);
         if !is_held(&mut running, Time(woken + 1)) {
             // The crashes are too close together to count.
-            expect_that!(pause, lt(NOTICED_MS + 1000));
+            expect_that!(pause, lt(NOTICED_MS));
             continue;
         }
         paused.record_peer_crashes(Time(woken), &[answered]);
