--- a/crates/core/tests/gateway/old_knowledge.rs
+++ b/crates/core/tests/gateway/old_knowledge.rs
@@ -459,6 +459,29 @@
     expect_false!(lost.fleet(Time(1000)).expected);
 }
 
+/// Guards against a router that its peers never hear again after its clock was set back and it was restarted.
+#[gtest]
+fn verify_a_router_that_restarts_with_its_clock_set_back_is_heard_after_a_while() {
+    let mut peer = Mesh::new(heartbeat(1), vec![heartbeat(2).address]);
+    let life = |start| Heartbeat {
+        incarnation: Incarnation(start),
+        ..heartbeat(2)
+    };
+    let mut before = Mesh::new(life(9_000_000), vec![heartbeat(1).address]);
+    let mut after = Mesh::new(life(5_000_000), vec![heartbeat(1).address]);
+    let mut hears = |router: &mut Mesh, now: u64| {
+        let now = Time(now);
+        peer.round(now, 1);
+        router.round(now, 1);
+        let digest = router.digest(now, heartbeat(1).address, false, Vec::new());
+        peer.receive(now, &digest) && peer.size(now) == 2
+    };
+    expect_true!(hears(&mut before, 1000));
+    expect_false!(hears(&mut after, 3000));
+    expect_true!(hears(&mut after, 31_100));
+    expect_true!(hears(&mut after, 31_200));
+}
+
 /// Guards against cold endpoints that crash because routers that were suspended for long each take the parts of those
 /// that they have not heard again yet.
 #[gtest]
