--- a/crates/core/src/gateway/fleet/updates/peers.rs
+++ b/crates/core/src/gateway/fleet/updates/peers.rs
@@ -14,18 +14,11 @@
             MAX_DIGEST_RECORDS,
             Record, //
         },
-        shared_reads::ReadReport,
-        updates::SUSPENSION_GAP, //
-    },
-    units::{
-        Millis,
-        Time, //
+        shared_reads::ReadReport, //
     },
+    units::Time,
 };
 
-/// Time after a suspension within which the messages that arrived during it are read.
-const RESUME_DRAIN_TIME: Millis = Millis(100);
-
 /// `DigestContents` is what a digest tells peers of endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct DigestContents {
@@ -118,12 +111,18 @@
     }
 
     /// Takes in a peer's quarantine records.
+    ///
+    /// In messages that waited here during a suspension all looks newer than it is. An answer would then
+    /// clear crashes that came after it, at all routers; crashes only count for a little longer.
     pub fn record_peer_crashes(&mut self, now: Time, records: &[Record]) {
+        let is_backlog = self.reads_backlog(now);
         for record in records {
+            let mut record = record.clone();
+            record.answered = record.answered.filter(|_| !is_backlog);
             if record.is_part {
-                self.part_quarantine.heard(now, record);
+                self.part_quarantine.heard(now, &record);
             } else {
-                self.quarantine.heard(now, record);
+                self.quarantine.heard(now, &record);
             }
         }
     }
@@ -131,17 +130,18 @@
     /// Takes in a peer's reports of endpoints.
     ///
     /// The ages of reports count from when the peer sent them, so messages that waited in a socket
-    /// while this process was suspended look new. An outdated load does little harm. Confirmations
-    /// that an endpoint is not leaving are ignored until the waiting messages are read, as the
-    /// endpoint may have left at any time during the suspension.
+    /// while this process was suspended look new. They are ignored until the waiting ones are read:
+    /// endpoints may have left meanwhile, and outdated loads would be passed on to all peers as the
+    /// newest.
     pub fn record_peer_report(&mut self, now: Time, reports: &[mesh::EndpointReport]) {
-        let running = now.since(self.last_tick) < SUSPENSION_GAP;
-        let timely = running && now.since(self.resumed_at) >= RESUME_DRAIN_TIME;
+        if self.reads_backlog(now) {
+            return;
+        }
         for report in reports {
             if report.delay.is_some() {
                 self.variability.record_peer(now);
             }
-            self.registry.record_peer_report(now, *report, timely);
+            self.registry.record_peer_report(now, *report);
         }
     }
 
--- a/crates/core/src/gateway/fleet/updates/shares.rs
+++ b/crates/core/src/gateway/fleet/updates/shares.rs
@@ -17,19 +17,25 @@
     },
 };
 
-/// Time for which the greatest recent number of routers divides the fleet's extra retries. Network
-/// partitions between data centres last seconds; routers that have left for good reduce the others'
+/// Time for which the greatest recent number of routers divides the fleet's extra retries. Regions may
+/// lose each other for an hour, and both sides go on; routers that have left for good reduce the others'
 /// parts for this long.
-const MAX_ROUTERS_TTL: Millis = Millis(30_000);
+const MAX_ROUTERS_TTL: Millis = Millis(2 * 3_600_000);
 
 impl Gateway {
     /// Sets the number of routers that share the fleet's extra retries and the connections of
     /// endpoints.
     ///
     /// Retries are divided by the greatest recent number of routers, since routers that can't be
-    /// heard may be partitioned and still use their parts.
+    /// heard may be partitioned and still use their parts. A router that was suspended hears nobody
+    /// until it has read what waited here; meanwhile the number before counts.
     pub fn fleet(&mut self, now: Time, routers: u32) {
-        self.routers = routers.max(1);
+        let least = if self.reads_backlog(now) {
+            self.routers
+        } else {
+            1
+        };
+        self.routers = routers.max(least);
         let (max_routers, heard) = self.max_routers;
         if self.routers >= max_routers || now.since(heard) >= MAX_ROUTERS_TTL {
             self.max_routers = (self.routers, now);
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -205,6 +205,8 @@
         true => gateway.started_first(now()),
         false => gateway.restarted(now()),
     }
+    // A suspension before the second tick is noticed, too.
+    gateway.tick(now());
     let caller_address = SocketAddrV4::new(*listen.callers.ip(), addresses.0.port());
     let state = State::new(gateway, mesh, protocol, caller_address, settings.registry);
     tracing::info!(
