Ask an engine's keeper for its load before a prompt that may be over

Cause: many routers choose by the same digests, 0.3 to 1.2 s old, where an engine holds one to three requests.

Change: the router that would keep an engine's prefill backlog is told the load that each answer states. Before a prompt goes to an engine that is believed to hold 0.4 of its limit or more, that router is asked once. It counts the request with what it knows, so that of two that ask together the second one hears of the first. Without an answer in 10 ms the prompt is placed by digests, as before. Messages go with those of the backlogs, in their budget, which is free where speeds don't vary; where they do, nothing changes.

New tests of the core, the bytes and over sockets pass; before the change their subject did not exist.

--- a/crates/core/src/gateway/attempt/sending.rs
+++ b/crates/core/src/gateway/attempt/sending.rs
@@ -131,6 +131,7 @@
             self.variability.record(now);
         }
         self.registry.record_load(now, endpoint, load);
+        self.note_load(now, endpoint, load.requests());
     }
 
     /// Notes that an endpoint's answer has begun, with its first event or with its head.
--- a/crates/core/src/gateway/endpoint/load.rs
+++ b/crates/core/src/gateway/endpoint/load.rs
@@ -28,6 +28,11 @@
 const OTHER_LOAD_HALF_LIFE: Millis = Millis(300);
 /// Own requests whose send times are kept, to correct the loads that peers report.
 const MAX_SEND_TIMES: usize = 32;
+/// Time after which a request that another router has asked for no longer counts: its answer's load should be
+/// known by then, or it went elsewhere.
+const RESERVATION_TTL: Millis = Millis(500);
+/// Limit of the requests of other routers that are counted; beyond it the oldest is dropped.
+const MAX_RESERVATIONS: usize = 64;
 /// Time for which the load at which an endpoint turned a request away counts as its room.
 const ROOM_TTL: Millis = Millis(3000);
 
@@ -62,10 +67,7 @@
         reason = "loads are small numbers, and the cast saturates"
     )]
     pub fn load(&self, now: Time) -> u32 {
-        let fresh = self
-            .load_report
-            .filter(|s| now.since(s.at) < LOAD_REPORT_TTL);
-        let Some(load_report) = fresh else {
+        let Some(load_report) = self.newest_load(now) else {
             return self.own_in_flight;
         };
         let others = load_report
@@ -78,7 +80,21 @@
                 .saturating_sub(LOAD_REPORT_DELAY.0),
         );
         let others = others as f32 * remaining_fraction(silent, OTHER_LOAD_HALF_LIFE);
-        self.own_in_flight.saturating_add(others.round() as u32)
+        let reserved = self
+            .reservations
+            .iter()
+            .filter(|at| **at > load_report.at && now.since(**at) < RESERVATION_TTL);
+        let reserved = u32::try_from(reserved.count()).unwrap_or(u32::MAX);
+        self.own_in_flight
+            .saturating_add(others.round() as u32)
+            .saturating_add(reserved)
+    }
+
+    /// Gets its last load report or its keeper's estimate, whichever is newer; `None` if it is too old to use.
+    fn newest_load(&self, now: Time) -> Option<LoadReport> {
+        let known = self.load_report.into_iter().chain(self.load_estimate);
+        let newest = known.max_by_key(|s| s.at);
+        newest.filter(|s| now.since(s.at) < LOAD_REPORT_TTL)
     }
 
     /// Tells whether it is known to have no room for one more request; `routers` is the number of
@@ -117,8 +133,40 @@
 
     /// Gets the age of its last load report; `None` if there is none or it is too old to use.
     pub fn age(&self, now: Time) -> Option<Millis> {
-        let age = self.load_report.map(|s| now.since(s.at));
-        age.filter(|age| *age < LOAD_REPORT_TTL)
+        self.newest_load(now).map(|s| now.since(s.at))
+    }
+
+    /// Counts a request of another router that is probably sent to it, until a newer load is known.
+    pub(in crate::gateway) fn reserve(&mut self, now: Time) {
+        if self.reservations.len() >= MAX_RESERVATIONS {
+            self.reservations.pop_front();
+        }
+        self.reservations.push_back(now);
+    }
+
+    /// Notes what its keeper estimates.
+    pub(in crate::gateway) fn record_load_estimate(&mut self, now: Time, load: u32) {
+        self.load_estimate = Some(LoadReport {
+            at: now,
+            load: Load {
+                running: load,
+                ..Load::default()
+            },
+            own_in_flight: self.own_in_flight,
+        });
+    }
+
+    /// Notes a load that another router has just seen, as its keeper.
+    pub(in crate::gateway) fn record_load_note(&mut self, now: Time, load: u32) {
+        self.load_report = Some(LoadReport {
+            at: now,
+            load: Load {
+                running: load,
+                slots: self.entry.slots,
+                ..Load::default()
+            },
+            own_in_flight: self.own_in_flight,
+        });
     }
 
     /// Notes that a request is sent to it.
--- a/crates/core/src/gateway/endpoint/mod.rs
+++ b/crates/core/src/gateway/endpoint/mod.rs
@@ -84,6 +84,10 @@
     /// Connections of this router that are being opened there.
     pub own_opening: u32,
     load_report: Option<LoadReport>,
+    /// What its keeper last estimated. Peers are not told of it.
+    load_estimate: Option<LoadReport>,
+    /// When other routers asked this one, its keeper, for requests that probably go there.
+    reservations: VecDeque<Time>,
     /// Send time of the newest request whose answer confirmed to this router that the endpoint is
     /// not leaving.
     confirmed_at: Option<Time>,
@@ -138,6 +142,8 @@
             own_in_flight: 0,
             own_opening: 0,
             load_report: None,
+            load_estimate: None,
+            reservations: VecDeque::new(),
             confirmed_at: None,
             confirmed_by_peer_at: None,
             consecutive_failures: 0,
--- a/crates/core/src/gateway/endpoint/report.rs
+++ b/crates/core/src/gateway/endpoint/report.rs
@@ -28,7 +28,9 @@
     /// endpoint is not leaving.
     pub fn report(&self, now: Time) -> Option<EndpointReport> {
         let endpoint = self.tag().0;
-        if let (Some(age), Some(load_report)) = (self.age(now), self.load_report) {
+        let fresh = |s: &LoadReport| now.since(s.at) < LOAD_REPORT_TTL;
+        if let Some(load_report) = self.load_report.filter(fresh) {
+            let age = now.since(load_report.at);
             let recent = |at| at + mesh::MAX_CONFIRMED_LATENCY >= load_report.at;
             let confirmed = self.confirmed_at.is_some_and(recent);
             return Some(EndpointReport {
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -85,6 +85,7 @@
 pub use limits::{
     brittle,
     budget,
+    multiple,
     warmup, //
 };
 pub use updates::{
@@ -98,6 +99,7 @@
 use handoff::Peers;
 use hot_spots::HotSpots;
 use mesh::Sample;
+use multiple::LoadNotes;
 use origin::Streams;
 use prefill::Prefill;
 use proof::FreshnessProof;
@@ -138,6 +140,7 @@
     samples: VecDeque<Sample>,
     shared_reads: SharedReads,
     prefill: Prefill,
+    load_notes: LoadNotes,
     quarantine: Quarantine,
     part_quarantine: PartQuarantine,
     warmup: Warmup,
@@ -190,6 +193,7 @@
             samples: VecDeque::new(),
             shared_reads: SharedReads::default(),
             prefill: Prefill::default(),
+            load_notes: LoadNotes::default(),
             quarantine: Quarantine::default(),
             part_quarantine: PartQuarantine::default(),
             warmup: Warmup::default(),
--- a/crates/core/src/gateway/prefill/mod.rs
+++ b/crates/core/src/gateway/prefill/mod.rs
@@ -140,6 +140,30 @@
         Owner(self.admitted)
     }
 
+    /// Tells whether a keeper may be asked for a load.
+    pub(in crate::gateway) fn allows_load_query(&mut self, now: Time) -> bool {
+        self.budget.allows_query(now, true)
+    }
+
+    /// Charges such a query.
+    pub(in crate::gateway) fn charge_load_query(&mut self, routers: u32) {
+        self.budget.charge(QUERY, true, routers);
+    }
+
+    /// Tells whether a keeper may be told of a load, and charges it.
+    pub(in crate::gateway) fn admits_load_note(&mut self, now: Time, routers: u32) -> bool {
+        let allowed = self.budget.allows_query(now, true);
+        if allowed {
+            self.budget.charge(NOTE, true, routers);
+        }
+        allowed
+    }
+
+    /// Makes a number differ between routers that draw alike.
+    pub(in crate::gateway) fn salted(&self, drawn: u64) -> u64 {
+        score(drawn, self.salt)
+    }
+
     /// Gets what the keeper that was asked first advises for a request.
     pub(in crate::gateway) fn advice(&self, owner: Owner) -> place::Advice {
         let claim = self.claims.get(owner);
--- a/crates/core/src/gateway/registry/reports.rs
+++ b/crates/core/src/gateway/registry/reports.rs
@@ -1,6 +1,7 @@
 //! What peers are told of endpoints, and what they report of them.
 
 use crate::{
+    arena::EndpointKey,
     gateway::{
         endpoint::Endpoint,
         mesh::{
@@ -70,6 +71,24 @@
         reports
     }
 
+    /// Gets an endpoint by the tag of its incarnation.
+    pub(in crate::gateway) fn by_tag_mut(&mut self, tag: Tag) -> Option<&mut Endpoint> {
+        let key = self.by_tag.get(&tag)?;
+        self.endpoints.get_mut(*key)
+    }
+
+    /// Applies a keeper's estimate of an endpoint's load.
+    pub(in crate::gateway) fn record_load_estimate(
+        &mut self,
+        now: Time,
+        key: EndpointKey,
+        load: u32,
+    ) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.record_load_estimate(now, load);
+        }
+    }
+
     /// Applies a peer's report of an endpoint. Its confirmation counts only if `timely`: not where
     /// the message may have waited here for long.
     pub fn record_peer_report(&mut self, now: Time, report: EndpointReport, timely: bool) {
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod lives;
 mod mesh;
 mod mirror;
+mod multiple;
 mod origin;
 mod outcome;
 mod part_quarantine;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod gossip;
 mod handoff;
 mod head_timeout;
+mod loads;
 pub mod log;
 pub mod metrics;
 mod peer_follower;
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -48,6 +48,7 @@
 };
 
 use crate::{
+    loads,
     log::text,
     proxied::{
         ProxiedRequest,
@@ -60,18 +61,20 @@
 };
 
 /// Time limit of a query.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(10);
+pub(crate) const QUERY_TIMEOUT: Duration = Duration::from_millis(10);
 /// Time that all inquiries of a request may take: the first keeper is waited for, then the others together. Further
 /// attempts ask only with what is left.
 pub(crate) const MAX_INQUIRY_TIME: Duration = Duration::from_millis(20);
 /// Limit of the queries that wait for their estimates at once; prompts beyond it are placed without.
-const MAX_OPEN_QUERIES: usize = 256;
+pub(crate) const MAX_OPEN_QUERIES: usize = 256;
 
 /// `Queries` is the queries that wait for their estimates, and the socket for them.
 #[derive(Debug, Default)]
 pub(crate) struct Queries {
     socket: OnceCell<Rc<UdpSocket>>,
     open: RefCell<IndexMap<u64, Open>>,
+    /// Queries for loads.
+    pub(crate) loads: RefCell<IndexMap<u64, loads::Open>>,
 }
 
 /// `Open` is a query that waits for its estimate.
@@ -258,7 +261,7 @@
 
 /// Sends a message to a peer; returns whether the socket took it. It is not waited for: what can't be sent at once would
 /// come too late.
-fn send(state: &State, target: SocketAddrV4, message: Message) -> bool {
+pub(crate) fn send(state: &State, target: SocketAddrV4, message: Message) -> bool {
     let (version, secret) = {
         let gateway = state.gateway.borrow();
         let Some(catalog) = gateway.catalog() else {
@@ -333,6 +336,9 @@
     match message {
         Message::Query(query) => answer(state, from, beat, query),
         Message::Estimate(estimate) => receive_estimate(state, from, estimate),
+        Message::LoadQuery(query) => loads::answer(state, from, beat, &query),
+        Message::LoadEstimate(estimate) => loads::receive_estimate(state, from, estimate),
+        Message::LoadNotes(notes) => loads::receive_notes(state, from, beat, notes),
         Message::Notes(notes) => {
             if !state.mesh.borrow().accepts_round(now(), from, beat) {
                 state.metrics.count("prefill_notes", "refused");
--- a/crates/gateway/src/proxied/endpoint.rs
+++ b/crates/gateway/src/proxied/endpoint.rs
@@ -46,6 +46,7 @@
         Received, //
     },
     handoff::PeerConnection,
+    loads,
     log::text,
     pool::open,
     prefill,
@@ -159,6 +160,8 @@
         if let Some(load) = reply.load {
             let mut gateway = self.state.gateway.borrow_mut();
             gateway.record_load(now(), placed.endpoint, load);
+            drop(gateway);
+            loads::send_notes(&self.state);
             self.stated = Some((load.requests(), placed.limit));
             self.slowdown = load.slowdown;
         }
--- a/crates/gateway/src/proxied/mod.rs
+++ b/crates/gateway/src/proxied/mod.rs
@@ -51,7 +51,7 @@
         BodyEnd,
         Received, //
     },
-    handoff,
+    handoff, loads,
     log::text,
     prefill,
     protocol::ReplyHead,
@@ -286,6 +286,7 @@
         loop {
             self.identify();
             let inquiry = prefill::inquire(self).await;
+            loads::inquire(self).await;
             let placed = match self.choose_way()? {
                 Way::Endpoint(placed) => placed,
                 Way::Peer(peer) => match self.hand_off(peer, resume).await {
--- a/crates/replay/src/lab/fleet/prefill.rs
+++ b/crates/replay/src/lab/fleet/prefill.rs
@@ -9,6 +9,7 @@
 };
 
 use toucanturn_core::{
+    arena::EndpointKey,
     gateway::{
         Ticket,
         mesh::{
@@ -16,6 +17,11 @@
             Heartbeat,
             Mesh, //
         },
+        multiple::{
+            LoadEstimate,
+            LoadNote,
+            LoadQuery, //
+        },
         prefill::{
             Estimate,
             Note,
@@ -56,6 +62,23 @@
     Estimate(usize, Estimate),
     /// A note.
     Note(Note),
+    /// A query for an engine's load.
+    LoadQuery(usize, LoadQuery),
+    /// The answer to it.
+    LoadEstimate(usize, LoadEstimate),
+    /// The load that an answer states.
+    LoadNote(LoadNote),
+}
+
+/// `LoadInquiry` is a query for an engine's load that has no estimate yet.
+#[derive(Clone, Debug)]
+struct LoadInquiry {
+    ticket: Ticket,
+    endpoint: EndpointKey,
+    nonce: u64,
+    keeper: usize,
+    /// When it is given up.
+    until: u64,
 }
 
 /// `Open` is a query that has no estimate yet.
@@ -82,6 +105,7 @@
 pub(super) struct Exchange {
     meshes: Vec<Mesh>,
     inquiries: BTreeMap<usize, Inquiry>,
+    load_inquiries: BTreeMap<usize, LoadInquiry>,
 }
 
 impl Exchange {
@@ -98,6 +122,7 @@
         Self {
             meshes,
             inquiries: BTreeMap::new(),
+            load_inquiries: BTreeMap::new(),
         }
     }
 
@@ -111,6 +136,7 @@
     /// Drops the inquiries of the requests that are lost with their routers.
     pub(super) fn lose(&mut self, is_lost: impl Fn(usize) -> bool) {
         self.inquiries.retain(|number, _| !is_lost(*number));
+        self.load_inquiries.retain(|number, _| !is_lost(*number));
     }
 }
 
@@ -147,7 +173,7 @@
         let router = &mut self.routers[request.router];
         let readers = router.prefill_readers(Time(now), &ticket, &request.incoming_request);
         let Some((first, others)) = readers.split_first() else {
-            return self.send(now, number, ticket);
+            return self.inquire_load(now, number, ticket);
         };
         let inquiry = Inquiry {
             ticket,
@@ -159,6 +185,56 @@
         self.query(now, number, inquiry, &[*first], true);
     }
 
+    /// Asks the keeper of the engine that a request would go to for its load, if it may be over; then sends it.
+    fn inquire_load(&mut self, now: u64, number: usize, ticket: Ticket) {
+        let request = &self.requests[number];
+        let who = request.router;
+        let asked = self.routers[who].load_query(Time(now), &ticket, &request.incoming_request);
+        let keeper = asked.and_then(|(_, query)| self.keeper(now, who, query.endpoint));
+        let (Some((endpoint, query)), Some(keeper)) = (asked, keeper) else {
+            return self.send(now, number, ticket);
+        };
+        self.account.queries += 1;
+        self.post(now, who, keeper, Message::LoadQuery(number, query));
+        let inquiry = LoadInquiry {
+            ticket,
+            endpoint,
+            nonce: query.nonce,
+            keeper,
+            until: now + QUERY_LIMIT,
+        };
+        self.later(inquiry.until, Next::Expire(number));
+        self.exchange.load_inquiries.insert(number, inquiry);
+    }
+
+    fn expire_load(&mut self, now: u64, number: usize) {
+        let inquiries = &mut self.exchange.load_inquiries;
+        if inquiries.get(&number).is_none_or(|i| i.until != now) {
+            return;
+        }
+        let Some(inquiry) = inquiries.remove(&number) else {
+            return;
+        };
+        self.account.silent += 1;
+        let mesh = &mut self.exchange.meshes[self.requests[number].router];
+        mesh.record_silent_keeper(Time(now), address(inquiry.keeper));
+        self.send(now, number, inquiry.ticket);
+    }
+
+    fn take_load_estimate(&mut self, now: u64, number: usize, estimate: LoadEstimate) {
+        let inquiries = &mut self.exchange.load_inquiries;
+        let is_open = |i: &LoadInquiry| i.nonce == estimate.nonce;
+        if !inquiries.get(&number).is_some_and(is_open) {
+            return;
+        }
+        let Some(inquiry) = inquiries.remove(&number) else {
+            return;
+        };
+        let router = &mut self.routers[self.requests[number].router];
+        router.record_load_estimate(Time(now), inquiry.endpoint, &estimate);
+        self.send(now, number, inquiry.ticket);
+    }
+
     fn query(
         &mut self,
         now: u64,
@@ -214,6 +290,7 @@
 
     /// Gives up the queries for a request that have no estimate.
     pub(super) fn expire(&mut self, now: u64, number: usize) {
+        self.expire_load(now, number);
         let inquiries = &mut self.exchange.inquiries;
         if inquiries.get(&number).is_none_or(|i| i.until != now) {
             return;
@@ -253,6 +330,15 @@
             }
             Message::Estimate(number, estimate) => self.take_estimate(now, number, estimate),
             Message::Note(note) => self.routers[to].record_prefill_note(Time(now), note),
+            Message::LoadQuery(number, query) => {
+                let known = self.exchange.meshes[to].knows(address(from));
+                let estimate = self.routers[to].answer_load_query(Time(now), &query, known);
+                self.post(now, to, from, Message::LoadEstimate(number, estimate));
+            }
+            Message::LoadEstimate(number, estimate) => {
+                self.take_load_estimate(now, number, estimate);
+            }
+            Message::LoadNote(note) => self.routers[to].record_load_note(Time(now), note),
         }
     }
 
@@ -289,6 +375,12 @@
                     self.routers[who].record_prefill_note(Time(now), note);
                 }
             }
+            for note in self.routers[who].take_load_notes() {
+                if let Some(keeper) = self.keeper(now, who, note.endpoint) {
+                    self.account.notes += 1;
+                    self.post(now, who, keeper, Message::LoadNote(note));
+                }
+            }
         }
     }
 
@@ -307,8 +399,11 @@
             _ => None,
         });
         let way = match message {
-            Message::Query(..) | Message::Note(_) => QUERY_WAY,
-            Message::Estimate(..) => ESTIMATE_WAY,
+            Message::Query(..)
+            | Message::Note(_)
+            | Message::LoadQuery(..)
+            | Message::LoadNote(_) => QUERY_WAY,
+            Message::Estimate(..) | Message::LoadEstimate(..) => ESTIMATE_WAY,
         };
         let at = now + way + late.unwrap_or_default();
         self.later(at, Next::Deliver(from, to, message));
--- a/crates/wire/src/prefill.rs
+++ b/crates/wire/src/prefill.rs
@@ -1,4 +1,5 @@
-//! Messages of the prefill backlog as bytes: queries, estimates and notes.
+//! Messages of the prefill backlog, and of the loads that keepers are asked for, as bytes: queries, estimates and
+//! notes.
 //!
 //! They go in datagrams beside digests, sealed like these. Most are sent for a single prompt and
 //! while it waits, so they have a fixed layout in place of named fields.
@@ -17,10 +18,17 @@
     ensure, //
 };
 use toucanturn_core::{
-    gateway::prefill::{
-        Estimate,
-        Note,
-        Query, //
+    gateway::{
+        multiple::{
+            LoadEstimate,
+            LoadNote,
+            LoadQuery, //
+        },
+        prefill::{
+            Estimate,
+            Note,
+            Query, //
+        },
     },
     ids::Tag,
     units::Millis,
@@ -41,15 +49,23 @@
 const QUERY_BYTES: usize = 20;
 const ESTIMATE_BYTES: usize = 13;
 const NOTE_BYTES: usize = 17;
+const LOAD_QUERY_BYTES: usize = 16;
+const LOAD_ESTIMATE_BYTES: usize = 12;
+const LOAD_NOTE_BYTES: usize = 8;
 /// Second byte, the kind of the message.
 const QUERY: u8 = 1;
 const ESTIMATE: u8 = 2;
 const NOTES: u8 = 3;
+const LOAD_QUERY: u8 = 4;
+const LOAD_ESTIMATE: u8 = 5;
+const LOAD_NOTES: u8 = 6;
 /// First byte of a note.
 const RESERVED: u8 = 1;
 const RELEASED: u8 = 2;
 /// Stands for no wait.
 const NO_WAIT: u32 = u32::MAX;
+/// Stands for no load.
+const NO_LOAD: u32 = u32::MAX;
 
 /// `Datagram` is a message with its sender.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -71,6 +87,12 @@
     Estimate(Estimate),
     /// Prompts were sent, or need not be read any more.
     Notes(Vec<Note>),
+    /// How many requests does an endpoint hold?
+    LoadQuery(LoadQuery),
+    /// So many.
+    LoadEstimate(LoadEstimate),
+    /// Answers state these loads.
+    LoadNotes(Vec<LoadNote>),
 }
 
 /// Tells whether a payload holds a message of this module.
@@ -86,6 +108,9 @@
         Message::Query(_) => QUERY,
         Message::Estimate(_) => ESTIMATE,
         Message::Notes(_) => NOTES,
+        Message::LoadQuery(_) => LOAD_QUERY,
+        Message::LoadEstimate(_) => LOAD_ESTIMATE,
+        Message::LoadNotes(_) => LOAD_NOTES,
     });
     bytes.put_u32(u32::from(*datagram.from.ip()));
     bytes.put_u16(datagram.from.port());
@@ -118,6 +143,22 @@
                 bytes.put_u32(tokens);
             }
         }
+        Message::LoadQuery(query) => {
+            bytes.put_u64(query.nonce);
+            bytes.put_u32(query.endpoint.0);
+            bytes.put_u32(query.limit);
+        }
+        Message::LoadEstimate(estimate) => {
+            bytes.put_u64(estimate.nonce);
+            let load = estimate.load.map(|load| load.min(NO_LOAD - 1));
+            bytes.put_u32(load.unwrap_or(NO_LOAD));
+        }
+        Message::LoadNotes(notes) => {
+            for note in notes.iter().take(MAX_NOTES) {
+                bytes.put_u32(note.endpoint.0);
+                bytes.put_u32(note.load);
+            }
+        }
     }
     bytes
 }
@@ -150,6 +191,15 @@
             let notes: Option<Vec<Note>> = rest.chunks_exact(NOTE_BYTES).map(note).collect();
             notes.map(Message::Notes)
         }
+        (LOAD_QUERY, LOAD_QUERY_BYTES) => Some(Message::LoadQuery(load_query(rest))),
+        (LOAD_ESTIMATE, LOAD_ESTIMATE_BYTES) => Some(Message::LoadEstimate(load_estimate(rest))),
+        (LOAD_NOTES, length)
+            if length.is_multiple_of(LOAD_NOTE_BYTES)
+                && (1..=MAX_NOTES).contains(&(length / LOAD_NOTE_BYTES)) =>
+        {
+            let notes = rest.chunks_exact(LOAD_NOTE_BYTES).map(load_note);
+            Some(Message::LoadNotes(notes.collect()))
+        }
         _ => None,
     };
     Ok(Datagram {
@@ -193,3 +243,25 @@
         _ => None,
     }
 }
+
+fn load_query(mut rest: &[u8]) -> LoadQuery {
+    LoadQuery {
+        nonce: rest.get_u64(),
+        endpoint: Tag(rest.get_u32()),
+        limit: rest.get_u32(),
+    }
+}
+
+fn load_estimate(mut rest: &[u8]) -> LoadEstimate {
+    LoadEstimate {
+        nonce: rest.get_u64(),
+        load: Some(rest.get_u32()).filter(|load| *load != NO_LOAD),
+    }
+}
+
+fn load_note(mut rest: &[u8]) -> LoadNote {
+    LoadNote {
+        endpoint: Tag(rest.get_u32()),
+        load: rest.get_u32(),
+    }
+}
