Take an entry with another address for that of another process

What callers saw: one endpoint less until the router restarts or the entry is removed: another writer's entry states another endpoint's address under its name, that one refuses a request with 421, and the endpoint's own entry that follows is not used any more.

Cause: an endpoint that was reached by a wrong name counts as gone, and an entry of the same service, version and start continued that state whatever its address.

Change: another address is that of another process, as another service or version is: the entry begins without what is known of the one before.

Before: verify_an_endpoint_is_used_again_after_an_entry_with_anothers_address failed (503, not used within 1.5 s). After: it passes, with the 11 other tests of odd entries and all 354 of the core's gateway.

--- a/crates/core/src/gateway/registry/mod.rs
+++ b/crates/core/src/gateway/registry/mod.rs
@@ -146,10 +146,14 @@
             Some(Ordering::Greater) => self.discard(&entry.id, events),
             Some(Ordering::Equal) | None => {}
         }
-        // Another service or software version is that of another process.
+        // Another service, software version or address is that of another process. Requests that reached another endpoint
+        // at the address of another writer's entry say nothing of the endpoint.
         let known = self.by_name.get(&entry.id);
         let known = known.and_then(|k| self.endpoints.get(*k));
-        if known.is_some_and(|e| e.build != Build::of(&entry.service, &entry.build)) {
+        let is_other = |e: &Endpoint| {
+            e.build != Build::of(&entry.service, &entry.build) || e.entry.address != entry.address
+        };
+        if known.is_some_and(is_other) {
             self.discard(&entry.id, events);
         }
         if let Some(key) = self.by_name.get(&entry.id)
