Doubt the versions of the past where a copy removes an entry that was never held

Cause, from the routers' logs: the copy arrived 1.15 s after the last read, under the two and a half read intervals (1.67 s) within which nothing was taken to come and go unseen.

Change: a copy of changes holds the removal of what came and went; one that removes an entry which the router never held, and one that is not of changes, put the router in doubt. Doubt ends with the digest of a peer that has read each change. A time is left for one case only: a full read after the registry has discarded its history.

--- a/crates/core/src/gateway/fleet/mirror.rs
+++ b/crates/core/src/gateway/fleet/mirror.rs
@@ -84,6 +84,11 @@
         self.revision
     }
 
+    /// Tells whether a record exists.
+    pub fn holds(&self, key: &Bytes) -> bool {
+        self.records.contains_key(key)
+    }
+
     /// Applies a read of the registry; returns the records that it changes. A read that is older
     /// than the copy changes nothing, as complete reads may overtake each other.
     pub fn apply(&mut self, delta: Delta) -> Vec<Record> {
--- a/crates/core/src/gateway/origin/history.rs
+++ b/crates/core/src/gateway/origin/history.rs
@@ -28,6 +28,8 @@
     Each,
     /// What is different from the read before.
     Difference,
+    /// What is different, and some that came and went is missing, or may be.
+    Incomplete,
 }
 
 impl Gateway {
@@ -36,15 +38,18 @@
     ///
     /// The time until the answer counts as unread: what has joined and left meanwhile may be in none of its pages.
     pub fn record_history(&mut self, now: Time, revision: Revision, changes: Changes) {
-        let missed = match (changes, self.known_from) {
-            (Changes::Difference, Some(_)) => revision != self.revision,
-            (Changes::Difference, None) => self.unread_since.is_none(),
-            (Changes::Each, _) => false,
-        };
         let last = self.proof.read().unwrap_or(self.started_at);
         let interval = self.bounds.pace().interval;
         let limit = Millis(interval.0 * MAX_UNREAD_HALF_INTERVALS / 2);
-        if missed && now.since(last) > limit {
+        let is_late = now.since(last) > limit;
+        let is_news = revision != self.revision;
+        let missed = match (changes, self.known_from) {
+            (Changes::Each, _) => false,
+            (_, None) => is_late && self.unread_since.is_none(),
+            (Changes::Difference, Some(_)) => is_late && is_news,
+            (Changes::Incomplete, Some(_)) => is_news,
+        };
+        if missed {
             self.unread_since = Some(now);
             self.known_from = None;
         }
--- a/crates/core/tests/gateway/mirror.rs
+++ b/crates/core/tests/gateway/mirror.rs
@@ -142,6 +142,21 @@
     expect_that!(changed, elements_are![eq(&removal(1, 8))]);
 }
 
+/// Guards against a follower that never learns of an endpoint that came and went between two copies: the removal of a
+/// record that it does not hold says so.
+#[gtest]
+fn verify_a_copy_tells_of_a_record_that_came_and_went() {
+    let (mut reader, mut follower) = (Mirror::default(), Mirror::default());
+    reader.apply(full_delta(5, vec![record(1, 2)]));
+    follower.apply_from_peer(reader.since(Revision(0)));
+    reader.apply(partial_delta(8, vec![record(2, 7), removal(2, 8)]));
+    let copy = reader.since(follower.revision());
+    expect_false!(copy.whole);
+    expect_that!(copy.records, elements_are![eq(&removal(2, 8))]);
+    expect_true!(follower.holds(&key(1)));
+    expect_false!(follower.holds(&key(2)));
+}
+
 /// Most steps of the property test below.
 const MAX_STEPS: usize = 40;
 
--- a/crates/core/tests/gateway/origin.rs
+++ b/crates/core/tests/gateway/origin.rs
@@ -384,6 +384,7 @@
         (Changes::Each, 30_000, Some(Revision(9))),
         (Changes::Difference, 1600, Some(Revision(9))),
         (Changes::Difference, 1700, None),
+        (Changes::Incomplete, 100, None),
     ] {
         let gateway = unread(changes, gap);
         expect_that!(gateway.versions_until(Time(1000 + gap)), eq(until));
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -96,10 +96,7 @@
         );
         return;
     }
-    let changes = match source {
-        Source::Registry if !delta.whole => Changes::Each,
-        Source::Registry | Source::Peer => Changes::Difference,
-    };
+    let changes = completeness(state, &delta, source, reader);
     {
         let mut gateway = state.gateway.borrow_mut();
         gateway.record_history(now(), revision, changes);
@@ -127,6 +124,24 @@
     notify_waiters(state);
 }
 
+/// Tells whether a delta has all that has changed. A peer's has no entry that came and went since the state before, but
+/// its removal.
+fn completeness(state: &Shared, delta: &Delta, source: Source, reader: &RegistryReader) -> Changes {
+    let mirror = state.mirror.borrow();
+    let is_unknown = |record: &&Record| record.value.is_none() && !mirror.holds(&record.key);
+    let is_entry =
+        |record: &Record| matches!((reader.change)(record).change, Some(Change::Removed(_)));
+    match (source, delta.whole) {
+        (Source::Registry, false) => Changes::Each,
+        (Source::Registry, true) => Changes::Difference,
+        (Source::Peer, true) => Changes::Incomplete,
+        (Source::Peer, false) if delta.records.iter().filter(is_unknown).any(is_entry) => {
+            Changes::Incomplete
+        }
+        (Source::Peer, false) => Changes::Each,
+    }
+}
+
 /// Wakes the polls of peers that wait for a change.
 fn notify_waiters(state: &Shared) {
     let read = state.gateway.borrow().proof().read().unwrap_or_default();
