--- a/crates/core/src/gateway/fleet/updates/peers.rs
+++ b/crates/core/src/gateway/fleet/updates/peers.rs
@@ -39,7 +39,7 @@
     pub fn digest_contents(&mut self, now: Time, draw: u64) -> DigestContents {
         let crashes = self.crash_records(now, draw);
         let back_offs = self.registry.back_offs(now, draw);
-        let tells_streams = !self.reported.is_empty() || self.lacks_proof(now);
+        let tells_streams = !self.reported.is_empty() || self.reports_streams(now);
         let reports_streams = tells_streams && self.routers as usize > mesh::SMALL_FLEET + 1;
         let streams = if reports_streams {
             mesh::MIXED_DISPLACES
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -161,6 +161,8 @@
     stream_life_until: Time,
     /// Services of which peers state that more than one version serves, and when they last did.
     peers_mixed: IndexMap<Bytes, Time>,
+    /// When peers were last told of streams.
+    streams_reported_at: Option<Time>,
     /// Services whose streams peers are told of.
     reported: Vec<Bytes>,
     /// When the process began, as far as that is known.
@@ -219,6 +221,7 @@
             published_stream_life: Millis(0),
             stream_life_until: Time(0),
             peers_mixed: IndexMap::new(),
+            streams_reported_at: None,
             reported: Vec::new(),
             started_at: Time(0),
             unread_since: None,
--- a/crates/core/src/gateway/origin/reports.rs
+++ b/crates/core/src/gateway/origin/reports.rs
@@ -26,6 +26,8 @@
 const MIN_STREAM_LIFE: Millis = Millis(60_000);
 /// Multiple of the longest time limit of a route that a stream may last, with its caller's tries.
 const STREAM_LIFE_FACTOR: u64 = 2;
+/// Time after a report of streams within which further ones are expected.
+const REPORT_WINDOW: Millis = Millis(1000);
 /// Time after a stream's deadline for which its version is remembered.
 const DEADLINE_MARGIN: Millis = Millis(1000);
 
@@ -69,7 +71,17 @@
 
     /// Takes the reports of streams that peers are still to be told of.
     pub fn take_unsent_streams(&mut self, now: Time) -> Vec<StreamReport> {
-        self.streams.take_unsent(now)
+        let reports = self.streams.take_unsent(now);
+        if !reports.is_empty() {
+            self.streams_reported_at = Some(now);
+        }
+        reports
+    }
+
+    /// Tells whether this router has told peers of streams lately.
+    pub(in crate::gateway) fn reports_streams(&self, now: Time) -> bool {
+        self.streams_reported_at
+            .is_some_and(|at| now.since(at) < REPORT_WINDOW)
     }
 
     /// Tells whether peers are still to be told of streams.
