Log streams that are lost and requests that the end of a stop cuts off

Event 613 names the stream, its last endpoint, how long that one had been silent, what no other endpoint went on for, and whether the router was stopping; event 693 each request that the end of the process cuts off. Both have a bound of their own, so that other lines don't use it up. A phase `Ended` marks the end of the process. No decision is changed.

--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -288,6 +288,7 @@
         sleep(STOP_POLL_INTERVAL).await;
     }
     let cut = state.requests.get() + state.accepted.get();
+    state.phase.send_replace(Phase::Ended);
     tracing::info!(event = 692, cut, "stopped");
     cut
 }
--- a/crates/gateway/src/proxied/mod.rs
+++ b/crates/gateway/src/proxied/mod.rs
@@ -97,6 +97,7 @@
 
 impl Drop for ProxiedRequest {
     fn drop(&mut self) {
+        self.log_cut_off();
         prefill::release(self);
     }
 }
--- a/crates/gateway/src/proxied/report.rs
+++ b/crates/gateway/src/proxied/report.rs
@@ -4,19 +4,27 @@
     arena::EndpointKey,
     gateway::{
         Gateway,
+        outcome::AttemptOutcome,
         place::Placed,
         quarantine::{
             Crash,
             Verdict, //
         },
+        refusal::Cause,
+    },
+    units::{
+        Millis,
+        Time, //
     },
-    units::Time,
 };
 
 use crate::{
     log::text,
     proxied::ProxiedRequest,
-    state::now, //
+    state::{
+        Phase,
+        now, //
+    },
 };
 
 impl ProxiedRequest {
@@ -69,6 +77,61 @@
         );
     }
 
+    /// Logs a stream that has begun and ends without its end; `cause` is why no other endpoint goes on with it, `silent`
+    /// the time since its endpoint last sent something.
+    pub(crate) fn log_stream_lost(
+        &self,
+        outcome: AttemptOutcome,
+        cause: Option<Cause>,
+        (after, silent): (Option<u64>, Millis),
+    ) {
+        self.state
+            .metrics
+            .count("streams_lost", &outcome.to_string());
+        if !self.state.loss_log.try_admit() {
+            return;
+        }
+        let gateway = self.state.gateway.borrow();
+        let endpoint = self.ticket.tried.last();
+        tracing::warn!(
+            event = 613,
+            id = %text(&self.incoming_request.id),
+            route = %text(&self.ticket.route.name),
+            service = %text(&self.ticket.service),
+            endpoint = endpoint.map(|e| endpoint_name(&gateway, *e)),
+            attempts = self.ticket.attempts(),
+            fate = %outcome,
+            cause = cause.map(|c| c.to_string()),
+            after,
+            silent = silent.0,
+            stopping = self.state.phase() >= Phase::Stopping,
+            took = now().since(self.began).0,
+            left = self.ticket.until.since(now()).0,
+            "stream lost"
+        );
+    }
+
+    /// Logs a request that is still open when the process ends.
+    pub(super) fn log_cut_off(&self) {
+        if self.state.phase() < Phase::Ended || !self.state.loss_log.try_admit() {
+            return;
+        }
+        let gateway = self.state.gateway.borrow();
+        let endpoint = self.ticket.tried.last();
+        tracing::warn!(
+            event = 693,
+            id = %text(&self.incoming_request.id),
+            route = %text(&self.ticket.route.name),
+            service = %text(&self.ticket.service),
+            endpoint = endpoint.map(|e| endpoint_name(&gateway, *e)),
+            from_peer = self.ticket.from_peer,
+            events = self.received.map(|r| r.events),
+            took = now().since(self.began).0,
+            left = self.ticket.until.since(now()).0,
+            "request cut off"
+        );
+    }
+
     pub(super) fn log_placed(&self, placed: &Placed, resume: Option<u64>) {
         if !self.state.log.try_admit() {
             return;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -23,12 +23,19 @@
     task::yield_now,
     time::timeout, //
 };
-use toucanturn_core::gateway::{
-    outcome::{
-        AttemptOutcome,
-        NextStep, //
+use toucanturn_core::{
+    gateway::{
+        outcome::{
+            AttemptOutcome,
+            NextStep, //
+        },
+        refusal::Cause,
+        route::Kind,
+    },
+    units::{
+        Millis,
+        Time, //
     },
-    route::Kind,
 };
 
 use crate::{
@@ -45,6 +52,7 @@
         ProxiedRequest, //
     },
     sse::EventSplitter,
+    state::now,
 };
 
 /// Media type of streams of events.
@@ -63,6 +71,8 @@
     resumed: bool,
     /// Whether the endpoint's answer is complete and its last piece has been returned.
     complete: bool,
+    /// When an endpoint last sent something.
+    heard: Time,
 }
 
 /// `Piece` is what [`Relay::next_piece`] returns.
@@ -102,6 +112,7 @@
             event_delivered: false,
             resumed: false,
             complete: false,
+            heard: now(),
         };
         match relay.next_piece().await {
             Piece::Bytes(first) => return relay.respond(head, Some(first)),
@@ -204,6 +215,7 @@
             }
             match frame {
                 Ok(Some(Ok(frame))) => {
+                    self.heard = now();
                     if let Ok(data) = frame.into_data() {
                         self.events.push(&data);
                     }
@@ -289,27 +301,31 @@
         self.proxied.end(attempt.guard, outcome, Some(status))
     }
 
-    /// Resumes the stream at another endpoint after the last event; returns whether that succeeded.
-    async fn resume(&mut self) -> bool {
+    /// Resumes the stream at another endpoint after the last event; returns why that failed.
+    async fn resume(&mut self) -> Result<(), Option<Cause>> {
         let resumable = matches!(
             self.proxied.ticket.route.kind,
             Kind::Stream { resumable: true }
         );
-        let Some(last) = self.last.filter(|_| resumable) else {
-            return false;
-        };
-        let Ok(attempt) = self.proxied.start(Some(last)).await else {
-            return false;
-        };
+        let last = self.last.filter(|_| resumable).ok_or(None)?;
+        let started = self.proxied.start(Some(last)).await;
+        let attempt = started.map_err(|refusal| Some(refusal.cause))?;
         if !attempt.head.status.is_success() {
             let status = attempt.head.status;
             self.proxied
                 .end(attempt.guard, AttemptOutcome::Failed, Some(status));
-            return false;
+            return Err(Some(Cause::EndpointFailed));
         }
         self.attempt = Some(attempt);
         self.resumed = true;
-        true
+        self.heard = now();
+        Ok(())
+    }
+
+    /// Logs that the stream ends without its end.
+    fn log_lost(&self, outcome: AttemptOutcome, silent: Millis, cause: Option<Cause>) {
+        self.proxied
+            .log_stream_lost(outcome, cause, (self.last, silent));
     }
 }
 
@@ -324,7 +340,14 @@
                 return None;
             }
             ended @ (Piece::Broken | Piece::Stalled) => {
-                if relay.end(ended.outcome()) != NextStep::Again || !relay.resume().await {
+                let outcome = ended.outcome();
+                let silent = now().since(relay.heard);
+                let resumed = match relay.end(outcome) {
+                    NextStep::Again => relay.resume().await,
+                    _ => Err(None),
+                };
+                if let Err(cause) = resumed {
+                    relay.log_lost(outcome, silent, cause);
                     // The HTTP library drops its output buffer when a body fails, so it gets to flush the buffer first.
                     yield_now().await;
                     return Some((Err(BodyAborted), None));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -87,6 +87,8 @@
     Stopping,
     /// It closes idle connections.
     Closing,
+    /// It ends; requests that are still open are cut off.
+    Ended,
 }
 
 /// `State` is the state that all tasks share; they run on one thread.
@@ -104,6 +106,8 @@
     pub metrics: Metrics,
     /// Rate limit of the decision log.
     pub log: LogLimiter,
+    /// Rate limit of the log of lost answers, which other lines must not use up.
+    pub loss_log: LogLimiter,
     /// Known state of the other routers.
     pub mesh: RefCell<Mesh>,
     /// Local copy of the registry.
@@ -163,6 +167,7 @@
             protocol,
             metrics: Metrics::default(),
             log: LogLimiter::default(),
+            loss_log: LogLimiter::default(),
             mesh: RefCell::new(mesh),
             mirror: RefCell::default(),
             changes: watch::Sender::new(RegistryState::default()),
