--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -288,7 +288,7 @@
         sleep(STOP_POLL_INTERVAL).await;
     }
     let cut = state.requests.get() + state.accepted.get();
-    state.phase.send_replace(Phase::Ended);
+    state.ended.set(true);
     tracing::info!(event = 692, cut, "stopped");
     cut
 }
--- a/crates/gateway/src/proxied/report.rs
+++ b/crates/gateway/src/proxied/report.rs
@@ -85,9 +85,8 @@
         cause: Option<Cause>,
         (after, silent): (Option<u64>, Millis),
     ) {
-        self.state
-            .metrics
-            .count("streams_lost", &outcome.to_string());
+        let metrics = &self.state.metrics;
+        metrics.count("streams_lost", &outcome.to_string());
         if !self.state.loss_log.try_admit() {
             return;
         }
@@ -113,7 +112,7 @@
 
     /// Logs a request that is still open when the process ends.
     pub(super) fn log_cut_off(&self) {
-        if self.state.phase() < Phase::Ended || !self.state.loss_log.try_admit() {
+        if !self.state.ended.get() || !self.state.loss_log.try_admit() {
             return;
         }
         let gateway = self.state.gateway.borrow();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -137,11 +137,11 @@
     let mut phase = state.phase.subscribe();
     state.connections.set(state.connections.get() + 1);
     // A connection accepted in this phase has a request on its way: a shutdown now would race with it.
-    let mut closing = state.phase() >= Phase::Closing;
+    let mut closing = state.phase() == Phase::Closing;
     let ended = loop {
         tokio::select! {
             ended = connection.as_mut() => break ended,
-            _ = phase.wait_for(|p| *p >= Phase::Closing), if !closing => {
+            _ = phase.wait_for(|p| *p == Phase::Closing), if !closing => {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -87,8 +87,6 @@
     Stopping,
     /// It closes idle connections.
     Closing,
-    /// It ends; requests that are still open are cut off.
-    Ended,
 }
 
 /// `State` is the state that all tasks share; they run on one thread.
@@ -140,6 +138,8 @@
     secrets: RefCell<VecDeque<(u64, Secret)>>,
     /// Phase of the process.
     pub phase: watch::Sender<Phase>,
+    /// Whether the process ends: requests that are still open are cut off.
+    pub(crate) ended: Cell<bool>,
     /// Number of open connections of callers.
     pub connections: Cell<usize>,
     /// Number of requests whose answer has not ended.
@@ -184,6 +184,7 @@
             first_read_until: Cell::new(now() + FIRST_READ_TIMEOUT),
             secrets: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
+            ended: Cell::new(false),
             connections: Cell::new(0),
             requests: Rc::default(),
             accepted: Rc::default(),
