Secure another attempt before a silent endpoint is given up

What callers saw: a stream whose endpoint paused for longer than the limit of silence ended as a closed connection, an answer that its endpoint would have given was refused, in calm and more often in a stop, when peers that could help refuse.

Cause: what works is destroyed before its successor is secured. `silence_timeout` asked whether some other endpoint might take the request; the connection to the endpoint was closed, which ends its work; only then came waiting, the stream's version, limits, placement, connection, hand-off and the other's own answer, each of which may say no.

Change: the attempt stays open while a successor with a ticket of its own is started beside it (proxied/succession.rs, core attempt/succession.rs). It takes over when it has begun to answer, or if it has not failed 250 ms after it was sent, as no stream may run twice for 400 ms; what may be repeated and is no stream goes on at both until one answers. If the endpoint goes on, the successor is withdrawn; if the successor can't be sent or fails, the endpoint is waited for. What a successor has used up (attempts, retry budget, peers) counts. A stream that has paused before is waited for twice as long as its longest pause. A resumption whose endpoint answers with an error of its own goes on at another one while attempts are left.

--- a/crates/core/src/gateway/attempt/mod.rs
+++ b/crates/core/src/gateway/attempt/mod.rs
@@ -10,6 +10,7 @@
 //! - [`outcome`]: how an attempt ended.
 //! - `end`: what that shows.
 //! - `retry`: whether another attempt follows.
+//! - `succession`: another attempt beside one whose endpoint keeps silent.
 
 mod end;
 pub mod outcome;
@@ -17,6 +18,7 @@
 mod retry;
 mod screening;
 mod sending;
+mod succession;
 mod ticket;
 
 pub use ticket::Ticket;
--- a/crates/core/src/gateway/attempt/retry.rs
+++ b/crates/core/src/gateway/attempt/retry.rs
@@ -87,7 +87,7 @@
     /// Charges a retry to the budget if one is allowed. The charge counts from now, since other
     /// requests may be allowed a retry before this one is sent. A retry that could not be sent
     /// keeps its charge for the next try.
-    fn reserve_retry(&mut self, now: Time, ticket: &mut Ticket) -> bool {
+    pub(super) fn reserve_retry(&mut self, now: Time, ticket: &mut Ticket) -> bool {
         if !ticket.retry_reserved && self.may_retry(now, &ticket.service) {
             let window = self.bounds.retry.window;
             self.budget(&ticket.service).record_retry(now, window);
--- a/crates/gateway/src/proxied/endpoint.rs
+++ b/crates/gateway/src/proxied/endpoint.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::FutureExt as _;
 use http::{
+    HeaderMap,
     Request,
     Response,
     StatusCode,
@@ -26,7 +28,8 @@
             AttemptOutcome,
             NextStep, //
         },
-        place::Placed, //
+        place::Placed,
+        refusal::Refusal,
     },
 };
 
@@ -55,11 +58,12 @@
         ReplyHead, //
     },
     proxied::{
-        Attempt,
-        AttemptGuard,
-        ProxiedRequest,
-        Target,
-        report::endpoint_name, //
+        Attempt, AttemptGuard, ProxiedRequest, Target,
+        report::endpoint_name,
+        succession::{
+            Present,
+            Succession, //
+        },
     },
     state::now,
 };
@@ -68,6 +72,47 @@
 /// reuse if the body is complete by then.
 const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// `SendFailure` is why a request that was sent to an endpoint has no answer of it.
+pub(super) enum SendFailure {
+    /// The attempt has ended.
+    Ended(AttemptGuard, AttemptOutcome, Option<StatusCode>),
+    /// It was given up for another one, which failed.
+    Refused(Refusal),
+}
+
+/// The connection that a request was sent on, and the outcome of sending it.
+type HeadExchange = (Connection, SendOutcome);
+
+/// `Head` is the head of an answer.
+enum Head {
+    /// The endpoint's.
+    Arrived(Response<Incoming>, Connection, AttemptGuard),
+    /// That of another attempt, which has taken over.
+    Replaced(Attempt),
+}
+
+async fn exchange_head(mut connection: Connection, request: Request<Full<Bytes>>) -> HeadExchange {
+    let outcome = connection.send(request).await;
+    (connection, outcome)
+}
+
+/// Returns how an attempt ended, if what came of its endpoint is a failure or a rejection.
+fn failure_of(outcome: &SendOutcome, reply: fn(&HeaderMap) -> ReplyHead) -> Option<AttemptOutcome> {
+    let response = match outcome {
+        SendOutcome::Head(response) => response,
+        SendOutcome::Unsent => return Some(AttemptOutcome::NotSent),
+        SendOutcome::ConnectionLost(_) => return Some(AttemptOutcome::Broken),
+    };
+    let status = response.status();
+    if reply(response.headers()).rejected {
+        Some(AttemptOutcome::Rejected)
+    } else if status == StatusCode::MISDIRECTED_REQUEST {
+        Some(AttemptOutcome::Misdirected)
+    } else {
+        status.is_server_error().then_some(AttemptOutcome::Failed)
+    }
+}
+
 impl ProxiedRequest {
     pub(super) fn may_send(&self, placed: &Placed) -> bool {
         let gateway = self.state.gateway.borrow();
@@ -112,9 +157,9 @@
     pub(super) async fn send(
         &mut self,
         placed: &Placed,
-        mut connection: Connection,
+        connection: Connection,
         resume: Option<u64>,
-    ) -> Result<Attempt, (AttemptGuard, AttemptOutcome, Option<StatusCode>)> {
+    ) -> Result<Attempt, SendFailure> {
         if placed.cold {
             self.state.metrics.count("attempts", "cold");
         }
@@ -133,20 +178,66 @@
             let (metrics, length) = (&self.state.metrics, prompt.length().to_string());
             metrics.count("passed_waits", &length);
         }
-        let sent = timeout(
-            self.silence_timeout(&guard, false),
-            connection.send(request),
-        )
-        .await;
-        let response = match sent {
-            Ok(SendOutcome::Head(response)) => response,
-            Ok(SendOutcome::Unsent) => return Err((guard, AttemptOutcome::NotSent, None)),
-            Ok(SendOutcome::ConnectionLost(error)) => {
-                tracing::debug!(id = %text(&self.incoming_request.id), %error, "connection broke before the answer's head");
-                return Err((guard, AttemptOutcome::Broken, None));
+        let progress = exchange_head(connection, request).boxed_local();
+        let sent = Present {
+            progress,
+            guard,
+            status: None,
+        };
+        match self.await_head(sent, resume).await? {
+            Head::Arrived(response, connection, guard) => {
+                self.accept_head(placed, response, (connection, guard))
+                    .await
+            }
+            Head::Replaced(attempt) => Ok(attempt),
+        }
+    }
+
+    /// Waits for the head of the answer. While the endpoint keeps silent, another one may take over.
+    async fn await_head(
+        &mut self,
+        mut sent: Present<HeadExchange>,
+        resume: Option<u64>,
+    ) -> Result<Head, SendFailure> {
+        let ((connection, outcome), guard) = loop {
+            let limit = self.silence_timeout(&sent.guard, false);
+            if let Ok(exchanged) = timeout(limit, &mut sent.progress).await {
+                break (exchanged, sent.guard);
+            }
+            if self.time_left() == Duration::ZERO {
+                drop(sent.progress);
+                return Err(SendFailure::Ended(
+                    sent.guard,
+                    AttemptOutcome::Stalled,
+                    None,
+                ));
+            }
+            let reply = self.state.protocol.reply;
+            let failure = |(_, outcome): &HeadExchange| failure_of(outcome, reply);
+            match self.succeed(sent, resume, failure).await {
+                Succession::Heard(exchanged, guard) => break (exchanged, guard),
+                Succession::Kept(present) => sent = present,
+                Succession::Replaced(attempt) => return Ok(Head::Replaced(attempt)),
+                Succession::Failed(refusal) => return Err(SendFailure::Refused(refusal)),
             }
-            Err(_) => return Err((guard, AttemptOutcome::Stalled, None)),
         };
+        match outcome {
+            SendOutcome::Head(response) => Ok(Head::Arrived(response, connection, guard)),
+            SendOutcome::Unsent => Err(SendFailure::Ended(guard, AttemptOutcome::NotSent, None)),
+            SendOutcome::ConnectionLost(error) => {
+                tracing::debug!(id = %text(&self.incoming_request.id), %error, "connection broke before the answer's head");
+                Err(SendFailure::Ended(guard, AttemptOutcome::Broken, None))
+            }
+        }
+    }
+
+    /// Judges the head of an endpoint's answer.
+    async fn accept_head(
+        &mut self,
+        placed: &Placed,
+        response: Response<Incoming>,
+        (connection, guard): (Connection, AttemptGuard),
+    ) -> Result<Attempt, SendFailure> {
         {
             let mut gateway = self.state.gateway.borrow_mut();
             gateway.heard(now(), placed.endpoint, connection.opened);
@@ -166,7 +257,7 @@
             self.slowdown = load.slowdown;
         }
         if reply.id.as_ref() != Some(&self.incoming_request.id) {
-            return Err((guard, AttemptOutcome::Broken, status));
+            return Err(SendFailure::Ended(guard, AttemptOutcome::Broken, status));
         }
         // With the signature field alone it is an answer of an endpoint that ran the request.
         let misdirected =
@@ -182,11 +273,11 @@
             } else {
                 AttemptOutcome::Rejected
             };
-            return Err((guard, outcome, status));
+            return Err(SendFailure::Ended(guard, outcome, status));
         }
         // An answer without the signature field did not come from the endpoint, or is incomplete.
         if !reply.sealed || reply.encoded {
-            return Err((guard, AttemptOutcome::Broken, status));
+            return Err(SendFailure::Ended(guard, AttemptOutcome::Broken, status));
         }
         // A leaving endpoint closes its connection with each answer and few others do, so an answer that
         // keeps the connection open confirms that the endpoint is not leaving.
--- a/crates/gateway/src/proxied/mod.rs
+++ b/crates/gateway/src/proxied/mod.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddrV4,
+    rc::Rc,
     time::Duration, //
 };
 
@@ -66,11 +67,14 @@
 mod peer;
 mod probe;
 pub(crate) mod report;
+pub(crate) mod succession;
 
+use endpoint::SendFailure;
 use report::{
     endpoint_build,
     endpoint_name, //
 };
+use succession::Dispatch;
 
 /// `ProxiedRequest` is an admitted request that is being forwarded to endpoints.
 #[derive(Debug)]
@@ -93,6 +97,8 @@
     pub(crate) received: Option<Received>,
     /// Time that is left for asking keepers of prefill backlogs.
     pub(crate) inquiry_left: Duration,
+    /// Whether an attempt is under way.
+    dispatch: Rc<Dispatch>,
 }
 
 impl Drop for ProxiedRequest {
@@ -148,6 +154,7 @@
             }
         }
         drop(gateway);
+        proxied.dispatch.begin(&target);
         prefill::send_notes(&proxied.state);
         Self {
             state: proxied.state.clone(),
@@ -167,6 +174,7 @@
     /// Records how the attempt ended; returns what follows.
     pub(crate) fn end(mut self, proxied: &mut ProxiedRequest, outcome: AttemptOutcome) -> NextStep {
         self.active = false;
+        proxied.dispatch.end();
         let mut gateway = proxied.state.gateway.borrow_mut();
         let ticket = &mut proxied.ticket;
         let next = match &self.target {
@@ -226,6 +234,7 @@
             first: None,
             received: None,
             inquiry_left: prefill::MAX_INQUIRY_TIME,
+            dispatch: Rc::default(),
         }
     }
 
@@ -310,7 +319,8 @@
             }
             let (guard, outcome, status) = match self.send(&placed, connection, resume).await {
                 Ok(attempt) => return Ok(attempt),
-                Err(ended) => ended,
+                Err(SendFailure::Ended(guard, outcome, status)) => (guard, outcome, status),
+                Err(SendFailure::Refused(refusal)) => return Err(refusal),
             };
             if self.end(guard, outcome, status) != NextStep::Again {
                 return Err(self.given_up(outcome.cause()));
--- /dev/null
+++ b/crates/gateway/src/proxied/succession.rs
@@ -0,0 +1,296 @@
+//! When an attempt may be given up because its endpoint keeps silent, and what has to be held before.
+//!
+//! An endpoint that pauses is not told from one that hangs. So the attempt stays open until another one has begun to
+//! answer: until then each step of the successor (limits, placement, connection, hand-off, its answer) may fail, and
+//! the endpoint may go on after all. A stream may run twice for [`MAX_OVERLAP`] at most; a successor that has not failed
+//! by then takes over. Of other requests, which may run more than once, both attempts go on until one answers.
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::Duration, //
+};
+
+use futures_util::future::{
+    FutureExt as _,
+    LocalBoxFuture, //
+};
+use http::StatusCode;
+use tokio::{
+    sync::Notify,
+    time::{
+        Instant,
+        sleep_until, //
+    },
+};
+use toucanturn_core::gateway::{
+    outcome::AttemptOutcome,
+    refusal::{
+        Cause,
+        Refusal, //
+    },
+};
+
+use crate::{
+    framing::BodyEnd,
+    log::text,
+    prefill,
+    proxied::{
+        Attempt,
+        AttemptGuard,
+        ProxiedRequest,
+        Target,
+        report::endpoint_name, //
+    },
+    state::now,
+};
+
+/// Longest time for which two endpoints may run one stream, from sending it to the second one. 400 ms are allowed; the
+/// rest is for the way to the endpoint and for a router that waits for its share of a processor.
+const MAX_OVERLAP: Duration = Duration::from_millis(250);
+
+/// `Present` is an attempt whose endpoint keeps silent. `progress` completes when the endpoint sends something, and
+/// owns the connection.
+pub(crate) struct Present<T> {
+    pub(crate) progress: LocalBoxFuture<'static, T>,
+    pub(crate) guard: AttemptGuard,
+    /// Status of its answer, if the head has arrived.
+    pub(crate) status: Option<StatusCode>,
+}
+
+/// `Succession` is how the search for a successor ended.
+pub(crate) enum Succession<T> {
+    /// The endpoint has sent something; its attempt goes on.
+    Heard(T, AttemptGuard),
+    /// No other endpoint has taken over; the attempt goes on.
+    Kept(Present<T>),
+    /// Another attempt has begun to answer, and the silent one was ended. The request's state is that of the new one.
+    Replaced(Attempt),
+    /// The silent attempt was ended, and its successor failed.
+    Failed(Refusal),
+}
+
+/// `Dispatch` tells whether an attempt is under way.
+#[derive(Debug, Default)]
+pub(super) struct Dispatch {
+    sent: Cell<Option<Instant>>,
+    to_peer: Cell<bool>,
+    changed: Notify,
+}
+
+impl Dispatch {
+    /// Records that an attempt is sent.
+    pub(super) fn begin(&self, target: &Target) {
+        self.sent.set(Some(Instant::now()));
+        self.to_peer.set(matches!(target, Target::Peer { .. }));
+        self.changed.notify_one();
+    }
+
+    /// Records that the attempt has ended.
+    pub(super) fn end(&self) {
+        self.sent.set(None);
+        self.to_peer.set(false);
+        self.changed.notify_one();
+    }
+
+    /// Waits until an attempt has been under way for [`MAX_OVERLAP`].
+    async fn overlapped(&self) {
+        loop {
+            let Some(sent) = self.sent.get() else {
+                self.changed.notified().await;
+                continue;
+            };
+            tokio::select! {
+                () = sleep_until(sent + MAX_OVERLAP) => return,
+                () = self.changed.notified() => {}
+            }
+        }
+    }
+}
+
+/// `First` is what happens first while a successor is under way.
+enum First<T> {
+    Heard(T),
+    Started(Result<Attempt, Refusal>),
+    Overlapped,
+}
+
+/// `Takeover` is what became of a successor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+enum Takeover {
+    /// The present attempt went on, and it was withdrawn.
+    Withdrawn,
+    /// It could not be sent, or failed, and the present attempt goes on.
+    Refused,
+    /// It has begun to answer.
+    Begun,
+    /// It has taken over before it has begun to answer, after [`MAX_OVERLAP`].
+    Overlapped,
+    /// The present attempt has failed meanwhile.
+    Inherited,
+}
+
+impl ProxiedRequest {
+    /// Looks for another endpoint while that of the present attempt keeps silent. `failure` tells how the present
+    /// attempt ended if what its endpoint has sent is a failure.
+    pub(crate) async fn succeed<T>(
+        &mut self,
+        present: Present<T>,
+        resume: Option<u64>,
+        failure: impl Fn(&T) -> Option<AttemptOutcome>,
+    ) -> Succession<T> {
+        let Some(mut successor) = self.begin_successor() else {
+            return Succession::Kept(present);
+        };
+        let Present {
+            mut progress,
+            guard,
+            status,
+        } = present;
+        let dispatch = Rc::clone(&successor.dispatch);
+        // Boxed, as the successor may need a successor itself.
+        let mut start = successor.start(resume).boxed_local();
+        let is_stream = self.ticket.route.kind.streams();
+        let first = tokio::select! {
+            biased;
+            heard = &mut progress => First::Heard(heard),
+            started = &mut start => First::Started(started),
+            () = dispatch.overlapped(), if is_stream => First::Overlapped,
+        };
+        let (takeover, outcome) = match first {
+            First::Heard(heard) => match failure(&heard) {
+                None => {
+                    let in_peer = dispatch.to_peer.get();
+                    drop(start);
+                    self.withdraw(&guard, (successor, in_peer), Takeover::Withdrawn, None);
+                    return Succession::Heard(heard, guard);
+                }
+                Some(outcome) => (Takeover::Inherited, outcome),
+            },
+            First::Started(started) => {
+                drop(start);
+                return match successor.judge_start(started, resume) {
+                    Ok(attempt) => {
+                        drop(progress);
+                        let silent = (guard, AttemptOutcome::Stalled, status);
+                        self.take_over(silent, Takeover::Begun);
+                        *self = successor;
+                        Succession::Replaced(attempt)
+                    }
+                    Err(cause) => {
+                        self.withdraw(&guard, (successor, false), Takeover::Refused, Some(cause));
+                        Succession::Kept(Present {
+                            progress,
+                            guard,
+                            status,
+                        })
+                    }
+                };
+            }
+            First::Overlapped => (Takeover::Overlapped, AttemptOutcome::Stalled),
+        };
+        drop(progress);
+        self.take_over((guard, outcome, status), takeover);
+        let started = start.await;
+        *self = successor;
+        match started {
+            Ok(attempt) => Succession::Replaced(attempt),
+            Err(refusal) => Succession::Failed(refusal),
+        }
+    }
+
+    /// Makes the state of a successor; `None` if no other attempt may follow.
+    fn begin_successor(&mut self) -> Option<Self> {
+        let mut gateway = self.state.gateway.borrow_mut();
+        let ticket = gateway.begin_successor(now(), &mut self.ticket)?;
+        drop(gateway);
+        Some(Self {
+            state: self.state.clone(),
+            incoming_request: self.incoming_request.clone(),
+            ticket,
+            method: self.method.clone(),
+            uri: self.uri.clone(),
+            headers: self.headers.clone(),
+            body: self.body.clone(),
+            began: self.began,
+            stated: None,
+            slowdown: None,
+            first: None,
+            received: None,
+            inquiry_left: prefill::MAX_INQUIRY_TIME,
+            dispatch: Rc::default(),
+        })
+    }
+
+    /// Returns the attempt of a successor that has begun to answer; otherwise ends it, and returns why it can't take
+    /// over.
+    fn judge_start(
+        &mut self,
+        started: Result<Attempt, Refusal>,
+        resume: Option<u64>,
+    ) -> Result<Attempt, Cause> {
+        let attempt = started.map_err(|refusal| refusal.cause)?;
+        let status = attempt.head.status;
+        let suits = match resume {
+            Some(_) => status.is_success(),
+            None => !status.is_server_error(),
+        };
+        if suits {
+            return Ok(attempt);
+        }
+        drop(attempt.connection);
+        self.end(attempt.guard, AttemptOutcome::Failed, Some(status));
+        Err(Cause::EndpointFailed)
+    }
+
+    /// Ends the silent attempt, whose connection is closed.
+    fn take_over(
+        &mut self,
+        (guard, outcome, status): (AttemptGuard, AttemptOutcome, Option<StatusCode>),
+        takeover: Takeover,
+    ) {
+        if outcome == AttemptOutcome::Stalled {
+            self.record_end(Some(BodyEnd::Silent));
+        }
+        self.log_succession(&guard, takeover, None);
+        self.end(guard, outcome, status);
+    }
+
+    /// Lets the present attempt go on; what its successor has used up counts for the request.
+    fn withdraw(
+        &mut self,
+        guard: &AttemptGuard,
+        (successor, in_peer): (Self, bool),
+        takeover: Takeover,
+        cause: Option<Cause>,
+    ) {
+        let mut gateway = self.state.gateway.borrow_mut();
+        gateway.withdraw_successor(&mut self.ticket, &successor.ticket, in_peer);
+        drop(gateway);
+        self.log_succession(guard, takeover, cause);
+    }
+
+    fn log_succession(&self, guard: &AttemptGuard, takeover: Takeover, cause: Option<Cause>) {
+        let metrics = &self.state.metrics;
+        metrics.count("successors", &takeover.to_string());
+        let Target::Endpoint(endpoint) = guard.target else {
+            return;
+        };
+        if !self.state.log.try_admit() {
+            return;
+        }
+        let gateway = self.state.gateway.borrow();
+        tracing::info!(
+            event = 614,
+            id = %text(&self.incoming_request.id),
+            endpoint = %endpoint_name(&gateway, endpoint),
+            %takeover,
+            cause = cause.map(|c| c.to_string()),
+            attempts = self.ticket.attempts(),
+            took = now().since(self.began).0,
+            left = self.ticket.until.since(now()).0,
+            "successor of a silent attempt"
+        );
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,12 +1,18 @@
 //! Streamed answers: events are forwarded as they arrive, and when an endpoint's stream fails, another
 //! endpoint resumes it.
+//!
+//! A stream that has failed is resumed after its end ([`Relay::resume`]). One whose endpoint keeps silent may still go
+//! on: it is ended only when another one has taken over ([`crate::proxied::succession`]), or at its deadline.
 
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::stream::{
-    StreamExt as _,
-    unfold, //
+use futures_util::{
+    future::FutureExt as _,
+    stream::{
+        StreamExt as _,
+        unfold, //
+    },
 };
 use http::{
     Response,
@@ -18,7 +24,10 @@
     Full,
     StreamBody, //
 };
-use hyper::body::Frame;
+use hyper::body::{
+    Frame,
+    Incoming, //
+};
 use tokio::{
     task::yield_now,
     time::timeout, //
@@ -29,7 +38,10 @@
             AttemptOutcome,
             NextStep, //
         },
-        refusal::Cause,
+        refusal::{
+            Cause,
+            Refusal, //
+        },
         route::Kind,
     },
     units::{
@@ -39,6 +51,7 @@
 };
 
 use crate::{
+    client::Connection,
     exchange::{
         Body,
         BodyAborted, //
@@ -47,14 +60,23 @@
         BodyEnd,
         Framing, //
     },
+    protocol::ReplyHead,
     proxied::{
-        Attempt,
-        ProxiedRequest, //
+        Attempt, AttemptGuard, ProxiedRequest,
+        succession::{
+            Present,
+            Succession, //
+        },
     },
     sse::EventSplitter,
-    state::now,
+    state::{
+        duration,
+        now, //
+    },
 };
 
+/// Multiple of a stream's longest pause so far for which its endpoint may keep silent.
+const PAUSE_MULTIPLE: u64 = 2;
 /// Media type of streams of events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -62,6 +84,10 @@
 struct Relay {
     proxied: ProxiedRequest,
     attempt: Option<Attempt>,
+    /// Head of the answer that is delivered.
+    head: http::response::Parts,
+    /// Last event that the caller has received from another router.
+    received_before: Option<u64>,
     events: EventSplitter,
     /// Id of the last event that the caller has received.
     last: Option<u64>,
@@ -73,6 +99,8 @@
     complete: bool,
     /// When an endpoint last sent something.
     heard: Time,
+    /// Longest pause after an event.
+    longest_pause: Millis,
 }
 
 /// `Piece` is what [`Relay::next_piece`] returns.
@@ -83,8 +111,26 @@
     End,
     /// The connection broke, or the answer ended although its last event is incomplete.
     Broken,
-    /// The endpoint sent nothing for too long, or an event that exceeds the length limit.
+    /// The endpoint sent nothing until the deadline, or an event that exceeds the length limit.
     Stalled,
+    /// Another attempt has taken over, whose answer is an error.
+    NoStream(Box<Attempt>),
+    /// The endpoint was given up for another attempt, which failed.
+    Refused(Refusal),
+}
+
+/// What an endpoint sends next; `None` at the end of its answer.
+type NextFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
+/// What an endpoint that has kept silent sends next, and the rest of its attempt.
+type Next = (
+    NextFrame,
+    (http::response::Parts, ReplyHead, Incoming, Connection),
+);
+
+/// Returns how an attempt ended, if its answer broke off.
+fn failure_of((frame, _): &Next) -> Option<AttemptOutcome> {
+    matches!(frame, Some(Err(_))).then_some(AttemptOutcome::Broken)
 }
 
 /// Answers a request with a stream.
@@ -103,23 +149,27 @@
         if !attempt.head.status.is_success() {
             return failure(proxied, attempt, resume).await;
         }
-        let head = attempt.head.clone();
         let mut relay = Relay {
             proxied,
+            head: attempt.head.clone(),
             attempt: Some(attempt),
+            received_before: resume,
             events: EventSplitter::default(),
             last,
             event_delivered: false,
             resumed: false,
             complete: false,
             heard: now(),
+            longest_pause: Millis(0),
         };
         match relay.next_piece().await {
-            Piece::Bytes(first) => return relay.respond(head, Some(first)),
+            Piece::Bytes(first) => return relay.respond(Some(first)),
             Piece::End => {
                 relay.finish();
-                return relay.respond(head, None);
+                return relay.respond(None);
             }
+            Piece::NoStream(attempt) => return failure(relay.proxied, *attempt, resume).await,
+            Piece::Refused(refusal) => return relay.proxied.refuse(refusal),
             ended @ (Piece::Broken | Piece::Stalled) => {
                 let outcome = ended.outcome();
                 let next = relay.end(outcome);
@@ -137,7 +187,8 @@
     /// Returns the outcome of an attempt whose stream failed with this piece.
     fn outcome(&self) -> AttemptOutcome {
         match self {
-            Piece::Stalled => AttemptOutcome::Stalled,
+            Piece::Stalled | Piece::Refused(_) => AttemptOutcome::Stalled,
+            Piece::NoStream(_) => AttemptOutcome::Failed,
             _ => AttemptOutcome::Broken,
         }
     }
@@ -158,7 +209,8 @@
 
 impl Relay {
     /// Builds the caller's answer, whose body forwards this stream.
-    fn respond(self, mut head: http::response::Parts, first: Option<Bytes>) -> Response<Body> {
+    fn respond(self, first: Option<Bytes>) -> Response<Body> {
+        let mut head = self.head.clone();
         // Another endpoint may resume the stream, and the first one's length does not include its part.
         head.headers.remove(header::CONTENT_LENGTH);
         let complete = self.attempt.is_none();
@@ -192,44 +244,142 @@
                     return Piece::Bytes(event.bytes);
                 }
             }
-            let Some(attempt) = self.attempt.as_mut().filter(|_| !self.complete) else {
+            let open = self.attempt.as_ref().filter(|_| !self.complete);
+            let Some(patience) = open.map(|attempt| self.patience(&attempt.guard)) else {
                 return Piece::End;
             };
-            let left = self
-                .proxied
-                .silence_timeout(&attempt.guard, self.event_delivered);
             if self.events.is_overlong() {
                 self.record_end(Some(BodyEnd::Overlong));
                 return Piece::Stalled;
             }
-            if left == Duration::ZERO {
-                self.record_end(Some(BodyEnd::Silent));
-                return Piece::Stalled;
-            }
-            let frame = timeout(left, attempt.body.frame()).await;
-            match &frame {
-                Ok(None) => self.record_end(None),
-                Ok(Some(Err(_))) => self.record_end(Some(BodyEnd::Lost)),
-                Err(_) => self.record_end(Some(BodyEnd::Silent)),
-                Ok(Some(Ok(_))) => {}
-            }
+            let Some(attempt) = &mut self.attempt else {
+                return Piece::End;
+            };
+            let frame = match timeout(patience, attempt.body.frame()).await {
+                Ok(frame) => frame,
+                Err(_) => match self.await_next().await {
+                    Ok(Some(frame)) => frame,
+                    Ok(None) => continue,
+                    Err(piece) => return piece,
+                },
+            };
+            self.note_heard();
             match frame {
-                Ok(Some(Ok(frame))) => {
-                    self.heard = now();
+                Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.events.push(&data);
                     }
                 }
-                Ok(None) => return self.judge_end(),
-                Ok(Some(Err(error))) => {
+                None => {
+                    self.record_end(None);
+                    return self.judge_end();
+                }
+                Some(Err(error)) => {
+                    self.record_end(Some(BodyEnd::Lost));
                     tracing::debug!(%error, "stream ended early");
                     return Piece::Broken;
                 }
-                Err(_) => return Piece::Stalled,
             }
         }
     }
 
+    /// Returns how long the endpoint may send nothing.
+    fn patience(&self, guard: &AttemptGuard) -> Duration {
+        let limit = self.proxied.silence_timeout(guard, self.event_delivered);
+        let usual = duration(Millis(self.longest_pause.0 * PAUSE_MULTIPLE));
+        limit.max(usual).min(self.proxied.time_left())
+    }
+
+    fn note_heard(&mut self) {
+        if self.event_delivered {
+            self.longest_pause = self.longest_pause.max(now().since(self.heard));
+        }
+        self.heard = now();
+    }
+
+    /// Waits on for an endpoint that keeps silent, while another one may take over. Returns what it sends, nothing if
+    /// another one has taken over, or how the stream failed.
+    async fn await_next(&mut self) -> Result<Option<NextFrame>, Piece> {
+        let Some(attempt) = self.attempt.take() else {
+            return Ok(None);
+        };
+        let status = Some(attempt.head.status);
+        self.record_partial();
+        let Attempt {
+            head,
+            reply,
+            mut body,
+            connection,
+            guard,
+        } = attempt;
+        let progress = async move {
+            let frame = body.frame().await;
+            (frame, (head, reply, body, connection))
+        };
+        let mut present = Present {
+            progress: progress.boxed_local(),
+            guard,
+            status,
+        };
+        // After an event without an ID no other endpoint can go on.
+        let resumable = !self.event_delivered || self.last.is_some();
+        let resume = match self.event_delivered {
+            true => self.last,
+            false => self.received_before,
+        };
+        let (next, guard) = loop {
+            if self.proxied.time_left() == Duration::ZERO {
+                drop(present.progress);
+                self.proxied.record_end(Some(BodyEnd::Silent));
+                let outcome = AttemptOutcome::Stalled;
+                self.proxied.end(present.guard, outcome, status);
+                return Err(Piece::Stalled);
+            }
+            if resumable {
+                let succession = self.proxied.succeed(present, resume, failure_of);
+                present = match succession.await {
+                    Succession::Heard(next, guard) => break (next, guard),
+                    Succession::Kept(present) => present,
+                    Succession::Replaced(attempt) => return self.go_on_with(attempt),
+                    Succession::Failed(refusal) => return Err(Piece::Refused(refusal)),
+                };
+            }
+            let patience = self.patience(&present.guard);
+            if let Ok(next) = timeout(patience, &mut present.progress).await {
+                break (next, present.guard);
+            }
+        };
+        let (frame, (head, reply, body, connection)) = next;
+        self.attempt = Some(Attempt {
+            head,
+            reply,
+            body,
+            connection,
+            guard,
+        });
+        Ok(Some(frame))
+    }
+
+    /// Goes on with the answer of an attempt that has taken over.
+    fn go_on_with(&mut self, attempt: Attempt) -> Result<Option<NextFrame>, Piece> {
+        if !attempt.head.status.is_success() {
+            return Err(Piece::NoStream(Box::new(attempt)));
+        }
+        self.adopt(attempt);
+        Ok(None)
+    }
+
+    fn adopt(&mut self, attempt: Attempt) {
+        self.events = EventSplitter::default();
+        self.resumed = self.event_delivered;
+        if !self.event_delivered {
+            self.head = attempt.head.clone();
+        }
+        self.attempt = Some(attempt);
+        self.heard = now();
+        self.longest_pause = Millis(0);
+    }
+
     /// Judges the end of the endpoint's answer, where the connection reports one.
     ///
     /// A stream of events that ends within an event was broken off, however its end is marked. One without events
@@ -270,12 +420,16 @@
 
     /// Records how the body of the endpoint's answer ended; `None` if the connection reports its end.
     fn record_end(&mut self, end: Option<BodyEnd>) {
+        self.record_partial();
+        self.proxied.record_end(end);
+    }
+
+    fn record_partial(&mut self) {
         if let Some(received) = &mut self.proxied.received
             && received.end.is_none()
         {
             received.partial = self.events.partial_len();
         }
-        self.proxied.record_end(end);
     }
 
     /// Ends the attempt as answered, and keeps its connection.
@@ -308,18 +462,26 @@
             Kind::Stream { resumable: true }
         );
         let last = self.last.filter(|_| resumable).ok_or(None)?;
-        let started = self.proxied.start(Some(last)).await;
-        let attempt = started.map_err(|refusal| Some(refusal.cause))?;
-        if !attempt.head.status.is_success() {
-            let status = attempt.head.status;
-            self.proxied
-                .end(attempt.guard, AttemptOutcome::Failed, Some(status));
-            return Err(Some(Cause::EndpointFailed));
+        loop {
+            let started = self.proxied.start(Some(last)).await;
+            let attempt = started.map_err(|refusal| Some(refusal.cause))?;
+            if attempt.head.status.is_success() {
+                self.adopt(attempt);
+                return Ok(());
+            }
+            self.end_failed(attempt)?;
+        }
+    }
+
+    /// Ends an attempt whose answer is an error; fails if no other attempt follows.
+    fn end_failed(&mut self, attempt: Attempt) -> Result<(), Option<Cause>> {
+        drop(attempt.connection);
+        let status = Some(attempt.head.status);
+        let outcome = AttemptOutcome::Failed;
+        match self.proxied.end(attempt.guard, outcome, status) {
+            NextStep::Again => Ok(()),
+            _ => Err(Some(Cause::EndpointFailed)),
         }
-        self.attempt = Some(attempt);
-        self.resumed = true;
-        self.heard = now();
-        Ok(())
     }
 
     /// Logs that the stream ends without its end.
@@ -339,12 +501,19 @@
                 relay.finish();
                 return None;
             }
-            ended @ (Piece::Broken | Piece::Stalled) => {
+            ended => {
                 let outcome = ended.outcome();
                 let silent = now().since(relay.heard);
-                let resumed = match relay.end(outcome) {
-                    NextStep::Again => relay.resume().await,
-                    _ => Err(None),
+                let resumed = match ended {
+                    Piece::Refused(refusal) => Err(Some(refusal.cause)),
+                    Piece::NoStream(attempt) => match relay.end_failed(*attempt) {
+                        Ok(()) => relay.resume().await,
+                        Err(cause) => Err(cause),
+                    },
+                    _ => match relay.end(outcome) {
+                        NextStep::Again => relay.resume().await,
+                        _ => Err(None),
+                    },
                 };
                 if let Err(cause) = resumed {
                     relay.log_lost(outcome, silent, cause);
