Take late in a stop only what is likely to end in time

Callers saw: in a planned stop, requests of routes whose time limit is longer than the stop were taken for its first 3 s although their work took longer than what was left, and were cut off without an answer at its end, also those that must not run twice.

Cause: `StopDeadline` excepts such routes for 3 s whatever their answers take.

Change: `Durations` keeps what the newest answers of a route and of a class of prompts took (64 each, 2 min). Such a request is taken if the largest of these (0.9 of them, if it may run again), and a quarter more, ends before the stop does. Where fewer than five are known, only what may run again is taken, as before. Shorter routes and the time after the first 3 s are as before.

--- a/crates/core/src/gateway/admission/admit.rs
+++ b/crates/core/src/gateway/admission/admit.rs
@@ -9,6 +9,7 @@
             Cause,
             Refusal, //
         },
+        stop::Span,
     },
     units::Time, //
 };
@@ -41,7 +42,7 @@
             return Err(Refusal::permanent(Cause::UnknownKey));
         }
         let (_, until) = due(now, route, incoming_request);
-        if self.outlasts_stop(route, until) {
+        if self.outlasts_stop(now, route, &Span::of(now, until, incoming_request)) {
             return Err(Refusal::temporary(Cause::Stopping));
         }
         let draw = self.draw();
--- a/crates/core/src/gateway/admission/incoming_request.rs
+++ b/crates/core/src/gateway/admission/incoming_request.rs
@@ -62,8 +62,8 @@
 /// Prompts of more tokens than this are long.
 const LONG_PROMPT_TOKENS: u32 = 3000;
 
-/// `Length` is a class of prompts by their tokens, for metrics.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+/// `Length` is a class of prompts by their tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Length {
     /// Fewer than [`SHORT_PROMPT_TOKENS`].
--- a/crates/core/src/gateway/admission/mod.rs
+++ b/crates/core/src/gateway/admission/mod.rs
@@ -9,14 +9,18 @@
 //! - [`catalog`]: the published configuration.
 //! - [`route`]: which services a request may go to, and whether it may be retried.
 //! - [`waiting`]: who goes first, who waits and who is turned away.
+//! - `durations`: how long answers took lately.
 //! - [`stop`]: what a stopping router still accepts.
 //! - [`refusal`]: why a request is refused.
 
 mod admit;
 pub mod catalog;
+mod durations;
 pub mod fingerprint;
 pub mod incoming_request;
 pub mod refusal;
 pub mod route;
 pub mod stop;
 pub mod waiting;
+
+pub(super) use durations::Durations;
--- a/crates/core/src/gateway/attempt/end.rs
+++ b/crates/core/src/gateway/attempt/end.rs
@@ -32,6 +32,11 @@
         outcome: AttemptOutcome,
     ) -> NextStep {
         self.release_prefill(ticket.owner);
+        let whole = outcome == AttemptOutcome::Answered && ticket.succeeded;
+        // A request that is given up at its end takes at least so long.
+        if whole || (outcome == AttemptOutcome::Stalled && now >= ticket.until) {
+            self.record_duration(now, ticket);
+        }
         self.record_outcome(now, ticket, endpoint, outcome);
         // A connection that breaks shows nothing: an endpoint may reset it after each request.
         if outcome == AttemptOutcome::Stalled {
--- a/crates/core/src/gateway/attempt/ticket.rs
+++ b/crates/core/src/gateway/attempt/ticket.rs
@@ -18,6 +18,7 @@
         },
         incoming_request::{
             IncomingRequest,
+            Length,
             Prompt, //
         },
         origin::{
@@ -45,6 +46,10 @@
     pub workspace: Option<Arc<Workspace>>,
     /// Priority under overload; 0 is the most urgent.
     pub priority: u8,
+    /// When its first byte arrived.
+    pub began: Time,
+    /// Class of its prompt by length; `None` without a prompt.
+    pub length: Option<Length>,
     /// When the caller stops waiting.
     pub deadline: Time,
     /// When the final answer is due: the deadline, or the route's time limit if that is earlier.
@@ -156,6 +161,8 @@
             service,
             workspace,
             priority,
+            began: now - incoming_request.waited,
+            length: incoming_request.prompt.as_ref().map(Prompt::length),
             deadline,
             until,
             version,
--- a/crates/core/src/gateway/explain/mod.rs
+++ b/crates/core/src/gateway/explain/mod.rs
@@ -45,7 +45,8 @@
             Refusal, //
         },
         retry_delay,
-        route::Route, //
+        route::Route,
+        stop::Span, //
     },
     load::score,
     units::{
@@ -257,7 +258,7 @@
         if ticket.workspace.is_none() && !route.anonymous && catalog.has_workspaces() {
             return Err(Refusal::permanent(Cause::UnknownKey));
         }
-        if self.outlasts_stop(route, ticket.until) {
+        if self.outlasts_stop(now, route, &Span::new(ticket.began, ticket.until, prompt)) {
             return Err(Refusal::temporary(Cause::Stopping));
         }
         if now >= ticket.until {
--- a/crates/core/src/gateway/fleet/handoff/mod.rs
+++ b/crates/core/src/gateway/fleet/handoff/mod.rs
@@ -182,6 +182,9 @@
         report: Option<&PeerReport>,
     ) -> NextStep {
         self.peers.end(peer);
+        if outcome == AttemptOutcome::Answered && ticket.succeeded {
+            self.record_duration(now, ticket);
+        }
         let refused = report.and_then(|r| r.refused);
         for tag in report.into_iter().flat_map(|r| &r.tried) {
             match self.registry.key_of(*tag) {
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -94,6 +94,7 @@
     RegistryEvent, //
 };
 
+use admission::Durations;
 use brittle::Brittleness;
 use budget::RetryBudget;
 use catalog::Catalog;
@@ -182,6 +183,7 @@
     /// Seed of the keyed hashes of request contents.
     seed: u64,
     end: Option<StopDeadline>,
+    durations: Durations,
     routers: u32,
     /// Greatest recent number of routers, this one included, and when it was last observed.
     max_routers: (u32, Time),
@@ -232,6 +234,7 @@
             events: Vec::new(),
             seed: rng.random(),
             end: None,
+            durations: Durations::default(),
             routers: 1,
             max_routers: (1, Time(0)),
             extra_retries_from: Time(0),
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -31,6 +31,7 @@
 mod skew;
 mod stateless;
 mod staying;
+mod stop;
 mod variability;
 mod waiting;
 mod waits;
