Answer requests that are open near the end of a stop

Callers saw: a request that was at an endpoint, or whose body still arrived, when a stop timed out ended as a closed connection, which says nothing of whether it may have run.

Cause: `stop` returned while such requests waited; nothing told them.

Change: 0.3 s (`LAST_ANSWER_TIME`) before the process ends, each request whose answer has not begun is dropped, which closes its endpoint's connection, and refused: 502 if it may have run, 503 with when to come back if not. Streams that have begun go on until the process ends. Admission counts with the time of the last answers as the end.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,7 +1,12 @@
 //! A caller's request from its first byte to its answer: read, admitted, forwarded or refused.
 
 use std::{
+    cell::{
+        Cell,
+        OnceCell, //
+    },
     convert::Infallible,
+    rc::Rc,
     time::Duration, //
 };
 
@@ -80,23 +85,60 @@
 pub type Body =
     Either<Full<Bytes>, StreamBody<LocalBoxStream<'static, Result<Frame<Bytes>, BodyAborted>>>>;
 
-/// Serves a request.
+/// `Progress` is what is known of a request before its answer begins.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    /// Its ID, once it is read.
+    id: OnceCell<Bytes>,
+    /// Whether an endpoint may have run it.
+    pub(crate) may_have_run: Cell<bool>,
+}
+
+/// Serves a request. If the process ends before the answer begins, the request's attempt is ended, and the caller is told
+/// whether it may have run.
 pub(crate) async fn serve(
     state: Shared,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
-    let began = now();
-    let (parts, body) = request.into_parts();
-    let mut response = match read(&state, &parts, body, began).await {
-        Ok((incoming_request, body)) => {
-            admit_and_answer(&state, incoming_request, parts, body, began).await
+    let progress = Rc::<Progress>::default();
+    let mut response = tokio::select! {
+        biased;
+        response = answer(&state, request, &progress) => response,
+        () = state.wait_for_end() => {
+            let refusal = Refusal::given_up(Cause::Stopping, progress.may_have_run.get());
+            let id = progress.id.get().cloned().unwrap_or_default();
+            refuse(&state, (&id, None), refusal, None)
         }
-        Err((id, refusal)) => refuse(&state, (&id, None), refusal, None),
     };
     keep_alive(&state, response.headers_mut());
     Ok(response)
 }
 
+async fn answer(
+    state: &Shared,
+    request: Request<Incoming>,
+    progress: &Rc<Progress>,
+) -> Response<Body> {
+    let began = now();
+    let (parts, body) = request.into_parts();
+    let read = tokio::select! {
+        biased;
+        read = read(state, &parts, body, began) => read,
+        () = state.wait_for_end() => {
+            let parsed = (state.protocol.parse_request)(&parts);
+            let id = parsed.map(|request| request.id).unwrap_or_default();
+            Err((id, Refusal::temporary(Cause::Stopping)))
+        }
+    };
+    match read {
+        Ok((incoming_request, body)) => {
+            progress.id.get_or_init(|| incoming_request.id.clone());
+            admit_and_answer(state, incoming_request, (parts, body), began, progress).await
+        }
+        Err((id, refusal)) => refuse(state, (&id, None), refusal, None),
+    }
+}
+
 /// Tells the sender of a request for how long it may reuse its connection.
 pub(crate) fn keep_alive(state: &State, headers: &mut HeaderMap) {
     if state.phase() >= Phase::Stopping {
@@ -182,9 +224,9 @@
 async fn admit_and_answer(
     state: &Shared,
     mut incoming_request: IncomingRequest,
-    parts: Parts,
-    body: Bytes,
+    content: (Parts, Bytes),
     began: Time,
+    progress: &Rc<Progress>,
 ) -> Response<Body> {
     if is_own_request(state, &incoming_request) {
         let refusal = Refusal::permanent(Cause::Misdirected);
@@ -207,12 +249,9 @@
         }
     };
     streams::find_origin(state, &mut ticket, &incoming_request).await;
-    let proxied = ProxiedRequest::new(
-        state.clone(),
-        (incoming_request, ticket),
-        (parts, body),
-        began,
-    );
+    let mut proxied =
+        ProxiedRequest::new(state.clone(), (incoming_request, ticket), content, began);
+    proxied.progress = Rc::clone(progress);
     if proxied.ticket.route.kind.streams() {
         relay::answer(proxied, None).await
     } else {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -75,6 +75,9 @@
 const LAST_REQUEST_WAIT: Duration = Duration::from_millis(3000);
 /// Time by which a stopping process ends before it would be killed.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the end of a stopping process at which each request without the head of an answer gets a refusal: the
+/// refusals have to be written, and events of streams that have arrived.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(300);
 /// Interval at which a stopping process checks whether all connections have ended.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -273,22 +276,31 @@
     let began = Instant::now();
     let left = grace.saturating_sub(STOP_MARGIN);
     let last = began + left;
+    let answering = left.saturating_sub(LAST_ANSWER_TIME);
+    let last_answers = began + answering;
     let open = state.connections.get();
     tracing::info!(event = 691, open, "stopping");
     state
         .gateway
         .borrow_mut()
-        .end_at(now(), now() + millis(left));
+        .end_at(now(), now() + millis(answering));
     state.phase.send_replace(Phase::Stopping);
-    sleep_until(last.min(began + LAST_REQUEST_WAIT)).await;
+    sleep_until(last_answers.min(began + LAST_REQUEST_WAIT)).await;
     state.gateway.borrow_mut().close();
     state.phase.send_replace(Phase::Closing);
-    let open = || state.connections.get() + state.accepted.get();
-    while open() > 0 && Instant::now() < last {
-        sleep(STOP_POLL_INTERVAL).await;
-    }
+    wait_for_connections(state, last_answers).await;
+    state.ending.send_replace(true);
+    wait_for_connections(state, last).await;
     let cut = state.requests.get() + state.accepted.get();
     state.ended.set(true);
     tracing::info!(event = 692, cut, "stopped");
     cut
 }
+
+/// Waits until all connections have ended, or until a time.
+async fn wait_for_connections(state: &State, until: Instant) {
+    let open = || state.connections.get() + state.accepted.get();
+    while open() > 0 && Instant::now() < until {
+        sleep_until(until.min(Instant::now() + STOP_POLL_INTERVAL)).await;
+    }
+}
--- a/crates/gateway/src/proxied/mod.rs
+++ b/crates/gateway/src/proxied/mod.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddrV4,
+    rc::Rc,
     time::Duration, //
 };
 
@@ -45,6 +46,7 @@
     client::Connection,
     exchange::{
         Body,
+        Progress,
         refuse, //
     },
     framing::{
@@ -91,6 +93,8 @@
     first: Option<Millis>,
     /// What the endpoint of the newest attempt has answered.
     pub(crate) received: Option<Received>,
+    /// What is told if this process ends before the answer begins.
+    pub(crate) progress: Rc<Progress>,
     /// Time that is left for asking keepers of prefill backlogs.
     pub(crate) inquiry_left: Duration,
 }
@@ -149,6 +153,7 @@
         }
         drop(gateway);
         prefill::send_notes(&proxied.state);
+        proxied.progress.may_have_run.set(true);
         Self {
             state: proxied.state.clone(),
             target,
@@ -175,6 +180,7 @@
                 address, report, ..
             } => gateway.hand_off_ended(now(), ticket, *address, outcome, report.as_ref()),
         };
+        proxied.progress.may_have_run.set(ticket.may_have_run);
         drop(gateway);
         prefill::send_notes(&proxied.state);
         next
@@ -225,6 +231,7 @@
             slowdown: None,
             first: None,
             received: None,
+            progress: Rc::default(),
             inquiry_left: prefill::MAX_INQUIRY_TIME,
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -138,6 +138,8 @@
     secrets: RefCell<VecDeque<(u64, Secret)>>,
     /// Phase of the process.
     pub phase: watch::Sender<Phase>,
+    /// Whether the end of the process is near: each request without the head of an answer gets a refusal.
+    pub(crate) ending: watch::Sender<bool>,
     /// Whether the process ends: requests that are still open are cut off.
     pub(crate) ended: Cell<bool>,
     /// Number of open connections of callers.
@@ -184,6 +186,7 @@
             first_read_until: Cell::new(now() + FIRST_READ_TIMEOUT),
             secrets: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
+            ending: watch::Sender::new(false),
             ended: Cell::new(false),
             connections: Cell::new(0),
             requests: Rc::default(),
@@ -233,6 +236,13 @@
         let _ = timeout(Duration::from_millis(left.0), read).await;
     }
 
+    /// Waits until the end of the process is near.
+    pub(crate) async fn wait_for_end(&self) {
+        let mut ending = self.ending.subscribe();
+        // Fails only when the sender is dropped, and this state owns it.
+        let _ = ending.wait_for(|ending| *ending).await;
+    }
+
     /// Returns whether the load balancer may send callers to this router.
     pub fn ready(&self) -> bool {
         self.phase() == Phase::Serving && self.gateway.borrow().ready(now())
