--- a/crates/gateway/src/proxied/mod.rs
+++ b/crates/gateway/src/proxied/mod.rs
@@ -46,6 +46,7 @@
     client::Connection,
     exchange::{
         Body,
+        Progress,
         refuse, //
     },
     framing::{
@@ -95,6 +96,8 @@
     first: Option<Millis>,
     /// What the endpoint of the newest attempt has answered.
     pub(crate) received: Option<Received>,
+    /// What is told if this process ends before the answer begins.
+    pub(crate) progress: Rc<Progress>,
     /// Time that is left for asking keepers of prefill backlogs.
     pub(crate) inquiry_left: Duration,
     /// Whether an attempt is under way.
@@ -156,6 +159,7 @@
         drop(gateway);
         proxied.dispatch.begin(&target);
         prefill::send_notes(&proxied.state);
+        proxied.progress.may_have_run.set(true);
         Self {
             state: proxied.state.clone(),
             target,
@@ -183,6 +187,7 @@
                 address, report, ..
             } => gateway.hand_off_ended(now(), ticket, *address, outcome, report.as_ref()),
         };
+        proxied.progress.may_have_run.set(ticket.may_have_run);
         drop(gateway);
         prefill::send_notes(&proxied.state);
         next
@@ -233,6 +238,7 @@
             slowdown: None,
             first: None,
             received: None,
+            progress: Rc::default(),
             inquiry_left: prefill::MAX_INQUIRY_TIME,
             dispatch: Rc::default(),
         }
--- a/crates/gateway/src/proxied/succession.rs
+++ b/crates/gateway/src/proxied/succession.rs
@@ -218,6 +218,7 @@
             slowdown: None,
             first: None,
             received: None,
+            progress: Rc::clone(&self.progress),
             inquiry_left: prefill::MAX_INQUIRY_TIME,
             dispatch: Rc::default(),
         })
