Bound the sum of what is buffered of answers, events and requests

What callers saw: endpoints that answer without end, or callers that send many long bodies, fill a router's memory. Its process is killed, and all other callers' requests are lost.

Cause: one answer (8 MiB), one event (1 MiB) and one request's body have a limit, their sum has none.

Change: an account of buffered answers and incomplete events, and one of requests' bodies, each a quarter of the new setting bounds.memory_mb (default 256; the platform's template fills it from limits.memory-mb). A service, or a workspace, may hold half of that. At the bound the message that holds most ends: an answer as one that is overlong (broken, 502 if it may have run), a request's body with 503 and Retry-After. Bytes count until they are dropped, also while a slow caller takes them. Announced lengths above the limit of one answer are refused at the head; the client reads 64 KiB ahead at most. Gauges buffered_bytes and buffered_peak_bytes, counter buffers_full, events 615 and 616, cause no_memory.

--- a/crates/core/src/gateway/admission/refusal.rs
+++ b/crates/core/src/gateway/admission/refusal.rs
@@ -21,6 +21,8 @@
     Malformed,
     /// The request is larger than the configured limits.
     TooLarge,
+    /// No memory is left for the request's body.
+    NoMemory,
     /// The caller took too long to send the request.
     TooSlow,
     /// No route matches.
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -54,6 +54,8 @@
 
 /// Longest body of the answer to a call.
 const MAX_CALL_BODY_BYTES: usize = 16 << 20;
+/// Most bytes that are read from a connection and not yet taken; an answer's head has to fit.
+const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 /// TCP user timeout in milliseconds: a connection ends if sent bytes stay unacknowledged for this long. A peer
 /// behind a network partition sends no reset; without this, connections to it would hang for minutes.
 const USER_TIMEOUT_MS: u32 = 2000;
@@ -290,6 +292,7 @@
             .map_err(std::io::Error::from)
             .context(ConnectFailedSnafu { address })?;
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .context(HandshakeSnafu { address })?;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,11 +17,8 @@
     request::Parts, //
 };
 use http_body_util::{
-    BodyExt,
     Either,
     Full,
-    LengthLimitError,
-    Limited,
     StreamBody, //
 };
 use hyper::body::{
@@ -50,6 +47,10 @@
 
 use crate::{
     log::text,
+    memory::{
+        self,
+        CollectError, //
+    },
     proxied::ProxiedRequest,
     relay,
     state::{
@@ -142,15 +143,30 @@
         .deadline
         .unwrap_or(limits.idle)
         .min(limits.idle);
+    let part = match memory::may_count(&body) {
+        true => workspace_name(state, &incoming_request),
+        false => Bytes::new(),
+    };
+    let held = state.memory.requests.reservation(&part);
     let collected = timeout(
         Duration::from_millis(body_timeout.0),
-        Limited::new(body, limits.body).collect(),
+        memory::collect(body, limits.body, held),
     );
     match collected.await {
-        Ok(Ok(body)) => Ok((incoming_request, body.to_bytes())),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+        Ok(Ok(body)) => Ok((incoming_request, body)),
+        Ok(Err(CollectError::Overlong)) => {
             Err((incoming_request.id, Refusal::permanent(Cause::TooLarge)))
         }
+        Ok(Err(CollectError::NoRoom)) => {
+            state.metrics.count("buffers_full", "request");
+            if state.log.try_admit() {
+                let id = text(&incoming_request.id);
+                let workspace = text(&part);
+                let buffered = state.memory.requests.held();
+                tracing::warn!(event = 616, %id, %workspace, buffered, "request ended for want of memory");
+            }
+            Err((incoming_request.id, Refusal::temporary(Cause::NoMemory)))
+        }
         Ok(Err(error)) => {
             if state.log.try_admit() {
                 let id = text(&incoming_request.id);
@@ -169,6 +185,17 @@
     }
 }
 
+/// Returns the name of the workspace that sends a request; it is empty if none holds its key.
+fn workspace_name(state: &State, incoming_request: &IncomingRequest) -> Bytes {
+    let gateway = state.gateway.borrow();
+    let key = incoming_request.key.as_ref();
+    let workspace = gateway
+        .catalog()
+        .zip(key)
+        .and_then(|(c, key)| c.holder(key));
+    workspace.map(|w| w.name.clone()).unwrap_or_default()
+}
+
 /// Tells whether a router sent a request here because an entry of another writer names an endpoint at this address. It
 /// would be sent on, possibly to this address again.
 fn is_own_request(state: &State, incoming_request: &IncomingRequest) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod head_timeout;
 mod loads;
 pub mod log;
+pub mod memory;
 pub mod metrics;
 mod peer_follower;
 pub mod peers;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,4 +1,4 @@
-//! Counters and latency histograms in the text format of Prometheus.
+//! Counters, gauges and latency histograms in the text format of Prometheus.
 
 use std::{
     cell::RefCell,
@@ -13,10 +13,11 @@
     1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000, 20_000,
 ];
 
-/// `Metrics` holds all counters and histograms of the process.
+/// `Metrics` holds all counters, gauges and histograms of the process.
 #[derive(Debug, Default)]
 pub struct Metrics {
     counters: RefCell<IndexMap<(&'static str, String), u64>>,
+    gauges: RefCell<IndexMap<(&'static str, &'static str), usize>>,
     histograms: RefCell<IndexMap<(&'static str, String), Histogram>>,
 }
 
@@ -48,12 +49,20 @@
         }
     }
 
+    /// Sets a gauge; `label` must come from a bounded set.
+    pub fn gauge(&self, name: &'static str, label: &'static str, value: usize) {
+        self.gauges.borrow_mut().insert((name, label), value);
+    }
+
     /// Returns all metrics in the text format of Prometheus (version 0.0.4).
     pub fn text(&self) -> String {
         let mut out = String::new();
         for ((name, label), value) in self.counters.borrow().iter() {
             let _ = writeln!(out, "toucanturn_{name}_total{{what=\"{label}\"}} {value}");
         }
+        for ((name, label), value) in self.gauges.borrow().iter() {
+            let _ = writeln!(out, "toucanturn_{name}{{what=\"{label}\"}} {value}");
+        }
         for ((name, label), histogram) in self.histograms.borrow().iter() {
             let mut cumulative = 0;
             for (bound, count) in BUCKET_BOUNDS_MS.iter().zip(histogram.buckets) {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -148,6 +148,7 @@
     gateway.set_bounds(new.bounds.bounds());
     gateway.set_speeds(new.speeds);
     drop(gateway);
+    state.memory.set_process_memory(new.bounds.memory_mb);
     state.mesh.borrow_mut().set_seeds(new.seeds.clone());
 }
 
@@ -209,6 +210,7 @@
     gateway.tick(now());
     let caller_address = SocketAddrV4::new(*listen.callers.ip(), addresses.0.port());
     let state = State::new(gateway, mesh, protocol, caller_address, settings.registry);
+    state.memory.set_process_memory(settings.bounds.memory_mb);
     tracing::info!(
         event = 600,
         id = settings.id,
--- a/crates/gateway/src/proxied/endpoint.rs
+++ b/crates/gateway/src/proxied/endpoint.rs
@@ -10,11 +10,8 @@
     Uri, //
 };
 use http_body_util::{
-    BodyExt,
     Either,
-    Full,
-    LengthLimitError,
-    Limited, //
+    Full, //
 };
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -48,6 +45,10 @@
     handoff::PeerConnection,
     loads,
     log::text,
+    memory::{
+        self,
+        CollectError, //
+    },
     pool::open,
     prefill,
     protocol::{
@@ -217,15 +218,18 @@
             guard,
         } = attempt;
         self.record_first(&guard.target);
+        let held = self.reservation();
         let collected = timeout(
             self.time_left(),
-            Limited::new(body, MAX_BUFFERED_ANSWER_BYTES).collect(),
+            memory::collect(body, MAX_BUFFERED_ANSWER_BYTES, held),
         )
         .await;
         match &collected {
             Ok(Ok(_)) => self.record_end(None),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Ok(Err(CollectError::Overlong)) => self.record_end(Some(BodyEnd::Overlong)),
+            Ok(Err(CollectError::NoRoom)) => {
                 self.record_end(Some(BodyEnd::Overlong));
+                self.log_no_memory(&guard.target);
             }
             Ok(Err(_)) => self.record_end(Some(BodyEnd::Lost)),
             Err(_) => self.record_end(Some(BodyEnd::Silent)),
@@ -237,7 +241,7 @@
             }
             Ok(Ok(body)) => {
                 self.keep_connection(&guard, connection, &reply);
-                Ok(self.caller_response(&head, Either::Left(Full::new(body.to_bytes()))))
+                Ok(self.caller_response(&head, Either::Left(Full::new(body))))
             }
             Ok(Err(error)) => {
                 tracing::debug!(id = %text(&self.incoming_request.id), %error, "body of the answer ended early");
@@ -298,9 +302,10 @@
         body: Incoming,
         reply: &ReplyHead,
     ) {
+        let held = self.reservation();
         if let Ok(Ok(_)) = timeout(
             REJECTION_BODY_TIMEOUT,
-            Limited::new(body, MAX_BUFFERED_ANSWER_BYTES).collect(),
+            memory::collect(body, MAX_BUFFERED_ANSWER_BYTES, held),
         )
         .await
         {
--- a/crates/gateway/src/proxied/probe.rs
+++ b/crates/gateway/src/proxied/probe.rs
@@ -9,17 +9,14 @@
     Uri,
     header, //
 };
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use tokio::time::timeout;
 use toucanturn_core::gateway::handoff::Probe;
 
 use crate::{
     client::SendOutcome,
     exchange::MAX_BUFFERED_ANSWER_BYTES,
+    memory,
     pool::open,
     state::{
         Shared,
@@ -58,8 +55,11 @@
         .borrow_mut()
         .heard(now(), probe.endpoint, opened);
     let reply = (state.protocol.reply)(response.headers());
-    let body = Limited::new(response.into_body(), MAX_BUFFERED_ANSWER_BYTES);
-    body.collect().await.ok()?;
+    let held = state.memory.answers.reservation(&Bytes::new());
+    let body = response.into_body();
+    memory::collect(body, MAX_BUFFERED_ANSWER_BYTES, held)
+        .await
+        .ok()?;
     if !reply.closes && !reply.leaving {
         let pool = &state.pool;
         pool.keep(now(), probe.endpoint, connection, reply.idle);
--- a/crates/gateway/src/proxied/report.rs
+++ b/crates/gateway/src/proxied/report.rs
@@ -20,7 +20,11 @@
 
 use crate::{
     log::text,
-    proxied::ProxiedRequest,
+    memory::Reservation,
+    proxied::{
+        ProxiedRequest,
+        Target, //
+    },
     state::{
         Phase,
         now, //
@@ -28,6 +32,33 @@
 };
 
 impl ProxiedRequest {
+    /// Creates the reservation of memory for an answer.
+    pub(crate) fn reservation(&self) -> Reservation {
+        let answers = &self.state.memory.answers;
+        answers.reservation(&self.ticket.service)
+    }
+
+    /// Logs that an answer ends for want of memory.
+    pub(crate) fn log_no_memory(&self, target: &Target) {
+        self.state.metrics.count("buffers_full", "answer");
+        if !self.state.log.try_admit() {
+            return;
+        }
+        let gateway = self.state.gateway.borrow();
+        let endpoint = match target {
+            Target::Endpoint(endpoint) => Some(endpoint_name(&gateway, *endpoint)),
+            Target::Peer { .. } => None,
+        };
+        tracing::warn!(
+            event = 615,
+            id = %text(&self.incoming_request.id),
+            service = %text(&self.ticket.service),
+            endpoint,
+            buffered = self.state.memory.answers.held(),
+            "answer ended for want of memory"
+        );
+    }
+
     /// Lists the hashes of the prompt's shared parts for a log line, in their order.
     pub(super) fn shared_parts(&self) -> Option<String> {
         let prompt = self.incoming_request.prompt.as_ref()?;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -47,6 +47,7 @@
         BodyEnd,
         Framing, //
     },
+    memory::Reservation,
     proxied::{
         Attempt,
         ProxiedRequest, //
@@ -63,6 +64,8 @@
     proxied: ProxiedRequest,
     attempt: Option<Attempt>,
     events: EventSplitter,
+    /// What the bytes of `events` hold of the memory for answers.
+    held: Reservation,
     /// Id of the last event that the caller has received.
     last: Option<u64>,
     /// Whether the caller has received an event.
@@ -105,6 +108,7 @@
         }
         let head = attempt.head.clone();
         let mut relay = Relay {
+            held: proxied.reservation(),
             proxied,
             attempt: Some(attempt),
             events: EventSplitter::default(),
@@ -198,6 +202,11 @@
             let left = self
                 .proxied
                 .silence_timeout(&attempt.guard, self.event_delivered);
+            if !self.held.try_set(self.events.partial_len()) {
+                self.proxied.log_no_memory(&attempt.guard.target);
+                self.record_end(Some(BodyEnd::Overlong));
+                return Piece::Stalled;
+            }
             if self.events.is_overlong() {
                 self.record_end(Some(BodyEnd::Overlong));
                 return Piece::Stalled;
@@ -206,7 +215,11 @@
                 self.record_end(Some(BodyEnd::Silent));
                 return Piece::Stalled;
             }
-            let frame = timeout(left, attempt.body.frame()).await;
+            let frame = tokio::select! {
+                biased;
+                () = self.held.ended() => continue,
+                frame = timeout(left, attempt.body.frame()) => frame,
+            };
             match &frame {
                 Ok(None) => self.record_end(None),
                 Ok(Some(Err(_))) => self.record_end(Some(BodyEnd::Lost)),
@@ -293,6 +306,7 @@
     /// resumes the stream.
     fn end(&mut self, outcome: AttemptOutcome) -> NextStep {
         self.events = EventSplitter::default();
+        self.held = self.proxied.reservation();
         let Some(attempt) = self.attempt.take() else {
             return NextStep::GiveUp;
         };
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -56,7 +56,8 @@
     },
     state::{
         Phase,
-        Shared, //
+        Shared,
+        State, //
     },
 };
 
@@ -207,6 +208,7 @@
             false => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
         }
     } else if path == "/metrics" {
+        record_memory(&state);
         (StatusCode::OK, state.metrics.text())
     } else if path == explain::PATH && request.method() == Method::GET {
         explain::answer(&state, request.uri().query().unwrap_or_default())
@@ -217,3 +219,13 @@
     *response.status_mut() = status;
     Ok(response)
 }
+
+/// Sets the gauges of what is buffered.
+fn record_memory(state: &State) {
+    let metrics = &state.metrics;
+    let (answers, requests) = (&state.memory.answers, &state.memory.requests);
+    metrics.gauge("buffered_bytes", "answers", answers.held());
+    metrics.gauge("buffered_bytes", "requests", requests.held());
+    metrics.gauge("buffered_peak_bytes", "answers", answers.peak());
+    metrics.gauge("buffered_peak_bytes", "requests", requests.peak());
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,6 +38,8 @@
 const ASSUMED_FLEET_SIZE: u32 = 16;
 /// Default of [`PublishedBounds::hold_s`], in seconds.
 const DEFAULT_HOLD_S: f64 = 5.0;
+/// Default of [`PublishedBounds::memory_mb`], in mebibytes.
+const DEFAULT_MEMORY_MB: u64 = 256;
 /// Fraction of the published retry share that is used, as the windows of the routers are not aligned.
 const RETRY_SHARE_USED: f64 = 0.8;
 
@@ -77,6 +79,11 @@
     1.0
 }
 
+/// Default of [`PublishedBounds::memory_mb`].
+fn memory_mb() -> u64 {
+    DEFAULT_MEMORY_MB
+}
+
 /// `Listen` is the addresses to listen on.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -128,6 +135,9 @@
     /// Seconds for which a request that has crashed endpoints is held back the first time; 0 disables holding back.
     #[serde(default = "hold_s")]
     pub hold_s: f64,
+    /// Mebibytes of memory that the process may use; it is killed beyond them.
+    #[serde(default = "memory_mb")]
+    pub memory_mb: u64,
 }
 
 /// `Error` is why settings are refused.
@@ -187,6 +197,12 @@
                 BoundSnafu { name, expected }
             );
         }
+        let memory = 1..=1 << 20;
+        let (name, expected) = ("memory_mb", "1 to 1048576 mebibytes");
+        ensure!(
+            memory.contains(&self.memory_mb),
+            BoundSnafu { name, expected }
+        );
         let factors = [
             ("skew", self.skew, 1.0..=1000.0, "1 to 1000"),
             ("retry_share", self.retry_share, 0.0..=10.0, "0 to 10"),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -42,6 +42,7 @@
 use crate::{
     handoff::PeerPool,
     log::LogLimiter,
+    memory::Memory,
     metrics::Metrics,
     pool::Pool,
     prefill::Queries,
@@ -106,6 +107,8 @@
     pub log: LogLimiter,
     /// Rate limit of the log of lost answers, which other lines must not use up.
     pub loss_log: LogLimiter,
+    /// Bytes that are buffered of messages.
+    pub memory: Memory,
     /// Known state of the other routers.
     pub mesh: RefCell<Mesh>,
     /// Local copy of the registry.
@@ -168,6 +171,7 @@
             metrics: Metrics::default(),
             log: LogLimiter::default(),
             loss_log: LogLimiter::default(),
+            memory: Memory::default(),
             mesh: RefCell::new(mesh),
             mirror: RefCell::default(),
             changes: watch::Sender::new(RegistryState::default()),
--- a/crates/gateway/tests/catalogue.rs
+++ b/crates/gateway/tests/catalogue.rs
@@ -68,6 +68,7 @@
     let text = source();
     let mut in_code = texts_between(&text, "metrics.count(\"", '"');
     in_code.extend(texts_between(&text, "metrics.time(\"", '"'));
+    in_code.extend(texts_between(&text, "metrics.gauge(\"", '"'));
     expect_that!(in_code, eq(&first_column("METRICS.md")));
 }
 
