--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -60,6 +60,7 @@
         BodyEnd,
         Framing, //
     },
+    memory::Reservation,
     protocol::ReplyHead,
     proxied::{
         Attempt, AttemptGuard, ProxiedRequest,
@@ -89,6 +90,8 @@
     /// Last event that the caller has received from another router.
     received_before: Option<u64>,
     events: EventSplitter,
+    /// What the bytes of `events` hold of the memory for answers.
+    held: Reservation,
     /// Id of the last event that the caller has received.
     last: Option<u64>,
     /// Whether the caller has received an event.
@@ -150,6 +153,7 @@
             return failure(proxied, attempt, resume).await;
         }
         let mut relay = Relay {
+            held: proxied.reservation(),
             proxied,
             head: attempt.head.clone(),
             attempt: Some(attempt),
@@ -248,6 +252,13 @@
             let Some(patience) = open.map(|attempt| self.patience(&attempt.guard)) else {
                 return Piece::End;
             };
+            if !self.held.try_set(self.events.partial_len()) {
+                if let Some(attempt) = &self.attempt {
+                    self.proxied.log_no_memory(&attempt.guard.target);
+                }
+                self.record_end(Some(BodyEnd::Overlong));
+                return Piece::Stalled;
+            }
             if self.events.is_overlong() {
                 self.record_end(Some(BodyEnd::Overlong));
                 return Piece::Stalled;
@@ -255,7 +266,12 @@
             let Some(attempt) = &mut self.attempt else {
                 return Piece::End;
             };
-            let frame = match timeout(patience, attempt.body.frame()).await {
+            let frame = tokio::select! {
+                biased;
+                () = self.held.ended() => continue,
+                frame = timeout(patience, attempt.body.frame()) => frame,
+            };
+            let frame = match frame {
                 Ok(frame) => frame,
                 Err(_) => match self.await_next().await {
                     Ok(Some(frame)) => frame,
@@ -345,8 +361,21 @@
                 };
             }
             let patience = self.patience(&present.guard);
-            if let Ok(next) = timeout(patience, &mut present.progress).await {
-                break (next, present.guard);
+            tokio::select! {
+                biased;
+                () = self.held.ended() => {
+                    self.proxied.log_no_memory(&present.guard.target);
+                    drop(present.progress);
+                    self.proxied.record_end(Some(BodyEnd::Overlong));
+                    let outcome = AttemptOutcome::Stalled;
+                    self.proxied.end(present.guard, outcome, status);
+                    return Err(Piece::Stalled);
+                }
+                heard = timeout(patience, &mut present.progress) => {
+                    if let Ok(next) = heard {
+                        break (next, present.guard);
+                    }
+                }
             }
         };
         let (frame, (head, reply, body, connection)) = next;
@@ -371,6 +400,7 @@
 
     fn adopt(&mut self, attempt: Attempt) {
         self.events = EventSplitter::default();
+        self.held = self.proxied.reservation();
         self.resumed = self.event_delivered;
         if !self.event_delivered {
             self.head = attempt.head.clone();
@@ -447,6 +477,7 @@
     /// resumes the stream.
     fn end(&mut self, outcome: AttemptOutcome) -> NextStep {
         self.events = EventSplitter::default();
+        self.held = self.proxied.reservation();
         let Some(attempt) = self.attempt.take() else {
             return NextStep::GiveUp;
         };
