Let a process that was held up write its last answers

Callers saw: a closed connection in place of the last answer if the process got no processor time between the time of the last answers and its end.

Cause: `stop` returned in the same turn in which it told the open requests.

Change: after it has told them, it waits for one poll interval (50 ms) at least.

--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -290,7 +290,8 @@
     state.phase.send_replace(Phase::Closing);
     wait_for_connections(state, last_answers).await;
     state.ending.send_replace(true);
-    wait_for_connections(state, last).await;
+    // A process that was held up until now still writes the last answers.
+    wait_for_connections(state, last.max(Instant::now() + STOP_POLL_INTERVAL)).await;
     let cut = state.requests.get() + state.accepted.get();
     state.ended.set(true);
     tracing::info!(event = 692, cut, "stopped");
