--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -130,3 +130,14 @@
     let error = error_of("10.0.0.1:82\"", "10.0.0.1:82\",\"advertised\":\"peer\"");
     expect_that!(error, contains_substring("JSON"));
 }
+
+#[gtest]
+fn verify_the_memory_of_the_process_may_be_left_out() {
+    let settings = Settings::try_from(GOOD.as_bytes()).expect("the settings are valid");
+    expect_that!(settings.bounds.memory_mb, eq(256));
+    let stated = GOOD.replace("\"skew\":2", "\"skew\":2,\"memory_mb\":260");
+    let settings = Settings::try_from(stated.as_bytes()).expect("the settings are valid");
+    expect_that!(settings.bounds.memory_mb, eq(260));
+    let none = error_of("\"skew\":2", "\"skew\":2,\"memory_mb\":0");
+    expect_that!(none, contains_substring("memory_mb"));
+}
