Serve polls of routers many versions behind, and let a refused one read at once

Cause: only the secrets of the eight newest versions were remembered, so a reader that caught up by more answered the polls of its followers with 403. They took that for a peer that doesn't answer, and the pause after the failures of the outage, up to 2.4 s, put off their own reads.

Change: polls are answered for 60 s after a version was replaced (1,024 versions at most); digests, hand-offs and stream questions as before. An older poll gets 410, and the poller reads within 0.3 s, drawn. While peers refuse so or withhold a large update, the pause after failed reads is that of a router without a configuration (0.3 to 0.6 s).

--- a/crates/core/src/gateway/fleet/reading.rs
+++ b/crates/core/src/gateway/fleet/reading.rs
@@ -65,9 +65,13 @@
 /// Maximum pause between failing reads of a reader.
 const MAX_READER_PAUSE: Millis = Millis(300);
 /// Maximum pause between failing reads of a router that cannot ask peers because it has no
-/// configuration yet. After a loss of all routers all of them are in this state, and the registry
-/// would receive the calls of each during an outage.
+/// configuration yet, or whose peers have something newer that they do not pass on. After a loss of
+/// all routers all of them are in this state, and the registry would receive the calls of each
+/// during an outage.
 const MAX_NEWCOMER_PAUSE: Millis = Millis(600);
+/// Maximum time from a peer's refusal to serve a version as old as the router's to its own read. The
+/// reads are spread over it: all that follow one peer are refused together.
+const MAX_REFUSED_DELAY: Millis = Millis(300);
 /// Maximum pause between failing reads of a standby.
 const MAX_STANDBY_PAUSE: Millis = Millis(2400);
 /// Minimum time between the beginnings of two reads on demand. Requests that need one meanwhile share the next one.
@@ -153,10 +157,15 @@
     failures: u32,
     /// Earliest time of the next read after a failure.
     not_before: Time,
+    /// The same where no peer passes on what the router lacks.
+    not_before_unaided: Time,
     /// Consecutive requests that no peer answered.
     unanswered: u32,
     /// Whether a peer has something newer that is too large to be passed on.
     peer_withheld_update: bool,
+    /// When to read because a peer refuses to serve a version as old as the router's; it holds until
+    /// a read or a peer has brought a newer state.
+    refused_as_old: Option<Time>,
     /// When the state was last asked for as of that time.
     demanded: Option<Time>,
     /// When the newest read that is complete began.
@@ -189,8 +198,20 @@
         let demanded = demanded.filter(|at| now.since(*at) < DEMAND_TTL);
         let demanded = demanded.map(|at| (at + Millis(1)).max(self.began + MIN_DEMAND_INTERVAL));
         let needed_at = self.needed_at(now, context, timing);
+        let needed_at = self
+            .refused_as_old
+            .map_or(needed_at, |at| at.min(needed_at));
         let needed_at = demanded.map_or(needed_at, |at| at.min(needed_at));
-        needed_at.max(hedge).max(self.not_before).min(later)
+        needed_at.max(hedge).max(self.retry_at()).min(later)
+    }
+
+    /// Returns the earliest time of the next read after a failure.
+    fn retry_at(&self) -> Time {
+        if self.peer_withheld_update || self.refused_as_old.is_some() {
+            self.not_before_unaided
+        } else {
+            self.not_before
+        }
     }
 
     /// Returns when the proof will be old enough for this router to read itself.
@@ -249,7 +270,7 @@
 
     /// Tells whether no read begins for a while, as several have failed.
     pub fn rests(&self, now: Time) -> bool {
-        self.failures >= FAILURES_UNTIL_LOST && now < self.not_before
+        self.failures >= FAILURES_UNTIL_LOST && now < self.retry_at()
     }
 
     /// Begins a read.
@@ -302,7 +323,9 @@
     pub fn whole(&mut self, id: ReadId) -> Vec<ReadId> {
         self.failures = 0;
         self.peer_withheld_update = false;
+        self.refused_as_old = None;
         self.not_before = Time(0);
+        self.not_before_unaided = Time(0);
         let Some(ended) = self.open.swap_remove(&id) else {
             return Vec::new();
         };
@@ -330,8 +353,12 @@
             Role::Standby => MAX_STANDBY_PAUSE,
         };
         let doubled = Millis(MIN_RETRY_PAUSE.0 << self.failures.min(8));
-        let pause = doubled.min(most).0;
-        self.not_before = now + Millis(pause / 2 + draw % (pause / 2 + 1));
+        let retry_at = |most: Millis| {
+            let pause = doubled.min(most).0;
+            now + Millis(pause / 2 + draw % (pause / 2 + 1))
+        };
+        self.not_before = retry_at(most);
+        self.not_before_unaided = retry_at(most.min(MAX_NEWCOMER_PAUSE));
         self.failures
     }
 
@@ -354,4 +381,16 @@
     pub fn peer_withheld_update(&mut self) {
         self.peer_withheld_update = true;
     }
+
+    /// Records that a peer refuses to serve a version as old as the router's.
+    pub fn peer_refused_as_old(&mut self, now: Time, draw: u64) {
+        let at = now + Millis(draw % (MAX_REFUSED_DELAY.0 + 1));
+        self.refused_as_old.get_or_insert(at);
+    }
+
+    /// Records that a peer has brought a newer state.
+    pub fn peer_updated(&mut self) {
+        self.unanswered = 0;
+        self.refused_as_old = None;
+    }
 }
--- a/crates/core/tests/gateway/reading.rs
+++ b/crates/core/tests/gateway/reading.rs
@@ -311,3 +311,87 @@
     let due = reading.due(now, &reader_standing(now, read), &PACE);
     expect_that!(due, le(now + Millis(300)));
 }
+
+/// Ends reads of a standby without success until its pauses are the longest; returns the time.
+fn fail_for_long(reading: &mut ReadScheduler, draw: u64) -> Time {
+    let mut now = Time(100_000);
+    for _ in 0..8 {
+        let standing = standing_of_rank(1, now, Time(90_000));
+        let number = reading.begin(now);
+        now = now + Millis(3000);
+        reading.failed(now, number, &standing, draw);
+    }
+    now
+}
+
+/// Guards against a router that acts on a replaced configuration for 2.4 s after an outage: its peers have something
+/// newer that they do not pass on, and a pause after its failures puts off its own read.
+#[gtest]
+fn verify_a_long_pause_ends_where_a_peer_does_not_pass_its_update_on() {
+    for draw in [0, 150, u64::MAX] {
+        let mut reading = ReadScheduler::default();
+        let now = fail_for_long(&mut reading, draw);
+        reading.peer_withheld_update();
+        let soon = now + Millis(600);
+        let standing = standing_of_rank(1, soon, now);
+        expect_that!(reading.due(soon, &standing, &PACE), le(soon), "draw {draw}");
+    }
+}
+
+/// Guards against a router that is too many versions behind to be heard by its peers, and waits for them: it reads
+/// itself soon, and goes on until it has a newer state.
+#[gtest]
+fn verify_a_router_that_is_refused_as_too_old_reads_soon() {
+    for draw in [0, 150, u64::MAX] {
+        let mut reading = ReadScheduler::default();
+        let now = fail_for_long(&mut reading, draw);
+        reading.peer_refused_as_old(now, draw);
+        let soon = now + Millis(600);
+        let standing = standing_of_rank(30, soon, now);
+        expect_that!(reading.due(soon, &standing, &PACE), le(soon), "draw {draw}");
+        let number = reading.begin(soon);
+        reading.failed(soon, number, &standing, draw);
+        // The read failed, and peers go on refusing.
+        reading.peer_refused_as_old(soon, draw);
+        expect_that!(reading.due(soon, &standing, &PACE), gt(soon), "draw {draw}");
+        let again = soon + Millis(600);
+        expect_that!(
+            reading.due(again, &standing, &PACE),
+            le(again),
+            "draw {draw}"
+        );
+        reading.peer_updated();
+        expect_that!(
+            reading.due(again, &standing, &PACE),
+            gt(again),
+            "draw {draw}"
+        );
+    }
+}
+
+/// Guards against a stampede on the registry: routers that are refused together spread their reads, and one whose reads
+/// fail makes no more calls than one without a configuration, however many peers refuse it.
+#[gtest]
+fn verify_routers_that_are_refused_as_too_old_make_few_calls() {
+    let mut reading = ReadScheduler::default();
+    let from = Time(100_000);
+    let mut reads = 0;
+    for now in (from.0..from.0 + 10_000).map(Time) {
+        reading.peer_refused_as_old(now, now.0 * 7919);
+        let standing = standing_of_rank(30, now, from);
+        if reading.due(now, &standing, &PACE) <= now {
+            let number = reading.begin(now);
+            reading.failed(now, number, &standing, now.0 * 7919);
+            reads += 1;
+        }
+    }
+    expect_that!(reads, all![ge(10), le(10_000 / 300 + 3)]);
+    let due = |draw| {
+        let mut reading = ReadScheduler::default();
+        reading.peer_refused_as_old(from, draw);
+        reading.due(from, &standing_of_rank(30, from, from), &PACE)
+    };
+    let mut due: Vec<Time> = (0..300).map(due).collect();
+    due.dedup();
+    expect_that!(due, len(eq(300)));
+}
--- a/crates/gateway/src/peer_follower.rs
+++ b/crates/gateway/src/peer_follower.rs
@@ -164,7 +164,7 @@
         Ok((read, delta)) => {
             state.metrics.count("registry", "copied");
             state.reads.set(false);
-            state.reading.borrow_mut().peer_answered();
+            state.reading.borrow_mut().peer_updated();
             feed::apply(state, read, delta, Source::Peer, reader);
             return PollOutcome::Updated;
         }
@@ -190,6 +190,12 @@
             state.reading.borrow_mut().peer_answered();
             return PollOutcome::UpToDate;
         }
+        Some(peers::POLL_TOO_OLD) => {
+            let draw = state.gateway.borrow_mut().draw();
+            state.reading.borrow_mut().peer_refused_as_old(now(), draw);
+            state.wake_reads.notify_one();
+            REFUSING_PEER_PAUSE
+        }
         Some(_) => REFUSING_PEER_PAUSE,
         None => UNRESPONSIVE_PEER_PAUSE,
     };
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -84,6 +84,10 @@
 /// them.
 const MAX_PACK_BYTES: usize = 24 << 10;
 
+/// Status of the answer to a poll of a version that is older than the peer's, whose secret the peer no longer knows. The
+/// poller has to read the registry itself.
+pub(crate) const POLL_TOO_OLD: StatusCode = StatusCode::GONE;
+
 /// `Error` is why a poll failed.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -190,13 +194,22 @@
     if is_stream_ask {
         return Ok(streams::answer(&state, &body).await);
     }
-    let opened = open(&body, |epoch| state.secret(epoch));
+    let opened = open(&body, |epoch| state.poll_secret(epoch));
     let asked = opened.and_then(|(epoch, payload)| Ok((epoch, decode_ask(&payload)?)));
     Ok(match asked {
         Ok((epoch, ask)) => answer_poll(&state, epoch, ask).await,
         Err(error) => {
             tracing::debug!(%error, "poll of a peer refused");
-            status(StatusCode::FORBIDDEN)
+            let newest = state.gateway.borrow().catalog().map(|c| c.version);
+            let too_old = matches!(
+                error,
+                toucanturn_wire::gossip::Error::Epoch { epoch } if newest.is_some_and(|n| epoch < n)
+            );
+            status(if too_old {
+                POLL_TOO_OLD
+            } else {
+                StatusCode::FORBIDDEN
+            })
         }
     })
 }
@@ -216,7 +229,7 @@
     let _ = timeout(duration(ask.wait.min(MAX_LONG_POLL_WAIT)), news).await;
     let known = *state.changes.borrow();
     let newer = newer(&known, MIN_AGE_GAIN_AFTER_WAIT);
-    let (Some(secret), true) = (state.secret(epoch), newer) else {
+    let (Some(secret), true) = (state.poll_secret(epoch), newer) else {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     };
     let payload = match pack_since(state, ask.revision) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,6 +6,7 @@
         RefCell, //
     },
     collections::VecDeque,
+    fmt,
     net::SocketAddrV4,
     rc::Rc,
     time::Duration,
@@ -49,9 +50,14 @@
     streams::VersionsProof, //
 };
 
-/// Number of configurations whose secrets are remembered. Routers apply a change at different times, and several
-/// changes may come within a second.
+/// Number of configurations whose secrets open what routers tell each other. Routers apply a change at different
+/// times, and several changes may come within a second.
 const MAX_SECRETS: usize = 8;
+/// Time for which polls that are sealed with a replaced configuration's secret are answered. A router that misses many
+/// versions in an outage catches up by them.
+const POLL_SECRET_TTL: Millis = Millis::from_secs(60);
+/// Most replaced configurations whose secrets are kept for polls.
+const MAX_POLL_SECRETS: usize = 1024;
 
 /// Time from the start for which requests wait for the first read of the registry. Routers that start together share
 /// the registry's link, so their first reads take long; without the wait, they would refuse the requests that
@@ -89,6 +95,24 @@
     Closing,
 }
 
+/// `KeptSecret` is the secret of a configuration that is in force, or was.
+#[derive(Clone, Copy)]
+struct KeptSecret {
+    version: u64,
+    secret: Secret,
+    /// Time from which the configuration is no longer in force.
+    replaced: Option<Time>,
+}
+
+impl fmt::Debug for KeptSecret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("KeptSecret")
+            .field("version", &self.version)
+            .field("replaced", &self.replaced)
+            .finish_non_exhaustive()
+    }
+}
+
 /// `State` is the state that all tasks share; they run on one thread.
 #[derive(Debug)]
 pub struct State {
@@ -134,8 +158,8 @@
     pub reads: Cell<bool>,
     /// Time until which requests may wait for the first read of the registry.
     first_read_until: Cell<Time>,
-    /// Secrets of the newest configurations, by version.
-    secrets: RefCell<VecDeque<(u64, Secret)>>,
+    /// Secrets of the newest configurations, from the newest on.
+    secrets: RefCell<VecDeque<KeptSecret>>,
     /// Phase of the process.
     pub phase: watch::Sender<Phase>,
     /// Whether the process ends: requests that are still open are cut off.
@@ -199,16 +223,38 @@
     /// Returns the secret of a configuration version, if it is one of the newest.
     pub fn secret(&self, version: u64) -> Option<Secret> {
         let secrets = self.secrets.borrow();
-        let found = secrets.iter().find(|(held, _)| *held == version);
-        found.map(|(_, secret)| *secret)
+        let mut newest = secrets.iter().take(MAX_SECRETS);
+        let found = newest.find(|kept| kept.version == version);
+        found.map(|kept| kept.secret)
+    }
+
+    /// Returns the secret of a configuration version whose polls are answered.
+    pub fn poll_secret(&self, version: u64) -> Option<Secret> {
+        let secrets = self.secrets.borrow();
+        let found = secrets.iter().find(|kept| kept.version == version);
+        found.map(|kept| kept.secret)
     }
 
     /// Remembers a configuration's secret.
     pub fn remember(&self, version: u64, secret: Secret) {
+        let now = now();
         let mut secrets = self.secrets.borrow_mut();
-        secrets.push_back((version, secret));
-        if secrets.len() > MAX_SECRETS {
-            secrets.pop_front();
+        if let Some(before) = secrets.front_mut() {
+            before.replaced = Some(now);
+        }
+        secrets.push_front(KeptSecret {
+            version,
+            secret,
+            replaced: None,
+        });
+        let expired = |kept: &KeptSecret| {
+            let replaced = kept.replaced;
+            replaced.is_some_and(|at| now.since(at) >= POLL_SECRET_TTL)
+        };
+        while secrets.len() > MAX_POLL_SECRETS
+            || secrets.len() > MAX_SECRETS && secrets.back().is_some_and(expired)
+        {
+            secrets.pop_back();
         }
     }
 
