End a stream at its deadline although its endpoint goes on sending

A flood in chunks went on past its deadline: floods::verify_an_answer_without_end_is_ended_at_its_deadline failed in one run of all path tests (load average 32): 3.0 and 3.6 s where 2.6 are allowed, and passed where the flood was fast enough to exceed the length of an event before. The check is made before each read again.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -263,6 +263,10 @@
                 self.record_end(Some(BodyEnd::Overlong));
                 return Piece::Stalled;
             }
+            if patience == Duration::ZERO {
+                self.record_end(Some(BodyEnd::Silent));
+                return Piece::Stalled;
+            }
             let Some(attempt) = &mut self.attempt else {
                 return Piece::End;
             };
