--- a/crates/core/tests/gateway/succession.rs
+++ b/crates/core/tests/gateway/succession.rs
@@ -102,3 +102,27 @@
     gateway.withdraw_successor(&mut ticket, &successor, true);
     expect_that!(ticket.attempts(), eq(ticket.max_attempts));
 }
+
+/// Guards against a refusal that hides that a request has not run because a successor was looked for and not sent.
+#[gtest]
+fn verify_a_successor_that_was_not_sent_leaves_open_whether_the_request_has_run() {
+    let mut gateway = gateway(3);
+    let mut ticket = sent(&mut gateway, "/chat/x");
+    let successor = gateway.begin_successor(Time(1500), &mut ticket);
+    let successor = successor.expect("another attempt may follow");
+    expect_true!(successor.may_have_run);
+    gateway.withdraw_successor(&mut ticket, &successor, false);
+    expect_false!(ticket.may_have_run);
+}
+
+/// Guards against a promise that a request has not run although a successor of it was sent.
+#[gtest]
+fn verify_a_successor_that_was_sent_may_have_run() {
+    let mut gateway = gateway(3);
+    let mut ticket = sent(&mut gateway, "/chat/x");
+    let successor = gateway.begin_successor(Time(1500), &mut ticket);
+    let mut successor = successor.expect("another attempt may follow");
+    send(&mut gateway, &mut successor, "/chat/x");
+    gateway.withdraw_successor(&mut ticket, &successor, false);
+    expect_true!(ticket.may_have_run);
+}
