Keep the promise that a request has not run where its successor was not sent

Callers got 502 or 504 without a promise where their endpoint had kept silent and then rejected the request, and a successor had been looked for meanwhile: its ticket begins as one that may have run, and withdrawing it copied that. It counts now only if the successor was sent or handed to a peer.

Not run over sockets.

--- a/crates/core/src/gateway/attempt/succession.rs
+++ b/crates/core/src/gateway/attempt/succession.rs
@@ -34,12 +34,15 @@
     /// Notes that a successor is withdrawn and the present attempt goes on; `in_peer` tells whether
     /// a peer had it.
     pub fn withdraw_successor(&mut self, ticket: &mut Ticket, successor: &Ticket, in_peer: bool) {
+        let sent = in_peer
+            || successor.attempts() > ticket.attempts()
+            || successor.peers.len() > ticket.peers.len();
         ticket.tried.clone_from(&successor.tried);
         ticket.unreached.clone_from(&successor.unreached);
         ticket.peers.clone_from(&successor.peers);
         ticket.remote_attempts = successor.remote_attempts;
         ticket.retry_reserved = successor.retry_reserved;
-        ticket.may_have_run |= successor.may_have_run;
+        ticket.may_have_run |= sent && successor.may_have_run;
         if in_peer {
             // The peer may have made any number of the attempts that it was granted.
             let left = ticket.max_attempts.saturating_sub(ticket.attempts());
