Let no promise that nothing has run take over from a silent endpoint

Callers of a slow answer got the signed 429 of another endpoint: it is no server error, so it took over, though the silent endpoint may have run the request and would have answered.

Evidence: verify_a_slow_answer_is_delivered_although_the_other_one_refuses failed before (429 for 200) and passes.

--- a/crates/gateway/src/proxied/succession.rs
+++ b/crates/gateway/src/proxied/succession.rs
@@ -234,7 +234,8 @@
         let status = attempt.head.status;
         let suits = match resume {
             Some(_) => status.is_success(),
-            None => !status.is_server_error(),
+            // A promise that nothing has run would hide that the silent endpoint may have run it.
+            None => !status.is_server_error() && !(self.state.protocol.promises_not_run)(status),
         };
         if suits {
             return Ok(attempt);
