Count an endpoint that keeps silent as not heard from while its attempt stays open

Where all endpoints of a service keep silent, attempts of requests that are no streams stay open until the deadline, and nothing told that the service is not reached: no request was handed to a peer. The silence counts now when a successor is looked for, as it did when the attempt was ended then.

Evidence: verify_a_silent_service_is_unreached_before_its_requests_end fails without the call (the requests have ended first) and passes with it; the other silence tests as before, two of them known red.

--- a/crates/core/src/gateway/attempt/end.rs
+++ b/crates/core/src/gateway/attempt/end.rs
@@ -50,6 +50,12 @@
         self.decide_next(now, ticket, endpoint, outcome)
     }
 
+    /// Notes that the endpoint of an attempt that stays open keeps silent.
+    pub fn kept_silent(&mut self, now: Time, ticket: &Ticket, endpoint: EndpointKey) {
+        let service = ticket.service.clone();
+        self.record_lost_contact(now, &service, (endpoint, ticket.sent));
+    }
+
     fn record_lost_contact(&mut self, now: Time, service: &Bytes, failed: (EndpointKey, Time)) {
         let endpoints = self.registry.of(service).count();
         if let Some(outage) = self.reach.failed(now, service, failed, endpoints) {
--- a/crates/gateway/src/proxied/succession.rs
+++ b/crates/gateway/src/proxied/succession.rs
@@ -140,6 +140,10 @@
         resume: Option<u64>,
         failure: impl Fn(&T) -> Option<AttemptOutcome>,
     ) -> Succession<T> {
+        if let Target::Endpoint(endpoint) = present.guard.target {
+            let mut gateway = self.state.gateway.borrow_mut();
+            gateway.kept_silent(now(), &self.ticket, endpoint);
+        }
         let Some(mut successor) = self.begin_successor() else {
             return Succession::Kept(present);
         };
