--- a/crates/gateway/src/proxied/succession.rs
+++ b/crates/gateway/src/proxied/succession.rs
@@ -140,6 +140,10 @@
         resume: Option<u64>,
         failure: impl Fn(&T) -> Option<AttemptOutcome>,
     ) -> Succession<T> {
+        if let Target::Endpoint(endpoint) = present.guard.target {
+            let mut gateway = self.state.gateway.borrow_mut();
+            gateway.kept_silent(now(), &self.ticket, endpoint);
+        }
         let Some(mut successor) = self.begin_successor() else {
             return Succession::Kept(present);
         };
@@ -235,7 +239,8 @@
         let status = attempt.head.status;
         let suits = match resume {
             Some(_) => status.is_success(),
-            None => !status.is_server_error(),
+            // A promise that nothing has run would hide that the silent endpoint may have run it.
+            None => !status.is_server_error() && !(self.state.protocol.promises_not_run)(status),
         };
         if suits {
             return Ok(attempt);
