Use what can be used of a configuration, and prove none that was replaced unread

What callers saw: a valid version took a key away and gave a route the rank 300.

Cause: any fault refused the whole document, and each later read of the registry proved the state held anew, though its configuration had been replaced.

Change: each route, service, workspace and key is judged by itself. Numbers out of range become the nearest; a route that can't be used is left out and hides its requests from wider routes; a key of two workspaces opens neither; a workspace that can't be read still makes requests need a key. If the version or the list of workspaces can't be read, or the configuration is removed, reads no longer prove keys and routes: they age out by the bounds, counted from the read before.

--- a/crates/core/src/gateway/admission/catalog.rs
+++ b/crates/core/src/gateway/admission/catalog.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use indexmap::IndexMap;
+use indexmap::{
+    IndexMap,
+    map::Entry, //
+};
 use snafu::Snafu;
 
 use crate::{
@@ -94,7 +97,7 @@
     }
 }
 
-/// `Error` says why a configuration is rejected as a whole.
+/// `Error` says why a piece of a configuration is left out or replaced.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum Error {
     /// Two items have the same name.
@@ -140,7 +143,7 @@
 /// # Invariants
 ///
 /// Each route goes to published services, allows at least one attempt, has a time limit above 0,
-/// and is the only one with its host and prefix.
+/// and is the only one with its host and prefix. Each key belongs to one workspace.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
     /// Version.
@@ -149,7 +152,8 @@
     pub limits: Limits,
     /// Secret shared by the routers that hold this configuration.
     pub secret: [u8; 32],
-    hosts: IndexMap<Bytes, IndexMap<Bytes, Arc<Route>>>,
+    /// Routes by host and prefix; `None` for one that is published but can't be used.
+    hosts: IndexMap<Bytes, IndexMap<Bytes, Option<Arc<Route>>>>,
     services: IndexMap<Bytes, Service>,
     keys: IndexMap<Bytes, Arc<Workspace>>,
     workspaces: IndexMap<Bytes, Arc<Workspace>>,
@@ -157,18 +161,20 @@
 }
 
 impl Catalog {
-    /// Finds the route for a host and path: the one with the longest matching prefix.
+    /// Finds the route for a host and path: the one with the longest matching prefix. A request of a
+    /// route that can't be used has none: one with a shorter prefix may go elsewhere.
     pub fn route(&self, host: &[u8], path: &[u8]) -> Option<&Arc<Route>> {
         let prefixes = self.hosts.get(host)?;
         let slashes = path.iter().enumerate().rev().filter(|(_, b)| **b == b'/');
         slashes
             .map(|(at, _)| &path[..=at])
-            .find_map(|prefix| prefixes.get(prefix))
+            .find_map(|prefix| prefixes.get(prefix))?
+            .as_ref()
     }
 
     /// Lists the routes.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
-        self.hosts.values().flat_map(IndexMap::values)
+        self.hosts.values().flat_map(IndexMap::values).flatten()
     }
 
     /// Finds the workspace that an API key belongs to.
@@ -219,6 +225,20 @@
     type Error = Error;
 
     fn try_from(raw: RawCatalog) -> Result<Self, Error> {
+        let (catalog, faults) = Self::from_usable(raw, Vec::new());
+        faults.into_iter().next().map_or(Ok(catalog), Err)
+    }
+}
+
+impl Catalog {
+    /// Makes a catalog of what can be used, and tells what is left out or replaced.
+    ///
+    /// Each piece is judged by itself: a key that was taken away must not stay because a route can't
+    /// be used. Of two services with one name, or two routes of one host and prefix, the first
+    /// counts; a key of two workspaces opens neither. `unusable` has the hosts and prefixes of the
+    /// routes that could not be decoded.
+    pub fn from_usable(raw: RawCatalog, mut unusable: Vec<(Bytes, Bytes)>) -> (Self, Vec<Error>) {
+        let mut faults = Vec::new();
         let mut catalog = Self {
             version: raw.version,
             limits: raw.limits,
@@ -226,48 +246,61 @@
             has_workspaces: !raw.workspaces.is_empty(),
             ..Self::default()
         };
-        for service in raw.services {
+        for mut service in raw.services {
             let name = service.name.clone();
             if service.connections == 0 {
                 let what = "connections";
-                return NumberSnafu { what, name }.fail();
+                let name = name.clone();
+                faults.push(Error::Number { what, name });
+                service.connections = 1;
             }
-            if catalog.services.insert(name.clone(), service).is_some() {
-                let what = "service";
-                return DuplicateSnafu { what, name }.fail();
+            match catalog.services.entry(name.clone()) {
+                Entry::Vacant(vacant) => drop(vacant.insert(service)),
+                Entry::Occupied(_) => {
+                    let what = "service";
+                    faults.push(Error::Duplicate { what, name });
+                }
             }
         }
         for route in raw.routes {
-            catalog.add(route)?;
+            let place = (route.host.clone(), route.prefix.clone());
+            if let Err(fault) = catalog.add(route, &mut faults) {
+                faults.push(fault);
+                unusable.push(place);
+            }
         }
+        for (host, prefix) in unusable {
+            let prefixes = catalog.hosts.entry(host).or_default();
+            prefixes.entry(prefix).or_insert(None);
+        }
+        let mut shared_keys = Vec::new();
         for (workspace, keys) in raw.workspaces {
             let workspace = Arc::new(workspace);
             let name = workspace.name.clone();
-            let named = catalog.workspaces.entry(name);
+            let named = catalog.workspaces.entry(name.clone());
             named.or_insert_with(|| Arc::clone(&workspace));
             for key in keys {
-                let before = catalog.keys.insert(key, Arc::clone(&workspace));
+                let before = catalog.keys.insert(key.clone(), Arc::clone(&workspace));
                 if before.is_some_and(|b| b.name != workspace.name) {
                     let what = "workspace with a key of";
-                    let name = workspace.name.clone();
-                    return DuplicateSnafu { what, name }.fail();
+                    let name = name.clone();
+                    faults.push(Error::Duplicate { what, name });
+                    shared_keys.push(key);
                 }
             }
         }
-        Ok(catalog)
+        for key in shared_keys {
+            catalog.keys.swap_remove(&key);
+        }
+        (catalog, faults)
     }
-}
 
-impl Catalog {
-    fn add(&mut self, route: Route) -> Result<(), Error> {
+    fn add(&mut self, mut route: Route, faults: &mut Vec<Error>) -> Result<(), Error> {
         let name = route.name.clone();
         let bounded = route.prefix.starts_with(b"/") && route.prefix.ends_with(b"/");
         snafu::ensure!(bounded, PrefixSnafu { name });
         let weight: u64 = route.shares.iter().map(|s| u64::from(s.weight)).sum();
         snafu::ensure!(weight > 0, NoTargetSnafu { name });
-        let what = "attempts";
-        let attempts = (1..=MAX_ATTEMPTS).contains(&route.attempts);
-        snafu::ensure!(attempts, NumberSnafu { what, name });
         let what = "time limit";
         snafu::ensure!(route.limit > Millis(0), NumberSnafu { what, name });
         for share in &route.shares {
@@ -275,10 +308,21 @@
             let known = self.services.contains_key(&service);
             snafu::ensure!(known, ServiceSnafu { name, service });
         }
+        let attempts = route.attempts.clamp(1, MAX_ATTEMPTS);
+        if route.attempts == 0 {
+            let what = "attempts";
+            let name = name.clone();
+            faults.push(Error::Number { what, name });
+        }
+        route.attempts = attempts;
         let prefixes = self.hosts.entry(route.host.clone()).or_default();
-        let before = prefixes.insert(route.prefix.clone(), Arc::new(route));
-        let what = "route";
-        snafu::ensure!(before.is_none(), DuplicateSnafu { what, name });
+        match prefixes.entry(route.prefix.clone()) {
+            Entry::Vacant(vacant) => drop(vacant.insert(Some(Arc::new(route)))),
+            Entry::Occupied(_) => {
+                let what = "route";
+                return DuplicateSnafu { what, name }.fail();
+            }
+        }
         Ok(())
     }
 }
--- a/crates/core/src/gateway/fleet/proof.rs
+++ b/crates/core/src/gateway/fleet/proof.rs
@@ -21,6 +21,13 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FreshnessProof {
     read: Option<Time>,
+    /// The sending time of the newest read that returned the configuration held.
+    configuration: Option<Time>,
+    /// The same of the read before.
+    configuration_before: Option<Time>,
+    /// Whether the newest configuration can't be read, so that keys and routes of the one held may
+    /// have been replaced.
+    configuration_unreadable: bool,
     /// When the registry was last known to hold something newer.
     newer: Option<Time>,
 }
@@ -28,7 +35,29 @@
 impl FreshnessProof {
     /// Records a read that was sent at `sent`.
     pub fn renew(&mut self, sent: Time) {
-        self.read = self.read.max(Some(sent));
+        if self.read >= Some(sent) {
+            return;
+        }
+        self.read = Some(sent);
+        if !self.configuration_unreadable {
+            self.configuration_before = self.configuration;
+            self.configuration = self.read;
+        }
+    }
+
+    /// Records that the newest read brought a configuration that can't be read: neither it nor a
+    /// later one proves that the one held is the newest.
+    pub fn record_unreadable_configuration(&mut self) {
+        if !self.configuration_unreadable {
+            self.configuration_unreadable = true;
+            self.configuration = self.configuration_before;
+        }
+    }
+
+    /// Records that the newest read brought the configuration that is held now.
+    pub fn record_readable_configuration(&mut self) {
+        self.configuration_unreadable = false;
+        self.configuration = self.read;
     }
 
     /// Records that the answer to a call sent at `sent` announced something newer, which has not
@@ -51,15 +80,16 @@
     ///
     /// While the registry is unavailable nothing new is published, so only the bound of keys
     /// applies. A router that hears from the registry that there is something newer, and does not
-    /// get it, must keep the shorter bound for new configurations.
+    /// get it or can't read it, must keep the shorter bound for new configurations.
     pub fn covers_routes(&self, now: Time, bounds: &Bounds) -> bool {
-        let outdated = self.newer > self.read;
+        let outdated = self.configuration_unreadable || self.newer > self.read;
         let bound = if outdated {
             bounds.routes.min(bounds.keys)
         } else {
             bounds.keys
         };
-        self.holds(now, bound)
+        self.configuration
+            .is_some_and(|read| now.since(read) < bound)
     }
 
     /// Tells whether it is known which data centres are evacuated.
--- a/crates/core/src/gateway/fleet/updates/registry.rs
+++ b/crates/core/src/gateway/fleet/updates/registry.rs
@@ -24,6 +24,8 @@
 pub enum Change {
     /// A configuration was published.
     Catalog(Box<Catalog>),
+    /// The published configuration can't be read: its keys and routes are unknown.
+    UnreadableCatalog,
     /// An endpoint's entry was added or changed.
     Entry(Entry),
     /// An endpoint's entry was removed.
@@ -124,6 +126,7 @@
         for change in changes {
             match change {
                 Change::Catalog(catalog) => self.publish(now, *catalog, &mut events),
+                Change::UnreadableCatalog => self.proof.record_unreadable_configuration(),
                 Change::Entry(entry) => {
                     // The entry was added again before this read ended.
                     removed.retain(|id| *id != entry.id);
@@ -151,8 +154,9 @@
                 version,
                 held: held.version,
             }),
-            Some(held) if held.version == version => {}
+            Some(held) if held.version == version => self.proof.record_readable_configuration(),
             _ => {
+                self.proof.record_readable_configuration();
                 self.hot_spots
                     .retain(|name, _| catalog.service(name).is_some());
                 self.reach.retain(|name| catalog.service(name).is_some());
