Keep a silent endpoint until another one has sent an event or its whole answer

What callers saw: a stream, or an answer, of an endpoint that paused was lost where another one sent the head of its answer and broke off: the head alone took over.

Change: a successor's stream is read up to its first event, another answer to its end, before the silent endpoint is closed; what was read goes on to the caller.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -163,7 +163,7 @@
 pub(crate) async fn read(
     state: &Shared,
     parts: &Parts,
-    body: Incoming,
+    mut body: Incoming,
     began: Time,
 ) -> Result<(IncomingRequest, Bytes), (Bytes, Refusal)> {
     let no_id = Bytes::new();
@@ -192,7 +192,7 @@
     let held = state.memory.requests.reservation(&part);
     let collected = timeout(
         Duration::from_millis(body_timeout.0),
-        memory::collect(body, limits.body, held),
+        memory::collect(&mut body, limits.body, held),
     );
     match collected.await {
         Ok(Ok(body)) => Ok((incoming_request, body)),
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -329,7 +329,7 @@
 
 /// Buffers a body until it is complete. The bytes are counted until they are dropped.
 pub(crate) async fn collect(
-    mut body: Incoming,
+    body: &mut Incoming,
     max: usize,
     mut reservation: Reservation,
 ) -> Result<Bytes, CollectError> {
--- a/crates/gateway/src/proxied/endpoint.rs
+++ b/crates/gateway/src/proxied/endpoint.rs
@@ -218,7 +218,7 @@
             match self.succeed(sent, resume, failure).await {
                 Succession::Heard(exchanged, guard) => break (exchanged, guard),
                 Succession::Kept(present) => sent = present,
-                Succession::Replaced(attempt) => return Ok(Head::Replaced(attempt)),
+                Succession::Replaced(attempt) => return Ok(Head::Replaced(*attempt)),
                 Succession::Failed(refusal) => return Err(SendFailure::Refused(refusal)),
             }
         };
@@ -290,6 +290,8 @@
             head,
             reply,
             body,
+            ahead: Bytes::new(),
+            whole: false,
             connection,
             guard,
         })
@@ -301,44 +303,26 @@
         &mut self,
         attempt: Attempt,
     ) -> (NextStep, Result<Response<Body>, AttemptOutcome>) {
+        let mut attempt = attempt;
+        let collected = self.collect(&mut attempt).await;
         let Attempt {
             head,
             reply,
-            body,
+            ahead,
             connection,
             guard,
+            ..
         } = attempt;
-        self.record_first(&guard.target);
-        let held = self.reservation();
-        let collected = timeout(
-            self.time_left(),
-            memory::collect(body, MAX_BUFFERED_ANSWER_BYTES, held),
-        )
-        .await;
-        match &collected {
-            Ok(Ok(_)) => self.record_end(None),
-            Ok(Err(CollectError::Overlong)) => self.record_end(Some(BodyEnd::Overlong)),
-            Ok(Err(CollectError::NoRoom)) => {
-                self.record_end(Some(BodyEnd::Overlong));
-                self.log_no_memory(&guard.target);
-            }
-            Ok(Err(_)) => self.record_end(Some(BodyEnd::Lost)),
-            Err(_) => self.record_end(Some(BodyEnd::Silent)),
-        }
         let answer = match collected {
-            Ok(Ok(_)) if self.would_mislead(head.status) => {
+            Ok(()) if self.would_mislead(head.status) => {
                 self.keep_connection(&guard, connection, &reply);
                 Err(AttemptOutcome::Failed)
             }
-            Ok(Ok(body)) => {
+            Ok(()) => {
                 self.keep_connection(&guard, connection, &reply);
-                Ok(self.caller_response(&head, Either::Left(Full::new(body))))
+                Ok(self.caller_response(&head, Either::Left(Full::new(ahead))))
             }
-            Ok(Err(error)) => {
-                tracing::debug!(id = %text(&self.incoming_request.id), %error, "body of the answer ended early");
-                Err(AttemptOutcome::Broken)
-            }
-            Err(_) => Err(AttemptOutcome::Stalled),
+            Err(outcome) => Err(outcome),
         };
         let outcome = match &answer {
             Ok(_) if head.status.is_server_error() => AttemptOutcome::Failed,
@@ -348,6 +332,46 @@
         (self.end(guard, outcome, Some(head.status)), answer)
     }
 
+    /// Reads the whole body of an attempt's answer.
+    pub(super) async fn collect(&mut self, attempt: &mut Attempt) -> Result<(), AttemptOutcome> {
+        if attempt.whole {
+            return Ok(());
+        }
+        self.record_first(&attempt.guard.target);
+        let held = self.reservation();
+        let collected = timeout(
+            self.time_left(),
+            memory::collect(&mut attempt.body, MAX_BUFFERED_ANSWER_BYTES, held),
+        )
+        .await;
+        let error = match collected {
+            Ok(Ok(rest)) => {
+                self.record_end(None);
+                attempt.ahead = match attempt.ahead.is_empty() {
+                    true => rest,
+                    false => [std::mem::take(&mut attempt.ahead), rest].concat().into(),
+                };
+                attempt.whole = true;
+                return Ok(());
+            }
+            Ok(Err(error)) => error,
+            Err(_) => {
+                self.record_end(Some(BodyEnd::Silent));
+                return Err(AttemptOutcome::Stalled);
+            }
+        };
+        tracing::debug!(id = %text(&self.incoming_request.id), %error, "body of the answer ended early");
+        match error {
+            CollectError::Overlong => self.record_end(Some(BodyEnd::Overlong)),
+            CollectError::NoRoom => {
+                self.record_end(Some(BodyEnd::Overlong));
+                self.log_no_memory(&attempt.guard.target);
+            }
+            CollectError::Lost { .. } => self.record_end(Some(BodyEnd::Lost)),
+        }
+        Err(AttemptOutcome::Broken)
+    }
+
     /// Tells whether an answer with this status would promise that a request that must not run twice
     /// has not run. An endpoint states that otherwise; with its status alone, it may have run the
     /// request.
@@ -390,13 +414,13 @@
         &self,
         guard: &AttemptGuard,
         connection: Connection,
-        body: Incoming,
+        mut body: Incoming,
         reply: &ReplyHead,
     ) {
         let held = self.reservation();
         if let Ok(Ok(_)) = timeout(
             REJECTION_BODY_TIMEOUT,
-            memory::collect(body, MAX_BUFFERED_ANSWER_BYTES, held),
+            memory::collect(&mut body, MAX_BUFFERED_ANSWER_BYTES, held),
         )
         .await
         {
--- a/crates/gateway/src/proxied/mod.rs
+++ b/crates/gateway/src/proxied/mod.rs
@@ -213,6 +213,10 @@
     pub(crate) head: http::response::Parts,
     pub(crate) reply: ReplyHead,
     pub(crate) body: Incoming,
+    /// Bytes of the body that have been read ahead.
+    pub(crate) ahead: Bytes,
+    /// Whether these are the whole body.
+    pub(crate) whole: bool,
     pub(crate) connection: Connection,
     pub(crate) guard: AttemptGuard,
 }
--- a/crates/gateway/src/proxied/peer.rs
+++ b/crates/gateway/src/proxied/peer.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 
+use bytes::Bytes;
 use http::StatusCode;
 use tokio::time::timeout;
 use toucanturn_core::gateway::{
@@ -143,6 +144,8 @@
                 head,
                 reply,
                 body,
+                ahead: Bytes::new(),
+                whole: false,
                 connection,
                 guard,
             });
--- a/crates/gateway/src/proxied/probe.rs
+++ b/crates/gateway/src/proxied/probe.rs
@@ -56,8 +56,8 @@
         .heard(now(), probe.endpoint, opened);
     let reply = (state.protocol.reply)(response.headers());
     let held = state.memory.answers.reservation(&Bytes::new());
-    let body = response.into_body();
-    memory::collect(body, MAX_BUFFERED_ANSWER_BYTES, held)
+    let mut body = response.into_body();
+    memory::collect(&mut body, MAX_BUFFERED_ANSWER_BYTES, held)
         .await
         .ok()?;
     if !reply.closes && !reply.leaving {
--- a/crates/gateway/src/proxied/succession.rs
+++ b/crates/gateway/src/proxied/succession.rs
@@ -1,9 +1,10 @@
 //! When an attempt may be given up because its endpoint keeps silent, and what has to be held before.
 //!
-//! An endpoint that pauses is not told from one that hangs. So the attempt stays open until another one has begun to
-//! answer: until then each step of the successor (limits, placement, connection, hand-off, its answer) may fail, and
-//! the endpoint may go on after all. A stream may run twice for [`MAX_OVERLAP`] at most; a successor that has not failed
-//! by then takes over. Of other requests, which may run more than once, both attempts go on until one answers.
+//! An endpoint that pauses is not told from one that hangs. So the attempt stays open until another one has sent the
+//! first event of its stream, or the whole of another answer: until then each step of the successor (limits, placement,
+//! connection, hand-off, its answer) may fail, and the endpoint may go on after all. Two endpoints may run a stream for
+//! [`MAX_OVERLAP`] at most; a successor that has not failed by then takes over. Of other requests, which may run more than
+//! once, both attempts go on until one has answered.
 
 use std::{
     cell::Cell,
@@ -11,20 +12,26 @@
     time::Duration, //
 };
 
+use bytes::BytesMut;
 use futures_util::future::{
     FutureExt as _,
     LocalBoxFuture, //
 };
 use http::StatusCode;
+use http_body_util::BodyExt as _;
 use tokio::{
     sync::Notify,
     time::{
         Instant,
-        sleep_until, //
+        sleep_until,
+        timeout, //
     },
 };
 use toucanturn_core::gateway::{
-    outcome::AttemptOutcome,
+    outcome::{
+        AttemptOutcome,
+        NextStep, //
+    },
     refusal::{
         Cause,
         Refusal, //
@@ -32,7 +39,10 @@
 };
 
 use crate::{
-    framing::BodyEnd,
+    framing::{
+        BodyEnd,
+        Framing, //
+    },
     log::text,
     prefill,
     proxied::{
@@ -42,12 +52,15 @@
         Target,
         report::endpoint_name, //
     },
+    sse::EventSplitter,
     state::now,
 };
 
 /// Longest time for which two endpoints may run one stream, from sending it to the second one. 400 ms are allowed; the
 /// rest is for the way to the endpoint and for a router that waits for its share of a processor.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
+/// Bytes of a stream after which it counts as begun although its first event is not complete.
+const MAX_AHEAD_BYTES: usize = 64 << 10;
 
 /// `Present` is an attempt whose endpoint keeps silent. `progress` completes when the endpoint sends something, and
 /// owns the connection.
@@ -64,8 +77,8 @@
     Heard(T, AttemptGuard),
     /// No other endpoint has taken over; the attempt goes on.
     Kept(Present<T>),
-    /// Another attempt has begun to answer, and the silent one was ended. The request's state is that of the new one.
-    Replaced(Attempt),
+    /// Another attempt has taken over, and the silent one was ended. The request's state is that of the new one.
+    Replaced(Box<Attempt>),
     /// The silent attempt was ended, and its successor failed.
     Failed(Refusal),
 }
@@ -79,10 +92,11 @@
 }
 
 impl Dispatch {
-    /// Records that an attempt is sent.
+    /// Records that an attempt is sent. When a peer sends it to an endpoint is known from its answer alone.
     pub(super) fn begin(&self, target: &Target) {
-        self.sent.set(Some(Instant::now()));
-        self.to_peer.set(matches!(target, Target::Peer { .. }));
+        let to_peer = matches!(target, Target::Peer { .. });
+        self.sent.set((!to_peer).then(Instant::now));
+        self.to_peer.set(to_peer);
         self.changed.notify_one();
     }
 
@@ -93,7 +107,7 @@
         self.changed.notify_one();
     }
 
-    /// Waits until an attempt has been under way for [`MAX_OVERLAP`].
+    /// Waits until an attempt at an endpoint has been under way for [`MAX_OVERLAP`].
     async fn overlapped(&self) {
         loop {
             let Some(sent) = self.sent.get() else {
@@ -111,7 +125,7 @@
 /// `First` is what happens first while a successor is under way.
 enum First<T> {
     Heard(T),
-    Started(Result<Attempt, Refusal>),
+    Begun(Result<Box<Attempt>, Cause>),
     Overlapped,
 }
 
@@ -123,7 +137,7 @@
     Withdrawn,
     /// It could not be sent, or failed, and the present attempt goes on.
     Refused,
-    /// It has begun to answer.
+    /// It has sent the first event of its stream, or the whole of another answer.
     Begun,
     /// It has taken over before it has begun to answer, after [`MAX_OVERLAP`].
     Overlapped,
@@ -154,27 +168,27 @@
         } = present;
         let dispatch = Rc::clone(&successor.dispatch);
         // Boxed, as the successor may need a successor itself.
-        let mut start = successor.start(resume).boxed_local();
+        let mut begin = successor.begin(resume).boxed_local();
         let is_stream = self.ticket.route.kind.streams();
         let first = tokio::select! {
             biased;
             heard = &mut progress => First::Heard(heard),
-            started = &mut start => First::Started(started),
+            begun = &mut begin => First::Begun(begun),
             () = dispatch.overlapped(), if is_stream => First::Overlapped,
         };
         let (takeover, outcome) = match first {
             First::Heard(heard) => match failure(&heard) {
                 None => {
                     let in_peer = dispatch.to_peer.get();
-                    drop(start);
+                    drop(begin);
                     self.withdraw(&guard, (successor, in_peer), Takeover::Withdrawn, None);
                     return Succession::Heard(heard, guard);
                 }
                 Some(outcome) => (Takeover::Inherited, outcome),
             },
-            First::Started(started) => {
-                drop(start);
-                return match successor.judge_start(started, resume) {
+            First::Begun(begun) => {
+                drop(begin);
+                return match begun {
                     Ok(attempt) => {
                         drop(progress);
                         let silent = (guard, AttemptOutcome::Stalled, status);
@@ -195,13 +209,79 @@
             First::Overlapped => (Takeover::Overlapped, AttemptOutcome::Stalled),
         };
         drop(progress);
-        self.take_over((guard, outcome, status), takeover);
-        let started = start.await;
+        let is_sent = dispatch.sent.get().is_some() || dispatch.to_peer.get();
+        let next = self.take_over((guard, outcome, status), takeover);
+        if next == NextStep::GiveUp && !is_sent {
+            drop(begin);
+            return Succession::Failed(self.given_up(outcome.cause()));
+        }
+        let begun = begin.await;
         *self = successor;
-        match started {
+        match begun {
             Ok(attempt) => Succession::Replaced(attempt),
-            Err(refusal) => Succession::Failed(refusal),
+            Err(cause) => Succession::Failed(self.given_up(cause)),
+        }
+    }
+
+    /// Makes attempts until one can take over; ends one that can't, and returns why.
+    async fn begin(&mut self, resume: Option<u64>) -> Result<Box<Attempt>, Cause> {
+        let started = self.start(resume).await;
+        let mut attempt = Box::new(started.map_err(|refusal| refusal.cause)?);
+        let status = attempt.head.status;
+        let suits = match resume {
+            Some(_) => status.is_success(),
+            // A promise that nothing has run would hide that the silent endpoint may have run it.
+            None => !status.is_server_error() && !(self.state.protocol.promises_not_run)(status),
+        };
+        let outcome = match suits {
+            true => self.read_ahead(&mut attempt, resume).await,
+            false => Some(AttemptOutcome::Failed),
+        };
+        let Some(outcome) = outcome else {
+            return Ok(attempt);
+        };
+        drop(attempt.connection);
+        self.end(attempt.guard, outcome, Some(status));
+        Err(outcome.cause())
+    }
+
+    /// Reads the first event of a stream, or the whole of another answer; returns how that failed.
+    async fn read_ahead(
+        &mut self,
+        attempt: &mut Attempt,
+        resume: Option<u64>,
+    ) -> Option<AttemptOutcome> {
+        if !self.ticket.route.kind.streams() {
+            return self.collect(attempt).await.err();
         }
+        let framing = Framing::of(&attempt.head, &attempt.body);
+        let limit = self.silence_timeout(&attempt.guard, false);
+        let mut events = EventSplitter::default();
+        let mut ahead = BytesMut::new();
+        let outcome = loop {
+            let frame = match timeout(limit, attempt.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                // An answer that is no stream may be complete; it can't complete a stream.
+                Ok(None) if framing != Framing::Close && (ahead.is_empty() || resume.is_none()) => {
+                    break None;
+                }
+                Ok(None | Some(Err(_))) => {
+                    self.record_end(Some(BodyEnd::Lost));
+                    break Some(AttemptOutcome::Broken);
+                }
+                // Its own silence is judged where the stream is forwarded.
+                Err(_) => break None,
+            };
+            if let Ok(data) = frame.into_data() {
+                ahead.extend_from_slice(&data);
+                events.push(&data);
+            }
+            if events.next_event().is_some() || ahead.len() > MAX_AHEAD_BYTES {
+                break None;
+            }
+        };
+        attempt.ahead = ahead.freeze();
+        outcome
     }
 
     /// Makes the state of a successor; `None` if no other attempt may follow.
@@ -228,39 +308,17 @@
         })
     }
 
-    /// Returns the attempt of a successor that has begun to answer; otherwise ends it, and returns why it can't take
-    /// over.
-    fn judge_start(
-        &mut self,
-        started: Result<Attempt, Refusal>,
-        resume: Option<u64>,
-    ) -> Result<Attempt, Cause> {
-        let attempt = started.map_err(|refusal| refusal.cause)?;
-        let status = attempt.head.status;
-        let suits = match resume {
-            Some(_) => status.is_success(),
-            // A promise that nothing has run would hide that the silent endpoint may have run it.
-            None => !status.is_server_error() && !(self.state.protocol.promises_not_run)(status),
-        };
-        if suits {
-            return Ok(attempt);
-        }
-        drop(attempt.connection);
-        self.end(attempt.guard, AttemptOutcome::Failed, Some(status));
-        Err(Cause::EndpointFailed)
-    }
-
     /// Ends the silent attempt, whose connection is closed.
     fn take_over(
         &mut self,
         (guard, outcome, status): (AttemptGuard, AttemptOutcome, Option<StatusCode>),
         takeover: Takeover,
-    ) {
+    ) -> NextStep {
         if outcome == AttemptOutcome::Stalled {
             self.record_end(Some(BodyEnd::Silent));
         }
         self.log_succession(&guard, takeover, None);
-        self.end(guard, outcome, status);
+        self.end(guard, outcome, status)
     }
 
     /// Lets the present attempt go on; what its successor has used up counts for the request.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -166,6 +166,9 @@
             heard: now(),
             longest_pause: Millis(0),
         };
+        if let Some(attempt) = &relay.attempt {
+            relay.events.push(&attempt.ahead);
+        }
         match relay.next_piece().await {
             Piece::Bytes(first) => return relay.respond(Some(first)),
             Piece::End => {
@@ -331,6 +334,7 @@
             mut body,
             connection,
             guard,
+            ..
         } = attempt;
         let progress = async move {
             let frame = body.frame().await;
@@ -387,6 +391,8 @@
             head,
             reply,
             body,
+            ahead: Bytes::new(),
+            whole: false,
             connection,
             guard,
         });
@@ -394,17 +400,18 @@
     }
 
     /// Goes on with the answer of an attempt that has taken over.
-    fn go_on_with(&mut self, attempt: Attempt) -> Result<Option<NextFrame>, Piece> {
+    fn go_on_with(&mut self, attempt: Box<Attempt>) -> Result<Option<NextFrame>, Piece> {
         if !attempt.head.status.is_success() {
-            return Err(Piece::NoStream(Box::new(attempt)));
+            return Err(Piece::NoStream(attempt));
         }
-        self.adopt(attempt);
+        self.adopt(*attempt);
         Ok(None)
     }
 
     fn adopt(&mut self, attempt: Attempt) {
         self.events = EventSplitter::default();
         self.held = self.proxied.reservation();
+        self.events.push(&attempt.ahead);
         self.resumed = self.event_delivered;
         if !self.event_delivered {
             self.head = attempt.head.clone();
