Send bound streams to an endpoint that may have restarted only after a read

Cause: the version of the entry read last was taken for that of the process that answers.

Change: a connection that breaks, falls silent, can't be opened, or is closed while idle before its stated time is a sign of a restart. After it, a stream that is bound to a version is sent only on a connection that was opened before the newest registry read was sent; a read between the sign and the connection does not count, as the endpoint may have been down. A stream that began in doubt is settled by a read before it is resumed in the same answer.

Core gateway tests: 395 passed. Path restarted, builds, out_of_step, version_kills, streams, ends: 64 passed; cut_off with restarted: 19 passed.

Open: records of streams that a new process begins before its entry is read; a router that had no connection there.

--- a/crates/core/src/gateway/attempt/end.rs
+++ b/crates/core/src/gateway/attempt/end.rs
@@ -38,6 +38,9 @@
             let service = ticket.service.clone();
             self.record_lost_contact(now, &service, (endpoint, ticket.sent));
         }
+        if outcome.breaks_connection() {
+            self.registry.record_break(now, endpoint);
+        }
         let brittle = self.brittleness.limit(now, &ticket.service).is_some();
         if brittle && outcome == AttemptOutcome::Rejected {
             self.brittleness.rejected(now, endpoint);
@@ -109,6 +112,11 @@
             .ended(now, endpoint, AttemptOutcome::Left, Millis(0));
     }
 
+    /// Notes that an endpoint has closed an idle connection before the time that it had stated.
+    pub fn connection_lost(&mut self, now: Time, endpoint: EndpointKey) {
+        self.registry.record_break(now, endpoint);
+    }
+
     /// Notes that no connection to an endpoint could be made, so that nothing was sent.
     pub fn unreached(&mut self, now: Time, ticket: &mut Ticket, endpoint: EndpointKey) -> NextStep {
         self.release_prefill(ticket.owner);
--- a/crates/core/src/gateway/attempt/outcome.rs
+++ b/crates/core/src/gateway/attempt/outcome.rs
@@ -38,6 +38,14 @@
         )
     }
 
+    /// Tells whether the connection has ended, which may be the end of the endpoint's process.
+    pub const fn breaks_connection(self) -> bool {
+        matches!(
+            self,
+            AttemptOutcome::NotSent | AttemptOutcome::Broken | AttemptOutcome::Stalled
+        )
+    }
+
     /// Tells whether another attempt may follow for a request of this kind.
     pub const fn repeatable(self, kind: Kind) -> bool {
         match self {
--- a/crates/core/src/gateway/attempt/sending.rs
+++ b/crates/core/src/gateway/attempt/sending.rs
@@ -117,6 +117,9 @@
         let listed = self.registry.get(endpoint);
         ticket.life = listed.map(endpoint::Endpoint::tag);
         ticket.build = listed.map(|e| e.build);
+        let opened = ticket.opened.unwrap_or(now);
+        let described = listed.is_none_or(|e| e.is_described(self.proof.read(), opened));
+        ticket.unconfirmed = (!described).then_some((endpoint, opened));
         self.warmup.sent(now, endpoint);
         self.brittleness.sent(now, endpoint);
         self.registry.sent(now, endpoint);
@@ -171,6 +174,7 @@
 
     /// Notes that an endpoint answered on a connection that was opened at `opened`.
     pub fn heard(&mut self, now: Time, endpoint: EndpointKey, opened: Time) {
+        self.registry.record_answer_on(endpoint, opened);
         let Some(endpoint) = self.registry.get(endpoint) else {
             return;
         };
--- a/crates/core/src/gateway/attempt/ticket.rs
+++ b/crates/core/src/gateway/attempt/ticket.rs
@@ -87,6 +87,11 @@
     pub origin: Origin,
     /// Software version of the endpoint that it was last sent to.
     pub build: Option<Build>,
+    /// When the connection was opened on which it is sent to an endpoint.
+    pub opened: Option<Time>,
+    /// Endpoint that it was last sent to, and when the connection was opened, if the registry has not been read since
+    /// and the endpoint may have restarted: `build` is its entry's, and may not be that of its process.
+    pub unconfirmed: Option<(EndpointKey, Time)>,
     /// Whether nothing but the end of its connection shows that the newest answer is complete.
     pub unproved: bool,
 }
@@ -98,6 +103,11 @@
         tried.saturating_add(self.remote_attempts)
     }
 
+    /// Notes that it is not known whether an endpoint has restarted, so that another one is to go on with its stream.
+    pub fn pass_over(&mut self, endpoint: EndpointKey) {
+        self.unreached.push(endpoint);
+    }
+
     /// Gets the tag of the workspace that sent it.
     pub(in crate::gateway) fn workspace_tag(&self) -> u64 {
         self.fingerprint_workspace().into()
@@ -178,6 +188,8 @@
             succeeded: true,
             origin: Origin::New,
             build: None,
+            opened: None,
+            unconfirmed: None,
             unproved: false,
         }
     }
--- a/crates/core/src/gateway/endpoint/mod.rs
+++ b/crates/core/src/gateway/endpoint/mod.rs
@@ -5,6 +5,7 @@
 //! nothing of that.
 //!
 //! - `entry`: its registry entry, and whether it may get new requests.
+//! - `identity`: whether its process is the one that its entry describes.
 //! - `signals`: what it says of itself.
 //! - `load`: how many requests it has in progress, and whether it has room.
 //! - `answers`: how it has answered of late.
@@ -25,6 +26,7 @@
 
 mod answers;
 mod entry;
+mod identity;
 mod liveness;
 mod load;
 mod report;
@@ -43,6 +45,7 @@
 };
 
 use entry::initial_state;
+use identity::Identity;
 use waits::Waits;
 
 /// Age from which a reported load is ignored, because many requests have started and ended since.
@@ -97,6 +100,8 @@
     paused_until: Option<Time>,
     /// When it last could not be reached.
     unreached_at: Option<Time>,
+    /// What connections to it show of its process.
+    identity: Identity,
     /// Failure rate, and when it was last updated.
     failure_rate: (Time, f32),
     /// Latency of answers in milliseconds, and when it was last updated.
@@ -149,6 +154,7 @@
             consecutive_failures: 0,
             paused_until: None,
             unreached_at: None,
+            identity: Identity::default(),
             failure_rate: (Time(0), 0.0),
             latency: None,
             room: None,
--- a/crates/core/src/gateway/fleet/handoff/mod.rs
+++ b/crates/core/src/gateway/fleet/handoff/mod.rs
@@ -152,6 +152,7 @@
         ticket.sent = now;
         ticket.life = None;
         ticket.build = None;
+        ticket.unconfirmed = None;
         ticket.peers.push(peer);
         // The peer counts the request, and may retry it accordingly.
         if ticket.counted && ticket.attempts() == 0 {
--- a/crates/core/src/gateway/origin/mod.rs
+++ b/crates/core/src/gateway/origin/mod.rs
@@ -14,6 +14,7 @@
 //!
 //! - `builds`: the versions that each service's endpoints have.
 //! - `history`: whether this router has read of each version.
+//! - `process`: whether an endpoint's process is of the version that its entry states.
 //! - `streams`: the bounded table of the versions of recent streams.
 //! - `lookup`: what a router knows of the origin of a stream that is taken up.
 //! - `reports`: what routers tell each other of streams and versions.
@@ -39,6 +40,7 @@
 mod builds;
 mod history;
 mod lookup;
+mod process;
 mod reports;
 mod routes;
 mod streams;
--- a/crates/core/src/gateway/place/mod.rs
+++ b/crates/core/src/gateway/place/mod.rs
@@ -16,6 +16,7 @@
         endpoint::Endpoint,
         hot_spots::HotSpots,
         incoming_request::Prompt,
+        origin::Origin,
         proof::FreshnessProof,
         registry::Registry,
         settings::Bounds,
@@ -246,11 +247,30 @@
         .filter(|(_, e)| !e.paused(context.now))
         .copied()
         .collect();
-    if unpaused.is_empty() {
+    let usable = if unpaused.is_empty() {
         candidates
     } else {
         unpaused
+    };
+    prefer_sure(context, ticket, usable)
+}
+
+/// Leaves out the endpoints that may have restarted with another software version, if the stream is bound to one and
+/// others are left.
+fn prefer_sure<'a>(
+    context: &PlacementContext<'_>,
+    ticket: &Ticket,
+    candidates: Vec<(EndpointKey, &'a Endpoint)>,
+) -> Vec<(EndpointKey, &'a Endpoint)> {
+    if !matches!(ticket.origin, Origin::Build(_)) {
+        return candidates;
+    }
+    let read = context.proof.read();
+    let is_sure = |(_, e): &(EndpointKey, &Endpoint)| !e.may_have_restarted(read);
+    if !candidates.iter().any(is_sure) {
+        return candidates;
     }
+    candidates.into_iter().filter(is_sure).collect()
 }
 
 /// Leaves out the cold endpoints that this router may not send to. Where all endpoints are cold, a
--- a/crates/core/src/gateway/registry/attempts.rs
+++ b/crates/core/src/gateway/registry/attempts.rs
@@ -75,6 +75,20 @@
         }
     }
 
+    /// Records that a connection to an endpoint has broken.
+    pub fn record_break(&mut self, now: Time, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.record_break(now);
+        }
+    }
+
+    /// Records that an endpoint has answered on a connection that was opened at `opened`.
+    pub fn record_answer_on(&mut self, key: EndpointKey, opened: Time) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.record_answer_on(opened);
+        }
+    }
+
     /// Records how an attempt ended and how long it took.
     pub fn ended(&mut self, now: Time, key: EndpointKey, outcome: AttemptOutcome, took: Millis) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
@@ -88,6 +102,7 @@
     pub fn unreached(&mut self, now: Time, key: EndpointKey, cold: impl Fn(&Bytes) -> Millis) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.record_unreached(now);
+            endpoint.record_break(now);
             if endpoint.entry.born.is_some() {
                 let time = cold(&endpoint.entry.service);
                 endpoint.doubt(now, time);
--- a/crates/core/tests/gateway/main.rs
+++ b/crates/core/tests/gateway/main.rs
@@ -26,6 +26,7 @@
 mod reach;
 mod reading;
 mod registry;
+mod restarted;
 mod shared_reads;
 mod signals;
 mod skew;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -10,7 +10,10 @@
     time::Duration, //
 };
 
-use indexmap::IndexMap;
+use indexmap::{
+    IndexMap,
+    IndexSet, //
+};
 use toucanturn_core::{
     arena::EndpointKey,
     units::{
@@ -24,7 +27,11 @@
         Connection,
         Error, //
     },
-    state::Shared,
+    state::{
+        Shared,
+        State,
+        now, //
+    },
 };
 
 /// Longest wait for a new connection. If the endpoint's accept queue is full, TCP sends the SYN again only after a
@@ -41,6 +48,8 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: RefCell<IndexMap<EndpointKey, Vec<Idle>>>,
+    /// Endpoints that have closed a connection before the time that they had stated.
+    lost: RefCell<IndexSet<EndpointKey>>,
 }
 
 #[derive(Debug)]
@@ -54,7 +63,7 @@
     pub fn take(&self, now: Time, endpoint: EndpointKey) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&endpoint)?;
-        kept.retain(|i| now < i.until && !i.connection.is_closed());
+        self.retain_open(now, endpoint, kept);
         let index = kept.iter().rposition(|i| i.connection.is_ready())?;
         Some(kept.remove(index).connection)
     }
@@ -74,11 +83,29 @@
         kept.push(Idle { connection, until });
     }
 
+    /// Takes the endpoints that have closed a connection before the time that they had stated.
+    pub fn take_lost(&self) -> IndexSet<EndpointKey> {
+        self.lost.take()
+    }
+
+    fn retain_open(&self, now: Time, endpoint: EndpointKey, kept: &mut Vec<Idle>) {
+        kept.retain(|idle| {
+            if now >= idle.until {
+                return false;
+            }
+            let closed = idle.connection.is_closed();
+            if closed {
+                self.lost.borrow_mut().insert(endpoint);
+            }
+            !closed
+        });
+    }
+
     /// Closes connections that have been idle for too long or whose endpoint is not `listed` any more.
     pub fn tick(&self, now: Time, listed: impl Fn(EndpointKey) -> bool) {
         let mut idle = self.idle.borrow_mut();
         idle.retain(|endpoint, kept| {
-            kept.retain(|i| now < i.until && !i.connection.is_closed());
+            self.retain_open(now, *endpoint, kept);
             !kept.is_empty() && listed(*endpoint)
         });
     }
@@ -106,3 +133,12 @@
     let _opening = Opening(state, endpoint);
     Connection::open(address, CONNECT_TIMEOUT).await
 }
+
+/// Notes which endpoints have closed a connection before the time that they had stated.
+pub(crate) fn note_lost(state: &State) {
+    let lost = state.pool.take_lost();
+    let mut gateway = state.gateway.borrow_mut();
+    for endpoint in lost {
+        gateway.connection_lost(now(), endpoint);
+    }
+}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -51,7 +51,7 @@
         SignalsSnafu, //
     },
     feed::RegistryReader,
-    gossip, peer_follower, peers,
+    gossip, peer_follower, peers, pool,
     protocol::ProtocolAdapter,
     reads, server,
     settings::Settings,
@@ -243,6 +243,7 @@
         state.pool.tick(now(), listed);
         state.peer_pool.tick(now());
         drop(gateway);
+        pool::note_lost(&state);
         let events = state.gateway.borrow_mut().tick(now());
         if state.gateway.borrow().has_unsent_streams() {
             state.unsent_streams.notify_one();
--- a/crates/gateway/src/proxied/endpoint.rs
+++ b/crates/gateway/src/proxied/endpoint.rs
@@ -48,7 +48,10 @@
     handoff::PeerConnection,
     loads,
     log::text,
-    pool::open,
+    pool::{
+        self,
+        open, //
+    },
     prefill,
     protocol::{
         ForwardContext,
@@ -75,7 +78,9 @@
     }
 
     pub(super) async fn connect(&mut self, placed: &Placed) -> Result<Connection, NextStep> {
-        if let Some(kept) = self.state.pool.take(now(), placed.endpoint) {
+        let kept = self.state.pool.take(now(), placed.endpoint);
+        pool::note_lost(&self.state);
+        if let Some(kept) = kept {
             return Ok(kept);
         }
         let address = {
--- a/crates/gateway/src/proxied/mod.rs
+++ b/crates/gateway/src/proxied/mod.rs
@@ -18,7 +18,7 @@
 use toucanturn_core::{
     arena::EndpointKey,
     gateway::{
-        Ticket,
+        Gateway, Ticket,
         fingerprint::Content,
         handoff::PeerReport,
         incoming_request::IncomingRequest,
@@ -55,8 +55,10 @@
     log::text,
     prefill,
     protocol::ReplyHead,
+    reads,
     state::{
         Shared,
+        duration,
         now, //
     },
     waiting::wait_for_turn,
@@ -93,6 +95,8 @@
     pub(crate) received: Option<Received>,
     /// Time that is left for asking keepers of prefill backlogs.
     pub(crate) inquiry_left: Duration,
+    /// Time that is left for waiting for reads of the registry that tell whether endpoints have restarted.
+    read_wait_left: Duration,
 }
 
 impl Drop for ProxiedRequest {
@@ -212,6 +216,7 @@
         (parts, body): (Parts, Bytes),
         began: Time,
     ) -> Self {
+        let read_wait_left = duration(reads::pace(&state).late());
         Self {
             state,
             incoming_request,
@@ -226,6 +231,7 @@
             first: None,
             received: None,
             inquiry_left: prefill::MAX_INQUIRY_TIME,
+            read_wait_left,
         }
     }
 
@@ -284,6 +290,7 @@
     /// has received.
     pub(crate) async fn start(&mut self, resume: Option<u64>) -> Result<Attempt, Refusal> {
         wait_for_turn(self).await?;
+        self.settle_origin().await;
         loop {
             self.identify();
             let inquiry = prefill::inquire(self).await;
@@ -302,6 +309,13 @@
                 Err(NextStep::Again) => continue,
                 Err(_) => return Err(self.given_up(Cause::NoEndpoint)),
             };
+            if !self.wait_until_sure(&placed, connection.opened).await {
+                self.state.metrics.count("attempts", "unsure");
+                self.ticket.pass_over(placed.endpoint);
+                let pool = &self.state.pool;
+                pool.keep(now(), placed.endpoint, connection, None);
+                continue;
+            }
             if !self.may_send(&placed) {
                 self.state.metrics.count("attempts", "overtaken");
                 let pool = &self.state.pool;
@@ -318,6 +332,39 @@
         }
     }
 
+    /// Waits until it is known whether the endpoint chosen has restarted with another software version, if the stream is
+    /// bound to one; returns whether the request may be sent on a connection that was opened at `opened`.
+    async fn wait_until_sure(&mut self, placed: &Placed, opened: Time) -> bool {
+        self.ticket.opened = Some(opened);
+        if !self.is_sure(placed, opened) {
+            self.wait_for_read(opened).await;
+        }
+        self.is_sure(placed, opened)
+    }
+
+    fn is_sure(&self, placed: &Placed, opened: Time) -> bool {
+        let gateway = self.state.gateway.borrow();
+        gateway.is_sure_of_process(&self.ticket, placed.endpoint, opened)
+    }
+
+    /// Decides the origin of a stream that an endpoint has begun that may have restarted before.
+    async fn settle_origin(&mut self) {
+        if let Some(opened) = Gateway::settles_after(&self.ticket) {
+            self.wait_for_read(opened).await;
+        }
+        let gateway = self.state.gateway.borrow();
+        gateway.settle_origin(&mut self.ticket);
+    }
+
+    /// Waits until the registry has been read after `since`, while the request has time left for that.
+    async fn wait_for_read(&mut self, since: Time) {
+        let began = now();
+        let limit = self.read_wait_left.min(self.time_left());
+        reads::wait_for_read(&self.state, since, limit).await;
+        let took = duration(now().since(began));
+        self.read_wait_left = self.read_wait_left.saturating_sub(took);
+    }
+
     /// Notes that the first event of a stream is about to be delivered.
     pub(crate) fn begin_stream(&mut self, target: &Target) {
         self.record_first(target);
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -122,6 +122,20 @@
     timeout(limit, read).await.is_ok_and(|read| read.is_ok())
 }
 
+/// Waits until the registry's state is known as of a time after `since`; returns whether it is.
+///
+/// A router that reads the registry itself reads on demand. Others wait for their next copy, as calls to the registry are
+/// limited.
+pub(crate) async fn wait_for_read(state: &Shared, since: Time, limit: Duration) -> bool {
+    let follows = state.mesh.borrow().upstream(now()).is_some();
+    if !follows {
+        return read_after(state, since, limit).await;
+    }
+    let mut changes = state.changes.subscribe();
+    let read = changes.wait_for(|known| known.read > since);
+    timeout(limit, read).await.is_ok_and(|read| read.is_ok())
+}
+
 /// Reads the registry until the process ends.
 pub(crate) async fn run(state: Shared, reader: Rc<RegistryReader>) {
     let mut reads = RegistryReads {
