--- a/crates/gateway/src/proxied/succession.rs
+++ b/crates/gateway/src/proxied/succession.rs
@@ -44,7 +44,6 @@
         Framing, //
     },
     log::text,
-    prefill,
     proxied::{
         Attempt,
         AttemptGuard,
@@ -303,7 +302,8 @@
             first: None,
             received: None,
             progress: Rc::clone(&self.progress),
-            inquiry_left: prefill::MAX_INQUIRY_TIME,
+            inquiry_left: self.inquiry_left,
+            read_wait_left: self.read_wait_left,
             dispatch: Rc::default(),
         })
     }
