Decide on a successor and on preferred endpoints by what was there

`begin_successor` repeated the conditions of `decide_retry` to the letter: time left, attempts, a kind that may run again, an endpoint of the version, the budget. It calls it now, and `reserve_retry` is private again. Leaving endpoints out "if others are left" was written twice in `candidates`; `prefer` serves both.

Behaviour is as before.

--- a/crates/core/src/gateway/attempt/retry.rs
+++ b/crates/core/src/gateway/attempt/retry.rs
@@ -55,7 +55,7 @@
         }
     }
 
-    /// Decides whether a request that may have run at a peer is sent once more.
+    /// Decides whether a request that may have run, at a peer or at an endpoint that keeps silent, is sent once more.
     pub(in crate::gateway) fn decide_retry(
         &mut self,
         now: Time,
@@ -87,7 +87,7 @@
     /// Charges a retry to the budget if one is allowed. The charge counts from now, since other
     /// requests may be allowed a retry before this one is sent. A retry that could not be sent
     /// keeps its charge for the next try.
-    pub(super) fn reserve_retry(&mut self, now: Time, ticket: &mut Ticket) -> bool {
+    fn reserve_retry(&mut self, now: Time, ticket: &mut Ticket) -> bool {
         if !ticket.retry_reserved && self.may_retry(now, &ticket.service) {
             let window = self.bounds.retry.window;
             self.budget(&ticket.service).record_retry(now, window);
--- a/crates/core/src/gateway/attempt/succession.rs
+++ b/crates/core/src/gateway/attempt/succession.rs
@@ -7,8 +7,11 @@
 
 use crate::{
     gateway::{
-        Gateway,
-        Ticket, //
+        Gateway, Ticket,
+        outcome::{
+            AttemptOutcome,
+            NextStep, //
+        },
     },
     units::Time,
 };
@@ -17,14 +20,8 @@
     /// Makes the ticket of a successor, and charges the retry to the budget; `None` if no other
     /// attempt may follow.
     pub fn begin_successor(&mut self, now: Time, ticket: &mut Ticket) -> Option<Ticket> {
-        let may_follow = now < ticket.until
-            && ticket.attempts() < ticket.max_attempts
-            && ticket.route.kind.repeatable()
-            && self.has_endpoint_of_origin(ticket);
-        if !may_follow || !self.reserve_retry(now, ticket) {
-            return None;
-        }
-        Some(Ticket {
+        let next = self.decide_retry(now, ticket, AttemptOutcome::Stalled);
+        (next == NextStep::Again).then(|| Ticket {
             owner: self.prefill.next_owner(),
             may_have_run: true,
             ..ticket.clone()
--- a/crates/core/src/gateway/place/mod.rs
+++ b/crates/core/src/gateway/place/mod.rs
@@ -242,35 +242,26 @@
             && context.spares_brittle(*k, e)
     }));
     let candidates = exclude_unadmitted_cold(context, ticket, candidates);
-    let unpaused: Vec<_> = candidates
-        .iter()
-        .filter(|(_, e)| !e.paused(context.now))
-        .copied()
-        .collect();
-    let usable = if unpaused.is_empty() {
-        candidates
-    } else {
-        unpaused
-    };
-    prefer_sure(context, ticket, usable)
-}
-
-/// Leaves out the endpoints that may have restarted with another software version, if the stream is bound to one and
-/// others are left.
-fn prefer_sure<'a>(
-    context: &PlacementContext<'_>,
-    ticket: &Ticket,
-    candidates: Vec<(EndpointKey, &'a Endpoint)>,
-) -> Vec<(EndpointKey, &'a Endpoint)> {
+    let candidates = prefer(candidates, |e| !e.paused(context.now));
     if !matches!(ticket.origin, Origin::Build(_)) {
         return candidates;
     }
+    // The stream is bound to a software version, and an endpoint may have restarted with another one.
     let read = context.proof.read();
-    let is_sure = |(_, e): &(EndpointKey, &Endpoint)| !e.may_have_restarted(read);
-    if !candidates.iter().any(is_sure) {
+    prefer(candidates, |e| !e.may_have_restarted(read))
+}
+
+/// Leaves out the endpoints for which a condition doesn't hold, if others are left.
+fn prefer(
+    candidates: Vec<(EndpointKey, &Endpoint)>,
+    condition: impl Fn(&Endpoint) -> bool,
+) -> Vec<(EndpointKey, &Endpoint)> {
+    if !candidates.iter().any(|(_, e)| condition(e)) {
         return candidates;
     }
-    candidates.into_iter().filter(is_sure).collect()
+    let mut preferred = candidates;
+    preferred.retain(|(_, e)| condition(e));
+    preferred
 }
 
 /// Leaves out the cold endpoints that this router may not send to. Where all endpoints are cold, a
