End and build attempts in one place

An attempt whose answer is not used was ended, and its connection closed, in three places of relay.rs and succession.rs: `ProxiedRequest::abandon`. The silent attempt of a stream was ended by the same five lines twice: `Relay::stall`. An attempt was built field by field in three places: `Attempt::new`. `succeed` replaces the silent attempt on one way instead of two. Behaviour is as before.

--- a/crates/gateway/src/proxied/endpoint.rs
+++ b/crates/gateway/src/proxied/endpoint.rs
@@ -291,24 +291,15 @@
             let mut gateway = self.state.gateway.borrow_mut();
             gateway.confirm(&self.ticket, placed.endpoint);
         }
-        Ok(Attempt {
-            head,
-            reply,
-            body,
-            ahead: Bytes::new(),
-            whole: false,
-            connection,
-            guard,
-        })
+        Ok(Attempt::new((head, reply, body), connection, guard))
     }
 
     /// Buffers an attempt's answer until it is complete, and ends the attempt. Returns what follows, and
     /// the caller's answer or how the attempt failed.
     pub(crate) async fn buffer_answer(
         &mut self,
-        attempt: Attempt,
+        mut attempt: Attempt,
     ) -> (NextStep, Result<Response<Body>, AttemptOutcome>) {
-        let mut attempt = attempt;
         let collected = self.collect(&mut attempt).await;
         let Attempt {
             head,
--- a/crates/gateway/src/proxied/mod.rs
+++ b/crates/gateway/src/proxied/mod.rs
@@ -225,6 +225,25 @@
     pub(crate) guard: AttemptGuard,
 }
 
+impl Attempt {
+    /// Creates an attempt of whose body nothing has been read.
+    pub(crate) fn new(
+        (head, reply, body): (http::response::Parts, ReplyHead, Incoming),
+        connection: Connection,
+        guard: AttemptGuard,
+    ) -> Self {
+        Self {
+            head,
+            reply,
+            body,
+            ahead: Bytes::new(),
+            whole: false,
+            connection,
+            guard,
+        }
+    }
+}
+
 impl ProxiedRequest {
     /// Creates the state of an admitted request.
     pub(crate) fn new(
@@ -422,6 +441,12 @@
         Ok(peer.map_or(Way::Endpoint(placed), Way::Peer))
     }
 
+    /// Ends an attempt whose answer is not used, and closes its connection, so that its endpoint stops.
+    pub(crate) fn abandon(&mut self, attempt: Attempt, outcome: AttemptOutcome) -> NextStep {
+        drop(attempt.connection);
+        self.end(attempt.guard, outcome, Some(attempt.head.status))
+    }
+
     /// Ends an attempt and logs it.
     pub(crate) fn end(
         &mut self,
--- a/crates/gateway/src/proxied/peer.rs
+++ b/crates/gateway/src/proxied/peer.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddrV4;
 
-use bytes::Bytes;
 use http::StatusCode;
 use tokio::time::timeout;
 use toucanturn_core::gateway::{
@@ -140,15 +139,7 @@
         let status = Some(head.status);
         let is_own = reply.id.as_ref() == Some(&self.incoming_request.id);
         if is_own && reply.sealed && !reply.encoded {
-            return Ok(Attempt {
-                head,
-                reply,
-                body,
-                ahead: Bytes::new(),
-                whole: false,
-                connection,
-                guard,
-            });
+            return Ok(Attempt::new((head, reply, body), connection, guard));
         }
         self.drain_rejection(&guard, connection, body, &reply).await;
         // These statuses promise that nothing has run; a peer that doesn't open the message answers 403.
--- a/crates/gateway/src/proxied/succession.rs
+++ b/crates/gateway/src/proxied/succession.rs
@@ -175,7 +175,7 @@
             begun = &mut begin => First::Begun(begun),
             () = dispatch.overlapped(), if is_stream => First::Overlapped,
         };
-        let (takeover, outcome) = match first {
+        let (takeover, outcome, begun) = match first {
             First::Heard(heard) => match failure(&heard) {
                 None => {
                     let in_peer = dispatch.to_peer.get();
@@ -183,38 +183,34 @@
                     self.withdraw(&guard, (successor, in_peer), Takeover::Withdrawn, None);
                     return Succession::Heard(heard, guard);
                 }
-                Some(outcome) => (Takeover::Inherited, outcome),
+                Some(outcome) => (Takeover::Inherited, outcome, None),
             },
-            First::Begun(begun) => {
+            First::Begun(Err(cause)) => {
                 drop(begin);
-                return match begun {
-                    Ok(attempt) => {
-                        drop(progress);
-                        let silent = (guard, AttemptOutcome::Stalled, status);
-                        self.take_over(silent, Takeover::Begun);
-                        *self = successor;
-                        Succession::Replaced(attempt)
-                    }
-                    Err(cause) => {
-                        self.withdraw(&guard, (successor, false), Takeover::Refused, Some(cause));
-                        Succession::Kept(Present {
-                            progress,
-                            guard,
-                            status,
-                        })
-                    }
-                };
+                self.withdraw(&guard, (successor, false), Takeover::Refused, Some(cause));
+                return Succession::Kept(Present {
+                    progress,
+                    guard,
+                    status,
+                });
             }
-            First::Overlapped => (Takeover::Overlapped, AttemptOutcome::Stalled),
+            First::Begun(Ok(attempt)) => (Takeover::Begun, AttemptOutcome::Stalled, Some(attempt)),
+            First::Overlapped => (Takeover::Overlapped, AttemptOutcome::Stalled, None),
         };
         drop(progress);
-        let is_sent = dispatch.sent.get().is_some() || dispatch.to_peer.get();
+        let is_sent = begun.is_some() || dispatch.sent.get().is_some() || dispatch.to_peer.get();
         let next = self.take_over((guard, outcome, status), takeover);
         if next == NextStep::GiveUp && !is_sent {
             drop(begin);
             return Succession::Failed(self.given_up(outcome.cause()));
         }
-        let begun = begin.await;
+        let begun = match begun {
+            Some(attempt) => {
+                drop(begin);
+                Ok(attempt)
+            }
+            None => begin.await,
+        };
         *self = successor;
         match begun {
             Ok(attempt) => Succession::Replaced(attempt),
@@ -239,8 +235,7 @@
         let Some(outcome) = outcome else {
             return Ok(attempt);
         };
-        drop(attempt.connection);
-        self.end(attempt.guard, outcome, Some(status));
+        self.abandon(*attempt, outcome);
         Err(outcome.cause())
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -353,11 +353,7 @@
         };
         let (next, guard) = loop {
             if self.proxied.time_left() == Duration::ZERO {
-                drop(present.progress);
-                self.proxied.record_end(Some(BodyEnd::Silent));
-                let outcome = AttemptOutcome::Stalled;
-                self.proxied.end(present.guard, outcome, status);
-                return Err(Piece::Stalled);
+                return Err(self.stall(present, BodyEnd::Silent));
             }
             if resumable {
                 let succession = self.proxied.succeed(present, resume, failure_of);
@@ -373,11 +369,7 @@
                 biased;
                 () = self.held.ended() => {
                     self.proxied.log_no_memory(&present.guard.target);
-                    drop(present.progress);
-                    self.proxied.record_end(Some(BodyEnd::Overlong));
-                    let outcome = AttemptOutcome::Stalled;
-                    self.proxied.end(present.guard, outcome, status);
-                    return Err(Piece::Stalled);
+                    return Err(self.stall(present, BodyEnd::Overlong));
                 }
                 heard = timeout(patience, &mut present.progress) => {
                     if let Ok(next) = heard {
@@ -387,18 +379,19 @@
             }
         };
         let (frame, (head, reply, body, connection)) = next;
-        self.attempt = Some(Attempt {
-            head,
-            reply,
-            body,
-            ahead: Bytes::new(),
-            whole: false,
-            connection,
-            guard,
-        });
+        self.attempt = Some(Attempt::new((head, reply, body), connection, guard));
         Ok(Some(frame))
     }
 
+    /// Ends a silent attempt, and closes its connection.
+    fn stall(&mut self, present: Present<Next>, end: BodyEnd) -> Piece {
+        drop(present.progress);
+        self.proxied.record_end(Some(end));
+        let outcome = AttemptOutcome::Stalled;
+        self.proxied.end(present.guard, outcome, present.status);
+        Piece::Stalled
+    }
+
     /// Goes on with the answer of an attempt that has taken over.
     fn go_on_with(&mut self, attempt: Box<Attempt>) -> Result<Option<NextFrame>, Piece> {
         if !attempt.head.status.is_success() {
@@ -489,12 +482,8 @@
     fn end(&mut self, outcome: AttemptOutcome) -> NextStep {
         self.events = EventSplitter::default();
         self.held = self.proxied.reservation();
-        let Some(attempt) = self.attempt.take() else {
-            return NextStep::GiveUp;
-        };
-        drop(attempt.connection);
-        let status = attempt.head.status;
-        self.proxied.end(attempt.guard, outcome, Some(status))
+        let attempt = self.attempt.take();
+        attempt.map_or(NextStep::GiveUp, |a| self.proxied.abandon(a, outcome))
     }
 
     /// Resumes the stream at another endpoint after the last event; returns why that failed.
@@ -517,20 +506,11 @@
 
     /// Ends an attempt whose answer is an error; fails if no other attempt follows.
     fn end_failed(&mut self, attempt: Attempt) -> Result<(), Option<Cause>> {
-        drop(attempt.connection);
-        let status = Some(attempt.head.status);
-        let outcome = AttemptOutcome::Failed;
-        match self.proxied.end(attempt.guard, outcome, status) {
+        match self.proxied.abandon(attempt, AttemptOutcome::Failed) {
             NextStep::Again => Ok(()),
             _ => Err(Some(Cause::EndpointFailed)),
         }
     }
-
-    /// Logs that the stream ends without its end.
-    fn log_lost(&self, outcome: AttemptOutcome, silent: Millis, cause: Option<Cause>) {
-        self.proxied
-            .log_stream_lost(outcome, cause, (self.last, silent));
-    }
 }
 
 type StreamStep = Option<(Result<Frame<Bytes>, BodyAborted>, Option<Relay>)>;
@@ -558,7 +538,8 @@
                     },
                 };
                 if let Err(cause) = resumed {
-                    relay.log_lost(outcome, silent, cause);
+                    let at = (relay.last, silent);
+                    relay.proxied.log_stream_lost(outcome, cause, at);
                     // The HTTP library drops its output buffer when a body fails, so it gets to flush the buffer first.
                     yield_now().await;
                     return Some((Err(BodyAborted), None));
