Wait for the end of the process once a request

Each request subscribed to the end of the process twice and, where it ended while a body arrived, parsed its head a second time for the ID. `read` notes the ID as soon as it is known, so the outer wait can answer. The refusal is the same.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -122,18 +122,8 @@
 ) -> Response<Body> {
     let began = now();
     let (parts, body) = request.into_parts();
-    let read = tokio::select! {
-        biased;
-        read = read(state, &parts, body, began) => read,
-        () = state.wait_for_end() => {
-            let parsed = (state.protocol.parse_request)(&parts);
-            let id = parsed.map(|request| request.id).unwrap_or_default();
-            Err((id, Refusal::temporary(Cause::Stopping)))
-        }
-    };
-    match read {
+    match read(state, &parts, body, (began, progress)).await {
         Ok((incoming_request, body)) => {
-            progress.id.get_or_init(|| incoming_request.id.clone());
             admit_and_answer(state, incoming_request, (parts, body), began, progress).await
         }
         Err((id, refusal)) => refuse(state, (&id, None), refusal, None),
@@ -164,7 +154,7 @@
     state: &Shared,
     parts: &Parts,
     mut body: Incoming,
-    began: Time,
+    (began, progress): (Time, &Progress),
 ) -> Result<(IncomingRequest, Bytes), (Bytes, Refusal)> {
     let no_id = Bytes::new();
     let incoming_request = (state.protocol.parse_request)(parts).map_err(|why| {
@@ -173,6 +163,7 @@
         }
         (no_id, Refusal::permanent(Cause::Malformed))
     })?;
+    progress.id.get_or_init(|| incoming_request.id.clone());
     let limits = {
         let gateway = state.gateway.borrow();
         gateway.catalog().map(|c| c.limits).unwrap_or_default()
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -71,6 +71,7 @@
     exchange::{
         self,
         Body,
+        Progress,
         keep_alive, //
     },
     log::text,
@@ -353,7 +354,7 @@
     if !session.advance(position) {
         return Err(forbidden(state));
     }
-    let read = exchange::read(state, parts, body, began).await;
+    let read = exchange::read(state, parts, body, (began, &Progress::default())).await;
     let (mut incoming_request, body) =
         read.map_err(|(id, refusal)| refuse(state, &id, refusal, None))?;
     if hash(&parts.method, &parts.uri, &parts.headers, &body) != content {
