Let a field that can't be used cost itself, and refuse nothing published for good

What callers saw: a route with `split`, `goal-ms`, `allow-anonymous`, `priority`, `attempts`, `gap-aim-ms` or `can-resume` of null or another type answered 404 to all its callers for as long as the version was in force; a `health-path`, `max-conns`, `cold-start-s` or `engine` of that kind took the service away, and with it all its routes. A route that lost one share of its split lost all. A key that is published but can't be used (no readable name of its workspace, two workspaces) got 401.

And what can't be used was answered as what isn't there: 404 and 401 tell the caller never to ask again, which is not known.

What must be known (host, prefix, kind, time limit, a service) and isn't makes the route or key unusable: 503 `unusable_configuration`, with a time to come back. Where a host, a prefix or a key itself can't be read, requests that match nothing else get that refusal in place of 404 and 401. A prefix without its slashes hides what is below it. `Catalog::find_route` and `find_holder` tell the three cases apart; explain and trace know the new cause.

Ruled out: that a route whose prefix can't be read hides all routes of its host. It would cost what can be read.

--- a/crates/core/src/gateway/admission/admit.rs
+++ b/crates/core/src/gateway/admission/admit.rs
@@ -1,9 +1,12 @@
 //! Admission: the route, the key and the service of a request.
 
+use std::sync::Arc;
+
 use crate::{
     gateway::{
         Gateway, Ticket,
         attempt::due,
+        catalog::Found,
         incoming_request::IncomingRequest,
         refusal::{
             Cause,
@@ -31,16 +34,19 @@
         if !self.proof.covers_routes(now, &self.bounds) {
             return Err(Refusal::temporary(Cause::Stale));
         }
-        let Some(route) = catalog.route(&incoming_request.host, &incoming_request.path) else {
-            return Err(Refusal::permanent(Cause::UnknownRoute));
+        let unusable = || Refusal::temporary(Cause::UnusableConfiguration);
+        let route = match catalog.find_route(&incoming_request.host, &incoming_request.path) {
+            Found::Usable(route) => route,
+            Found::Unusable => return Err(unusable()),
+            Found::Nothing => return Err(Refusal::permanent(Cause::UnknownRoute)),
         };
-        let workspace = match &incoming_request.key {
-            Some(key) => catalog.holder(key),
-            None => None,
+        let key = incoming_request.key.as_ref();
+        let workspace = match key.map_or(Found::Nothing, |key| catalog.find_holder(key)) {
+            Found::Usable(workspace) => Some(Arc::clone(workspace)),
+            _ if route.anonymous || !catalog.has_workspaces() => None,
+            Found::Unusable => return Err(unusable()),
+            Found::Nothing => return Err(Refusal::permanent(Cause::UnknownKey)),
         };
-        if workspace.is_none() && !route.anonymous && catalog.has_workspaces() {
-            return Err(Refusal::permanent(Cause::UnknownKey));
-        }
         let (_, until) = due(now, route, incoming_request);
         if self.outlasts_stop(now, route, &Span::of(now, until, incoming_request)) {
             return Err(Refusal::temporary(Cause::Stopping));
--- a/crates/core/src/gateway/admission/catalog.rs
+++ b/crates/core/src/gateway/admission/catalog.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use indexmap::{
     IndexMap,
+    IndexSet,
     map::Entry, //
 };
 use snafu::Snafu;
@@ -38,6 +39,23 @@
     pub secret: [u8; 32],
 }
 
+/// `Undecoded` is what was published but could not be decoded: it must not count as absent.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Undecoded {
+    /// Hosts and path prefixes of routes.
+    pub routes: Vec<(Bytes, Bytes)>,
+    /// Hosts of routes whose path prefix is unknown.
+    pub hosts: Vec<Bytes>,
+    /// Whether there are routes whose host is unknown.
+    pub any_host: bool,
+    /// Whether there are workspaces.
+    pub workspaces: bool,
+    /// Keys of workspaces that are unknown.
+    pub keys: Vec<Bytes>,
+    /// Whether there are unknown keys.
+    pub any_key: bool,
+}
+
 /// `Service` is one published service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Service {
@@ -138,6 +156,27 @@
     },
 }
 
+/// `Found` is what a configuration holds for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Found<T> {
+    /// A piece that can be used.
+    Usable(T),
+    /// One that is published, or may be, but can't be used.
+    Unusable,
+    /// Nothing.
+    Nothing,
+}
+
+impl<T> Found<T> {
+    /// Gets the piece if it can be used.
+    pub fn usable(self) -> Option<T> {
+        match self {
+            Self::Usable(piece) => Some(piece),
+            Self::Unusable | Self::Nothing => None,
+        }
+    }
+}
+
 /// `Catalog` is a validated configuration.
 ///
 /// # Invariants
@@ -154,22 +193,42 @@
     pub secret: [u8; 32],
     /// Routes by host and prefix; `None` for one that is published but can't be used.
     hosts: IndexMap<Bytes, IndexMap<Bytes, Option<Arc<Route>>>>,
+    /// Hosts that have routes whose path prefix is unknown.
+    unplaced_hosts: IndexSet<Bytes>,
+    /// Whether there are routes whose host is unknown.
+    has_unplaced_routes: bool,
     services: IndexMap<Bytes, Service>,
-    keys: IndexMap<Bytes, Arc<Workspace>>,
+    /// Workspaces by key; `None` for a key that is published but can't be used.
+    keys: IndexMap<Bytes, Option<Arc<Workspace>>>,
+    has_unknown_keys: bool,
     workspaces: IndexMap<Bytes, Arc<Workspace>>,
     has_workspaces: bool,
 }
 
 impl Catalog {
-    /// Finds the route for a host and path: the one with the longest matching prefix. A request of a
-    /// route that can't be used has none: one with a shorter prefix may go elsewhere.
-    pub fn route(&self, host: &[u8], path: &[u8]) -> Option<&Arc<Route>> {
-        let prefixes = self.hosts.get(host)?;
+    /// Finds the route for a host and path: the one with the longest matching prefix.
+    ///
+    /// A request of a route that can't be used goes by no route with a shorter prefix: that one may
+    /// lead elsewhere. A request without a route may be one of a route whose place is unknown.
+    pub fn find_route(&self, host: &[u8], path: &[u8]) -> Found<&Arc<Route>> {
+        let prefixes = self.hosts.get(host);
         let slashes = path.iter().enumerate().rev().filter(|(_, b)| **b == b'/');
-        slashes
+        let found = slashes
             .map(|(at, _)| &path[..=at])
-            .find_map(|prefix| prefixes.get(prefix))?
-            .as_ref()
+            .find_map(|prefix| prefixes?.get(prefix));
+        match found {
+            Some(Some(route)) => Found::Usable(route),
+            Some(None) => Found::Unusable,
+            None if self.has_unplaced_routes || self.unplaced_hosts.contains(host) => {
+                Found::Unusable
+            }
+            None => Found::Nothing,
+        }
+    }
+
+    /// Finds the route for a host and path, if there is one that can be used.
+    pub fn route(&self, host: &[u8], path: &[u8]) -> Option<&Arc<Route>> {
+        self.find_route(host, path).usable()
     }
 
     /// Lists the routes.
@@ -177,9 +236,20 @@
         self.hosts.values().flat_map(IndexMap::values).flatten()
     }
 
-    /// Finds the workspace that an API key belongs to.
+    /// Finds the workspace that an API key belongs to. A key that is not known may be one of those
+    /// that could not be decoded.
+    pub fn find_holder(&self, key: &[u8]) -> Found<&Arc<Workspace>> {
+        match self.keys.get(key) {
+            Some(Some(workspace)) => Found::Usable(workspace),
+            Some(None) => Found::Unusable,
+            None if self.has_unknown_keys => Found::Unusable,
+            None => Found::Nothing,
+        }
+    }
+
+    /// Finds the workspace that an API key belongs to, if the key can be used.
     pub fn holder(&self, key: &[u8]) -> Option<Arc<Workspace>> {
-        self.keys.get(key).cloned()
+        self.find_holder(key).usable().cloned()
     }
 
     /// Finds a workspace by its name; where several have it, the first one.
@@ -187,7 +257,7 @@
         self.workspaces.get(name)
     }
 
-    /// Tells whether any workspaces are published, so that requests need keys.
+    /// Tells whether a list of workspaces is published, so that requests need keys.
     pub fn has_workspaces(&self) -> bool {
         self.has_workspaces
     }
@@ -216,7 +286,7 @@
 
     /// Tells whether the engines of a service can copy cached prompt parts from each other.
     pub fn engines_share_cache(&self, service: &[u8]) -> bool {
-        let engine = self.services.get(service).and_then(|s| s.engine);
+        let engine = self.service(service).and_then(|s| s.engine);
         engine.is_some_and(|e| e.shares)
     }
 }
@@ -225,7 +295,7 @@
     type Error = Error;
 
     fn try_from(raw: RawCatalog) -> Result<Self, Error> {
-        let (catalog, faults) = Self::from_usable(raw, Vec::new());
+        let (catalog, faults) = Self::from_usable(raw, Undecoded::default());
         faults.into_iter().next().map_or(Ok(catalog), Err)
     }
 }
@@ -235,18 +305,41 @@
     ///
     /// Each piece is judged by itself: a key that was taken away must not stay because a route can't
     /// be used. Of two services with one name, or two routes of one host and prefix, the first
-    /// counts; a key of two workspaces opens neither. `unusable` has the hosts and prefixes of the
-    /// routes that could not be decoded.
-    pub fn from_usable(raw: RawCatalog, mut unusable: Vec<(Bytes, Bytes)>) -> (Self, Vec<Error>) {
+    /// counts; a key of two workspaces opens neither.
+    pub fn from_usable(raw: RawCatalog, mut undecoded: Undecoded) -> (Self, Vec<Error>) {
         let mut faults = Vec::new();
         let mut catalog = Self {
             version: raw.version,
             limits: raw.limits,
             secret: raw.secret,
-            has_workspaces: !raw.workspaces.is_empty(),
+            has_workspaces: undecoded.workspaces || !raw.workspaces.is_empty(),
+            has_unplaced_routes: undecoded.any_host,
+            has_unknown_keys: undecoded.any_key,
             ..Self::default()
         };
-        for mut service in raw.services {
+        catalog.add_services(raw.services, &mut faults);
+        for route in raw.routes {
+            let place = (route.host.clone(), route.prefix.clone());
+            if let Err(fault) = catalog.add_route(route, &mut faults) {
+                faults.push(fault);
+                undecoded.routes.push(place);
+            }
+        }
+        for (host, prefix) in undecoded.routes {
+            let prefixes = catalog.hosts.entry(host).or_default();
+            prefixes.entry(between_slashes(prefix)).or_insert(None);
+        }
+        catalog.unplaced_hosts = undecoded.hosts.into_iter().collect();
+        for (workspace, keys) in raw.workspaces {
+            catalog.add_workspace(workspace, keys, &mut faults);
+        }
+        let unusable = undecoded.keys.into_iter().map(|key| (key, None));
+        catalog.keys.extend(unusable);
+        (catalog, faults)
+    }
+
+    fn add_services(&mut self, services: Vec<Service>, faults: &mut Vec<Error>) {
+        for mut service in services {
             let name = service.name.clone();
             if service.connections == 0 {
                 let what = "connections";
@@ -254,7 +347,7 @@
                 faults.push(Error::Number { what, name });
                 service.connections = 1;
             }
-            match catalog.services.entry(name.clone()) {
+            match self.services.entry(name.clone()) {
                 Entry::Vacant(vacant) => drop(vacant.insert(service)),
                 Entry::Occupied(_) => {
                     let what = "service";
@@ -262,52 +355,46 @@
                 }
             }
         }
-        for route in raw.routes {
-            let place = (route.host.clone(), route.prefix.clone());
-            if let Err(fault) = catalog.add(route, &mut faults) {
-                faults.push(fault);
-                unusable.push(place);
-            }
-        }
-        for (host, prefix) in unusable {
-            let prefixes = catalog.hosts.entry(host).or_default();
-            prefixes.entry(prefix).or_insert(None);
-        }
-        let mut shared_keys = Vec::new();
-        for (workspace, keys) in raw.workspaces {
-            let workspace = Arc::new(workspace);
-            let name = workspace.name.clone();
-            let named = catalog.workspaces.entry(name.clone());
-            named.or_insert_with(|| Arc::clone(&workspace));
-            for key in keys {
-                let before = catalog.keys.insert(key.clone(), Arc::clone(&workspace));
-                if before.is_some_and(|b| b.name != workspace.name) {
-                    let what = "workspace with a key of";
-                    let name = name.clone();
-                    faults.push(Error::Duplicate { what, name });
-                    shared_keys.push(key);
+    }
+
+    fn add_workspace(&mut self, workspace: Workspace, keys: Vec<Bytes>, faults: &mut Vec<Error>) {
+        let workspace = Arc::new(workspace);
+        let name = workspace.name.clone();
+        let named = self.workspaces.entry(name.clone());
+        named.or_insert_with(|| Arc::clone(&workspace));
+        for key in keys {
+            match self.keys.entry(key) {
+                Entry::Vacant(vacant) => drop(vacant.insert(Some(Arc::clone(&workspace)))),
+                Entry::Occupied(mut held) => {
+                    let holder = held.get_mut();
+                    if holder.as_ref().is_none_or(|h| h.name != name) {
+                        let what = "workspace with a key of";
+                        let name = name.clone();
+                        faults.push(Error::Duplicate { what, name });
+                        *holder = None;
+                    }
                 }
             }
         }
-        for key in shared_keys {
-            catalog.keys.swap_remove(&key);
-        }
-        (catalog, faults)
     }
 
-    fn add(&mut self, mut route: Route, faults: &mut Vec<Error>) -> Result<(), Error> {
+    fn add_route(&mut self, mut route: Route, faults: &mut Vec<Error>) -> Result<(), Error> {
         let name = route.name.clone();
         let bounded = route.prefix.starts_with(b"/") && route.prefix.ends_with(b"/");
         snafu::ensure!(bounded, PrefixSnafu { name });
+        route.shares.retain(|share| {
+            let is_published = self.services.contains_key(&share.service);
+            if !is_published {
+                let service = share.service.clone();
+                let name = name.clone();
+                faults.push(Error::Service { name, service });
+            }
+            is_published
+        });
         let weight: u64 = route.shares.iter().map(|s| u64::from(s.weight)).sum();
         snafu::ensure!(weight > 0, NoTargetSnafu { name });
         let what = "time limit";
         snafu::ensure!(route.limit > Millis(0), NumberSnafu { what, name });
-        for share in &route.shares {
-            let service = share.service.clone();
-            let known = self.services.contains_key(&service);
-            snafu::ensure!(known, ServiceSnafu { name, service });
-        }
         let attempts = route.attempts.clamp(1, MAX_ATTEMPTS);
         if route.attempts == 0 {
             let what = "attempts";
@@ -326,3 +413,19 @@
         Ok(())
     }
 }
+
+/// Adds the slashes that a path prefix lacks: requests below it are those of its route.
+fn between_slashes(prefix: Bytes) -> Bytes {
+    if prefix.starts_with(b"/") && prefix.ends_with(b"/") {
+        return prefix;
+    }
+    let mut bounded = Vec::with_capacity(prefix.len() + 2);
+    if !prefix.starts_with(b"/") {
+        bounded.push(b'/');
+    }
+    bounded.extend_from_slice(&prefix);
+    if !bounded.ends_with(b"/") {
+        bounded.push(b'/');
+    }
+    bounded.into()
+}
--- a/crates/core/src/gateway/admission/refusal.rs
+++ b/crates/core/src/gateway/admission/refusal.rs
@@ -29,6 +29,8 @@
     UnknownRoute,
     /// No workspace holds the key.
     UnknownKey,
+    /// The route or the key is published, or may be, but this version can't use it.
+    UnusableConfiguration,
     /// No endpoint can serve the request.
     NoEndpoint,
     /// Endpoints got the request and failed.
--- a/crates/core/src/gateway/explain/mod.rs
+++ b/crates/core/src/gateway/explain/mod.rs
@@ -26,6 +26,7 @@
         },
         catalog::{
             Catalog,
+            Found,
             Workspace, //
         },
         fingerprint::Fingerprint,
@@ -137,15 +138,21 @@
             services: 1,
             ..Explanation::default()
         };
-        let Some(catalog) = &self.catalog else {
-            let refusal = Refusal::temporary(Cause::NotReady);
+        let refused = |cause| {
             let deadline = now + query.deadline.unwrap_or_default();
-            return Ok(Explanation {
-                refusal: Some(denial(now, deadline, 0, refusal)),
-                ..base
-            });
+            Explanation {
+                refusal: Some(denial(now, deadline, 0, Refusal::temporary(cause))),
+                ..base.clone()
+            }
+        };
+        let Some(catalog) = &self.catalog else {
+            return Ok(refused(Cause::NotReady));
+        };
+        let route = match find_route(catalog, &query.target) {
+            Found::Usable(route) => route,
+            Found::Unusable => return Ok(refused(Cause::UnusableConfiguration)),
+            Found::Nothing => return RouteSnafu.fail(),
         };
-        let route = find_route(catalog, &query.target).context(RouteSnafu)?;
         let workspace = match &query.workspace {
             Some(name) => Some(catalog.workspace(name).context(WorkspaceSnafu)?),
             None => None,
@@ -330,10 +337,13 @@
     }
 }
 
-fn find_route<'a>(catalog: &'a Catalog, target: &Target) -> Option<&'a Arc<Route>> {
+fn find_route<'a>(catalog: &'a Catalog, target: &Target) -> Found<&'a Arc<Route>> {
     match target {
-        Target::Name(name) => catalog.routes().find(|r| r.name == name),
-        Target::Address { host, path } => catalog.route(host, path),
+        Target::Name(name) => {
+            let named = catalog.routes().find(|r| r.name == name);
+            named.map_or(Found::Nothing, Found::Usable)
+        }
+        Target::Address { host, path } => catalog.find_route(host, path),
     }
 }
 
--- a/crates/core/tests/gateway/flow.rs
+++ b/crates/core/tests/gateway/flow.rs
@@ -4,7 +4,11 @@
 use googletest::prelude::*;
 use toucanturn_core::{
     gateway::{
-        Gateway, RegistryEvent, Ticket,
+        Change, Gateway, RegistryEvent, Ticket,
+        catalog::{
+            Catalog,
+            Undecoded, //
+        },
         outcome::{
             AttemptOutcome,
             NextStep, //
@@ -22,9 +26,11 @@
 };
 
 use crate::fixture::{
+    HOST,
     bounds,
     catalog_change,
     gateway,
+    raw_catalog,
     request, //
 };
 
@@ -105,6 +111,39 @@
     expect_that!(gateway.catalog().map(|c| c.version), some(eq(9)));
 }
 
+/// Guards against a refusal for good of a request whose route or key is published but can't be used.
+#[gtest]
+fn verify_a_request_of_a_piece_that_cannot_be_used_may_come_back() {
+    let mut gateway = gateway(1);
+    let catalog = |undecoded| {
+        let mut raw = raw_catalog(9);
+        raw.secret = [9; 32];
+        let (catalog, _) = Catalog::from_usable(raw, undecoded);
+        vec![Change::Catalog(Box::new(catalog))]
+    };
+    let place = (HOST, "/deep/");
+    let place = (Bytes::from(place.0), Bytes::from(place.1));
+    let unusable = Undecoded {
+        routes: vec![place],
+        keys: vec![Bytes::from_static(b"lost")],
+        ..Undecoded::default()
+    };
+    gateway.apply_changes(Time(2), catalog(unusable));
+    let mut lost = request("/chat/x");
+    lost.key = Some(Bytes::from_static(b"lost"));
+    for request in [request("/deep/x"), lost] {
+        let refused = gateway.admit(Time(10), &request);
+        let expected = (Cause::UnusableConfiguration, true);
+        expect_that!(cause_and_retryable(refused), eq(expected));
+    }
+    let refused = gateway.admit(Time(10), &request("/nowhere/x"));
+    expect_that!(
+        cause_and_retryable(refused),
+        eq((Cause::UnknownRoute, false))
+    );
+    expect_that!(gateway.admit(Time(10), &request("/chat/x")), ok(anything()));
+}
+
 #[gtest]
 fn verify_a_non_idempotent_request_that_may_have_run_is_not_retried() {
     for outcome in [
--- a/crates/toucanturn/src/trace.rs
+++ b/crates/toucanturn/src/trace.rs
@@ -284,6 +284,9 @@
         ),
         "unknown_route" => "no route matched its host and path".to_owned(),
         "unknown_key" => "no workspace held its key".to_owned(),
+        "unusable_configuration" => {
+            "its route or key is published, or may be, but can't be used; see event 657".to_owned()
+        }
         "no_endpoint" => "no endpoint was left that could take it".to_owned(),
         "endpoint_failed" => "each attempt failed; see the attempts above".to_owned(),
         "deadline" => "its time ran out".to_owned(),
