Name services among routers by their published positions

What callers saw: nothing yet; found by reading. Routers tell each other which services they don't reach, and whose samples they send, by the index of the service in the configuration. A build that leaves a service out which another one reads shifts all indices behind it: the two then mean different services under one version and one secret.

Change: the index is the position in the published list, also of a service that is left out or whose name another one has. Routers of an earlier version still count without them; while both serve, they differ on such a document only.

Evidence: verify_a_service_that_is_left_out_shifts_no_other failed on (s2 at 0 where it is published at 1). Streams and routes are named by hashes of their names, which no left-out piece shifts (origin/mod.rs).

--- a/crates/core/src/gateway/admission/catalog.rs
+++ b/crates/core/src/gateway/admission/catalog.rs
@@ -48,6 +48,8 @@
     pub hosts: Vec<Bytes>,
     /// Whether there are routes whose host is unknown.
     pub any_host: bool,
+    /// Positions of services in the published list.
+    pub services: Vec<usize>,
     /// Whether there are workspaces.
     pub workspaces: bool,
     /// Keys of workspaces that are unknown.
@@ -197,7 +199,10 @@
     unplaced_hosts: IndexSet<Bytes>,
     /// Whether there are routes whose host is unknown.
     has_unplaced_routes: bool,
-    services: IndexMap<Bytes, Service>,
+    /// Services with their positions in the published list.
+    services: IndexMap<Bytes, (u32, Service)>,
+    /// Names by position in the published list; `None` for a service that is left out.
+    positions: Vec<Option<Bytes>>,
     /// Workspaces by key; `None` for a key that is published but can't be used.
     keys: IndexMap<Bytes, Option<Arc<Workspace>>>,
     has_unknown_keys: bool,
@@ -262,16 +267,16 @@
         self.has_workspaces
     }
 
-    /// Gets the index of a service, which identifies it among routers with the same configuration.
+    /// Gets the position of a service in the published list, which identifies it among routers with
+    /// the same configuration, also where they can't use the same pieces of it.
     pub fn index_of(&self, service: &[u8]) -> Option<u32> {
-        let index = self.services.get_index_of(service)?;
-        u32::try_from(index).ok()
+        self.services.get(service).map(|(index, _)| *index)
     }
 
-    /// Gets the name of the service with this index.
+    /// Gets the name of the service at this position.
     pub fn name_at(&self, index: u32) -> Option<&Bytes> {
         let index = usize::try_from(index).ok()?;
-        self.services.get_index(index).map(|(name, _)| name)
+        self.positions.get(index)?.as_ref()
     }
 
     /// Gets the names of the services with these indices; indices of no service are left out.
@@ -281,7 +286,7 @@
 
     /// Finds a service by its name.
     pub fn service(&self, name: &[u8]) -> Option<&Service> {
-        self.services.get(name)
+        self.services.get(name).map(|(_, service)| service)
     }
 
     /// Tells whether the engines of a service can copy cached prompt parts from each other.
@@ -317,7 +322,7 @@
             has_unknown_keys: undecoded.any_key,
             ..Self::default()
         };
-        catalog.add_services(raw.services, &mut faults);
+        catalog.add_services(raw.services, &undecoded.services, &mut faults);
         for route in raw.routes {
             let place = (route.host.clone(), route.prefix.clone());
             if let Err(fault) = catalog.add_route(route, &mut faults) {
@@ -338,8 +343,16 @@
         (catalog, faults)
     }
 
-    fn add_services(&mut self, services: Vec<Service>, faults: &mut Vec<Error>) {
+    fn add_services(
+        &mut self,
+        services: Vec<Service>,
+        undecoded: &[usize],
+        faults: &mut Vec<Error>,
+    ) {
         for mut service in services {
+            while undecoded.contains(&self.positions.len()) {
+                self.positions.push(None);
+            }
             let name = service.name.clone();
             if service.connections == 0 {
                 let what = "connections";
@@ -347,13 +360,19 @@
                 faults.push(Error::Number { what, name });
                 service.connections = 1;
             }
-            match self.services.entry(name.clone()) {
-                Entry::Vacant(vacant) => drop(vacant.insert(service)),
+            let index = u32::try_from(self.positions.len()).unwrap_or(u32::MAX);
+            let position = match self.services.entry(name.clone()) {
+                Entry::Vacant(vacant) => {
+                    vacant.insert((index, service));
+                    Some(name)
+                }
                 Entry::Occupied(_) => {
                     let what = "service";
                     faults.push(Error::Duplicate { what, name });
+                    None
                 }
-            }
+            };
+            self.positions.push(position);
         }
     }
 
