Require keys where the list of workspaces is empty

What callers would see: as the last workspace is taken away ("tenants": []), all routes open to anyone, and requests with the key that was just taken away run.

Cause: an empty list was taken for none. A configuration without the list needs no keys, one with an empty list has no valid key.

Change: `RawCatalog::workspaces` is `None` only where the list is absent. A list that can't be read (null, an object) still makes the document unreadable.

Callers without a key on such a configuration now get 401, as on any other with workspaces.

--- a/crates/core/src/gateway/admission/catalog.rs
+++ b/crates/core/src/gateway/admission/catalog.rs
@@ -30,8 +30,9 @@
     pub routes: Vec<Route>,
     /// Services.
     pub services: Vec<Service>,
-    /// Workspaces with their API keys; if there are none, requests need no key.
-    pub workspaces: Vec<(Workspace, Vec<Bytes>)>,
+    /// Workspaces with their API keys; `None` if requests need no key. With an empty list no key
+    /// opens anything.
+    pub workspaces: Option<Vec<(Workspace, Vec<Bytes>)>>,
     /// Limits of what callers may send.
     pub limits: Limits,
     /// Hash of the whole document, which holds every API key and is known only to operators and
@@ -50,8 +51,6 @@
     pub any_host: bool,
     /// Positions of services in the published list.
     pub services: Vec<usize>,
-    /// Whether there are workspaces.
-    pub workspaces: bool,
     /// Keys of workspaces that are unknown.
     pub keys: Vec<Bytes>,
     /// Whether there are unknown keys.
@@ -317,7 +316,7 @@
             version: raw.version,
             limits: raw.limits,
             secret: raw.secret,
-            has_workspaces: undecoded.workspaces || !raw.workspaces.is_empty(),
+            has_workspaces: raw.workspaces.is_some(),
             has_unplaced_routes: undecoded.any_host,
             has_unknown_keys: undecoded.any_key,
             ..Self::default()
@@ -335,7 +334,7 @@
             prefixes.entry(between_slashes(prefix)).or_insert(None);
         }
         catalog.unplaced_hosts = undecoded.hosts.into_iter().collect();
-        for (workspace, keys) in raw.workspaces {
+        for (workspace, keys) in raw.workspaces.into_iter().flatten() {
             catalog.add_workspace(workspace, keys, &mut faults);
         }
         let unusable = undecoded.keys.into_iter().map(|key| (key, None));
--- a/crates/core/tests/gateway/catalog.rs
+++ b/crates/core/tests/gateway/catalog.rs
@@ -120,8 +120,9 @@
             name: Bytes::from_static(b"two"),
             priority: None,
         };
-        let keys = raw.workspaces[0].1.clone();
-        raw.workspaces.push((other, keys));
+        let workspaces = raw.workspaces.get_or_insert_default();
+        let keys = workspaces[0].1.clone();
+        workspaces.push((other, keys));
     });
     expect_that!(error, pat!(Error::Duplicate { .. }));
 }
--- a/crates/core/tests/gateway/fixture.rs
+++ b/crates/core/tests/gateway/fixture.rs
@@ -119,7 +119,7 @@
             route("read", "/read/", Kind::Repeatable),
         ],
         services: vec![service("engines"), service("others")],
-        workspaces: vec![(workspace, vec![Bytes::from_static(KEY.as_bytes())])],
+        workspaces: Some(vec![(workspace, vec![Bytes::from_static(KEY.as_bytes())])]),
         limits: Limits::default(),
         secret: [7; 32],
     }
--- a/crates/core/tests/gateway/waiting.rs
+++ b/crates/core/tests/gateway/waiting.rs
@@ -79,7 +79,7 @@
         };
         (workspace, vec![key(n)])
     };
-    raw.workspaces = (0..WORKSPACES).map(workspace).collect();
+    raw.workspaces = Some((0..WORKSPACES).map(workspace).collect());
     let catalog = Catalog::try_from(raw).expect("the configuration is valid");
     let mut gateway = Gateway::new(bounds(), seed);
     let mut changes = vec![Change::Catalog(Box::new(catalog))];
--- a/crates/replay/src/lab/fleet/deployment.rs
+++ b/crates/replay/src/lab/fleet/deployment.rs
@@ -112,7 +112,7 @@
         version: 1,
         routes: vec![route],
         services: vec![service],
-        workspaces: Vec::new(),
+        workspaces: None,
         limits: Limits::default(),
         secret: [1; 32],
     };
