Prove no configuration that the registry no longer holds

Change: a lower version is still not applied, but the one in force is no longer proved, as where the newest can't be read: requests are refused as `stale` at the end of the shorter bound, until a higher version is there. Another document (by its hash) of the same version is applied.

Ruled out: to apply a lower version. Routers order what they know by versions, and a caller who has seen the higher one must not be handled by a lower one; the registry's order by revisions alone would need both to be kept apart.

--- a/crates/core/src/gateway/fleet/proof.rs
+++ b/crates/core/src/gateway/fleet/proof.rs
@@ -25,8 +25,8 @@
     configuration: Option<Time>,
     /// The same of the read before.
     configuration_before: Option<Time>,
-    /// Whether the newest configuration can't be read, so that keys and routes of the one held may
-    /// have been replaced.
+    /// Whether the newest configuration can't be read or applied, so that keys and routes of the one
+    /// held may have been replaced.
     configuration_unreadable: bool,
     /// When the registry was last known to hold something newer.
     newer: Option<Time>,
--- a/crates/core/src/gateway/fleet/updates/registry.rs
+++ b/crates/core/src/gateway/fleet/updates/registry.rs
@@ -47,7 +47,8 @@
         /// Its version.
         version: u64,
     },
-    /// A configuration was rejected because a newer one is in force.
+    /// A configuration was rejected because one with a higher version is in force, which the registry
+    /// no longer holds.
     Older {
         /// Its version.
         version: u64,
@@ -150,11 +151,17 @@
     fn publish(&mut self, now: Time, catalog: Catalog, events: &mut Vec<RegistryEvent>) {
         let version = catalog.version;
         match &self.catalog {
-            Some(held) if held.version > version => events.push(RegistryEvent::Older {
-                version,
-                held: held.version,
-            }),
-            Some(held) if held.version == version => self.proof.record_readable_configuration(),
+            Some(held) if held.version > version => {
+                // The registry no longer holds the one in force: a key of that one may be taken away.
+                self.proof.record_unreadable_configuration();
+                events.push(RegistryEvent::Older {
+                    version,
+                    held: held.version,
+                });
+            }
+            Some(held) if held.version == version && held.secret == catalog.secret => {
+                self.proof.record_readable_configuration();
+            }
             _ => {
                 self.proof.record_readable_configuration();
                 self.hot_spots
--- a/crates/core/tests/gateway/flow.rs
+++ b/crates/core/tests/gateway/flow.rs
@@ -98,17 +98,57 @@
     );
 }
 
+/// Guards against keys and routes that stay in force although the registry holds a configuration of a
+/// lower version: reads went on proving the one before.
 #[gtest]
-fn verify_an_older_configuration_changes_nothing() {
+fn verify_no_read_proves_a_configuration_after_one_of_a_lower_version() {
     let mut gateway = gateway(1);
-    gateway.apply_changes(Time(1), vec![catalog_change(9)]);
-    let events = gateway.apply_changes(Time(2), vec![catalog_change(8)]);
+    let bounds = bounds();
+    gateway.record_registry_read(Time(1000), Time(1000));
+    gateway.apply_changes(Time(1000), vec![catalog_change(9)]);
+    gateway.record_registry_read(Time(2000), Time(2000));
+    let events = gateway.apply_changes(Time(2000), vec![catalog_change(8)]);
     let older = RegistryEvent::Older {
         version: 8,
         held: 9,
     };
     expect_that!(events, elements_are![eq(&older)]);
-    expect_that!(gateway.catalog().map(|c| c.version), some(eq(9)));
+    let last = Time(1000) + bounds.routes;
+    for now in (2000..6000).step_by(100).map(Time) {
+        gateway.record_registry_read(now, now);
+        gateway.apply_changes(now, Vec::new());
+        expect_that!(gateway.catalog().map(|c| c.version), some(eq(9)));
+        let admitted = gateway.admit(now, &request("/chat/x"));
+        if now < last {
+            expect_that!(admitted, ok(anything()), "{now:?}");
+        } else {
+            expect_that!(cause_and_retryable(admitted), eq((Cause::Stale, true)));
+        }
+    }
+    gateway.apply_changes(Time(6000), vec![catalog_change(9)]);
+    expect_that!(
+        gateway.admit(Time(6000), &request("/chat/x")),
+        ok(anything())
+    );
+}
+
+/// Guards against a key that stays in force although the registry holds another document of the same
+/// version, which takes it away.
+#[gtest]
+fn verify_another_document_of_the_same_version_is_applied() {
+    let mut gateway = gateway(1);
+    gateway.apply_changes(Time(1), vec![catalog_change(9)]);
+    let mut raw = raw_catalog(9);
+    raw.workspaces = Some(Vec::new());
+    raw.secret = [8; 32];
+    let catalog = Catalog::try_from(raw).expect("the configuration is valid");
+    let events = gateway.apply_changes(Time(2), vec![Change::Catalog(Box::new(catalog))]);
+    expect_that!(
+        events,
+        elements_are![eq(&RegistryEvent::Applied { version: 9 })]
+    );
+    let refused = gateway.admit(Time(10), &request("/chat/x"));
+    expect_that!(cause_and_retryable(refused), eq((Cause::UnknownKey, false)));
 }
 
 /// Guards against a refusal for good of a request whose route or key is published but can't be used.
