Let a value of the settings that can't be used cost itself

What operators saw: at a reload any odd value (stop_s of 700, evacuation_ms of 50, 2000.0 milliseconds, an unknown field) kept all values of before in force, without an end (604): a revoke_ms that was shortened in the same file was not kept, and the router stayed ready. At a start the process ended, and ended again at each restart.

Cause: that of configuration-refused-as-a-whole: one document, one verdict.

Change: each value counts by itself. Tables in settings.rs name each field, its range and what stands in: out of range the nearest; another type or missing, the value in force; at a start its default. What must be known (addresses, names, the bounds of configuration, keys, leaving endpoints, retries, load, stop) and isn't still ends the start: such a router must not serve. An unknown bound of evacuations becomes that of leaving endpoints, not none. Whole numbers are read in any spelling. Event 606 names what was found and what counts, once for each change, also at a start; 604 remains for a file that is no JSON object.

Ruled out: to stop serving at a reload whose revoke_ms can't be read. One odd file would stop the fleet; the bound in force is the last that an operator gave, and 606 is an error line.

--- a/crates/core/src/gateway/fleet/variability.rs
+++ b/crates/core/src/gateway/fleet/variability.rs
@@ -5,7 +5,10 @@
 //! settings. Only then do routers tell each other how long requests wait at endpoints, and decide by
 //! it. Other fleets decide without.
 
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use crate::units::{
     Millis,
@@ -16,7 +19,7 @@
 const STATEMENT_TTL: Millis = Millis(30_000);
 
 /// `Speeds` is what the settings say of the endpoints' speed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, strum::Display)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize, strum::Display)]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum Speeds {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -54,7 +54,10 @@
     gossip, peer_follower, peers, pool,
     protocol::ProtocolAdapter,
     reads, server,
-    settings::Settings,
+    settings::{
+        Loaded,
+        Settings, //
+    },
     state::{
         Phase,
         Shared,
@@ -83,32 +86,38 @@
 
 /// Runs a gateway until SIGTERM has stopped it; returns the number of requests that it cut off.
 ///
-/// `reload` reads the settings again, on SIGHUP and periodically, as they may change without a signal.
+/// `reload` reads the settings again, with those in force, on SIGHUP and periodically, as they may change without a
+/// signal.
 ///
 /// # Errors
 ///
 /// Fails if listening on an address or installing a signal handler fails.
 pub async fn run(
-    settings: Settings,
+    loaded: Loaded,
     protocol: ProtocolAdapter,
     reader: RegistryReader,
-    reload: impl Fn() -> Result<Settings, String>,
+    reload: impl Fn(&Settings) -> Result<Loaded, String>,
 ) -> Result<usize> {
     let local = LocalSet::new();
     local
-        .run_until(serve(settings, protocol, reader, reload))
+        .run_until(serve(loaded, protocol, reader, reload))
         .await
 }
 
 async fn serve(
-    mut settings: Settings,
+    loaded: Loaded,
     protocol: ProtocolAdapter,
     reader: RegistryReader,
-    reload: impl Fn() -> Result<Settings, String>,
+    reload: impl Fn(&Settings) -> Result<Loaded, String>,
 ) -> Result<usize> {
+    let Loaded {
+        mut settings,
+        mut faults,
+    } = loaded;
     let mut term = signal(SignalKind::terminate()).context(SignalsSnafu)?;
     let mut hup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
     let process = start(settings.clone(), protocol, reader).await?;
+    log_unusable(&faults);
     let mut reload_timer = interval(RELOAD_INTERVAL);
     // The last error of `reload`: an error that repeats is logged once.
     let mut last_error = None;
@@ -118,12 +127,18 @@
             _ = hup.recv() => {}
             _ = reload_timer.tick() => {}
         }
-        match reload() {
-            Ok(new) if new == settings => last_error = None,
-            Ok(new) => {
-                apply_settings(&process.state, &settings, &new);
-                settings = new;
+        match reload(&settings) {
+            Ok(loaded) => {
                 last_error = None;
+                // What can't be used is logged once, however often it is read.
+                if loaded.faults != faults {
+                    log_unusable(&loaded.faults);
+                    faults = loaded.faults;
+                }
+                if loaded.settings != settings {
+                    apply_settings(&process.state, &settings, &loaded.settings);
+                    settings = loaded.settings;
+                }
             }
             Err(error) if last_error.as_ref() == Some(&error) => {}
             Err(error) => {
@@ -136,6 +151,14 @@
     Ok(stop(&process.state, grace).await)
 }
 
+/// Logs which values of the settings can't be used.
+fn log_unusable(faults: &[String]) {
+    if !faults.is_empty() {
+        let faults = faults.join("; ");
+        tracing::error!(event = 606, faults, "settings used in part");
+    }
+}
+
 /// Applies new bounds and seeds. Addresses and the router's own names stay as they were at the start, as a change
 /// would cut off callers and peers that use them.
 pub fn apply_settings(state: &Shared, old: &Settings, new: &Settings) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,12 +1,22 @@
 //! Settings of the gateway, read from a JSON file.
+//!
+//! Each field counts by itself: a bound that was shortened is in force though another value can't be used. [`FIELDS`]
+//! and [`BOUNDS`] say what stands in for a value that can't be used.
 
 use std::net::SocketAddrV4;
 
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_json::{
+    Map,
+    Value,
+    json, //
+};
 use snafu::{
     ResultExt as _,
-    Snafu,
-    ensure, //
+    Snafu, //
 };
 use toucanturn_core::{
     gateway::{
@@ -43,8 +53,80 @@
 /// Fraction of the published retry share that is used, as the windows of the routers are not aligned.
 const RETRY_SHARE_USED: f64 = 0.8;
 
+/// `StandIn` is what counts in place of a value that can't be used where none was in force before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StandIn {
+    /// Nothing: a router that does not know it must not serve.
+    Nothing,
+    /// The default, as where the field is absent.
+    Default,
+    /// Another bound.
+    Bound(&'static str),
+}
+
+/// Fields beside the bounds, with what stands in for them.
+const FIELDS: [(&str, StandIn); 7] = [
+    ("id", StandIn::Nothing),
+    ("data_center", StandIn::Nothing),
+    ("listen", StandIn::Nothing),
+    ("registry", StandIn::Nothing),
+    ("seeds", StandIn::Default),
+    ("first_start", StandIn::Default),
+    ("speeds", StandIn::Default),
+];
+
+/// `Range` is the range of a bound. A value outside it becomes the nearest one.
+struct Range {
+    name: &'static str,
+    /// Whether the part after the decimal point is cut off.
+    is_whole: bool,
+    least: f64,
+    most: f64,
+    stand_in: StandIn,
+}
+
+const fn range(name: &'static str, least: f64, most: f64, stand_in: StandIn) -> Range {
+    Range {
+        name,
+        is_whole: false,
+        least,
+        most,
+        stand_in,
+    }
+}
+
+const fn whole(name: &'static str, least: f64, most: f64, stand_in: StandIn) -> Range {
+    Range {
+        is_whole: true,
+        ..range(name, least, most, stand_in)
+    }
+}
+
+/// The bounds, in the units of [`PublishedBounds`].
+const BOUNDS: [Range; 14] = [
+    whole("config_ms", 100.0, 600_000.0, StandIn::Nothing),
+    whole("revoke_ms", 100.0, 600_000.0, StandIn::Nothing),
+    whole("leaving_ms", 100.0, 600_000.0, StandIn::Nothing),
+    whole(
+        "evacuation_ms",
+        100.0,
+        600_000.0,
+        StandIn::Bound("leaving_ms"),
+    ),
+    range("warmup_over", 0.0, 1000.0, StandIn::Default),
+    range("warmup_slack", 0.0, 1e6, StandIn::Default),
+    range("stop_s", 0.0, 600.0, StandIn::Nothing),
+    range("lapse_s", 0.0, 600.0, StandIn::Nothing),
+    range("skew", 1.0, 1000.0, StandIn::Nothing),
+    range("retry_share", 0.0, 10.0, StandIn::Nothing),
+    range("retry_extra", 0.0, 1e6, StandIn::Nothing),
+    range("retry_window_s", 0.0, 600.0, StandIn::Nothing),
+    range("hold_s", 0.0, 600.0, StandIn::Default),
+    whole("memory_mb", 1.0, 1_048_576.0, StandIn::Default),
+];
+
 /// `Settings` is the settings file.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Id of this router.
@@ -84,8 +166,17 @@
     DEFAULT_MEMORY_MB
 }
 
+/// `Loaded` is settings as they were read from a file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Loaded {
+    /// What counts.
+    pub settings: Settings,
+    /// Values of the file that can't be used, and what counts in their place.
+    pub faults: Vec<String>,
+}
+
 /// `Listen` is the addresses to listen on.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// For callers.
@@ -100,7 +191,7 @@
 }
 
 /// `PublishedBounds` is the bounds that the operators of the platform publish and the router must keep.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PublishedBounds {
     /// Milliseconds within which a change of the configuration is in force.
@@ -143,19 +234,17 @@
 /// `Error` is why settings are refused.
 #[derive(Debug, Snafu)]
 pub enum Error {
-    /// The text is not valid JSON or lacks the expected structure.
+    /// The text is not valid JSON.
     #[snafu(display("expected settings as JSON: {source}"))]
     Json {
         /// The cause, with line and column.
         source: serde_json::Error,
     },
-    /// A bound is out of range.
-    #[snafu(display("expected `bounds.{name}` to be {expected}"))]
-    Bound {
-        /// Name of the bound.
-        name: &'static str,
-        /// The allowed range.
-        expected: &'static str,
+    /// A value that must be known is missing or can't be used.
+    #[snafu(display("expected settings that can be used: {}", faults.join("; ")))]
+    Unusable {
+        /// The values that can't be used.
+        faults: Vec<String>,
     },
 }
 
@@ -163,59 +252,159 @@
     type Error = Error;
 
     fn try_from(text: &[u8]) -> Result<Self, Error> {
-        let settings: Self = serde_json::from_slice(text).context(JsonSnafu)?;
-        settings.bounds.check()?;
-        Ok(settings)
+        Self::read(text, None).map(|loaded| loaded.settings)
     }
 }
 
-impl PublishedBounds {
-    fn check(&self) -> Result<(), Error> {
-        let times = [
-            ("config_ms", self.config_ms),
-            ("revoke_ms", self.revoke_ms),
-            ("leaving_ms", self.leaving_ms),
-        ];
-        let evacuation = self.evacuation_ms.map(|ms| ("evacuation_ms", ms));
-        for (name, millis) in times.into_iter().chain(evacuation) {
-            let expected = "100 to 600000 milliseconds";
-            ensure!(
-                (100..=600_000).contains(&millis),
-                BoundSnafu { name, expected }
-            );
+impl Settings {
+    /// Reads settings, with `held` in force.
+    ///
+    /// The value in force stands in for one that is missing or has another type. Before the first settings, [`FIELDS`]
+    /// and [`BOUNDS`] say what does.
+    ///
+    /// # Errors
+    ///
+    /// The text is no JSON object, or a value is unknown that nothing stands in for.
+    pub fn read(text: &[u8], held: Option<&Self>) -> Result<Loaded, Error> {
+        let mut fields: Map<String, Value> = serde_json::from_slice(text).context(JsonSnafu)?;
+        let held = held.map(|held| serde_json::to_value(held).context(JsonSnafu));
+        let held = held.transpose()?.unwrap_or_default();
+        let mut faults = Vec::new();
+        let mut is_usable = true;
+        let mut note = |fault| faults.push(fault);
+        for (name, stand_in) in FIELDS {
+            let value = fields.remove(name);
+            let found = value.clone().unwrap_or_default();
+            match field(name, value) {
+                Ok(Some(usable)) => {
+                    if usable != found {
+                        note(format!("`{name}`: found {found}, {usable} counts"));
+                    }
+                    fields.insert(name.to_owned(), usable);
+                }
+                Ok(None) if stand_in == StandIn::Default => {}
+                Ok(None) | Err(_) => {
+                    let counts = held.get(name);
+                    is_usable &= counts.is_some() || stand_in == StandIn::Default;
+                    note(fault(name, &found, counts));
+                    fields.extend(counts.map(|value| (name.to_owned(), value.clone())));
+                }
+            }
+        }
+        let bounds = fields.remove("bounds");
+        let mut bounds = match bounds {
+            Some(Value::Object(bounds)) => bounds,
+            _ => {
+                note("`bounds`: expected an object".to_owned());
+                Map::new()
+            }
+        };
+        for range in &BOUNDS {
+            is_usable &= range.replace(&mut bounds, held.get("bounds"), &mut note);
+        }
+        bounds.retain(|name, _| {
+            let is_known = BOUNDS.iter().any(|range| range.name == name);
+            if !is_known {
+                note(format!("`bounds.{name}`: unknown, passed over"));
+            }
+            is_known
+        });
+        fields.retain(|name, _| {
+            let is_known = FIELDS.iter().any(|(known, _)| known == name);
+            if !is_known {
+                note(format!("`{name}`: unknown, passed over"));
+            }
+            is_known
+        });
+        if !is_usable {
+            return UnusableSnafu { faults }.fail();
         }
-        let lengths = [
-            ("stop_s", self.stop_s),
-            ("lapse_s", self.lapse_s),
-            ("retry_window_s", self.retry_window_s),
-            ("hold_s", self.hold_s),
-        ];
-        for (name, seconds) in lengths {
-            let expected = "0 to 600 seconds";
-            ensure!(
-                (0.0..=600.0).contains(&seconds),
-                BoundSnafu { name, expected }
-            );
+        fields.insert("bounds".to_owned(), Value::Object(bounds));
+        let settings = serde_json::from_value(Value::Object(fields)).context(JsonSnafu)?;
+        Ok(Loaded { settings, faults })
+    }
+}
+
+/// Checks a field; returns what of it can be used, or `None` if it is absent.
+fn field(name: &str, value: Option<Value>) -> Result<Option<Value>, serde_json::Error> {
+    fn checked<T: for<'de> Deserialize<'de>>(value: Value) -> Result<Value, serde_json::Error> {
+        serde_json::from_value::<T>(value.clone()).map(|_| value)
+    }
+    let Some(value) = value else {
+        return Ok(None);
+    };
+    let usable = match (name, value) {
+        ("id" | "data_center", value) => checked::<String>(value),
+        ("listen", value) => checked::<Listen>(value),
+        ("registry", value) => checked::<SocketAddrV4>(value),
+        ("first_start", value) => checked::<bool>(value),
+        ("speeds", value) => checked::<Speeds>(value),
+        // Each seed counts by itself.
+        (_, Value::Array(seeds)) => {
+            let usable = seeds.into_iter().map(checked::<SocketAddrV4>);
+            Ok(usable.flatten().collect())
+        }
+        (_, value) => checked::<Vec<SocketAddrV4>>(value),
+    };
+    usable.map(Some)
+}
+
+/// Says that a value can't be used, and what counts in its place.
+fn fault(name: &str, found: &Value, counts: Option<&Value>) -> String {
+    match counts {
+        Some(counts) => format!("`{name}`: found {found}, {counts} counts"),
+        None => format!("`{name}`: found {found}"),
+    }
+}
+
+impl Range {
+    /// Replaces a bound that can't be used; returns whether there is one that can.
+    fn replace(
+        &self,
+        bounds: &mut Map<String, Value>,
+        held: Option<&Value>,
+        note: &mut impl FnMut(String),
+    ) -> bool {
+        let name = self.name;
+        let is_optional = self.stand_in != StandIn::Nothing;
+        let found = bounds.remove(name).unwrap_or_default();
+        if found.is_null() && is_optional {
+            return true;
         }
-        let memory = 1..=1 << 20;
-        let (name, expected) = ("memory_mb", "1 to 1048576 mebibytes");
-        ensure!(
-            memory.contains(&self.memory_mb),
-            BoundSnafu { name, expected }
-        );
-        let factors = [
-            ("skew", self.skew, 1.0..=1000.0, "1 to 1000"),
-            ("retry_share", self.retry_share, 0.0..=10.0, "0 to 10"),
-            ("retry_extra", self.retry_extra, 0.0..=1e6, "0 to 1000000"),
-            ("warmup_over", self.warmup_over, 0.0..=1000.0, "0 to 1000"),
-            ("warmup_slack", self.warmup_slack, 0.0..=1e6, "0 to 1000000"),
-        ];
-        for (name, factor, range, expected) in factors {
-            ensure!(range.contains(&factor), BoundSnafu { name, expected });
+        let before = || held?.get(name).filter(|value| value.is_number()).cloned();
+        let other = || match self.stand_in {
+            StandIn::Bound(other) => bounds.get(other).cloned(),
+            StandIn::Nothing | StandIn::Default => None,
+        };
+        let nearest = found.as_f64().map(|number| self.nearest(number));
+        let is_kept =
+            nearest.is_some() && nearest.as_ref().and_then(Value::as_f64) == found.as_f64();
+        let counts = nearest.or_else(before).or_else(other);
+        if !is_kept {
+            note(fault(&format!("bounds.{name}"), &found, counts.as_ref()));
         }
-        Ok(())
+        let is_usable = counts.is_some() || is_optional;
+        bounds.extend(counts.map(|value| (name.to_owned(), value)));
+        is_usable
     }
 
+    /// Gets the nearest value in the range.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the value is in the range"
+    )]
+    fn nearest(&self, number: f64) -> Value {
+        let nearest = number.clamp(self.least, self.most);
+        if self.is_whole {
+            json!(nearest as u64)
+        } else {
+            json!(nearest)
+        }
+    }
+}
+
+impl PublishedBounds {
     /// Returns the time between reads of the registry.
     pub fn read_interval(&self) -> Millis {
         let evacuation = self.evacuation_ms.unwrap_or(u64::MAX);
--- a/crates/gatewayd/src/run.rs
+++ b/crates/gatewayd/src/run.rs
@@ -13,6 +13,7 @@
     process,
     settings::{
         self,
+        Loaded,
         Settings, //
     },
 };
@@ -47,7 +48,7 @@
 
 /// Runs the gateway until SIGTERM has stopped it. The exit code is a failure if requests were cut off.
 pub(crate) fn run(path: &Path) -> Result<ExitCode, Error> {
-    let settings = read(path)?;
+    let loaded = read(path, None)?;
     let _guard = log_to_stdout();
     // One thread, as the VMs that run the gateway have a fraction of one core.
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -56,8 +57,11 @@
         .context(RuntimeSnafu)?;
     let protocol = toucanturn_platform::protocol();
     let reader = toucanturn_platform::store::reader();
-    let reload = || read(path).map_err(|e| snafu::Report::from_error(e).to_string());
-    let cut = runtime.block_on(process::run(settings, protocol, reader, reload))?;
+    let reload = |held: &Settings| {
+        let loaded = read(path, Some(held));
+        loaded.map_err(|e| snafu::Report::from_error(e).to_string())
+    };
+    let cut = runtime.block_on(process::run(loaded, protocol, reader, reload))?;
     Ok(if cut == 0 {
         ExitCode::SUCCESS
     } else {
@@ -65,9 +69,9 @@
     })
 }
 
-fn read(path: &Path) -> Result<Settings, Error> {
+fn read(path: &Path, held: Option<&Settings>) -> Result<Loaded, Error> {
     let text = std::fs::read(path).context(ReadSnafu { path })?;
-    Settings::try_from(text.as_slice()).context(SettingsSnafu { path })
+    Settings::read(&text, held).context(SettingsSnafu { path })
 }
 
 /// Writes log lines to standard output as JSON, from a separate thread. A reader that stops reading must not delay
