Use a peer's report whose cause of refusal is unknown

What callers would see: a peer of another version refuses a request that was handed to it for a cause that this version doesn't know. The whole report counted as missing: the endpoints that the peer had tried were tried again, and a refusal that promised "not run" ended as a failure.

Change: an unknown cause becomes `no_endpoint`, the rest of the report counts.

Evidence: verify_an_unknown_cause_costs_only_itself failed without the change, passes with it. Fields that another version adds are passed over by the protobuf decoder; missing ones have their defaults.

--- a/crates/core/src/gateway/fleet/handoff/mod.rs
+++ b/crates/core/src/gateway/fleet/handoff/mod.rs
@@ -104,6 +104,7 @@
             | Cause::Unconfirmed
             | Cause::Stopping
             | Cause::Overloaded
+            | Cause::UnusableConfiguration
     )
 }
 
--- a/crates/wire/src/handoff.rs
+++ b/crates/wire/src/handoff.rs
@@ -162,12 +162,8 @@
     let raw = proto::Report::decode(bytes.as_slice()).context(CodecSnafu)?;
     let refused = match raw.refused.as_str() {
         "" => None,
-        cause => {
-            let known = cause.parse::<Cause>().ok();
-            Some(known.context(PartSnafu {
-                what: "a known cause",
-            })?)
-        }
+        // A cause of another version: the rest of the report counts all the same.
+        cause => Some(cause.parse().unwrap_or(Cause::NoEndpoint)),
     };
     Ok(PeerReport {
         tried: tags(&raw.tried)?,
--- a/crates/wire/tests/handoff.rs
+++ b/crates/wire/tests/handoff.rs
@@ -1,5 +1,9 @@
 //! What accompanies a request between routers: it comes back as it was, and anything else is refused.
 
+use base64::{
+    Engine as _,
+    prelude::BASE64_URL_SAFE_NO_PAD as URL_SAFE_NO_PAD, //
+};
 use googletest::prelude::*;
 use proptest::prelude::*;
 use toucanturn_core::{
@@ -112,6 +116,29 @@
     }
 }
 
+/// Guards against losing which endpoints a peer of another version has tried, because the cause of its refusal is
+/// unknown.
+#[gtest]
+fn verify_an_unknown_cause_costs_only_itself() {
+    let report = PeerReport {
+        tried: vec![Tag(5), Tag(6)],
+        refused: Some(Cause::Deadline),
+        build: None,
+    };
+    let known = URL_SAFE_NO_PAD.decode(encode_report(&report));
+    let mut bytes = known.expect("a report is base64url");
+    let word = b"deadline";
+    let at = bytes.windows(word.len()).position(|w| w == word);
+    let at = at.expect("a report names its cause");
+    bytes[at..at + word.len()].copy_from_slice(b"heavenly");
+    let text = URL_SAFE_NO_PAD.encode(bytes);
+    let expected = PeerReport {
+        refused: Some(Cause::NoEndpoint),
+        ..report
+    };
+    expect_that!(decode_report(text.as_bytes()), ok(eq(&expected)));
+}
+
 #[gtest]
 fn verify_an_unknown_epoch_and_another_secret_are_refused() {
     let handoff = Handoff {
