Count the silence of an attempt that no other one can follow

Requests that follow go to silent endpoints meanwhile instead of to a peer.

Cause: a request's silence counted where another attempt could follow. The last attempt has no such moment: it waited for its deadline. With all first attempts at one endpoint only that endpoint had counted until then.

Change: a request that may run more than once counts the silence of its endpoint after the same time, whether or not another attempt can follow; the attempt stays open. Not for requests that may run once alone: their silence may be work, and a service with few of them would seem not reached.

Evidence: verify_the_silence_of_a_last_attempt_counts_before_the_request_ends (two endpoints, one request) failed before and passes; all 26 tests of silence and cut_off pass.

--- a/crates/core/src/gateway/attempt/sending.rs
+++ b/crates/core/src/gateway/attempt/sending.rs
@@ -172,6 +172,13 @@
         Some(silence_limit(route, begun))
     }
 
+    /// Gets how long an endpoint may send nothing before its silence counts where no other attempt
+    /// can follow. A request that may run once alone is not repeated, so its silence may be work.
+    pub fn silence_notice(&self, ticket: &Ticket) -> Option<Millis> {
+        let route = &ticket.route;
+        route.kind.repeatable().then(|| silence_limit(route, false))
+    }
+
     /// Notes that an endpoint answered on a connection that was opened at `opened`.
     pub fn heard(&mut self, now: Time, endpoint: EndpointKey, opened: Time) {
         self.registry.record_answer_on(endpoint, opened);
--- a/crates/gateway/src/proxied/endpoint.rs
+++ b/crates/gateway/src/proxied/endpoint.rs
@@ -69,7 +69,10 @@
             Succession, //
         },
     },
-    state::now,
+    state::{
+        duration,
+        now, //
+    },
 };
 
 /// Longest wait for the body of an answer that states that nothing ran. The connection is kept for
@@ -205,11 +208,17 @@
         mut sent: Present<HeadExchange>,
         resume: Option<u64>,
     ) -> Result<Head, SendFailure> {
+        let mut notice = self.state.gateway.borrow().silence_notice(&self.ticket);
         let ((connection, outcome), guard) = loop {
             let limit = self.silence_timeout(&sent.guard, false);
-            if let Ok(exchanged) = timeout(limit, &mut sent.progress).await {
+            let until_notice = notice.map_or(Duration::MAX, duration);
+            if let Ok(exchanged) = timeout(limit.min(until_notice), &mut sent.progress).await {
                 break (exchanged, sent.guard);
             }
+            if notice.take().is_some() && until_notice < limit {
+                self.note_silence(&sent.guard);
+                continue;
+            }
             if self.time_left() == Duration::ZERO {
                 drop(sent.progress);
                 return Err(SendFailure::Ended(
--- a/crates/gateway/src/proxied/succession.rs
+++ b/crates/gateway/src/proxied/succession.rs
@@ -153,10 +153,7 @@
         resume: Option<u64>,
         failure: impl Fn(&T) -> Option<AttemptOutcome>,
     ) -> Succession<T> {
-        if let Target::Endpoint(endpoint) = present.guard.target {
-            let mut gateway = self.state.gateway.borrow_mut();
-            gateway.kept_silent(now(), &self.ticket, endpoint);
-        }
+        self.note_silence(&present.guard);
         let Some(mut successor) = self.begin_successor() else {
             return Succession::Kept(present);
         };
@@ -218,6 +215,14 @@
         }
     }
 
+    /// Notes that the endpoint of an attempt keeps silent. A peer notices its endpoint's silence itself.
+    pub(super) fn note_silence(&self, guard: &AttemptGuard) {
+        if let Target::Endpoint(endpoint) = guard.target {
+            let mut gateway = self.state.gateway.borrow_mut();
+            gateway.kept_silent(now(), &self.ticket, endpoint);
+        }
+    }
+
     /// Makes attempts until one can take over; ends one that can't, and returns why.
     async fn begin(&mut self, resume: Option<u64>) -> Result<Box<Attempt>, Cause> {
         let started = self.start(resume).await;
