--- a/crates/core/tests/gateway/proof.rs
+++ b/crates/core/tests/gateway/proof.rs
@@ -1,15 +1,132 @@
 //! Tests of the age of a router's copy of the registry.
 
+use bytes::Bytes;
 use googletest::prelude::*;
+use proptest::prelude::{
+    ProptestConfig,
+    prop,
+    prop_assert,
+    proptest, //
+};
 use toucanturn_core::{
-    gateway::proof::FreshnessProof,
+    gateway::{
+        Change,
+        catalog::Catalog,
+        proof::FreshnessProof, //
+    },
     units::{
         Millis,
         Time, //
     },
 };
 
-use crate::fixture::bounds;
+use crate::fixture::{
+    KEY,
+    bounds,
+    gateway,
+    raw_catalog,
+    request, //
+};
+
+/// `Document` is a published configuration, which takes the keys of all others away.
+#[derive(Clone, Copy, Debug)]
+enum Document {
+    Higher,
+    Lower,
+    SameVersion,
+    Unreadable,
+}
+
+const DOCUMENTS: [Document; 4] = [
+    Document::Higher,
+    Document::Lower,
+    Document::SameVersion,
+    Document::Unreadable,
+];
+
+/// Times between changes, and from the sending of a read to its answer.
+const MAX_GAP_MS: u64 = 3000;
+const MAX_READ_MS: u64 = 6000;
+const END_MS: u64 = 20_000;
+
+fn key_of(index: usize) -> Bytes {
+    match index {
+        0 => Bytes::from(KEY),
+        _ => Bytes::from(format!("k{index}")),
+    }
+}
+
+/// Makes the change that a document brings, with its one key.
+fn change_of(index: usize, document: Document, version: u64) -> Change {
+    if matches!(document, Document::Unreadable) {
+        return Change::UnreadableCatalog;
+    }
+    let mut raw = raw_catalog(version);
+    // The first document has another secret.
+    raw.secret = [100 + u8::try_from(index).expect("few documents"); 32];
+    let workspaces = raw.workspaces.iter_mut().flatten();
+    workspaces.for_each(|(_, keys)| *keys = vec![key_of(index)]);
+    let catalog = Catalog::try_from(raw).expect("the configuration is valid");
+    Change::Catalog(Box::new(catalog))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(400)
+    })]
+
+    /// Guards against a key that opens requests after its bound: whatever documents follow each other, and however long
+    /// reads take or overtake each other, none proves a document that was replaced.
+    #[test]
+    fn verify_no_key_opens_requests_after_its_bound(
+        published in prop::collection::vec((1..MAX_GAP_MS, 0..DOCUMENTS.len()), 1..10),
+        reads in prop::collection::vec((0..END_MS, 0..MAX_READ_MS, 0..=100_u64), 1..80),
+    ) {
+        let keys = bounds().keys;
+        let mut version = 1;
+        let mut changes = vec![(Time(0), Document::Higher, 1)];
+        for (gap, kind) in published {
+            let document = DOCUMENTS[kind];
+            let stated = match document {
+                Document::Higher => {
+                    version += 2;
+                    version
+                }
+                Document::Lower => version - 1,
+                Document::SameVersion | Document::Unreadable => version,
+            };
+            let at = changes.last().map_or(Time(0), |(at, ..)| *at) + Millis(gap);
+            changes.push((at, document, stated));
+        }
+        // A read returns the newest state of a moment between its sending and its answer.
+        let read = |(sent, took, part): (u64, u64, u64)| (sent + took, sent, sent + took * part / 100);
+        let mut reads: Vec<_> = reads.into_iter().map(read).collect();
+        reads.sort_unstable();
+        let mut reads = reads.into_iter().peekable();
+        let mut gateway = gateway(1);
+        let mut held = 0;
+        for now in (0..END_MS + MAX_READ_MS).step_by(25) {
+            while let Some((answered, sent, point)) = reads.next_if(|(answered, ..)| *answered <= now) {
+                let newest = changes.iter().rposition(|(at, ..)| *at <= Time(point)).unwrap_or(0);
+                if newest < held {
+                    continue;
+                }
+                gateway.record_registry_read(Time(answered), Time(sent));
+                let (_, document, version) = changes[newest];
+                let change = (newest > held).then(|| change_of(newest, document, version));
+                gateway.apply_changes(Time(answered), change.into_iter().collect());
+                held = newest;
+            }
+            for (index, next) in changes.iter().skip(1).map(|(at, ..)| *at).enumerate() {
+                let mut request = request("/read/x");
+                request.key = Some(key_of(index));
+                let opens = gateway.admit(Time(now), &request).is_ok();
+                prop_assert!(!opens || Time(now) < next + keys, "key {index} at {now}, taken away at {next:?}");
+            }
+        }
+    }
+}
 
 #[gtest]
 fn verify_any_age_limit_is_exceeded_before_the_first_read() {
