Keep the first event that a successor's own successor has read ahead

What callers saw: a whole stream, status 200, without its first event (ORDER), where two endpoints in a row kept silent and a third one answered.

Cause: a successor reads the first event ahead before it takes over. Where its own endpoint was replaced by a second successor, that one had read it already; the first successor read ahead once more and replaced what was kept.

--- a/crates/gateway/src/proxied/succession.rs
+++ b/crates/gateway/src/proxied/succession.rs
@@ -253,6 +253,10 @@
         if !self.ticket.route.kind.streams() {
             return self.collect(attempt).await.err();
         }
+        // A successor of this attempt's own has read ahead already.
+        if !attempt.ahead.is_empty() {
+            return None;
+        }
         let framing = Framing::of(&attempt.head, &attempt.body);
         let limit = self.silence_timeout(&attempt.guard, false);
         let mut events = EventSplitter::default();
