Bound connections by the memory and the descriptors of the process

A router exceeded its memory under bodies that don't end, and answered nobody once connections had taken all its descriptors.

Cause: what a connection takes beside the accounts of messages had no bound. The HTTP library's read buffer grows to 400 KiB a connection by itself, the kernel takes in as much as its defaults allow, and the number of connections had no bound. The same at the listeners for peers and for checks, where a body without an end was awaited for ever.

Read buffers hold a head at most, sockets 24 or 16 KiB. At the bound the connection that has waited longest for its other side closes; one with a whole request never does, and bytes that arrive shorten the wait (docs/design/misbehaving-callers.md). The backlog of callers is 512 in place of 1,024, of peers and checks 64.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -51,6 +51,7 @@
 };
 
 use crate::{
+    head_timeout::ConnectionProgress,
     log::text,
     memory::{
         self,
@@ -100,11 +101,12 @@
 pub(crate) async fn serve(
     state: Shared,
     request: Request<Incoming>,
+    connection: Rc<ConnectionProgress>,
 ) -> Result<Response<Body>, Infallible> {
     let progress = Rc::<Progress>::default();
     let mut response = tokio::select! {
         biased;
-        response = answer(&state, request, &progress) => response,
+        response = answer(&state, request, (&progress, &connection)) => response,
         () = state.wait_for_end() => {
             let refusal = Refusal::given_up(Cause::Stopping, progress.may_have_run.get());
             let id = progress.id.get().cloned().unwrap_or_default();
@@ -118,11 +120,13 @@
 async fn answer(
     state: &Shared,
     request: Request<Incoming>,
-    progress: &Rc<Progress>,
+    (progress, connection): (&Rc<Progress>, &ConnectionProgress),
 ) -> Response<Body> {
     let began = now();
     let (parts, body) = request.into_parts();
-    match read(state, &parts, body, (began, progress)).await {
+    let read = read(state, &parts, body, (began, progress)).await;
+    connection.end_request();
+    match read {
         Ok((incoming_request, body)) => {
             admit_and_answer(state, incoming_request, (parts, body), began, progress).await
         }
@@ -164,10 +168,7 @@
         (no_id, Refusal::permanent(Cause::Malformed))
     })?;
     progress.id.get_or_init(|| incoming_request.id.clone());
-    let limits = {
-        let gateway = state.gateway.borrow();
-        gateway.catalog().map(|c| c.limits).unwrap_or_default()
-    };
+    let limits = state.limits();
     // Refuses a body whose declared length exceeds the limit without reading it.
     if body.size_hint().lower() > u64::try_from(limits.body).unwrap_or(u64::MAX) {
         return Err((incoming_request.id, Refusal::permanent(Cause::TooLarge)));
--- a/crates/gateway/src/head_timeout.rs
+++ b/crates/gateway/src/head_timeout.rs
@@ -40,6 +40,8 @@
     },
 };
 
+use crate::connections::Slot;
+
 /// `ConnectionProgress` tracks the requests of a connection.
 #[derive(Debug)]
 pub(crate) struct ConnectionProgress {
@@ -53,17 +55,44 @@
     idle_since: Cell<Option<Instant>>,
     /// Whether an answer is incomplete whose end the caller takes from the end of the connection.
     unmarked_answer: Cell<bool>,
+    /// Whether the caller takes no more of an answer for now.
+    blocked: Cell<bool>,
+    slot: Slot,
 }
 
 impl ConnectionProgress {
     /// Creates the state of a new connection; `all_open_requests` counts the open requests of all connections.
-    pub(crate) fn new(all_open_requests: &Rc<Cell<usize>>) -> Self {
+    pub(crate) fn new(all_open_requests: &Rc<Cell<usize>>, slot: Slot) -> Self {
         Self {
             heads_completed: Cell::new(0),
             open_requests: Cell::new(0),
             all_open_requests: Rc::clone(all_open_requests),
             idle_since: Cell::new(None),
             unmarked_answer: Cell::new(false),
+            blocked: Cell::new(false),
+            slot,
+        }
+    }
+
+    /// Records that a request's body is complete, or that no more of it is awaited.
+    pub(crate) fn end_request(&self) {
+        self.slot.work();
+    }
+
+    /// Waits until the connection has to close, as others need its place.
+    pub(crate) async fn closed(&self) {
+        self.slot.closed().await;
+    }
+
+    /// Records whether the caller takes the answer.
+    fn set_blocked(&self, blocked: bool) {
+        if self.blocked.replace(blocked) == blocked {
+            return;
+        }
+        match blocked {
+            true => self.slot.wait(),
+            false if self.open_requests.get() > 0 => self.slot.work(),
+            false => {}
         }
     }
 
@@ -107,6 +136,7 @@
             .set(self.0.all_open_requests.get() - 1);
         if self.0.open_requests.get() == 0 {
             self.0.idle_since.set(Some(Instant::now()));
+            self.0.slot.wait();
         }
     }
 }
@@ -238,7 +268,9 @@
         let before = buffer.filled().len();
         match Pin::new(&mut self.stream).poll_read(context, buffer) {
             Poll::Ready(read) => {
-                if buffer.filled().len() > before {
+                let received = buffer.filled().len() - before;
+                if received > 0 {
+                    self.progress.slot.progress(received);
                     self.note_bytes_received();
                 }
                 Poll::Ready(read)
@@ -255,7 +287,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.prepare_write()?;
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.progress.set_blocked(written.is_pending());
+        written
     }
 
     fn poll_write_vectored(
@@ -264,7 +298,9 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.prepare_write()?;
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.progress.set_blocked(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,9 @@
 
 #![forbid(unsafe_code)]
 
+pub mod budget;
 pub mod client;
+mod connections;
 pub mod errors;
 pub mod exchange;
 mod explain;
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -27,9 +27,6 @@
 const MIN_BODY_BUFFER_BYTES: usize = 4 << 10;
 /// A part may hold this fraction of the limit, a half.
 const SHARE_DIVISOR: usize = 2;
-/// Fraction of the process's memory that answers may hold, and that requests may hold: a quarter each.
-const MEMORY_DIVISOR: u64 = 4;
-const MEBIBYTE: u64 = 1 << 20;
 
 /// `Memory` is the accounts of the process.
 #[derive(Debug, Default)]
@@ -41,10 +38,8 @@
 }
 
 impl Memory {
-    /// Sets the limits that follow from the memory that the process may use.
-    pub fn set_process_memory(&self, mebibytes: u64) {
-        let limit = mebibytes.saturating_mul(MEBIBYTE) / MEMORY_DIVISOR;
-        let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    /// Sets how many bytes answers may hold, and how many requests may hold.
+    pub(crate) fn set_limit(&self, limit: usize) {
         self.answers.set_limit(limit);
         self.requests.set_limit(limit);
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -55,7 +55,10 @@
         self,
         Session, //
     },
-    server,
+    server::{
+        self,
+        Internal, //
+    },
     state::{
         CachedPack,
         RegistryState,
@@ -77,6 +80,8 @@
 const MIN_AGE_GAIN: Millis = Millis(100);
 /// The same minimum once the poll has waited for as long as it may.
 const MIN_AGE_GAIN_AFTER_WAIT: Millis = Millis(1);
+/// Time in which a poll's body must be complete.
+const BODY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Most bytes of changes that are packed for a peer: the packed form of more is too large as well.
 const MAX_DELTA_BYTES: usize = 256 << 10;
 /// Most bytes of a pack that is sent; the poller reads anything larger from the registry itself. Sending large
@@ -158,7 +163,7 @@
 
 /// Answers polls of peers, and serves the requests that they hand to this router, until the process ends.
 pub async fn serve(state: Shared, listener: TcpListener) {
-    server::serve(state, listener, answer).await;
+    server::serve(state, (listener, Internal::Peers), answer).await;
 }
 
 async fn answer(
@@ -184,10 +189,8 @@
     if !is_stream_ask && request.uri().path() != PATH {
         return Ok(status(StatusCode::NOT_FOUND));
     }
-    let body = Limited::new(request.into_body(), MAX_DATAGRAM)
-        .collect()
-        .await;
-    let Ok(body) = body else {
+    let body = Limited::new(request.into_body(), MAX_DATAGRAM).collect();
+    let Ok(Ok(body)) = timeout(BODY_TIMEOUT, body).await else {
         return Ok(status(StatusCode::BAD_REQUEST));
     };
     let body = body.to_bytes();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -45,6 +45,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    budget::{
+        self,
+        Budget, //
+    },
     errors::{
         ListenSnafu,
         Result,
@@ -174,7 +178,7 @@
     gateway.set_bounds(new.bounds.bounds());
     gateway.set_speeds(new.speeds);
     drop(gateway);
-    state.memory.set_process_memory(new.bounds.memory_mb);
+    state.set_budget(Budget::new(&new.bounds, budget::allowed_descriptors()));
     state.mesh.borrow_mut().set_seeds(new.seeds.clone());
 }
 
@@ -202,9 +206,9 @@
     reader: RegistryReader,
 ) -> Result<Process> {
     let listen = settings.listen;
-    let checks = server::listen(listen.ready).await?;
-    let callers = server::listen(listen.callers).await?;
-    let peers = server::listen(listen.peers).await?;
+    let checks = server::listen(listen.ready, budget::INTERNAL).await?;
+    let callers = server::listen(listen.callers, budget::CALLERS).await?;
+    let peers = server::listen(listen.peers, budget::INTERNAL).await?;
     let context = |address| ListenSnafu { address };
     let local_address = |l: &TcpListener, a: SocketAddrV4| l.local_addr().context(context(a));
     let addresses = (
@@ -236,7 +240,7 @@
     gateway.tick(now());
     let caller_address = SocketAddrV4::new(*listen.callers.ip(), addresses.0.port());
     let state = State::new(gateway, mesh, protocol, caller_address, settings.registry);
-    state.memory.set_process_memory(settings.bounds.memory_mb);
+    state.set_budget(Budget::new(&settings.bounds, budget::allowed_descriptors()));
     tracing::info!(
         event = 600,
         id = settings.id,
@@ -304,7 +308,7 @@
     let last = began + left;
     let answering = left.saturating_sub(LAST_ANSWER_TIME);
     let last_answers = began + answering;
-    let open = state.connections.get();
+    let open = state.callers_open.open();
     tracing::info!(event = 691, open, "stopping");
     state
         .gateway
@@ -326,7 +330,7 @@
 
 /// Waits until all connections have ended, or until a time.
 async fn wait_for_connections(state: &State, until: Instant) {
-    let open = || state.connections.get() + state.accepted.get();
+    let open = || state.callers_open.open() + state.accepted.get();
     while open() > 0 && Instant::now() < until {
         sleep_until(until.min(Instant::now() + STOP_POLL_INTERVAL)).await;
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -33,11 +33,25 @@
         TcpSocket,
         TcpStream, //
     },
-    task::spawn_local,
+    task::{
+        spawn_local,
+        yield_now, //
+    },
     time::sleep,
 };
+use toucanturn_core::gateway::catalog::Limits;
 
 use crate::{
+    budget::{
+        MAX_CHECKS,
+        Side,
+        peer_head,
+        read_buffer, //
+    },
+    connections::{
+        Limiter,
+        Slot, //
+    },
     errors::{
         ListenSnafu,
         Result, //
@@ -61,9 +75,6 @@
     },
 };
 
-/// Connections that may wait to be accepted. Beyond it the kernel drops the opening packet, which the
-/// other side sends again after a second.
-const LISTEN_BACKLOG: u32 = 1024;
 /// Pause after accepting a connection failed, for example because file descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Idle timeout of connections from the load balancer and peers, which send several requests within it.
@@ -71,29 +82,65 @@
 /// Idle timeout of a caller's connection after an answer: the time that callers are told, and one second for a request
 /// that is on its way.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(exchange::KEEP_ALIVE_S + 1);
-/// Smallest read buffer that the HTTP library accepts, in bytes.
-const MIN_BUFFER_BYTES: usize = 8192;
+/// `Internal` is a listener that isn't for callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Internal {
+    /// Readiness checks and metrics.
+    Checks,
+    /// Peers.
+    Peers,
+}
 
 /// Listens on an address.
 ///
 /// # Errors
 ///
 /// Fails if the address can't be bound.
-pub async fn listen(address: SocketAddrV4) -> Result<TcpListener> {
+pub async fn listen(address: SocketAddrV4, side: Side) -> Result<TcpListener> {
     let bound = TcpSocket::new_v4().and_then(|socket| {
         socket.set_reuseaddr(true)?;
+        // Connections take these sizes over, and what they receive before they are accepted is bounded as well.
+        socket.set_recv_buffer_size(side.receive_bytes)?;
+        socket.set_send_buffer_size(side.send_bytes)?;
         socket.bind(address.into())?;
-        socket.listen(LISTEN_BACKLOG)
+        socket.listen(side.backlog)
     });
     bound.context(ListenSnafu { address })
 }
 
+/// Admits a new connection; returns `None` if it has to be closed.
+async fn admit(state: &State, limiter: &Limiter, most: usize, what: &'static str) -> Option<Slot> {
+    limiter.set_most(most);
+    let open = limiter.open();
+    let slot = limiter.admit();
+    if open >= most {
+        let outcome = if slot.is_some() {
+            "replaced"
+        } else {
+            "refused"
+        };
+        state.metrics.count("connections_full", what);
+        if state.log.try_admit() {
+            tracing::warn!(event = 641, what, open, outcome, "connections are full");
+        }
+        // The connection that gives way closes before the next one is accepted.
+        yield_now().await;
+    }
+    slot
+}
+
 /// Serves callers until the process ends.
 pub async fn serve_callers(state: Shared, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                spawn_local(serve_caller(state.clone(), stream));
+                let limits = state.limits();
+                let most = state.budget.get().most_callers(limits.head);
+                let slot = admit(&state, &state.callers_open, most, "callers").await;
+                if let Some(slot) = slot {
+                    spawn_local(serve_caller(state.clone(), stream, limits, slot));
+                }
             }
             Err(error) => {
                 state.metrics.count("accepts", "failed");
@@ -104,22 +151,19 @@
     }
 }
 
-async fn serve_caller(state: Shared, stream: TcpStream) {
+async fn serve_caller(state: Shared, stream: TcpStream, limits: Limits, slot: Slot) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "can't set TCP_NODELAY, connection closed");
         return;
     }
-    let limits = {
-        let gateway = state.gateway.borrow();
-        gateway.catalog().map(|c| c.limits).unwrap_or_default()
-    };
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle.0))
-        .max_header_size(limits.head.max(MIN_BUFFER_BYTES));
+        .max_header_size(read_buffer(limits.head))
+        .max_buf_size(read_buffer(limits.head));
     let shared = state.clone();
-    let progress = Rc::new(ConnectionProgress::new(&state.requests));
+    let progress = Rc::new(ConnectionProgress::new(&state.requests, slot));
     let head_time = Duration::from_millis(limits.head_time.0);
     let stream = HeadTimeoutStream::new(stream, &progress, head_time);
     let requests = Rc::clone(&progress);
@@ -127,7 +171,8 @@
         let version = request.version();
         let open = OpenRequest::new(&requests);
         // Boxed, as the HTTP library reserves space for this future in each connection, even an idle one.
-        let answer = Box::pin(exchange::serve(shared.clone(), request));
+        let connection = Rc::clone(&requests);
+        let answer = Box::pin(exchange::serve(shared.clone(), request, connection));
         async move {
             let answer: Result<_, Infallible> = answer.await;
             answer.map(|answer| answer.map(|body| TrackedBody::new(body, open, version)))
@@ -136,12 +181,12 @@
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut phase = state.phase.subscribe();
-    state.connections.set(state.connections.get() + 1);
     // A connection accepted in this phase has a request on its way: a shutdown now would race with it.
     let mut closing = state.phase() == Phase::Closing;
     let ended = loop {
         tokio::select! {
             ended = connection.as_mut() => break ended,
+            () = progress.closed() => break Ok(()),
             _ = phase.wait_for(|p| *p == Phase::Closing), if !closing => {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
@@ -152,7 +197,6 @@
             }
         }
     };
-    state.connections.set(state.connections.get() - 1);
     if let Err(error) = ended {
         tracing::debug!(%error, "connection of a caller ended");
     }
@@ -160,12 +204,12 @@
 
 /// Serves readiness checks, metrics and explanations until the process ends.
 pub async fn serve_checks(state: Shared, listener: TcpListener) {
-    serve(state, listener, answer_check).await;
+    serve(state, (listener, Internal::Checks), answer_check).await;
 }
 
 /// Answers the requests to a listener until the process ends. They come from the load balancer and peers, and are
 /// short.
-pub(crate) async fn serve<F, A>(state: Shared, listener: TcpListener, answer: F)
+pub(crate) async fn serve<F, A>(state: Shared, (listener, what): (TcpListener, Internal), answer: F)
 where
     F: Fn(Shared, Rc<Session>, Request<Incoming>) -> A + Copy + 'static,
     A: Future<Output = Result<Response<Body>, Infallible>> + 'static,
@@ -176,23 +220,58 @@
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        let head = state.limits().head;
+        let (limiter, most) = match what {
+            Internal::Checks => (&state.checks_open, MAX_CHECKS),
+            Internal::Peers => (&state.peers_open, state.budget.get().most_peers(head)),
+        };
+        let Some(slot) = admit(&state, limiter, most, what.into()).await else {
+            continue;
+        };
         if let Err(error) = stream.set_nodelay(true) {
             tracing::debug!(%error, "can't set TCP_NODELAY");
         }
-        let shared = state.clone();
-        spawn_local(async move {
-            let session = Rc::new(Session::default());
-            let service =
-                service_fn(move |request| answer(shared.clone(), Rc::clone(&session), request));
-            let mut builder = http1::Builder::new();
-            builder
-                .timer(TokioTimer::new())
-                .header_read_timeout(INTERNAL_IDLE_TIMEOUT);
-            let served = builder.serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = served.await {
+        spawn_local(serve_internal(state.clone(), (stream, slot), head, answer));
+    }
+}
+
+async fn serve_internal<F, A>(
+    state: Shared,
+    (stream, slot): (TcpStream, Slot),
+    head: usize,
+    answer: F,
+) where
+    F: Fn(Shared, Rc<Session>, Request<Incoming>) -> A + Copy + 'static,
+    A: Future<Output = Result<Response<Body>, Infallible>> + 'static,
+{
+    let session = Rc::new(Session::default());
+    let progress = Rc::new(ConnectionProgress::new(&Rc::default(), slot));
+    let stream = HeadTimeoutStream::new(stream, &progress, INTERNAL_IDLE_TIMEOUT);
+    let requests = Rc::clone(&progress);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let version = request.version();
+        let open = OpenRequest::new(&requests);
+        // Peers' bodies have a time limit of their own.
+        requests.end_request();
+        let answer = answer(state.clone(), Rc::clone(&session), request);
+        async move {
+            let answer = answer.await;
+            answer.map(|answer| answer.map(|body| TrackedBody::new(body, open, version)))
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(INTERNAL_IDLE_TIMEOUT)
+        .max_buf_size(read_buffer(peer_head(head)));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        ended = connection => {
+            if let Err(error) = ended {
                 tracing::debug!(%error, "connection ended");
             }
-        });
+        }
+        () = progress.closed() => {}
     }
 }
 
@@ -220,10 +299,13 @@
     Ok(response)
 }
 
-/// Sets the gauges of what is buffered.
+/// Sets the gauges of what is open and of what is buffered.
 fn record_memory(state: &State) {
     let metrics = &state.metrics;
     let (answers, requests) = (&state.memory.answers, &state.memory.requests);
+    metrics.gauge("connections", "callers", state.callers_open.open());
+    metrics.gauge("connections", "checks", state.checks_open.open());
+    metrics.gauge("connections", "peers", state.peers_open.open());
     metrics.gauge("buffered_bytes", "answers", answers.held());
     metrics.gauge("buffered_bytes", "requests", requests.held());
     metrics.gauge("buffered_peak_bytes", "answers", answers.peak());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -103,7 +103,7 @@
 }
 
 /// The bounds, in the units of [`PublishedBounds`].
-const BOUNDS: [Range; 14] = [
+const BOUNDS: [Range; 15] = [
     whole("config_ms", 100.0, 600_000.0, StandIn::Nothing),
     whole("revoke_ms", 100.0, 600_000.0, StandIn::Nothing),
     whole("leaving_ms", 100.0, 600_000.0, StandIn::Nothing),
@@ -123,6 +123,7 @@
     range("retry_window_s", 0.0, 600.0, StandIn::Nothing),
     range("hold_s", 0.0, 600.0, StandIn::Default),
     whole("memory_mb", 1.0, 1_048_576.0, StandIn::Default),
+    whole("max_descriptors", 64.0, 1_048_576.0, StandIn::Default),
 ];
 
 /// `Settings` is the settings file.
@@ -229,6 +230,9 @@
     /// Mebibytes of memory that the process may use; it is killed beyond them.
     #[serde(default = "memory_mb")]
     pub memory_mb: u64,
+    /// File descriptors that the process may open; `None` for those that the operating system allows.
+    #[serde(default)]
+    pub max_descriptors: Option<u64>,
 }
 
 /// `Error` is why settings are refused.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,7 @@
 use toucanturn_core::{
     gateway::{
         Gateway,
+        catalog::Limits,
         mesh::Mesh,
         mirror::Mirror,
         reading::ReadScheduler, //
@@ -41,6 +42,11 @@
 };
 
 use crate::{
+    budget::{
+        Budget,
+        MAX_CHECKS, //
+    },
+    connections::Limiter,
     handoff::PeerPool,
     log::LogLimiter,
     memory::Memory,
@@ -169,8 +175,12 @@
     pub(crate) ending: watch::Sender<bool>,
     /// Whether the process ends: requests that are still open are cut off.
     pub(crate) ended: Cell<bool>,
-    /// Number of open connections of callers.
-    pub connections: Cell<usize>,
+    /// How the memory and the descriptors of the process are divided.
+    pub(crate) budget: Cell<Budget>,
+    /// Connections of callers, of checks, and of peers.
+    pub(crate) callers_open: Limiter,
+    pub(crate) checks_open: Limiter,
+    pub(crate) peers_open: Limiter,
     /// Number of requests whose answer has not ended.
     pub requests: Rc<Cell<usize>>,
     /// Number of peers' requests whose answer has not ended.
@@ -216,12 +226,31 @@
             phase: watch::Sender::new(Phase::Serving),
             ending: watch::Sender::new(false),
             ended: Cell::new(false),
-            connections: Cell::new(0),
+            budget: Cell::default(),
+            callers_open: Limiter::default(),
+            checks_open: Limiter::default(),
+            peers_open: Limiter::default(),
             requests: Rc::default(),
             accepted: Rc::default(),
         })
     }
 
+    /// Sets how the memory and the descriptors of the process are divided. Open connections beyond it are closed.
+    pub(crate) fn set_budget(&self, budget: Budget) {
+        self.budget.set(budget);
+        self.memory.set_limit(budget.messages);
+        let head = self.limits().head;
+        self.callers_open.set_most(budget.most_callers(head));
+        self.checks_open.set_most(MAX_CHECKS);
+        self.peers_open.set_most(budget.most_peers(head));
+    }
+
+    /// Gets the limits on requests that the configuration in force publishes.
+    pub(crate) fn limits(&self) -> Limits {
+        let gateway = self.gateway.borrow();
+        gateway.catalog().map(|c| c.limits).unwrap_or_default()
+    }
+
     /// Returns the phase of the process.
     pub fn phase(&self) -> Phase {
         *self.phase.borrow()
--- a/crates/gateway/tests/listen.rs
+++ b/crates/gateway/tests/listen.rs
@@ -26,7 +26,7 @@
 #[tokio::test]
 async fn verify_a_burst_of_connections_waits_until_it_is_accepted() -> Result<()> {
     let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
-    let listener = server::listen(any).await?;
+    let listener = server::listen(any, toucanturn_gateway::budget::CALLERS).await?;
     let address = listener.local_addr()?;
     let connects = (0..BURST).map(|_| timeout(CONNECT_TIME, TcpStream::connect(address)));
     let connected = join_all(connects).await;
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -86,7 +86,7 @@
 fn verify_a_bound_out_of_range_becomes_the_nearest() {
     type Bound = fn(&Settings) -> f64;
     #[expect(clippy::cast_precision_loss, reason = "the values are small")]
-    let cases: [(&str, &str, f64, Bound); 12] = [
+    let cases: [(&str, &str, f64, Bound); 13] = [
         ("revoke_ms", "0", 100.0, |s| s.bounds.revoke_ms as f64),
         ("revoke_ms", "-5", 100.0, |s| s.bounds.revoke_ms as f64),
         ("revoke_ms", "1e30", 600_000.0, |s| {
@@ -103,6 +103,9 @@
         ("warmup_over", "-1", 0.0, |s| s.bounds.warmup_over),
         ("warmup_slack", "1e9", 1e6, |s| s.bounds.warmup_slack),
         ("memory_mb", "0", 1.0, |s| s.bounds.memory_mb as f64),
+        ("max_descriptors", "0", 64.0, |s| {
+            s.bounds.max_descriptors.unwrap_or(0) as f64
+        }),
     ];
     for (name, value, nearest, bound) in cases {
         let present = good();
@@ -174,7 +177,13 @@
 fn verify_an_odd_value_of_a_field_that_may_be_absent_does_not_keep_a_router_from_its_start() {
     for value in ["\"x\"", "{}", "true"] {
         let mut expected = good();
-        for name in ["memory_mb", "hold_s", "warmup_over", "warmup_slack"] {
+        for name in [
+            "memory_mb",
+            "max_descriptors",
+            "hold_s",
+            "warmup_over",
+            "warmup_slack",
+        ] {
             let to = format!("\"skew\":2,\"{name}\":{value}");
             let (settings, faults) = read("\"skew\":2", &to, None);
             expect_that!(settings, eq(&expected), "{to}");
@@ -259,3 +268,12 @@
     let settings = Settings::try_from(stated.as_bytes()).expect("the settings are valid");
     expect_that!(settings.bounds.memory_mb, eq(260));
 }
+
+#[gtest]
+fn verify_the_descriptors_of_the_process_may_be_left_out() {
+    let settings = Settings::try_from(GOOD.as_bytes()).expect("the settings are valid");
+    expect_that!(settings.bounds.max_descriptors, none());
+    let stated = GOOD.replace("\"skew\":2", "\"skew\":2,\"max_descriptors\":4100");
+    let settings = Settings::try_from(stated.as_bytes()).expect("the settings are valid");
+    expect_that!(settings.bounds.max_descriptors, some(eq(4100)));
+}
