Buffer bodies in blocks of one size

What callers saw: nothing yet. The process held 76 to 78 MiB while its account of bodies said 28 (112 MiB allowed).

Cause: a body's buffer doubled as the body came. Its earlier sizes left holes between the buffers of other bodies, which the allocator keeps, and which are in no account.

Change: a body in several frames is kept in blocks of 8 KiB, and copied into one buffer when it is whole. A body in one frame is still not copied. Up to 8 KiB inclusive are uncounted, so that a short body in two frames stays in no account.

--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -21,10 +21,11 @@
 use snafu::Snafu;
 use tokio::sync::Notify;
 
-/// Bytes from which on a message is counted. The buffers of a connection hold as much for any message.
-const COUNTED_FROM_BYTES: usize = 8 << 10;
-/// Smallest buffer of a body that comes in several frames, in bytes.
-const MIN_BODY_BUFFER_BYTES: usize = 4 << 10;
+/// Bytes beyond which a message is counted. The buffers of a connection hold as much for any message.
+const UNCOUNTED_BYTES: usize = 8 << 10;
+/// Blocks in which a body is buffered that comes in several frames, in bytes. A buffer that grows with the body leaves
+/// holes between those of other bodies, which hold memory that is in no account.
+const BLOCK_BYTES: usize = UNCOUNTED_BYTES;
 /// A part may hold this fraction of the limit, a half.
 const SHARE_DIVISOR: usize = 2;
 
@@ -134,7 +135,7 @@
     #[must_use]
     pub fn try_set(&mut self, bytes: usize) -> bool {
         match &self.entry {
-            None if bytes < COUNTED_FROM_BYTES => true,
+            None if bytes <= UNCOUNTED_BYTES => true,
             None => {
                 let end = Arc::new(Notify::new());
                 let mut books = self.account.books();
@@ -316,10 +317,64 @@
     },
 }
 
+/// `Collected` is a body of which a part has arrived.
+#[derive(Debug, Default)]
+struct Collected {
+    /// The first frame while it is the only one. A body usually comes in one frame, which is not copied.
+    first: Bytes,
+    blocks: Vec<Vec<u8>>,
+    len: usize,
+}
+
+impl Collected {
+    /// Gets the bytes of memory that are held once a frame is added.
+    fn held_with(&self, data: &Bytes) -> usize {
+        match self.len {
+            0 => data.len(),
+            len => (len + data.len()).div_ceil(BLOCK_BYTES) * BLOCK_BYTES,
+        }
+    }
+
+    fn push(&mut self, data: Bytes) {
+        if self.len == 0 {
+            self.len = data.len();
+            self.first = data;
+            return;
+        }
+        self.len += data.len();
+        let first = std::mem::take(&mut self.first);
+        self.copy(&first);
+        self.copy(&data);
+    }
+
+    fn copy(&mut self, mut data: &[u8]) {
+        while !data.is_empty() {
+            let free = self.blocks.last().map_or(0, |b| BLOCK_BYTES - b.len());
+            if free == 0 {
+                self.blocks.push(Vec::with_capacity(BLOCK_BYTES));
+                continue;
+            }
+            let (now, later) = data.split_at(data.len().min(free));
+            if let Some(block) = self.blocks.last_mut() {
+                block.extend_from_slice(now);
+            }
+            data = later;
+        }
+    }
+
+    fn into_bytes(self) -> Bytes {
+        match <[Vec<u8>; 1]>::try_from(self.blocks) {
+            Ok([block]) => Bytes::from(block),
+            Err(blocks) if blocks.is_empty() => self.first,
+            Err(blocks) => Bytes::from(blocks.concat()),
+        }
+    }
+}
+
 /// Returns whether a body may be long enough to be counted.
 pub(crate) fn may_count(body: &Incoming) -> bool {
-    let counted = u64::try_from(COUNTED_FROM_BYTES).unwrap_or(u64::MAX);
-    body.size_hint().upper().is_none_or(|most| most >= counted)
+    let uncounted = u64::try_from(UNCOUNTED_BYTES).unwrap_or(u64::MAX);
+    body.size_hint().upper().is_none_or(|most| most > uncounted)
 }
 
 /// Buffers a body until it is complete. The bytes are counted until they are dropped.
@@ -331,11 +386,7 @@
     if body.size_hint().lower() > u64::try_from(max).unwrap_or(u64::MAX) {
         return Err(CollectError::Overlong);
     }
-    let stated = body.size_hint().exact();
-    let stated = stated.and_then(|s| usize::try_from(s).ok()).unwrap_or(max);
-    // A body usually comes in one frame, which is not copied.
-    let mut first = Bytes::new();
-    let mut buffer = Vec::new();
+    let mut collected = Collected::default();
     loop {
         let frame = tokio::select! {
             biased;
@@ -346,36 +397,15 @@
         let Ok(data) = frame?.into_data() else {
             continue;
         };
-        let held = first.len() + buffer.len();
-        let length = held + data.len();
-        if length > max {
+        if collected.len + data.len() > max {
             return Err(CollectError::Overlong);
         }
-        if held == 0 {
-            first = data;
-            if !reservation.try_set(length) {
-                return Err(CollectError::NoRoom);
-            }
-            continue;
-        }
-        if length > buffer.capacity() {
-            let capacity = (2 * length).max(MIN_BODY_BUFFER_BYTES);
-            let capacity = capacity.min(stated).max(length);
-            if !reservation.try_set(capacity) {
-                return Err(CollectError::NoRoom);
-            }
-            buffer.reserve_exact(capacity - buffer.len());
-        }
-        if !first.is_empty() {
-            buffer.extend_from_slice(&std::mem::take(&mut first));
+        if !reservation.try_set(collected.held_with(&data)) {
+            return Err(CollectError::NoRoom);
         }
-        buffer.extend_from_slice(&data);
+        collected.push(data);
     }
-    let whole = if buffer.is_empty() {
-        first
-    } else {
-        Bytes::from(buffer)
-    };
+    let whole = collected.into_bytes();
     reservation
         .complete(whole)
         .map_err(|_| CollectError::NoRoom)
