Take no memory for a body that the request's head refuses

What callers saw: a caller without a valid key could take half of the memory for requests' bodies, as the key was looked at once the body was whole; long bodies of requests whose workspace is not known share that half.

Change: where the head shows that no configuration in force allows the request (no such route, nobody holds the key), a body that may be counted is read and dropped, up to the limit of a body and within its time. The caller gets the answer that it got before, and its connection is kept; a refusal before the end would reset the connection and could lose the answer. Refusals that may pass by (nothing known yet, stale) still read the body first.

The statuses, 401 and 404, are as before.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -177,15 +177,22 @@
         .deadline
         .unwrap_or(limits.idle)
         .min(limits.idle);
-    let part = match memory::may_count(&body) {
-        true => workspace_name(state, &incoming_request),
-        false => Bytes::new(),
-    };
+    let body_timeout = Duration::from_millis(body_timeout.0);
+    let mut part = Bytes::new();
+    if memory::may_count(&body) {
+        part = workspace_name(state, &incoming_request);
+        let refused = state
+            .gateway
+            .borrow()
+            .refusal_of_head(now(), &incoming_request);
+        if let Some(refusal) = refused {
+            // A connection that is closed with unread bytes is reset, and the caller may lose the answer.
+            let _ = timeout(body_timeout, memory::discard(&mut body, limits.body)).await;
+            return Err((incoming_request.id, refusal));
+        }
+    }
     let held = state.memory.requests.reservation(&part);
-    let collected = timeout(
-        Duration::from_millis(body_timeout.0),
-        memory::collect(&mut body, limits.body, held),
-    );
+    let collected = timeout(body_timeout, memory::collect(&mut body, limits.body, held));
     match collected.await {
         Ok(Ok(body)) => Ok((incoming_request, body)),
         Ok(Err(CollectError::Overlong)) => {
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -377,6 +377,17 @@
     body.size_hint().upper().is_none_or(|most| most > uncounted)
 }
 
+/// Reads a body to its end, or up to a length, and drops it.
+pub(crate) async fn discard(body: &mut Incoming, max: usize) {
+    let mut length = 0;
+    while let Some(Ok(frame)) = body.frame().await {
+        length += frame.data_ref().map_or(0, Bytes::len);
+        if length > max {
+            return;
+        }
+    }
+}
+
 /// Buffers a body until it is complete. The bytes are counted until they are dropped.
 pub(crate) async fn collect(
     body: &mut Incoming,
