Bound the sum of bodies of the own interface

What callers saw: nothing bounded what all bodies together hold; 60 bodies of 8 MiB that stop a byte short made the daemon's memory grow by half a gigabyte, and none was refused.

Cause: filters/body.rs bounds each body and no sum.

Change: bodies are counted from their first byte to the answer in the account that the gateway has for its messages, now a crate of its own (crates/account, moved without a change of its logic, its tests with it). A workspace may hold half. New setting `limits.max_buffered_body_bytes`, by default 8 times `max_body_bytes`, at least twice.

Not bounded yet: connections of the own interface (docs/UNPROVED.md).

--- a/crates/gateway/tests/memory.rs
+++ b/crates/account/tests/account.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use toucanturn_gateway::memory::{
+use toucanturn_account::{
     Account,
     Reservation, //
 };
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -103,6 +103,8 @@
 pub struct Limits {
     /// Most bytes of a request's body.
     pub max_body: usize,
+    /// Most bytes of all requests' bodies together; those of one workspace may hold half of it.
+    pub max_buffered_bodies: usize,
     /// Most bytes of a request's header section.
     pub max_header: usize,
     /// Most requests in progress.
@@ -113,11 +115,17 @@
     pub key_memory: usize,
 }
 
+/// [`Limits::max_buffered_bodies`] as a multiple of the longest body, where it is not set.
+const BUFFERED_BODIES: usize = 8;
+/// Least value of it as a multiple of the longest body: a workspace may hold half.
+const LEAST_BUFFERED_BODIES: usize = 2;
+
 impl Default for Limits {
     fn default() -> Self {
         let size = |field: &Field| usize::try_from(field.number_or_least()).unwrap_or(usize::MAX);
         Self {
             max_body: size(&r::MAX_BODY),
+            max_buffered_bodies: size(&r::MAX_BODY).saturating_mul(BUFFERED_BODIES),
             max_header: size(&r::MAX_HEADER),
             max_open_requests: size(&r::MAX_OPEN_REQUESTS),
             slow_sender_timeout: Millis(r::SLOW_SENDER_TIMEOUT.number_or_least()),
@@ -222,8 +230,17 @@
 
 fn limits(mut o: Object<'_>) -> Limits {
     let size = |n| usize::try_from(n).unwrap_or(usize::MAX);
+    let max_body = size(o.number(&r::MAX_BODY));
+    let buffered = o.optional_number(&r::MAX_BUFFERED_BODIES).map(size);
+    let least = max_body.saturating_mul(LEAST_BUFFERED_BODIES);
+    if let Some(buffered) = buffered.filter(|buffered| *buffered < least) {
+        let path = o.path(&r::MAX_BUFFERED_BODIES);
+        let expected = format!("{least} or more, twice `max_body_bytes`");
+        o.faults.add(path, buffered, &expected);
+    }
     let limits = Limits {
-        max_body: size(o.number(&r::MAX_BODY)),
+        max_body,
+        max_buffered_bodies: buffered.unwrap_or(max_body.saturating_mul(BUFFERED_BODIES)),
         max_header: size(o.number(&r::MAX_HEADER)),
         max_open_requests: size(o.number(&r::MAX_OPEN_REQUESTS)),
         slow_sender_timeout: Millis(o.number(&r::SLOW_SENDER_TIMEOUT)),
--- a/crates/core/src/settings/reference.rs
+++ b/crates/core/src/settings/reference.rs
@@ -55,6 +55,10 @@
 /// Field of [`super::Limits`].
 pub const MAX_BODY: Field = Field::number("max_body_bytes", "bytes", 1024, 64 * MIB).or(8 * MIB);
 /// Field of [`super::Limits`].
+pub const MAX_BUFFERED_BODIES: Field =
+    Field::number("max_buffered_body_bytes", "bytes", 2048, 16_384 * MIB)
+        .or_absent("8 times `max_body_bytes`");
+/// Field of [`super::Limits`].
 pub const MAX_HEADER: Field = Field::number("max_header_bytes", "bytes", 4096, 262_144).or(32_768);
 /// Field of [`super::Limits`].
 pub const MAX_OPEN_REQUESTS: Field =
@@ -94,6 +98,7 @@
         name: "settings.limits",
         fields: &[
             MAX_BODY,
+            MAX_BUFFERED_BODIES,
             MAX_HEADER,
             MAX_OPEN_REQUESTS,
             SLOW_SENDER_TIMEOUT,
--- a/crates/gateway/src/proxied/report.rs
+++ b/crates/gateway/src/proxied/report.rs
@@ -1,5 +1,6 @@
 //! Log lines about a request's placement and about requests that are held back.
 
+use toucanturn_account::Reservation;
 use toucanturn_core::{
     arena::EndpointKey,
     gateway::{
@@ -20,7 +21,6 @@
 
 use crate::{
     log::text,
-    memory::Reservation,
     proxied::{
         ProxiedRequest,
         Target, //
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -32,6 +32,7 @@
     task::yield_now,
     time::timeout, //
 };
+use toucanturn_account::Reservation;
 use toucanturn_core::{
     gateway::{
         outcome::{
@@ -60,7 +61,6 @@
         BodyEnd,
         Framing, //
     },
-    memory::Reservation,
     protocol::ReplyHead,
     proxied::{
         Attempt, AttemptGuard, ProxiedRequest,
--- a/crates/router/src/driver.rs
+++ b/crates/router/src/driver.rs
@@ -20,6 +20,7 @@
     watch, //
 };
 use tokio_util::sync::CancellationToken;
+use toucanturn_account::Account;
 use toucanturn_core::{
     action::Action,
     arena::{
@@ -104,6 +105,8 @@
     pub(crate) endpoints: Endpoints,
     pub(crate) control: reqwest::Client,
     pub(crate) metrics: Metrics,
+    /// Bytes of requests' bodies; the parts are workspaces.
+    pub(crate) bodies: Account,
     pub(crate) imports: Arc<Semaphore>,
     pub(crate) config_service: Addresses,
     pub(crate) vm_list: Addresses,
@@ -135,7 +138,10 @@
         let metrics = Metrics::new(settings.statsd)?;
         let counters = Arc::new(peers::Counters::default());
         let identity = links::identity(&settings, incarnation)?;
+        let bodies = Account::default();
+        bodies.set_limit(settings.limits.max_buffered_bodies);
         Ok(Arc::new_cyclic(|driver| Self {
+            bodies,
             endpoints,
             control,
             metrics,
--- a/crates/router/src/filters/classify.rs
+++ b/crates/router/src/filters/classify.rs
@@ -67,7 +67,9 @@
             ctrl.skip_rest();
             return;
         }
-        let result = match body::read(req, &self.0.settings.limits, draft.deadline).await {
+        let part = Bytes::copy_from_slice(workspace.id.as_str().as_bytes());
+        let held = self.0.bodies.reservation(&part);
+        let result = match body::read(req, &self.0.settings.limits, draft.deadline, held).await {
             Ok(body) => self.work(&config, workspace, req, &body).map(|w| (body, w)),
             Err(denial) => Err(denial),
         };
--- a/crates/toucanturnd/tests/daemon/daemon.rs
+++ b/crates/toucanturnd/tests/daemon/daemon.rs
@@ -70,7 +70,7 @@
 
     /// Sends a signal, named as kill(1) does.
     pub(crate) fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
+        let pid = self.pid().to_string();
         let sent = Command::new("kill").args(["-s", name, &pid]).status();
         assert!(sent.expect("kill can be run").success(), "{name} was sent");
     }
@@ -78,7 +78,7 @@
     /// Stops the process where it is, and waits until the kernel shows it as stopped.
     pub(crate) async fn freeze(&self) {
         self.signal("STOP");
-        let path = format!("/proc/{}/stat", self.child.id());
+        let path = format!("/proc/{}/stat", self.pid());
         let stopped = || {
             let text = std::fs::read_to_string(&path).unwrap_or_default();
             let after = text.rsplit(')').next().unwrap_or_default();
@@ -103,6 +103,11 @@
         status.and_then(|s| s.code())
     }
 
+    /// Gets the process's id.
+    pub(crate) fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Gets the fields of the log lines of an event.
     pub(crate) fn events(&self, number: u64) -> Vec<Value> {
         let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
