Read nothing from a connection that gives way

A connection at the bound is closed by its own task, which polled the connection and the order to close in a random order. A request that had just arrived could so be read, and be cut off once it was on its way to an endpoint. The order comes first now.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -185,8 +185,10 @@
     let mut closing = state.phase() == Phase::Closing;
     let ended = loop {
         tokio::select! {
-            ended = connection.as_mut() => break ended,
+            // A connection that gives way reads no further request, which would be cut off.
+            biased;
             () = progress.closed() => break Ok(()),
+            ended = connection.as_mut() => break ended,
             _ = phase.wait_for(|p| *p == Phase::Closing), if !closing => {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
@@ -266,12 +268,13 @@
         .max_buf_size(read_buffer(peer_head(head)));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::select! {
+        biased;
+        () = progress.closed() => {}
         ended = connection => {
             if let Err(error) = ended {
                 tracing::debug!(%error, "connection ended");
             }
         }
-        () = progress.closed() => {}
     }
 }
 
