Let the tests of crowds share their bounds and their run

The bounds of the tests' routers stood in two files each, and "send, sample, check, close" in three places; both are one piece in router.rs now, with the same values, crowds and assertions.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -82,6 +82,7 @@
 /// Idle timeout of a caller's connection after an answer: the time that callers are told, and one second for a request
 /// that is on its way.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(exchange::KEEP_ALIVE_S + 1);
+
 /// `Internal` is a listener that isn't for callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -170,8 +171,8 @@
     let service = service_fn(move |request: Request<Incoming>| {
         let version = request.version();
         let open = OpenRequest::new(&requests);
-        // Boxed, as the HTTP library reserves space for this future in each connection, even an idle one.
         let connection = Rc::clone(&requests);
+        // Boxed, as the HTTP library reserves space for this future in each connection, even an idle one.
         let answer = Box::pin(exchange::serve(shared.clone(), request, connection));
         async move {
             let answer: Result<_, Infallible> = answer.await;
--- a/crates/gatewayd/tests/clients/changes.rs
+++ b/crates/gatewayd/tests/clients/changes.rs
@@ -12,18 +12,14 @@
         Script, //
     },
     router::{
-        Bounds,
         MAX_BODY,
         ORDINARY_KEY,
         Router,
+        SMALL,
         run, //
     },
 };
 
-const SMALL: Bounds = Bounds {
-    memory_mb: 112,
-    descriptors: 4100,
-};
 const CROWD: usize = 800;
 /// Memory that a change of the settings takes away.
 const LOWERED_MB: u64 = 64;
--- a/crates/gatewayd/tests/clients/crowd.rs
+++ b/crates/gatewayd/tests/clients/crowd.rs
@@ -99,8 +99,8 @@
             open.extend(sender.await.ok().flatten());
         }
     };
-    let sent = timeout(CROWD_TIMEOUT, sending).await;
-    drop(sent);
+    // What has not been sent by then stays as it is.
+    let _ = timeout(CROWD_TIMEOUT, sending).await;
     open
 }
 
--- a/crates/gatewayd/tests/clients/listeners.rs
+++ b/crates/gatewayd/tests/clients/listeners.rs
@@ -8,16 +8,12 @@
         Script, //
     },
     router::{
-        Bounds,
+        FEW_DESCRIPTORS,
         Router,
         run, //
     },
 };
 
-const FEW_DESCRIPTORS: Bounds = Bounds {
-    memory_mb: 112,
-    descriptors: 600,
-};
 const CROWD: usize = 800;
 /// Times that each connection of a crowd is opened again.
 const RETURNS: usize = 50;
@@ -41,10 +37,8 @@
     run(async {
         let mut router = Router::start(FEW_DESCRIPTORS).await;
         for (what, address) in [("checks", router.ready), ("peers", router.peers)] {
-            let crowd = crowd::send(address, CROWD, |_| Script::default());
-            let open = router.sample_during(crowd).await;
-            router.check(what).await;
-            drop(open);
+            let silent = |_| Script::default();
+            router.withstand(what, address, CROWD, silent).await;
         }
     });
 }
@@ -56,17 +50,15 @@
         let mut router = Router::start(FEW_DESCRIPTORS).await;
         for path in ["/registry", "/streams", "/read/x"] {
             let address = router.peers;
-            let crowd = crowd::send(address, CROWD, |_| Script {
+            let endless = |_| Script {
                 head: format!(
                     "POST {path} HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
                 ),
                 block: "1\r\nx\r\n".repeat(1000),
                 repeats: 20,
                 ..Script::default()
-            });
-            let open = router.sample_during(crowd).await;
-            router.check(path).await;
-            drop(open);
+            };
+            router.withstand(path, address, CROWD, endless).await;
         }
     });
 }
--- a/crates/gatewayd/tests/clients/memory.rs
+++ b/crates/gatewayd/tests/clients/memory.rs
@@ -9,23 +9,15 @@
     },
     router::{
         Bounds,
+        FEW_DESCRIPTORS,
         MAX_BODY,
         MAX_HEAD,
         Router,
+        SMALL,
         run, //
     },
 };
 
-/// Memory of the smallest VMs, with descriptors for all of a crowd.
-const SMALL: Bounds = Bounds {
-    memory_mb: 112,
-    descriptors: 4100,
-};
-/// Fewer descriptors than a crowd has connections.
-const FEW_DESCRIPTORS: Bounds = Bounds {
-    memory_mb: 112,
-    descriptors: 600,
-};
 const CROWD: usize = 1200;
 const CROWD_BEYOND_DESCRIPTORS: usize = 800;
 /// Bytes of a body that is sent in chunks of one.
@@ -36,10 +28,7 @@
     run(async {
         let mut router = Router::start(bounds).await;
         let address = router.callers;
-        let crowd = crowd::send(address, count, script);
-        let open = router.sample_during(crowd).await;
-        router.check(name).await;
-        drop(open);
+        router.withstand(name, address, count, script).await;
     });
 }
 
--- a/crates/gatewayd/tests/clients/router.rs
+++ b/crates/gatewayd/tests/clients/router.rs
@@ -52,6 +52,11 @@
     store::Store,
 };
 
+use crate::crowd::{
+    self,
+    Script, //
+};
+
 /// API keys of three workspaces, and of a fourth one whose callers behave.
 pub(crate) const KEYS: [&str; 3] = ["key-a", "key-b", "key-c"];
 pub(crate) const ORDINARY_KEY: &str = "key-of-ordinary";
@@ -74,6 +79,17 @@
 const LISTENERS: usize = 3;
 const ANY_PORT: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
 
+/// Memory of the smallest VMs, with descriptors for all of a crowd.
+pub(crate) const SMALL: Bounds = Bounds {
+    memory_mb: 112,
+    descriptors: 4100,
+};
+/// Fewer descriptors than a crowd has connections.
+pub(crate) const FEW_DESCRIPTORS: Bounds = Bounds {
+    descriptors: 600,
+    ..SMALL
+};
+
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
 /// Bounds of a test's router.
@@ -341,16 +357,25 @@
         answered.ok().flatten().unwrap_or_default()
     }
 
-    async fn sample_call(&mut self) -> ReceivedResponse {
-        let answer = self.call_until_served().await;
-        self.sample();
-        answer
+    /// Lets a crowd send to one of the listeners, and checks the router while the crowd's connections stay open.
+    pub(crate) async fn withstand(
+        &mut self,
+        name: &str,
+        address: SocketAddr,
+        count: usize,
+        script: impl Fn(usize) -> Script,
+    ) {
+        let crowd = crowd::send(address, count, script);
+        let open = self.sample_during(crowd).await;
+        self.check(name).await;
+        drop(open);
     }
 
     /// Checks that the process lives, that it has kept its bounds, and that an ordinary request is answered.
     pub(crate) async fn check(&mut self, crowd: &str) {
         self.settle().await;
-        let answer = self.sample_call().await;
+        let answer = self.call_until_served().await;
+        self.sample();
         let (bytes, descriptors) = self.peak;
         let exit = self.child.try_wait().expect("the child can be asked for");
         println!(
