--- /dev/null
+++ b/review/harness-2/both_framings.rs
@@ -0,0 +1,152 @@
+//! A faulty replica sends an answer with both `Content-Length` and `Transfer-Encoding`.
+//!
+//! A client keeps its connections, and sends one request after the other on each. Every answer that it reads must be the
+//! replica's answer to its request, and after the last one nothing may be left on the connection.
+
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use crate::Place;
+use crate::http::{Channel, Head};
+use crate::notes::Notes;
+use crate::replica::{Handler, Replica, configuration};
+use crate::router;
+use crate::store::Store;
+
+/// Replicas, and those of them that are faulty: share 0.4 of them.
+const REPLICAS: usize = 5;
+const FAULTY: usize = 2;
+/// Connections of the client, and requests on each.
+const CONNECTIONS: usize = 20;
+const REQUESTS: usize = 10;
+/// The faulty replicas spoil one in so many of their answers: 0.02.
+const SPOILED_ONE_IN: usize = 50;
+/// The answer to an attempt.
+fn body_of(id: &str) -> String {
+    format!("balance of {id}")
+}
+
+/// The whole answer of a sound replica.
+fn sound(replica: &Replica, id: &str) -> String {
+    let body = body_of(id);
+    format!(
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Replica-Seal: {}.{id}\r\nContent-Length: {}\r\n\r\n{body}",
+        replica.id,
+        body.len()
+    )
+}
+
+/// An answer with two framings: by its length it is empty, and by its chunks it has a body. The body is what a replica
+/// of another client would have answered.
+fn spoiled(replica: &Replica, id: &str) -> String {
+    let foreign = "HTTP/1.1 200 OK\r\nX-Attempt-Id: foreign\r\nX-Replica-Seal: foreign\r\nContent-Length: 18\r\n\r\nbalance of foreign";
+    format!(
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Replica-Seal: {}.{id}\r\nContent-Length: 0\r\n\
+         Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{foreign}\r\n0\r\n\r\n",
+        replica.id,
+        foreign.len()
+    )
+}
+
+pub fn play(place: &Place) -> Result<bool, String> {
+    let notes = Arc::new(Notes::new());
+    let store = Store::start();
+    let answered = Arc::new(AtomicUsize::new(0));
+    let trouble = place.trouble;
+    let handler: Arc<Handler> = Arc::new(
+        move |replica: &Replica, head: &Head, _: &[u8], channel: &mut Channel| {
+            let id = head.field("x-attempt-id").unwrap_or_default();
+            let run = replica.notes.begin(id, &replica.id);
+            let is_faulty = replica.id.as_str() < format!("i-{FAULTY}").as_str();
+            let spoils = trouble
+                && is_faulty
+                && answered.fetch_add(1, Ordering::Relaxed) % SPOILED_ONE_IN == SPOILED_ONE_IN / 2;
+            let answer = if spoils {
+                spoiled(replica, id)
+            } else {
+                sound(replica, id)
+            };
+            replica.notes.end(
+                run,
+                if spoils {
+                    "answered with two framings"
+                } else {
+                    "answered"
+                },
+            );
+            channel.write(answer)
+        },
+    );
+    let replicas: Vec<Arc<Replica>> = (0..REPLICAS)
+        .map(|n| Replica::start(&format!("i-{n}"), "app", &notes, Arc::clone(&handler)))
+        .collect();
+    let route = ",\"attempts\":2,\"timeout-ms\":2500,\"goal-ms\":300";
+    store.put(
+        "op/config",
+        &configuration("app", false, &[("idempotent", route)]),
+    );
+    for replica in &replicas {
+        let (key, value) = replica.entry(6);
+        store.put(&key, &value);
+    }
+    let routers = router::start(&place.root, &place.scratch, store.address, 1)?;
+    let mut wrong = 0;
+    for connection in 0..CONNECTIONS {
+        wrong += talk(&notes, routers[0].callers, connection)?;
+    }
+    notes.note(format!(
+        "{wrong} answers or bytes that are not the replica's answer to the request"
+    ));
+    let title = format!("both-framings, trouble: {}", place.trouble);
+    notes
+        .write(&place.folder.join("record.txt"), &title)
+        .map_err(|e| e.to_string())?;
+    Ok(wrong > 0)
+}
+
+/// Sends the requests of one connection; returns how often something else came than the answer to the request.
+fn talk(notes: &Notes, router: std::net::SocketAddr, connection: usize) -> Result<usize, String> {
+    let stream = TcpStream::connect(router).map_err(|e| e.to_string())?;
+    let mut channel = Channel::new(stream);
+    let mut wrong = 0;
+    for number in 0..REQUESTS {
+        let id = format!("c{connection}-{number}");
+        notes.note(format!("client sends {id}"));
+        let request = format!(
+            "GET /idempotent/{id} HTTP/1.1\r\nHost: host.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 2500\r\nX-Api-Key: key-1\r\n\r\n"
+        );
+        let timeout = Some(Duration::from_secs(5));
+        let _ = channel.stream.set_read_timeout(timeout);
+        let sent = channel.write(request);
+        let answer = channel.read_head().filter(|_| sent);
+        let Some(head) = answer else {
+            notes.note(format!("client: connection ends before the answer to {id}"));
+            return Ok(wrong);
+        };
+        let body = channel.read_body(&head).unwrap_or_default();
+        let body = String::from_utf8_lossy(&body).into_owned();
+        let named = head.field("x-attempt-id").unwrap_or_default().to_owned();
+        notes.note(format!(
+            "client gets {} for {id}: attempt ID {named:?}, body {body:?}",
+            head.status()
+        ));
+        if head.status() != 200 {
+            continue;
+        }
+        if named != id || body != body_of(&id) {
+            notes.note(format!(
+                "WRONG: a success for {id} that is not the replica's answer to it"
+            ));
+            wrong += 1;
+        }
+    }
+    let rest = channel.surplus(Duration::from_millis(50));
+    if !rest.is_empty() {
+        let rest = String::from_utf8_lossy(&rest).replace("\r\n", "|");
+        notes.note(format!("WRONG: bytes with no request waiting: {rest:?}"));
+        wrong += 1;
+    }
+    Ok(wrong)
+}
