--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -15,6 +15,7 @@
 mod notes;
 mod replica;
 mod router;
+mod second_engine;
 mod store;
 
 /// Time after which a play that has not ended could not run.
@@ -47,6 +48,7 @@
     let case = case.clone();
     let play = thread::spawn(move || match case.as_str() {
         "both-framings" => both_framings::play(&place),
+        "second-engine" => second_engine::play(&place),
         _ => Err(format!("no case {case:?}")),
     });
     let mut waited = Duration::ZERO;
