--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -10,12 +10,14 @@
 use std::thread;
 use std::time::Duration;
 
-mod both_framings;
+use spoiled_answers::Spoil;
+
 mod http;
 mod notes;
 mod replica;
 mod router;
 mod second_engine;
+mod spoiled_answers;
 mod store;
 
 /// Time after which a play that has not ended could not run.
@@ -47,7 +49,8 @@
     };
     let case = case.clone();
     let play = thread::spawn(move || match case.as_str() {
-        "both-framings" => both_framings::play(&place),
+        "both-framings" => spoiled_answers::play(&place, Spoil::BothFramings),
+        "switching" => spoiled_answers::play(&place, Spoil::Switching),
         "second-engine" => second_engine::play(&place),
         _ => Err(format!("no case {case:?}")),
     });
--- a/review/harness-2/both_framings.rs
+++ b/review/harness-2/spoiled_answers.rs
@@ -1,4 +1,4 @@
-//! A faulty replica sends an answer with both `Content-Length` and `Transfer-Encoding`.
+//! Faulty replicas spoil some of their answers.
 //!
 //! A client keeps its connections, and sends one request after the other on each. Every answer that it reads must be the
 //! replica's answer to its request, and after the last one nothing may be left on the connection.
@@ -38,19 +38,37 @@
     )
 }
 
-/// An answer with two framings: by its length it is empty, and by its chunks it has a body. The body is what a replica
-/// of another client would have answered.
-fn spoiled(replica: &Replica, id: &str) -> String {
-    let foreign = "HTTP/1.1 200 OK\r\nX-Attempt-Id: foreign\r\nX-Replica-Seal: foreign\r\nContent-Length: 18\r\n\r\nbalance of foreign";
-    format!(
-        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Replica-Seal: {}.{id}\r\nContent-Length: 0\r\n\
-         Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{foreign}\r\n0\r\n\r\n",
-        replica.id,
-        foreign.len()
-    )
+/// `Spoil` is how a faulty replica spoils an answer.
+#[derive(Clone, Copy)]
+pub enum Spoil {
+    /// It has both `Content-Length` and `Transfer-Encoding`: by its length it is empty, and by its chunks it has a body,
+    /// which is what a replica of another client would have answered.
+    BothFramings,
+    /// It says that the protocol is switched, which the client didn't ask for, and no answer follows.
+    Switching,
+}
+
+impl Spoil {
+    fn answer(self, replica: &Replica, id: &str) -> String {
+        let seal = format!("X-Attempt-Id: {id}\r\nX-Replica-Seal: {}.{id}", replica.id);
+        match self {
+            Spoil::BothFramings => {
+                let foreign = "HTTP/1.1 200 OK\r\nX-Attempt-Id: foreign\r\nX-Replica-Seal: foreign\r\n\
+                               Content-Length: 18\r\n\r\nbalance of foreign";
+                format!(
+                    "HTTP/1.1 200 OK\r\n{seal}\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n\
+                     {:x}\r\n{foreign}\r\n0\r\n\r\n",
+                    foreign.len()
+                )
+            }
+            Spoil::Switching => format!(
+                "HTTP/1.1 101 Switching Protocols\r\n{seal}\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n"
+            ),
+        }
+    }
 }
 
-pub fn play(place: &Place) -> Result<bool, String> {
+pub fn play(place: &Place, spoil: Spoil) -> Result<bool, String> {
     let notes = Arc::new(Notes::new());
     let store = Store::start();
     let answered = Arc::new(AtomicUsize::new(0));
@@ -64,18 +82,13 @@
                 && is_faulty
                 && answered.fetch_add(1, Ordering::Relaxed) % SPOILED_ONE_IN == SPOILED_ONE_IN / 2;
             let answer = if spoils {
-                spoiled(replica, id)
+                spoil.answer(replica, id)
             } else {
                 sound(replica, id)
             };
-            replica.notes.end(
-                run,
-                if spoils {
-                    "answered with two framings"
-                } else {
-                    "answered"
-                },
-            );
+            replica
+                .notes
+                .end(run, if spoils { "spoiled answer" } else { "answered" });
             channel.write(answer)
         },
     );
@@ -99,7 +112,7 @@
     notes.note(format!(
         "{wrong} answers or bytes that are not the replica's answer to the request"
     ));
-    let title = format!("both-framings, trouble: {}", place.trouble);
+    let title = format!("spoiled answers, trouble: {}", place.trouble);
     notes
         .write(&place.folder.join("record.txt"), &title)
         .map_err(|e| e.to_string())?;
@@ -132,6 +145,16 @@
             "client gets {} for {id}: attempt ID {named:?}, body {body:?}",
             head.status()
         ));
+        if head.status() == 101 {
+            let _ = channel
+                .stream
+                .set_read_timeout(Some(Duration::from_secs(3)));
+            let more = channel.read_head().map_or("nothing", |_| "a head");
+            notes.note(format!(
+                "WRONG: {id} gets a 101 that it did not ask for, and then {more}"
+            ));
+            return Ok(wrong + 1);
+        }
         if head.status() != 200 {
             continue;
         }
