--- a/review/harness-2/http.rs
+++ b/review/harness-2/http.rs
@@ -118,6 +118,24 @@
         }
     }
 
+    /// Reads a body in chunks as far as it comes; tells whether it is complete.
+    pub fn read_chunks(&mut self) -> (Vec<u8>, bool) {
+        let mut body = Vec::new();
+        loop {
+            let length = self
+                .take_line()
+                .and_then(|line| usize::from_str_radix(line.trim(), 16).ok());
+            let chunk = length.and_then(|length| self.take(length));
+            let Some(chunk) = chunk.filter(|_| self.take_line().is_some()) else {
+                return (body, false);
+            };
+            if chunk.is_empty() {
+                return (body, true);
+            }
+            body.extend(chunk);
+        }
+    }
+
     pub fn write(&mut self, bytes: impl AsRef<[u8]>) -> bool {
         self.stream.write_all(bytes.as_ref()).is_ok()
     }
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -15,6 +15,7 @@
 mod http;
 mod notes;
 mod replica;
+mod restarted_engine;
 mod router;
 mod second_engine;
 mod spoiled_answers;
@@ -50,6 +51,7 @@
     let case = case.clone();
     let play = thread::spawn(move || match case.as_str() {
         "both-framings" => spoiled_answers::play(&place, Spoil::BothFramings),
+        "restarted-engine" => restarted_engine::play(&place),
         "switching" => spoiled_answers::play(&place, Spoil::Switching),
         "second-engine" => second_engine::play(&place),
         _ => Err(format!("no case {case:?}")),
--- a/review/harness-2/replica.rs
+++ b/review/harness-2/replica.rs
@@ -1,8 +1,10 @@
 //! A replica: it accepts connections and hands each request to what the case does with it.
 
-use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 use crate::http::{Channel, Head};
 use crate::notes::Notes;
@@ -10,26 +12,55 @@
 /// `Handler` answers a request on a connection; returns whether the connection stays open.
 pub type Handler = dyn Fn(&Replica, &Head, &[u8], &mut Channel) -> bool + Send + Sync;
 
-/// `Replica` is a replica of a service.
+/// How often a replica looks for a new connection.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(1);
+
+/// `Replica` is a process of a replica of a service.
 pub struct Replica {
     pub id: String,
     pub service: String,
     pub address: SocketAddr,
+    /// Version of its software.
+    pub version: String,
     pub notes: Arc<Notes>,
+    ended: AtomicBool,
+    open: Mutex<Vec<TcpStream>>,
 }
 
 impl Replica {
     pub fn start(id: &str, service: &str, notes: &Arc<Notes>, handler: Arc<Handler>) -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port for a replica");
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::start_at(address, (id, service, "v1"), notes, handler)
+    }
+
+    /// Starts a process with an ID, a service and a version at an address.
+    pub fn start_at(
+        address: SocketAddr,
+        (id, service, version): (&str, &str, &str),
+        notes: &Arc<Notes>,
+        handler: Arc<Handler>,
+    ) -> Arc<Self> {
+        let listener = TcpListener::bind(address).expect("a loopback port for a replica");
+        listener.set_nonblocking(true).expect("a listener");
         let replica = Arc::new(Self {
             id: id.to_owned(),
             service: service.to_owned(),
             address: listener.local_addr().expect("an address"),
+            version: version.to_owned(),
             notes: Arc::clone(notes),
+            ended: AtomicBool::new(false),
+            open: Mutex::default(),
         });
         let shared = Arc::clone(&replica);
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            while !shared.has_ended() {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(ACCEPT_INTERVAL);
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                let copy = stream.try_clone().expect("a descriptor");
+                shared.open.lock().expect("connections").push(copy);
                 let (replica, handler) = (Arc::clone(&shared), Arc::clone(&handler));
                 thread::spawn(move || replica.serve(Channel::new(stream), &*handler));
             }
@@ -37,6 +68,20 @@
         replica
     }
 
+    /// Ends the process: it listens no more, and its connections are closed.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+        // The listener is closed by then.
+        thread::sleep(ACCEPT_INTERVAL * 5);
+        for stream in self.open.lock().expect("connections").drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    pub fn has_ended(&self) -> bool {
+        self.ended.load(Ordering::Relaxed)
+    }
+
     fn serve(&self, mut channel: Channel, handler: &Handler) {
         while let Some(head) = channel.read_head() {
             let Some(body) = channel.read_body(&head) else {
@@ -67,10 +112,19 @@
 
     /// Its entry in the store.
     pub fn entry(&self, slots: u32) -> (String, String) {
+        self.entry_with(slots, "")
+    }
+
+    /// Its entry in the store, with the time of its start in Unix milliseconds.
+    pub fn entry_of_start(&self, slots: u32, born: u128) -> (String, String) {
+        self.entry_with(slots, &format!(",\"born\":{born}"))
+    }
+
+    fn entry_with(&self, slots: u32, more: &str) -> (String, String) {
         let value = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"hall-a\",\"version\":\"v1\",\"slots\":{slots},\
-             \"state\":\"ready\",\"cold-left-ms\":0,\"seq\":1}}",
-            self.service, self.address
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"hall-a\",\"version\":\"{}\",\
+             \"slots\":{slots},\"state\":\"ready\",\"cold-left-ms\":0,\"seq\":1{more}}}",
+            self.service, self.address, self.version
         );
         (format!("servers/{}", self.id), value)
     }
