--- a/review/harness-2/spoiled_answers.rs
+++ b/review/harness-2/spoiled_answers.rs
@@ -1,11 +1,12 @@
 //! Faulty replicas spoil some of their answers.
 //!
-//! A client keeps its connections, and sends one request after the other on each. Every answer that it reads must be the
+//! Clients keep their connections, and send one request after the other on each. Every answer that they read must be the
 //! replica's answer to its request, and after the last one nothing may be left on the connection.
 
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
 use std::time::Duration;
 
 use crate::Place;
@@ -18,9 +19,12 @@
 /// Replicas, and those of them that are faulty: share 0.4 of them.
 const REPLICAS: usize = 5;
 const FAULTY: usize = 2;
-/// Connections of the client, and requests on each.
-const CONNECTIONS: usize = 20;
+/// Clients at once, connections of each, one after the other, and requests on each connection.
+const CLIENTS: usize = 10;
+const CONNECTIONS: usize = 4;
 const REQUESTS: usize = 10;
+/// How long a replica works on a request.
+const WORK: Duration = Duration::from_millis(10);
 /// The faulty replicas spoil one in so many of their answers: 0.02.
 const SPOILED_ONE_IN: usize = 50;
 /// The answer to an attempt.
@@ -72,6 +76,7 @@
     let notes = Arc::new(Notes::new());
     let store = Store::start();
     let answered = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&answered);
     let trouble = place.trouble;
     let handler: Arc<Handler> = Arc::new(
         move |replica: &Replica, head: &Head, _: &[u8], channel: &mut Channel| {
@@ -80,7 +85,8 @@
             let is_faulty = replica.id.as_str() < format!("i-{FAULTY}").as_str();
             let spoils = trouble
                 && is_faulty
-                && answered.fetch_add(1, Ordering::Relaxed) % SPOILED_ONE_IN == SPOILED_ONE_IN / 2;
+                && counted.fetch_add(1, Ordering::Relaxed) % SPOILED_ONE_IN == SPOILED_ONE_IN / 2;
+            thread::sleep(WORK);
             let answer = if spoils {
                 spoil.answer(replica, id)
             } else {
@@ -105,9 +111,21 @@
         store.put(&key, &value);
     }
     let routers = router::start(&place.root, &place.scratch, store.address, 1)?;
+    let callers = routers[0].callers;
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|client| {
+            let notes = Arc::clone(&notes);
+            thread::spawn(move || {
+                let connections = client * CONNECTIONS..(client + 1) * CONNECTIONS;
+                connections
+                    .map(|connection| talk(&notes, callers, connection))
+                    .sum::<Result<usize, String>>()
+            })
+        })
+        .collect();
     let mut wrong = 0;
-    for connection in 0..CONNECTIONS {
-        wrong += talk(&notes, routers[0].callers, connection)?;
+    for client in clients {
+        wrong += client.join().map_err(|_| "a client has panicked")??;
     }
     notes.note(format!(
         "{wrong} answers or bytes that are not the replica's answer to the request"
@@ -116,6 +134,9 @@
     notes
         .write(&place.folder.join("record.txt"), &title)
         .map_err(|e| e.to_string())?;
+    if trouble && answered.load(Ordering::Relaxed) <= SPOILED_ONE_IN / 2 {
+        return Err("the faulty replicas got too few requests to spoil an answer".to_owned());
+    }
     Ok(wrong > 0)
 }
 
