Refuse answers with a length and a transfer coding

Cause: the library decodes such a body by its chunks (RFC 9112, section 6.3, item 3) and leaves the length in the head, which was forwarded. Nothing between the library and the caller judged whether a head contradicts itself.

Change: one decision, crate toucanturn-answer, where heads come from the library (Connection::send): endpoints, resumed streams, successors, hand-offs, probes, the registry and peers all pass it. RFC 9112, section 6.1: no sender may send both, so the answer is none: its connection is closed, another endpoint is tried where the route allows it, else the caller gets a 502. It counts against the endpoint as a connection that broke. The framing that the head says is now made once, by the same code, and handed on. Counter malformed_answers.

Ruled out: removing the length and delivering the chunks, which section 6.3 allows too: an answer that nobody sound sends is rather spoilt, and which of its two framings is the spoilt one is not known.

--- /dev/null
+++ b/crates/answer/src/lib.rs
@@ -0,0 +1,92 @@
+//! Heads of answers: whether one can be the final answer to a request, and how the end of its body is marked.
+//!
+//! It reads no bytes. An HTTP library parses the head and decodes the body; a head that contradicts itself still passes
+//! that, and the library, this process and the caller's client may each take another part of what follows for the body.
+//! Start with [`Framing`], which is made of a [`Head`].
+
+#![forbid(unsafe_code)]
+
+use http::{
+    HeaderMap,
+    Method,
+    Response,
+    StatusCode,
+    header, //
+};
+use snafu::{
+    Snafu,
+    ensure, //
+};
+
+/// `Head` is what decides on an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Head<'a> {
+    /// Method of the request.
+    pub method: &'a Method,
+    /// Status.
+    pub status: StatusCode,
+    /// Header fields.
+    pub headers: &'a HeaderMap,
+}
+
+impl<'a> Head<'a> {
+    /// Gets the head of the answer to a request with this method.
+    pub fn new<B>(method: &'a Method, response: &'a Response<B>) -> Self {
+        Self {
+            method,
+            status: response.status(),
+            headers: response.headers(),
+        }
+    }
+
+    /// Tells whether a body can follow (RFC 9112, section 6.3, items 1 and 2).
+    fn has_body(&self) -> bool {
+        let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
+        *self.method != Method::HEAD && !bodiless.contains(&self.status)
+    }
+
+    /// Tells whether the last transfer coding is `chunked`, so that the library decodes it.
+    fn is_chunked(&self) -> bool {
+        let codings = self.headers.get_all(header::TRANSFER_ENCODING);
+        let last = codings.iter().next_back().and_then(|v| v.to_str().ok());
+        let last = last.and_then(|v| v.rsplit(',').next());
+        last.is_some_and(|c| c.trim().eq_ignore_ascii_case("chunked"))
+    }
+}
+
+/// `Framing` is how the end of a body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Framing {
+    /// By the head: by a length, or as there is none.
+    Length,
+    /// By a last chunk.
+    Chunked,
+    /// By the end of the connection, which a broken-off body has as well.
+    Close,
+}
+
+/// `Fault` is why a head is not that of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Fault {
+    /// It has both a length and a transfer coding, which no sender may send (RFC 9112, section 6.1).
+    #[snafu(display("expected a length or a transfer coding, found both"))]
+    TwoFramings,
+}
+
+impl TryFrom<Head<'_>> for Framing {
+    type Error = Fault;
+
+    /// Gets the framing of the body of a final answer (RFC 9112, section 6.3).
+    fn try_from(head: Head<'_>) -> Result<Self, Fault> {
+        let has_length = head.headers.contains_key(header::CONTENT_LENGTH);
+        let has_coding = head.headers.contains_key(header::TRANSFER_ENCODING);
+        ensure!(!(has_length && has_coding), TwoFramingsSnafu);
+        Ok(match (head.has_body(), has_length) {
+            (true, false) if head.is_chunked() => Framing::Chunked,
+            (true, false) => Framing::Close,
+            _ => Framing::Length,
+        })
+    }
+}
--- /dev/null
+++ b/crates/answer/tests/framing.rs
@@ -0,0 +1,68 @@
+//! Which heads are those of answers, and what marks the end of their bodies.
+
+#![expect(clippy::expect_used, reason = "a test fails by its panic")]
+
+use googletest::prelude::*;
+use http::{
+    Method,
+    Response,
+    Version, //
+};
+use toucanturn_answer::{
+    Fault,
+    Framing,
+    Head, //
+};
+
+/// Gets the framing of an answer with these fields to a request with this method.
+fn framing(
+    (method, status, version): (&Method, u16, Version),
+    fields: &[(&str, &str)],
+) -> std::result::Result<Framing, Fault> {
+    let mut response = Response::builder().status(status).version(version);
+    for (name, value) in fields {
+        response = response.header(*name, *value);
+    }
+    let response = response.body(()).expect("a response");
+    Framing::try_from(Head::new(method, &response))
+}
+
+const GET: (&Method, u16, Version) = (&Method::GET, 200, Version::HTTP_11);
+const LENGTH: (&str, &str) = ("content-length", "5");
+const CHUNKED: (&str, &str) = ("transfer-encoding", "chunked");
+
+#[gtest]
+fn verify_the_framing_is_what_the_head_says() {
+    expect_that!(framing(GET, &[LENGTH]), ok(eq(Framing::Length)));
+    expect_that!(framing(GET, &[CHUNKED]), ok(eq(Framing::Chunked)));
+    let closes = ("connection", "close");
+    expect_that!(framing(GET, &[closes]), ok(eq(Framing::Close)));
+    expect_that!(framing(GET, &[closes, CHUNKED]), ok(eq(Framing::Chunked)));
+}
+
+#[gtest]
+fn verify_an_answer_without_a_body_needs_no_framing() {
+    for (method, status) in [
+        (&Method::HEAD, 200),
+        (&Method::GET, 204),
+        (&Method::GET, 304),
+    ] {
+        let to = (method, status, Version::HTTP_11);
+        expect_that!(framing(to, &[]), ok(eq(Framing::Length)));
+    }
+    // What the body would have, to another method or with another status.
+    let head = (&Method::HEAD, 200, Version::HTTP_11);
+    expect_that!(framing(head, &[LENGTH]), ok(eq(Framing::Length)));
+    expect_that!(framing(head, &[CHUNKED]), ok(eq(Framing::Length)));
+}
+
+/// Guards against a body that each reader ends elsewhere.
+#[gtest]
+fn verify_two_framings_are_none() {
+    for method in [Method::GET, Method::HEAD] {
+        let to = (&method, 200, Version::HTTP_11);
+        for fields in [[LENGTH, CHUNKED], [CHUNKED, LENGTH]] {
+            expect_that!(framing(to, &fields), err(eq(Fault::TwoFramings)));
+        }
+    }
+}
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -48,6 +48,11 @@
     task::AbortHandle,
     time::timeout, //
 };
+use toucanturn_answer::{
+    Fault,
+    Framing,
+    Head, //
+};
 use toucanturn_core::units::Time;
 
 use crate::state::now;
@@ -91,6 +96,12 @@
     /// The connection broke before the answer was complete, or its body exceeded the length limit.
     #[snafu(display("the connection broke"))]
     ConnectionLost,
+    /// The head of the answer is not that of an answer.
+    #[snafu(display("malformed answer"))]
+    Malformed {
+        /// Why.
+        source: Fault,
+    },
     /// The status is not a success.
     #[snafu(display("answered with status {status}"))]
     Status {
@@ -208,8 +219,11 @@
         request.headers_mut().insert(header::HOST, host);
         let sent = timeout(timeouts.head, open.send(request)).await;
         let response = match sent {
-            Ok(SendOutcome::Head(response)) => response,
-            Ok(_) => return Err(Error::ConnectionLost),
+            Ok(SendOutcome::Head(response, _)) => response,
+            Ok(SendOutcome::Malformed(fault)) => return Err(fault).context(MalformedSnafu),
+            Ok(SendOutcome::Unsent | SendOutcome::ConnectionLost(_)) => {
+                return Err(Error::ConnectionLost);
+            }
             Err(_) => return Err(Error::ResponseTimeout { received: 0 }),
         };
         on_head();
@@ -265,12 +279,15 @@
 /// `SendOutcome` is the result of sending a request.
 #[derive(Debug)]
 pub enum SendOutcome {
-    /// The head of the answer arrived.
-    Head(Response<Incoming>),
+    /// The head of the answer arrived; its body has this framing.
+    Head(Response<Incoming>, Framing),
     /// No byte of the request was written.
     Unsent,
     /// The connection broke before the head of the answer; part of the request may have been written.
     ConnectionLost(hyper::Error),
+    /// What arrived is not the head of an answer. The request may have run, and what follows on the connection belongs to
+    /// no request.
+    Malformed(Fault),
 }
 
 impl Connection {
@@ -329,8 +346,12 @@
 
     /// Sends a request and waits for the head of the answer.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> SendOutcome {
+        let method = request.method().clone();
         match self.sender.try_send_request(request).await {
-            Ok(response) => SendOutcome::Head(response),
+            Ok(response) => match Framing::try_from(Head::new(&method, &response)) {
+                Ok(framing) => SendOutcome::Head(response, framing),
+                Err(fault) => SendOutcome::Malformed(fault),
+            },
             Err(mut error) => match error.take_message() {
                 Some(_) => SendOutcome::Unsent,
                 None => SendOutcome::ConnectionLost(error.into_error()),
--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -1,49 +1,6 @@
-//! How the end of an answer's body is marked (RFC 9112, section 6.3), and how the body ended.
+//! How the body of an answer ended.
 
-use http::{
-    header,
-    response::Parts, //
-};
-use hyper::body::{
-    Body as _,
-    Incoming, //
-};
-
-/// `Framing` is how the end of a body is marked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "snake_case")]
-pub(crate) enum Framing {
-    /// By a length in the head.
-    Length,
-    /// By a last chunk.
-    Chunked,
-    /// By the end of the connection, which a broken-off body has as well.
-    Close,
-}
-
-impl Framing {
-    /// Returns the framing of an answer whose body has not been read.
-    pub(crate) fn of(head: &Parts, body: &Incoming) -> Self {
-        let codings = head.headers.get_all(header::TRANSFER_ENCODING);
-        let last = codings.iter().next_back().and_then(|v| v.to_str().ok());
-        let last = last.and_then(|v| v.rsplit(',').next());
-        if body.size_hint().exact().is_some() {
-            Framing::Length
-        } else if last.is_some_and(|c| c.trim().eq_ignore_ascii_case("chunked")) {
-            Framing::Chunked
-        } else {
-            Framing::Close
-        }
-    }
-
-    /// Returns how a body with this framing has ended if the connection reports its end.
-    pub(crate) fn end(self) -> BodyEnd {
-        match self {
-            Framing::Length | Framing::Chunked => BodyEnd::Marked,
-            Framing::Close => BodyEnd::Closed,
-        }
-    }
-}
+use toucanturn_answer::Framing;
 
 /// `BodyEnd` is how a body ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -61,6 +18,16 @@
     Overlong,
 }
 
+impl From<Framing> for BodyEnd {
+    /// Returns how a body with this framing has ended if the connection reports its end.
+    fn from(framing: Framing) -> Self {
+        match framing {
+            Framing::Length | Framing::Chunked => BodyEnd::Marked,
+            Framing::Close => BodyEnd::Closed,
+        }
+    }
+}
+
 /// `Received` is what has been received of an attempt's answer.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Received {
--- a/crates/gateway/src/handoff.rs
+++ b/crates/gateway/src/handoff.rs
@@ -139,7 +139,7 @@
             request.headers_mut().insert(header::HOST, host);
         }
         let called = async {
-            let SendOutcome::Head(response) = connection.send(request).await else {
+            let SendOutcome::Head(response, _) = connection.send(request).await else {
                 return None;
             };
             let success = response.status().is_success();
--- a/crates/gateway/src/proxied/endpoint.rs
+++ b/crates/gateway/src/proxied/endpoint.rs
@@ -17,6 +17,10 @@
 };
 use hyper::body::Incoming;
 use tokio::time::timeout;
+use toucanturn_answer::{
+    Fault,
+    Framing, //
+};
 use toucanturn_core::{
     arena::EndpointKey,
     gateway::{
@@ -42,7 +46,6 @@
     },
     framing::{
         BodyEnd,
-        Framing,
         Received, //
     },
     handoff::PeerConnection,
@@ -93,7 +96,7 @@
 /// `Head` is the head of an answer.
 enum Head {
     /// The endpoint's.
-    Arrived(Response<Incoming>, Connection, AttemptGuard),
+    Arrived((Response<Incoming>, Framing), Connection, AttemptGuard),
     /// That of another attempt, which has taken over.
     Replaced(Attempt),
 }
@@ -106,9 +109,11 @@
 /// Returns how an attempt ended, if what came of its endpoint is a failure or a rejection.
 fn failure_of(outcome: &SendOutcome, reply: fn(&HeaderMap) -> ReplyHead) -> Option<AttemptOutcome> {
     let response = match outcome {
-        SendOutcome::Head(response) => response,
+        SendOutcome::Head(response, _) => response,
         SendOutcome::Unsent => return Some(AttemptOutcome::NotSent),
-        SendOutcome::ConnectionLost(_) => return Some(AttemptOutcome::Broken),
+        SendOutcome::ConnectionLost(_) | SendOutcome::Malformed(_) => {
+            return Some(AttemptOutcome::Broken);
+        }
     };
     let status = response.status();
     if reply(response.headers()).rejected {
@@ -237,7 +242,13 @@
             }
         };
         match outcome {
-            SendOutcome::Head(response) => Ok(Head::Arrived(response, connection, guard)),
+            SendOutcome::Head(response, framing) => {
+                Ok(Head::Arrived((response, framing), connection, guard))
+            }
+            SendOutcome::Malformed(fault) => {
+                self.record_malformed(fault);
+                Err(SendFailure::Ended(guard, AttemptOutcome::Broken, None))
+            }
             SendOutcome::Unsent => Err(SendFailure::Ended(guard, AttemptOutcome::NotSent, None)),
             SendOutcome::ConnectionLost(error) => {
                 tracing::debug!(id = %text(&self.incoming_request.id), %error, "connection broke before the answer's head");
@@ -250,7 +261,7 @@
     async fn accept_head(
         &mut self,
         placed: &Placed,
-        response: Response<Incoming>,
+        (response, framing): (Response<Incoming>, Framing),
         (connection, guard): (Connection, AttemptGuard),
     ) -> Result<Attempt, SendFailure> {
         {
@@ -258,7 +269,6 @@
             gateway.heard(now(), placed.endpoint, connection.opened);
         }
         let (head, body) = response.into_parts();
-        let framing = Framing::of(&head, &body);
         self.received = Some(Received::new(framing));
         let mut reply = (self.state.protocol.reply)(&head.headers);
         reply.closes |= framing == Framing::Close;
@@ -403,12 +413,18 @@
         }
     }
 
+    /// Records that what came instead of an answer's head is none.
+    pub(super) fn record_malformed(&self, fault: Fault) {
+        self.state.metrics.count("malformed_answers", fault.into());
+        tracing::debug!(id = %text(&self.incoming_request.id), %fault, "malformed answer");
+    }
+
     /// Records how the body of the newest attempt's answer ended; `None` if the connection reports its end.
     pub(crate) fn record_end(&mut self, end: Option<BodyEnd>) {
         if let Some(received) = &mut self.received
             && received.end.is_none()
         {
-            let end = end.unwrap_or_else(|| received.framing.end());
+            let end = end.unwrap_or_else(|| received.framing.into());
             received.end = Some(end);
             self.state.metrics.count("body_ends", &end.to_string());
         }
--- a/crates/gateway/src/proxied/peer.rs
+++ b/crates/gateway/src/proxied/peer.rs
@@ -17,10 +17,7 @@
 
 use crate::{
     client::SendOutcome,
-    framing::{
-        Framing,
-        Received, //
-    },
+    framing::Received,
     handoff::{
         self,
         PeerConnection, //
@@ -124,16 +121,20 @@
         };
         self.log_handed_off(peer);
         let sent = timeout(self.time_left(), connection.send(request)).await;
-        let response = match sent {
-            Ok(SendOutcome::Head(response)) => response,
+        let (response, framing) = match sent {
+            Ok(SendOutcome::Head(response, framing)) => (response, framing),
             Ok(SendOutcome::Unsent) => return Err((guard, AttemptOutcome::NotSent, None, None)),
             Ok(SendOutcome::ConnectionLost(_)) => {
                 return Err((guard, AttemptOutcome::Broken, None, None));
             }
+            Ok(SendOutcome::Malformed(fault)) => {
+                self.record_malformed(fault);
+                return Err((guard, AttemptOutcome::Broken, None, None));
+            }
             Err(_) => return Err((guard, AttemptOutcome::Stalled, None, None)),
         };
         let (head, body) = response.into_parts();
-        self.received = Some(Received::new(Framing::of(&head, &body)));
+        self.received = Some(Received::new(framing));
         guard.record_report(&head.headers);
         let reply = (self.state.protocol.reply)(&head.headers);
         let status = Some(head.status);
--- a/crates/gateway/src/proxied/probe.rs
+++ b/crates/gateway/src/proxied/probe.rs
@@ -46,7 +46,7 @@
     *request.uri_mut() = Uri::try_from(probe.health.as_ref()).ok()?;
     let host = HeaderValue::try_from(probe.address.to_string()).ok()?;
     request.headers_mut().insert(header::HOST, host);
-    let SendOutcome::Head(response) = connection.send(request).await else {
+    let SendOutcome::Head(response, _) = connection.send(request).await else {
         return None;
     };
     let opened = connection.opened;
--- a/crates/gateway/src/proxied/succession.rs
+++ b/crates/gateway/src/proxied/succession.rs
@@ -27,6 +27,7 @@
         timeout, //
     },
 };
+use toucanturn_answer::Framing;
 use toucanturn_core::gateway::{
     outcome::{
         AttemptOutcome,
@@ -39,10 +40,7 @@
 };
 
 use crate::{
-    framing::{
-        BodyEnd,
-        Framing, //
-    },
+    framing::BodyEnd,
     log::text,
     proxied::{
         Attempt,
@@ -257,7 +255,7 @@
         if !attempt.ahead.is_empty() {
             return None;
         }
-        let framing = Framing::of(&attempt.head, &attempt.body);
+        let by_close = self.received.is_some_and(|r| r.framing == Framing::Close);
         let limit = self.silence_timeout(&attempt.guard, false);
         let mut events = EventSplitter::default();
         let mut ahead = BytesMut::new();
@@ -265,7 +263,7 @@
             let frame = match timeout(limit, attempt.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 // An answer that is no stream may be complete; it can't complete a stream.
-                Ok(None) if framing != Framing::Close && (ahead.is_empty() || resume.is_none()) => {
+                Ok(None) if !by_close && (ahead.is_empty() || resume.is_none()) => {
                     break None;
                 }
                 Ok(None | Some(Err(_))) => {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -33,6 +33,7 @@
     time::timeout, //
 };
 use toucanturn_account::Reservation;
+use toucanturn_answer::Framing;
 use toucanturn_core::{
     gateway::{
         outcome::{
@@ -57,10 +58,7 @@
         Body,
         BodyAborted, //
     },
-    framing::{
-        BodyEnd,
-        Framing, //
-    },
+    framing::BodyEnd,
     protocol::ReplyHead,
     proxied::{
         Attempt, AttemptGuard, ProxiedRequest,
