Refuse answers with another transfer coding than chunked

Callers saw: an answer whose Transfer-Encoding is spoilt, empty, ends with a comma or is another coding came as a success with the heads of its chunks as the body; one of "gzip, chunked" or "chunked" twice with a coding undone only in part (MIXED).

Cause: the HTTP library takes an answer whose last coding is not `chunked` as one that ends with its connection, and undoes only `chunked`; Transfer-Encoding is then removed as a field of the connection, so nothing tells the caller.

Change: `chunked` is the only coding that an answer may have, once: routers ask for no other one (TE is not forwarded; RFC 9112, section 7.4), and a sender applies `chunked` once (section 6.1). Checked where two framings are. An empty element of the list is refused too: a sender must not send one (RFC 9110, section 5.6.1), and the library does not decode it.

`CHUNKED` with blanks stays served.

--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -45,12 +45,12 @@
         *self.method != Method::HEAD && !bodiless.contains(&self.status)
     }
 
-    /// Tells whether the last transfer coding is `chunked`, so that the library decodes it.
+    /// Tells whether `chunked` is the only transfer coding. Requests ask for no other one, and a sender applies it once
+    /// (RFC 9112, sections 6.1 and 7.4).
     fn is_chunked(&self) -> bool {
-        let codings = self.headers.get_all(header::TRANSFER_ENCODING);
-        let last = codings.iter().next_back().and_then(|v| v.to_str().ok());
-        let last = last.and_then(|v| v.rsplit(',').next());
-        last.is_some_and(|c| c.trim().eq_ignore_ascii_case("chunked"))
+        let mut codings = self.headers.get_all(header::TRANSFER_ENCODING).iter();
+        let first = codings.next().map(|v| v.as_bytes().trim_ascii());
+        first.is_some_and(|c| c.eq_ignore_ascii_case(b"chunked")) && codings.next().is_none()
     }
 }
 
@@ -73,6 +73,9 @@
     /// It has both a length and a transfer coding, which no sender may send (RFC 9112, section 6.1).
     #[snafu(display("expected a length or a transfer coding, found both"))]
     TwoFramings,
+    /// Its transfer coding is not `chunked` alone, so its body would stay encoded.
+    #[snafu(display("expected the transfer coding chunked, once"))]
+    TransferCoding,
 }
 
 impl TryFrom<Head<'_>> for Framing {
@@ -83,10 +86,11 @@
         let has_length = head.headers.contains_key(header::CONTENT_LENGTH);
         let has_coding = head.headers.contains_key(header::TRANSFER_ENCODING);
         ensure!(!(has_length && has_coding), TwoFramingsSnafu);
-        Ok(match (head.has_body(), has_length) {
-            (true, false) if head.is_chunked() => Framing::Chunked,
-            (true, false) => Framing::Close,
-            _ => Framing::Length,
+        ensure!(!has_coding || head.is_chunked(), TransferCodingSnafu);
+        Ok(match (head.has_body(), has_coding, has_length) {
+            (false, ..) | (_, _, true) => Framing::Length,
+            (_, true, _) => Framing::Chunked,
+            _ => Framing::Close,
         })
     }
 }
--- a/crates/answer/tests/framing.rs
+++ b/crates/answer/tests/framing.rs
@@ -56,6 +56,38 @@
     expect_that!(framing(head, &[CHUNKED]), ok(eq(Framing::Length)));
 }
 
+/// Guards against a body that is still encoded, or in part.
+#[gtest]
+fn verify_a_transfer_coding_is_chunked_alone() {
+    let codings = [
+        "",
+        "xhunked",
+        "chunked,",
+        ",chunked",
+        "chunked, chunked",
+        "gzip, chunked",
+        "chunked, gzip",
+        "identity",
+        "chunked;a=b",
+    ];
+    for coding in codings {
+        let field = ("transfer-encoding", coding);
+        expect_that!(
+            framing(GET, &[field]),
+            err(eq(Fault::TransferCoding)),
+            "{coding}"
+        );
+    }
+    expect_that!(
+        framing(GET, &[CHUNKED, CHUNKED]),
+        err(eq(Fault::TransferCoding))
+    );
+    expect_that!(
+        framing(GET, &[("transfer-encoding", "CHUNKED")]),
+        ok(eq(Framing::Chunked))
+    );
+}
+
 /// Guards against a body that each reader ends elsewhere.
 #[gtest]
 fn verify_two_framings_are_none() {
