Refuse an answer that switches protocols

Cause: the HTTP library hands over a 101, unlike other interim answers, as it may be the answer to an Upgrade. Routers never forward Upgrade, a field of the connection, so no request asks for another protocol; a head with any status was taken as the answer.

Change: a head with an interim status is not that of an answer (RFC 9110, section 15.2: interim, before the final one).

--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -76,6 +76,12 @@
     /// Its transfer coding is not `chunked` alone, so its body would stay encoded.
     #[snafu(display("expected the transfer coding chunked, once"))]
     TransferCoding,
+    /// It switches to another protocol, which no request asks for (RFC 9110, section 15.2.2).
+    #[snafu(display("expected a final status, found {status}"))]
+    Interim {
+        /// Its status.
+        status: StatusCode,
+    },
 }
 
 impl TryFrom<Head<'_>> for Framing {
@@ -83,6 +89,9 @@
 
     /// Gets the framing of the body of a final answer (RFC 9112, section 6.3).
     fn try_from(head: Head<'_>) -> Result<Self, Fault> {
+        // The library passes over other interim answers.
+        let status = head.status;
+        ensure!(!status.is_informational(), InterimSnafu { status });
         let has_length = head.headers.contains_key(header::CONTENT_LENGTH);
         let has_coding = head.headers.contains_key(header::TRANSFER_ENCODING);
         ensure!(!(has_length && has_coding), TwoFramingsSnafu);
--- a/crates/answer/tests/framing.rs
+++ b/crates/answer/tests/framing.rs
@@ -88,6 +88,18 @@
     );
 }
 
+/// Guards against a request without a final answer.
+#[gtest]
+fn verify_an_interim_answer_is_not_final() {
+    for status in [100, 101, 103, 199] {
+        let to = (&Method::GET, status, Version::HTTP_11);
+        expect_that!(
+            framing(to, &[LENGTH]),
+            err(matches_pattern!(Fault::Interim { .. }))
+        );
+    }
+}
+
 /// Guards against a body that each reader ends elsewhere.
 #[gtest]
 fn verify_two_framings_are_none() {
