Refuse answers with a status over 599

Callers saw: an endpoint's answer with a status from 600 to 999 was passed on as it came, also on routes where another endpoint could have answered.

Cause: the HTTP library reads any three digits from 100. No class says whether such an answer is a success, a failure or a promise; a recipient is to take it for a 5xx (RFC 9110, section 15), and clients differ in that.

Change: it is not the head of an answer, judged where the others are. 000 and 099 were refused already, by the library.

--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -18,6 +18,9 @@
     ensure, //
 };
 
+/// Least number over the classes of statuses (RFC 9110, section 15).
+const STATUS_END: u16 = 600;
+
 /// `Head` is what decides on an answer.
 #[derive(Clone, Copy, Debug)]
 pub struct Head<'a> {
@@ -82,6 +85,12 @@
         /// Its status.
         status: StatusCode,
     },
+    /// Its status is of no class, so nobody knows what it says (RFC 9110, section 15).
+    #[snafu(display("expected a status under 600, found {status}"))]
+    Status {
+        /// Its status.
+        status: StatusCode,
+    },
 }
 
 impl TryFrom<Head<'_>> for Framing {
@@ -92,6 +101,7 @@
         // The library passes over other interim answers.
         let status = head.status;
         ensure!(!status.is_informational(), InterimSnafu { status });
+        ensure!(status.as_u16() < STATUS_END, StatusSnafu { status });
         let has_length = head.headers.contains_key(header::CONTENT_LENGTH);
         let has_coding = head.headers.contains_key(header::TRANSFER_ENCODING);
         ensure!(!(has_length && has_coding), TwoFramingsSnafu);
--- a/crates/answer/tests/framing.rs
+++ b/crates/answer/tests/framing.rs
@@ -100,6 +100,21 @@
     }
 }
 
+#[gtest]
+fn verify_a_status_is_of_a_class() {
+    for status in [200, 299, 599] {
+        let to = (&Method::GET, status, Version::HTTP_11);
+        expect_that!(framing(to, &[LENGTH]), ok(eq(Framing::Length)), "{status}");
+    }
+    for status in [600, 999] {
+        let to = (&Method::GET, status, Version::HTTP_11);
+        expect_that!(
+            framing(to, &[LENGTH]),
+            err(matches_pattern!(Fault::Status { .. }))
+        );
+    }
+}
+
 /// Guards against a body that each reader ends elsewhere.
 #[gtest]
 fn verify_two_framings_are_none() {
