Refuse answers that name two requests or have two signatures

Callers saw: an answer with a second X-Attempt-Id of another value, or a second signature, was passed on with both.

Cause: parse_response reads the first line of a field. Both fields are single; lines that differ say that the answer belongs to two requests or comes from two endpoints.

Change: such an answer has no request's id, so it is judged as one of another request: broken, never "not run", also where it says that the request was not run, and in answers of peers. Lines that are alike change nothing.

--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -67,7 +67,7 @@
 /// `ReplyHead` is what the gateway reads from the head of an endpoint's answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReplyHead {
-    /// Id of the request that it answers.
+    /// Id of the request that it answers; `None` if it names several, or has several signatures.
     pub id: Option<Bytes>,
     /// Whether it has the header field by which an endpoint signs its answers.
     pub sealed: bool,
