Refuse a body that ends with a connection which is to stay open

Callers saw: where the name of the length or of the transfer coding was spoilt into another valid one, or a head ended early, the answer came as a success with a body that was not the endpoint's: with the heads of its chunks, a part of it, or the rest of the head (MIXED).

Cause: without a length and chunks the end of the connection ends the body (RFC 9112, section 6.3, item 8), also where the head says that the connection stays open: HTTP/1.1 without `Connection: close`, or HTTP/1.0 with `keep-alive`. A connection stays open only if each message on it has a length of its own (section 9.3), so such a head contradicts itself: what marked the end was lost.

Change: such a head is refused.

Left: a head that ends early and announces the end before that looks as a sound one. The length that follows it is then a part of the body.

--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -11,6 +11,7 @@
     Method,
     Response,
     StatusCode,
+    Version,
     header, //
 };
 use snafu::{
@@ -28,6 +29,8 @@
     pub method: &'a Method,
     /// Status.
     pub status: StatusCode,
+    /// Version of the protocol.
+    pub version: Version,
     /// Header fields.
     pub headers: &'a HeaderMap,
 }
@@ -38,6 +41,7 @@
         Self {
             method,
             status: response.status(),
+            version: response.version(),
             headers: response.headers(),
         }
     }
@@ -48,6 +52,19 @@
         *self.method != Method::HEAD && !bodiless.contains(&self.status)
     }
 
+    /// Tells whether the connection stays open after the answer (RFC 9112, section 9.3).
+    fn persists(&self) -> bool {
+        let lines = self.headers.get_all(header::CONNECTION);
+        let has = |name: &str| {
+            let options = lines
+                .iter()
+                .flat_map(|v| v.as_bytes().split(|b| *b == b','));
+            let mut options = options.map(<[u8]>::trim_ascii);
+            options.any(|option| option.eq_ignore_ascii_case(name.as_bytes()))
+        };
+        !has("close") && (self.version >= Version::HTTP_11 || has("keep-alive"))
+    }
+
     /// Tells whether `chunked` is the only transfer coding. Requests ask for no other one, and a sender applies it once
     /// (RFC 9112, sections 6.1 and 7.4).
     fn is_chunked(&self) -> bool {
@@ -79,6 +96,10 @@
     /// Its transfer coding is not `chunked` alone, so its body would stay encoded.
     #[snafu(display("expected the transfer coding chunked, once"))]
     TransferCoding,
+    /// Its body would end with the connection, which it says stays open (RFC 9112, section 9.3). What was to mark the end
+    /// may be lost, with a part of the body.
+    #[snafu(display("expected a length, chunks or the end of the connection"))]
+    Unframed,
     /// It switches to another protocol, which no request asks for (RFC 9110, section 15.2.2).
     #[snafu(display("expected a final status, found {status}"))]
     Interim {
@@ -106,6 +127,8 @@
         let has_coding = head.headers.contains_key(header::TRANSFER_ENCODING);
         ensure!(!(has_length && has_coding), TwoFramingsSnafu);
         ensure!(!has_coding || head.is_chunked(), TransferCodingSnafu);
+        let framed = has_length || has_coding || !head.has_body();
+        ensure!(framed || !head.persists(), UnframedSnafu);
         Ok(match (head.has_body(), has_coding, has_length) {
             (false, ..) | (_, _, true) => Framing::Length,
             (_, true, _) => Framing::Chunked,
--- a/crates/answer/tests/framing.rs
+++ b/crates/answer/tests/framing.rs
@@ -115,6 +115,32 @@
     }
 }
 
+/// Guards against a body whose length was lost, and that ends where the connection happens to end.
+#[gtest]
+fn verify_a_body_ends_with_its_connection_only_if_the_head_says_so() {
+    let http_10 = (&Method::GET, 200, Version::HTTP_10);
+    for (to, connection, sound) in [
+        (GET, "", false),
+        (GET, "keep-alive", false),
+        (GET, "closed", false),
+        (GET, "Close", true),
+        (GET, "keep-alive , close", true),
+        (http_10, "", true),
+        (http_10, "close", true),
+        (http_10, "Keep-Alive", false),
+        (http_10, "keep-alive, close", true),
+    ] {
+        let expected = match sound {
+            true => Ok(Framing::Close),
+            false => Err(Fault::Unframed),
+        };
+        let found = framing(to, &[("connection", connection)]);
+        expect_that!(found, eq(expected), "{connection}");
+    }
+    let fields = [("connection", "x"), ("connection", "close")];
+    expect_that!(framing(GET, &fields), ok(eq(Framing::Close)));
+}
+
 /// Guards against a body that each reader ends elsewhere.
 #[gtest]
 fn verify_two_framings_are_none() {
