Don't take a close amid an upload for the end of an answer

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and ended the connection while the upload was still being written. The part came as a complete answer (MIXED).

Cause: the endpoint's close arrives as the end of the connection, which ends such a body; the reset follows only at the next bytes of the request. The read sees the close first, and the answer was delivered before the write failed.

Change: the end of a connection to a server is reported only when the request is written (ClientStream, under the HTTP library). An endpoint that has sent a whole answer reads on meanwhile (RFC 9112, section 9.6), so its end comes then; one that broke off resets the connection, and the write's failure ends the body as broken. Peers and the registry pass the same code.

Before, on: verify_a_part_of_an_early_answer_is_never_complete failed on all four kinds of route, each with the close and without length and chunks; the other 5 of 6 ways held. After: it passes. verify_a_whole_early_answer_is_served (each framing, connection closed or kept) passed before and after, in 6 s.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -55,7 +55,10 @@
 };
 use toucanturn_core::units::Time;
 
-use crate::state::now;
+use crate::{
+    client_stream::ClientStream,
+    state::now, //
+};
 
 /// Longest body of the answer to a call.
 const MAX_CALL_BODY_BYTES: usize = 16 << 20;
@@ -252,7 +255,7 @@
     }
 }
 
-type Exchanges = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+type Exchanges = http1::Connection<TokioIo<ClientStream>, Full<Bytes>>;
 
 /// `Connection` is an open connection. Dropping it closes the socket at once, even with a request in progress.
 #[derive(Debug)]
@@ -310,7 +313,7 @@
             .context(ConnectFailedSnafu { address })?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(ClientStream::from(stream)))
             .await
             .context(HandshakeSnafu { address })?;
         let exchanges = Rc::new(RefCell::new(Some(connection)));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod budget;
 pub mod client;
+mod client_stream;
 mod connections;
 pub mod errors;
 pub mod exchange;
