Forward the length of the body that is sent, not the endpoint's field

Callers saw: a length that the endpoint states as a list of equal ones ("15, 15") was forwarded as that list, which a caller need not read; two equal lines came as one. A 204 that announces a body came as an empty success.

Cause: Content-Length is an end-to-end field to the adapter, and was copied. Equal lengths are one (RFC 9110, section 8.6), but must not be forwarded as a list. An answer with 204 never has a body and must not announce one (RFC 9112, sections 6.1 and 6.3), so its status or its framing is spoilt. Where no body follows (HEAD, 204, 304) the library doesn't look at the length at all.

Change: the length towards the caller is made from the body; for HEAD and 304 it is the one number that the endpoint states. A 204 that announces a body, and a length that is no number also where no body follows, are refused. A 204 with a length of 0 stays served.

--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -9,12 +9,13 @@
 use http::{
     HeaderMap,
     Method,
-    Response,
     StatusCode,
     Version,
-    header, //
+    header,
+    response::Parts, //
 };
 use snafu::{
+    OptionExt as _,
     Snafu,
     ensure, //
 };
@@ -37,12 +38,12 @@
 
 impl<'a> Head<'a> {
     /// Gets the head of the answer to a request with this method.
-    pub fn new<B>(method: &'a Method, response: &'a Response<B>) -> Self {
+    pub fn new(method: &'a Method, head: &'a Parts) -> Self {
         Self {
             method,
-            status: response.status(),
-            version: response.version(),
-            headers: response.headers(),
+            status: head.status,
+            version: head.version,
+            headers: &head.headers,
         }
     }
 
@@ -52,6 +53,26 @@
         *self.method != Method::HEAD && !bodiless.contains(&self.status)
     }
 
+    /// Gets the length that the head states; `None` if it states none. Equal ones are one (RFC 9110, section 8.6).
+    fn stated_length(&self) -> Result<Option<u64>, Fault> {
+        let mut stated = None;
+        for line in self.headers.get_all(header::CONTENT_LENGTH) {
+            for length in line.as_bytes().split(|b| *b == b',') {
+                let length = parse_length(length.trim_ascii()).context(LengthSnafu)?;
+                ensure!(stated.is_none_or(|s| s == length), LengthSnafu);
+                stated = Some(length);
+            }
+        }
+        Ok(stated)
+    }
+
+    /// Gets the length that the answer to a caller states without having the body; `None` where the body states it.
+    pub fn length_without_body(&self) -> Option<u64> {
+        let stated = self.stated_length().ok().flatten();
+        let forbidden = self.status == StatusCode::NO_CONTENT;
+        stated.filter(|_| !self.has_body() && !forbidden)
+    }
+
     /// Tells whether the connection stays open after the answer (RFC 9112, section 9.3).
     fn persists(&self) -> bool {
         let lines = self.headers.get_all(header::CONNECTION);
@@ -74,6 +95,13 @@
     }
 }
 
+/// Parses a length (RFC 9110, section 8.6).
+fn parse_length(text: &[u8]) -> Option<u64> {
+    let is_number = !text.is_empty() && text.iter().all(u8::is_ascii_digit);
+    let text = std::str::from_utf8(text).ok().filter(|_| is_number)?;
+    text.parse().ok()
+}
+
 /// `Framing` is how the end of a body is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -96,6 +124,12 @@
     /// Its transfer coding is not `chunked` alone, so its body would stay encoded.
     #[snafu(display("expected the transfer coding chunked, once"))]
     TransferCoding,
+    /// Its length is no number, or several that differ (RFC 9112, section 6.3, item 5).
+    #[snafu(display("expected one length"))]
+    Length,
+    /// It announces a body, which an answer with its status never has (RFC 9110, section 8.6; RFC 9112, section 6.1).
+    #[snafu(display("expected no body"))]
+    NoContent,
     /// Its body would end with the connection, which it says stays open (RFC 9112, section 9.3). What was to mark the end
     /// may be lost, with a part of the body.
     #[snafu(display("expected a length, chunks or the end of the connection"))]
@@ -123,10 +157,16 @@
         let status = head.status;
         ensure!(!status.is_informational(), InterimSnafu { status });
         ensure!(status.as_u16() < STATUS_END, StatusSnafu { status });
-        let has_length = head.headers.contains_key(header::CONTENT_LENGTH);
+        let length = head.stated_length()?;
+        let has_length = length.is_some();
         let has_coding = head.headers.contains_key(header::TRANSFER_ENCODING);
         ensure!(!(has_length && has_coding), TwoFramingsSnafu);
         ensure!(!has_coding || head.is_chunked(), TransferCodingSnafu);
+        let announces = has_coding || length.is_some_and(|l| l > 0);
+        ensure!(
+            !(status == StatusCode::NO_CONTENT && announces),
+            NoContentSnafu
+        );
         let framed = has_length || has_coding || !head.has_body();
         ensure!(framed || !head.persists(), UnframedSnafu);
         Ok(match (head.has_body(), has_coding, has_length) {
--- a/crates/answer/tests/framing.rs
+++ b/crates/answer/tests/framing.rs
@@ -23,8 +23,9 @@
     for (name, value) in fields {
         response = response.header(*name, *value);
     }
-    let response = response.body(()).expect("a response");
-    Framing::try_from(Head::new(method, &response))
+    let (head, ()) = response.body(()).expect("a response").into_parts();
+    let head = Head::new(method, &head);
+    Framing::try_from(head)
 }
 
 const GET: (&Method, u16, Version) = (&Method::GET, 200, Version::HTTP_11);
@@ -141,6 +142,70 @@
     expect_that!(framing(GET, &fields), ok(eq(Framing::Close)));
 }
 
+/// Guards against a length that each reader takes for another number.
+#[gtest]
+fn verify_a_length_is_one_number() {
+    for length in ["5", "005", "5,5", "5, 05 ,5"] {
+        let field = ("content-length", length);
+        expect_that!(framing(GET, &[field]), ok(eq(Framing::Length)), "{length}");
+        expect_that!(framing(GET, &[field, LENGTH]), ok(eq(Framing::Length)));
+    }
+    for length in [
+        "",
+        "x",
+        "+5",
+        "-5",
+        "0x5",
+        "5 5",
+        "5,6",
+        "5,",
+        "18446744073709551616",
+    ] {
+        let field = ("content-length", length);
+        // No library looks at it where there is no body.
+        for (method, status) in [
+            (&Method::GET, 200),
+            (&Method::HEAD, 200),
+            (&Method::GET, 304),
+        ] {
+            let to = (method, status, Version::HTTP_11);
+            expect_that!(framing(to, &[field]), err(eq(Fault::Length)), "{length}");
+        }
+    }
+    let other = ("content-length", "6");
+    expect_that!(framing(GET, &[LENGTH, other]), err(eq(Fault::Length)));
+}
+
+/// Guards against a length towards the caller that is not that of the body, and against the loss of one without a body.
+#[gtest]
+fn verify_only_an_answer_without_a_body_states_its_length_itself() {
+    for (method, status, expected) in [
+        (Method::GET, 200, None),
+        (Method::GET, 204, None),
+        (Method::GET, 304, Some(5)),
+        (Method::HEAD, 200, Some(5)),
+    ] {
+        let response = Response::builder()
+            .status(status)
+            .header("content-length", "5, 5");
+        let (head, ()) = response.body(()).expect("a response").into_parts();
+        let found = Head::new(&method, &head).length_without_body();
+        expect_that!(found, eq(expected), "{method} {status}");
+    }
+}
+
+/// Guards against a success without the body that was announced.
+#[gtest]
+fn verify_an_answer_without_content_announces_none() {
+    let to = (&Method::GET, 204, Version::HTTP_11);
+    expect_that!(
+        framing(to, &[("content-length", "0")]),
+        ok(eq(Framing::Length))
+    );
+    expect_that!(framing(to, &[LENGTH]), err(eq(Fault::NoContent)));
+    expect_that!(framing(to, &[CHUNKED]), err(eq(Fault::NoContent)));
+}
+
 /// Guards against a body that each reader ends elsewhere.
 #[gtest]
 fn verify_two_framings_are_none() {
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -351,10 +351,13 @@
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> SendOutcome {
         let method = request.method().clone();
         match self.sender.try_send_request(request).await {
-            Ok(response) => match Framing::try_from(Head::new(&method, &response)) {
-                Ok(framing) => SendOutcome::Head(response, framing),
-                Err(fault) => SendOutcome::Malformed(fault),
-            },
+            Ok(response) => {
+                let (head, body) = response.into_parts();
+                match Framing::try_from(Head::new(&method, &head)) {
+                    Ok(framing) => SendOutcome::Head(Response::from_parts(head, body), framing),
+                    Err(fault) => SendOutcome::Malformed(fault),
+                }
+            }
             Err(mut error) => match error.take_message() {
                 Some(_) => SendOutcome::Unsent,
                 None => SendOutcome::ConnectionLost(error.into_error()),
--- a/crates/gateway/src/proxied/mod.rs
+++ b/crates/gateway/src/proxied/mod.rs
@@ -9,13 +9,16 @@
 use bytes::Bytes;
 use http::{
     HeaderMap,
+    HeaderValue,
     Method,
     Response,
     StatusCode,
     Uri,
+    header,
     request::Parts, //
 };
 use hyper::body::Incoming;
+use toucanturn_answer::Head;
 use toucanturn_core::{
     arena::EndpointKey,
     gateway::{
@@ -569,8 +572,14 @@
     ) -> Response<Body> {
         let mut response = Response::new(body);
         *response.status_mut() = head.status;
-        *response.headers_mut() = (self.state.protocol.deliver)(&head.headers);
-        response.headers_mut().remove(handoff::REPORT_FIELD);
+        let headers = response.headers_mut();
+        *headers = (self.state.protocol.deliver)(&head.headers);
+        headers.remove(handoff::REPORT_FIELD);
+        // The body states its length.
+        headers.remove(header::CONTENT_LENGTH);
+        if let Some(length) = Head::new(&self.method, head).length_without_body() {
+            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
+        }
         self.report_attempts(&mut response);
         response
     }
