Judge the heads of answers at the own interface as well

Callers of the own interface saw: an engine's answer with two framings, with the codings "gzip, chunked", with the name of its length spoilt, or with a second x-request-id came as a whole answer; a 101 came as the final answer without an outcome.

Cause: the same as on the users' platform: the HTTP libraries pass a head that contradicts itself, and nothing behind them judged it. crates/router read the framing with code of its own.

Change: Endpoints::send and send_once judge the head by toucanturn-answer; one that is refused may have run, and its connection is closed. The reader of the framing there is gone. The request's id must be the only one. GUARDS names the new line.

Read and left: polls of load, imports, tokens for weights and the platform's configuration ask for a success, and what they take is a JSON document that parses or a status; no caller gets it.

--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -27,6 +27,10 @@
 };
 use snafu::ResultExt;
 use tokio::net::TcpStream;
+use toucanturn_answer::{
+    Framing,
+    Head, //
+};
 use toucanturn_core::config::Endpoint;
 
 use crate::errors::{
@@ -99,20 +103,22 @@
         &self,
         endpoint: &Endpoint,
         outgoing: Outgoing,
-    ) -> std::result::Result<Response, Failure> {
+    ) -> std::result::Result<(Response, Framing), Failure> {
         let url = format!("http://{}{}", endpoint.address, outgoing.path);
+        let method = outgoing.method.clone();
         let request = self
             .pooled
             .request(outgoing.method, url)
             .headers(outgoing.headers);
         let sent = request.body(outgoing.body).send().await;
-        sent.map_err(|e| {
+        let response = sent.map_err(|e| {
             if e.is_connect() {
                 Failure::NotSent
             } else {
                 Failure::MaybeSent
             }
-        })
+        })?;
+        accept(&method, response)
     }
 
     /// Sends a request over a connection of its own, which is closed after the answer, and gets
@@ -130,7 +136,7 @@
         endpoint: &Endpoint,
         outgoing: Outgoing,
         stands: impl Fn() -> bool + Send,
-    ) -> std::result::Result<Response, Failure> {
+    ) -> std::result::Result<(Response, Framing), Failure> {
         let connecting = TcpStream::connect(endpoint.address);
         let stream = match tokio::time::timeout(self.connect_timeout, connecting).await {
             Ok(Ok(stream)) => stream,
@@ -141,6 +147,7 @@
         let Ok((mut sender, connection)) = shaken else {
             return Err(Failure::NotSent);
         };
+        let method = outgoing.method.clone();
         let request = request(endpoint, outgoing).ok_or(Failure::NotSent)?;
         if !stands() {
             return Err(Failure::NotSent);
@@ -150,7 +157,28 @@
             .send_request(request)
             .await
             .map_err(|_| Failure::MaybeSent)?;
-        Ok(Response::from(response.map(reqwest::Body::wrap)))
+        let response = Response::from(response.map(reqwest::Body::wrap));
+        accept(&method, response)
+    }
+}
+
+/// Judges the head of an answer. Dropping one that is refused closes its connection, as its body is unread.
+fn accept(
+    method: &Method,
+    response: Response,
+) -> std::result::Result<(Response, Framing), Failure> {
+    let head = Head {
+        method,
+        status: response.status(),
+        version: response.version(),
+        headers: response.headers(),
+    };
+    match Framing::try_from(head) {
+        Ok(framing) => Ok((response, framing)),
+        Err(fault) => {
+            tracing::debug!(%fault, "malformed answer");
+            Err(Failure::MaybeSent)
+        }
     }
 }
 
--- a/crates/router/src/exchange/attempt.rs
+++ b/crates/router/src/exchange/attempt.rs
@@ -18,6 +18,7 @@
     sync::mpsc,
     time::timeout, //
 };
+use toucanturn_answer::Framing;
 use toucanturn_core::{
     event::Event,
     request::{
@@ -112,8 +113,8 @@
                 .unwrap_or(Err(Failure::MaybeSent)),
             Shape::Whole => sending.await,
         };
-        let response = match head {
-            Ok(response) => response,
+        let (response, framing) = match head {
+            Ok(answered) => answered,
             Err(Failure::NotSent) => return End::NotSent { leaving: false },
             Err(Failure::MaybeSent) => return End::Broken { relayed: false },
         };
@@ -125,14 +126,15 @@
         }
         // An answer that is not this request's own goes to nobody, and its connection is closed
         // by dropping it unread: the next answer on it would be another's too.
-        let own = |v: &HeaderValue| v.as_bytes() == self.exchange.id.as_bytes();
-        if !response.headers().get(answers::REQUEST_ID).is_some_and(own) {
+        let other = |v: &HeaderValue| v.as_bytes() != self.exchange.id.as_bytes();
+        let mut ids = response.headers().get_all(answers::REQUEST_ID).iter();
+        if ids.next().is_none_or(other) || ids.any(other) {
             return End::Broken { relayed: false };
         }
         if status == 200 && self.exchange.shape == Shape::Stream {
             return self.relay(response, idle).await;
         }
-        match whole(response).await {
+        match whole(response, framing).await {
             Some(answer) if status >= 500 => {
                 self.held = Some(answer.clone());
                 End::Failed(answer)
@@ -275,16 +277,6 @@
     }
 }
 
-/// Tells whether nothing but the end of its connection marks the end of an answer (RFC 9112, section
-/// 6.3). An answer that was broken off may end in the same way.
-fn ends_with_connection(response: &Response) -> bool {
-    let codings = response.headers().get_all(http::header::TRANSFER_ENCODING);
-    let last = codings.iter().next_back().and_then(|v| v.to_str().ok());
-    let last = last.and_then(|v| v.rsplit(',').next());
-    let chunked = last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"));
-    !chunked && response.content_length().is_none()
-}
-
 /// Tells whether an answer's media type is JSON (RFC 8259), so that its text shows whether it is whole.
 fn is_json(content_type: &[u8]) -> bool {
     let media_type = content_type.split(|b| *b == b';').next();
@@ -293,9 +285,8 @@
 
 /// Reads a whole answer; `None` when it broke off or is too large. The library compares what came
 /// with the declared length.
-async fn whole(response: Response) -> Option<Answer> {
+async fn whole(response: Response, framing: Framing) -> Option<Answer> {
     let status = response.status().as_u16();
-    let unmarked = ends_with_connection(&response);
     let headers = response.headers();
     let content_type = headers.get(http::header::CONTENT_TYPE);
     let content_type = content_type.map(|v| Bytes::copy_from_slice(v.as_bytes()));
@@ -310,7 +301,8 @@
     }
     let content_type = content_type.unwrap_or_default();
     let has_whole_document = || serde_json::from_slice::<IgnoredAny>(&body).is_ok();
-    if unmarked && is_json(&content_type) && !has_whole_document() {
+    // An answer that was broken off may end with its connection as well.
+    if framing == Framing::Close && is_json(&content_type) && !has_whole_document() {
         return None;
     }
     Some(Answer {
--- a/crates/router/src/orders.rs
+++ b/crates/router/src/orders.rs
@@ -147,7 +147,7 @@
     };
     let answer = driver.endpoints.send_once(target, outgoing, stands).await;
     match answer {
-        Ok(response) => read(response).await,
+        Ok((response, _)) => read(response).await,
         Err(Failure::NotSent) => OrderOutcome::NotSent,
         Err(Failure::MaybeSent) => OrderOutcome::Unknown,
     }
--- a/tools/guards.sh
+++ b/tools/guards.sh
@@ -82,7 +82,7 @@
     's/if !is_plain\(/if false \&\& !is_plain(/' \
     toucanturnd daemon answers::verify_an_order_has_one_spelling
 guard own_answer crates/router/src/exchange/attempt.rs \
-    's/if (!response\.headers\(\)\.get\(answers::REQUEST_ID\))/if false \&\& \1/' \
+    's/if (ids\.next\(\)\.is_none_or\(other\) \|\| ids\.any\(other\))/if false \&\& (\1)/' \
     toucanturnd daemon answers::verify_a_crossed_answer_reaches_nobody
 guard end_mark crates/router/src/exchange/attempt.rs \
     's|// Silent, broken off, or ended; .*|Ok(None) => return End::Whole(Answer::default()),|' \
