--- a/crates/gateway/tests/client.rs
+++ b/crates/gateway/tests/client.rs
@@ -1,5 +1,7 @@
 //! Connections to endpoints and peers.
 
+#![expect(clippy::expect_used, reason = "a test fails by its panic")]
+
 use std::{
     io::{
         Read as _,
