--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -134,7 +134,7 @@
     /// may be lost, with a part of the body.
     #[snafu(display("expected a length, chunks or the end of the connection"))]
     Unframed,
-    /// It switches to another protocol, which no request asks for (RFC 9110, section 15.2.2).
+    /// It is not final. A 101 switches to another protocol, which no request asks for (RFC 9110, section 15.2).
     #[snafu(display("expected a final status, found {status}"))]
     Interim {
         /// Its status.
--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -162,7 +162,7 @@
     }
 }
 
-/// Judges the head of an answer. Dropping one that is refused closes its connection, as its body is unread.
+/// Judges the head of an answer. The connection of one that is refused is closed, as its body is dropped unread.
 fn accept(
     method: &Method,
     response: Response,
