--- a/crates/router/src/endpoints.rs
+++ b/crates/router/src/endpoints.rs
@@ -173,13 +173,8 @@
         version: response.version(),
         headers: response.headers(),
     };
-    match Framing::try_from(head) {
-        Ok(framing) => Ok((response, framing)),
-        Err(fault) => {
-            tracing::debug!(%fault, "malformed answer");
-            Err(Failure::MaybeSent)
-        }
-    }
+    let framing = Framing::try_from(head).map_err(|_| Failure::MaybeSent)?;
+    Ok((response, framing))
 }
 
 /// Makes the request as it goes over the wire; `None` when its path can't be written.
