Refuse answers with an empty signature

Cause: "has a signature" was "has the field" (parse_response). An endpoint, or something before it, that loses the value leaves the field.

Change: the adapter tells three cases apart, and the decisions stay where they were (accept_head, send_to_peer). An empty signature is no signature where the answer is to be the endpoint's own. It is not taken for an absent one either: a 421 without the field is a rejection, one whose field is empty may have run. A peer's answer is judged alike.

--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -64,13 +64,25 @@
     pub holder: Option<SocketAddrV4>,
 }
 
+/// `Signature` is what an answer's head says of its endpoint's signature.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Signature {
+    /// Nothing: it has no such field.
+    #[default]
+    Absent,
+    /// That an endpoint was to sign it, but the field is empty.
+    Empty,
+    /// The signature.
+    Present,
+}
+
 /// `ReplyHead` is what the gateway reads from the head of an endpoint's answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReplyHead {
     /// Id of the request that it answers; `None` if it names several, or has several signatures.
     pub id: Option<Bytes>,
-    /// Whether it has the header field by which an endpoint signs its answers.
-    pub sealed: bool,
+    /// What the header field says by which an endpoint signs its answers.
+    pub signature: Signature,
     /// Whether it states that the request was not run.
     pub rejected: bool,
     /// Whether the body has a content encoding, so something between endpoint and gateway changed it.
@@ -88,3 +100,10 @@
     /// Time for which the endpoint asks for no requests, if stated.
     pub retry_after: Option<Millis>,
 }
+
+impl ReplyHead {
+    /// Tells whether the answer and its body are those that the endpoint has made.
+    pub fn is_endpoints_own(&self) -> bool {
+        self.signature == Signature::Present && !self.encoded
+    }
+}
--- a/crates/gateway/src/proxied/endpoint.rs
+++ b/crates/gateway/src/proxied/endpoint.rs
@@ -62,7 +62,8 @@
     prefill,
     protocol::{
         ForwardContext,
-        ReplyHead, //
+        ReplyHead,
+        Signature, //
     },
     proxied::{
         Attempt, AttemptGuard, ProxiedRequest, Target,
@@ -285,8 +286,9 @@
             return Err(SendFailure::Ended(guard, AttemptOutcome::Broken, status));
         }
         // With the signature field alone it is an answer of an endpoint that ran the request.
+        let unsigned = reply.signature == Signature::Absent;
         let misdirected =
-            head.status == StatusCode::MISDIRECTED_REQUEST && (reply.rejected || !reply.sealed);
+            head.status == StatusCode::MISDIRECTED_REQUEST && (reply.rejected || unsigned);
         // A misdirected request was answered by another endpoint than the one that was meant.
         if !misdirected {
             self.record_signals(placed.endpoint, &head, &reply);
@@ -300,8 +302,8 @@
             };
             return Err(SendFailure::Ended(guard, outcome, status));
         }
-        // An answer without the signature field did not come from the endpoint, or is incomplete.
-        if !reply.sealed || reply.encoded {
+        // An answer without a signature did not come from the endpoint, or is incomplete.
+        if !reply.is_endpoints_own() {
             return Err(SendFailure::Ended(guard, AttemptOutcome::Broken, status));
         }
         // A leaving endpoint closes its connection with each answer and few others do, so an answer that
@@ -510,8 +512,9 @@
         let id = text(&self.incoming_request.id);
         let status = head.status.as_u16();
         let mut gateway = self.state.gateway.borrow_mut();
-        // Without the signature field, the answer is not the endpoint's own.
-        if reply.leaving && (reply.sealed || reply.rejected) {
+        // Without the signature, the answer is not the endpoint's own.
+        let signed = reply.signature == Signature::Present;
+        if reply.leaving && (signed || reply.rejected) {
             self.state.metrics.count("signals", "leaving");
             let news = gateway.record_signal(now(), &self.ticket, Signal::Leaving);
             if news && self.state.log.try_admit() {
@@ -519,7 +522,7 @@
                 tracing::info!(event = 662, %id, %endpoint, status, "endpoint says that it leaves");
             }
         }
-        if reply.sealed || reply.rejected {
+        if signed || reply.rejected {
             let news = gateway.record_brittle(now(), endpoint, reply.brittle);
             if news && self.state.log.try_admit() {
                 let service = text(&self.ticket.service);
--- a/crates/gateway/src/proxied/peer.rs
+++ b/crates/gateway/src/proxied/peer.rs
@@ -23,7 +23,10 @@
         PeerConnection, //
     },
     log::text,
-    protocol::ReplyHead,
+    protocol::{
+        ReplyHead,
+        Signature, //
+    },
     proxied::{
         Attempt,
         AttemptGuard,
@@ -139,14 +142,14 @@
         let reply = (self.state.protocol.reply)(&head.headers);
         let status = Some(head.status);
         let is_own = reply.id.as_ref() == Some(&self.incoming_request.id);
-        if is_own && reply.sealed && !reply.encoded {
+        if is_own && reply.is_endpoints_own() {
             return Ok(Attempt::new((head, reply, body), connection, guard));
         }
         self.drain_rejection(&guard, connection, body, &reply).await;
         // These statuses promise that nothing has run; a peer that doesn't open the message answers 403.
         let not_run = match head.status {
             StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => false,
-            _ if reply.sealed => false,
+            _ if reply.signature != Signature::Absent => false,
             StatusCode::FORBIDDEN | StatusCode::NOT_FOUND => true,
             _ => is_own,
         };
