Serve answers that end with their connection unannounced

A service of such endpoints answered nobody.

Cause: the head alone was the proof that framing was lost. A spoilt name of the length looks the same in the head.

Change: where the head neither marks the end nor says that the connection stays open, the body decides (AnswerBody). An endpoint whose connection stays silent is given up as one without a head is. Heads that say that the connection stays open, the registry, peers and the own interface are judged as before.

Ruled out: what the endpoint has answered before (unknown for a new one); a pause as the end (an endpoint that sends its body in pieces would be refused after its request has run); holding a stream's events back (each would be late).

--- a/crates/answer/src/lib.rs
+++ b/crates/answer/src/lib.rs
@@ -1,11 +1,13 @@
 //! Heads of answers: whether one can be the final answer to a request, and how the end of its body is marked.
 //!
-//! It reads no bytes. An HTTP library parses the head and decodes the body; a head that contradicts itself still passes
+//! It does no I/O. An HTTP library parses the head and decodes the body; a head that contradicts itself still passes
 //! that, and the library, this process and the caller's client may each take another part of what follows for the body.
 //! Start with [`Framing`], which is made of a [`Head`].
 
 #![forbid(unsafe_code)]
 
+pub mod beginning;
+
 use http::{
     HeaderMap,
     Method,
@@ -20,6 +22,8 @@
     ensure, //
 };
 
+/// Field that states for how long a connection stays open (RFC 2068, section 19.7.1.1).
+const KEEP_ALIVE: &str = "keep-alive";
 /// Least number over the classes of statuses (RFC 9110, section 15).
 const STATUS_END: u16 = 600;
 
@@ -73,17 +77,23 @@
         stated.filter(|_| !self.has_body() && !forbidden)
     }
 
+    fn has_connection_option(&self, name: &str) -> bool {
+        let lines = self.headers.get_all(header::CONNECTION).iter();
+        let options = lines.flat_map(|v| v.as_bytes().split(|b| *b == b','));
+        let mut options = options.map(<[u8]>::trim_ascii);
+        options.any(|option| option.eq_ignore_ascii_case(name.as_bytes()))
+    }
+
     /// Tells whether the connection stays open after the answer (RFC 9112, section 9.3).
     fn persists(&self) -> bool {
-        let lines = self.headers.get_all(header::CONNECTION);
-        let has = |name: &str| {
-            let options = lines
-                .iter()
-                .flat_map(|v| v.as_bytes().split(|b| *b == b','));
-            let mut options = options.map(<[u8]>::trim_ascii);
-            options.any(|option| option.eq_ignore_ascii_case(name.as_bytes()))
-        };
-        !has("close") && (self.version >= Version::HTTP_11 || has("keep-alive"))
+        let by_default = self.version >= Version::HTTP_11;
+        !self.has_connection_option("close")
+            && (by_default || self.has_connection_option("keep-alive"))
+    }
+
+    /// Tells whether the head says that the connection stays open, and not by the version of the protocol alone.
+    fn states_persistence(&self) -> bool {
+        self.has_connection_option("keep-alive") || self.headers.contains_key(KEEP_ALIVE)
     }
 
     /// Tells whether `chunked` is the only transfer coding. Requests ask for no other one, and a sender applies it once
@@ -112,6 +122,31 @@
     Chunked,
     /// By the end of the connection, which a broken-off body has as well.
     Close,
+    /// By the end of the connection, which the head does not announce. What was to mark the end may be lost as well, so the
+    /// body and its end have to show that it is not.
+    Unannounced,
+}
+
+impl Framing {
+    /// Gets the framing of the body of a final answer, where servers need not announce the end of the connection.
+    ///
+    /// That is only asked of them (RFC 9112, section 9.6): without a length and a transfer coding, the body ends with the
+    /// connection (section 6.3, item 8).
+    ///
+    /// # Errors
+    ///
+    /// As [`Framing::try_from`]; [`Fault::Unframed`] where the head says that the connection stays open.
+    pub fn with_unannounced_end(head: Head<'_>) -> Result<Self, Fault> {
+        match Self::try_from(head) {
+            Err(Fault::Unframed) if !head.states_persistence() => Ok(Framing::Unannounced),
+            judged => judged,
+        }
+    }
+
+    /// Tells whether the body ends with its connection.
+    pub fn ends_connection(self) -> bool {
+        matches!(self, Framing::Close | Framing::Unannounced)
+    }
 }
 
 /// `Fault` is why a head is not that of an answer.
--- a/crates/answer/tests/framing.rs
+++ b/crates/answer/tests/framing.rs
@@ -142,6 +142,40 @@
     expect_that!(framing(GET, &fields), ok(eq(Framing::Close)));
 }
 
+/// Guards against refusing answers that end with their connection and don't announce that, and against accepting others.
+#[gtest]
+fn verify_the_end_of_a_connection_need_not_be_announced() {
+    let unannounced = |to, fields: &[(&str, &str)]| {
+        let (method, status, version) = to;
+        let mut response = Response::builder().status(status).version(version);
+        for (name, value) in fields {
+            response = response.header(*name, *value);
+        }
+        let (head, ()) = response.body(()).expect("a response").into_parts();
+        Framing::with_unannounced_end(Head::new(method, &head))
+    };
+    for fields in [&[][..], &[("connection", "closed")], &[("x-other", "1")]] {
+        expect_that!(unannounced(GET, fields), ok(eq(Framing::Unannounced)));
+    }
+    let http_10 = (&Method::GET, 200, Version::HTTP_10);
+    let keeps = ("connection", "x, Keep-Alive");
+    for (to, fields) in [
+        (GET, &[keeps][..]),
+        (GET, &[("keep-alive", "timeout=5")]),
+        (http_10, &[keeps]),
+    ] {
+        expect_that!(unannounced(to, fields), err(eq(Fault::Unframed)));
+    }
+    // What marks or announces the end goes first, and other faults stay.
+    expect_that!(unannounced(GET, &[LENGTH]), ok(eq(Framing::Length)));
+    expect_that!(unannounced(GET, &[CHUNKED]), ok(eq(Framing::Chunked)));
+    expect_that!(unannounced(http_10, &[]), ok(eq(Framing::Close)));
+    let both = unannounced(GET, &[LENGTH, CHUNKED]);
+    expect_that!(both, err(eq(Fault::TwoFramings)));
+    let without_body = (&Method::GET, 204, Version::HTTP_11);
+    expect_that!(unannounced(without_body, &[]), ok(eq(Framing::Length)));
+}
+
 /// Guards against a length that each reader takes for another number.
 #[gtest]
 fn verify_a_length_is_one_number() {
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -347,13 +347,23 @@
         self.sender.is_closed()
     }
 
-    /// Sends a request and waits for the head of the answer.
+    /// Sends a request and waits for the head of the answer, which says what marks the end of its body.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> SendOutcome {
+        self.send_judged(request, |head| Framing::try_from(head))
+            .await
+    }
+
+    /// Sends a request and waits for the head of the answer, which `judge` accepts or refuses.
+    pub async fn send_judged(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        judge: fn(Head<'_>) -> Result<Framing, Fault>,
+    ) -> SendOutcome {
         let method = request.method().clone();
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 let (head, body) = response.into_parts();
-                match Framing::try_from(Head::new(&method, &head)) {
+                match judge(Head::new(&method, &head)) {
                     Ok(framing) => SendOutcome::Head(Response::from_parts(head, body), framing),
                     Err(fault) => SendOutcome::Malformed(fault),
                 }
--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -23,7 +23,7 @@
     fn from(framing: Framing) -> Self {
         match framing {
             Framing::Length | Framing::Chunked => BodyEnd::Marked,
-            Framing::Close => BodyEnd::Closed,
+            Framing::Close | Framing::Unannounced => BodyEnd::Closed,
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 #![forbid(unsafe_code)]
 
+mod answer_body;
 pub mod budget;
 pub mod client;
 mod client_stream;
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::{
-    Body as _,
+    Body,
     Incoming, //
 };
 use snafu::Snafu;
@@ -13,6 +13,8 @@
     UNCOUNTED_BYTES, //
 };
 
+use crate::answer_body;
+
 /// Blocks in which a body is buffered that comes in several frames, in bytes. A buffer that grows with the body leaves
 /// holes between those of other bodies, which hold memory that is in no account.
 const BLOCK_BYTES: usize = UNCOUNTED_BYTES;
@@ -47,10 +49,16 @@
     #[snafu(display("{source}"), context(false))]
     Lost {
         /// The cause.
-        source: hyper::Error,
+        source: answer_body::Error,
     },
 }
 
+impl From<hyper::Error> for CollectError {
+    fn from(source: hyper::Error) -> Self {
+        answer_body::Error::from(source).into()
+    }
+}
+
 /// `Collected` is a body of which a part has arrived.
 #[derive(Debug, Default)]
 struct Collected {
@@ -123,11 +131,14 @@
 }
 
 /// Buffers a body until it is complete. The bytes are counted until they are dropped.
-pub(crate) async fn collect(
-    body: &mut Incoming,
+pub(crate) async fn collect<B>(
+    body: &mut B,
     max: usize,
     mut reservation: Reservation,
-) -> Result<Bytes, CollectError> {
+) -> Result<Bytes, CollectError>
+where
+    B: Body<Data = Bytes, Error: Into<CollectError>> + Unpin,
+{
     if body.size_hint().lower() > u64::try_from(max).unwrap_or(u64::MAX) {
         return Err(CollectError::Overlong);
     }
@@ -139,7 +150,7 @@
             frame = body.frame() => frame,
         };
         let Some(frame) = frame else { break };
-        let Ok(data) = frame?.into_data() else {
+        let Ok(data) = frame.map_err(Into::into)?.into_data() else {
             continue;
         };
         if collected.len + data.len() > max {
--- a/crates/gateway/src/proxied/endpoint.rs
+++ b/crates/gateway/src/proxied/endpoint.rs
@@ -35,6 +35,7 @@
 };
 
 use crate::{
+    answer_body::AnswerBody,
     client::{
         ConnectFailure,
         Connection,
@@ -103,7 +104,8 @@
 }
 
 async fn exchange_head(mut connection: Connection, request: Request<Full<Bytes>>) -> HeadExchange {
-    let outcome = connection.send(request).await;
+    let judge = Framing::with_unannounced_end;
+    let outcome = connection.send_judged(request, judge).await;
     (connection, outcome)
 }
 
@@ -272,7 +274,7 @@
         let (head, body) = response.into_parts();
         self.received = Some(Received::new(framing));
         let mut reply = (self.state.protocol.reply)(&head.headers);
-        reply.closes |= framing == Framing::Close;
+        reply.closes |= framing.ends_connection();
         let status = Some(head.status);
         if let Some(load) = reply.load {
             let mut gateway = self.state.gateway.borrow_mut();
@@ -312,6 +314,10 @@
             let mut gateway = self.state.gateway.borrow_mut();
             gateway.confirm(&self.ticket, placed.endpoint);
         }
+        // The silence of a stream is judged where it is forwarded.
+        let is_stream = self.ticket.route.kind.streams() && head.status.is_success();
+        let patience = (!is_stream).then(|| self.silence_timeout(&guard, false));
+        let body = AnswerBody::new(body, framing, patience);
         Ok(Attempt::new((head, reply, body), connection, guard))
     }
 
--- a/crates/gateway/src/proxied/mod.rs
+++ b/crates/gateway/src/proxied/mod.rs
@@ -17,7 +17,6 @@
     header,
     request::Parts, //
 };
-use hyper::body::Incoming;
 use toucanturn_answer::Head;
 use toucanturn_core::{
     arena::EndpointKey,
@@ -46,6 +45,7 @@
 use toucanturn_wire::handoff::Position;
 
 use crate::{
+    answer_body::AnswerBody,
     client::Connection,
     exchange::{
         Body,
@@ -219,7 +219,7 @@
 pub(crate) struct Attempt {
     pub(crate) head: http::response::Parts,
     pub(crate) reply: ReplyHead,
-    pub(crate) body: Incoming,
+    pub(crate) body: AnswerBody,
     /// Bytes of the body that have been read ahead.
     pub(crate) ahead: Bytes,
     /// Whether these are the whole body.
@@ -231,7 +231,7 @@
 impl Attempt {
     /// Creates an attempt of whose body nothing has been read.
     pub(crate) fn new(
-        (head, reply, body): (http::response::Parts, ReplyHead, Incoming),
+        (head, reply, body): (http::response::Parts, ReplyHead, AnswerBody),
         connection: Connection,
         guard: AttemptGuard,
     ) -> Self {
--- a/crates/gateway/src/proxied/peer.rs
+++ b/crates/gateway/src/proxied/peer.rs
@@ -143,7 +143,7 @@
         let status = Some(head.status);
         let is_own = reply.id.as_ref() == Some(&self.incoming_request.id);
         if is_own && reply.is_endpoints_own() {
-            return Ok(Attempt::new((head, reply, body), connection, guard));
+            return Ok(Attempt::new((head, reply, body.into()), connection, guard));
         }
         self.drain_rejection(&guard, connection, body, &reply).await;
         // These statuses promise that nothing has run; a peer that doesn't open the message answers 403.
--- a/crates/gateway/src/proxied/succession.rs
+++ b/crates/gateway/src/proxied/succession.rs
@@ -27,7 +27,6 @@
         timeout, //
     },
 };
-use toucanturn_answer::Framing;
 use toucanturn_core::gateway::{
     outcome::{
         AttemptOutcome,
@@ -255,7 +254,7 @@
         if !attempt.ahead.is_empty() {
             return None;
         }
-        let by_close = self.received.is_some_and(|r| r.framing == Framing::Close);
+        let by_close = self.received.is_some_and(|r| r.framing.ends_connection());
         let limit = self.silence_timeout(&attempt.guard, false);
         let mut events = EventSplitter::default();
         let mut ahead = BytesMut::new();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -24,16 +24,12 @@
     Full,
     StreamBody, //
 };
-use hyper::body::{
-    Frame,
-    Incoming, //
-};
+use hyper::body::Frame;
 use tokio::{
     task::yield_now,
     time::timeout, //
 };
 use toucanturn_account::Reservation;
-use toucanturn_answer::Framing;
 use toucanturn_core::{
     gateway::{
         outcome::{
@@ -53,6 +49,10 @@
 };
 
 use crate::{
+    answer_body::{
+        self,
+        AnswerBody, //
+    },
     client::Connection,
     exchange::{
         Body,
@@ -121,12 +121,12 @@
 }
 
 /// What an endpoint sends next; `None` at the end of its answer.
-type NextFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+type NextFrame = Option<Result<Frame<Bytes>, answer_body::Error>>;
 
 /// What an endpoint that has kept silent sends next, and the rest of its attempt.
 type Next = (
     NextFrame,
-    (http::response::Parts, ReplyHead, Incoming, Connection),
+    (http::response::Parts, ReplyHead, AnswerBody, Connection),
 );
 
 /// Returns how an attempt ended, if its answer broke off.
@@ -419,7 +419,7 @@
     fn judge_end(&mut self) -> Piece {
         let is_stream = self.is_event_stream();
         let received = self.proxied.received.as_ref();
-        let unmarked = received.is_some_and(|r| r.framing == Framing::Close);
+        let unmarked = received.is_some_and(|r| r.framing.ends_connection());
         let empty = unmarked && !self.events.has_begun();
         if is_stream && (self.events.has_partial() || empty) {
             return Piece::Broken;
