Doubt the version of streams that a restarted endpoint may have begun

Cause: a stream was bound for good to the version of the entry that was read before its request was sent (begin_stream). Only a connection that was seen to break raised a doubt; a router without one saw nothing, and the read that showed the entry replaced changed neither the stream nor its record, nor what peers had been told.

Change: the new process has written its entry before it answers, so a stream is the old one's if it began before the sending of a read that still listed the old entry. A read that shows an incarnation replaced by one with other software makes streams of the former that began after the read before of unknown version: in progress, in the record, and at peers that were told. Where entries state starts, a stream that breaks before a read has confirmed its endpoint waits for one (on demand at a reader, one and a half read intervals at most), but not in an outage of the registry.

Ruled out, weighed: records that wait for a read (lost with a killed router, and in an outage); doubting all streams of a replaced incarnation (each restart in place would end those that reads had confirmed); the wall clock of the entry's start.

--- a/crates/core/src/gateway/attempt/ticket.rs
+++ b/crates/core/src/gateway/attempt/ticket.rs
@@ -12,6 +12,7 @@
     arena::EndpointKey,
     gateway::{
         catalog::Workspace,
+        endpoint::Incarnation,
         fingerprint::{
             self,
             Fingerprint, //
@@ -97,6 +98,8 @@
     /// Endpoint that it was last sent to, and when the connection was opened, if the registry has not been read since
     /// and the endpoint may have restarted: `build` is its entry's, and may not be that of its process.
     pub unconfirmed: Option<(EndpointKey, Time)>,
+    /// Endpoint that has begun its stream, and when its first event was delivered.
+    pub begun: Option<(Incarnation, Time)>,
     /// Whether nothing but the end of its connection shows that the newest answer is complete.
     pub unproved: bool,
 }
@@ -197,6 +200,7 @@
             build: None,
             opened: None,
             unconfirmed: None,
+            begun: None,
             unproved: false,
         }
     }
--- a/crates/core/src/gateway/endpoint/identity.rs
+++ b/crates/core/src/gateway/endpoint/identity.rs
@@ -4,10 +4,23 @@
 //! has written its entry before it answers.
 
 use crate::{
-    gateway::endpoint::Endpoint,
+    gateway::{
+        endpoint::Endpoint,
+        origin::Build, //
+    },
+    ids::Tag,
     units::Time, //
 };
 
+/// `Incarnation` is the process that an endpoint's entry describes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Incarnation {
+    /// Tag of its name and start.
+    pub life: Tag,
+    /// Version of its software.
+    pub build: Build,
+}
+
 /// `Identity` is what connections to an endpoint show of its process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Identity {
--- a/crates/core/src/gateway/endpoint/mod.rs
+++ b/crates/core/src/gateway/endpoint/mod.rs
@@ -37,6 +37,7 @@
     Entry,
     State, //
 };
+pub use identity::Incarnation;
 pub use liveness::Liveness;
 pub use load::Load;
 pub use signals::{
@@ -230,6 +231,14 @@
         is_listed && !self.signals.leaving && !self.unidentified
     }
 
+    /// Gets the process that its entry describes.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            life: self.tag(),
+            build: self.build,
+        }
+    }
+
     /// Gets the tag that identifies this instance between routers. It differs from that of an
     /// earlier instance, so that what a peer knows of that one is not applied to this one.
     pub fn tag(&self) -> Tag {
--- a/crates/core/src/gateway/fleet/proof.rs
+++ b/crates/core/src/gateway/fleet/proof.rs
@@ -21,6 +21,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FreshnessProof {
     read: Option<Time>,
+    /// The sending time of the read before.
+    read_before: Option<Time>,
     /// The sending time of the newest read that returned the configuration held.
     configuration: Option<Time>,
     /// The same of the read before.
@@ -38,6 +40,7 @@
         if self.read >= Some(sent) {
             return;
         }
+        self.read_before = self.read;
         self.read = Some(sent);
         if !self.configuration_unreadable {
             self.configuration_before = self.configuration;
@@ -71,6 +74,11 @@
         self.read
     }
 
+    /// Returns when the state before it was last proven to be the newest; `None` before the second read.
+    pub fn read_before(&self) -> Option<Time> {
+        self.read_before
+    }
+
     /// Returns the sending time of the newest call that the registry is known to have answered.
     pub fn answered(&self) -> Option<Time> {
         self.read.max(self.newer)
--- a/crates/core/src/gateway/fleet/updates/registry.rs
+++ b/crates/core/src/gateway/fleet/updates/registry.rs
@@ -145,6 +145,7 @@
         let grace = self.bounds.lapse_grace;
         self.registry.remove(now, &removed, grace, &mut events);
         self.registry.check_start_times(&mut events);
+        self.record_replaced(now);
         events
     }
 
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -98,11 +98,15 @@
 use brittle::Brittleness;
 use budget::RetryBudget;
 use catalog::Catalog;
+use endpoint::Incarnation;
 use handoff::Peers;
 use hot_spots::HotSpots;
 use mesh::Sample;
 use multiple::LoadNotes;
-use origin::Streams;
+use origin::{
+    Streams,
+    process::Replaced, //
+};
 use prefill::Prefill;
 use proof::FreshnessProof;
 use quarantine::{
@@ -154,6 +158,8 @@
     peers: Peers,
     /// Software versions of recent streams.
     streams: Streams,
+    /// Incarnations of endpoints that were replaced by others with other software within the life of a stream.
+    replaced: IndexMap<Incarnation, Replaced>,
     /// Longest time that a stream lasts with its caller's tries.
     stream_life: Millis,
     /// The same by the configuration in force; streams from before it may last for longer.
@@ -219,6 +225,7 @@
             reach: Reach::default(),
             peers: Peers::default(),
             streams: Streams::default(),
+            replaced: IndexMap::new(),
             stream_life: Millis(0),
             published_stream_life: Millis(0),
             stream_life_until: Time(0),
--- a/crates/core/src/gateway/origin/builds.rs
+++ b/crates/core/src/gateway/origin/builds.rs
@@ -16,9 +16,13 @@
 pub struct Build(pub u32);
 
 impl Build {
+    /// The version of streams of which it is not known which version began them. No endpoint has it.
+    pub const UNKNOWN: Self = Self(0);
+
     /// Identifies a version by its service and its text.
     pub fn of(service: &[u8], version: &[u8]) -> Self {
-        Self(Tag::of(&[service, b"\0", version].concat()).0)
+        let Tag(tag) = Tag::of(&[service, b"\0", version].concat());
+        Self(tag.max(1))
     }
 }
 
--- a/crates/core/src/gateway/origin/lookup.rs
+++ b/crates/core/src/gateway/origin/lookup.rs
@@ -88,7 +88,7 @@
         let key = incoming_request.resumes.as_ref();
         let key = key.map(|id| Self::stream_key(ticket, id));
         if let Some(record) = key.and_then(|key| self.streams.get(now, key)) {
-            return Lookup::Found(Origin::Build(record.build));
+            return Lookup::Found(record.build.into());
         }
         let mixed = self.may_be_of_several(now, ticket);
         match key {
@@ -107,6 +107,7 @@
         service: &[u8],
     ) -> PeerKnowledge {
         PeerKnowledge {
+            // An unknown version is told as well: the asker must not take another one for proved.
             build: self.streams.get(now, key).map(|r| r.build),
             versions: self.versions_before(now, asked, service),
         }
--- a/crates/core/src/gateway/origin/mod.rs
+++ b/crates/core/src/gateway/origin/mod.rs
@@ -40,7 +40,7 @@
 mod builds;
 mod history;
 mod lookup;
-mod process;
+pub(super) mod process;
 mod reports;
 mod routes;
 mod streams;
@@ -80,6 +80,16 @@
     Unknown,
 }
 
+impl From<Build> for Origin {
+    /// Gets the origin of a stream from the version in its record.
+    fn from(build: Build) -> Self {
+        match build {
+            Build::UNKNOWN => Origin::Unknown,
+            build => Origin::Build(build),
+        }
+    }
+}
+
 impl Origin {
     /// Tells whether an endpoint of a version may run the stream.
     pub fn allows(self, build: Build) -> bool {
--- a/crates/core/src/gateway/origin/reports.rs
+++ b/crates/core/src/gateway/origin/reports.rs
@@ -5,6 +5,7 @@
 use crate::{
     gateway::{
         Gateway, Ticket,
+        endpoint::Incarnation,
         origin::{
             Build,
             Origin,
@@ -13,6 +14,7 @@
             StreamReport, //
         },
     },
+    ids::Tag,
     units::{
         Millis,
         Time, //
@@ -33,13 +35,13 @@
 
 impl Gateway {
     /// Notes that the first event of a request's answer is delivered, which an endpoint of version
-    /// `build` has sent, if that is known. Returns whether peers are to be told.
+    /// `build` has sent, if that is known; `life` is its incarnation. Returns whether peers are to be told.
     pub fn begin_stream(
         &mut self,
         now: Time,
         ticket: &mut Ticket,
         request_id: &[u8],
-        build: Option<Build>,
+        (build, life): (Option<Build>, Option<Tag>),
     ) -> bool {
         // A stream that can't be resumed is not taken up either.
         if !ticket.route.kind.repeatable() {
@@ -47,6 +49,9 @@
         }
         if !matches!(ticket.origin, Origin::Build(_)) {
             ticket.origin = build.map_or(Origin::Unknown, Origin::Build);
+            let begun_by = life.zip(build);
+            let begun_by = begun_by.map(|(life, build)| Incarnation { life, build });
+            ticket.begun = begun_by.map(|incarnation| (incarnation, now));
         }
         let Origin::Build(build) = ticket.origin else {
             return false;
@@ -57,6 +62,7 @@
         let longest = now + self.stream_life;
         let record = StreamRecord {
             build,
+            incarnation: ticket.begun.map(|(incarnation, _)| incarnation),
             began: now,
             until: ticket.deadline.min(longest) + DEADLINE_MARGIN,
             // The router that has handed the request over tells the peers.
@@ -94,6 +100,7 @@
         for report in reports {
             let record = StreamRecord {
                 build: report.build,
+                incarnation: None,
                 began: now - report.age,
                 until: now + Millis(report.left.0.min(self.stream_life.0)),
                 service: None,
@@ -146,6 +153,9 @@
         }
         self.registry.expire_builds(now, self.stream_life);
         self.streams.expire(now);
+        let life = self.stream_life;
+        self.replaced
+            .retain(|_, replaced| now.since(replaced.at) < life);
         self.peers_mixed
             .retain(|_, at| now.since(*at) < STATEMENT_TTL);
         self.inherited_mixed.retain(|_, until| now < *until);
--- a/crates/core/src/gateway/origin/streams.rs
+++ b/crates/core/src/gateway/origin/streams.rs
@@ -4,7 +4,10 @@
 use indexmap::IndexMap;
 
 use crate::{
-    gateway::origin::Build,
+    gateway::{
+        endpoint::Incarnation,
+        origin::Build, //
+    },
     units::{
         Millis,
         Time, //
@@ -44,8 +47,10 @@
 /// `StreamRecord` is the version of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamRecord {
-    /// Version that began it.
+    /// Version that began it, or [`Build::UNKNOWN`].
     pub build: Build,
+    /// Endpoint that began it, if this router knows that.
+    pub incarnation: Option<Incarnation>,
     /// When its caller was sent the first event.
     pub began: Time,
     /// Until when it is remembered.
@@ -134,6 +139,20 @@
         }
     }
 
+    /// Records that it is not known which version began the streams of an incarnation that began after `confirmed`, and
+    /// queues them.
+    pub(super) fn doubt(&mut self, now: Time, incarnation: Incarnation, confirmed: Option<Time>) {
+        for (key, record) in &mut self.records {
+            if record.incarnation == Some(incarnation) && Some(record.began) >= confirmed {
+                record.build = Build::UNKNOWN;
+                record.incarnation = None;
+                // Of two reports, the later one counts.
+                record.began = now;
+                self.unsent.push(*key);
+            }
+        }
+    }
+
     /// Queues the streams that this router has begun, and that peers have not been told of, of the services that
     /// `wanted` tells.
     pub(super) fn queue(&mut self, wanted: impl Fn(&Bytes) -> bool) {
--- a/crates/core/src/gateway/registry/mod.rs
+++ b/crates/core/src/gateway/registry/mod.rs
@@ -25,6 +25,7 @@
         endpoint::{
             Endpoint,
             Entry,
+            Incarnation,
             Signals,
             State, //
         },
@@ -55,6 +56,8 @@
     /// Signals of instances that have no entry at the moment. An entry that lapsed in an outage may
     /// come back, and may be older than the signal.
     unlisted_signals: IndexMap<Tag, Signals>,
+    /// Incarnations that others with other software have replaced since the last call of [`Registry::take_replaced`].
+    replaced: Vec<Incarnation>,
     /// Evacuated data centres, whose endpoints get no requests, and when the evacuation became
     /// known here.
     evacuated: IndexMap<Bytes, Time>,
@@ -143,7 +146,7 @@
             // and identifies no incarnation.
             Some(Ordering::Less) if entry.born.is_none() => return self.discard(&entry.id, events),
             Some(Ordering::Less) => return,
-            Some(Ordering::Greater) => self.discard(&entry.id, events),
+            Some(Ordering::Greater) => self.replace(&entry, events),
             Some(Ordering::Equal) | None => {}
         }
         // Another service, software version or address is that of another process. Requests that reached another endpoint
@@ -154,7 +157,7 @@
             e.build != Build::of(&entry.service, &entry.build) || e.entry.address != entry.address
         };
         if known.is_some_and(is_other) {
-            self.discard(&entry.id, events);
+            self.replace(&entry, events);
         }
         if let Some(key) = self.by_name.get(&entry.id)
             && let Some(endpoint) = self.endpoints.get_mut(*key)
@@ -185,6 +188,21 @@
         self.by_service.entry(service).or_default().push(key);
     }
 
+    /// Removes the incarnation that the one of an entry has replaced.
+    fn replace(&mut self, entry: &Entry, events: &mut Vec<RegistryEvent>) {
+        let known = self.by_name.get(&entry.id);
+        let known = known.and_then(|k| self.endpoints.get(*k));
+        let other = Build::of(&entry.service, &entry.build);
+        let replaced = known.filter(|e| e.build != other);
+        self.replaced.extend(replaced.map(Endpoint::incarnation));
+        self.discard(&entry.id, events);
+    }
+
+    /// Takes the incarnations that others with other software have replaced under their names.
+    pub fn take_replaced(&mut self) -> Vec<Incarnation> {
+        std::mem::take(&mut self.replaced)
+    }
+
     /// Removes an endpoint immediately.
     pub fn discard(&mut self, id: &Bytes, events: &mut Vec<RegistryEvent>) {
         let Some(key) = self.by_name.swap_remove(id) else {
--- a/crates/core/tests/gateway/origin.rs
+++ b/crates/core/tests/gateway/origin.rs
@@ -109,7 +109,8 @@
 fn begin(gateway: &mut Gateway, now: Time, version: &'static [u8]) -> bool {
     let request = request("/chat/x");
     let mut ticket = gateway.admit(now, &request).expect("admitted");
-    gateway.begin_stream(now, &mut ticket, &request.id, Some(build(version)))
+    let begun_by = (Some(build(version)), None);
+    gateway.begin_stream(now, &mut ticket, &request.id, begun_by)
 }
 
 fn report(workspace: u32, stream: u64, version: &'static [u8], age: u64) -> StreamReport {
@@ -123,6 +124,7 @@
 
 fn record(version: &'static [u8], began: u64) -> StreamRecord {
     StreamRecord {
+        incarnation: None,
         build: build(version),
         began: Time(began),
         until: Time(100_000),
@@ -620,7 +622,7 @@
         ..reported.clone()
     };
     expect_that!(reported, eq(&expected));
-    gateway.begin_stream(Time(20), &mut ticket, &request.id, reported.build);
+    gateway.begin_stream(Time(20), &mut ticket, &request.id, (reported.build, None));
     let grant = gateway.grant(Time(30), &ticket, Some(3));
     expect_that!(grant.origin, eq(Origin::Build(build(NEW))));
     let accepted = gateway.admit_from_peer(Time(40), &take_up("a1"), &grant);
@@ -636,7 +638,7 @@
     for mut gateway in [mixed_gateway(), gateway(2)] {
         let request = request("/chat/x");
         let mut ticket = gateway.admit(Time(10), &request).expect("admitted");
-        gateway.begin_stream(Time(20), &mut ticket, &request.id, None);
+        gateway.begin_stream(Time(20), &mut ticket, &request.id, (None, None));
         expect_that!(ticket.origin, eq(Origin::Unknown));
     }
 }
--- a/crates/core/tests/gateway/restarted.rs
+++ b/crates/core/tests/gateway/restarted.rs
@@ -10,13 +10,19 @@
         Gateway,
         Ticket,
         endpoint::Entry,
+        incoming_request::IncomingRequest,
         origin::{
             Build,
+            Lookup,
             Origin, //
         },
         outcome::AttemptOutcome, //
     },
-    units::Time,
+    units::{
+        Millis,
+        Time,
+        Wall, //
+    },
 };
 
 use crate::fixture::{
@@ -69,7 +75,8 @@
     let (mut ticket, key) = send(gateway, opened);
     gateway.heard(opened, key, opened);
     let build = ticket.build;
-    gateway.begin_stream(opened, &mut ticket, b"a1", build);
+    let life = ticket.life;
+    gateway.begin_stream(opened, &mut ticket, b"a1", (build, life));
     ticket
 }
 
@@ -130,7 +137,10 @@
     let mut gateway = gateway(2);
     break_off(&mut gateway, Time(100), AttemptOutcome::Broken);
     let mut ticket = begin(&mut gateway, Time(300));
-    expect_that!(Gateway::settles_after(&ticket), some(eq(Time(300))));
+    expect_that!(
+        gateway.settles_after(Time(300), &ticket),
+        some(eq(Time(300)))
+    );
     list_new(&mut gateway, Time(400));
     gateway.settle_origin(&mut ticket);
     expect_that!(ticket.origin, eq(Origin::Unknown));
@@ -154,6 +164,115 @@
 fn verify_streams_of_an_endpoint_without_breaks_are_known() {
     let mut gateway = gateway(2);
     let ticket = begin(&mut gateway, Time(300));
-    expect_that!(Gateway::settles_after(&ticket), none());
+    expect_that!(gateway.settles_after(Time(300), &ticket), none());
     expect_that!(gateway.peer_report(&ticket, None).build, some(eq(old())));
 }
+
+/// Starts a gateway before two endpoints that state their starts.
+fn gateway_with_starts() -> Gateway {
+    let mut gateway = gateway(0);
+    list_first(&mut gateway, 10, b"v1", 1);
+    let second = Entry {
+        born: Some(Wall(1)),
+        ..entry(1)
+    };
+    gateway.apply_changes(Time(10), vec![Change::Entry(second)]);
+    gateway
+}
+
+/// Has a read at `at` find the first endpoint with this version and start.
+fn list_first(gateway: &mut Gateway, at: u64, build: &'static [u8], born: u64) {
+    let entry = Entry {
+        build: Bytes::from_static(build),
+        born: Some(Wall(born)),
+        ..entry(0)
+    };
+    gateway.record_registry_read(Time(at), Time(at));
+    gateway.apply_changes(Time(at), vec![Change::Entry(entry)]);
+}
+
+/// Looks the stream of [`begin`] up for a caller that takes it up.
+fn look_up(gateway: &mut Gateway, now: Time) -> Lookup {
+    let request = IncomingRequest {
+        resumes: Some(Bytes::from_static(b"a1")),
+        resume: Some(1),
+        ..request("/chat/x")
+    };
+    let ticket = gateway.admit(now, &request).expect("admitted");
+    gateway.look_up_origin(now, &ticket, &request)
+}
+
+/// Guards against a join of a stream that a new process has begun before its entry was read, without any sign of its start:
+/// in the same answer, when its caller takes it up, and at peers.
+#[gtest]
+fn verify_a_stream_that_a_new_process_may_have_begun_is_of_unknown_version() {
+    for read_before in [10, 300] {
+        let mut gateway = gateway_with_starts();
+        gateway.record_registry_read(Time(read_before), Time(read_before));
+        let mut ticket = begin(&mut gateway, Time(300));
+        gateway.take_unsent_streams(Time(300));
+        list_first(&mut gateway, 400, b"v2", 2);
+        gateway.settle_origin(&mut ticket);
+        expect_that!(ticket.origin, eq(Origin::Unknown), "{read_before}");
+        let found = look_up(&mut gateway, Time(410));
+        expect_that!(found, eq(Lookup::Found(Origin::Unknown)), "{read_before}");
+        let told = gateway.take_unsent_streams(Time(420));
+        let told: Vec<Build> = told.iter().map(|report| report.build).collect();
+        expect_that!(told, eq(&vec![Build::UNKNOWN]), "{read_before}");
+    }
+}
+
+/// Guards against lost streams of an endpoint that restarts after a read has confirmed its version.
+#[gtest]
+fn verify_a_stream_that_a_read_has_confirmed_keeps_its_version() {
+    let mut gateway = gateway_with_starts();
+    let mut ticket = begin(&mut gateway, Time(300));
+    gateway.record_registry_read(Time(350), Time(350));
+    list_first(&mut gateway, 400, b"v2", 2);
+    gateway.settle_origin(&mut ticket);
+    expect_that!(ticket.origin, eq(Origin::Build(old())));
+    let found = look_up(&mut gateway, Time(410));
+    expect_that!(found, eq(Lookup::Found(Origin::Build(old()))));
+}
+
+/// Guards against lost streams of an endpoint that restarts with the same version.
+#[gtest]
+fn verify_a_stream_of_an_endpoint_that_restarts_with_its_version_goes_on() {
+    let mut gateway = gateway_with_starts();
+    let mut ticket = begin(&mut gateway, Time(300));
+    list_first(&mut gateway, 400, b"v1", 2);
+    gateway.settle_origin(&mut ticket);
+    expect_that!(ticket.origin, eq(Origin::Build(old())));
+}
+
+/// Guards against a stream that goes on before a read could show that its endpoint has restarted, and against a wait for a
+/// read that confirms nothing new, or that an outage keeps from coming.
+#[gtest]
+fn verify_a_young_stream_waits_for_a_read_where_endpoints_state_their_starts() {
+    let mut gateway = gateway_with_starts();
+    let ticket = begin(&mut gateway, Time(300));
+    expect_that!(
+        gateway.settles_after(Time(310), &ticket),
+        some(eq(Time(300)))
+    );
+    expect_that!(gateway.settles_after(Time(60_000), &ticket), none());
+    gateway.record_registry_read(Time(320), Time(320));
+    expect_that!(gateway.settles_after(Time(330), &ticket), none());
+}
+
+/// Guards against a join at a peer that was told the version of the process before: the later report counts.
+#[gtest]
+fn verify_peers_are_told_that_a_version_is_unknown() {
+    let mut beginner = gateway_with_starts();
+    begin(&mut beginner, Time(300));
+    let mut peer = gateway_with_starts();
+    list_first(&mut beginner, 400, b"v2", 2);
+    let told = beginner.take_unsent_streams(Time(410));
+    let mut earlier = told.clone();
+    earlier[0].build = old();
+    earlier[0].age = Millis(200);
+    peer.record_peer_streams(Time(500), &earlier);
+    peer.record_peer_streams(Time(500), &told);
+    let found = look_up(&mut peer, Time(510));
+    expect_that!(found, eq(Lookup::Found(Origin::Unknown)));
+}
--- a/crates/gateway/src/proxied/mod.rs
+++ b/crates/gateway/src/proxied/mod.rs
@@ -21,7 +21,7 @@
 use toucanturn_core::{
     arena::EndpointKey,
     gateway::{
-        Gateway, Ticket,
+        Ticket,
         fingerprint::Content,
         handoff::PeerReport,
         incoming_request::IncomingRequest,
@@ -391,8 +391,13 @@
 
     /// Decides the origin of a stream that an endpoint has begun that may have restarted before.
     async fn settle_origin(&mut self) {
-        if let Some(opened) = Gateway::settles_after(&self.ticket) {
-            self.wait_for_read(opened).await;
+        let after = self
+            .state
+            .gateway
+            .borrow()
+            .settles_after(now(), &self.ticket);
+        if let Some(after) = after {
+            self.wait_for_read(after).await;
         }
         let gateway = self.state.gateway.borrow();
         gateway.settle_origin(&mut self.ticket);
@@ -410,13 +415,17 @@
     /// Notes that the first event of a stream is about to be delivered.
     pub(crate) fn begin_stream(&mut self, target: &Target) {
         self.record_first(target);
-        let build = match target {
-            Target::Endpoint(_) => self.ticket.build,
-            Target::Peer { report, .. } => report.as_ref().and_then(|r| r.build),
+        let begun_by = match target {
+            Target::Endpoint(_) => (self.ticket.build, self.ticket.life),
+            Target::Peer { report, .. } => {
+                let report = report.as_ref();
+                let life = report.and_then(|r| r.tried.last()).copied();
+                (report.and_then(|r| r.build), life)
+            }
         };
         let id = &self.incoming_request.id;
         let mut gateway = self.state.gateway.borrow_mut();
-        if gateway.begin_stream(now(), &mut self.ticket, id, build) {
+        if gateway.begin_stream(now(), &mut self.ticket, id, begun_by) {
             self.state.unsent_streams.notify_one();
         }
     }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -333,7 +333,7 @@
 
     fn conclude(&self, state: &Shared, known: PeerKnowledge) -> Option<(Origin, Source)> {
         if let Some(build) = known.build {
-            return Some((Origin::Build(build), Source::Peer));
+            return Some((build.into(), Source::Peer));
         }
         let Versions::Only(only) = known.versions else {
             return None;
