Bound the overlap with an attempt that was handed to a peer

Cause: the clock of MAX_OVERLAP started only for attempts at endpoints (Dispatch::begin); when a peer sends a request on is known from its answer alone.

Change: it starts when the request is handed over. A peer that can't help refuses at once, and the silent attempt goes on; one that has not answered within 250 ms has most likely sent it on.

Ruled out, weighed: an interim answer of the peer (the HTTP library's server sends none); ending the silent attempt before handing over (lost where the peer refuses); fewer hand-offs (routers that reach no endpoint need them).

--- a/crates/gateway/src/proxied/succession.rs
+++ b/crates/gateway/src/proxied/succession.rs
@@ -52,8 +52,9 @@
     state::now,
 };
 
-/// Longest time for which two endpoints may run one stream, from sending it to the second one. 400 ms are allowed; the
-/// rest is for the way to the endpoint and for a router that waits for its share of a processor.
+/// Longest time for which two endpoints may run one stream, from sending it to the second one or to the peer that sends it
+/// there. 400 ms are allowed; the rest is for the way to the endpoint and for a router that waits for its share of a
+/// processor.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
 /// Bytes of a stream after which it counts as begun although its first event is not complete.
 const MAX_AHEAD_BYTES: usize = 64 << 10;
@@ -88,11 +89,10 @@
 }
 
 impl Dispatch {
-    /// Records that an attempt is sent. When a peer sends it to an endpoint is known from its answer alone.
+    /// Records that an attempt is sent. A peer may send it on at once, and only its answer tells whether it did.
     pub(super) fn begin(&self, target: &Target) {
-        let to_peer = matches!(target, Target::Peer { .. });
-        self.sent.set((!to_peer).then(Instant::now));
-        self.to_peer.set(to_peer);
+        self.sent.set(Some(Instant::now()));
+        self.to_peer.set(matches!(target, Target::Peer { .. }));
         self.changed.notify_one();
     }
 
@@ -103,7 +103,7 @@
         self.changed.notify_one();
     }
 
-    /// Waits until an attempt at an endpoint has been under way for [`MAX_OVERLAP`].
+    /// Waits until an attempt has been under way for [`MAX_OVERLAP`].
     async fn overlapped(&self) {
         loop {
             let Some(sent) = self.sent.get() else {
@@ -192,7 +192,7 @@
             First::Overlapped => (Takeover::Overlapped, AttemptOutcome::Stalled, None),
         };
         drop(progress);
-        let is_sent = begun.is_some() || dispatch.sent.get().is_some() || dispatch.to_peer.get();
+        let is_sent = begun.is_some() || dispatch.sent.get().is_some();
         let next = self.take_over((guard, outcome, status), takeover);
         if next == NextStep::GiveUp && !is_sent {
             drop(begin);
