Read what a socket has received before a body's end counts as late

A router that was not run for that long reads the clock before the socket; the state for that (Unconfirmed) was there, and the end of the connection was judged as if it had been Long.

Change: only Long counts.

--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -177,7 +177,7 @@
     fn end(&mut self) -> Option<Result<Bytes, Error>> {
         // Nothing shows that an empty body is whole.
         let is_empty = self.beginning.as_ref().is_some_and(BytesMut::is_empty);
-        if self.silence != Silence::Short || is_empty {
+        if self.silence == Silence::Long || is_empty {
             return Some(Err(Error::Unmarked));
         }
         let rest = self.judge(true);
